--- /dev/null
+++ b/transport/src/http_server.rs
@@ -0,0 +1,291 @@
+//! The HTTP/1.1 server of every process.
+//!
+//! A handler gets a request with its whole body, read under a limit, and
+//! returns a reply whose body is whole or a stream. What is wrong before a
+//! handler can see it (an oversized body, a body cut short) is answered here
+//! with a problem document.
+
+use std::{convert::Infallible, future::Future, io, net::TcpListener, time::Duration};
+
+use actix_http::{
+    HttpMessage, HttpService, Request, Response, StatusCode,
+    body::{BodyStream, BoxBody, MessageBody},
+    header::{self, HeaderMap, HeaderName, HeaderValue},
+};
+use actix_server::Server;
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use rosebend_protocol::problem::{Problem, Ran};
+use serde::Serialize;
+use tokio::sync::mpsc;
+
+/// Content type of a problem document.
+pub const PROBLEM_JSON: &str = "application/problem+json";
+/// Content type of JSON.
+pub const JSON: &str = "application/json";
+
+/// How a server reads requests and how many threads serve them.
+#[derive(Clone, Debug)]
+pub struct HttpServerConfig {
+    /// Name of the server, for its threads.
+    pub name: &'static str,
+    /// Threads that serve requests; at least 1.
+    pub workers: usize,
+    /// Largest body that is read.
+    pub max_body_bytes: usize,
+    /// Longest wait for a request's headers.
+    pub headers_timeout: Duration,
+    /// Longest wait for the rest of a body.
+    pub body_timeout: Duration,
+    /// Longest wait for requests in flight when the server stops.
+    pub shutdown_timeout: Duration,
+}
+
+impl Default for HttpServerConfig {
+    fn default() -> Self {
+        Self {
+            name: "http",
+            workers: 2,
+            max_body_bytes: 4 << 20,
+            headers_timeout: Duration::from_secs(5),
+            body_timeout: Duration::from_secs(15),
+            shutdown_timeout: Duration::from_secs(30),
+        }
+    }
+}
+
+/// A request with its whole body.
+#[derive(Clone, Debug)]
+pub struct HttpRequest {
+    /// Method in capitals.
+    pub method: String,
+    /// Path without the query.
+    pub path: String,
+    /// Query without the question mark; empty when absent.
+    pub query: String,
+    /// Headers as they came.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+impl HttpRequest {
+    /// A header's value, when it is there and is text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    /// A parameter of the query, as it stands there.
+    pub fn query_value(&self, name: &str) -> Option<&str> {
+        self.query.split('&').find_map(|pair| {
+            let (key, value) = pair.split_once('=')?;
+            (key == name).then_some(value)
+        })
+    }
+
+    /// The token of an `Authorization: Bearer` header.
+    pub fn bearer_token(&self) -> Option<&str> {
+        self.header("authorization")?.strip_prefix("Bearer ")
+    }
+}
+
+/// Body of a reply.
+#[derive(Debug)]
+pub enum ReplyBody {
+    /// All of it.
+    Whole(Bytes),
+    /// Pieces as they come. The body ends well when the sender sends
+    /// [`StreamPiece::End`]; when the sender is dropped without it, the
+    /// connection is cut, so that a caller can tell a whole answer.
+    Stream(mpsc::Receiver<StreamPiece>),
+}
+
+/// A piece of a streamed body.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum StreamPiece {
+    /// Bytes of the body.
+    Data(Bytes),
+    /// The body is whole.
+    End,
+}
+
+/// A reply to a request.
+#[derive(Debug)]
+pub struct HttpReply {
+    /// Status code, from 100 to 599.
+    pub status: u16,
+    /// Content type of the body.
+    pub content_type: String,
+    /// Further headers, with lower-case names.
+    pub headers: Vec<(&'static str, String)>,
+    /// The body.
+    pub body: ReplyBody,
+}
+
+impl HttpReply {
+    /// A reply with a JSON body.
+    ///
+    /// # Panics
+    ///
+    /// Panics when `value` cannot be written as JSON, which none of the
+    /// protocol's types can cause.
+    pub fn json(status: u16, value: &impl Serialize) -> Self {
+        let body = serde_json::to_vec(value).expect("protocol types have a JSON form");
+        Self::bytes(status, JSON, body)
+    }
+
+    /// A reply with bytes of some content type.
+    pub fn bytes(status: u16, content_type: &str, body: impl Into<Bytes>) -> Self {
+        Self {
+            status,
+            content_type: content_type.to_owned(),
+            headers: Vec::new(),
+            body: ReplyBody::Whole(body.into()),
+        }
+    }
+
+    /// A problem document, with `Retry-After` when it says when to come back.
+    pub fn problem(problem: &Problem) -> Self {
+        let mut reply = Self::json(problem.status, problem);
+        reply.content_type = PROBLEM_JSON.to_owned();
+        if let Some(seconds) = problem.retry_after_seconds() {
+            reply.headers.push(("retry-after", seconds.to_string()));
+        }
+        reply
+    }
+
+    /// A streamed reply.
+    pub fn stream(status: u16, content_type: &str, pieces: mpsc::Receiver<StreamPiece>) -> Self {
+        Self {
+            status,
+            content_type: content_type.to_owned(),
+            headers: Vec::new(),
+            body: ReplyBody::Stream(pieces),
+        }
+    }
+
+    fn into_response(self) -> Response<BoxBody> {
+        let status = StatusCode::from_u16(self.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let mut response = match self.body {
+            ReplyBody::Whole(bytes) => Response::with_body(status, bytes.boxed()),
+            ReplyBody::Stream(pieces) => Response::with_body(status, stream_body(pieces).boxed()),
+        };
+        let headers = response.headers_mut();
+        if let Ok(value) = HeaderValue::from_str(&self.content_type) {
+            headers.insert(header::CONTENT_TYPE, value);
+        }
+        for (name, value) in self.headers {
+            if let Ok(value) = HeaderValue::from_str(&value) {
+                headers.insert(HeaderName::from_static(name), value);
+            }
+        }
+        response
+    }
+}
+
+/// A body that fails, and so cuts the connection, when its sender vanishes
+/// before the end.
+fn stream_body(pieces: mpsc::Receiver<StreamPiece>) -> impl MessageBody {
+    BodyStream::new(futures_util::stream::unfold(
+        Some(pieces),
+        |pieces| async move {
+            let mut pieces = pieces?;
+            match pieces.recv().await {
+                Some(StreamPiece::Data(bytes)) => Some((Ok(bytes), Some(pieces))),
+                Some(StreamPiece::End) => None,
+                None => Some((Err(io::Error::other("the answer was cut short")), None)),
+            }
+        },
+    ))
+}
+
+/// Serves `handler` on a bound listener until the returned server is stopped.
+///
+/// The future must be awaited for the server to run. Its handle's `stop(true)`
+/// waits for requests in flight.
+///
+/// # Errors
+///
+/// Fails when the listener cannot be used.
+pub fn serve<H, F>(
+    config: HttpServerConfig,
+    listener: TcpListener,
+    handler: H,
+) -> io::Result<Server>
+where
+    H: Fn(HttpRequest) -> F + Clone + Send + 'static,
+    F: Future<Output = HttpReply> + 'static,
+{
+    listener.set_nonblocking(true)?;
+    let server = Server::build()
+        .workers(config.workers)
+        .shutdown_timeout(config.shutdown_timeout.as_secs())
+        .disable_signals()
+        .listen(config.name, listener, move || {
+            let handler = handler.clone();
+            let config = config.clone();
+            HttpService::build()
+                .client_request_timeout(config.headers_timeout)
+                .keep_alive(Duration::from_secs(75))
+                .finish(move |request| {
+                    let handler = handler.clone();
+                    let config = config.clone();
+                    async move { Ok::<_, Infallible>(answer(&config, &handler, request).await) }
+                })
+                .tcp()
+        })?
+        .run();
+    Ok(server)
+}
+
+async fn answer<H, F>(config: &HttpServerConfig, handler: &H, request: Request) -> Response<BoxBody>
+where
+    H: Fn(HttpRequest) -> F,
+    F: Future<Output = HttpReply>,
+{
+    let reply = match read_request(config, request).await {
+        Ok(request) => handler(request).await,
+        Err(problem) => HttpReply::problem(&problem),
+    };
+    reply.into_response()
+}
+
+async fn read_request(
+    config: &HttpServerConfig,
+    mut request: Request,
+) -> Result<HttpRequest, Problem> {
+    let mut payload = request.take_payload();
+    let mut body = BytesMut::new();
+    let read_all = async {
+        while let Some(chunk) = payload.next().await {
+            let chunk = chunk.map_err(|error| {
+                Problem::new(
+                    400,
+                    "body-cut-short",
+                    Ran::No,
+                    format!("the body could not be read: {error}"),
+                )
+            })?;
+            if body.len() + chunk.len() > config.max_body_bytes {
+                let detail = format!("a body has at most {} bytes", config.max_body_bytes);
+                return Err(Problem::new(413, "body-too-large", Ran::No, detail));
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(())
+    };
+    match actix_rt::time::timeout(config.body_timeout, read_all).await {
+        Ok(outcome) => outcome?,
+        Err(_) => {
+            let detail = "the body did not arrive in time".to_owned();
+            return Err(Problem::new(408, "body-timeout", Ran::No, detail));
+        }
+    }
+    Ok(HttpRequest {
+        method: request.method().as_str().to_owned(),
+        path: request.path().to_owned(),
+        query: request.uri().query().unwrap_or_default().to_owned(),
+        headers: request.headers().clone(),
+        body: body.freeze(),
+    })
+}
--- /dev/null
+++ b/transport/src/lib.rs
@@ -0,0 +1,11 @@
+//! Where rosebend's processes meet the network: HTTP servers, the platform's
+//! client, gRPC channels, logs and the metrics page.
+//!
+//! - [`http_server`]: requests in, replies out, whole or streamed.
+//! - [`platform_client`]: the table, the object store and the host list.
+//!
+//! Nothing here decides: it carries bytes, keeps time limits and tells apart
+//! "no effect" from "no answer".
+
+pub mod http_server;
+pub mod platform_client;
