--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -1,1 +1,10 @@
-//! x
+//! The decisions of rosebend: who owns a program, what becomes durable when,
+//! where a call runs, and when.
+//!
+//! Each module is a state machine that is given the time (as a `Duration`
+//! since its process started) and an event, and returns typed actions. None
+//! does I/O, reads a clock, or draws randomness that is not seeded; the same
+//! code runs in the processes, in the property tests and in the replay.
+
+pub mod commit;
+pub mod ownership;
--- /dev/null
+++ b/coordination/src/ownership.rs
@@ -0,0 +1,520 @@
+//! Who owns which shard, decided by rows of the table and nothing else.
+//!
+//! Each entry renews one row of its own, whatever the number of its shards.
+//! An observer watches the renewal counters of the others on its own clock.
+//! When a counter has stood still for a lease time, the observer may take the
+//! silent entry's shards, in one transaction on the condition that the rows of
+//! the shards *and* the renewal row are as it saw them. No clock is compared
+//! between hosts.
+//!
+//! Safety does not rest on the lease: every durable write is conditional on
+//! the row of its shard (see [`commit`](crate::commit)), and sidecars refuse
+//! an epoch lower than the highest that they saw. The lease only decides how
+//! soon a dead owner is replaced.
+//!
+//! Only time in which the table answered the observer counts. While the table
+//! is away nobody can renew and nobody can take over; when it comes back all
+//! watch windows start anew, so that an outage is not followed by takeovers
+//! from owners that are alive.
+//!
+//! Which live entry should own a shard is decided by rendezvous hashing. A
+//! shard whose owner is alive moves only by handoff, when its owner drains it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use rosebend_state::id::{Epoch, HostId, Incarnation, Shard};
+
+/// How ownership keeps time.
+#[derive(Clone, Copy, Debug)]
+pub struct OwnershipConfig {
+    /// How long a renewal counter must stand still before its host is silent.
+    pub lease: Duration,
+    /// Longest time between two answers of the table that counts as watched.
+    pub watch_gap: Duration,
+    /// Number of shards.
+    pub shard_count: u32,
+    /// Most shards that are drained for a handoff at once.
+    pub handoffs_at_once: usize,
+    /// How long the set of live entries must be stable before handoffs.
+    pub settle: Duration,
+}
+
+impl Default for OwnershipConfig {
+    fn default() -> Self {
+        Self {
+            lease: Duration::from_secs(3),
+            watch_gap: Duration::from_secs(2),
+            shard_count: 128,
+            handoffs_at_once: 16,
+            settle: Duration::from_secs(2),
+        }
+    }
+}
+
+/// An entry as its renewal row describes it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct HostRow {
+    /// Name of the entry's host.
+    pub host: HostId,
+    /// The process that renews the row.
+    pub incarnation: Incarnation,
+    /// Version of the row, which each renewal changes.
+    pub version: u64,
+    /// Where other entries reach it.
+    pub peer_address: String,
+    /// Whether it is stopping.
+    pub leaving: bool,
+}
+
+/// The row of a shard.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ShardRow {
+    /// The shard.
+    pub shard: Shard,
+    /// Version of the row.
+    pub version: u64,
+    /// Name of the owner's host.
+    pub owner: HostId,
+    /// The owning process.
+    pub incarnation: Incarnation,
+    /// Counts the owners.
+    pub epoch: Epoch,
+}
+
+/// What the process saw.
+#[derive(Clone, Debug)]
+pub enum OwnershipEvent {
+    /// The table answered with all renewal rows.
+    HostsRead(Vec<HostRow>),
+    /// The table answered with all shard rows.
+    ShardsRead(Vec<ShardRow>),
+    /// The table did not answer.
+    TableSilent,
+    /// A takeover ended; `version` is the new version of all rows when it took
+    /// effect. After an unknown outcome the rows are read instead.
+    TakeoverEnded {
+        /// The shards that it was for.
+        shards: Vec<Shard>,
+        /// The version of their rows, when it took effect.
+        version: Option<u64>,
+    },
+    /// A shard being drained has nothing in flight; it was or was not passed on.
+    HandoffEnded {
+        /// The shard.
+        shard: Shard,
+        /// Whether the row names the successor.
+        passed_on: bool,
+    },
+    /// The committer found that a shard has another owner.
+    ShardLost(Shard),
+    /// This process is stopping.
+    Leaving,
+}
+
+/// What the process should do.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum OwnershipAction {
+    /// Read all shard rows.
+    ReadShards,
+    /// Take shards in one transaction.
+    TakeOver(Takeover),
+    /// The shard is owned by this process; load its programs.
+    Gained {
+        /// The shard.
+        shard: Shard,
+        /// The epoch of this owner.
+        epoch: Epoch,
+        /// Version of the shard's row.
+        version: u64,
+        /// Whether the shard never had an owner, so that no program can exist.
+        is_new: bool,
+    },
+    /// The shard is no longer owned by this process.
+    Lost(Shard),
+    /// Stop taking calls for the shard, then pass it to the successor.
+    Drain {
+        /// The shard.
+        shard: Shard,
+        /// The host and incarnation to pass it to.
+        successor: (HostId, Incarnation),
+    },
+}
+
+/// A takeover of some shards from one silent host, or of shards without owner.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Takeover {
+    /// The renewal row that must still have its version; with none, the row of
+    /// `silent_host` must be absent.
+    pub silent_host: Option<(HostId, Option<u64>)>,
+    /// Shards, the version each row must have (none: absent), the new epoch.
+    pub shards: Vec<(Shard, Option<u64>, Epoch)>,
+}
+
+#[derive(Clone, Debug)]
+struct WatchedHost {
+    row: HostRow,
+    /// Time watched, with the table answering, since the version changed.
+    still_for: Duration,
+}
+
+/// Ownership as one entry sees it.
+#[derive(Debug)]
+pub struct Ownership {
+    config: OwnershipConfig,
+    host: HostId,
+    incarnation: Incarnation,
+    hosts: BTreeMap<HostId, WatchedHost>,
+    shards: BTreeMap<Shard, ShardRow>,
+    shards_known: bool,
+    /// Shards that this process owns.
+    owned: BTreeSet<Shard>,
+    /// Shards being drained for a handoff.
+    draining: BTreeSet<Shard>,
+    taking_over: bool,
+    last_answer: Option<Duration>,
+    members: BTreeSet<HostId>,
+    members_since: Duration,
+    leaving: bool,
+}
+
+impl Ownership {
+    /// Ownership as the process `incarnation` on `host` sees it, before it has
+    /// read anything.
+    pub fn new(config: OwnershipConfig, host: HostId, incarnation: Incarnation) -> Self {
+        Self {
+            config,
+            host,
+            incarnation,
+            hosts: BTreeMap::new(),
+            shards: BTreeMap::new(),
+            shards_known: false,
+            owned: BTreeSet::new(),
+            draining: BTreeSet::new(),
+            taking_over: false,
+            last_answer: None,
+            members: BTreeSet::new(),
+            members_since: Duration::ZERO,
+            leaving: false,
+        }
+    }
+
+    /// Takes an event at `now` and tells what follows.
+    pub fn step(&mut self, now: Duration, event: OwnershipEvent) -> Vec<OwnershipAction> {
+        match event {
+            OwnershipEvent::HostsRead(rows) => self.hosts_read(now, rows),
+            OwnershipEvent::ShardsRead(rows) => self.shards_read(now, rows),
+            OwnershipEvent::TableSilent => {
+                self.last_answer = None;
+                Vec::new()
+            }
+            OwnershipEvent::TakeoverEnded { shards, version } => {
+                self.takeover_ended(now, &shards, version)
+            }
+            OwnershipEvent::HandoffEnded { shard, passed_on } => {
+                self.handoff_ended(shard, passed_on)
+            }
+            OwnershipEvent::ShardLost(shard) => {
+                let mut actions = self.lose(shard);
+                actions.push(OwnershipAction::ReadShards);
+                actions
+            }
+            OwnershipEvent::Leaving => {
+                self.leaving = true;
+                self.decide(now)
+            }
+        }
+    }
+
+    /// Where the owner of a shard is reached, as far as this process knows.
+    /// The guess may be old; the receiver corrects it.
+    pub fn owner_address(&self, shard: Shard) -> Option<&str> {
+        let row = self.shards.get(&shard)?;
+        Some(self.hosts.get(&row.owner)?.row.peer_address.as_str())
+    }
+
+    /// Whether this process owns a shard.
+    pub fn owns(&self, shard: Shard) -> bool {
+        self.owned.contains(&shard)
+    }
+
+    /// The shards that this process owns.
+    pub fn owned(&self) -> impl Iterator<Item = Shard> + '_ {
+        self.owned.iter().copied()
+    }
+
+    /// The other entries that are neither silent nor replaced.
+    pub fn live_peers(&self) -> impl Iterator<Item = &HostRow> {
+        let peers = self.hosts.values().filter(|watched| self.is_live(watched));
+        peers
+            .map(|watched| &watched.row)
+            .filter(|row| row.host != self.host)
+    }
+
+    /// Whether every shard has a live owner, as far as this process knows.
+    pub fn is_settled(&self) -> bool {
+        let all_known = u32::try_from(self.shards.len()) == Ok(self.config.shard_count);
+        all_known && self.shards.values().all(|row| !self.is_orphan(row))
+    }
+
+    fn hosts_read(&mut self, now: Duration, rows: Vec<HostRow>) -> Vec<OwnershipAction> {
+        let watched = self.watched_time(now);
+        let mut hosts = BTreeMap::new();
+        for row in rows {
+            let still_for = match (self.hosts.get(&row.host), watched) {
+                (Some(known), Some(watched)) if known.row.version == row.version => {
+                    known.still_for + watched
+                }
+                _ => Duration::ZERO,
+            };
+            hosts.insert(row.host.clone(), WatchedHost { row, still_for });
+        }
+        let joined_or_left = hosts.len() != self.hosts.len();
+        self.hosts = hosts;
+        self.note_members(now);
+        let orphaned = self.shards.values().any(|row| self.is_orphan(row));
+        let mut actions = self.decide(now);
+        if !self.shards_known || joined_or_left || orphaned {
+            actions.push(OwnershipAction::ReadShards);
+        }
+        actions
+    }
+
+    /// Time since the last answer, when it counts as watched. The first answer
+    /// after an outage starts all windows anew.
+    fn watched_time(&mut self, now: Duration) -> Option<Duration> {
+        let last = self.last_answer.replace(now)?;
+        let gap = now.saturating_sub(last);
+        (gap <= self.config.watch_gap).then_some(gap)
+    }
+
+    fn note_members(&mut self, now: Duration) {
+        let members = self.candidates().cloned().collect();
+        if members != self.members {
+            self.members = members;
+            self.members_since = now;
+        }
+    }
+
+    fn shards_read(&mut self, now: Duration, rows: Vec<ShardRow>) -> Vec<OwnershipAction> {
+        self.shards_known = true;
+        for row in rows {
+            self.note_row(row);
+        }
+        let mut actions = self.reconcile_owned();
+        actions.extend(self.decide(now));
+        actions
+    }
+
+    /// Keeps the newer of two views of a row: an answer that was under way when
+    /// this process took the shard must not make it lose the shard again.
+    fn note_row(&mut self, row: ShardRow) {
+        let is_newer = self
+            .shards
+            .get(&row.shard)
+            .is_none_or(|known| known.version <= row.version);
+        if is_newer {
+            self.shards.insert(row.shard, row);
+        }
+    }
+
+    /// Shards passed to this process are gained; those that others have are
+    /// lost.
+    fn reconcile_owned(&mut self) -> Vec<OwnershipAction> {
+        let mut actions = Vec::new();
+        let mine: BTreeSet<Shard> = self
+            .shards
+            .values()
+            .filter(|row| self.is_mine(row))
+            .map(|row| row.shard)
+            .collect();
+        for shard in self.owned.difference(&mine).copied().collect::<Vec<_>>() {
+            actions.extend(self.lose(shard));
+        }
+        for shard in mine {
+            if self.owned.insert(shard) {
+                let row = &self.shards[&shard];
+                actions.push(OwnershipAction::Gained {
+                    shard,
+                    epoch: row.epoch,
+                    version: row.version,
+                    is_new: false,
+                });
+            }
+        }
+        actions
+    }
+
+    fn is_mine(&self, row: &ShardRow) -> bool {
+        row.owner == self.host && row.incarnation == self.incarnation
+    }
+
+    fn lose(&mut self, shard: Shard) -> Vec<OwnershipAction> {
+        self.draining.remove(&shard);
+        if self.owned.remove(&shard) {
+            vec![OwnershipAction::Lost(shard)]
+        } else {
+            Vec::new()
+        }
+    }
+
+    fn is_live(&self, watched: &WatchedHost) -> bool {
+        watched.row.host == self.host || watched.still_for < self.config.lease
+    }
+
+    /// Whether nobody serves a shard: its host is silent, gone, or runs another
+    /// process now.
+    fn is_orphan(&self, row: &ShardRow) -> bool {
+        match self.hosts.get(&row.owner) {
+            None => true,
+            Some(watched) => row.incarnation != watched.row.incarnation || !self.is_live(watched),
+        }
+    }
+
+    /// Entries that may be given shards.
+    fn candidates(&self) -> impl Iterator<Item = &HostId> {
+        let live = self.hosts.values().filter(|watched| self.is_live(watched));
+        live.filter(|watched| !self.is_leaving(&watched.row))
+            .map(|watched| &watched.row.host)
+    }
+
+    fn is_leaving(&self, row: &HostRow) -> bool {
+        row.leaving || (self.leaving && row.host == self.host)
+    }
+
+    fn preferred(&self, shard: Shard) -> Option<&HostId> {
+        self.candidates()
+            .max_by_key(|host| rosebend_util::hash_parts(&[host.as_bytes(), &shard.to_le_bytes()]))
+    }
+
+    fn decide(&mut self, now: Duration) -> Vec<OwnershipAction> {
+        if !self.shards_known || !self.hosts.contains_key(&self.host) {
+            return Vec::new();
+        }
+        let mut actions = Vec::new();
+        if !self.taking_over && !self.leaving {
+            actions.extend(self.takeover().map(OwnershipAction::TakeOver));
+            self.taking_over = !actions.is_empty();
+        }
+        actions.extend(self.handoffs(now));
+        actions
+    }
+
+    /// One takeover: of shards without a row, or of one silent host's shards.
+    fn takeover(&self) -> Option<Takeover> {
+        let wanted = |shard: &Shard| self.preferred(*shard) == Some(&self.host);
+        let new: Vec<_> = (0..self.config.shard_count)
+            .filter(|shard| !self.shards.contains_key(shard))
+            .filter(wanted)
+            .map(|shard| (shard, None, 1))
+            .collect();
+        if !new.is_empty() {
+            return Some(Takeover {
+                silent_host: None,
+                shards: new,
+            });
+        }
+        let orphan = |row: &&ShardRow| self.is_orphan(row) && wanted(&row.shard);
+        let silent = self.shards.values().find(orphan)?.owner.clone();
+        let shards = self
+            .shards
+            .values()
+            .filter(orphan)
+            .filter(|row| row.owner == silent)
+            .map(|row| (row.shard, Some(row.version), row.epoch + 1))
+            .collect();
+        let version = self.hosts.get(&silent).map(|watched| watched.row.version);
+        // A process that replaced its own predecessor renews this very row, so
+        // it cannot be a condition; the incarnation in the shard rows is one.
+        let silent_host = (silent != self.host).then_some((silent, version));
+        Some(Takeover {
+            silent_host,
+            shards,
+        })
+    }
+
+    fn takeover_ended(
+        &mut self,
+        now: Duration,
+        shards: &[Shard],
+        version: Option<u64>,
+    ) -> Vec<OwnershipAction> {
+        self.taking_over = false;
+        let Some(version) = version else {
+            return vec![OwnershipAction::ReadShards];
+        };
+        let mut actions = Vec::new();
+        for &shard in shards {
+            if self.owned.contains(&shard) {
+                continue;
+            }
+            let before = self.shards.get(&shard).map(|row| row.epoch);
+            let epoch = before.map_or(1, |epoch| epoch + 1);
+            let row = ShardRow {
+                shard,
+                version,
+                owner: self.host.clone(),
+                incarnation: self.incarnation.clone(),
+                epoch,
+            };
+            self.shards.insert(shard, row);
+            self.owned.insert(shard);
+            let is_new = before.is_none();
+            actions.push(OwnershipAction::Gained {
+                shard,
+                epoch,
+                version,
+                is_new,
+            });
+        }
+        actions.extend(self.decide(now));
+        actions
+    }
+
+    /// Drains shards that another live entry should own, a few at a time, once
+    /// the set of entries has been stable for a while; at once when leaving.
+    fn handoffs(&mut self, now: Duration) -> Vec<OwnershipAction> {
+        let stable = now.saturating_sub(self.members_since) >= self.config.settle;
+        if !self.leaving && !stable {
+            return Vec::new();
+        }
+        let limit = if self.leaving {
+            usize::MAX
+        } else {
+            self.config.handoffs_at_once
+        };
+        let room = limit.saturating_sub(self.draining.len());
+        let moves: Vec<(Shard, (HostId, Incarnation))> = self
+            .owned
+            .iter()
+            .filter(|shard| !self.draining.contains(shard))
+            .filter_map(|shard| Some((*shard, self.successor(*shard)?)))
+            .take(room)
+            .collect();
+        let mut actions = Vec::new();
+        for (shard, successor) in moves {
+            self.draining.insert(shard);
+            actions.push(OwnershipAction::Drain { shard, successor });
+        }
+        actions
+    }
+
+    fn successor(&self, shard: Shard) -> Option<(HostId, Incarnation)> {
+        let host = self.preferred(shard)?;
+        if *host == self.host {
+            return None;
+        }
+        let incarnation = self.hosts.get(host)?.row.incarnation.clone();
+        Some((host.clone(), incarnation))
+    }
+
+    fn handoff_ended(&mut self, shard: Shard, passed_on: bool) -> Vec<OwnershipAction> {
+        self.draining.remove(&shard);
+        if passed_on {
+            let mut actions = self.lose(shard);
+            actions.push(OwnershipAction::ReadShards);
+            return actions;
+        }
+        Vec::new()
+    }
+}
