Let a dispatch carry the call's record for the shard's next owner

Cause: a new owner that finds a retained answer must know which call it answers, with key and body digest, and a claim must bury one attempt and not the call for ever.

Change: record in dispatches and retained calls, attempt in claims; the threads of traffic and the channels of peers.

--- a/protocol/regenerate/src/main.rs
+++ b/protocol/regenerate/src/main.rs
@@ -16,6 +16,8 @@
     tonic_prost_build::configure()
         .out_dir(OUTPUT_DIR)
         .bytes(".rosebend.peer.v1.DispatchRequest.body")
+        .bytes(".rosebend.peer.v1.DispatchRequest.record")
+        .bytes(".rosebend.peer.v1.RetainedCall.record")
         .bytes(".rosebend.peer.v1.Part.data")
         .bytes(".rosebend.peer.v1.ForwardRequest.body")
         .bytes(".rosebend.peer.v1.ForwardEvent.body")
--- a/protocol/src/peer/generated.rs
+++ b/protocol/src/peer/generated.rs
@@ -57,6 +57,10 @@
     /// Weight of the customer's share.
     #[prost(uint32, tag = "18")]
     pub share_weight: u32,
+    /// JSON of the call's durable record; retained beside the answer for the
+    /// shard's next owner.
+    #[prost(bytes = "bytes", tag = "19")]
+    pub record: ::prost::bytes::Bytes,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ResumeRequest {
@@ -166,6 +170,9 @@
     /// The incarnation that the intent names.
     #[prost(string, tag = "3")]
     pub incarnation: ::prost::alloc::string::String,
+    /// This attempt and all before it are buried; a later one may run.
+    #[prost(uint32, tag = "4")]
+    pub attempt: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ClaimReply {
@@ -234,6 +241,12 @@
     pub answer_tokens: u64,
     #[prost(uint32, tag = "6")]
     pub shard: u32,
+    /// As it came with the dispatch.
+    #[prost(bytes = "bytes", tag = "7")]
+    pub record: ::prost::bytes::Bytes,
+    /// Set when the answer is whole; resume it to read its parts.
+    #[prost(message, optional, tag = "8")]
+    pub answer: ::core::option::Option<Finished>,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct HoldsRequest {
--- a/transport/src/lib.rs
+++ b/transport/src/lib.rs
@@ -2,10 +2,14 @@
 //! client, gRPC channels, logs and the metrics page.
 //!
 //! - [`http_server`]: requests in, replies out, whole or streamed.
+//! - [`peers`]: gRPC channels to other processes.
 //! - [`platform_client`]: the table, the object store and the host list.
+//! - [`traffic`]: the threads that carry traffic.
 //!
 //! Nothing here decides: it carries bytes, keeps time limits and tells apart
 //! "no effect" from "no answer".
 
 pub mod http_server;
+pub mod peers;
 pub mod platform_client;
+pub mod traffic;
--- /dev/null
+++ b/transport/src/peers.rs
@@ -0,0 +1,83 @@
+//! gRPC channels to other processes, and how a silent one is noticed.
+//!
+//! A connection that went silent for good still looks open. Two things notice
+//! it: HTTP/2 pings on the connection, and a deadline for progress on each
+//! stream, since every stream carries a ping when it has nothing to say. A
+//! silent channel is dropped from the cache, so that the next call opens a new
+//! connection, and the stream is resumed there from its offset.
+
+use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
+
+use tonic::transport::{Channel, Endpoint};
+
+/// How long a connection may take to open.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+/// How often each side of a stream says something.
+pub const PING_INTERVAL: Duration = Duration::from_millis(500);
+/// How long a stream may be silent before its connection is given up.
+pub const PROGRESS_TIMEOUT: Duration = Duration::from_millis(2000);
+/// Largest message that is read.
+pub const MAX_MESSAGE_BYTES: usize = 16 << 20;
+
+/// No connection could be opened, so nothing was sent.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("no connection to {address}: {detail}")]
+pub struct ConnectError {
+    /// The address that was tried.
+    pub address: String,
+    /// What went wrong.
+    pub detail: String,
+}
+
+/// The open channels of one thread, by address.
+#[derive(Clone, Debug, Default)]
+pub struct Peers {
+    channels: Rc<RefCell<HashMap<String, Channel>>>,
+}
+
+impl Peers {
+    /// No channel yet.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The channel to an address such as `127.0.0.1:7101`, opened when there
+    /// is none. When this fails, nothing was sent.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no connection can be opened in time.
+    pub async fn channel(&self, address: &str) -> Result<Channel, ConnectError> {
+        if let Some(channel) = self.channels.borrow().get(address) {
+            return Ok(channel.clone());
+        }
+        let channel = connect(address).await?;
+        self.channels
+            .borrow_mut()
+            .insert(address.to_owned(), channel.clone());
+        Ok(channel)
+    }
+
+    /// Drops the channel to an address, after a failure or silence.
+    pub fn forget(&self, address: &str) {
+        self.channels.borrow_mut().remove(address);
+    }
+}
+
+async fn connect(address: &str) -> Result<Channel, ConnectError> {
+    let failed = |detail: String| ConnectError {
+        address: address.to_owned(),
+        detail,
+    };
+    let endpoint = Endpoint::from_shared(format!("http://{address}"))
+        .map_err(|error| failed(error.to_string()))?
+        .connect_timeout(CONNECT_TIMEOUT)
+        .tcp_nodelay(true)
+        .http2_keep_alive_interval(PING_INTERVAL)
+        .keep_alive_timeout(PROGRESS_TIMEOUT)
+        .keep_alive_while_idle(true);
+    endpoint
+        .connect()
+        .await
+        .map_err(|error| failed(error.to_string()))
+}
