State the owner's records, events and actions

Cause: the entry process and the owner's state machine are written at the same time and need one set of types. Conclusion: stub only; the machine follows.

--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -7,4 +7,5 @@
 //! code runs in the processes, in the property tests and in the replay.
 
 pub mod commit;
+pub mod owner;
 pub mod ownership;
--- a/state/src/id.rs
+++ b/state/src/id.rs
@@ -69,7 +69,8 @@
 }
 
 /// A program of a customer.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 #[serde(into = "String", try_from = "String")]
 pub struct ProgramId {
     /// The customer that the program belongs to; accepted by [`check_name`].
@@ -169,7 +170,8 @@
 }
 
 /// One call of a program.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 #[serde(into = "String", try_from = "String")]
 pub struct CallId {
     /// The program that made the call.
