Read settings and tokens from files, checked against schemas

Cause: the binaries need settings whose every key is documented, and errors that name the line. Ruled out: serde over an INI crate, because it drops line numbers and stops at the first error. Conclusion: whole; the binaries do not use it yet.

--- a/state/src/lib.rs
+++ b/state/src/lib.rs
@@ -13,3 +13,4 @@
 //! Nothing here does I/O, waits, or reads a clock.
 
 pub mod id;
+pub mod settings;
--- /dev/null
+++ b/state/tests/settings.rs
@@ -0,0 +1,125 @@
+//! Reading of settings: what is accepted, and what every error says.
+
+use rosebend_state::settings::{
+    CLI_SCHEMA, CliSettings, Document, ENTRY_SCHEMA, EntrySettings, KeyKind, Presence, Role,
+    SIDECAR_SCHEMA, SidecarSettings, Tokens, Unit, reference_page,
+};
+
+fn errors_of_entry(file: &[u8]) -> String {
+    let document = Document::try_from(file).unwrap();
+    EntrySettings::try_from(&document).unwrap_err().to_string()
+}
+
+fn example(name: &str) -> Vec<u8> {
+    std::fs::read(format!("{}/../examples/{name}", env!("CARGO_MANIFEST_DIR"))).unwrap()
+}
+
+#[test]
+fn the_examples_load() {
+    let entry = Document::try_from(example("entry.ini").as_slice()).unwrap();
+    insta::assert_debug_snapshot!(EntrySettings::try_from(&entry).unwrap());
+    let sidecar = Document::try_from(example("sidecar.ini").as_slice()).unwrap();
+    insta::assert_debug_snapshot!(SidecarSettings::try_from(&sidecar).unwrap());
+    let cli = Document::try_from(example("cli.ini").as_slice()).unwrap();
+    insta::assert_debug_snapshot!(CliSettings::try_from(&cli).unwrap());
+}
+
+#[test]
+fn the_reference_page_is_up_to_date() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../docs/SETTINGS.md");
+    assert_eq!(std::fs::read_to_string(path).unwrap(), reference_page());
+}
+
+#[test]
+fn every_default_is_allowed_and_every_unit_is_in_the_name() {
+    for schema in [ENTRY_SCHEMA, SIDECAR_SCHEMA, CLI_SCHEMA] {
+        for key in schema.sections.iter().flat_map(|section| section.keys) {
+            if let Presence::Default(value) = key.presence {
+                assert_eq!(key.kind.check(value), Ok(()), "{}", key.name);
+            }
+            let suffix = match key.kind {
+                KeyKind::Number(Unit::Milliseconds, _) => "_ms",
+                KeyKind::Number(Unit::Bytes, _) => "_bytes",
+                KeyKind::Number(Unit::Tokens, _) => "tokens_limit",
+                _ => "",
+            };
+            assert!(key.name.ends_with(suffix), "{}", key.name);
+        }
+    }
+}
+
+#[test]
+fn all_errors_are_listed_with_their_lines() {
+    let file = b"early = 1
+[entry]
+host = Entry A
+host = entry-a
+http_listen = localhost
+peer_listen = 127.0.0.1:9000
+http_workers = 0
+colour = red
+[timing]
+lease_ms = soon
+[weather]
+sun = yes
+[timing]
+renew_ms = 1
+[auth
+tokens_file = tokens
+nonsense
+availability_zone = \xff\xfe";
+    insta::assert_snapshot!(errors_of_entry(file));
+}
+
+#[test]
+fn times_are_checked_against_each_other() {
+    let file = String::from_utf8(example("entry.ini")).unwrap();
+    let file = file.replace("lease_ms = 3000", "lease_ms = 1000");
+    insta::assert_snapshot!(errors_of_entry(file.as_bytes()));
+}
+
+#[test]
+fn an_empty_file_is_an_error() {
+    assert!(Document::try_from(b" \r\n".as_slice()).is_err());
+}
+
+#[test]
+fn line_ends_of_other_systems_are_read() {
+    let file = b"[cli]\r\nurl = http://127.0.0.1:1\r\ntoken_file = t\r\n";
+    let document = Document::try_from(file.as_slice()).unwrap();
+    assert_eq!(document.sections()[0].properties[1].line, 3);
+    assert!(CliSettings::try_from(&document).is_ok());
+}
+
+#[test]
+fn tokens_name_their_bearer() {
+    let tokens = Tokens::try_from(example("tokens").as_slice()).unwrap();
+    let customer = tokens.identify("example-caribmar-token").unwrap();
+    assert_eq!(
+        (customer.role, customer.name.as_str()),
+        (Role::Customer, "caribmar")
+    );
+    assert_eq!(tokens.identify("example-caribmar-tokem"), None);
+    assert_eq!(tokens.identify(""), None);
+    assert_eq!(
+        tokens.host_token("entry-a"),
+        Some("example-host-token-0001")
+    );
+    insta::assert_debug_snapshot!(tokens);
+}
+
+#[test]
+fn errors_of_tokens_show_no_secret() {
+    let file = b"operator desk short
+secret-in-the-wrong-place desk example-operator-token
+customer caribmar example-one-token-twice
+customer coastal example-one-token-twice
+customer caribmar
+host \xff x";
+    let error = Tokens::try_from(file.as_slice()).unwrap_err().to_string();
+    assert!(
+        !error.contains("secret") && !error.contains("example"),
+        "{error}"
+    );
+    insta::assert_snapshot!(error);
+}
--- a/transport/src/lib.rs
+++ b/transport/src/lib.rs
@@ -3,9 +3,11 @@
 //!
 //! - [`http_server`]: requests in, replies out, whole or streamed.
 //! - [`platform_client`]: the table, the object store and the host list.
+//! - [`settings_file`]: settings and tokens from files.
 //!
 //! Nothing here decides: it carries bytes, keeps time limits and tells apart
 //! "no effect" from "no answer".
 
 pub mod http_server;
 pub mod platform_client;
+pub mod settings_file;
