--- a/state/src/lib.rs
+++ b/state/src/lib.rs
@@ -14,3 +14,4 @@
 
 pub mod id;
 pub mod record;
+pub mod settings;
--- a/transport/src/lib.rs
+++ b/transport/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`peers`]: gRPC channels to other processes.
 //! - [`platform_client`]: the table, the object store and the host list.
 //! - [`traffic`]: the threads that carry traffic.
+//! - [`settings_file`]: settings and tokens from files.
 //!
 //! Nothing here decides: it carries bytes, keeps time limits and tells apart
 //! "no effect" from "no answer".
@@ -12,4 +13,5 @@
 pub mod http_server;
 pub mod peers;
 pub mod platform_client;
+pub mod settings_file;
 pub mod traffic;
