--- a/coordination/src/queue.rs
+++ b/coordination/src/queue.rs
@@ -21,176 +21,16 @@
 
 use crate::speed::Speed;
 
-/// How many customers are compared by program order for one admission.
-const CUSTOMERS_COMPARED: usize = 8;
-
-/// Decode work of one answer token, in prompt tokens, for fair shares and the
-/// load view. In a full batch one decoded token costs about as much processor
-/// time on an engine as this many prefilled ones.
-pub const ANSWER_TOKEN_COST: u64 = 4;
-
-/// Bounds and order of a [`Queue`].
-#[derive(Clone, Debug)]
-pub struct QueueSettings {
-    /// Most calls at the endpoint at once.
-    pub max_running: usize,
-    /// Most KV tokens of calls at the endpoint at once; `u64::MAX` for a plain
-    /// service.
-    pub kv_tokens_limit: u64,
-    /// Most calls waiting; a further one is refused.
-    pub max_queued: usize,
-    /// Most calls waiting for a first call of a program to be accepted, so
-    /// that programs under way find room when new ones must be turned away.
-    pub max_queued_for_new: usize,
-    /// Order of calls within a customer.
-    pub order: Order,
-    /// Shares the endpoint between customers by weight when true.
-    pub fair_share: bool,
-    /// How far customers may be apart in served tokens, each divided by the
-    /// customer's weight, before the share goes before the order of programs.
-    pub share_slack_tokens: u64,
-}
-
-impl Default for QueueSettings {
-    fn default() -> Self {
-        Self {
-            max_running: 32,
-            kv_tokens_limit: 400_000,
-            max_queued: 1_000,
-            max_queued_for_new: 500,
-            order: Order::Program(ProgramOrder::default()),
-            fair_share: true,
-            share_slack_tokens: 20_000,
-        }
-    }
-}
-
-/// The order of waiting calls.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Order {
-    /// As they came.
-    Fifo,
-    /// The smallest call first, by tokens yet to be computed.
-    ShortestRequest,
-    /// By measures of the whole program.
-    Program(ProgramOrder),
-}
-
-/// Weights of the measures of a whole program.
-///
-/// The key is a point in time: the start of the program, moved later by the
-/// service that the program has had and earlier by what is warm here. The
-/// earliest goes first.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct ProgramOrder {
-    /// Counts the age of the program when true; otherwise only attained
-    /// service and warmth decide, and a long program may starve.
-    pub ageing: bool,
-    /// Moves a program later by this much for each token it was served.
-    pub attained_token_us: u64,
-    /// Moves a call earlier by this much for each prompt token warm here.
-    pub warm_token_us: u64,
-    /// A call due within this time goes as if its program had started this
-    /// long before the deadline.
-    pub deadline_horizon: Option<Duration>,
-}
-
-impl Default for ProgramOrder {
-    fn default() -> Self {
-        Self {
-            ageing: true,
-            attained_token_us: 50,
-            warm_token_us: 20,
-            deadline_horizon: Some(Duration::from_secs(60)),
-        }
-    }
-}
-
-/// A call that asks to be admitted.
-#[derive(Clone, Debug)]
-pub struct Waiting {
-    /// The call; it is in the queue or running at most once.
-    pub call: CallId,
-    /// The customer whose share it uses.
-    pub customer: CustomerId,
-    /// Weight of the customer's share; zero counts as one.
-    pub share_weight: u32,
-    /// Length of the whole prompt.
-    pub prompt_tokens: u64,
-    /// Longest answer, reserved in KV memory when the call is admitted.
-    pub max_answer_tokens: u64,
-    /// Tokens computed so far for the whole program.
-    pub attained_tokens: u64,
-    /// Time since the program's first call.
-    pub program_age: Duration,
-    /// When the caller gives up, on the clock of `now`.
-    pub deadline: Option<Duration>,
-    /// Prompt tokens believed to be in the engine's cache.
-    pub warm_tokens: u64,
-    /// Runs with no other call beside it.
-    pub alone: bool,
-}
-
-impl Waiting {
-    fn cold_tokens(&self) -> u64 {
-        self.prompt_tokens.saturating_sub(self.warm_tokens)
-    }
-
-    fn cost_tokens(&self) -> u64 {
-        self.cold_tokens() + self.max_answer_tokens * ANSWER_TOKEN_COST
-    }
-}
+mod order;
+mod waiting;
 
-/// A call that is to be handed to the endpoint now.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Admission {
-    /// The admitted call.
-    pub call: CallId,
-    /// How long it waited.
-    pub queued: Duration,
-}
+pub use self::order::{Order, ProgramOrder};
+pub use self::waiting::{
+    ANSWER_TOKEN_COST, Admission, LoadView, QueueSettings, Refusal, RefusalReason, Waiting,
+};
 
-/// Why a call was not taken. It was not run.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum RefusalReason {
-    /// Too many calls wait.
-    QueueFull,
-    /// The deadline has passed or passes before the call could start.
-    Deadline,
-    /// The call can never fit in the endpoint's KV memory.
-    TooLarge,
-    /// The call is waiting or running already.
-    Duplicate,
-}
-
-/// A refusal and when to come back.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Refusal {
-    /// Why.
-    pub reason: RefusalReason,
-    /// When a further try may succeed; zero when none will.
-    pub retry_after: Duration,
-}
-
-/// What the endpoint carries, by the queue's own count.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct LoadView {
-    /// Calls at the endpoint.
-    pub running: u64,
-    /// Calls waiting here.
-    pub queued: u64,
-    /// KV tokens reserved by running calls.
-    pub kv_tokens_in_flight: u64,
-    /// Most KV tokens in flight.
-    pub kv_tokens_limit: u64,
-    /// Prompt tokens yet to be computed: of waiting calls and of running ones
-    /// without a first token.
-    pub queued_tokens: u64,
-    /// Smoothed time between two tokens of one answer, in microseconds.
-    pub token_us: u64,
-    /// Smoothed prefill time of one token, in microseconds.
-    pub prefill_token_us: u64,
-}
+/// How many customers are compared by program order for one admission.
+const CUSTOMERS_COMPARED: usize = 8;
 
 #[derive(Debug)]
 struct Entry {
@@ -310,7 +150,7 @@
         self.check(now, &waiting)?;
         let ticket = self.next_ticket;
         self.next_ticket += 1;
-        let key = self.key(now, &waiting);
+        let key = self.settings.order.key(now, &waiting);
         let share = self.share_name(&waiting);
         self.enqueue_share(&share, key, ticket);
         if let Some(deadline) = waiting.deadline {
@@ -464,14 +304,6 @@
         Duration::from_micros(wait_us).clamp(Duration::from_secs(1), Duration::from_secs(60))
     }
 
-    fn key(&self, now: Duration, waiting: &Waiting) -> i64 {
-        match &self.settings.order {
-            Order::Fifo => micros(now),
-            Order::ShortestRequest => saturating_i64(waiting.cost_tokens()),
-            Order::Program(order) => program_key(order, now, waiting),
-        }
-    }
-
     fn share_name(&self, waiting: &Waiting) -> CustomerId {
         if self.settings.fair_share {
             waiting.customer.clone()
@@ -623,26 +455,3 @@
         Some(entry)
     }
 }
-
-fn program_key(order: &ProgramOrder, now: Duration, waiting: &Waiting) -> i64 {
-    let start_us = if order.ageing {
-        micros(now) - micros(waiting.program_age)
-    } else {
-        0
-    };
-    let attained_us = saturating_i64(waiting.attained_tokens * order.attained_token_us);
-    let warm_us = saturating_i64(waiting.warm_tokens * order.warm_token_us);
-    let key = start_us.saturating_add(attained_us).saturating_sub(warm_us);
-    match (waiting.deadline, order.deadline_horizon) {
-        (Some(deadline), Some(horizon)) => key.min(micros(deadline) - micros(horizon)),
-        _ => key,
-    }
-}
-
-fn micros(time: Duration) -> i64 {
-    i64::try_from(time.as_micros()).unwrap_or(i64::MAX)
-}
-
-fn saturating_i64(value: u64) -> i64 {
-    i64::try_from(value).unwrap_or(i64::MAX)
-}
