--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -7,5 +7,12 @@
 //! code runs in the processes, in the property tests and in the replay.
 
 pub mod commit;
+mod endpoint_load;
 pub mod owner;
 pub mod ownership;
+pub mod pause;
+pub mod queue;
+pub mod retry;
+pub mod routing;
+mod speed;
+mod warmth;
