Log numbered events and serve a metrics page

Cause: every process needs logs that a person can look up and counters for each reason of refusal and retry. Ruled out: free log texts, because a prompt or token could slip into one; label strings made at run time, because the page would grow without bound. Conclusion: whole; processes are not wired to it yet.

--- a/transport/src/lib.rs
+++ b/transport/src/lib.rs
@@ -1,13 +1,18 @@
 //! Where rosebend's processes meet the network: HTTP servers, the platform's
 //! client, gRPC channels, logs and the metrics page.
 //!
+//! - [`event`] and [`logging`]: numbered events and where they are written.
 //! - [`http_server`]: requests in, replies out, whole or streamed.
+//! - [`metrics_page`]: counters, gauges and histograms.
 //! - [`platform_client`]: the table, the object store and the host list.
 //! - [`settings_file`]: settings and tokens from files.
 //!
 //! Nothing here decides: it carries bytes, keeps time limits and tells apart
 //! "no effect" from "no answer".
 
+pub mod event;
 pub mod http_server;
+pub mod logging;
+pub mod metrics_page;
 pub mod platform_client;
 pub mod settings_file;
