Check resources field by field

Cause: operators need every error of a resource at once, with the field, its value and what is allowed. Ruled out: plain serde with deny_unknown_fields for the specifications, because it stops at the first defect and does not name the field of a wrong type; it stays for the frame around them. Change: customer, session, model, endpoint, tool and policy, with defaults; a session's name is CUSTOMER/SESSION. Conclusion: whole; references between resources are not checked here.

--- a/state/src/lib.rs
+++ b/state/src/lib.rs
@@ -14,4 +14,5 @@
 
 pub mod id;
 pub mod record;
+pub mod resource;
 pub mod settings;
--- a/state/src/settings/sidecar.rs
+++ b/state/src/settings/sidecar.rs
@@ -2,6 +2,8 @@
 
 use std::{net::SocketAddr, path::PathBuf};
 
+use serde::{Deserialize, Serialize};
+
 use crate::id::{AvailabilityZone, HostId};
 
 use super::{
@@ -39,6 +41,8 @@
 
 /// What stands behind a sidecar.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum EndpointKind {
     /// A model engine.
     Engine,
