Close idle connections when an HTTP server stops

A graceful stop of actix-server waits for every open connection, and a connection kept alive between requests counts as open: a process that any client had spoken to would stop only after the shutdown timeout (30 s by default) instead of when its requests are done. Stopping at once was ruled out, since it cuts requests in flight.

serve_until takes a flag; once it is true, connections without a request in flight are closed and the others after their answer. serve keeps its form.

--- a/transport/src/http_server.rs
+++ b/transport/src/http_server.rs
@@ -17,7 +17,7 @@
 use futures_util::StreamExt;
 use rosebend_protocol::problem::{Problem, Ran};
 use serde::Serialize;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 /// Content type of a problem document.
 pub const PROBLEM_JSON: &str = "application/problem+json";
@@ -212,6 +212,28 @@
     listener: TcpListener,
     handler: H,
 ) -> io::Result<Server>
+where
+    H: Fn(HttpRequest) -> F + Clone + Send + 'static,
+    F: Future<Output = HttpReply> + 'static,
+{
+    let (_, never) = watch::channel(false);
+    serve_until(config, listener, never, handler)
+}
+
+/// Like [`serve`], and closes idle connections as soon as `stopping` is true.
+///
+/// Without that, a graceful stop waits for every connection that a client
+/// keeps alive, although no request is in flight on it.
+///
+/// # Errors
+///
+/// Fails when the listener cannot be used.
+pub fn serve_until<H, F>(
+    config: HttpServerConfig,
+    listener: TcpListener,
+    stopping: watch::Receiver<bool>,
+    handler: H,
+) -> io::Result<Server>
 where
     H: Fn(HttpRequest) -> F + Clone + Send + 'static,
     F: Future<Output = HttpReply> + 'static,
@@ -224,9 +246,11 @@
         .listen(config.name, listener, move || {
             let handler = handler.clone();
             let config = config.clone();
+            let stopping = stopping.clone();
             HttpService::build()
                 .client_request_timeout(config.headers_timeout)
                 .keep_alive(Duration::from_secs(75))
+                .graceful_shutdown_signal(move || until_true(stopping.clone()))
                 .finish(move |request| {
                     let handler = handler.clone();
                     let config = config.clone();
@@ -238,6 +262,13 @@
     Ok(server)
 }
 
+/// Waits until `flag` is true; forever when its sender is gone before that.
+async fn until_true(mut flag: watch::Receiver<bool>) {
+    if flag.wait_for(|stopping| *stopping).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
 async fn answer<H, F>(config: &HttpServerConfig, handler: &H, request: Request) -> Response<BoxBody>
 where
     H: Fn(HttpRequest) -> F,
