Add the stand-ins for platform, engine and service

The system needs something to run against in tests, in the quickstart and in measurements, with the failures of the real platform on request.

One binary with three sub-commands, and a library so that tests start them in their own process. The platform keeps the table's contract (conditional transactions, one counter of versions, the first failing key named), rates and a lagging host list, and loses answers after the effect. The engine batches continuously in a limited memory with a prefix cache; its batch and cache read no clock. The service counts effects per call and per key, also for callers that have gone away.

Fetching weights inside the engine's load order was left out: the order takes a fixed time, and the weight store is a part of the platform stand-in.

--- /dev/null
+++ b/standin/src/options.rs
@@ -0,0 +1,235 @@
+//! The command line of `rosebend-standin`.
+
+use std::{net::SocketAddr, str::FromStr, time::Duration};
+
+use getopts::{Matches, Options};
+
+use crate::{engine::EngineConfig, platform::PlatformConfig, service::ServiceConfig};
+
+/// What the command line asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// Print this help.
+    Help(String),
+    /// Run a stand-in on an address.
+    Run(SocketAddr, StandIn),
+}
+
+/// A stand-in with its settings.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StandIn {
+    /// The platform.
+    Platform(PlatformConfig),
+    /// A model engine.
+    Engine(EngineConfig),
+    /// A plain service.
+    Service(ServiceConfig),
+}
+
+/// What is wrong with the command line.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum OptionsError {
+    /// No sub-command, or an unknown one.
+    #[error("the sub-command must be platform, engine or service\n{OVERVIEW}")]
+    SubCommand,
+    /// An option is unknown, or lacks its value.
+    #[error("{0}")]
+    Option(String),
+    /// An option's value cannot be read.
+    #[error("--{name} cannot be {value:?}: {expected}")]
+    Value {
+        /// The option.
+        name: &'static str,
+        /// Its value.
+        value: String,
+        /// What it should be.
+        expected: &'static str,
+    },
+}
+
+const OVERVIEW: &str = "\
+usage: rosebend-standin platform|engine|service [OPTIONS]
+
+Stand-ins for the platform, a model engine and a plain service. Each prints
+`listening on ADDRESS` once it is ready and exits with 0 on SIGTERM, after it
+has finished the requests in flight.
+
+  rosebend-standin platform --listen 127.0.0.1:7000
+  rosebend-standin engine --listen 127.0.0.1:0 --speed 10
+  rosebend-standin service --listen 127.0.0.1:0 --delay-ms 50
+
+`rosebend-standin SUB-COMMAND --help` lists the options.";
+
+/// Reads the arguments after the program's name.
+///
+/// # Errors
+///
+/// Says what is wrong with them.
+pub fn parse(arguments: &[String]) -> Result<Command, OptionsError> {
+    let (name, rest) = arguments.split_first().ok_or(OptionsError::SubCommand)?;
+    match name.as_str() {
+        "--help" | "-h" => Ok(Command::Help(OVERVIEW.to_owned())),
+        "platform" => run(name, &platform_options(), rest, read_platform),
+        "engine" => run(name, &engine_options(), rest, read_engine),
+        "service" => run(name, &service_options(), rest, read_service),
+        _ => Err(OptionsError::SubCommand),
+    }
+}
+
+fn run(
+    name: &str,
+    options: &Options,
+    arguments: &[String],
+    read: fn(&Matches) -> Result<StandIn, OptionsError>,
+) -> Result<Command, OptionsError> {
+    let matches = options
+        .parse(arguments)
+        .map_err(|error| OptionsError::Option(error.to_string()))?;
+    if matches.opt_present("help") {
+        let brief = format!("usage: rosebend-standin {name} [OPTIONS]");
+        return Ok(Command::Help(options.usage(&brief)));
+    }
+    if let Some(surplus) = matches.free.first() {
+        return Err(OptionsError::Option(format!("unexpected: {surplus}")));
+    }
+    let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+    let address = value(&matches, "listen", "an address like 127.0.0.1:0", loopback)?;
+    Ok(Command::Run(address, read(&matches)?))
+}
+
+fn common_options() -> Options {
+    let mut options = Options::new();
+    options.optflag("h", "help", "print this help");
+    options.optopt("", "listen", "address, port 0 for any (127.0.0.1:0)", "A");
+    options
+}
+
+fn platform_options() -> Options {
+    let mut options = common_options();
+    options.optopt("", "reads-per-second", "rate of reads (2000)", "N");
+    options.optopt("", "writes-per-second", "rate of writes (400)", "N");
+    options.optopt("", "weights-per-minute", "downloads of weights (6)", "N");
+    options.optopt("", "weights-ms", "time of one download (500)", "MS");
+    options.optopt("", "host-list-lag-ms", "lag of the host list (5000)", "MS");
+    options
+}
+
+fn read_platform(matches: &Matches) -> Result<StandIn, OptionsError> {
+    let defaults = PlatformConfig::default();
+    Ok(StandIn::Platform(PlatformConfig {
+        reads_per_second: count(matches, "reads-per-second", defaults.reads_per_second)?,
+        writes_per_second: count(matches, "writes-per-second", defaults.writes_per_second)?,
+        weights_per_minute: count(matches, "weights-per-minute", defaults.weights_per_minute)?,
+        weights_time: millis(matches, "weights-ms", defaults.weights_time)?,
+        host_list_lag: millis(matches, "host-list-lag-ms", defaults.host_list_lag)?,
+    }))
+}
+
+fn engine_options() -> Options {
+    let mut options = common_options();
+    let mut value = |name, help, hint| {
+        options.optopt("", name, help, hint);
+    };
+    value("token-us", "time of a decoding step (20000)", "US");
+    value("prefill-token-us", "time of a cold token (200)", "US");
+    value("transfer-token-us", "export or import of a token (2)", "US");
+    value("kv-tokens", "KV memory (65536)", "N");
+    value("max-running", "requests that run at once (16)", "N");
+    value("speed", "factor on the engine's speed (1)", "X");
+    value("load-lag-ms", "lag of the load report (500)", "MS");
+    value("event-lag-ms", "lag of cache events (500)", "MS");
+    value("event-gap-percent", "cache events that are lost (5)", "N");
+    value("order-ms", "time of an order (200)", "MS");
+    value("models", "models served, with commas (any)", "LIST");
+    value("seed", "seed of the lost events (1)", "N");
+    options.optflag("", "check-fences", "refuse orders with an old fence");
+    options
+}
+
+fn read_engine(matches: &Matches) -> Result<StandIn, OptionsError> {
+    let defaults = EngineConfig::default();
+    let models = matches.opt_str("models").unwrap_or_default();
+    let models = models.split(',').filter(|name| !name.is_empty());
+    let speed = value(matches, "speed", "a number above 0", 1.0)?;
+    if !(speed > 0.0 && f64::is_finite(speed)) {
+        return Err(bad_value("speed", &speed.to_string(), "a number above 0"));
+    }
+    let transfer_default = defaults.transfer_token_time;
+    let config = EngineConfig {
+        token_time: micros(matches, "token-us", defaults.token_time)?,
+        prefill_token_time: micros(matches, "prefill-token-us", defaults.prefill_token_time)?,
+        transfer_token_time: micros(matches, "transfer-token-us", transfer_default)?,
+        kv_tokens: count(matches, "kv-tokens", defaults.kv_tokens)?,
+        max_running: count(matches, "max-running", defaults.max_running)?,
+        load_lag: millis(matches, "load-lag-ms", defaults.load_lag)?,
+        event_lag: millis(matches, "event-lag-ms", defaults.event_lag)?,
+        event_gap_percent: count(matches, "event-gap-percent", defaults.event_gap_percent)?,
+        order_time: millis(matches, "order-ms", defaults.order_time)?,
+        check_fences: matches.opt_present("check-fences"),
+        models: models.map(str::to_owned).collect(),
+        seed: count(matches, "seed", defaults.seed)?,
+    };
+    Ok(StandIn::Engine(config.sped_up(speed)))
+}
+
+fn service_options() -> Options {
+    let mut options = common_options();
+    options.optopt("", "delay-ms", "time of a call (0)", "MS");
+    options
+}
+
+fn read_service(matches: &Matches) -> Result<StandIn, OptionsError> {
+    Ok(StandIn::Service(ServiceConfig {
+        delay: millis(matches, "delay-ms", Duration::ZERO)?,
+    }))
+}
+
+fn count<T: FromStr>(matches: &Matches, name: &'static str, default: T) -> Result<T, OptionsError> {
+    value(matches, name, "a whole number", default)
+}
+
+fn millis(
+    matches: &Matches,
+    name: &'static str,
+    default: Duration,
+) -> Result<Duration, OptionsError> {
+    duration(matches, name, Duration::from_millis, default)
+}
+
+fn micros(
+    matches: &Matches,
+    name: &'static str,
+    default: Duration,
+) -> Result<Duration, OptionsError> {
+    duration(matches, name, Duration::from_micros, default)
+}
+
+fn duration(
+    matches: &Matches,
+    name: &'static str,
+    unit: fn(u64) -> Duration,
+    default: Duration,
+) -> Result<Duration, OptionsError> {
+    let given = matches.opt_str(name).map(|_| count(matches, name, 0));
+    Ok(given.transpose()?.map_or(default, unit))
+}
+
+fn value<T: FromStr>(
+    matches: &Matches,
+    name: &'static str,
+    expected: &'static str,
+    default: T,
+) -> Result<T, OptionsError> {
+    match matches.opt_str(name) {
+        None => Ok(default),
+        Some(text) => text.parse().map_err(|_| bad_value(name, &text, expected)),
+    }
+}
+
+fn bad_value(name: &'static str, value: &str, expected: &'static str) -> OptionsError {
+    OptionsError::Value {
+        name,
+        value: value.to_owned(),
+        expected,
+    }
+}
