Serve callers at entries: own, forward, dispatch, commit

Cause: nothing connected the decisions to callers, sidecars and the table.

Change: the entry process. One thread decides; others carry HTTP, forwarded requests and the streams of sidecars. A request is asked again at whoever owns its program, under one key, until the caller has the whole answer.

--- a/coordination/src/commit.rs
+++ b/coordination/src/commit.rs
@@ -182,6 +182,13 @@
         self
     }
 
+    /// An id for a transaction of this process that is not a group commit.
+    pub fn take_write_id(&mut self) -> WriteId {
+        let write_id = self.next_write_id;
+        self.next_write_id += 1;
+        write_id
+    }
+
     /// Takes a shard whose row, as this process wrote it, has `version`, at
     /// epoch `epoch`.
     pub fn own_row(&mut self, shard: Shard, epoch: Epoch, version: u64) {
@@ -292,8 +299,7 @@
     }
 
     fn build_batch(&mut self, commits: &[Pending]) -> CommitBatch {
-        let write_id = self.next_write_id;
-        self.next_write_id += 1;
+        let write_id = self.take_write_id();
         let mut shards = BTreeMap::new();
         let mut records = BTreeMap::new();
         for pending in commits {
--- a/coordination/src/warmth.rs
+++ b/coordination/src/warmth.rs
@@ -111,16 +111,6 @@
         }
     }
 
-    /// Number of keys.
-    pub fn len(&self) -> usize {
-        self.by_key.len()
-    }
-
-    /// Whether nothing is known to be warm.
-    pub fn is_empty(&self) -> bool {
-        self.by_key.is_empty()
-    }
-
     fn forget_oldest(&mut self) {
         while self.by_key.len() > self.max_keys {
             let Some((_, key)) = self.by_use.pop_first() else {
--- /dev/null
+++ b/entry/src/control/shards.rs
@@ -0,0 +1,456 @@
+//! Ownership of shards: renewals, takeovers, loading, handoffs, the stop.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use rosebend_coordination::owner::Event;
+use rosebend_coordination::ownership::{
+    HostRow, OwnershipAction, OwnershipEvent, ShardRow, Takeover,
+};
+use rosebend_protocol::peer::Fence;
+use rosebend_protocol::platform::{Action, Condition, Operation, Transaction};
+use rosebend_state::id::{Epoch, HostId, Incarnation, Shard};
+use rosebend_transport::event::{Event as LogEvent, EventKind, log_event};
+use rosebend_transport::platform_client::{PlatformClient, PlatformError};
+use serde_json::json;
+
+use super::sidecars::SidecarAddress;
+use super::state::{Control, Stopping};
+use super::{Command, LiveProcess, LoadedShard, RenewOutcome, retained};
+use crate::rows::{self, HostValue};
+
+/// Longest wait for sidecars to tell what they retain for gained shards.
+const RETAINED_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Wait before gained shards that could not be read are read again.
+const LOAD_AGAIN_WAIT: Duration = Duration::from_millis(500);
+/// Reads of shards that are under way at once.
+const LOADS_AT_ONCE: usize = 16;
+/// A stop that took so long goes on without waiting for a successor.
+const STOP_TIMEOUT: Duration = Duration::from_secs(20);
+
+impl Control {
+    pub(super) fn ownership_event(&mut self, event: OwnershipEvent) {
+        let now = self.now();
+        let actions = self.ownership.step(now, event);
+        self.ownership_actions(actions);
+    }
+
+    fn ownership_actions(&mut self, actions: Vec<OwnershipAction>) {
+        let mut gained = Vec::new();
+        for action in actions {
+            match action {
+                OwnershipAction::ReadShards => self.read_shards(),
+                OwnershipAction::TakeOver(takeover) => self.take_over(takeover),
+                OwnershipAction::Gained {
+                    shard,
+                    epoch,
+                    version,
+                    is_new,
+                } => {
+                    self.committer.own_row(shard, epoch, version);
+                    self.epochs.insert(shard, epoch);
+                    self.loading.entry(shard).or_default();
+                    gained.push((shard, epoch, is_new));
+                    let event = LogEvent::new(EventKind::ShardTaken)
+                        .shard(shard)
+                        .epoch(epoch);
+                    log_event(&event);
+                }
+                OwnershipAction::Lost(shard) => self.shard_lost(shard),
+                OwnershipAction::Drain { shard, successor } => self.drain(shard, successor),
+            }
+        }
+        if !gained.is_empty() {
+            self.load(gained);
+        }
+    }
+
+    fn shard_lost(&mut self, shard: Shard) {
+        self.committer.disown(shard);
+        self.successors.remove(&shard);
+        if let Some(epoch) = self.epochs.remove(&shard) {
+            log_event(
+                &LogEvent::new(EventKind::ShardLost)
+                    .shard(shard)
+                    .epoch(epoch),
+            );
+            self.owner_event(Event::ShardLost { shard });
+        }
+        let address = self.ownership.owner_address(shard).map(str::to_owned);
+        for caller in self.loading.remove(&shard).unwrap_or_default() {
+            let _ = caller.reply.send(super::ControlReply::NotOwner {
+                address: address.clone(),
+            });
+        }
+    }
+
+    /// Renews the own row, and reads those of the others.
+    pub(super) fn renew(&mut self) {
+        self.read_hosts();
+        if self.renewing {
+            return;
+        }
+        self.renewing = true;
+        self.renewals += 1;
+        let entry = &self.settings.entry;
+        let value = HostValue {
+            incarnation: self.settings.incarnation.clone(),
+            renewal: self.renewals,
+            peer_address: self.settings.peer_address.clone(),
+            http_address: self.settings.http_address.clone(),
+            availability_zone: entry.availability_zone.clone(),
+            leaving: self.stopping.is_some(),
+            config_revision: self.config_revision,
+        };
+        let key = rows::host_key(&entry.host);
+        let condition = self.row_version.map_or(Condition::Any, Condition::Version);
+        let operation = Operation {
+            key: key.clone(),
+            condition,
+            action: Action::Put(json!(value)),
+        };
+        let platform = self.platform.clone();
+        let handle = self.handle.clone();
+        let incarnation = self.settings.incarnation.clone();
+        actix_rt::spawn(async move {
+            let transaction = Transaction {
+                operations: vec![operation],
+            };
+            let outcome = match platform.transact(&transaction).await {
+                Ok(committed) => RenewOutcome::Renewed(committed.version),
+                Err(PlatformError::Conflict(_)) => own_row(&platform, key, &incarnation).await,
+                Err(_) => RenewOutcome::Silent,
+            };
+            handle.send(Command::Renewed { outcome });
+        });
+    }
+
+    pub(super) fn renewed(&mut self, outcome: RenewOutcome) {
+        self.renewing = false;
+        match outcome {
+            RenewOutcome::Renewed(version) => {
+                self.row_version = Some(version);
+                self.note_table(true);
+            }
+            RenewOutcome::Replaced => {
+                // Another process has this host's name. Its shards are its
+                // own; this process has nothing more to do.
+                log_event(&LogEvent::new(EventKind::LeaseRenewalFailed).reason("replaced"));
+                self.row_version = None;
+            }
+            RenewOutcome::Silent => {
+                log_event(&LogEvent::new(EventKind::LeaseRenewalFailed).reason("table"));
+                self.note_table(false);
+            }
+        }
+    }
+
+    fn read_hosts(&mut self) {
+        if self.reading_hosts {
+            return;
+        }
+        self.reading_hosts = true;
+        let platform = self.platform.clone();
+        let handle = self.handle.clone();
+        actix_rt::spawn(async move {
+            let rows = platform.scan_all(rows::HOST_PREFIX).await.ok();
+            let hosts = rows.map(|rows| rows.iter().filter_map(rows::host_row).collect());
+            handle.send(Command::HostsRead(hosts));
+        });
+    }
+
+    pub(super) fn hosts_read(&mut self, rows: Option<Vec<(HostRow, HostValue)>>) {
+        self.reading_hosts = false;
+        self.note_table(rows.is_some());
+        let Some(rows) = rows else {
+            return;
+        };
+        self.entries = rows
+            .iter()
+            .map(|(row, value)| LiveProcess::entry(row, value))
+            .collect();
+        let hosts = rows.into_iter().map(|(row, _)| row).collect();
+        self.ownership_event(OwnershipEvent::HostsRead(hosts));
+    }
+
+    pub(super) fn read_shards(&mut self) {
+        if self.reading_shards {
+            self.read_shards_again = true;
+            return;
+        }
+        self.reading_shards = true;
+        let platform = self.platform.clone();
+        let handle = self.handle.clone();
+        actix_rt::spawn(async move {
+            let rows = platform.scan_all(rows::SHARD_PREFIX).await.ok();
+            let shards = rows.map(|rows| {
+                rows.iter()
+                    .filter_map(rows::shard_row)
+                    .map(|(shard, _)| shard)
+                    .collect()
+            });
+            handle.send(Command::ShardsRead(shards));
+        });
+    }
+
+    pub(super) fn shards_read(&mut self, rows: Option<Vec<ShardRow>>) {
+        self.reading_shards = false;
+        self.note_table(rows.is_some());
+        if let Some(rows) = rows {
+            self.ownership_event(OwnershipEvent::ShardsRead(rows));
+        }
+        if std::mem::take(&mut self.read_shards_again) {
+            self.read_shards();
+        }
+    }
+
+    fn take_over(&mut self, takeover: Takeover) {
+        if let Some((host, _)) = &takeover.silent_host {
+            let count = takeover.shards.len() as u64;
+            log_event(
+                &LogEvent::new(EventKind::OwnerSilent)
+                    .host(host)
+                    .count(count),
+            );
+        }
+        let write_id = self.committer.take_write_id();
+        let entry = &self.settings.entry;
+        let incarnation = &self.settings.incarnation;
+        let transaction = rows::takeover_transaction(&takeover, &entry.host, incarnation, write_id);
+        let platform = self.platform.clone();
+        let handle = self.handle.clone();
+        actix_rt::spawn(async move {
+            let version = platform
+                .transact(&transaction)
+                .await
+                .ok()
+                .map(|done| done.version);
+            handle.send(Command::TakeoverEnded { takeover, version });
+        });
+    }
+
+    pub(super) fn takeover_ended(&mut self, takeover: &Takeover, version: Option<u64>) {
+        let shards = takeover.shards.iter().map(|(shard, ..)| *shard).collect();
+        self.ownership_event(OwnershipEvent::TakeoverEnded { shards, version });
+    }
+
+    /// Reads the records of gained shards, and asks the sidecars what they
+    /// retain for them.
+    fn load(&self, gained: Vec<(Shard, Epoch, bool)>) {
+        let platform = self.platform.clone();
+        let handle = self.handle.clone();
+        let traffic = self.traffic.clone();
+        let sidecars: Vec<SidecarAddress> = self.sidecar_addresses();
+        actix_rt::spawn(async move {
+            let with_records = gained.iter().filter(|(.., is_new)| !is_new);
+            let fences: Vec<Fence> = with_records
+                .map(|(shard, epoch, _)| Fence {
+                    shard: *shard,
+                    epoch: *epoch,
+                })
+                .collect();
+            let mut retained =
+                retained::ask_all(&traffic, sidecars, fences, RETAINED_TIMEOUT).await;
+            let mut loaded = Vec::new();
+            for group in gained.chunks(LOADS_AT_ONCE) {
+                let reads = group.iter().map(|gained| load_shard(&platform, *gained));
+                match join_all(reads)
+                    .await
+                    .into_iter()
+                    .collect::<Result<Vec<_>, _>>()
+                {
+                    Ok(shards) => loaded.extend(shards),
+                    Err(_) => {
+                        let shards = gained.iter().map(|(shard, ..)| *shard).collect();
+                        actix_rt::time::sleep(LOAD_AGAIN_WAIT).await;
+                        return handle.send(Command::LoadFailed(shards));
+                    }
+                }
+            }
+            for shard in &mut loaded {
+                shard.retained = retained.calls.remove(&shard.shard).unwrap_or_default();
+                shard.retained_complete = retained.is_complete;
+            }
+            handle.send(Command::ShardsLoaded(loaded));
+        });
+    }
+
+    pub(super) fn load_failed(&mut self, shards: &[Shard]) {
+        self.note_table(false);
+        let again: Vec<_> = shards
+            .iter()
+            .filter(|shard| self.loading.contains_key(shard))
+            .filter_map(|shard| Some((*shard, *self.epochs.get(shard)?, false)))
+            .collect();
+        if !again.is_empty() {
+            self.load(again);
+        }
+    }
+
+    pub(super) fn shards_loaded(&mut self, shards: Vec<LoadedShard>) {
+        for loaded in shards {
+            if self.epochs.get(&loaded.shard) != Some(&loaded.epoch) {
+                continue;
+            }
+            let shard = loaded.shard;
+            let retained_count = loaded.retained.len() as u64;
+            self.owner_event(Event::ShardGained {
+                shard,
+                epoch: loaded.epoch,
+                programs: loaded.programs,
+                turns: loaded.turns,
+                retained: loaded.retained,
+                retained_complete: loaded.retained_complete,
+            });
+            let event = LogEvent::new(EventKind::ShardRecovered).shard(shard);
+            log_event(&event.epoch(loaded.epoch).count(retained_count));
+            for caller in self.loading.remove(&shard).unwrap_or_default() {
+                self.caller(caller.request, caller.reply);
+            }
+        }
+    }
+
+    fn drain(&mut self, shard: Shard, successor: (HostId, Incarnation)) {
+        self.successors.insert(shard, successor);
+        if self.loading.contains_key(&shard) {
+            // Nothing runs yet under this owner.
+            self.pass_on(shard);
+        } else {
+            self.owner_event(Event::ShardLeaving { shard });
+        }
+    }
+
+    /// Passes a drained shard to its successor.
+    pub(super) fn pass_on(&mut self, shard: Shard) {
+        let (Some(successor), Some(&epoch), Some(version)) = (
+            self.successors.get(&shard).cloned(),
+            self.epochs.get(&shard),
+            self.committer.row_version(shard),
+        ) else {
+            return;
+        };
+        let write_id = self.committer.take_write_id();
+        let transaction =
+            rows::handoff_transaction(shard, version, epoch + 1, &successor, write_id);
+        let platform = self.platform.clone();
+        let handle = self.handle.clone();
+        actix_rt::spawn(async move {
+            let passed_on = platform.transact(&transaction).await.is_ok();
+            handle.send(Command::HandoffEnded {
+                shard,
+                epoch,
+                successor,
+                passed_on,
+            });
+        });
+    }
+
+    pub(super) fn handoff_ended(
+        &mut self,
+        shard: Shard,
+        epoch: Epoch,
+        successor: &(HostId, Incarnation),
+        passed_on: bool,
+    ) {
+        if passed_on {
+            let event = LogEvent::new(EventKind::ShardHandedOver).shard(shard);
+            log_event(&event.epoch(epoch).host(&successor.0));
+            self.tell_successor(successor, shard);
+        }
+        self.successors.remove(&shard);
+        self.ownership_event(OwnershipEvent::HandoffEnded { shard, passed_on });
+        if !passed_on {
+            // The row may name the successor all the same; reading it tells.
+            self.read_shards();
+        }
+    }
+
+    pub(super) fn stop(&mut self, done: tokio::sync::oneshot::Sender<()>) {
+        self.stopping = Some(Stopping {
+            done,
+            since: self.now(),
+        });
+        self.ownership_event(OwnershipEvent::Leaving);
+        self.renew();
+    }
+
+    /// Keeps passing shards on while the process stops.
+    pub(super) fn drive_stop(&mut self) {
+        if self.stopping.is_some() && self.ownership.owned().next().is_some() {
+            self.ownership_event(OwnershipEvent::Leaving);
+        }
+    }
+
+    /// Whether the process is stopping and owns nothing any more, or may wait
+    /// no longer.
+    pub(super) fn has_stopped(&mut self) -> bool {
+        let now = self.now();
+        let Some(stopping) = &self.stopping else {
+            return false;
+        };
+        let owns_nothing = self.ownership.owned().next().is_none();
+        let has_successor = self.ownership.live_peers().any(|peer| !peer.leaving);
+        let idle = self.pending.is_empty() && self.committer.waiting() == 0;
+        let timed_out = now.saturating_sub(stopping.since) > STOP_TIMEOUT;
+        let may_stop = idle && (owns_nothing || !has_successor);
+        if !may_stop && !timed_out {
+            return false;
+        }
+        if let Some(stopping) = self.stopping.take() {
+            let _ = stopping.done.send(());
+        }
+        true
+    }
+}
+
+/// After a conflict on the own row: did an earlier renewal, whose answer was
+/// lost, take effect, or does another process write the row?
+async fn own_row(platform: &PlatformClient, key: String, incarnation: &str) -> RenewOutcome {
+    let Ok(found) = platform.read(vec![key]).await else {
+        return RenewOutcome::Silent;
+    };
+    match found.first().and_then(rows::host_row) {
+        Some((row, _)) if row.incarnation == incarnation => RenewOutcome::Renewed(row.version),
+        _ => RenewOutcome::Replaced,
+    }
+}
+
+async fn load_shard(
+    platform: &PlatformClient,
+    (shard, epoch, is_new): (Shard, Epoch, bool),
+) -> Result<LoadedShard, PlatformError> {
+    let mut loaded = LoadedShard {
+        shard,
+        epoch,
+        programs: Vec::new(),
+        turns: Vec::new(),
+        retained: Vec::new(),
+        retained_complete: is_new,
+    };
+    if is_new {
+        return Ok(loaded);
+    }
+    let programs = platform.scan_all(&rows::program_prefix(shard)).await?;
+    let turns = platform.scan_all(&rows::turn_prefix(shard)).await?;
+    loaded.programs = parse_rows(programs);
+    loaded.turns = parse_rows(turns);
+    Ok(loaded)
+}
+
+fn parse_rows<T: serde::de::DeserializeOwned>(
+    rows: Vec<rosebend_protocol::platform::Row>,
+) -> Vec<T> {
+    rows.into_iter()
+        .filter_map(|row| serde_json::from_value(row.value).ok())
+        .collect()
+}
+
+/// Calls that sidecars retain, by shard.
+#[derive(Debug, Default)]
+pub(super) struct RetainedCalls {
+    /// By shard.
+    pub(super) calls: HashMap<Shard, Vec<rosebend_coordination::owner::RetainedTurn>>,
+    /// Whether every sidecar answered.
+    pub(super) is_complete: bool,
+}
--- /dev/null
+++ b/entry/src/control/state.rs
@@ -0,0 +1,298 @@
+//! The control state and its loop.
+
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::time::{Duration, Instant};
+
+use actix_rt::time::{interval, sleep};
+use rosebend_coordination::commit::{Committer, CommitterConfig};
+use rosebend_coordination::owner::{Event, Owner, OwnerConfig, Ticket};
+use rosebend_coordination::ownership::{Ownership, OwnershipConfig, OwnershipEvent};
+use rosebend_coordination::routing::{Router, RouterSettings};
+use rosebend_state::id::{CallId, EndpointId, Epoch, HostId, Incarnation, Shard};
+use rosebend_state::settings::EntrySettings;
+use rosebend_transport::metrics_page::{Metrics, Quantity};
+use rosebend_transport::platform_client::PlatformClient;
+use rosebend_transport::traffic::Traffic;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::MissedTickBehavior;
+
+use super::calls::{LiveCall, PendingCaller};
+use super::sidecars::SidecarView;
+use super::{Command, ControlHandle, ControlReply, Directory};
+use crate::request::CallerRequest;
+
+/// Time between two ticks of the owner.
+const TICK: Duration = Duration::from_millis(100);
+/// Failed requests in a row after which the table counts as away.
+const TABLE_AWAY_AFTER: u32 = 2;
+
+/// What the control thread needs to start.
+#[derive(Clone, Debug)]
+pub struct ControlSettings {
+    /// The checked settings of the process.
+    pub entry: EntrySettings,
+    /// Distinguishes this process from others on the same host.
+    pub incarnation: Incarnation,
+    /// First write id; no other incarnation uses the ids after it.
+    pub first_write_id: u64,
+    /// Where other entries reach this one.
+    pub peer_address: String,
+    /// Where callers and operators reach this one.
+    pub http_address: String,
+    /// Number of shards of the cluster.
+    pub shard_count: u32,
+    /// Counters of the process.
+    pub metrics: Metrics,
+    /// Seed of what is drawn at random.
+    pub seed: u64,
+}
+
+/// A caller that waits for its shard to be loaded.
+#[derive(Debug)]
+pub(super) struct QueuedCaller {
+    pub(super) request: CallerRequest,
+    pub(super) reply: oneshot::Sender<ControlReply>,
+}
+
+/// The control state of an entry.
+#[derive(Debug)]
+pub struct Control {
+    pub(super) settings: ControlSettings,
+    pub(super) started: Instant,
+    pub(super) handle: ControlHandle,
+    pub(super) platform: PlatformClient,
+    pub(super) traffic: Traffic,
+    pub(super) owner: Owner,
+    pub(super) ownership: Ownership,
+    pub(super) committer: Committer,
+    pub(super) router: Router,
+    pub(super) directory: Directory,
+    /// Revision of the configuration in force here.
+    pub(super) config_revision: u64,
+    pub(super) quarantine_version: u64,
+    /// Epochs of the shards that the owner holds.
+    pub(super) epochs: HashMap<Shard, Epoch>,
+    /// Callers of shards that are owned and not yet loaded.
+    pub(super) loading: HashMap<Shard, Vec<QueuedCaller>>,
+    /// Shards being passed on.
+    pub(super) successors: HashMap<Shard, (HostId, Incarnation)>,
+    /// Callers that wait for the owner's answer.
+    pub(super) pending: HashMap<Ticket, PendingCaller>,
+    pub(super) next_ticket: Ticket,
+    /// Answers that grow, or that were read lately.
+    pub(super) live: HashMap<CallId, LiveCall>,
+    /// Ended answers kept for late readers, oldest first.
+    pub(super) ended: VecDeque<CallId>,
+    pub(super) sidecars: HashMap<EndpointId, SidecarView>,
+    /// Engines whose list of holds must be sent.
+    pub(super) holds_due: HashSet<EndpointId>,
+    /// The other live processes, from the rows of entries.
+    pub(super) entries: Vec<super::LiveProcess>,
+    pub(super) row_version: Option<u64>,
+    pub(super) renewals: u64,
+    pub(super) renewing: bool,
+    pub(super) reading_hosts: bool,
+    pub(super) reading_shards: bool,
+    pub(super) read_shards_again: bool,
+    pub(super) reading_config: bool,
+    pub(super) table_failures: u32,
+    pub(super) table_answers: bool,
+    pub(super) commit_timer: bool,
+    pub(super) stopping: Option<Stopping>,
+}
+
+/// A stop under way.
+#[derive(Debug)]
+pub(super) struct Stopping {
+    pub(super) done: oneshot::Sender<()>,
+    pub(super) since: Duration,
+}
+
+impl Control {
+    /// The control state, owning nothing yet.
+    pub fn new(settings: ControlSettings, handle: ControlHandle, traffic: Traffic) -> Self {
+        let entry = &settings.entry;
+        let platform = PlatformClient::new(&entry.platform.url, entry.platform.timeout);
+        let owner = Owner::new(OwnerConfig {
+            shard_count: settings.shard_count,
+            seed: settings.seed,
+            ..OwnerConfig::default()
+        });
+        let ownership_config = OwnershipConfig {
+            lease: entry.timing.lease,
+            shard_count: settings.shard_count,
+            ..OwnershipConfig::default()
+        };
+        let ownership = Ownership::new(
+            ownership_config,
+            entry.host.clone(),
+            settings.incarnation.clone(),
+        );
+        let committer_config = CommitterConfig {
+            interval: entry.timing.commit,
+            ..CommitterConfig::default()
+        };
+        let committer =
+            Committer::new(committer_config).with_first_write_id(settings.first_write_id);
+        let router = Router::new(RouterSettings {
+            zone: entry.availability_zone.clone(),
+            seed: settings.seed,
+            ..RouterSettings::default()
+        });
+        Self {
+            started: Instant::now(),
+            handle,
+            platform,
+            traffic,
+            owner,
+            ownership,
+            committer,
+            router,
+            directory: Directory::default(),
+            config_revision: 0,
+            quarantine_version: 0,
+            epochs: HashMap::new(),
+            loading: HashMap::new(),
+            successors: HashMap::new(),
+            pending: HashMap::new(),
+            next_ticket: 1,
+            live: HashMap::new(),
+            ended: VecDeque::new(),
+            sidecars: HashMap::new(),
+            holds_due: HashSet::new(),
+            entries: Vec::new(),
+            row_version: None,
+            renewals: 0,
+            renewing: false,
+            reading_hosts: false,
+            reading_shards: false,
+            read_shards_again: false,
+            reading_config: false,
+            table_failures: 0,
+            table_answers: true,
+            commit_timer: false,
+            stopping: None,
+            settings,
+        }
+    }
+
+    /// Takes commands until the process has stopped.
+    pub async fn run(mut self, mut commands: mpsc::UnboundedReceiver<Command>) {
+        let timing = self.settings.entry.timing;
+        let mut tick = steady(TICK);
+        let mut renew = steady(timing.renew);
+        let mut config_poll = steady(timing.config_poll);
+        let mut status_poll = steady(timing.status_poll);
+        loop {
+            tokio::select! {
+                command = commands.recv() => match command {
+                    Some(command) => self.take(command),
+                    None => return,
+                },
+                _ = tick.tick() => self.tick(),
+                _ = renew.tick() => self.renew(),
+                _ = config_poll.tick() => self.poll_config(),
+                _ = status_poll.tick() => self.poll_sidecars(),
+            }
+            self.start_commit();
+            if self.has_stopped() {
+                return;
+            }
+        }
+    }
+
+    /// Time since the process started.
+    pub(super) fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    fn take(&mut self, command: Command) {
+        match command {
+            Command::Caller { request, reply } => self.caller(*request, reply),
+            Command::Locate { request, reply } => {
+                let _ = reply.send(self.locate(&request));
+            }
+            Command::AttemptEnded { call, attempt, end } => self.attempt_ended(call, attempt, end),
+            Command::Claimed {
+                call,
+                attempt,
+                outcome,
+            } => {
+                self.owner_event(Event::Claimed {
+                    call,
+                    attempt,
+                    outcome,
+                });
+            }
+            Command::AnswerRead { call, answer } => self.answer_read(&call, answer),
+            Command::CommitEnded { write_id, outcome } => self.commit_ended(write_id, &outcome),
+            Command::CommitRowsRead(rows) => self.commit_rows_read(rows),
+            Command::CommitDue => self.commit_timer = false,
+            Command::HostsRead(rows) => self.hosts_read(rows),
+            Command::ShardsRead(rows) => self.shards_read(rows),
+            Command::Renewed { outcome } => self.renewed(outcome),
+            Command::TakeoverEnded { takeover, version } => self.takeover_ended(&takeover, version),
+            Command::ShardsLoaded(shards) => self.shards_loaded(shards),
+            Command::LoadFailed(shards) => self.load_failed(&shards),
+            Command::HandoffEnded {
+                shard,
+                epoch,
+                successor,
+                passed_on,
+            } => {
+                self.handoff_ended(shard, epoch, &successor, passed_on);
+            }
+            Command::HandoffOffered => self.read_shards(),
+            Command::SidecarStatus {
+                endpoint,
+                asked_at,
+                status,
+            } => {
+                self.sidecar_status(&endpoint, asked_at, status);
+            }
+            Command::ConfigRead(read) => self.config_read(read),
+            Command::Status(reply) => {
+                let _ = reply.send(self.status());
+            }
+            Command::Stop(done) => self.stop(done),
+        }
+    }
+
+    fn tick(&mut self) {
+        self.owner_event(Event::Tick);
+        let metrics = &self.settings.metrics;
+        metrics.set(Quantity::Shards, self.epochs.len() as u64);
+        metrics.set(Quantity::ConfigRevision, self.config_revision);
+        metrics.set(Quantity::UnwrittenRecords, self.committer.waiting() as u64);
+        self.drive_stop();
+    }
+
+    /// Notes whether a request to the table was answered.
+    pub(super) fn note_table(&mut self, answered: bool) {
+        self.table_failures = if answered { 0 } else { self.table_failures + 1 };
+        let answers = self.table_failures < TABLE_AWAY_AFTER;
+        if answers != self.table_answers {
+            self.table_answers = answers;
+            self.owner_event(Event::TableState { answering: answers });
+        }
+        if !answered {
+            self.ownership_event(OwnershipEvent::TableSilent);
+        }
+    }
+
+    /// Sends a command after a while.
+    pub(super) fn send_later(&self, wait: Duration, command: Command) {
+        let handle = self.handle.clone();
+        actix_rt::spawn(async move {
+            sleep(wait).await;
+            handle.send(command);
+        });
+    }
+}
+
+/// An interval that does not catch up on ticks that a pause made it miss.
+fn steady(period: Duration) -> actix_rt::time::Interval {
+    let mut interval = interval(period);
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    interval
+}
--- /dev/null
+++ b/entry/src/process.rs
@@ -0,0 +1,210 @@
+//! Starts the threads of an entry, and stops them without cutting a request.
+
+use std::io;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use actix_rt::{Arbiter, System};
+use rosebend_protocol::peer::entry_server::EntryServer;
+use rosebend_protocol::platform::{Action, Condition, Operation, Row, Transaction};
+use rosebend_state::settings::EntrySettings;
+use rosebend_transport::event::{Event, EventKind, log_event};
+use rosebend_transport::http_server::{self, HttpServerConfig};
+use rosebend_transport::logging::{LoggingError, init_logging};
+use rosebend_transport::metrics_page::Metrics;
+use rosebend_transport::peers::MAX_MESSAGE_BYTES;
+use rosebend_transport::platform_client::{PlatformClient, PlatformError};
+use rosebend_transport::settings_file::{SettingsFileError, load_tokens};
+use rosebend_transport::traffic::Traffic;
+use serde_json::json;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::oneshot;
+use tokio_stream::wrappers::TcpListenerStream;
+
+use crate::control::{Control, ControlHandle, ControlSettings};
+use crate::http::HttpContext;
+use crate::operators::OperatorContext;
+use crate::peer_service::PeerService;
+use crate::rows::{CLUSTER_KEY, ClusterValue};
+
+/// Threads that carry traffic to peers and sidecars.
+const TRAFFIC_THREADS: usize = 2;
+/// Wait between tries to reach the table at the start.
+const START_WAIT: Duration = Duration::from_millis(200);
+/// Longest wait for requests in flight when the process stops.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Why an entry could not start.
+#[derive(Debug)]
+#[derive(thiserror::Error)]
+pub enum ProcessError {
+    /// An address could not be used.
+    #[error("{0}")]
+    Io(#[from] io::Error),
+    /// The log could not be opened.
+    #[error("{0}")]
+    Logging(#[from] LoggingError),
+    /// The tokens were not accepted.
+    #[error("{0}")]
+    Tokens(#[from] SettingsFileError),
+}
+
+/// Runs an entry until it was asked to stop by SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// Fails when an address, the log or the tokens cannot be used.
+pub fn run(settings: EntrySettings) -> Result<(), ProcessError> {
+    init_logging(&settings.log)?;
+    System::new().block_on(run_in_system(settings))
+}
+
+async fn run_in_system(settings: EntrySettings) -> Result<(), ProcessError> {
+    let tokens = Arc::new(load_tokens(&settings.tokens_file)?);
+    let http_listener = TcpListener::bind(settings.http_listen)?;
+    let peer_listener = TcpListener::bind(settings.peer_listen)?;
+    let http_address = http_listener.local_addr()?;
+    let peer_address = peer_listener.local_addr()?;
+    println!("listening on {http_address} for callers and {peer_address} for peers");
+    let shard_count = agree_on_shards(&settings).await;
+    let incarnation = rosebend_util::random_id();
+    let metrics = Metrics::new();
+    let traffic = Traffic::start(TRAFFIC_THREADS);
+    let (control, commands) = ControlHandle::new();
+    let control_settings = ControlSettings {
+        first_write_id: rosebend_util::hash_parts(&[incarnation.as_bytes()]) >> 16 << 16,
+        seed: rosebend_util::hash_parts(&[incarnation.as_bytes(), b"seed"]),
+        incarnation: incarnation.clone(),
+        peer_address: peer_address.to_string(),
+        http_address: http_address.to_string(),
+        shard_count,
+        metrics: metrics.clone(),
+        entry: settings.clone(),
+    };
+    let control_thread = Arbiter::new();
+    start_control(
+        &control_thread,
+        control_settings,
+        control.clone(),
+        traffic.clone(),
+        commands,
+    );
+    let peer_server = serve_peers(&control, peer_listener)?;
+    let context = HttpContext {
+        control: control.clone(),
+        traffic,
+        tokens,
+        metrics,
+        operators: OperatorContext,
+        key_prefix: Arc::from(incarnation.as_str()),
+        next_key: Arc::new(AtomicU64::new(1)),
+    };
+    let config = HttpServerConfig {
+        name: "callers",
+        workers: settings.http_workers,
+        max_body_bytes: settings.max_body_bytes,
+        shutdown_timeout: DRAIN_TIMEOUT,
+        ..HttpServerConfig::default()
+    };
+    let server = http_server::serve(config, http_listener, move |request| {
+        let context = context.clone();
+        async move { context.handle(request).await }
+    })?;
+    let server_handle = server.handle();
+    let serving = actix_rt::spawn(server);
+    log_event(&Event::new(EventKind::ProcessStarted).host(&settings.host));
+    wait_for_signal().await?;
+    log_event(&Event::new(EventKind::ProcessStopping).host(&settings.host));
+    // New requests go to other entries; those here finish while the shards are
+    // passed on, since a request whose program moves is followed there.
+    let http_stopped = server_handle.stop(true);
+    control.stop().await;
+    http_stopped.await;
+    let _ = serving.await;
+    let _ = peer_server.send(());
+    log_event(&Event::new(EventKind::ProcessStopped).host(&settings.host));
+    Ok(())
+}
+
+fn start_control(
+    thread: &Arbiter,
+    settings: ControlSettings,
+    handle: ControlHandle,
+    traffic: Traffic,
+    commands: tokio::sync::mpsc::UnboundedReceiver<crate::control::Command>,
+) {
+    // What the control state holds belongs to its thread, so it is made there.
+    thread.spawn_fn(move || {
+        actix_rt::spawn(Control::new(settings, handle, traffic).run(commands));
+    });
+}
+
+/// Serves other entries until the returned sender sends or is dropped.
+fn serve_peers(control: &ControlHandle, listener: TcpListener) -> io::Result<oneshot::Sender<()>> {
+    listener.set_nonblocking(true)?;
+    let (stop, stopped) = oneshot::channel();
+    let service = EntryServer::new(PeerService::new(control.clone()))
+        .max_decoding_message_size(MAX_MESSAGE_BYTES);
+    Arbiter::new().spawn_fn(move || {
+        actix_rt::spawn(async move {
+            let Ok(listener) = tokio::net::TcpListener::from_std(listener) else {
+                return;
+            };
+            let server = tonic::transport::Server::builder()
+                .tcp_nodelay(true)
+                .add_service(service);
+            let incoming = TcpListenerStream::new(listener);
+            let _ = server
+                .serve_with_incoming_shutdown(incoming, async {
+                    let _ = stopped.await;
+                })
+                .await;
+        });
+    });
+    Ok(stop)
+}
+
+async fn wait_for_signal() -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+/// The number of shards of the cluster: the first entry of a new table fixes
+/// it. Without the table no entry can start, since it cannot own anything.
+async fn agree_on_shards(settings: &EntrySettings) -> u32 {
+    let platform = PlatformClient::new(&settings.platform.url, settings.platform.timeout);
+    let value = ClusterValue {
+        shard_count: settings.shard_count,
+    };
+    let create = Transaction {
+        operations: vec![Operation {
+            key: CLUSTER_KEY.to_owned(),
+            condition: Condition::Absent,
+            action: Action::Put(json!(value)),
+        }],
+    };
+    loop {
+        if let Ok(rows) = platform.read(vec![CLUSTER_KEY.to_owned()]).await {
+            if let Some(count) = rows.first().and_then(shard_count_of) {
+                return count;
+            }
+            let created: Result<_, PlatformError> = platform.transact(&create).await;
+            if created.is_ok() {
+                return settings.shard_count;
+            }
+        }
+        actix_rt::time::sleep(START_WAIT).await;
+    }
+}
+
+fn shard_count_of(row: &Row) -> Option<u32> {
+    let value: ClusterValue = serde_json::from_value(row.value.clone()).ok()?;
+    Some(value.shard_count)
+}
--- a/util/src/lib.rs
+++ b/util/src/lib.rs
@@ -37,3 +37,8 @@
 pub fn secrets_equal(a: &[u8], b: &[u8]) -> bool {
     a.ct_eq(b).into()
 }
+
+/// A random id of 16 hexadecimal digits, for runs of processes.
+pub fn random_id() -> String {
+    format!("{:016x}", rand::random::<u64>())
+}
