Run calls in order, at most once and within the budget

Cause: the owner's interface stood without behaviour. Ruled out: one commit under way per shard (a record made ready just after a commit was given out would wait for two transactions; the committer keeps the order, so several may be out); freeing the position of a refused call whose intent may be durable (a second body under the same id and attempt).

--- a/coordination/src/owner/action.rs
+++ b/coordination/src/owner/action.rs
@@ -53,8 +53,6 @@
     RetryBudget,
     /// The endpoint does not accept a call of this size or form.
     Invalid,
-    /// Another caller's call of the same program took this one's place.
-    Superseded,
 }
 
 impl RefusalReason {
@@ -81,7 +79,6 @@
             Self::Attempts => "attempts",
             Self::RetryBudget => "retry_budget",
             Self::Invalid => "invalid",
-            Self::Superseded => "superseded",
         }
     }
 }
@@ -137,6 +134,13 @@
         /// When to come back.
         retry_after: Duration,
     },
+    /// The request was being written when the table stopped answering or the
+    /// shard was lost: it may or may not take hold. The same request can be
+    /// sent again.
+    Undecided {
+        /// When to come back.
+        retry_after: Duration,
+    },
 }
 
 /// How a call ended.
--- /dev/null
+++ b/coordination/src/owner/program.rs
@@ -0,0 +1,446 @@
+//! A program in memory: its queue, the one call under way, and its history.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use rosebend_state::id::{CallId, EndpointId, ProgramId, Sequence, Shard};
+use rosebend_state::record::{
+    AnswerRecord, CallKind, EndReason, FailReason, ProgramRecord, ProgramState, TurnRecord,
+    TurnState, UnknownReason,
+};
+
+use super::account::Account;
+use super::action::CallOutcome;
+use super::event::{Attempt, CallRequest, Placement, Ticket};
+
+/// A program in memory.
+#[derive(Debug)]
+pub(super) struct Program {
+    pub(super) shard: Shard,
+    pub(super) state: ProgramState,
+    /// The budget of the whole tree; only the root has one.
+    pub(super) account: Option<Box<Account>>,
+    pub(super) turn_limit: u64,
+    pub(super) wall_limit: Duration,
+    /// Age at `age_since`.
+    pub(super) age_before: Duration,
+    /// When this owner met the program, on its own clock.
+    pub(super) age_since: Duration,
+    pub(super) body_digest: Box<str>,
+    /// Whether the table has a record of the program.
+    pub(super) is_durable: bool,
+    /// The endpoint that holds the program's KV cache.
+    pub(super) warm: Option<EndpointId>,
+    /// Tokens of service that the program has had.
+    pub(super) attained_tokens: u64,
+    /// The position that the next new call gets.
+    pub(super) next_sequence: Sequence,
+    /// The last attempt at the position before `next_sequence`, or at
+    /// `next_sequence` when that call was refused and its position freed.
+    pub(super) last_attempt: Attempt,
+    /// Calls that wait for their turn, in the order in which they came.
+    pub(super) waiting: VecDeque<Waiting>,
+    /// The one call that has its turn; its position is below
+    /// `next_sequence`.
+    pub(super) active: Option<Box<ActiveCall>>,
+    /// Ended calls.
+    pub(super) turns: BTreeMap<Sequence, Turn>,
+    /// Positions of the calls that have a key, ended or active.
+    pub(super) keys: HashMap<Box<str>, Sequence>,
+    /// Callers that are told once the program is durably open.
+    pub(super) openers: Vec<Ticket>,
+    /// Callers that are told once the program has durably ended.
+    pub(super) enders: Vec<Ticket>,
+    /// The fingerprint of the last ended call, hashed, and how many calls in
+    /// a row had it.
+    pub(super) repeated: (u64, u32),
+}
+
+/// A call that waits for its turn.
+#[derive(Debug)]
+pub(super) struct Waiting {
+    pub(super) request: Arc<CallRequest>,
+    /// Who waits for it; never empty.
+    pub(super) tickets: Vec<Ticket>,
+    /// Since when nothing but a missing call stands before it.
+    pub(super) gap_since: Option<Duration>,
+}
+
+/// The call that has its turn.
+#[derive(Debug)]
+pub(super) struct ActiveCall {
+    pub(super) sequence: Sequence,
+    pub(super) key: Option<Box<str>>,
+    pub(super) body_digest: Box<str>,
+    pub(super) kind: CallKind,
+    pub(super) target: Box<str>,
+    pub(super) repeatable: bool,
+    /// The call as its caller asked for it. After a takeover there is none
+    /// until a caller sends the call again, so it can't go again before.
+    pub(super) request: Option<Arc<CallRequest>>,
+    pub(super) attempt: Attempt,
+    /// Dispatches since a caller last asked.
+    pub(super) tries: u32,
+    pub(super) stage: Stage,
+    /// Reserved from the root's account for this attempt.
+    pub(super) reserved_tokens: u64,
+    /// Endpoints that must not get the call.
+    pub(super) excluded: Vec<EndpointId>,
+    /// Where earlier attempts may have left something to acknowledge.
+    pub(super) earlier: Vec<Placement>,
+    /// Whether an earlier attempt may have run. Then the call can't be
+    /// refused any more, only fail.
+    pub(super) may_have_run: bool,
+    /// Whether the table has, or may come to have, a record of the call.
+    pub(super) has_record: bool,
+    /// Whether what this attempt spends was counted when the shard was taken.
+    pub(super) is_counted: bool,
+}
+
+/// How far the active call is.
+#[derive(Clone, Debug)]
+pub(super) enum Stage {
+    /// It has not run; it goes when a caller asks for it again.
+    Parked,
+    /// It waits for a reservation from the budget.
+    AwaitingBudget,
+    /// It waits for an endpoint.
+    Placing,
+    /// Its intent is being written.
+    CommittingIntent(Placement),
+    /// It was sent.
+    InFlight(Placement),
+    /// Its sidecar is asked what became of it.
+    Claiming {
+        placement: Placement,
+        /// Since when.
+        since: Duration,
+        /// When to ask again.
+        next_at: Duration,
+    },
+}
+
+impl Stage {
+    /// Where the call was or will be sent.
+    pub(super) fn placement(&self) -> Option<&Placement> {
+        match self {
+            Self::Parked | Self::AwaitingBudget | Self::Placing => None,
+            Self::CommittingIntent(placement)
+            | Self::InFlight(placement)
+            | Self::Claiming { placement, .. } => Some(placement),
+        }
+    }
+
+    /// Whether the call is at an endpoint, as far as is known.
+    pub(super) fn is_sent(&self) -> bool {
+        matches!(self, Self::InFlight(_) | Self::Claiming { .. })
+    }
+}
+
+/// An ended call.
+#[derive(Debug)]
+pub(super) struct Turn {
+    pub(super) key: Option<Box<str>>,
+    pub(super) body_digest: Box<str>,
+    pub(super) kind: CallKind,
+    pub(super) repeatable: bool,
+    pub(super) target: Box<str>,
+    pub(super) end: TurnEnd,
+    /// What is not durable yet.
+    pub(super) unwritten: Option<Box<Unwritten>>,
+}
+
+/// How a call ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum TurnEnd {
+    Done,
+    Failed(FailReason),
+    Unknown(UnknownReason),
+}
+
+impl TurnEnd {
+    /// The end as followers are told of it.
+    pub(super) fn outcome(self) -> CallOutcome {
+        match self {
+            Self::Done => CallOutcome::Done,
+            Self::Failed(reason) => CallOutcome::Failed { reason },
+            Self::Unknown(reason) => CallOutcome::Unknown { reason },
+        }
+    }
+}
+
+/// The part of an ended call that is kept until it is durable.
+#[derive(Debug)]
+pub(super) struct Unwritten {
+    pub(super) answer: Option<AnswerRecord>,
+    /// Whether followers were told.
+    pub(super) is_told: bool,
+    /// Sidecars to acknowledge once it is durable.
+    pub(super) acknowledge: Vec<Placement>,
+}
+
+impl Program {
+    /// A program that was just opened.
+    pub(super) fn new(shard: Shard, now: Duration, body_digest: &str) -> Self {
+        Self {
+            shard,
+            state: ProgramState::Open,
+            account: None,
+            turn_limit: 0,
+            wall_limit: Duration::ZERO,
+            age_before: Duration::ZERO,
+            age_since: now,
+            body_digest: body_digest.into(),
+            is_durable: false,
+            warm: None,
+            attained_tokens: 0,
+            next_sequence: 1,
+            last_attempt: 0,
+            waiting: VecDeque::new(),
+            active: None,
+            turns: BTreeMap::new(),
+            keys: HashMap::new(),
+            openers: Vec::new(),
+            enders: Vec::new(),
+            repeated: (0, 0),
+        }
+    }
+
+    /// A program as its record has it.
+    pub(super) fn from_record(shard: Shard, now: Duration, record: &ProgramRecord) -> Self {
+        Self {
+            state: record.state,
+            turn_limit: record.turn_limit,
+            wall_limit: Duration::from_millis(record.wall_limit_ms),
+            age_before: Duration::from_millis(record.age_ms),
+            is_durable: true,
+            warm: record.warm.clone(),
+            next_sequence: record.next_sequence.max(1),
+            ..Self::new(shard, now, &record.body_digest)
+        }
+    }
+
+    /// The record to write now.
+    pub(super) fn record(&self, now: Duration, program: &ProgramId) -> ProgramRecord {
+        let account = self.account.as_deref();
+        ProgramRecord {
+            program: program.clone(),
+            state: self.state,
+            budget_tokens: account.map_or(0, |account| account.budget_tokens),
+            drawn_tokens: account.map_or(0, |account| account.drawn_tokens),
+            spent_tokens: account.map_or(0, |account| account.spent_tokens),
+            turn_limit: self.turn_limit,
+            wall_limit_ms: as_millis(self.wall_limit),
+            age_ms: as_millis(self.age(now)),
+            body_digest: self.body_digest.to_string(),
+            next_sequence: self.recorded_next_sequence(),
+            warm: self.warm.clone(),
+        }
+    }
+
+    /// The position after the last call that has a record.
+    fn recorded_next_sequence(&self) -> Sequence {
+        match &self.active {
+            Some(active) if !active.has_record => active.sequence,
+            _ => self.next_sequence,
+        }
+    }
+
+    pub(super) fn age(&self, now: Duration) -> Duration {
+        self.age_before + now.saturating_sub(self.age_since)
+    }
+
+    pub(super) fn end_reason(&self) -> Option<EndReason> {
+        match self.state {
+            ProgramState::Open => None,
+            ProgramState::Ended { reason } => Some(reason),
+        }
+    }
+
+    /// The active call, if it is this one.
+    pub(super) fn active_at(&mut self, sequence: Sequence) -> Option<&mut ActiveCall> {
+        let active = self.active.as_deref_mut()?;
+        (active.sequence == sequence).then_some(active)
+    }
+
+    /// Whether a call is on its way, or waits.
+    pub(super) fn is_busy(&self) -> bool {
+        let active = self.active.as_deref();
+        !self.waiting.is_empty() || active.is_some_and(|call| !matches!(call.stage, Stage::Parked))
+    }
+
+    /// Whether a call is at an endpoint.
+    pub(super) fn is_sent(&self) -> bool {
+        self.active
+            .as_deref()
+            .is_some_and(|call| call.stage.is_sent())
+    }
+
+    /// Index of the first waiting call that may start at `position`.
+    pub(super) fn first_startable(&self, position: Sequence) -> Option<usize> {
+        self.waiting.iter().position(|waiting| {
+            waiting
+                .request
+                .sequence
+                .is_none_or(|sequence| sequence == position)
+        })
+    }
+
+    /// Counts an ended call with this fingerprint.
+    pub(super) fn count_repeat(&mut self, fingerprint: &str) {
+        let hash = hash_fingerprint(fingerprint);
+        let repeats = self.repeats(fingerprint);
+        self.repeated = (hash, repeats.saturating_add(1));
+    }
+
+    /// How many calls in a row ended that had this fingerprint.
+    pub(super) fn repeats(&self, fingerprint: &str) -> u32 {
+        match self.repeated {
+            (last, count) if last == hash_fingerprint(fingerprint) => count,
+            _ => 0,
+        }
+    }
+}
+
+impl ActiveCall {
+    /// A call that gets its turn now.
+    pub(super) fn new(sequence: Sequence, request: Arc<CallRequest>) -> Self {
+        Self {
+            sequence,
+            key: request.key.as_deref().map(Into::into),
+            body_digest: request.body_digest.as_str().into(),
+            kind: request.kind,
+            target: request.target.as_str().into(),
+            repeatable: request.repeatable,
+            request: Some(request),
+            attempt: 0,
+            tries: 0,
+            stage: Stage::Parked,
+            reserved_tokens: 0,
+            excluded: Vec::new(),
+            earlier: Vec::new(),
+            may_have_run: false,
+            has_record: false,
+            is_counted: false,
+        }
+    }
+
+    /// A call of the owner before this one.
+    pub(super) fn from_record(record: &TurnRecord, attempt: Attempt, stage: Stage) -> Self {
+        Self {
+            sequence: record.call.sequence,
+            key: record.key.as_deref().map(Into::into),
+            body_digest: record.body_digest.as_str().into(),
+            kind: record.kind,
+            target: record.target.as_str().into(),
+            repeatable: record.repeatable,
+            request: None,
+            attempt,
+            tries: 0,
+            stage,
+            reserved_tokens: 0,
+            excluded: Vec::new(),
+            earlier: Vec::new(),
+            may_have_run: false,
+            has_record: true,
+            is_counted: false,
+        }
+    }
+
+    /// The record to write now, or to leave with the sidecar.
+    pub(super) fn record(&self, program: &ProgramId) -> TurnRecord {
+        let state = match self.stage.placement() {
+            None => TurnState::NotRun {
+                attempt: self.attempt,
+            },
+            Some(placement) => TurnState::Intent {
+                attempt: self.attempt,
+                endpoint: placement.endpoint.clone(),
+                incarnation: placement.incarnation.clone(),
+                reserved_tokens: self.reserved_tokens,
+            },
+        };
+        TurnRecord {
+            call: call_id(program, self.sequence),
+            key: self.key.as_deref().map(str::to_owned),
+            body_digest: self.body_digest.to_string(),
+            kind: self.kind,
+            target: self.target.to_string(),
+            repeatable: self.repeatable,
+            state,
+        }
+    }
+}
+
+impl Turn {
+    /// An ended call that is not durable yet.
+    pub(super) fn unwritten(call: ActiveCall, end: TurnEnd, unwritten: Unwritten) -> Self {
+        Self {
+            key: call.key,
+            body_digest: call.body_digest,
+            kind: call.kind,
+            repeatable: call.repeatable,
+            target: call.target,
+            end,
+            unwritten: Some(Box::new(unwritten)),
+        }
+    }
+
+    /// An ended call as its record has it, or none when it has not ended.
+    pub(super) fn from_record(record: &TurnRecord) -> Option<Self> {
+        let end = match record.state {
+            TurnState::Intent { .. } | TurnState::NotRun { .. } => return None,
+            TurnState::Done { .. } => TurnEnd::Done,
+            TurnState::Failed { reason } => TurnEnd::Failed(reason),
+            TurnState::Unknown { reason } => TurnEnd::Unknown(reason),
+        };
+        Some(Self {
+            key: record.key.as_deref().map(Into::into),
+            body_digest: record.body_digest.as_str().into(),
+            kind: record.kind,
+            repeatable: record.repeatable,
+            target: record.target.as_str().into(),
+            end,
+            unwritten: None,
+        })
+    }
+
+    /// The record to write; none once it is durable.
+    pub(super) fn record(&self, program: &ProgramId, sequence: Sequence) -> Option<TurnRecord> {
+        let unwritten = self.unwritten.as_ref()?;
+        let state = match self.end {
+            TurnEnd::Done => TurnState::Done {
+                answer: unwritten.answer.clone().unwrap_or_default(),
+            },
+            TurnEnd::Failed(reason) => TurnState::Failed { reason },
+            TurnEnd::Unknown(reason) => TurnState::Unknown { reason },
+        };
+        Some(TurnRecord {
+            call: call_id(program, sequence),
+            key: self.key.as_deref().map(str::to_owned),
+            body_digest: self.body_digest.to_string(),
+            kind: self.kind,
+            target: self.target.to_string(),
+            repeatable: self.repeatable,
+            state,
+        })
+    }
+}
+
+fn hash_fingerprint(fingerprint: &str) -> u64 {
+    rosebend_util::hash_parts(&[fingerprint.as_bytes()])
+}
+
+/// The id of a program's call.
+pub(super) fn call_id(program: &ProgramId, sequence: Sequence) -> CallId {
+    CallId {
+        program: program.clone(),
+        sequence,
+    }
+}
+
+/// Whole milliseconds of a duration.
+fn as_millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/coordination/src/owner/submit.rs
@@ -0,0 +1,329 @@
+//! Calls as they come: duplicates, order, and whose turn it is.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rosebend_state::id::{ProgramId, Sequence};
+use rosebend_state::record::EndReason;
+
+use super::Owner;
+use super::action::{Action, Metric, RefusalReason};
+use super::event::{CallRequest, Ticket};
+use super::program::{ActiveCall, Program, Stage, Waiting, call_id};
+
+/// What a call is to the calls that are known.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Known {
+    /// It is new.
+    New,
+    /// It is the call at this position, ended or under way.
+    Same(Sequence),
+    /// It waits already, at this index.
+    Waits(usize),
+    /// It can't be what it says it is.
+    Wrong(RefusalReason),
+}
+
+impl Owner {
+    pub(super) fn submit(&mut self, now: Duration, ticket: Ticket, request: CallRequest) {
+        let id = request.program.clone();
+        let program = self.programs.get(&id);
+        let Some(program) = program.filter(|program| program.is_durable) else {
+            let is_owned = self.shards.contains_key(&id.shard(self.config.shard_count));
+            return self.refuse(ticket, unknown_program(is_owned));
+        };
+        match recognise(program, &request) {
+            Known::Wrong(reason) => self.refuse(ticket, reason),
+            Known::Same(sequence) => self.join(now, ticket, sequence, request),
+            Known::Waits(index) => self.join_waiting(ticket, &id, index),
+            Known::New => self.accept(now, ticket, request),
+        }
+    }
+
+    /// Attaches a caller to the one call that its key or position stands for.
+    fn join(&mut self, now: Duration, ticket: Ticket, sequence: Sequence, request: CallRequest) {
+        let id = request.program.clone();
+        let program = self.programs.get_mut(&id).expect("recognise() saw it");
+        let call = call_id(&id, sequence);
+        if let Some(turn) = program.turns.get(&sequence) {
+            let recorded = turn.unwritten.as_ref().is_none_or(|turn| turn.is_told);
+            self.count(Metric::Joined);
+            self.out.push(Action::Follow {
+                ticket,
+                call,
+                recorded,
+            });
+            return;
+        }
+        let active = program.active_at(sequence).expect("recognise() saw it");
+        let is_parked = matches!(active.stage, Stage::Parked);
+        if is_parked && let Some(reason) = self.why_not(now, &request) {
+            return self.refuse(ticket, reason);
+        }
+        self.count(Metric::Joined);
+        self.out.push(Action::Follow {
+            ticket,
+            call,
+            recorded: false,
+        });
+        let program = self.programs.get_mut(&id).expect("seen above");
+        let active = program.active_at(sequence).expect("seen above");
+        active.request.get_or_insert_with(|| Arc::new(request));
+        if is_parked {
+            active.tries = 0;
+            active.excluded.clear();
+            self.begin_attempt(now, &id);
+        }
+    }
+
+    fn join_waiting(&mut self, ticket: Ticket, id: &ProgramId, index: usize) {
+        self.count(Metric::Joined);
+        let program = self.programs.get_mut(id).expect("recognise() saw it");
+        program.waiting[index].tickets.push(ticket);
+    }
+
+    /// Takes a new call, or refuses it at once.
+    fn accept(&mut self, now: Duration, ticket: Ticket, request: CallRequest) {
+        if let Some(reason) = self.why_not(now, &request) {
+            return self.refuse(ticket, reason);
+        }
+        let id = request.program.clone();
+        let most = self.config.max_waiting;
+        let program = self.programs.get_mut(&id).expect("recognise() saw it");
+        if program.waiting.len() >= most {
+            return self.refuse(ticket, RefusalReason::ProgramQueueFull);
+        }
+        program.waiting.push_back(Waiting {
+            request: Arc::new(request),
+            tickets: vec![ticket],
+            gap_since: None,
+        });
+        self.schedule(now, &id);
+    }
+
+    /// Why a call can't run now, whatever its place in the order.
+    pub(super) fn why_not(
+        &mut self,
+        now: Duration,
+        request: &CallRequest,
+    ) -> Option<RefusalReason> {
+        let program = self.programs.get(&request.program)?;
+        if let Some(reason) = program.end_reason() {
+            return Some(RefusalReason::ProgramEnded(reason));
+        }
+        if self.shards.get(&program.shard)?.is_leaving {
+            return Some(RefusalReason::ShardLeaving);
+        }
+        if self.suspicion.is_quarantined(&request.fingerprint) {
+            return Some(RefusalReason::Quarantined);
+        }
+        if request.deadline.is_some_and(|deadline| deadline <= now) {
+            return Some(RefusalReason::Deadline);
+        }
+        if !self.is_answering && !request.repeatable {
+            return Some(RefusalReason::TableUnavailable);
+        }
+        if self.uncommitted >= self.config.max_uncommitted
+            || self.uncommitted_bytes >= self.config.max_uncommitted_bytes
+        {
+            return Some(RefusalReason::UncommittedFull);
+        }
+        let worst_case_tokens = request.worst_case_tokens();
+        let account = self.account_of(&request.program)?;
+        account
+            .is_short_of(worst_case_tokens)
+            .then_some(RefusalReason::BudgetExhausted)
+    }
+
+    /// Gives the next call its turn, if the one before it has ended.
+    pub(super) fn schedule(&mut self, now: Duration, id: &ProgramId) {
+        let Some(program) = self.programs.get_mut(id) else {
+            return;
+        };
+        // A call that has not run, and for which nobody asks any more, gives
+        // its place to the next.
+        let position = match program.active.as_deref() {
+            None => program.next_sequence,
+            Some(active) if matches!(active.stage, Stage::Parked) => active.sequence,
+            Some(_) => return,
+        };
+        match program.first_startable(position) {
+            Some(index) => {
+                let waiting = program.waiting.remove(index).expect("the index was found");
+                self.start(now, id, position, waiting);
+            }
+            None => self.note_gap(now, id, position),
+        }
+    }
+
+    /// Refuses numbered calls whose place was taken, and starts to count how
+    /// long the others wait for the one before them.
+    fn note_gap(&mut self, now: Duration, id: &ProgramId, position: Sequence) {
+        let program = self.programs.get_mut(id).expect("schedule() saw it");
+        let (late, early) = std::mem::take(&mut program.waiting)
+            .into_iter()
+            .partition(|waiting| waiting.request.sequence < Some(position));
+        program.waiting = early;
+        for waiting in &mut program.waiting {
+            waiting.gap_since.get_or_insert(now);
+        }
+        self.refuse_waiting(late, RefusalReason::WrongSequence);
+    }
+
+    pub(super) fn refuse_waiting(
+        &mut self,
+        waiting: std::collections::VecDeque<Waiting>,
+        reason: RefusalReason,
+    ) {
+        for ticket in waiting.into_iter().flat_map(|waiting| waiting.tickets) {
+            self.refuse(ticket, reason);
+        }
+    }
+
+    /// Starts a waiting call at a position, unless a limit ends its program.
+    fn start(&mut self, now: Duration, id: &ProgramId, position: Sequence, waiting: Waiting) {
+        let loop_limit = self.config.loop_limit;
+        let program = self.programs.get_mut(id).expect("schedule() saw it");
+        let limit = if position > program.turn_limit {
+            Some(EndReason::TurnLimit)
+        } else if program.repeats(&waiting.request.fingerprint) >= loop_limit {
+            Some(EndReason::LoopLimit)
+        } else {
+            None
+        };
+        if let Some(reason) = limit {
+            program.waiting.push_front(waiting);
+            return self.end_by_limit(now, id, reason);
+        }
+        let call = call_id(id, position);
+        for ticket in &waiting.tickets {
+            self.out.push(Action::Follow {
+                ticket: *ticket,
+                call: call.clone(),
+                recorded: false,
+            });
+        }
+        let program = self.programs.get_mut(id).expect("seen above");
+        for waiting in &mut program.waiting {
+            waiting.gap_since = None;
+        }
+        let mut active = ActiveCall::new(position, waiting.request);
+        if let Some(parked) = program.active.take() {
+            active.has_record = parked.has_record;
+            active.earlier = parked.earlier;
+            if let Some(key) = parked.key {
+                program.keys.remove(&key);
+            }
+        }
+        if let Some(key) = &active.key {
+            program.keys.insert(key.clone(), position);
+        }
+        program.next_sequence = position + 1;
+        program.active = Some(Box::new(active));
+        self.begin_attempt(now, id);
+    }
+
+    /// Forgets a caller that waits for its call's turn; a call for which
+    /// nobody waits any more does not start.
+    pub(super) fn caller_gone(&mut self, ticket: Ticket) {
+        for program in self.programs.values_mut() {
+            program.openers.retain(|opener| *opener != ticket);
+            program.enders.retain(|ender| *ender != ticket);
+            for waiting in &mut program.waiting {
+                waiting.tickets.retain(|waits| *waits != ticket);
+            }
+            program
+                .waiting
+                .retain(|waiting| !waiting.tickets.is_empty());
+        }
+    }
+}
+
+fn unknown_program(is_owned: bool) -> RefusalReason {
+    match is_owned {
+        true => RefusalReason::UnknownProgram,
+        false => RefusalReason::NotOwner,
+    }
+}
+
+/// Finds the call that a request stands for, by its key or its position.
+fn recognise(program: &Program, request: &CallRequest) -> Known {
+    if let Some(key) = &request.key {
+        if let Some(sequence) = program.keys.get(key.as_str()) {
+            return same_by_key(program, request, *sequence);
+        }
+        let waits = |waiting: &Waiting| waiting.request.key.as_deref() == Some(key);
+        if let Some(index) = program.waiting.iter().position(waits) {
+            let is_same = program.waiting[index].request.body_digest == request.body_digest;
+            return match is_same {
+                true => Known::Waits(index),
+                false => Known::Wrong(RefusalReason::KeyReused),
+            };
+        }
+    }
+    match request.sequence {
+        None => Known::New,
+        Some(sequence) => same_by_sequence(program, request, sequence),
+    }
+}
+
+fn same_by_key(program: &Program, request: &CallRequest, sequence: Sequence) -> Known {
+    if known_digest(program, sequence) != Some(&request.body_digest) {
+        return Known::Wrong(RefusalReason::KeyReused);
+    }
+    match request.sequence {
+        Some(other) if other != sequence => Known::Wrong(RefusalReason::WrongSequence),
+        _ => Known::Same(sequence),
+    }
+}
+
+fn same_by_sequence(program: &Program, request: &CallRequest, sequence: Sequence) -> Known {
+    let waits = |waiting: &Waiting| waiting.request.sequence == Some(sequence);
+    if let Some(index) = program.waiting.iter().position(waits) {
+        return match is_same_call(request, &program.waiting[index]) {
+            true => Known::Waits(index),
+            false => Known::Wrong(RefusalReason::WrongSequence),
+        };
+    }
+    if let Some(digest) = known_digest(program, sequence) {
+        let has_key = request.key.is_some() && known_key(program, sequence).is_some();
+        if digest == request.body_digest && !has_key {
+            return Known::Same(sequence);
+        }
+        // What is parked has not run and may give its place away.
+        let parked = program.active.as_deref();
+        let is_parked = parked
+            .is_some_and(|call| call.sequence == sequence && matches!(call.stage, Stage::Parked));
+        return match is_parked {
+            true => Known::New,
+            false => Known::Wrong(RefusalReason::WrongSequence),
+        };
+    }
+    match sequence < program.next_sequence {
+        true => Known::Wrong(RefusalReason::WrongSequence),
+        false => Known::New,
+    }
+}
+
+/// Whether a request is the waiting call at the same position. A key that
+/// both have differs here, or it would have been found by it.
+fn is_same_call(request: &CallRequest, waiting: &Waiting) -> bool {
+    let has_key = request.key.is_some() && waiting.request.key.is_some();
+    !has_key && waiting.request.body_digest == request.body_digest
+}
+
+fn known_digest(program: &Program, sequence: Sequence) -> Option<&str> {
+    let active = program.active.as_deref();
+    match active.filter(|call| call.sequence == sequence) {
+        Some(call) => Some(&call.body_digest),
+        None => Some(&program.turns.get(&sequence)?.body_digest),
+    }
+}
+
+fn known_key(program: &Program, sequence: Sequence) -> Option<&str> {
+    let active = program.active.as_deref();
+    match active.filter(|call| call.sequence == sequence) {
+        Some(call) => call.key.as_deref(),
+        None => program.turns.get(&sequence)?.key.as_deref(),
+    }
+}
--- /dev/null
+++ b/coordination/src/owner/takeover.rs
@@ -0,0 +1,388 @@
+//! Shards come and go.
+//!
+//! A new owner builds its programs from the table and from what sidecars
+//! retain. Where a call may be at an endpoint, the sidecar that got it is
+//! asked for the outcome, and the program's next call waits for the reply.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rosebend_state::id::{CallId, Epoch, ProgramId, Shard};
+use rosebend_state::record::{ProgramRecord, TurnRecord, TurnState, UnknownReason};
+
+use super::Owner;
+use super::account::Account;
+use super::action::{Action, CallOutcome, RefusalReason, Reply};
+use super::event::{Attempt, Placement, RetainedTurn};
+use super::program::{ActiveCall, Program, Stage, Turn, TurnEnd, Unwritten, call_id};
+use super::shard::ShardState;
+
+/// What comes with a shard.
+#[derive(Debug)]
+pub(super) struct Gain {
+    pub(super) shard: Shard,
+    pub(super) epoch: Epoch,
+    pub(super) programs: Vec<ProgramRecord>,
+    pub(super) turns: Vec<TurnRecord>,
+    pub(super) retained: Vec<RetainedTurn>,
+    pub(super) retained_complete: bool,
+}
+
+/// What sidecars retain of one call.
+#[derive(Debug, Default)]
+struct RetainedCall {
+    /// The attempts, in order.
+    attempts: BTreeMap<Attempt, RetainedTurn>,
+}
+
+impl Owner {
+    pub(super) fn gain(&mut self, now: Duration, gain: Gain) {
+        match self.shards.get(&gain.shard) {
+            Some(state) if state.epoch >= gain.epoch => return,
+            Some(_) => self.lose(gain.shard),
+            None => {}
+        }
+        self.shards.insert(gain.shard, ShardState::new(gain.epoch));
+        for record in &gain.programs {
+            let mut program = Program::from_record(gain.shard, now, record);
+            if record.program.parent().is_none() {
+                program.account = Some(account(record, gain.retained_complete));
+            }
+            self.programs.insert(record.program.clone(), program);
+        }
+        let mut retained = by_call(gain.retained);
+        let mut open_turns = BTreeMap::new();
+        for record in gain.turns {
+            self.restore_turn(
+                record,
+                gain.retained_complete,
+                &mut retained,
+                &mut open_turns,
+            );
+        }
+        for (call, retained) in retained {
+            self.restore_retained(&call, retained, gain.retained_complete, &mut open_turns);
+        }
+        for (id, active) in open_turns {
+            self.restore_active(now, &id, active);
+        }
+    }
+
+    /// Restores a call that has ended, as the table has it; one that has not
+    /// becomes its program's active call.
+    fn restore_turn(
+        &mut self,
+        record: TurnRecord,
+        is_complete: bool,
+        retained: &mut BTreeMap<CallId, RetainedCall>,
+        open_turns: &mut BTreeMap<ProgramId, ActiveCall>,
+    ) {
+        let call = record.call.clone();
+        let Some(program) = self.programs.get_mut(&call.program) else {
+            return;
+        };
+        program.next_sequence = program.next_sequence.max(call.sequence + 1);
+        let Some(turn) = Turn::from_record(&record) else {
+            let mut active = restored(&record);
+            active.is_counted = !is_complete;
+            open_turns.insert(call.program, active);
+            return;
+        };
+        if let Some(key) = &turn.key {
+            program.keys.insert(key.clone(), call.sequence);
+        }
+        program.turns.insert(call.sequence, turn);
+        // Its end is durable, so the sidecars may drop what they keep.
+        if let Some(retained) = retained.remove(&call) {
+            self.acknowledge_retained(&call, retained);
+        }
+    }
+
+    fn acknowledge_retained(&mut self, call: &CallId, retained: RetainedCall) {
+        let shard = call.program.shard(self.config.shard_count);
+        for retained in retained.attempts.into_values() {
+            if let Some(placement) = placement_of(&retained.turn) {
+                self.acknowledge(call, shard, placement);
+            }
+        }
+    }
+
+    /// Restores a call whose end the last owner had not written. Its newest
+    /// attempt counts: followers can have been told of no other.
+    fn restore_retained(
+        &mut self,
+        call: &CallId,
+        retained: RetainedCall,
+        is_complete: bool,
+        open_turns: &mut BTreeMap<ProgramId, ActiveCall>,
+    ) {
+        let Some(program) = self.programs.get_mut(&call.program) else {
+            return self.acknowledge_retained(call, retained);
+        };
+        let mut attempts: Vec<RetainedTurn> = retained.attempts.into_values().collect();
+        let Some(newest) = attempts.pop() else {
+            return;
+        };
+        let earlier: Vec<Placement> = attempts
+            .iter()
+            .filter_map(|attempt| placement_of(&attempt.turn))
+            .collect();
+        let earlier_tokens: u64 = attempts.iter().map(spent_tokens).sum();
+        let newest_tokens = spent_tokens(&newest);
+        let mut active = restored(&newest.turn);
+        let known = open_turns.get(&call.program);
+        let is_older = known.is_some_and(|known| {
+            known.sequence > call.sequence
+                || (known.sequence == call.sequence && known.attempt > active.attempt)
+        });
+        let is_same = known.is_some_and(|known| known.sequence == call.sequence);
+        active.has_record = is_same;
+        active.earlier = earlier;
+        program.next_sequence = program.next_sequence.max(call.sequence + 1);
+        let mut spent = earlier_tokens;
+        if is_older {
+            spent += newest_tokens;
+        } else if let Some(answer) = newest.answer {
+            spent += newest_tokens;
+            if is_same {
+                open_turns.remove(&call.program);
+            }
+            self.restore_answer(active, &call.program, answer);
+        } else {
+            active.is_counted = !is_complete;
+            if is_complete {
+                active.reserved_tokens = newest_tokens;
+            }
+            if let Some(superseded) = open_turns.insert(call.program.clone(), active) {
+                self.restore_superseded(&call.program, superseded);
+            }
+        }
+        if is_complete && let Some(account) = self.account_of(&call.program) {
+            account.settle(0, spent);
+        }
+    }
+
+    /// Restores an answer that is not in the table yet.
+    fn restore_answer(
+        &mut self,
+        active: ActiveCall,
+        id: &ProgramId,
+        answer: rosebend_state::record::AnswerRecord,
+    ) {
+        let sequence = active.sequence;
+        let mut acknowledge = active.earlier.clone();
+        acknowledge.extend(active.stage.placement().cloned());
+        self.uncommitted += 1;
+        self.uncommitted_bytes += answer.body_bytes();
+        let is_early = active.repeatable && self.config.early_end;
+        let unwritten = Unwritten {
+            answer: Some(answer),
+            is_told: is_early || !self.is_answering,
+            acknowledge,
+        };
+        self.insert_unwritten(id, active, TurnEnd::Done, unwritten);
+        self.mark_turn(&call_id(id, sequence));
+        self.mark_program(id);
+        self.mark_program(&id.root());
+    }
+
+    /// Ends a call that a later one of its program proves to have ended, with
+    /// an end that is lost.
+    fn restore_superseded(&mut self, id: &ProgramId, call: ActiveCall) {
+        let sequence = call.sequence;
+        let program = self.programs.get(id).expect("restore_retained() saw it");
+        let is_later = program.active.is_some() || program.next_sequence > sequence + 1;
+        if !is_later || matches!(call.stage, Stage::Parked) {
+            return;
+        }
+        self.uncommitted += 1;
+        let unwritten = Unwritten {
+            answer: None,
+            is_told: false,
+            acknowledge: Vec::new(),
+        };
+        let end = TurnEnd::Unknown(UnknownReason::SidecarUnreachable);
+        self.insert_unwritten(id, call, end, unwritten);
+        self.mark_turn(&call_id(id, sequence));
+    }
+
+    fn insert_unwritten(
+        &mut self,
+        id: &ProgramId,
+        call: ActiveCall,
+        end: TurnEnd,
+        unwritten: Unwritten,
+    ) {
+        let program = self.programs.get_mut(id).expect("its record was read");
+        let sequence = call.sequence;
+        if let Some(key) = &call.key {
+            program.keys.insert(key.clone(), sequence);
+        }
+        program
+            .turns
+            .insert(sequence, Turn::unwritten(call, end, unwritten));
+    }
+
+    /// Restores a call that has not ended, and asks its sidecar about it.
+    fn restore_active(&mut self, now: Duration, id: &ProgramId, active: ActiveCall) {
+        let program = self.programs.get_mut(id).expect("its record was read");
+        if active.sequence + 1 < program.next_sequence {
+            return self.restore_superseded(id, active);
+        }
+        if let Some(key) = &active.key {
+            program.keys.insert(key.clone(), active.sequence);
+        }
+        program.last_attempt = active.attempt;
+        let reserved_tokens = active.reserved_tokens;
+        let placement = active.stage.placement().cloned();
+        program.active = Some(Box::new(active));
+        if let Some(account) = self.account_of(id) {
+            account.reserved_tokens += reserved_tokens;
+        }
+        if let Some(placement) = placement {
+            self.start_claim(now, id, placement);
+        }
+    }
+
+    /// Forgets a shard that has another owner. Nothing of it is written or
+    /// sent any more, so whoever waits here is sent on.
+    pub(super) fn lose(&mut self, shard: Shard) {
+        if self.shards.remove(&shard).is_none() {
+            return;
+        }
+        let ids = self
+            .programs
+            .iter()
+            .filter(|(_, program)| program.shard == shard);
+        let ids: Vec<ProgramId> = ids.map(|(id, _)| id.clone()).collect();
+        for id in ids {
+            if let Some(program) = self.programs.remove(&id) {
+                self.forget(&id, program);
+            }
+        }
+    }
+
+    fn forget(&mut self, id: &ProgramId, program: Program) {
+        for ticket in program.openers.into_iter().chain(program.enders) {
+            let retry_after = self.retry_after();
+            self.reply(ticket, Reply::Undecided { retry_after });
+        }
+        self.refuse_waiting(program.waiting, RefusalReason::NotOwner);
+        for (sequence, turn) in program.turns {
+            let Some(unwritten) = turn.unwritten else {
+                continue;
+            };
+            self.uncommitted -= 1;
+            let answer = unwritten.answer.as_ref();
+            self.uncommitted_bytes -= answer.map_or(0, |answer| answer.body_bytes());
+            if !unwritten.is_told {
+                self.move_on(id, sequence);
+            }
+        }
+        let active = program.active;
+        if let Some(active) = active.filter(|call| !matches!(call.stage, Stage::Parked)) {
+            self.move_on(id, active.sequence);
+        }
+    }
+
+    fn move_on(&mut self, id: &ProgramId, sequence: u64) {
+        self.out.push(Action::CallEnded {
+            call: call_id(id, sequence),
+            outcome: CallOutcome::Moved,
+        });
+    }
+
+    /// Takes no new calls of a shard, and lets those at endpoints end.
+    pub(super) fn leave(&mut self, now: Duration, shard: Shard) {
+        let Some(state) = self.shards.get_mut(&shard) else {
+            return;
+        };
+        state.is_leaving = true;
+        let ids = self
+            .programs
+            .iter()
+            .filter(|(_, program)| program.shard == shard);
+        let ids: Vec<ProgramId> = ids.map(|(id, _)| id.clone()).collect();
+        for id in ids {
+            let program = self.programs.get_mut(&id).expect("found above");
+            let waiting = std::mem::take(&mut program.waiting);
+            let active = program.active.as_deref();
+            let is_unsent = active
+                .is_some_and(|call| matches!(call.stage, Stage::AwaitingBudget | Stage::Placing));
+            self.refuse_waiting(waiting, RefusalReason::ShardLeaving);
+            if is_unsent {
+                self.release(&id);
+                self.end_not_run(now, &id, RefusalReason::ShardLeaving, None);
+            }
+        }
+    }
+}
+
+/// The account of a root program. What the last owner drew counts as spent,
+/// unless sidecars tell all that ran.
+fn account(record: &ProgramRecord, is_complete: bool) -> Box<Account> {
+    let mut account = Account::new(record.budget_tokens);
+    account.drawn_tokens = record.drawn_tokens;
+    account.durable_tokens = record.drawn_tokens;
+    account.spent_tokens = match is_complete {
+        true => record.spent_tokens,
+        false => record.drawn_tokens,
+    };
+    Box::new(account)
+}
+
+fn by_call(retained: Vec<RetainedTurn>) -> BTreeMap<CallId, RetainedCall> {
+    let mut calls: BTreeMap<CallId, RetainedCall> = BTreeMap::new();
+    for retained in retained {
+        let attempts = &mut calls
+            .entry(retained.turn.call.clone())
+            .or_default()
+            .attempts;
+        attempts.insert(attempt_of(&retained.turn), retained);
+    }
+    calls
+}
+
+fn attempt_of(record: &TurnRecord) -> Attempt {
+    match record.state {
+        TurnState::Intent { attempt, .. } | TurnState::NotRun { attempt } => attempt,
+        TurnState::Done { .. } | TurnState::Failed { .. } | TurnState::Unknown { .. } => 0,
+    }
+}
+
+fn placement_of(record: &TurnRecord) -> Option<Placement> {
+    match &record.state {
+        TurnState::Intent {
+            endpoint,
+            incarnation,
+            ..
+        } => Some(Placement {
+            endpoint: endpoint.clone(),
+            incarnation: incarnation.clone(),
+        }),
+        _ => None,
+    }
+}
+
+/// What a retained attempt spent, or may spend yet.
+fn spent_tokens(retained: &RetainedTurn) -> u64 {
+    match (&retained.answer, &retained.turn.state) {
+        (Some(answer), _) => answer.spent_tokens(),
+        (
+            None,
+            TurnState::Intent {
+                reserved_tokens, ..
+            },
+        ) => *reserved_tokens,
+        (None, _) => 0,
+    }
+}
+
+/// A call that has not ended as its record has it.
+fn restored(record: &TurnRecord) -> ActiveCall {
+    let stage = match placement_of(record) {
+        Some(placement) => Stage::InFlight(placement),
+        None => Stage::Parked,
+    };
+    ActiveCall::from_record(record, attempt_of(record), stage)
+}
