--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -7,6 +7,7 @@
 //! code runs in the processes, in the property tests and in the replay.
 
 pub mod commit;
+pub mod configuration;
 mod endpoint_load;
 pub mod owner;
 pub mod ownership;
--- a/state/src/resource.rs
+++ b/state/src/resource.rs
@@ -104,16 +104,23 @@
 }
 
 impl Resource {
+    /// A resource of checked parts.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the specification is of another kind than the key.
+    pub fn new(key: &ResourceKey, metadata: Option<Metadata>, spec: ResourceSpec) -> Self {
+        assert_eq!(key.kind(), spec.kind(), "a specification of the key's kind");
+        Self {
+            name: key.name().to_owned(),
+            metadata,
+            spec,
+        }
+    }
+
     /// Its kind.
     pub fn kind(&self) -> ResourceKind {
-        match self.spec {
-            ResourceSpec::Customer(_) => ResourceKind::Customer,
-            ResourceSpec::Session(_) => ResourceKind::Session,
-            ResourceSpec::Model(_) => ResourceKind::Model,
-            ResourceSpec::Endpoint(_) => ResourceKind::Endpoint,
-            ResourceSpec::Tool(_) => ResourceKind::Tool,
-            ResourceSpec::Policy(_) => ResourceKind::Policy,
-        }
+        self.spec.kind()
     }
 
     /// Its name.
@@ -168,6 +175,18 @@
 }
 
 impl ResourceSpec {
+    /// The kind that it belongs to.
+    pub fn kind(&self) -> ResourceKind {
+        match self {
+            Self::Customer(_) => ResourceKind::Customer,
+            Self::Session(_) => ResourceKind::Session,
+            Self::Model(_) => ResourceKind::Model,
+            Self::Endpoint(_) => ResourceKind::Endpoint,
+            Self::Tool(_) => ResourceKind::Tool,
+            Self::Policy(_) => ResourceKind::Policy,
+        }
+    }
+
     fn check(kind: ResourceKind, spec: &Map<String, Value>) -> Result<Self, Vec<FieldDefect>> {
         Ok(match kind {
             ResourceKind::Customer => Self::Customer(CustomerSpec::try_from(spec)?),
