Put a sidecar before each endpoint

Cause: owners had nothing to dispatch to.

Change: the decisions of one endpoint as state machines (fence, retention, claim, hold, order, suspects; composed in Calls) and a process around them: gRPC on the main thread, control state on one, the endpoint's HTTP on another.

Ruled out: parts through the control thread (every token would wait for decisions; they go into a shared log instead); pooled connections for tools (nobody can tell whether a closed one delivered the call).

Found by a test: the HTTP client reports a connection that was closed after the request was written as a connect error, which made a call that may have run look refused. The errors that prove 'never connected' are now named one by one.

--- /dev/null
+++ b/coordination/src/endpoint/calls/spec.rs
@@ -0,0 +1,149 @@
+//! A call as it comes, and what its messages are answered with.
+
+use std::time::Duration;
+
+use rosebend_state::id::{CallId, Incarnation, Shard};
+
+use super::super::{
+    fence::Fence,
+    outcome::{Failure, Refusal},
+};
+
+/// What one endpoint is given at most.
+#[derive(Clone, Copy, Debug)]
+pub struct EndpointLimits {
+    /// Calls that wait.
+    pub queued: usize,
+    /// Calls at the endpoint.
+    pub running: usize,
+    /// KV tokens of the calls at the endpoint.
+    pub kv_tokens: u64,
+    /// Bytes of answers, retained and expected.
+    pub retention_bytes: u64,
+}
+
+impl Default for EndpointLimits {
+    fn default() -> Self {
+        Self {
+            queued: 1024,
+            running: 64,
+            kv_tokens: 1 << 20,
+            retention_bytes: 64 << 20,
+        }
+    }
+}
+
+/// A call that an owner dispatches.
+#[derive(Clone, Debug)]
+pub struct CallSpec {
+    /// The call.
+    pub id: CallId,
+    /// Proof of the sender's ownership.
+    pub fence: Fence,
+    /// Counts dispatches of this call over all owners, from 1.
+    pub attempt: u32,
+    /// The run of the sidecar that the owner chose; empty only when
+    /// repeatable.
+    pub incarnation: Incarnation,
+    /// Whether the call may be handed over again after a failure.
+    pub repeatable: bool,
+    /// Worst case of KV tokens.
+    pub kv_tokens: u64,
+    /// Expected bytes of the answer.
+    pub answer_bytes: u64,
+    /// Time left until the caller's deadline.
+    pub deadline: Option<Duration>,
+    /// Run with no other call beside it.
+    pub alone: bool,
+    /// The engine holds the program's cache after the call.
+    pub hold_kv: bool,
+}
+
+impl CallSpec {
+    /// A first attempt that may not be repeated.
+    pub fn new(id: CallId, fence: Fence, incarnation: &str) -> Self {
+        Self {
+            id,
+            fence,
+            attempt: 1,
+            incarnation: incarnation.to_owned(),
+            repeatable: false,
+            kv_tokens: 0,
+            answer_bytes: 0,
+            deadline: None,
+            alone: false,
+            hold_kv: false,
+        }
+    }
+}
+
+/// What became of a message that asks for an answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Dispatched {
+    /// The call is new and waits; its answer starts empty.
+    Queued,
+    /// The call is known; its answer is followed.
+    Follow,
+    /// The call was not run under this attempt.
+    Refused(Refusal),
+    /// The call is over and its answer can no longer be told.
+    Ended(Failure),
+}
+
+/// A call to hand to the endpoint now.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Start {
+    /// The call.
+    pub id: CallId,
+    /// The attempt under which it runs.
+    pub attempt: u32,
+    /// How long it waited.
+    pub queued: Duration,
+}
+
+/// What leaves the queue.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Admission {
+    /// Calls for the endpoint.
+    pub starts: Vec<Start>,
+    /// Calls that are given up without being run.
+    pub refused: Vec<(CallId, Refusal)>,
+}
+
+/// The sidecar's own count of what its endpoint has.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct EndpointLoad {
+    /// Calls at the endpoint.
+    pub running: usize,
+    /// Calls that wait.
+    pub queued: usize,
+    /// KV tokens of the calls at the endpoint.
+    pub kv_tokens_in_flight: u64,
+    /// KV tokens of the calls that wait.
+    pub queued_tokens: u64,
+    /// Bytes of answers that no owner has made durable.
+    pub retained_bytes: u64,
+    /// Answers that no owner has made durable.
+    pub retained: usize,
+    /// KV holds under a lease.
+    pub holds: usize,
+    /// The endpoint takes no new work.
+    pub leaving: bool,
+}
+
+/// A call whose answer has not been acknowledged.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RetainedCall {
+    /// The call.
+    pub id: CallId,
+    /// Its newest attempt.
+    pub attempt: u32,
+    /// Shard of its program.
+    pub shard: Shard,
+    /// Whether the call has ended.
+    pub ended: bool,
+    /// Tokens of the prompt, once finished.
+    pub prompt_tokens: u64,
+    /// Tokens of the answer, once finished.
+    pub answer_tokens: u64,
+}
--- /dev/null
+++ b/sidecar/src/convert.rs
@@ -0,0 +1,194 @@
+//! Peer messages from and to the types of the decisions.
+
+use std::time::Duration;
+
+use rosebend_coordination::endpoint::{
+    EndpointLoad, RetainedCall,
+    claim::ClaimOutcome,
+    fence::Fence,
+    outcome::{Failure, FailureReason, Finished, Outcome, Refusal, RefusalReason},
+};
+use rosebend_protocol::peer::{self, answer_event, claim_reply};
+use rosebend_state::id::{CallId, IdError};
+
+use crate::answer::Progress;
+
+/// Why a message was not accepted.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub(crate) enum MessageError {
+    #[error("the fence is missing")]
+    NoFence,
+    #[error("the call id is not accepted: {0}")]
+    CallId(#[from] IdError),
+    #[error("the kind of the call is missing")]
+    NoKind,
+    #[error("the tool's name is not accepted: {0}")]
+    Target(IdError),
+    #[error("the body is not a JSON object")]
+    Body,
+    #[error("the attempt is missing")]
+    NoAttempt,
+}
+
+impl From<MessageError> for Refusal {
+    fn from(error: MessageError) -> Self {
+        Self::new(RefusalReason::Invalid, Duration::ZERO, error.to_string())
+    }
+}
+
+pub(crate) fn fence(raw: Option<peer::Fence>) -> Result<Fence, MessageError> {
+    let raw = raw.ok_or(MessageError::NoFence)?;
+    Ok(Fence {
+        shard: raw.shard,
+        epoch: raw.epoch,
+    })
+}
+
+pub(crate) fn call_id(raw: &str) -> Result<CallId, MessageError> {
+    Ok(CallId::try_from(raw)?)
+}
+
+pub(crate) fn refusal(refusal: Refusal) -> peer::Refusal {
+    peer::Refusal {
+        reason: refusal_reason(refusal.reason).into(),
+        retry_after_ms: millis(refusal.retry_after),
+        detail: refusal.detail,
+        owner_address: String::new(),
+        epoch: refusal.epoch,
+    }
+}
+
+pub(crate) fn failure(failure: Failure) -> peer::Failure {
+    peer::Failure {
+        reason: failure_reason(failure.reason).into(),
+        may_have_run: failure.may_have_run,
+        detail: failure.detail,
+        suspects: failure.suspects.iter().map(CallId::to_string).collect(),
+    }
+}
+
+pub(crate) fn finished(finished: Finished, load: peer::Load) -> peer::Finished {
+    peer::Finished {
+        parts: finished.parts,
+        status: finished.status.into(),
+        prompt_tokens: finished.prompt_tokens,
+        cached_tokens: finished.cached_tokens,
+        answer_tokens: finished.answer_tokens,
+        digest: finished.digest,
+        load: Some(load),
+    }
+}
+
+pub(crate) fn answer_event(event: answer_event::Event) -> peer::AnswerEvent {
+    peer::AnswerEvent { event: Some(event) }
+}
+
+pub(crate) fn refusal_event(reason: Refusal) -> peer::AnswerEvent {
+    answer_event(answer_event::Event::Refusal(refusal(reason)))
+}
+
+pub(crate) fn failure_event(reason: Failure) -> peer::AnswerEvent {
+    answer_event(answer_event::Event::Failure(failure(reason)))
+}
+
+pub(crate) fn ping_event() -> peer::AnswerEvent {
+    answer_event(answer_event::Event::Ping(peer::Ping {}))
+}
+
+/// The events that tell a receiver of some progress.
+pub(crate) fn progress_events(progress: Progress, load: &peer::Load) -> Vec<peer::AnswerEvent> {
+    match progress {
+        Progress::Admitted(queued) => {
+            let admitted = peer::Admitted {
+                queue_ms: millis(queued),
+                incarnation: load.incarnation.clone(),
+            };
+            vec![answer_event(answer_event::Event::Admitted(admitted))]
+        }
+        Progress::Parts(first, parts) => (first..)
+            .zip(parts)
+            .map(|(offset, data)| {
+                answer_event(answer_event::Event::Part(peer::Part { offset, data }))
+            })
+            .collect(),
+        Progress::Ended(outcome) => vec![outcome_event(outcome, load)],
+    }
+}
+
+fn outcome_event(outcome: Outcome, load: &peer::Load) -> peer::AnswerEvent {
+    match outcome {
+        Outcome::Finished(whole) => {
+            answer_event(answer_event::Event::Finished(finished(whole, load.clone())))
+        }
+        Outcome::Failed(reason) => failure_event(reason),
+        Outcome::Refused(reason) => refusal_event(reason),
+    }
+}
+
+pub(crate) fn claim_reply(outcome: ClaimOutcome, load: &peer::Load) -> peer::ClaimReply {
+    let outcome = match outcome {
+        ClaimOutcome::Refused(reason) => claim_reply::Outcome::Refusal(refusal(reason)),
+        ClaimOutcome::Finished(whole) => {
+            claim_reply::Outcome::Finished(finished(whole, load.clone()))
+        }
+        ClaimOutcome::Running => claim_reply::Outcome::Running(peer::Admitted {
+            queue_ms: 0,
+            incarnation: load.incarnation.clone(),
+        }),
+        ClaimOutcome::Buried => claim_reply::Outcome::Buried(peer::Buried {}),
+        ClaimOutcome::Unknown => claim_reply::Outcome::Unknown(peer::Unknown {}),
+        ClaimOutcome::Failed(reason) => claim_reply::Outcome::Failure(failure(reason)),
+    };
+    peer::ClaimReply {
+        outcome: Some(outcome),
+    }
+}
+
+pub(crate) fn retained_call(call: RetainedCall) -> peer::RetainedCall {
+    peer::RetainedCall {
+        call_id: call.id.to_string(),
+        attempt: call.attempt,
+        finished: call.ended,
+        prompt_tokens: call.prompt_tokens,
+        answer_tokens: call.answer_tokens,
+        shard: call.shard,
+    }
+}
+
+/// Writes the sidecar's own count over an earlier load.
+pub(crate) fn set_load(load: &mut peer::Load, own: &EndpointLoad) {
+    load.running = own.running as u64;
+    load.queued = own.queued as u64;
+    load.kv_tokens_in_flight = own.kv_tokens_in_flight;
+    load.queued_tokens = own.queued_tokens;
+    load.leaving = own.leaving;
+}
+
+pub(crate) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn refusal_reason(reason: RefusalReason) -> peer::RefusalReason {
+    match reason {
+        RefusalReason::Leaving => peer::RefusalReason::Leaving,
+        RefusalReason::QueueFull => peer::RefusalReason::QueueFull,
+        RefusalReason::RetentionFull => peer::RefusalReason::RetentionFull,
+        RefusalReason::StaleEpoch => peer::RefusalReason::StaleEpoch,
+        RefusalReason::OtherIncarnation => peer::RefusalReason::OtherIncarnation,
+        RefusalReason::Buried => peer::RefusalReason::Buried,
+        RefusalReason::TooLarge => peer::RefusalReason::TooLarge,
+        RefusalReason::UnknownTarget => peer::RefusalReason::UnknownTarget,
+        RefusalReason::Deadline => peer::RefusalReason::Deadline,
+        RefusalReason::EndpointDown => peer::RefusalReason::EndpointDown,
+        RefusalReason::Invalid => peer::RefusalReason::Invalid,
+    }
+}
+
+fn failure_reason(reason: FailureReason) -> peer::FailureReason {
+    match reason {
+        FailureReason::EndpointCrashed => peer::FailureReason::EndpointCrashed,
+        FailureReason::EndpointTimeout => peer::FailureReason::EndpointTimeout,
+        FailureReason::EndpointError => peer::FailureReason::EndpointError,
+        FailureReason::Cancelled => peer::FailureReason::Cancelled,
+    }
+}
--- /dev/null
+++ b/sidecar/src/endpoint/mod.rs
@@ -0,0 +1,226 @@
+//! HTTP towards the engine or service, on a thread of its own.
+//!
+//! Jobs come in from the control thread. Parts of answers go straight into
+//! the [`SharedAnswer`]; how a job ended goes back as a [`Command`].
+
+mod holds;
+mod model;
+mod order;
+mod sse;
+mod tool;
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use awc::{
+    Client,
+    error::{ConnectError, SendRequestError},
+};
+use bytes::Bytes;
+use rosebend_coordination::endpoint::{
+    fence::Fence,
+    order::OrderId,
+    outcome::{Failure, FailureReason, Finished, Outcome, Refusal, RefusalReason},
+};
+use rosebend_state::id::CallId;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::{
+    answer::SharedAnswer,
+    control::{Command, OrderReply},
+};
+
+/// Longest wait for a connection to the endpoint on the same host.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// When to come back after the endpoint took no connection.
+const ENDPOINT_DOWN_RETRY: Duration = Duration::from_secs(1);
+
+/// What the endpoint is asked.
+#[derive(Clone, Debug)]
+pub(crate) enum EndpointRequest {
+    /// A chat completion; the body is forced to stream.
+    Model {
+        body: Bytes,
+        /// Name under which the engine holds the cache afterwards.
+        hold_name: Option<String>,
+    },
+    /// A tool's or service's call.
+    Tool { target: String, body: Bytes },
+}
+
+/// One call for the endpoint.
+#[derive(Debug)]
+pub(crate) struct RunJob {
+    pub(crate) id: CallId,
+    /// Names this attempt towards the engine.
+    pub(crate) request_id: String,
+    pub(crate) request: EndpointRequest,
+    pub(crate) answer: Arc<SharedAnswer>,
+    /// Time left until the caller's deadline.
+    pub(crate) time_left: Option<Duration>,
+}
+
+/// One order for the engine.
+#[derive(Debug)]
+pub(crate) struct OrderJob {
+    pub(crate) id: OrderId,
+    pub(crate) kind: String,
+    pub(crate) target: String,
+    pub(crate) fence: Fence,
+    pub(crate) reply: oneshot::Sender<OrderReply>,
+}
+
+/// Work for the endpoint's thread.
+#[derive(Debug)]
+pub(crate) enum Job {
+    Run(RunJob),
+    /// Free held caches by name.
+    Free(Vec<String>),
+    /// Ask for the names of held caches.
+    ListHolds,
+    Order(OrderJob),
+}
+
+/// Measured speeds of one model call, in microseconds a token.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Speeds {
+    pub(crate) token_us: u64,
+    pub(crate) prefill_token_us: u64,
+}
+
+/// The client and address of the endpoint.
+pub(crate) struct Endpoint {
+    client: Client,
+    base_url: String,
+    is_engine: bool,
+    commands: mpsc::Sender<Command>,
+}
+
+impl Endpoint {
+    pub(crate) fn new(base_url: String, is_engine: bool, commands: mpsc::Sender<Command>) -> Self {
+        let connector = awc::Connector::new().timeout(CONNECT_TIMEOUT);
+        // A redirect would send a call a second time.
+        let client = Client::builder()
+            .connector(connector)
+            .disable_timeout()
+            .disable_redirects()
+            .finish();
+        Self {
+            client,
+            base_url,
+            is_engine,
+            commands,
+        }
+    }
+
+    /// Starts jobs as they come, until the control thread is gone.
+    pub(crate) async fn run(self, mut jobs: mpsc::UnboundedReceiver<Job>) {
+        let endpoint = Rc::new(self);
+        while let Some(job) = jobs.recv().await {
+            let endpoint = Rc::clone(&endpoint);
+            actix_rt::spawn(async move { endpoint.serve(job).await });
+        }
+    }
+
+    async fn serve(&self, job: Job) {
+        match job {
+            Job::Run(job) => self.run_call(job).await,
+            Job::Free(names) => self.free_holds(names).await,
+            Job::ListHolds if self.is_engine => self.list_holds().await,
+            Job::ListHolds => {}
+            Job::Order(job) => self.run_order(job).await,
+        }
+    }
+
+    async fn run_call(&self, job: RunJob) {
+        let (outcome, speeds) = match &job.request {
+            EndpointRequest::Model { body, hold_name } => {
+                self.run_model(&job, body, hold_name.as_deref()).await
+            }
+            EndpointRequest::Tool { target, body } => {
+                (self.run_tool(&job, target, body).await, None)
+            }
+        };
+        let id = job.id;
+        self.report(Command::Ended {
+            id,
+            outcome,
+            speeds,
+        })
+        .await;
+    }
+
+    /// The control thread ends after this one has nothing more to report.
+    async fn report(&self, command: Command) {
+        let _ = self.commands.send(command).await;
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("{}{path}", self.base_url)
+    }
+}
+
+/// A piece of a path with everything but unreserved characters encoded.
+fn encode_segment(raw: &str) -> String {
+    use std::fmt::Write;
+    let mut encoded = String::with_capacity(raw.len());
+    for byte in raw.bytes() {
+        match byte {
+            b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'-' | b'_' | b'.' | b'~' => {
+                encoded.push(char::from(byte));
+            }
+            _ => write!(encoded, "%{byte:02X}").expect("writing to a string does not fail"),
+        }
+    }
+    encoded
+}
+
+/// The outcome of a request that got no answer. Only a connection that was
+/// never made proves that the endpoint did not see the call.
+fn send_error(error: &SendRequestError) -> Outcome {
+    match error {
+        SendRequestError::Connect(connect) if never_connected(connect) => {
+            Outcome::Refused(Refusal::new(
+                RefusalReason::EndpointDown,
+                ENDPOINT_DOWN_RETRY,
+                error.to_string(),
+            ))
+        }
+        SendRequestError::Timeout => failed(FailureReason::EndpointTimeout, error.to_string()),
+        _ => failed(
+            FailureReason::EndpointCrashed,
+            format!("no answer: {error}"),
+        ),
+    }
+}
+
+/// Whether an error says that there was no connection. The client reports a
+/// connection that was closed after the request was written as `Disconnected`,
+/// so the errors are named one by one.
+fn never_connected(error: &ConnectError) -> bool {
+    matches!(
+        error,
+        ConnectError::Io(_)
+            | ConnectError::Timeout
+            | ConnectError::Resolver(_)
+            | ConnectError::NoRecords
+            | ConnectError::Unresolved
+    )
+}
+
+fn failed(reason: FailureReason, detail: impl Into<String>) -> Outcome {
+    Outcome::Failed(Failure {
+        reason,
+        may_have_run: true,
+        detail: detail.into(),
+        suspects: Vec::new(),
+    })
+}
+
+fn finished(answer: &SharedAnswer, status: u16) -> Finished {
+    Finished {
+        parts: answer.parts(),
+        status,
+        digest: answer.digest(),
+        ..Finished::default()
+    }
+}
--- /dev/null
+++ b/sidecar/src/endpoint/model.rs
@@ -0,0 +1,318 @@
+//! Model calls: streamed, and resumed when the connection is cut or silent.
+//!
+//! The engine goes on with a request whose connection is lost and streams it
+//! again from an offset, so a lost connection costs no token. A request that
+//! the engine no longer knows was lost with the engine.
+
+use std::time::{Duration, Instant};
+
+use awc::ClientResponse;
+use bytes::Bytes;
+use futures_util::StreamExt;
+use rosebend_coordination::endpoint::outcome::{FailureReason, Finished, Outcome};
+use serde::Deserialize;
+
+use super::{
+    Endpoint, RunJob, Speeds, encode_segment, failed, finished, send_error,
+    sse::{SseEvent, SseReader},
+};
+
+/// Longest silence on a connection before a new one is tried.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest run of a model call.
+const MODEL_TIMEOUT: Duration = Duration::from_secs(600);
+/// Cut connections in a row, without any progress, before a call is given up.
+const MAX_CUTS: u32 = 5;
+/// Pause between those attempts.
+const RESUME_PAUSE: Duration = Duration::from_millis(200);
+/// Longest answer that is not a stream, such as an error.
+const MAX_WHOLE_BYTES: usize = 1 << 20;
+/// Data of the event that ends a stream.
+const DONE: &[u8] = b"[DONE]";
+
+/// Why a connection gave no whole answer.
+#[derive(Debug)]
+enum Interrupted {
+    /// The call is settled nevertheless.
+    Settled(Outcome),
+    /// The connection is cut; the engine may still know the request.
+    Cut(String),
+    /// The connection is silent, which may be the engine's own slowness.
+    Silent,
+}
+
+#[derive(Debug, Deserialize)]
+struct UsageChunk {
+    usage: Option<Usage>,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+struct Usage {
+    #[serde(default)]
+    prompt_tokens: u64,
+    #[serde(default)]
+    completion_tokens: u64,
+    #[serde(default)]
+    prompt_tokens_details: PromptDetails,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+struct PromptDetails {
+    #[serde(default)]
+    cached_tokens: u64,
+}
+
+/// One model call across its connections.
+#[derive(Debug)]
+struct ModelRun<'a> {
+    job: &'a RunJob,
+    started: Instant,
+    first_token: Option<Instant>,
+    last_token: Option<Instant>,
+    /// Offset in the engine's stream of the next token that is lacked.
+    next_offset: u64,
+    usage: Option<Usage>,
+}
+
+impl Endpoint {
+    pub(super) async fn run_model(
+        &self,
+        job: &RunJob,
+        body: &Bytes,
+        hold_name: Option<&str>,
+    ) -> (Outcome, Option<Speeds>) {
+        let mut run = ModelRun::new(job);
+        let connected = self.post_model(job, body, hold_name).await;
+        let outcome = match self.follow(&mut run, connected).await {
+            Ok(finished) => Outcome::Finished(finished),
+            Err(outcome) => outcome,
+        };
+        let speeds = matches!(outcome, Outcome::Finished(_)).then(|| run.speeds());
+        (outcome, speeds.flatten())
+    }
+
+    /// Reads one connection after the other until the call is settled.
+    async fn follow(
+        &self,
+        run: &mut ModelRun<'_>,
+        mut connected: Result<ClientResponse, Interrupted>,
+    ) -> Result<Finished, Outcome> {
+        let mut cuts = 0;
+        loop {
+            let before = run.next_offset;
+            let interrupted = match connected {
+                Ok(response) if response.status().as_u16() != 200 => {
+                    return read_whole(run.job, response).await;
+                }
+                Ok(response) => match run.read(response).await {
+                    Ok(()) => return Ok(run.finished()),
+                    Err(interrupted) => interrupted,
+                },
+                Err(interrupted) => interrupted,
+            };
+            match interrupted {
+                Interrupted::Settled(outcome) => return Err(outcome),
+                Interrupted::Cut(detail) => {
+                    cuts = if run.next_offset > before {
+                        1
+                    } else {
+                        cuts + 1
+                    };
+                    if cuts > MAX_CUTS {
+                        return Err(self.give_up(run.job, detail).await);
+                    }
+                    actix_rt::time::sleep(RESUME_PAUSE).await;
+                }
+                Interrupted::Silent => {}
+            }
+            if run.started.elapsed() > MODEL_TIMEOUT {
+                return Err(self
+                    .give_up(run.job, "the call took too long".to_owned())
+                    .await);
+            }
+            connected = self.resume_model(run).await;
+        }
+    }
+
+    async fn post_model(
+        &self,
+        job: &RunJob,
+        body: &Bytes,
+        hold_name: Option<&str>,
+    ) -> Result<ClientResponse, Interrupted> {
+        let mut request = self
+            .client
+            .post(self.url("/v1/chat/completions"))
+            .insert_header(("content-type", "application/json"))
+            .insert_header(("x-request-id", job.request_id.as_str()));
+        if let Some(name) = hold_name {
+            request = request.insert_header(("x-hold-kv", name));
+        }
+        match actix_rt::time::timeout(SILENCE_TIMEOUT, request.send_body(body.clone())).await {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(error)) => match send_error(&error) {
+                refused @ Outcome::Refused(_) => Err(Interrupted::Settled(refused)),
+                _ => Err(Interrupted::Cut(error.to_string())),
+            },
+            Err(_) => Err(Interrupted::Silent),
+        }
+    }
+
+    async fn resume_model(&self, run: &ModelRun<'_>) -> Result<ClientResponse, Interrupted> {
+        let name = encode_segment(&run.job.request_id);
+        let path = format!("/v1/requests/{name}?offset={}", run.next_offset);
+        let sent = self.client.get(self.url(&path)).send();
+        match actix_rt::time::timeout(SILENCE_TIMEOUT, sent).await {
+            Ok(Ok(response)) if response.status().as_u16() == 200 => Ok(response),
+            Ok(Ok(response)) if response.status().as_u16() == 404 => {
+                Err(Interrupted::Settled(failed(
+                    FailureReason::EndpointCrashed,
+                    "the engine lost the request",
+                )))
+            }
+            Ok(Ok(response)) => Err(Interrupted::Cut(format!("status {}", response.status()))),
+            Ok(Err(error)) => match send_error(&error) {
+                Outcome::Refused(_) => Err(Interrupted::Settled(failed(
+                    FailureReason::EndpointCrashed,
+                    format!("the engine is gone: {error}"),
+                ))),
+                _ => Err(Interrupted::Cut(error.to_string())),
+            },
+            Err(_) => Err(Interrupted::Cut("the engine is silent".to_owned())),
+        }
+    }
+
+    /// Cancels the request, so that the engine spends nothing more on it.
+    async fn give_up(&self, job: &RunJob, detail: String) -> Outcome {
+        let url = self.url(&format!("/v1/requests/{}", encode_segment(&job.request_id)));
+        let sent = self.client.delete(url).send();
+        // The outcome is the same when the engine does not answer.
+        let _ = actix_rt::time::timeout(SILENCE_TIMEOUT, sent).await;
+        failed(FailureReason::EndpointTimeout, detail)
+    }
+}
+
+impl<'a> ModelRun<'a> {
+    fn new(job: &'a RunJob) -> Self {
+        Self {
+            job,
+            started: Instant::now(),
+            first_token: None,
+            last_token: None,
+            next_offset: 0,
+            usage: None,
+        }
+    }
+
+    /// Reads a stream to its end.
+    async fn read(&mut self, mut response: ClientResponse) -> Result<(), Interrupted> {
+        let mut events = SseReader::default();
+        loop {
+            let piece = match actix_rt::time::timeout(SILENCE_TIMEOUT, response.next()).await {
+                Ok(Some(Ok(piece))) => piece,
+                Ok(Some(Err(error))) => return Err(Interrupted::Cut(error.to_string())),
+                Ok(None) if self.usage.is_some() => return Ok(()),
+                Ok(None) => return Err(Interrupted::Cut("the stream ended early".to_owned())),
+                Err(_) => return Err(Interrupted::Silent),
+            };
+            for event in events.push(&piece) {
+                if event.data == DONE {
+                    return Ok(());
+                }
+                self.take(event)?;
+            }
+        }
+    }
+
+    /// Takes one event. What came before on another connection is skipped.
+    fn take(&mut self, event: SseEvent) -> Result<(), Interrupted> {
+        if let Some(usage) = usage_of(&event.data) {
+            if self.usage.replace(usage).is_none() {
+                self.job.answer.push(event.data);
+            }
+            return Ok(());
+        }
+        let offset = event.id.unwrap_or(self.next_offset);
+        if offset < self.next_offset {
+            return Ok(());
+        }
+        if offset > self.next_offset {
+            return Err(Interrupted::Cut("the stream has a gap".to_owned()));
+        }
+        self.next_offset += 1;
+        let now = Instant::now();
+        self.first_token.get_or_insert(now);
+        self.last_token = Some(now);
+        self.job.answer.push(event.data);
+        Ok(())
+    }
+
+    fn finished(&self) -> Finished {
+        let usage = self.usage.unwrap_or_default();
+        Finished {
+            prompt_tokens: usage.prompt_tokens,
+            cached_tokens: usage.prompt_tokens_details.cached_tokens,
+            answer_tokens: usage.completion_tokens.max(self.tokens_without_usage()),
+            ..finished(&self.job.answer, 200)
+        }
+    }
+
+    fn tokens_without_usage(&self) -> u64 {
+        match self.usage {
+            Some(_) => 0,
+            None => self.next_offset,
+        }
+    }
+
+    fn speeds(&self) -> Option<Speeds> {
+        let usage = self.usage?;
+        let (first, last) = (self.first_token?, self.last_token?);
+        let cold_tokens = usage
+            .prompt_tokens
+            .saturating_sub(usage.prompt_tokens_details.cached_tokens);
+        Some(Speeds {
+            token_us: micros(last - first) / self.next_offset.saturating_sub(1).max(1),
+            prefill_token_us: micros(first - self.started) / cold_tokens.max(1),
+        })
+    }
+}
+
+/// An answer that is no stream: the engine did not accept the request.
+async fn read_whole(job: &RunJob, mut response: ClientResponse) -> Result<Finished, Outcome> {
+    let status = response.status().as_u16();
+    if status >= 500 {
+        return Err(failed(
+            FailureReason::EndpointError,
+            format!("status {status}"),
+        ));
+    }
+    let body = response.body().limit(MAX_WHOLE_BYTES);
+    match actix_rt::time::timeout(SILENCE_TIMEOUT, body).await {
+        Ok(Ok(body)) => {
+            job.answer.push(body);
+            Ok(finished(&job.answer, status))
+        }
+        Ok(Err(error)) => Err(failed(
+            FailureReason::EndpointCrashed,
+            format!("the answer was cut: {error}"),
+        )),
+        Err(_) => Err(failed(
+            FailureReason::EndpointTimeout,
+            "the answer is silent",
+        )),
+    }
+}
+
+/// The usage in a chunk's JSON, when it has one.
+fn usage_of(data: &[u8]) -> Option<Usage> {
+    const MEMBER: &[u8] = b"\"usage\"";
+    let may_have_usage = data.windows(MEMBER.len()).any(|window| window == MEMBER);
+    if !may_have_usage {
+        return None;
+    }
+    serde_json::from_slice::<UsageChunk>(data).ok()?.usage
+}
+
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/sidecar/src/endpoint/order.rs
@@ -0,0 +1,53 @@
+//! Orders to the engine.
+
+use std::time::Duration;
+
+use serde::Serialize;
+
+use super::{Endpoint, OrderJob};
+use crate::control::{Command, OrderReply};
+
+/// Longest wait for the engine to do an order, such as loading a model.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(120);
+
+#[derive(Debug, Serialize)]
+struct OrderBody<'a> {
+    order_id: &'a str,
+    kind: &'a str,
+    target: &'a str,
+    fence: u64,
+}
+
+impl Endpoint {
+    pub(super) async fn run_order(&self, job: OrderJob) {
+        let outcome = self.send_order(&job).await;
+        let done = outcome.is_ok();
+        let id = job.id;
+        self.report(Command::OrderAnswered { id, done }).await;
+        let reply = match outcome {
+            Ok(()) => OrderReply::Done,
+            Err(detail) => OrderReply::NotDone(detail),
+        };
+        // A sender that is gone asks again under the same id.
+        let _ = job.reply.send(reply);
+    }
+
+    async fn send_order(&self, job: &OrderJob) -> Result<(), String> {
+        let body = OrderBody {
+            order_id: &job.id,
+            kind: &job.kind,
+            target: &job.target,
+            fence: job.fence.epoch,
+        };
+        let sent = self
+            .client
+            .post(self.url("/orders"))
+            .timeout(ORDER_TIMEOUT)
+            .send_json(&body);
+        let response = sent.await.map_err(|error| error.to_string())?;
+        match response.status().as_u16() {
+            200..=299 => Ok(()),
+            status => Err(format!("the engine answered with status {status}")),
+        }
+    }
+}
--- /dev/null
+++ b/sidecar/src/process.rs
@@ -0,0 +1,243 @@
+//! Starting and stopping the sidecar.
+//!
+//! A stop refuses new calls at once, lets calls at the endpoint finish and
+//! their streams end, and waits for a bounded time until owners have
+//! acknowledged the answers that are retained.
+
+use std::{
+    convert::Infallible,
+    future::Future,
+    io,
+    net::{SocketAddr, TcpListener},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use actix_rt::Arbiter;
+use futures_util::StreamExt;
+use rosebend_coordination::endpoint::EndpointLimits;
+use rosebend_protocol::peer::sidecar_server::SidecarServer;
+use rosebend_state::id::Incarnation;
+use rosebend_transport::http_server::{self, HttpReply, HttpRequest, HttpServerConfig};
+use tokio::sync::{mpsc, oneshot};
+use tokio_stream::wrappers::TcpListenerStream;
+
+use crate::{
+    control::{Command, Control, Published, Remaining},
+    endpoint::Endpoint,
+    metrics::Metrics,
+    server::SidecarService,
+    settings::{EndpointKind, SidecarSettings},
+};
+
+/// Commands that wait for the control thread.
+const COMMANDS: usize = 4096;
+/// Largest gRPC message that is read.
+const MAX_MESSAGE_BYTES: usize = 8 << 20;
+/// Silence of a peer's connection before it is pinged.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
+/// Wait for the answer to that ping.
+const KEEPALIVE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Addresses of a sidecar that is up.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Bound {
+    /// Address for owners' gRPC.
+    pub listen: SocketAddr,
+    /// Address of the metrics page.
+    pub metrics_listen: SocketAddr,
+}
+
+/// Why a sidecar did not start or run.
+#[derive(Debug, thiserror::Error)]
+pub enum ProcessError {
+    /// An address could not be used.
+    #[error("{address}: {error}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system says.
+        error: io::Error,
+    },
+    /// The gRPC server failed.
+    #[error("the gRPC server failed: {0}")]
+    Serve(#[from] tonic::transport::Error),
+}
+
+/// Runs a sidecar under the current actix system until `stop` is done and the
+/// stop is complete.
+///
+/// # Errors
+///
+/// Fails when an address cannot be used.
+pub async fn run(
+    settings: SidecarSettings,
+    on_bound: impl FnOnce(Bound),
+    stop: impl Future<Output = ()>,
+) -> Result<(), ProcessError> {
+    let listener = bind(settings.listen)?;
+    let metrics_listener = bind(settings.metrics_listen)?;
+    let bound = Bound {
+        listen: local_address(&listener, settings.listen)?,
+        metrics_listen: local_address(&metrics_listener, settings.metrics_listen)?,
+    };
+
+    let metrics = Metrics::new();
+    let (commands, published, threads) = start_threads(&settings, metrics.clone());
+    let pages = serve_pages(metrics_listener, metrics, published.clone()).map_err(|error| {
+        ProcessError::Listen {
+            address: settings.metrics_listen,
+            error,
+        }
+    })?;
+    let pages_handle = pages.handle();
+    actix_rt::spawn(pages);
+
+    let service = SidecarService {
+        host: settings.host.clone(),
+        availability_zone: settings.availability_zone.clone(),
+        kind: settings.kind,
+        commands: commands.clone(),
+        published: published.clone(),
+    };
+    let (stop_server, server_stopped) = oneshot::channel::<Infallible>();
+    let server = actix_rt::spawn(serve(listener, service, async move {
+        // The sender is dropped without a message.
+        let _ = server_stopped.await;
+    }));
+    on_bound(bound);
+
+    stop.await;
+    leave(&commands, published, settings.stop_timeout).await;
+    drop(stop_server);
+    let served = server.await.expect("the server does not panic");
+    pages_handle.stop(true).await;
+    for thread in threads {
+        thread.stop();
+    }
+    Ok(served?)
+}
+
+/// Starts the control thread and the endpoint's thread.
+fn start_threads(
+    settings: &SidecarSettings,
+    metrics: Metrics,
+) -> (mpsc::Sender<Command>, Published, [Arbiter; 2]) {
+    let (commands, received) = mpsc::channel(COMMANDS);
+    let (jobs, received_jobs) = mpsc::unbounded_channel();
+    let limits = EndpointLimits {
+        queued: settings.queue_limit,
+        running: settings.max_running,
+        kv_tokens: settings.kv_tokens_limit,
+        retention_bytes: settings.retention_bytes,
+    };
+    let (control, published) = Control::new(new_incarnation(), limits, jobs, metrics);
+    let control_thread = Arbiter::new();
+    control_thread.spawn_fn(move || {
+        actix_rt::spawn(control.run(received));
+    });
+    let endpoint_thread = Arbiter::new();
+    let is_engine = settings.kind == EndpointKind::Engine;
+    let (base_url, sender) = (settings.endpoint_url.clone(), commands.clone());
+    // The client belongs to its thread, so it is made there.
+    endpoint_thread.spawn_fn(move || {
+        let endpoint = Endpoint::new(base_url, is_engine, sender);
+        actix_rt::spawn(endpoint.run(received_jobs));
+    });
+    (commands, published, [control_thread, endpoint_thread])
+}
+
+async fn serve(
+    listener: TcpListener,
+    service: SidecarService,
+    stop: impl Future<Output = ()>,
+) -> Result<(), tonic::transport::Error> {
+    let listener = tokio::net::TcpListener::from_std(listener)
+        .expect("a listener that does not block can be used here");
+    let connections = TcpListenerStream::new(listener).map(|connection| {
+        let connection = connection?;
+        connection.set_nodelay(true)?;
+        Ok::<_, io::Error>(connection)
+    });
+    let service = SidecarServer::new(service).max_decoding_message_size(MAX_MESSAGE_BYTES);
+    tonic::transport::Server::builder()
+        .http2_keepalive_interval(Some(KEEPALIVE_INTERVAL))
+        .http2_keepalive_timeout(Some(KEEPALIVE_TIMEOUT))
+        .add_service(service)
+        .serve_with_incoming_shutdown(connections, stop)
+        .await
+}
+
+fn serve_pages(
+    listener: TcpListener,
+    metrics: Metrics,
+    published: Published,
+) -> io::Result<actix_server::Server> {
+    let config = HttpServerConfig {
+        name: "pages",
+        workers: 1,
+        max_body_bytes: 1024,
+        shutdown_timeout: Duration::from_secs(1),
+        ..HttpServerConfig::default()
+    };
+    http_server::serve(config, listener, move |request| {
+        let reply = page(&request, &metrics, &published);
+        async move { reply }
+    })
+}
+
+fn page(request: &HttpRequest, metrics: &Metrics, published: &Published) -> HttpReply {
+    const TEXT: &str = "text/plain; version=0.0.4; charset=utf-8";
+    match request.path.as_str() {
+        "/metrics" => HttpReply::bytes(200, TEXT, metrics.page()),
+        "/healthz" => HttpReply::bytes(200, TEXT, "ok\n"),
+        "/readyz" if published.load.borrow().leaving => HttpReply::bytes(503, TEXT, "leaving\n"),
+        "/readyz" => HttpReply::bytes(200, TEXT, "ok\n"),
+        _ => HttpReply::bytes(404, TEXT, "not found\n"),
+    }
+}
+
+/// Refuses new calls, waits for those in flight, and then, at most for
+/// `timeout`, until all retained answers are acknowledged.
+async fn leave(commands: &mpsc::Sender<Command>, mut published: Published, timeout: Duration) {
+    if commands.send(Command::Leave).await.is_err() {
+        return;
+    }
+    wait_for(&mut published.load, |load| load.leaving).await;
+    let remaining = &mut published.remaining;
+    wait_for(remaining, |left| left.in_flight == 0).await;
+    let acknowledged = wait_for(remaining, |left: &Remaining| left.retained == 0);
+    // The time is bounded; what is left then is lost with this process.
+    let _ = actix_rt::time::timeout(timeout, acknowledged).await;
+}
+
+async fn wait_for<T>(
+    watched: &mut tokio::sync::watch::Receiver<T>,
+    is_met: impl FnMut(&T) -> bool,
+) {
+    // An error means that the control thread is gone.
+    let _ = watched.wait_for(is_met).await;
+}
+
+fn bind(address: SocketAddr) -> Result<TcpListener, ProcessError> {
+    let bound = TcpListener::bind(address).and_then(|listener| {
+        listener.set_nonblocking(true)?;
+        Ok(listener)
+    });
+    bound.map_err(|error| ProcessError::Listen { address, error })
+}
+
+fn local_address(listener: &TcpListener, address: SocketAddr) -> Result<SocketAddr, ProcessError> {
+    listener
+        .local_addr()
+        .map_err(|error| ProcessError::Listen { address, error })
+}
+
+/// A name that no other run has: the time, the process and a random number.
+fn new_incarnation() -> Incarnation {
+    use std::hash::{BuildHasher, RandomState};
+    let time_us = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |time| time.as_micros());
+    let random = RandomState::new().hash_one(time_us);
+    format!("{time_us:x}-{:x}-{random:x}", std::process::id())
+}
--- /dev/null
+++ b/sidecar/tests/support/mod.rs
@@ -0,0 +1,157 @@
+//! A sidecar in this process, before a small fake of an engine or service.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+pub mod fake;
+
+use std::{net::SocketAddr, sync::mpsc, thread::JoinHandle};
+
+use rosebend_protocol::peer::{
+    AnswerEvent, CallKind, DispatchRequest, Failure, Fence, Finished, Refusal, ResumeRequest,
+    StatusRequest, answer_event::Event, sidecar_client::SidecarClient,
+};
+use rosebend_sidecar::{
+    process::{self, Bound},
+    settings::SidecarSettings,
+};
+use tokio::sync::oneshot;
+use tonic::{Streaming, transport::Channel};
+
+pub type Client = SidecarClient<Channel>;
+
+/// A sidecar on a thread of its own.
+pub struct TestSidecar {
+    pub bound: Bound,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl TestSidecar {
+    pub fn start(kind: &str, endpoint: SocketAddr, more: &str) -> Self {
+        let text = format!(
+            "[sidecar]\nhost = agent-llm-1\navailability_zone = newport-hall\n\
+             listen = 127.0.0.1:0\nkind = {kind}\nendpoint_url = http://{endpoint}\n\
+             platform_url = http://127.0.0.1:9\nstop_timeout_ms = 100\n{more}\n"
+        );
+        let settings = SidecarSettings::try_from(text.as_str()).unwrap();
+        let (stop, stopped) = oneshot::channel();
+        let (tell, told) = mpsc::channel();
+        let thread = std::thread::spawn(move || {
+            actix_rt::System::new().block_on(async move {
+                let on_bound = move |bound| tell.send(bound).unwrap();
+                let stop = async move {
+                    let _ = stopped.await;
+                };
+                process::run(settings, on_bound, stop).await.unwrap();
+            });
+        });
+        Self {
+            bound: told.recv().unwrap(),
+            stop: Some(stop),
+            thread: Some(thread),
+        }
+    }
+
+    pub async fn client(&self) -> Client {
+        let url = format!("http://{}", self.bound.listen);
+        Client::connect(url).await.unwrap()
+    }
+
+    /// Begins to stop; the sidecar also stops when this value is dropped.
+    pub fn stop(&mut self) {
+        drop(self.stop.take());
+    }
+
+    /// Waits for the end of a stop.
+    pub async fn stopped(mut self) {
+        self.stop();
+        let thread = self.thread.take().unwrap();
+        let joined = actix_rt::task::spawn_blocking(move || thread.join());
+        joined.await.unwrap().unwrap();
+    }
+}
+
+pub async fn incarnation(client: &mut Client) -> String {
+    let reply = client.status(StatusRequest::default()).await.unwrap();
+    reply.into_inner().load.unwrap().incarnation
+}
+
+pub fn fence(epoch: u64) -> Option<Fence> {
+    Some(Fence { shard: 7, epoch })
+}
+
+pub fn tool_call(call_id: &str, incarnation: &str) -> DispatchRequest {
+    DispatchRequest {
+        fence: fence(1),
+        call_id: call_id.to_owned(),
+        attempt: 1,
+        kind: CallKind::Tool.into(),
+        target: "fee".to_owned(),
+        body: "{}".into(),
+        incarnation: incarnation.to_owned(),
+        ..Default::default()
+    }
+}
+
+pub fn model_call(call_id: &str, incarnation: &str, answer_tokens: u64) -> DispatchRequest {
+    let body = format!("{{\"messages\":[],\"max_tokens\":{answer_tokens}}}");
+    DispatchRequest {
+        kind: CallKind::Model.into(),
+        target: "agent-llm".to_owned(),
+        body: body.into(),
+        repeatable: true,
+        prompt_tokens: 10,
+        max_answer_tokens: answer_tokens,
+        ..tool_call(call_id, incarnation)
+    }
+}
+
+/// What a stream of an answer told.
+#[derive(Debug, Default)]
+pub struct Told {
+    pub admitted: usize,
+    pub offsets: Vec<u64>,
+    pub parts: Vec<String>,
+    pub pings: usize,
+    pub finished: Option<Finished>,
+    pub refusal: Option<Refusal>,
+    pub failure: Option<Failure>,
+}
+
+impl Told {
+    pub fn take(&mut self, event: AnswerEvent) {
+        match event.event.unwrap() {
+            Event::Admitted(_) => self.admitted += 1,
+            Event::Part(part) => {
+                self.offsets.push(part.offset);
+                self.parts
+                    .push(String::from_utf8(part.data.to_vec()).unwrap());
+            }
+            Event::Finished(finished) => self.finished = Some(finished),
+            Event::Refusal(refusal) => self.refusal = Some(refusal),
+            Event::Failure(failure) => self.failure = Some(failure),
+            Event::Ping(_) => self.pings += 1,
+        }
+    }
+}
+
+pub async fn read_all(mut stream: Streaming<AnswerEvent>) -> Told {
+    let mut told = Told::default();
+    while let Some(event) = stream.message().await.unwrap() {
+        told.take(event);
+    }
+    told
+}
+
+pub async fn dispatch(client: &mut Client, request: DispatchRequest) -> Told {
+    read_all(client.dispatch(request).await.unwrap().into_inner()).await
+}
+
+pub async fn resume(client: &mut Client, call_id: &str, offset: u64, epoch: u64) -> Told {
+    let request = ResumeRequest {
+        fence: fence(epoch),
+        call_id: call_id.to_owned(),
+        offset,
+    };
+    read_all(client.resume(request).await.unwrap().into_inner()).await
+}
