--- a/sidecar/tests/support/fake.rs
+++ b/sidecar/tests/support/fake.rs
@@ -33,6 +33,8 @@
     /// Cut the connection of tool calls after they had their effect.
     pub cut_tools: bool,
     pub tool_status: Option<u16>,
+    /// How often a hold was to be freed.
+    pub freed: usize,
     /// Fail requests that free a hold.
     pub refuse_free: bool,
 }
@@ -123,6 +125,7 @@
         }
         ("DELETE", ["kv", name]) => {
             let mut state = state.lock().unwrap();
+            state.freed += 1;
             if !state.refuse_free {
                 state.held.remove(&decode(name));
             }
--- a/sidecar/tests/support/mod.rs
+++ b/sidecar/tests/support/mod.rs
@@ -28,10 +28,14 @@
 
 impl TestSidecar {
     pub fn start(kind: &str, endpoint: SocketAddr, more: &str) -> Self {
+        let stop = match more.contains("stop_timeout_ms") {
+            true => "",
+            false => "stop_timeout_ms = 100",
+        };
         let text = format!(
             "[sidecar]\nhost = agent-llm-1\navailability_zone = newport-hall\n\
              listen = 127.0.0.1:0\nkind = {kind}\nendpoint_url = http://{endpoint}\n\
-             platform_url = http://127.0.0.1:9\nstop_timeout_ms = 100\n{more}\n"
+             platform_url = http://127.0.0.1:9\n{more}\n{stop}\n"
         );
         let settings = SidecarSettings::try_from(text.as_str()).unwrap();
         let (stop, stopped) = oneshot::channel();
