Retain a call's record at its sidecar and bury by attempt

Cause: the owner's machine wants retained records back after a takeover, and a second attempt at the only endpoint of a tool must not meet the burial of the first.

Change: the record travels with the dispatch and returns with what a sidecar retains; claims bury up to their attempt. After a broken stream the entry claims first, unless the sidecar already answered.

--- a/coordination/src/commit.rs
+++ b/coordination/src/commit.rs
@@ -38,6 +38,9 @@
 /// Names a transaction, in the rows of its shards.
 pub type WriteId = u64;
 
+/// Most doublings of the interval while the table refuses, for 1.6 s at 25 ms.
+const MAX_DOUBLINGS: u32 = 6;
+
 /// Limits of the group commits.
 #[derive(Clone, Copy, Debug)]
 pub struct CommitterConfig {
@@ -158,6 +161,8 @@
     in_flight: Option<InFlight>,
     /// Whether the transaction under way must be sent again.
     resend: bool,
+    /// Refusals in a row, each of which doubles the wait for the next start.
+    refusals: u32,
     last_start: Option<Duration>,
     next_write_id: WriteId,
 }
@@ -171,6 +176,7 @@
             pending: VecDeque::new(),
             in_flight: None,
             resend: false,
+            refusals: 0,
             last_start: None,
             next_write_id: 1,
         }
@@ -250,9 +256,10 @@
         if self.pending.is_empty() && !self.resend {
             return None;
         }
+        let interval = self.config.interval * 2u32.pow(self.refusals.min(MAX_DOUBLINGS));
         Some(
             self.last_start
-                .map_or(Duration::ZERO, |last| last + self.config.interval),
+                .map_or(Duration::ZERO, |last| last + interval),
         )
     }
 
@@ -340,6 +347,7 @@
             BatchOutcome::Conflict { .. } | BatchOutcome::Unknown => self.read_in_flight_rows(),
             BatchOutcome::Refused => {
                 self.resend = true;
+                self.refusals += 1;
                 CommitReport::default()
             }
         }
@@ -399,6 +407,7 @@
             return CommitReport::default();
         };
         self.resend = false;
+        self.refusals = 0;
         for write in &in_flight.batch.shards {
             if let Some(owned) = self.owned.get_mut(&write.shard)
                 && owned.0 == write.epoch
--- a/coordination/src/endpoint/calls/record.rs
+++ b/coordination/src/endpoint/calls/record.rs
@@ -64,8 +64,8 @@
             attempt: self.spec.attempt,
             shard: self.spec.fence.shard,
             ended,
-            prompt_tokens: finished.map_or(0, |f| f.prompt_tokens),
-            answer_tokens: finished.map_or(0, |f| f.answer_tokens),
+            record: self.spec.record.clone(),
+            finished: finished.cloned(),
         })
     }
 }
--- a/coordination/src/endpoint/calls/spec.rs
+++ b/coordination/src/endpoint/calls/spec.rs
@@ -1,12 +1,12 @@
 //! A call as it comes, and what its messages are answered with.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use rosebend_state::id::{CallId, Incarnation, Shard};
 
 use super::super::{
     fence::Fence,
-    outcome::{Failure, Refusal},
+    outcome::{Failure, Finished, Refusal},
 };
 
 /// What one endpoint is given at most.
@@ -57,6 +57,8 @@
     pub alone: bool,
     /// The engine holds the program's cache after the call.
     pub hold_kv: bool,
+    /// The owner's record of the call, told to the shard's next owner.
+    pub record: Arc<[u8]>,
 }
 
 impl CallSpec {
@@ -73,6 +75,7 @@
             deadline: None,
             alone: false,
             hold_kv: false,
+            record: Arc::from([]),
         }
     }
 }
@@ -142,8 +145,8 @@
     pub shard: Shard,
     /// Whether the call has ended.
     pub ended: bool,
-    /// Tokens of the prompt, once finished.
-    pub prompt_tokens: u64,
-    /// Tokens of the answer, once finished.
-    pub answer_tokens: u64,
+    /// The owner's record of the call, as it came with the dispatch.
+    pub record: Arc<[u8]>,
+    /// What the answer is, once the call has finished.
+    pub finished: Option<Finished>,
 }
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod commit;
 pub mod configuration;
+pub mod endpoint;
 mod endpoint_load;
 pub mod owner;
 pub mod ownership;
@@ -17,7 +18,3 @@
 pub mod routing;
 mod speed;
 mod warmth;
-//! The decisions of rosebend: state machines that are given the time and an
-//! event and return typed actions. They do no I/O and read no clock.
-
-pub mod endpoint;
--- a/entry/src/dispatch.rs
+++ b/entry/src/dispatch.rs
@@ -66,46 +66,48 @@
 enum StreamEnd {
     Ended(AttemptEnd),
     /// The connection broke or fell silent.
-    Broken,
-    /// The sidecar does not know the call.
-    UnknownCall,
+    Broken {
+        /// Whether the sidecar said anything, and so has the call.
+        is_known: bool,
+    },
 }
 
 /// Runs an attempt to its end.
 pub async fn run(peers: Peers, attempt: Attempt) -> AttemptEnd {
-    let Ok(channel) = peers.channel(&attempt.address).await else {
-        return if attempt.is_resume {
-            settle(&peers, &attempt).await
-        } else {
-            not_run(RefusalReason::EndpointDown)
-        };
-    };
-    let first = if attempt.is_resume {
-        resume(channel, &attempt).await
+    let is_known = if attempt.is_resume {
+        true
     } else {
-        dispatch(channel, &attempt).await
-    };
-    match first {
-        StreamEnd::Ended(end) => end,
-        StreamEnd::Broken | StreamEnd::UnknownCall => {
-            peers.forget(&attempt.address);
-            settle(&peers, &attempt).await
+        let Ok(channel) = peers.channel(&attempt.address).await else {
+            return not_run(RefusalReason::EndpointDown);
+        };
+        match dispatch(channel, &attempt).await {
+            StreamEnd::Ended(end) => return end,
+            StreamEnd::Broken { is_known } => {
+                peers.forget(&attempt.address);
+                is_known
+            }
         }
-    }
+    };
+    settle(&peers, &attempt, is_known).await
 }
 
-/// Finds out what became of a call whose stream broke, and reads the rest.
-async fn settle(peers: &Peers, attempt: &Attempt) -> AttemptEnd {
+/// Finds out what became of a call whose stream broke, and reads the rest. A
+/// sidecar that may not have the call is made to tell or to bury it.
+async fn settle(peers: &Peers, attempt: &Attempt, mut is_known: bool) -> AttemptEnd {
     let mut wait = RESUME_WAIT;
     for _ in 0..RESUME_TRIES {
         if let Ok(channel) = peers.channel(&attempt.address).await {
-            match resume(channel.clone(), attempt).await {
-                StreamEnd::Ended(end) => return end,
-                StreamEnd::Broken => peers.forget(&attempt.address),
-                StreamEnd::UnknownCall => {
-                    if let Some(end) = bury(channel, attempt).await {
-                        return end;
-                    }
+            if !is_known {
+                match bury(channel.clone(), attempt).await {
+                    Buried::Ended(end) => return end,
+                    Buried::IsKnown => is_known = true,
+                    Buried::NoAnswer => peers.forget(&attempt.address),
+                }
+            }
+            if is_known {
+                match resume(channel, attempt).await {
+                    StreamEnd::Ended(end) => return end,
+                    StreamEnd::Broken { .. } => peers.forget(&attempt.address),
                 }
             }
         }
@@ -120,14 +122,10 @@
 }
 
 async fn dispatch(channel: Channel, attempt: &Attempt) -> StreamEnd {
-    let opened = timeout(
-        PROGRESS_TIMEOUT,
-        client(channel).dispatch(attempt.request.clone()),
-    )
-    .await;
-    match opened {
+    let request = attempt.request.clone();
+    match timeout(PROGRESS_TIMEOUT, client(channel).dispatch(request)).await {
         Ok(Ok(reply)) => read(reply.into_inner(), attempt).await,
-        _ => StreamEnd::Broken,
+        _ => StreamEnd::Broken { is_known: false },
     }
 }
 
@@ -138,34 +136,32 @@
         offset: attempt.answer.len(),
     };
     match timeout(PROGRESS_TIMEOUT, client(channel).resume(request)).await {
-        Ok(Ok(reply)) => match read(reply.into_inner(), attempt).await {
-            StreamEnd::Ended(AttemptEnd::NotRun {
-                reason: RefusalReason::Invalid,
-                ..
-            }) => StreamEnd::UnknownCall,
-            end => end,
-        },
-        _ => StreamEnd::Broken,
+        Ok(Ok(reply)) => read(reply.into_inner(), attempt).await,
+        _ => StreamEnd::Broken { is_known: true },
     }
 }
 
+/// Reads parts, from offset zero or from where the resumption asked.
 async fn read(mut stream: Streaming<AnswerEvent>, attempt: &Attempt) -> StreamEnd {
-    // Parts of this attempt start at offset zero or where the resumption asked.
+    let mut is_known = false;
     loop {
         let event = match timeout(PROGRESS_TIMEOUT, stream.message()).await {
             Ok(Ok(Some(AnswerEvent { event: Some(event) }))) => event,
-            _ => return StreamEnd::Broken,
+            _ => return StreamEnd::Broken { is_known },
         };
+        is_known = true;
         match event {
             Event::Part(part) => {
                 if attempt.answer.add(part.offset, part.data).is_err() {
                     return StreamEnd::Ended(failed(FailureReason::EndpointError, true));
                 }
             }
-            Event::Finished(finished) if finished.parts == attempt.answer.len() => {
-                return StreamEnd::Ended(AttemptEnd::Finished(finished));
+            Event::Finished(finished) if finished.parts != attempt.answer.len() => {
+                return StreamEnd::Broken { is_known };
+            }
+            Event::Finished(finished) => {
+                return StreamEnd::Ended(checked(finished, attempt));
             }
-            Event::Finished(_) => return StreamEnd::Broken,
             Event::Refusal(refusal) => return StreamEnd::Ended(refused(&refusal)),
             Event::Failure(failure) => return StreamEnd::Ended(failure_end(&failure)),
             Event::Admitted(_) | Event::Ping(_) => {}
@@ -173,26 +169,41 @@
     }
 }
 
-/// Makes sure that a call which the sidecar does not know never runs there.
-async fn bury(channel: Channel, attempt: &Attempt) -> Option<AttemptEnd> {
-    match claim_on(channel, attempt).await? {
-        Outcome::Buried(_) => Some(not_run(RefusalReason::Buried)),
-        Outcome::Refusal(refusal) => Some(match refused(&refusal) {
-            // Another owner decides about the call now, and this one must not
-            // say that it was not run.
-            AttemptEnd::NotRun {
-                reason: RefusalReason::StaleEpoch,
-                ..
-            } => failed(FailureReason::Cancelled, true),
-            _ => failed(FailureReason::SidecarStopped, true),
-        }),
-        Outcome::Unknown(_) => Some(failed(FailureReason::SidecarStopped, true)),
-        Outcome::Failure(failure) => Some(failure_end(&failure)),
-        // It is known after all; the next round resumes it.
-        Outcome::Finished(_) | Outcome::Running(_) => None,
+/// An answer is whole only when it is the one that the sidecar retains.
+fn checked(finished: Finished, attempt: &Attempt) -> AttemptEnd {
+    let digest = rosebend_util::digest_hex(&attempt.answer.parts().concat());
+    if digest == finished.digest {
+        AttemptEnd::Finished(finished)
+    } else {
+        failed(FailureReason::EndpointError, true)
     }
 }
 
+enum Buried {
+    Ended(AttemptEnd),
+    IsKnown,
+    NoAnswer,
+}
+
+/// Makes sure that a call which the sidecar does not have never runs there.
+async fn bury(channel: Channel, attempt: &Attempt) -> Buried {
+    let Some(outcome) = claim_on(channel, attempt).await else {
+        return Buried::NoAnswer;
+    };
+    let end = match outcome {
+        Outcome::Finished(_) | Outcome::Running(_) => return Buried::IsKnown,
+        Outcome::Buried(_) => not_run(RefusalReason::Buried),
+        // Another owner decides about the call now, and this one must not say
+        // that it was not run.
+        Outcome::Refusal(refusal) if refusal.reason() == RefusalReason::StaleEpoch => {
+            failed(FailureReason::Cancelled, true)
+        }
+        Outcome::Refusal(_) | Outcome::Unknown(_) => failed(FailureReason::SidecarStopped, true),
+        Outcome::Failure(failure) => failure_end(&failure),
+    };
+    Buried::Ended(end)
+}
+
 /// Claims the call of an attempt. None when the sidecar did not answer.
 pub async fn claim(peers: &Peers, attempt: &Attempt) -> Option<Outcome> {
     let channel = peers.channel(&attempt.address).await.ok()?;
--- a/sidecar/src/control.rs
+++ b/sidecar/src/control.rs
@@ -69,6 +69,7 @@
     Claim {
         fence: Fence,
         id: CallId,
+        attempt: u32,
         incarnation: Incarnation,
         reply: oneshot::Sender<ClaimOutcome>,
     },
@@ -218,9 +219,10 @@
             Command::Claim {
                 fence,
                 id,
+                attempt,
                 incarnation,
                 reply,
-            } => answer(reply, self.claim(fence, &id, &incarnation)),
+            } => answer(reply, self.claim(fence, &id, attempt, &incarnation)),
             Command::Acknowledge { fence, ids } => self.acknowledge(fence, &ids),
             Command::Retained { fences, reply } => answer(reply, self.calls.retained(&fences)),
             Command::Holds {
@@ -283,10 +285,16 @@
         }
     }
 
-    fn claim(&mut self, fence: Fence, id: &CallId, incarnation: &str) -> ClaimOutcome {
+    fn claim(
+        &mut self,
+        fence: Fence,
+        id: &CallId,
+        attempt: u32,
+        incarnation: &str,
+    ) -> ClaimOutcome {
         let outcome = self
             .calls
-            .claim(self.now(), fence, id, u32::MAX, incarnation);
+            .claim(self.now(), fence, id, attempt, incarnation);
         let left_queue = matches!(outcome, ClaimOutcome::Buried | ClaimOutcome::Failed(_));
         if left_queue && self.requests.contains_key(id) {
             let detail = "the call was claimed before it ran";
--- a/sidecar/src/convert.rs
+++ b/sidecar/src/convert.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
+
 use rosebend_coordination::endpoint::{
     EndpointLoad, RetainedCall,
     claim::ClaimOutcome,
@@ -144,14 +146,22 @@
     }
 }
 
-pub(crate) fn retained_call(call: RetainedCall) -> peer::RetainedCall {
+pub(crate) fn retained_call(call: RetainedCall, load: &peer::Load) -> peer::RetainedCall {
     peer::RetainedCall {
         call_id: call.id.to_string(),
         attempt: call.attempt,
         finished: call.ended,
-        prompt_tokens: call.prompt_tokens,
-        answer_tokens: call.answer_tokens,
+        prompt_tokens: call
+            .finished
+            .as_ref()
+            .map_or(0, |answer| answer.prompt_tokens),
+        answer_tokens: call
+            .finished
+            .as_ref()
+            .map_or(0, |answer| answer.answer_tokens),
         shard: call.shard,
+        record: Bytes::copy_from_slice(&call.record),
+        answer: call.finished.map(|answer| finished(answer, load.clone())),
     }
 }
 
--- a/sidecar/src/server.rs
+++ b/sidecar/src/server.rs
@@ -3,7 +3,7 @@
 //! It checks messages and passes them to the control thread; a refusal is a
 //! message of the protocol, never a gRPC status.
 
-use std::{collections::HashSet, pin::Pin, time::Duration};
+use std::{collections::HashSet, pin::Pin, sync::Arc, time::Duration};
 
 use futures_util::{Stream, StreamExt, stream};
 use rosebend_coordination::endpoint::{
@@ -89,6 +89,7 @@
         }
         spec.attempt = raw.attempt;
         spec.repeatable = raw.repeatable;
+        spec.record = Arc::from(raw.record.as_ref());
         spec.kv_tokens = raw.prompt_tokens.saturating_add(raw.max_answer_tokens);
         spec.deadline = (raw.deadline_ms > 0).then(|| Duration::from_millis(raw.deadline_ms));
         spec.alone = raw.alone;
@@ -168,11 +169,12 @@
         let raw = request.into_inner();
         let fence = convert::fence(raw.fence).map_err(invalid)?;
         let id = convert::call_id(&raw.call_id).map_err(invalid)?;
-        let incarnation = raw.incarnation;
+        let (incarnation, attempt) = (raw.incarnation, raw.attempt);
         let outcome = self
             .ask(|reply| Command::Claim {
                 fence,
                 id,
+                attempt,
                 incarnation,
                 reply,
             })
@@ -203,9 +205,13 @@
         let calls = self
             .ask(|reply| Command::Retained { fences, reply })
             .await?;
+        let load = self.load();
         Ok(Response::new(peer::RetainedReply {
-            incarnation: self.load().incarnation,
-            calls: calls.into_iter().map(convert::retained_call).collect(),
+            incarnation: load.incarnation.clone(),
+            calls: calls
+                .into_iter()
+                .map(|call| convert::retained_call(call, &load))
+                .collect(),
         }))
     }
 
--- a/sidecar/tests/calls.rs
+++ b/sidecar/tests/calls.rs
@@ -15,6 +15,7 @@
 
 async fn claim(client: &mut Client, call_id: &str, epoch: u64, incarnation: &str) -> Outcome {
     let request = ClaimRequest {
+        attempt: 1,
         fence: fence(epoch),
         call_id: call_id.to_owned(),
         incarnation: incarnation.to_owned(),
