Wire the operators' API into the entry

Cause: changes were accepted by nobody. Change: operators' requests go to the table, an accepted change is looked at right away, and operators reach programs of every customer.

--- a/entry/src/control.rs
+++ b/entry/src/control.rs
@@ -35,7 +35,7 @@
 pub use self::config::ReadConfig;
 pub use self::directory::{Directory, DirectoryEndpoint};
 pub use self::state::{Control, ControlSettings};
-pub use self::status::{EntryStatus, LiveProcess};
+pub use self::status::EntryStatus;
 
 /// What the control thread answers to a caller's request.
 #[derive(Debug)]
@@ -188,6 +188,8 @@
     },
     /// The configuration was read; none when the table was silent.
     ConfigRead(Option<ReadConfig>),
+    /// A change of the configuration was accepted here.
+    ConfigAccepted,
     /// Someone asks for the state of this entry.
     Status(oneshot::Sender<EntryStatus>),
     /// The process is to stop; the sender is told when nothing is owned.
--- a/entry/src/control/shards.rs
+++ b/entry/src/control/shards.rs
@@ -17,7 +17,7 @@
 
 use super::sidecars::SidecarAddress;
 use super::state::{Control, Stopping};
-use super::{Command, LiveProcess, LoadedShard, RenewOutcome, retained};
+use super::{Command, LoadedShard, RenewOutcome, retained, status};
 use crate::rows::{self, HostValue};
 
 /// Longest wait for sidecars to tell what they retain for gained shards.
@@ -168,7 +168,7 @@
         };
         self.entries = rows
             .iter()
-            .map(|(row, value)| LiveProcess::entry(row, value))
+            .map(|(row, value)| status::entry_process(row, value))
             .collect();
         let hosts = rows.into_iter().map(|(row, _)| row).collect();
         self.ownership_event(OwnershipEvent::HostsRead(hosts));
--- a/entry/src/control/state.rs
+++ b/entry/src/control/state.rs
@@ -87,7 +87,7 @@
     /// Engines whose list of holds must be sent.
     pub(super) holds_due: HashSet<EndpointId>,
     /// The other live processes, from the rows of entries.
-    pub(super) entries: Vec<super::LiveProcess>,
+    pub(super) entries: Vec<crate::operators::LiveProcess>,
     pub(super) row_version: Option<u64>,
     pub(super) renewals: u64,
     pub(super) renewing: bool,
@@ -251,6 +251,7 @@
                 self.sidecar_status(&endpoint, asked_at, status);
             }
             Command::ConfigRead(read) => self.config_read(read),
+            Command::ConfigAccepted => self.poll_config(),
             Command::Status(reply) => {
                 let _ = reply.send(self.status());
             }
--- a/entry/src/control/status.rs
+++ b/entry/src/control/status.rs
@@ -1,10 +1,11 @@
 //! What an entry tells of itself.
 
 use rosebend_coordination::ownership::HostRow;
-use rosebend_state::id::{AvailabilityZone, HostId};
+use rosebend_state::id::HostId;
 use serde::Serialize;
 
 use super::state::Control;
+use crate::operators::LiveProcess;
 use crate::rows::HostValue;
 
 /// What an entry tells of itself.
@@ -27,31 +28,14 @@
     pub processes: Vec<LiveProcess>,
 }
 
-/// A process known to be live.
-#[derive(Clone, Debug, Eq, PartialEq)]
-#[derive(Serialize)]
-pub struct LiveProcess {
-    /// Its host or endpoint.
-    pub host: HostId,
-    /// "entry" or "sidecar".
-    pub kind: &'static str,
-    /// Its availability zone.
-    pub availability_zone: AvailabilityZone,
-    /// Revision of the configuration in force there.
-    pub config_revision: u64,
-    /// Whether it is stopping.
-    pub leaving: bool,
-}
-
-impl LiveProcess {
-    pub(super) fn entry(row: &HostRow, value: &HostValue) -> Self {
-        Self {
-            host: row.host.clone(),
-            kind: "entry",
-            availability_zone: value.availability_zone.clone(),
-            config_revision: value.config_revision,
-            leaving: value.leaving,
-        }
+/// What the row of an entry says of its process.
+pub(super) fn entry_process(row: &HostRow, value: &HostValue) -> LiveProcess {
+    LiveProcess {
+        host: row.host.clone(),
+        kind: "entry",
+        availability_zone: value.availability_zone.clone(),
+        config_revision: value.config_revision,
+        leaving: value.leaving,
     }
 }
 
--- a/entry/src/http.rs
+++ b/entry/src/http.rs
@@ -67,14 +67,20 @@
         };
         let is_operators = request.path.starts_with("/api/");
         match identity.role {
-            Role::Operator if is_operators => {
-                operators::handle(request, &identity.name, &self.operators).await
-            }
+            Role::Operator if is_operators => self.operator(request, &identity.name).await,
             Role::Customer if !is_operators => self.caller(&request, &identity.name).await,
             _ => HttpReply::problem(&problems::forbidden()),
         }
     }
 
+    /// Operators see and end programs of every customer, and change resources.
+    async fn operator(&self, request: HttpRequest, operator: &str) -> HttpReply {
+        match operators::as_program_request(&request) {
+            Some((own, customer)) => self.caller(&own, &customer).await,
+            None => operators::handle(request, operator, &self.operators).await,
+        }
+    }
+
     /// Serves a request about a customer's program, here or at its owner.
     pub async fn caller(&self, request: &HttpRequest, customer: &str) -> HttpReply {
         let mut forward = match request::to_forward(request, customer, &self.key_prefix) {
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use actix_rt::{Arbiter, System};
+use futures_util::FutureExt;
 use rosebend_protocol::peer::entry_server::EntryServer;
 use rosebend_protocol::platform::{Action, Condition, Operation, Row, Transaction};
 use rosebend_state::settings::EntrySettings;
@@ -23,9 +24,9 @@
 use tokio::sync::oneshot;
 use tokio_stream::wrappers::TcpListenerStream;
 
-use crate::control::{Control, ControlHandle, ControlSettings};
+use crate::control::{Command, Control, ControlHandle, ControlSettings};
 use crate::http::HttpContext;
-use crate::operators::OperatorContext;
+use crate::operators::{HostView, OperatorContext, WriteIds};
 use crate::peer_service::PeerService;
 use crate::rows::{CLUSTER_KEY, ClusterValue};
 
@@ -97,7 +98,7 @@
         traffic,
         tokens,
         metrics,
-        operators: OperatorContext,
+        operators: operator_context(&settings, &incarnation, &control),
         key_prefix: Arc::from(incarnation.as_str()),
         next_key: Arc::new(AtomicU64::new(1)),
     };
@@ -128,12 +129,37 @@
     Ok(())
 }
 
+fn operator_context(
+    settings: &EntrySettings,
+    incarnation: &str,
+    control: &ControlHandle,
+) -> OperatorContext {
+    let asked = control.clone();
+    let told = control.clone();
+    OperatorContext::new(
+        settings.platform.clone(),
+        WriteIds::new(&settings.host, incarnation),
+        move || host_view(asked.clone()).boxed_local(),
+        move |_| told.send(Command::ConfigAccepted),
+    )
+}
+
+async fn host_view(control: ControlHandle) -> HostView {
+    let Some(status) = control.status().await else {
+        return HostView::default();
+    };
+    HostView {
+        revision: status.config_revision,
+        processes: status.processes,
+    }
+}
+
 fn start_control(
     thread: &Arbiter,
     settings: ControlSettings,
     handle: ControlHandle,
     traffic: Traffic,
-    commands: tokio::sync::mpsc::UnboundedReceiver<crate::control::Command>,
+    commands: tokio::sync::mpsc::UnboundedReceiver<Command>,
 ) {
     // What the control state holds belongs to its thread, so it is made there.
     thread.spawn_fn(move || {
