Run the tasks of peers' requests outside of local sets

Cause: the server of peers runs its handlers as tokio tasks, where a local spawn panics; forwarded requests never began. Seen by hand: an open through another entry answered 503 after 12 s. Ruled out: commits (none were asked for) and ownership (all settled). Change: tokio tasks there.

--- a/entry/src/peer_service.rs
+++ b/entry/src/peer_service.rs
@@ -42,7 +42,7 @@
         let control = self.control.clone();
         let request = request.into_inner();
         // The reply begins at once, so that pings flow while the call waits.
-        actix_rt::spawn(async move { forward(&control, &request, &sender).await });
+        tokio::spawn(async move { forward(&control, &request, &sender).await });
         let events = stream::unfold(receiver, |mut receiver| async move {
             let event = receiver.recv().await?;
             Some((Ok(ForwardEvent { event: Some(event) }), receiver))
--- a/entry/src/serve.rs
+++ b/entry/src/serve.rs
@@ -169,7 +169,8 @@
         _ => {}
     }
     let (sender, receiver) = mpsc::channel(EVENTS_AHEAD);
-    actix_rt::spawn(send_events(call, answer, from, first, sender));
+    // The server of peers runs its handlers outside of a local set.
+    tokio::spawn(send_events(call, answer, from, first, sender));
     Ok(receiver)
 }
 
