--- a/coordination/src/endpoint/calls/backlog.rs
+++ b/coordination/src/endpoint/calls/backlog.rs
@@ -9,105 +9,93 @@
     outcome::{Failure, Refusal, RefusalReason},
 };
 use super::{
-    Calls, SERVICE_SMOOTHING,
+    Calls, Start,
+    intake::stale,
     record::{CallState, Record},
-    spec::{CallSpec, Start},
+    spec::CallSpec,
 };
+use crate::queue::{self, Waiting};
 
 impl Calls {
-    pub(super) fn enqueue(&mut self, now: Duration, spec: CallSpec) {
-        let id = spec.id.clone();
-        let earlier = match self.records.remove(&id).map(|record| record.state) {
-            Some(CallState::Failed { failure, .. }) => Some(failure),
-            _ => None,
+    /// Puts a call into the queue.
+    pub(super) fn enqueue(&mut self, now: Duration, spec: &CallSpec) -> Result<(), Refusal> {
+        let warm_tokens = self.holds.tokens(&spec.id.program);
+        let waiting = Waiting {
+            call: spec.id.clone(),
+            customer: spec.id.program.customer().to_owned(),
+            share_weight: spec.share_weight,
+            prompt_tokens: spec.prompt_tokens,
+            max_answer_tokens: spec.max_answer_tokens,
+            attained_tokens: spec.attained_tokens,
+            program_age: spec.program_age,
+            deadline: spec.deadline.map(|left| now + left),
+            warm_tokens: warm_tokens.min(spec.prompt_tokens),
+            alone: spec.alone,
         };
-        self.queued_tokens += spec.kv_tokens;
+        self.queue.push(now, waiting).map_err(queue_refusal)?;
+        let mut record = Record::new(spec, CallState::Queued);
+        let known = self.records.remove(&spec.id);
+        if let Some(CallState::Failed { failure, .. }) = known.map(|known| known.state) {
+            record.earlier = Some(failure);
+        }
         self.expected_bytes += spec.answer_bytes;
-        let state = CallState::Queued { since: now };
-        let record = Record {
-            spec,
-            state,
-            earlier,
-        };
-        self.records.insert(id.clone(), record);
-        self.queue.push_back(id);
+        self.records.insert(spec.id.clone(), record);
+        Ok(())
     }
 
-    pub(super) fn next_queued(&self) -> Option<CallId> {
-        self.queue.front().cloned()
-    }
-
-    /// Why a waiting call is to be given up, if it is.
-    pub(super) fn expired(&self, now: Duration, id: &CallId) -> Option<Refusal> {
-        let record = self.records.get(id)?;
-        let CallState::Queued { since } = record.state else {
-            return None;
-        };
-        if !self.fences.is_current(record.spec.fence) {
-            let mut refusal = Refusal::new(
-                RefusalReason::StaleEpoch,
-                Duration::ZERO,
-                "the shard has a newer owner",
-            );
-            refusal.epoch = self.fences.highest(record.spec.fence.shard).unwrap_or(0);
-            return Some(refusal);
+    /// Notes that the endpoint gets a call now, unless the call lost its owner
+    /// in the queue.
+    pub(super) fn start(
+        &mut self,
+        now: Duration,
+        admitted: queue::Admission,
+    ) -> Result<Start, (CallId, Refusal)> {
+        let id = admitted.call;
+        if let Some(refusal) = self.stale_in_queue(&id) {
+            self.queue.finished(now, &id, 0);
+            self.unqueued(now, &id);
+            return Err((id, refusal));
         }
-        let waited = now.saturating_sub(since);
-        let is_late = record
-            .spec
-            .deadline
-            .is_some_and(|deadline| waited >= deadline);
-        is_late.then(|| {
-            Refusal::new(
-                RefusalReason::Deadline,
-                self.retry_after(),
-                "the deadline passed in the queue",
-            )
+        let record = self
+            .records
+            .get_mut(&id)
+            .expect("every queued call has a record");
+        record.state = CallState::Running;
+        let attempt = record.attempt;
+        self.running.insert(id.clone());
+        Ok(Start {
+            id,
+            attempt,
+            queued: admitted.queued,
         })
     }
 
-    pub(super) fn fits(&self, id: &CallId) -> bool {
-        let Some(record) = self.records.get(id) else {
-            return false;
-        };
-        let is_alone = !record.spec.alone || self.running.is_empty();
-        let tokens = self.kv_tokens_in_flight + record.spec.kv_tokens;
-        is_alone
-            && self.alone.is_none()
-            && self.running.len() < self.limits.running
-            && tokens <= self.limits.kv_tokens
+    /// Why a waiting call is to be given up although it has time left.
+    pub(super) fn stale_in_queue(&self, id: &CallId) -> Option<Refusal> {
+        let fence = self.records.get(id)?.fence;
+        let is_current = self.fences.is_current(fence);
+        (!is_current).then(|| stale(self.fences.highest(fence.shard).unwrap_or_default()))
     }
 
-    pub(super) fn start(&mut self, now: Duration, id: &CallId) -> Start {
-        self.queue.retain(|queued| queued != id);
-        let record = self
-            .records
-            .get_mut(id)
-            .expect("every queued call has a record");
-        let queued = match record.state {
-            CallState::Queued { since } => now.saturating_sub(since),
-            _ => Duration::ZERO,
-        };
-        record.state = CallState::Running { since: now };
-        self.queued_tokens -= record.spec.kv_tokens;
-        self.kv_tokens_in_flight += record.spec.kv_tokens;
-        if record.spec.alone {
-            self.alone = Some(id.clone());
-        }
-        self.running.insert(id.clone());
-        Start {
-            id: id.clone(),
-            attempt: record.spec.attempt,
-            queued,
-        }
+    /// Calls in the queue, in no order.
+    pub(super) fn waiting(&self) -> Vec<CallId> {
+        self.records
+            .iter()
+            .filter(|(_, record)| matches!(record.state, CallState::Queued))
+            .map(|(id, _)| id.clone())
+            .collect()
     }
 
     /// Takes a call out of the queue for good, without running it.
     pub(super) fn unqueue(&mut self, now: Duration, id: &CallId) {
-        self.queue.retain(|queued| queued != id);
+        self.queue.remove(id);
+        self.unqueued(now, id);
+    }
+
+    /// Notes that a call left the queue for good, without being run.
+    pub(super) fn unqueued(&mut self, now: Duration, id: &CallId) {
         if let Some(record) = self.records.get(id) {
-            self.queued_tokens -= record.spec.kv_tokens;
-            self.expected_bytes -= record.spec.answer_bytes;
+            self.expected_bytes -= record.answer_bytes;
         }
         self.give_up(now, id);
     }
@@ -139,7 +127,8 @@
         }
     }
 
-    pub(super) fn claimed_after_queue(&self, id: &CallId) -> ClaimOutcome {
+    /// What a claim is told of a call that it took out of the queue.
+    pub(super) fn claimed_in_queue(&self, id: &CallId) -> ClaimOutcome {
         match self.records.get(id).map(|record| &record.state) {
             Some(CallState::Failed { failure, .. }) => ClaimOutcome::Failed(failure.clone()),
             _ => ClaimOutcome::Buried,
@@ -147,9 +136,15 @@
     }
 }
 
-pub(super) fn smooth(mean: Duration, newest: Duration) -> Duration {
-    if mean.is_zero() {
-        return newest;
-    }
-    mean - mean / SERVICE_SMOOTHING + newest / SERVICE_SMOOTHING
+fn queue_refusal(refusal: queue::Refusal) -> Refusal {
+    let (reason, detail) = match refusal.reason {
+        queue::RefusalReason::QueueFull => (RefusalReason::QueueFull, "too many calls wait"),
+        queue::RefusalReason::Deadline => (RefusalReason::Deadline, "the deadline has passed"),
+        queue::RefusalReason::TooLarge => (
+            RefusalReason::TooLarge,
+            "the call exceeds the endpoint's KV memory",
+        ),
+        queue::RefusalReason::Duplicate => (RefusalReason::Duplicate, "the call is here already"),
+    };
+    Refusal::new(reason, refusal.retry_after, detail)
 }
--- a/coordination/src/endpoint/calls/intake.rs
+++ b/coordination/src/endpoint/calls/intake.rs
@@ -2,49 +2,55 @@
 
 use std::time::Duration;
 
-use rosebend_state::id::CallId;
+use rosebend_state::id::{CallId, Epoch};
 
 use super::super::{
     fence::Fence,
     outcome::{Failure, FailureReason, Refusal, RefusalReason},
 };
 use super::{
-    Calls, MAX_RETRY_AFTER, MIN_RETRY_AFTER, REMEMBERED,
+    Calls, REMEMBERED,
     record::{CallState, Record},
     spec::{CallSpec, Dispatched},
 };
 
+/// When to come back after there was no room for an answer; owners
+/// acknowledge with each poll.
+const RETENTION_RETRY: Duration = Duration::from_secs(1);
+
 impl Calls {
     pub(super) fn check_fence(&mut self, fence: Fence) -> Result<(), Refusal> {
-        self.fences.check(fence).map_err(|stale| {
-            let mut refusal =
-                Refusal::new(RefusalReason::StaleEpoch, Duration::ZERO, stale.to_string());
-            refusal.epoch = stale.epoch;
-            refusal
-        })
+        let checked = self.fences.check(fence);
+        checked.map_err(|refused| stale(refused.epoch))
     }
 
     /// Joins a message to the call that is here; none when it is to be run.
     pub(super) fn join(&mut self, spec: &CallSpec) -> Option<Dispatched> {
         let record = self.records.get_mut(&spec.id)?;
-        let is_newer = spec.attempt > record.spec.attempt;
+        if record.is_other_request(spec) {
+            return Some(Dispatched::Refused(Refusal::new(
+                RefusalReason::Duplicate,
+                Duration::ZERO,
+                "another request has this id",
+            )));
+        }
+        let is_newer = spec.attempt > record.attempt;
         match &record.state {
             CallState::Acknowledged { .. } => {
                 Some(Dispatched::Ended(untold("it was acknowledged")))
             }
             CallState::Buried { .. } if is_newer => None,
             CallState::Buried { .. } => Some(Dispatched::Refused(buried())),
-            CallState::Failed { .. } if is_newer && record.spec.repeatable && spec.repeatable => {
-                None
-            }
+            CallState::Failed { .. } if is_newer && record.repeatable && spec.repeatable => None,
             _ => {
-                record.spec.fence = spec.fence;
-                record.spec.attempt = record.spec.attempt.max(spec.attempt);
+                record.fence = spec.fence;
+                record.attempt = record.attempt.max(spec.attempt);
                 Some(Dispatched::Follow)
             }
         }
     }
 
+    /// Why a new call is not taken, apart from the queue.
     pub(super) fn refusal_for(&mut self, now: Duration, spec: &CallSpec) -> Option<Refusal> {
         let names_no_incarnation = spec.incarnation.is_empty() && spec.repeatable;
         if spec.incarnation != self.incarnation && !names_no_incarnation {
@@ -58,73 +64,46 @@
         if self.leaving {
             return Some(leaving());
         }
-        if spec.kv_tokens > self.limits.kv_tokens {
-            let detail = format!("the endpoint holds {} KV tokens", self.limits.kv_tokens);
-            return Some(Refusal::new(
-                RefusalReason::TooLarge,
-                Duration::ZERO,
-                detail,
-            ));
-        }
-        if self.queue.len() >= self.limits.queued {
-            return Some(Refusal::new(
-                RefusalReason::QueueFull,
-                self.retry_after(),
-                "too many calls wait",
-            ));
-        }
         self.release_for(now, spec.answer_bytes);
         if !self.has_room_for(spec.answer_bytes) {
             return Some(Refusal::new(
                 RefusalReason::RetentionFull,
-                self.retry_after(),
+                RETENTION_RETRY,
                 "too many answers are not acknowledged",
             ));
         }
         None
     }
 
-    /// The queue's expected time to empty, within bounds.
-    pub(super) fn retry_after(&self) -> Duration {
-        let rounds = self.queue.len() / self.limits.running.max(1) + 1;
-        let rounds = u32::try_from(rounds).unwrap_or(u32::MAX);
-        self.mean_service
-            .saturating_mul(rounds)
-            .clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
-    }
-
     /// Remembers that an attempt was refused, so that the same message, when
     /// it comes again, is not run after all.
-    pub(super) fn remember_refused(&mut self, now: Duration, spec: CallSpec) {
+    pub(super) fn remember_refused(&mut self, now: Duration, spec: &CallSpec) {
         match self.records.get_mut(&spec.id) {
             Some(record) if matches!(record.state, CallState::Buried { .. }) => {
                 self.raise_buried(now, &spec.id, spec.attempt);
             }
-            Some(record) => record.spec.attempt = record.spec.attempt.max(spec.attempt),
-            None => self.bury(now, spec),
+            Some(record) => record.attempt = record.attempt.max(spec.attempt),
+            None => self.bury(now, &spec.id, spec.fence, spec.attempt),
         }
     }
 
     /// Buries a call up to a higher attempt, and remembers it anew.
     pub(super) fn raise_buried(&mut self, now: Duration, id: &CallId, attempt: u32) {
         if let Some(record) = self.records.get_mut(id) {
-            record.spec.attempt = attempt;
+            record.attempt = record.attempt.max(attempt);
             record.state = CallState::Buried { since: now };
             self.remembered.push_back((now, id.clone()));
         }
     }
 
-    pub(super) fn bury(&mut self, now: Duration, spec: CallSpec) {
-        let id = spec.id.clone();
-        let record = Record {
-            spec,
-            state: CallState::Buried { since: now },
-            earlier: None,
-        };
+    /// Makes sure that no attempt of an unseen call up to `attempt` runs here.
+    pub(super) fn bury(&mut self, now: Duration, id: &CallId, fence: Fence, attempt: u32) {
+        let record = Record::buried(now, fence, attempt);
         self.records.insert(id.clone(), record);
-        self.remembered.push_back((now, id));
+        self.remembered.push_back((now, id.clone()));
     }
 
+    /// Forgets what has been over for long enough.
     pub(super) fn forget(&mut self, now: Duration) {
         while let Some((since, _)) = self.remembered.front() {
             if now.saturating_sub(*since) < REMEMBERED {
@@ -137,11 +116,38 @@
                     .is_some_and(|r| r.is_over_since(since))
             {
                 self.records.remove(&id);
+                self.forgotten.push(id);
             }
         }
     }
 }
 
+/// Whether the same message might not be refused when it comes again. For the
+/// other reasons it always is, in this run of the sidecar.
+pub(super) fn is_passing(reason: RefusalReason) -> bool {
+    match reason {
+        RefusalReason::QueueFull
+        | RefusalReason::RetentionFull
+        | RefusalReason::Deadline
+        | RefusalReason::EndpointDown => true,
+        RefusalReason::Leaving
+        | RefusalReason::StaleEpoch
+        | RefusalReason::OtherIncarnation
+        | RefusalReason::Buried
+        | RefusalReason::TooLarge
+        | RefusalReason::UnknownTarget
+        | RefusalReason::Duplicate
+        | RefusalReason::Invalid => false,
+    }
+}
+
+pub(super) fn stale(epoch: Epoch) -> Refusal {
+    let detail = format!("epoch {epoch} of the shard has been seen");
+    let mut refusal = Refusal::new(RefusalReason::StaleEpoch, Duration::ZERO, detail);
+    refusal.epoch = epoch;
+    refusal
+}
+
 pub(super) fn leaving() -> Refusal {
     Refusal::new(
         RefusalReason::Leaving,
@@ -158,6 +164,7 @@
     )
 }
 
+/// What cannot be told any more may have run.
 pub(super) fn untold(detail: &str) -> Failure {
     Failure {
         reason: FailureReason::Cancelled,
--- a/coordination/src/endpoint/calls/mod.rs
+++ b/coordination/src/endpoint/calls/mod.rs
@@ -17,8 +17,7 @@
     Admission, CallSpec, Dispatched, EndpointLimits, EndpointLoad, RetainedCall, Start,
 };
 use self::{
-    backlog::smooth,
-    intake::{buried, leaving, untold},
+    intake::{buried, is_passing, leaving, untold},
     record::{CallState, Record},
 };
 use super::{
@@ -28,22 +27,16 @@
     outcome::{FailureReason, Outcome, Refusal, RefusalReason},
     suspect::Suspects,
 };
+use crate::queue::{Queue, QueueSettings};
 
 /// How long a call that is over is remembered, so that a message delayed or
 /// doubled by less than this does not run it again.
 pub const REMEMBERED: Duration = Duration::from_secs(600);
-/// Shortest time to come back that a refusal names.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
-/// Longest time to come back that a refusal names.
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
-/// Weight of the newest call in the mean service time, as a divisor.
-const SERVICE_SMOOTHING: u32 = 8;
-
 /// All calls of one endpoint, from their dispatch until they are forgotten.
 ///
 /// A call is handed over at most once in one run of the sidecar, unless it is
 /// repeatable, its last attempt failed, and a higher attempt is dispatched.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Calls {
     incarnation: Incarnation,
     limits: EndpointLimits,
@@ -53,22 +46,20 @@
     suspects: Suspects,
     /// Every call in the queue is `Queued` here, and the other way round.
     records: HashMap<CallId, Record>,
-    queue: VecDeque<CallId>,
+    queue: Queue,
+    /// Exactly the calls that are `Running` here.
     running: HashSet<CallId>,
-    /// A call that runs alone.
-    alone: Option<CallId>,
     /// Ended calls in the order in which they ended; some may be gone.
     ended: VecDeque<CallId>,
     /// Calls that are over, in the order in which they are forgotten.
     remembered: VecDeque<(Duration, CallId)>,
     /// Answers released under pressure that the caller has not taken yet.
     released: Vec<CallId>,
-    kv_tokens_in_flight: u64,
-    queued_tokens: u64,
+    /// Calls that were forgotten and that the caller has not taken yet.
+    forgotten: Vec<CallId>,
     expected_bytes: u64,
     retained_bytes: u64,
-    retained: usize,
-    mean_service: Duration,
+    retained: u64,
 }
 
 impl Calls {
@@ -82,18 +73,15 @@
             holds: Holds::default(),
             suspects: Suspects::default(),
             records: HashMap::new(),
-            queue: VecDeque::new(),
+            queue: Queue::new(queue_settings(&limits)),
             running: HashSet::new(),
-            alone: None,
             ended: VecDeque::new(),
             remembered: VecDeque::new(),
             released: Vec::new(),
-            kv_tokens_in_flight: 0,
-            queued_tokens: 0,
+            forgotten: Vec::new(),
             expected_bytes: 0,
             retained_bytes: 0,
             retained: 0,
-            mean_service: Duration::ZERO,
         }
     }
 
@@ -115,17 +103,18 @@
         if let Some(dispatched) = self.join(&spec) {
             return dispatched;
         }
-        match self.refusal_for(now, &spec) {
-            Some(refusal) => {
+        let taken = match self.refusal_for(now, &spec) {
+            Some(refusal) => Err(refusal),
+            None => self.enqueue(now, &spec),
+        };
+        match taken {
+            Ok(()) => Dispatched::Queued,
+            Err(refusal) => {
                 if is_passing(refusal.reason) {
-                    self.remember_refused(now, spec);
+                    self.remember_refused(now, &spec);
                 }
                 Dispatched::Refused(refusal)
             }
-            None => {
-                self.enqueue(now, spec);
-                Dispatched::Queued
-            }
         }
     }
 
@@ -141,7 +130,7 @@
             CallState::Buried { .. } => Dispatched::Refused(buried()),
             CallState::Acknowledged { .. } => Dispatched::Ended(untold("it was acknowledged")),
             _ => {
-                record.spec.fence = fence;
+                record.fence = fence;
                 Dispatched::Follow
             }
         }
@@ -164,29 +153,24 @@
             if incarnation != self.incarnation {
                 return ClaimOutcome::Unknown;
             }
-            let mut spec = CallSpec::new(id.clone(), fence, incarnation);
-            spec.attempt = attempt;
-            self.bury(now, spec);
+            self.bury(now, id, fence, attempt);
             return ClaimOutcome::Buried;
         };
-        record.spec.fence = fence;
+        record.fence = fence;
         match &record.state {
             CallState::Finished { finished, .. } => ClaimOutcome::Finished(finished.clone()),
-            CallState::Running { .. } => ClaimOutcome::Running,
+            CallState::Running => ClaimOutcome::Running,
             CallState::Failed { failure, .. } => ClaimOutcome::Failed(failure.clone()),
             CallState::Acknowledged { .. } => ClaimOutcome::Unknown,
-            CallState::Queued { .. } | CallState::Buried { .. }
-                if incarnation != self.incarnation =>
-            {
+            CallState::Queued | CallState::Buried { .. } if incarnation != self.incarnation => {
                 ClaimOutcome::Unknown
             }
-            CallState::Queued { .. } => {
-                record.spec.attempt = record.spec.attempt.max(attempt);
+            CallState::Queued => {
+                record.attempt = record.attempt.max(attempt);
                 self.unqueue(now, id);
-                self.claimed_after_queue(id)
+                self.claimed_in_queue(id)
             }
             CallState::Buried { .. } => {
-                let attempt = record.spec.attempt.max(attempt);
                 self.raise_buried(now, id, attempt);
                 ClaimOutcome::Buried
             }
@@ -199,12 +183,10 @@
         if self.check_fence(fence).is_err() {
             return Vec::new();
         }
-        let dropped: Vec<_> = ids
-            .iter()
+        ids.iter()
             .filter(|id| self.acknowledge_one(now, fence, id))
             .cloned()
-            .collect();
-        dropped
+            .collect()
     }
 
     /// The calls of some shards that are not acknowledged. A shard with a
@@ -217,9 +199,9 @@
             .collect();
         let mut calls: Vec<_> = self
             .records
-            .values()
-            .filter(|record| shards.contains(&record.spec.fence.shard))
-            .filter_map(Record::retained)
+            .iter()
+            .filter(|(_, record)| shards.contains(&record.fence.shard))
+            .filter_map(|(id, record)| record.retained(id))
             .collect();
         calls.sort_by(|a, b| a.id.cmp(&b.id));
         calls
@@ -228,14 +210,10 @@
     /// Hands over what fits now.
     pub fn admit(&mut self, now: Duration) -> Admission {
         let mut admission = Admission::default();
-        while let Some(id) = self.next_queued() {
-            if let Some(refusal) = self.expired(now, &id) {
-                self.unqueue(now, &id);
-                admission.refused.push((id, refusal));
-            } else if self.fits(&id) {
-                admission.starts.push(self.start(now, &id));
-            } else {
-                break;
+        while let Some(admitted) = self.queue.next(now) {
+            match self.start(now, admitted) {
+                Ok(start) => admission.starts.push(start),
+                Err(refused) => admission.refused.push(refused),
             }
         }
         admission
@@ -244,16 +222,20 @@
     /// Gives up what has waited past its deadline or lost its owner, frees
     /// holds whose leases ran out, and forgets what is over.
     pub fn sweep(&mut self, now: Duration) -> (Vec<(CallId, Refusal)>, Vec<ProgramId>) {
-        let expired: Vec<_> = self
-            .queue
-            .iter()
-            .filter_map(|id| Some((id.clone(), self.expired(now, id)?)))
-            .collect();
-        for (id, _) in &expired {
-            self.unqueue(now, id);
+        let mut refused = Vec::new();
+        for id in self.queue.expire(now) {
+            self.unqueued(now, &id);
+            let detail = "the deadline passed in the queue";
+            let refusal = Refusal::new(RefusalReason::Deadline, Duration::ZERO, detail);
+            refused.push((id, refusal));
         }
         self.forget(now);
-        (expired, self.holds.expire(now))
+        (refused, self.holds.expire(now))
+    }
+
+    /// The endpoint gave the first part of a call's answer.
+    pub fn first_part(&mut self, now: Duration, id: &CallId) {
+        self.queue.first_token(now, id);
     }
 
     /// The endpoint is done with a call. Returns the outcome to retain, with
@@ -263,21 +245,19 @@
         if !self.running.remove(id) {
             return outcome;
         }
-        if self.alone.as_ref() == Some(id) {
-            self.alone = None;
-        }
+        let answer_tokens = match &outcome {
+            Outcome::Finished(finished) => finished.answer_tokens,
+            Outcome::Failed(_) | Outcome::Refused(_) => 0,
+        };
+        self.queue.finished(now, id, answer_tokens);
         let Some(record) = self.records.get_mut(id) else {
             return outcome;
         };
-        self.kv_tokens_in_flight -= record.spec.kv_tokens;
-        self.expected_bytes -= record.spec.answer_bytes;
-        if let CallState::Running { since } = record.state {
-            let served = now.saturating_sub(since);
-            self.mean_service = smooth(self.mean_service, served);
-        }
-        if record.spec.hold_kv && !matches!(outcome, Outcome::Refused(_)) {
-            let program = record.spec.id.program.clone();
-            self.holds.add(now, program, record.spec.fence.shard);
+        self.expected_bytes -= record.answer_bytes;
+        if record.hold_kv && !matches!(outcome, Outcome::Refused(_)) {
+            let tokens = held_tokens(&outcome);
+            self.holds
+                .add(now, id.program.clone(), record.fence.shard, tokens);
         }
         match &outcome {
             Outcome::Finished(finished) => {
@@ -297,8 +277,7 @@
     /// refused.
     pub fn leave(&mut self, now: Duration) -> Vec<(CallId, Refusal)> {
         self.leaving = true;
-        let waiting: Vec<_> = self.queue.iter().cloned().collect();
-        waiting
+        self.waiting()
             .into_iter()
             .map(|id| {
                 self.unqueue(now, &id);
@@ -312,31 +291,39 @@
         std::mem::take(&mut self.released)
     }
 
+    /// Calls that were forgotten since the last question; a failure's answer
+    /// may be dropped.
+    pub fn take_forgotten(&mut self) -> Vec<CallId> {
+        std::mem::take(&mut self.forgotten)
+    }
+
     /// Programs with a call at the endpoint that will hold its cache.
     pub fn programs_that_will_hold(&self) -> HashSet<ProgramId> {
         self.running
             .iter()
-            .filter(|id| self.records.get(id).is_some_and(|r| r.spec.hold_kv))
+            .filter(|id| self.records.get(id).is_some_and(|r| r.hold_kv))
             .map(|id| id.program.clone())
             .collect()
     }
 
     /// The sidecar's own count.
     pub fn load(&self) -> EndpointLoad {
+        let queue = self.queue.load();
         EndpointLoad {
-            running: self.running.len(),
-            queued: self.queue.len(),
-            kv_tokens_in_flight: self.kv_tokens_in_flight,
-            queued_tokens: self.queued_tokens,
+            running: queue.running,
+            queued: queue.queued,
+            kv_tokens_in_flight: queue.kv_tokens_in_flight,
+            kv_tokens_limit: queue.kv_tokens_limit,
+            queued_tokens: queue.queued_tokens,
+            token_us: queue.token_us,
+            prefill_token_us: queue.prefill_token_us,
             retained_bytes: self.retained_bytes,
             retained: self.retained,
-            holds: self.holds.len(),
+            holds: self.holds.len() as u64,
             leaving: self.leaving,
         }
     }
-}
 
-impl Calls {
     fn name_suspects(&mut self, id: &CallId, outcome: Outcome) -> Outcome {
         match outcome {
             Outcome::Failed(mut failure) if failure.reason == FailureReason::EndpointCrashed => {
@@ -351,19 +338,22 @@
     }
 }
 
-/// Whether the same message might not be refused when it comes again. For the
-/// other reasons it always is, in this run of the sidecar.
-fn is_passing(reason: RefusalReason) -> bool {
-    match reason {
-        RefusalReason::QueueFull | RefusalReason::RetentionFull => true,
-        RefusalReason::Leaving
-        | RefusalReason::StaleEpoch
-        | RefusalReason::OtherIncarnation
-        | RefusalReason::Buried
-        | RefusalReason::TooLarge
-        | RefusalReason::UnknownTarget
-        | RefusalReason::Deadline
-        | RefusalReason::EndpointDown
-        | RefusalReason::Invalid => false,
+/// New programs find the queue full when half of it is taken, so that those
+/// under way can go on.
+fn queue_settings(limits: &EndpointLimits) -> QueueSettings {
+    QueueSettings {
+        max_running: limits.running,
+        kv_tokens_limit: limits.kv_tokens,
+        max_queued: limits.queued,
+        max_queued_for_new: limits.queued.div_ceil(2),
+        ..QueueSettings::default()
+    }
+}
+
+/// Tokens of the cache that stays after a call.
+fn held_tokens(outcome: &Outcome) -> u64 {
+    match outcome {
+        Outcome::Finished(finished) => finished.prompt_tokens + finished.answer_tokens,
+        Outcome::Failed(_) | Outcome::Refused(_) => 0,
     }
 }
--- a/coordination/src/endpoint/calls/record.rs
+++ b/coordination/src/endpoint/calls/record.rs
@@ -1,48 +1,89 @@
 //! What is known of one call.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
+
+use rosebend_state::id::CallId;
 
 use super::{
-    super::outcome::{Failure, Finished},
+    super::{
+        fence::Fence,
+        outcome::{Failure, Finished},
+    },
     spec::{CallSpec, RetainedCall},
 };
 
 #[derive(Clone, Debug)]
 pub(super) enum CallState {
-    Queued {
-        since: Duration,
-    },
-    Running {
-        since: Duration,
-    },
-    Finished {
-        finished: Finished,
-        bytes: u64,
-    },
+    /// In the queue.
+    Queued,
+    /// At the endpoint.
+    Running,
+    /// The whole answer is retained.
+    Finished { finished: Finished, bytes: u64 },
     /// Handed over, and ended badly.
-    Failed {
-        failure: Failure,
-        since: Duration,
-    },
+    Failed { failure: Failure, since: Duration },
     /// Not run; attempts up to the record's are refused.
-    Buried {
-        since: Duration,
-    },
+    Buried { since: Duration },
     /// Ended, and durable at its owner.
-    Acknowledged {
-        since: Duration,
-    },
+    Acknowledged { since: Duration },
 }
 
+/// A call from its dispatch until it is forgotten.
 #[derive(Clone, Debug)]
 pub(super) struct Record {
-    pub(super) spec: CallSpec,
+    /// The newest owner that named the call.
+    pub(super) fence: Fence,
+    /// The highest attempt that was dispatched or buried.
+    pub(super) attempt: u32,
+    pub(super) repeatable: bool,
+    pub(super) hold_kv: bool,
+    /// Hash of the fingerprint; zero when the call is not known by one.
+    pub(super) fingerprint: u64,
+    /// The owner's record of the call; empty once it is over.
+    pub(super) record: Arc<[u8]>,
+    /// Counted as expected until the call has ended.
+    pub(super) answer_bytes: u64,
     pub(super) state: CallState,
     /// How an earlier attempt of this repeatable call ended here.
     pub(super) earlier: Option<Failure>,
 }
 
 impl Record {
+    pub(super) fn new(spec: &CallSpec, state: CallState) -> Self {
+        Self {
+            fence: spec.fence,
+            attempt: spec.attempt,
+            repeatable: spec.repeatable,
+            hold_kv: spec.hold_kv,
+            fingerprint: spec.fingerprint,
+            record: Arc::clone(&spec.record),
+            answer_bytes: spec.answer_bytes,
+            state,
+            earlier: None,
+        }
+    }
+
+    /// A call that is refused up to an attempt.
+    pub(super) fn buried(now: Duration, fence: Fence, attempt: u32) -> Self {
+        Self {
+            fence,
+            attempt,
+            repeatable: false,
+            hold_kv: false,
+            fingerprint: 0,
+            record: Arc::from([]),
+            answer_bytes: 0,
+            state: CallState::Buried { since: now },
+            earlier: None,
+        }
+    }
+
+    /// Whether a message is about another request than this call's. A buried
+    /// call has none.
+    pub(super) fn is_other_request(&self, spec: &CallSpec) -> bool {
+        self.fingerprint != 0 && spec.fingerprint != 0 && self.fingerprint != spec.fingerprint
+    }
+
     pub(super) fn is_over_since(&self, time: Duration) -> bool {
         match self.state {
             CallState::Buried { since }
@@ -52,19 +93,19 @@
         }
     }
 
-    pub(super) fn retained(&self) -> Option<RetainedCall> {
+    pub(super) fn retained(&self, id: &CallId) -> Option<RetainedCall> {
         let (ended, finished) = match &self.state {
-            CallState::Queued { .. } | CallState::Running { .. } => (false, None),
+            CallState::Queued | CallState::Running => (false, None),
             CallState::Finished { finished, .. } => (true, Some(finished)),
             CallState::Failed { .. } => (true, None),
             CallState::Buried { .. } | CallState::Acknowledged { .. } => return None,
         };
         Some(RetainedCall {
-            id: self.spec.id.clone(),
-            attempt: self.spec.attempt,
-            shard: self.spec.fence.shard,
+            id: id.clone(),
+            attempt: self.attempt,
+            shard: self.fence.shard,
             ended,
-            record: self.spec.record.clone(),
+            record: Arc::clone(&self.record),
             finished: finished.cloned(),
         })
     }
--- a/coordination/src/endpoint/calls/room.rs
+++ b/coordination/src/endpoint/calls/room.rs
@@ -1,7 +1,7 @@
 //! Room for answers: what is dropped once durable, and what is released
 //! under pressure.
 
-use std::{collections::VecDeque, time::Duration};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 use rosebend_state::id::CallId;
 
@@ -39,7 +39,7 @@
         let CallState::Finished { bytes, .. } = record.state else {
             return true;
         };
-        if !record.spec.repeatable {
+        if !record.repeatable {
             return false;
         }
         self.retained_bytes -= bytes;
@@ -53,7 +53,7 @@
         let Some(record) = self.records.get_mut(id) else {
             return false;
         };
-        if record.spec.fence.shard != fence.shard {
+        if record.fence.shard != fence.shard {
             return false;
         }
         match record.state {
@@ -65,6 +65,7 @@
             _ => return false,
         }
         record.state = CallState::Acknowledged { since: now };
+        record.record = Arc::from([]);
         self.remembered.push_back((now, id.clone()));
         true
     }
--- a/coordination/src/endpoint/calls/spec.rs
+++ b/coordination/src/endpoint/calls/spec.rs
@@ -45,10 +45,20 @@
     /// The run of the sidecar that the owner chose; empty only when
     /// repeatable.
     pub incarnation: Incarnation,
+    /// Hash of the request's fingerprint; zero when it is not told.
+    pub fingerprint: u64,
     /// Whether the call may be handed over again after a failure.
     pub repeatable: bool,
-    /// Worst case of KV tokens.
-    pub kv_tokens: u64,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Tokens of the longest answer.
+    pub max_answer_tokens: u64,
+    /// Tokens computed so far for the whole program.
+    pub attained_tokens: u64,
+    /// Time since the program's first call.
+    pub program_age: Duration,
+    /// Weight of the customer's share.
+    pub share_weight: u32,
     /// Expected bytes of the answer.
     pub answer_bytes: u64,
     /// Time left until the caller's deadline.
@@ -69,8 +79,13 @@
             fence,
             attempt: 1,
             incarnation: incarnation.to_owned(),
+            fingerprint: 0,
             repeatable: false,
-            kv_tokens: 0,
+            prompt_tokens: 0,
+            max_answer_tokens: 0,
+            attained_tokens: 0,
+            program_age: Duration::ZERO,
+            share_weight: 1,
             answer_bytes: 0,
             deadline: None,
             alone: false,
@@ -117,24 +132,30 @@
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct EndpointLoad {
     /// Calls at the endpoint.
-    pub running: usize,
+    pub running: u64,
     /// Calls that wait.
-    pub queued: usize,
+    pub queued: u64,
     /// KV tokens of the calls at the endpoint.
     pub kv_tokens_in_flight: u64,
-    /// KV tokens of the calls that wait.
+    /// Most KV tokens in flight.
+    pub kv_tokens_limit: u64,
+    /// Prompt tokens yet to be computed.
     pub queued_tokens: u64,
+    /// Smoothed time between two tokens of one answer, in microseconds.
+    pub token_us: u64,
+    /// Smoothed prefill time of one token, in microseconds.
+    pub prefill_token_us: u64,
     /// Bytes of answers that no owner has made durable.
     pub retained_bytes: u64,
     /// Answers that no owner has made durable.
-    pub retained: usize,
+    pub retained: u64,
     /// KV holds under a lease.
-    pub holds: usize,
+    pub holds: u64,
     /// The endpoint takes no new work.
     pub leaving: bool,
 }
 
-/// A call whose answer has not been acknowledged.
+/// A call that has not been acknowledged.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RetainedCall {
     /// The call.
@@ -147,6 +168,6 @@
     pub ended: bool,
     /// The owner's record of the call, as it came with the dispatch.
     pub record: Arc<[u8]>,
-    /// What the answer is, once the call has finished.
+    /// The end of the answer, when it is whole.
     pub finished: Option<Finished>,
 }
--- a/coordination/src/endpoint/hold.rs
+++ b/coordination/src/endpoint/hold.rs
@@ -22,6 +22,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Hold {
     shard: Shard,
+    /// Tokens of the cache, as the last call told them.
+    tokens: u64,
     /// The hold is freed once this time has passed.
     expires_at: Duration,
 }
@@ -34,9 +36,16 @@
 
 impl Holds {
     /// A call that holds its program's cache ended.
-    pub fn add(&mut self, now: Duration, program: ProgramId, shard: Shard) {
+    pub fn add(&mut self, now: Duration, program: ProgramId, shard: Shard, tokens: u64) {
         let expires_at = now + FIRST_LEASE;
-        self.holds.insert(program, Hold { shard, expires_at });
+        self.holds.insert(
+            program,
+            Hold {
+                shard,
+                tokens,
+                expires_at,
+            },
+        );
     }
 
     /// Renews the holds in a list that is complete for `shards`; returns the
@@ -79,6 +88,11 @@
         held_names.iter().filter(|name| !is_known(name)).collect()
     }
 
+    /// Tokens held for a program; zero without a hold.
+    pub fn tokens(&self, program: &ProgramId) -> u64 {
+        self.holds.get(program).map_or(0, |hold| hold.tokens)
+    }
+
     /// Programs that have a hold, in order.
     pub fn programs(&self) -> Vec<ProgramId> {
         let mut programs: Vec<_> = self.holds.keys().cloned().collect();
--- a/coordination/src/endpoint/outcome.rs
+++ b/coordination/src/endpoint/outcome.rs
@@ -31,6 +31,8 @@
     Deadline,
     /// The endpoint took no connection.
     EndpointDown,
+    /// Another request has the same id.
+    Duplicate,
     /// The message lacks something that it must have.
     Invalid,
 }
--- a/sidecar/src/control.rs
+++ b/sidecar/src/control.rs
@@ -19,21 +19,22 @@
 };
 use rosebend_protocol::peer;
 use rosebend_state::id::{CallId, Incarnation, ProgramId, Shard};
+use rosebend_transport::{
+    event::{Event, EventKind, log_event},
+    metrics_page::{Metrics, Quantity, Timing, refusal_label},
+};
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::{
     answer::SharedAnswer,
     convert,
-    endpoint::{EndpointRequest, Job, OrderJob, RunJob, Speeds},
-    metrics::Metrics,
+    endpoint::{EndpointRequest, Job, OrderJob, RunJob},
 };
 
 /// How often waiting calls and leases are looked at.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
 /// How often the engine's own list of holds is asked for.
 const HOLDS_INTERVAL: Duration = Duration::from_secs(2);
-/// Weight of the newest measurement of speed, as a divisor.
-const SPEED_SMOOTHING: u64 = 8;
 
 /// What the sender of a dispatch or resume gets.
 #[derive(Debug)]
@@ -103,8 +104,9 @@
     Ended {
         id: CallId,
         outcome: Outcome,
-        speeds: Option<Speeds>,
     },
+    /// The endpoint gave the first part of a model call's answer.
+    FirstPart(CallId),
     /// The names of the caches that the engine holds.
     EngineHolds(Vec<String>),
     /// The engine answered an order.
@@ -126,8 +128,8 @@
 /// What still keeps a leaving sidecar.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(crate) struct Remaining {
-    pub(crate) in_flight: usize,
-    pub(crate) retained: usize,
+    pub(crate) in_flight: u64,
+    pub(crate) retained: u64,
 }
 
 /// What the control thread tells all others.
@@ -239,11 +241,8 @@
                 reply,
             } => self.order(fence, id, kind, target, reply),
             Command::Configure { changes, reply } => answer(reply, self.configure(changes)),
-            Command::Ended {
-                id,
-                outcome,
-                speeds,
-            } => self.ended(&id, outcome, speeds),
+            Command::Ended { id, outcome } => self.ended(&id, outcome),
+            Command::FirstPart(id) => self.calls.first_part(self.now(), &id),
             Command::EngineHolds(names) => self.reconcile_holds(&names),
             Command::OrderAnswered { id, done } => self.orders.answered(&id, done),
             Command::Leave => self.leave(),
@@ -254,7 +253,7 @@
         let now = self.now();
         let (id, deadline) = (spec.id.clone(), spec.deadline);
         let dispatched = self.calls.dispatch(now, spec);
-        self.drop_released();
+        self.drop_answers();
         if dispatched == Dispatched::Queued {
             self.answers.insert(id.clone(), SharedAnswer::new());
             self.requests.insert(id.clone(), (request, deadline));
@@ -278,7 +277,7 @@
                 }),
             },
             Dispatched::Refused(refusal) => {
-                self.metrics.refused(refusal.reason);
+                self.count_refusal(refusal.reason);
                 DispatchReply::Refused(refusal)
             }
             Dispatched::Ended(failure) => DispatchReply::Ended(failure),
@@ -327,7 +326,10 @@
             freed: freed.len(),
             held: self.calls.holds().programs(),
         };
-        self.free(freed.iter().map(ProgramId::to_string).collect());
+        self.free(
+            freed.iter().map(ProgramId::to_string).collect(),
+            "not_listed",
+        );
         answer
     }
 
@@ -365,22 +367,16 @@
         self.config_revision
     }
 
-    fn ended(&mut self, id: &CallId, outcome: Outcome, speeds: Option<Speeds>) {
+    fn ended(&mut self, id: &CallId, outcome: Outcome) {
         let bytes = self.answers.get(id).map_or(0, |answer| answer.bytes());
         let outcome = self.calls.ended(self.now(), id, outcome, bytes);
-        self.metrics.ended(&outcome);
+        self.log_end(id, &outcome);
         if let Some(answer) = self.answers.get(id) {
             answer.end(outcome.clone());
         }
         if matches!(outcome, Outcome::Refused(_)) {
             self.answers.remove(id);
         }
-        if let Some(speeds) = speeds {
-            self.load.send_modify(|load| {
-                smooth(&mut load.token_us, speeds.token_us);
-                smooth(&mut load.prefill_token_us, speeds.prefill_token_us);
-            });
-        }
         self.admit();
     }
 
@@ -388,7 +384,7 @@
         let in_flight = self.calls.programs_that_will_hold();
         let unknown = self.calls.holds().unknown(names, &in_flight);
         let unknown = unknown.into_iter().cloned().collect();
-        self.free(unknown);
+        self.free(unknown, "not_leased");
     }
 
     fn leave(&mut self) {
@@ -401,8 +397,11 @@
         let now = self.now();
         let (refused, freed) = self.calls.sweep(now);
         self.give_up(refused);
-        self.free(freed.iter().map(ProgramId::to_string).collect());
-        self.drop_released();
+        self.free(
+            freed.iter().map(ProgramId::to_string).collect(),
+            "lease_over",
+        );
+        self.drop_answers();
         self.admit();
     }
 
@@ -421,6 +420,7 @@
             return;
         };
         answer.admit(start.queued);
+        self.metrics.observe(Timing::Queue, start.queued);
         self.send(Job::Run(RunJob {
             request_id: format!("{}.{}", start.id, start.attempt),
             id: start.id,
@@ -433,7 +433,7 @@
     /// Ends calls that left the queue without being run.
     fn give_up(&mut self, refused: Vec<(CallId, Refusal)>) {
         for (id, refusal) in refused {
-            self.metrics.refused(refusal.reason);
+            self.count_refusal(refusal.reason);
             self.requests.remove(&id);
             if let Some(answer) = self.answers.remove(&id) {
                 answer.end(Outcome::Refused(refusal));
@@ -441,17 +441,39 @@
         }
     }
 
-    fn drop_released(&mut self) {
-        for id in self.calls.take_released() {
-            self.answers.remove(&id);
+    fn drop_answers(&mut self) {
+        let released = self.calls.take_released();
+        for id in released.iter().chain(&self.calls.take_forgotten()) {
+            self.answers.remove(id);
+        }
+    }
+
+    fn count_refusal(&self, reason: RefusalReason) {
+        let reason = convert::refusal_reason(reason);
+        self.metrics.count_refusal(refusal_label(reason));
+    }
+
+    fn log_end(&self, id: &CallId, outcome: &Outcome) {
+        match outcome {
+            Outcome::Finished(_) => log_event(&Event::new(EventKind::CallFinished).call(id)),
+            Outcome::Failed(failure) => {
+                let reason = convert::failure_name(failure.reason);
+                log_event(&Event::new(EventKind::CallFailed).call(id).reason(reason));
+            }
+            Outcome::Refused(refusal) => self.count_refusal(refusal.reason),
         }
     }
 
-    fn free(&mut self, names: Vec<String>) {
+    fn free(&mut self, names: Vec<String>, reason: &'static str) {
         if names.is_empty() {
             return;
         }
-        self.metrics.freed(names.len());
+        let count = names.len() as u64;
+        log_event(
+            &Event::new(EventKind::HoldsFreed)
+                .count(count)
+                .reason(reason),
+        );
         self.send(Job::Free(names));
     }
 
@@ -462,7 +484,13 @@
 
     fn publish(&self) {
         let own = self.calls.load();
-        self.metrics.set_load(&own);
+        self.metrics.set(Quantity::RunningCalls, own.running);
+        self.metrics.set(Quantity::QueuedCalls, own.queued);
+        self.metrics.set(Quantity::Holds, own.holds);
+        self.metrics
+            .set(Quantity::RetainedBytes, own.retained_bytes);
+        self.metrics
+            .set(Quantity::ConfigRevision, self.config_revision);
         self.load.send_modify(|load| convert::set_load(load, &own));
         self.remaining.send_replace(Remaining {
             in_flight: own.running + own.queued,
@@ -479,11 +507,3 @@
 fn answer<T>(reply: oneshot::Sender<T>, value: T) {
     let _ = reply.send(value);
 }
-
-fn smooth(mean: &mut u64, newest: u64) {
-    if *mean == 0 {
-        *mean = newest;
-    } else {
-        *mean = *mean - *mean / SPEED_SMOOTHING + newest / SPEED_SMOOTHING;
-    }
-}
--- a/sidecar/src/convert.rs
+++ b/sidecar/src/convert.rs
@@ -167,8 +167,11 @@
 
 /// Writes the sidecar's own count over an earlier load.
 pub(crate) fn set_load(load: &mut peer::Load, own: &EndpointLoad) {
-    load.running = own.running as u64;
-    load.queued = own.queued as u64;
+    load.running = own.running;
+    load.queued = own.queued;
+    load.kv_tokens_limit = own.kv_tokens_limit;
+    load.token_us = own.token_us;
+    load.prefill_token_us = own.prefill_token_us;
     load.kv_tokens_in_flight = own.kv_tokens_in_flight;
     load.queued_tokens = own.queued_tokens;
     load.leaving = own.leaving;
@@ -178,7 +181,7 @@
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
-fn refusal_reason(reason: RefusalReason) -> peer::RefusalReason {
+pub(crate) fn refusal_reason(reason: RefusalReason) -> peer::RefusalReason {
     match reason {
         RefusalReason::Leaving => peer::RefusalReason::Leaving,
         RefusalReason::QueueFull => peer::RefusalReason::QueueFull,
@@ -190,6 +193,7 @@
         RefusalReason::UnknownTarget => peer::RefusalReason::UnknownTarget,
         RefusalReason::Deadline => peer::RefusalReason::Deadline,
         RefusalReason::EndpointDown => peer::RefusalReason::EndpointDown,
+        RefusalReason::Duplicate => peer::RefusalReason::Duplicate,
         RefusalReason::Invalid => peer::RefusalReason::Invalid,
     }
 }
@@ -202,3 +206,13 @@
         FailureReason::Cancelled => peer::FailureReason::Cancelled,
     }
 }
+
+/// The word for a failure in logs.
+pub(crate) fn failure_name(reason: FailureReason) -> &'static str {
+    match reason {
+        FailureReason::EndpointCrashed => "endpoint_crashed",
+        FailureReason::EndpointTimeout => "endpoint_timeout",
+        FailureReason::EndpointError => "endpoint_error",
+        FailureReason::Cancelled => "cancelled",
+    }
+}
--- a/sidecar/src/endpoint/holds.rs
+++ b/sidecar/src/endpoint/holds.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use serde::Deserialize;
+
 use super::{Endpoint, encode_segment};
 use crate::control::Command;
 
@@ -10,6 +12,18 @@
 /// Longest list that is read.
 const MAX_LIST_BYTES: usize = 8 << 20;
 
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct HoldList {
+    holds: Vec<EngineHold>,
+}
+
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct EngineHold {
+    name: String,
+}
+
 impl Endpoint {
     /// Frees caches one after the other. What fails is found again by the
     /// next comparison with the engine's list.
@@ -35,21 +49,9 @@
         let Ok(body) = response.body().limit(MAX_LIST_BYTES).await else {
             return;
         };
-        if let Ok(list) = serde_json::from_slice(&body) {
-            self.report(Command::EngineHolds(hold_names(&list))).await;
+        if let Ok(list) = serde_json::from_slice::<HoldList>(&body) {
+            let names = list.holds.into_iter().map(|hold| hold.name).collect();
+            self.report(Command::EngineHolds(names)).await;
         }
     }
 }
-
-/// The names in a list of holds, which is a map from names to tokens or a
-/// list of objects with a `name`.
-fn hold_names(list: &serde_json::Value) -> Vec<String> {
-    let list = list.get("held").unwrap_or(list);
-    if let Some(map) = list.as_object() {
-        return map.keys().cloned().collect();
-    }
-    let items = list.as_array().into_iter().flatten();
-    items
-        .filter_map(|item| item.get("name")?.as_str().map(str::to_owned))
-        .collect()
-}
--- a/sidecar/src/endpoint/mod.rs
+++ b/sidecar/src/endpoint/mod.rs
@@ -80,13 +80,6 @@
     Order(OrderJob),
 }
 
-/// Measured speeds of one model call, in microseconds a token.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) struct Speeds {
-    pub(crate) token_us: u64,
-    pub(crate) prefill_token_us: u64,
-}
-
 /// The client and address of the endpoint.
 pub(crate) struct Endpoint {
     client: Client,
@@ -132,21 +125,14 @@
     }
 
     async fn run_call(&self, job: RunJob) {
-        let (outcome, speeds) = match &job.request {
+        let outcome = match &job.request {
             EndpointRequest::Model { body, hold_name } => {
                 self.run_model(&job, body, hold_name.as_deref()).await
             }
-            EndpointRequest::Tool { target, body } => {
-                (self.run_tool(&job, target, body).await, None)
-            }
+            EndpointRequest::Tool { target, body } => self.run_tool(&job, target, body).await,
         };
         let id = job.id;
-        self.report(Command::Ended {
-            id,
-            outcome,
-            speeds,
-        })
-        .await;
+        self.report(Command::Ended { id, outcome }).await;
     }
 
     /// The control thread ends after this one has nothing more to report.
--- a/sidecar/src/endpoint/model.rs
+++ b/sidecar/src/endpoint/model.rs
@@ -13,9 +13,10 @@
 use serde::Deserialize;
 
 use super::{
-    Endpoint, RunJob, Speeds, encode_segment, failed, finished, send_error,
+    Endpoint, RunJob, encode_segment, failed, finished, send_error,
     sse::{SseEvent, SseReader},
 };
+use crate::control::Command;
 
 /// Longest silence on a connection before a new one is tried.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -67,8 +68,6 @@
 struct ModelRun<'a> {
     job: &'a RunJob,
     started: Instant,
-    first_token: Option<Instant>,
-    last_token: Option<Instant>,
     /// Offset in the engine's stream of the next token that is lacked.
     next_offset: u64,
     usage: Option<Usage>,
@@ -80,15 +79,13 @@
         job: &RunJob,
         body: &Bytes,
         hold_name: Option<&str>,
-    ) -> (Outcome, Option<Speeds>) {
+    ) -> Outcome {
         let mut run = ModelRun::new(job);
         let connected = self.post_model(job, body, hold_name).await;
-        let outcome = match self.follow(&mut run, connected).await {
+        match self.follow(&mut run, connected).await {
             Ok(finished) => Outcome::Finished(finished),
             Err(outcome) => outcome,
-        };
-        let speeds = matches!(outcome, Outcome::Finished(_)).then(|| run.speeds());
-        (outcome, speeds.flatten())
+        }
     }
 
     /// Reads one connection after the other until the call is settled.
@@ -104,7 +101,7 @@
                 Ok(response) if response.status().as_u16() != 200 => {
                     return read_whole(run.job, response).await;
                 }
-                Ok(response) => match run.read(response).await {
+                Ok(response) => match self.read(run, response).await {
                     Ok(()) => return Ok(run.finished()),
                     Err(interrupted) => interrupted,
                 },
@@ -158,6 +155,34 @@
         }
     }
 
+    /// Reads a stream to its end.
+    async fn read(
+        &self,
+        run: &mut ModelRun<'_>,
+        mut response: ClientResponse,
+    ) -> Result<(), Interrupted> {
+        let mut events = SseReader::default();
+        loop {
+            let piece = match actix_rt::time::timeout(SILENCE_TIMEOUT, response.next()).await {
+                Ok(Some(Ok(piece))) => piece,
+                Ok(Some(Err(error))) => return Err(Interrupted::Cut(error.to_string())),
+                Ok(None) if run.usage.is_some() => return Ok(()),
+                Ok(None) => return Err(Interrupted::Cut("the stream ended early".to_owned())),
+                Err(_) => return Err(Interrupted::Silent),
+            };
+            for event in events.push(&piece) {
+                if event.data == DONE {
+                    return Ok(());
+                }
+                let is_first = run.next_offset == 0;
+                run.take(event)?;
+                if is_first {
+                    self.report(Command::FirstPart(run.job.id.clone())).await;
+                }
+            }
+        }
+    }
+
     async fn resume_model(&self, run: &ModelRun<'_>) -> Result<ClientResponse, Interrupted> {
         let name = encode_segment(&run.job.request_id);
         let path = format!("/v1/requests/{name}?offset={}", run.next_offset);
@@ -197,33 +222,11 @@
         Self {
             job,
             started: Instant::now(),
-            first_token: None,
-            last_token: None,
             next_offset: 0,
             usage: None,
         }
     }
 
-    /// Reads a stream to its end.
-    async fn read(&mut self, mut response: ClientResponse) -> Result<(), Interrupted> {
-        let mut events = SseReader::default();
-        loop {
-            let piece = match actix_rt::time::timeout(SILENCE_TIMEOUT, response.next()).await {
-                Ok(Some(Ok(piece))) => piece,
-                Ok(Some(Err(error))) => return Err(Interrupted::Cut(error.to_string())),
-                Ok(None) if self.usage.is_some() => return Ok(()),
-                Ok(None) => return Err(Interrupted::Cut("the stream ended early".to_owned())),
-                Err(_) => return Err(Interrupted::Silent),
-            };
-            for event in events.push(&piece) {
-                if event.data == DONE {
-                    return Ok(());
-                }
-                self.take(event)?;
-            }
-        }
-    }
-
     /// Takes one event. What came before on another connection is skipped.
     fn take(&mut self, event: SseEvent) -> Result<(), Interrupted> {
         if let Some(usage) = usage_of(&event.data) {
@@ -240,9 +243,6 @@
             return Err(Interrupted::Cut("the stream has a gap".to_owned()));
         }
         self.next_offset += 1;
-        let now = Instant::now();
-        self.first_token.get_or_insert(now);
-        self.last_token = Some(now);
         self.job.answer.push(event.data);
         Ok(())
     }
@@ -263,18 +263,6 @@
             None => self.next_offset,
         }
     }
-
-    fn speeds(&self) -> Option<Speeds> {
-        let usage = self.usage?;
-        let (first, last) = (self.first_token?, self.last_token?);
-        let cold_tokens = usage
-            .prompt_tokens
-            .saturating_sub(usage.prompt_tokens_details.cached_tokens);
-        Some(Speeds {
-            token_us: micros(last - first) / self.next_offset.saturating_sub(1).max(1),
-            prefill_token_us: micros(first - self.started) / cold_tokens.max(1),
-        })
-    }
 }
 
 /// An answer that is no stream: the engine did not accept the request.
@@ -312,7 +300,3 @@
     }
     serde_json::from_slice::<UsageChunk>(data).ok()?.usage
 }
-
-fn micros(duration: Duration) -> u64 {
-    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
-}
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -5,7 +5,6 @@
 //! until the program's owner has made it durable, and says at once and
 //! truthfully when it will not run a call.
 //!
-//! - [`settings`]: the settings file.
 //! - [`process`]: starting and stopping.
 //! - `server`: the gRPC service towards owners; it carries traffic.
 //! - `control`: the one thread that holds control state. Its decisions are
@@ -17,7 +16,5 @@
 mod control;
 mod convert;
 mod endpoint;
-mod metrics;
 pub mod process;
 mod server;
-pub mod settings;
--- a/sidecar/src/main.rs
+++ b/sidecar/src/main.rs
@@ -1,88 +1,105 @@
-//! The sidecar process. See the library for what it does.
+//! `rosebend-sidecar`: see the library's page for what it is made of.
 
-use std::{io::Write, process::ExitCode};
+use std::{
+    io::{self, Write},
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
 use getopts::Options;
-use rosebend_sidecar::{
-    process::{self, Bound, ProcessError},
-    settings::{SettingsError, SidecarSettings},
+use rosebend_sidecar::process::{self, Bound, ProcessError};
+use rosebend_state::settings::SidecarSettings;
+use rosebend_transport::{
+    logging::{LoggingError, init_logging},
+    settings_file::{check_settings, load_settings},
 };
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-/// Exit code for a wrong command line or wrong settings.
-const EXIT_USAGE: u8 = 2;
+const BRIEF: &str = "Usage: rosebend-sidecar --config FILE [--check]
+
+Stands before one engine or service. It stops on SIGTERM, after what is in
+flight has ended, and exits 0.
+
+Exit codes: 0 stopped as asked, 1 failed, 2 wrong usage or settings.
+
+Example:
+    rosebend-sidecar --config examples/sidecar.ini --check";
+
+const USAGE_EXIT: u8 = 2;
 
-#[derive(Debug, thiserror::Error)]
-enum MainError {
+/// Why the process failed.
+#[derive(Debug)]
+#[derive(thiserror::Error)]
+enum RunError {
     #[error("{0}")]
-    CommandLine(#[from] getopts::Fail),
-    #[error("--config FILE is missing")]
-    NoConfig,
-    #[error("{path}: {error}")]
-    Read { path: String, error: std::io::Error },
-    #[error("{path}: {error}")]
-    Settings { path: String, error: SettingsError },
+    Logging(#[from] LoggingError),
     #[error("signals cannot be received: {0}")]
-    Signal(std::io::Error),
+    Signal(#[from] io::Error),
     #[error("{0}")]
     Process(#[from] ProcessError),
 }
 
-impl MainError {
-    fn exit_code(&self) -> ExitCode {
-        match self {
-            Self::CommandLine(_) | Self::NoConfig | Self::Read { .. } | Self::Settings { .. } => {
-                ExitCode::from(EXIT_USAGE)
-            }
-            Self::Signal(_) | Self::Process(_) => ExitCode::FAILURE,
-        }
-    }
-}
-
 fn main() -> ExitCode {
-    match run() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("rosebend-sidecar: {error}");
-            error.exit_code()
-        }
-    }
-}
-
-fn run() -> Result<(), MainError> {
     let mut options = Options::new();
-    options.optopt("", "config", "read settings from FILE", "FILE");
+    options.optopt("c", "config", "settings, in INI form", "FILE");
     options.optflag("", "check", "check the settings and exit");
-    options.optflag("", "help", "print this help and exit");
-    let matches = options.parse(std::env::args_os().skip(1))?;
+    options.optflag("h", "help", "print this page");
+    let matches = match options.parse(std::env::args().skip(1)) {
+        Ok(matches) => matches,
+        Err(error) => return usage(&options, &error.to_string()),
+    };
     if matches.opt_present("help") {
-        let brief = "Usage: rosebend-sidecar --config FILE [--check]\n\n\
-            Stands before one engine or service endpoint.\n\n\
-            Example: rosebend-sidecar --config sidecar.ini";
-        print!("{}", options.usage(brief));
-        return Ok(());
+        println!("{}", options.usage(BRIEF));
+        return ExitCode::SUCCESS;
     }
-    let path = matches.opt_str("config").ok_or(MainError::NoConfig)?;
-    let settings = read_settings(path)?;
+    let Some(path) = matches.opt_str("config").map(PathBuf::from) else {
+        return usage(&options, "--config is wanted");
+    };
     if matches.opt_present("check") {
-        println!("the settings are accepted");
-        return Ok(());
+        return check(&path);
+    }
+    match load_settings::<SidecarSettings>(&path) {
+        Ok(settings) => exit_code(run(settings)),
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(USAGE_EXIT)
+        }
     }
-    serve(settings)
 }
 
-fn read_settings(path: String) -> Result<SidecarSettings, MainError> {
-    let text = match std::fs::read_to_string(&path) {
-        Ok(text) => text,
-        Err(error) => return Err(MainError::Read { path, error }),
-    };
-    SidecarSettings::try_from(text.as_str()).map_err(|error| MainError::Settings { path, error })
+fn usage(options: &Options, error: &str) -> ExitCode {
+    eprintln!("rosebend-sidecar: {error}\n{}", options.usage(BRIEF));
+    ExitCode::from(USAGE_EXIT)
+}
+
+fn check(path: &Path) -> ExitCode {
+    match check_settings(path, |settings: &SidecarSettings| &settings.tokens_file) {
+        Ok(text) => {
+            println!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(text) => {
+            eprintln!("{text}");
+            ExitCode::from(USAGE_EXIT)
+        }
+    }
+}
+
+fn exit_code(ran: Result<(), RunError>) -> ExitCode {
+    match ran {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("rosebend-sidecar: {error}");
+            ExitCode::FAILURE
+        }
+    }
 }
 
-fn serve(settings: SidecarSettings) -> Result<(), MainError> {
+fn run(settings: SidecarSettings) -> Result<(), RunError> {
+    init_logging(&settings.log)?;
     actix_rt::System::new().block_on(async move {
-        let terminate = signal(SignalKind::terminate()).map_err(MainError::Signal)?;
-        let interrupt = signal(SignalKind::interrupt()).map_err(MainError::Signal)?;
+        let terminate = signal(SignalKind::terminate())?;
+        let interrupt = signal(SignalKind::interrupt())?;
         let stop = stop_signal(terminate, interrupt);
         process::run(settings, announce, stop).await?;
         Ok(())
@@ -98,8 +115,11 @@
 
 /// Tells whoever started this process where it listens.
 fn announce(bound: Bound) {
-    println!("listening on {}", bound.listen);
-    println!("metrics on {}", bound.metrics_listen);
+    let Bound {
+        listen,
+        metrics_listen,
+    } = bound;
+    println!("listening on {listen} for entries and {metrics_listen} for metrics");
     // Nobody reads when standard output is closed.
-    let _ = std::io::stdout().flush();
+    let _ = io::stdout().flush();
 }
--- a/sidecar/src/process.rs
+++ b/sidecar/src/process.rs
@@ -9,30 +9,31 @@
     future::Future,
     io,
     net::{SocketAddr, TcpListener},
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::Duration,
 };
 
 use actix_rt::Arbiter;
 use futures_util::StreamExt;
 use rosebend_coordination::endpoint::EndpointLimits;
 use rosebend_protocol::peer::sidecar_server::SidecarServer;
-use rosebend_state::id::Incarnation;
-use rosebend_transport::http_server::{self, HttpReply, HttpRequest, HttpServerConfig};
+use rosebend_state::settings::{EndpointKind, SidecarSettings};
+use rosebend_transport::{
+    event::{Event, EventKind, log_event},
+    http_server::{self, HttpReply, HttpRequest, HttpServerConfig},
+    metrics_page::Metrics,
+    peers::MAX_MESSAGE_BYTES,
+};
 use tokio::sync::{mpsc, oneshot};
 use tokio_stream::wrappers::TcpListenerStream;
 
 use crate::{
     control::{Command, Control, Published, Remaining},
     endpoint::Endpoint,
-    metrics::Metrics,
     server::SidecarService,
-    settings::{EndpointKind, SidecarSettings},
 };
 
 /// Commands that wait for the control thread.
 const COMMANDS: usize = 4096;
-/// Largest gRPC message that is read.
-const MAX_MESSAGE_BYTES: usize = 8 << 20;
 /// Silence of a peer's connection before it is pinged.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
 /// Wait for the answer to that ping.
@@ -105,15 +106,18 @@
         let _ = server_stopped.await;
     }));
     on_bound(bound);
+    log_event(&Event::new(EventKind::ProcessStarted).host(&settings.host));
 
     stop.await;
-    leave(&commands, published, settings.stop_timeout).await;
+    log_event(&Event::new(EventKind::ProcessStopping).host(&settings.host));
+    leave(&commands, published, settings.limits.stop_timeout).await;
     drop(stop_server);
     let served = server.await.expect("the server does not panic");
     pages_handle.stop(true).await;
     for thread in threads {
         thread.stop();
     }
+    log_event(&Event::new(EventKind::ProcessStopped).host(&settings.host));
     Ok(served?)
 }
 
@@ -125,12 +129,15 @@
     let (commands, received) = mpsc::channel(COMMANDS);
     let (jobs, received_jobs) = mpsc::unbounded_channel();
     let limits = EndpointLimits {
-        queued: settings.queue_limit,
-        running: settings.max_running,
-        kv_tokens: settings.kv_tokens_limit,
-        retention_bytes: settings.retention_bytes,
+        queued: settings.limits.queue_limit,
+        running: settings.limits.max_running,
+        kv_tokens: match settings.kind {
+            EndpointKind::Engine => settings.limits.kv_tokens_limit,
+            EndpointKind::Service => u64::MAX,
+        },
+        retention_bytes: settings.limits.retention_bytes,
     };
-    let (control, published) = Control::new(new_incarnation(), limits, jobs, metrics);
+    let (control, published) = Control::new(rosebend_util::random_id(), limits, jobs, metrics);
     let control_thread = Arbiter::new();
     control_thread.spawn_fn(move || {
         actix_rt::spawn(control.run(received));
@@ -186,9 +193,9 @@
 }
 
 fn page(request: &HttpRequest, metrics: &Metrics, published: &Published) -> HttpReply {
-    const TEXT: &str = "text/plain; version=0.0.4; charset=utf-8";
+    const TEXT: &str = "text/plain; charset=utf-8";
     match request.path.as_str() {
-        "/metrics" => HttpReply::bytes(200, TEXT, metrics.page()),
+        "/metrics" => metrics.reply(),
         "/healthz" => HttpReply::bytes(200, TEXT, "ok\n"),
         "/readyz" if published.load.borrow().leaving => HttpReply::bytes(503, TEXT, "leaving\n"),
         "/readyz" => HttpReply::bytes(200, TEXT, "ok\n"),
@@ -231,13 +238,3 @@
         .local_addr()
         .map_err(|error| ProcessError::Listen { address, error })
 }
-
-/// A name that no other run has: the time, the process and a random number.
-fn new_incarnation() -> Incarnation {
-    use std::hash::{BuildHasher, RandomState};
-    let time_us = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |time| time.as_micros());
-    let random = RandomState::new().hash_one(time_us);
-    format!("{time_us:x}-{:x}-{random:x}", std::process::id())
-}
--- a/sidecar/src/server.rs
+++ b/sidecar/src/server.rs
@@ -11,7 +11,10 @@
     outcome::{Refusal, RefusalReason},
 };
 use rosebend_protocol::peer::{self, AnswerEvent, CallKind, sidecar_server::Sidecar};
-use rosebend_state::id::{self, AvailabilityZone, CallId, HostId, ProgramId};
+use rosebend_state::{
+    id::{self, AvailabilityZone, CallId, HostId, ProgramId},
+    settings::EndpointKind,
+};
 use tokio::sync::{mpsc, oneshot};
 use tonic::{Request, Response, Status};
 
@@ -20,7 +23,6 @@
     control::{Command, DispatchReply, OrderReply, Published},
     convert::{self, MessageError},
     endpoint::EndpointRequest,
-    settings::EndpointKind,
 };
 
 /// Longest silence on a stream of answers.
@@ -90,7 +92,12 @@
         spec.attempt = raw.attempt;
         spec.repeatable = raw.repeatable;
         spec.record = Arc::from(raw.record.as_ref());
-        spec.kv_tokens = raw.prompt_tokens.saturating_add(raw.max_answer_tokens);
+        spec.fingerprint = fingerprint(&raw);
+        spec.prompt_tokens = raw.prompt_tokens;
+        spec.max_answer_tokens = raw.max_answer_tokens;
+        spec.attained_tokens = raw.attained_tokens;
+        spec.program_age = Duration::from_millis(raw.program_age_ms);
+        spec.share_weight = raw.share_weight;
         spec.deadline = (raw.deadline_ms > 0).then(|| Duration::from_millis(raw.deadline_ms));
         spec.alone = raw.alone;
         match (kind, self.kind) {
@@ -304,6 +311,15 @@
     Ok(body.into())
 }
 
+/// Hash of the request's fingerprint; zero when it is not told.
+fn fingerprint(raw: &peer::DispatchRequest) -> u64 {
+    if raw.fingerprint.is_empty() {
+        return 0;
+    }
+    let target = raw.target.as_bytes();
+    rosebend_util::hash_parts(&[raw.fingerprint.as_bytes(), target]).max(1)
+}
+
 fn order_reply(outcome: OrderReply) -> peer::OrderReply {
     let refusal = match outcome {
         OrderReply::Done => None,
--- a/sidecar/tests/calls.rs
+++ b/sidecar/tests/calls.rs
@@ -223,7 +223,7 @@
 #[actix_rt::test]
 async fn bad_messages_are_refused_as_invalid() {
     let engine = Fake::start();
-    let sidecar = TestSidecar::start("engine", engine.address, "kv_tokens_limit = 100");
+    let sidecar = TestSidecar::start("engine", engine.address, "kv_tokens_limit = 2000");
     let mut client = sidecar.client().await;
     let run = incarnation(&mut client).await;
     let good = model_call(CALL, &run, 20);
@@ -237,7 +237,7 @@
         let refusal = dispatch(&mut client, request).await.refusal.unwrap();
         assert_eq!(refusal.reason(), RefusalReason::Invalid, "{refusal:?}");
     }
-    let large = model_call(CALL, &run, 200);
+    let large = model_call(CALL, &run, 2000);
     let refusal = dispatch(&mut client, large).await.refusal.unwrap();
     assert_eq!(refusal.reason(), RefusalReason::TooLarge);
     let refusal = dispatch(&mut client, tool_call(CALL, &run))
--- a/sidecar/tests/support/fake.rs
+++ b/sidecar/tests/support/fake.rs
@@ -12,6 +12,7 @@
 use rosebend_transport::http_server::{
     self, HttpReply, HttpRequest, HttpServerConfig, ReplyBody, StreamPiece,
 };
+use serde_json::json;
 use tokio::sync::{mpsc, watch};
 
 /// What the fake does and has seen.
@@ -120,8 +121,11 @@
         ("GET", ["v1", "requests", id]) => resume(&request, id, &state, gate),
         ("GET", ["kv"]) => {
             let held = &state.lock().unwrap().held;
-            let held: BTreeMap<_, _> = held.iter().map(|name| (name.clone(), 100)).collect();
-            HttpReply::json(200, &held)
+            let holds: Vec<_> = held
+                .iter()
+                .map(|name| json!({"name": name, "tokens": 100}))
+                .collect();
+            HttpReply::json(200, &json!({"holds": holds}))
         }
         ("DELETE", ["kv", name]) => {
             let mut state = state.lock().unwrap();
--- a/sidecar/tests/support/mod.rs
+++ b/sidecar/tests/support/mod.rs
@@ -10,10 +10,8 @@
     AnswerEvent, CallKind, DispatchRequest, Failure, Fence, Finished, Refusal, ResumeRequest,
     StatusRequest, answer_event::Event, sidecar_client::SidecarClient,
 };
-use rosebend_sidecar::{
-    process::{self, Bound},
-    settings::SidecarSettings,
-};
+use rosebend_sidecar::process::{self, Bound};
+use rosebend_state::settings::{Document, SidecarSettings};
 use tokio::sync::oneshot;
 use tonic::{Streaming, transport::Channel};
 
@@ -27,17 +25,28 @@
 }
 
 impl TestSidecar {
-    pub fn start(kind: &str, endpoint: SocketAddr, more: &str) -> Self {
-        let stop = match more.contains("stop_timeout_ms") {
+    pub fn start(kind: &str, endpoint: SocketAddr, limits: &str) -> Self {
+        Self::start_with_platform(kind, endpoint, limits, "http://127.0.0.1:9")
+    }
+
+    pub fn start_with_platform(
+        kind: &str,
+        endpoint: SocketAddr,
+        limits: &str,
+        platform: &str,
+    ) -> Self {
+        let stop = match limits.contains("stop_timeout_ms") {
             true => "",
             false => "stop_timeout_ms = 100",
         };
         let text = format!(
             "[sidecar]\nhost = agent-llm-1\navailability_zone = newport-hall\n\
-             listen = 127.0.0.1:0\nkind = {kind}\nendpoint_url = http://{endpoint}\n\
-             platform_url = http://127.0.0.1:9\n{more}\n{stop}\n"
+             listen = 127.0.0.1:0\nmetrics_listen = 127.0.0.1:0\nkind = {kind}\n\
+             endpoint_url = http://{endpoint}\n[limits]\n{limits}\n{stop}\n\
+             [platform]\nurl = {platform}\n[auth]\ntokens_file = tokens\n"
         );
-        let settings = SidecarSettings::try_from(text.as_str()).unwrap();
+        let document = Document::try_from(text.as_bytes()).unwrap();
+        let settings = SidecarSettings::try_from(&document).unwrap();
         let (stop, stopped) = oneshot::channel();
         let (tell, told) = mpsc::channel();
         let thread = std::thread::spawn(move || {
--- a/state/src/settings/sidecar.rs
+++ b/state/src/settings/sidecar.rs
@@ -1,6 +1,6 @@
 //! Settings of `rosebend-sidecar`.
 
-use std::{net::SocketAddr, path::PathBuf};
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -61,6 +61,8 @@
     pub kv_tokens_limit: u64,
     /// Calls that may run at the endpoint at once.
     pub max_running: usize,
+    /// How long a stopping sidecar waits for owners to acknowledge answers.
+    pub stop_timeout: Duration,
 }
 
 const SIDECAR_SECTION: SectionSchema = SectionSchema {
@@ -132,6 +134,12 @@
             presence: Presence::Default("64"),
             meaning: "Calls that may run at the endpoint at once.",
         },
+        Key {
+            name: "stop_timeout_ms",
+            kind: KeyKind::Number(Unit::Milliseconds, 0..=3_600_000),
+            presence: Presence::Default("20000"),
+            meaning: "How long a stopping sidecar, with nothing in flight any more, waits until owners have made the retained answers durable.",
+        },
     ],
 };
 
@@ -164,6 +172,7 @@
                 queue_limit: values.size("limits", "queue_limit"),
                 kv_tokens_limit: values.number("limits", "kv_tokens_limit"),
                 max_running: values.size("limits", "max_running"),
+                stop_timeout: values.duration("limits", "stop_timeout_ms"),
             },
             platform: common::platform(&values),
             tokens_file: common::tokens_file(&values),
