Count the delay that a cold prompt causes to others

Cause: the router moved programs too eagerly: 7.6 % recomputed on coastal. Change: the prefill of the cold part is multiplied by the running calls.

--- a/coordination/src/routing.rs
+++ b/coordination/src/routing.rs
@@ -496,11 +496,13 @@
         let endpoint = &self.endpoints[index];
         let load = endpoint.estimate(scoring.corrects_reports);
         let cold_tokens = request.prompt_tokens - self.warm_tokens(request, index);
-        let prefill_us = (load.queued_tokens + cold_tokens) * load.prefill_token_us;
+        let wait_us = load.queued_tokens * load.prefill_token_us;
+        // Every running answer waits while this prompt is computed.
+        let prefill_us = cold_tokens * load.prefill_token_us * (1 + load.running);
         let decode_us = answer_tokens * load.token_us;
         // A waiting call starts when one of the running ones ends.
         let slot_us = load.queued * decode_us / load.running.max(1);
-        prefill_us + slot_us + decode_us + self.hop_us(endpoint)
+        wait_us + prefill_us + slot_us + decode_us + self.hop_us(endpoint)
     }
 
     fn hop_us(&self, endpoint: &Endpoint) -> u64 {
