Count a warm shared prefix once in the queue's memory

Cause: each program was charged for the whole rule book it shares. Also mended in the replay: a hold ends when its call is admitted, and one whose pause is over no longer expires; an engine that is busy no longer counts as short of memory.

--- a/coordination/src/queue.rs
+++ b/coordination/src/queue.rs
@@ -17,13 +17,15 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
-use rosebend_state::id::{CallId, CustomerId, ProgramId};
+use rosebend_state::id::{CallId, CustomerId};
 
 use crate::speed::Speed;
 
+mod memory;
 mod order;
 mod waiting;
 
+use self::memory::{Footprint, KvMemory};
 pub use self::order::{Order, ProgramOrder};
 pub use self::waiting::{
     ANSWER_TOKEN_COST, Admission, LoadView, QueueSettings, Refusal, RefusalReason, Waiting,
@@ -42,11 +44,10 @@
 
 #[derive(Debug)]
 struct Running {
-    root: ProgramId,
+    footprint: Footprint,
     share: CustomerId,
     share_weight: u64,
     max_answer_tokens: u64,
-    own_kv_tokens: u64,
     pending_tokens: u64,
     admitted_at: Duration,
     first_token_at: Option<Duration>,
@@ -61,13 +62,6 @@
     running: usize,
 }
 
-/// KV tokens that running calls of one root program have in common.
-#[derive(Debug, Default)]
-struct SharedPrefix {
-    calls: usize,
-    tokens: u64,
-}
-
 /// The calls waiting before one endpoint and those running on it.
 ///
 /// ```
@@ -87,6 +81,7 @@
 ///     program_age: Duration::ZERO,
 ///     deadline: None,
 ///     warm_tokens: 0,
+///     shared_prefix: None,
 ///     alone: false,
 /// };
 /// queue.push(Duration::ZERO, waiting).expect("the queue is empty");
@@ -108,12 +103,11 @@
     /// Exactly the customers with waiting calls, least served first.
     backlogged: BTreeSet<(u64, CustomerId)>,
     deadlines: BTreeSet<(Duration, u64)>,
-    prefixes: HashMap<ProgramId, SharedPrefix>,
+    memory: KvMemory,
     next_ticket: u64,
     /// Service of the customer admitted last; a customer that comes back
     /// after a pause starts from here and saves up nothing.
     virtual_tokens: u64,
-    kv_tokens_in_flight: u64,
     pending_tokens: u64,
     alone_running: bool,
     speed: Speed,
@@ -130,10 +124,9 @@
             shares: BTreeMap::new(),
             backlogged: BTreeSet::new(),
             deadlines: BTreeSet::new(),
-            prefixes: HashMap::new(),
+            memory: KvMemory::default(),
             next_ticket: 0,
             virtual_tokens: 0,
-            kv_tokens_in_flight: 0,
             pending_tokens: 0,
             alone_running: false,
             speed: Speed::default(),
@@ -213,7 +206,7 @@
             self.speed.decoded(answer_tokens, now.saturating_sub(first));
         }
         self.pending_tokens -= running.pending_tokens;
-        self.release_kv(&running);
+        self.memory.release(&running.footprint);
         if running.alone {
             self.alone_running = false;
         }
@@ -262,7 +255,7 @@
         LoadView {
             running: self.running.len() as u64,
             queued: self.waiting.len() as u64,
-            kv_tokens_in_flight: self.kv_tokens_in_flight,
+            kv_tokens_in_flight: self.memory.tokens(),
             kv_tokens_limit: self.settings.kv_tokens_limit,
             queued_tokens: self.pending_tokens,
             token_us: self.speed.token_us(),
@@ -345,41 +338,23 @@
         if waiting.alone || self.alone_running {
             return false;
         }
-        let kv_tokens = self.kv_tokens_in_flight + self.added_kv_tokens(waiting);
+        let kv_tokens = self.memory.tokens_with(&Footprint::of(waiting));
         self.running.len() < self.settings.max_running && kv_tokens <= self.settings.kv_tokens_limit
     }
 
-    /// Warm tokens are counted once for the calls of one root program, since
-    /// they run on the same blocks.
-    fn added_kv_tokens(&self, waiting: &Waiting) -> u64 {
-        let root = waiting.call.program.root();
-        let shared_tokens = self.prefixes.get(&root).map_or(0, |p| p.tokens);
-        let warm_tokens = waiting.warm_tokens.min(waiting.prompt_tokens);
-        waiting.cold_tokens()
-            + waiting.max_answer_tokens
-            + warm_tokens.saturating_sub(shared_tokens)
-    }
-
     fn start(&mut self, now: Duration, entry: Entry) {
         let waiting = entry.waiting;
-        let root = waiting.call.program.root();
-        let own_kv_tokens = waiting.cold_tokens() + waiting.max_answer_tokens;
-        self.kv_tokens_in_flight += self.added_kv_tokens(&waiting);
-        let prefix = self.prefixes.entry(root.clone()).or_default();
-        prefix.calls += 1;
-        prefix.tokens = prefix
-            .tokens
-            .max(waiting.warm_tokens.min(waiting.prompt_tokens));
+        let footprint = Footprint::of(&waiting);
+        self.memory.take(&footprint);
         let share_weight = u64::from(waiting.share_weight.max(1));
         self.charge_share(&entry.share, waiting.cost_tokens() / share_weight);
         self.pending_tokens += waiting.cold_tokens();
         self.alone_running = waiting.alone;
         let running = Running {
-            root,
+            footprint,
             share: entry.share,
             share_weight,
             max_answer_tokens: waiting.max_answer_tokens,
-            own_kv_tokens,
             pending_tokens: waiting.cold_tokens(),
             admitted_at: now,
             first_token_at: None,
@@ -388,19 +363,6 @@
         self.running.insert(waiting.call, running);
     }
 
-    fn release_kv(&mut self, running: &Running) {
-        self.kv_tokens_in_flight -= running.own_kv_tokens;
-        let prefix = self
-            .prefixes
-            .get_mut(&running.root)
-            .expect("a running call has its prefix counted");
-        prefix.calls -= 1;
-        if prefix.calls == 0 {
-            self.kv_tokens_in_flight -= prefix.tokens;
-            self.prefixes.remove(&running.root);
-        }
-    }
-
     fn charge_share(&mut self, name: &CustomerId, tokens: u64) {
         let share = self.shares.get_mut(name).expect("an admitted call has one");
         self.virtual_tokens = self.virtual_tokens.max(share.virtual_tokens);
--- a/coordination/src/queue/waiting.rs
+++ b/coordination/src/queue/waiting.rs
@@ -5,6 +5,7 @@
 use rosebend_state::id::{CallId, CustomerId};
 
 use super::{Order, ProgramOrder};
+use crate::warmth::PrefixId;
 
 /// Decode work of one answer token, in prompt tokens, for fair shares and the
 /// load view. In a full batch one decoded token costs about as much processor
@@ -68,6 +69,9 @@
     pub deadline: Option<Duration>,
     /// Prompt tokens believed to be in the engine's cache.
     pub warm_tokens: u64,
+    /// A prefix that prompts of several programs share, and its length; KV
+    /// memory for it is counted once while it is warm.
+    pub shared_prefix: Option<(PrefixId, u64)>,
     /// Runs with no other call beside it.
     pub alone: bool,
 }
--- a/coordination/tests/queue.rs
+++ b/coordination/tests/queue.rs
@@ -28,6 +28,7 @@
         program_age: Duration::ZERO,
         deadline: None,
         warm_tokens: 0,
+        shared_prefix: None,
         alone: false,
     }
 }
--- a/replay/src/bench.rs
+++ b/replay/src/bench.rs
@@ -113,6 +113,7 @@
                 .is_multiple_of(2)
                 .then(|| Duration::from_secs(60 + n as u64)),
             warm_tokens: (n * 13 % 400) as u64,
+            shared_prefix: Some((n as u64 % 50, 100)),
             alone: false,
         }
     };
--- a/replay/src/fake.rs
+++ b/replay/src/fake.rs
@@ -117,6 +117,7 @@
     running: Vec<Running>,
     private_tokens: u64,
     stepping: bool,
+    lacks_memory: bool,
 }
 
 impl Engine {
@@ -131,6 +132,7 @@
             running: Vec::new(),
             private_tokens: 0,
             stepping: false,
+            lacks_memory: false,
         }
     }
 
@@ -154,9 +156,9 @@
         self.private_tokens * 100 / self.spec.kv_tokens
     }
 
-    /// Whether a call waits inside although the batch has room: memory lacks.
+    /// Whether memory lacked for a call when the last step began.
     pub fn lacks_memory(&self) -> bool {
-        !self.waiting.is_empty() && self.running.len() < self.spec.max_batch
+        self.lacks_memory
     }
 
     /// Begins a step and tells how long it takes; none when there is nothing
@@ -268,6 +270,7 @@
     /// Admits waiting calls in their order; tells the time of imports.
     fn admit(&mut self, now_us: u64) -> u64 {
         let mut import_us = 0;
+        self.lacks_memory = false;
         while self.running.len() < self.spec.max_batch {
             let Some(call) = self.waiting.front() else {
                 break;
@@ -282,6 +285,7 @@
                 if let Some(last) = last {
                     self.cache.unpin(last);
                 }
+                self.lacks_memory = true;
                 break;
             }
             let call = self.waiting.pop_front().expect("it is in front");
--- a/replay/src/replay.rs
+++ b/replay/src/replay.rs
@@ -496,6 +496,7 @@
             // A caller whose deadline has passed still waits for the end.
             deadline: (deadline_us > self.now_us).then(|| Duration::from_micros(deadline_us)),
             warm_tokens: call.warm_tokens,
+            shared_prefix: thread.shared,
             alone: false,
         }
     }
@@ -563,6 +564,8 @@
                     path,
                     is_prompt: true,
                 });
+                let thread = call.thread;
+                self.hold_served(thread, site);
             }
             (
                 Work::Tool {
@@ -662,9 +665,7 @@
             is_prompt: false,
         });
         self.roots[thread.root].attained_tokens += prompt_tokens - cached_tokens + answer.tokens;
-        let thread = call.thread;
         self.note_served(index, answer);
-        self.hold_served(thread, site);
         self.call_done(site, index, answer.tokens);
     }
 
--- a/replay/src/replay/holds.rs
+++ b/replay/src/replay/holds.rs
@@ -35,7 +35,8 @@
         self.pauses[self.roots[root].entry].observe(&tool, pause);
     }
 
-    /// Frees a thread's holds after its call ran at a site.
+    /// Frees a thread's holds when its next call is admitted at a site, whose
+    /// engine keeps what it runs on.
     pub(super) fn hold_served(&mut self, thread: usize, site: usize) {
         for other in 0..self.sites.len() {
             let hold_use = if other == site {
@@ -48,6 +49,9 @@
     }
 
     pub(super) fn hold_expires(&mut self, thread: usize, since_us: u64) {
+        if self.threads[thread].paused.is_none() {
+            return;
+        }
         let Some(site) = self.threads[thread].last_site else {
             return;
         };
