Free the cache of ended programs in the replay

Cause: what ended programs leave in the cache drives out paused ones, and an export took the shared rule book with it. Change: a program or sub-agent that ends frees what it alone had; an export takes only the program's own part.

--- a/replay/src/policies.rs
+++ b/replay/src/policies.rs
@@ -34,6 +34,8 @@
     pub routing: RoutingPolicy,
     /// What is done with KV memory in a pause.
     pub pause: PausePolicy,
+    /// Frees the cache of programs and sub-agents that have ended.
+    pub frees_ended: bool,
     /// Bounds retries.
     pub retry_budget: bool,
 }
@@ -49,6 +51,7 @@
             queue_before_engine: true,
             routing: RoutingPolicy::Scored(Scoring::default()),
             pause: PausePolicy::Learned { can_export: true },
+            frees_ended: true,
             retry_budget: true,
         }
     }
@@ -71,6 +74,7 @@
             queue_before_engine: false,
             routing,
             pause: PausePolicy::AlwaysDrop,
+            frees_ended: false,
             retry_budget: true,
         }
     }
@@ -157,6 +161,10 @@
                 pause: PausePolicy::Learned { can_export: false },
                 ..without("-export")
             },
+            Self {
+                frees_ended: false,
+                ..without("-free-ended")
+            },
             Self {
                 retry_budget: false,
                 ..without("-retry-budget")
--- a/replay/src/program.rs
+++ b/replay/src/program.rs
@@ -49,6 +49,8 @@
     pub paused: Option<(String, u64)>,
     /// The endpoint of its last model call.
     pub last_site: Option<usize>,
+    /// Segments at the start of its history that others may use as well.
+    pub shared_segments: usize,
     /// A prefix that it shares with other programs, by the last segment, and
     /// its length.
     pub shared: Option<(SegmentId, u64)>,
@@ -71,6 +73,7 @@
             exported_tokens: 0,
             paused: None,
             last_site: None,
+            shared_segments: usize::from(spec.prefix.is_some()),
             shared: spec.prefix,
             steps: spec.steps.clone(),
             position: 0,
@@ -92,6 +95,7 @@
             exported_tokens: 0,
             paused: None,
             last_site: thread.last_site,
+            shared_segments: thread.path.len(),
             shared: thread.path.last().map(|s| (s.id, thread.history_tokens())),
             steps,
             position: 0,
@@ -119,6 +123,11 @@
         }
     }
 
+    /// The part of its history that no other program has.
+    pub fn own_path(&self) -> &[Segment] {
+        &self.path[self.shared_segments..]
+    }
+
     /// Length of the history.
     pub fn history_tokens(&self) -> u64 {
         self.path.iter().map(|segment| segment.tokens).sum()
--- a/replay/src/replay/holds.rs
+++ b/replay/src/replay/holds.rs
@@ -63,10 +63,21 @@
         }
     }
 
+    /// A thread has ended: its holds go, and what it alone had in the cache.
     pub(super) fn free_everywhere(&mut self, thread: usize) {
         for site in 0..self.sites.len() {
             self.free(site, thread, HoldUse::Unused);
         }
+        if !self.policy.frees_ended {
+            return;
+        }
+        if let Some(site) = self.threads[thread].last_site
+            && let Some(engine) = self.sites[site].engine()
+        {
+            engine
+                .cache
+                .remove_unshared(self.threads[thread].own_path());
+        }
     }
 
     pub(super) fn free_all_of_site(&mut self, site: usize) {
@@ -122,11 +133,12 @@
 
     fn export(&mut self, thread: usize, site: usize) {
         self.measures.count("pause-export");
-        let path = self.threads[thread].path.clone();
         let Some(engine) = self.sites[site].engine() else {
             return;
         };
-        let freed_tokens = engine.cache.remove_unshared(&path);
+        let freed_tokens = engine
+            .cache
+            .remove_unshared(self.threads[thread].own_path());
         self.threads[thread].exported_tokens = freed_tokens;
     }
 }
