--- a/replay/src/command.rs
+++ b/replay/src/command.rs
@@ -1,4 +1,4 @@
-//! The command line: `policy`, `generate` and `bench`.
+//! The command line: `policy`, `generate`, `bench` and `run`.
 
 use std::path::Path;
 
@@ -9,6 +9,7 @@
 use crate::program::offered_percent;
 use crate::replay::Replay;
 use crate::report::{Row, TraceReport};
+use crate::run_program::{self, RunError};
 use crate::trace::{Trace, TraceError};
 use crate::{bench, plot};
 
@@ -16,7 +17,8 @@
 const USAGE: &str = "rosebend-replay policy [--load PERCENT] [--set NAME=VALUE] [--only POLICY] \
 [--baselines] [--seed N] [--json FILE] [--svg FILE] TRACE...
 rosebend-replay generate SCENARIO [--seed N] [--programs N] [--load PERCENT]
-rosebend-replay bench";
+rosebend-replay bench
+rosebend-replay run --entry URL... --token-file FILE --program FILE [--effects URL --effect KEY]";
 
 /// What a command printed.
 #[derive(Debug)]
@@ -49,6 +51,9 @@
         /// Why.
         source: TraceError,
     },
+    /// A program did not run to its end.
+    #[error(transparent)]
+    Run(#[from] RunError),
     /// A scenario is not known.
     #[error(transparent)]
     Scenario(#[from] UnknownScenario),
@@ -66,10 +71,53 @@
         "policy" => policy(rest),
         "generate" => generate(rest),
         "bench" => Ok(output(bench::run())),
+        "run" => run_program(rest),
         other => Err(CommandError::Usage(format!("unknown command {other:?}"))),
     }
 }
 
+fn run_program(arguments: &[String]) -> Result<Output, CommandError> {
+    let mut options = Options::new();
+    options.optmulti(
+        "",
+        "entry",
+        "base URL of an entry; calls go to all in turn",
+        "URL",
+    );
+    options.optopt("", "token-file", "file with the customer's token", "FILE");
+    options.optopt("", "program", "the program, in JSON", "FILE");
+    options.optopt("", "effects", "base URL of a service stand-in", "URL");
+    options.optopt("", "effect", "effect that must have happened once", "KEY");
+    let matches = parse(&options, arguments)?;
+    let wanted = |name: &str| {
+        let value = matches.opt_str(name);
+        value.ok_or_else(|| CommandError::Usage(format!("--{name} is wanted")))
+    };
+    let token_file = wanted("token-file")?;
+    let token = read(&token_file)?.trim().to_owned();
+    let program_file = wanted("program")?;
+    let program = serde_json::from_str(&read(&program_file)?)
+        .map_err(|error| CommandError::Usage(format!("{program_file}: {error}")))?;
+    let entries = matches.opt_strs("entry");
+    if entries.is_empty() {
+        return Err(CommandError::Usage("--entry is wanted".to_owned()));
+    }
+    let effect = matches.opt_str("effects").zip(matches.opt_str("effect"));
+    let report = run_program::run_blocking(entries, token, &program, effect)?;
+    Ok(Output {
+        text: report.to_string(),
+        holds: report.holds(),
+    })
+}
+
+fn read(path: &str) -> Result<String, CommandError> {
+    let text = std::fs::read_to_string(path);
+    text.map_err(|source| CommandError::File {
+        path: path.to_owned(),
+        source,
+    })
+}
+
 fn output(text: String) -> Output {
     Output { text, holds: true }
 }
--- a/replay/src/lib.rs
+++ b/replay/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! [`trace`] reads a trace, [`replay`] runs it under a virtual clock against
 //! the fakes in [`fake`], [`policies`] lists what is compared, and [`report`]
-//! writes the outcome. [`generate`] makes the committed traces.
+//! writes the outcome. [`generate`] makes the committed traces. [`run_program`]
+//! runs a program against real entries.
 
 pub mod bench;
 pub mod cache;
@@ -16,6 +17,7 @@
 pub mod program;
 pub mod replay;
 pub mod report;
+pub mod run_program;
 pub mod shares;
 pub mod site;
 pub mod trace;
--- a/cli/src/run_program.rs
+++ b/replay/src/run_program.rs
@@ -4,10 +4,13 @@
 //! with a key and a position, so that any entry may take any of them. The run
 //! fails when an answer is not whole.
 
+use std::fmt;
 use std::time::{Duration, Instant};
 
-use awc::{Client, ClientRequest};
-use futures_util::{FutureExt, StreamExt, future::LocalBoxFuture};
+use awc::error::PayloadError;
+use awc::{Client, ClientRequest, ClientResponse};
+use bytes::Bytes;
+use futures_util::{FutureExt, Stream, StreamExt, future::LocalBoxFuture};
 use serde::Deserialize;
 use serde_json::{Value, json};
 
@@ -111,6 +114,109 @@
     pub whole_ms: u64,
 }
 
+/// What a whole run gave.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RunReport {
+    /// The steps, in the order in which they ended.
+    pub steps: Vec<StepResult>,
+    /// The program as its owner shows it.
+    pub program: Value,
+    /// An effect, and how often the service counts it.
+    pub effect: Option<(String, u64)>,
+}
+
+impl RunReport {
+    /// Whether the effect that was asked about happened exactly once.
+    pub fn holds(&self) -> bool {
+        self.effect.as_ref().is_none_or(|(_, count)| *count == 1)
+    }
+}
+
+impl fmt::Display for RunReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{:<22} {:<22} {:<24} {:>8} {:>8}  answer",
+            "program", "call", "entry", "first", "whole"
+        )?;
+        for step in &self.steps {
+            let StepResult {
+                session,
+                step,
+                entry,
+                answer,
+                first_ms,
+                whole_ms,
+            } = step;
+            writeln!(
+                f,
+                "{session:<22} {step:<22} {entry:<24} {first_ms:>5} ms {whole_ms:>5} ms  {answer}"
+            )?;
+        }
+        writeln!(f, "\nhistory, as the owner shows it:")?;
+        for call in self.program["calls"].as_array().into_iter().flatten() {
+            writeln!(
+                f,
+                "  {:>3} {:<6} {:<14} {}",
+                call["sequence"],
+                text(&call["kind"]),
+                text(&call["target"]),
+                text(&call["stage"])
+            )?;
+        }
+        writeln!(
+            f,
+            "budget: {} of {} tokens spent",
+            self.program["spent_tokens"], self.program["budget_tokens"]
+        )?;
+        if let Some((key, count)) = &self.effect {
+            writeln!(f, "effects of {key}, as the service counts them: {count}")?;
+        }
+        Ok(())
+    }
+}
+
+fn text(value: &Value) -> &str {
+    value.as_str().unwrap_or_default()
+}
+
+/// Runs a program to its end, and asks a service stand-in how often an effect
+/// (the stand-in's base URL, and the effect's key) happened.
+///
+/// # Errors
+///
+/// Fails when an answer is not whole, or the stand-in does not answer.
+pub fn run_blocking(
+    entries: Vec<String>,
+    token: String,
+    program: &ProgramFile,
+    effect: Option<(String, String)>,
+) -> Result<RunReport, RunError> {
+    actix_rt::System::new().block_on(async {
+        let (steps, program) = Runner::new(entries, token).run(program).await?;
+        let effect = match effect {
+            Some((url, key)) => Some((key.clone(), count_effects(&url, &key).await?)),
+            None => None,
+        };
+        Ok(RunReport {
+            steps,
+            program,
+            effect,
+        })
+    })
+}
+
+async fn count_effects(url: &str, key: &str) -> Result<u64, RunError> {
+    let name = format!("GET {url}/effects");
+    let request = Client::default().get(format!("{url}/effects"));
+    let mut reply = send(request, None, &name).await?;
+    let effects: Value = reply
+        .json()
+        .await
+        .map_err(|error| transport(&name, &error))?;
+    Ok(effects["keys"][key].as_u64().unwrap_or(0))
+}
+
 /// Runs programs against some entries.
 #[derive(Debug)]
 pub struct Runner {
@@ -123,7 +229,12 @@
 impl Runner {
     /// A runner that goes through `entries` (base URLs, at least one) in turn.
     pub fn new(entries: Vec<String>, token: String) -> Self {
-        Self { entries, token, turn: 0, results: Vec::new() }
+        Self {
+            entries,
+            token,
+            turn: 0,
+            results: Vec::new(),
+        }
     }
 
     /// Runs a program to its end, and returns the results of its steps and the
@@ -132,9 +243,14 @@
     /// # Errors
     ///
     /// Fails at the first step whose answer is not whole.
-    pub async fn run(mut self, program: &ProgramFile) -> Result<(Vec<StepResult>, Value), RunError> {
-        self.open(&program.session, Some(program.budget_tokens)).await?;
-        self.steps(program.session.clone(), program.steps.clone()).await?;
+    pub async fn run(
+        mut self,
+        program: &ProgramFile,
+    ) -> Result<(Vec<StepResult>, Value), RunError> {
+        self.open(&program.session, Some(program.budget_tokens))
+            .await?;
+        self.steps(program.session.clone(), program.steps.clone())
+            .await?;
         let path = format!("/v1/sessions/{}", program.session);
         let shown = self.json("GET", &path, &[], None).await?;
         Ok((self.results, shown))
@@ -142,10 +258,16 @@
 
     async fn open(&mut self, session: &str, budget_tokens: Option<u64>) -> Result<(), RunError> {
         let body = json!({"session": session, "budget_tokens": budget_tokens});
-        self.json("POST", "/v1/sessions", &[], Some(&body)).await.map(|_| ())
+        self.json("POST", "/v1/sessions", &[], Some(&body))
+            .await
+            .map(|_| ())
     }
 
-    fn steps(&mut self, session: String, steps: Vec<Step>) -> LocalBoxFuture<'_, Result<(), RunError>> {
+    fn steps(
+        &mut self,
+        session: String,
+        steps: Vec<Step>,
+    ) -> LocalBoxFuture<'_, Result<(), RunError>> {
         async move {
             let mut messages = Vec::new();
             let mut sequence = 0;
@@ -177,7 +299,11 @@
                 self.open(&session, None).await?;
                 self.steps(session, steps).await
             }
-            Step::Model { model, prompt, max_tokens } => {
+            Step::Model {
+                model,
+                prompt,
+                max_tokens,
+            } => {
                 messages.push(json!({"role": "user", "content": prompt}));
                 let body = json!({
                     "model": model,
@@ -189,8 +315,14 @@
                 messages.push(json!({"role": "assistant", "content": answer}));
                 Ok(())
             }
-            Step::Tool { tool, repeatable, body } => {
-                let answer = self.tool(session, sequence, &tool, repeatable, &body).await?;
+            Step::Tool {
+                tool,
+                repeatable,
+                body,
+            } => {
+                let answer = self
+                    .tool(session, sequence, &tool, repeatable, &body)
+                    .await?;
                 messages.push(json!({"role": "user", "content": answer}));
                 Ok(())
             }
@@ -220,9 +352,16 @@
             first.get_or_insert_with(|| started.elapsed());
             text.push_str(&String::from_utf8_lossy(&chunk));
         }
-        let answer = whole_answer(&text).ok_or(RunError::Cut(name))?;
+        let answer = whole_answer(&text).ok_or_else(|| RunError::Cut(name.clone()))?;
         let first = first.unwrap_or_default();
-        self.note(session, format!("{sequence} model {model}"), entry, &answer, first, started.elapsed());
+        self.note(
+            session,
+            format!("{sequence} model {model}"),
+            entry,
+            &answer,
+            first,
+            started.elapsed(),
+        );
         Ok(answer)
     }
 
@@ -248,7 +387,14 @@
         let bytes = bytes.map_err(|error| transport(&name, &error))?;
         let answer = String::from_utf8_lossy(&bytes).into_owned();
         let time = started.elapsed();
-        self.note(session, format!("{sequence} tool {tool}"), entry, &answer, time, time);
+        self.note(
+            session,
+            format!("{sequence} tool {tool}"),
+            entry,
+            &answer,
+            time,
+            time,
+        );
         Ok(answer)
     }
 
@@ -287,7 +433,11 @@
         if !reply.status().is_success() {
             return Err(problem(&name, &mut reply).await);
         }
-        reply.json().limit(MAX_ANSWER_BYTES).await.map_err(|error| transport(&name, &error))
+        reply
+            .json()
+            .limit(MAX_ANSWER_BYTES)
+            .await
+            .map_err(|error| transport(&name, &error))
     }
 
     fn request(
@@ -322,14 +472,11 @@
     ]
 }
 
-type Reply = awc::ClientResponse<actix_http_payload::Payload>;
-
-mod actix_http_payload {
-    //! The payload type of a reply, under a short name.
-    pub(super) type Payload = awc::http::Payload;
-}
-
-async fn send(request: ClientRequest, body: Option<&Value>, name: &str) -> Result<Reply, RunError> {
+async fn send(
+    request: ClientRequest,
+    body: Option<&Value>,
+    name: &str,
+) -> Result<ClientResponse<impl Stream<Item = Result<Bytes, PayloadError>> + Unpin>, RunError> {
     let sent = match body {
         Some(body) => request.send_json(body).await,
         None => request.send().await,
@@ -338,10 +485,16 @@
 }
 
 fn transport(request: &str, error: &dyn std::fmt::Display) -> RunError {
-    RunError::Transport { request: request.to_owned(), detail: error.to_string() }
+    RunError::Transport {
+        request: request.to_owned(),
+        detail: error.to_string(),
+    }
 }
 
-async fn problem(request: &str, reply: &mut Reply) -> RunError {
+async fn problem<S>(request: &str, reply: &mut ClientResponse<S>) -> RunError
+where
+    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
+{
     let body = reply.body().await.unwrap_or_default();
     RunError::Problem {
         request: request.to_owned(),
@@ -366,7 +519,9 @@
         }
         next_offset += 1;
         let chunk: Value = serde_json::from_str(data).ok()?;
-        let content = chunk.pointer("/choices/0/delta/content").and_then(Value::as_str);
+        let content = chunk
+            .pointer("/choices/0/delta/content")
+            .and_then(Value::as_str);
         text.push_str(content.unwrap_or_default());
     }
     None
