--- a/coordination/src/endpoint/calls/backlog.rs
+++ b/coordination/src/endpoint/calls/backlog.rs
@@ -11,7 +11,7 @@
 use super::{
     Calls, Start,
     intake::stale,
-    record::{CallState, Record},
+    record::{CallState, FailedAttempt, Record},
     spec::CallSpec,
 };
 use crate::queue::{self, Waiting};
@@ -34,9 +34,11 @@
         };
         self.queue.push(now, waiting).map_err(queue_refusal)?;
         let mut record = Record::new(spec, CallState::Queued);
-        let known = self.records.remove(&spec.id);
-        if let Some(CallState::Failed { failure, .. }) = known.map(|known| known.state) {
-            record.earlier = Some(failure);
+        if let Some(known) = self.records.remove(&spec.id)
+            && let CallState::Failed { failure, .. } = known.state
+        {
+            let attempt = known.attempt;
+            record.earlier = Some(FailedAttempt { attempt, failure });
         }
         self.expected_bytes += spec.answer_bytes;
         self.records.insert(spec.id.clone(), record);
@@ -107,8 +109,8 @@
             return;
         };
         record.state = match record.earlier.take() {
-            Some(failure) => CallState::Failed {
-                failure,
+            Some(earlier) => CallState::Failed {
+                failure: earlier.failure,
                 since: now,
             },
             None => CallState::Buried { since: now },
--- a/coordination/src/endpoint/calls/intake.rs
+++ b/coordination/src/endpoint/calls/intake.rs
@@ -34,6 +34,9 @@
                 "another request has this id",
             )));
         }
+        if let Some(failure) = record.failure_of(spec.attempt) {
+            return Some(Dispatched::Ended(failure.clone()));
+        }
         let is_newer = spec.attempt > record.attempt;
         match &record.state {
             CallState::Acknowledged { .. } => {
@@ -52,8 +55,7 @@
 
     /// Why a new call is not taken, apart from the queue.
     pub(super) fn refusal_for(&mut self, now: Duration, spec: &CallSpec) -> Option<Refusal> {
-        let names_no_incarnation = spec.incarnation.is_empty() && spec.repeatable;
-        if spec.incarnation != self.incarnation && !names_no_incarnation {
+        if spec.incarnation != self.incarnation {
             let detail = format!("this run is {}", self.incarnation);
             return Some(Refusal::new(
                 RefusalReason::OtherIncarnation,
--- a/coordination/src/endpoint/calls/mod.rs
+++ b/coordination/src/endpoint/calls/mod.rs
@@ -32,6 +32,10 @@
 /// How long a call that is over is remembered, so that a message delayed or
 /// doubled by less than this does not run it again.
 pub const REMEMBERED: Duration = Duration::from_secs(600);
+/// How long an answer is kept for an owner that does not acknowledge it. It
+/// is far longer than the platform's outages, in which no owner can.
+pub const RETAINED: Duration = Duration::from_secs(2 * 60 * 60);
+
 /// All calls of one endpoint, from their dispatch until they are forgotten.
 ///
 /// A call is handed over at most once in one run of the sidecar, unless it is
@@ -50,7 +54,7 @@
     /// Exactly the calls that are `Running` here.
     running: HashSet<CallId>,
     /// Ended calls in the order in which they ended; some may be gone.
-    ended: VecDeque<CallId>,
+    ended: VecDeque<(Duration, CallId)>,
     /// Calls that are over, in the order in which they are forgotten.
     remembered: VecDeque<(Duration, CallId)>,
     /// Answers released under pressure that the caller has not taken yet.
@@ -183,10 +187,13 @@
         if self.check_fence(fence).is_err() {
             return Vec::new();
         }
-        ids.iter()
+        let dropped = ids
+            .iter()
             .filter(|id| self.acknowledge_one(now, fence, id))
             .cloned()
-            .collect()
+            .collect();
+        self.compact_ended();
+        dropped
     }
 
     /// The calls of some shards that are not acknowledged. A shard with a
@@ -229,6 +236,7 @@
             let refusal = Refusal::new(RefusalReason::Deadline, Duration::ZERO, detail);
             refused.push((id, refusal));
         }
+        self.release_old(now);
         self.forget(now);
         (refused, self.holds.expire(now))
     }
@@ -262,10 +270,11 @@
         match &outcome {
             Outcome::Finished(finished) => {
                 let finished = finished.clone();
+                let bytes = bytes + record.record.len() as u64;
                 record.state = CallState::Finished { finished, bytes };
                 self.retained_bytes += bytes;
                 self.retained += 1;
-                self.ended.push_back(id.clone());
+                self.ended.push_back((now, id.clone()));
             }
             Outcome::Failed(failure) => self.fail(now, id, failure.clone()),
             Outcome::Refused(_) => self.give_up(now, id),
--- a/coordination/src/endpoint/calls/record.rs
+++ b/coordination/src/endpoint/calls/record.rs
@@ -44,8 +44,16 @@
     /// Counted as expected until the call has ended.
     pub(super) answer_bytes: u64,
     pub(super) state: CallState,
-    /// How an earlier attempt of this repeatable call ended here.
-    pub(super) earlier: Option<Failure>,
+    /// The attempt before the current one, when it was handed over here.
+    pub(super) earlier: Option<FailedAttempt>,
+}
+
+/// How an earlier attempt of a repeatable call ended.
+#[derive(Clone, Debug)]
+pub(super) struct FailedAttempt {
+    /// The attempt, and with it all before it.
+    pub(super) attempt: u32,
+    pub(super) failure: Failure,
 }
 
 impl Record {
@@ -84,6 +92,13 @@
         self.fingerprint != 0 && spec.fingerprint != 0 && self.fingerprint != spec.fingerprint
     }
 
+    /// How the attempt that a message names ended, when the call has gone on
+    /// to a later one.
+    pub(super) fn failure_of(&self, attempt: u32) -> Option<&Failure> {
+        let earlier = self.earlier.as_ref()?;
+        (attempt <= earlier.attempt).then_some(&earlier.failure)
+    }
+
     pub(super) fn is_over_since(&self, time: Duration) -> bool {
         match self.state {
             CallState::Buried { since }
--- a/coordination/src/endpoint/calls/spec.rs
+++ b/coordination/src/endpoint/calls/spec.rs
@@ -42,8 +42,8 @@
     pub fence: Fence,
     /// Counts dispatches of this call over all owners, from 1.
     pub attempt: u32,
-    /// The run of the sidecar that the owner chose; empty only when
-    /// repeatable.
+    /// The run of the sidecar that the owner chose. What this run remembers
+    /// is gone in the next, so the next one refuses the message.
     pub incarnation: Incarnation,
     /// Hash of the request's fingerprint; zero when it is not told.
     pub fingerprint: u64,
