Read the shard's row before each order to an engine

Cause: a restarted sidecar, or one that the newest owner never spoke to, took orders from an old owner; some engines ignore fencing numbers.

Ruled out: reading the row once after the start (the old owner's later orders pass); refusing in the sidecar's first minutes only.

Change: an order waits for the row of its shard, and what the row says counts as seen; without the table no order is taken. Events for crashes, leaving, full retention and refused orders.

Seen to fail: with the row's epoch read as zero, the order of the old owner went to the engine.

Partial: which orders were done is forgotten in a restart of the sidecar, so their sender must not repeat one that it has recorded as done.

--- a/coordination/src/endpoint/calls/mod.rs
+++ b/coordination/src/endpoint/calls/mod.rs
@@ -282,6 +282,11 @@
         outcome
     }
 
+    /// Whether a crash with these suspects has just been noticed.
+    pub fn is_first_of_crash(&self, suspects: &[CallId]) -> bool {
+        self.suspects.is_first(suspects)
+    }
+
     /// Takes no new work from now on; returns the waiting calls, which are
     /// refused.
     pub fn leave(&mut self, now: Duration) -> Vec<(CallId, Refusal)> {
--- a/coordination/src/endpoint/order.rs
+++ b/coordination/src/endpoint/order.rs
@@ -1,11 +1,17 @@
 //! Orders to the engine: fenced, one at a time, each done once.
 //!
 //! Some engines refuse an order that carries an old fencing number and others
-//! ignore the number, so the order is fenced here. An engine that is still
-//! busy with one order is given no second one.
+//! ignore the number, so the order is fenced here. This process may have been
+//! restarted, and the newest owner may never have spoken to it; so the shard's
+//! row in the platform's table is read before each order, and what the row
+//! says counts as seen. An engine that is still busy with one order is given
+//! no second one, so that an old owner's order, let through just before its
+//! shard was taken, has ended before the new owner's first one starts.
 
 use std::collections::VecDeque;
 
+use rosebend_state::id::Epoch;
+
 use super::fence::{Fence, Fences, StaleEpoch};
 
 /// Names an order, given by who sends it.
@@ -35,8 +41,21 @@
 }
 
 impl Orders {
-    /// Decides about an order.
-    pub fn submit(&mut self, fences: &mut Fences, fence: Fence, id: &OrderId) -> OrderDecision {
+    /// Decides about an order, given the epoch of the shard's row as it was
+    /// read after the order came.
+    pub fn submit(
+        &mut self,
+        fences: &mut Fences,
+        row_epoch: Epoch,
+        fence: Fence,
+        id: &OrderId,
+    ) -> OrderDecision {
+        let row = Fence {
+            epoch: row_epoch,
+            ..fence
+        };
+        // A row that is older than what was seen changes nothing.
+        let _ = fences.check(row);
         if let Err(stale) = fences.check(fence) {
             return OrderDecision::Stale(stale);
         }
--- a/coordination/src/endpoint/suspect.rs
+++ b/coordination/src/endpoint/suspect.rs
@@ -35,6 +35,11 @@
         self.members.clone()
     }
 
+    /// Whether only one of these suspects has reported their crash.
+    pub fn is_first(&self, suspects: &[CallId]) -> bool {
+        self.members == suspects && self.unreported.len() + 1 == suspects.len()
+    }
+
     /// Forgets a call that ended otherwise.
     pub fn ended(&mut self, call: &CallId) {
         self.unreported.remove(call);
--- a/sidecar/src/control.rs
+++ b/sidecar/src/control.rs
@@ -18,7 +18,7 @@
     outcome::{Failure, FailureReason, Outcome, Refusal, RefusalReason},
 };
 use rosebend_protocol::peer;
-use rosebend_state::id::{CallId, Incarnation, ProgramId, Shard};
+use rosebend_state::id::{CallId, Epoch, Incarnation, ProgramId, Shard};
 use rosebend_transport::{
     event::{Event, EventKind, log_event},
     metrics_page::{Metrics, Quantity, Timing, refusal_label},
@@ -49,8 +49,12 @@
 #[derive(Debug)]
 pub(crate) enum OrderReply {
     Done,
+    /// The engine did not say that it did it.
     NotDone(String),
+    /// Another order is at the engine.
     Busy,
+    /// The shard's row could not be read, so that nobody knows its owner.
+    NoRow(String),
     Stale(StaleEpoch),
 }
 
@@ -88,12 +92,10 @@
         lease: Duration,
         reply: oneshot::Sender<HoldsAnswer>,
     },
+    /// An order, after the epoch of its shard's row was read.
     Order {
-        fence: Fence,
-        id: OrderId,
-        kind: String,
-        target: String,
-        reply: oneshot::Sender<OrderReply>,
+        order: OrderJob,
+        row_epoch: Epoch,
     },
     /// Changes of the configuration; the reply is the newest revision.
     Configure {
@@ -233,13 +235,7 @@
                 lease,
                 reply,
             } => answer(reply, self.renew_holds(&fences, &programs, lease)),
-            Command::Order {
-                fence,
-                id,
-                kind,
-                target,
-                reply,
-            } => self.order(fence, id, kind, target, reply),
+            Command::Order { order, row_epoch } => self.order(order, row_epoch),
             Command::Configure { changes, reply } => answer(reply, self.configure(changes)),
             Command::Ended { id, outcome } => self.ended(&id, outcome),
             Command::FirstPart(id) => self.calls.first_part(self.now(), &id),
@@ -333,25 +329,20 @@
         answer
     }
 
-    fn order(
-        &mut self,
-        fence: Fence,
-        id: OrderId,
-        kind: String,
-        target: String,
-        reply: oneshot::Sender<OrderReply>,
-    ) {
-        match self.orders.submit(self.calls.fences(), fence, &id) {
-            OrderDecision::Start => self.send(Job::Order(OrderJob {
-                id,
-                kind,
-                target,
-                fence,
-                reply,
-            })),
-            OrderDecision::Done => answer(reply, OrderReply::Done),
-            OrderDecision::Busy => answer(reply, OrderReply::Busy),
-            OrderDecision::Stale(stale) => answer(reply, OrderReply::Stale(stale)),
+    fn order(&mut self, order: OrderJob, row_epoch: Epoch) {
+        let fences = self.calls.fences();
+        let decision = self
+            .orders
+            .submit(fences, row_epoch, order.fence, &order.id);
+        match decision {
+            OrderDecision::Start => self.send(Job::Order(order)),
+            OrderDecision::Done => answer(order.reply, OrderReply::Done),
+            OrderDecision::Busy => answer(order.reply, OrderReply::Busy),
+            OrderDecision::Stale(stale) => {
+                let event = Event::new(EventKind::OrderRefused);
+                log_event(&event.shard(order.fence.shard).epoch(order.fence.epoch));
+                answer(order.reply, OrderReply::Stale(stale));
+            }
         }
     }
 
@@ -388,6 +379,7 @@
     }
 
     fn leave(&mut self) {
+        log_event(&Event::new(EventKind::EndpointLeaving));
         let now = self.now();
         let refused = self.calls.leave(now);
         self.give_up(refused);
@@ -449,15 +441,29 @@
     }
 
     fn count_refusal(&self, reason: RefusalReason) {
+        if reason == RefusalReason::RetentionFull {
+            let count = self.calls.load().retained;
+            log_event(&Event::new(EventKind::RetentionFull).count(count));
+        }
         let reason = convert::refusal_reason(reason);
         self.metrics.count_refusal(refusal_label(reason));
     }
 
+    /// A crash is logged once, by the first call that notices it.
+    fn log_crash(&self, failure: &Failure) {
+        let is_crash = failure.reason == FailureReason::EndpointCrashed;
+        if is_crash && self.calls.is_first_of_crash(&failure.suspects) {
+            let count = failure.suspects.len() as u64;
+            log_event(&Event::new(EventKind::EndpointCrashed).count(count));
+        }
+    }
+
     fn log_end(&self, id: &CallId, outcome: &Outcome) {
         match outcome {
             Outcome::Finished(_) => log_event(&Event::new(EventKind::CallFinished).call(id)),
             Outcome::Failed(failure) => {
                 let reason = convert::failure_name(failure.reason);
+                self.log_crash(failure);
                 log_event(&Event::new(EventKind::CallFailed).call(id).reason(reason));
             }
             Outcome::Refused(refusal) => self.count_refusal(refusal.reason),
--- a/sidecar/src/endpoint/mod.rs
+++ b/sidecar/src/endpoint/mod.rs
@@ -21,7 +21,11 @@
     order::OrderId,
     outcome::{Failure, FailureReason, Finished, Outcome, Refusal, RefusalReason},
 };
-use rosebend_state::id::CallId;
+use rosebend_state::{
+    id::CallId,
+    settings::{EndpointKind, SidecarSettings},
+};
+use rosebend_transport::platform_client::PlatformClient;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::{
@@ -77,19 +81,22 @@
     Free(Vec<String>),
     /// Ask for the names of held caches.
     ListHolds,
+    /// Read the row of an order's shard before the order is decided.
+    CheckOrder(OrderJob),
     Order(OrderJob),
 }
 
 /// The client and address of the endpoint.
 pub(crate) struct Endpoint {
     client: Client,
+    platform: PlatformClient,
     base_url: String,
     is_engine: bool,
     commands: mpsc::Sender<Command>,
 }
 
 impl Endpoint {
-    pub(crate) fn new(base_url: String, is_engine: bool, commands: mpsc::Sender<Command>) -> Self {
+    pub(crate) fn new(settings: &SidecarSettings, commands: mpsc::Sender<Command>) -> Self {
         let connector = awc::Connector::new().timeout(CONNECT_TIMEOUT);
         // A redirect would send a call a second time.
         let client = Client::builder()
@@ -99,8 +106,9 @@
             .finish();
         Self {
             client,
-            base_url,
-            is_engine,
+            platform: PlatformClient::new(&settings.platform.url, settings.platform.timeout),
+            base_url: settings.endpoint_url.trim_end_matches('/').to_owned(),
+            is_engine: settings.kind == EndpointKind::Engine,
             commands,
         }
     }
@@ -120,6 +128,7 @@
             Job::Free(names) => self.free_holds(names).await,
             Job::ListHolds if self.is_engine => self.list_holds().await,
             Job::ListHolds => {}
+            Job::CheckOrder(job) => self.check_order(job).await,
             Job::Order(job) => self.run_order(job).await,
         }
     }
--- a/sidecar/src/endpoint/order.rs
+++ b/sidecar/src/endpoint/order.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use serde::Serialize;
+use rosebend_state::id::{Epoch, Shard};
+use serde::{Deserialize, Serialize};
 
 use super::{Endpoint, OrderJob};
 use crate::control::{Command, OrderReply};
@@ -18,7 +19,38 @@
     fence: u64,
 }
 
+/// The part of a shard's row that is read here.
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct ShardEpoch {
+    epoch: Epoch,
+}
+
 impl Endpoint {
+    /// Reads who owns the order's shard, and lets the control thread decide.
+    pub(super) async fn check_order(&self, order: OrderJob) {
+        match self.row_epoch(order.fence.shard).await {
+            Ok(row_epoch) => self.report(Command::Order { order, row_epoch }).await,
+            Err(detail) => {
+                // A sender that is gone asks again under the same id.
+                let _ = order.reply.send(OrderReply::NoRow(detail));
+            }
+        }
+    }
+
+    /// The epoch of a shard's row; zero when nobody has owned it yet.
+    async fn row_epoch(&self, shard: Shard) -> Result<Epoch, String> {
+        let key = format!("shard/{shard:05}");
+        let rows = self.platform.read(vec![key]).await;
+        let rows = rows.map_err(|error| error.to_string())?;
+        let Some(row) = rows.into_iter().next() else {
+            return Ok(0);
+        };
+        let value: ShardEpoch =
+            serde_json::from_value(row.value).map_err(|error| error.to_string())?;
+        Ok(value.epoch)
+    }
+
     pub(super) async fn run_order(&self, job: OrderJob) {
         let outcome = self.send_order(&job).await;
         let done = outcome.is_ok();
--- a/sidecar/src/process.rs
+++ b/sidecar/src/process.rs
@@ -28,7 +28,7 @@
 
 use crate::{
     control::{Command, Control, Published, Remaining},
-    endpoint::Endpoint,
+    endpoint::{Endpoint, Job},
     server::SidecarService,
 };
 
@@ -83,7 +83,8 @@
     };
 
     let metrics = Metrics::new();
-    let (commands, published, threads) = start_threads(&settings, metrics.clone());
+    let threads = start_threads(&settings, metrics.clone());
+    let published = threads.published.clone();
     let pages = serve_pages(metrics_listener, metrics, published.clone()).map_err(|error| {
         ProcessError::Listen {
             address: settings.metrics_listen,
@@ -97,7 +98,8 @@
         host: settings.host.clone(),
         availability_zone: settings.availability_zone.clone(),
         kind: settings.kind,
-        commands: commands.clone(),
+        commands: threads.commands.clone(),
+        jobs: threads.jobs,
         published: published.clone(),
     };
     let (stop_server, server_stopped) = oneshot::channel::<Infallible>();
@@ -110,24 +112,30 @@
 
     stop.await;
     log_event(&Event::new(EventKind::ProcessStopping).host(&settings.host));
-    leave(&commands, published, settings.limits.stop_timeout).await;
+    leave(&threads.commands, published, settings.limits.stop_timeout).await;
     drop(stop_server);
     let served = server.await.expect("the server does not panic");
     pages_handle.stop(true).await;
-    for thread in threads {
+    for thread in threads.arbiters {
         thread.stop();
     }
     log_event(&Event::new(EventKind::ProcessStopped).host(&settings.host));
     Ok(served?)
 }
 
+/// The running threads and how they are reached.
+struct Threads {
+    commands: mpsc::Sender<Command>,
+    jobs: mpsc::UnboundedSender<Job>,
+    published: Published,
+    arbiters: [Arbiter; 2],
+}
+
 /// Starts the control thread and the endpoint's thread.
-fn start_threads(
-    settings: &SidecarSettings,
-    metrics: Metrics,
-) -> (mpsc::Sender<Command>, Published, [Arbiter; 2]) {
+fn start_threads(settings: &SidecarSettings, metrics: Metrics) -> Threads {
     let (commands, received) = mpsc::channel(COMMANDS);
     let (jobs, received_jobs) = mpsc::unbounded_channel();
+    let service_jobs = jobs.clone();
     let limits = EndpointLimits {
         queued: settings.limits.queue_limit,
         running: settings.limits.max_running,
@@ -143,14 +151,18 @@
         actix_rt::spawn(control.run(received));
     });
     let endpoint_thread = Arbiter::new();
-    let is_engine = settings.kind == EndpointKind::Engine;
-    let (base_url, sender) = (settings.endpoint_url.clone(), commands.clone());
+    let (settings, sender) = (settings.clone(), commands.clone());
     // The client belongs to its thread, so it is made there.
     endpoint_thread.spawn_fn(move || {
-        let endpoint = Endpoint::new(base_url, is_engine, sender);
+        let endpoint = Endpoint::new(&settings, sender);
         actix_rt::spawn(endpoint.run(received_jobs));
     });
-    (commands, published, [control_thread, endpoint_thread])
+    Threads {
+        commands,
+        jobs: service_jobs,
+        published,
+        arbiters: [control_thread, endpoint_thread],
+    }
 }
 
 async fn serve(
--- a/sidecar/src/server.rs
+++ b/sidecar/src/server.rs
@@ -22,7 +22,7 @@
     answer::AnswerReader,
     control::{Command, DispatchReply, OrderReply, Published},
     convert::{self, MessageError},
-    endpoint::EndpointRequest,
+    endpoint::{EndpointRequest, Job, OrderJob},
 };
 
 /// Longest silence on a stream of answers.
@@ -43,6 +43,7 @@
     pub(crate) availability_zone: AvailabilityZone,
     pub(crate) kind: EndpointKind,
     pub(crate) commands: mpsc::Sender<Command>,
+    pub(crate) jobs: mpsc::UnboundedSender<Job>,
     pub(crate) published: Published,
 }
 
@@ -53,7 +54,6 @@
         command: impl FnOnce(oneshot::Sender<T>) -> Command,
     ) -> Result<T, Status> {
         let (reply, answer) = oneshot::channel();
-        let stopped = || Status::unavailable("the sidecar has stopped");
         let sent = self.commands.send(command(reply)).await;
         sent.map_err(|_| stopped())?;
         answer.await.map_err(|_| stopped())
@@ -200,7 +200,7 @@
             .commands
             .send(Command::Acknowledge { fence, ids })
             .await;
-        sent.map_err(|_| Status::unavailable("the sidecar has stopped"))?;
+        sent.map_err(|_| stopped())?;
         Ok(Response::new(peer::AcknowledgeReply {}))
     }
 
@@ -251,15 +251,17 @@
     ) -> Result<Response<peer::OrderReply>, Status> {
         let raw = request.into_inner();
         let fence = convert::fence(raw.fence).map_err(invalid)?;
-        let outcome = self
-            .ask(|reply| Command::Order {
-                fence,
-                id: raw.order_id,
-                kind: raw.kind,
-                target: raw.target,
-                reply,
-            })
-            .await?;
+        let (reply, answer) = oneshot::channel();
+        let order = OrderJob {
+            id: raw.order_id,
+            kind: raw.kind,
+            target: raw.target,
+            fence,
+            reply,
+        };
+        let sent = self.jobs.send(Job::CheckOrder(order));
+        sent.map_err(|_| stopped())?;
+        let outcome = answer.await.map_err(|_| stopped())?;
         Ok(Response::new(order_reply(outcome)))
     }
 
@@ -323,7 +325,7 @@
 fn order_reply(outcome: OrderReply) -> peer::OrderReply {
     let refusal = match outcome {
         OrderReply::Done => None,
-        OrderReply::NotDone(detail) => Some(Refusal::new(
+        OrderReply::NotDone(detail) | OrderReply::NoRow(detail) => Some(Refusal::new(
             RefusalReason::EndpointDown,
             ORDER_RETRY,
             detail,
@@ -362,6 +364,10 @@
         .collect()
 }
 
+fn stopped() -> Status {
+    Status::unavailable("the sidecar has stopped")
+}
+
 fn invalid(error: MessageError) -> Status {
     Status::invalid_argument(error.to_string())
 }
