Give up silent connections to the engine after two seconds

Cause: a connection that lost its middle looks open; a stream on it waited five seconds for each look, and nothing tested it.

Ruled out: one short limit for everything. Before an answer begins, an engine may not know the request under its name yet, so that asking for it too early would read as a crash; that wait is ten seconds.

Change: shorter silence on streams, retry counters and an event for silent and cut connections; a relay in the tests whose open connections go silent.

--- a/sidecar/src/endpoint/mod.rs
+++ b/sidecar/src/endpoint/mod.rs
@@ -25,7 +25,7 @@
     id::CallId,
     settings::{EndpointKind, SidecarSettings},
 };
-use rosebend_transport::platform_client::PlatformClient;
+use rosebend_transport::{metrics_page::Metrics, platform_client::PlatformClient};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::{
@@ -92,11 +92,16 @@
     platform: PlatformClient,
     base_url: String,
     is_engine: bool,
+    metrics: Metrics,
     commands: mpsc::Sender<Command>,
 }
 
 impl Endpoint {
-    pub(crate) fn new(settings: &SidecarSettings, commands: mpsc::Sender<Command>) -> Self {
+    pub(crate) fn new(
+        settings: &SidecarSettings,
+        metrics: Metrics,
+        commands: mpsc::Sender<Command>,
+    ) -> Self {
         let connector = awc::Connector::new().timeout(CONNECT_TIMEOUT);
         // A redirect would send a call a second time.
         let client = Client::builder()
@@ -109,6 +114,7 @@
             platform: PlatformClient::new(&settings.platform.url, settings.platform.timeout),
             base_url: settings.endpoint_url.trim_end_matches('/').to_owned(),
             is_engine: settings.kind == EndpointKind::Engine,
+            metrics,
             commands,
         }
     }
--- a/sidecar/src/endpoint/model.rs
+++ b/sidecar/src/endpoint/model.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use futures_util::StreamExt;
 use rosebend_coordination::endpoint::outcome::{FailureReason, Finished, Outcome};
+use rosebend_transport::event::{Event, EventKind, log_event};
 use serde::Deserialize;
 
 use super::{
@@ -18,8 +19,12 @@
 };
 use crate::control::Command;
 
-/// Longest silence on a connection before a new one is tried.
-const SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest silence of a stream before a new connection is tried. A slow engine
+/// only pays one more request for it.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait for an answer to begin. It is longer, because an engine that
+/// has not taken the request in yet does not know it under its name.
+const BEGIN_TIMEOUT: Duration = Duration::from_secs(10);
 /// Longest run of a model call.
 const MODEL_TIMEOUT: Duration = Duration::from_secs(600);
 /// Cut connections in a row, without any progress, before a call is given up.
@@ -110,6 +115,7 @@
             match interrupted {
                 Interrupted::Settled(outcome) => return Err(outcome),
                 Interrupted::Cut(detail) => {
+                    self.metrics.count_retry("engine_connection_cut");
                     cuts = if run.next_offset > before {
                         1
                     } else {
@@ -120,7 +126,10 @@
                     }
                     actix_rt::time::sleep(RESUME_PAUSE).await;
                 }
-                Interrupted::Silent => {}
+                Interrupted::Silent => {
+                    self.metrics.count_retry("engine_connection_silent");
+                    log_event(&Event::new(EventKind::ConnectionSilent).call(&run.job.id));
+                }
             }
             if run.started.elapsed() > MODEL_TIMEOUT {
                 return Err(self
@@ -145,7 +154,7 @@
         if let Some(name) = hold_name {
             request = request.insert_header(("x-hold-kv", name));
         }
-        match actix_rt::time::timeout(SILENCE_TIMEOUT, request.send_body(body.clone())).await {
+        match actix_rt::time::timeout(BEGIN_TIMEOUT, request.send_body(body.clone())).await {
             Ok(Ok(response)) => Ok(response),
             Ok(Err(error)) => match send_error(&error) {
                 refused @ Outcome::Refused(_) => Err(Interrupted::Settled(refused)),
--- a/sidecar/src/process.rs
+++ b/sidecar/src/process.rs
@@ -145,7 +145,8 @@
         },
         retention_bytes: settings.limits.retention_bytes,
     };
-    let (control, published) = Control::new(rosebend_util::random_id(), limits, jobs, metrics);
+    let (control, published) =
+        Control::new(rosebend_util::random_id(), limits, jobs, metrics.clone());
     let control_thread = Arbiter::new();
     control_thread.spawn_fn(move || {
         actix_rt::spawn(control.run(received));
@@ -154,7 +155,7 @@
     let (settings, sender) = (settings.clone(), commands.clone());
     // The client belongs to its thread, so it is made there.
     endpoint_thread.spawn_fn(move || {
-        let endpoint = Endpoint::new(&settings, sender);
+        let endpoint = Endpoint::new(&settings, metrics, sender);
         actix_rt::spawn(endpoint.run(received_jobs));
     });
     Threads {
--- a/sidecar/tests/support/mod.rs
+++ b/sidecar/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 pub mod fake;
+pub mod relay;
 
 use std::{net::SocketAddr, sync::mpsc, thread::JoinHandle};
 
