--- a/cli/tests/command.rs
+++ b/cli/tests/command.rs
@@ -50,6 +50,16 @@
     bench.stop().await;
 }
 
+#[actix_rt::test]
+async fn the_example_resources_are_accepted() {
+    let bench = Bench::start("examples").await;
+    let examples = concat!(env!("CARGO_MANIFEST_DIR"), "/../examples/resources");
+    let (exit, _, err) = bench.run(&["apply", "-f", examples]).await;
+    assert_eq!((exit, err.as_str()), (Exit::Done, ""));
+    insta::assert_snapshot!(bench.run(&["list"]).await.1);
+    bench.stop().await;
+}
+
 #[actix_rt::test]
 async fn json_is_for_programs() {
     let bench = Bench::start("json").await;
