Read shards again until every one has a row

Cause: an entry that read the shards' rows before the others had taken theirs never read them again, since a missing row is no orphan. It knew no owner of those shards, told callers to come back and never became ready.

Ruled out: reading at every renewal, whose reads would grow with entries times shards for nothing once all is settled.

--- a/coordination/src/ownership.rs
+++ b/coordination/src/ownership.rs
@@ -253,8 +253,11 @@
 
     /// Whether every shard has a live owner, as far as this process knows.
     pub fn is_settled(&self) -> bool {
-        let all_known = u32::try_from(self.shards.len()) == Ok(self.config.shard_count);
-        all_known && self.shards.values().all(|row| !self.is_orphan(row))
+        self.knows_all_shards() && self.shards.values().all(|row| !self.is_orphan(row))
+    }
+
+    fn knows_all_shards(&self) -> bool {
+        u32::try_from(self.shards.len()) == Ok(self.config.shard_count)
     }
 
     fn hosts_read(&mut self, now: Duration, rows: Vec<HostRow>) -> Vec<OwnershipAction> {
@@ -272,9 +275,11 @@
         let joined_or_left = hosts.len() != self.hosts.len();
         self.hosts = hosts;
         self.note_members(now);
-        let orphaned = self.shards.values().any(|row| self.is_orphan(row));
+        // A shard without a row here may have been taken by another since the
+        // rows were read.
+        let settled = self.is_settled();
         let mut actions = self.decide(now);
-        if !self.shards_known || joined_or_left || orphaned {
+        if !self.shards_known || joined_or_left || !settled {
             actions.push(OwnershipAction::ReadShards);
         }
         actions
