Test the whole path on real processes

Ports are given out from below the range of outgoing connections: with ports that the system chose, a restarted process found its port taken in 1 of 3 runs.

--- a/system-tests/src/cluster.rs
+++ b/system-tests/src/cluster.rs
@@ -31,6 +31,8 @@
 const ZONES: &[&str] = &["newport-hall", "harbour-hall", "portmore-hall"];
 /// Names of the tools that the services serve.
 const TOOLS: &[&str] = &["charge-fee", "send-letter", "lookup"];
+/// Environment variable that keeps the files of clusters, to be looked at.
+const KEEP_FILES: &str = "ROSEBEND_KEEP_FILES";
 /// Longest wait for one answer of the platform, in tests.
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -121,6 +123,10 @@
 
 impl Drop for Directory {
     fn drop(&mut self) {
+        if std::env::var_os(KEEP_FILES).is_some() {
+            eprintln!("files kept in {}", self.0.display());
+            return;
+        }
         // What cannot be removed is the system's to clean up.
         let _ = fs::remove_dir_all(&self.0);
     }
@@ -152,19 +158,10 @@
             config,
             directory,
         };
-        write_tokens(&cluster.directory.0)?;
-        for number in 0..cluster.config.engines {
-            cluster.add_endpoint(EndpointRole::Engine, number).await?;
-        }
-        for number in 0..cluster.config.services {
-            cluster.add_endpoint(EndpointRole::Service, number).await?;
-        }
-        for number in 0..cluster.config.entries {
-            cluster.add_entry(number)?;
+        if let Err(error) = cluster.bring_up().await {
+            cluster.show_logs();
+            return Err(error);
         }
-        cluster.wait_ready().await?;
-        cluster.apply_resources().await?;
-        cluster.wait_until_calls_are_taken().await?;
         Ok(cluster)
     }
 
@@ -397,6 +394,31 @@
         Ok(())
     }
 
+    async fn bring_up(&mut self) -> Result<(), HarnessError> {
+        write_tokens(&self.directory.0)?;
+        for number in 0..self.config.engines {
+            self.add_endpoint(EndpointRole::Engine, number).await?;
+        }
+        for number in 0..self.config.services {
+            self.add_endpoint(EndpointRole::Service, number).await?;
+        }
+        for number in 0..self.config.entries {
+            self.add_entry(number)?;
+        }
+        self.wait_ready().await?;
+        self.apply_resources().await?;
+        self.wait_until_calls_are_taken().await
+    }
+
+    /// Writes the ends of all logs to standard error.
+    fn show_logs(&self) {
+        let entries = self.entries.iter().map(|entry| &entry.process);
+        let sidecars = self.endpoints.iter().map(|endpoint| &endpoint.sidecar);
+        for process in entries.chain(sidecars) {
+            eprintln!("--- log of {}\n{}", process.name(), process.log_tail());
+        }
+    }
+
     async fn add_endpoint(
         &mut self,
         role: EndpointRole,
--- a/system-tests/src/settings.rs
+++ b/system-tests/src/settings.rs
@@ -5,6 +5,7 @@
     fs, io,
     net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
+    sync::atomic::{AtomicU32, Ordering},
 };
 
 use crate::error::HarnessError;
@@ -83,11 +84,32 @@
     write_file(directory, "tokens", &text)
 }
 
-/// An address on loopback that was free a moment ago.
+/// First of the ports that are given out.
+const FIRST_PORT: u16 = 12_000;
+/// Number of the ports that are given out. They end below the ports that
+/// systems take for outgoing connections, so that a process which restarts
+/// finds its port free.
+const PORT_COUNT: u16 = 20_000;
+
+/// An address on loopback that was free a moment ago, and that this process
+/// gives out once.
 ///
 /// # Errors
 ///
 /// Fails when no port is free.
 pub fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    // Processes that test at the same time begin far from each other.
+    let first = std::process::id().wrapping_mul(997);
+    let mut outcome = Err(io::ErrorKind::AddrInUse.into());
+    for _ in 0..PORT_COUNT {
+        let number = first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let offset = number % u32::from(PORT_COUNT);
+        let port = FIRST_PORT + u16::try_from(offset).expect("the remainder fits a u16");
+        outcome = TcpListener::bind(("127.0.0.1", port)).and_then(|bound| bound.local_addr());
+        if outcome.is_ok() {
+            break;
+        }
+    }
+    outcome
 }
--- /dev/null
+++ b/system-tests/tests/planned_stops.rs
@@ -0,0 +1,128 @@
+//! Planned stops under load cut no request, and a rolling restart of every
+//! process loses and doubles nothing.
+
+use std::time::Duration;
+
+use rosebend_system_tests::{
+    Cluster, ClusterConfig, Signal,
+    load::{Load, Report},
+    wait_until,
+};
+
+/// Between the balancer's last request to an entry and the entry's stop.
+const BALANCER_WAIT: Duration = Duration::from_millis(200);
+const PROGRAMS: usize = 12;
+
+async fn check(cluster: &Cluster, reports: &[Report]) {
+    for report in reports {
+        assert!(
+            report.cut.is_empty(),
+            "{}: {:#?}",
+            report.session,
+            report.cut
+        );
+        assert!(report.answered.len() > 3, "{report:?}");
+        for key in report.answered.iter().flatten() {
+            assert_eq!(cluster.effects_of(key).await.unwrap(), 1, "{key}");
+        }
+    }
+    let mut effects = 0;
+    for service in cluster.services() {
+        let keys = service.effects().await.unwrap().keys;
+        effects += keys.keys().filter(|key| key.starts_with("load-")).count();
+    }
+    let fees = reports
+        .iter()
+        .flat_map(|report| report.answered.iter().flatten());
+    assert_eq!(effects, fees.count());
+}
+
+/// Stops an entry as an operator would, and starts it again.
+async fn replace_entry(cluster: &mut Cluster, load: &Load, number: usize) {
+    let address = cluster.entry(number);
+    load.balancer.remove(address);
+    actix_rt::time::sleep(BALANCER_WAIT).await;
+    let process = &mut cluster.entries[number].process;
+    let status = process.end(Signal::Terminate).await.unwrap();
+    assert!(status.success(), "{}: {status}", process.name());
+    process.restart().unwrap();
+    cluster.wait_ready().await.unwrap();
+    load.balancer.add(address);
+}
+
+/// Stops a sidecar and starts it again.
+async fn replace_sidecar(cluster: &mut Cluster, number: usize) {
+    let process = &mut cluster.endpoints[number].sidecar;
+    let status = process.end(Signal::Terminate).await.unwrap();
+    assert!(status.success(), "{}: {status}", process.name());
+    process.restart().unwrap();
+    cluster.wait_ready().await.unwrap();
+}
+
+/// Waits until the engines have done more work, so that stops happen under
+/// load.
+async fn wait_for_load(cluster: &Cluster) {
+    let answered = async || {
+        let mut tokens = 0;
+        for engine in cluster.engines() {
+            tokens += engine.engine_stats().await.ok()?.answer_tokens;
+        }
+        Some(tokens)
+    };
+    let before = answered().await.unwrap();
+    wait_until("load", || async {
+        let now = answered().await?;
+        (now > before + 20 * PROGRAMS as u64).then_some(())
+    })
+    .await
+    .unwrap();
+}
+
+#[actix_rt::test]
+async fn a_rolling_restart_of_all_entries_cuts_no_request() {
+    let mut cluster = Cluster::start(ClusterConfig::default()).await.unwrap();
+    let load = Load::start(&cluster, PROGRAMS);
+    for number in 0..3 {
+        wait_for_load(&cluster).await;
+        replace_entry(&mut cluster, &load, number).await;
+    }
+    wait_for_load(&cluster).await;
+    let reports = load.finish().await.unwrap();
+    check(&cluster, &reports).await;
+}
+
+#[actix_rt::test]
+async fn a_rolling_restart_of_all_sidecars_cuts_no_request() {
+    let mut cluster = Cluster::start(ClusterConfig::default()).await.unwrap();
+    let load = Load::start(&cluster, PROGRAMS);
+    for number in 0..cluster.endpoints.len() {
+        wait_for_load(&cluster).await;
+        replace_sidecar(&mut cluster, number).await;
+    }
+    wait_for_load(&cluster).await;
+    let reports = load.finish().await.unwrap();
+    check(&cluster, &reports).await;
+}
+
+#[actix_rt::test]
+async fn an_entry_and_a_sidecar_that_stop_at_once_cut_no_request() {
+    let mut cluster = Cluster::start(ClusterConfig::default()).await.unwrap();
+    let load = Load::start(&cluster, PROGRAMS);
+    wait_for_load(&cluster).await;
+    let address = cluster.entry(0);
+    load.balancer.remove(address);
+    actix_rt::time::sleep(BALANCER_WAIT).await;
+    cluster.endpoints[0]
+        .sidecar
+        .signal(Signal::Terminate)
+        .unwrap();
+    cluster.entries[0]
+        .process
+        .signal(Signal::Terminate)
+        .unwrap();
+    assert!(cluster.entries[0].process.wait().await.unwrap().success());
+    assert!(cluster.endpoints[0].sidecar.wait().await.unwrap().success());
+    wait_for_load(&cluster).await;
+    let reports = load.finish().await.unwrap();
+    check(&cluster, &reports).await;
+}
--- /dev/null
+++ b/system-tests/tests/table_outage.rs
@@ -0,0 +1,123 @@
+//! The platform's table is away: programs under way go on, and calls that may
+//! not be repeated wait or are refused, truthfully.
+
+use std::time::{Duration, Instant};
+
+use rosebend_protocol::problem::Ran;
+use rosebend_system_tests::{Call, Caller, Cluster, ClusterConfig, Signal, settle, wait_until};
+use serde_json::{Value, json};
+
+fn content(answer: &Value) -> String {
+    let content = answer.pointer("/choices/0/message/content");
+    content
+        .and_then(Value::as_str)
+        .unwrap_or_default()
+        .to_owned()
+}
+
+/// Makes model calls from `first` on until the lease has passed twice, and
+/// returns their answers.
+async fn go_on(cluster: &Cluster, caller: &Caller, first: u64, lease: Duration) -> Vec<String> {
+    let start = Instant::now();
+    let mut answers = Vec::new();
+    let mut sequence = first;
+    while answers.len() < 5 || (start.elapsed() < lease * 2 && answers.len() < 100) {
+        let call = Call::model(&format!("page {sequence}"), 8).sequence(sequence);
+        let reply = caller
+            .call(cluster.entry(sequence as usize), &call)
+            .await
+            .unwrap();
+        assert_eq!(reply.status, 200, "{reply:?}");
+        answers.push(content(&reply.json()));
+        sequence += 1;
+    }
+    answers
+}
+
+async fn check_history(cluster: &Cluster, caller: &Caller, answers: &[String]) {
+    for (sequence, answer) in (1..).zip(answers) {
+        let fetched = wait_until("an answer of the history", || async {
+            let fetched = caller
+                .fetch(cluster.entry(sequence as usize), sequence)
+                .await;
+            fetched.ok()?.success("").ok()
+        });
+        assert_eq!(
+            &content(&fetched.await.unwrap().json()),
+            answer,
+            "call {sequence}"
+        );
+    }
+}
+
+#[actix_rt::test]
+async fn programs_go_on_and_a_fee_is_refused_truthfully() {
+    let config = ClusterConfig::default();
+    let lease = Duration::from_millis(config.lease_ms);
+    let cluster = Cluster::start(config).await.unwrap();
+    for outage in ["refuse", "hang"] {
+        let caller = cluster.program(&format!("renewal-{outage}")).await.unwrap();
+        let mut answers = go_on(&cluster, &caller, 1, Duration::ZERO).await;
+        cluster
+            .set_platform_faults(&json!({ "outage": outage }))
+            .await
+            .unwrap();
+        let first = answers.len() as u64 + 1;
+        answers.extend(go_on(&cluster, &caller, first, lease).await);
+
+        let key = format!("fee-{outage}");
+        let next = answers.len() as u64 + 1;
+        let fee = Call::tool("charge-fee", &key).key(&key).sequence(next);
+        let patience = fee.clone().deadline(Duration::from_secs(3));
+        let refused = caller.call(cluster.entry(0), &patience).await.unwrap();
+        let problem = refused.problem().unwrap_or_else(|| panic!("{refused:?}"));
+        assert_eq!(problem.ran, Ran::No, "{problem:?}");
+        assert_eq!(cluster.effects_of(&key).await.unwrap(), 0);
+
+        cluster
+            .set_platform_faults(&json!({ "outage": false }))
+            .await
+            .unwrap();
+        check_history(&cluster, &caller, &answers).await;
+        // The refused fee was not run later, and runs once when it is sent again.
+        assert_eq!(cluster.effects_of(&key).await.unwrap(), 0);
+        let (settled, _) = settle(&caller, &cluster.entries_from(0), &fee)
+            .await
+            .unwrap();
+        settled.done().unwrap();
+        assert_eq!(cluster.effects_of(&key).await.unwrap(), 1);
+    }
+}
+
+#[actix_rt::test]
+async fn answers_of_an_outage_outlive_their_owner() {
+    let config = ClusterConfig::default();
+    let mut cluster = Cluster::start(config).await.unwrap();
+    let caller = cluster.program("renewal-40").await.unwrap();
+    let owner = cluster.owner_of("caribmar", "renewal-40").await.unwrap();
+    let mut answers = go_on(&cluster, &caller, 1, Duration::ZERO).await;
+    cluster
+        .set_platform_faults(&json!({ "outage": "refuse" }))
+        .await
+        .unwrap();
+    let first = answers.len() as u64 + 1;
+    answers.extend(go_on(&cluster, &caller, first, Duration::ZERO).await);
+    cluster.entries[owner]
+        .process
+        .end(Signal::Kill)
+        .await
+        .unwrap();
+    cluster
+        .set_platform_faults(&json!({ "outage": false }))
+        .await
+        .unwrap();
+    cluster.entries[owner].process.restart().unwrap();
+    cluster.wait_ready().await.unwrap();
+
+    check_history(&cluster, &caller, &answers).await;
+    let next = Call::model("after the outage", 8).sequence(answers.len() as u64 + 1);
+    let (settled, _) = settle(&caller, &cluster.entries_from(owner), &next)
+        .await
+        .unwrap();
+    settled.done().unwrap();
+}
