--- a/system-tests/tests/order_history.rs
+++ b/system-tests/tests/order_history.rs
@@ -8,8 +8,8 @@
 
 const CALLS: u64 = 9;
 
-fn text(session: &str, sequence: u64) -> String {
-    format!("{session}: page {sequence} of the discharge book")
+fn text(customer: &str, sequence: u64) -> String {
+    format!("{customer}: page {sequence} of the discharge book")
 }
 
 fn content(answer: &Value) -> String {
@@ -24,12 +24,12 @@
 /// entry, and returns the answers that were acknowledged.
 async fn run(
     cluster: &Cluster,
-    caller: &Caller,
+    (customer, caller): (&str, &Caller),
     sequences: std::ops::RangeInclusive<u64>,
 ) -> Vec<String> {
     let mut answers = Vec::new();
     for sequence in sequences {
-        let text = text(caller.session_name(), sequence);
+        let text = text(customer, sequence);
         let key = format!("page-{sequence}");
         let call = Call::model(&text, 8).key(&key).sequence(sequence);
         let entries = cluster.entries_from(sequence as usize);
@@ -85,8 +85,8 @@
     let mut second_answers = Vec::new();
     for third in 0..3 {
         let sequences = third * CALLS / 3 + 1..=(third + 1) * CALLS / 3;
-        first_answers.extend(run(&cluster, &first, sequences.clone()).await);
-        second_answers.extend(run(&cluster, &second, sequences).await);
+        first_answers.extend(run(&cluster, ("caribmar", &first), sequences.clone()).await);
+        second_answers.extend(run(&cluster, ("coastal", &second), sequences).await);
         let owner = cluster.owner_of("caribmar", "renewal-20").await.unwrap();
         let process = &mut cluster.entries[owner].process;
         process.end(Signal::Kill).await.unwrap();
