Keep a part of KV memory from running calls

Cause: with nested shared prefixes counted once, the queue admitted so much that paused programs were driven out and computed again. Change: prefixes are a nested list; what is computed counts as common; running calls get 60 % of the memory.

--- a/coordination/src/queue.rs
+++ b/coordination/src/queue.rs
@@ -81,7 +81,7 @@
 ///     program_age: Duration::ZERO,
 ///     deadline: None,
 ///     warm_tokens: 0,
-///     shared_prefix: None,
+///     shared_prefixes: Vec::new(),
 ///     alone: false,
 /// };
 /// queue.push(Duration::ZERO, waiting).expect("the queue is empty");
@@ -186,6 +186,7 @@
             return;
         }
         running.first_token_at = Some(now);
+        self.memory.computed(&mut running.footprint);
         self.speed.prefilled(
             running.pending_tokens,
             now.saturating_sub(running.admitted_at),
@@ -274,7 +275,7 @@
             return refuse(RefusalReason::Duplicate, Duration::ZERO);
         }
         let kv_tokens = waiting.prompt_tokens + waiting.max_answer_tokens;
-        if kv_tokens > self.settings.kv_tokens_limit {
+        if kv_tokens > self.settings.max_call_kv_tokens {
             return refuse(RefusalReason::TooLarge, Duration::ZERO);
         }
         if waiting.deadline.is_some_and(|deadline| deadline <= now) {
--- a/coordination/src/queue/memory.rs
+++ b/coordination/src/queue/memory.rs
@@ -1,51 +1,71 @@
 //! The queue's own count of KV tokens in flight.
 //!
-//! Calls that run on the same warm blocks count them once: a warm prefix that
-//! several programs share, and the warm history that the sub-agents of one
-//! root program have in common. What is cold when a call is admitted counts
-//! for that call alone, since two calls that prefill the same text at once
-//! both need memory for it.
+//! Calls that run on the same blocks count them once: a prefix that several
+//! programs share, and the history that a parent hands to its sub-agents. What
+//! is cold counts for each call alone until its first token, since two calls
+//! that prefill the same text at once both need memory for it.
 
 use std::collections::HashMap;
 
-use rosebend_state::id::ProgramId;
-
 use super::Waiting;
-use crate::warmth::PrefixId;
+use crate::warmth::{PrefixId, SharedPrefix};
 
 /// KV tokens of one call.
 #[derive(Clone, Debug)]
 pub(super) struct Footprint {
-    /// Cold prompt and longest answer.
+    /// Prompt beyond the shared prefixes that are warm, and longest answer.
     own_tokens: u64,
-    /// Warm history beyond the shared prefix.
-    root: ProgramId,
-    root_tokens: u64,
-    /// A shared prefix that is warm.
-    prefix: Option<(PrefixId, u64)>,
+    /// How many of the shared prefixes are warm.
+    warm: usize,
+    /// The shortest first, each the start of the next.
+    prefixes: Vec<SharedPrefix>,
 }
 
 impl Footprint {
+    /// The footprint of a call whose prompt is warm as far as `waiting` says.
     pub(super) fn of(waiting: &Waiting) -> Self {
         let warm_tokens = waiting.warm_tokens.min(waiting.prompt_tokens);
-        let prefix = waiting
-            .shared_prefix
-            .filter(|(_, tokens)| *tokens <= warm_tokens);
-        let prefix_tokens = prefix.map_or(0, |(_, tokens)| tokens);
+        let kv_tokens = waiting.prompt_tokens + waiting.max_answer_tokens;
+        let prefixes = &waiting.shared_prefixes;
+        let warm = prefixes.partition_point(|prefix| prefix.tokens <= warm_tokens);
+        let common_tokens = warm.checked_sub(1).map_or(0, |last| prefixes[last].tokens);
         Self {
-            own_tokens: waiting.prompt_tokens - warm_tokens + waiting.max_answer_tokens,
-            root: waiting.call.program.root(),
-            root_tokens: warm_tokens - prefix_tokens,
-            prefix,
+            own_tokens: kv_tokens - common_tokens,
+            warm,
+            prefixes: prefixes.clone(),
         }
     }
+
+    /// The footprint once the whole prompt is computed.
+    fn computed(&self) -> Self {
+        let length = |count: usize| {
+            count
+                .checked_sub(1)
+                .map_or(0, |last| self.prefixes[last].tokens)
+        };
+        let all = self.prefixes.len();
+        Self {
+            own_tokens: (self.own_tokens + length(self.warm)).saturating_sub(length(all)),
+            warm: all,
+            prefixes: self.prefixes.clone(),
+        }
+    }
+
+    /// The warm prefixes, each with its tokens beyond the one before.
+    fn common(&self) -> impl Iterator<Item = (PrefixId, u64)> {
+        let mut before = 0;
+        self.prefixes[..self.warm].iter().map(move |prefix| {
+            let tokens = prefix.tokens.saturating_sub(before);
+            before = prefix.tokens;
+            (prefix.id, tokens)
+        })
+    }
 }
 
 /// Tokens that several running calls have in common.
 #[derive(Debug, Default)]
 struct Common {
     calls: usize,
-    /// The most that one of the calls had warm.
     tokens: u64,
 }
 
@@ -53,7 +73,6 @@
 #[derive(Debug, Default)]
 pub(super) struct KvMemory {
     tokens: u64,
-    roots: HashMap<ProgramId, Common>,
     prefixes: HashMap<PrefixId, Common>,
 }
 
@@ -64,53 +83,53 @@
 
     /// Tokens in flight if the call were admitted as well.
     pub(super) fn tokens_with(&self, footprint: &Footprint) -> u64 {
-        let root_tokens = self
-            .roots
-            .get(&footprint.root)
-            .map_or(0, |common| common.tokens);
-        let prefix_tokens = footprint.prefix.map_or(0, |(prefix, tokens)| {
-            let counted = self.prefixes.get(&prefix).map_or(0, |common| common.tokens);
-            tokens.saturating_sub(counted)
-        });
-        self.tokens
-            + footprint.own_tokens
-            + footprint.root_tokens.saturating_sub(root_tokens)
-            + prefix_tokens
+        let added = footprint
+            .common()
+            .map(|(id, tokens)| self.added_tokens(id, tokens));
+        self.tokens + footprint.own_tokens + added.sum::<u64>()
     }
 
     pub(super) fn take(&mut self, footprint: &Footprint) {
         self.tokens = self.tokens_with(footprint);
-        let root = self.roots.entry(footprint.root.clone()).or_default();
-        root.add(footprint.root_tokens);
-        if let Some((prefix, tokens)) = footprint.prefix {
-            self.prefixes.entry(prefix).or_default().add(tokens);
+        for (id, tokens) in footprint.common() {
+            let common = self.prefixes.entry(id).or_default();
+            common.calls += 1;
+            common.tokens = common.tokens.max(tokens);
         }
     }
 
     /// Gives a call's memory back; common tokens go with the last call.
     pub(super) fn release(&mut self, footprint: &Footprint) {
         self.tokens -= footprint.own_tokens;
-        self.tokens -= release_common(&mut self.roots, &footprint.root);
-        if let Some((prefix, _)) = footprint.prefix {
-            self.tokens -= release_common(&mut self.prefixes, &prefix);
+        for (id, _) in footprint.common() {
+            self.tokens -= self.release_common(id);
         }
     }
-}
 
-impl Common {
-    fn add(&mut self, tokens: u64) {
-        self.calls += 1;
-        self.tokens = self.tokens.max(tokens);
+    /// Counts the shared prefixes of a call as common from now on, because its
+    /// prompt is computed.
+    pub(super) fn computed(&mut self, footprint: &mut Footprint) {
+        self.release(footprint);
+        *footprint = footprint.computed();
+        self.take(footprint);
     }
-}
 
-fn release_common<K: Eq + std::hash::Hash>(all: &mut HashMap<K, Common>, key: &K) -> u64 {
-    let common = all.get_mut(key).expect("a running call is counted");
-    common.calls -= 1;
-    if common.calls > 0 {
-        return 0;
+    fn added_tokens(&self, id: PrefixId, tokens: u64) -> u64 {
+        let counted = self.prefixes.get(&id).map_or(0, |common| common.tokens);
+        tokens.saturating_sub(counted)
+    }
+
+    fn release_common(&mut self, id: PrefixId) -> u64 {
+        let common = self
+            .prefixes
+            .get_mut(&id)
+            .expect("a running call is counted");
+        common.calls -= 1;
+        if common.calls > 0 {
+            return 0;
+        }
+        let tokens = common.tokens;
+        self.prefixes.remove(&id);
+        tokens
     }
-    let tokens = common.tokens;
-    all.remove(key);
-    tokens
 }
--- a/coordination/src/queue/waiting.rs
+++ b/coordination/src/queue/waiting.rs
@@ -5,7 +5,7 @@
 use rosebend_state::id::{CallId, CustomerId};
 
 use super::{Order, ProgramOrder};
-use crate::warmth::PrefixId;
+use crate::warmth::SharedPrefix;
 
 /// Decode work of one answer token, in prompt tokens, for fair shares and the
 /// load view. In a full batch one decoded token costs about as much processor
@@ -18,8 +18,11 @@
     /// Most calls at the endpoint at once.
     pub max_running: usize,
     /// Most KV tokens of calls at the endpoint at once; `u64::MAX` for a plain
-    /// service.
+    /// service. Less than the engine has, so that the cache of paused programs
+    /// is not driven out by running ones; a call that needs more runs alone.
     pub kv_tokens_limit: u64,
+    /// All KV tokens of the engine; a call that needs more is refused.
+    pub max_call_kv_tokens: u64,
     /// Most calls waiting; a further one is refused.
     pub max_queued: usize,
     /// Most calls waiting for a first call of a program to be accepted, so
@@ -34,11 +37,29 @@
     pub share_slack_tokens: u64,
 }
 
+/// Share of an engine's KV memory for running calls. The replay chose it: with
+/// all of it, running calls drive out paused programs, which are then computed
+/// again; with less than half, memory idles.
+const RUNNING_KV_PERCENT: u64 = 60;
+
+impl QueueSettings {
+    /// Settings for an engine with this much KV memory and batch.
+    pub fn for_engine(max_running: usize, kv_tokens: u64) -> Self {
+        Self {
+            max_running,
+            kv_tokens_limit: kv_tokens / 100 * RUNNING_KV_PERCENT,
+            max_call_kv_tokens: kv_tokens,
+            ..Self::default()
+        }
+    }
+}
+
 impl Default for QueueSettings {
     fn default() -> Self {
         Self {
             max_running: 32,
-            kv_tokens_limit: 400_000,
+            kv_tokens_limit: u64::MAX,
+            max_call_kv_tokens: u64::MAX,
             max_queued: 1_000,
             max_queued_for_new: 500,
             order: Order::Program(ProgramOrder::default()),
@@ -69,9 +90,9 @@
     pub deadline: Option<Duration>,
     /// Prompt tokens believed to be in the engine's cache.
     pub warm_tokens: u64,
-    /// A prefix that prompts of several programs share, and its length; KV
-    /// memory for it is counted once while it is warm.
-    pub shared_prefix: Option<(PrefixId, u64)>,
+    /// Prefixes that prompts of several programs share, the shortest first,
+    /// each the start of the next; KV memory for them is counted once.
+    pub shared_prefixes: Vec<SharedPrefix>,
     /// Runs with no other call beside it.
     pub alone: bool,
 }
--- a/coordination/src/routing.rs
+++ b/coordination/src/routing.rs
@@ -75,7 +75,7 @@
 ///     target: "agent-llm",
 ///     prompt_tokens: 2_000,
 ///     warm: None,
-///     shared_prefix: None,
+///     shared_prefixes: &[],
 ///     excluded: &[],
 /// };
 /// let choice = router.choose(Duration::ZERO, &request).expect("one is live");
@@ -303,8 +303,8 @@
         };
         self.programs
             .put(request.program, warmth(request.prompt_tokens));
-        if let Some((prefix, tokens)) = request.shared_prefix {
-            self.prefixes.put(&prefix, warmth(tokens));
+        for prefix in request.shared_prefixes {
+            self.prefixes.put(&prefix.id, warmth(prefix.tokens));
         }
     }
 
@@ -418,11 +418,8 @@
         }
         let given = request.warm.and_then(|(id, _)| self.by_id.get(id)).copied();
         let own = self.programs.sites(request.program).iter().rev();
-        let shared = request
-            .shared_prefix
-            .map_or(&[][..], |(prefix, _)| self.prefixes.sites(&prefix))
-            .iter()
-            .rev();
+        let longest_first = request.shared_prefixes.iter().rev();
+        let shared = longest_first.flat_map(|prefix| self.prefixes.sites(&prefix.id).iter().rev());
         let mut candidates: Vec<usize> = Vec::with_capacity(MAX_WARM_CANDIDATES);
         for index in given
             .into_iter()
@@ -480,10 +477,14 @@
             _ => 0,
         };
         let own = self.programs.tokens(request.program, index, epoch);
-        let shared = request.shared_prefix.map_or(0, |(prefix, tokens)| {
-            self.prefixes.tokens(&prefix, index, epoch).min(tokens)
+        let shared = request.shared_prefixes.iter().map(|prefix| {
+            let tokens = self.prefixes.tokens(&prefix.id, index, epoch);
+            tokens.min(prefix.tokens)
         });
-        given.max(own).max(shared).min(request.prompt_tokens)
+        given
+            .max(own)
+            .max(shared.max().unwrap_or(0))
+            .min(request.prompt_tokens)
     }
 
     fn predicted_us(
--- a/coordination/src/routing/request.rs
+++ b/coordination/src/routing/request.rs
@@ -4,7 +4,7 @@
 
 use rosebend_state::id::{AvailabilityZone, EndpointId, Incarnation, ProgramId};
 
-use crate::warmth::PrefixId;
+use crate::warmth::SharedPrefix;
 
 /// How endpoints are chosen.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -110,9 +110,10 @@
     pub prompt_tokens: u64,
     /// An endpoint known by other means to have some of the prompt warm.
     pub warm: Option<(&'a EndpointId, u64)>,
-    /// A prefix that the prompt shares with those of other programs, such as
-    /// the context that a parent hands to its sub-agents, and its tokens.
-    pub shared_prefix: Option<(PrefixId, u64)>,
+    /// Prefixes that the prompt shares with those of other programs, such as
+    /// the context that a parent hands to its sub-agents; the shortest first,
+    /// each the start of the next.
+    pub shared_prefixes: &'a [SharedPrefix],
     /// Endpoints that must not be chosen, such as those that refused it.
     pub excluded: &'a [EndpointId],
 }
--- a/coordination/src/warmth.rs
+++ b/coordination/src/warmth.rs
@@ -11,8 +11,17 @@
 /// Names a prefix that prompts of several programs share: a hash of its text.
 pub type PrefixId = u64;
 
+/// A start of a prompt that prompts of other programs share.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SharedPrefix {
+    /// A hash of its text.
+    pub id: PrefixId,
+    /// Its length.
+    pub tokens: u64,
+}
+
 /// Most endpoints remembered for one key.
-const MAX_SITES: usize = 3;
+const MAX_SITES: usize = 4;
 
 /// A prompt in the cache of an endpoint.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/coordination/tests/queue.rs
+++ b/coordination/tests/queue.rs
@@ -28,7 +28,7 @@
         program_age: Duration::ZERO,
         deadline: None,
         warm_tokens: 0,
-        shared_prefix: None,
+        shared_prefixes: Vec::new(),
         alone: false,
     }
 }
@@ -37,6 +37,7 @@
     QueueSettings {
         max_running: MAX_RUNNING,
         kv_tokens_limit: KV_LIMIT,
+        max_call_kv_tokens: KV_LIMIT,
         order,
         ..QueueSettings::default()
     }
--- a/coordination/tests/routing.rs
+++ b/coordination/tests/routing.rs
@@ -37,7 +37,7 @@
         target: MODEL,
         prompt_tokens: 20_000,
         warm: None,
-        shared_prefix: None,
+        shared_prefixes: &[],
         excluded,
     }
 }
--- a/replay/src/bench.rs
+++ b/replay/src/bench.rs
@@ -8,6 +8,7 @@
 use rosebend_coordination::routing::{
     CallEnd, EndpointInfo, EndpointState, Request, Router, RouterSettings,
 };
+use rosebend_coordination::warmth::SharedPrefix;
 use rosebend_state::id::CallId;
 
 const ENDPOINTS: [usize; 4] = [9, 90, 360, 720];
@@ -36,6 +37,11 @@
     CallId::try_from(name).expect("the name is a call id")
 }
 
+fn prefix(n: usize, tokens: u64) -> SharedPrefix {
+    let id = n as u64 % 50;
+    SharedPrefix { id, tokens }
+}
+
 fn router(endpoints: usize) -> Router {
     let mut router = Router::new(RouterSettings::default());
     let info = |n| EndpointInfo {
@@ -75,7 +81,7 @@
             target: "agent-llm",
             prompt_tokens: 8_000,
             warm: None,
-            shared_prefix: Some((n as u64 % 50, 4_000)),
+            shared_prefixes: &[prefix(n, 4_000)],
             excluded: &[],
         };
         let before = Instant::now();
@@ -113,7 +119,7 @@
                 .is_multiple_of(2)
                 .then(|| Duration::from_secs(60 + n as u64)),
             warm_tokens: (n * 13 % 400) as u64,
-            shared_prefix: Some((n as u64 % 50, 100)),
+            shared_prefixes: vec![prefix(n, 100)],
             alone: false,
         }
     };
--- a/replay/src/program.rs
+++ b/replay/src/program.rs
@@ -1,8 +1,9 @@
 //! Programs under way in a replay: where each one stands in its steps.
 
+use rosebend_coordination::warmth::SharedPrefix;
 use rosebend_state::id::{CallId, ProgramId};
 
-use crate::cache::{Segment, SegmentId};
+use crate::cache::Segment;
 use crate::fake::EngineSpec;
 use crate::trace::{ProgramSpec, Step, Trace};
 
@@ -51,9 +52,8 @@
     pub last_site: Option<usize>,
     /// Segments at the start of its history that others may use as well.
     pub shared_segments: usize,
-    /// A prefix that it shares with other programs, by the last segment, and
-    /// its length.
-    pub shared: Option<(SegmentId, u64)>,
+    /// Prefixes that it shares with other programs, by their last segments.
+    pub shared: Vec<SharedPrefix>,
     steps: Vec<Step>,
     position: usize,
     endless: bool,
@@ -74,7 +74,7 @@
             paused: None,
             last_site: None,
             shared_segments: usize::from(spec.prefix.is_some()),
-            shared: spec.prefix,
+            shared: prefix.map(shared_prefix).into_iter().collect(),
             steps: spec.steps.clone(),
             position: 0,
             endless: spec.endless,
@@ -86,6 +86,11 @@
         let session = format!("{}/a{}-{number}", thread.program.session(), thread.position);
         let program = ProgramId::new(thread.program.customer(), &session)
             .expect("a sub-agent's name is accepted");
+        let mut shared = thread.shared.clone();
+        shared.extend(thread.path.last().map(|last| SharedPrefix {
+            id: last.id,
+            tokens: thread.history_tokens(),
+        }));
         Self {
             program,
             parent: Some(parent),
@@ -96,7 +101,7 @@
             paused: None,
             last_site: thread.last_site,
             shared_segments: thread.path.len(),
-            shared: thread.path.last().map(|s| (s.id, thread.history_tokens())),
+            shared,
             steps,
             position: 0,
             endless: false,
@@ -134,6 +139,11 @@
     }
 }
 
+fn shared_prefix(segment: Segment) -> SharedPrefix {
+    let Segment { id, tokens } = segment;
+    SharedPrefix { id, tokens }
+}
+
 /// Time of a program whose calls never wait and find all history warm.
 pub fn critical_path_us(spec: &ProgramSpec, engine: &EngineSpec) -> u64 {
     chain_us(&spec.steps, engine)
--- a/replay/src/replay.rs
+++ b/replay/src/replay.rs
@@ -401,7 +401,7 @@
             target: call.target(),
             prompt_tokens: if is_model { thread.history_tokens() } else { 0 },
             warm: if is_model { parent_warm } else { None },
-            shared_prefix: if is_model { thread.shared } else { None },
+            shared_prefixes: if is_model { &thread.shared } else { &[] },
             excluded: &call.excluded,
         };
         let choice = match self.routers[entry].choose(now, &request) {
@@ -437,8 +437,8 @@
     fn parent_warm(&self, entry: usize, thread: &Thread) -> Option<(EndpointId, u64)> {
         let parent = &self.threads[thread.parent?];
         let (endpoint, tokens) = self.routers[entry].warm_endpoint(&parent.program)?;
-        let (_, shared_tokens) = thread.shared?;
-        Some((endpoint.clone(), tokens.min(shared_tokens)))
+        let shared = thread.shared.last()?;
+        Some((endpoint.clone(), tokens.min(shared.tokens)))
     }
 
     /// The call comes to the sidecar.
@@ -496,7 +496,7 @@
             // A caller whose deadline has passed still waits for the end.
             deadline: (deadline_us > self.now_us).then(|| Duration::from_micros(deadline_us)),
             warm_tokens: call.warm_tokens,
-            shared_prefix: thread.shared,
+            shared_prefixes: thread.shared.clone(),
             alone: false,
         }
     }
--- a/replay/src/replay/holds.rs
+++ b/replay/src/replay/holds.rs
@@ -107,7 +107,7 @@
         let kv_used_percent = self.sites[site].kv_used_percent();
         let load = self.sites[site].load();
         let thread = &self.threads[thread];
-        let shared_tokens = thread.shared.map_or(0, |(_, tokens)| tokens);
+        let shared_tokens = thread.shared.last().map_or(0, |prefix| prefix.tokens);
         let transfer_token_us = match self.sites[site].engine() {
             Some(engine) => engine.spec().transfer_token_us,
             None => 0,
--- a/replay/src/site.rs
+++ b/replay/src/site.rs
@@ -66,25 +66,28 @@
 impl Site {
     /// Makes an idle endpoint.
     pub fn new(spec: &EndpointSpec, policy: &Policy) -> Self {
-        let (backend, targets, max_running, kv_tokens) = match &spec.kind {
+        let (backend, targets, limits) = match &spec.kind {
             EndpointKind::Engine { kv_tokens } => {
                 let spec = EngineSpec::new(*kv_tokens);
+                let limits = QueueSettings::for_engine(spec.max_batch, *kv_tokens);
                 let engine = Backend::Engine(Box::new(Engine::new(spec)));
-                (engine, vec![MODEL.to_owned()], spec.max_batch, *kv_tokens)
+                (engine, vec![MODEL.to_owned()], limits)
             }
             EndpointKind::Service { tools, slots } => {
                 let service = Backend::Service { slow_factor: 1 };
-                (service, tools.clone(), *slots, u64::MAX)
+                (service, tools.clone(), service_limits(*slots))
             }
         };
         let is_engine = matches!(backend, Backend::Engine(_));
-        let admits_all = is_engine && !policy.queue_before_engine;
+        let limits = if is_engine && !policy.queue_before_engine {
+            service_limits(usize::MAX)
+        } else {
+            limits
+        };
         let settings = QueueSettings {
-            max_running: if admits_all { usize::MAX } else { max_running },
-            kv_tokens_limit: if admits_all { u64::MAX } else { kv_tokens },
             order: policy.order.clone(),
             fair_share: policy.fair_share,
-            ..QueueSettings::default()
+            ..limits
         };
         Self {
             id: spec.id.clone(),
@@ -201,6 +204,14 @@
     }
 }
 
+/// Limits without regard to KV memory.
+fn service_limits(max_running: usize) -> QueueSettings {
+    QueueSettings {
+        max_running,
+        ..QueueSettings::default()
+    }
+}
+
 /// A time in microseconds.
 pub fn micros(time: Duration) -> u64 {
     u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
