--- a/coordination/src/queue/order.rs
+++ b/coordination/src/queue/order.rs
@@ -17,20 +17,22 @@
 
 /// Weights of the measures of a whole program.
 ///
-/// The key is a point in time: the start of the program, moved later by the
-/// service that the program has had and earlier by what is warm here. The
-/// earliest goes first.
+/// The key is a point in time: the start of the program, moved earlier by the
+/// service that the program has had. The earliest goes first, so programs
+/// under way are finished before others are begun, and the memory that they
+/// hold comes free.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ProgramOrder {
     /// Counts the age of the program when true; otherwise only attained
-    /// service and warmth decide, and a long program may starve.
+    /// service decides, and a program may starve.
     pub ageing: bool,
-    /// Moves a program later by this much for each token it was served.
+    /// Moves a program earlier by this much for each token it was served.
     pub attained_token_us: u64,
-    /// Moves a call earlier by this much for each prompt token warm here.
-    pub warm_token_us: u64,
-    /// A call due within this time goes as if its program had started this
-    /// long before the deadline.
+    /// Most that attained service moves a program, so that one that loops
+    /// without end does not go before all others.
+    pub max_attained: Duration,
+    /// A call goes at the latest as if its program had started this long
+    /// before the deadline.
     pub deadline_horizon: Option<Duration>,
 }
 
@@ -38,9 +40,9 @@
     fn default() -> Self {
         Self {
             ageing: true,
-            attained_token_us: 50,
-            warm_token_us: 20,
-            deadline_horizon: Some(Duration::from_secs(60)),
+            attained_token_us: 1_000,
+            max_attained: Duration::from_secs(30),
+            deadline_horizon: Some(Duration::from_secs(45)),
         }
     }
 }
@@ -62,9 +64,12 @@
     } else {
         0
     };
-    let attained_us = saturating_i64(waiting.attained_tokens * order.attained_token_us);
-    let warm_us = saturating_i64(waiting.warm_tokens * order.warm_token_us);
-    let key = start_us.saturating_add(attained_us).saturating_sub(warm_us);
+    let attained_us = saturating_i64(
+        waiting
+            .attained_tokens
+            .saturating_mul(order.attained_token_us),
+    );
+    let key = start_us - attained_us.min(micros(order.max_attained));
     match (waiting.deadline, order.deadline_horizon) {
         (Some(deadline), Some(horizon)) => key.min(micros(deadline) - micros(horizon)),
         _ => key,
--- a/coordination/src/queue/waiting.rs
+++ b/coordination/src/queue/waiting.rs
@@ -64,7 +64,7 @@
             max_queued_for_new: 500,
             order: Order::Program(ProgramOrder::default()),
             fair_share: true,
-            share_slack_tokens: 20_000,
+            share_slack_tokens: 10_000,
         }
     }
 }
--- a/replay/src/generate.rs
+++ b/replay/src/generate.rs
@@ -179,12 +179,14 @@
         steps.push(model(random, (150, 700), (40, 180)));
     }
     let (name, typical_ms) = [("quote", 800), ("dispatch", 600)][random.random_range(0..2)];
+    // Half of the callers are on the line; the others are called back.
+    let deadline_ms = [30_000, 120_000][random.random_range(0..2)];
     steps.push(tool(random, name, typical_ms, false));
     steps.push(model(random, (80, 200), (60, 160)));
     ProgramSpec {
         at_ms: 0,
         id: program_id(customer, "visit", number),
-        deadline_ms: 45_000,
+        deadline_ms,
         prefix: Some((1 + random.random_range(0..3), 2_400)),
         endless: false,
         steps,
--- a/replay/src/shares.rs
+++ b/replay/src/shares.rs
@@ -1,10 +1,10 @@
 //! Whether each customer gets its share while another floods.
 //!
 //! Work is counted in engine time. In windows of equal length, a customer is
-//! due the least of what it asked for and its equal part of what was served;
-//! what it asked for is the work that waited at the start of the window and
-//! what came in it. The report gives the customer that fell furthest behind
-//! what was due to it over all windows.
+//! due the least of what it had open at the start of the window and its equal
+//! part of what was served in it. The report gives the customer that fell
+//! furthest behind what was due to it over all windows, apart from the one
+//! that asked for most.
 
 use std::collections::BTreeMap;
 
@@ -44,15 +44,13 @@
         }
     }
 
-    /// The least part of what was due that a customer got; 1 at best.
+    /// The least part of what was due that a customer got, apart from the one
+    /// that asked for most; 1 at best.
     pub fn least(&self) -> f64 {
         let mut open: BTreeMap<&str, u64> = BTreeMap::new();
         let mut due: BTreeMap<&str, f64> = BTreeMap::new();
         let mut got: BTreeMap<&str, f64> = BTreeMap::new();
         for window in self.windows.values() {
-            for (customer, work) in window {
-                *open.entry(customer).or_default() += work.asked_us;
-            }
             let served_us: u64 = window.values().map(|work| work.served_us).sum();
             let parts = fair_parts(&open, served_us as f64);
             for (customer, fair_us) in parts {
@@ -61,12 +59,25 @@
                 // Work ahead of one window's part does not make up for less
                 // in another.
                 *got.entry(customer).or_default() += (work.served_us as f64).min(fair_us);
+            }
+            for (customer, work) in window {
                 let left = open.entry(customer).or_default();
-                *left = left.saturating_sub(work.served_us);
+                *left = (*left + work.asked_us).saturating_sub(work.served_us);
             }
         }
+        let most = self.asked_most();
+        let others = due.iter().filter(|(customer, _)| Some(**customer) != most);
         let ratio = |(customer, due): (&&str, &f64)| got[customer] / due.max(1.0);
-        due.iter().map(ratio).fold(1.0, f64::min)
+        others.map(ratio).fold(1.0, f64::min)
+    }
+
+    fn asked_most(&self) -> Option<&str> {
+        let mut asked: BTreeMap<&str, u64> = BTreeMap::new();
+        for (customer, work) in self.windows.values().flatten() {
+            *asked.entry(customer).or_default() += work.asked_us;
+        }
+        let most = asked.into_iter().max_by_key(|(_, asked_us)| *asked_us);
+        most.map(|(customer, _)| customer)
     }
 
     fn work(&mut self, at_us: u64, customer: &str) -> &mut Work {
