Learn the prefill speed of one prompt, not of those before it

Cause: the time to a call's first token includes the prompts that were prefilled before it, so the learned speed was many times too slow after one long prompt, waits were overestimated, and programs moved without need. Change: prefill counts from the first token before.

--- a/coordination/src/queue.rs
+++ b/coordination/src/queue.rs
@@ -110,6 +110,7 @@
     virtual_tokens: u64,
     pending_tokens: u64,
     alone_running: bool,
+    prefill_ended_at: Duration,
     speed: Speed,
 }
 
@@ -129,6 +130,7 @@
             virtual_tokens: 0,
             pending_tokens: 0,
             alone_running: false,
+            prefill_ended_at: Duration::ZERO,
             speed: Speed::default(),
         }
     }
@@ -187,10 +189,12 @@
         }
         running.first_token_at = Some(now);
         self.memory.computed(&mut running.footprint);
-        self.speed.prefilled(
-            running.pending_tokens,
-            now.saturating_sub(running.admitted_at),
-        );
+        // Engines prefill in the order of admission, so the time before the
+        // last call's first token went to that call's prompt.
+        let began_at = running.admitted_at.max(self.prefill_ended_at);
+        self.prefill_ended_at = now;
+        self.speed
+            .prefilled(running.pending_tokens, now.saturating_sub(began_at));
         self.pending_tokens -= running.pending_tokens;
         running.pending_tokens = 0;
     }
