--- a/coordination/src/queue.rs
+++ b/coordination/src/queue.rs
@@ -81,7 +81,7 @@
 ///     program_age: Duration::ZERO,
 ///     deadline: None,
 ///     warm_tokens: 0,
-///     shared_prefix: None,
+///     shared_prefixes: Vec::new(),
 ///     alone: false,
 /// };
 /// queue.push(Duration::ZERO, waiting).expect("the queue is empty");
@@ -110,6 +110,7 @@
     virtual_tokens: u64,
     pending_tokens: u64,
     alone_running: bool,
+    prefill_ended_at: Duration,
     speed: Speed,
 }
 
@@ -129,6 +130,7 @@
             virtual_tokens: 0,
             pending_tokens: 0,
             alone_running: false,
+            prefill_ended_at: Duration::ZERO,
             speed: Speed::default(),
         }
     }
@@ -186,10 +188,13 @@
             return;
         }
         running.first_token_at = Some(now);
-        self.speed.prefilled(
-            running.pending_tokens,
-            now.saturating_sub(running.admitted_at),
-        );
+        self.memory.computed(&mut running.footprint);
+        // Engines prefill in the order of admission, so the time before the
+        // last call's first token went to that call's prompt.
+        let began_at = running.admitted_at.max(self.prefill_ended_at);
+        self.prefill_ended_at = now;
+        self.speed
+            .prefilled(running.pending_tokens, now.saturating_sub(began_at));
         self.pending_tokens -= running.pending_tokens;
         running.pending_tokens = 0;
     }
@@ -274,7 +279,7 @@
             return refuse(RefusalReason::Duplicate, Duration::ZERO);
         }
         let kv_tokens = waiting.prompt_tokens + waiting.max_answer_tokens;
-        if kv_tokens > self.settings.kv_tokens_limit {
+        if kv_tokens > self.settings.max_call_kv_tokens {
             return refuse(RefusalReason::TooLarge, Duration::ZERO);
         }
         if waiting.deadline.is_some_and(|deadline| deadline <= now) {
