--- a/coordination/src/owner/attempt.rs
+++ b/coordination/src/owner/attempt.rs
@@ -295,7 +295,7 @@
         let Some(active) = self.current(call, attempt) else {
             return;
         };
-        let Stage::InFlight(placement) = active.stage.clone() else {
+        let Some(placement) = active.stage.sent_to().cloned() else {
             return;
         };
         let id = &call.program;
@@ -352,7 +352,8 @@
         let Some(active) = self.current(call, attempt) else {
             return;
         };
-        let Stage::InFlight(placement) = active.stage.clone() else {
+        // A stream can tell the end before the reply to a claim arrives.
+        let Some(placement) = active.stage.sent_to().cloned() else {
             return;
         };
         let id = &call.program;
--- a/coordination/src/owner/durable.rs
+++ b/coordination/src/owner/durable.rs
@@ -45,11 +45,12 @@
 
     fn commit(&mut self, now: Duration, shard: Shard) {
         let state = self.shards.get_mut(&shard).expect("flush() saw it");
+        let epoch = state.epoch;
         let dirty_programs = std::mem::take(&mut state.dirty_programs);
         let dirty_turns = std::mem::take(&mut state.dirty_turns);
         let programs: Vec<_> = dirty_programs
             .iter()
-            .filter_map(|id| Some(self.programs.get(id)?.record(now, id)))
+            .filter_map(|id| Some(self.programs.get(id)?.record(now, id, epoch)))
             .collect();
         let turns: Vec<_> = dirty_turns
             .iter()
@@ -81,7 +82,6 @@
         };
         let state = self.shards.get_mut(&shard).expect("flush() saw it");
         state.in_flight.push_back(in_flight);
-        let epoch = state.epoch;
         self.out.push(Action::Commit {
             commit: id,
             shard,
--- a/coordination/src/owner/event.rs
+++ b/coordination/src/owner/event.rs
@@ -133,8 +133,8 @@
 pub enum ClaimOutcome {
     /// The answer is retained at the sidecar.
     Finished(AnswerRecord),
-    /// The call is in flight at the sidecar; `Finished` or `DispatchFailed`
-    /// follows for the attempt that was claimed.
+    /// The call is in flight at the sidecar. The process resumes its stream,
+    /// so that `Finished` or `DispatchFailed` follows for this attempt.
     Running,
     /// The call has not run there and never will under this attempt.
     Buried,
@@ -176,12 +176,15 @@
         turns: Vec<TurnRecord>,
         /// What sidecars retain for the shard.
         retained: Vec<RetainedTurn>,
-        /// Whether every sidecar that can have run a call of the shard under
-        /// the last epoch told what it retains. Only then does the part of
-        /// the budget that the last owner drew and did not spend come back.
-        retained_complete: bool,
+        /// The highest epoch of the shard at which one of the sidecars
+        /// started, when all of them told what they retain: of calls under a
+        /// later epoch they know everything. For programs whose record has a
+        /// later epoch, the part of the budget that was drawn and not spent
+        /// comes back. None when a sidecar was not asked.
+        retained_after: Option<Epoch>,
     },
-    /// The shard has another owner.
+    /// The shard has another owner. Told before this entry can gain the shard
+    /// again, as `CommitLost` is.
     ShardLost {
         /// The shard.
         shard: Shard,
--- a/coordination/src/owner/mod.rs
+++ b/coordination/src/owner/mod.rs
@@ -159,7 +159,7 @@
                 programs,
                 turns,
                 retained,
-                retained_complete,
+                retained_after,
             } => self.gain(
                 now,
                 takeover::Gain {
@@ -168,7 +168,7 @@
                     programs,
                     turns,
                     retained,
-                    retained_complete,
+                    retained_after,
                 },
             ),
             Event::ShardLost { shard } | Event::CommitLost { shard } => self.lose(shard),
--- a/coordination/src/owner/program.rs
+++ b/coordination/src/owner/program.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rosebend_state::id::{CallId, EndpointId, ProgramId, Sequence, Shard};
+use rosebend_state::id::{CallId, EndpointId, Epoch, ProgramId, Sequence, Shard};
 use rosebend_state::record::{
     AnswerRecord, CallKind, EndReason, FailReason, ProgramRecord, ProgramState, TurnRecord,
     TurnState, UnknownReason,
@@ -132,6 +132,11 @@
         }
     }
 
+    /// Where the call is, as far as is known.
+    pub(super) fn sent_to(&self) -> Option<&Placement> {
+        self.placement().filter(|_| self.is_sent())
+    }
+
     /// Whether the call is at an endpoint, as far as is known.
     pub(super) fn is_sent(&self) -> bool {
         matches!(self, Self::InFlight(_) | Self::Claiming { .. })
@@ -222,10 +227,11 @@
     }
 
     /// The record to write now.
-    pub(super) fn record(&self, now: Duration, program: &ProgramId) -> ProgramRecord {
+    pub(super) fn record(&self, now: Duration, program: &ProgramId, epoch: Epoch) -> ProgramRecord {
         let account = self.account.as_deref();
         ProgramRecord {
             program: program.clone(),
+            epoch,
             state: self.state,
             budget_tokens: account.map_or(0, |account| account.budget_tokens),
             drawn_tokens: account.map_or(0, |account| account.drawn_tokens),
--- a/coordination/src/owner/takeover.rs
+++ b/coordination/src/owner/takeover.rs
@@ -4,7 +4,7 @@
 //! retain. Where a call may be at an endpoint, the sidecar that got it is
 //! asked for the outcome, and the program's next call waits for the reply.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use rosebend_state::id::{CallId, Epoch, ProgramId, Shard};
@@ -25,7 +25,7 @@
     pub(super) programs: Vec<ProgramRecord>,
     pub(super) turns: Vec<TurnRecord>,
     pub(super) retained: Vec<RetainedTurn>,
-    pub(super) retained_complete: bool,
+    pub(super) retained_after: Option<Epoch>,
 }
 
 /// What sidecars retain of one call.
@@ -43,25 +43,28 @@
             None => {}
         }
         self.shards.insert(gain.shard, ShardState::new(gain.epoch));
+        // Root programs of which sidecars retain all that is not recorded.
+        let mut complete = BTreeSet::new();
         for record in &gain.programs {
             let mut program = Program::from_record(gain.shard, now, record);
+            let is_complete = gain
+                .retained_after
+                .is_some_and(|after| record.epoch > after);
             if record.program.parent().is_none() {
-                program.account = Some(account(record, gain.retained_complete));
+                program.account = Some(account(record, is_complete));
+                complete.extend(is_complete.then(|| record.program.clone()));
             }
             self.programs.insert(record.program.clone(), program);
         }
         let mut retained = by_call(gain.retained);
         let mut open_turns = BTreeMap::new();
         for record in gain.turns {
-            self.restore_turn(
-                record,
-                gain.retained_complete,
-                &mut retained,
-                &mut open_turns,
-            );
+            let is_complete = complete.contains(&record.call.program.root());
+            self.restore_turn(record, is_complete, &mut retained, &mut open_turns);
         }
         for (call, retained) in retained {
-            self.restore_retained(&call, retained, gain.retained_complete, &mut open_turns);
+            let is_complete = complete.contains(&call.program.root());
+            self.restore_retained(&call, retained, is_complete, &mut open_turns);
         }
         for (id, active) in open_turns {
             self.restore_active(now, &id, active);
--- a/state/src/record.rs
+++ b/state/src/record.rs
@@ -10,7 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::{CallId, EndpointId, Incarnation, ProgramId, Sequence};
+use crate::id::{CallId, EndpointId, Epoch, Incarnation, ProgramId, Sequence};
 
 /// One program. A sub-agent has its own record; the budget of the whole tree
 /// stands in the record of the root program.
@@ -19,6 +19,9 @@
 pub struct ProgramRecord {
     /// The program's id.
     pub program: ProgramId,
+    /// Epoch of the owner that wrote this record.
+    #[serde(default)]
+    pub epoch: Epoch,
     /// Whether the program takes calls.
     pub state: ProgramState,
     /// The most that the program and its sub-agents may spend; zero in the
