Let programs make headway between the faults of the world

Cause: counted, a run told 0.2 calls done before the faults stopped, so most interleavings were of idle owners. Change: faults are rarer and writes, runs and deliveries commoner; a numbered caller also checks that its call got its number.

--- a/coordination/tests/owner_properties.rs
+++ b/coordination/tests/owner_properties.rs
@@ -17,7 +17,7 @@
 use world::{Mode, World};
 
 /// Choices of one run, at most.
-const CHOICES: usize = 900;
+const CHOICES: usize = 1200;
 
 /// The choices of one run, printed on one line.
 #[derive(Clone)]
--- a/coordination/tests/world/faults.rs
+++ b/coordination/tests/world/faults.rs
@@ -12,36 +12,51 @@
 
 impl World {
     /// Takes one choice; `what` chooses its kind and `which` the details.
+    /// Faults are rare enough that programs make headway between them.
     pub fn choose(&mut self, what: u8, which: u16) {
         let pick = usize::from(which);
-        match what % 100 {
-            0..=42 if !self.messages.is_empty() => {
+        let shard = (pick / 3) as u32 % SHARDS;
+        match what {
+            0..=117 if !self.messages.is_empty() => {
                 let index = pick % self.messages.len();
-                self.deliver(index, pick / 7 % 9 == 0);
+                self.deliver(index, (pick / 7).is_multiple_of(20));
+            }
+            118..=121 if !self.messages.is_empty() => self.lose(pick % self.messages.len()),
+            122..=125 if !self.messages.is_empty() => self.double(pick % self.messages.len()),
+            126..=150 => self.client_acts(pick),
+            151..=185 => self.endpoint_runs(pick),
+            186 => self.endpoint_crashes(pick % 2, pick / 2),
+            187 => self.sidecar_restarts(pick % 2, pick / 2),
+            188 => self.owner_crashes(pick % 3),
+            189 => self.takeover(pick % 3, shard, pick / 6),
+            190 => self.processes[pick % 3].is_paused = true,
+            191..=192 if self.mode.outages && (what == 191 || !self.is_table_up) => {
+                self.table_fails_or_returns();
             }
-            43..=46 if !self.messages.is_empty() => self.lose(pick % self.messages.len()),
-            47..=49 if !self.messages.is_empty() => self.double(pick % self.messages.len()),
-            50..=60 => self.client_acts(pick),
-            61..=70 => self.endpoint_runs(pick),
-            71 => self.endpoint_crashes(pick % 2, pick / 2),
-            72 => self.sidecar_restarts(pick % 2, pick / 2),
-            73 => self.owner_crashes(pick % 3),
-            74..=76 => self.takeover(pick % 3, (pick / 3) as u32 % SHARDS, pick / 6),
-            77..=78 => self.pause_or_wake(pick % 3),
-            79 if self.mode.outages => self.table_fails_or_returns(),
-            80..=89 => self.write_arrives(pick),
-            90..=94 => self.time_passes(pick),
-            95..=96 => self.renew(pick % 3, pick / 3 % 2),
-            97 => self.leave(pick % 3, (pick / 3) as u32 % SHARDS),
-            98 if !self.zombies.is_empty() => {
+            193..=231 => self.some_write_arrives(pick),
+            232..=241 => self.time_passes(pick),
+            242..=245 => self.renew(pick % 3, pick / 3 % 2),
+            246 => self.leave(pick % 3, shard),
+            247..=248 if !self.zombies.is_empty() => {
                 let zombie = self.zombies.remove(pick % self.zombies.len());
                 self.take_effect(&zombie, false);
             }
-            99 => self.seen_runs[pick % 2] = self.sidecars[pick % 2].run,
+            249 => self.processes[pick % 3].is_paused = false,
+            250..=252 => self.seen_runs[pick % 2] = self.sidecars[pick % 2].run,
+            253..=255 if !(0..3).any(|index| self.is_current(index, shard)) => {
+                self.takeover(pick % 3, shard, pick / 6);
+            }
             _ => {}
         }
     }
 
+    fn some_write_arrives(&mut self, pick: usize) {
+        let waiting: Vec<usize> = (0..6).filter(|pick| self.write_is_waiting(*pick)).collect();
+        if !waiting.is_empty() {
+            self.write_arrives(waiting[pick % waiting.len()] + pick / 8 * 6);
+        }
+    }
+
     fn client_acts(&mut self, pick: usize) {
         let client = pick % self.clients.len();
         let pick = pick / self.clients.len();
@@ -74,11 +89,14 @@
     }
 
     fn endpoint_runs(&mut self, pick: usize) {
-        let sidecar = pick % 2;
-        let running = self.sidecars[sidecar].running();
+        let both = (0..2).flat_map(|sidecar| {
+            let running = self.sidecars[sidecar].running();
+            running.into_iter().map(move |key| (sidecar, key))
+        });
+        let running: Vec<_> = both.collect();
         if !running.is_empty() {
-            let key = &running[pick / 2 % running.len()];
-            self.run_to_end(sidecar, key, (pick / 8) as u64);
+            let (sidecar, key) = &running[pick % running.len()];
+            self.run_to_end(*sidecar, key, (pick / 8) as u64);
         }
     }
 
@@ -230,11 +248,6 @@
         self.send_local(run, Event::ShardLeaving { shard });
     }
 
-    fn pause_or_wake(&mut self, index: usize) {
-        let process = &mut self.processes[index];
-        process.is_paused = !process.is_paused;
-    }
-
     pub fn table_fails_or_returns(&mut self) {
         self.is_table_up = !self.is_table_up;
         let answering = self.is_table_up;
--- a/coordination/tests/world/mod.rs
+++ b/coordination/tests/world/mod.rs
@@ -293,6 +293,11 @@
         let position = asked.index.expect("only calls are followed");
         let planned = self.clients[asked.client].calls[position].clone();
         let shard = call.program.shard(SHARDS);
+        let is_numbered = self.clients[asked.client].is_numbered;
+        assert!(
+            !is_numbered || call.sequence == position as u64 + 1,
+            "order: {call} is call {position} of its caller"
+        );
         let told = match outcome {
             CallOutcome::Done => {
                 let digest = self.digest(index, call);
--- a/coordination/tests/world/quiet.rs
+++ b/coordination/tests/world/quiet.rs
@@ -95,7 +95,7 @@
         }
     }
 
-    fn write_is_waiting(&self, pick: usize) -> bool {
+    pub fn write_is_waiting(&self, pick: usize) -> bool {
         let writes = self.processes[pick % 3]
             .writes
             .get(&((pick / 3) as u32 % SHARDS));
