Drive the owners through the real sidecar machine

Cause: the world had a fake sidecar, so that the two halves were never shown to fit. Change: tests/world/sidecar.rs wraps endpoint::Calls. Found by it and mended: (1) a claim for an attempt that never arrived was answered with the answer of an older attempt, which can be another request under the same position (proptest: 'mixed: the caller of renewal/check-2 was given renewal/check-1/1'): Calls::claim now says Buried for such an attempt of a repeatable call; (2) the sidecar knows one record a call, so a failed attempt before the retained one was not counted after a takeover ('budget: spent 186 and its record says 179'): the intent carries charged_tokens; (3) RetainedTurn carries the newest attempt, which can be later than the record's. ShardGained has retained_after in place of retained_complete; the entry gives None until sidecars tell at which epochs they started, so a crash strands what was drawn: the chunk is 16,384 tokens now, not 100,000. Ruled out: fingerprints in claims (a new owner has none for a call that it has not seen asked for).

--- a/coordination/src/endpoint/calls/mod.rs
+++ b/coordination/src/endpoint/calls/mod.rs
@@ -157,7 +157,12 @@
             return ClaimOutcome::Buried;
         };
         record.fence = fence;
+        // A later attempt than any known here never came, and would join this
+        // one if it did. What runs or ran here may be another request under
+        // the same id, so its answer is not given for the later attempt.
+        let is_unseen = attempt > record.attempt && record.repeatable;
         match &record.state {
+            CallState::Finished { .. } | CallState::Running if is_unseen => ClaimOutcome::Buried,
             CallState::Finished { finished, .. } => ClaimOutcome::Finished(finished.clone()),
             CallState::Running => ClaimOutcome::Running,
             CallState::Failed { failure, .. } => ClaimOutcome::Failed(failure.clone()),
--- a/coordination/src/owner/config.rs
+++ b/coordination/src/owner/config.rs
@@ -47,7 +47,7 @@
         Self {
             shard_count: 128,
             seed: 0,
-            budget_chunk_tokens: 100_000,
+            budget_chunk_tokens: 16_384,
             gap_wait: Duration::from_secs(2),
             max_attempts: 3,
             retry_percent: 10,
--- a/coordination/src/owner/event.rs
+++ b/coordination/src/owner/event.rs
@@ -156,6 +156,9 @@
 pub struct RetainedTurn {
     /// The record that came with the call's dispatch: its state is `Intent`.
     pub turn: TurnRecord,
+    /// The newest attempt that the sidecar knows of; a later one of the same
+    /// request joins the one that runs.
+    pub attempt: Attempt,
     /// The whole answer, or none while the call is in flight.
     pub answer: Option<AnswerRecord>,
 }
--- a/coordination/src/owner/takeover.rs
+++ b/coordination/src/owner/takeover.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use rosebend_state::id::{CallId, Epoch, ProgramId, Shard};
-use rosebend_state::record::{ProgramRecord, TurnRecord, TurnState, UnknownReason};
+use rosebend_state::record::{AnswerRecord, ProgramRecord, TurnRecord, TurnState, UnknownReason};
 
 use super::Owner;
 use super::account::Account;
@@ -130,9 +130,10 @@
             .iter()
             .filter_map(|attempt| placement_of(&attempt.turn))
             .collect();
-        let earlier_tokens: u64 = attempts.iter().map(spent_tokens).sum();
-        let newest_tokens = spent_tokens(&newest);
+        let earlier_tokens: u64 = attempts.iter().map(own_tokens).sum();
+        let newest_tokens = own_tokens(&newest);
         let mut active = restored(&newest.turn);
+        active.attempt = newest.attempt;
         let known = open_turns.get(&call.program);
         let is_older = known.is_some_and(|known| {
             known.sequence > call.sequence
@@ -142,7 +143,7 @@
         active.has_record = is_same;
         active.earlier = earlier;
         program.next_sequence = program.next_sequence.max(call.sequence + 1);
-        let mut spent = earlier_tokens;
+        let mut spent = earlier_tokens + charged_tokens(&newest);
         if is_older {
             spent += newest_tokens;
         } else if let Some(answer) = newest.answer {
@@ -166,12 +167,7 @@
     }
 
     /// Restores an answer that is not in the table yet.
-    fn restore_answer(
-        &mut self,
-        active: ActiveCall,
-        id: &ProgramId,
-        answer: rosebend_state::record::AnswerRecord,
-    ) {
+    fn restore_answer(&mut self, active: ActiveCall, id: &ProgramId, answer: AnswerRecord) {
         let sequence = active.sequence;
         let mut acknowledge = active.earlier.clone();
         acknowledge.extend(active.stage.placement().cloned());
@@ -341,7 +337,7 @@
             .entry(retained.turn.call.clone())
             .or_default()
             .attempts;
-        attempts.insert(attempt_of(&retained.turn), retained);
+        attempts.insert(retained.attempt, retained);
     }
     calls
 }
@@ -368,16 +364,22 @@
 }
 
 /// What a retained attempt spent, or may spend yet.
-fn spent_tokens(retained: &RetainedTurn) -> u64 {
-    match (&retained.answer, &retained.turn.state) {
-        (Some(answer), _) => answer.spent_tokens(),
-        (
-            None,
-            TurnState::Intent {
-                reserved_tokens, ..
-            },
-        ) => *reserved_tokens,
-        (None, _) => 0,
+fn own_tokens(retained: &RetainedTurn) -> u64 {
+    let reserved_tokens = match retained.turn.state {
+        TurnState::Intent {
+            reserved_tokens, ..
+        } => reserved_tokens,
+        _ => 0,
+    };
+    let answer = retained.answer.as_ref();
+    answer.map_or(reserved_tokens, AnswerRecord::spent_tokens)
+}
+
+/// What attempts before a retained one were counted as having spent.
+fn charged_tokens(retained: &RetainedTurn) -> u64 {
+    match retained.turn.state {
+        TurnState::Intent { charged_tokens, .. } => charged_tokens,
+        _ => 0,
     }
 }
 
--- a/coordination/tests/world/faults.rs
+++ b/coordination/tests/world/faults.rs
@@ -1,13 +1,13 @@
 //! One choice of a run: a message arrives, or something fails.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
-use rosebend_coordination::owner::{DispatchFailure, Event, Owner};
-use rosebend_state::id::{CallId, Shard};
+use rosebend_coordination::endpoint::outcome::{Failure, FailureReason, Outcome};
+use rosebend_coordination::owner::{Event, Owner};
+use rosebend_state::id::Shard;
 
 use super::network::Message;
-use super::sidecar::{AttemptState, Dispatch};
+use super::sidecar::{Dispatch, Sidecar, broken};
 use super::{SHARDS, World, config};
 
 impl World {
@@ -19,7 +19,7 @@
         match what {
             0..=117 if !self.messages.is_empty() => {
                 let index = pick % self.messages.len();
-                self.deliver(index, (pick / 7).is_multiple_of(20));
+                self.deliver(index);
             }
             118..=121 if !self.messages.is_empty() => self.lose(pick % self.messages.len()),
             122..=125 if !self.messages.is_empty() => self.double(pick % self.messages.len()),
@@ -91,39 +91,32 @@
     fn endpoint_runs(&mut self, pick: usize) {
         let both = (0..2).flat_map(|sidecar| {
             let running = self.sidecars[sidecar].running();
-            running.into_iter().map(move |key| (sidecar, key))
+            running.into_iter().map(move |call| (sidecar, call))
         });
         let running: Vec<_> = both.collect();
         if !running.is_empty() {
-            let (sidecar, key) = &running[pick % running.len()];
-            self.run_to_end(*sidecar, key, (pick / 8) as u64);
+            let (sidecar, call) = &running[pick % running.len()];
+            self.run_to_end(*sidecar, call, (pick / 8) as u64);
         }
     }
 
     /// The endpoint dies with everything that runs on it; its sidecar lives.
     fn endpoint_crashes(&mut self, sidecar: usize, pick: usize) {
         let running = self.sidecars[sidecar].running();
-        let suspects: Vec<CallId> = running.iter().map(|(call, _)| call.clone()).collect();
-        self.sidecars[sidecar].holds.clear();
-        for (position, key) in running.iter().enumerate() {
-            let entry = self.sidecars[sidecar].attempts.get_mut(key);
-            let entry = entry.expect("it runs");
-            entry.state = AttemptState::Failed;
-            let dispatch = entry.dispatch.clone();
+        for (position, call) in running.iter().enumerate() {
+            let dispatch = self.sidecars[sidecar].given[call].dispatch.clone();
             if (pick >> (position % 4)).is_multiple_of(2) {
                 self.take_effect(&dispatch, true);
             }
             self.spend_worst_case(&dispatch);
-            self.send_owner(
-                dispatch.from,
-                Event::DispatchFailed {
-                    call: key.0.clone(),
-                    attempt: key.1,
-                    reason: DispatchFailure::EndpointCrashed,
-                    may_have_run: true,
-                    suspects: suspects.clone(),
-                },
-            );
+            let outcome = Outcome::Failed(Failure {
+                reason: FailureReason::EndpointCrashed,
+                may_have_run: true,
+                detail: String::new(),
+                suspects: Vec::new(),
+            });
+            let sent = self.sidecars[sidecar].end(self.now, call, outcome);
+            self.send_all(sent);
         }
     }
 
@@ -135,38 +128,42 @@
     /// The sidecar is replaced: it forgets everything, and connections to it
     /// break. What ran may still have its effect.
     fn sidecar_restarts(&mut self, index: usize, pick: usize) {
-        for key in self.sidecars[index].running() {
-            let dispatch = self.sidecars[index].attempts[&key].dispatch.clone();
-            self.spend_worst_case(&dispatch);
-            self.lose_connection(&dispatch);
-            match pick % 3 {
-                0 => self.take_effect(&dispatch, true),
-                1 => self.zombies.push(dispatch),
-                _ => {}
+        for call in self.sidecars[index]
+            .given
+            .keys()
+            .cloned()
+            .collect::<Vec<_>>()
+        {
+            let given = &self.sidecars[index].given[&call];
+            let (dispatch, is_running) = (given.dispatch.clone(), given.is_running);
+            let streams = given.followers.iter();
+            let sent = streams
+                .map(|stream| broken(*stream, call.clone()))
+                .collect();
+            self.send_all(sent);
+            if is_running {
+                self.spend_worst_case(&dispatch);
+                match pick % 3 {
+                    0 => self.take_effect(&dispatch, true),
+                    1 => self.zombies.push(dispatch),
+                    _ => {}
+                }
             }
         }
         self.note_lost_copies(index, None);
-        let sidecar = &mut self.sidecars[index];
-        sidecar.run += 1;
-        sidecar.attempts.clear();
-        sidecar.buried.clear();
-        sidecar.holds.clear();
-        // A sidecar reads the shards' epochs before it takes any call.
         let shards = self.table.shards.iter();
-        sidecar.fences = shards.map(|(shard, row)| (*shard, row.1)).collect();
-        sidecar.started_at = sidecar.fences.clone();
+        let epochs = shards.map(|(shard, row)| (*shard, row.1)).collect();
+        let sidecar = &mut self.sidecars[index];
+        *sidecar = Sidecar::new(&sidecar.name, sidecar.run + 1, epochs);
     }
 
     /// Notes the answers of which this sidecar had the second copy.
     fn note_lost_copies(&mut self, index: usize, shard: Option<Shard>) {
-        for entry in self.sidecars[index].attempts.values() {
-            let is_of = shard.is_none_or(|shard| shard == entry.dispatch.shard);
-            let is_copy = matches!(
-                entry.state,
-                AttemptState::Running | AttemptState::Finished(_)
-            );
-            if is_of && is_copy && !self.table.has_end(&entry.dispatch.call) {
-                let key = entry.dispatch.request.key.clone();
+        for given in self.sidecars[index].given.values() {
+            let dispatch = &given.dispatch;
+            let is_of = shard.is_none_or(|shard| shard == dispatch.shard);
+            if is_of && !self.table.has_end(&dispatch.call) {
+                let key = dispatch.request.key.clone();
                 self.witness.lost_copy.extend(key);
             }
         }
@@ -304,7 +301,7 @@
         self.messages.push(Message::Renew {
             sidecar,
             fences,
-            programs: programs.into_iter().collect::<BTreeSet<_>>(),
+            programs: programs.into_iter().collect(),
         });
     }
 }
--- a/coordination/tests/world/mod.rs
+++ b/coordination/tests/world/mod.rs
@@ -103,7 +103,9 @@
             mode,
             now: Duration::from_secs(1),
             processes: (0..3).map(process).collect(),
-            sidecars: vec![Sidecar::new("east"), Sidecar::new("west")],
+            sidecars: ["east", "west"]
+                .map(|name| Sidecar::new(name, 1, BTreeMap::new()))
+                .into(),
             seen_runs: vec![1, 1],
             table: Table::default(),
             is_table_up: true,
@@ -167,6 +169,7 @@
                 request,
                 record,
                 hold_kv,
+                alone,
                 ..
             } => self.send_dispatch(Dispatch {
                 from: run,
@@ -178,6 +181,7 @@
                 request,
                 record: *record,
                 hold_kv,
+                alone,
             }),
             Action::Commit {
                 commit,
--- a/coordination/tests/world/network.rs
+++ b/coordination/tests/world/network.rs
@@ -1,16 +1,14 @@
 //! Messages on their way, and what their arrival brings.
 
-use std::collections::BTreeSet;
-use std::time::Duration;
+use std::collections::HashSet;
 
-use rosebend_coordination::owner::{
-    Attempt, ClaimOutcome, DispatchFailure, DispatchRefusal, Event, Placement,
-};
+use rosebend_coordination::endpoint::fence::Fence;
+use rosebend_coordination::endpoint::outcome::{Finished, Outcome};
+use rosebend_coordination::owner::{Attempt, ClaimOutcome, Event, Placement};
 use rosebend_state::id::{CallId, Epoch, ProgramId, Shard};
-use rosebend_state::record::{AnswerBody, AnswerRecord};
 
 use super::World;
-use super::sidecar::{AttemptState, Dispatch, DispatchReply, OwnerRun};
+use super::sidecar::{Dispatch, OwnerRun, Sent, broken};
 
 /// A message on its way.
 #[derive(Clone, Debug)]
@@ -42,7 +40,7 @@
     Renew {
         sidecar: usize,
         fences: Vec<(Shard, Epoch)>,
-        programs: BTreeSet<ProgramId>,
+        programs: HashSet<ProgramId>,
     },
 }
 
@@ -70,7 +68,7 @@
             .expect("placements name known sidecars")
     }
 
-    pub fn deliver(&mut self, index: usize, is_full: bool) {
+    pub fn deliver(&mut self, index: usize) {
         if let Some(owner) = self.receiver(index)
             && self.processes[owner].is_paused
         {
@@ -91,10 +89,12 @@
                         _ => None,
                     };
                     self.step(to.0, event);
-                    running.into_iter().for_each(|key| self.resume(to, &key));
+                    if let Some((call, attempt)) = running {
+                        self.resume(to, &call, attempt);
+                    }
                 }
             }
-            Message::Dispatch { run, dispatch } => self.dispatched(run, *dispatch, is_full),
+            Message::Dispatch { run, dispatch } => self.dispatched(run, *dispatch),
             Message::Claim {
                 from,
                 call,
@@ -105,7 +105,12 @@
             } => {
                 let sidecar = self.sidecar_index(&placement.endpoint);
                 let sidecar = &mut self.sidecars[sidecar];
-                let outcome = sidecar.claim(from, &call, attempt, shard, epoch, &placement);
+                let outcome = sidecar.claim(self.now, &call, attempt, (shard, epoch), &placement);
+                let told = match outcome {
+                    ClaimOutcome::Buried => sidecar.tell_waiting(&call),
+                    _ => Vec::new(),
+                };
+                self.send_all(told);
                 self.send_owner(
                     from,
                     Event::Claimed {
@@ -122,18 +127,19 @@
                 placement,
             } => {
                 let sidecar = self.sidecar_index(&placement.endpoint);
-                self.sidecars[sidecar].acknowledge(&call, shard, epoch);
+                let fence = Fence { shard, epoch };
+                let calls = &mut self.sidecars[sidecar].calls;
+                calls.acknowledge(self.now, fence, &[call]);
             }
             Message::Release { program, endpoint } => {
                 let sidecar = self.sidecar_index(&endpoint);
-                let holds = &mut self.sidecars[sidecar].holds;
-                holds.retain(|(_, held)| *held != program);
+                self.sidecars[sidecar].release(self.now, &program);
             }
             Message::Renew {
                 sidecar,
                 fences,
                 programs,
-            } => self.sidecars[sidecar].renew(&fences, &programs),
+            } => self.sidecars[sidecar].renew(self.now, &fences, &programs),
         }
     }
 
@@ -143,28 +149,16 @@
     }
 
     /// A process resumes the stream of a call that a claim found running.
-    fn resume(&mut self, to: OwnerRun, key: &(CallId, Attempt)) {
-        let (call, attempt) = key.clone();
-        let entry = self
-            .sidecars
-            .iter_mut()
-            .find_map(|sidecar| sidecar.attempts.get_mut(key));
-        let event = match entry {
-            Some(entry) => {
-                entry.dispatch.from = to;
-                match entry.state.clone() {
-                    AttemptState::Running => return,
-                    AttemptState::Finished(answer) => Event::Finished {
-                        call,
-                        attempt,
-                        answer,
-                    },
-                    _ => broken(call, attempt),
-                }
-            }
-            None => broken(call, attempt),
-        };
-        self.send_local(to, event);
+    fn resume(&mut self, to: OwnerRun, call: &CallId, attempt: Attempt) {
+        let placement = self.processes[to.0]
+            .owner
+            .call(call)
+            .and_then(|view| view.placement);
+        if let Some(placement) = placement {
+            let index = self.sidecar_index(&placement.endpoint);
+            let sent = self.sidecars[index].resume(call, (to, attempt));
+            self.send_all(sent);
+        }
     }
 
     fn receiver(&self, index: usize) -> Option<usize> {
@@ -174,43 +168,26 @@
         }
     }
 
-    fn dispatched(&mut self, run: u32, dispatch: Dispatch, is_full: bool) {
+    fn dispatched(&mut self, run: u32, dispatch: Dispatch) {
         let index = self.sidecar_index(&dispatch.placement.endpoint);
         if self.sidecars[index].run != run {
             return self.lose_connection(&dispatch);
         }
-        let (to, call, attempt) = (dispatch.from, dispatch.call.clone(), dispatch.attempt);
-        match self.sidecars[index].dispatch(dispatch, is_full) {
-            DispatchReply::Runs | DispatchReply::Silent => {}
-            DispatchReply::Finished(answer) => self.send_owner(
-                to,
-                Event::Finished {
-                    call,
-                    attempt,
-                    answer,
-                },
-            ),
-            DispatchReply::Refused(reason) => {
-                if reason == DispatchRefusal::OtherIncarnation {
-                    self.seen_runs[index] = self.sidecars[index].run;
-                }
-                self.send_owner(
-                    to,
-                    Event::DispatchRefused {
-                        call,
-                        attempt,
-                        reason,
-                        retry_after: Duration::from_millis(200),
-                    },
-                );
-            }
+        let sent = self.sidecars[index].dispatch(self.now, dispatch);
+        self.send_all(sent);
+    }
+
+    pub fn send_all(&mut self, sent: Vec<Sent>) {
+        for (to, event) in sent {
+            self.messages.push(Message::ToOwner { to, event });
         }
     }
 
     /// The stream of a dispatch broke.
     pub fn lose_connection(&mut self, dispatch: &Dispatch) {
-        let event = broken(dispatch.call.clone(), dispatch.attempt);
-        self.send_local(dispatch.from, event);
+        let stream = (dispatch.from, dispatch.attempt);
+        let (to, event) = broken(stream, dispatch.call.clone());
+        self.send_local(to, event);
     }
 
     /// Loses a message, if it is of a kind that can be lost.
@@ -226,7 +203,10 @@
                     Event::Finished { call, attempt, .. }
                     | Event::DispatchRefused { call, attempt, .. }
                     | Event::DispatchFailed { call, attempt, .. },
-            } => self.send_local(to, broken(call, attempt)),
+            } => {
+                let (to, event) = broken((to, attempt), call);
+                self.send_local(to, event);
+            }
             _ => {}
         }
     }
@@ -246,32 +226,23 @@
     }
 
     /// An endpoint takes a running call to its end.
-    pub fn run_to_end(&mut self, sidecar: usize, key: &(CallId, Attempt), choice: u64) {
-        let dispatch = self.sidecars[sidecar].attempts[key].dispatch.clone();
+    pub fn run_to_end(&mut self, sidecar: usize, call: &CallId, choice: u64) {
+        let dispatch = self.sidecars[sidecar].given[call].dispatch.clone();
         self.take_effect(&dispatch, true);
-        let answer_tokens = choice % (dispatch.request.max_answer_tokens + 1);
-        let name = dispatch.request.key.clone().expect("calls have keys");
-        let answer = AnswerRecord {
+        let name = dispatch.request.key.as_deref().expect("calls have keys");
+        let finished = Finished {
             status: 200,
-            body: AnswerBody::Parts(vec![name.clone()]),
             prompt_tokens: dispatch.request.prompt_tokens,
-            cached_tokens: 0,
-            answer_tokens,
+            answer_tokens: choice % (dispatch.request.max_answer_tokens + 1),
             digest: format!("{name}/{}", self.next_answer),
+            ..Finished::default()
         };
         self.next_answer += 1;
-        let spent_tokens = answer.spent_tokens();
-        self.witness.spend(&key.0.program, spent_tokens);
-        let entry = self.sidecars[sidecar].attempts.get_mut(key);
-        entry.expect("it runs").state = AttemptState::Finished(answer.clone());
-        self.send_owner(
-            dispatch.from,
-            Event::Finished {
-                call: key.0.clone(),
-                attempt: key.1,
-                answer,
-            },
-        );
+        let spent_tokens = finished.prompt_tokens + finished.answer_tokens;
+        self.witness.spend(&call.program, spent_tokens);
+        let outcome = Outcome::Finished(finished);
+        let sent = self.sidecars[sidecar].end(self.now, call, outcome);
+        self.send_all(sent);
     }
 
     pub fn take_effect(&mut self, dispatch: &Dispatch, is_known: bool) {
@@ -281,14 +252,3 @@
         }
     }
 }
-
-/// The stream of a dispatch broke.
-fn broken(call: CallId, attempt: Attempt) -> Event {
-    Event::DispatchFailed {
-        call,
-        attempt,
-        reason: DispatchFailure::ConnectionLost,
-        may_have_run: true,
-        suspects: Vec::new(),
-    }
-}
--- a/coordination/tests/world/quiet.rs
+++ b/coordination/tests/world/quiet.rs
@@ -80,11 +80,11 @@
         while is_busy {
             is_busy = !self.messages.is_empty();
             while !self.messages.is_empty() {
-                self.deliver(0, false);
+                self.deliver(0);
             }
             for sidecar in 0..self.sidecars.len() {
-                for key in self.sidecars[sidecar].running() {
-                    self.run_to_end(sidecar, &key, 1);
+                for call in self.sidecars[sidecar].running() {
+                    self.run_to_end(sidecar, &call, 1);
                     is_busy = true;
                 }
             }
@@ -136,14 +136,11 @@
         self.drain();
     }
 
-    fn check_rest(&self) {
-        for sidecar in &self.sidecars {
-            assert!(
-                sidecar.holds.is_empty(),
-                "holds: {:?} stay at {} after their programs ended",
-                sidecar.holds,
-                sidecar.name
-            );
+    fn check_rest(&mut self) {
+        for sidecar in &mut self.sidecars {
+            let held = sidecar.held();
+            let name = &sidecar.name;
+            assert!(held.is_empty(), "holds: {held:?} stay at {name}");
         }
         for (key, (call, digest)) in &self.witness.told {
             let turn = self.table.turns.get(call).map(|turn| &turn.state);
--- a/entry/src/control.rs
+++ b/entry/src/control.rs
@@ -87,8 +87,6 @@
     pub turns: Vec<TurnRecord>,
     /// Calls that sidecars retain for it.
     pub retained: Vec<RetainedTurn>,
-    /// Whether every sidecar told what it retains.
-    pub retained_complete: bool,
 }
 
 /// What the control thread is told.
--- a/entry/src/control/retained.rs
+++ b/entry/src/control/retained.rs
@@ -90,7 +90,13 @@
             Some(_) => Some(read_answer(peers, address, fence, &call).await?),
             None => None,
         };
-        turns.push((call.shard, RetainedTurn { turn, answer }));
+        let attempt = call.attempt;
+        let retained = RetainedTurn {
+            turn,
+            attempt,
+            answer,
+        };
+        turns.push((call.shard, retained));
     }
     Some(turns)
 }
--- a/entry/src/control/shards.rs
+++ b/entry/src/control/shards.rs
@@ -270,7 +270,6 @@
             }
             for shard in &mut loaded {
                 shard.retained = retained.calls.remove(&shard.shard).unwrap_or_default();
-                shard.retained_complete = retained.is_complete;
             }
             handle.send(Command::ShardsLoaded(loaded));
         });
@@ -301,7 +300,9 @@
                 programs: loaded.programs,
                 turns: loaded.turns,
                 retained: loaded.retained,
-                retained_complete: loaded.retained_complete,
+                // Sidecars don't tell yet at which epochs they started, so
+                // what was drawn counts as spent.
+                retained_after: None,
             });
             let event = LogEvent::new(EventKind::ShardRecovered).shard(shard);
             log_event(&event.epoch(loaded.epoch).count(retained_count));
@@ -426,7 +427,6 @@
         programs: Vec::new(),
         turns: Vec::new(),
         retained: Vec::new(),
-        retained_complete: is_new,
     };
     if is_new {
         return Ok(loaded);
--- a/state/src/record.rs
+++ b/state/src/record.rs
@@ -135,6 +135,9 @@
         /// The worst case that was reserved from the budget.
         #[serde(default)]
         reserved_tokens: u64,
+        /// What earlier attempts were counted as having spent.
+        #[serde(default)]
+        charged_tokens: u64,
     },
     /// It has not run under any attempt so far and may go again.
     NotRun {
