--- a/coordination/src/owner/attempt.rs
+++ b/coordination/src/owner/attempt.rs
@@ -222,7 +222,11 @@
 
     /// Counts an attempt that may have run as having spent its worst case.
     fn charge_worst_case(&mut self, id: &ProgramId) {
-        let reserved_tokens = self.active(id).map_or(0, |active| active.reserved_tokens);
+        let Some(active) = self.active(id) else {
+            return;
+        };
+        let reserved_tokens = active.reserved_tokens;
+        active.charged_tokens = active.charged_tokens.saturating_add(reserved_tokens);
         self.settle(id, reserved_tokens);
     }
 
@@ -295,7 +299,7 @@
         let Some(active) = self.current(call, attempt) else {
             return;
         };
-        let Stage::InFlight(placement) = active.stage.clone() else {
+        let Some(placement) = active.stage.sent_to().cloned() else {
             return;
         };
         let id = &call.program;
@@ -352,7 +356,8 @@
         let Some(active) = self.current(call, attempt) else {
             return;
         };
-        let Stage::InFlight(placement) = active.stage.clone() else {
+        // A stream can tell the end before the reply to a claim arrives.
+        let Some(placement) = active.stage.sent_to().cloned() else {
             return;
         };
         let id = &call.program;
--- a/coordination/src/owner/program.rs
+++ b/coordination/src/owner/program.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rosebend_state::id::{CallId, EndpointId, ProgramId, Sequence, Shard};
+use rosebend_state::id::{CallId, EndpointId, Epoch, ProgramId, Sequence, Shard};
 use rosebend_state::record::{
     AnswerRecord, CallKind, EndReason, FailReason, ProgramRecord, ProgramState, TurnRecord,
     TurnState, UnknownReason,
@@ -85,6 +85,8 @@
     pub(super) stage: Stage,
     /// Reserved from the root's account for this attempt.
     pub(super) reserved_tokens: u64,
+    /// What earlier attempts under this owner were counted as having spent.
+    pub(super) charged_tokens: u64,
     /// Endpoints that must not get the call.
     pub(super) excluded: Vec<EndpointId>,
     /// Where earlier attempts may have left something to acknowledge.
@@ -132,6 +134,11 @@
         }
     }
 
+    /// Where the call is, as far as is known.
+    pub(super) fn sent_to(&self) -> Option<&Placement> {
+        self.placement().filter(|_| self.is_sent())
+    }
+
     /// Whether the call is at an endpoint, as far as is known.
     pub(super) fn is_sent(&self) -> bool {
         matches!(self, Self::InFlight(_) | Self::Claiming { .. })
@@ -222,10 +229,11 @@
     }
 
     /// The record to write now.
-    pub(super) fn record(&self, now: Duration, program: &ProgramId) -> ProgramRecord {
+    pub(super) fn record(&self, now: Duration, program: &ProgramId, epoch: Epoch) -> ProgramRecord {
         let account = self.account.as_deref();
         ProgramRecord {
             program: program.clone(),
+            epoch,
             state: self.state,
             budget_tokens: account.map_or(0, |account| account.budget_tokens),
             drawn_tokens: account.map_or(0, |account| account.drawn_tokens),
@@ -318,6 +326,7 @@
             tries: 0,
             stage: Stage::Parked,
             reserved_tokens: 0,
+            charged_tokens: 0,
             excluded: Vec::new(),
             earlier: Vec::new(),
             may_have_run: false,
@@ -340,6 +349,7 @@
             tries: 0,
             stage,
             reserved_tokens: 0,
+            charged_tokens: 0,
             excluded: Vec::new(),
             earlier: Vec::new(),
             may_have_run: false,
@@ -359,6 +369,7 @@
                 endpoint: placement.endpoint.clone(),
                 incarnation: placement.incarnation.clone(),
                 reserved_tokens: self.reserved_tokens,
+                charged_tokens: self.charged_tokens,
             },
         };
         TurnRecord {
--- a/coordination/src/owner/takeover.rs
+++ b/coordination/src/owner/takeover.rs
@@ -4,11 +4,11 @@
 //! retain. Where a call may be at an endpoint, the sidecar that got it is
 //! asked for the outcome, and the program's next call waits for the reply.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use rosebend_state::id::{CallId, Epoch, ProgramId, Shard};
-use rosebend_state::record::{ProgramRecord, TurnRecord, TurnState, UnknownReason};
+use rosebend_state::record::{AnswerRecord, ProgramRecord, TurnRecord, TurnState, UnknownReason};
 
 use super::Owner;
 use super::account::Account;
@@ -25,7 +25,7 @@
     pub(super) programs: Vec<ProgramRecord>,
     pub(super) turns: Vec<TurnRecord>,
     pub(super) retained: Vec<RetainedTurn>,
-    pub(super) retained_complete: bool,
+    pub(super) retained_after: Option<Epoch>,
 }
 
 /// What sidecars retain of one call.
@@ -43,25 +43,28 @@
             None => {}
         }
         self.shards.insert(gain.shard, ShardState::new(gain.epoch));
+        // Root programs of which sidecars retain all that is not recorded.
+        let mut complete = BTreeSet::new();
         for record in &gain.programs {
             let mut program = Program::from_record(gain.shard, now, record);
+            let is_complete = gain
+                .retained_after
+                .is_some_and(|after| record.epoch > after);
             if record.program.parent().is_none() {
-                program.account = Some(account(record, gain.retained_complete));
+                program.account = Some(account(record, is_complete));
+                complete.extend(is_complete.then(|| record.program.clone()));
             }
             self.programs.insert(record.program.clone(), program);
         }
         let mut retained = by_call(gain.retained);
         let mut open_turns = BTreeMap::new();
         for record in gain.turns {
-            self.restore_turn(
-                record,
-                gain.retained_complete,
-                &mut retained,
-                &mut open_turns,
-            );
+            let is_complete = complete.contains(&record.call.program.root());
+            self.restore_turn(record, is_complete, &mut retained, &mut open_turns);
         }
         for (call, retained) in retained {
-            self.restore_retained(&call, retained, gain.retained_complete, &mut open_turns);
+            let is_complete = complete.contains(&call.program.root());
+            self.restore_retained(&call, retained, is_complete, &mut open_turns);
         }
         for (id, active) in open_turns {
             self.restore_active(now, &id, active);
@@ -127,9 +130,10 @@
             .iter()
             .filter_map(|attempt| placement_of(&attempt.turn))
             .collect();
-        let earlier_tokens: u64 = attempts.iter().map(spent_tokens).sum();
-        let newest_tokens = spent_tokens(&newest);
+        let earlier_tokens: u64 = attempts.iter().map(own_tokens).sum();
+        let newest_tokens = own_tokens(&newest);
         let mut active = restored(&newest.turn);
+        active.attempt = newest.attempt;
         let known = open_turns.get(&call.program);
         let is_older = known.is_some_and(|known| {
             known.sequence > call.sequence
@@ -139,7 +143,7 @@
         active.has_record = is_same;
         active.earlier = earlier;
         program.next_sequence = program.next_sequence.max(call.sequence + 1);
-        let mut spent = earlier_tokens;
+        let mut spent = earlier_tokens + charged_tokens(&newest);
         if is_older {
             spent += newest_tokens;
         } else if let Some(answer) = newest.answer {
@@ -163,12 +167,7 @@
     }
 
     /// Restores an answer that is not in the table yet.
-    fn restore_answer(
-        &mut self,
-        active: ActiveCall,
-        id: &ProgramId,
-        answer: rosebend_state::record::AnswerRecord,
-    ) {
+    fn restore_answer(&mut self, active: ActiveCall, id: &ProgramId, answer: AnswerRecord) {
         let sequence = active.sequence;
         let mut acknowledge = active.earlier.clone();
         acknowledge.extend(active.stage.placement().cloned());
@@ -338,7 +337,7 @@
             .entry(retained.turn.call.clone())
             .or_default()
             .attempts;
-        attempts.insert(attempt_of(&retained.turn), retained);
+        attempts.insert(retained.attempt, retained);
     }
     calls
 }
@@ -365,16 +364,22 @@
 }
 
 /// What a retained attempt spent, or may spend yet.
-fn spent_tokens(retained: &RetainedTurn) -> u64 {
-    match (&retained.answer, &retained.turn.state) {
-        (Some(answer), _) => answer.spent_tokens(),
-        (
-            None,
-            TurnState::Intent {
-                reserved_tokens, ..
-            },
-        ) => *reserved_tokens,
-        (None, _) => 0,
+fn own_tokens(retained: &RetainedTurn) -> u64 {
+    let reserved_tokens = match retained.turn.state {
+        TurnState::Intent {
+            reserved_tokens, ..
+        } => reserved_tokens,
+        _ => 0,
+    };
+    let answer = retained.answer.as_ref();
+    answer.map_or(reserved_tokens, AnswerRecord::spent_tokens)
+}
+
+/// What attempts before a retained one were counted as having spent.
+fn charged_tokens(retained: &RetainedTurn) -> u64 {
+    match retained.turn.state {
+        TurnState::Intent { charged_tokens, .. } => charged_tokens,
+        _ => 0,
     }
 }
 
