Run the quickstart to its end

Cause: sidecars never told a revision, because no change is meant for them. Ruled out: passing every change to sidecars (nothing there reads them).

--- a/replay/src/run_program.rs
+++ b/replay/src/run_program.rs
@@ -66,7 +66,7 @@
         /// Its name.
         name: String,
         /// What it does.
-        steps: Vec<Step>,
+        steps: Vec<Self>,
     },
 }
 
@@ -507,8 +507,8 @@
 /// the closing event.
 fn whole_answer(events: &str) -> Option<String> {
     let mut text = String::new();
-    let mut next_offset = 0;
-    for event in events.split("\n\n").filter(|event| !event.is_empty()) {
+    let events = events.split("\n\n").filter(|event| !event.is_empty());
+    for (next_offset, event) in (0u64..).zip(events) {
         let data = event.lines().find_map(|line| line.strip_prefix("data: "))?;
         if data == "[DONE]" {
             return Some(text);
@@ -517,7 +517,6 @@
         if id.parse::<u64>().ok()? != next_offset {
             return None;
         }
-        next_offset += 1;
         let chunk: Value = serde_json::from_str(data).ok()?;
         let content = chunk
             .pointer("/choices/0/delta/content")
--- a/sidecar/src/control.rs
+++ b/sidecar/src/control.rs
@@ -99,6 +99,7 @@
     },
     /// Changes of the configuration; the reply is the newest revision.
     Configure {
+        revision: u64,
         changes: Vec<peer::ConfigChange>,
         reply: oneshot::Sender<u64>,
     },
@@ -236,7 +237,11 @@
                 reply,
             } => answer(reply, self.renew_holds(&fences, &programs, lease)),
             Command::Order { order, row_epoch } => self.order(order, row_epoch),
-            Command::Configure { changes, reply } => answer(reply, self.configure(changes)),
+            Command::Configure {
+                revision,
+                changes,
+                reply,
+            } => answer(reply, self.configure(revision, changes)),
             Command::Ended { id, outcome } => self.ended(&id, outcome),
             Command::FirstPart(id) => self.calls.first_part(self.now(), &id),
             Command::EngineHolds(names) => self.reconcile_holds(&names),
@@ -346,7 +351,11 @@
         }
     }
 
-    fn configure(&mut self, changes: Vec<peer::ConfigChange>) -> u64 {
+    /// A sidecar acts on the configuration only through what entries send it
+    /// (weights, limits, orders), so the newest revision that an entry sends
+    /// from is the one in force here.
+    fn configure(&mut self, revision: u64, changes: Vec<peer::ConfigChange>) -> u64 {
+        self.config_revision = self.config_revision.max(revision);
         for change in changes {
             let key = (change.kind.clone(), change.name.clone());
             let known = self.config.get(&key).map_or(0, |known| known.revision);
--- a/sidecar/src/server.rs
+++ b/sidecar/src/server.rs
@@ -269,9 +269,13 @@
         &self,
         request: Request<peer::StatusRequest>,
     ) -> Result<Response<peer::StatusReply>, Status> {
-        let changes = request.into_inner().changes;
+        let raw = request.into_inner();
         let config_revision = self
-            .ask(|reply| Command::Configure { changes, reply })
+            .ask(|reply| Command::Configure {
+                revision: raw.config_revision,
+                changes: raw.changes,
+                reply,
+            })
             .await?;
         Ok(Response::new(peer::StatusReply {
             host: self.host.clone(),
