Load a shard anew when it comes back under a new epoch

Cause: an owner that was paused while its shard went to another and was handed back kept the shard as its own under the old epoch: neither lost nor gained. It went on from memory of before the other's time, its writes met conflicts, and callers through it were told that no owner was reached, for good.

Change: what is owned is kept with its epoch; another epoch is a loss and a gain.

--- a/coordination/src/ownership.rs
+++ b/coordination/src/ownership.rs
@@ -168,7 +168,7 @@
     shards: BTreeMap<Shard, ShardRow>,
     shards_known: bool,
     /// Shards that this process owns.
-    owned: BTreeSet<Shard>,
+    owned: BTreeMap<Shard, Epoch>,
     /// Shards being drained for a handoff.
     draining: BTreeSet<Shard>,
     taking_over: bool,
@@ -189,7 +189,7 @@
             hosts: BTreeMap::new(),
             shards: BTreeMap::new(),
             shards_known: false,
-            owned: BTreeSet::new(),
+            owned: BTreeMap::new(),
             draining: BTreeSet::new(),
             taking_over: false,
             last_answer: None,
@@ -235,12 +235,12 @@
 
     /// Whether this process owns a shard.
     pub fn owns(&self, shard: Shard) -> bool {
-        self.owned.contains(&shard)
+        self.owned.contains_key(&shard)
     }
 
     /// The shards that this process owns.
     pub fn owned(&self) -> impl Iterator<Item = Shard> + '_ {
-        self.owned.iter().copied()
+        self.owned.keys().copied()
     }
 
     /// The other entries that are neither silent nor replaced.
@@ -324,21 +324,29 @@
     }
 
     /// Shards passed to this process are gained; those that others have are
-    /// lost.
+    /// lost. A shard that came back under a new epoch is both: what is in
+    /// memory of it is from before another owner's time.
     fn reconcile_owned(&mut self) -> Vec<OwnershipAction> {
-        let mut actions = Vec::new();
-        let mine: BTreeSet<Shard> = self
+        let mine: BTreeMap<Shard, ShardRow> = self
             .shards
             .values()
             .filter(|row| self.is_mine(row))
-            .map(|row| row.shard)
+            .map(|row| (row.shard, row.clone()))
+            .collect();
+        let is_current =
+            |shard: &Shard, epoch: &Epoch| mine.get(shard).is_some_and(|row| row.epoch == *epoch);
+        let lost: Vec<Shard> = self
+            .owned
+            .iter()
+            .filter(|(shard, epoch)| !is_current(shard, epoch))
+            .map(|(shard, _)| *shard)
             .collect();
-        for shard in self.owned.difference(&mine).copied().collect::<Vec<_>>() {
+        let mut actions = Vec::new();
+        for shard in lost {
             actions.extend(self.lose(shard));
         }
-        for shard in mine {
-            if self.owned.insert(shard) {
-                let row = &self.shards[&shard];
+        for (shard, row) in mine {
+            if self.owned.insert(shard, row.epoch).is_none() {
                 actions.push(OwnershipAction::Gained {
                     shard,
                     epoch: row.epoch,
@@ -356,7 +364,7 @@
 
     fn lose(&mut self, shard: Shard) -> Vec<OwnershipAction> {
         self.draining.remove(&shard);
-        if self.owned.remove(&shard) {
+        if self.owned.remove(&shard).is_some() {
             vec![OwnershipAction::Lost(shard)]
         } else {
             Vec::new()
@@ -450,7 +458,7 @@
         };
         let mut actions = Vec::new();
         for &shard in shards {
-            if self.owned.contains(&shard) {
+            if self.owned.contains_key(&shard) {
                 continue;
             }
             let before = self.shards.get(&shard).map(|row| row.epoch);
@@ -463,7 +471,7 @@
                 epoch,
             };
             self.shards.insert(shard, row);
-            self.owned.insert(shard);
+            self.owned.insert(shard, epoch);
             let is_new = before.is_none();
             actions.push(OwnershipAction::Gained {
                 shard,
@@ -491,7 +499,7 @@
         let room = limit.saturating_sub(self.draining.len());
         let moves: Vec<(Shard, (HostId, Incarnation))> = self
             .owned
-            .iter()
+            .keys()
             .filter(|shard| !self.draining.contains(shard))
             .filter_map(|shard| Some((*shard, self.successor(*shard)?)))
             .take(room)
--- /dev/null
+++ b/coordination/tests/ownership.rs
@@ -0,0 +1,79 @@
+//! Ownership of shards as one entry sees it.
+
+use std::time::Duration;
+
+use rosebend_coordination::ownership::{
+    HostRow, Ownership, OwnershipAction, OwnershipConfig, OwnershipEvent, ShardRow,
+};
+
+fn host(name: &str) -> HostRow {
+    HostRow {
+        host: name.to_owned(),
+        incarnation: format!("{name}-run"),
+        version: 1,
+        peer_address: String::new(),
+        leaving: false,
+    }
+}
+
+fn row(shard: u32, owner: &str, epoch: u64, version: u64) -> ShardRow {
+    ShardRow {
+        shard,
+        version,
+        owner: owner.to_owned(),
+        incarnation: format!("{owner}-run"),
+        epoch,
+    }
+}
+
+fn entry(shard_count: u32) -> Ownership {
+    let config = OwnershipConfig {
+        shard_count,
+        ..OwnershipConfig::default()
+    };
+    let mut entry = Ownership::new(config, "a".to_owned(), "a-run".to_owned());
+    let hosts = OwnershipEvent::HostsRead(vec![host("a"), host("b")]);
+    entry.step(Duration::ZERO, hosts);
+    entry
+}
+
+#[test]
+fn rows_are_read_until_every_shard_has_one() {
+    let now = Duration::from_millis(100);
+    let mut entry = entry(8);
+    // Another entry has not taken its shards yet.
+    let own: Vec<_> = (0..8)
+        .step_by(2)
+        .map(|shard| row(shard, "a", 1, 5))
+        .collect();
+    entry.step(now, OwnershipEvent::ShardsRead(own.clone()));
+    let hosts = OwnershipEvent::HostsRead(vec![host("a"), host("b")]);
+    let actions = entry.step(now, hosts.clone());
+    assert!(
+        actions.contains(&OwnershipAction::ReadShards),
+        "{actions:?}"
+    );
+
+    let others = (1..8).step_by(2).map(|shard| row(shard, "b", 1, 6));
+    let all = own.into_iter().chain(others).collect();
+    entry.step(now, OwnershipEvent::ShardsRead(all));
+    assert!(entry.is_settled());
+    assert_eq!(entry.step(now, hosts), []);
+}
+
+#[test]
+fn a_shard_that_comes_back_under_a_new_epoch_is_loaded_anew() {
+    let now = Duration::from_millis(100);
+    let mut entry = entry(1);
+    entry.step(now, OwnershipEvent::ShardsRead(vec![row(0, "a", 1, 5)]));
+    // While this process was paused the shard went to another and back.
+    let back = OwnershipEvent::ShardsRead(vec![row(0, "a", 3, 9)]);
+    let actions = entry.step(now, back);
+    let gained = OwnershipAction::Gained {
+        shard: 0,
+        epoch: 3,
+        version: 9,
+        is_new: false,
+    };
+    assert_eq!(actions, [OwnershipAction::Lost(0), gained]);
+}
