Pack retained answers

Ruled out: a compression library (none in the lock file, and one answer is too short for it to know much); deltas from part to part (a part in the middle needs all before it).

Change: once an answer has ended, each part is kept as what differs from a template part.

--- a/coordination/src/endpoint/mod.rs
+++ b/coordination/src/endpoint/mod.rs
@@ -29,6 +29,7 @@
 pub mod hold;
 pub mod order;
 pub mod outcome;
+mod packed;
 pub mod retention;
 pub mod suspect;
 
--- a/coordination/src/endpoint/retention.rs
+++ b/coordination/src/endpoint/retention.rs
@@ -2,43 +2,65 @@
 //!
 //! Any number of receivers read the same answer, each from its own offset, at
 //! its own speed; none of them is waited for. The answer is whole once its
-//! outcome is known.
+//! outcome is known. Before it is retained it is packed, since an outage of
+//! the platform's table leaves many answers waiting to become durable.
 
-use super::outcome::Outcome;
+use super::{outcome::Outcome, packed::PackedParts};
 
 /// The parts of one answer. Offsets count parts from zero without gaps.
 ///
 /// `B` is the type of a part's bytes, cheap to clone.
 #[derive(Clone, Debug)]
 pub struct AnswerLog<B> {
-    parts: Vec<B>,
-    bytes: usize,
+    parts: Parts<B>,
     /// Nothing is appended once this is set.
     outcome: Option<Outcome>,
 }
 
+#[derive(Clone, Debug)]
+enum Parts<B> {
+    Growing { parts: Vec<B>, bytes: usize },
+    Packed(PackedParts),
+}
+
 impl<B> Default for AnswerLog<B> {
     fn default() -> Self {
         Self {
-            parts: Vec::new(),
-            bytes: 0,
+            parts: Parts::Growing {
+                parts: Vec::new(),
+                bytes: 0,
+            },
             outcome: None,
         }
     }
 }
 
-impl<B: AsRef<[u8]> + Clone> AnswerLog<B> {
+impl<B: AsRef<[u8]> + Clone + From<Vec<u8>>> AnswerLog<B> {
     /// Appends the part at `offset`; a part that is here already, or that
-    /// would leave a gap, is not taken.
+    /// would leave a gap, is not taken, nor is any after [`Self::pack`].
     ///
     /// Returns whether the part was taken.
     pub fn append(&mut self, offset: u64, part: B) -> bool {
         if self.outcome.is_some() || offset != self.next_offset() {
             return false;
         }
-        self.bytes += part.as_ref().len();
-        self.parts.push(part);
-        true
+        match &mut self.parts {
+            Parts::Growing { parts, bytes } => {
+                *bytes += part.as_ref().len();
+                parts.push(part);
+                true
+            }
+            Parts::Packed(_) => false,
+        }
+    }
+
+    /// Packs the parts, to which none is added any more.
+    pub fn pack(&mut self) {
+        if let Parts::Growing { parts, .. } = &self.parts
+            && let Some(packed) = PackedParts::new(parts)
+        {
+            self.parts = Parts::Packed(packed);
+        }
     }
 
     /// Ends the answer. The first outcome stays.
@@ -48,21 +70,31 @@
 
     /// The offset that the next part will have.
     pub fn next_offset(&self) -> u64 {
-        self.parts.len() as u64
+        match &self.parts {
+            Parts::Growing { parts, .. } => parts.len() as u64,
+            Parts::Packed(packed) => packed.len() as u64,
+        }
     }
 
-    /// Bytes of all parts.
+    /// Bytes that the parts take up.
     pub fn bytes(&self) -> usize {
-        self.bytes
+        match &self.parts {
+            Parts::Growing { bytes, .. } => *bytes,
+            Parts::Packed(packed) => packed.bytes(),
+        }
     }
 
     /// At most `limit` parts from `offset` on.
     pub fn read(&self, offset: u64, limit: usize) -> Vec<B> {
-        let start = usize::try_from(offset)
-            .unwrap_or(usize::MAX)
-            .min(self.parts.len());
-        let end = start.saturating_add(limit).min(self.parts.len());
-        self.parts[start..end].to_vec()
+        let start = usize::try_from(offset).unwrap_or(usize::MAX);
+        match &self.parts {
+            Parts::Growing { parts, .. } => parts.iter().skip(start).take(limit).cloned().collect(),
+            Parts::Packed(packed) => (start..packed.len())
+                .take(limit)
+                .filter_map(|index| packed.get(index))
+                .map(B::from)
+                .collect(),
+        }
     }
 
     /// How the call ended, once it has.
@@ -72,8 +104,9 @@
 
     /// All parts, one after the other.
     pub fn concatenate(&self) -> Vec<u8> {
-        let mut whole = Vec::with_capacity(self.bytes);
-        for part in &self.parts {
+        let parts = self.read(0, usize::MAX);
+        let mut whole = Vec::new();
+        for part in parts {
             whole.extend_from_slice(part.as_ref());
         }
         whole
--- a/sidecar/src/answer.rs
+++ b/sidecar/src/answer.rs
@@ -64,6 +64,11 @@
         self.changed.send_replace(());
     }
 
+    /// Packs what will be retained, to which nothing is added any more.
+    pub(crate) fn pack(&self) {
+        self.lock().log.pack();
+    }
+
     pub(crate) fn parts(&self) -> u64 {
         self.lock().log.next_offset()
     }
--- a/sidecar/src/endpoint/mod.rs
+++ b/sidecar/src/endpoint/mod.rs
@@ -146,6 +146,7 @@
             }
             EndpointRequest::Tool { target, body } => self.run_tool(&job, target, body).await,
         };
+        job.answer.pack();
         let id = job.id;
         self.report(Command::Ended { id, outcome }).await;
     }
