Keep the burial of an attempt that never came

Cause: a claim of a later attempt of a repeatable call was told that it is buried while an earlier one ran, but nothing kept it so; when the earlier one failed, the delayed message ran after all. The property of calls found it. The queue's settings had also changed: a call over the engine's memory was taken, which a test of bad messages found.

Change: the burial raises the attempt, so that the delayed message joins; the queue is set up for its engine.

Seen to fail: without the raised attempt, 'handed over after a promise that it is not run'.

--- a/coordination/src/endpoint/calls/mod.rs
+++ b/coordination/src/endpoint/calls/mod.rs
@@ -161,12 +161,15 @@
             return ClaimOutcome::Buried;
         };
         record.fence = fence;
-        // A later attempt than any known here never came, and would join this
-        // one if it did. What runs or ran here may be another request under
-        // the same id, so its answer is not given for the later attempt.
+        // A later attempt than any known here never came, and joins this one
+        // if it comes after all. What runs or ran here may be another request
+        // under the same id, so its answer is not given for the later attempt.
         let is_unseen = attempt > record.attempt && record.repeatable;
         match &record.state {
-            CallState::Finished { .. } | CallState::Running if is_unseen => ClaimOutcome::Buried,
+            CallState::Finished { .. } | CallState::Running if is_unseen => {
+                record.attempt = attempt;
+                ClaimOutcome::Buried
+            }
             CallState::Finished { finished, .. } => ClaimOutcome::Finished(finished.clone()),
             CallState::Running => ClaimOutcome::Running,
             CallState::Failed { failure, .. } => ClaimOutcome::Failed(failure.clone()),
@@ -361,11 +364,9 @@
 /// under way can go on.
 fn queue_settings(limits: &EndpointLimits) -> QueueSettings {
     QueueSettings {
-        max_running: limits.running,
-        kv_tokens_limit: limits.kv_tokens,
         max_queued: limits.queued,
         max_queued_for_new: limits.queued.div_ceil(2),
-        ..QueueSettings::default()
+        ..QueueSettings::for_engine(limits.running, limits.kv_tokens)
     }
 }
 
