--- a/coordination/src/endpoint/calls/backlog.rs
+++ b/coordination/src/endpoint/calls/backlog.rs
@@ -30,6 +30,7 @@
             program_age: spec.program_age,
             deadline: spec.deadline.map(|left| now + left),
             warm_tokens: warm_tokens.min(spec.prompt_tokens),
+            shared_prefixes: Vec::new(),
             alone: spec.alone,
         };
         self.queue.push(now, waiting).map_err(queue_refusal)?;
--- a/coordination/src/endpoint/calls/mod.rs
+++ b/coordination/src/endpoint/calls/mod.rs
@@ -342,11 +342,9 @@
 /// under way can go on.
 fn queue_settings(limits: &EndpointLimits) -> QueueSettings {
     QueueSettings {
-        max_running: limits.running,
-        kv_tokens_limit: limits.kv_tokens,
         max_queued: limits.queued,
         max_queued_for_new: limits.queued.div_ceil(2),
-        ..QueueSettings::default()
+        ..QueueSettings::for_engine(limits.running, limits.kv_tokens)
     }
 }
 
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -17,4 +17,4 @@
 pub mod retry;
 pub mod routing;
 mod speed;
-mod warmth;
+pub mod warmth;
--- a/entry/src/control/calls.rs
+++ b/entry/src/control/calls.rs
@@ -420,7 +420,7 @@
             target: &target,
             prompt_tokens,
             warm: warm.as_ref().map(|endpoint| (endpoint, prompt_tokens)),
-            shared_prefix: None,
+            shared_prefixes: &[],
             excluded: &excluded,
         };
         let outcome = match self.router.choose(now, &request) {
