--- a/replay/src/bench.rs
+++ b/replay/src/bench.rs
@@ -26,8 +26,10 @@
         text += &format!("route, choose + sent + ended | {endpoints} endpoints | {cycle}\n");
     }
     for queued in QUEUED {
-        let cycle = admission(queued);
-        text += &format!("queue, push + next + finished | {queued} queued | {cycle}\n");
+        let (push, next, cycle) = admission(queued);
+        text += &format!("queue, push alone | {queued} queued | {push}\n");
+        text += &format!("queue, next alone | {queued} queued | {next}\n");
+        text += &format!("queue, push to finished | {queued} queued | {cycle}\n");
     }
     text
 }
@@ -97,8 +99,9 @@
     )
 }
 
-/// Nanoseconds to push a call, admit the next and note its end.
-fn admission(queued: usize) -> u128 {
+/// Nanoseconds to push a call, to admit the next, and for the whole way of a
+/// call.
+fn admission(queued: usize) -> (u128, u128, u128) {
     let settings = QueueSettings {
         max_queued: usize::MAX,
         max_queued_for_new: usize::MAX,
@@ -129,13 +132,19 @@
             .expect("there is room");
     }
     let more: Vec<Waiting> = (queued..queued + DECISIONS).map(waiting).collect();
+    let (mut pushing, mut admitting) = (Duration::ZERO, Duration::ZERO);
     let started = Instant::now();
     for (n, waiting) in more.into_iter().enumerate() {
         let now = Duration::from_micros(n as u64);
+        let before = Instant::now();
         queue.push(now, waiting).expect("there is room");
+        let pushed = Instant::now();
         let admission = black_box(queue.next(now)).expect("one at a time fits");
+        admitting += pushed.elapsed();
+        pushing += pushed - before;
         queue.first_token(now, &admission.call);
         queue.finished(now, &admission.call, 150);
     }
-    started.elapsed().as_nanos() / DECISIONS as u128
+    let each = |time: Duration| time.as_nanos() / DECISIONS as u128;
+    (each(pushing), each(admitting), each(started.elapsed()))
 }
