Never give a recorded position to another call

Cause: a call whose intent was written and that was then refused (an outage) gave its position to the next call. After a takeover the intent in the table was claimed and the sidecar's answer of the other call was taken for it: proptest printed 'mixed: the caller of renewal/check-3 was given renewal/check-2/10', a call that may not be repeated said done without effect. Change: the program goes on at the next position; the refused call is recorded as not run and gets a new position when it is sent again. Only a program's last call can go again in place. Ruled out: comparing digests at the claim (the sidecar has no digest).

--- a/coordination/src/owner/action.rs
+++ b/coordination/src/owner/action.rs
@@ -53,6 +53,8 @@
     RetryBudget,
     /// The endpoint does not accept a call of this size or form.
     Invalid,
+    /// The call had not run, and its program went on without it.
+    Superseded,
 }
 
 impl RefusalReason {
@@ -79,6 +81,7 @@
             Self::Attempts => "attempts",
             Self::RetryBudget => "retry_budget",
             Self::Invalid => "invalid",
+            Self::Superseded => "superseded",
         }
     }
 }
--- a/coordination/src/owner/ending.rs
+++ b/coordination/src/owner/ending.rs
@@ -51,6 +51,34 @@
         self.schedule(now, id);
     }
 
+    /// Ends a call that is parked, because its program goes on without it. Its
+    /// position is not given to another call: an intent in the table, or an
+    /// answer at a sidecar, would be taken for the other's. A call that has
+    /// not run can be sent again and gets a new position.
+    pub(super) fn supersede(&mut self, id: &ProgramId) {
+        let program = self.programs.get_mut(id).expect("schedule() saw it");
+        let call = *program.active.take().expect("schedule() saw it");
+        let sequence = call.sequence;
+        if let (Some(key), false) = (&call.key, call.may_have_run) {
+            program.keys.remove(key);
+        }
+        let end = match call.may_have_run {
+            true => TurnEnd::Failed(FailReason::Abandoned),
+            false => TurnEnd::NotRun(call.attempt),
+        };
+        let unwritten = Unwritten {
+            answer: None,
+            is_told: true,
+            acknowledge: call.earlier.clone(),
+        };
+        self.uncommitted += 1;
+        program.last_attempt = 0;
+        program
+            .turns
+            .insert(sequence, Turn::unwritten(call, end, unwritten));
+        self.mark_turn(&call_id(id, sequence));
+    }
+
     /// Tells followers the end of a call, once.
     pub(super) fn tell_end(&mut self, id: &ProgramId, sequence: u64) {
         let program = self.programs.get_mut(id).expect("the turn is there");
@@ -189,6 +217,7 @@
         | RefusalReason::UnknownTarget
         | RefusalReason::NoEndpoint
         | RefusalReason::Saturated
-        | RefusalReason::Invalid => FailReason::NoEndpoint,
+        | RefusalReason::Invalid
+        | RefusalReason::Superseded => FailReason::NoEndpoint,
     }
 }
--- a/coordination/src/owner/program.rs
+++ b/coordination/src/owner/program.rs
@@ -11,7 +11,7 @@
 };
 
 use super::account::Account;
-use super::action::CallOutcome;
+use super::action::{CallOutcome, RefusalReason};
 use super::event::{Attempt, CallRequest, Placement, Ticket};
 
 /// A program in memory.
@@ -161,6 +161,8 @@
 /// How a call ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum TurnEnd {
+    /// It did not run before its program went on; the last attempt.
+    NotRun(Attempt),
     Done,
     Failed(FailReason),
     Unknown(UnknownReason),
@@ -170,6 +172,10 @@
     /// The end as followers are told of it.
     pub(super) fn outcome(self) -> CallOutcome {
         match self {
+            Self::NotRun(_) => CallOutcome::Refused {
+                reason: RefusalReason::Superseded,
+                retry_after: Duration::ZERO,
+            },
             Self::Done => CallOutcome::Done,
             Self::Failed(reason) => CallOutcome::Failed { reason },
             Self::Unknown(reason) => CallOutcome::Unknown { reason },
@@ -295,6 +301,12 @@
         })
     }
 
+    /// Index of the first waiting call that leaves its position to the owner.
+    pub(super) fn first_unnumbered(&self) -> Option<usize> {
+        let mut waiting = self.waiting.iter();
+        waiting.position(|waiting| waiting.request.sequence.is_none())
+    }
+
     /// Counts an ended call with this fingerprint.
     pub(super) fn count_repeat(&mut self, fingerprint: &str) {
         let hash = hash_fingerprint(fingerprint);
@@ -358,6 +370,29 @@
         }
     }
 
+    /// A call that has not run and can go again.
+    pub(super) fn from_turn(sequence: Sequence, attempt: Attempt, turn: Turn) -> Self {
+        Self {
+            sequence,
+            key: turn.key,
+            body_digest: turn.body_digest,
+            kind: turn.kind,
+            target: turn.target,
+            repeatable: turn.repeatable,
+            request: None,
+            attempt,
+            tries: 0,
+            stage: Stage::Parked,
+            reserved_tokens: 0,
+            charged_tokens: 0,
+            excluded: Vec::new(),
+            earlier: Vec::new(),
+            may_have_run: false,
+            has_record: true,
+            is_counted: false,
+        }
+    }
+
     /// The record to write now, or to leave with the sidecar.
     pub(super) fn record(&self, program: &ProgramId) -> TurnRecord {
         let state = match self.stage.placement() {
@@ -398,10 +433,11 @@
         }
     }
 
-    /// An ended call as its record has it, or none when it has not ended.
+    /// A call as its record has it, if it is not in flight.
     pub(super) fn from_record(record: &TurnRecord) -> Option<Self> {
         let end = match record.state {
-            TurnState::Intent { .. } | TurnState::NotRun { .. } => return None,
+            TurnState::Intent { .. } => return None,
+            TurnState::NotRun { attempt } => TurnEnd::NotRun(attempt),
             TurnState::Done { .. } => TurnEnd::Done,
             TurnState::Failed { reason } => TurnEnd::Failed(reason),
             TurnState::Unknown { reason } => TurnEnd::Unknown(reason),
@@ -421,6 +457,7 @@
     pub(super) fn record(&self, program: &ProgramId, sequence: Sequence) -> Option<TurnRecord> {
         let unwritten = self.unwritten.as_ref()?;
         let state = match self.end {
+            TurnEnd::NotRun(attempt) => TurnState::NotRun { attempt },
             TurnEnd::Done => TurnState::Done {
                 answer: unwritten.answer.clone().unwrap_or_default(),
             },
--- a/coordination/src/owner/submit.rs
+++ b/coordination/src/owner/submit.rs
@@ -140,20 +140,26 @@
         let Some(program) = self.programs.get_mut(id) else {
             return;
         };
-        // A call that has not run, and for which nobody asks any more, gives
-        // its place to the next.
-        let position = match program.active.as_deref() {
-            None => program.next_sequence,
-            Some(active) if matches!(active.stage, Stage::Parked) => active.sequence,
+        let (startable, position) = match program.active.as_deref() {
+            None => {
+                let position = program.next_sequence;
+                (program.first_startable(position), position)
+            }
+            // A call for which nobody asks any more holds up numbered calls
+            // only.
+            Some(active) if matches!(active.stage, Stage::Parked) => {
+                (program.first_unnumbered(), active.sequence)
+            }
             Some(_) => return,
         };
-        match program.first_startable(position) {
-            Some(index) => {
-                let waiting = program.waiting.remove(index).expect("the index was found");
-                self.start(now, id, position, waiting);
-            }
-            None => self.note_gap(now, id, position),
+        let Some(index) = startable else {
+            return self.note_gap(now, id, position);
+        };
+        let waiting = program.waiting.remove(index).expect("the index was found");
+        if program.active.is_some() {
+            self.supersede(id);
         }
+        self.start(now, id, waiting);
     }
 
     /// Refuses numbered calls whose place was taken, and starts to count how
@@ -180,10 +186,12 @@
         }
     }
 
-    /// Starts a waiting call at a position, unless a limit ends its program.
-    fn start(&mut self, now: Duration, id: &ProgramId, position: Sequence, waiting: Waiting) {
+    /// Starts a waiting call at the next position, unless a limit ends its
+    /// program.
+    fn start(&mut self, now: Duration, id: &ProgramId, waiting: Waiting) {
         let loop_limit = self.config.loop_limit;
         let program = self.programs.get_mut(id).expect("schedule() saw it");
+        let position = program.next_sequence;
         let limit = if position > program.turn_limit {
             Some(EndReason::TurnLimit)
         } else if program.repeats(&waiting.request.fingerprint) >= loop_limit {
@@ -207,14 +215,7 @@
         for waiting in &mut program.waiting {
             waiting.gap_since = None;
         }
-        let mut active = ActiveCall::new(position, waiting.request);
-        if let Some(parked) = program.active.take() {
-            active.has_record = parked.has_record;
-            active.earlier = parked.earlier;
-            if let Some(key) = parked.key {
-                program.keys.remove(&key);
-            }
-        }
+        let active = ActiveCall::new(position, waiting.request);
         if let Some(key) = &active.key {
             program.keys.insert(key.clone(), position);
         }
@@ -290,14 +291,7 @@
         if digest == request.body_digest && !has_key {
             return Known::Same(sequence);
         }
-        // What is parked has not run and may give its place away.
-        let parked = program.active.as_deref();
-        let is_parked = parked
-            .is_some_and(|call| call.sequence == sequence && matches!(call.stage, Stage::Parked));
-        return match is_parked {
-            true => Known::New,
-            false => Known::Wrong(RefusalReason::WrongSequence),
-        };
+        return Known::Wrong(RefusalReason::WrongSequence);
     }
     match sequence < program.next_sequence {
         true => Known::Wrong(RefusalReason::WrongSequence),
--- a/coordination/src/owner/takeover.rs
+++ b/coordination/src/owner/takeover.rs
@@ -66,11 +66,28 @@
             let is_complete = complete.contains(&call.program.root());
             self.restore_retained(&call, retained, is_complete, &mut open_turns);
         }
+        for record in &gain.programs {
+            if let Some(active) = self.last_not_run(&record.program) {
+                open_turns.entry(record.program.clone()).or_insert(active);
+            }
+        }
         for (id, active) in open_turns {
             self.restore_active(now, &id, active);
         }
     }
 
+    /// Takes a program's last call out of its history if it has not run, so
+    /// that it can go again.
+    fn last_not_run(&mut self, id: &ProgramId) -> Option<ActiveCall> {
+        let program = self.programs.get_mut(id)?;
+        let sequence = program.next_sequence - 1;
+        let TurnEnd::NotRun(attempt) = program.turns.get(&sequence)?.end else {
+            return None;
+        };
+        let turn = program.turns.remove(&sequence)?;
+        Some(ActiveCall::from_turn(sequence, attempt, turn))
+    }
+
     /// Restores a call that has ended, as the table has it; one that has not
     /// becomes its program's active call.
     fn restore_turn(
@@ -91,7 +108,7 @@
             open_turns.insert(call.program, active);
             return;
         };
-        if let Some(key) = &turn.key {
+        if let (Some(key), false) = (&turn.key, matches!(turn.end, TurnEnd::NotRun(_))) {
             program.keys.insert(key.clone(), call.sequence);
         }
         program.turns.insert(call.sequence, turn);
--- a/coordination/tests/world/table.rs
+++ b/coordination/tests/world/table.rs
@@ -46,6 +46,12 @@
         true
     }
 
+    /// Whether the table says that a call has no attempt under way.
+    pub fn is_settled(&self, call: &CallId) -> bool {
+        let turn = self.turns.get(call);
+        turn.is_some_and(|turn| !matches!(turn.state, TurnState::Intent { .. }))
+    }
+
     /// Whether a call's end is in the table.
     pub fn has_end(&self, call: &CallId) -> bool {
         let turn = self.turns.get(call);
--- a/entry/src/problems.rs
+++ b/entry/src/problems.rs
@@ -64,6 +64,7 @@
         RefusalReason::Attempts => (503, "endpoints refused the call on every attempt", true),
         RefusalReason::RetryBudget => (503, "retries are used up for now", true),
         RefusalReason::Invalid => (400, "the endpoint does not accept this call", false),
+        RefusalReason::Superseded => (409, "the call had not run when its program went on", false),
     }
 }
 
@@ -106,6 +107,11 @@
             "deadline",
             "the deadline passed before a further attempt",
         ),
+        FailReason::Abandoned => (
+            502,
+            "abandoned",
+            "the program went on before the call was asked for again",
+        ),
     };
     Problem::new(status, word, Ran::Yes, detail)
 }
--- a/state/src/record.rs
+++ b/state/src/record.rs
@@ -139,7 +139,8 @@
         #[serde(default)]
         charged_tokens: u64,
     },
-    /// It has not run under any attempt so far and may go again.
+    /// It has not run under any attempt. It may go again while no later call
+    /// of its program is known.
     NotRun {
         /// The last attempt that was proven not to have run.
         attempt: u32,
@@ -178,6 +179,8 @@
     BudgetExhausted,
     /// The caller's deadline passed before a further attempt.
     Deadline,
+    /// Nobody asked for a further attempt before the program went on.
+    Abandoned,
 }
 
 /// Why a call's outcome is not known.
