--- a/coordination/src/owner/clock.rs
+++ b/coordination/src/owner/clock.rs
@@ -141,7 +141,10 @@
 /// Whether something about a program may be due.
 fn wants_tick(now: Duration, program: &Program) -> bool {
     let is_past_limit = program.end_reason().is_none() && program.age(now) >= program.wall_limit;
-    is_past_limit || program.is_busy()
+    let active = program.active.as_deref();
+    let waits_for_time = active
+        .is_some_and(|call| matches!(call.stage, Stage::AwaitingBudget | Stage::Claiming { .. }));
+    is_past_limit || waits_for_time || !program.waiting.is_empty()
 }
 
 /// Why a call has waited too long, if it has.
--- a/coordination/tests/world/client.rs
+++ b/coordination/tests/world/client.rs
@@ -1,7 +1,6 @@
 //! Callers: each makes its program's calls, sends them again when in doubt,
 //! and remembers what it was told.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use rosebend_coordination::owner::CallRequest;
@@ -67,9 +66,9 @@
 
     /// Makes the calls before a position again whose answers were lost with
     /// both copies.
-    pub fn ask_for_lost(&mut self, position: usize, lost: &BTreeSet<String>) {
+    pub fn ask_for_lost(&mut self, position: usize, is_lost: impl Fn(&str) -> bool) {
         for (told, call) in self.told[..position].iter_mut().zip(&self.calls) {
-            if lost.contains(&call.key) {
+            if *told == Told::Done && is_lost(&call.key) {
                 *told = Told::Nothing;
             }
         }
--- a/coordination/tests/world/mod.rs
+++ b/coordination/tests/world/mod.rs
@@ -359,7 +359,9 @@
         ) || reason == RefusalReason::WrongSequence
             || (reason == RefusalReason::SequenceGap && client.has_given_up());
         if reason == RefusalReason::SequenceGap {
-            client.ask_for_lost(position, &self.witness.lost_copy);
+            let shard = client.program.shard(SHARDS);
+            let is_lost = |key: &str| self.witness.is_exempt(key, true, shard);
+            client.ask_for_lost(position, is_lost);
         }
         if gives_up && client.told[position] == Told::Nothing {
             client.told[position] = Told::Ended;
