--- a/coordination/src/configuration.rs
+++ b/coordination/src/configuration.rs
@@ -17,11 +17,13 @@
 mod change;
 mod writer;
 
+pub use rosebend_state::resource::{Change, ConfigUpdate, Snapshot};
+
 pub use self::{
-    applied::{AppliedConfiguration, Handover, Snapshot},
+    applied::AppliedConfiguration,
     change::{
-        Change, ChangeRequest, ChangeRow, Conflict, REVISION_KEY, RevisionRow, RowCondition,
-        RowWrite, WriteId, change_key,
+        ChangeRequest, ChangeRow, Conflict, REVISION_KEY, RevisionRow, RowCondition, RowWrite,
+        WriteId, change_key,
     },
     writer::{Answer, ChangeOutcome, ChangeWriter, SeenRow, Step},
 };
--- a/coordination/src/configuration/applied.rs
+++ b/coordination/src/configuration/applied.rs
@@ -7,34 +7,14 @@
 
 use rosebend_state::{
     id::Revision,
-    resource::{Resource, ResourceKey, ResourceKind},
+    resource::{Change, ConfigUpdate, Resource, ResourceKey, ResourceKind, Snapshot},
 };
 
-use super::change::Change;
-
 /// Changes kept for peers that are behind.
 const KEPT_FOR_PEERS: usize = 4_096;
 /// Changes kept beyond a gap; what comes further ahead is asked for again.
 const KEPT_BEYOND_GAP: usize = 1_024;
 
-/// All resources as they stood at one revision.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Snapshot {
-    /// The revision.
-    pub revision: Revision,
-    /// Each resource once; none was changed after `revision`.
-    pub resources: Vec<Resource>,
-}
-
-/// What a peer lacks.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Handover {
-    /// The changes after the peer's revision, without a gap.
-    Changes(Vec<Change>),
-    /// The peer is too far behind for single changes.
-    Snapshot(Snapshot),
-}
-
 /// The configuration that a process has in force.
 ///
 /// Changes are applied in the order of their revisions, each once. No call
@@ -99,6 +79,23 @@
         self.apply_waiting()
     }
 
+    /// Takes what a peer or the table handed over. Returns whether anything
+    /// came into force by it.
+    pub fn take(&mut self, update: ConfigUpdate) -> bool {
+        let before = self.revision;
+        match update {
+            ConfigUpdate::Changes(changes) => {
+                for change in changes {
+                    self.offer(change);
+                }
+            }
+            ConfigUpdate::Snapshot(snapshot) => {
+                self.load(snapshot);
+            }
+        }
+        self.revision > before
+    }
+
     /// Takes a snapshot, if it is newer than what is in force. Returns whether
     /// it was.
     pub fn load(&mut self, snapshot: Snapshot) -> bool {
@@ -130,7 +127,7 @@
     }
 
     /// What a peer at `revision` lacks; none when it lacks nothing.
-    pub fn lacking(&self, revision: Revision, limit: usize) -> Option<Handover> {
+    pub fn lacking(&self, revision: Revision, limit: usize) -> Option<ConfigUpdate> {
         if revision >= self.revision {
             return None;
         }
@@ -139,13 +136,13 @@
             .front()
             .map_or(u64::MAX, |change| change.revision);
         if revision + 1 < first_kept {
-            return Some(Handover::Snapshot(self.snapshot()));
+            return Some(ConfigUpdate::Snapshot(self.snapshot()));
         }
         let newer = self
             .recent
             .iter()
             .filter(|change| change.revision > revision);
-        Some(Handover::Changes(newer.take(limit).cloned().collect()))
+        Some(ConfigUpdate::Changes(newer.take(limit).cloned().collect()))
     }
 
     /// All that is in force.
--- a/coordination/src/configuration/change.rs
+++ b/coordination/src/configuration/change.rs
@@ -3,7 +3,8 @@
 use rosebend_state::{
     id::Revision,
     resource::{
-        Metadata, RawResource, Resource, ResourceError, ResourceKey, ResourceKind, ResourceSpec,
+        Change, Metadata, RawResource, Resource, ResourceError, ResourceKey, ResourceKind,
+        ResourceSpec,
     },
 };
 use serde::{Deserialize, Serialize};
@@ -41,18 +42,6 @@
     pub spec: Option<ResourceSpec>,
 }
 
-/// One accepted change, as processes pass it on.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Change {
-    /// Its revision, from 1.
-    pub revision: Revision,
-    /// The resource that it changed.
-    pub key: ResourceKey,
-    /// The resource as it stands since; none when it was removed. Its metadata
-    /// names this revision.
-    pub resource: Option<Resource>,
-}
-
 /// Value of the row `change/RRRRRRRRRRRR`.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
--- a/coordination/src/configuration/writer.rs
+++ b/coordination/src/configuration/writer.rs
@@ -1,11 +1,14 @@
 //! Takes one change through the table.
 
-use rosebend_state::{id::Revision, resource::Resource};
+use rosebend_state::{
+    id::Revision,
+    resource::{Change, Resource},
+};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
 use super::change::{
-    Before, Change, ChangeRequest, ChangeRow, Conflict, Plan, PlannedWrite, REVISION_KEY, RowWrite,
+    Before, ChangeRequest, ChangeRow, Conflict, Plan, PlannedWrite, REVISION_KEY, RowWrite,
     Versioned, change_key, plan,
 };
 
--- a/coordination/tests/configuration.rs
+++ b/coordination/tests/configuration.rs
@@ -9,7 +9,9 @@
 
 use configuration::table::{Delivery, Race, RaceEnd, customer};
 use proptest::prelude::*;
-use rosebend_coordination::configuration::{AppliedConfiguration, Change, ChangeOutcome, Handover};
+use rosebend_coordination::configuration::{
+    AppliedConfiguration, Change, ChangeOutcome, ConfigUpdate,
+};
 use rosebend_state::{
     id::Revision,
     resource::{Resource, ResourceKey},
@@ -103,15 +105,15 @@
         }
     }
 
-    fn take(&mut self, handover: Handover, log: &[Change]) {
-        match handover {
-            Handover::Changes(changes) => {
+    fn take(&mut self, update: ConfigUpdate, log: &[Change]) {
+        match update {
+            ConfigUpdate::Changes(changes) => {
                 for change in changes {
                     self.host.offer(change);
                     self.check(log);
                 }
             }
-            Handover::Snapshot(snapshot) => {
+            ConfigUpdate::Snapshot(snapshot) => {
                 self.host.load(snapshot);
                 self.check(log);
             }
@@ -174,7 +176,7 @@
     for revision in 1..=6_000 {
         ahead.offer(change(revision));
     }
-    let Some(Handover::Snapshot(snapshot)) = ahead.lacking(0, 10) else {
+    let Some(ConfigUpdate::Snapshot(snapshot)) = ahead.lacking(0, 10) else {
         panic!("6000 changes are more than a host keeps");
     };
     let mut behind = AppliedConfiguration::new();
@@ -184,7 +186,7 @@
     assert_eq!(behind.revision(), 6_001);
     assert!(!behind.load(snapshot));
     assert_eq!(behind.revision(), 6_001);
-    let Some(Handover::Changes(changes)) = ahead.lacking(5_990, 4) else {
+    let Some(ConfigUpdate::Changes(changes)) = ahead.lacking(5_990, 4) else {
         panic!("a host a little behind gets single changes");
     };
     let revisions: Vec<Revision> = changes.iter().map(|change| change.revision).collect();
--- /dev/null
+++ b/entry/src/configuration.rs
@@ -0,0 +1,103 @@
+//! Reads from the table what is newer than what is in force.
+
+use rosebend_coordination::configuration::{ChangeRow, REVISION_KEY, RevisionRow, change_key};
+use rosebend_protocol::platform::{Row, ScanRequest};
+use rosebend_state::{
+    id::Revision,
+    resource::{Change, ConfigUpdate, Resource, Snapshot},
+};
+use rosebend_transport::{
+    event::{Event, EventKind, log_event},
+    platform_client::PlatformClient,
+};
+use serde::de::DeserializeOwned;
+
+use crate::rows;
+
+/// Prefix of the rows of changes.
+const CHANGE_PREFIX: &str = "change/";
+/// A process further behind reads the resources rather than the changes.
+const MAX_CHANGES: u64 = 256;
+/// Tries to read the resources while nobody changes them.
+const SNAPSHOT_ATTEMPTS: usize = 3;
+
+/// What is newer than `known`, of which `newest` is known to exist; none when
+/// it cannot be read now.
+pub async fn read_newer(
+    platform: &PlatformClient,
+    known: Revision,
+    newest: Revision,
+) -> Option<ConfigUpdate> {
+    if newest - known <= MAX_CHANGES
+        && let Some(changes) = read_changes(platform, known).await?
+    {
+        return Some(ConfigUpdate::Changes(changes));
+    }
+    read_snapshot(platform).await.map(ConfigUpdate::Snapshot)
+}
+
+/// The changes after a revision; none when the next one is no longer kept.
+async fn read_changes(platform: &PlatformClient, known: Revision) -> Option<Option<Vec<Change>>> {
+    let page = ScanRequest {
+        prefix: CHANGE_PREFIX.to_owned(),
+        after: change_key(known),
+        limit: MAX_CHANGES as usize,
+    };
+    let rows = platform.scan(&page).await.ok()?.rows;
+    let changes = rows.into_iter().map(change).collect::<Option<Vec<_>>>()?;
+    let joins_on = changes.first().map(|change| change.revision) == Some(known + 1);
+    Some(joins_on.then_some(changes))
+}
+
+/// All resources at one revision: nobody changed any while they were read.
+async fn read_snapshot(platform: &PlatformClient) -> Option<Snapshot> {
+    for _ in 0..SNAPSHOT_ATTEMPTS {
+        let revision = newest_revision(platform).await?;
+        let rows = platform.scan_all(rows::RESOURCE_PREFIX).await.ok()?;
+        if newest_revision(platform).await? != revision {
+            continue;
+        }
+        let resources = rows
+            .into_iter()
+            .map(parse)
+            .collect::<Option<Vec<Resource>>>()?;
+        return Some(Snapshot {
+            revision,
+            resources,
+        });
+    }
+    None
+}
+
+async fn newest_revision(platform: &PlatformClient) -> Option<Revision> {
+    let rows = platform.read(vec![REVISION_KEY.to_owned()]).await.ok()?;
+    match rows.into_iter().next() {
+        None => Some(0),
+        Some(row) => parse::<RevisionRow>(row).map(|row| row.revision),
+    }
+}
+
+fn change(row: Row) -> Option<Change> {
+    let row: ChangeRow = parse(row)?;
+    let revision = row.revision;
+    match Change::try_from(row) {
+        Ok(change) => Some(change),
+        Err(error) => {
+            let event = Event::new(EventKind::ConfigurationInvalid);
+            log_event(&event.revision(revision).error(&error));
+            None
+        }
+    }
+}
+
+/// A row that cannot be read stops the update: what is in force stays, and the
+/// status shows that this host lags.
+fn parse<T: DeserializeOwned>(row: Row) -> Option<T> {
+    match serde_json::from_value(row.value) {
+        Ok(value) => Some(value),
+        Err(error) => {
+            log_event(&Event::new(EventKind::ConfigurationInvalid).error(&error));
+            None
+        }
+    }
+}
--- a/entry/src/control.rs
+++ b/entry/src/control.rs
@@ -11,9 +11,9 @@
 use rosebend_coordination::commit::{BatchOutcome, ShardRowView, WriteId};
 use rosebend_coordination::owner::{ClaimOutcome, RetainedTurn};
 use rosebend_coordination::ownership::{HostRow, ShardRow, Takeover};
-use rosebend_protocol::peer::{ForwardRequest, StatusReply};
+use rosebend_protocol::peer::{ExchangeReply, ForwardRequest, StatusReply};
 use rosebend_protocol::problem::Problem;
-use rosebend_state::id::{CallId, EndpointId, Epoch, HostId, Incarnation, Shard};
+use rosebend_state::id::{CallId, EndpointId, Epoch, HostId, Incarnation, Revision, Shard};
 use rosebend_state::record::{AnswerRecord, ProgramRecord, TurnRecord};
 use tokio::sync::{mpsc, oneshot};
 
@@ -188,6 +188,10 @@
     ConfigRead(Option<ReadConfig>),
     /// A change of the configuration was accepted here.
     ConfigAccepted,
+    /// A peer handed over the configuration that it has.
+    PeerConfig(ExchangeReply),
+    /// A peer at this revision asks for what it lacks.
+    ConfigLacking(Revision, oneshot::Sender<ExchangeReply>),
     /// Someone asks for the state of this entry.
     Status(oneshot::Sender<EntryStatus>),
     /// The process is to stop; the sender is told when nothing is owned.
@@ -246,6 +250,14 @@
         answer.await.unwrap_or(Location::Nowhere)
     }
 
+    /// What a peer at `revision` lacks; none when the control thread has
+    /// stopped.
+    pub async fn config_lacking(&self, revision: Revision) -> Option<ExchangeReply> {
+        let (reply, answer) = oneshot::channel();
+        self.send(Command::ConfigLacking(revision, reply));
+        answer.await.ok()
+    }
+
     /// The state of this entry; none when the control thread has stopped.
     pub async fn status(&self) -> Option<EntryStatus> {
         let (reply, answer) = oneshot::channel();
--- a/entry/src/control/calls.rs
+++ b/entry/src/control/calls.rs
@@ -486,7 +486,7 @@
             attained_tokens,
             program_age_ms: millis(program_age),
             fingerprint: request.fingerprint.clone(),
-            config_revision: self.config_revision,
+            config_revision: self.configuration.revision(),
             hold_kv,
             alone,
             share_weight: self.directory.share_weight(call.program.customer()),
--- a/entry/src/control/config.rs
+++ b/entry/src/control/config.rs
@@ -1,33 +1,44 @@
-//! The configuration and the quarantine, read from the table.
+//! The configuration and the quarantine, read from the table, or from a peer
+//! while the table is silent.
 //!
 //! One read a period tells whether anything changed. What comes into force is
 //! only ever newer than what was.
 
 use rosebend_coordination::owner::Event;
+use rosebend_protocol::configuration::{from_messages, to_messages};
+use rosebend_protocol::peer::entry_client::EntryClient;
+use rosebend_protocol::peer::{ExchangeReply, ExchangeRequest};
 use rosebend_protocol::platform::Row;
-use rosebend_state::resource::Resource;
+use rosebend_state::id::Revision;
+use rosebend_state::resource::ConfigUpdate;
 use rosebend_transport::event::{Event as LogEvent, EventKind, log_event};
+use rosebend_transport::platform_client::PlatformClient;
+use std::time::Duration;
+use tokio::time::timeout;
 
 use super::state::Control;
 use super::{Command, Directory};
+use crate::configuration::read_newer;
 use crate::rows;
 
-/// Rows that tell whether anything changed.
+/// Longest wait for a peer's configuration.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Changes in one message to a process that is behind.
+const MAX_CHANGES: usize = 256;
+
+/// What is known of the configuration and the quarantine before a read.
 #[derive(Debug)]
-pub struct ConfigMarks {
-    /// Newest revision; zero when there is none.
-    pub revision: u64,
+struct ConfigMarks {
+    revision: Revision,
     /// Version of the row that every quarantine rewrites.
-    pub quarantine_version: u64,
+    quarantine_version: u64,
 }
 
 /// The configuration as it was read.
 #[derive(Debug)]
 pub struct ReadConfig {
-    /// The revision read before the resources; they may be newer.
-    pub revision: u64,
-    /// All resources, when the revision was new.
-    pub resources: Option<Vec<Resource>>,
+    /// What is newer than before, if anything is and it could be read.
+    pub update: Option<ConfigUpdate>,
     /// Version of the row that every quarantine rewrites.
     pub quarantine_version: u64,
     /// All quarantined fingerprints, when that version was new.
@@ -43,7 +54,7 @@
         let platform = self.platform.clone();
         let handle = self.handle.clone();
         let known = ConfigMarks {
-            revision: self.config_revision,
+            revision: self.configuration.revision(),
             quarantine_version: self.quarantine_version,
         };
         actix_rt::spawn(async move {
@@ -56,45 +67,104 @@
         self.reading_config = false;
         self.note_table(read.is_some());
         let Some(read) = read else {
+            self.ask_peer_for_config();
             return;
         };
-        if let Some(resources) = read.resources
-            && read.revision > self.config_revision
-        {
-            self.directory = Directory::new(&resources);
-            self.config_revision = read.revision;
-            log_event(&LogEvent::new(EventKind::ConfigurationApplied).revision(read.revision));
-            self.refresh_router();
-            self.poll_sidecars();
+        if let Some(update) = read.update {
+            self.update_config(update);
         }
         if let Some(fingerprints) = read.fingerprints {
             self.quarantine_version = read.quarantine_version;
             self.owner_event(Event::Quarantined { fingerprints });
         }
     }
+
+    /// Brings an update into force, if it is newer.
+    pub(super) fn update_config(&mut self, update: ConfigUpdate) {
+        if !self.configuration.take(update) {
+            return;
+        }
+        let snapshot = self.configuration.snapshot();
+        self.directory = Directory::new(&snapshot.resources);
+        let event = LogEvent::new(EventKind::ConfigurationApplied);
+        log_event(&event.revision(snapshot.revision));
+        self.refresh_router();
+        self.poll_sidecars();
+    }
+
+    /// What a process at `revision` lacks, as messages; whether they are a
+    /// snapshot goes beside them.
+    pub(super) fn config_lacking(&self, revision: Revision) -> ExchangeReply {
+        let lacking = self.configuration.lacking(revision, MAX_CHANGES);
+        let (changes, snapshot) = lacking.as_ref().map(to_messages).unwrap_or_default();
+        ExchangeReply {
+            config_revision: self.configuration.revision(),
+            changes,
+            snapshot,
+            leaving: self.stopping.is_some(),
+        }
+    }
+
+    /// While the table is silent, a change accepted just before may be known
+    /// to a peer only. One peer is asked a period, each in its turn.
+    fn ask_peer_for_config(&mut self) {
+        let peers: Vec<String> = self
+            .ownership
+            .live_peers()
+            .map(|peer| peer.peer_address.clone())
+            .collect();
+        if peers.is_empty() {
+            return;
+        }
+        self.config_turn = self.config_turn.wrapping_add(1);
+        let address = peers[self.config_turn % peers.len()].clone();
+        let request = ExchangeRequest {
+            sender: self.settings.entry.host.clone(),
+            config_revision: self.configuration.revision(),
+            ..ExchangeRequest::default()
+        };
+        let handle = self.handle.clone();
+        self.traffic.spawn(move |peers| async move {
+            let exchange = async {
+                let channel = peers.channel(&address).await.ok()?;
+                let reply = EntryClient::new(channel).exchange(request).await;
+                Some(reply.ok()?.into_inner())
+            };
+            match timeout(EXCHANGE_TIMEOUT, exchange).await.ok().flatten() {
+                Some(reply) => handle.send(Command::PeerConfig(reply)),
+                None => peers.forget(&address),
+            }
+        });
+    }
+
+    pub(super) fn peer_config(&mut self, reply: &ExchangeReply) {
+        let revision = reply.config_revision;
+        match from_messages(revision, &reply.changes, reply.snapshot) {
+            Ok(update) => self.update_config(update),
+            Err(error) => {
+                let event = LogEvent::new(EventKind::ConfigurationInvalid);
+                log_event(&event.revision(revision).error(&error));
+            }
+        }
+    }
 }
 
-async fn read_config(
-    platform: &rosebend_transport::platform_client::PlatformClient,
-    known: ConfigMarks,
-) -> Option<ReadConfig> {
+async fn read_config(platform: &PlatformClient, known: ConfigMarks) -> Option<ReadConfig> {
     let keys = vec![
         rows::REVISION_KEY.to_owned(),
         rows::QUARANTINE_MARK_KEY.to_owned(),
     ];
     let marks = platform.read(keys).await.ok()?;
     let found = |key: &str| marks.iter().find(|row| row.key == key);
-    let revision = found(rows::REVISION_KEY).map_or(0, revision_of);
+    let newest = found(rows::REVISION_KEY).map_or(0, revision_of);
     let quarantine_version = found(rows::QUARANTINE_MARK_KEY).map_or(0, |row| row.version);
     let mut read = ReadConfig {
-        revision,
-        resources: None,
+        update: None,
         quarantine_version,
         fingerprints: None,
     };
-    if revision > known.revision {
-        let rows = platform.scan_all(rows::RESOURCE_PREFIX).await.ok()?;
-        read.resources = Some(rows.into_iter().filter_map(resource).collect());
+    if newest > known.revision {
+        read.update = read_newer(platform, known.revision, newest).await;
     }
     if quarantine_version > known.quarantine_version {
         let rows = platform.scan_all(rows::QUARANTINE_PREFIX).await.ok()?;
@@ -112,7 +182,3 @@
         .and_then(serde_json::Value::as_u64)
         .unwrap_or(0)
 }
-
-fn resource(row: Row) -> Option<Resource> {
-    serde_json::from_value(row.value).ok()
-}
--- a/entry/src/control/shards.rs
+++ b/entry/src/control/shards.rs
@@ -101,7 +101,7 @@
             http_address: self.settings.http_address.clone(),
             availability_zone: entry.availability_zone.clone(),
             leaving: self.stopping.is_some(),
-            config_revision: self.config_revision,
+            config_revision: self.configuration.revision(),
         };
         let key = rows::host_key(&entry.host);
         let condition = self.row_version.map_or(Condition::Any, Condition::Version);
--- a/entry/src/control/sidecars.rs
+++ b/entry/src/control/sidecars.rs
@@ -117,11 +117,7 @@
         }
         view.polling = true;
         let acknowledge = std::mem::take(&mut view.acknowledge);
-        let request = StatusRequest {
-            sender: self.settings.entry.host.clone(),
-            config_revision: self.config_revision,
-            changes: Vec::new(),
-        };
+        let request = self.status_request(endpoint);
         let endpoint = endpoint.clone();
         let handle = self.handle.clone();
         let asked_at = self.now();
@@ -152,6 +148,21 @@
         });
     }
 
+    /// Asks for the status, and hands over what the sidecar lacked when it
+    /// last told its revision; nothing before it ever did.
+    fn status_request(&self, endpoint: &EndpointId) -> StatusRequest {
+        let view = self.sidecars.get(endpoint);
+        let known = view.filter(|view| !view.incarnation.is_empty());
+        let lacking = known.map(|view| self.config_lacking(view.config_revision));
+        let lacking = lacking.unwrap_or_default();
+        StatusRequest {
+            sender: self.settings.entry.host.clone(),
+            config_revision: self.configuration.revision(),
+            changes: lacking.changes,
+            snapshot: lacking.snapshot,
+        }
+    }
+
     pub(super) fn sidecar_status(
         &mut self,
         endpoint: &EndpointId,
--- a/entry/src/control/state.rs
+++ b/entry/src/control/state.rs
@@ -5,6 +5,7 @@
 
 use actix_rt::time::{interval, sleep};
 use rosebend_coordination::commit::{Committer, CommitterConfig};
+use rosebend_coordination::configuration::AppliedConfiguration;
 use rosebend_coordination::owner::{Event, Owner, OwnerConfig, Ticket};
 use rosebend_coordination::ownership::{Ownership, OwnershipConfig, OwnershipEvent};
 use rosebend_coordination::routing::{Router, RouterSettings};
@@ -67,8 +68,10 @@
     pub(super) committer: Committer,
     pub(super) router: Router,
     pub(super) directory: Directory,
-    /// Revision of the configuration in force here.
-    pub(super) config_revision: u64,
+    /// The configuration in force here; the directory is what it says.
+    pub(super) configuration: AppliedConfiguration,
+    /// Counts the peers asked for theirs.
+    pub(super) config_turn: usize,
     pub(super) quarantine_version: u64,
     /// Epochs of the shards that the owner holds.
     pub(super) epochs: HashMap<Shard, Epoch>,
@@ -149,7 +152,8 @@
             committer,
             router,
             directory: Directory::default(),
-            config_revision: 0,
+            configuration: AppliedConfiguration::new(),
+            config_turn: 0,
             quarantine_version: 0,
             epochs: HashMap::new(),
             loading: HashMap::new(),
@@ -252,6 +256,10 @@
             }
             Command::ConfigRead(read) => self.config_read(read),
             Command::ConfigAccepted => self.poll_config(),
+            Command::PeerConfig(reply) => self.peer_config(&reply),
+            Command::ConfigLacking(revision, reply) => {
+                let _ = reply.send(self.config_lacking(revision));
+            }
             Command::Status(reply) => {
                 let _ = reply.send(self.status());
             }
@@ -263,7 +271,7 @@
         self.owner_event(Event::Tick);
         let metrics = &self.settings.metrics;
         metrics.set(Quantity::Shards, self.epochs.len() as u64);
-        metrics.set(Quantity::ConfigRevision, self.config_revision);
+        metrics.set(Quantity::ConfigRevision, self.configuration.revision());
         metrics.set(Quantity::UnwrittenRecords, self.committer.waiting() as u64);
         self.drive_stop();
     }
--- a/entry/src/control/status.rs
+++ b/entry/src/control/status.rs
@@ -54,7 +54,7 @@
         let mut processes: Vec<LiveProcess> = entries.cloned().collect();
         for process in &mut processes {
             if process.host == *own {
-                process.config_revision = self.config_revision;
+                process.config_revision = self.configuration.revision();
             }
         }
         for endpoint in self.directory.endpoints.values() {
@@ -78,7 +78,7 @@
             settled: self.ownership.is_settled(),
             loaded: self.loading.is_empty(),
             shards: self.epochs.len(),
-            config_revision: self.config_revision,
+            config_revision: self.configuration.revision(),
             processes,
         }
     }
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -7,12 +7,14 @@
 //!   [`render`] and [`problems`] are how answers and errors look.
 //! - [`control`] decides, on one thread; [`dispatch`] runs an attempt of a call
 //!   at a sidecar.
-//! - [`operators`] is the resource API.
+//! - [`operators`] is the resource API; [`configuration`] reads what is newer
+//!   from the table.
 //! - [`process`] starts all of this and stops it.
 //!
 //! The decisions themselves are in `rosebend-coordination`.
 
 pub mod answer;
+pub mod configuration;
 pub mod control;
 pub mod dispatch;
 pub mod forward;
--- a/entry/src/peer_service.rs
+++ b/entry/src/peer_service.rs
@@ -52,14 +52,12 @@
 
     async fn exchange(
         &self,
-        _request: Request<ExchangeRequest>,
+        request: Request<ExchangeRequest>,
     ) -> Result<Response<ExchangeReply>, Status> {
-        let status = self.control.status().await;
-        let config_revision = status.map_or(0, |status| status.config_revision);
-        Ok(Response::new(ExchangeReply {
-            config_revision,
-            ..ExchangeReply::default()
-        }))
+        let revision = request.into_inner().config_revision;
+        let lacking = self.control.config_lacking(revision).await;
+        let stopped = || Status::unavailable("the entry has stopped");
+        lacking.map(Response::new).ok_or_else(stopped)
     }
 
     async fn handoff(
--- a/entry/tests/operators.rs
+++ b/entry/tests/operators.rs
@@ -1,8 +1,5 @@
 //! The operators' API over the stand-in of the platform.
 
-#[path = "../src/operators/mod.rs"]
-mod operators;
-
 use std::{
     net::TcpListener,
     sync::{
@@ -13,7 +10,9 @@
 };
 
 use actix_http::header::HeaderMap;
-use operators::{HostView, LiveProcess, OperatorContext, WriteIds, as_program_request, handle};
+use rosebend_entry::operators::{
+    HostView, LiveProcess, OperatorContext, WriteIds, as_program_request, handle,
+};
 use rosebend_standin::{
     platform::{Platform, PlatformConfig},
     server::RunningServer,
--- a/protocol/src/peer/generated.rs
+++ b/protocol/src/peer/generated.rs
@@ -316,6 +316,9 @@
     /// Changes that the receiver lacked at the last exchange.
     #[prost(message, repeated, tag = "3")]
     pub changes: ::prost::alloc::vec::Vec<ConfigChange>,
+    /// The changes are all resources as they stand at the revision.
+    #[prost(bool, tag = "4")]
+    pub snapshot: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct StatusReply {
@@ -421,10 +424,14 @@
 pub struct ExchangeReply {
     #[prost(uint64, tag = "1")]
     pub config_revision: u64,
+    /// Changes after the revision that the sender named.
     #[prost(message, repeated, tag = "2")]
     pub changes: ::prost::alloc::vec::Vec<ConfigChange>,
     #[prost(bool, tag = "3")]
     pub leaving: bool,
+    /// The changes are all resources as they stand at the revision.
+    #[prost(bool, tag = "4")]
+    pub snapshot: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct HandoffRequest {
--- a/sidecar/src/control.rs
+++ b/sidecar/src/control.rs
@@ -10,15 +10,21 @@
     time::{Duration, Instant},
 };
 
-use rosebend_coordination::endpoint::{
-    CallSpec, Calls, Dispatched, EndpointLimits, RetainedCall, Start,
-    claim::ClaimOutcome,
-    fence::{Fence, StaleEpoch},
-    order::{OrderDecision, OrderId, Orders},
-    outcome::{Failure, FailureReason, Outcome, Refusal, RefusalReason},
+use rosebend_coordination::{
+    configuration::AppliedConfiguration,
+    endpoint::{
+        CallSpec, Calls, Dispatched, EndpointLimits, RetainedCall, Start,
+        claim::ClaimOutcome,
+        fence::{Fence, StaleEpoch},
+        order::{OrderDecision, OrderId, Orders},
+        outcome::{Failure, FailureReason, Outcome, Refusal, RefusalReason},
+    },
 };
 use rosebend_protocol::peer;
-use rosebend_state::id::{CallId, Epoch, Incarnation, ProgramId, Shard};
+use rosebend_state::{
+    id::{CallId, Epoch, Incarnation, ProgramId, Revision, Shard},
+    resource::ConfigUpdate,
+};
 use rosebend_transport::{
     event::{Event, EventKind, log_event},
     metrics_page::{Metrics, Quantity, Timing, refusal_label},
@@ -97,11 +103,10 @@
         order: OrderJob,
         row_epoch: Epoch,
     },
-    /// Changes of the configuration; the reply is the newest revision.
+    /// An update of the configuration; the reply is the revision in force.
     Configure {
-        revision: u64,
-        changes: Vec<peer::ConfigChange>,
-        reply: oneshot::Sender<u64>,
+        update: ConfigUpdate,
+        reply: oneshot::Sender<Revision>,
     },
     /// The endpoint is done with a call.
     Ended {
@@ -151,9 +156,7 @@
     answers: HashMap<CallId, Arc<SharedAnswer>>,
     /// Bodies of the calls that wait.
     requests: HashMap<CallId, (EndpointRequest, Option<Duration>)>,
-    /// The newest change of each resource.
-    config: HashMap<(String, String), peer::ConfigChange>,
-    config_revision: u64,
+    configuration: AppliedConfiguration,
     jobs: mpsc::UnboundedSender<Job>,
     metrics: Metrics,
     load: watch::Sender<peer::Load>,
@@ -183,8 +186,7 @@
             orders: Orders::default(),
             answers: HashMap::new(),
             requests: HashMap::new(),
-            config: HashMap::new(),
-            config_revision: 0,
+            configuration: AppliedConfiguration::new(),
             jobs,
             metrics,
             load,
@@ -237,11 +239,7 @@
                 reply,
             } => answer(reply, self.renew_holds(&fences, &programs, lease)),
             Command::Order { order, row_epoch } => self.order(order, row_epoch),
-            Command::Configure {
-                revision,
-                changes,
-                reply,
-            } => answer(reply, self.configure(revision, changes)),
+            Command::Configure { update, reply } => answer(reply, self.configure(update)),
             Command::Ended { id, outcome } => self.ended(&id, outcome),
             Command::FirstPart(id) => self.calls.first_part(self.now(), &id),
             Command::EngineHolds(names) => self.reconcile_holds(&names),
@@ -351,20 +349,13 @@
         }
     }
 
-    /// A sidecar acts on the configuration only through what entries send it
-    /// (weights, limits, orders), so the newest revision that an entry sends
-    /// from is the one in force here.
-    fn configure(&mut self, revision: u64, changes: Vec<peer::ConfigChange>) -> u64 {
-        self.config_revision = self.config_revision.max(revision);
-        for change in changes {
-            let key = (change.kind.clone(), change.name.clone());
-            let known = self.config.get(&key).map_or(0, |known| known.revision);
-            self.config_revision = self.config_revision.max(change.revision);
-            if change.revision > known {
-                self.config.insert(key, change);
-            }
+    fn configure(&mut self, update: ConfigUpdate) -> Revision {
+        let has_advanced = self.configuration.take(update);
+        let revision = self.configuration.revision();
+        if has_advanced {
+            log_event(&Event::new(EventKind::ConfigurationApplied).revision(revision));
         }
-        self.config_revision
+        revision
     }
 
     fn ended(&mut self, id: &CallId, outcome: Outcome) {
@@ -505,7 +496,7 @@
         self.metrics
             .set(Quantity::RetainedBytes, own.retained_bytes);
         self.metrics
-            .set(Quantity::ConfigRevision, self.config_revision);
+            .set(Quantity::ConfigRevision, self.configuration.revision());
         self.load.send_modify(|load| convert::set_load(load, &own));
         self.remaining.send_replace(Remaining {
             in_flight: own.running + own.queued,
--- a/sidecar/src/server.rs
+++ b/sidecar/src/server.rs
@@ -10,11 +10,16 @@
     CallSpec,
     outcome::{Refusal, RefusalReason},
 };
-use rosebend_protocol::peer::{self, AnswerEvent, CallKind, sidecar_server::Sidecar};
+use rosebend_protocol::{
+    configuration::from_messages,
+    peer::{self, AnswerEvent, CallKind, sidecar_server::Sidecar},
+};
 use rosebend_state::{
     id::{self, AvailabilityZone, CallId, HostId, ProgramId},
+    resource::ConfigUpdate,
     settings::EndpointKind,
 };
+use rosebend_transport::event::{Event, EventKind, log_event};
 use tokio::sync::{mpsc, oneshot};
 use tonic::{Request, Response, Status};
 
@@ -269,13 +274,9 @@
         &self,
         request: Request<peer::StatusRequest>,
     ) -> Result<Response<peer::StatusReply>, Status> {
-        let raw = request.into_inner();
+        let update = config_update(&request.into_inner());
         let config_revision = self
-            .ask(|reply| Command::Configure {
-                revision: raw.config_revision,
-                changes: raw.changes,
-                reply,
-            })
+            .ask(|reply| Command::Configure { update, reply })
             .await?;
         Ok(Response::new(peer::StatusReply {
             host: self.host.clone(),
@@ -286,6 +287,20 @@
     }
 }
 
+/// What the sender hands over. An update that cannot be read changes nothing,
+/// so that the sidecar keeps what it has and the status shows that it lags.
+fn config_update(request: &peer::StatusRequest) -> ConfigUpdate {
+    let revision = request.config_revision;
+    match from_messages(revision, &request.changes, request.snapshot) {
+        Ok(update) => update,
+        Err(error) => {
+            let event = Event::new(EventKind::ConfigurationInvalid);
+            log_event(&event.revision(revision).error(&error));
+            ConfigUpdate::Changes(Vec::new())
+        }
+    }
+}
+
 /// A stream of one event.
 fn single(event: AnswerEvent) -> AnswerStream {
     Box::pin(stream::iter([Ok(event)]))
--- a/state/src/resource.rs
+++ b/state/src/resource.rs
@@ -23,6 +23,7 @@
 
 use crate::id::Revision;
 
+mod change;
 mod customer;
 mod endpoint;
 mod error;
@@ -34,6 +35,7 @@
 mod tool;
 
 pub use self::{
+    change::{Change, ConfigUpdate, Snapshot},
     customer::CustomerSpec,
     endpoint::EndpointSpec,
     error::{FieldDefect, ResourceError},
