--- a/entry/src/dispatch.rs
+++ b/entry/src/dispatch.rs
@@ -13,8 +13,8 @@
     self, AnswerEvent, ClaimRequest, DispatchRequest, FailureReason, Finished, RefusalReason,
     ResumeRequest, answer_event::Event, claim_reply::Outcome, sidecar_client::SidecarClient,
 };
-use rosebend_transport::peers::{MAX_MESSAGE_BYTES, PROGRESS_TIMEOUT, Peers};
-use tonic::{Streaming, transport::Channel};
+use rosebend_transport::peers::{MAX_MESSAGE_BYTES, PROGRESS_TIMEOUT, PeerChannel, Peers};
+use tonic::Streaming;
 
 use crate::answer::LiveAnswer;
 
@@ -117,11 +117,11 @@
     failed(FailureReason::SidecarStopped, true)
 }
 
-fn client(channel: Channel) -> SidecarClient<Channel> {
+fn client(channel: PeerChannel) -> SidecarClient<PeerChannel> {
     SidecarClient::new(channel).max_decoding_message_size(MAX_MESSAGE_BYTES)
 }
 
-async fn dispatch(channel: Channel, attempt: &Attempt) -> StreamEnd {
+async fn dispatch(channel: PeerChannel, attempt: &Attempt) -> StreamEnd {
     let request = attempt.request.clone();
     match timeout(PROGRESS_TIMEOUT, client(channel).dispatch(request)).await {
         Ok(Ok(reply)) => read(reply.into_inner(), attempt).await,
@@ -129,7 +129,7 @@
     }
 }
 
-async fn resume(channel: Channel, attempt: &Attempt) -> StreamEnd {
+async fn resume(channel: PeerChannel, attempt: &Attempt) -> StreamEnd {
     let request = ResumeRequest {
         fence: attempt.request.fence,
         call_id: attempt.request.call_id.clone(),
@@ -186,7 +186,7 @@
 }
 
 /// Makes sure that a call which the sidecar does not have never runs there.
-async fn bury(channel: Channel, attempt: &Attempt) -> Buried {
+async fn bury(channel: PeerChannel, attempt: &Attempt) -> Buried {
     let Some(outcome) = claim_on(channel, attempt).await else {
         return Buried::NoAnswer;
     };
@@ -214,7 +214,7 @@
     outcome
 }
 
-async fn claim_on(channel: Channel, attempt: &Attempt) -> Option<Outcome> {
+async fn claim_on(channel: PeerChannel, attempt: &Attempt) -> Option<Outcome> {
     let request = ClaimRequest {
         fence: attempt.request.fence,
         call_id: attempt.request.call_id.clone(),
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -12,6 +12,7 @@
 use rosebend_protocol::platform::{Action, Condition, Operation, Row, Transaction};
 use rosebend_state::settings::EntrySettings;
 use rosebend_transport::event::{Event, EventKind, log_event};
+use rosebend_transport::host_token::{HostCheck, HostToken};
 use rosebend_transport::http_server::{self, HttpServerConfig};
 use rosebend_transport::logging::{LoggingError, init_logging};
 use rosebend_transport::metrics_page::Metrics;
@@ -23,6 +24,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::oneshot;
 use tokio_stream::wrappers::TcpListenerStream;
+use tonic::service::interceptor::InterceptedService;
 
 use crate::control::{Command, Control, ControlHandle, ControlSettings};
 use crate::http::HttpContext;
@@ -72,7 +74,7 @@
     let shard_count = agree_on_shards(&settings).await;
     let incarnation = rosebend_util::random_id();
     let metrics = Metrics::new();
-    let traffic = Traffic::start(TRAFFIC_THREADS);
+    let traffic = Traffic::start(TRAFFIC_THREADS, HostToken::new(&tokens, &settings.host));
     let (control, commands) = ControlHandle::new();
     let control_settings = ControlSettings {
         first_write_id: rosebend_util::hash_parts(&[incarnation.as_bytes()]) >> 16 << 16,
@@ -92,7 +94,7 @@
         traffic.clone(),
         commands,
     );
-    let peer_server = serve_peers(&control, peer_listener)?;
+    let peer_server = serve_peers(&control, HostCheck::new(tokens.clone()), peer_listener)?;
     let context = HttpContext {
         control: control.clone(),
         traffic,
@@ -168,11 +170,16 @@
 }
 
 /// Serves other entries until the returned sender sends or is dropped.
-fn serve_peers(control: &ControlHandle, listener: TcpListener) -> io::Result<oneshot::Sender<()>> {
+fn serve_peers(
+    control: &ControlHandle,
+    check: HostCheck,
+    listener: TcpListener,
+) -> io::Result<oneshot::Sender<()>> {
     listener.set_nonblocking(true)?;
     let (stop, stopped) = oneshot::channel();
     let service = EntryServer::new(PeerService::new(control.clone()))
         .max_decoding_message_size(MAX_MESSAGE_BYTES);
+    let service = InterceptedService::new(service, check);
     Arbiter::new().spawn_fn(move || {
         actix_rt::spawn(async move {
             let Ok(listener) = tokio::net::TcpListener::from_std(listener) else {
--- a/sidecar/src/main.rs
+++ b/sidecar/src/main.rs
@@ -4,6 +4,7 @@
     io::{self, Write},
     path::{Path, PathBuf},
     process::ExitCode,
+    sync::Arc,
 };
 
 use getopts::Options;
@@ -11,7 +12,7 @@
 use rosebend_state::settings::SidecarSettings;
 use rosebend_transport::{
     logging::{LoggingError, init_logging},
-    settings_file::{check_settings, load_settings},
+    settings_file::{SettingsFileError, check_settings, load_settings, load_tokens},
 };
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
@@ -36,6 +37,8 @@
     #[error("signals cannot be received: {0}")]
     Signal(#[from] io::Error),
     #[error("{0}")]
+    Tokens(#[from] SettingsFileError),
+    #[error("{0}")]
     Process(#[from] ProcessError),
 }
 
@@ -97,11 +100,12 @@
 
 fn run(settings: SidecarSettings) -> Result<(), RunError> {
     init_logging(&settings.log)?;
+    let tokens = Arc::new(load_tokens(&settings.tokens_file)?);
     actix_rt::System::new().block_on(async move {
         let terminate = signal(SignalKind::terminate())?;
         let interrupt = signal(SignalKind::interrupt())?;
         let stop = stop_signal(terminate, interrupt);
-        process::run(settings, announce, stop).await?;
+        process::run(settings, tokens, announce, stop).await?;
         Ok(())
     })
 }
--- a/sidecar/src/process.rs
+++ b/sidecar/src/process.rs
@@ -9,6 +9,7 @@
     future::Future,
     io,
     net::{SocketAddr, TcpListener},
+    sync::Arc,
     time::Duration,
 };
 
@@ -16,15 +17,17 @@
 use futures_util::StreamExt;
 use rosebend_coordination::endpoint::EndpointLimits;
 use rosebend_protocol::peer::sidecar_server::SidecarServer;
-use rosebend_state::settings::{EndpointKind, SidecarSettings};
+use rosebend_state::settings::{EndpointKind, SidecarSettings, Tokens};
 use rosebend_transport::{
     event::{Event, EventKind, log_event},
+    host_token::HostCheck,
     http_server::{self, HttpReply, HttpRequest, HttpServerConfig},
     metrics_page::Metrics,
     peers::MAX_MESSAGE_BYTES,
 };
 use tokio::sync::{mpsc, oneshot};
 use tokio_stream::wrappers::TcpListenerStream;
+use tonic::service::interceptor::InterceptedService;
 
 use crate::{
     control::{Command, Control, Published, Remaining},
@@ -67,11 +70,14 @@
 /// Runs a sidecar under the current actix system until `stop` is done and the
 /// stop is complete.
 ///
+/// Only hosts among `tokens` are served.
+///
 /// # Errors
 ///
 /// Fails when an address cannot be used.
 pub async fn run(
     settings: SidecarSettings,
+    tokens: Arc<Tokens>,
     on_bound: impl FnOnce(Bound),
     stop: impl Future<Output = ()>,
 ) -> Result<(), ProcessError> {
@@ -103,10 +109,15 @@
         published: published.clone(),
     };
     let (stop_server, server_stopped) = oneshot::channel::<Infallible>();
-    let server = actix_rt::spawn(serve(listener, service, async move {
-        // The sender is dropped without a message.
-        let _ = server_stopped.await;
-    }));
+    let server = actix_rt::spawn(serve(
+        listener,
+        service,
+        HostCheck::new(tokens),
+        async move {
+            // The sender is dropped without a message.
+            let _ = server_stopped.await;
+        },
+    ));
     on_bound(bound);
     log_event(&Event::new(EventKind::ProcessStarted).host(&settings.host));
 
@@ -169,6 +180,7 @@
 async fn serve(
     listener: TcpListener,
     service: SidecarService,
+    check: HostCheck,
     stop: impl Future<Output = ()>,
 ) -> Result<(), tonic::transport::Error> {
     let listener = tokio::net::TcpListener::from_std(listener)
@@ -179,6 +191,7 @@
         Ok::<_, io::Error>(connection)
     });
     let service = SidecarServer::new(service).max_decoding_message_size(MAX_MESSAGE_BYTES);
+    let service = InterceptedService::new(service, check);
     tonic::transport::Server::builder()
         .http2_keepalive_interval(Some(KEEPALIVE_INTERVAL))
         .http2_keepalive_timeout(Some(KEEPALIVE_TIMEOUT))
--- a/sidecar/tests/silent.rs
+++ b/sidecar/tests/silent.rs
@@ -4,7 +4,7 @@
 
 use rosebend_protocol::peer::ResumeRequest;
 use support::{
-    Client, TestSidecar, Told, fake::Fake, fence, incarnation, model_call, read_all, relay::Relay,
+    TestSidecar, Told, connect, fake::Fake, fence, incarnation, model_call, read_all, relay::Relay,
 };
 
 const CALL: &str = "coastal/dispatch-4#1";
@@ -46,7 +46,7 @@
     let sidecar = TestSidecar::start("engine", engine.address, "");
     let relay = Relay::start(sidecar.bound.listen).await;
     let url = format!("http://{}", relay.address);
-    let mut client = Client::connect(url.clone()).await.unwrap();
+    let mut client = connect(url.clone()).await;
     let run = incarnation(&mut client).await;
     let request = model_call(CALL, &run, 20);
     let mut stream = client.dispatch(request).await.unwrap().into_inner();
@@ -57,7 +57,7 @@
     relay.silence();
     engine.open_gate();
 
-    let mut client = Client::connect(url).await.unwrap();
+    let mut client = connect(url).await;
     let request = ResumeRequest {
         fence: fence(1),
         call_id: CALL.to_owned(),
--- a/sidecar/tests/support/mod.rs
+++ b/sidecar/tests/support/mod.rs
@@ -5,18 +5,35 @@
 pub mod fake;
 pub mod relay;
 
-use std::{net::SocketAddr, sync::mpsc, thread::JoinHandle};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, mpsc},
+    thread::JoinHandle,
+};
 
 use rosebend_protocol::peer::{
     AnswerEvent, CallKind, DispatchRequest, Failure, Fence, Finished, Refusal, ResumeRequest,
     StatusRequest, answer_event::Event, sidecar_client::SidecarClient,
 };
 use rosebend_sidecar::process::{self, Bound};
-use rosebend_state::settings::{Document, SidecarSettings};
+use rosebend_state::settings::{Document, SidecarSettings, Tokens};
+use rosebend_transport::host_token::HostToken;
 use tokio::sync::oneshot;
-use tonic::{Streaming, transport::Channel};
+use tonic::{Streaming, service::interceptor::InterceptedService, transport::Channel};
+
+pub type Client = SidecarClient<InterceptedService<Channel, HostToken>>;
 
-pub type Client = SidecarClient<Channel>;
+/// The tokens of the tests: one host.
+fn tokens() -> Arc<Tokens> {
+    let file = b"host owner-1 token-of-a-test-host";
+    Arc::new(Tokens::try_from(file.as_slice()).unwrap())
+}
+
+/// A client that proves to be a host.
+pub async fn connect(url: String) -> Client {
+    let channel = Channel::from_shared(url).unwrap().connect().await.unwrap();
+    SidecarClient::with_interceptor(channel, HostToken::new(&tokens(), "owner-1"))
+}
 
 /// A sidecar on a thread of its own.
 pub struct TestSidecar {
@@ -56,7 +73,9 @@
                 let stop = async move {
                     let _ = stopped.await;
                 };
-                process::run(settings, on_bound, stop).await.unwrap();
+                process::run(settings, tokens(), on_bound, stop)
+                    .await
+                    .unwrap();
             });
         });
         Self {
@@ -68,7 +87,7 @@
 
     pub async fn client(&self) -> Client {
         let url = format!("http://{}", self.bound.listen);
-        Client::connect(url).await.unwrap()
+        connect(url).await
     }
 
     /// Begins to stop; the sidecar also stops when this value is dropped.
--- a/transport/src/lib.rs
+++ b/transport/src/lib.rs
@@ -2,6 +2,7 @@
 //! client, gRPC channels, logs and the metrics page.
 //!
 //! - [`event`] and [`logging`]: numbered events and where they are written.
+//! - [`host_token`]: how processes prove who they are.
 //! - [`http_server`]: requests in, replies out, whole or streamed.
 //! - [`peers`]: gRPC channels to other processes.
 //! - [`metrics_page`]: counters, gauges and histograms.
@@ -13,6 +14,7 @@
 //! "no effect" from "no answer".
 
 pub mod event;
+pub mod host_token;
 pub mod http_server;
 pub mod logging;
 pub mod metrics_page;
--- a/transport/src/peers.rs
+++ b/transport/src/peers.rs
@@ -8,8 +8,15 @@
 
 use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
+use tonic::service::interceptor::InterceptedService;
 use tonic::transport::{Channel, Endpoint};
 
+use crate::host_token::HostToken;
+
+/// A connection to another process, on which each request carries the token of
+/// this one.
+pub type PeerChannel = InterceptedService<Channel, HostToken>;
+
 /// How long a connection may take to open.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 /// How often each side of a stream says something.
@@ -32,13 +39,17 @@
 /// The open channels of one thread, by address.
 #[derive(Clone, Debug, Default)]
 pub struct Peers {
-    channels: Rc<RefCell<HashMap<String, Channel>>>,
+    channels: Rc<RefCell<HashMap<String, PeerChannel>>>,
+    token: HostToken,
 }
 
 impl Peers {
-    /// No channel yet.
-    pub fn new() -> Self {
-        Self::default()
+    /// No channel yet; requests will carry `token`.
+    pub fn new(token: HostToken) -> Self {
+        Self {
+            channels: Rc::default(),
+            token,
+        }
     }
 
     /// The channel to an address such as `127.0.0.1:7101`, opened when there
@@ -47,11 +58,11 @@
     /// # Errors
     ///
     /// Fails when no connection can be opened in time.
-    pub async fn channel(&self, address: &str) -> Result<Channel, ConnectError> {
+    pub async fn channel(&self, address: &str) -> Result<PeerChannel, ConnectError> {
         if let Some(channel) = self.channels.borrow().get(address) {
             return Ok(channel.clone());
         }
-        let channel = connect(address).await?;
+        let channel = InterceptedService::new(connect(address).await?, self.token.clone());
         self.channels
             .borrow_mut()
             .insert(address.to_owned(), channel.clone());
--- a/transport/src/traffic.rs
+++ b/transport/src/traffic.rs
@@ -11,11 +11,11 @@
 
 use actix_rt::Arbiter;
 
-use crate::peers::Peers;
+use crate::{host_token::HostToken, peers::Peers};
 
 thread_local! {
     /// Channels belong to the thread that opened them.
-    static PEERS: RefCell<Peers> = RefCell::new(Peers::new());
+    static PEERS: RefCell<Option<Peers>> = const { RefCell::new(None) };
 }
 
 /// A set of threads, each with its own channels to other processes.
@@ -23,15 +23,18 @@
 pub struct Traffic {
     arbiters: Arc<Vec<Arbiter>>,
     next: Arc<AtomicUsize>,
+    token: HostToken,
 }
 
 impl Traffic {
-    /// Starts `threads` threads, at least one.
-    pub fn start(threads: usize) -> Self {
+    /// Starts `threads` threads, at least one; requests to other processes will
+    /// carry `token`.
+    pub fn start(threads: usize, token: HostToken) -> Self {
         let arbiters = (0..threads.max(1)).map(|_| Arbiter::new()).collect();
         Self {
             arbiters: Arc::new(arbiters),
             next: Arc::default(),
+            token,
         }
     }
 
@@ -44,8 +47,10 @@
         let turn = self.next.fetch_add(1, Ordering::Relaxed) % self.arbiters.len();
         // A thread that has stopped takes no job; its callers see their
         // channels closed.
+        let token = self.token.clone();
         self.arbiters[turn].spawn_fn(move || {
-            let peers = PEERS.with_borrow(Peers::clone);
+            let peers = PEERS
+                .with_borrow_mut(|peers| peers.get_or_insert_with(|| Peers::new(token)).clone());
             actix_rt::spawn(job(peers));
         });
     }
