Count own new calls as running at an endpoint

Cause: after a restart an endpoint looked idle until its next report, however much had just been sent there, and drew programs off their warm endpoints.

--- a/coordination/src/endpoint_load.rs
+++ b/coordination/src/endpoint_load.rs
@@ -174,6 +174,8 @@
         // New calls run beside the others unless some are waiting already.
         if load.queued > 0 {
             load.queued = self.estimated_calls().saturating_sub(load.running);
+        } else {
+            load.running = self.estimated_calls();
         }
         load
     }
