--- a/coordination/src/routing.rs
+++ b/coordination/src/routing.rs
@@ -499,7 +499,7 @@
         let cold_tokens = request.prompt_tokens - self.warm_tokens(request, index);
         let wait_us = load.queued_tokens * load.prefill_token_us;
         // Every running answer waits while this prompt is computed.
-        let prefill_us = cold_tokens * load.prefill_token_us * (1 + load.running);
+        let prefill_us = cold_tokens * load.prefill_token_us * (1 + load.running + load.queued);
         let decode_us = answer_tokens * load.token_us;
         // A waiting call starts when one of the running ones ends.
         let slot_us = load.queued * decode_us / load.running.max(1);
