Load real processes and tell what entries add

Cause: no figure of what an entry adds to a call, nor of its processor time and memory. Change: rosebend-replay load starts calls at fixed times, half of them straight to the engines, and reads the processes' use from the system.

--- a/replay/src/command.rs
+++ b/replay/src/command.rs
@@ -1,10 +1,13 @@
-//! The command line: `policy`, `generate`, `bench` and `run`.
+//! The command line: `policy`, `generate`, `bench`, `run`
+//! and `load`.
 
 use std::path::Path;
+use std::time::Duration;
 
 use getopts::Options;
 
 use crate::generate::{self, Scenario, UnknownScenario};
+use crate::load::{self, LoadOptions};
 use crate::policies::{Policy, Role};
 use crate::program::offered_percent;
 use crate::replay::Replay;
@@ -18,6 +21,7 @@
 [--baselines] [--seed N] [--json FILE] [--svg FILE] TRACE...
 rosebend-replay generate SCENARIO [--seed N] [--programs N] [--load PERCENT]
 rosebend-replay bench
+rosebend-replay load --entry URL... --engine URL... --token-file FILE [--rate N] [--seconds N]
 rosebend-replay run --entry URL... --token-file FILE --program FILE [--effects URL --effect KEY]";
 
 /// What a command printed.
@@ -72,10 +76,75 @@
         "generate" => generate(rest),
         "bench" => Ok(output(bench::run())),
         "run" => run_program(rest),
+        "load" => load(rest),
         other => Err(CommandError::Usage(format!("unknown command {other:?}"))),
     }
 }
 
+fn load(arguments: &[String]) -> Result<Output, CommandError> {
+    let mut options = Options::new();
+    options.optmulti(
+        "",
+        "entry",
+        "base URL of an entry; calls go to all in turn",
+        "URL",
+    );
+    options.optmulti(
+        "",
+        "engine",
+        "base URL of an engine, for calls without rosebend",
+        "URL",
+    );
+    options.optopt("", "token-file", "file with the customer's token", "FILE");
+    options.optopt("", "model", "the model (agent-llm)", "NAME");
+    options.optopt("", "programs", "programs (500)", "N");
+    options.optopt("", "rate", "calls a second (100)", "N");
+    options.optopt("", "seconds", "how long calls are started (10)", "N");
+    options.optopt("", "prompt-bytes", "bytes of each prompt (400)", "N");
+    options.optopt("", "answer-tokens", "tokens of each answer (8)", "N");
+    options.optopt("", "prefix", "begins the sessions' names (load)", "NAME");
+    options.optmulti("", "process", "a process to watch", "NAME=ID");
+    let matches = parse(&options, arguments)?;
+    let missing = |name: &str| CommandError::Usage(format!("--{name} is wanted"));
+    let token_file = matches
+        .opt_str("token-file")
+        .ok_or_else(|| missing("token-file"))?;
+    let load = LoadOptions {
+        entries: matches.opt_strs("entry"),
+        engines: matches.opt_strs("engine"),
+        token: read(&token_file)?.trim().to_owned(),
+        model: matches
+            .opt_str("model")
+            .unwrap_or_else(|| "agent-llm".to_owned()),
+        programs: number(&matches, "programs", 500)?.max(1),
+        calls_per_second: number(&matches, "rate", 100)?,
+        duration: Duration::from_secs(number(&matches, "seconds", 10)?),
+        prompt_bytes: number(&matches, "prompt-bytes", 400)? as usize,
+        answer_tokens: number(&matches, "answer-tokens", 8)?,
+        processes: processes(&matches.opt_strs("process"))?,
+        session_prefix: matches
+            .opt_str("prefix")
+            .unwrap_or_else(|| "load".to_owned()),
+    };
+    if load.entries.is_empty() || load.engines.is_empty() {
+        return Err(missing("entry and --engine"));
+    }
+    let report = load::run(&load);
+    Ok(Output {
+        text: report.to_string(),
+        holds: report.lost == 0,
+    })
+}
+
+fn processes(named: &[String]) -> Result<Vec<(String, u32)>, CommandError> {
+    let parse = |text: &String| {
+        let (name, id) = text.split_once('=')?;
+        Some((name.to_owned(), id.parse().ok()?))
+    };
+    let parsed: Option<Vec<_>> = named.iter().map(parse).collect();
+    parsed.ok_or_else(|| CommandError::Usage("--process takes NAME=ID".to_owned()))
+}
+
 fn run_program(arguments: &[String]) -> Result<Output, CommandError> {
     let mut options = Options::new();
     options.optmulti(
--- a/replay/src/lib.rs
+++ b/replay/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod expected;
 pub mod fake;
 pub mod generate;
+pub mod load;
 pub mod measure;
 pub mod plot;
 pub mod policies;
