--- a/coordination/tests/endpoint.rs
+++ b/coordination/tests/endpoint.rs
@@ -150,7 +150,9 @@
         let (refused, _) = self.calls.sweep(self.now);
         self.refused_in_queue(refused);
         for id in self.calls.take_released() {
-            self.history(index_of(&id)).failed = true;
+            let call = index_of(&id);
+            assert!(is_repeatable(call), "released what cannot be had again");
+            self.history(call).failed = true;
         }
         let admission = self.calls.admit(self.now);
         self.admitted(admission);
--- a/sidecar/examples/hold_times.rs
+++ b/sidecar/examples/hold_times.rs
@@ -1,6 +1,6 @@
 //! Measures how long an engine holds a KV cache after its program has no more
-//! right to it: `hold_times ENGINE SIDECAR ROUNDS`, with the addresses of a
-//! stand-in engine and of a running sidecar before it.
+//! right to it: `hold_times TOKENS_FILE ENGINE SIDECAR ROUNDS`, with
+//! the addresses of a stand-in engine and of a running sidecar before it.
 //!
 //! The ways are: the owner's full list lacks the program; nobody renews the
 //! lease (the time beyond the lease is printed); the sidecar never knew the
@@ -11,25 +11,30 @@
 use rosebend_protocol::peer::{
     CallKind, DispatchRequest, Fence, HoldsRequest, StatusRequest, sidecar_client::SidecarClient,
 };
+use rosebend_transport::{
+    host_token::HostToken,
+    peers::{PeerChannel, Peers},
+    settings_file::load_tokens,
+};
 use serde_json::{Value, json};
-use tonic::transport::Channel;
 
 /// Lease in the second way.
 const LEASE: Duration = Duration::from_millis(500);
 /// Pause between two looks at the engine.
 const LOOK: Duration = Duration::from_millis(2);
 
-type Client = SidecarClient<Channel>;
+type Client = SidecarClient<PeerChannel>;
 type Error = Box<dyn std::error::Error>;
 
 #[actix_rt::main]
 async fn main() -> Result<(), Error> {
     let args: Vec<String> = std::env::args().skip(1).collect();
-    let [engine, sidecar, rounds] = args.as_slice() else {
-        return Err("usage: hold_times ENGINE SIDECAR ROUNDS".into());
+    let [tokens_file, engine, sidecar, rounds] = args.as_slice() else {
+        return Err("usage: hold_times TOKENS_FILE ENGINE SIDECAR ROUNDS".into());
     };
     let rounds = rounds.parse()?;
-    let mut client = Client::connect(format!("http://{sidecar}")).await?;
+    let host_token = HostToken::new(&load_tokens(tokens_file.as_ref())?, "");
+    let mut client = Client::new(Peers::new(host_token).channel(sidecar).await?);
     let engine = Engine(format!("http://{engine}"));
     let mut listed = Vec::new();
     let mut lapsed = Vec::new();
--- a/sidecar/examples/sidecar_load.rs
+++ b/sidecar/examples/sidecar_load.rs
@@ -1,40 +1,48 @@
 //! Puts calls into one running sidecar, to measure what they cost it.
 //!
 //! ```text
-//! sidecar_load ADDRESS MODE CALLS [TOKENS]
+//! sidecar_load TOKENS_FILE ADDRESS MODE CALLS [TOKENS]
 //! ```
 //!
 //! Modes: `tools` and `models` run calls to their end, one after the other on
 //! each of 16 streams, and leave their answers unacknowledged; `timed-tools`
 //! and `timed-models` run them one at a time, acknowledge each, and print the
-//! times; `queue` dispatches model calls and leaves them to the queue.
+//! times; `queue` dispatches model calls and leaves them to the queue; `polls`
+//! asks for the status, as entries do, one time after the other.
 
 use std::{
     sync::Arc,
     time::{Duration, Instant},
 };
 
+use prost::Message;
 use rosebend_protocol::peer::{
     AcknowledgeRequest, AnswerEvent, CallKind, DispatchRequest, Fence, StatusRequest,
     answer_event::Event, sidecar_client::SidecarClient,
 };
-use tonic::{Streaming, transport::Channel};
+use rosebend_transport::{
+    host_token::HostToken,
+    peers::{PeerChannel, Peers},
+    settings_file::load_tokens,
+};
+use tonic::Streaming;
 
 /// Streams on which calls run at once.
 const STREAMS: usize = 16;
 
-type Client = SidecarClient<Channel>;
+type Client = SidecarClient<PeerChannel>;
 type Error = Box<dyn std::error::Error + Send + Sync>;
 
 #[actix_rt::main]
 async fn main() -> Result<(), Error> {
     let args: Vec<String> = std::env::args().skip(1).collect();
-    let [address, mode, calls, rest @ ..] = args.as_slice() else {
-        return Err("usage: sidecar_load ADDRESS MODE CALLS [TOKENS]".into());
+    let [tokens_file, address, mode, calls, rest @ ..] = args.as_slice() else {
+        return Err("usage: sidecar_load TOKENS_FILE ADDRESS MODE CALLS [TOKENS]".into());
     };
     let tokens = rest.first().map_or(Ok(100), |tokens| tokens.parse())?;
     let calls: usize = calls.parse()?;
-    let mut client = Client::connect(format!("http://{address}")).await?;
+    let host_token = HostToken::new(&load_tokens(tokens_file.as_ref())?, "");
+    let mut client = Client::new(Peers::new(host_token).channel(address).await?);
     let status = client.status(StatusRequest::default()).await?.into_inner();
     let incarnation = status.load.unwrap_or_default().incarnation;
     let is_tool = mode.ends_with("tools");
@@ -43,7 +51,8 @@
         "tools" | "models" => run_all(&client, calls, request).await,
         "timed-tools" | "timed-models" => time_all(client, calls, &*request).await,
         "queue" => queue_all(client, calls, &*request).await,
-        _ => Err("the mode is tools, models, timed-tools, timed-models or queue".into()),
+        "polls" => poll(client, calls).await,
+        _ => Err("the mode is tools, models, timed-tools, timed-models, queue or polls".into()),
     }
 }
 
@@ -132,6 +141,19 @@
     Ok(())
 }
 
+async fn poll(mut client: Client, polls: usize) -> Result<(), Error> {
+    let mut bytes = 0;
+    for _ in 0..polls {
+        let reply = client.status(StatusRequest::default()).await?.into_inner();
+        bytes += reply.encoded_len();
+    }
+    println!(
+        "{polls} polls, {} bytes in each reply",
+        bytes / polls.max(1)
+    );
+    Ok(())
+}
+
 async fn queue_all(
     mut client: Client,
     calls: usize,
