--- a/coordination/src/routing/request.rs
+++ b/coordination/src/routing/request.rs
@@ -35,7 +35,7 @@
 impl Default for Scoring {
     fn default() -> Self {
         Self {
-            subset: 4,
+            subset: 6,
             warm: true,
             moves: true,
             corrects_reports: true,
