Tell a claimed attempt apart from one that came

Cause: the burial of an attempt that never came raised the attempt of the record, so the same claim asked again (its reply was lost), or the next owner's question for what is retained, found the answer of another request under the same position. Change: a sidecar's record keeps the highest attempt that came beside the highest that was buried; a new owner also compares the digests of the table's intent and the retained call.

--- a/coordination/src/endpoint/calls/intake.rs
+++ b/coordination/src/endpoint/calls/intake.rs
@@ -48,6 +48,7 @@
             _ => {
                 record.fence = spec.fence;
                 record.attempt = record.attempt.max(spec.attempt);
+                record.joined = record.joined.max(spec.attempt);
                 Some(Dispatched::Follow)
             }
         }
--- a/coordination/src/endpoint/calls/mod.rs
+++ b/coordination/src/endpoint/calls/mod.rs
@@ -161,13 +161,14 @@
             return ClaimOutcome::Buried;
         };
         record.fence = fence;
-        // A later attempt than any known here never came, and joins this one
-        // if it comes after all. What runs or ran here may be another request
-        // under the same id, so its answer is not given for the later attempt.
-        let is_unseen = attempt > record.attempt && record.repeatable;
+        // A later attempt than any that came joins this one if it comes after
+        // all. What runs or ran here may be another request under the same id,
+        // so its answer is not given for the later attempt, however often that
+        // is claimed.
+        let is_unseen = attempt > record.joined && record.repeatable;
         match &record.state {
             CallState::Finished { .. } | CallState::Running if is_unseen => {
-                record.attempt = attempt;
+                record.attempt = record.attempt.max(attempt);
                 ClaimOutcome::Buried
             }
             CallState::Finished { finished, .. } => ClaimOutcome::Finished(finished.clone()),
--- a/coordination/src/endpoint/calls/record.rs
+++ b/coordination/src/endpoint/calls/record.rs
@@ -35,6 +35,9 @@
     pub(super) fence: Fence,
     /// The highest attempt that was dispatched or buried.
     pub(super) attempt: u32,
+    /// The highest attempt that came with a message of this request; zero for
+    /// a call that never came.
+    pub(super) joined: u32,
     pub(super) repeatable: bool,
     pub(super) hold_kv: bool,
     /// Hash of the fingerprint; zero when the call is not known by one.
@@ -61,6 +64,7 @@
         Self {
             fence: spec.fence,
             attempt: spec.attempt,
+            joined: spec.attempt,
             repeatable: spec.repeatable,
             hold_kv: spec.hold_kv,
             fingerprint: spec.fingerprint,
@@ -76,6 +80,7 @@
         Self {
             fence,
             attempt,
+            joined: 0,
             repeatable: false,
             hold_kv: false,
             fingerprint: 0,
@@ -117,7 +122,7 @@
         };
         Some(RetainedCall {
             id: id.clone(),
-            attempt: self.attempt,
+            attempt: self.joined,
             shard: self.fence.shard,
             ended,
             record: Arc::clone(&self.record),
--- a/coordination/src/owner/takeover.rs
+++ b/coordination/src/owner/takeover.rs
@@ -153,8 +153,9 @@
         active.attempt = newest.attempt;
         let known = open_turns.get(&call.program);
         let is_older = known.is_some_and(|known| {
-            known.sequence > call.sequence
-                || (known.sequence == call.sequence && known.attempt > active.attempt)
+            let is_other =
+                known.attempt > active.attempt || known.body_digest != active.body_digest;
+            known.sequence > call.sequence || (known.sequence == call.sequence && is_other)
         });
         let is_same = known.is_some_and(|known| known.sequence == call.sequence);
         active.has_record = is_same;
