--- a/coordination/src/owner/takeover.rs
+++ b/coordination/src/owner/takeover.rs
@@ -153,8 +153,9 @@
         active.attempt = newest.attempt;
         let known = open_turns.get(&call.program);
         let is_older = known.is_some_and(|known| {
-            known.sequence > call.sequence
-                || (known.sequence == call.sequence && known.attempt > active.attempt)
+            let is_other =
+                known.attempt > active.attempt || known.body_digest != active.body_digest;
+            known.sequence > call.sequence || (known.sequence == call.sequence && is_other)
         });
         let is_same = known.is_some_and(|known| known.sequence == call.sequence);
         active.has_record = is_same;
@@ -197,9 +198,7 @@
             acknowledge,
         };
         self.insert_unwritten(id, active, TurnEnd::Done, unwritten);
-        self.mark_turn(&call_id(id, sequence));
-        self.mark_program(id);
-        self.mark_program(&id.root());
+        self.mark_end(&call_id(id, sequence));
     }
 
     /// Ends a call that a later one of its program proves to have ended, with
@@ -219,7 +218,7 @@
         };
         let end = TurnEnd::Unknown(UnknownReason::SidecarUnreachable);
         self.insert_unwritten(id, call, end, unwritten);
-        self.mark_turn(&call_id(id, sequence));
+        self.mark_end(&call_id(id, sequence));
     }
 
     fn insert_unwritten(
