--- a/system-tests/tests/table_outage.rs
+++ b/system-tests/tests/table_outage.rs
@@ -1,7 +1,10 @@
 //! The platform's table is away: programs under way go on, and calls that may
 //! not be repeated wait or are refused, truthfully.
 
-use std::time::{Duration, Instant};
+use std::{
+    cell::RefCell,
+    time::{Duration, Instant},
+};
 
 use rosebend_protocol::problem::Ran;
 use rosebend_system_tests::{Call, Caller, Cluster, ClusterConfig, Signal, settle, wait_until};
@@ -36,17 +39,16 @@
 
 async fn check_history(cluster: &Cluster, caller: &Caller, answers: &[String]) {
     for (sequence, answer) in (1..).zip(answers) {
+        let entry = cluster.entry(sequence as usize);
+        let last = RefCell::new(None);
         let fetched = wait_until("an answer of the history", || async {
-            let fetched = caller
-                .fetch(cluster.entry(sequence as usize), sequence)
-                .await;
+            let fetched = caller.fetch(entry, sequence).await;
+            *last.borrow_mut() = Some(format!("{fetched:?}"));
             fetched.ok()?.success("").ok()
         });
-        assert_eq!(
-            &content(&fetched.await.unwrap().json()),
-            answer,
-            "call {sequence}"
-        );
+        let fetched = fetched.await;
+        let fetched = fetched.unwrap_or_else(|_| panic!("call {sequence}: {last:?}"));
+        assert_eq!(&content(&fetched.json()), answer, "call {sequence}");
     }
 }
 
