Bound what an entry keeps up with, and how often it uses the table

Cause: at 380 entries, renewals alone would be 507 writes a second, each reading 380 rows, and polls of 720 sidecars 1,440 a second and entry. Change: pace (periods grow with the number of entries, within the table's rate) and neighbours (16 endpoints a target, 8 watched entries), as pure functions; the processes take them next.

--- /dev/null
+++ b/coordination/tests/scale.rs
@@ -0,0 +1,99 @@
+//! What must stay bounded however many hosts there are.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use proptest::prelude::*;
+use rosebend_coordination::neighbours::{
+    Candidate, ENDPOINTS_PER_TARGET, WATCHED_ENTRIES, endpoints_of, watched_entries,
+};
+use rosebend_coordination::pace::{Pace, PaceConfig};
+use rosebend_state::id::{EndpointId, HostId};
+
+const ZONES: usize = 7;
+
+fn hosts(count: usize) -> Vec<HostId> {
+    (0..count).map(|number| format!("entry-{number}")).collect()
+}
+
+fn zone(number: usize) -> String {
+    format!("zone-{}", number % ZONES)
+}
+
+proptest! {
+    #[test]
+    fn entries_never_use_more_than_the_tables_rate(
+        entries in 1usize..2000,
+        writes_per_second in 4u32..1000,
+    ) {
+        let config = PaceConfig { writes_per_second, ..PaceConfig::default() };
+        let pace = Pace::new(&config, entries);
+        prop_assert!(pace.lease >= pace.renew * 4);
+        prop_assert!(pace.renew >= config.renew && pace.commit >= config.commit);
+        let few = entries as f64 * (1.0 / 0.75 + 50.0) <= f64::from(writes_per_second);
+        prop_assert!(few || pace.writes_per_second(entries) <= writes_per_second);
+    }
+
+    #[test]
+    fn every_entry_is_watched_by_as_many_others(count in 1usize..60) {
+        let hosts = hosts(count);
+        let mut watchers: BTreeMap<&HostId, usize> = BTreeMap::new();
+        for host in &hosts {
+            for watched in watched_entries(host, hosts.iter()) {
+                *watchers.entry(watched).or_default() += 1;
+            }
+        }
+        let expected = WATCHED_ENTRIES.min(count - 1);
+        for host in &hosts {
+            prop_assert_eq!(watchers.get(host).copied().unwrap_or(0), expected);
+        }
+    }
+}
+
+/// 380 entries before 180 endpoints of one model, in 7 zones.
+#[test]
+fn endpoints_are_spread_over_entries_and_zones() {
+    let endpoints: Vec<(EndpointId, String)> = (0..180)
+        .map(|number| (format!("engine-{number}"), zone(number)))
+        .collect();
+    let candidates: Vec<Candidate<'_>> = endpoints
+        .iter()
+        .map(|(endpoint, availability_zone)| Candidate {
+            endpoint,
+            availability_zone,
+        })
+        .collect();
+    let mut entries_of: BTreeMap<&EndpointId, usize> = BTreeMap::new();
+    for (number, host) in hosts(380).iter().enumerate() {
+        let chosen = endpoints_of(host, &zone(number), &candidates);
+        assert_eq!(chosen.len(), ENDPOINTS_PER_TARGET);
+        let zones: BTreeSet<&String> = candidates
+            .iter()
+            .filter(|candidate| chosen.contains(candidate.endpoint))
+            .map(|candidate| candidate.availability_zone)
+            .collect();
+        assert!(
+            zones.len() > 1,
+            "{host} would lose all endpoints with its zone"
+        );
+        for endpoint in chosen {
+            *entries_of.entry(endpoint).or_default() += 1;
+        }
+    }
+    let mean = 380 * ENDPOINTS_PER_TARGET / 180;
+    for (endpoint, _) in &endpoints {
+        let entries = entries_of.get(endpoint).copied().unwrap_or(0);
+        assert!(
+            entries * 2 > mean && entries < mean * 2,
+            "{endpoint}: {entries} of {mean}"
+        );
+    }
+}
+
+#[test]
+fn a_table_of_today_is_used_as_the_settings_say() {
+    let pace = Pace::new(&PaceConfig::default(), 3);
+    assert_eq!(pace.renew, Duration::from_millis(750));
+    assert_eq!(pace.lease, Duration::from_secs(3));
+    assert_eq!(pace.commit, Duration::from_millis(20));
+}
