Keep pace with the number of entries, and watch neighbours only

Change: renewals, lease and commits follow the number of entries; an entry reads the renewal rows of 8 others and all rows every 20 s; a takeover removes the silent host's row, by which the others learn of it; routing and polls keep to 16 endpoints a target; channels unused for 20 s are closed. Ruled out on the way: reading the shard rows only for orphans; the test rows_are_read_until_every_shard_has_one failed and was right.

--- a/coordination/src/commit.rs
+++ b/coordination/src/commit.rs
@@ -188,6 +188,12 @@
         self
     }
 
+    /// Takes the shortest time between two transactions that follows from the
+    /// number of entries.
+    pub fn set_interval(&mut self, interval: Duration) {
+        self.config.interval = interval;
+    }
+
     /// An id for a transaction of this process that is not a group commit.
     pub fn take_write_id(&mut self) -> WriteId {
         let write_id = self.next_write_id;
--- a/coordination/src/neighbours.rs
+++ b/coordination/src/neighbours.rs
@@ -87,6 +87,30 @@
         .collect()
 }
 
+/// The entries that watch the renewals of `host`.
+pub fn watchers_of<'a>(host: &str, entries: impl Iterator<Item = &'a HostId>) -> Vec<&'a HostId> {
+    let own = (position(host), host);
+    let mut others: Vec<_> = entries
+        .filter(|entry| *entry != host)
+        .map(|entry| {
+            (
+                (position(entry), entry.as_str()) > own,
+                position(entry),
+                entry,
+            )
+        })
+        .collect();
+    // The nearest ones before the own position; those after it are farthest.
+    others.sort_by_key(|(is_after, position, entry)| {
+        (*is_after, std::cmp::Reverse((*position, *entry)))
+    });
+    others
+        .into_iter()
+        .take(WATCHED_ENTRIES)
+        .map(|(.., entry)| entry)
+        .collect()
+}
+
 fn rank(host: &str, endpoint: &str) -> u64 {
     rosebend_util::hash_parts(&[host.as_bytes(), endpoint.as_bytes()])
 }
--- a/coordination/src/ownership.rs
+++ b/coordination/src/ownership.rs
@@ -12,6 +12,13 @@
 //! an epoch lower than the highest that they saw. The lease only decides how
 //! soon a dead owner is replaced.
 //!
+//! With many entries each watches a few others (see
+//! [`neighbours`](crate::neighbours)), and the shards of a silent host go to
+//! those who watch it. The takeover removes the silent host's row, by which all
+//! others learn of it, and so does the host itself, if it was only paused: it
+//! writes a new row and starts anew. Handoffs then bring the shards to the
+//! entries that should own them.
+//!
 //! Only time in which the table answered the observer counts. While the table
 //! is away nobody can renew and nobody can take over; when it comes back all
 //! watch windows start anew, so that an outage is not followed by takeovers
@@ -25,6 +32,8 @@
 
 use rosebend_state::id::{Epoch, HostId, Incarnation, Shard};
 
+use crate::neighbours;
+
 /// How ownership keeps time.
 #[derive(Clone, Copy, Debug)]
 pub struct OwnershipConfig {
@@ -87,6 +96,13 @@
 pub enum OwnershipEvent {
     /// The table answered with all renewal rows.
     HostsRead(Vec<HostRow>),
+    /// The table answered with the renewal rows of some hosts.
+    HostsWatched {
+        /// The hosts that were asked for.
+        asked: Vec<HostId>,
+        /// Those of their rows that are there.
+        rows: Vec<HostRow>,
+    },
     /// The table answered with all shard rows.
     ShardsRead(Vec<ShardRow>),
     /// The table did not answer.
@@ -156,6 +172,8 @@
     row: HostRow,
     /// Time watched, with the table answering, since the version changed.
     still_for: Duration,
+    /// When the row was read last; none since the table was silent.
+    seen_at: Option<Duration>,
 }
 
 /// Ownership as one entry sees it.
@@ -172,7 +190,6 @@
     /// Shards being drained for a handoff.
     draining: BTreeSet<Shard>,
     taking_over: bool,
-    last_answer: Option<Duration>,
     members: BTreeSet<HostId>,
     members_since: Duration,
     leaving: bool,
@@ -192,7 +209,6 @@
             owned: BTreeMap::new(),
             draining: BTreeSet::new(),
             taking_over: false,
-            last_answer: None,
             members: BTreeSet::new(),
             members_since: Duration::ZERO,
             leaving: false,
@@ -203,9 +219,12 @@
     pub fn step(&mut self, now: Duration, event: OwnershipEvent) -> Vec<OwnershipAction> {
         match event {
             OwnershipEvent::HostsRead(rows) => self.hosts_read(now, rows),
+            OwnershipEvent::HostsWatched { asked, rows } => self.hosts_watched(now, &asked, rows),
             OwnershipEvent::ShardsRead(rows) => self.shards_read(now, rows),
             OwnershipEvent::TableSilent => {
-                self.last_answer = None;
+                for watched in self.hosts.values_mut() {
+                    watched.seen_at = None;
+                }
                 Vec::new()
             }
             OwnershipEvent::TakeoverEnded { shards, version } => {
@@ -261,18 +280,52 @@
     }
 
     fn hosts_read(&mut self, now: Duration, rows: Vec<HostRow>) -> Vec<OwnershipAction> {
-        let watched = self.watched_time(now);
-        let mut hosts = BTreeMap::new();
+        let hosts = rows
+            .into_iter()
+            .map(|row| (row.host.clone(), self.watched(now, row)))
+            .collect();
+        self.take_hosts(now, hosts)
+    }
+
+    fn hosts_watched(
+        &mut self,
+        now: Duration,
+        asked: &[HostId],
+        rows: Vec<HostRow>,
+    ) -> Vec<OwnershipAction> {
+        let mut hosts = self.hosts.clone();
+        for host in asked {
+            hosts.remove(host);
+        }
         for row in rows {
-            let still_for = match (self.hosts.get(&row.host), watched) {
-                (Some(known), Some(watched)) if known.row.version == row.version => {
-                    known.still_for + watched
-                }
-                _ => Duration::ZERO,
-            };
-            hosts.insert(row.host.clone(), WatchedHost { row, still_for });
+            hosts.insert(row.host.clone(), self.watched(now, row));
+        }
+        self.take_hosts(now, hosts)
+    }
+
+    /// Adds the time since a row was last read to the time for which it has
+    /// stood still, if that time counts as watched.
+    fn watched(&self, now: Duration, row: HostRow) -> WatchedHost {
+        let known = self.hosts.get(&row.host);
+        let same = known.filter(|known| known.row.version == row.version);
+        let still_for = same.map_or(Duration::ZERO, |known| {
+            let gap = known.seen_at.map(|seen_at| now.saturating_sub(seen_at));
+            let gap = gap.filter(|gap| *gap <= self.config.watch_gap);
+            gap.map_or(Duration::ZERO, |gap| known.still_for + gap)
+        });
+        WatchedHost {
+            row,
+            still_for,
+            seen_at: Some(now),
         }
-        let joined_or_left = hosts.len() != self.hosts.len();
+    }
+
+    fn take_hosts(
+        &mut self,
+        now: Duration,
+        hosts: BTreeMap<HostId, WatchedHost>,
+    ) -> Vec<OwnershipAction> {
+        let joined_or_left = !hosts.keys().eq(self.hosts.keys());
         self.hosts = hosts;
         self.note_members(now);
         // A shard without a row here may have been taken by another since the
@@ -285,12 +338,22 @@
         actions
     }
 
-    /// Time since the last answer, when it counts as watched. The first answer
-    /// after an outage starts all windows anew.
-    fn watched_time(&mut self, now: Duration) -> Option<Duration> {
-        let last = self.last_answer.replace(now)?;
-        let gap = now.saturating_sub(last);
-        (gap <= self.config.watch_gap).then_some(gap)
+    /// The hosts whose rows are to be read with each renewal: all when there
+    /// are few, and a bounded number of neighbours otherwise.
+    pub fn watched_hosts(&self) -> Vec<HostId> {
+        let watched = neighbours::watched_entries(&self.host, self.hosts.keys());
+        watched.into_iter().cloned().collect()
+    }
+
+    /// Number of entries known, this one included.
+    pub fn entry_count(&self) -> usize {
+        self.hosts.len().max(1)
+    }
+
+    /// Takes the lease that follows from the number of entries.
+    pub fn set_lease(&mut self, lease: Duration) {
+        self.config.lease = lease;
+        self.config.watch_gap = self.config.watch_gap.max(lease / 2);
     }
 
     fn note_members(&mut self, now: Duration) {
@@ -396,8 +459,14 @@
     }
 
     fn preferred(&self, shard: Shard) -> Option<&HostId> {
-        self.candidates()
-            .max_by_key(|host| rosebend_util::hash_parts(&[host.as_bytes(), &shard.to_le_bytes()]))
+        Self::first_choice(self.candidates(), shard)
+    }
+
+    fn first_choice<'a>(
+        hosts: impl Iterator<Item = &'a HostId>,
+        shard: Shard,
+    ) -> Option<&'a HostId> {
+        hosts.max_by_key(|host| rosebend_util::hash_parts(&[host.as_bytes(), &shard.to_le_bytes()]))
     }
 
     fn decide(&mut self, now: Duration) -> Vec<OwnershipAction> {
@@ -413,6 +482,22 @@
         actions
     }
 
+    /// Whether this process is the one to take an orphan. The shards of a host
+    /// that fell silent go to those who watch it, since no one else knows; all
+    /// others go to the preferred entry.
+    fn is_heir(&self, row: &ShardRow) -> bool {
+        let is_silent = self
+            .hosts
+            .get(&row.owner)
+            .is_some_and(|owner| !self.is_live(owner));
+        if !is_silent {
+            return self.preferred(row.shard) == Some(&self.host);
+        }
+        let watchers = neighbours::watchers_of(&row.owner, self.hosts.keys());
+        let heirs = self.candidates().filter(|host| watchers.contains(host));
+        Self::first_choice(heirs, row.shard) == Some(&self.host)
+    }
+
     /// One takeover: of shards without a row, or of one silent host's shards.
     fn takeover(&self) -> Option<Takeover> {
         let wanted = |shard: &Shard| self.preferred(*shard) == Some(&self.host);
@@ -427,7 +512,7 @@
                 shards: new,
             });
         }
-        let orphan = |row: &&ShardRow| self.is_orphan(row) && wanted(&row.shard);
+        let orphan = |row: &&ShardRow| self.is_orphan(row) && self.is_heir(row);
         let silent = self.shards.values().find(orphan)?.owner.clone();
         let shards = self
             .shards
--- a/coordination/tests/scale.rs
+++ b/coordination/tests/scale.rs
@@ -5,7 +5,7 @@
 
 use proptest::prelude::*;
 use rosebend_coordination::neighbours::{
-    Candidate, ENDPOINTS_PER_TARGET, WATCHED_ENTRIES, endpoints_of, watched_entries,
+    Candidate, ENDPOINTS_PER_TARGET, WATCHED_ENTRIES, endpoints_of, watched_entries, watchers_of,
 };
 use rosebend_coordination::pace::{Pace, PaceConfig};
 use rosebend_state::id::{EndpointId, HostId};
@@ -46,6 +46,10 @@
         let expected = WATCHED_ENTRIES.min(count - 1);
         for host in &hosts {
             prop_assert_eq!(watchers.get(host).copied().unwrap_or(0), expected);
+            for watcher in watchers_of(host, hosts.iter()) {
+                prop_assert!(watched_entries(watcher, hosts.iter()).contains(&host));
+            }
+            prop_assert_eq!(watchers_of(host, hosts.iter()).len(), expected);
         }
     }
 }
--- a/entry/src/control.rs
+++ b/entry/src/control.rs
@@ -144,6 +144,13 @@
     CommitDue,
     /// The rows of entries were read; none when the table was silent.
     HostsRead(Option<Vec<(HostRow, HostValue)>>),
+    /// The rows of watched entries were read; none when the table was silent.
+    HostsWatched {
+        /// The entries that were asked for.
+        asked: Vec<HostId>,
+        /// Their rows.
+        rows: Option<Vec<(HostRow, HostValue)>>,
+    },
     /// The rows of shards were read; none when the table was silent.
     ShardsRead(Option<Vec<ShardRow>>),
     /// The own row was renewed.
--- a/entry/src/control/shards.rs
+++ b/entry/src/control/shards.rs
@@ -8,20 +8,24 @@
 use rosebend_coordination::ownership::{
     HostRow, OwnershipAction, OwnershipEvent, ShardRow, Takeover,
 };
+use rosebend_coordination::pace::Pace;
 use rosebend_protocol::peer::Fence;
-use rosebend_protocol::platform::{Action, Condition, Operation, Transaction};
+use rosebend_protocol::platform::{Action, Condition, Operation, Row, Transaction};
 use rosebend_state::id::{Epoch, HostId, Incarnation, Shard};
 use rosebend_transport::event::{Event as LogEvent, EventKind, log_event};
 use rosebend_transport::platform_client::{PlatformClient, PlatformError};
 use serde_json::json;
 
 use super::sidecars::SidecarAddress;
-use super::state::{Control, Stopping};
+use super::state::{Control, Stopping, pace_config};
 use super::{Command, LoadedShard, RenewOutcome, retained, status};
 use crate::rows::{self, HostValue};
 
 /// Longest wait for sidecars to tell what they retain for gained shards.
 const RETAINED_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time between two reads of the rows of all entries, when there are more than
+/// an entry watches.
+const FULL_READ_PERIOD: Duration = Duration::from_secs(20);
 /// Wait before gained shards that could not be read are read again.
 const LOAD_AGAIN_WAIT: Duration = Duration::from_millis(500);
 /// Reads of shards that are under way at once.
@@ -134,8 +138,8 @@
                 self.note_table(true);
             }
             RenewOutcome::Replaced => {
-                // Another process has this host's name. Its shards are its
-                // own; this process has nothing more to do.
+                // Another process has this host's name, or this one was
+                // silent and its row was removed. It begins anew.
                 log_event(&LogEvent::new(EventKind::LeaseRenewalFailed).reason("replaced"));
                 self.row_version = None;
             }
@@ -146,17 +150,33 @@
         }
     }
 
+    /// Reads the rows of the watched entries, and now and then all of them.
     fn read_hosts(&mut self) {
         if self.reading_hosts {
             return;
         }
         self.reading_hosts = true;
+        let asked = self.ownership.watched_hosts();
+        let now = self.now();
+        let is_full_due = self
+            .full_read_at
+            .is_none_or(|at| now.saturating_sub(at) >= FULL_READ_PERIOD);
+        let watches_all = asked.len() + 1 >= self.ownership.entry_count();
         let platform = self.platform.clone();
         let handle = self.handle.clone();
+        if is_full_due || watches_all {
+            self.full_read_at = Some(now);
+            actix_rt::spawn(async move {
+                let rows = platform.scan_all(rows::HOST_PREFIX).await.ok();
+                handle.send(Command::HostsRead(rows.map(|rows| host_rows(&rows))));
+            });
+            return;
+        }
         actix_rt::spawn(async move {
-            let rows = platform.scan_all(rows::HOST_PREFIX).await.ok();
-            let hosts = rows.map(|rows| rows.iter().filter_map(rows::host_row).collect());
-            handle.send(Command::HostsRead(hosts));
+            let keys = asked.iter().map(|host| rows::host_key(host)).collect();
+            let rows = platform.read(keys).await.ok();
+            let rows = rows.map(|rows| host_rows(&rows));
+            handle.send(Command::HostsWatched { asked, rows });
         });
     }
 
@@ -172,6 +192,35 @@
             .collect();
         let hosts = rows.into_iter().map(|(row, _)| row).collect();
         self.ownership_event(OwnershipEvent::HostsRead(hosts));
+        self.keep_pace();
+    }
+
+    pub(super) fn hosts_watched(
+        &mut self,
+        asked: Vec<HostId>,
+        rows: Option<Vec<(HostRow, HostValue)>>,
+    ) {
+        self.reading_hosts = false;
+        self.note_table(rows.is_some());
+        let Some(rows) = rows else {
+            return;
+        };
+        for (row, value) in &rows {
+            let process = status::entry_process(row, value);
+            self.entries.retain(|known| known.host != process.host);
+            self.entries.push(process);
+        }
+        let rows = rows.into_iter().map(|(row, _)| row).collect();
+        self.ownership_event(OwnershipEvent::HostsWatched { asked, rows });
+        self.keep_pace();
+    }
+
+    /// Follows the number of entries with the periods of this one.
+    fn keep_pace(&mut self) {
+        let entries = self.ownership.entry_count();
+        self.pace = Pace::new(&pace_config(&self.settings.entry), entries);
+        self.ownership.set_lease(self.pace.lease);
+        self.committer.set_interval(self.pace.commit);
     }
 
     pub(super) fn read_shards(&mut self) {
@@ -417,6 +466,10 @@
     }
 }
 
+fn host_rows(rows: &[Row]) -> Vec<(HostRow, HostValue)> {
+    rows.iter().filter_map(rows::host_row).collect()
+}
+
 async fn load_shard(
     platform: &PlatformClient,
     (shard, epoch, is_new): (Shard, Epoch, bool),
--- a/entry/src/control/sidecars.rs
+++ b/entry/src/control/sidecars.rs
@@ -1,9 +1,10 @@
 //! Sidecars: load reports, holds, acknowledgements.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use actix_rt::time::timeout;
+use rosebend_coordination::neighbours::{self, Candidate};
 use rosebend_coordination::queue::LoadView;
 use rosebend_coordination::routing::{EndpointInfo, EndpointState};
 use rosebend_protocol::peer::{
@@ -14,6 +15,7 @@
 use rosebend_transport::event::{Event as LogEvent, EventKind, log_event};
 
 use super::Command;
+use super::directory::DirectoryEndpoint;
 use super::state::Control;
 use crate::dispatch::REQUEST_TIMEOUT;
 
@@ -44,6 +46,11 @@
 }
 
 impl SidecarView {
+    /// Whether calls wait to be acknowledged there.
+    fn has_news(&self) -> bool {
+        !self.acknowledge.is_empty()
+    }
+
     pub(super) fn is_silent(&self) -> bool {
         self.silent_polls >= SILENT_POLLS
     }
@@ -74,7 +81,12 @@
 
     /// Tells the router which endpoints there are.
     pub(super) fn refresh_router(&mut self) {
-        let listed = self.directory.endpoints.values().map(|endpoint| {
+        let targets = self.tracked_targets();
+        self.tracked = targets.keys().cloned().collect();
+        let tracked = |endpoint: &DirectoryEndpoint| targets.get(&endpoint.id).cloned();
+        let endpoints = self.directory.endpoints.values();
+        let listed = endpoints.filter_map(|endpoint| {
+            let targets = tracked(endpoint)?;
             let view = self.sidecars.get(&endpoint.id);
             let incarnation = view
                 .map(|view| view.incarnation.clone())
@@ -88,20 +100,50 @@
                 Some(_) => EndpointState::Live,
                 None => EndpointState::Down,
             };
-            EndpointInfo {
+            Some(EndpointInfo {
                 id: endpoint.id.clone(),
                 zone: endpoint.availability_zone.clone(),
-                targets: endpoint.targets.clone(),
+                targets,
                 incarnation,
                 state,
-            }
+            })
         });
         self.router.set_endpoints(listed.collect());
     }
 
+    /// The models and tools for which this entry keeps up with an endpoint, by
+    /// endpoint.
+    fn tracked_targets(&self) -> BTreeMap<EndpointId, Vec<String>> {
+        let mut serving: BTreeMap<&String, Vec<Candidate<'_>>> = BTreeMap::new();
+        for endpoint in self.directory.endpoints.values() {
+            for target in &endpoint.targets {
+                serving.entry(target).or_default().push(Candidate {
+                    endpoint: &endpoint.id,
+                    availability_zone: &endpoint.availability_zone,
+                });
+            }
+        }
+        let entry = &self.settings.entry;
+        let mut tracked: BTreeMap<EndpointId, Vec<String>> = BTreeMap::new();
+        for (target, candidates) in serving {
+            let chosen =
+                neighbours::endpoints_of(&entry.host, &entry.availability_zone, &candidates);
+            for endpoint in chosen {
+                tracked
+                    .entry(endpoint.clone())
+                    .or_default()
+                    .push(target.clone());
+            }
+        }
+        tracked
+    }
+
     pub(super) fn poll_sidecars(&mut self) {
-        for sidecar in self.sidecar_addresses() {
-            self.poll_sidecar(&sidecar.endpoint);
+        let with_news = self.sidecars.iter().filter(|(_, view)| view.has_news());
+        let mut due: BTreeSet<EndpointId> = with_news.map(|(id, _)| id.clone()).collect();
+        due.extend(self.tracked.iter().cloned());
+        for endpoint in due {
+            self.poll_sidecar(&endpoint);
         }
         let due = std::mem::take(&mut self.holds_due);
         for endpoint in self.engines_with_holds(due) {
--- a/entry/src/control/state.rs
+++ b/entry/src/control/state.rs
@@ -8,6 +8,7 @@
 use rosebend_coordination::configuration::AppliedConfiguration;
 use rosebend_coordination::owner::{Event, Owner, OwnerConfig, Ticket};
 use rosebend_coordination::ownership::{Ownership, OwnershipConfig, OwnershipEvent};
+use rosebend_coordination::pace::{Pace, PaceConfig};
 use rosebend_coordination::routing::{Router, RouterSettings};
 use rosebend_state::id::{CallId, EndpointId, Epoch, HostId, Incarnation, Shard};
 use rosebend_state::settings::EntrySettings;
@@ -87,11 +88,16 @@
     /// Ended answers kept for late readers, oldest first.
     pub(super) ended: VecDeque<CallId>,
     pub(super) sidecars: HashMap<EndpointId, SidecarView>,
+    /// Endpoints that this entry keeps up with.
+    pub(super) tracked: HashSet<EndpointId>,
     /// Engines whose list of holds must be sent.
     pub(super) holds_due: HashSet<EndpointId>,
     /// The other live processes, from the rows of entries.
     pub(super) entries: Vec<crate::operators::LiveProcess>,
     pub(super) row_version: Option<u64>,
+    /// Periods that follow from the number of entries.
+    pub(super) pace: Pace,
+    pub(super) full_read_at: Option<Duration>,
     pub(super) renewals: u64,
     pub(super) renewing: bool,
     pub(super) reading_hosts: bool,
@@ -163,9 +169,12 @@
             live: HashMap::new(),
             ended: VecDeque::new(),
             sidecars: HashMap::new(),
+            tracked: HashSet::new(),
             holds_due: HashSet::new(),
             entries: Vec::new(),
             row_version: None,
+            pace: Pace::new(&pace_config(&settings.entry), 1),
+            full_read_at: None,
             renewals: 0,
             renewing: false,
             reading_hosts: false,
@@ -184,7 +193,7 @@
     pub async fn run(mut self, mut commands: mpsc::UnboundedReceiver<Command>) {
         let timing = self.settings.entry.timing;
         let mut tick = steady(TICK);
-        let mut renew = steady(timing.renew);
+        let mut renew = std::pin::pin!(sleep(Duration::ZERO));
         let mut config_poll = steady(timing.config_poll);
         let mut status_poll = steady(timing.status_poll);
         loop {
@@ -194,7 +203,10 @@
                     None => return,
                 },
                 _ = tick.tick() => self.tick(),
-                _ = renew.tick() => self.renew(),
+                () = &mut renew => {
+                    self.renew();
+                    renew.set(sleep(self.pace.renew));
+                }
                 _ = config_poll.tick() => self.poll_config(),
                 _ = status_poll.tick() => self.poll_sidecars(),
             }
@@ -233,6 +245,7 @@
             Command::CommitRowsRead(rows) => self.commit_rows_read(rows),
             Command::CommitDue => self.commit_timer = false,
             Command::HostsRead(rows) => self.hosts_read(rows),
+            Command::HostsWatched { asked, rows } => self.hosts_watched(asked, rows),
             Command::ShardsRead(rows) => self.shards_read(rows),
             Command::Renewed { outcome } => self.renewed(outcome),
             Command::TakeoverEnded { takeover, version } => self.takeover_ended(&takeover, version),
@@ -299,6 +312,16 @@
     }
 }
 
+/// What the settings and the table allow.
+pub(super) fn pace_config(entry: &EntrySettings) -> PaceConfig {
+    PaceConfig {
+        renew: entry.timing.renew,
+        lease: entry.timing.lease,
+        commit: entry.timing.commit,
+        ..PaceConfig::default()
+    }
+}
+
 /// An interval that does not catch up on ticks that a pause made it miss.
 fn steady(period: Duration) -> actix_rt::time::Interval {
     let mut interval = interval(period);
--- a/entry/src/rows.rs
+++ b/entry/src/rows.rs
@@ -182,7 +182,7 @@
         operations.push(Operation {
             key: host_key(silent),
             condition: condition(*version),
-            action: Action::Check,
+            action: Action::Delete,
         });
     }
     Transaction { operations }
--- a/transport/src/peers.rs
+++ b/transport/src/peers.rs
@@ -6,7 +6,12 @@
 //! silent channel is dropped from the cache, so that the next call opens a new
 //! connection, and the stream is resumed there from its offset.
 
-use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use tonic::service::interceptor::InterceptedService;
 use tonic::transport::{Channel, Endpoint};
@@ -23,6 +28,10 @@
 pub const PING_INTERVAL: Duration = Duration::from_millis(500);
 /// How long a stream may be silent before its connection is given up.
 pub const PROGRESS_TIMEOUT: Duration = Duration::from_millis(2000);
+/// How long an unused channel stays open.
+pub const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time between two looks for unused channels.
+const SWEEP_PERIOD: Duration = Duration::from_secs(5);
 /// Largest message that is read.
 pub const MAX_MESSAGE_BYTES: usize = 16 << 20;
 
@@ -36,11 +45,18 @@
     pub detail: String,
 }
 
+#[derive(Debug)]
+struct Open {
+    channel: PeerChannel,
+    used_at: Instant,
+}
+
 /// The open channels of one thread, by address.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Peers {
-    channels: Rc<RefCell<HashMap<String, PeerChannel>>>,
+    channels: Rc<RefCell<HashMap<String, Open>>>,
     token: HostToken,
+    swept_at: Rc<Cell<Instant>>,
 }
 
 impl Peers {
@@ -49,6 +65,7 @@
         Self {
             channels: Rc::default(),
             token,
+            swept_at: Rc::new(Cell::new(Instant::now())),
         }
     }
 
@@ -59,14 +76,33 @@
     ///
     /// Fails when no connection can be opened in time.
     pub async fn channel(&self, address: &str) -> Result<PeerChannel, ConnectError> {
-        if let Some(channel) = self.channels.borrow().get(address) {
-            return Ok(channel.clone());
+        self.close_idle();
+        if let Some(open) = self.channels.borrow_mut().get_mut(address) {
+            open.used_at = Instant::now();
+            return Ok(open.channel.clone());
         }
         let channel = InterceptedService::new(connect(address).await?, self.token.clone());
+        self.channels.borrow_mut().insert(
+            address.to_owned(),
+            Open {
+                channel: channel.clone(),
+                used_at: Instant::now(),
+            },
+        );
+        Ok(channel)
+    }
+
+    /// Closes channels that nobody used lately: each open one costs memory and
+    /// a ping twice a second, and an entry meets hundreds of others.
+    fn close_idle(&self) {
+        let now = Instant::now();
+        if now.duration_since(self.swept_at.get()) < SWEEP_PERIOD {
+            return;
+        }
+        self.swept_at.set(now);
         self.channels
             .borrow_mut()
-            .insert(address.to_owned(), channel.clone());
-        Ok(channel)
+            .retain(|_, open| now.duration_since(open.used_at) < IDLE_TIMEOUT);
     }
 
     /// Drops the channel to an address, after a failure or silence.
