Stop an entry only when callers, sidecars and the table know all

Change: a stopping entry finishes its calls, acknowledges what is durable, keeps its control state until the last caller has its answer, and removes its row.

--- a/coordination/src/commit.rs
+++ b/coordination/src/commit.rs
@@ -236,6 +236,11 @@
         waits || under_way
     }
 
+    /// Whether no commit waits or is under way.
+    pub fn is_idle(&self) -> bool {
+        self.pending.is_empty() && self.in_flight.is_none()
+    }
+
     /// Number of commits that wait.
     pub fn waiting(&self) -> usize {
         self.pending.len()
--- a/entry/src/control.rs
+++ b/entry/src/control.rs
@@ -203,6 +203,8 @@
     Status(oneshot::Sender<EntryStatus>),
     /// The process is to stop; the sender is told when nothing is owned.
     Stop(oneshot::Sender<()>),
+    /// The process has stopped; its row is removed.
+    Leave(oneshot::Sender<()>),
 }
 
 /// How a renewal ended.
@@ -272,6 +274,13 @@
         answer.await.ok()
     }
 
+    /// Removes the row of this entry.
+    pub async fn leave(&self) {
+        let (reply, answer) = oneshot::channel();
+        self.send(Command::Leave(reply));
+        let _ = answer.await;
+    }
+
     /// Begins to stop, and waits until nothing is owned any more.
     pub async fn stop(&self) {
         let (reply, answer) = oneshot::channel();
--- a/entry/src/control/shards.rs
+++ b/entry/src/control/shards.rs
@@ -16,7 +16,7 @@
 use rosebend_transport::platform_client::{PlatformClient, PlatformError};
 use serde_json::json;
 
-use super::sidecars::SidecarAddress;
+use super::sidecars::{SidecarAddress, SidecarView};
 use super::state::{Control, Stopping, pace_config};
 use super::{Command, LoadedShard, RenewOutcome, retained, status};
 use crate::rows::{self, HostValue};
@@ -418,7 +418,7 @@
 
     pub(super) fn stop(&mut self, done: tokio::sync::oneshot::Sender<()>) {
         self.stopping = Some(Stopping {
-            done,
+            done: Some(done),
             since: self.now(),
         });
         self.ownership_event(OwnershipEvent::Leaving);
@@ -427,30 +427,71 @@
 
     /// Keeps passing shards on while the process stops.
     pub(super) fn drive_stop(&mut self) {
-        if self.stopping.is_some() && self.ownership.owned().next().is_some() {
+        if self.stopping.is_none() {
+            return;
+        }
+        if self.ownership.owned().next().is_some() {
             self.ownership_event(OwnershipEvent::Leaving);
         }
+        self.poll_sidecars_with_news();
     }
 
-    /// Whether the process is stopping and owns nothing any more, or may wait
-    /// no longer.
-    pub(super) fn has_stopped(&mut self) -> bool {
+    /// Tells that nothing is owned any more and nothing is left to tell. The
+    /// control state goes on: requests that came here are followed to their new
+    /// owners until the last caller has its answer.
+    pub(super) fn finish_stop(&mut self) {
         let now = self.now();
         let Some(stopping) = &self.stopping else {
-            return false;
+            return;
         };
-        let owns_nothing = self.ownership.owned().next().is_none();
-        let has_successor = self.ownership.live_peers().any(|peer| !peer.leaving);
-        let idle = self.pending.is_empty() && self.committer.waiting() == 0;
+        if stopping.done.is_none() {
+            return;
+        }
         let timed_out = now.saturating_sub(stopping.since) > STOP_TIMEOUT;
-        let may_stop = idle && (owns_nothing || !has_successor);
-        if !may_stop && !timed_out {
-            return false;
+        if !timed_out && !self.may_stop() {
+            return;
         }
-        if let Some(stopping) = self.stopping.take() {
-            let _ = stopping.done.send(());
+        let done = self
+            .stopping
+            .as_mut()
+            .and_then(|stopping| stopping.done.take());
+        if let Some(done) = done {
+            let _ = done.send(());
         }
-        true
+    }
+
+    fn may_stop(&self) -> bool {
+        let owns_nothing = self.ownership.owned().next().is_none();
+        let has_successor = self.ownership.live_peers().any(|peer| !peer.leaving);
+        let has_passed_on = owns_nothing || !has_successor;
+        has_passed_on && self.pending.is_empty() && self.committer.is_idle() && self.is_settled()
+    }
+
+    /// Whether no call runs here and every sidecar knows which answers are
+    /// durable.
+    fn is_settled(&self) -> bool {
+        let runs = self.live.values().any(|live| !live.answer.is_ended());
+        !runs && !self.sidecars.values().any(SidecarView::has_news)
+    }
+
+    /// Removes the own row, so that others need not wait for a lease.
+    pub(super) fn leave(&self, done: tokio::sync::oneshot::Sender<()>) {
+        let operation = Operation {
+            key: rows::host_key(&self.settings.entry.host),
+            condition: self
+                .row_version
+                .map_or(Condition::Absent, Condition::Version),
+            action: Action::Delete,
+        };
+        let platform = self.platform.clone();
+        actix_rt::spawn(async move {
+            let transaction = Transaction {
+                operations: vec![operation],
+            };
+            // When this fails the row stays until it is written anew.
+            let _ = platform.transact(&transaction).await;
+            let _ = done.send(());
+        });
     }
 }
 
--- a/entry/src/control/sidecars.rs
+++ b/entry/src/control/sidecars.rs
@@ -47,7 +47,7 @@
 
 impl SidecarView {
     /// Whether calls wait to be acknowledged there.
-    fn has_news(&self) -> bool {
+    pub(super) fn has_news(&self) -> bool {
         !self.acknowledge.is_empty()
     }
 
@@ -138,9 +138,20 @@
         tracked
     }
 
-    pub(super) fn poll_sidecars(&mut self) {
+    /// Tells sidecars at once which answers are durable.
+    pub(super) fn poll_sidecars_with_news(&mut self) {
+        for endpoint in self.endpoints_with_news() {
+            self.poll_sidecar(&endpoint);
+        }
+    }
+
+    fn endpoints_with_news(&self) -> BTreeSet<EndpointId> {
         let with_news = self.sidecars.iter().filter(|(_, view)| view.has_news());
-        let mut due: BTreeSet<EndpointId> = with_news.map(|(id, _)| id.clone()).collect();
+        with_news.map(|(id, _)| id.clone()).collect()
+    }
+
+    pub(super) fn poll_sidecars(&mut self) {
+        let mut due = self.endpoints_with_news();
         due.extend(self.tracked.iter().cloned());
         for endpoint in due {
             self.poll_sidecar(&endpoint);
--- a/entry/src/control/state.rs
+++ b/entry/src/control/state.rs
@@ -113,7 +113,8 @@
 /// A stop under way.
 #[derive(Debug)]
 pub(super) struct Stopping {
-    pub(super) done: oneshot::Sender<()>,
+    /// Told once.
+    pub(super) done: Option<oneshot::Sender<()>>,
     pub(super) since: Duration,
 }
 
@@ -189,7 +190,7 @@
         }
     }
 
-    /// Takes commands until the process has stopped.
+    /// Takes commands as long as the process runs.
     pub async fn run(mut self, mut commands: mpsc::UnboundedReceiver<Command>) {
         let timing = self.settings.entry.timing;
         let mut tick = steady(TICK);
@@ -211,9 +212,7 @@
                 _ = status_poll.tick() => self.poll_sidecars(),
             }
             self.start_commit();
-            if self.has_stopped() {
-                return;
-            }
+            self.finish_stop();
         }
     }
 
@@ -277,6 +276,7 @@
                 let _ = reply.send(self.status());
             }
             Command::Stop(done) => self.stop(done),
+            Command::Leave(done) => self.leave(done),
         }
     }
 
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -126,6 +126,7 @@
     control.stop().await;
     http_stopped.await;
     let _ = serving.await;
+    control.leave().await;
     let _ = peer_server.send(());
     log_event(&Event::new(EventKind::ProcessStopped).host(&settings.host));
     Ok(())
