Find the new owner after a handoff, and give up handoffs in an outage

Cause, two faults that tests on real processes showed: - An entry that was no part of a handoff kept the former owner in view. That one refused as not the owner, the entry asked the same address again, and callers were told that no owner was reached, for good. - A shard whose handoff failed, or was under way when the table went away, took no calls until the handoff ended; after a failed one it never drained again, so it took none for good.

Ruled out: sending the new owner along with each refusal only, since the refuser may not know it either; reading the rows at every renewal.

Change: a refusal makes the entry read the rows of shards, at most every 100 ms. A failed handoff, or silence of the table, makes the owner take calls again; the handoff is tried anew when the table answers. If the handoff took effect after all, the next conditional write or read tells, as for any owner that was paused.

--- a/coordination/src/owner/event.rs
+++ b/coordination/src/owner/event.rs
@@ -197,6 +197,11 @@
         /// The shard.
         shard: Shard,
     },
+    /// The shard is not handed over after all: it takes calls again.
+    ShardStays {
+        /// The shard.
+        shard: Shard,
+    },
     /// A caller opens a program.
     Open {
         /// The caller.
--- a/coordination/src/owner/mod.rs
+++ b/coordination/src/owner/mod.rs
@@ -173,6 +173,7 @@
             ),
             Event::ShardLost { shard } | Event::CommitLost { shard } => self.lose(shard),
             Event::ShardLeaving { shard } => self.leave(now, shard),
+            Event::ShardStays { shard } => self.stay(shard),
             Event::Open {
                 ticket,
                 program,
--- a/coordination/src/owner/takeover.rs
+++ b/coordination/src/owner/takeover.rs
@@ -307,6 +307,15 @@
         });
     }
 
+    /// Takes calls of a shard again whose handoff failed. The next try drains
+    /// it anew.
+    pub(super) fn stay(&mut self, shard: Shard) {
+        if let Some(state) = self.shards.get_mut(&shard) {
+            state.is_leaving = false;
+            state.is_drained = false;
+        }
+    }
+
     /// Takes no new calls of a shard, and lets those at endpoints end.
     pub(super) fn leave(&mut self, now: Duration, shard: Shard) {
         let Some(state) = self.shards.get_mut(&shard) else {
--- a/coordination/src/ownership.rs
+++ b/coordination/src/ownership.rs
@@ -139,6 +139,8 @@
         /// The host and incarnation to pass it to.
         successor: (HostId, Incarnation),
     },
+    /// The shard is not passed on after all: take calls for it again.
+    Stay(Shard),
 }
 
 /// A takeover of some shards from one silent host, or of shards without owner.
@@ -206,7 +208,7 @@
             OwnershipEvent::ShardsRead(rows) => self.shards_read(now, rows),
             OwnershipEvent::TableSilent => {
                 self.last_answer = None;
-                Vec::new()
+                self.stay()
             }
             OwnershipEvent::TakeoverEnded { shards, version } => {
                 self.takeover_ended(now, &shards, version)
@@ -528,6 +530,17 @@
             actions.push(OwnershipAction::ReadShards);
             return actions;
         }
-        Vec::new()
+        vec![OwnershipAction::Stay(shard)]
+    }
+
+    /// Gives up the handoffs that are under way: without the table they cannot
+    /// end, and meanwhile nobody would serve the shards. A handoff whose answer
+    /// was lost may have taken effect; then the next write or read tells.
+    fn stay(&mut self) -> Vec<OwnershipAction> {
+        if self.leaving {
+            return Vec::new();
+        }
+        let draining = std::mem::take(&mut self.draining);
+        draining.into_iter().map(OwnershipAction::Stay).collect()
     }
 }
--- a/coordination/tests/ownership.rs
+++ b/coordination/tests/ownership.rs
@@ -77,3 +77,48 @@
     };
     assert_eq!(actions, [OwnershipAction::Lost(0), gained]);
 }
+
+#[test]
+fn a_handoff_that_cannot_end_is_given_up() {
+    let config = OwnershipConfig {
+        shard_count: 64,
+        ..OwnershipConfig::default()
+    };
+    let settle = config.settle;
+    let watch = config.watch_gap / 2;
+    let mut entry = Ownership::new(config, "a".to_owned(), "a-run".to_owned());
+    let all = (0..64).map(|shard| row(shard, "a", 1, 5)).collect();
+    entry.step(Duration::ZERO, OwnershipEvent::ShardsRead(all));
+    let mut drained = Vec::new();
+    let mut now = Duration::ZERO;
+    while now < settle * 2 && drained.is_empty() {
+        let hosts = OwnershipEvent::HostsRead(vec![host("a"), host("b")]);
+        drained = drains(&entry.step(now, hosts));
+        now += watch;
+    }
+    assert!(drained.len() > 1);
+
+    let first = drained[0];
+    let failed = OwnershipEvent::HandoffEnded {
+        shard: first,
+        passed_on: false,
+    };
+    assert_eq!(entry.step(now, failed), [OwnershipAction::Stay(first)]);
+    let rest: Vec<_> = drained[1..]
+        .iter()
+        .copied()
+        .map(OwnershipAction::Stay)
+        .collect();
+    assert_eq!(entry.step(now, OwnershipEvent::TableSilent), rest);
+    // When the table answers again they are tried anew.
+    let hosts = OwnershipEvent::HostsRead(vec![host("a"), host("b")]);
+    assert_eq!(drains(&entry.step(now, hosts)), drained);
+}
+
+fn drains(actions: &[OwnershipAction]) -> Vec<u32> {
+    let drain = |action: &OwnershipAction| match action {
+        OwnershipAction::Drain { shard, .. } => Some(*shard),
+        _ => None,
+    };
+    actions.iter().filter_map(drain).collect()
+}
--- a/entry/src/control.rs
+++ b/entry/src/control.rs
@@ -175,6 +175,8 @@
     },
     /// Another entry passed shards to this one.
     HandoffOffered,
+    /// An entry that was believed to own a shard does not.
+    OwnerDoubted,
     /// A sidecar answered a poll; none when it was silent.
     SidecarStatus {
         /// The endpoint.
--- a/entry/src/control/shards.rs
+++ b/entry/src/control/shards.rs
@@ -24,6 +24,8 @@
 const RETAINED_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Wait before gained shards that could not be read are read again.
 const LOAD_AGAIN_WAIT: Duration = Duration::from_millis(500);
+/// Shortest time between two reads because an owner was doubted.
+const DOUBT_INTERVAL: Duration = Duration::from_millis(100);
 /// Reads of shards that are under way at once.
 const LOADS_AT_ONCE: usize = 16;
 /// A stop that took so long goes on without waiting for a successor.
@@ -59,6 +61,10 @@
                 }
                 OwnershipAction::Lost(shard) => self.shard_lost(shard),
                 OwnershipAction::Drain { shard, successor } => self.drain(shard, successor),
+                OwnershipAction::Stay(shard) => {
+                    self.successors.remove(&shard);
+                    self.owner_event(Event::ShardStays { shard });
+                }
             }
         }
         if !gained.is_empty() {
@@ -174,6 +180,19 @@
         self.ownership_event(OwnershipEvent::HostsRead(hosts));
     }
 
+    /// An entry that was believed to own a shard does not: a handoff between
+    /// others goes unnoticed here until the rows are read again.
+    pub(super) fn owner_doubted(&mut self) {
+        let now = self.now();
+        let waits = self
+            .doubted_at
+            .is_some_and(|last| now.saturating_sub(last) < DOUBT_INTERVAL);
+        if !waits {
+            self.doubted_at = Some(now);
+            self.read_shards();
+        }
+    }
+
     pub(super) fn read_shards(&mut self) {
         if self.reading_shards {
             self.read_shards_again = true;
--- a/entry/src/control/state.rs
+++ b/entry/src/control/state.rs
@@ -97,6 +97,8 @@
     pub(super) reading_hosts: bool,
     pub(super) reading_shards: bool,
     pub(super) read_shards_again: bool,
+    /// When the rows were last read because an owner was doubted.
+    pub(super) doubted_at: Option<Duration>,
     pub(super) reading_config: bool,
     pub(super) table_failures: u32,
     pub(super) table_answers: bool,
@@ -171,6 +173,7 @@
             reading_hosts: false,
             reading_shards: false,
             read_shards_again: false,
+            doubted_at: None,
             reading_config: false,
             table_failures: 0,
             table_answers: true,
@@ -247,6 +250,7 @@
                 self.handoff_ended(shard, epoch, &successor, passed_on);
             }
             Command::HandoffOffered => self.read_shards(),
+            Command::OwnerDoubted => self.owner_doubted(),
             Command::SidecarStatus {
                 endpoint,
                 asked_at,
--- a/entry/src/forward.rs
+++ b/entry/src/forward.rs
@@ -21,7 +21,7 @@
 use tokio::sync::mpsc;
 use tonic::Streaming;
 
-use crate::control::{ControlHandle, Location};
+use crate::control::{Command, ControlHandle, Location};
 use crate::render;
 use crate::serve;
 
@@ -158,7 +158,10 @@
     async fn pass_on(&self, event: Event, progress: &mut Progress) -> Option<Try> {
         let piece = match event {
             Event::Ping(_) => return None,
-            Event::Refusal(_) => return Some(Try::Again),
+            Event::Refusal(_) => {
+                self.control.send(Command::OwnerDoubted);
+                return Some(Try::Again);
+            }
             // The caller gets one head; that of a resumed stream is the same.
             Event::Head(_) if progress.head.is_some() => return None,
             Event::Head(head) => {
