Stop entries without waiting for idle connections and lost acknowledgements

Cause: a planned stop of an entry waited up to 30 s for any caller that kept an idle connection open, and an entry could stop before it had told sidecars which answers are durable; a sidecar that stopped after it waited its whole 20 s for that word.

Change: idle connections are closed at the stop, and an entry stops only when sidecars that answer know what is durable.

--- a/entry/src/control/shards.rs
+++ b/entry/src/control/shards.rs
@@ -15,7 +15,7 @@
 use rosebend_transport::platform_client::{PlatformClient, PlatformError};
 use serde_json::json;
 
-use super::sidecars::SidecarAddress;
+use super::sidecars::{SidecarAddress, SidecarView};
 use super::state::{Control, Stopping};
 use super::{Command, LoadedShard, RenewOutcome, retained, status};
 use crate::rows::{self, HostValue};
@@ -411,7 +411,13 @@
         };
         let owns_nothing = self.ownership.owned().next().is_none();
         let has_successor = self.ownership.live_peers().any(|peer| !peer.leaving);
-        let idle = self.pending.is_empty() && self.committer.waiting() == 0;
+        // A sidecar that is not told keeps the answers, and waits for a word
+        // about them when it stops itself.
+        let acknowledged = !self
+            .sidecars
+            .values()
+            .any(SidecarView::awaits_acknowledgement);
+        let idle = self.pending.is_empty() && self.committer.waiting() == 0 && acknowledged;
         let timed_out = now.saturating_sub(stopping.since) > STOP_TIMEOUT;
         let may_stop = idle && (owns_nothing || !has_successor);
         if !may_stop && !timed_out {
--- a/entry/src/control/sidecars.rs
+++ b/entry/src/control/sidecars.rs
@@ -44,6 +44,11 @@
 }
 
 impl SidecarView {
+    /// Whether it is still to be told that calls are durable.
+    pub(super) fn awaits_acknowledgement(&self) -> bool {
+        !self.is_silent() && (self.polling || !self.acknowledge.is_empty())
+    }
+
     pub(super) fn is_silent(&self) -> bool {
         self.silent_polls >= SILENT_POLLS
     }
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -22,7 +22,7 @@
 use rosebend_transport::traffic::Traffic;
 use serde_json::json;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::service::interceptor::InterceptedService;
 
@@ -111,7 +111,8 @@
         shutdown_timeout: DRAIN_TIMEOUT,
         ..HttpServerConfig::default()
     };
-    let server = http_server::serve(config, http_listener, move |request| {
+    let (stopping, is_stopping) = watch::channel(false);
+    let server = http_server::serve_until(config, http_listener, is_stopping, move |request| {
         let context = context.clone();
         async move { context.handle(request).await }
     })?;
@@ -122,6 +123,7 @@
     log_event(&Event::new(EventKind::ProcessStopping).host(&settings.host));
     // New requests go to other entries; those here finish while the shards are
     // passed on, since a request whose program moves is followed there.
+    stopping.send_replace(true);
     let http_stopped = server_handle.stop(true);
     control.stop().await;
     http_stopped.await;
