--- a/system-tests/src/cluster.rs
+++ b/system-tests/src/cluster.rs
@@ -354,6 +354,27 @@
         Ok(ends)
     }
 
+    /// Starts engines and services that crashed again, with these faults, and
+    /// returns how many there were.
+    ///
+    /// # Errors
+    ///
+    /// Fails when one does not come up.
+    pub async fn revive_stand_ins(&mut self, faults: &Value) -> Result<usize, HarnessError> {
+        let mut revived = 0;
+        for endpoint in &mut self.endpoints {
+            if endpoint.stand_in.try_wait()?.is_some() {
+                endpoint.stand_in.restart()?;
+                wait_until("a stand-in to be back", || async {
+                    set_faults(endpoint.stand_in_address, faults).await.ok()
+                })
+                .await?;
+                revived += 1;
+            }
+        }
+        Ok(revived)
+    }
+
     /// Starts one more entry.
     ///
     /// # Errors
@@ -560,7 +581,9 @@
     arguments: &[String],
     directory: &Path,
 ) -> Result<(Process, SocketAddr), HarnessError> {
-    let mut all: Vec<OsString> = vec![sub_command.into(), "--listen=127.0.0.1:0".into()];
+    // A fixed port, so that a stand-in which crashed comes back where it was.
+    let address = free_address().map_err(HarnessError::io("a port"))?;
+    let mut all: Vec<OsString> = vec![sub_command.into(), format!("--listen={address}").into()];
     all.extend(arguments.iter().map(OsString::from));
     let mut process = Process::start(name, Program::StandIn, all, directory)?;
     let address = wait_until("a stand-in's address", || {
