--- a/entry/src/control/sidecars.rs
+++ b/entry/src/control/sidecars.rs
@@ -51,6 +51,11 @@
         !self.acknowledge.is_empty()
     }
 
+    /// Whether it is still to be told that calls are durable.
+    pub(super) fn awaits_acknowledgement(&self) -> bool {
+        !self.is_silent() && (self.polling || !self.acknowledge.is_empty())
+    }
+
     pub(super) fn is_silent(&self) -> bool {
         self.silent_polls >= SILENT_POLLS
     }
