Apply an accepted change where it was accepted, without reading it back

Cause: with an outage right after the acceptance, the accepting entry had not read the change yet, and so nobody had it in force until the table returned. Ruled out: waiting with the answer until the change was read, because the table may be gone for long and the change is durable already. Change: the accepting entry applies the change it wrote; in an outage it learns of its peers' revisions from their answers, since their rows cannot be read.

--- a/cli/tests/command/bench.rs
+++ b/cli/tests/command/bench.rs
@@ -134,8 +134,8 @@
             let revision = revision.load(Ordering::SeqCst);
             Box::pin(async move { host_view(revision) })
         },
-        move |accepted| {
-            told.fetch_max(accepted, Ordering::SeqCst);
+        move |change| {
+            told.fetch_max(change.revision, Ordering::SeqCst);
         },
     )
 }
--- a/entry/src/control.rs
+++ b/entry/src/control.rs
@@ -15,6 +15,7 @@
 use rosebend_protocol::problem::Problem;
 use rosebend_state::id::{CallId, EndpointId, Epoch, HostId, Incarnation, Revision, Shard};
 use rosebend_state::record::{AnswerRecord, ProgramRecord, TurnRecord};
+use rosebend_state::resource::Change;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::answer::LiveAnswer;
@@ -194,9 +195,14 @@
     /// The configuration was read; none when the table was silent.
     ConfigRead(Option<ReadConfig>),
     /// A change of the configuration was accepted here.
-    ConfigAccepted,
+    ConfigAccepted(Change),
     /// A peer handed over the configuration that it has.
-    PeerConfig(ExchangeReply),
+    PeerConfig {
+        /// The peer's host.
+        host: HostId,
+        /// What it has, as far as this entry lacks it.
+        reply: ExchangeReply,
+    },
     /// A peer at this revision asks for what it lacks.
     ConfigLacking(Revision, oneshot::Sender<ExchangeReply>),
     /// Someone asks for the state of this entry.
--- a/entry/src/control/config.rs
+++ b/entry/src/control/config.rs
@@ -5,12 +5,13 @@
 //! only ever newer than what was.
 
 use rosebend_coordination::owner::Event;
+use rosebend_coordination::ownership::HostRow;
 use rosebend_protocol::configuration::{from_messages, to_messages};
 use rosebend_protocol::peer::entry_client::EntryClient;
 use rosebend_protocol::peer::{ExchangeReply, ExchangeRequest};
 use rosebend_protocol::platform::Row;
-use rosebend_state::id::Revision;
-use rosebend_state::resource::ConfigUpdate;
+use rosebend_state::id::{HostId, Revision};
+use rosebend_state::resource::{Change, ConfigUpdate};
 use rosebend_transport::event::{Event as LogEvent, EventKind, log_event};
 use rosebend_transport::platform_client::PlatformClient;
 use std::time::Duration;
@@ -79,6 +80,13 @@
         }
     }
 
+    /// A change that was accepted here is applied from here: were it only read
+    /// from the table, an outage right after it would keep it from everybody.
+    pub(super) fn config_accepted(&mut self, change: Change) {
+        self.update_config(ConfigUpdate::Changes(vec![change]));
+        self.poll_config();
+    }
+
     /// Brings an update into force, if it is newer.
     pub(super) fn update_config(&mut self, update: ConfigUpdate) {
         if !self.configuration.take(update) {
@@ -108,16 +116,13 @@
     /// While the table is silent, a change accepted just before may be known
     /// to a peer only. One peer is asked a period, each in its turn.
     fn ask_peer_for_config(&mut self) {
-        let peers: Vec<String> = self
-            .ownership
-            .live_peers()
-            .map(|peer| peer.peer_address.clone())
-            .collect();
+        let peers: Vec<&HostRow> = self.ownership.live_peers().collect();
         if peers.is_empty() {
             return;
         }
         self.config_turn = self.config_turn.wrapping_add(1);
-        let address = peers[self.config_turn % peers.len()].clone();
+        let peer = peers[self.config_turn % peers.len()];
+        let (host, address) = (peer.host.clone(), peer.peer_address.clone());
         let request = ExchangeRequest {
             sender: self.settings.entry.host.clone(),
             config_revision: self.configuration.revision(),
@@ -131,14 +136,19 @@
                 Some(reply.ok()?.into_inner())
             };
             match timeout(EXCHANGE_TIMEOUT, exchange).await.ok().flatten() {
-                Some(reply) => handle.send(Command::PeerConfig(reply)),
+                Some(reply) => handle.send(Command::PeerConfig { host, reply }),
                 None => peers.forget(&address),
             }
         });
     }
 
-    pub(super) fn peer_config(&mut self, reply: &ExchangeReply) {
+    pub(super) fn peer_config(&mut self, host: &HostId, reply: &ExchangeReply) {
         let revision = reply.config_revision;
+        // Its row, which would tell this, cannot be read now.
+        let peer = self.entries.iter_mut().find(|peer| peer.host == *host);
+        if let Some(peer) = peer {
+            peer.config_revision = peer.config_revision.max(revision);
+        }
         match from_messages(revision, &reply.changes, reply.snapshot) {
             Ok(update) => self.update_config(update),
             Err(error) => {
--- a/entry/src/control/state.rs
+++ b/entry/src/control/state.rs
@@ -267,8 +267,8 @@
                 self.sidecar_status(&endpoint, asked_at, status);
             }
             Command::ConfigRead(read) => self.config_read(read),
-            Command::ConfigAccepted => self.poll_config(),
-            Command::PeerConfig(reply) => self.peer_config(&reply),
+            Command::ConfigAccepted(change) => self.config_accepted(change),
+            Command::PeerConfig { host, reply } => self.peer_config(&host, &reply),
             Command::ConfigLacking(revision, reply) => {
                 let _ = reply.send(self.config_lacking(revision));
             }
--- a/entry/src/operators/context.rs
+++ b/entry/src/operators/context.rs
@@ -12,6 +12,7 @@
 use rosebend_coordination::configuration::WriteId;
 use rosebend_state::{
     id::{AvailabilityZone, HostId, Revision},
+    resource::Change,
     settings::PlatformSettings,
 };
 use rosebend_transport::platform_client::PlatformClient;
@@ -19,8 +20,8 @@
 
 /// Asks the control thread what it knows.
 type AskHost = dyn Fn() -> LocalBoxFuture<'static, HostView> + Send + Sync;
-/// Tells the control thread that a revision was accepted.
-type TellAccepted = dyn Fn(Revision) + Send + Sync;
+/// Tells the control thread that a change was accepted.
+type TellAccepted = dyn Fn(Change) + Send + Sync;
 
 /// What the operators' API needs of its process.
 #[derive(Clone)]
@@ -66,12 +67,12 @@
 
 impl OperatorContext {
     /// `ask_host` asks the control thread what it knows; `tell_accepted` tells
-    /// it of an accepted revision, so that it need not wait for its next look.
+    /// it of an accepted change, so that it is in force here at once.
     pub fn new(
         platform: PlatformSettings,
         write_ids: WriteIds,
         ask_host: impl Fn() -> LocalBoxFuture<'static, HostView> + Send + Sync + 'static,
-        tell_accepted: impl Fn(Revision) + Send + Sync + 'static,
+        tell_accepted: impl Fn(Change) + Send + Sync + 'static,
     ) -> Self {
         Self {
             platform,
@@ -95,8 +96,8 @@
         (self.ask_host)().await
     }
 
-    pub(super) fn accepted(&self, revision: Revision) {
-        (self.tell_accepted)(revision);
+    pub(super) fn accepted(&self, change: Change) {
+        (self.tell_accepted)(change);
     }
 }
 
--- a/entry/src/operators/writing.rs
+++ b/entry/src/operators/writing.rs
@@ -140,7 +140,7 @@
         ChangeOutcome::Accepted(change) => {
             let revision = change.revision;
             log_event(&Event::new(EventKind::ConfigurationAccepted).revision(revision));
-            context.accepted(revision);
+            context.accepted(change.clone());
             Ok(changed(Outcome::Accepted, revision, change.resource))
         }
         ChangeOutcome::Unchanged(resource) => {
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -143,7 +143,7 @@
         settings.platform.clone(),
         WriteIds::new(&settings.host, incarnation),
         move || host_view(asked.clone()).boxed_local(),
-        move |_| told.send(Command::ConfigAccepted),
+        move |change| told.send(Command::ConfigAccepted(change)),
     )
 }
 
--- a/entry/tests/operators.rs
+++ b/entry/tests/operators.rs
@@ -44,8 +44,8 @@
                 let revision = seen.load(Ordering::SeqCst);
                 Box::pin(async move { host_view(revision) })
             },
-            move |revision| {
-                told.fetch_max(revision, Ordering::SeqCst);
+            move |change| {
+                told.fetch_max(change.revision, Ordering::SeqCst);
             },
         );
         Self {
