Open programs within what operators declared

Cause: a declared session and the policy's limits were checked, stored and without any effect. Ruled out: refusing a caller that asks for more, because the customer's ceiling is applied without a refusal too and callers would need to know declarations. Change: a new program gets what its caller asks for, at most what its session declares and its customer's ceiling allows, and otherwise the policy's defaults. Conclusion: partial: model sizes, tool timeouts and the policy's order, routing and retries are still without effect.

--- a/entry/src/control.rs
+++ b/entry/src/control.rs
@@ -34,7 +34,7 @@
 mod status;
 
 pub use self::config::ReadConfig;
-pub use self::directory::{Directory, DirectoryEndpoint};
+pub use self::directory::{Directory, DirectoryEndpoint, ProgramLimits};
 pub use self::state::{Control, ControlSettings};
 pub use self::status::EntryStatus;
 
--- a/entry/src/control/calls.rs
+++ b/entry/src/control/calls.rs
@@ -22,7 +22,7 @@
 use tokio::sync::oneshot;
 
 use super::state::{Control, QueuedCaller};
-use super::{Command, ControlReply, Location};
+use super::{Command, ControlReply, Location, ProgramLimits};
 use crate::answer::{AnswerEnd, LiveAnswer};
 use crate::dispatch::{self, Attempt, AttemptEnd};
 use crate::problems;
@@ -100,16 +100,22 @@
         self.next_ticket += 1;
         let program = request.program.clone();
         let event = match &request.operation {
-            Operation::Open(body) => Event::Open {
-                ticket,
-                budget_tokens: self
-                    .directory
-                    .budget_tokens(program.customer(), body.budget_tokens),
-                turn_limit: body.turn_limit,
-                wall_limit: body.wall_limit_ms.map(Duration::from_millis),
-                body_digest: rosebend_util::digest_hex(&request.body),
-                program: program.clone(),
-            },
+            Operation::Open(body) => {
+                let asked = ProgramLimits {
+                    budget_tokens: body.budget_tokens,
+                    turn_limit: body.turn_limit,
+                    wall_limit_ms: body.wall_limit_ms,
+                };
+                let limits = self.directory.limits(&program, asked);
+                Event::Open {
+                    ticket,
+                    budget_tokens: limits.budget_tokens,
+                    turn_limit: Some(limits.turn_limit),
+                    wall_limit: Some(Duration::from_millis(limits.wall_limit_ms)),
+                    body_digest: rosebend_util::digest_hex(&request.body),
+                    program: program.clone(),
+                }
+            }
             Operation::End => Event::End {
                 ticket: Some(ticket),
                 program: program.clone(),
--- a/entry/src/control/directory.rs
+++ b/entry/src/control/directory.rs
@@ -1,9 +1,10 @@
 //! What the configuration says, in the form in which the entry asks it.
 
 use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
 
-use rosebend_state::id::{AvailabilityZone, CustomerId, EndpointId};
-use rosebend_state::resource::{Resource, ResourceSpec};
+use rosebend_state::id::{AvailabilityZone, CustomerId, EndpointId, ProgramId};
+use rosebend_state::resource::{PolicySpec, Resource, ResourceSpec, SessionSpec};
 use rosebend_state::settings::EndpointKind;
 
 /// An endpoint that operators declared.
@@ -34,10 +35,23 @@
     pub share_weights: HashMap<CustomerId, u32>,
     /// Most tokens that one program of a customer may be given.
     pub budget_ceilings_tokens: HashMap<CustomerId, u64>,
+    /// Limits of the declared sessions, by `CUSTOMER/SESSION`.
+    pub sessions: HashMap<String, SessionSpec>,
+    /// The policy, or its defaults.
+    pub policy: PolicySpec,
+}
+
+/// Limits of a program, asked for or granted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ProgramLimits<T> {
+    /// Tokens that it and its sub-agents may use.
+    pub budget_tokens: T,
+    /// Most calls.
+    pub turn_limit: T,
+    /// Longest life, in milliseconds.
+    pub wall_limit_ms: T,
 }
 
-/// Budget of a program whose caller and customer name none.
-const DEFAULT_BUDGET_TOKENS: u64 = 1_000_000;
 /// Weight of a customer that has no resource.
 const DEFAULT_SHARE_WEIGHT: u32 = 1;
 
@@ -73,17 +87,43 @@
             ResourceSpec::Tool(spec) => {
                 self.tool_repeatable.insert(name, spec.repeatable);
             }
-            ResourceSpec::Session(_) | ResourceSpec::Model(_) | ResourceSpec::Policy(_) => {}
+            ResourceSpec::Session(spec) => {
+                self.sessions.insert(name, spec.clone());
+            }
+            ResourceSpec::Policy(spec) => self.policy = spec.clone(),
+            ResourceSpec::Model(_) => {}
         }
     }
 
-    /// The budget of a new program.
-    pub fn budget_tokens(&self, customer: &str, asked_tokens: Option<u64>) -> u64 {
-        let ceiling = self.budget_ceilings_tokens.get(customer).copied();
-        match (asked_tokens, ceiling) {
-            (Some(asked), Some(ceiling)) => asked.min(ceiling),
-            (Some(asked), None) => asked,
-            (None, ceiling) => ceiling.unwrap_or(DEFAULT_BUDGET_TOKENS),
+    /// The limits of a new program: what its caller asks for, but never more
+    /// than a declaration of its session or its customer's ceiling allows. What
+    /// nobody names is taken from the policy. The budget of a sub-agent is that
+    /// of its root program; its own limits come from its caller or the policy.
+    pub fn limits(
+        &self,
+        program: &ProgramId,
+        asked: ProgramLimits<Option<u64>>,
+    ) -> ProgramLimits<u64> {
+        let declared = self.sessions.get(&program.to_string());
+        let ceiling = self.budget_ceilings_tokens.get(program.customer()).copied();
+        let wall_limit = declared.map(|session| millis(session.wall_time_limit));
+        let budget_tokens = least(
+            asked.budget_tokens,
+            declared.map(|session| session.budget_tokens),
+            self.policy.default_budget_tokens,
+        );
+        ProgramLimits {
+            budget_tokens: ceiling.map_or(budget_tokens, |ceiling| ceiling.min(budget_tokens)),
+            turn_limit: least(
+                asked.turn_limit,
+                declared.map(|session| session.turn_limit),
+                self.policy.default_turn_limit,
+            ),
+            wall_limit_ms: least(
+                asked.wall_limit_ms,
+                wall_limit,
+                millis(self.policy.default_wall_time_limit),
+            ),
         }
     }
 
@@ -104,3 +144,13 @@
             .unwrap_or(DEFAULT_SHARE_WEIGHT)
     }
 }
+
+/// The lesser of what was asked and declared, or the default without either.
+fn least(asked: Option<u64>, declared: Option<u64>, default: u64) -> u64 {
+    let named = asked.into_iter().chain(declared).min();
+    named.unwrap_or(default)
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
