Bound declared tools by their timeout, and keep them to their endpoints

Cause: timeout_ms and endpoints of a tool were checked, stored and without any effect; a hanging tool without a caller's deadline held its program for 120 s. Ruled out: sending the timeout with each call, because the sidecar has the configuration in force. Change: a sidecar ends a tool's call after the lesser of the caller's deadline and the tool's timeout; entries route a tool only to the endpoints it names. Conclusion: whole for these two fields; expected_pause_ms is still unused.

--- a/entry/src/control/directory.rs
+++ b/entry/src/control/directory.rs
@@ -62,9 +62,28 @@
         for resource in resources {
             directory.add(resource);
         }
+        for resource in resources {
+            if let ResourceSpec::Tool(spec) = &resource.spec {
+                directory.confine(resource.name(), &spec.endpoints);
+            }
+        }
         directory
     }
 
+    /// Leaves a tool to the endpoints that it names; to all that serve it when
+    /// it names none.
+    fn confine(&mut self, tool: &str, named: &[EndpointId]) {
+        if named.is_empty() {
+            return;
+        }
+        let others = self.endpoints.values_mut();
+        for endpoint in
+            others.filter(|endpoint| !endpoint.is_engine && !named.contains(&endpoint.id))
+        {
+            endpoint.targets.retain(|target| target != tool);
+        }
+    }
+
     fn add(&mut self, resource: &Resource) {
         let name = resource.name().to_owned();
         match &resource.spec {
--- a/entry/tests/directory.rs
+++ b/entry/tests/directory.rs
@@ -57,3 +57,25 @@
     let granted = Directory::default().limits(&program, limits(None, None, None));
     assert_eq!(granted, limits(1_000_000, 400, 86_400_000));
 }
+
+#[test]
+fn a_tool_runs_only_on_the_endpoints_that_it_names() {
+    let endpoint = |name: &str| {
+        json!({"kind": "endpoint", "name": name,
+               "spec": {"sidecar_address": "127.0.0.1:9101", "availability_zone": "pg-hall",
+                        "kind": "service", "serves": ["book-visit", "quote"]}})
+    };
+    let resources: Vec<Resource> = serde_json::from_value(json!([
+        endpoint("dispatch-app-1"),
+        endpoint("dispatch-app-2"),
+        {"kind": "tool", "name": "book-visit", "spec": {"endpoints": ["dispatch-app-2"]}},
+        {"kind": "tool", "name": "quote", "spec": {}},
+    ]))
+    .unwrap();
+    let directory = Directory::new(&resources);
+    assert_eq!(directory.endpoints["dispatch-app-1"].targets, ["quote"]);
+    assert_eq!(
+        directory.endpoints["dispatch-app-2"].targets,
+        ["book-visit", "quote"]
+    );
+}
--- a/sidecar/src/control.rs
+++ b/sidecar/src/control.rs
@@ -23,7 +23,7 @@
 use rosebend_protocol::peer;
 use rosebend_state::{
     id::{CallId, Epoch, Incarnation, ProgramId, Revision, Shard},
-    resource::ConfigUpdate,
+    resource::{ConfigUpdate, ResourceKey, ResourceKind, ResourceSpec},
 };
 use rosebend_transport::{
     event::{Event, EventKind, log_event},
@@ -417,15 +417,29 @@
         };
         answer.admit(start.queued);
         self.metrics.observe(Timing::Queue, start.queued);
+        let until_deadline = deadline.map(|deadline| deadline.saturating_sub(start.queued));
+        let until_timeout = self.tool_timeout(&request);
         self.send(Job::Run(RunJob {
             request_id: format!("{}.{}", start.id, start.attempt),
             id: start.id,
             request,
             answer: Arc::clone(answer),
-            time_left: deadline.map(|deadline| deadline.saturating_sub(start.queued)),
+            time_left: until_deadline.into_iter().chain(until_timeout).min(),
         }));
     }
 
+    /// How long the configuration lets a tool run, if it declares the tool.
+    fn tool_timeout(&self, request: &EndpointRequest) -> Option<Duration> {
+        let EndpointRequest::Tool { target, .. } = request else {
+            return None;
+        };
+        let key = ResourceKey::new(ResourceKind::Tool, target).ok()?;
+        match &self.configuration.get(&key)?.spec {
+            ResourceSpec::Tool(tool) => Some(tool.timeout),
+            _ => None,
+        }
+    }
+
     /// Ends calls that left the queue without being run.
     fn give_up(&mut self, refused: Vec<(CallId, Refusal)>) {
         for (id, refusal) in refused {
--- a/sidecar/src/endpoint/mod.rs
+++ b/sidecar/src/endpoint/mod.rs
@@ -59,7 +59,7 @@
     pub(crate) request_id: String,
     pub(crate) request: EndpointRequest,
     pub(crate) answer: Arc<SharedAnswer>,
-    /// Time left until the caller's deadline.
+    /// Time left until the caller's deadline or the tool's timeout.
     pub(crate) time_left: Option<Duration>,
 }
 
--- a/sidecar/src/endpoint/tool.rs
+++ b/sidecar/src/endpoint/tool.rs
@@ -7,7 +7,8 @@
 
 use super::{Endpoint, RunJob, failed, finished, send_error};
 
-/// Longest run of a tool whose caller names no deadline.
+/// Longest run of a tool whose caller names no deadline and that is not
+/// declared.
 const TOOL_TIMEOUT: Duration = Duration::from_secs(120);
 /// Longest answer of a tool.
 const MAX_ANSWER_BYTES: usize = 3 << 20;
--- a/sidecar/tests/configuration.rs
+++ b/sidecar/tests/configuration.rs
@@ -2,12 +2,16 @@
 
 mod support;
 
+use rosebend_protocol::peer::FailureReason;
 use rosebend_protocol::{
     configuration::to_messages,
     peer::{ConfigChange, StatusRequest},
 };
-use rosebend_state::resource::{Change, ConfigUpdate, ResourceKey, ResourceKind, Snapshot};
-use support::{Client, TestSidecar, fake::Fake};
+use rosebend_state::resource::{
+    Change, ConfigUpdate, Resource, ResourceKey, ResourceKind, Snapshot,
+};
+use serde_json::json;
+use support::{Client, TestSidecar, dispatch, fake::Fake, incarnation, tool_call};
 
 fn removal(revision: u64) -> Change {
     Change {
@@ -68,3 +72,31 @@
     assert_eq!(tell(&mut client, 10, &changes(&[10])).await, 10);
     sidecar.stopped().await;
 }
+
+#[actix_rt::test]
+async fn a_declared_tool_that_hangs_is_bounded_by_its_timeout() {
+    let service = Fake::start();
+    let sidecar = TestSidecar::start("service", service.address, "");
+    let mut client = sidecar.client().await;
+    let tool: Resource = serde_json::from_value(json!({
+        "kind": "tool", "name": "fee", "spec": {"timeout_ms": 50},
+        "metadata": {"changed_by": "desk", "changed_at_revision": 4},
+    }))
+    .unwrap();
+    let snapshot = ConfigUpdate::Snapshot(Snapshot {
+        revision: 4,
+        resources: vec![tool],
+    });
+    assert_eq!(tell(&mut client, 4, &snapshot).await, 4);
+
+    service.close_gate();
+    let run = incarnation(&mut client).await;
+    let ended = dispatch(&mut client, tool_call("caribmar/renewal-17#1", &run)).await;
+    let failure = ended.failure.unwrap();
+    assert_eq!(failure.reason(), FailureReason::EndpointTimeout);
+    assert!(failure.may_have_run);
+    // Without the declaration the tool would be given up on much later.
+    assert!(failure.detail.contains("within 50 ms"), "{failure:?}");
+    service.open_gate();
+    sidecar.stopped().await;
+}
