Count what superseded calls reserved, and return escrow on leaving

Cause: a failed call that a later retained one superseded at a takeover kept its reservation out of the account ('budget: caribmar/renewal spent 198 and its record says 161', long mode, outages), and its sidecar was never acknowledged. A call recorded as not run was written without what its program had spent, so the next owner took too much as counted ('spent 135 and its record says 96'). A planned handoff stranded what was drawn, as a crash does. Change: all three are mended; a leaving shard gives back what is drawn and neither spent nor reserved before it is handed over. Ruled out: giving escrow back whenever a program pauses (one more write for each pause).

--- a/coordination/src/owner/account.rs
+++ b/coordination/src/owner/account.rs
@@ -103,9 +103,20 @@
 
     /// Notes that the table has this much as drawn.
     pub(super) fn drawn_durably(&mut self, drawn_tokens: u64) {
+        // A later record may have given a part of it back.
+        let drawn_tokens = drawn_tokens.min(self.drawn_tokens);
         self.durable_tokens = self.durable_tokens.max(drawn_tokens);
     }
 
+    /// Gives back what is neither spent nor reserved; true if that is any.
+    pub(super) fn give_back(&mut self) -> bool {
+        let needed = self.needed_for(0).min(self.durable_tokens);
+        let is_any = self.drawn_tokens > needed;
+        self.drawn_tokens = needed;
+        self.durable_tokens = needed;
+        is_any
+    }
+
     /// Ends a reservation with what was really spent.
     pub(super) fn settle(&mut self, reserved_tokens: u64, spent_tokens: u64) {
         self.reserved_tokens = self.reserved_tokens.saturating_sub(reserved_tokens);
--- a/coordination/src/owner/durable.rs
+++ b/coordination/src/owner/durable.rs
@@ -20,9 +20,9 @@
         }
     }
 
-    /// Has the end of a call written with the next commit, and with it what
-    /// its program has spent: a later owner takes a call that has ended in the
-    /// table as counted there.
+    /// Has the end of a call, or that it has not run, written with the next
+    /// commit, and with it what its program has spent: a later owner takes
+    /// what sidecars retain of such a call as counted.
     pub(super) fn mark_end(&mut self, call: &CallId) {
         self.mark_turn(call);
         self.mark_program(&call.program);
--- a/coordination/src/owner/ending.rs
+++ b/coordination/src/owner/ending.rs
@@ -143,7 +143,7 @@
             active.stage = Stage::Parked;
             active.request = None;
             if active.has_record {
-                self.mark_turn(&call_id(id, sequence));
+                self.mark_end(&call_id(id, sequence));
             }
         } else {
             let key = active.key.take();
--- a/coordination/src/owner/takeover.rs
+++ b/coordination/src/owner/takeover.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use rosebend_state::id::{CallId, Epoch, ProgramId, Shard};
-use rosebend_state::record::{AnswerRecord, ProgramRecord, TurnRecord, TurnState, UnknownReason};
+use rosebend_state::record::{
+    AnswerRecord, FailReason, ProgramRecord, TurnRecord, TurnState, UnknownReason,
+};
 
 use super::Owner;
 use super::account::Account;
@@ -205,18 +207,26 @@
     /// an end that is lost.
     fn restore_superseded(&mut self, id: &ProgramId, call: ActiveCall) {
         let sequence = call.sequence;
+        if let Some(account) = self.account_of(id) {
+            account.settle(0, call.reserved_tokens);
+        }
         let program = self.programs.get(id).expect("restore_retained() saw it");
         let is_later = program.active.is_some() || program.next_sequence > sequence + 1;
         if !is_later || matches!(call.stage, Stage::Parked) {
             return;
         }
         self.uncommitted += 1;
+        let mut acknowledge = call.earlier.clone();
+        acknowledge.extend(call.stage.placement().cloned());
         let unwritten = Unwritten {
             answer: None,
             is_told: false,
-            acknowledge: Vec::new(),
+            acknowledge,
+        };
+        let end = match call.repeatable {
+            true => TurnEnd::Failed(FailReason::Abandoned),
+            false => TurnEnd::Unknown(UnknownReason::SidecarUnreachable),
         };
-        let end = TurnEnd::Unknown(UnknownReason::SidecarUnreachable);
         self.insert_unwritten(id, call, end, unwritten);
         self.mark_end(&call_id(id, sequence));
     }
@@ -330,6 +340,24 @@
                 self.end_not_run(now, &id, RefusalReason::ShardLeaving, None);
             }
         }
+        self.return_escrow(shard);
+    }
+
+    /// Gives back what is drawn and neither spent nor reserved. Nothing new is
+    /// dispatched for a leaving shard, so nothing of it is needed here.
+    fn return_escrow(&mut self, shard: Shard) {
+        let mut returned = Vec::new();
+        for (id, program) in &mut self.programs {
+            if program.shard == shard
+                && let Some(account) = program.account.as_deref_mut()
+                && account.give_back()
+            {
+                returned.push(id.clone());
+            }
+        }
+        for id in returned {
+            self.mark_program(&id);
+        }
     }
 }
 
