--- a/coordination/src/owner/mod.rs
+++ b/coordination/src/owner/mod.rs
@@ -51,16 +51,18 @@
 - Sidecars are asked for what they retain, under the new epoch, before
   `ShardGained` is told, so that the last owner's dispatches are refused from
   then on. The table is read after the epoch is taken.
+- The process hears of the loss of a shard before it can gain it again.
+- When a claim finds a call running, the process resumes its stream.
 - Sidecars tell attempts of a call apart, and refuse a call whose fingerprint
-  differs from the one they know under the same id and attempt.
+  differs from the one they know under the same id.
 - A sidecar keeps, beside an answer, the `record` that came with its dispatch,
   and hands it to the next owner. Without it a retained answer can't be found
   by its key.
 
 # Deviations from the first sketch of this interface
 
-`ShardGained` carries what sidecars retain; `Claim` and `Claimed` carry the
-attempt; `Follow` says whether the call has ended already; a call that the
+`ShardGained` carries what sidecars retain, and from which epoch on that is
+everything; `Claim` and `Claimed` carry the attempt; `Follow` says whether the call has ended already; a call that the
 shard's next owner has to finish ends as [`CallOutcome::Moved`]; and a caller
 whose opening or ending of a program was being written when the table stopped
 answering is told [`Reply::Undecided`].
