Let the memory for running calls follow the cache

Cause: 60 % of KV memory is too little when pauses are short and too much when they are long. Change: the limit falls by a tenth of memory when a prompt believed warm is found cold, rises by 0.2 % otherwise, between 50 and 90 %.

--- a/coordination/src/endpoint/calls/mod.rs
+++ b/coordination/src/endpoint/calls/mod.rs
@@ -246,7 +246,10 @@
             return outcome;
         }
         let answer_tokens = match &outcome {
-            Outcome::Finished(finished) => finished.answer_tokens,
+            Outcome::Finished(finished) => {
+                self.queue.cached(id, finished.cached_tokens);
+                finished.answer_tokens
+            }
             Outcome::Failed(_) | Outcome::Refused(_) => 0,
         };
         self.queue.finished(now, id, answer_tokens);
--- a/coordination/src/queue.rs
+++ b/coordination/src/queue.rs
@@ -21,10 +21,12 @@
 
 use crate::speed::Speed;
 
+mod limit;
 mod memory;
 mod order;
 mod waiting;
 
+use self::limit::KvLimit;
 use self::memory::{Footprint, KvMemory};
 pub use self::order::{Order, ProgramOrder};
 pub use self::waiting::{
@@ -49,6 +51,7 @@
     share_weight: u64,
     max_answer_tokens: u64,
     pending_tokens: u64,
+    warm_tokens: u64,
     admitted_at: Duration,
     first_token_at: Option<Duration>,
     alone: bool,
@@ -110,6 +113,7 @@
     virtual_tokens: u64,
     pending_tokens: u64,
     alone_running: bool,
+    kv_limit: KvLimit,
     prefill_ended_at: Duration,
     speed: Speed,
 }
@@ -118,6 +122,7 @@
     /// Makes an empty queue.
     pub fn new(settings: QueueSettings) -> Self {
         Self {
+            kv_limit: KvLimit::new(&settings),
             settings,
             waiting: HashMap::new(),
             tickets: HashMap::new(),
@@ -199,6 +204,14 @@
         running.pending_tokens = 0;
     }
 
+    /// Notes how much of a running call's prompt the engine found in its
+    /// cache, which moves the limit of KV tokens in flight.
+    pub fn cached(&mut self, call: &CallId, cached_tokens: u64) {
+        if let Some(running) = self.running.get(call) {
+            self.kv_limit.observe(running.warm_tokens, cached_tokens);
+        }
+    }
+
     /// Notes the end of a running call, however it ended.
     ///
     /// `answer_tokens` corrects the customer's share, which was charged for
@@ -261,7 +274,7 @@
             running: self.running.len() as u64,
             queued: self.waiting.len() as u64,
             kv_tokens_in_flight: self.memory.tokens(),
-            kv_tokens_limit: self.settings.kv_tokens_limit,
+            kv_tokens_limit: self.kv_limit.tokens(),
             queued_tokens: self.pending_tokens,
             token_us: self.speed.token_us(),
             prefill_token_us: self.speed.prefill_token_us(),
@@ -344,7 +357,7 @@
             return false;
         }
         let kv_tokens = self.memory.tokens_with(&Footprint::of(waiting));
-        self.running.len() < self.settings.max_running && kv_tokens <= self.settings.kv_tokens_limit
+        self.running.len() < self.settings.max_running && kv_tokens <= self.kv_limit.tokens()
     }
 
     fn start(&mut self, now: Duration, entry: Entry) {
@@ -361,6 +374,7 @@
             share_weight,
             max_answer_tokens: waiting.max_answer_tokens,
             pending_tokens: waiting.cold_tokens(),
+            warm_tokens: waiting.warm_tokens,
             admitted_at: now,
             first_token_at: None,
             alone: waiting.alone,
--- a/coordination/src/queue/waiting.rs
+++ b/coordination/src/queue/waiting.rs
@@ -17,9 +17,10 @@
 pub struct QueueSettings {
     /// Most calls at the endpoint at once.
     pub max_running: usize,
-    /// Most KV tokens of calls at the endpoint at once; `u64::MAX` for a plain
-    /// service. Less than the engine has, so that the cache of paused programs
-    /// is not driven out by running ones; a call that needs more runs alone.
+    /// Most KV tokens of calls at the endpoint at once, to begin with;
+    /// `u64::MAX` for a plain service. Less than the engine has, so that the
+    /// cache of paused programs is not driven out by running ones; a call that
+    /// needs more runs alone.
     pub kv_tokens_limit: u64,
     /// All KV tokens of the engine; a call that needs more is refused.
     pub max_call_kv_tokens: u64,
@@ -37,9 +38,7 @@
     pub share_slack_tokens: u64,
 }
 
-/// Share of an engine's KV memory for running calls. The replay chose it: with
-/// all of it, running calls drive out paused programs, which are then computed
-/// again; with less than half, memory idles.
+/// Share of an engine's KV memory for running calls to begin with.
 const RUNNING_KV_PERCENT: u64 = 60;
 
 impl QueueSettings {
--- a/coordination/tests/queue.rs
+++ b/coordination/tests/queue.rs
@@ -183,6 +183,32 @@
     assert_eq!(queue.load(), Queue::new(settings(Order::Fifo)).load());
 }
 
+#[test]
+fn memory_for_running_calls_follows_the_cache() {
+    let mut queue = Queue::new(QueueSettings::for_engine(32, 100_000));
+    let mut run = |sequence: u64, cached_tokens| {
+        let warm = Waiting {
+            warm_tokens: 1_000,
+            ..waiting(&format!("c/a#{sequence}"))
+        };
+        let call = warm.call.clone();
+        queue.push(Duration::ZERO, warm).unwrap();
+        queue.next(Duration::ZERO).unwrap();
+        queue.cached(&call, cached_tokens);
+        queue.finished(Duration::ZERO, &call, 10);
+        queue.load().kv_tokens_limit
+    };
+    assert_eq!(
+        run(1, 1_000),
+        60_200,
+        "it rises while prompts are found warm"
+    );
+    assert_eq!(run(2, 0), 50_200, "it falls when they are not");
+    assert_eq!(run(3, 0), 50_000, "but not below half");
+    let highest = (4..500).map(|sequence| run(sequence, 990)).max();
+    assert_eq!(highest, Some(90_000));
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Push {
--- a/replay/src/replay.rs
+++ b/replay/src/replay.rs
@@ -657,6 +657,7 @@
         self.measures.running +=
             u128::from(prompt_tokens + answer.tokens) * u128::from(self.now_us - call.submitted_us);
         thread.path.push(answer);
+        self.sites[site].queue.cached(&call.id, cached_tokens);
         thread.exported_tokens = 0;
         thread.last_site = Some(site);
         let path = thread.path.clone();
