--- a/replay/src/expected.rs
+++ b/replay/src/expected.rs
@@ -29,8 +29,8 @@
             at_least("goodput-over-best-baseline", 1.0),
         ],
         Scenario::Caribmar => vec![
-            at_most("p95-over-best-baseline", 0.15),
-            at_most("p95-slowdown", 3.0),
+            at_most("p95-over-best-baseline", 0.12),
+            at_most("p95-slowdown", 2.5),
             at_most("recomputed-percent", 1.0),
             at_least("goodput-percent", 99.0),
         ],
@@ -39,22 +39,22 @@
             at_least("goodput-over-best-baseline", 1.0),
         ],
         Scenario::Flood => vec![
-            at_most("p95-over-best-baseline", 0.9),
+            at_most("p95-over-best-baseline", 0.88),
             at_least("goodput-over-best-baseline", 1.1),
             at_least("least-share", 0.9),
         ],
         // 1.3 times the p95 of the coastal trace, which has the same programs.
         Scenario::Slow => vec![
-            at_most("p95-ms", 39_900.0),
+            at_most("p95-ms", 39_600.0),
             at_most("p95-over-best-baseline", 0.35),
         ],
         Scenario::Crash => vec![
-            at_most("p95-over-best-baseline", 0.65),
+            at_most("p95-over-best-baseline", 0.6),
             at_most("unknown", 5.0),
         ],
         Scenario::Rolling => vec![
             equal("cut-calls", 0.0),
-            at_most("p95-over-best-baseline", 1.15),
+            at_most("p95-over-best-baseline", 1.05),
         ],
         Scenario::Endless => vec![
             equal("ended-by-limit", 4.0),
