--- a/replay/src/policies.rs
+++ b/replay/src/policies.rs
@@ -34,6 +34,8 @@
     pub routing: RoutingPolicy,
     /// What is done with KV memory in a pause.
     pub pause: PausePolicy,
+    /// Tells router and queue which prefixes programs share.
+    pub shared_prefixes: bool,
     /// Frees the cache of programs and sub-agents that have ended.
     pub frees_ended: bool,
     /// Bounds retries.
@@ -51,6 +53,7 @@
             queue_before_engine: true,
             routing: RoutingPolicy::Scored(Scoring::default()),
             pause: PausePolicy::Learned { can_export: true },
+            shared_prefixes: true,
             frees_ended: true,
             retry_budget: true,
         }
@@ -74,6 +77,7 @@
             queue_before_engine: false,
             routing,
             pause: PausePolicy::AlwaysDrop,
+            shared_prefixes: true,
             frees_ended: false,
             retry_budget: true,
         }
@@ -161,6 +165,10 @@
                 pause: PausePolicy::Learned { can_export: false },
                 ..without("-export")
             },
+            Self {
+                shared_prefixes: false,
+                ..without("-shared-prefix")
+            },
             Self {
                 frees_ended: false,
                 ..without("-free-ended")
