Stop when the control thread broke off; wake readers by less

Cause: after a panic of the control thread the process stayed up and could decide nothing; an answer's wake-up primitive took some 200 bytes.

Change: the process ends with code 1, so that a new run takes its place; the primitive is a plain notification.

--- a/sidecar/src/answer.rs
+++ b/sidecar/src/answer.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use rosebend_coordination::endpoint::{outcome::Outcome, retention::AnswerLog};
-use tokio::sync::watch;
+use tokio::sync::Notify;
 
 /// Parts that are read from the log at once.
 const READ_PARTS: usize = 64;
@@ -34,20 +34,21 @@
 #[derive(Debug)]
 pub(crate) struct SharedAnswer {
     inner: Mutex<Inner>,
-    changed: watch::Sender<()>,
+    /// Wakes all readers. It is small, since many answers are retained.
+    changed: Notify,
 }
 
 impl SharedAnswer {
     pub(crate) fn new() -> Arc<Self> {
         Arc::new(Self {
             inner: Mutex::default(),
-            changed: watch::Sender::new(()),
+            changed: Notify::new(),
         })
     }
 
     pub(crate) fn admit(&self, queued: Duration) {
         self.lock().admitted = Some(queued);
-        self.changed.send_replace(());
+        self.changed.notify_waiters();
     }
 
     /// Appends the next part.
@@ -56,12 +57,12 @@
         let offset = inner.log.next_offset();
         inner.log.append(offset, part);
         drop(inner);
-        self.changed.send_replace(());
+        self.changed.notify_waiters();
     }
 
     pub(crate) fn end(&self, outcome: Outcome) {
         self.lock().log.end(outcome);
-        self.changed.send_replace(());
+        self.changed.notify_waiters();
     }
 
     /// Packs what will be retained, to which nothing is added any more.
@@ -86,7 +87,6 @@
     pub(crate) fn reader(self: &Arc<Self>, offset: u64) -> AnswerReader {
         AnswerReader {
             answer: Arc::clone(self),
-            changed: self.changed.subscribe(),
             told_admitted: false,
             offset,
         }
@@ -103,7 +103,6 @@
 #[derive(Debug)]
 pub(crate) struct AnswerReader {
     answer: Arc<SharedAnswer>,
-    changed: watch::Receiver<()>,
     told_admitted: bool,
     /// The next offset that the receiver lacks.
     offset: u64,
@@ -112,13 +111,14 @@
 impl AnswerReader {
     /// The next progress, as soon as there is some.
     pub(crate) async fn next(&mut self) -> Progress {
+        let answer = Arc::clone(&self.answer);
         loop {
-            self.changed.borrow_and_update();
+            // Made before the look, so that no change between the two is lost.
+            let changed = answer.changed.notified();
             if let Some(progress) = self.step() {
                 return progress;
             }
-            // The sender lives as long as the answer, which this reader holds.
-            let _ = self.changed.changed().await;
+            changed.await;
         }
     }
 
--- a/sidecar/src/process.rs
+++ b/sidecar/src/process.rs
@@ -62,6 +62,9 @@
         /// What the system says.
         error: io::Error,
     },
+    /// The control thread broke off, so that nothing can be decided any more.
+    #[error("the control thread broke off")]
+    ControlStopped,
     /// The gRPC server failed.
     #[error("the gRPC server failed: {0}")]
     Serve(#[from] tonic::transport::Error),
@@ -121,7 +124,12 @@
     on_bound(bound);
     log_event(&Event::new(EventKind::ProcessStarted).host(&settings.host));
 
-    stop.await;
+    let mut load = published.load.clone();
+    tokio::select! {
+        () = stop => {}
+        // It tells its load until it is gone.
+        () = wait_for(&mut load, |_| false) => return Err(ProcessError::ControlStopped),
+    }
     log_event(&Event::new(EventKind::ProcessStopping).host(&settings.host));
     leave(&threads.commands, published, settings.limits.stop_timeout).await;
     drop(stop_server);
