Tell the end of a call with the load after it

Cause: the load that comes with a finished answer could be the one before the call ended; a test failed in 2 of 25 runs.

Ruled out: leaving the load out of the test (owners route by it).

Change: the load is published before the end is.

Measured: 60 runs of that test file and of the calls' one under a load of 20, none failed.

--- a/sidecar/src/control.rs
+++ b/sidecar/src/control.rs
@@ -362,6 +362,8 @@
         let bytes = self.answers.get(id).map_or(0, |answer| answer.bytes());
         let outcome = self.calls.ended(self.now(), id, outcome, bytes);
         self.log_end(id, &outcome);
+        // The end is told with the load, which must not be an older one.
+        self.publish();
         if let Some(answer) = self.answers.get(id) {
             answer.end(outcome.clone());
         }
