Stop when a job of the endpoint's thread broke off

Cause: a panic in one job left its call running for ever, which no owner could tell from a slow one.

--- a/sidecar/src/endpoint/mod.rs
+++ b/sidecar/src/endpoint/mod.rs
@@ -26,7 +26,10 @@
     settings::{EndpointKind, SidecarSettings},
 };
 use rosebend_transport::{metrics_page::Metrics, platform_client::PlatformClient};
-use tokio::sync::{mpsc, oneshot};
+use tokio::{
+    sync::{mpsc, oneshot},
+    task::JoinSet,
+};
 
 use crate::{
     answer::SharedAnswer,
@@ -120,11 +123,24 @@
     }
 
     /// Starts jobs as they come, until the control thread is gone.
+    ///
+    /// # Panics
+    ///
+    /// Panics when a job does: nobody could tell how its call ended.
     pub(crate) async fn run(self, mut jobs: mpsc::UnboundedReceiver<Job>) {
         let endpoint = Rc::new(self);
-        while let Some(job) = jobs.recv().await {
-            let endpoint = Rc::clone(&endpoint);
-            actix_rt::spawn(async move { endpoint.serve(job).await });
+        let mut tasks = JoinSet::new();
+        loop {
+            tokio::select! {
+                job = jobs.recv() => {
+                    let Some(job) = job else { return };
+                    let endpoint = Rc::clone(&endpoint);
+                    tasks.spawn_local(async move { endpoint.serve(job).await });
+                }
+                Some(ended) = tasks.join_next() => {
+                    ended.expect("no job is cancelled, and none panics");
+                }
+            }
         }
     }
 
--- a/sidecar/src/process.rs
+++ b/sidecar/src/process.rs
@@ -65,6 +65,9 @@
     /// The control thread broke off, so that nothing can be decided any more.
     #[error("the control thread broke off")]
     ControlStopped,
+    /// The endpoint's thread broke off, so that calls would never end.
+    #[error("the endpoint's thread broke off")]
+    EndpointStopped,
     /// The gRPC server failed.
     #[error("the gRPC server failed: {0}")]
     Serve(#[from] tonic::transport::Error),
@@ -108,7 +111,7 @@
         availability_zone: settings.availability_zone.clone(),
         kind: settings.kind,
         commands: threads.commands.clone(),
-        jobs: threads.jobs,
+        jobs: threads.jobs.clone(),
         published: published.clone(),
     };
     let (stop_server, server_stopped) = oneshot::channel::<Infallible>();
@@ -124,11 +127,12 @@
     on_bound(bound);
     log_event(&Event::new(EventKind::ProcessStarted).host(&settings.host));
 
-    let mut load = published.load.clone();
+    let (mut load, jobs) = (published.load.clone(), threads.jobs.clone());
     tokio::select! {
         () = stop => {}
         // It tells its load until it is gone.
         () = wait_for(&mut load, |_| false) => return Err(ProcessError::ControlStopped),
+        () = jobs.closed() => return Err(ProcessError::EndpointStopped),
     }
     log_event(&Event::new(EventKind::ProcessStopping).host(&settings.host));
     leave(&threads.commands, published, settings.limits.stop_timeout).await;
