Hand shards over while calls are at their endpoints

Cause: a leaving owner took no calls of a shard until the last call of any of its programs had ended. One tool of 10 s kept every program of the shard waiting for 10 s at a planned stop, and at every handoff to an entry that came back; callers elsewhere were told after 12 s that no owner was reached.

Ruled out: taking new calls while draining, which may never end; moving single programs, which would need an owner for each.

Change: a shard is drained when all of its records are written and no call is about to be sent. The next owner finds calls at endpoints with their sidecars, as after a takeover.

--- a/coordination/src/owner/durable.rs
+++ b/coordination/src/owner/durable.rs
@@ -218,11 +218,14 @@
         }
     }
 
-    /// Says which leaving shards have nothing left to wait for.
+    /// Says which leaving shards have nothing left to wait for: all records are
+    /// written, and no call is about to be sent. The next owner finds the calls
+    /// at endpoints with their sidecars, as after a takeover; waiting for them
+    /// would keep every program of the shard waiting for the slowest tool.
     fn report_drained(&mut self) {
         let is_quiet = |shard: Shard| {
             let mut programs = self.programs.values();
-            programs.all(|program| program.shard != shard || !program.is_busy())
+            programs.all(|program| program.shard != shard || !program.is_sending())
         };
         let leaving = self.shards.iter().filter(|(shard, state)| {
             state.is_leaving && !state.is_drained && state.is_written() && is_quiet(**shard)
--- a/coordination/src/owner/program.rs
+++ b/coordination/src/owner/program.rs
@@ -278,10 +278,12 @@
         (active.sequence == sequence).then_some(active)
     }
 
-    /// Whether a call is on its way, or waits.
-    pub(super) fn is_busy(&self) -> bool {
+    /// Whether a call waits or is about to be sent. Calls at endpoints do not
+    /// count: another owner can ask their sidecars for them.
+    pub(super) fn is_sending(&self) -> bool {
         let active = self.active.as_deref();
-        !self.waiting.is_empty() || active.is_some_and(|call| !matches!(call.stage, Stage::Parked))
+        let is_at_rest = |stage: &Stage| stage.is_sent() || matches!(stage, Stage::Parked);
+        !self.waiting.is_empty() || active.is_some_and(|call| !is_at_rest(&call.stage))
     }
 
     /// Whether a call is at an endpoint.
