--- a/coordination/src/ownership.rs
+++ b/coordination/src/ownership.rs
@@ -13,7 +13,7 @@
 //! soon a dead owner is replaced.
 //!
 //! With many entries each watches a few others (see
-//! [`neighbours`](crate::neighbours)), and the shards of a silent host go to
+//! [`neighbours`]), and the shards of a silent host go to
 //! those who watch it. The takeover removes the silent host's row, by which all
 //! others learn of it, and so does the host itself, if it was only paused: it
 //! writes a new row and starts anew. Handoffs then bring the shards to the
--- a/coordination/src/queue/waiting.rs
+++ b/coordination/src/queue/waiting.rs
@@ -12,7 +12,7 @@
 /// time on an engine as this many prefilled ones.
 pub const ANSWER_TOKEN_COST: u64 = 4;
 
-/// Bounds and order of a [`Queue`].
+/// Bounds and order of a [`Queue`](super::Queue).
 #[derive(Clone, Debug)]
 pub struct QueueSettings {
     /// Most calls at the endpoint at once.
--- a/coordination/src/routing/request.rs
+++ b/coordination/src/routing/request.rs
@@ -43,7 +43,7 @@
     }
 }
 
-/// Settings of a [`Router`].
+/// Settings of a [`Router`](super::Router).
 #[derive(Clone, Debug)]
 pub struct RouterSettings {
     /// How endpoints are chosen.
--- a/entry/src/control.rs
+++ b/entry/src/control.rs
@@ -1,7 +1,7 @@
 //! The control state of an entry, on a thread of its own.
 //!
 //! Everything that decides (owner, router, ownership, committer, the applied
-//! configuration) lives in one [`Control`](state::Control), which takes one
+//! configuration) lives in one [`Control`], which takes one
 //! [`Command`] after another. Whatever waits for the network runs as a task
 //! and sends its result back as a command, so no decision ever waits.
 
--- a/system-tests/src/lib.rs
+++ b/system-tests/src/lib.rs
@@ -4,7 +4,7 @@
 //! - [`cluster`]: entries, sidecars, stand-ins and their settings files.
 //! - [`process`]: one process, its signals and its end.
 //! - [`caller`]: what callers and operators send.
-//! - [`settle`]: a caller that sends again until it knows the outcome.
+//! - [`mod@settle`]: a caller that sends again until it knows the outcome.
 //! - [`sse`]: streams of server-sent events.
 //! - [`load`]: programs that run while processes stop and start.
 //! - [`relay`]: a connection between two processes that goes silent or breaks.
