Bring unspent escrow back at a takeover, and hand over only to the living

And 24 idle entries made 158 writes a second: entries that started together disagreed for 20 s on who is there and passed shards around. Ruled out: returning escrow in the handoff's transaction (an owner that does not know that it took effect would go on spending). Change: sidecars read the epochs at their start and tell them; a leaving shard keeps its escrow; a handoff checks the successor's row; all rows of entries are read for the first 15 s of a process.

--- a/coordination/src/owner/account.rs
+++ b/coordination/src/owner/account.rs
@@ -108,15 +108,6 @@
         self.durable_tokens = self.durable_tokens.max(drawn_tokens);
     }
 
-    /// Gives back what is neither spent nor reserved; true if that is any.
-    pub(super) fn give_back(&mut self) -> bool {
-        let needed = self.needed_for(0).min(self.durable_tokens);
-        let is_any = self.drawn_tokens > needed;
-        self.drawn_tokens = needed;
-        self.durable_tokens = needed;
-        is_any
-    }
-
     /// Ends a reservation with what was really spent.
     pub(super) fn settle(&mut self, reserved_tokens: u64, spent_tokens: u64) {
         self.reserved_tokens = self.reserved_tokens.saturating_sub(reserved_tokens);
--- a/coordination/src/owner/takeover.rs
+++ b/coordination/src/owner/takeover.rs
@@ -349,24 +349,6 @@
                 self.end_not_run(now, &id, RefusalReason::ShardLeaving, None);
             }
         }
-        self.return_escrow(shard);
-    }
-
-    /// Gives back what is drawn and neither spent nor reserved. Nothing new is
-    /// dispatched for a leaving shard, so nothing of it is needed here.
-    fn return_escrow(&mut self, shard: Shard) {
-        let mut returned = Vec::new();
-        for (id, program) in &mut self.programs {
-            if program.shard == shard
-                && let Some(account) = program.account.as_deref_mut()
-                && account.give_back()
-            {
-                returned.push(id.clone());
-            }
-        }
-        for id in returned {
-            self.mark_program(&id);
-        }
     }
 }
 
--- a/entry/src/control.rs
+++ b/entry/src/control.rs
@@ -88,6 +88,9 @@
     pub turns: Vec<TurnRecord>,
     /// Calls that sidecars retain for it.
     pub retained: Vec<RetainedTurn>,
+    /// The highest epoch at which one of the sidecars started, when all told
+    /// what they retain.
+    pub retained_after: Option<Epoch>,
 }
 
 /// What the control thread is told.
--- a/entry/src/control/retained.rs
+++ b/entry/src/control/retained.rs
@@ -1,5 +1,6 @@
 //! Asks sidecars what they retain for gained shards.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use actix_rt::time::timeout;
@@ -8,7 +9,7 @@
 use rosebend_protocol::peer::{
     DispatchRequest, Fence, RetainedCall, RetainedRequest, sidecar_client::SidecarClient,
 };
-use rosebend_state::id::Shard;
+use rosebend_state::id::{Epoch, Shard};
 use rosebend_state::record::{AnswerRecord, TurnRecord};
 use rosebend_transport::peers::{MAX_MESSAGE_BYTES, Peers};
 use rosebend_transport::traffic::Traffic;
@@ -28,10 +29,7 @@
     wait: Duration,
 ) -> RetainedCalls {
     if fences.is_empty() {
-        return RetainedCalls {
-            is_complete: true,
-            ..RetainedCalls::default()
-        };
+        return RetainedCalls::default();
     }
     let asked = sidecars.into_iter().map(|sidecar| {
         let (sender, answer) = oneshot::channel();
@@ -42,29 +40,59 @@
         });
         answer
     });
-    let mut all = RetainedCalls {
-        is_complete: true,
-        ..RetainedCalls::default()
-    };
+    let mut answers = Vec::new();
     for answer in join_all(asked).await {
-        match answer.ok().flatten() {
-            Some(calls) => {
-                for (shard, call) in calls {
-                    all.calls.entry(shard).or_default().push(call);
-                }
-            }
-            None => all.is_complete = false,
-        }
+        answers.push(answer.ok().flatten());
+    }
+    RetainedCalls {
+        started: newest_starts(&answers),
+        calls: by_shard(answers),
+    }
+}
+
+/// What one sidecar told.
+#[derive(Debug)]
+struct Told {
+    calls: Vec<(Shard, RetainedTurn)>,
+    /// Epochs of the shards when it started, as far as it knows them.
+    started: HashMap<Shard, Epoch>,
+}
+
+/// The highest epoch of each shard at which any of the sidecars started; no
+/// shard, when one of them did not answer.
+fn newest_starts(answers: &[Option<Told>]) -> HashMap<Shard, Epoch> {
+    let mut newest: Option<HashMap<Shard, Epoch>> = None;
+    for answer in answers {
+        let Some(told) = answer else {
+            return HashMap::new();
+        };
+        newest = Some(match newest {
+            None => told.started.clone(),
+            Some(newest) => later_of(newest, &told.started),
+        });
     }
-    all
+    newest.unwrap_or_default()
+}
+
+/// The later epoch of each shard that both sides know.
+fn later_of(one: HashMap<Shard, Epoch>, other: &HashMap<Shard, Epoch>) -> HashMap<Shard, Epoch> {
+    let both = one.into_iter().filter_map(|(shard, epoch)| {
+        let other = other.get(&shard)?;
+        Some((shard, epoch.max(*other)))
+    });
+    both.collect()
+}
+
+fn by_shard(answers: Vec<Option<Told>>) -> HashMap<Shard, Vec<RetainedTurn>> {
+    let mut calls: HashMap<Shard, Vec<RetainedTurn>> = HashMap::new();
+    for (shard, call) in answers.into_iter().flatten().flat_map(|told| told.calls) {
+        calls.entry(shard).or_default().push(call);
+    }
+    calls
 }
 
 /// None when the sidecar did not tell everything.
-async fn ask(
-    peers: &Peers,
-    address: &str,
-    fences: Vec<Fence>,
-) -> Option<Vec<(Shard, RetainedTurn)>> {
+async fn ask(peers: &Peers, address: &str, fences: Vec<Fence>) -> Option<Told> {
     let channel = peers.channel(address).await.ok()?;
     let mut client = SidecarClient::new(channel).max_decoding_message_size(MAX_MESSAGE_BYTES);
     let reply = client
@@ -77,6 +105,11 @@
         return None;
     };
     let reply = reply.into_inner();
+    let started = reply
+        .started
+        .iter()
+        .map(|fence| (fence.shard, fence.epoch))
+        .collect();
     let mut turns = Vec::new();
     for call in reply.calls {
         let Ok(turn) = serde_json::from_slice::<TurnRecord>(&call.record) else {
@@ -98,7 +131,10 @@
         };
         turns.push((call.shard, retained));
     }
-    Some(turns)
+    Some(Told {
+        calls: turns,
+        started,
+    })
 }
 
 async fn read_answer(
--- a/entry/src/control/shards.rs
+++ b/entry/src/control/shards.rs
@@ -26,6 +26,10 @@
 /// Time between two reads of the rows of all entries, when there are more than
 /// an entry watches.
 const FULL_READ_PERIOD: Duration = Duration::from_secs(20);
+/// Time after the start of the process in which all rows are read each time:
+/// entries that start together must agree on who is there before they pass
+/// shards on.
+const FIRST_READS: Duration = Duration::from_secs(15);
 /// Wait before gained shards that could not be read are read again.
 const LOAD_AGAIN_WAIT: Duration = Duration::from_millis(500);
 /// Shortest time between two reads because an owner was doubted.
@@ -164,9 +168,10 @@
         self.reading_hosts = true;
         let asked = self.ownership.watched_hosts();
         let now = self.now();
-        let is_full_due = self
-            .full_read_at
-            .is_none_or(|at| now.saturating_sub(at) >= FULL_READ_PERIOD);
+        let is_full_due = now < FIRST_READS
+            || self
+                .full_read_at
+                .is_none_or(|at| now.saturating_sub(at) >= FULL_READ_PERIOD);
         let watches_all = asked.len() + 1 >= self.ownership.entry_count();
         let platform = self.platform.clone();
         let handle = self.handle.clone();
@@ -338,6 +343,7 @@
             }
             for shard in &mut loaded {
                 shard.retained = retained.calls.remove(&shard.shard).unwrap_or_default();
+                shard.retained_after = retained.started.get(&shard.shard).copied();
             }
             handle.send(Command::ShardsLoaded(loaded));
         });
@@ -368,9 +374,7 @@
                 programs: loaded.programs,
                 turns: loaded.turns,
                 retained: loaded.retained,
-                // Sidecars don't tell yet at which epochs they started, so
-                // what was drawn counts as spent.
-                retained_after: None,
+                retained_after: loaded.retained_after,
             });
             let event = LogEvent::new(EventKind::ShardRecovered).shard(shard);
             log_event(&event.epoch(loaded.epoch).count(retained_count));
@@ -405,7 +409,7 @@
         let platform = self.platform.clone();
         let handle = self.handle.clone();
         actix_rt::spawn(async move {
-            let passed_on = platform.transact(&transaction).await.is_ok();
+            let passed_on = hand_over(&platform, transaction, &successor).await;
             handle.send(Command::HandoffEnded {
                 shard,
                 epoch,
@@ -430,6 +434,7 @@
         self.successors.remove(&shard);
         self.ownership_event(OwnershipEvent::HandoffEnded { shard, passed_on });
         if !passed_on {
+            self.full_read_at = None;
             // The row may name the successor all the same; reading it tells.
             self.read_shards();
         }
@@ -518,6 +523,30 @@
     }
 }
 
+/// Passes a shard on, if the successor is there: its row may have been removed
+/// since this entry read it last, and a shard passed to nobody waits for a
+/// takeover.
+async fn hand_over(
+    platform: &PlatformClient,
+    mut transaction: Transaction,
+    successor: &(HostId, Incarnation),
+) -> bool {
+    let key = rows::host_key(&successor.0);
+    let found = platform.read(vec![key.clone()]).await.unwrap_or_default();
+    let Some((row, _)) = found.first().and_then(rows::host_row) else {
+        return false;
+    };
+    if row.incarnation != successor.1 || row.leaving {
+        return false;
+    }
+    transaction.operations.push(Operation {
+        key,
+        condition: Condition::Version(row.version),
+        action: Action::Check,
+    });
+    platform.transact(&transaction).await.is_ok()
+}
+
 /// After a conflict on the own row: did an earlier renewal, whose answer was
 /// lost, take effect, or does another process write the row?
 async fn own_row(platform: &PlatformClient, key: String, incarnation: &str) -> RenewOutcome {
@@ -544,6 +573,7 @@
         programs: Vec::new(),
         turns: Vec::new(),
         retained: Vec::new(),
+        retained_after: None,
     };
     if is_new {
         return Ok(loaded);
@@ -568,6 +598,7 @@
 pub(super) struct RetainedCalls {
     /// By shard.
     pub(super) calls: HashMap<Shard, Vec<rosebend_coordination::owner::RetainedTurn>>,
-    /// Whether every sidecar answered.
-    pub(super) is_complete: bool,
+    /// The highest epoch of a shard at which one of the sidecars started, for
+    /// each shard of which all sidecars told what they retain.
+    pub(super) started: HashMap<Shard, Epoch>,
 }
--- a/protocol/src/peer/generated.rs
+++ b/protocol/src/peer/generated.rs
@@ -226,6 +226,10 @@
     pub incarnation: ::prost::alloc::string::String,
     #[prost(message, repeated, tag = "2")]
     pub calls: ::prost::alloc::vec::Vec<RetainedCall>,
+    /// Epochs of the shards when this run of the sidecar started; zero for a
+    /// shard that had no owner yet. Empty while the sidecar has not read them.
+    #[prost(message, repeated, tag = "3")]
+    pub started: ::prost::alloc::vec::Vec<Fence>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RetainedCall {
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -18,3 +18,4 @@
 mod endpoint;
 pub mod process;
 mod server;
+mod start_epochs;
--- a/sidecar/src/process.rs
+++ b/sidecar/src/process.rs
@@ -24,6 +24,7 @@
     http_server::{self, HttpReply, HttpRequest, HttpServerConfig},
     metrics_page::Metrics,
     peers::MAX_MESSAGE_BYTES,
+    platform_client::PlatformClient,
 };
 use tokio::sync::{mpsc, oneshot};
 use tokio_stream::wrappers::TcpListenerStream;
@@ -33,6 +34,7 @@
     control::{Command, Control, Published, Remaining},
     endpoint::{Endpoint, Job},
     server::SidecarService,
+    start_epochs::StartEpochs,
 };
 
 /// Commands that wait for the control thread.
@@ -106,6 +108,9 @@
     let pages_handle = pages.handle();
     actix_rt::spawn(pages);
 
+    let started = StartEpochs::default();
+    let platform = PlatformClient::new(&settings.platform.url, settings.platform.timeout);
+    actix_rt::spawn(started.clone().read(platform));
     let service = SidecarService {
         host: settings.host.clone(),
         availability_zone: settings.availability_zone.clone(),
@@ -113,6 +118,7 @@
         commands: threads.commands.clone(),
         jobs: threads.jobs.clone(),
         published: published.clone(),
+        started,
     };
     let (stop_server, server_stopped) = oneshot::channel::<Infallible>();
     let server = actix_rt::spawn(serve(
--- a/sidecar/src/server.rs
+++ b/sidecar/src/server.rs
@@ -28,6 +28,7 @@
     control::{Command, DispatchReply, OrderReply, Published},
     convert::{self, MessageError},
     endpoint::{EndpointRequest, Job, OrderJob},
+    start_epochs::StartEpochs,
 };
 
 /// Longest silence on a stream of answers.
@@ -50,6 +51,8 @@
     pub(crate) commands: mpsc::Sender<Command>,
     pub(crate) jobs: mpsc::UnboundedSender<Job>,
     pub(crate) published: Published,
+    /// Epochs of the shards when this run started.
+    pub(crate) started: StartEpochs,
 }
 
 impl SidecarService {
@@ -214,12 +217,14 @@
         request: Request<peer::RetainedRequest>,
     ) -> Result<Response<peer::RetainedReply>, Status> {
         let fences = fences(request.into_inner().fences);
+        let started = self.started.of(fences.iter().map(|fence| fence.shard));
         let calls = self
             .ask(|reply| Command::Retained { fences, reply })
             .await?;
         let load = self.load();
         Ok(Response::new(peer::RetainedReply {
             incarnation: load.incarnation.clone(),
+            started,
             calls: calls
                 .into_iter()
                 .map(|call| convert::retained_call(call, &load))
