Tell router and sidecar where prompts begin alike

Change: the entry hashes the boundaries between messages and passes the first and the last four to its router and, with the call, to the sidecar, which remembers what it saw computed and counts it once.

--- a/coordination/examples/owner_memory.rs
+++ b/coordination/examples/owner_memory.rs
@@ -168,6 +168,7 @@
         fingerprint: digest(program_number * 1000 + number),
         prompt_tokens: 100,
         max_answer_tokens: 100,
+        shared_prefixes: Vec::new(),
         deadline: None,
     }
 }
--- a/coordination/src/endpoint/calls/backlog.rs
+++ b/coordination/src/endpoint/calls/backlog.rs
@@ -19,7 +19,8 @@
 impl Calls {
     /// Puts a call into the queue.
     pub(super) fn enqueue(&mut self, now: Duration, spec: &CallSpec) -> Result<(), Refusal> {
-        let warm_tokens = self.holds.tokens(&spec.id.program);
+        let held_tokens = self.holds.tokens(&spec.id.program);
+        let warm_tokens = held_tokens.max(self.prefixes.warm_tokens(&spec.shared_prefixes));
         let waiting = Waiting {
             call: spec.id.clone(),
             customer: spec.id.program.customer().to_owned(),
@@ -30,10 +31,11 @@
             program_age: spec.program_age,
             deadline: spec.deadline.map(|left| now + left),
             warm_tokens: warm_tokens.min(spec.prompt_tokens),
-            shared_prefixes: Vec::new(),
+            shared_prefixes: spec.shared_prefixes.clone(),
             alone: spec.alone,
         };
         self.queue.push(now, waiting).map_err(queue_refusal)?;
+        self.prefixes.queued(&spec.id, &spec.shared_prefixes);
         let mut record = Record::new(spec, CallState::Queued);
         if let Some(known) = self.records.remove(&spec.id)
             && let CallState::Failed { failure, .. } = known.state
@@ -97,6 +99,7 @@
 
     /// Notes that a call left the queue for good, without being run.
     pub(super) fn unqueued(&mut self, now: Duration, id: &CallId) {
+        self.prefixes.dropped(id);
         if let Some(record) = self.records.get(id) {
             self.expected_bytes -= record.answer_bytes;
         }
--- a/coordination/src/endpoint/calls/mod.rs
+++ b/coordination/src/endpoint/calls/mod.rs
@@ -2,6 +2,7 @@
 
 mod backlog;
 mod intake;
+mod prefix;
 mod record;
 mod room;
 mod spec;
@@ -18,6 +19,7 @@
 };
 use self::{
     intake::{buried, is_passing, leaving, untold},
+    prefix::WarmPrefixes,
     record::{CallState, Record},
 };
 use super::{
@@ -51,6 +53,7 @@
     /// Every call in the queue is `Queued` here, and the other way round.
     records: HashMap<CallId, Record>,
     queue: Queue,
+    prefixes: WarmPrefixes,
     /// Exactly the calls that are `Running` here.
     running: HashSet<CallId>,
     /// Ended calls in the order in which they ended; some may be gone.
@@ -78,6 +81,7 @@
             suspects: Suspects::default(),
             records: HashMap::new(),
             queue: Queue::new(queue_settings(&limits)),
+            prefixes: WarmPrefixes::new(),
             running: HashSet::new(),
             ended: VecDeque::new(),
             remembered: VecDeque::new(),
@@ -259,6 +263,7 @@
     /// The endpoint gave the first part of a call's answer.
     pub fn first_part(&mut self, now: Duration, id: &CallId) {
         self.queue.first_token(now, id);
+        self.prefixes.computed(now, id);
     }
 
     /// The endpoint is done with a call. Returns the outcome to retain, with
@@ -273,8 +278,13 @@
                 self.queue.cached(id, finished.cached_tokens);
                 finished.answer_tokens
             }
+            Outcome::Failed(failure) if failure.reason == FailureReason::EndpointCrashed => {
+                self.prefixes = WarmPrefixes::new();
+                0
+            }
             Outcome::Failed(_) | Outcome::Refused(_) => 0,
         };
+        self.prefixes.dropped(id);
         self.queue.finished(now, id, answer_tokens);
         let Some(record) = self.records.get_mut(id) else {
             return outcome;
--- a/coordination/src/endpoint/calls/spec.rs
+++ b/coordination/src/endpoint/calls/spec.rs
@@ -8,6 +8,7 @@
     fence::Fence,
     outcome::{Failure, Finished, Refusal},
 };
+use crate::warmth::SharedPrefix;
 
 /// What one endpoint is given at most.
 #[derive(Clone, Copy, Debug)]
@@ -53,6 +54,9 @@
     pub prompt_tokens: u64,
     /// Tokens of the longest answer.
     pub max_answer_tokens: u64,
+    /// Prefixes that other prompts may share, the shortest first, each the
+    /// start of the next.
+    pub shared_prefixes: Vec<SharedPrefix>,
     /// Tokens computed so far for the whole program.
     pub attained_tokens: u64,
     /// Time since the program's first call.
@@ -83,6 +87,7 @@
             repeatable: false,
             prompt_tokens: 0,
             max_answer_tokens: 0,
+            shared_prefixes: Vec::new(),
             attained_tokens: 0,
             program_age: Duration::ZERO,
             share_weight: 1,
--- a/coordination/src/owner/action.rs
+++ b/coordination/src/owner/action.rs
@@ -9,6 +9,7 @@
 };
 
 use super::event::{Attempt, CallRequest, CommitId, Placement, Ticket};
+use crate::warmth::SharedPrefix;
 
 /// Why a request was not run.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -228,6 +229,8 @@
         prompt_tokens: u64,
         /// Upper bound of the answer's tokens.
         max_answer_tokens: u64,
+        /// Prefixes that other prompts may share, the shortest first.
+        shared_prefixes: Vec<SharedPrefix>,
         /// The endpoint that holds the program's KV cache.
         warm: Option<EndpointId>,
         /// Endpoints that this call must not go to.
--- a/coordination/src/owner/attempt.rs
+++ b/coordination/src/owner/attempt.rs
@@ -116,6 +116,7 @@
             target: request.target.clone(),
             prompt_tokens: request.prompt_tokens,
             max_answer_tokens: request.max_answer_tokens,
+            shared_prefixes: request.shared_prefixes.clone(),
             warm: program.warm.clone(),
             excluded: active.excluded.clone(),
             alone: self.suspicion.is_suspect(&request.fingerprint),
--- a/coordination/src/owner/event.rs
+++ b/coordination/src/owner/event.rs
@@ -6,6 +6,8 @@
 use rosebend_state::id::{CallId, EndpointId, Epoch, Incarnation, ProgramId, Sequence, Shard};
 use rosebend_state::record::{AnswerRecord, CallKind, EndReason, ProgramRecord, TurnRecord};
 
+use crate::warmth::SharedPrefix;
+
 /// One waiting request of a caller at this entry.
 pub type Ticket = u64;
 /// Number of a commit, counted by one owner.
@@ -38,6 +40,9 @@
     pub prompt_tokens: u64,
     /// Upper bound of the answer's tokens, which the endpoint enforces.
     pub max_answer_tokens: u64,
+    /// Prefixes that other prompts may share, the shortest first, each the
+    /// start of the next.
+    pub shared_prefixes: Vec<SharedPrefix>,
     /// Until when the caller waits, on the clock of `now`.
     pub deadline: Option<Duration>,
 }
--- a/coordination/tests/desk/mod.rs
+++ b/coordination/tests/desk/mod.rs
@@ -219,6 +219,7 @@
         fingerprint: key.to_owned(),
         prompt_tokens: 0,
         max_answer_tokens: 10,
+        shared_prefixes: Vec::new(),
         deadline: None,
     }
 }
--- a/coordination/tests/world/client.rs
+++ b/coordination/tests/world/client.rs
@@ -88,6 +88,7 @@
             fingerprint: call.key.clone(),
             prompt_tokens: call.prompt_tokens,
             max_answer_tokens: call.answer_tokens,
+            shared_prefixes: Vec::new(),
             deadline: None,
         }
     }
--- a/entry/src/control/calls.rs
+++ b/entry/src/control/calls.rs
@@ -10,6 +10,7 @@
     Event, Metric, NoPlacement, NoPlacementReason, Placement, Reply,
 };
 use rosebend_coordination::routing::{CallEnd, NoEndpointReason, Request};
+use rosebend_coordination::warmth::SharedPrefix;
 use rosebend_protocol::peer::{
     self, DispatchRequest, FailureReason, Fence, Finished, ForwardRequest, RefusalReason,
     claim_reply::Outcome,
@@ -132,6 +133,10 @@
     }
 
     fn call_request(&self, request: CallerRequest) -> CallRequest {
+        let shared_prefixes = match &request.operation {
+            Operation::Model(call) => call.shared_prefixes.clone(),
+            _ => Vec::new(),
+        };
         let (kind, target, repeatable, prompt_tokens, max_answer_tokens) = match &request.operation
         {
             Operation::Model(call) => (
@@ -161,6 +166,7 @@
             body: Arc::from(request.body.as_ref()),
             prompt_tokens,
             max_answer_tokens,
+            shared_prefixes,
             deadline: request.deadline.map(|wait| self.now() + wait),
         }
     }
@@ -413,6 +419,7 @@
             attempt,
             target,
             prompt_tokens,
+            shared_prefixes,
             warm,
             excluded,
             ..
@@ -426,7 +433,7 @@
             target: &target,
             prompt_tokens,
             warm: warm.as_ref().map(|endpoint| (endpoint, prompt_tokens)),
-            shared_prefixes: &[],
+            shared_prefixes: &shared_prefixes,
             excluded: &excluded,
         };
         let outcome = match self.router.choose(now, &request) {
@@ -497,6 +504,11 @@
             alone,
             share_weight: self.directory.share_weight(call.program.customer()),
             record: serde_json::to_vec(&record).unwrap_or_default().into(),
+            shared_prefixes: request
+                .shared_prefixes
+                .iter()
+                .map(|&SharedPrefix { id, tokens }| peer::SharedPrefix { id, tokens })
+                .collect(),
         };
         let answer = self.live_answer(&call);
         answer.begin_attempt();
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod http;
 pub mod operators;
 pub mod peer_service;
+pub mod prefix;
 pub mod problems;
 pub mod process;
 pub mod render;
--- a/entry/src/request.rs
+++ b/entry/src/request.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use rosebend_coordination::warmth::SharedPrefix;
 use rosebend_protocol::peer::ForwardRequest;
 use rosebend_protocol::problem::{Problem, Ran};
 use rosebend_state::id::{ProgramId, Sequence};
@@ -14,6 +15,8 @@
 use serde::Deserialize;
 use serde_json::Value;
 
+use crate::prefix;
+
 /// Header that names the program of a call.
 pub const SESSION_HEADER: &str = "rosebend-session";
 /// Header that gives a call's position in its program.
@@ -85,6 +88,8 @@
     pub prompt_tokens: u64,
     /// Most tokens of the answer.
     pub max_answer_tokens: u64,
+    /// Starts of the prompt that other prompts may share, the shortest first.
+    pub shared_prefixes: Vec<SharedPrefix>,
 }
 
 /// A call of a tool.
@@ -304,10 +309,13 @@
             .filter(|tokens| (1..=1_000_000).contains(tokens))
             .ok_or_else(|| invalid(format!("max_tokens: 1 to 1000000 is wanted, not {limit}")))?,
     };
+    let prompt_tokens = (body.len() as u64).div_ceil(BYTES_PER_TOKEN);
+    let messages = field("messages").and_then(Value::as_array);
     Ok(ModelCall {
         model: model.to_owned(),
         stream,
-        prompt_tokens: (body.len() as u64).div_ceil(BYTES_PER_TOKEN),
+        prompt_tokens,
+        shared_prefixes: prefix::shared_prefixes(model, messages.map_or(&[], Vec::as_slice)),
         max_answer_tokens,
     })
 }
--- a/protocol/src/peer/generated.rs
+++ b/protocol/src/peer/generated.rs
@@ -7,7 +7,7 @@
     #[prost(uint64, tag = "2")]
     pub epoch: u64,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct DispatchRequest {
     #[prost(message, optional, tag = "1")]
     pub fence: ::core::option::Option<Fence>,
@@ -61,6 +61,19 @@
     /// shard's next owner.
     #[prost(bytes = "bytes", tag = "19")]
     pub record: ::prost::bytes::Bytes,
+    /// Prefixes that other prompts may share, the shortest first, each the start
+    /// of the next.
+    #[prost(message, repeated, tag = "20")]
+    pub shared_prefixes: ::prost::alloc::vec::Vec<SharedPrefix>,
+}
+/// A start of a prompt.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct SharedPrefix {
+    /// Hash of its text.
+    #[prost(fixed64, tag = "1")]
+    pub id: u64,
+    #[prost(uint64, tag = "2")]
+    pub tokens: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ResumeRequest {
--- a/sidecar/src/convert.rs
+++ b/sidecar/src/convert.rs
@@ -10,6 +10,7 @@
     fence::Fence,
     outcome::{Failure, FailureReason, Finished, Outcome, Refusal, RefusalReason},
 };
+use rosebend_coordination::warmth::SharedPrefix;
 use rosebend_protocol::peer::{self, answer_event, claim_reply};
 use rosebend_state::id::{CallId, IdError};
 
@@ -216,3 +217,16 @@
         FailureReason::Cancelled => "cancelled",
     }
 }
+
+/// Prefixes of a prompt, cut where they are not each longer than the one
+/// before.
+pub(crate) fn shared_prefixes(raw: &[peer::SharedPrefix]) -> Vec<SharedPrefix> {
+    let mut prefixes: Vec<SharedPrefix> = Vec::with_capacity(raw.len());
+    for &peer::SharedPrefix { id, tokens } in raw {
+        if prefixes.last().is_some_and(|last| last.tokens >= tokens) {
+            break;
+        }
+        prefixes.push(SharedPrefix { id, tokens });
+    }
+    prefixes
+}
--- a/sidecar/src/server.rs
+++ b/sidecar/src/server.rs
@@ -100,6 +100,7 @@
         spec.fingerprint = fingerprint(&raw);
         spec.prompt_tokens = raw.prompt_tokens;
         spec.max_answer_tokens = raw.max_answer_tokens;
+        spec.shared_prefixes = convert::shared_prefixes(&raw.shared_prefixes);
         spec.attained_tokens = raw.attained_tokens;
         spec.program_age = Duration::from_millis(raw.program_age_ms);
         spec.share_weight = raw.share_weight;
