--- a/coordination/src/owner/attempt.rs
+++ b/coordination/src/owner/attempt.rs
@@ -222,11 +222,7 @@
 
     /// Counts an attempt that may have run as having spent its worst case.
     fn charge_worst_case(&mut self, id: &ProgramId) {
-        let Some(active) = self.active(id) else {
-            return;
-        };
-        let reserved_tokens = active.reserved_tokens;
-        active.charged_tokens = active.charged_tokens.saturating_add(reserved_tokens);
+        let reserved_tokens = self.active(id).map_or(0, |active| active.reserved_tokens);
         self.settle(id, reserved_tokens);
     }
 
--- a/coordination/src/owner/program.rs
+++ b/coordination/src/owner/program.rs
@@ -85,8 +85,6 @@
     pub(super) stage: Stage,
     /// Reserved from the root's account for this attempt.
     pub(super) reserved_tokens: u64,
-    /// What earlier attempts under this owner were counted as having spent.
-    pub(super) charged_tokens: u64,
     /// Endpoints that must not get the call.
     pub(super) excluded: Vec<EndpointId>,
     /// Where earlier attempts may have left something to acknowledge.
@@ -340,7 +338,6 @@
             tries: 0,
             stage: Stage::Parked,
             reserved_tokens: 0,
-            charged_tokens: 0,
             excluded: Vec::new(),
             earlier: Vec::new(),
             may_have_run: false,
@@ -363,7 +360,6 @@
             tries: 0,
             stage,
             reserved_tokens: 0,
-            charged_tokens: 0,
             excluded: Vec::new(),
             earlier: Vec::new(),
             may_have_run: false,
@@ -386,7 +382,6 @@
             tries: 0,
             stage: Stage::Parked,
             reserved_tokens: 0,
-            charged_tokens: 0,
             excluded: Vec::new(),
             earlier: Vec::new(),
             may_have_run: false,
@@ -406,7 +401,6 @@
                 endpoint: placement.endpoint.clone(),
                 incarnation: placement.incarnation.clone(),
                 reserved_tokens: self.reserved_tokens,
-                charged_tokens: self.charged_tokens,
             },
         };
         TurnRecord {
--- a/coordination/src/owner/takeover.rs
+++ b/coordination/src/owner/takeover.rs
@@ -163,7 +163,7 @@
         active.has_record = is_same;
         active.earlier = earlier;
         program.next_sequence = program.next_sequence.max(call.sequence + 1);
-        let mut spent = earlier_tokens + charged_tokens(&newest);
+        let mut spent = earlier_tokens;
         if is_older {
             spent += newest_tokens;
         } else if let Some(answer) = newest.answer {
@@ -428,14 +428,6 @@
     answer.map_or(reserved_tokens, AnswerRecord::spent_tokens)
 }
 
-/// What attempts before a retained one were counted as having spent.
-fn charged_tokens(retained: &RetainedTurn) -> u64 {
-    match retained.turn.state {
-        TurnState::Intent { charged_tokens, .. } => charged_tokens,
-        _ => 0,
-    }
-}
-
 /// A call that has not ended as its record has it.
 fn restored(record: &TurnRecord) -> ActiveCall {
     let stage = match placement_of(record) {
--- a/state/src/record.rs
+++ b/state/src/record.rs
@@ -135,9 +135,6 @@
         /// The worst case that was reserved from the budget.
         #[serde(default)]
         reserved_tokens: u64,
-        /// What earlier attempts were counted as having spent.
-        #[serde(default)]
-        charged_tokens: u64,
     },
     /// It has not run under any attempt. It may go again while no later call
     /// of its program is known.
