Stop takeovers and handoffs that go around in circles

Cause: 24 idle entries made 676 reads and 158 writes a second, and a shard whose successor was not told waited for a caller. A property over 2 to 13 entries, one table and crashes, pauses, outages, lost answers and words overflowed its stack twice: a takeover that met a newer row was tried again at once, against the same old view; and entries that disagree on who is there passed a shard around. Ruled out: the fake table (its conditions are those of the transaction). Change: after a failed takeover the rows of hosts are read first, all of them; a shard stays 6 s with an entry that was given it or could not hand it on; all shard rows are read every 120 s.

--- a/coordination/src/ownership.rs
+++ b/coordination/src/ownership.rs
@@ -47,6 +47,9 @@
     pub handoffs_at_once: usize,
     /// How long the set of live entries must be stable before handoffs.
     pub settle: Duration,
+    /// How long a shard stays before it is handed on. Entries may disagree for a
+    /// while on who is there; without this they would pass a shard around.
+    pub stay: Duration,
 }
 
 impl Default for OwnershipConfig {
@@ -57,6 +60,7 @@
             shard_count: 128,
             handoffs_at_once: 16,
             settle: Duration::from_secs(2),
+            stay: Duration::from_secs(6),
         }
     }
 }
@@ -189,9 +193,15 @@
     shards_known: bool,
     /// Shards that this process owns.
     owned: BTreeMap<Shard, Epoch>,
+    /// Until when shards that were handed to this process, or could not be
+    /// handed on, stay.
+    stays_until: BTreeMap<Shard, Duration>,
     /// Shards being drained for a handoff.
     draining: BTreeSet<Shard>,
     taking_over: bool,
+    /// A takeover met a newer row; the rows of hosts must be read before the
+    /// next one, or it would meet the same row again and again.
+    takeover_failed: bool,
     members: BTreeSet<HostId>,
     members_since: Duration,
     leaving: bool,
@@ -209,8 +219,10 @@
             shards: BTreeMap::new(),
             shards_known: false,
             owned: BTreeMap::new(),
+            stays_until: BTreeMap::new(),
             draining: BTreeSet::new(),
             taking_over: false,
+            takeover_failed: false,
             members: BTreeSet::new(),
             members_since: Duration::ZERO,
             leaving: false,
@@ -233,7 +245,7 @@
                 self.takeover_ended(now, &shards, version)
             }
             OwnershipEvent::HandoffEnded { shard, passed_on } => {
-                self.handoff_ended(shard, passed_on)
+                self.handoff_ended(now, shard, passed_on)
             }
             OwnershipEvent::ShardLost(shard) => {
                 let mut actions = self.lose(shard);
@@ -329,6 +341,7 @@
     ) -> Vec<OwnershipAction> {
         let joined_or_left = !hosts.keys().eq(self.hosts.keys());
         self.hosts = hosts;
+        self.takeover_failed = false;
         self.note_members(now);
         // A shard without a row here may have been taken by another since the
         // rows were read.
@@ -371,7 +384,7 @@
         for row in rows {
             self.note_row(row);
         }
-        let mut actions = self.reconcile_owned();
+        let mut actions = self.reconcile_owned(now);
         actions.extend(self.decide(now));
         actions
     }
@@ -391,7 +404,7 @@
     /// Shards passed to this process are gained; those that others have are
     /// lost. A shard that came back under a new epoch is both: what is in
     /// memory of it is from before another owner's time.
-    fn reconcile_owned(&mut self) -> Vec<OwnershipAction> {
+    fn reconcile_owned(&mut self, now: Duration) -> Vec<OwnershipAction> {
         let mine: BTreeMap<Shard, ShardRow> = self
             .shards
             .values()
@@ -412,6 +425,7 @@
         }
         for (shard, row) in mine {
             if self.owned.insert(shard, row.epoch).is_none() {
+                self.stays_until.insert(shard, now + self.config.stay);
                 actions.push(OwnershipAction::Gained {
                     shard,
                     epoch: row.epoch,
@@ -429,6 +443,7 @@
 
     fn lose(&mut self, shard: Shard) -> Vec<OwnershipAction> {
         self.draining.remove(&shard);
+        self.stays_until.remove(&shard);
         if self.owned.remove(&shard).is_some() {
             vec![OwnershipAction::Lost(shard)]
         } else {
@@ -476,7 +491,7 @@
             return Vec::new();
         }
         let mut actions = Vec::new();
-        if !self.taking_over && !self.leaving {
+        if !self.taking_over && !self.takeover_failed && !self.leaving {
             actions.extend(self.takeover().map(OwnershipAction::TakeOver));
             self.taking_over = !actions.is_empty();
         }
@@ -541,6 +556,7 @@
     ) -> Vec<OwnershipAction> {
         self.taking_over = false;
         let Some(version) = version else {
+            self.takeover_failed = true;
             return vec![OwnershipAction::ReadShards];
         };
         let mut actions = Vec::new();
@@ -588,6 +604,7 @@
             .owned
             .keys()
             .filter(|shard| !self.draining.contains(shard))
+            .filter(|shard| self.leaving || !self.stays(now, **shard))
             .filter_map(|shard| Some((*shard, self.successor(*shard)?)))
             .take(room)
             .collect();
@@ -599,6 +616,12 @@
         actions
     }
 
+    fn stays(&self, now: Duration, shard: Shard) -> bool {
+        self.stays_until
+            .get(&shard)
+            .is_some_and(|until| now < *until)
+    }
+
     fn successor(&self, shard: Shard) -> Option<(HostId, Incarnation)> {
         let host = self.preferred(shard)?;
         if *host == self.host {
@@ -608,13 +631,19 @@
         Some((host.clone(), incarnation))
     }
 
-    fn handoff_ended(&mut self, shard: Shard, passed_on: bool) -> Vec<OwnershipAction> {
+    fn handoff_ended(
+        &mut self,
+        now: Duration,
+        shard: Shard,
+        passed_on: bool,
+    ) -> Vec<OwnershipAction> {
         self.draining.remove(&shard);
         if passed_on {
             let mut actions = self.lose(shard);
             actions.push(OwnershipAction::ReadShards);
             return actions;
         }
+        self.stays_until.insert(shard, now + self.config.stay);
         vec![OwnershipAction::Stay(shard)]
     }
 
--- a/coordination/tests/ownership.rs
+++ b/coordination/tests/ownership.rs
@@ -122,3 +122,32 @@
     };
     actions.iter().filter_map(drain).collect()
 }
+
+#[test]
+fn a_takeover_that_failed_waits_until_hosts_are_read() {
+    let now = Duration::from_millis(100);
+    let mut entry = entry(1);
+    // The owner of the shard has no row any more.
+    let orphan = vec![row(0, "gone", 1, 5)];
+    let mut actions = entry.step(now, OwnershipEvent::ShardsRead(orphan.clone()));
+    let takes_over = |actions: &[OwnershipAction]| {
+        actions
+            .iter()
+            .any(|action| matches!(action, OwnershipAction::TakeOver(_)))
+    };
+    if !takes_over(&actions) {
+        // The other entry is preferred for this shard; it has left.
+        let alone = OwnershipEvent::HostsRead(vec![host("a")]);
+        actions = entry.step(now, alone);
+    }
+    assert!(takes_over(&actions), "{actions:?}");
+    let failed = OwnershipEvent::TakeoverEnded {
+        shards: vec![0],
+        version: None,
+    };
+    entry.step(now, failed);
+    let actions = entry.step(now, OwnershipEvent::ShardsRead(orphan));
+    assert!(!takes_over(&actions), "{actions:?}");
+    let actions = entry.step(now, OwnershipEvent::HostsRead(vec![host("a")]));
+    assert!(takes_over(&actions), "{actions:?}");
+}
--- a/entry/src/control/shards.rs
+++ b/entry/src/control/shards.rs
@@ -26,6 +26,9 @@
 /// Time between two reads of the rows of all entries, when there are more than
 /// an entry watches.
 const FULL_READ_PERIOD: Duration = Duration::from_secs(20);
+/// Longest time between two reads of the rows of shards. An entry is told when
+/// it is given a shard; this makes up for a lost word.
+const SHARD_READ_PERIOD: Duration = Duration::from_secs(120);
 /// Time after the start of the process in which all rows are read each time:
 /// entries that start together must agree on who is there before they pass
 /// shards on.
@@ -168,6 +171,9 @@
         self.reading_hosts = true;
         let asked = self.ownership.watched_hosts();
         let now = self.now();
+        if now.saturating_sub(self.shards_read_at) >= SHARD_READ_PERIOD {
+            self.read_shards();
+        }
         let is_full_due = now < FIRST_READS
             || self
                 .full_read_at
@@ -253,6 +259,7 @@
             return;
         }
         self.reading_shards = true;
+        self.shards_read_at = self.now();
         let platform = self.platform.clone();
         let handle = self.handle.clone();
         actix_rt::spawn(async move {
@@ -305,6 +312,9 @@
 
     pub(super) fn takeover_ended(&mut self, takeover: &Takeover, version: Option<u64>) {
         let shards = takeover.shards.iter().map(|(shard, ..)| *shard).collect();
+        if version.is_none() {
+            self.full_read_at = None;
+        }
         self.ownership_event(OwnershipEvent::TakeoverEnded { shards, version });
     }
 
--- a/entry/src/control/state.rs
+++ b/entry/src/control/state.rs
@@ -98,6 +98,7 @@
     /// Periods that follow from the number of entries.
     pub(super) pace: Pace,
     pub(super) full_read_at: Option<Duration>,
+    pub(super) shards_read_at: Duration,
     pub(super) renewals: u64,
     pub(super) renewing: bool,
     pub(super) reading_hosts: bool,
@@ -178,6 +179,7 @@
             row_version: None,
             pace: Pace::new(&pace_config(&settings.entry), 1),
             full_read_at: None,
+            shards_read_at: Duration::ZERO,
             renewals: 0,
             renewing: false,
             reading_hosts: false,
