--- a/replay/src/bench.rs
+++ b/replay/src/bench.rs
@@ -39,9 +39,14 @@
     CallId::try_from(name).expect("the name is a call id")
 }
 
-fn prefix(n: usize, tokens: u64) -> SharedPrefix {
-    let id = n as u64 % 50;
-    SharedPrefix { id, tokens }
+/// As many prefixes as an entry keeps: one that many programs have, and four
+/// of the program's own.
+fn prefixes(n: usize) -> Vec<SharedPrefix> {
+    let common = n as u64 % 50;
+    let own = (1..=4).map(|k| (1_000 + n as u64 * 4 + k, 100 + k * 50));
+    let all = std::iter::once((common, 100)).chain(own);
+    all.map(|(id, tokens)| SharedPrefix { id, tokens })
+        .collect()
 }
 
 fn router(endpoints: usize) -> Router {
@@ -73,6 +78,7 @@
 fn routing(endpoints: usize) -> (u128, u128) {
     let mut router = router(endpoints);
     let calls: Vec<CallId> = (0..PROGRAMS).map(|n| call(n, 1)).collect();
+    let shared: Vec<Vec<SharedPrefix>> = (0..PROGRAMS).map(prefixes).collect();
     let now = Duration::from_secs(1);
     let mut choosing = Duration::ZERO;
     let started = Instant::now();
@@ -83,7 +89,7 @@
             target: "agent-llm",
             prompt_tokens: 8_000,
             warm: None,
-            shared_prefixes: &[prefix(n, 4_000)],
+            shared_prefixes: &shared[n % PROGRAMS],
             excluded: &[],
         };
         let before = Instant::now();
@@ -122,7 +128,7 @@
                 .is_multiple_of(2)
                 .then(|| Duration::from_secs(60 + n as u64)),
             warm_tokens: (n * 13 % 400) as u64,
-            shared_prefixes: vec![prefix(n, 100)],
+            shared_prefixes: prefixes(n),
             alone: false,
         }
     };
