Let a leaving sidecar refuse calls until entries have seen that it leaves

Cause: a sidecar with nothing in flight stopped 80 ms after SIGTERM. A fee that an entry sent at that moment, not knowing yet, was cut by the closing server; the sidecar's next run cannot tell whether the earlier one ran it, so its caller was told that the outcome is unknown, at a planned stop.

Ruled out: treating a stream that broke before its first event as not run, since the request may have been read.

Change: a leaving sidecar refuses calls for at least 1.5 s, several times the period in which entries look at its status, before its server closes.

--- a/sidecar/src/process.rs
+++ b/sidecar/src/process.rs
@@ -39,6 +39,11 @@
 
 /// Commands that wait for the control thread.
 const COMMANDS: usize = 4096;
+/// Least time for which a leaving sidecar still refuses calls. A call that came
+/// while the server shuts down would be cut, and nobody could tell any more
+/// whether it ran; so entries must have looked at the status before that, for
+/// which this is several times their period.
+const LEAVING_NOTICE: Duration = Duration::from_millis(1500);
 /// Silence of a peer's connection before it is pinged.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
 /// Wait for the answer to that ping.
@@ -254,11 +259,13 @@
         return;
     }
     wait_for(&mut published.load, |load| load.leaving).await;
+    let notice = actix_rt::time::sleep(LEAVING_NOTICE);
     let remaining = &mut published.remaining;
     wait_for(remaining, |left| left.in_flight == 0).await;
     let acknowledged = wait_for(remaining, |left: &Remaining| left.retained == 0);
     // The time is bounded; what is left then is lost with this process.
     let _ = actix_rt::time::timeout(timeout, acknowledged).await;
+    notice.await;
 }
 
 async fn wait_for<T>(
