Draw ahead when a shard is gained, and give nothing back on leaving

Cause: the system test a_handoff_that_meets_an_outage_keeps_no_program_waiting failed with 'table-unavailable': an owner that had gained a program, or had given back its escrow for a handoff that an outage stopped, had nothing to spend until the table came back. Change: a new owner draws for all open programs in group commits; a leaving owner gives nothing back. Ruled out: giving back at the last moment before a handoff (the outage can still come between).

--- a/coordination/src/owner/account.rs
+++ b/coordination/src/owner/account.rs
@@ -87,6 +87,13 @@
             .saturating_add(worst_case_tokens)
     }
 
+    /// Draws what the next calls will need; true if the table lacks it.
+    pub(super) fn draw_ahead(&mut self, chunk_tokens: u64) -> bool {
+        let wanted_tokens = self.needed_for(chunk_tokens / 2);
+        self.draw(wanted_tokens, chunk_tokens);
+        self.wants_draw()
+    }
+
     fn draw(&mut self, wanted_tokens: u64, chunk_tokens: u64) {
         if wanted_tokens <= self.drawn_tokens {
             return;
@@ -103,8 +110,6 @@
 
     /// Notes that the table has this much as drawn.
     pub(super) fn drawn_durably(&mut self, drawn_tokens: u64) {
-        // A later record may have given a part of it back.
-        let drawn_tokens = drawn_tokens.min(self.drawn_tokens);
         self.durable_tokens = self.durable_tokens.max(drawn_tokens);
     }
 
--- a/coordination/src/owner/takeover.rs
+++ b/coordination/src/owner/takeover.rs
@@ -76,6 +76,26 @@
         for (id, active) in open_turns {
             self.restore_active(now, &id, active);
         }
+        self.draw_ahead(gain.shard);
+    }
+
+    /// Draws for the open programs of a shard, so that they can go on if the
+    /// table fails before their next calls come.
+    fn draw_ahead(&mut self, shard: Shard) {
+        let chunk_tokens = self.config.budget_chunk_tokens;
+        let mut drawn = Vec::new();
+        for (id, program) in &mut self.programs {
+            let is_open = program.shard == shard && program.end_reason().is_none();
+            if is_open
+                && let Some(account) = program.account.as_deref_mut()
+                && account.draw_ahead(chunk_tokens)
+            {
+                drawn.push(id.clone());
+            }
+        }
+        for id in drawn {
+            self.mark_program(&id);
+        }
     }
 
     /// Takes a program's last call out of its history if it has not run, so
