--- a/entry/src/answer.rs
+++ b/entry/src/answer.rs
@@ -10,6 +10,9 @@
 use rosebend_protocol::problem::Problem;
 use tokio::sync::watch;
 
+/// Memory that a part costs besides its bytes.
+const PART_OVERHEAD_BYTES: usize = 64;
+
 /// How an answer ended.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum AnswerEnd {
@@ -87,6 +90,16 @@
         self.lock().parts.len() as u64
     }
 
+    /// Memory that the parts take, with what each costs besides its bytes.
+    pub fn size_bytes(&self) -> usize {
+        let growth = self.lock();
+        let parts = growth.parts.iter();
+        size_of::<Self>()
+            + parts
+                .map(|part| part.len() + PART_OVERHEAD_BYTES)
+                .sum::<usize>()
+    }
+
     /// Whether there is no part yet.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
--- a/entry/src/control/calls.rs
+++ b/entry/src/control/calls.rs
@@ -30,8 +30,9 @@
 use crate::request::{CallerRequest, Operation};
 use crate::rows;
 
-/// Ended answers that are kept in memory for late readers.
-const ENDED_ANSWERS_KEPT: usize = 4096;
+/// Bytes of ended answers that are kept in memory for late readers; older ones
+/// are read from the table.
+const ENDED_BYTES_KEPT: usize = 16 << 20;
 
 /// A caller that waits for the owner.
 #[derive(Debug)]
@@ -279,11 +280,18 @@
             self.live.remove(call);
             return;
         }
-        self.ended.push_back(call.clone());
-        while self.ended.len() > ENDED_ANSWERS_KEPT {
-            if let Some(oldest) = self.ended.pop_front() {
-                self.live.remove(&oldest);
-            }
+        let bytes = self
+            .live
+            .get(call)
+            .map_or(0, |live| live.answer.size_bytes());
+        self.ended_bytes += bytes;
+        self.ended.push_back((call.clone(), bytes));
+        while self.ended_bytes > ENDED_BYTES_KEPT {
+            let Some((oldest, bytes)) = self.ended.pop_front() else {
+                return;
+            };
+            self.ended_bytes -= bytes;
+            self.live.remove(&oldest);
         }
     }
 
--- a/entry/src/control/state.rs
+++ b/entry/src/control/state.rs
@@ -86,7 +86,9 @@
     /// Answers that grow, or that were read lately.
     pub(super) live: HashMap<CallId, LiveCall>,
     /// Ended answers kept for late readers, oldest first.
-    pub(super) ended: VecDeque<CallId>,
+    pub(super) ended: VecDeque<(CallId, usize)>,
+    /// Bytes of the answers in `ended`.
+    pub(super) ended_bytes: usize,
     pub(super) sidecars: HashMap<EndpointId, SidecarView>,
     /// Endpoints that this entry keeps up with.
     pub(super) tracked: HashSet<EndpointId>,
@@ -172,6 +174,7 @@
             next_ticket: 1,
             live: HashMap::new(),
             ended: VecDeque::new(),
+            ended_bytes: 0,
             sidecars: HashMap::new(),
             tracked: HashSet::new(),
             holds_due: HashSet::new(),
