--- a/coordination/src/pace.rs
+++ b/coordination/src/pace.rs
@@ -21,6 +21,12 @@
 
 /// Share of the table's writes that renewals may use, as a divisor.
 const RENEWAL_SHARE: u32 = 4;
+/// Looks at the configuration's revision that all entries make together, each
+/// second. With 380 entries each looks every 1.9 s.
+const CONFIG_READS_PER_SECOND: u32 = 200;
+/// Time between two polls, for each endpoint that an entry keeps up with: a poll
+/// and its answer take some 200 bytes, and a node has 20 KB a second.
+const STATUS_POLL_SPACING: Duration = Duration::from_millis(15);
 /// Renewals that must be missing before an owner is silent.
 const RENEWALS_PER_LEASE: u32 = 4;
 
@@ -33,6 +39,10 @@
     pub lease: Duration,
     /// Shortest time between two group commits of an entry.
     pub commit: Duration,
+    /// Shortest time between two looks at the configuration's revision.
+    pub config_poll: Duration,
+    /// Shortest time between two polls of an endpoint.
+    pub status_poll: Duration,
     /// Writes a second that all entries together may make; at least
     /// `RENEWAL_SHARE`.
     pub writes_per_second: u32,
@@ -44,6 +54,8 @@
             renew: Duration::from_millis(750),
             lease: Duration::from_secs(3),
             commit: Duration::from_millis(20),
+            config_poll: Duration::from_millis(500),
+            status_poll: Duration::from_millis(500),
             writes_per_second: 240,
         }
     }
@@ -58,6 +70,8 @@
     pub lease: Duration,
     /// Least time between two group commits.
     pub commit: Duration,
+    /// Time between two looks at the configuration's revision.
+    pub config_poll: Duration,
 }
 
 impl Pace {
@@ -71,6 +85,9 @@
             renew,
             lease: config.lease.max(renew * RENEWALS_PER_LEASE),
             commit: config.commit.max(part_of_rate(entries, commits)),
+            config_poll: config
+                .config_poll
+                .max(part_of_rate(entries, CONFIG_READS_PER_SECOND)),
         }
     }
 
@@ -82,6 +99,15 @@
     }
 }
 
+/// Time between two polls of each of `endpoints` endpoints that an entry keeps
+/// up with.
+pub fn status_poll(config: &PaceConfig, endpoints: usize) -> Duration {
+    let endpoints = u32::try_from(endpoints).unwrap_or(u32::MAX);
+    config
+        .status_poll
+        .max(STATUS_POLL_SPACING.saturating_mul(endpoints))
+}
+
 /// The period of each of `entries`, when all have `per_second` together.
 fn part_of_rate(entries: u32, per_second: u32) -> Duration {
     Duration::from_secs(1) * entries / per_second
--- a/coordination/tests/scale.rs
+++ b/coordination/tests/scale.rs
@@ -7,7 +7,7 @@
 use rosebend_coordination::neighbours::{
     Candidate, ENDPOINTS_PER_TARGET, WATCHED_ENTRIES, endpoints_of, watched_entries, watchers_of,
 };
-use rosebend_coordination::pace::{Pace, PaceConfig};
+use rosebend_coordination::pace::{Pace, PaceConfig, status_poll};
 use rosebend_state::id::{EndpointId, HostId};
 
 const ZONES: usize = 7;
@@ -100,4 +100,14 @@
     assert_eq!(pace.renew, Duration::from_millis(750));
     assert_eq!(pace.lease, Duration::from_secs(3));
     assert_eq!(pace.commit, Duration::from_millis(20));
+    assert_eq!(pace.config_poll, Duration::from_millis(500));
+}
+
+/// At letter 1's size a change is looked for, and told to sidecars, in time.
+#[test]
+fn a_change_is_in_force_within_eight_seconds_at_380_entries() {
+    let config = PaceConfig::default();
+    let looked_for = Pace::new(&config, 380).config_poll;
+    let told = status_poll(&config, 4 * ENDPOINTS_PER_TARGET);
+    assert!(looked_for + told < Duration::from_secs(4));
 }
--- a/entry/src/control/state.rs
+++ b/entry/src/control/state.rs
@@ -8,7 +8,7 @@
 use rosebend_coordination::configuration::AppliedConfiguration;
 use rosebend_coordination::owner::{Event, Owner, OwnerConfig, Ticket};
 use rosebend_coordination::ownership::{Ownership, OwnershipConfig, OwnershipEvent};
-use rosebend_coordination::pace::{Pace, PaceConfig};
+use rosebend_coordination::pace::{self, Pace, PaceConfig};
 use rosebend_coordination::routing::{Router, RouterSettings};
 use rosebend_state::id::{CallId, EndpointId, Epoch, HostId, Incarnation, Shard};
 use rosebend_state::settings::EntrySettings;
@@ -200,11 +200,10 @@
 
     /// Takes commands as long as the process runs.
     pub async fn run(mut self, mut commands: mpsc::UnboundedReceiver<Command>) {
-        let timing = self.settings.entry.timing;
         let mut tick = steady(TICK);
         let mut renew = std::pin::pin!(sleep(Duration::ZERO));
-        let mut config_poll = steady(timing.config_poll);
-        let mut status_poll = steady(timing.status_poll);
+        let mut config_poll = std::pin::pin!(sleep(Duration::ZERO));
+        let mut status_poll = std::pin::pin!(sleep(Duration::ZERO));
         loop {
             tokio::select! {
                 command = commands.recv() => match command {
@@ -216,14 +215,24 @@
                     self.renew();
                     renew.set(sleep(self.pace.renew));
                 }
-                _ = config_poll.tick() => self.poll_config(),
-                _ = status_poll.tick() => self.poll_sidecars(),
+                () = &mut config_poll => {
+                    self.poll_config();
+                    config_poll.set(sleep(self.pace.config_poll));
+                }
+                () = &mut status_poll => {
+                    self.poll_sidecars();
+                    status_poll.set(sleep(self.status_poll()));
+                }
             }
             self.start_commit();
             self.finish_stop();
         }
     }
 
+    fn status_poll(&self) -> Duration {
+        pace::status_poll(&pace_config(&self.settings.entry), self.tracked.len())
+    }
+
     /// Time since the process started.
     pub(super) fn now(&self) -> Duration {
         self.started.elapsed()
@@ -327,6 +336,8 @@
         renew: entry.timing.renew,
         lease: entry.timing.lease,
         commit: entry.timing.commit,
+        config_poll: entry.timing.config_poll,
+        status_poll: entry.timing.status_poll,
         ..PaceConfig::default()
     }
 }
