Read on for a while before an oversized body is refused

Cause: the server answered 413 and closed while the client was still sending, so that the client met a broken pipe in place of the answer.

Change: up to 16 MiB of what is too much are read and thrown away first, within the time for a body.

--- a/transport/src/http_server.rs
+++ b/transport/src/http_server.rs
@@ -22,6 +22,9 @@
 
 /// Content type of a problem document.
 pub const PROBLEM_JSON: &str = "application/problem+json";
+/// Bytes of an oversized body that are read and thrown away. A client that is
+/// still sending when the connection closes does not get to see the answer.
+const MAX_SKIPPED_BYTES: usize = 16 << 20;
 /// Content type of JSON.
 pub const JSON: &str = "application/json";
 
@@ -296,6 +299,7 @@
 ) -> Result<HttpRequest, Problem> {
     let mut payload = request.take_payload();
     let mut body = BytesMut::new();
+    let mut skipped_bytes = 0;
     let read_all = async {
         while let Some(chunk) = payload.next().await {
             let chunk = chunk.map_err(|error| {
@@ -306,11 +310,18 @@
                     format!("the body could not be read: {error}"),
                 )
             })?;
-            if body.len() + chunk.len() > config.max_body_bytes {
-                let detail = format!("a body has at most {} bytes", config.max_body_bytes);
-                return Err(Problem::new(413, "body-too-large", Ran::No, detail));
+            if skipped_bytes == 0 && body.len() + chunk.len() <= config.max_body_bytes {
+                body.extend_from_slice(&chunk);
+                continue;
             }
-            body.extend_from_slice(&chunk);
+            skipped_bytes += chunk.len();
+            if skipped_bytes > MAX_SKIPPED_BYTES {
+                break;
+            }
+        }
+        if skipped_bytes > 0 {
+            let detail = format!("a body has at most {} bytes", config.max_body_bytes);
+            return Err(Problem::new(413, "body-too-large", Ran::No, detail));
         }
         Ok(())
     };
