Split the entry's calls by concept, share the processes' command line

Change: callers, answers, attempts and owner_events; process_command in transport. No behaviour changes.

--- a/entry/src/control.rs
+++ b/entry/src/control.rs
@@ -23,10 +23,13 @@
 use crate::request::CallerRequest;
 use crate::rows::HostValue;
 
-mod calls;
+mod answers;
+mod attempts;
+mod callers;
 mod commits;
 mod config;
 mod directory;
+mod owner_events;
 mod retained;
 mod shards;
 mod sidecars;
--- a/entry/src/control/retained.rs
+++ b/entry/src/control/retained.rs
@@ -15,7 +15,7 @@
 use rosebend_transport::traffic::Traffic;
 use tokio::sync::oneshot;
 
-use super::calls::answer_record;
+use super::answers::answer_record;
 use super::shards::RetainedCalls;
 use super::sidecars::SidecarAddress;
 use crate::answer::LiveAnswer;
--- a/entry/src/control/state.rs
+++ b/entry/src/control/state.rs
@@ -18,7 +18,8 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::MissedTickBehavior;
 
-use super::calls::{LiveCall, PendingCaller};
+use super::answers::LiveCall;
+use super::callers::PendingCaller;
 use super::sidecars::SidecarView;
 use super::{Command, ControlHandle, ControlReply, Directory};
 use crate::request::CallerRequest;
--- a/sidecar/src/main.rs
+++ b/sidecar/src/main.rs
@@ -2,17 +2,16 @@
 
 use std::{
     io::{self, Write},
-    path::{Path, PathBuf},
     process::ExitCode,
     sync::Arc,
 };
 
-use getopts::Options;
 use rosebend_sidecar::process::{self, Bound, ProcessError};
 use rosebend_state::settings::SidecarSettings;
 use rosebend_transport::{
     logging::{LoggingError, init_logging},
-    settings_file::{SettingsFileError, check_settings, load_settings, load_tokens},
+    process_command::ProcessCommand,
+    settings_file::{SettingsFileError, load_tokens},
 };
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
@@ -26,8 +25,6 @@
 Example:
     rosebend-sidecar --config examples/sidecar.ini --check";
 
-const USAGE_EXIT: u8 = 2;
-
 /// Why the process failed.
 #[derive(Debug)]
 #[derive(thiserror::Error)]
@@ -42,60 +39,14 @@
     Process(#[from] ProcessError),
 }
 
-fn main() -> ExitCode {
-    let mut options = Options::new();
-    options.optopt("c", "config", "settings, in INI form", "FILE");
-    options.optflag("", "check", "check the settings and exit");
-    options.optflag("h", "help", "print this page");
-    let matches = match options.parse(std::env::args().skip(1)) {
-        Ok(matches) => matches,
-        Err(error) => return usage(&options, &error.to_string()),
-    };
-    if matches.opt_present("help") {
-        println!("{}", options.usage(BRIEF));
-        return ExitCode::SUCCESS;
-    }
-    let Some(path) = matches.opt_str("config").map(PathBuf::from) else {
-        return usage(&options, "--config is wanted");
-    };
-    if matches.opt_present("check") {
-        return check(&path);
-    }
-    match load_settings::<SidecarSettings>(&path) {
-        Ok(settings) => exit_code(run(settings)),
-        Err(error) => {
-            eprintln!("{error}");
-            ExitCode::from(USAGE_EXIT)
-        }
-    }
-}
-
-fn usage(options: &Options, error: &str) -> ExitCode {
-    eprintln!("rosebend-sidecar: {error}\n{}", options.usage(BRIEF));
-    ExitCode::from(USAGE_EXIT)
-}
-
-fn check(path: &Path) -> ExitCode {
-    match check_settings(path, |settings: &SidecarSettings| &settings.tokens_file) {
-        Ok(text) => {
-            println!("{text}");
-            ExitCode::SUCCESS
-        }
-        Err(text) => {
-            eprintln!("{text}");
-            ExitCode::from(USAGE_EXIT)
-        }
-    }
-}
+const COMMAND: ProcessCommand<SidecarSettings> = ProcessCommand {
+    program: "rosebend-sidecar",
+    brief: BRIEF,
+    tokens_file: |settings| &settings.tokens_file,
+};
 
-fn exit_code(ran: Result<(), RunError>) -> ExitCode {
-    match ran {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("rosebend-sidecar: {error}");
-            ExitCode::FAILURE
-        }
-    }
+fn main() -> ExitCode {
+    COMMAND.main(run)
 }
 
 fn run(settings: SidecarSettings) -> Result<(), RunError> {
--- a/transport/src/lib.rs
+++ b/transport/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`metrics_page`]: counters, gauges and histograms.
 //! - [`platform_client`]: the table, the object store and the host list.
 //! - [`traffic`]: the threads that carry traffic.
+//! - [`process_command`]: the command line of entries and sidecars.
 //! - [`settings_file`]: settings and tokens from files.
 //!
 //! Nothing here decides: it carries bytes, keeps time limits and tells apart
@@ -20,5 +21,6 @@
 pub mod metrics_page;
 pub mod peers;
 pub mod platform_client;
+pub mod process_command;
 pub mod settings_file;
 pub mod traffic;
