Keep the rows of entries in a module of their own

Change: hosts.rs renews the own row and reads those of others; shards.rs keeps takeovers, loading and handoffs. No behaviour changes.

--- a/entry/src/control.rs
+++ b/entry/src/control.rs
@@ -29,6 +29,7 @@
 mod commits;
 mod config;
 mod directory;
+mod hosts;
 mod owner_events;
 mod retained;
 mod shards;
