Answer a turn only once its reservation is durable and its first bytes are there

Cause: sub-agents of a loop without end spend at several hosts at once. Ruled out: the stop of a host, which cut none of them. Change: the head goes out after the grant and the first bytes, so a failure before them is an answer; a turn near the end of its budget waits for its reservation before it is sent, and is then told truthfully that it is spent.

--- a/gateway/src/turn.rs
+++ b/gateway/src/turn.rs
@@ -12,6 +12,7 @@
 use actix_http::Response;
 use actix_http::body::BoxBody;
 use bytes::Bytes;
+use futures_util::StreamExt;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use rosebend_coordination::gateway::history::Turn;
@@ -29,6 +30,12 @@
 use crate::programs;
 use crate::reply::{self, Refusal, Reply};
 
+/// Turns of its size that a program's budget must hold beside a turn for it to
+/// be sent before its reservation is durable. Sub-agents spend at other hosts
+/// at the same time; a turn that turns out to be too much then has run in vain.
+/// With less in hand the turn waits for its reservation, about 13 ms.
+const TURNS_IN_HAND: u64 = 3;
+
 /// Tokens of a turn that does not say its most; only a turn without a budget
 /// may leave it out.
 const UNTOLD_MOST_TOKENS: u64 = 4_096;
@@ -50,7 +57,7 @@
         return Err(Refusal::StoreUnreachable);
     }
     let previous = programs::previous_turn(gateway, &program).await?;
-    let spending = Spending::reserve(gateway, &call, &program).await?;
+    let mut spending = Spending::reserve(gateway, &call, &program).await?;
     let (prompt, warm) = match &previous {
         Some(turn) => (
             Bytes::from(turn.prompt(&call.body)),
@@ -62,12 +69,15 @@
     if !is_stream(&exchanged) {
         return pass_failure(gateway, &call, exchanged).await;
     }
+    // It has run by now: that the budget is spent can't be said any more.
+    let granted = spending.granted(&call).await;
+    granted.map_err(|_| Refusal::OutcomeUnknown)?;
     let record = Record {
         program,
         previous,
         output: Vec::new(),
     };
-    Ok(stream(gateway, call, exchanged, Some((spending, record))))
+    stream(gateway, call, exchanged, Some((spending, record))).await
 }
 
 /// A streamed request that no program's history contains.
@@ -78,7 +88,7 @@
     if !is_stream(&exchanged) {
         return pass_failure(gateway, &call, exchanged).await;
     }
-    Ok(stream(gateway, call, exchanged, None))
+    stream(gateway, call, exchanged, None).await
 }
 
 fn is_stream(exchanged: &Exchanged) -> bool {
@@ -141,29 +151,39 @@
             most_tokens,
             budget_tokens,
         };
-        let reserving = gateway.commits.submit(program.clone(), change);
-        Ok(Self {
+        let in_hand = most_tokens.saturating_mul(1 + TURNS_IN_HAND);
+        let is_ample = gateway
+            .commits
+            .seems_to_hold(&program, in_hand, budget_tokens);
+        let mut spending = Self {
             gateway: Rc::clone(gateway),
-            program,
             attempt,
             tokens_per_event: tokens_per_event(gateway, &call.service),
             events: 0,
-            reserving: Some(reserving),
+            reserving: Some(gateway.commits.submit(program.clone(), change)),
             is_settled: false,
-        })
+            program,
+        };
+        if !is_ample {
+            spending.granted(call).await?;
+        }
+        Ok(spending)
     }
 
-    /// Waits until the reservation is durable.
-    async fn granted(&mut self) -> io::Result<()> {
+    /// Waits until the reservation is durable, and no longer than the caller.
+    async fn granted(&mut self, call: &Call) -> Result<(), Refusal> {
         let Some(reserving) = &mut self.reserving else {
             return Ok(());
         };
-        let outcome = reserving.await;
-        self.reserving = None;
+        let until = self.gateway.clock.instant(call.deadline);
+        let outcome = tokio::time::timeout_at(until, reserving).await;
         match outcome {
-            Ok(Outcome::Durable) => Ok(()),
-            Ok(Outcome::Exhausted) => Err(io::Error::other("the budget was spent elsewhere")),
-            Err(_) => Err(io::Error::other("the process stops")),
+            Ok(Ok(Outcome::Durable)) => {
+                self.reserving = None;
+                Ok(())
+            }
+            Ok(Ok(Outcome::Exhausted)) => Err(Refusal::BudgetSpent),
+            Ok(Err(_)) | Err(_) => Err(Refusal::StoreUnreachable),
         }
     }
 
@@ -225,14 +245,16 @@
     _open: OpenRequest,
 }
 
-fn stream(
+/// Passes a stream on, from its first bytes: one that breaks off before them
+/// is answered as a failure instead of by a connection that ends.
+async fn stream(
     gateway: &Rc<Gateway>,
     call: Call,
     exchanged: Exchanged,
     recorded: Option<(Spending, Record)>,
-) -> Response<BoxBody> {
+) -> Result<Response<BoxBody>, Refusal> {
     let (head, body) = exchanged.response.into_parts();
-    let stream = TurnStream {
+    let mut stream = TurnStream {
         gateway: Rc::clone(gateway),
         call,
         body,
@@ -245,7 +267,11 @@
         recorded,
         _open: gateway.open_request(),
     };
-    let pieces = futures_util::stream::unfold(Some(stream), |stream| async move {
+    let first = stream.next().await.map_err(|error| match error.kind() {
+        io::ErrorKind::TimedOut => Refusal::TimeIsUp,
+        _ => Refusal::OutcomeUnknown,
+    })?;
+    let rest = futures_util::stream::unfold(Some(stream), |stream| async move {
         let mut stream = stream?;
         match stream.next().await {
             Ok(Some(bytes)) => Some((Ok(bytes), Some(stream))),
@@ -253,11 +279,13 @@
             Err(error) => Some((Err(error), None)),
         }
     });
-    reply::stream(
-        head.status.as_u16(),
+    let pieces = futures_util::stream::iter(first.map(Ok)).chain(rest);
+    let status = head.status.as_u16();
+    Ok(reply::stream(
+        status,
         &headers::for_caller(&head.headers),
         pieces,
-    )
+    ))
 }
 
 impl TurnStream {
@@ -279,14 +307,14 @@
             if let Ok(bytes) = frame.into_data()
                 && !bytes.is_empty()
             {
-                self.pass(&bytes).await?;
+                self.pass(&bytes);
                 return Ok(Some(bytes));
             }
         }
     }
 
     /// Takes note of bytes that are about to go out.
-    async fn pass(&mut self, bytes: &Bytes) -> io::Result<()> {
+    fn pass(&mut self, bytes: &Bytes) {
         if !self.has_begun {
             self.has_begun = true;
             let latency = self.gateway.clock.now().saturating_sub(self.sent);
@@ -295,15 +323,13 @@
         }
         let events = self.events.push(bytes);
         let Some((spending, record)) = &mut self.recorded else {
-            return Ok(());
+            return;
         };
-        spending.granted().await?;
         for event in events {
             spending.events += 1;
             record.output.extend_from_slice(&event.data);
             record.output.push(b'\n');
         }
-        Ok(())
     }
 
     /// Makes the turn durable and gives the connection back.
@@ -315,7 +341,6 @@
         let Some((mut spending, record)) = self.recorded.take() else {
             return Ok(());
         };
-        spending.granted().await?;
         let turn = Arc::new(Turn {
             attempt: self.call.header.attempt.clone(),
             program: record.program.program,
