Let callers come back after as long as the store was away

Ruled out: acknowledging turns kept in memory at two hosts, since all hosts may lose power while the store is away, and what was answered whole would be gone. Change: Retry-After is the time of the outage so far, 250 ms to 1 s.

--- a/coordination/src/gateway.rs
+++ b/coordination/src/gateway.rs
@@ -8,9 +8,11 @@
 //! - [`lane`]: changes of programs gathered into transactions.
 //! - [`history`]: turns that were answered, and the prompts made of them.
 //! - [`attempt`]: what follows when an endpoint did not answer as it should.
+//! - [`comeback`]: when a caller that was refused may come back.
 //! - [`fingerprint`]: requests that crash endpoints.
 
 pub mod attempt;
+pub mod comeback;
 pub mod directory;
 pub mod fingerprint;
 pub mod history;
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use crate::clock::Clock;
 use crate::commits::Commits;
 use crate::pool::Pool;
+use crate::reply::Refusal;
 use crate::store::StoreClient;
 
 /// Bytes of turns that are kept in memory, so that most turns need no read.
@@ -88,6 +89,11 @@
         true
     }
 
+    /// Refuses what needs the store.
+    pub fn store_unreachable(&self) -> Refusal {
+        Refusal::StoreUnreachable(self.store.unreachable_for())
+    }
+
     /// Whether the balancer should send callers here.
     pub fn is_ready(&self) -> bool {
         !self.is_stopping()
--- a/gateway/src/programs.rs
+++ b/gateway/src/programs.rs
@@ -42,7 +42,7 @@
     };
     let turn = read_turn(gateway, &program, previous).await?;
     // The index names it, so it exists; it cannot be denied.
-    turn.map(Some).ok_or(Refusal::StoreUnreachable)
+    turn.map(Some).ok_or_else(|| gateway.store_unreachable())
 }
 
 /// Reads the ledger of a program anew.
@@ -52,7 +52,7 @@
 /// Fails when the store is out of reach.
 pub async fn refresh_ledger(gateway: &Gateway, program: &str) -> Result<(), Refusal> {
     let rows = gateway.store.read(&ledger_range(program)).await;
-    let rows = rows.map_err(|error| unreachable(&error))?;
+    let rows = rows.map_err(|error| unreachable(gateway, &error))?;
     let id = ledger_row(program);
     let row = rows.rows.iter().find(|row| row.id == id);
     let ledger = row.and_then(|row| Ledger::decode(row.value.as_ref()?).ok());
@@ -69,10 +69,10 @@
     attempt: &str,
 ) -> Result<Option<Arc<Turn>>, Refusal> {
     let rows = gateway.store.read(&program_range(program)).await;
-    let rows = rows.map_err(|error| unreachable(&error))?;
+    let rows = rows.map_err(|error| unreachable(gateway, &error))?;
     let stored = StoredProgram::from_rows(program, &rows.rows).map_err(|error| {
         log::error!("program {program}: {error}");
-        Refusal::StoreUnreachable
+        gateway.store_unreachable()
     })?;
     gateway
         .commits
@@ -103,17 +103,17 @@
         Err(HistoryError::Missing(missing)) => missing,
         Err(error) => {
             log::error!("program {program}: {error}");
-            return Err(Refusal::StoreUnreachable);
+            return Err(gateway.store_unreachable());
         }
     };
     let origin = find_program(gateway, &missing).await?;
     let origin = origin.filter(|origin| origin != program);
-    let origin = origin.ok_or(Refusal::StoreUnreachable)?;
+    let origin = origin.ok_or_else(|| gateway.store_unreachable())?;
     Box::pin(read_turn(gateway, &origin, &missing)).await?;
     let turn = stored.turn(program, attempt, &gateway.history.borrow());
     turn.map_err(|error| {
         log::error!("program {program}: {error}");
-        Refusal::StoreUnreachable
+        gateway.store_unreachable()
     })
 }
 
@@ -133,7 +133,7 @@
         .collect();
     let reads = ranges.iter().map(|range| gateway.store.read(range));
     for rows in join_all(reads).await {
-        let rows = rows.map_err(|error| unreachable(&error))?;
+        let rows = rows.map_err(|error| unreachable(gateway, &error))?;
         let row = rows.rows.iter().find(|row| row.id.key == attempt);
         if let Some(program) = row.and_then(indexed_program) {
             return Ok(Some(program));
@@ -142,7 +142,7 @@
     Ok(None)
 }
 
-fn unreachable(error: &StoreError) -> Refusal {
+fn unreachable(gateway: &Gateway, error: &StoreError) -> Refusal {
     log::debug!("a read failed: {error}");
-    Refusal::StoreUnreachable
+    gateway.store_unreachable()
 }
--- a/gateway/src/reply.rs
+++ b/gateway/src/reply.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use futures_util::Stream;
 use http::HeaderMap;
+use rosebend_coordination::gateway::comeback::after_outage;
 use rosebend_platform::headers;
 use rosebend_protocol::problem::{Problem, Ran};
 
@@ -45,8 +46,9 @@
     BodyTimeout,
     /// Every endpoint that was asked refused or was out of reach.
     NoRoom,
-    /// The store, which has the program's history and budget, is out of reach.
-    StoreUnreachable,
+    /// The store, which has the program's history and budget, has been out of
+    /// reach for this time.
+    StoreUnreachable(Duration),
     /// The program's budget is spent.
     BudgetSpent,
     /// The turn that is to be continued does not exist.
@@ -62,9 +64,6 @@
 /// When a caller may come back that found no room: about the time in which a
 /// slot is freed.
 const ROOM_RETRY: Duration = Duration::from_millis(100);
-/// When a caller may come back that found the store out of reach. Its retry
-/// comes to another host, which may reach the store.
-const STORE_RETRY: Duration = Duration::from_millis(250);
 /// When a caller may come back that came before the routes were known.
 const START_RETRY: Duration = Duration::from_millis(200);
 
@@ -79,7 +78,7 @@
             Self::BodyCutShort => "body-cut-short",
             Self::BodyTimeout => "body-timeout",
             Self::NoRoom => "no-room",
-            Self::StoreUnreachable => "store-unreachable",
+            Self::StoreUnreachable(_) => "store-unreachable",
             Self::BudgetSpent => "budget-spent",
             Self::NoSuchTurn => "no-such-turn",
             Self::CrashesEndpoints => "crashes-endpoints",
@@ -96,7 +95,7 @@
             Self::BodyTimeout => 408,
             Self::BodyTooLarge => 413,
             Self::BudgetSpent => 402,
-            Self::NotReady | Self::NoRoom | Self::StoreUnreachable => 503,
+            Self::NotReady | Self::NoRoom | Self::StoreUnreachable(_) => 503,
             Self::CrashesEndpoints => 503,
             Self::OutcomeUnknown => 502,
             Self::TimeIsUp => 504,
@@ -115,7 +114,7 @@
     pub fn retry_after(self) -> Option<Duration> {
         match self {
             Self::NoRoom => Some(ROOM_RETRY),
-            Self::StoreUnreachable => Some(STORE_RETRY),
+            Self::StoreUnreachable(away) => Some(after_outage(away)),
             Self::NotReady => Some(START_RETRY),
             _ => None,
         }
@@ -130,7 +129,7 @@
             Self::BodyCutShort => "the body ended early",
             Self::BodyTimeout => "the body did not arrive in time",
             Self::NoRoom => "no endpoint has room",
-            Self::StoreUnreachable => "the program's history and budget are out of reach",
+            Self::StoreUnreachable(_) => "the program's history and budget are out of reach",
             Self::BudgetSpent => "the program's budget does not hold this turn",
             Self::NoSuchTurn => "the turn to continue does not exist",
             Self::CrashesEndpoints => "this request crashed the endpoints that ran it",
--- a/gateway/src/turn.rs
+++ b/gateway/src/turn.rs
@@ -54,7 +54,7 @@
         return run_unrecorded(gateway, call).await;
     };
     if !gateway.store.is_reachable() {
-        return Err(Refusal::StoreUnreachable);
+        return Err(gateway.store_unreachable());
     }
     let previous = programs::previous_turn(gateway, &program).await?;
     let mut spending = Spending::reserve(gateway, &call, &program).await?;
@@ -183,7 +183,7 @@
                 Ok(())
             }
             Ok(Ok(Outcome::Exhausted)) => Err(Refusal::BudgetSpent),
-            Ok(Err(_)) | Err(_) => Err(Refusal::StoreUnreachable),
+            Ok(Err(_)) | Err(_) => Err(self.gateway.store_unreachable()),
         }
     }
 
