Draw the next turn's tokens ahead with a turn's settlement

Cause: a turn needed two transactions, one before its first event and one at its end. Change: with the settlement a host draws the next turn's most; a turn that comes to the same run of the same host needs one write. What a run drew is never used by another, and counts as spent until settled.

--- a/coordination/src/gateway/lane.rs
+++ b/coordination/src/gateway/lane.rs
@@ -14,7 +14,7 @@
 };
 
 use crate::gateway::history::ledger_row;
-use crate::gateway::ledger::{Grant, Ledger};
+use crate::gateway::ledger::{Grant, Holder, Ledger};
 
 /// Most changes of one transaction. Each has up to three rows, and a
 /// transaction holds 100.
@@ -44,11 +44,33 @@
         attempt: AttemptId,
         /// Tokens that were handed out.
         tokens: u64,
+        /// Where its most had been reserved.
+        source: Source,
+        /// What a next turn may want; none when no next turn is expected here.
+        next: Option<NextTurn>,
         /// Rows that become durable with the end.
         rows: Vec<RowWrite>,
     },
 }
 
+/// Where a turn's most is reserved.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Source {
+    /// In a reservation of its own.
+    Reservation,
+    /// In the tokens that this host drew ahead.
+    Ahead,
+}
+
+/// What the next turn of a program is expected to reserve.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct NextTurn {
+    /// Most tokens that it generates.
+    pub most_tokens: u64,
+    /// Budget of the program.
+    pub budget_tokens: u64,
+}
+
 /// How a change ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Outcome {
@@ -84,8 +106,13 @@
 }
 
 /// The changes of one partition.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Lane {
+    /// This run of this host's process.
+    holder: Holder,
+    /// Turns that use the tokens drawn ahead for their program. An entry stays
+    /// until the turn's settlement is durable.
+    ahead_users: HashMap<ProgramKey, AttemptId>,
     known: HashMap<ProgramKey, Known>,
     waiting: Vec<Pending>,
     on_its_way: Vec<Pending>,
@@ -95,6 +122,40 @@
 }
 
 impl Lane {
+    /// A lane of a process that has written nothing yet.
+    pub fn new(holder: Holder) -> Self {
+        Self {
+            holder,
+            ahead_users: HashMap::new(),
+            known: HashMap::new(),
+            waiting: Vec::new(),
+            on_its_way: Vec::new(),
+            written: BTreeMap::new(),
+            next_id: 0,
+        }
+    }
+
+    /// Lets a turn use the tokens that this host drew ahead for its program,
+    /// if there are enough and no other turn uses them. Nothing need be
+    /// written: the tokens are this host's alone.
+    pub fn take_ahead(&mut self, program: &str, attempt: &AttemptId, most_tokens: u64) -> bool {
+        let known = self.known.get(program);
+        let drawn = known.map_or(0, |known| known.ledger.ahead_tokens(&self.holder));
+        let is_free = !self.ahead_users.contains_key(program);
+        if is_free && drawn >= most_tokens && most_tokens > 0 {
+            self.ahead_users.insert(program.to_owned(), attempt.clone());
+            return true;
+        }
+        false
+    }
+
+    /// Gives back tokens that a turn took of which nothing was handed out.
+    pub fn return_ahead(&mut self, program: &str, attempt: &AttemptId) {
+        if self.ahead_users.get(program) == Some(attempt) {
+            self.ahead_users.remove(program);
+        }
+    }
+
     /// Adds a change.
     pub fn submit(&mut self, program: ProgramKey, change: Change) -> ChangeId {
         self.next_id += 1;
@@ -127,7 +188,7 @@
         let mut ledger = known.cloned().unwrap_or_default().ledger;
         for pending in self.on_its_way.iter().chain(&self.waiting) {
             if pending.program == program {
-                apply_to(&mut ledger, &pending.change);
+                apply_to(&mut ledger, &pending.change, &self.holder);
             }
         }
         ledger.committed_tokens().saturating_add(most_tokens) <= budget_tokens
@@ -136,7 +197,8 @@
     /// Forgets a program; its ledger is read again when it is needed.
     pub fn forget(&mut self, program: &str) {
         let is_used = |pending: &Pending| pending.program == program;
-        if !self.waiting.iter().any(is_used) && !self.on_its_way.iter().any(is_used) {
+        let is_open = self.waiting.iter().chain(&self.on_its_way).any(is_used);
+        if !is_open && !self.ahead_users.contains_key(program) {
             self.known.remove(program);
         }
     }
@@ -183,7 +245,7 @@
         let known = self.known.get(&pending.program);
         let ledger = self.written.entry(pending.program.clone());
         let ledger = ledger.or_insert_with(|| known.cloned().unwrap_or_default().ledger);
-        apply_to(ledger, &pending.change)
+        apply_to(ledger, &pending.change, &self.holder)
     }
 
     fn transaction(&mut self, mut writes: Vec<RowWrite>) -> Transaction {
@@ -219,8 +281,10 @@
                 for (program, ledger) in written {
                     self.known.insert(program, Known { version, ledger });
                 }
-                let durable = |pending: Pending| (pending.id, Outcome::Durable);
-                return on_its_way.into_iter().map(durable).collect();
+                return on_its_way
+                    .into_iter()
+                    .map(|pending| self.durable(pending))
+                    .collect();
             }
             Answer::Conflict(rows) => {
                 for program in written.keys() {
@@ -233,6 +297,18 @@
         Vec::new()
     }
 
+    fn durable(&mut self, pending: Pending) -> (ChangeId, Outcome) {
+        if let Change::Settle {
+            attempt,
+            source: Source::Ahead,
+            ..
+        } = &pending.change
+        {
+            self.return_ahead(&pending.program, attempt);
+        }
+        (pending.id, Outcome::Durable)
+    }
+
     /// Takes the present ledger of a program from the rows of a conflict; a
     /// program without a row among them has none.
     fn take_present(&mut self, program: &str, rows: &[Row]) {
@@ -252,18 +328,28 @@
     }
 }
 
-fn apply_to(ledger: &mut Ledger, change: &Change) -> Grant {
+fn apply_to(ledger: &mut Ledger, change: &Change, holder: &Holder) -> Grant {
     match change {
         Change::Reserve {
             attempt,
             most_tokens,
             budget_tokens,
-        } => ledger.reserve(attempt, *most_tokens, *budget_tokens),
+        } => return ledger.reserve(attempt, *most_tokens, *budget_tokens),
         Change::Settle {
-            attempt, tokens, ..
+            attempt,
+            tokens,
+            source,
+            next,
+            ..
         } => {
-            ledger.settle(attempt, *tokens);
-            Grant::Reserved
+            match source {
+                Source::Reservation => ledger.settle(attempt, *tokens),
+                Source::Ahead => ledger.settle_ahead(holder, attempt, *tokens),
+            }
+            if let Some(next) = next {
+                ledger.draw_ahead(holder, next.most_tokens, next.budget_tokens);
+            }
         }
     }
+    Grant::Reserved
 }
--- a/coordination/src/gateway/ledger.rs
+++ b/coordination/src/gateway/ledger.rs
@@ -1,22 +1,41 @@
 //! What a program has spent, and what its running turns may still spend.
 //!
 //! A turn reserves its most before a token of it is handed out and settles
-//! what it really handed out at its end. A reservation whose host died stays:
-//! the turn counts as spent at its most.
+//! what it really handed out at its end. With the settlement its host draws
+//! the next turn's most ahead, so that a turn which comes to the same host
+//! needs one write instead of two. A reservation whose host died stays: it
+//! counts as spent.
 
 use std::collections::BTreeMap;
 
 use rosebend_state::deployment::AttemptId;
 use serde::{Deserialize, Serialize};
 
+/// One run of a host's process; tokens that one run drew are never used by
+/// the next, which cannot know whether they were handed out.
+pub type Holder = String;
+
 /// Spending of one program.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct Ledger {
     /// Tokens of turns that ended.
     spent_tokens: u64,
-    /// Most tokens of each running turn.
+    /// Most tokens of each running turn that reserved them by itself.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     reserved_tokens: BTreeMap<AttemptId, u64>,
+    /// Tokens that hosts drew ahead.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    ahead: BTreeMap<Holder, Ahead>,
+}
+
+/// Tokens that one host drew ahead.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+struct Ahead {
+    tokens: u64,
+    /// The turn that last used them, so that it is settled once.
+    settled: AttemptId,
 }
 
 /// Whether a turn may run.
@@ -32,7 +51,10 @@
     /// Tokens that are spent or may yet be spent.
     pub fn committed_tokens(&self) -> u64 {
         let reserved: u64 = self.reserved_tokens.values().sum();
-        self.spent_tokens.saturating_add(reserved)
+        let ahead: u64 = self.ahead.values().map(|ahead| ahead.tokens).sum();
+        self.spent_tokens
+            .saturating_add(reserved)
+            .saturating_add(ahead)
     }
 
     /// Reserves a turn's most, unless that would go beyond the budget. A turn
@@ -56,6 +78,34 @@
         }
     }
 
+    /// Replaces the tokens that a host drew ahead by what a turn that used
+    /// them handed out. Doing it again for the same turn changes nothing.
+    pub fn settle_ahead(&mut self, holder: &Holder, attempt: &AttemptId, tokens: u64) {
+        let Some(ahead) = self.ahead.get_mut(holder) else {
+            return;
+        };
+        if ahead.settled != *attempt {
+            ahead.settled.clone_from(attempt);
+            ahead.tokens = 0;
+            self.spent_tokens = self.spent_tokens.saturating_add(tokens);
+        }
+    }
+
+    /// Draws a turn's most ahead for a host, if the budget holds it.
+    pub fn draw_ahead(&mut self, holder: &Holder, most_tokens: u64, budget_tokens: u64) {
+        let drawn = self.ahead_tokens(holder);
+        let wanted = most_tokens.saturating_sub(drawn);
+        if self.committed_tokens().saturating_add(wanted) <= budget_tokens {
+            let ahead = self.ahead.entry(holder.clone()).or_default();
+            ahead.tokens += wanted;
+        }
+    }
+
+    /// Tokens that a host drew ahead.
+    pub fn ahead_tokens(&self, holder: &Holder) -> u64 {
+        self.ahead.get(holder).map_or(0, |ahead| ahead.tokens)
+    }
+
     /// The ledger as a row's value.
     ///
     /// # Panics
--- a/gateway/src/commits.rs
+++ b/gateway/src/commits.rs
@@ -7,8 +7,9 @@
 
 use rosebend_coordination::gateway::history::partition_of;
 use rosebend_coordination::gateway::lane::{Answer, Change, ChangeId, Lane, Outcome};
-use rosebend_coordination::gateway::ledger::Ledger;
-use rosebend_state::deployment::{ProgramKey, RowVersion, Transaction};
+use rosebend_coordination::gateway::ledger::{Holder, Ledger};
+use rosebend_state::deployment::{AttemptId, ProgramKey, RowVersion, Transaction};
+use rosebend_util::random_id;
 use tokio::sync::oneshot;
 
 use crate::store::{StoreClient, StoreError};
@@ -19,7 +20,7 @@
 /// Longest such pause: the store's return must be noticed soon.
 const MAX_PAUSE: Duration = Duration::from_millis(320);
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Partition {
     lane: Lane,
     waiters: HashMap<ChangeId, oneshot::Sender<Outcome>>,
@@ -29,6 +30,8 @@
 /// The lanes of this host with those who wait for them.
 #[derive(Debug)]
 pub struct Commits {
+    /// This run of the process, under which tokens are drawn ahead.
+    holder: Holder,
     store: Rc<StoreClient>,
     partitions: RefCell<HashMap<String, Partition>>,
 }
@@ -36,8 +39,11 @@
 impl Commits {
     /// No changes yet.
     pub fn new(store: Rc<StoreClient>) -> Self {
-        let partitions = RefCell::default();
-        Self { store, partitions }
+        Self {
+            holder: random_id(),
+            store,
+            partitions: RefCell::default(),
+        }
     }
 
     /// Adds a change of a program. The receiver hears how it ended; dropping
@@ -50,7 +56,8 @@
         let (waiter, outcome) = oneshot::channel();
         let name = partition_of(&program);
         let mut partitions = self.partitions.borrow_mut();
-        let partition = partitions.entry(name.clone()).or_default();
+        let partition = partitions.entry(name.clone());
+        let partition = partition.or_insert_with(|| Partition::new(&self.holder));
         let id = partition.lane.submit(program, change);
         partition.waiters.insert(id, waiter);
         if !partition.is_sending {
@@ -77,6 +84,18 @@
         })
     }
 
+    /// Lets a turn use tokens that this host drew ahead, if there are enough.
+    pub fn take_ahead(&self, program: &str, attempt: &AttemptId, most_tokens: u64) -> bool {
+        self.with_lane(program, |lane| {
+            lane.take_ahead(program, attempt, most_tokens)
+        })
+    }
+
+    /// Gives back tokens drawn ahead of which nothing was handed out.
+    pub fn return_ahead(&self, program: &str, attempt: &AttemptId) {
+        self.with_lane(program, |lane| lane.return_ahead(program, attempt));
+    }
+
     /// Changes whose outcome is open.
     pub fn open_changes(&self) -> usize {
         let partitions = self.partitions.borrow();
@@ -88,7 +107,10 @@
 
     fn with_lane<T>(&self, program: &str, act: impl FnOnce(&mut Lane) -> T) -> T {
         let mut partitions = self.partitions.borrow_mut();
-        act(&mut partitions.entry(partition_of(program)).or_default().lane)
+        let partition = partitions.entry(partition_of(program));
+        act(&mut partition
+            .or_insert_with(|| Partition::new(&self.holder))
+            .lane)
     }
 
     async fn send_all(self: Rc<Self>, name: String) {
@@ -138,6 +160,14 @@
 }
 
 impl Partition {
+    fn new(holder: &Holder) -> Self {
+        Self {
+            lane: Lane::new(holder.clone()),
+            waiters: HashMap::new(),
+            is_sending: false,
+        }
+    }
+
     fn tell(&mut self, ended: Vec<(ChangeId, Outcome)>) {
         for (id, outcome) in ended {
             if let Some(waiter) = self.waiters.remove(&id) {
--- a/gateway/src/turn.rs
+++ b/gateway/src/turn.rs
@@ -16,7 +16,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use rosebend_coordination::gateway::history::Turn;
-use rosebend_coordination::gateway::lane::{Change, Outcome};
+use rosebend_coordination::gateway::lane::{Change, NextTurn, Outcome, Source};
 use rosebend_platform::headers::{self, AnswerHeader};
 use rosebend_protocol::sse::SseReader;
 use rosebend_state::deployment::{AttemptId, InstanceId, ProgramHeader};
@@ -116,6 +116,8 @@
     tokens_per_event: u64,
     /// Events that were handed out, at least in part.
     events: u64,
+    source: Source,
+    next: NextTurn,
     /// Set until the reservation is known to be durable.
     reserving: Option<oneshot::Receiver<Outcome>>,
     is_settled: bool,
@@ -132,6 +134,26 @@
         let most_tokens = most.unwrap_or(UNTOLD_MOST_TOKENS);
         let budget_tokens = header.budget_tokens.unwrap_or(u64::MAX);
         let program = header.program.clone();
+        let attempt = call.header.attempt.clone();
+        let mut spending = Self {
+            gateway: Rc::clone(gateway),
+            program: program.clone(),
+            attempt: attempt.clone(),
+            tokens_per_event: tokens_per_event(gateway, &call.service),
+            events: 0,
+            source: Source::Ahead,
+            next: NextTurn {
+                most_tokens,
+                budget_tokens,
+            },
+            reserving: None,
+            // Nothing is reserved before one of the two ways below.
+            is_settled: true,
+        };
+        if gateway.commits.take_ahead(&program, &attempt, most_tokens) {
+            spending.is_settled = false;
+            return Ok(spending);
+        }
         if !gateway
             .commits
             .seems_to_hold(&program, most_tokens, budget_tokens)
@@ -145,9 +167,8 @@
                 return Err(Refusal::BudgetSpent);
             }
         }
-        let attempt = call.header.attempt.clone();
         let change = Change::Reserve {
-            attempt: attempt.clone(),
+            attempt,
             most_tokens,
             budget_tokens,
         };
@@ -155,15 +176,9 @@
         let is_ample = gateway
             .commits
             .seems_to_hold(&program, in_hand, budget_tokens);
-        let mut spending = Self {
-            gateway: Rc::clone(gateway),
-            attempt,
-            tokens_per_event: tokens_per_event(gateway, &call.service),
-            events: 0,
-            reserving: Some(gateway.commits.submit(program.clone(), change)),
-            is_settled: false,
-            program,
-        };
+        spending.source = Source::Reservation;
+        spending.is_settled = false;
+        spending.reserving = Some(gateway.commits.submit(program, change));
         if !is_ample {
             spending.granted(call).await?;
         }
@@ -195,6 +210,8 @@
         let change = Change::Settle {
             attempt: self.attempt.clone(),
             tokens: self.events * self.tokens_per_event,
+            source: self.source,
+            next: Some(self.next),
             rows,
         };
         self.gateway.commits.submit(self.program.clone(), change)
@@ -203,7 +220,14 @@
 
 impl Drop for Spending {
     fn drop(&mut self) {
-        if !self.is_settled {
+        if self.is_settled {
+            return;
+        }
+        if self.source == Source::Ahead && self.events == 0 {
+            self.gateway
+                .commits
+                .return_ahead(&self.program, &self.attempt);
+        } else {
             // Nobody waits for it: a reservation that stays is only too much.
             drop(self.settle(Vec::new()));
         }
