Notice a silent store after 350 ms

Change: a call that has been open for 350 ms with no other answered since means that the store is silent; the host then refuses turns at once and is not ready.

--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -24,7 +24,7 @@
 
 /// How long the store may be out of reach before the host takes no callers:
 /// others may reach it, and the balancer takes seconds to see the answer.
-const UNREADY_AFTER: Duration = Duration::from_millis(900);
+const UNREADY_AFTER: Duration = Duration::from_millis(400);
 
 /// The process's state.
 #[derive(Debug)]
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -1,6 +1,7 @@
 //! The client of the platform's store.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,9 +20,14 @@
 const MAX_IDLE: usize = 4;
 /// Largest answer that is read; the store sends at most 1 MB of rows, encoded.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
-/// How long the store must have answered nothing, with a call failed, before
-/// requests that need it are refused at once.
+/// How long calls may fail, with none answered, before requests that need the
+/// store are refused at once.
 const DOUBT_TIME: Duration = Duration::from_millis(60);
+/// How long a call may be open, with no other answered since it was sent,
+/// before the store counts as silent. Calls take 6 to 20 ms, and 250 to 500 ms
+/// of a slow store, which has several open at once; a host that is cut off
+/// hears nothing, and its callers are served elsewhere.
+const SILENCE_TIME: Duration = Duration::from_millis(350);
 
 /// Why a call gave nothing.
 #[derive(Debug, thiserror::Error)]
@@ -70,6 +76,22 @@
     failing_since: Cell<Option<Duration>>,
     /// End of the last time without the store.
     recovered_at: Cell<Option<Duration>>,
+    /// When the answer of each open call may first be expected.
+    open_calls: RefCell<BTreeMap<u64, Duration>>,
+    next_call: Cell<u64>,
+}
+
+/// An open call; dropping it closes the call.
+#[derive(Debug)]
+struct OpenCall<'a> {
+    client: &'a StoreClient,
+    id: u64,
+}
+
+impl Drop for OpenCall<'_> {
+    fn drop(&mut self) {
+        self.client.open_calls.borrow_mut().remove(&self.id);
+    }
 }
 
 impl StoreClient {
@@ -82,24 +104,44 @@
             last_success: Cell::new(None),
             failing_since: Cell::new(None),
             recovered_at: Cell::new(None),
+            open_calls: RefCell::default(),
+            next_call: Cell::new(0),
         }
     }
 
     /// Whether calls are answered, as far as the last ones tell.
     pub fn is_reachable(&self) -> bool {
-        match (self.last_success.get(), self.failing_since.get()) {
-            (None, _) => false,
-            (Some(_), None) => true,
-            (Some(_), Some(since)) => self.clock.now().saturating_sub(since) < DOUBT_TIME,
-        }
+        self.last_success.get().is_some() && self.unreachable_for() < DOUBT_TIME
     }
 
     /// For how long no call has been answered; zero while calls are.
     pub fn unreachable_for(&self) -> Duration {
-        let since = self.failing_since.get();
-        since.map_or(Duration::ZERO, |since| {
-            self.clock.now().saturating_sub(since)
-        })
+        let now = self.clock.now();
+        let failing = self.failing_since.get();
+        let failing = failing.map_or(Duration::ZERO, |since| now.saturating_sub(since));
+        let silent = self.silent_for(now);
+        if silent < SILENCE_TIME {
+            return failing;
+        }
+        failing.max(silent)
+    }
+
+    /// How long the oldest open call has been without an answer, unless some
+    /// later call was answered.
+    fn silent_for(&self, now: Duration) -> Duration {
+        let open_calls = self.open_calls.borrow();
+        let oldest = open_calls.values().min();
+        let last_success = self.last_success.get().unwrap_or_default();
+        let oldest = oldest.filter(|oldest| **oldest > last_success);
+        oldest.map_or(Duration::ZERO, |oldest| now.saturating_sub(*oldest))
+    }
+
+    fn open_call(&self, wait: Duration) -> OpenCall<'_> {
+        let id = self.next_call.get();
+        self.next_call.set(id + 1);
+        let expected = self.clock.now() + wait;
+        self.open_calls.borrow_mut().insert(id, expected);
+        OpenCall { client: self, id }
     }
 
     /// Whether the store was away within `span` before now.
@@ -118,7 +160,7 @@
     pub async fn transact(&self, transaction: &Transaction) -> Result<Answer, StoreError> {
         let body = wire::encode_transaction(transaction);
         let call = self.request(Method::POST, wire::TRANSACT_PATH, body);
-        let (status, body) = self.call(call, self.settings.timeout).await?;
+        let (status, body) = self.call(call, Duration::ZERO).await?;
         let rows = decode(&body)?;
         match status {
             StoreStatus::Done => Ok(Answer::Applied(rows.version)),
@@ -138,7 +180,7 @@
         let mut all = Rows::default();
         loop {
             let path = wire::read_path(range.table, &range.partition, &from, Some(&range.to));
-            let page = self.get(&path, self.settings.timeout).await?;
+            let page = self.get(&path, Duration::ZERO).await?;
             all.version = page.version;
             all.rows.extend(page.rows);
             match next_page(page.has_more, &all.rows) {
@@ -158,7 +200,7 @@
         let mut all = Rows::default();
         loop {
             let path = wire::read_path(table, "", &from, None);
-            let page = self.get(&path, self.settings.timeout).await?;
+            let page = self.get(&path, Duration::ZERO).await?;
             if all.version == 0 {
                 // Changes after the first page must not be missed.
                 all.version = page.version;
@@ -183,12 +225,12 @@
         wait: Duration,
     ) -> Result<Rows, StoreError> {
         let path = wire::feed_path(table, after, wait);
-        self.get(&path, wait + self.settings.timeout).await
+        self.get(&path, wait).await
     }
 
-    async fn get(&self, path: &str, timeout: Duration) -> Result<Rows, StoreError> {
+    async fn get(&self, path: &str, wait: Duration) -> Result<Rows, StoreError> {
         let request = self.request(Method::GET, path, Vec::new());
-        match self.call(request, timeout).await? {
+        match self.call(request, wait).await? {
             (StoreStatus::Done, body) => decode(&body),
             (status, _) => Err(unexpected(status)),
         }
@@ -205,11 +247,14 @@
             .expect("paths are escaped and headers are text")
     }
 
+    /// One call, whose answer the store may hold back for `wait`.
     async fn call(
         &self,
         request: Request<Full<Bytes>>,
-        timeout: Duration,
+        wait: Duration,
     ) -> Result<(StoreStatus, Bytes), StoreError> {
+        let _open = self.open_call(wait);
+        let timeout = wait + self.settings.timeout;
         let answer = tokio::time::timeout(timeout, self.exchange(request)).await;
         let answer = answer.unwrap_or_else(|_| Err("it took too long".to_owned()));
         let outcome = match answer {
--- a/state/src/settings/gateway.rs
+++ b/state/src/settings/gateway.rs
@@ -112,7 +112,7 @@
         Key {
             name: "timeout_ms",
             kind: KeyKind::Number(Unit::Milliseconds, 50..=60_000),
-            presence: Presence::Default("1500"),
+            presence: Presence::Default("1000"),
             meaning: "Longest wait for an answer of the store; after it the outcome of a write is unknown and the write is sent again.",
         },
     ],
