--- a/coordination/src/gateway/directory.rs
+++ b/coordination/src/gateway/directory.rs
@@ -61,6 +61,17 @@
     own: u32,
 }
 
+/// How an endpoint's place in the directory changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Listing {
+    /// It is new.
+    Listed,
+    /// It gets nothing new, since it drains.
+    Draining,
+    /// It gets nothing new, since its entry is gone.
+    Gone,
+}
+
 /// What a request wants from its endpoint.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Wish<'a> {
@@ -72,6 +83,17 @@
     pub subject: &'a str,
 }
 
+/// A chosen endpoint, with what decided.
+#[derive(Clone, Copy, Debug)]
+pub struct Choice<'a> {
+    /// The endpoint.
+    pub record: &'a EndpointRecord,
+    /// Requests that it was expected to have.
+    pub expected_load: u64,
+    /// Age of the load that it last told; none when it has told none.
+    pub report_age: Option<Duration>,
+}
+
 /// The endpoints of all services, as this host knows them.
 #[derive(Debug)]
 pub struct Directory {
@@ -102,13 +124,16 @@
         self.len() == 0
     }
 
-    /// Takes an entry that was written or read.
-    pub fn announce(&mut self, record: EndpointRecord, now: Duration) {
+    /// Takes an entry that was written or read. Tells what changed for the
+    /// choice, if anything did.
+    pub fn announce(&mut self, record: EndpointRecord, now: Duration) -> Option<Listing> {
         let warm_at = now + record.warming_up;
         match self.endpoints.get_mut(&record.instance) {
             Some(endpoint) => {
+                let began_to_drain = record.draining && !endpoint.record.draining;
                 endpoint.record = record;
                 endpoint.lapsed_until = None;
+                began_to_drain.then_some(Listing::Draining)
             }
             None => {
                 let endpoint = Endpoint {
@@ -123,42 +148,61 @@
                 };
                 let instance = endpoint.record.instance.clone();
                 self.endpoints.insert(instance, endpoint);
+                Some(Listing::Listed)
             }
         }
     }
 
     /// Takes the deletion of an entry. One that vanished in an outage of the
     /// store may come back; it is kept for a while.
-    pub fn withdraw(&mut self, instance: &str, now: Duration, in_outage: bool) {
-        let Some(endpoint) = self.endpoints.get_mut(instance) else {
-            return;
-        };
+    pub fn withdraw(&mut self, instance: &str, now: Duration, in_outage: bool) -> Option<Listing> {
+        let endpoint = self.endpoints.get_mut(instance)?;
         if in_outage && !endpoint.record.draining {
             let until = now + LAPSE_GRACE;
             endpoint.lapsed_until.get_or_insert(until);
-            return;
+            return None;
         }
         self.endpoints.remove(instance);
+        Some(Listing::Gone)
     }
 
-    /// Takes a whole list of entries; others are withdrawn.
-    pub fn replace(&mut self, records: Vec<EndpointRecord>, now: Duration, in_outage: bool) {
+    /// Takes a whole list of entries; others are withdrawn. Tells what changed
+    /// for the choice.
+    pub fn replace(
+        &mut self,
+        records: Vec<EndpointRecord>,
+        now: Duration,
+        in_outage: bool,
+    ) -> Vec<(InstanceId, Listing)> {
+        let mut changes = Vec::new();
         let is_listed =
             |instance: &InstanceId| records.iter().any(|record| record.instance == *instance);
         let instances = self.endpoints.keys().cloned();
         let missing: Vec<InstanceId> = instances.filter(|instance| !is_listed(instance)).collect();
         for instance in missing {
-            self.withdraw(&instance, now, in_outage);
+            let change = self.withdraw(&instance, now, in_outage);
+            changes.extend(change.map(|change| (instance, change)));
         }
         for record in records {
-            self.announce(record, now);
+            let instance = record.instance.clone();
+            let change = self.announce(record, now);
+            changes.extend(change.map(|change| (instance, change)));
         }
+        changes
     }
 
-    /// Drops entries that did not come back after an outage.
-    pub fn expire(&mut self, now: Duration) {
-        let is_kept = |endpoint: &Endpoint| endpoint.lapsed_until.is_none_or(|until| now < until);
-        self.endpoints.retain(|_, endpoint| is_kept(endpoint));
+    /// Drops entries that did not come back after an outage, and tells which.
+    pub fn expire(&mut self, now: Duration) -> Vec<InstanceId> {
+        let is_over = |endpoint: &Endpoint| endpoint.lapsed_until.is_some_and(|until| now >= until);
+        let over = self
+            .endpoints
+            .iter()
+            .filter(|(_, endpoint)| is_over(endpoint));
+        let over: Vec<InstanceId> = over.map(|(instance, _)| instance.clone()).collect();
+        for instance in &over {
+            self.endpoints.remove(instance);
+        }
+        over
     }
 
     /// Whether the instance is still listed.
@@ -172,7 +216,7 @@
     }
 
     /// Chooses an endpoint of a service, or none when all were asked or leave.
-    pub fn choose(&self, service: &str, wish: Wish<'_>, now: Duration) -> Option<&EndpointRecord> {
+    pub fn choose(&self, service: &str, wish: Wish<'_>, now: Duration) -> Option<Choice<'_>> {
         let is_candidate = |endpoint: &&Endpoint| {
             endpoint.record.service == service
                 && !endpoint.record.draining
@@ -181,7 +225,7 @@
         let candidates = self.endpoints.values().filter(is_candidate);
         let costs = candidates.map(|endpoint| (self.cost(endpoint, wish, now), endpoint));
         let best = costs.min_by(|a, b| a.0.total_cmp(&b.0));
-        best.map(|(_, endpoint)| &endpoint.record)
+        best.map(|(_, endpoint)| endpoint.choice(now))
     }
 
     /// Expected cost of a request at an endpoint, in slots of load.
@@ -262,13 +306,15 @@
         );
     }
 
-    /// Notes that an endpoint failed or could not be reached.
-    pub fn failed(&mut self, instance: &str, now: Duration) {
-        if let Some(endpoint) = self.endpoints.get_mut(instance) {
-            let doubled = FIRST_AVOIDANCE * 2_u32.pow(endpoint.failures.min(8));
-            endpoint.failures += 1;
-            endpoint.avoided_until = now + doubled.min(MAX_AVOIDANCE);
-        }
+    /// Notes that an endpoint failed or could not be reached. Returns for how
+    /// long it is avoided now, if it is listed.
+    pub fn failed(&mut self, instance: &str, now: Duration) -> Option<Duration> {
+        let endpoint = self.endpoints.get_mut(instance)?;
+        let doubled = FIRST_AVOIDANCE * 2_u32.pow(endpoint.failures.min(8));
+        let avoided = doubled.min(MAX_AVOIDANCE);
+        endpoint.failures += 1;
+        endpoint.avoided_until = now + avoided;
+        Some(avoided)
     }
 
     /// Notes that an endpoint refused a request for lack of room.
@@ -287,6 +333,14 @@
 }
 
 impl Endpoint {
+    fn choice(&self, now: Duration) -> Choice<'_> {
+        Choice {
+            record: &self.record,
+            expected_load: self.expected_load(now) as u64,
+            report_age: self.load.map(|report| now.saturating_sub(report.at)),
+        }
+    }
+
     /// Requests that it has now, as far as this host can tell: its own, and
     /// those of others by the last report, which fades with its age.
     fn expected_load(&self, now: Duration) -> f64 {
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -13,9 +13,11 @@
 use rosebend_coordination::gateway::route_table::service_for;
 use rosebend_platform::headers;
 use rosebend_state::deployment::{CallHeader, Route, RouteKind, ServiceName};
+use rosebend_transport::event::{Event, EventKind};
 
 use crate::gateway::Gateway;
 use crate::reply::{Refusal, Reply};
+use crate::trail::Trail;
 use crate::{plain, turn};
 
 /// Longest wait for the rest of a body.
@@ -47,6 +49,8 @@
     pub deadline: Duration,
     /// Identifies its content.
     pub fingerprint: Fingerprint,
+    /// What is written of it.
+    pub trail: Trail,
 }
 
 impl Call {
@@ -55,6 +59,11 @@
         self.deadline.saturating_sub(now)
     }
 
+    /// How long it has been here.
+    pub fn elapsed(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.arrived)
+    }
+
     /// What the request is about, for spreading and affinity.
     pub fn subject(&self) -> &str {
         let program = self.header.program.as_ref();
@@ -67,7 +76,10 @@
     let _open = gateway.open_request();
     let response = match read(&gateway, request).await {
         Ok(call) => serve(&gateway, call).await,
-        Err(refusal) => Reply::Problem(refusal).into_response(),
+        Err(refusal) => {
+            gateway.metrics.count_refusal(refusal.word());
+            Reply::Problem(refusal).into_response()
+        }
     };
     close_if_stopping(&gateway, response)
 }
@@ -75,16 +87,23 @@
 async fn serve(gateway: &Rc<Gateway>, call: Call) -> Response<BoxBody> {
     let now = gateway.clock.now();
     if gateway.crashes.borrow().is_refused(call.fingerprint, now) {
-        return Reply::Problem(Refusal::CrashesEndpoints).into_response();
+        return refuse(gateway, &call, Refusal::CrashesEndpoints);
     }
     match call.route.kind {
         RouteKind::Streaming => turn::answer(gateway, call).await,
-        RouteKind::Idempotent | RouteKind::NonIdempotent => {
-            plain::answer(gateway, &call).await.into_response()
-        }
+        RouteKind::Idempotent | RouteKind::NonIdempotent => plain::answer(gateway, &call).await,
     }
 }
 
+/// Answers a call that no endpoint answered.
+pub fn refuse(gateway: &Gateway, call: &Call, refusal: Refusal) -> Response<BoxBody> {
+    let elapsed = call.elapsed(gateway.clock.now());
+    call.trail.ended(refusal.word(), refusal.status(), elapsed);
+    gateway.metrics.count_refusal(refusal.word());
+    gateway.metrics.count_request(call.route.kind, "refused");
+    Reply::Problem(refusal).into_response()
+}
+
 /// A process that stops takes no further request on a connection.
 fn close_if_stopping(gateway: &Gateway, mut response: Response<BoxBody>) -> Response<BoxBody> {
     if gateway.is_stopping() {
@@ -117,7 +136,15 @@
     let time = header.deadline.unwrap_or(route.timeout).min(route.timeout);
     let target = request.uri().path_and_query();
     let target = target.map_or("/", |target| target.as_str()).to_owned();
+    let program = header
+        .program
+        .as_ref()
+        .map(|program| program.program.clone());
+    let trail = Trail::new(header.attempt.clone(), program, route.name.clone());
+    let version = routes.deployment().version;
+    trail.step(Event::new(EventKind::RequestArrived).version(version));
     Ok(Call {
+        trail,
         method: method(&request)?,
         fingerprint: fingerprint(host, &target, &body),
         target,
--- a/gateway/src/clock.rs
+++ b/gateway/src/clock.rs
@@ -2,6 +2,11 @@
 
 use std::time::{Duration, Instant};
 
+/// A time in whole milliseconds, for logs and metrics.
+pub fn whole_ms(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// The process's clock. Decisions are given its time and read none themselves.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
--- a/gateway/src/commits.rs
+++ b/gateway/src/commits.rs
@@ -122,7 +122,6 @@
                     answer
                 }
                 Err(error) => {
-                    log::debug!("partition {name}: {error}");
                     self.wait_after(&error, &mut pause).await;
                     Answer::NotKnown
                 }
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -12,8 +12,10 @@
 use rosebend_coordination::gateway::directory::Wish;
 use rosebend_platform::headers::{self, AnswerHeader};
 use rosebend_state::deployment::{EndpointRecord, InstanceId};
+use rosebend_transport::event::{Event, EventKind, log_event};
 
 use crate::call::Call;
+use crate::clock::whole_ms;
 use crate::connection::{Connection, ConnectionError};
 use crate::gateway::{AtEndpoint, Gateway};
 use crate::reply::Refusal;
@@ -89,10 +91,7 @@
     pub fn failed(&mut self, instance: &str, failure: Failure) -> Result<(), Refusal> {
         let now = self.gateway.clock.now();
         let left = self.call.left(now);
-        match failure {
-            Failure::Refused => {}
-            _ => self.gateway.directory.borrow_mut().failed(instance, now),
-        }
+        self.note_failure(instance, failure, now);
         match self.attempt.after(&self.call.route, failure, left) {
             Next::TryAnother => Ok(()),
             Next::Refuse => Err(Refusal::NoRoom),
@@ -101,6 +100,21 @@
         }
     }
 
+    fn note_failure(&self, instance: &str, failure: Failure, now: Duration) {
+        self.gateway.metrics.count_failure(failure);
+        let event = Event::new(EventKind::EndpointFailed).endpoint(instance);
+        let event = event.elapsed(self.call.elapsed(now)).reason(failure.word());
+        self.call.trail.notable(event);
+        if failure == Failure::Refused {
+            return;
+        }
+        let avoided = self.gateway.directory.borrow_mut().failed(instance, now);
+        if let Some(avoided) = avoided {
+            let event = Event::new(EventKind::EndpointAvoided).endpoint(instance);
+            log_event(&event.wait_ms(whole_ms(avoided)).reason(failure.word()));
+        }
+    }
+
     fn no_endpoint_left(&self) -> Refusal {
         match self.attempt.may_have_run() {
             true => Refusal::OutcomeUnknown,
@@ -116,7 +130,19 @@
         };
         let now = self.gateway.clock.now();
         let directory = self.gateway.directory.borrow();
-        let endpoint = directory.choose(&self.call.service, wish, now)?.clone();
+        let chosen = directory.choose(&self.call.service, wish, now)?;
+        let event = Event::new(EventKind::EndpointChosen).endpoint(&chosen.record.instance);
+        let event = event.load(chosen.expected_load);
+        let event = match chosen.report_age {
+            Some(age) => event.age(age),
+            None => event,
+        };
+        let is_warm = self.warm.as_ref() == Some(&chosen.record.instance);
+        self.call.trail.step(match is_warm {
+            true => event.reason("warm"),
+            false => event,
+        });
+        let endpoint = chosen.record.clone();
         self.asked.push(endpoint.instance.clone());
         Some(endpoint)
     }
@@ -139,6 +165,10 @@
         let request = self.request(endpoint, sent);
         let response = connection.send(request).await.map_err(failure_of)?;
         let header = headers::decode_answer(response.headers());
+        let elapsed = self.gateway.clock.now().saturating_sub(sent);
+        let event = Event::new(EventKind::AnswerBegan).endpoint(&endpoint.instance);
+        let event = event.status(response.status().as_u16()).elapsed(elapsed);
+        self.call.trail.step(event);
         self.check(&response, &header, endpoint)?;
         Ok(Exchanged {
             response,
@@ -154,7 +184,10 @@
         let pooled = self.gateway.pool.borrow_mut().take(&endpoint.instance, now);
         match pooled {
             Some(connection) => Ok(connection),
-            None => Connection::open(endpoint.address).await.map_err(failure_of),
+            None => {
+                self.gateway.metrics.count_connection();
+                Connection::open(endpoint.address).await.map_err(failure_of)
+            }
         }
     }
 
--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -15,6 +15,7 @@
 use actix_http::{HttpService, Request, Response, StatusCode};
 use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
 use rosebend_platform::process::READY_PATH;
+use rosebend_transport::event::{Event, EventKind, log_event};
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -25,6 +26,8 @@
 /// Connections that may wait to be accepted. When the queue is full, a
 /// caller's opening packet is dropped and comes again only after a second.
 const BACKLOG: i32 = 1_024;
+/// Path of the metrics page.
+const METRICS_PATH: &str = "/metrics";
 /// Idle time of callers' connections before the operators' limit is known.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Wait for a request's head before the operators' limit is known.
@@ -69,7 +72,7 @@
         match accepted {
             Ok((stream, peer)) => service.serve(&gateway, stream, peer, closing.clone()),
             Err(error) => {
-                log::warn!("a connection could not be accepted: {error}");
+                log_event(&Event::new(EventKind::AcceptFailed).error(&error));
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
@@ -154,9 +157,8 @@
             let Ok(service) = service.new_service(()).await else {
                 return;
             };
-            if let Err(error) = service.call((stream, Some(peer))).await {
-                log::debug!("a connection ended: {error}");
-            }
+            // How a request on it ended is in the request's own trail.
+            let _ = service.call((stream, Some(peer))).await;
         });
     })
 }
@@ -189,6 +191,10 @@
 }
 
 fn status(gateway: &Gateway, request: &Request) -> Response<BoxBody> {
+    if request.path() == METRICS_PATH {
+        let page = gateway.metrics.page(&gateway.quantities());
+        return Response::with_body(StatusCode::OK, page.boxed());
+    }
     let (status, body) = match request.path() {
         READY_PATH if gateway.is_ready() => (StatusCode::OK, "ready\n"),
         READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -12,8 +12,9 @@
 use rosebend_state::deployment::InstanceId;
 use rosebend_state::settings::GatewaySettings;
 
-use crate::clock::Clock;
+use crate::clock::{Clock, whole_ms};
 use crate::commits::Commits;
+use crate::metrics::{Metrics, Quantities};
 use crate::pool::Pool;
 use crate::reply::Refusal;
 use crate::store::StoreClient;
@@ -33,6 +34,8 @@
     pub settings: GatewaySettings,
     /// Time since the start.
     pub clock: Clock,
+    /// What is counted.
+    pub metrics: Rc<Metrics>,
     /// The platform's store.
     pub store: Rc<StoreClient>,
     /// Changes of programs on their way to the store.
@@ -57,10 +60,12 @@
     /// The state of a process that knows nothing yet.
     pub fn new(settings: GatewaySettings) -> Self {
         let clock = Clock::start();
-        let store = Rc::new(StoreClient::new(settings.store, clock));
+        let metrics = Rc::new(Metrics::default());
+        let store = Rc::new(StoreClient::new(settings.store, clock, Rc::clone(&metrics)));
         Self {
             commits: Rc::new(Commits::new(Rc::clone(&store))),
             store,
+            metrics,
             clock,
             routes: RefCell::new(None),
             directory: RefCell::new(Directory::new(settings.availability_zone.clone())),
@@ -96,10 +101,28 @@
 
     /// Whether the balancer should send callers here.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping()
-            && self.routes.borrow().is_some()
-            && !self.directory.borrow().is_empty()
-            && self.store.unreachable_for() < UNREADY_AFTER
+        self.readiness().is_ok()
+    }
+
+    /// Whether the balancer should send callers here.
+    ///
+    /// # Errors
+    ///
+    /// Tells in a word why not.
+    pub fn readiness(&self) -> Result<(), &'static str> {
+        if self.is_stopping() {
+            return Err("stopping");
+        }
+        if self.routes.borrow().is_none() {
+            return Err("no-routes");
+        }
+        if self.directory.borrow().is_empty() {
+            return Err("no-endpoints");
+        }
+        if self.store.unreachable_for() >= UNREADY_AFTER {
+            return Err("store-unreachable");
+        }
+        Ok(())
     }
 
     /// Whether the process was asked to stop.
@@ -107,6 +130,20 @@
         self.stopping.get()
     }
 
+    /// Quantities for the metrics page.
+    pub fn quantities(&self) -> Quantities {
+        let routes = self.routes.borrow();
+        let version = routes.as_ref().map(|table| table.deployment().version);
+        Quantities {
+            open_requests: self.open_requests(),
+            open_changes: self.commits.open_changes() as u64,
+            endpoints: self.directory.borrow().len() as u64,
+            routes_version: version.unwrap_or(0),
+            store_unreachable_ms: whole_ms(self.store.unreachable_for()),
+            ready: u64::from(self.is_ready()),
+        }
+    }
+
     /// Takes no new callers from now on.
     pub fn stop(&self) {
         self.stopping.set(true);
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -6,6 +6,8 @@
 //! [`store`]; what the process believes of routes and endpoints comes from
 //! [`watch`]. [`process`] starts and stops all of it.
 //!
+//! [`trail`] is what is written of a request, [`metrics`] what is counted.
+//!
 //! The decisions themselves are in `rosebend_coordination::gateway`, the names
 //! of the wire in `rosebend_platform`.
 
@@ -16,11 +18,13 @@
 pub mod exchange;
 pub mod front;
 pub mod gateway;
+pub mod metrics;
 pub mod plain;
 pub mod pool;
 pub mod process;
 pub mod programs;
 pub mod reply;
 pub mod store;
+pub mod trail;
 pub mod turn;
 pub mod watch;
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -7,7 +7,7 @@
 use rosebend_gateway::process;
 use rosebend_platform::process::SETTINGS_VARIABLE;
 use rosebend_state::settings::GatewaySettings;
-use rosebend_transport::logging::init_logging;
+use rosebend_transport::logging::init_json_logging;
 use rosebend_transport::settings_file::load_settings;
 
 const BRIEF: &str = "Usage: rosebend-gateway (--config FILE | --platform) [--check]
@@ -60,7 +60,7 @@
 }
 
 fn serve(settings: GatewaySettings) -> ExitCode {
-    if let Err(error) = init_logging(&settings.log) {
+    if let Err(error) = init_json_logging(&settings.log, &settings.host) {
         eprintln!("rosebend-gateway: {error}");
         return ExitCode::FAILURE;
     }
--- /dev/null
+++ b/gateway/src/metrics.rs
@@ -0,0 +1,245 @@
+//! Counters, gauges and histograms of a gateway, and their page.
+
+use std::time::Duration;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+use rosebend_coordination::gateway::attempt::Failure;
+use rosebend_state::deployment::RouteKind;
+
+use crate::store::{StoreCall, StoreError};
+
+const PREFIX: &str = "rosebend_gateway";
+/// Least bound of a time histogram, in seconds; each next one is twice as far.
+const FIRST_BOUND_SECONDS: f64 = 0.001;
+/// Number of bounds; the last one is about 16 seconds.
+const BOUNDS: u16 = 15;
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
+struct RequestLabel {
+    kind: &'static str,
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
+struct ReasonLabel {
+    reason: &'static str,
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
+struct StoreLabel {
+    call: &'static str,
+    outcome: &'static str,
+}
+
+/// A time that is measured.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Timing {
+    /// From the arrival of a plain request to its answer.
+    Request,
+    /// From the arrival of a turn to its first event.
+    FirstEvent,
+    /// From the arrival of a turn to its end.
+    Turn,
+    /// From the end of an endpoint's answer until its turn is durable.
+    Record,
+    /// A call to the store.
+    StoreCall,
+}
+
+/// A quantity as it stands when the page is asked for.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Quantities {
+    /// Requests that callers wait for.
+    pub open_requests: u64,
+    /// Changes of programs that are not durable yet.
+    pub open_changes: u64,
+    /// Endpoints that get requests.
+    pub endpoints: u64,
+    /// Version of the routes in force; zero before the first.
+    pub routes_version: u64,
+    /// Milliseconds since the store last answered, while it does not.
+    pub store_unreachable_ms: u64,
+    /// 1 while the balancer is told to send callers.
+    pub ready: u64,
+}
+
+/// The metrics of a process.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    requests: Family<RequestLabel, Counter>,
+    refusals: Family<ReasonLabel, Counter>,
+    endpoint_failures: Family<ReasonLabel, Counter>,
+    store_calls: Family<StoreLabel, Counter>,
+    new_connections: Counter,
+    request: Histogram,
+    first_event: Histogram,
+    turn: Histogram,
+    record: Histogram,
+    store_call: Histogram,
+    gauges: [Gauge; 6],
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix(PREFIX);
+        let requests = Family::default();
+        registry.register("requests", "Requests by kind and outcome", requests.clone());
+        let refusals = Family::default();
+        registry.register(
+            "refusals",
+            "Requests not answered by an endpoint, by reason",
+            refusals.clone(),
+        );
+        let endpoint_failures = Family::default();
+        let help = "Exchanges with endpoints that gave no answer to pass on, by reason";
+        registry.register("endpoint_failures", help, endpoint_failures.clone());
+        let store_calls = Family::default();
+        registry.register(
+            "store_calls",
+            "Calls to the store by kind and outcome",
+            store_calls.clone(),
+        );
+        let new_connections = Counter::default();
+        registry.register(
+            "endpoint_connections",
+            "Connections opened to endpoints",
+            new_connections.clone(),
+        );
+        let mut histogram = |name: &str, help: &str| {
+            let histogram = Histogram::new(exponential_buckets(FIRST_BOUND_SECONDS, 2.0, BOUNDS));
+            registry.register_with_unit(name, help, Unit::Seconds, histogram.clone());
+            histogram
+        };
+        let request = histogram("request", "From a plain request's arrival to its answer");
+        let first_event = histogram("first_event", "From a turn's arrival to its first event");
+        let turn = histogram("turn", "From a turn's arrival to its end");
+        let record = histogram(
+            "record",
+            "From the end of an endpoint's answer until its turn is durable",
+        );
+        let store_call = histogram("store_call", "Calls to the store");
+        Self {
+            requests,
+            refusals,
+            endpoint_failures,
+            store_calls,
+            new_connections,
+            request,
+            first_event,
+            turn,
+            record,
+            store_call,
+            gauges: gauges(&mut registry),
+            registry,
+        }
+    }
+}
+
+fn gauges(registry: &mut Registry) -> [Gauge; 6] {
+    let names = [
+        ("open_requests", "Requests that callers wait for"),
+        (
+            "open_changes",
+            "Changes of programs that are not durable yet",
+        ),
+        ("endpoints", "Endpoints that get requests"),
+        ("routes_version", "Version of the routes in force"),
+        (
+            "store_unreachable_ms",
+            "Milliseconds for which the store has not answered",
+        ),
+        ("ready", "1 while the balancer is told to send callers"),
+    ];
+    names.map(|(name, help)| {
+        let gauge = Gauge::default();
+        registry.register(name, help, gauge.clone());
+        gauge
+    })
+}
+
+impl Metrics {
+    /// Counts a request that an endpoint answered, or that ended otherwise.
+    pub fn count_request(&self, kind: RouteKind, outcome: &'static str) {
+        let kind = match kind {
+            RouteKind::Idempotent => "idempotent",
+            RouteKind::NonIdempotent => "non_idempotent",
+            RouteKind::Streaming => "streaming",
+        };
+        self.requests
+            .get_or_create(&RequestLabel { kind, outcome })
+            .inc();
+    }
+
+    /// Counts a request that no endpoint answered.
+    pub fn count_refusal(&self, reason: &'static str) {
+        self.refusals.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
+    /// Counts an exchange with an endpoint that failed.
+    pub fn count_failure(&self, failure: Failure) {
+        let reason = failure.word();
+        self.endpoint_failures
+            .get_or_create(&ReasonLabel { reason })
+            .inc();
+    }
+
+    /// Counts a connection to an endpoint.
+    pub fn count_connection(&self) {
+        self.new_connections.inc();
+    }
+
+    /// Counts and times a call to the store.
+    pub fn count_store_call(&self, call: StoreCall, error: Option<&StoreError>, took: Duration) {
+        let outcome = match error {
+            None => "done",
+            Some(StoreError::Busy) => "busy",
+            Some(StoreError::HistoryGone) => "history_gone",
+            Some(StoreError::NoAnswer(_)) => "no_answer",
+        };
+        let call = call.word();
+        self.store_calls
+            .get_or_create(&StoreLabel { call, outcome })
+            .inc();
+        self.observe(Timing::StoreCall, took);
+    }
+
+    /// Adds a measured time.
+    pub fn observe(&self, timing: Timing, time: Duration) {
+        let histogram = match timing {
+            Timing::Request => &self.request,
+            Timing::FirstEvent => &self.first_event,
+            Timing::Turn => &self.turn,
+            Timing::Record => &self.record,
+            Timing::StoreCall => &self.store_call,
+        };
+        histogram.observe(time.as_secs_f64());
+    }
+
+    /// The page, in the OpenMetrics text format.
+    pub fn page(&self, now: &Quantities) -> String {
+        let values = [
+            now.open_requests,
+            now.open_changes,
+            now.endpoints,
+            now.routes_version,
+            now.store_unreachable_ms,
+            now.ready,
+        ];
+        for (gauge, value) in self.gauges.iter().zip(values) {
+            gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+        }
+        let mut page = String::new();
+        encode(&mut page, &self.registry).expect("writing to a string does not fail");
+        page
+    }
+}
--- a/gateway/src/plain.rs
+++ b/gateway/src/plain.rs
@@ -2,26 +2,33 @@
 
 use std::rc::Rc;
 
+use actix_http::Response;
+use actix_http::body::BoxBody;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use rosebend_coordination::gateway::attempt::Failure;
 use rosebend_platform::headers;
 
-use crate::call::Call;
+use crate::call::{self, Call};
 use crate::exchange::{Exchange, Exchanged};
 use crate::gateway::Gateway;
+use crate::metrics::Timing;
 use crate::reply::{Refusal, Reply};
 
 /// Largest answer that is held before it is passed on.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 
 /// Answers a plain request.
-pub async fn answer(gateway: &Rc<Gateway>, call: &Call) -> Reply {
+pub async fn answer(gateway: &Rc<Gateway>, call: &Call) -> Response<BoxBody> {
     let warm = call.header.affinity.as_ref().filter(|_| call.route.sticky);
     let mut exchange = Exchange::new(gateway, call, call.body.clone(), warm.cloned());
     match run(gateway, call, &mut exchange).await {
-        Ok(reply) => reply,
-        Err(refusal) => Reply::Problem(refusal),
+        Ok(reply) => {
+            let elapsed = call.elapsed(gateway.clock.now());
+            gateway.metrics.observe(Timing::Request, elapsed);
+            reply.into_response()
+        }
+        Err(refusal) => call::refuse(gateway, call, refusal),
     }
 }
 
@@ -62,9 +69,14 @@
         .directory
         .borrow_mut()
         .answered(instance, Some(latency));
+    let status = head.status.as_u16();
+    let elapsed = call.elapsed(gateway.clock.now());
+    let in_time = elapsed <= call.route.objective;
+    call.trail.served(instance, status, elapsed, in_time);
+    gateway.metrics.count_request(call.route.kind, "answered");
     Exchanged::keep_connection(gateway, instance, exchanged.connection, &exchanged.header);
     Ok(Reply::Passed {
-        status: head.status.as_u16(),
+        status,
         headers: headers::for_caller(&head.headers),
         body,
     })
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use rosebend_state::settings::GatewaySettings;
+use rosebend_transport::event::{Event, EventKind, log_event};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
@@ -53,18 +54,20 @@
     let mut hangup = signal(SignalKind::hangup()).map_err(ProcessError::Signal)?;
     let front = listen(settings.front_listen)?;
     let ready = listen(settings.ready_listen)?;
+    let metrics = listen(settings.metrics_listen)?;
     let gateway = Rc::new(Gateway::new(settings));
     let (close, closing) = watch::channel(false);
     actix_rt::spawn(front::serve_status(Rc::clone(&gateway), ready));
+    actix_rt::spawn(front::serve_status(Rc::clone(&gateway), metrics));
     actix_rt::spawn(front::serve_callers(Rc::clone(&gateway), front, closing));
     actix_rt::spawn(follow::follow_routes(Rc::clone(&gateway)));
     actix_rt::spawn(follow::follow_endpoints(Rc::clone(&gateway)));
     actix_rt::spawn(follow::tidy(Rc::clone(&gateway)));
-    log::info!("{} started", gateway.settings.host);
+    log_event(&Event::new(EventKind::ProcessStarted).host(&gateway.settings.host));
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            _ = hangup.recv() => log::info!("settings are read again at the next start"),
+            _ = hangup.recv() => log_event(&Event::new(EventKind::SettingsReloaded)),
         }
     }
     stop(&gateway, &close).await;
@@ -80,10 +83,8 @@
     gateway.stop();
     let grace = gateway.settings.stop_grace.saturating_sub(END_MARGIN);
     let end = gateway.clock.now() + grace;
-    log::info!(
-        "asked to stop; {} requests are open",
-        gateway.open_requests()
-    );
+    let open = gateway.open_requests();
+    log_event(&Event::new(EventKind::ProcessStopping).count(open));
     tokio::time::sleep(ACCEPT_AFTER_SIGNAL.min(grace)).await;
     close.send_replace(true);
     let mut quiet_since = gateway.clock.now();
@@ -96,5 +97,9 @@
             break;
         }
     }
-    log::info!("stopped; {} requests were cut", gateway.open_requests());
+    let kind = match gateway.open_requests() {
+        0 => EventKind::ProcessStopped,
+        _ => EventKind::StopTimedOut,
+    };
+    log_event(&Event::new(kind).count(gateway.open_requests()));
 }
--- a/gateway/src/programs.rs
+++ b/gateway/src/programs.rs
@@ -9,7 +9,9 @@
 };
 use rosebend_coordination::gateway::ledger::Ledger;
 use rosebend_state::deployment::ProgramHeader;
+use rosebend_transport::event::{Event, EventKind, log_event};
 
+use crate::call::Call;
 use crate::gateway::Gateway;
 use crate::reply::Refusal;
 use crate::store::StoreError;
@@ -22,8 +24,14 @@
 /// everywhere; a store out of reach is told as such.
 pub async fn previous_turn(
     gateway: &Gateway,
+    call: &Call,
     header: &ProgramHeader,
 ) -> Result<Option<Arc<Turn>>, Refusal> {
+    let found = |place| {
+        let elapsed = call.elapsed(gateway.clock.now());
+        let event = Event::new(EventKind::HistoryRead).reason(place);
+        call.trail.step(event.elapsed(elapsed));
+    };
     let Some(previous) = &header.previous else {
         return Ok(None);
     };
@@ -32,15 +40,18 @@
         if !gateway.commits.knows(&header.program) {
             refresh_ledger(gateway, &header.program).await?;
         }
+        found("memory");
         return Ok(cached);
     }
     if let Some(turn) = read_turn(gateway, &header.program, previous).await? {
+        found("store");
         return Ok(Some(turn));
     }
     let Some(program) = find_program(gateway, previous).await? else {
         return Err(Refusal::NoSuchTurn);
     };
     let turn = read_turn(gateway, &program, previous).await?;
+    found("other-program");
     // The index names it, so it exists; it cannot be denied.
     turn.map(Some).ok_or_else(|| gateway.store_unreachable())
 }
@@ -71,7 +82,11 @@
     let rows = gateway.store.read(&program_range(program)).await;
     let rows = rows.map_err(|error| unreachable(gateway, &error))?;
     let stored = StoredProgram::from_rows(program, &rows.rows).map_err(|error| {
-        log::error!("program {program}: {error}");
+        log_event(
+            &Event::new(EventKind::RecordUnreadable)
+                .program_key(program)
+                .error(&error),
+        );
         gateway.store_unreachable()
     })?;
     gateway
@@ -102,7 +117,11 @@
         Ok(turn) => return Ok(turn),
         Err(HistoryError::Missing(missing)) => missing,
         Err(error) => {
-            log::error!("program {program}: {error}");
+            log_event(
+                &Event::new(EventKind::RecordUnreadable)
+                    .program_key(program)
+                    .error(&error),
+            );
             return Err(gateway.store_unreachable());
         }
     };
@@ -112,7 +131,11 @@
     Box::pin(read_turn(gateway, &origin, &missing)).await?;
     let turn = stored.turn(program, attempt, &gateway.history.borrow());
     turn.map_err(|error| {
-        log::error!("program {program}: {error}");
+        log_event(
+            &Event::new(EventKind::RecordUnreadable)
+                .program_key(program)
+                .error(&error),
+        );
         gateway.store_unreachable()
     })
 }
@@ -142,7 +165,7 @@
     Ok(None)
 }
 
-fn unreachable(gateway: &Gateway, error: &StoreError) -> Refusal {
-    log::debug!("a read failed: {error}");
+/// The client has logged how the call failed.
+fn unreachable(gateway: &Gateway, _error: &StoreError) -> Refusal {
     gateway.store_unreachable()
 }
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,9 +13,11 @@
 use rosebend_platform::store::{self as wire, Rows, StoreStatus};
 use rosebend_state::deployment::{Row, RowVersion, Transaction};
 use rosebend_state::settings::StoreSettings;
+use rosebend_transport::event::{Event, EventKind, log_event};
 
-use crate::clock::Clock;
+use crate::clock::{Clock, whole_ms};
 use crate::connection::Connection;
+use crate::metrics::Metrics;
 
 /// Most idle connections that are kept. A host's calls seldom overlap by more.
 const MAX_IDLE: usize = 4;
@@ -70,6 +73,7 @@
 pub struct StoreClient {
     settings: StoreSettings,
     clock: Clock,
+    metrics: Rc<Metrics>,
     idle: RefCell<Vec<Connection>>,
     last_success: Cell<Option<Duration>>,
     /// First failure since the last success.
@@ -96,10 +100,11 @@
 
 impl StoreClient {
     /// A client that has not called yet.
-    pub fn new(settings: StoreSettings, clock: Clock) -> Self {
+    pub fn new(settings: StoreSettings, clock: Clock, metrics: Rc<Metrics>) -> Self {
         Self {
             settings,
             clock,
+            metrics,
             idle: RefCell::default(),
             last_success: Cell::new(None),
             failing_since: Cell::new(None),
@@ -160,7 +165,7 @@
     pub async fn transact(&self, transaction: &Transaction) -> Result<Answer, StoreError> {
         let body = wire::encode_transaction(transaction);
         let call = self.request(Method::POST, wire::TRANSACT_PATH, body);
-        let (status, body) = self.call(call, Duration::ZERO).await?;
+        let (status, body) = self.call(StoreCall::Transact, call, Duration::ZERO).await?;
         let rows = decode(&body)?;
         match status {
             StoreStatus::Done => Ok(Answer::Applied(rows.version)),
@@ -180,7 +185,7 @@
         let mut all = Rows::default();
         loop {
             let path = wire::read_path(range.table, &range.partition, &from, Some(&range.to));
-            let page = self.get(&path, Duration::ZERO).await?;
+            let page = self.get(StoreCall::Read, &path, Duration::ZERO).await?;
             all.version = page.version;
             all.rows.extend(page.rows);
             match next_page(page.has_more, &all.rows) {
@@ -200,7 +205,7 @@
         let mut all = Rows::default();
         loop {
             let path = wire::read_path(table, "", &from, None);
-            let page = self.get(&path, Duration::ZERO).await?;
+            let page = self.get(StoreCall::Read, &path, Duration::ZERO).await?;
             if all.version == 0 {
                 // Changes after the first page must not be missed.
                 all.version = page.version;
@@ -225,12 +230,12 @@
         wait: Duration,
     ) -> Result<Rows, StoreError> {
         let path = wire::feed_path(table, after, wait);
-        self.get(&path, wait).await
+        self.get(StoreCall::Feed, &path, wait).await
     }
 
-    async fn get(&self, path: &str, wait: Duration) -> Result<Rows, StoreError> {
+    async fn get(&self, kind: StoreCall, path: &str, wait: Duration) -> Result<Rows, StoreError> {
         let request = self.request(Method::GET, path, Vec::new());
-        match self.call(request, wait).await? {
+        match self.call(kind, request, wait).await? {
             (StoreStatus::Done, body) => decode(&body),
             (status, _) => Err(unexpected(status)),
         }
@@ -250,10 +255,12 @@
     /// One call, whose answer the store may hold back for `wait`.
     async fn call(
         &self,
+        kind: StoreCall,
         request: Request<Full<Bytes>>,
         wait: Duration,
     ) -> Result<(StoreStatus, Bytes), StoreError> {
         let _open = self.open_call(wait);
+        let started = self.clock.now();
         let timeout = wait + self.settings.timeout;
         let answer = tokio::time::timeout(timeout, self.exchange(request)).await;
         let answer = answer.unwrap_or_else(|_| Err("it took too long".to_owned()));
@@ -263,7 +270,10 @@
             Ok(done) => Ok(done),
             Err(error) => Err(StoreError::NoAnswer(error)),
         };
-        self.note(outcome.is_ok());
+        let took = self.clock.now().saturating_sub(started);
+        let error = outcome.as_ref().err();
+        self.metrics.count_store_call(kind, error, took);
+        self.note(error);
         outcome
     }
 
@@ -306,19 +316,22 @@
         None
     }
 
-    fn note(&self, answered: bool) {
+    fn note(&self, error: Option<&StoreError>) {
         let now = self.clock.now();
-        if answered {
-            if self.failing_since.take().is_some() {
+        let Some(error) = error else {
+            if let Some(since) = self.failing_since.take() {
                 self.recovered_at.set(Some(now));
+                let away = now.saturating_sub(since);
+                log_event(&Event::new(EventKind::StoreRegained).wait_ms(whole_ms(away)));
             }
             self.last_success.set(Some(now));
             return;
-        }
+        };
         // Others of the same age deliver nothing either, most likely.
         self.idle.borrow_mut().clear();
         if self.failing_since.get().is_none() {
             self.failing_since.set(Some(now));
+            log_event(&Event::new(EventKind::StoreLost).error(error));
         }
     }
 }
--- a/gateway/src/turn.rs
+++ b/gateway/src/turn.rs
@@ -20,15 +20,17 @@
 use rosebend_platform::headers::{self, AnswerHeader};
 use rosebend_protocol::sse::SseReader;
 use rosebend_state::deployment::{AttemptId, InstanceId, ProgramHeader};
+use rosebend_transport::event::{Event, EventKind};
 use tokio::sync::oneshot;
 
-use crate::call::Call;
+use crate::call::{self, Call};
 use crate::connection::Connection;
 use crate::exchange::{Exchange, Exchanged};
 use crate::gateway::{AtEndpoint, Gateway, OpenRequest};
+use crate::metrics::Timing;
 use crate::plain;
 use crate::programs;
-use crate::reply::{self, Refusal, Reply};
+use crate::reply::{self, Refusal};
 
 /// Turns of its size that a program's budget must hold beside a turn for it to
 /// be sent before its reservation is durable. Sub-agents spend at other hosts
@@ -42,13 +44,14 @@
 
 /// Answers a turn.
 pub async fn answer(gateway: &Rc<Gateway>, call: Call) -> Response<BoxBody> {
-    match run(gateway, call).await {
+    let call = Rc::new(call);
+    match run(gateway, &call).await {
         Ok(response) => response,
-        Err(refusal) => Reply::Problem(refusal).into_response(),
+        Err(refusal) => call::refuse(gateway, &call, refusal),
     }
 }
 
-async fn run(gateway: &Rc<Gateway>, call: Call) -> Result<Response<BoxBody>, Refusal> {
+async fn run(gateway: &Rc<Gateway>, call: &Rc<Call>) -> Result<Response<BoxBody>, Refusal> {
     let program = call.header.program.clone();
     let Some(program) = program.filter(|_| call.route.keeps_history) else {
         return run_unrecorded(gateway, call).await;
@@ -56,8 +59,8 @@
     if !gateway.store.is_reachable() {
         return Err(gateway.store_unreachable());
     }
-    let previous = programs::previous_turn(gateway, &program).await?;
-    let mut spending = Spending::reserve(gateway, &call, &program).await?;
+    let previous = programs::previous_turn(gateway, call, &program).await?;
+    let mut spending = Spending::reserve(gateway, call, &program).await?;
     let (prompt, warm) = match &previous {
         Some(turn) => (
             Bytes::from(turn.prompt(&call.body)),
@@ -65,12 +68,12 @@
         ),
         None => (call.body.clone(), None),
     };
-    let exchanged = Exchange::new(gateway, &call, prompt, warm).next().await?;
+    let exchanged = Exchange::new(gateway, call, prompt, warm).next().await?;
     if !is_stream(&exchanged) {
-        return pass_failure(gateway, &call, exchanged).await;
+        return pass_failure(gateway, call, exchanged).await;
     }
     // It has run by now: that the budget is spent can't be said any more.
-    let granted = spending.granted(&call).await;
+    let granted = spending.granted(call).await;
     granted.map_err(|_| Refusal::OutcomeUnknown)?;
     let record = Record {
         program,
@@ -81,12 +84,15 @@
 }
 
 /// A streamed request that no program's history contains.
-async fn run_unrecorded(gateway: &Rc<Gateway>, call: Call) -> Result<Response<BoxBody>, Refusal> {
-    let exchanged = Exchange::new(gateway, &call, call.body.clone(), None)
+async fn run_unrecorded(
+    gateway: &Rc<Gateway>,
+    call: &Rc<Call>,
+) -> Result<Response<BoxBody>, Refusal> {
+    let exchanged = Exchange::new(gateway, call, call.body.clone(), None)
         .next()
         .await?;
     if !is_stream(&exchanged) {
-        return pass_failure(gateway, &call, exchanged).await;
+        return pass_failure(gateway, call, exchanged).await;
     }
     stream(gateway, call, exchanged, None).await
 }
@@ -152,6 +158,8 @@
         };
         if gateway.commits.take_ahead(&program, &attempt, most_tokens) {
             spending.is_settled = false;
+            let event = Event::new(EventKind::SpendingGranted).reason("drawn-ahead");
+            call.trail.step(event);
             return Ok(spending);
         }
         if !gateway
@@ -195,6 +203,9 @@
         match outcome {
             Ok(Ok(Outcome::Durable)) => {
                 self.reserving = None;
+                let event = Event::new(EventKind::SpendingGranted).reason("reservation");
+                call.trail
+                    .step(event.elapsed(call.elapsed(self.gateway.clock.now())));
                 Ok(())
             }
             Ok(Ok(Outcome::Exhausted)) => Err(Refusal::BudgetSpent),
@@ -256,15 +267,18 @@
 /// endpoint's connection, which stops the work.
 struct TurnStream {
     gateway: Rc<Gateway>,
-    call: Call,
+    call: Rc<Call>,
     body: Incoming,
     /// Kept until the body was read whole.
     connection: Option<Connection>,
     header: AnswerHeader,
     at: AtEndpoint,
+    status: u16,
     sent: Duration,
     events: SseReader,
     has_begun: bool,
+    /// From the request's arrival to its first event.
+    first_event: Duration,
     recorded: Option<(Spending, Record)>,
     _open: OpenRequest,
 }
@@ -273,21 +287,23 @@
 /// is answered as a failure instead of by a connection that ends.
 async fn stream(
     gateway: &Rc<Gateway>,
-    call: Call,
+    call: &Rc<Call>,
     exchanged: Exchanged,
     recorded: Option<(Spending, Record)>,
 ) -> Result<Response<BoxBody>, Refusal> {
     let (head, body) = exchanged.response.into_parts();
     let mut stream = TurnStream {
         gateway: Rc::clone(gateway),
-        call,
+        call: Rc::clone(call),
         body,
         connection: Some(exchanged.connection),
         header: exchanged.header,
         at: exchanged.at,
+        status: head.status.as_u16(),
         sent: exchanged.sent,
         events: SseReader::default(),
         has_begun: false,
+        first_event: Duration::ZERO,
         recorded,
         _open: gateway.open_request(),
     };
@@ -318,7 +334,25 @@
     async fn next(&mut self) -> io::Result<Option<Bytes>> {
         let until = self.gateway.clock.instant(self.call.deadline);
         let next = tokio::time::timeout_at(until, self.next_piece()).await;
-        next.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+        let next = next.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
+        if let Err(error) = &next {
+            self.cut(error);
+        }
+        next
+    }
+
+    /// Writes how the answer broke off.
+    fn cut(&self, error: &io::Error) {
+        self.call
+            .trail
+            .notable(Event::new(EventKind::AnswerBroken).error(error));
+        self.gateway
+            .metrics
+            .count_request(self.call.route.kind, "cut");
+        if self.has_begun {
+            let elapsed = self.call.elapsed(self.gateway.clock.now());
+            self.call.trail.ended("cut", self.status, elapsed);
+        }
     }
 
     async fn next_piece(&mut self) -> io::Result<Option<Bytes>> {
@@ -344,6 +378,10 @@
             let latency = self.gateway.clock.now().saturating_sub(self.sent);
             let mut directory = self.gateway.directory.borrow_mut();
             directory.answered(&self.at.instance, Some(latency));
+            self.first_event = self.call.elapsed(self.gateway.clock.now());
+            self.gateway
+                .metrics
+                .observe(Timing::FirstEvent, self.first_event);
         }
         let events = self.events.push(bytes);
         let Some((spending, record)) = &mut self.recorded else {
@@ -362,9 +400,31 @@
             let instance: &InstanceId = &self.at.instance;
             Exchanged::keep_connection(&self.gateway, instance, connection, &self.header);
         }
-        let Some((mut spending, record)) = self.recorded.take() else {
+        let Some((spending, record)) = self.recorded.take() else {
+            self.served();
             return Ok(());
         };
+        self.record(spending, record).await?;
+        self.served();
+        Ok(())
+    }
+
+    /// Writes the one line of a turn that ended well, or all of a late one.
+    fn served(&self) {
+        let elapsed = self.call.elapsed(self.gateway.clock.now());
+        let in_time = self.first_event <= self.call.route.objective;
+        self.gateway.metrics.observe(Timing::Turn, elapsed);
+        self.gateway
+            .metrics
+            .count_request(self.call.route.kind, "answered");
+        let status = self.status;
+        self.call
+            .trail
+            .served(&self.at.instance, status, elapsed, in_time);
+    }
+
+    async fn record(&self, mut spending: Spending, record: Record) -> io::Result<()> {
+        let ended = self.gateway.clock.now();
         let turn = Arc::new(Turn {
             attempt: self.call.header.attempt.clone(),
             program: record.program.program,
@@ -376,6 +436,11 @@
         let rows = turn.rows(self.gateway.settings.store.row_bytes);
         match spending.settle(rows).await {
             Ok(_) => {
+                let took = self.gateway.clock.now().saturating_sub(ended);
+                self.gateway.metrics.observe(Timing::Record, took);
+                let tokens = spending.events * spending.tokens_per_event;
+                let event = Event::new(EventKind::TurnRecorded).tokens(tokens);
+                self.call.trail.step(event.elapsed(took));
                 self.gateway.history.borrow_mut().insert(turn);
                 Ok(())
             }
--- a/gateway/src/watch.rs
+++ b/gateway/src/watch.rs
@@ -3,9 +3,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rosebend_coordination::gateway::directory::Listing;
 use rosebend_coordination::gateway::route_table::RouteTable;
 use rosebend_platform::{deployment, endpoints};
 use rosebend_state::deployment::{EndpointRecord, Row, RowVersion};
+use rosebend_transport::event::{Event, EventKind, log_event};
 
 use crate::gateway::Gateway;
 use crate::store::StoreError;
@@ -29,8 +31,8 @@
     loop {
         match routes_once(&gateway, version).await {
             Ok(newest) => version = Some(newest),
-            Err(error) => {
-                log::debug!("routes: {error}");
+            // The client has logged that the store is lost.
+            Err(StoreError::HistoryGone | StoreError::Busy | StoreError::NoAnswer(_)) => {
                 version = None;
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
@@ -65,10 +67,10 @@
         Ok(deployment) => {
             let version = deployment.version;
             if gateway.put_in_force(RouteTable::new(deployment)) {
-                log::info!("routes of version {version} are in force");
+                log_event(&Event::new(EventKind::RoutesInForce).version(version));
             }
         }
-        Err(error) => log::error!("the declared routes cannot be read: {error}"),
+        Err(error) => log_event(&Event::new(EventKind::RoutesUnreadable).error(&error)),
     }
 }
 
@@ -81,8 +83,8 @@
                 version = Some(newest);
                 tokio::time::sleep(ENDPOINT_PAUSE).await;
             }
-            Err(error) => {
-                log::debug!("endpoints: {error}");
+            // The client has logged that the store is lost.
+            Err(StoreError::HistoryGone | StoreError::Busy | StoreError::NoAnswer(_)) => {
                 version = None;
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
@@ -108,38 +110,60 @@
     let mut directory = gateway.directory.borrow_mut();
     if after.is_none() {
         let records = rows.rows.iter().filter_map(decode_endpoint).collect();
-        directory.replace(records, now, in_outage);
+        for (instance, change) in directory.replace(records, now, in_outage) {
+            log_listing(&instance, change);
+        }
         return Ok(rows.version);
     }
     for row in &rows.rows {
-        match decode_endpoint(row) {
+        let change = match decode_endpoint(row) {
             Some(record) => directory.announce(record, now),
             None => directory.withdraw(&row.id.key, now, in_outage),
+        };
+        if let Some(change) = change {
+            log_listing(&row.id.key, change);
         }
     }
     Ok(rows.version)
 }
 
+fn log_listing(instance: &str, change: Listing) {
+    let event = match change {
+        Listing::Listed => Event::new(EventKind::EndpointListed),
+        Listing::Draining => Event::new(EventKind::EndpointWithdrawn).reason("draining"),
+        Listing::Gone => Event::new(EventKind::EndpointWithdrawn).reason("gone"),
+    };
+    log_event(&event.endpoint(instance));
+}
+
 fn decode_endpoint(row: &Row) -> Option<EndpointRecord> {
     let value = row.value.as_ref()?;
     match endpoints::decode(&row.id.key, value) {
         Ok(record) => Some(record),
         Err(error) => {
-            log::error!(
-                "the entry of endpoint {} cannot be read: {error}",
-                row.id.key
-            );
+            let event = Event::new(EventKind::RoutesUnreadable);
+            log_event(&event.endpoint(&row.id.key).error(&error));
             None
         }
     }
 }
 
-/// Drops what is not needed any more, for ever.
+/// Drops what is not needed any more and tells changes of readiness, for ever.
 pub async fn tidy(gateway: Rc<Gateway>) {
+    let mut was_ready = false;
     loop {
         tokio::time::sleep(TIDY_INTERVAL).await;
         let now = gateway.clock.now();
-        gateway.directory.borrow_mut().expire(now);
+        for instance in gateway.directory.borrow_mut().expire(now) {
+            let event = Event::new(EventKind::EndpointWithdrawn).reason("lapsed");
+            log_event(&event.endpoint(&instance));
+        }
+        let readiness = gateway.readiness();
+        if readiness.is_ok() != was_ready {
+            was_ready = readiness.is_ok();
+            let reason = readiness.err().unwrap_or("ready");
+            log_event(&Event::new(EventKind::ReadyChanged).reason(reason));
+        }
         gateway.crashes.borrow_mut().expire(now);
         let directory = gateway.directory.borrow();
         let mut pool = gateway.pool.borrow_mut();
--- a/transport/src/event.rs
+++ b/transport/src/event.rs
@@ -13,6 +13,8 @@
 //! ```
 
 use std::fmt::{self, Write};
+use std::sync::OnceLock;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use log::{Level, Metadata, Record};
 use rosebend_state::id::{CallId, Epoch, ProgramId, Revision, Shard};
@@ -51,6 +53,21 @@
     WaitMs(u64),
     Reason(&'static str),
     Error(String),
+    Attempt(String),
+    ProgramKey(String),
+    Route(String),
+    Status(u16),
+    Version(u64),
+    AgeMs(u64),
+    ElapsedMs(u64),
+    Load(u64),
+    Tokens(u64),
+}
+
+/// A field's value, for lines in JSON.
+enum Value<'a> {
+    Number(u64),
+    Text(std::borrow::Cow<'a, str>),
 }
 
 impl Event {
@@ -124,6 +141,73 @@
         self.with(Field::Error(one_line(&error.to_string())))
     }
 
+    /// Adds the attempt of a caller, by which a request is found.
+    pub fn attempt(self, attempt: &str) -> Self {
+        self.with(Field::Attempt(attempt.to_owned()))
+    }
+
+    /// Adds the program as a gateway's callers name it.
+    pub fn program_key(self, program: &str) -> Self {
+        self.with(Field::ProgramKey(program.to_owned()))
+    }
+
+    /// Adds the operators' name of a route.
+    pub fn route(self, route: &str) -> Self {
+        self.with(Field::Route(route.to_owned()))
+    }
+
+    /// Adds the status code of an answer.
+    pub fn status(self, status: u16) -> Self {
+        self.with(Field::Status(status))
+    }
+
+    /// Adds the version of the declared routes.
+    pub fn version(self, version: u64) -> Self {
+        self.with(Field::Version(version))
+    }
+
+    /// Adds how old the inputs of a decision were.
+    pub fn age(self, age: Duration) -> Self {
+        self.with(Field::AgeMs(whole_ms(age)))
+    }
+
+    /// Adds how long something took.
+    pub fn elapsed(self, elapsed: Duration) -> Self {
+        self.with(Field::ElapsedMs(whole_ms(elapsed)))
+    }
+
+    /// Adds how many requests an endpoint was expected to have.
+    pub fn load(self, load: u64) -> Self {
+        self.with(Field::Load(load))
+    }
+
+    /// Adds a number of tokens.
+    pub fn tokens(self, tokens: u64) -> Self {
+        self.with(Field::Tokens(tokens))
+    }
+
+    /// The event as one JSON object on one line. `at_ms` is the time of day.
+    pub fn to_json(&self, at_ms: u64, host: &str) -> String {
+        let mut line = format!("{{\"at_ms\":{at_ms},\"host\":{}", json_text(host));
+        line.push_str(&format!(
+            ",\"event\":{},\"name\":\"{}\",\"level\":\"{}\"",
+            self.kind.number(),
+            self.kind.name(),
+            level_word(self.kind.level())
+        ));
+        for field in &self.fields {
+            for (name, value) in field.members() {
+                let value = match value {
+                    Value::Number(number) => number.to_string(),
+                    Value::Text(text) => json_text(&text),
+                };
+                line.push_str(&format!(",\"{name}\":{value}"));
+            }
+        }
+        line.push('}');
+        line
+    }
+
     fn with(mut self, field: Field) -> Self {
         self.fields.push(field);
         self
@@ -140,6 +224,59 @@
     }
 }
 
+impl Field {
+    /// The field as members of a JSON object; a call has several.
+    fn members(&self) -> Vec<(&'static str, Value<'_>)> {
+        let number = |name, value| vec![(name, Value::Number(value))];
+        match self {
+            Self::Program(program) => program_members(program),
+            Self::Call(call) => {
+                let mut members = program_members(&call.program);
+                members.push(("call", Value::Number(call.sequence)));
+                members
+            }
+            Self::Shard(shard) => number("shard", u64::from(*shard)),
+            Self::Epoch(epoch) => number("epoch", *epoch),
+            Self::Revision(revision) => number("revision", *revision),
+            Self::Count(count) => number("count", *count),
+            Self::WaitMs(wait_ms) => number("wait_ms", *wait_ms),
+            Self::Status(status) => number("status", u64::from(*status)),
+            Self::Version(version) => number("version", *version),
+            Self::AgeMs(age_ms) => number("age_ms", *age_ms),
+            Self::ElapsedMs(elapsed_ms) => number("elapsed_ms", *elapsed_ms),
+            Self::Load(load) => number("load", *load),
+            Self::Tokens(tokens) => number("tokens", *tokens),
+            Self::Customer(text) => member("customer", text),
+            Self::Host(text) => member("peer", text),
+            Self::Endpoint(text) => member("endpoint", text),
+            Self::Reason(text) => member("reason", text),
+            Self::Error(text) => member("error", text),
+            Self::Attempt(text) => member("attempt", text),
+            Self::ProgramKey(text) => member("program", text),
+            Self::Route(text) => member("route", text),
+        }
+    }
+}
+
+fn member<'a>(name: &'static str, text: &'a str) -> Vec<(&'static str, Value<'a>)> {
+    vec![(name, Value::Text(text.into()))]
+}
+
+fn program_members(program: &ProgramId) -> Vec<(&'static str, Value<'_>)> {
+    vec![
+        ("customer", Value::Text(program.customer().into())),
+        ("program", Value::Text(program.session().to_string().into())),
+    ]
+}
+
+fn json_text(text: &str) -> String {
+    serde_json::to_string(text).expect("text has a JSON form")
+}
+
+fn whole_ms(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 impl fmt::Display for Field {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -158,6 +295,15 @@
             Self::WaitMs(wait_ms) => write!(f, "wait_ms={wait_ms}"),
             Self::Reason(reason) => write!(f, "reason={reason}"),
             Self::Error(error) => write!(f, "error={error:?}"),
+            Self::Attempt(attempt) => write!(f, "attempt={attempt}"),
+            Self::ProgramKey(program) => write!(f, "program={program}"),
+            Self::Route(route) => write!(f, "route={route}"),
+            Self::Status(status) => write!(f, "status={status}"),
+            Self::Version(version) => write!(f, "version={version}"),
+            Self::AgeMs(age_ms) => write!(f, "age_ms={age_ms}"),
+            Self::ElapsedMs(elapsed_ms) => write!(f, "elapsed_ms={elapsed_ms}"),
+            Self::Load(load) => write!(f, "load={load}"),
+            Self::Tokens(tokens) => write!(f, "tokens={tokens}"),
         }
     }
 }
@@ -178,6 +324,12 @@
 
 /// Writes an event to the log, if its level is written at all.
 pub fn log_event(event: &Event) {
+    log_event_at(event, now_ms());
+}
+
+/// Like [`log_event`], for something that happened at `at_ms` by the time of
+/// day, as [`now_ms`] gives it.
+pub fn log_event_at(event: &Event, at_ms: u64) {
     let metadata = Metadata::builder()
         .level(event.kind.level())
         .target(EVENT_TARGET)
@@ -187,7 +339,30 @@
     }
     let mut record = Record::builder();
     record.metadata(metadata);
-    log::logger().log(&record.args(format_args!("{event}")).build());
+    match JSON_HOST.get() {
+        Some(host) => {
+            let line = event.to_json(at_ms, host);
+            log::logger().log(&record.args(format_args!("{line}")).build());
+        }
+        None => log::logger().log(&record.args(format_args!("{event}")).build()),
+    }
+}
+
+/// Set where events are written as JSON: the name of this host.
+static JSON_HOST: OnceLock<String> = OnceLock::new();
+
+/// Writes events as JSON from now on, with the name of this host.
+pub(crate) fn write_json(host: &str) {
+    // A process sets up its log once; a second host name would be a mistake of
+    // the program that the log's own set-up reports.
+    let _ = JSON_HOST.set(host.to_owned());
+}
+
+/// The time of day in milliseconds since 1970. It may differ between hosts and
+/// jump; the lines of one host are in order by their place.
+pub fn now_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, whole_ms)
 }
 
 const PAGE_HEAD: &str = "# Events
@@ -200,7 +375,12 @@
 A line reads `TIME LEVEL ENUMBER NAME FIELD=VALUE ...`, with the number as in
 the table. Fields are `customer`, `program`, `call` (its position in the
 program), `shard`, `epoch`, `host`, `endpoint`, `revision`, `count`, `wait_ms`,
-`reason` (a word of a closed set) and `error`. A prompt, an answer or a token is
+`reason` (a word of a closed set) and `error`; for gateways also `attempt`
+(a caller's attempt), `route`, `status`, `version` (of the declared routes),
+`age_ms` (of what decided), `elapsed_ms`, `load` and `tokens`. Gateways write
+each event as a JSON object on a line of its own, with `at_ms`, `host`, `event`
+(the number), `name` and `level` before the fields; the host of a field is
+`peer` there. A prompt, an answer or a token is
 never written. Numbers stay with their event: a number that is given up is not
 given again. Events of level `debug` come once a call and are off by default.
 
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -2,7 +2,7 @@
 //!
 //! Hundreds group the numbers: 1 processes, 2 ownership, 3 programs and calls,
 //! 4 endpoints, 5 configuration, 6 the platform, 7 requests that are refused
-//! before they reach a program.
+//! before they reach a program, 8 gateways.
 
 use log::Level;
 
@@ -91,11 +91,57 @@
     RequestRefused,
     /// A message between processes could not be read.
     PeerRefused,
+    /// A request ended well: `attempt`, `route`, `endpoint` and how long it took. Its other steps are not written.
+    RequestServed,
+    /// A request was refused, failed, came late, was retried, or its caller left; `reason` says which. Its steps stand in the lines with the same `attempt`.
+    RequestEnded,
+    /// Step: the head and body of a request are read, under the routes of `version`.
+    RequestArrived,
+    /// Step: the request goes to `endpoint`, which was expected to have `load` requests; its report was `age_ms` old. `reason` is warm when it has the prompt in memory.
+    EndpointChosen,
+    /// Step: the endpoint did not answer as it should after `elapsed_ms`; `reason` says how.
+    EndpointFailed,
+    /// Step: the turn to continue was found; `reason` says where.
+    HistoryRead,
+    /// Step: the turn may spend its most; `reason` says from where: drawn ahead, or a reservation.
+    SpendingGranted,
+    /// Step: the endpoint's answer began with `status` after `elapsed_ms`.
+    AnswerBegan,
+    /// Step: the turn and the `tokens` that it handed out are durable after `elapsed_ms`.
+    TurnRecorded,
+    /// Step: the answer broke off; `error` says how.
+    AnswerBroken,
+    /// The declared routes of `version` are in force here.
+    RoutesInForce,
+    /// What operators declared cannot be read; the routes before stay in force.
+    RoutesUnreadable,
+    /// The endpoint announced itself; it gets requests.
+    EndpointListed,
+    /// The endpoint gets no new requests; `reason` says why: it drains, its entry is gone, or its entry lapsed in an outage and did not come back.
+    EndpointWithdrawn,
+    /// The endpoint failed and is avoided for `wait_ms`; `reason` says how it failed.
+    EndpointAvoided,
+    /// The platform's store does not answer this host; turns are refused.
+    StoreLost,
+    /// The platform's store answers again after `wait_ms`.
+    StoreRegained,
+    /// The balancer is told something else than before; `reason` says what.
+    ReadyChanged,
+    /// `count` lines of the log were dropped since they came faster than they could be written; `reason` is their level.
+    LinesDropped,
+    /// The settings file was read again; `reason` says whether anything changed.
+    SettingsReloaded,
+    /// A request crashed `count` endpoints; it is refused everywhere.
+    RequestQuarantined,
+    /// A caller's connection could not be accepted.
+    AcceptFailed,
+    /// A program's rows in the store do not have the form that this version writes.
+    RecordUnreadable,
 }
 
 impl EventKind {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 41] = [
+    pub const ALL: [Self; 64] = [
         Self::ProcessStarted,
         Self::ProcessStopping,
         Self::ProcessStopped,
@@ -137,6 +183,29 @@
         Self::TokenRefused,
         Self::RequestRefused,
         Self::PeerRefused,
+        Self::RequestServed,
+        Self::RequestEnded,
+        Self::RequestArrived,
+        Self::EndpointChosen,
+        Self::EndpointFailed,
+        Self::HistoryRead,
+        Self::SpendingGranted,
+        Self::AnswerBegan,
+        Self::TurnRecorded,
+        Self::AnswerBroken,
+        Self::RoutesInForce,
+        Self::RoutesUnreadable,
+        Self::EndpointListed,
+        Self::EndpointWithdrawn,
+        Self::EndpointAvoided,
+        Self::StoreLost,
+        Self::StoreRegained,
+        Self::ReadyChanged,
+        Self::LinesDropped,
+        Self::SettingsReloaded,
+        Self::RequestQuarantined,
+        Self::AcceptFailed,
+        Self::RecordUnreadable,
     ];
 
     /// The event's number, which stays with it for ever.
@@ -183,6 +252,29 @@
             Self::TokenRefused => 701,
             Self::RequestRefused => 702,
             Self::PeerRefused => 703,
+            Self::RequestServed => 801,
+            Self::RequestEnded => 802,
+            Self::RequestArrived => 803,
+            Self::EndpointChosen => 804,
+            Self::EndpointFailed => 805,
+            Self::HistoryRead => 806,
+            Self::SpendingGranted => 807,
+            Self::AnswerBegan => 808,
+            Self::TurnRecorded => 809,
+            Self::AnswerBroken => 810,
+            Self::RoutesInForce => 811,
+            Self::RoutesUnreadable => 812,
+            Self::EndpointListed => 813,
+            Self::EndpointWithdrawn => 814,
+            Self::EndpointAvoided => 815,
+            Self::StoreLost => 816,
+            Self::StoreRegained => 817,
+            Self::ReadyChanged => 818,
+            Self::LinesDropped => 819,
+            Self::SettingsReloaded => 820,
+            Self::RequestQuarantined => 821,
+            Self::AcceptFailed => 822,
+            Self::RecordUnreadable => 823,
         }
     }
 
@@ -230,15 +322,41 @@
             Self::TokenRefused => "token-refused",
             Self::RequestRefused => "request-refused",
             Self::PeerRefused => "peer-refused",
+            Self::RequestServed => "request-served",
+            Self::RequestEnded => "request-ended",
+            Self::RequestArrived => "request-arrived",
+            Self::EndpointChosen => "endpoint-chosen",
+            Self::EndpointFailed => "endpoint-failed",
+            Self::HistoryRead => "history-read",
+            Self::SpendingGranted => "spending-granted",
+            Self::AnswerBegan => "answer-began",
+            Self::TurnRecorded => "turn-recorded",
+            Self::AnswerBroken => "answer-broken",
+            Self::RoutesInForce => "routes-in-force",
+            Self::RoutesUnreadable => "routes-unreadable",
+            Self::EndpointListed => "endpoint-listed",
+            Self::EndpointWithdrawn => "endpoint-withdrawn",
+            Self::EndpointAvoided => "endpoint-avoided",
+            Self::StoreLost => "store-lost",
+            Self::StoreRegained => "store-regained",
+            Self::ReadyChanged => "ready-changed",
+            Self::LinesDropped => "lines-dropped",
+            Self::SettingsReloaded => "settings-reloaded",
+            Self::RequestQuarantined => "request-quarantined",
+            Self::AcceptFailed => "accept-failed",
+            Self::RecordUnreadable => "record-unreadable",
         }
     }
 
     /// How important the event is.
     pub const fn level(self) -> Level {
         match self {
-            Self::CallQuarantined | Self::EndpointCrashed | Self::ConfigurationInvalid => {
-                Level::Error
-            }
+            Self::CallQuarantined
+            | Self::EndpointCrashed
+            | Self::ConfigurationInvalid
+            | Self::RoutesUnreadable
+            | Self::RequestQuarantined
+            | Self::RecordUnreadable => Level::Error,
             Self::ProcessPaused
             | Self::StopTimedOut
             | Self::LeaseRenewalFailed
@@ -254,7 +372,12 @@
             | Self::PlatformDown
             | Self::PlatformThrottled
             | Self::TokenRefused
-            | Self::PeerRefused => Level::Warn,
+            | Self::PeerRefused
+            | Self::RequestEnded
+            | Self::EndpointAvoided
+            | Self::StoreLost
+            | Self::LinesDropped
+            | Self::AcceptFailed => Level::Warn,
             Self::CallAccepted | Self::CallFinished | Self::CallRefused | Self::RequestRefused => {
                 Level::Debug
             }
@@ -330,6 +453,61 @@
             }
             Self::RequestRefused => "A request was refused as malformed; `reason` says why.",
             Self::PeerRefused => "A message between processes could not be read.",
+            Self::RequestServed => {
+                "A request ended well: `attempt`, `route`, `endpoint` and how long it took. Its other steps are not written."
+            }
+            Self::RequestEnded => {
+                "A request was refused, failed, came late, was retried, or its caller left; `reason` says which. Its steps stand in the lines with the same `attempt`."
+            }
+            Self::RequestArrived => {
+                "Step: the head and body of a request are read, under the routes of `version`."
+            }
+            Self::EndpointChosen => {
+                "Step: the request goes to `endpoint`, which was expected to have `load` requests; its report was `age_ms` old. `reason` is warm when it has the prompt in memory."
+            }
+            Self::EndpointFailed => {
+                "Step: the endpoint did not answer as it should after `elapsed_ms`; `reason` says how."
+            }
+            Self::HistoryRead => "Step: the turn to continue was found; `reason` says where.",
+            Self::SpendingGranted => {
+                "Step: the turn may spend its most; `reason` says from where: drawn ahead, or a reservation."
+            }
+            Self::AnswerBegan => {
+                "Step: the endpoint's answer began with `status` after `elapsed_ms`."
+            }
+            Self::TurnRecorded => {
+                "Step: the turn and the `tokens` that it handed out are durable after `elapsed_ms`."
+            }
+            Self::AnswerBroken => "Step: the answer broke off; `error` says how.",
+            Self::RoutesInForce => "The declared routes of `version` are in force here.",
+            Self::RoutesUnreadable => {
+                "What operators declared cannot be read; the routes before stay in force."
+            }
+            Self::EndpointListed => "The endpoint announced itself; it gets requests.",
+            Self::EndpointWithdrawn => {
+                "The endpoint gets no new requests; `reason` says why: it drains, its entry is gone, or its entry lapsed in an outage and did not come back."
+            }
+            Self::EndpointAvoided => {
+                "The endpoint failed and is avoided for `wait_ms`; `reason` says how it failed."
+            }
+            Self::StoreLost => "The platform's store does not answer this host; turns are refused.",
+            Self::StoreRegained => "The platform's store answers again after `wait_ms`.",
+            Self::ReadyChanged => {
+                "The balancer is told something else than before; `reason` says what."
+            }
+            Self::LinesDropped => {
+                "`count` lines of the log were dropped since they came faster than they could be written; `reason` is their level."
+            }
+            Self::SettingsReloaded => {
+                "The settings file was read again; `reason` says whether anything changed."
+            }
+            Self::RequestQuarantined => {
+                "A request crashed `count` endpoints; it is refused everywhere."
+            }
+            Self::AcceptFailed => "A caller's connection could not be accepted.",
+            Self::RecordUnreadable => {
+                "A program's rows in the store do not have the form that this version writes."
+            }
         }
     }
 }
--- a/transport/src/lib.rs
+++ b/transport/src/lib.rs
@@ -2,6 +2,7 @@
 //! client, gRPC channels, logs and the metrics page.
 //!
 //! - [`event`] and [`logging`]: numbered events and where they are written.
+//! - [`bounded_log`]: a log that never blocks.
 //! - [`host_token`]: how processes prove who they are.
 //! - [`http_server`]: requests in, replies out, whole or streamed.
 //! - [`peers`]: gRPC channels to other processes.
@@ -14,6 +15,7 @@
 //! Nothing here decides: it carries bytes, keeps time limits and tells apart
 //! "no effect" from "no answer".
 
+pub mod bounded_log;
 pub mod event;
 pub mod host_token;
 pub mod http_server;
--- a/transport/src/logging.rs
+++ b/transport/src/logging.rs
@@ -14,7 +14,8 @@
 };
 use rosebend_state::settings::{LogLevel, LogSettings};
 
-use crate::event::EVENT_TARGET;
+use crate::bounded_log::BoundedLog;
+use crate::event::{EVENT_TARGET, now_ms, write_json};
 
 /// Time in UTC, level, and the event with its number first.
 const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {m}{n}";
@@ -61,6 +62,30 @@
     Ok(())
 }
 
+/// Sets up the log of this process, once, as JSON lines on standard output that
+/// never block the process. Libraries are heard from `warn` on.
+///
+/// # Errors
+///
+/// Fails when a log was set up before.
+pub fn init_json_logging(settings: &LogSettings, host: &str) -> Result<(), LoggingError> {
+    let level = level_filter(settings.level);
+    let name = host.to_owned();
+    let log = BoundedLog::start(io::stdout(), move |event| event.to_json(now_ms(), &name));
+    let config = Config::builder()
+        .appender(Appender::builder().build(APPENDER, Box::new(log)))
+        .logger(Logger::builder().build(EVENT_TARGET, level))
+        .build(
+            Root::builder()
+                .appender(APPENDER)
+                .build(level.min(LevelFilter::Warn)),
+        )
+        .expect("the appender's name stands once and is known");
+    log4rs::init_config(config).map_err(|_| LoggingError::AlreadySet)?;
+    write_json(host);
+    Ok(())
+}
+
 fn appender(settings: &LogSettings) -> Result<Box<dyn Append>, LoggingError> {
     let encoder = Box::new(PatternEncoder::new(PATTERN));
     let Some(path) = &settings.file else {
