--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -52,9 +52,9 @@
 async fn run_until_stopped(settings: GatewaySettings) -> Result<(), ProcessError> {
     let mut terminate = signal(SignalKind::terminate()).map_err(ProcessError::Signal)?;
     let mut hangup = signal(SignalKind::hangup()).map_err(ProcessError::Signal)?;
-    let front = listen(settings.front_listen)?;
-    let ready = listen(settings.ready_listen)?;
-    let metrics = listen(settings.metrics_listen)?;
+    let front = listen(settings.front_listen, "callers")?;
+    let ready = listen(settings.ready_listen, "balancer")?;
+    let metrics = listen(settings.metrics_listen, "metrics")?;
     let gateway = Rc::new(Gateway::new(settings));
     let (close, closing) = watch::channel(false);
     actix_rt::spawn(front::serve_status(Rc::clone(&gateway), ready));
@@ -74,8 +74,18 @@
     Ok(())
 }
 
-fn listen(address: std::net::SocketAddr) -> Result<TcpListener, ProcessError> {
-    front::listen(address).map_err(|error| ProcessError::Listen { address, error })
+/// Listens on an address and tells it: port 0 takes a free one.
+fn listen(address: std::net::SocketAddr, whom: &'static str) -> Result<TcpListener, ProcessError> {
+    let listener = front::listen(address);
+    let listener = listener.map_err(|error| ProcessError::Listen { address, error })?;
+    if let Ok(address) = listener.local_addr() {
+        log_event(
+            &Event::new(EventKind::Listening)
+                .address(address)
+                .reason(whom),
+        );
+    }
+    Ok(listener)
 }
 
 /// Lets open requests end, and ends before it is made to.
--- /dev/null
+++ b/gateway/tests/plain.rs
@@ -0,0 +1,255 @@
+//! Requests whose answer is passed on whole: what is repeated, what is not,
+//! and that nothing else is ever passed on as an answer.
+
+mod support;
+
+use http::Method;
+use rosebend_standin::backend::BackendFaults;
+use support::{Ask, Site};
+
+const DESK: usize = 1;
+
+fn lookup(attempt: &str) -> Ask {
+    Ask::get("/lookup/status?crew=7").attempt(attempt)
+}
+
+fn fee(attempt: &str) -> Ask {
+    Ask::new(Method::POST, "/fee/receipt")
+        .attempt(attempt)
+        .body("fee 12")
+}
+
+#[actix_rt::test]
+async fn an_answer_is_passed_on_unchanged() {
+    let site = Site::start();
+    let gateway = site.gateway();
+    gateway.until_ready().await;
+    let answer = lookup("a1")
+        .header("x-more", "kept")
+        .send(gateway.front)
+        .await;
+    assert_eq!((answer.status, answer.body.as_str()), (200, "answer to a1"));
+    assert_eq!(answer.header("response-stamp"), Some("stamp.1"));
+    assert_eq!(answer.header("attempt-id"), Some("a1"));
+    let run = site.runs(DESK).await["a1"].clone();
+    assert_eq!(run.target, "GET /lookup/status?crew=7");
+    assert_eq!(run.headers["x-more"], "kept");
+    assert_eq!(
+        run.headers["target-instance"],
+        site.endpoints[DESK].instance
+    );
+}
+
+#[actix_rt::test]
+async fn a_refused_request_goes_to_another_endpoint() {
+    let mut site = Site::start();
+    let other = site.add_endpoint("desk");
+    let gateway = site.gateway();
+    gateway.until_ready().await;
+    let faults = BackendFaults {
+        refuse: 1_000,
+        ..BackendFaults::default()
+    };
+    site.endpoint_faults(DESK, &faults).await;
+    for number in 0..6 {
+        let attempt = format!("a{number}");
+        assert_eq!(fee(&attempt).send(gateway.front).await.status, 200);
+        assert_eq!(site.times_run(&attempt).await, 1);
+    }
+    assert_eq!(site.runs(other).await.len(), 6);
+}
+
+#[actix_rt::test]
+async fn a_refusal_says_when_to_come_back_and_is_true() {
+    let site = Site::start();
+    let gateway = site.gateway();
+    gateway.until_ready().await;
+    let faults = BackendFaults {
+        refuse: 1_000,
+        ..BackendFaults::default()
+    };
+    site.endpoint_faults(DESK, &faults).await;
+    let answer = fee("a1").send(gateway.front).await;
+    assert_eq!(answer.status, 503);
+    assert!(answer.retry_after_s().unwrap() > 0.0);
+    assert_eq!(site.times_run("a1").await, 0);
+}
+
+#[actix_rt::test]
+async fn a_lost_answer_is_told_as_unknown_and_not_run_again() {
+    let mut site = Site::start();
+    site.add_endpoint("desk");
+    let gateway = site.gateway();
+    gateway.until_ready().await;
+    let faults = BackendFaults {
+        lose_answers: 1_000,
+        ..BackendFaults::default()
+    };
+    for index in 1..3 {
+        site.endpoint_faults(index, &faults).await;
+    }
+    let answer = fee("a1").send(gateway.front).await;
+    assert_eq!(answer.status, 502);
+    assert_eq!(answer.header("response-stamp"), None);
+    assert_eq!(site.times_run("a1").await, 1);
+    assert_eq!(
+        gateway.events("request-ended")[0]["reason"],
+        "outcome-unknown"
+    );
+}
+
+#[actix_rt::test]
+async fn an_idempotent_request_runs_again_after_a_lost_answer() {
+    let mut site = Site::start();
+    let other = site.add_endpoint("desk");
+    let gateway = site.gateway();
+    gateway.until_ready().await;
+    let faults = BackendFaults {
+        lose_answers: 1_000,
+        ..BackendFaults::default()
+    };
+    site.endpoint_faults(DESK, &faults).await;
+    for number in 0..4 {
+        let answer = lookup(&format!("a{number}")).send(gateway.front).await;
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(site.runs(other).await.len(), 4);
+}
+
+#[actix_rt::test]
+async fn what_is_no_answer_to_the_request_is_never_passed_on() {
+    let table = [
+        BackendFaults {
+            other_attempt: 1_000,
+            ..BackendFaults::default()
+        },
+        BackendFaults {
+            unstamped: 1_000,
+            ..BackendFaults::default()
+        },
+        BackendFaults {
+            cut_bodies: 1_000,
+            ..BackendFaults::default()
+        },
+    ];
+    let site = Site::start();
+    let gateway = site.gateway();
+    gateway.until_ready().await;
+    for (number, faults) in table.iter().enumerate() {
+        site.endpoint_faults(DESK, faults).await;
+        let attempt = format!("a{number}");
+        let answer = fee(&attempt).send(gateway.front).await;
+        assert_eq!(answer.status, 502, "{faults:?}");
+        assert_eq!(site.times_run(&attempt).await, 1, "{faults:?}");
+    }
+}
+
+#[actix_rt::test]
+async fn orders_that_a_caller_forged_do_not_reach_an_endpoint() {
+    let site = Site::start();
+    let gateway = site.gateway();
+    gateway.until_ready().await;
+    let forged = [
+        "hold",
+        "pin-ms",
+        "kv-backup",
+        "kv-from",
+        "kv-fetch",
+        "target-instance",
+    ];
+    let ask = forged
+        .iter()
+        .fold(lookup("a1"), |ask, name| ask.header(name, "9"));
+    let ask = ask.header("connection", "x-hop").header("x-hop", "1");
+    assert_eq!(ask.send(gateway.front).await.status, 200);
+    let headers = site.runs(DESK).await["a1"].headers.clone();
+    for name in [
+        "hold",
+        "pin-ms",
+        "kv-backup",
+        "kv-from",
+        "kv-fetch",
+        "x-hop",
+    ] {
+        assert!(!headers.contains_key(name), "{name}");
+    }
+    assert_eq!(headers["target-instance"], site.endpoints[DESK].instance);
+}
+
+#[actix_rt::test]
+async fn an_endpoint_is_given_no_more_time_than_the_caller_has() {
+    let site = Site::start();
+    let gateway = site.gateway();
+    gateway.until_ready().await;
+    let ask = lookup("a1").header("deadline-ms", "900");
+    assert_eq!(ask.send(gateway.front).await.status, 200);
+    let given: u64 = site.runs(DESK).await["a1"].headers["deadline-ms"]
+        .parse()
+        .unwrap();
+    assert!(given <= 900 && given > 500, "{given}");
+}
+
+#[actix_rt::test]
+async fn bad_requests_get_a_clear_error_and_run_nowhere() {
+    let site = Site::start();
+    let gateway = site.gateway();
+    gateway.until_ready().await;
+    let long = "x".repeat(150_000);
+    let table = [
+        (Ask::get("/lookup/x"), 400),
+        (Ask::get("/nowhere/x").attempt("a1"), 404),
+        (lookup("a2").header("host", "other.example"), 404),
+        (fee("a3").body(&long), 413),
+    ];
+    for (ask, status) in table {
+        let answer = ask.send(gateway.front).await;
+        assert_eq!(answer.status, status, "{ask:?}");
+        assert_eq!(
+            answer.header("content-type"),
+            Some("application/problem+json")
+        );
+    }
+    assert!(site.runs(DESK).await.is_empty());
+    assert_eq!(lookup("a4").send(gateway.front).await.status, 200);
+}
+
+#[actix_rt::test]
+async fn an_endpoint_that_leaves_gets_nothing_new() {
+    let mut site = Site::start();
+    let other = site.add_endpoint("desk");
+    let gateway = site.gateway();
+    gateway.until_ready().await;
+    site.announce(DESK, "draining");
+    support::until("the endpoint is withdrawn", async || {
+        !gateway.events("endpoint-withdrawn").is_empty()
+    })
+    .await;
+    for number in 0..8 {
+        let answer = lookup(&format!("a{number}")).send(gateway.front).await;
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(site.runs(other).await.len(), 8);
+}
+
+#[actix_rt::test]
+async fn work_stops_when_its_caller_leaves() {
+    let site = Site::start();
+    let gateway = site.gateway();
+    gateway.until_ready().await;
+    let slow = BackendFaults {
+        delay_ms: 60_000,
+        ..BackendFaults::default()
+    };
+    site.endpoint_faults(DESK, &slow).await;
+    let ask = lookup("a1");
+    let impatient = tokio::time::timeout(
+        std::time::Duration::from_millis(200),
+        ask.send(gateway.front),
+    );
+    assert!(impatient.await.is_err());
+    support::until("the trail tells that the caller left", async || {
+        let ended = gateway.events("request-ended");
+        ended.iter().any(|event| event["reason"] == "caller-left")
+    })
+    .await;
+}
--- /dev/null
+++ b/gateway/tests/support/mod.rs
@@ -0,0 +1,430 @@
+//! A store, endpoints and gateways as separate processes, and a caller.
+//!
+//! Every address is a free port of loopback. Gateways are ended when they are
+//! dropped.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Method, Request};
+use http_body_util::{BodyExt, Full};
+use rosebend_gateway::connection::Connection;
+use rosebend_standin::backend::{Backend, BackendFaults, Runs};
+use rosebend_standin::server::RunningServer;
+use rosebend_standin::store::{Store, StoreFaults};
+use serde_json::{Value, json};
+
+/// Longest wait for something that must come.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+static NEXT: AtomicU64 = AtomicU64::new(1);
+
+/// A number that no other test of the process has.
+fn unique() -> u64 {
+    NEXT.fetch_add(1, Ordering::Relaxed)
+}
+
+fn free_listener() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").expect("loopback has a free port")
+}
+
+/// A site of one store and some endpoints.
+pub struct Site {
+    pub store: Store,
+    pub door: RunningServer,
+    pub endpoints: Vec<Endpoint>,
+}
+
+pub struct Endpoint {
+    pub instance: String,
+    pub service: String,
+    pub server: RunningServer,
+}
+
+impl Site {
+    /// A site whose routes and endpoints are declared.
+    pub fn start() -> Self {
+        let site = Self::without_routes();
+        site.declare(1);
+        site
+    }
+
+    /// A site whose operators have declared nothing yet.
+    pub fn without_routes() -> Self {
+        let store = Store::default();
+        let door = store.open_door(free_listener()).unwrap();
+        let mut site = Self {
+            store,
+            door,
+            endpoints: Vec::new(),
+        };
+        site.add_endpoint("models");
+        site.add_endpoint("desk");
+        site
+    }
+
+    pub fn add_endpoint(&mut self, service: &str) -> usize {
+        let instance = format!("i-{service}-{}", self.endpoints.len());
+        let server = Backend::start(free_listener(), &instance).unwrap();
+        self.endpoints.push(Endpoint {
+            instance,
+            service: service.to_owned(),
+            server,
+        });
+        let index = self.endpoints.len() - 1;
+        self.announce(index, "ready");
+        index
+    }
+
+    /// Writes an endpoint's entry.
+    pub fn announce(&self, index: usize, state: &str) {
+        let endpoint = &self.endpoints[index];
+        let entry = json!({
+            "service": endpoint.service,
+            "address": endpoint.server.address().to_string(),
+            "zone": "newport-hall",
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "cold-left-ms": 0,
+            "seq": 1,
+        });
+        self.store.put("servers", &endpoint.instance, &entry);
+    }
+
+    pub fn declare(&self, version: u64) {
+        self.store.put("op", "config", &routes(version));
+    }
+
+    pub async fn faults(&self, faults: &StoreFaults) {
+        post_faults(self.door.address(), &json!(faults)).await;
+    }
+
+    pub async fn endpoint_faults(&self, index: usize, faults: &BackendFaults) {
+        post_faults(self.endpoints[index].server.address(), &json!(faults)).await;
+    }
+
+    pub async fn runs(&self, index: usize) -> Runs {
+        let address = self.endpoints[index].server.address();
+        let answer = Ask::get("/runs").send(address).await;
+        serde_json::from_str(&answer.body).unwrap()
+    }
+
+    /// How often an attempt ran, at all endpoints together.
+    pub async fn times_run(&self, attempt: &str) -> u64 {
+        let mut count = 0;
+        for index in 0..self.endpoints.len() {
+            count += self
+                .runs(index)
+                .await
+                .get(attempt)
+                .map_or(0, |run| run.count);
+        }
+        count
+    }
+
+    pub fn gateway(&self) -> Gateway {
+        Gateway::start(self.door.address())
+    }
+}
+
+/// The routes that tests use.
+pub fn routes(version: u64) -> Value {
+    let route = |name: &str, prefix: &str, kind: &str, service: &str| {
+        json!({
+            "name": name, "host": "desk.example", "prefix": prefix, "kind": kind,
+            "timeout-ms": 3000, "slo-ms": 400, "priority": 0, "service": service,
+            "max-attempts": 2, "sticky": false, "resumable": false,
+        })
+    };
+    let mut turns = route("turns", "/stream/", "streaming", "models");
+    turns["retain-history"] = json!(true);
+    turns["retention-s"] = json!(60.0);
+    json!({
+        "version": version,
+        "routes": [
+            turns,
+            route("lookup", "/lookup/", "idempotent", "desk"),
+            route("fee", "/fee/", "non_idempotent", "desk"),
+        ],
+        "services": [
+            {"name": "models", "health-path": "/healthz", "max-conns": 100, "protocol": "h1",
+             "tls": false, "engine": {"stride-tokens": 10}},
+            {"name": "desk", "health-path": "/healthz", "max-conns": 100, "protocol": "h1",
+             "tls": false},
+        ],
+        "limits": {"max-header-bytes": 16384, "max-body-bytes": 100_000,
+                   "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+    })
+}
+
+async fn post_faults(address: SocketAddr, faults: &Value) {
+    let answer = Ask::new(Method::POST, "/faults").body(&faults.to_string());
+    assert_eq!(answer.send(address).await.status, 200);
+}
+
+/// A gateway process.
+pub struct Gateway {
+    child: Child,
+    pub front: SocketAddr,
+    pub ready: SocketAddr,
+    pub metrics: SocketAddr,
+    lines: Arc<Mutex<Vec<String>>>,
+}
+
+impl Gateway {
+    pub fn start(store: SocketAddr) -> Self {
+        Self::start_reading(store, true)
+    }
+
+    /// Starts a gateway; `reads_on` tells whether its output is read on after
+    /// the lines that tell its addresses.
+    pub fn start_reading(store: SocketAddr, reads_on: bool) -> Self {
+        let number = unique();
+        let settings = format!(
+            "[gateway]\nhost = gateway-{number}\navailability_zone = newport-hall\n\
+             front_listen = 127.0.0.1:0\nready_listen = 127.0.0.1:0\n\
+             metrics_listen = 127.0.0.1:0\nstop_grace_s = 8\n[store]\naddress = {store}\n"
+        );
+        let name = format!("gateway-{}-{number}.ini", std::process::id());
+        let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+        std::fs::write(&path, settings).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_rosebend-gateway"))
+            .arg("--config")
+            .arg(&path)
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut output = BufReader::new(child.stdout.take().unwrap());
+        let lines = Arc::new(Mutex::new(Vec::new()));
+        let mut addresses = Vec::new();
+        while addresses.len() < 3 {
+            let mut line = String::new();
+            assert!(
+                output.read_line(&mut line).unwrap() > 0,
+                "the gateway ended"
+            );
+            let event: Value = serde_json::from_str(&line).unwrap();
+            if event["name"] == "listening" {
+                let address = event["address"].as_str().unwrap().parse().unwrap();
+                addresses.push((event["reason"].as_str().unwrap().to_owned(), address));
+            }
+            lines.lock().unwrap().push(line);
+        }
+        let of = |whom: &str| addresses.iter().find(|(name, _)| name == whom).unwrap().1;
+        let gateway = Self {
+            child,
+            front: of("callers"),
+            ready: of("balancer"),
+            metrics: of("metrics"),
+            lines: Arc::clone(&lines),
+        };
+        std::thread::spawn(move || {
+            if !reads_on {
+                // The pipe stays open and is never emptied.
+                std::thread::sleep(PATIENCE);
+            }
+            for line in output.lines().map_while(Result::ok) {
+                lines.lock().unwrap().push(line);
+            }
+        });
+        gateway
+    }
+
+    pub async fn is_ready(&self) -> bool {
+        Ask::get("/readyz").send(self.ready).await.status == 200
+    }
+
+    pub async fn until_ready(&self) {
+        until("the gateway is ready", async || self.is_ready().await).await;
+    }
+
+    pub async fn until_unready(&self) {
+        until("the gateway is not ready", async || !self.is_ready().await).await;
+    }
+
+    /// The lines of its log so far.
+    pub fn log(&self) -> Vec<String> {
+        self.lines.lock().unwrap().clone()
+    }
+
+    /// The events of its log so far that have a name.
+    pub fn events(&self, name: &str) -> Vec<Value> {
+        let lines = self.log();
+        let events = lines
+            .iter()
+            .filter_map(|line| serde_json::from_str(line).ok());
+        events
+            .filter(|event: &Value| event["name"] == name)
+            .collect()
+    }
+
+    pub fn signal(&self, signal: &str) {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill").args(["-s", signal, &id]).status();
+        assert!(status.unwrap().success());
+    }
+
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    /// Waits for the end of the process.
+    pub async fn exit_code(&mut self) -> Option<i32> {
+        let until = Instant::now() + PATIENCE;
+        while Instant::now() < until {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.code();
+            }
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+        }
+        panic!("the gateway did not end");
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Waits until something holds.
+pub async fn until(what: &str, holds: impl AsyncFn() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while Instant::now() < end {
+        if holds().await {
+            return;
+        }
+        actix_rt::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("waited in vain until {what}");
+}
+
+/// A request of a caller.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    method: Method,
+    path: String,
+    headers: Vec<(String, String)>,
+    body: String,
+}
+
+/// What a caller gets.
+#[derive(Clone, Debug, Default)]
+pub struct Answer {
+    /// Zero when the connection ended without an answer.
+    pub status: u16,
+    pub headers: http::HeaderMap,
+    pub body: String,
+    /// Whether the body came to its end.
+    pub is_whole: bool,
+}
+
+impl Answer {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    /// Seconds of `Retry-After`.
+    pub fn retry_after_s(&self) -> Option<f64> {
+        self.header("retry-after")?.parse().ok()
+    }
+}
+
+impl Ask {
+    pub fn new(method: Method, path: &str) -> Self {
+        Self {
+            method,
+            path: path.to_owned(),
+            headers: vec![("host".to_owned(), "desk.example".to_owned())],
+            body: String::new(),
+        }
+    }
+
+    pub fn get(path: &str) -> Self {
+        Self::new(Method::GET, path)
+    }
+
+    /// A turn of a program.
+    pub fn turn(attempt: &str, program: &str, input: &str) -> Self {
+        Self::new(Method::POST, "/stream/turn")
+            .attempt(attempt)
+            .header("program-id", program)
+            .header("session-id", "s1")
+            .header("token-budget", "1000")
+            .header("token-counts", "100,100")
+            .body(input)
+    }
+
+    pub fn attempt(self, attempt: &str) -> Self {
+        self.header("attempt-id", attempt)
+    }
+
+    pub fn previous(self, attempt: &str) -> Self {
+        self.header("previous-turn", attempt)
+    }
+
+    /// Sets a header.
+    pub fn header(mut self, name: &str, value: &str) -> Self {
+        self.headers.retain(|(known, _)| known != name);
+        self.headers.push((name.to_owned(), value.to_owned()));
+        self
+    }
+
+    pub fn body(mut self, body: &str) -> Self {
+        self.body = body.to_owned();
+        self
+    }
+
+    pub fn request(&self) -> Request<Full<Bytes>> {
+        let mut request = Request::builder().method(&self.method).uri(&self.path);
+        for (name, value) in &self.headers {
+            request = request.header(name, value);
+        }
+        let body = Full::new(Bytes::from(self.body.clone()));
+        request.body(body).unwrap()
+    }
+
+    /// Sends the request on a connection of its own.
+    pub async fn send(&self, address: SocketAddr) -> Answer {
+        let Ok(mut connection) = Connection::open(address).await else {
+            return Answer::default();
+        };
+        self.send_on(&mut connection).await
+    }
+
+    pub async fn send_on(&self, connection: &mut Connection) -> Answer {
+        let Ok(response) = connection.send(self.request()).await else {
+            return Answer::default();
+        };
+        let (head, mut body) = response.into_parts();
+        let mut bytes = Vec::new();
+        let mut is_whole = true;
+        while let Some(frame) = body.frame().await {
+            match frame {
+                Ok(frame) => bytes.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new())),
+                Err(_) => {
+                    is_whole = false;
+                    break;
+                }
+            }
+        }
+        Answer {
+            status: head.status.as_u16(),
+            headers: head.headers,
+            body: String::from_utf8_lossy(&bytes).into_owned(),
+            is_whole,
+        }
+    }
+}
--- /dev/null
+++ b/gateway/tests/turns.rs
@@ -0,0 +1,300 @@
+//! Turns of programs: their history, their budget, and what happens to both
+//! when the store or a gateway fails.
+
+mod support;
+
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use rosebend_gateway::connection::Connection;
+use rosebend_standin::backend::BackendFaults;
+use rosebend_standin::store::StoreFaults;
+use support::{Ask, Site};
+
+const MODELS: usize = 0;
+const EVENTS: &str = "id: 0\ndata: word0\n\nid: 1\ndata: word1\n\nid: 2\ndata: word2\n\n";
+const OUTPUT: &str = "word0\nword1\nword2\n";
+
+#[actix_rt::test]
+async fn a_turn_gets_all_that_was_said_before() {
+    let site = Site::start();
+    let gateway = site.gateway();
+    gateway.until_ready().await;
+    let first = Ask::turn("t1", "p1", "first|").send(gateway.front).await;
+    assert_eq!(
+        (first.status, first.body.as_str(), first.is_whole),
+        (200, EVENTS, true)
+    );
+    let second = Ask::turn("t2", "p1", "second|")
+        .previous("t1")
+        .send(gateway.front)
+        .await;
+    assert_eq!(second.status, 200);
+    let third = Ask::turn("t3", "p1", "third|")
+        .previous("t2")
+        .send(gateway.front)
+        .await;
+    assert_eq!(third.status, 200);
+    let expected = format!("first|{OUTPUT}second|{OUTPUT}third|");
+    assert_eq!(site.runs(MODELS).await["t3"].body, expected);
+}
+
+#[actix_rt::test]
+async fn a_program_goes_on_at_another_host_after_its_host_died() {
+    let site = Site::start();
+    let mut first = site.gateway();
+    first.until_ready().await;
+    Ask::turn("t1", "p1", "first|").send(first.front).await;
+    Ask::turn("t2", "p1", "second|")
+        .previous("t1")
+        .send(first.front)
+        .await;
+    first.kill();
+    let second = site.gateway();
+    second.until_ready().await;
+    let answer = Ask::turn("t3", "p1", "third|")
+        .previous("t2")
+        .send(second.front)
+        .await;
+    assert_eq!(answer.status, 200);
+    let expected = format!("first|{OUTPUT}second|{OUTPUT}third|");
+    assert_eq!(site.runs(MODELS).await["t3"].body, expected);
+}
+
+#[actix_rt::test]
+async fn another_program_may_continue_from_a_turn() {
+    let site = Site::start();
+    let first = site.gateway();
+    first.until_ready().await;
+    Ask::turn("t1", "p1", "first|").send(first.front).await;
+    let second = site.gateway();
+    second.until_ready().await;
+    let answer = Ask::turn("u1", "p2", "other|")
+        .previous("t1")
+        .send(second.front)
+        .await;
+    assert_eq!(answer.status, 200);
+    assert_eq!(
+        site.runs(MODELS).await["u1"].body,
+        format!("first|{OUTPUT}other|")
+    );
+    // The new program's own turns are found by a third host, across both.
+    let third = site.gateway();
+    third.until_ready().await;
+    let answer = Ask::turn("u2", "p2", "more|")
+        .previous("u1")
+        .send(third.front)
+        .await;
+    assert_eq!(answer.status, 200);
+    let expected = format!("first|{OUTPUT}other|{OUTPUT}more|");
+    assert_eq!(site.runs(MODELS).await["u2"].body, expected);
+}
+
+#[actix_rt::test]
+async fn long_inputs_are_kept_over_several_rows() {
+    let site = Site::start();
+    let gateway = site.gateway();
+    gateway.until_ready().await;
+    let long = "abcdefghij".repeat(9_500);
+    let answer = Ask::turn("t1", "p1", &long).send(gateway.front).await;
+    assert_eq!(answer.status, 200);
+    let other = site.gateway();
+    other.until_ready().await;
+    let answer = Ask::turn("t2", "p1", "next")
+        .previous("t1")
+        .send(other.front)
+        .await;
+    assert_eq!(answer.status, 200);
+    assert_eq!(
+        site.runs(MODELS).await["t2"].body,
+        format!("{long}{OUTPUT}next")
+    );
+}
+
+#[actix_rt::test]
+async fn a_turn_that_never_was_is_denied_and_one_in_doubt_is_not() {
+    let site = Site::start();
+    let gateway = site.gateway();
+    gateway.until_ready().await;
+    let unknown = Ask::turn("t9", "p1", "x").previous("never");
+    assert_eq!(unknown.send(gateway.front).await.status, 404);
+    let silent = StoreFaults {
+        silent: true,
+        ..StoreFaults::default()
+    };
+    site.faults(&silent).await;
+    let answer = unknown.send(gateway.front).await;
+    assert_eq!(answer.status, 503);
+    assert!(answer.retry_after_s().is_some());
+    assert_eq!(site.times_run("t9").await, 0);
+}
+
+#[actix_rt::test]
+async fn a_turn_that_broke_off_is_not_part_of_the_history() {
+    let site = Site::start();
+    let gateway = site.gateway();
+    gateway.until_ready().await;
+    let faults = BackendFaults {
+        cut_bodies: 1,
+        delay_ms: 30,
+        ..BackendFaults::default()
+    };
+    site.endpoint_faults(MODELS, &faults).await;
+    let cut = Ask::turn("t1", "p1", "first|").send(gateway.front).await;
+    assert!(!cut.is_whole);
+    let answer = Ask::turn("t2", "p1", "x")
+        .previous("t1")
+        .send(gateway.front)
+        .await;
+    assert_eq!(answer.status, 404);
+}
+
+#[actix_rt::test]
+async fn a_program_never_gets_more_than_its_budget() {
+    let site = Site::start();
+    let gateways = [site.gateway(), site.gateway()];
+    for gateway in &gateways {
+        gateway.until_ready().await;
+    }
+    // Each turn may generate 100 tokens, and generates 30.
+    let mut served = 0;
+    let mut previous: Option<String> = None;
+    let mut refused = 0;
+    for number in 0..14 {
+        let attempt = format!("t{number}");
+        let mut ask = Ask::turn(&attempt, "p1", "x").header("token-budget", "300");
+        if let Some(previous) = &previous {
+            ask = ask.previous(previous);
+        }
+        let answer = ask.send(gateways[number % 2].front).await;
+        match answer.status {
+            200 => {
+                served += 1;
+                previous = Some(attempt);
+            }
+            402 => {
+                refused += 1;
+                assert_eq!(site.times_run(&attempt).await, 0);
+            }
+            status => panic!("{status}"),
+        }
+    }
+    assert!(served * 30 <= 300, "{served} turns");
+    assert!(
+        served >= 5 && refused > 0,
+        "{served} served, {refused} refused"
+    );
+}
+
+#[actix_rt::test]
+async fn no_event_goes_out_before_the_turn_may_spend() {
+    let site = Site::start();
+    let gateway = site.gateway();
+    gateway.until_ready().await;
+    let slow = StoreFaults {
+        slow_ms: 100,
+        ..StoreFaults::default()
+    };
+    site.faults(&slow).await;
+    let paced = BackendFaults {
+        delay_ms: 300,
+        ..BackendFaults::default()
+    };
+    site.endpoint_faults(MODELS, &paced).await;
+    let mut connection = Connection::open(gateway.front).await.unwrap();
+    let response = connection
+        .send(Ask::turn("t1", "p1", "x").request())
+        .await
+        .unwrap();
+    let first = response.into_body().frame().await.unwrap().unwrap();
+    assert!(first.is_data());
+    assert_eq!(site.store.stats().transactions, 1);
+}
+
+#[actix_rt::test]
+async fn a_turn_needs_one_write_where_its_program_was_before() {
+    let site = Site::start();
+    let gateway = site.gateway();
+    gateway.until_ready().await;
+    Ask::turn("t0", "p1", "x").send(gateway.front).await;
+    let before = site.store.stats().transactions;
+    for number in 1..5 {
+        let ask = Ask::turn(&format!("t{number}"), "p1", "x").previous(&format!("t{}", number - 1));
+        assert_eq!(ask.send(gateway.front).await.status, 200);
+    }
+    assert_eq!(site.store.stats().transactions - before, 4);
+}
+
+#[actix_rt::test]
+async fn lost_answers_of_the_store_lose_no_turn() {
+    let site = Site::start();
+    let gateway = site.gateway();
+    gateway.until_ready().await;
+    let mut previous = String::new();
+    for number in 0..6 {
+        let faults = StoreFaults {
+            lose_answers: number % 2,
+            lose_calls: (number + 1) % 2,
+            ..StoreFaults::default()
+        };
+        site.faults(&faults).await;
+        let attempt = format!("t{number}");
+        let mut ask = Ask::turn(&attempt, "p1", "x|");
+        if number > 0 {
+            ask = ask.previous(&previous);
+        }
+        let answer = ask.send(gateway.front).await;
+        assert_eq!(
+            (answer.status, answer.is_whole),
+            (200, true),
+            "turn {number}"
+        );
+        previous = attempt;
+    }
+    let expected = format!("{}x|", format!("x|{OUTPUT}").repeat(5));
+    assert_eq!(site.runs(MODELS).await["t5"].body, expected);
+}
+
+#[actix_rt::test]
+async fn an_outage_refuses_turns_with_a_growing_time_to_come_back() {
+    let site = Site::start();
+    let gateway = site.gateway();
+    gateway.until_ready().await;
+    let refuse = StoreFaults {
+        refuse: true,
+        ..StoreFaults::default()
+    };
+    site.faults(&refuse).await;
+    gateway.until_unready().await;
+    actix_rt::time::sleep(Duration::from_millis(1_200)).await;
+    let answer = Ask::turn("t1", "p1", "x").send(gateway.front).await;
+    assert_eq!(answer.status, 503);
+    assert_eq!(answer.retry_after_s(), Some(1.0));
+    assert_eq!(site.times_run("t1").await, 0);
+    // Requests that need nothing of the store go on.
+    let lookup = Ask::get("/lookup/x")
+        .attempt("a1")
+        .send(gateway.front)
+        .await;
+    assert_eq!(lookup.status, 200);
+    site.faults(&StoreFaults::default()).await;
+    gateway.until_ready().await;
+    let answer = Ask::turn("t2", "p1", "x").send(gateway.front).await;
+    assert_eq!(answer.status, 200);
+}
+
+#[actix_rt::test]
+async fn a_silent_store_is_noticed_without_waiting_for_a_timeout() {
+    let site = Site::start();
+    let gateway = site.gateway();
+    gateway.until_ready().await;
+    let silent = StoreFaults {
+        silent: true,
+        ..StoreFaults::default()
+    };
+    site.faults(&silent).await;
+    gateway.until_unready().await;
+    let answer = Ask::turn("t1", "p1", "x").send(gateway.front).await;
+    assert_eq!(answer.status, 503);
+    assert_eq!(site.times_run("t1").await, 0);
+}
--- /dev/null
+++ b/standin/src/backend.rs
@@ -0,0 +1,240 @@
+//! An endpoint as the users' platform has them: a plain service or a model
+//! engine that streams, told apart by the path.
+//!
+//! | request | does |
+//! |---|---|
+//! | any with an attempt, path with `/stream` | streams events |
+//! | any other with an attempt | answers after the delay |
+//! | `POST /faults` [`BackendFaults`] | changes the faults |
+//! | `GET /runs` [`Runs`] | what has run, by attempt |
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::TcpListener;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use bytes::Bytes;
+use rosebend_protocol::problem::Ran;
+use rosebend_transport::http_server::{HttpReply, HttpRequest, ReplyBody, StreamPiece};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use tokio::sync::mpsc;
+
+use crate::reply::{cut, parse, problem, take_one};
+use crate::server::RunningServer;
+
+/// What an endpoint does wrong, and how fast it is.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct BackendFaults {
+    /// Milliseconds before an answer, and between the events of a stream.
+    pub delay_ms: u64,
+    /// Events of a stream.
+    pub events: u64,
+    /// Number of requests more that are refused as not run.
+    pub refuse: u64,
+    /// Number of requests more that run and whose answer is lost.
+    pub lose_answers: u64,
+    /// Number of answers more that are cut in their body.
+    pub cut_bodies: u64,
+    /// Number of answers more that name another attempt.
+    pub other_attempt: u64,
+    /// Number of answers more that bear no proof of their maker.
+    pub unstamped: u64,
+}
+
+impl Default for BackendFaults {
+    fn default() -> Self {
+        Self {
+            delay_ms: 0,
+            events: 3,
+            refuse: 0,
+            lose_answers: 0,
+            cut_bodies: 0,
+            other_attempt: 0,
+            unstamped: 0,
+        }
+    }
+}
+
+/// One request that ran.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Run {
+    /// How often it ran.
+    pub count: u64,
+    /// Method and path with the query.
+    pub target: String,
+    /// The body that it came with.
+    pub body: String,
+    /// Its headers, with lower-case names.
+    pub headers: BTreeMap<String, String>,
+}
+
+/// What has run, by attempt.
+pub type Runs = BTreeMap<String, Run>;
+
+#[derive(Debug, Default)]
+struct State {
+    faults: BackendFaults,
+    runs: Runs,
+    running: u64,
+}
+
+/// The endpoint.
+#[derive(Clone, Debug)]
+pub struct Backend {
+    instance: String,
+    state: Arc<Mutex<State>>,
+}
+
+/// Counts a request while it runs.
+#[derive(Debug)]
+struct Running(Arc<Mutex<State>>);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        if let Ok(mut state) = self.0.lock() {
+            state.running -= 1;
+        }
+    }
+}
+
+impl Backend {
+    /// Starts an endpoint on a bound listener, inside an `actix_rt` system.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the listener cannot be used.
+    pub fn start(listener: TcpListener, instance: &str) -> io::Result<RunningServer> {
+        let backend = Self {
+            instance: instance.to_owned(),
+            state: Arc::default(),
+        };
+        RunningServer::start("backend", listener, |_| {
+            move |request| {
+                let backend = backend.clone();
+                async move { backend.answer(request).await }
+            }
+        })
+    }
+
+    async fn answer(&self, request: HttpRequest) -> HttpReply {
+        match (request.method.as_str(), request.path.as_str()) {
+            ("POST", "/faults") => self.set_faults(&request),
+            ("GET", "/runs") => HttpReply::json(200, &self.lock().runs),
+            _ => self.run(request).await,
+        }
+    }
+
+    fn set_faults(&self, request: &HttpRequest) -> HttpReply {
+        match parse(request) {
+            Ok(faults) => {
+                self.lock().faults = faults;
+                HttpReply::json(200, &json!({}))
+            }
+            Err(reply) => reply,
+        }
+    }
+
+    async fn run(&self, request: HttpRequest) -> HttpReply {
+        let Some(attempt) = request.header("attempt-id").map(str::to_owned) else {
+            return not_run(400, "no-attempt");
+        };
+        let target = request.header("target-instance");
+        if target.is_some_and(|target| target != self.instance) {
+            return not_run(421, "other-instance");
+        }
+        if take_one(&mut self.lock().faults.refuse) {
+            return not_run(503, "full");
+        }
+        self.note(&attempt, &request);
+        let _running = Running(Arc::clone(&self.state));
+        let delay_ms = self.lock().faults.delay_ms;
+        actix_rt::time::sleep(Duration::from_millis(delay_ms)).await;
+        if take_one(&mut self.lock().faults.lose_answers) {
+            return cut();
+        }
+        if request.path.contains("/stream") {
+            return self.stamped(&attempt, self.stream());
+        }
+        let body = format!("answer to {attempt}");
+        let reply = match take_one(&mut self.lock().faults.cut_bodies) {
+            true => cut(),
+            false => HttpReply::bytes(200, "text/plain", body.into_bytes()),
+        };
+        self.stamped(&attempt, reply)
+    }
+
+    fn note(&self, attempt: &str, request: &HttpRequest) {
+        let mut state = self.lock();
+        state.running += 1;
+        let run = state.runs.entry(attempt.to_owned()).or_default();
+        run.count += 1;
+        run.target = format!("{} {}", request.method, request.path);
+        if !request.query.is_empty() {
+            run.target.push('?');
+            run.target.push_str(&request.query);
+        }
+        run.body = String::from_utf8_lossy(&request.body).into_owned();
+        let text = |value: &actix_http::header::HeaderValue| {
+            String::from_utf8_lossy(value.as_bytes()).into_owned()
+        };
+        let headers = request.headers.iter();
+        run.headers = headers
+            .map(|(name, value)| (name.to_string(), text(value)))
+            .collect();
+    }
+
+    fn stream(&self) -> HttpReply {
+        let (sender, pieces) = mpsc::channel(1);
+        let (delay_ms, events, is_cut) = {
+            let mut state = self.lock();
+            let is_cut = take_one(&mut state.faults.cut_bodies);
+            (state.faults.delay_ms, state.faults.events, is_cut)
+        };
+        actix_rt::spawn(async move {
+            for number in 0..events {
+                let event = format!("id: {number}\ndata: word{number}\n\n");
+                let sent = sender.send(StreamPiece::Data(Bytes::from(event))).await;
+                if sent.is_err() || (is_cut && number + 1 == events) {
+                    return;
+                }
+                actix_rt::time::sleep(Duration::from_millis(delay_ms)).await;
+            }
+            // The caller may have gone before the end.
+            let _ = sender.send(StreamPiece::End).await;
+        });
+        HttpReply::stream(200, "text/event-stream", pieces)
+    }
+
+    fn stamped(&self, attempt: &str, mut reply: HttpReply) -> HttpReply {
+        let mut state = self.lock();
+        let attempt = match take_one(&mut state.faults.other_attempt) {
+            true => "0000000000000000".to_owned(),
+            false => attempt.to_owned(),
+        };
+        reply.headers.push(("attempt-id", attempt));
+        if !take_one(&mut state.faults.unstamped) {
+            reply.headers.push(("response-stamp", "stamp.1".to_owned()));
+        }
+        let load = format!("{},0,8", state.running);
+        reply.headers.push(("server-load", load));
+        debug_assert!(!matches!(&reply.body, ReplyBody::Whole(body) if body.is_empty()));
+        reply
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state
+            .lock()
+            .expect("no holder of the state's lock panics")
+    }
+}
+
+fn not_run(status: u16, reason: &str) -> HttpReply {
+    let mut reply = problem(status, reason, Ran::No, "not run");
+    reply.headers.push(("not-executed", "1".to_owned()));
+    reply
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -6,6 +6,8 @@
 //!   weight store.
 //! - [`engine`]: a model engine that batches continuously and caches prefixes.
 //! - [`service`]: a plain service that counts the effects of its calls.
+//! - [`store`] and [`backend`]: the users' platform's store and its endpoints,
+//!   which speak the published protocol.
 //! - [`server`]: how each of them is started and stopped.
 //! - [`options`]: the command line.
 //!
@@ -27,9 +29,11 @@
 //! # }).unwrap();
 //! ```
 
+pub mod backend;
 pub mod engine;
 pub mod options;
 pub mod platform;
 mod reply;
 pub mod server;
 pub mod service;
+pub mod store;
--- a/standin/src/reply.rs
+++ b/standin/src/reply.rs
@@ -28,6 +28,13 @@
     HttpReply::stream(200, "application/json", pieces)
 }
 
+/// Takes one from a count of faults that are left.
+pub fn take_one(left: &mut u64) -> bool {
+    let taken = *left > 0;
+    *left = left.saturating_sub(1);
+    taken
+}
+
 /// Decodes `%XX` in a part of a path; what is no valid escape stays.
 pub fn percent_decode(text: &str) -> String {
     let mut decoded = Vec::with_capacity(text.len());
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -24,7 +24,7 @@
 use serde_json::{Value, json};
 
 use crate::{
-    reply::{cut, not_found, parse, problem},
+    reply::{cut, not_found, parse, problem, take_one},
     server::{RunningServer, Stopping},
 };
 
@@ -208,13 +208,6 @@
     }
 }
 
-/// Takes one from a count of faults that are left.
-fn take_one(left: &mut u64) -> bool {
-    let taken = *left > 0;
-    *left = left.saturating_sub(1);
-    taken
-}
-
 fn count_effect(effects: &mut Effects, call_id: &str, body: &Value) -> u64 {
     effects.total += 1;
     if let Some(key) = body.get("effect_key").and_then(Value::as_str) {
--- a/transport/src/event.rs
+++ b/transport/src/event.rs
@@ -13,6 +13,7 @@
 //! ```
 
 use std::fmt::{self, Write};
+use std::net::SocketAddr;
 use std::sync::OnceLock;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -62,6 +63,7 @@
     ElapsedMs(u64),
     Load(u64),
     Tokens(u64),
+    Address(SocketAddr),
 }
 
 /// A field's value, for lines in JSON.
@@ -186,6 +188,11 @@
         self.with(Field::Tokens(tokens))
     }
 
+    /// Adds an address of this host.
+    pub fn address(self, address: SocketAddr) -> Self {
+        self.with(Field::Address(address))
+    }
+
     /// The event as one JSON object on one line. `at_ms` is the time of day.
     pub fn to_json(&self, at_ms: u64, host: &str) -> String {
         let mut line = format!("{{\"at_ms\":{at_ms},\"host\":{}", json_text(host));
@@ -254,6 +261,7 @@
             Self::Attempt(text) => member("attempt", text),
             Self::ProgramKey(text) => member("program", text),
             Self::Route(text) => member("route", text),
+            Self::Address(address) => vec![("address", Value::Text(address.to_string().into()))],
         }
     }
 }
@@ -304,6 +312,7 @@
             Self::ElapsedMs(elapsed_ms) => write!(f, "elapsed_ms={elapsed_ms}"),
             Self::Load(load) => write!(f, "load={load}"),
             Self::Tokens(tokens) => write!(f, "tokens={tokens}"),
+            Self::Address(address) => write!(f, "address={address}"),
         }
     }
 }
@@ -377,7 +386,7 @@
 program), `shard`, `epoch`, `host`, `endpoint`, `revision`, `count`, `wait_ms`,
 `reason` (a word of a closed set) and `error`; for gateways also `attempt`
 (a caller's attempt), `route`, `status`, `version` (of the declared routes),
-`age_ms` (of what decided), `elapsed_ms`, `load` and `tokens`. Gateways write
+`age_ms` (of what decided), `elapsed_ms`, `load`, `tokens` and `address`. Gateways write
 each event as a JSON object on a line of its own, with `at_ms`, `host`, `event`
 (the number), `name` and `level` before the fields; the host of a field is
 `peer` there. A prompt, an answer or a token is
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -137,11 +137,13 @@
     AcceptFailed,
     /// A program's rows in the store do not have the form that this version writes.
     RecordUnreadable,
+    /// The process listens on `address`; `reason` says for whom.
+    Listening,
 }
 
 impl EventKind {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 64] = [
+    pub const ALL: [Self; 65] = [
         Self::ProcessStarted,
         Self::ProcessStopping,
         Self::ProcessStopped,
@@ -206,6 +208,7 @@
         Self::RequestQuarantined,
         Self::AcceptFailed,
         Self::RecordUnreadable,
+        Self::Listening,
     ];
 
     /// The event's number, which stays with it for ever.
@@ -275,6 +278,7 @@
             Self::RequestQuarantined => 821,
             Self::AcceptFailed => 822,
             Self::RecordUnreadable => 823,
+            Self::Listening => 824,
         }
     }
 
@@ -345,6 +349,7 @@
             Self::RequestQuarantined => "request-quarantined",
             Self::AcceptFailed => "accept-failed",
             Self::RecordUnreadable => "record-unreadable",
+            Self::Listening => "listening",
         }
     }
 
@@ -508,6 +513,7 @@
             Self::RecordUnreadable => {
                 "A program's rows in the store do not have the form that this version writes."
             }
+            Self::Listening => "The process listens on `address`; `reason` says for whom.",
         }
     }
 }
