Explain a request from log lines alone

Cause: an engineer on call has only logs and metrics. Change: rosebend explain ID reads lines of any number of gateways and tells the steps of an attempt, or of a program's attempts, what their hosts believed meanwhile, and which ends no line tells.

--- a/cli/src/invocation.rs
+++ b/cli/src/invocation.rs
@@ -1,6 +1,7 @@
 //! The arguments, checked.
 
 use std::{
+    io::{self, Read},
     num::ParseIntError,
     path::{Path, PathBuf},
     time::Duration,
@@ -28,6 +29,41 @@
     Show(String),
     /// Run a command.
     Run(Invocation),
+    /// Tell a story from log lines.
+    Explain(Question),
+}
+
+/// What is to be explained, from which logs.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Question {
+    /// An attempt or a program.
+    pub id: String,
+    /// Files of log lines; standard input without any.
+    pub files: Vec<PathBuf>,
+    /// The form in which the story is shown.
+    pub output: Output,
+}
+
+impl Question {
+    /// All log lines.
+    ///
+    /// # Errors
+    ///
+    /// Names the file that cannot be read.
+    pub fn read(&self) -> Result<String, String> {
+        let mut text = String::new();
+        if self.files.is_empty() {
+            let read = io::stdin().read_to_string(&mut text);
+            read.map_err(|error| format!("standard input: {error}"))?;
+        }
+        for path in &self.files {
+            let bytes = std::fs::read(path);
+            let bytes = bytes.map_err(|error| format!("{}: {error}", path.display()))?;
+            text.push_str(&String::from_utf8_lossy(&bytes));
+            text.push('\n');
+        }
+        Ok(text)
+    }
 }
 
 /// A command and where it goes.
@@ -122,6 +158,9 @@
         if matches.opt_present("help") {
             return Ok(Parsed::Show(verb.help()));
         }
+        if verb == Verb::Explain {
+            return question(&matches).map(Parsed::Explain);
+        }
         Ok(Parsed::Run(Self {
             command: command(verb, &matches)?,
             output: output(&matches)?,
@@ -130,6 +169,17 @@
     }
 }
 
+fn question(matches: &Matches) -> Result<Question, UsageError> {
+    let Some((id, files)) = matches.free.split_first() else {
+        return Err(usage("explain needs the id of an attempt or a program"));
+    };
+    Ok(Question {
+        id: id.clone(),
+        files: files.iter().map(PathBuf::from).collect(),
+        output: output(matches)?,
+    })
+}
+
 fn command(verb: Verb, matches: &Matches) -> Result<Command, UsageError> {
     let command = match verb {
         Verb::Apply => {
@@ -166,6 +216,7 @@
             }
         }
         Verb::End => Command::End(program(one(verb, matches)?)?),
+        Verb::Explain => return Err(usage("explain asks no entry")),
     };
     Ok(command)
 }
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`verb`]: the sub-commands and their help.
 //! - [`invocation`]: the arguments, checked.
 //! - [`api`]: the client of the operators' API.
+//! - [`explain`]: the story of a request, from log lines.
 //! - [`files`]: resources from files.
 //! - [`command`]: what each sub-command does.
 //! - [`report`] and [`table`]: what is shown, and the exit codes.
@@ -21,6 +22,7 @@
 
 pub mod api;
 pub mod command;
+pub mod explain;
 pub mod files;
 pub mod invocation;
 pub mod report;
@@ -28,7 +30,8 @@
 pub mod verb;
 
 use self::{
-    invocation::{Invocation, Parsed},
+    explain::Story,
+    invocation::{Invocation, Output, Parsed, Question},
     report::Exit,
 };
 
@@ -40,6 +43,7 @@
             show(out, &text);
             return Exit::Done;
         }
+        Ok(Parsed::Explain(question)) => return explain_from_logs(&question, out, err),
         Err(usage) => {
             show(err, &format!("rosebend: {usage}\n"));
             return Exit::Usage;
@@ -58,6 +62,27 @@
     }
 }
 
+/// Tells a story from log files, or from standard input where none is named.
+fn explain_from_logs(question: &Question, out: &mut dyn Write, err: &mut dyn Write) -> Exit {
+    let text = match question.read() {
+        Ok(text) => text,
+        Err(error) => {
+            show(err, &format!("rosebend: {error}\n"));
+            return Exit::Usage;
+        }
+    };
+    let story = Story::tell(&question.id, text.lines());
+    let shown = match question.output {
+        Output::Table => story.text(),
+        Output::Json => story.json(),
+    };
+    show(out, &shown);
+    match story.is_empty() {
+        true => Exit::Refused,
+        false => Exit::Done,
+    }
+}
+
 /// Writes a text. A reader that has gone away, as behind `| head`, is no
 /// failure of the command.
 fn show(stream: &mut dyn Write, text: &str) {
--- a/cli/src/verb.rs
+++ b/cli/src/verb.rs
@@ -25,6 +25,8 @@
     Program,
     /// Ends a program.
     End,
+    /// Tells the story of a request from log lines.
+    Explain,
 }
 
 /// What `rosebend --help` says about exit codes, and every sub-command too.
@@ -39,7 +41,7 @@
 
 impl Verb {
     /// All sub-commands, in the order of the help.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::Apply,
         Self::Get,
         Self::List,
@@ -49,6 +51,7 @@
         Self::Status,
         Self::Program,
         Self::End,
+        Self::Explain,
     ];
 
     /// The sub-command's word.
@@ -63,6 +66,7 @@
             Self::Status => "status",
             Self::Program => "program",
             Self::End => "end",
+            Self::Explain => "explain",
         }
     }
 
@@ -81,6 +85,7 @@
             Self::Drain => "ENDPOINT",
             Self::Program => "show CUSTOMER/SESSION",
             Self::End => "CUSTOMER/SESSION",
+            Self::Explain => "ID [FILE]...",
         }
     }
 
@@ -95,6 +100,7 @@
             Self::Status => "shows where a revision is in force",
             Self::Program => "shows a program and its calls",
             Self::End => "ends a program and frees what it holds",
+            Self::Explain => "tells the story of a request from log lines",
         }
     }
 
@@ -132,6 +138,13 @@
 them, and exits with 1 if that takes longer."
             }
             Self::Program => "Shows the state, the budget and the calls of a program.",
+            Self::Explain => {
+                "\
+Reads log lines of gateways from files, or from standard input, in any order,
+and tells the steps of the attempt, or of all attempts of the program, with
+what their hosts believed meanwhile and which lines are missing. Exits with 1
+when no line names the id."
+            }
             Self::End => {
                 "\
 Calls that wait are refused; the engine memory that the program holds is freed.
@@ -168,6 +181,10 @@
                 "rosebend status --config cli.ini --revision 12 --wait 8",
             ],
             Self::Program => &["rosebend program --config cli.ini show caribmar/renewal-17"],
+            Self::Explain => &[
+                "rosebend explain 9c41d07be2a35f68 logs/*.log",
+                "rosebend explain 3fa81c --output json < all.log",
+            ],
             Self::End => &["rosebend end --config cli.ini caribmar/renewal-17"],
         }
     }
@@ -201,16 +218,11 @@
                     "SECONDS",
                 );
             }
-            Self::Get | Self::List | Self::Drain | Self::Program | Self::End => {}
+            Self::Get | Self::List | Self::Drain | Self::Program | Self::End | Self::Explain => {}
+        }
+        if self != Self::Explain {
+            add_entry_options(&mut options);
         }
-        options.optopt("", "config", "settings of the command line", "FILE");
-        options.optopt("", "url", "an entry, in place of --config", "URL");
-        options.optopt(
-            "",
-            "token-file",
-            "the operator's token, in place of --config",
-            "FILE",
-        );
         options.optopt(
             "",
             "output",
@@ -239,6 +251,18 @@
     }
 }
 
+/// Options that name the entry to ask.
+fn add_entry_options(options: &mut Options) {
+    options.optopt("", "config", "settings of the command line", "FILE");
+    options.optopt("", "url", "an entry, in place of --config", "URL");
+    options.optopt(
+        "",
+        "token-file",
+        "the operator's token, in place of --config",
+        "FILE",
+    );
+}
+
 /// What `rosebend --help` shows.
 pub fn overview() -> String {
     let mut help =
