--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -273,7 +273,7 @@
         let took = self.clock.now().saturating_sub(started);
         let error = outcome.as_ref().err();
         self.metrics.count_store_call(kind, error, took);
-        self.note(error);
+        self.note(started, error);
         outcome
     }
 
@@ -316,17 +316,12 @@
         None
     }
 
-    fn note(&self, error: Option<&StoreError>) {
-        let now = self.clock.now();
+    fn note(&self, started: Duration, error: Option<&StoreError>) {
         let Some(error) = error else {
-            if let Some(since) = self.failing_since.take() {
-                self.recovered_at.set(Some(now));
-                let away = now.saturating_sub(since);
-                log_event(&Event::new(EventKind::StoreRegained).wait_ms(whole_ms(away)));
-            }
-            self.last_success.set(Some(now));
+            self.note_answer(started);
             return;
         };
+        let now = self.clock.now();
         // Others of the same age deliver nothing either, most likely.
         self.idle.borrow_mut().clear();
         if self.failing_since.get().is_none() {
@@ -334,6 +329,22 @@
             log_event(&Event::new(EventKind::StoreLost).error(error));
         }
     }
+
+    /// Takes note of an answer. One to a call from before the first failure,
+    /// such as a feed that was waiting, does not tell that the store is back.
+    fn note_answer(&self, started: Duration) {
+        let now = self.clock.now();
+        if let Some(since) = self.failing_since.get() {
+            if started < since {
+                return;
+            }
+            self.failing_since.set(None);
+            self.recovered_at.set(Some(now));
+            let away = now.saturating_sub(since);
+            log_event(&Event::new(EventKind::StoreRegained).wait_ms(whole_ms(away)));
+        }
+        self.last_success.set(Some(now));
+    }
 }
 
 fn decode(body: &[u8]) -> Result<Rows, StoreError> {
--- a/gateway/tests/explain.rs
+++ b/gateway/tests/explain.rs
@@ -71,7 +71,9 @@
     site.faults(&refuse).await;
     until("the host says that it is not ready", async || {
         let changes = turned_away.events("ready-changed");
-        changes.iter().any(|event| event["reason"] == "store-unreachable")
+        changes
+            .iter()
+            .any(|event| event["reason"] == "store-unreachable")
     })
     .await;
     assert!(served.is_ready().await);
