Let a host that the store turns away send its calls by a peer

Ruled out: telling callers to come back, which brings them to the same hosts. Every call may be sent twice. Test: a refused and a silent door: turns go on by the peer, what ran is recorded, new routes arrive; an outage of the whole store is still told as one. Two tests that counted transactions now count the gateway's own row, too.

--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -22,6 +22,7 @@
 
 use crate::call;
 use crate::gateway::Gateway;
+use crate::peers;
 
 /// Connections that may wait to be accepted. When the queue is full, a
 /// caller's opening packet is dropped and comes again only after a second.
@@ -172,15 +173,23 @@
 
 /// Serves the balancer's question and the metrics page until the process ends.
 pub async fn serve_status(gateway: Rc<Gateway>, listener: TcpListener) {
+    let handler = move |request: Request| {
+        let response = status(&gateway, &request);
+        async move { Ok::<_, Infallible>(response) }
+    };
+    serve_always(listener, handler).await;
+}
+
+async fn serve_always<F, R>(listener: TcpListener, handler: F)
+where
+    F: Fn(Request) -> R + Clone + 'static,
+    R: Future<Output = Result<Response<BoxBody>, Infallible>> + 'static,
+{
     let limits = Limits {
         header_timeout: DEFAULT_HEADER_TIMEOUT,
         idle_timeout: DEFAULT_IDLE_TIMEOUT,
     };
     let (_open, never) = watch::channel(false);
-    let handler = move |request: Request| {
-        let response = status(&gateway, &request);
-        async move { Ok::<_, Infallible>(response) }
-    };
     let serve = serve_with(handler, limits, never);
     loop {
         match listener.accept().await {
@@ -190,6 +199,12 @@
     }
 }
 
+/// Passes on peers' calls to the store until the process ends.
+pub async fn serve_peers(gateway: Rc<Gateway>, listener: TcpListener) {
+    let handler = move |request: Request| peers::pass_on(Rc::clone(&gateway), request);
+    serve_always(listener, handler).await;
+}
+
 fn status(gateway: &Gateway, request: &Request) -> Response<BoxBody> {
     if request.path() == METRICS_PATH {
         let page = gateway.metrics.page(&gateway.quantities());
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -4,7 +4,7 @@
 //! A request goes [`front`] -> [`call`] -> [`plain`] or [`turn`] ->
 //! [`exchange`] -> [`connection`]. What lasts goes through [`commits`] and
 //! [`store`]; what the process believes of routes and endpoints comes from
-//! [`watch`]. [`process`] starts and stops all of it.
+//! [`watch`]. [`peers`] pass on each other's calls to the store. [`process`] starts and stops all of it.
 //!
 //! [`trail`] is what is written of a request, [`metrics`] what is counted.
 //!
@@ -19,6 +19,7 @@
 pub mod front;
 pub mod gateway;
 pub mod metrics;
+pub mod peers;
 pub mod plain;
 pub mod pool;
 pub mod process;
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -11,7 +11,7 @@
 use tokio::sync::watch;
 
 use crate::gateway::Gateway;
-use crate::{front, watch as follow};
+use crate::{front, peers, watch as follow};
 
 /// How long after the signal to stop new connections are still accepted: the
 /// balancer asks once a second and takes a host out after two misses.
@@ -55,6 +55,8 @@
     let front = listen(settings.front_listen, "callers")?;
     let ready = listen(settings.ready_listen, "balancer")?;
     let metrics = listen(settings.metrics_listen, "metrics")?;
+    let relay = listen(settings.relay_listen, "peers")?;
+    let relay_address = relay.local_addr().unwrap_or(settings.relay_listen);
     let gateway = Rc::new(Gateway::new(settings));
     let (close, closing) = watch::channel(false);
     actix_rt::spawn(front::serve_status(Rc::clone(&gateway), ready));
@@ -63,6 +65,9 @@
     actix_rt::spawn(follow::follow_routes(Rc::clone(&gateway)));
     actix_rt::spawn(follow::follow_endpoints(Rc::clone(&gateway)));
     actix_rt::spawn(follow::tidy(Rc::clone(&gateway)));
+    actix_rt::spawn(front::serve_peers(Rc::clone(&gateway), relay));
+    actix_rt::spawn(peers::follow(Rc::clone(&gateway), relay_address));
+    actix_rt::spawn(peers::probe(Rc::clone(&gateway)));
     log_event(&Event::new(EventKind::ProcessStarted).host(&gateway.settings.host));
     loop {
         tokio::select! {
@@ -95,7 +100,8 @@
     let end = gateway.clock.now() + grace;
     let open = gateway.open_requests();
     log_event(&Event::new(EventKind::ProcessStopping).count(open));
-    tokio::time::sleep(ACCEPT_AFTER_SIGNAL.min(grace)).await;
+    let accepting = tokio::time::sleep(ACCEPT_AFTER_SIGNAL.min(grace));
+    futures_util::future::join(peers::leave(gateway), accepting).await;
     close.send_replace(true);
     let mut quiet_since = gateway.clock.now();
     while gateway.clock.now() < end {
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -1,13 +1,11 @@
 //! The client of the platform's store.
 
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request};
-use http_body_util::{BodyExt, Full, Limited};
+use http::Method;
 use rosebend_coordination::gateway::history::Range;
 use rosebend_coordination::gateway::lane::Answer;
 use rosebend_platform::store::{self as wire, Rows, StoreStatus};
@@ -16,21 +14,18 @@
 use rosebend_transport::event::{Event, EventKind, log_event};
 
 use crate::clock::{Clock, whole_ms};
-use crate::connection::Connection;
 use crate::metrics::Metrics;
 
-/// Most idle connections that are kept. A host's calls seldom overlap by more.
-const MAX_IDLE: usize = 4;
-/// Largest answer that is read; the store sends at most 1 MB of rows, encoded.
-const MAX_ANSWER_BYTES: usize = 4 << 20;
-/// How long calls may fail, with none answered, before requests that need the
-/// store are refused at once.
-const DOUBT_TIME: Duration = Duration::from_millis(60);
-/// How long a call may be open, with no other answered since it was sent,
-/// before the store counts as silent. Calls take 6 to 20 ms, and 250 to 500 ms
-/// of a slow store, which has several open at once; a host that is cut off
-/// hears nothing, and its callers are served elsewhere.
-const SILENCE_TIME: Duration = Duration::from_millis(350);
+pub use self::way::Outgoing;
+use self::way::{SILENCE_TIME, Turn, Way};
+
+mod way;
+
+/// How long a way by a peer is believed in after its last answer.
+const PEER_TRUST: Duration = Duration::from_millis(1_500);
+/// Peers that are asked for one call, at most: in an outage of the whole store
+/// each of them only says so.
+const MAX_PEERS_ASKED: usize = 2;
 
 /// Why a call gave nothing.
 #[derive(Debug, thiserror::Error)]
@@ -69,92 +64,74 @@
 }
 
 /// The client; one for the process.
+///
+/// Calls go straight to the store. While the store does not answer this host,
+/// they go by a peer that it does answer. Every call may be sent twice:
+/// transactions carry their conditions or write rows that never change.
 #[derive(Debug)]
 pub struct StoreClient {
     settings: StoreSettings,
     clock: Clock,
     metrics: Rc<Metrics>,
-    idle: RefCell<Vec<Connection>>,
-    last_success: Cell<Option<Duration>>,
-    /// First failure since the last success.
-    failing_since: Cell<Option<Duration>>,
-    /// End of the last time without the store.
-    recovered_at: Cell<Option<Duration>>,
-    /// When the answer of each open call may first be expected.
-    open_calls: RefCell<BTreeMap<u64, Duration>>,
-    next_call: Cell<u64>,
-}
-
-/// An open call; dropping it closes the call.
-#[derive(Debug)]
-struct OpenCall<'a> {
-    client: &'a StoreClient,
-    id: u64,
-}
-
-impl Drop for OpenCall<'_> {
-    fn drop(&mut self) {
-        self.client.open_calls.borrow_mut().remove(&self.id);
-    }
+    direct: Way,
+    peers: RefCell<Vec<Rc<Way>>>,
 }
 
 impl StoreClient {
     /// A client that has not called yet.
     pub fn new(settings: StoreSettings, clock: Clock, metrics: Rc<Metrics>) -> Self {
         Self {
+            direct: Way::new(settings.address, clock),
+            peers: RefCell::default(),
             settings,
             clock,
             metrics,
-            idle: RefCell::default(),
-            last_success: Cell::new(None),
-            failing_since: Cell::new(None),
-            recovered_at: Cell::new(None),
-            open_calls: RefCell::default(),
-            next_call: Cell::new(0),
         }
     }
 
-    /// Whether calls are answered, as far as the last ones tell.
+    /// Sets the peers that pass calls on, best first. Known ones keep their
+    /// connections.
+    pub fn set_peers(&self, addresses: &[std::net::SocketAddr]) {
+        let mut peers = self.peers.borrow_mut();
+        let known = std::mem::take(&mut *peers);
+        let way = |address: &std::net::SocketAddr| {
+            let way = known.iter().find(|way| way.address() == *address);
+            way.map_or_else(|| Rc::new(Way::new(*address, self.clock)), Rc::clone)
+        };
+        *peers = addresses.iter().map(way).collect();
+    }
+
+    /// Whether calls are answered, straight or by a peer.
     pub fn is_reachable(&self) -> bool {
-        self.last_success.get().is_some() && self.unreachable_for() < DOUBT_TIME
+        self.was_ever_answered() && (self.direct.is_up() || self.is_relayed())
     }
 
     /// For how long no call has been answered; zero while calls are.
     pub fn unreachable_for(&self) -> Duration {
-        let now = self.clock.now();
-        let failing = self.failing_since.get();
-        let failing = failing.map_or(Duration::ZERO, |since| now.saturating_sub(since));
-        let silent = self.silent_for(now);
-        if silent < SILENCE_TIME {
-            return failing;
+        match self.direct.is_up() || self.is_relayed() {
+            true => Duration::ZERO,
+            false => self.direct.unreachable_for(),
         }
-        failing.max(silent)
     }
 
-    /// How long the oldest open call has been without an answer, unless some
-    /// later call was answered.
-    fn silent_for(&self, now: Duration) -> Duration {
-        let open_calls = self.open_calls.borrow();
-        let oldest = open_calls.values().min();
-        let last_success = self.last_success.get().unwrap_or_default();
-        let oldest = oldest.filter(|oldest| **oldest > last_success);
-        oldest.map_or(Duration::ZERO, |oldest| now.saturating_sub(*oldest))
-    }
-
-    fn open_call(&self, wait: Duration) -> OpenCall<'_> {
-        let id = self.next_call.get();
-        self.next_call.set(id + 1);
-        let expected = self.clock.now() + wait;
-        self.open_calls.borrow_mut().insert(id, expected);
-        OpenCall { client: self, id }
+    /// Whether the store does not answer this host, whoever else it answers.
+    pub fn is_direct_down(&self) -> bool {
+        !self.direct.is_up()
     }
 
     /// Whether the store was away within `span` before now.
     pub fn was_away_within(&self, span: Duration) -> bool {
-        let now = self.clock.now();
-        let recovered = self.recovered_at.get();
-        self.failing_since.get().is_some()
-            || recovered.is_some_and(|at| now.saturating_sub(at) < span)
+        self.direct.was_away_within(span)
+    }
+
+    fn was_ever_answered(&self) -> bool {
+        let mut ways = self.peers.borrow().clone().into_iter();
+        self.direct.was_ever_answered() || ways.any(|way| way.was_ever_answered())
+    }
+
+    fn is_relayed(&self) -> bool {
+        let peers = self.peers.borrow();
+        peers.iter().any(|way| way.was_answered_within(PEER_TRUST))
     }
 
     /// Applies a transaction.
@@ -163,9 +140,13 @@
     ///
     /// Fails when it was not applied, or when that is not known.
     pub async fn transact(&self, transaction: &Transaction) -> Result<Answer, StoreError> {
-        let body = wire::encode_transaction(transaction);
-        let call = self.request(Method::POST, wire::TRANSACT_PATH, body);
-        let (status, body) = self.call(StoreCall::Transact, call, Duration::ZERO).await?;
+        let outgoing = Outgoing {
+            method: Method::POST,
+            path: wire::TRANSACT_PATH.to_owned(),
+            body: Bytes::from(wire::encode_transaction(transaction)),
+        };
+        let call = self.call(StoreCall::Transact, &outgoing, Duration::ZERO);
+        let (status, body) = call.await?;
         let rows = decode(&body)?;
         match status {
             StoreStatus::Done => Ok(Answer::Applied(rows.version)),
@@ -184,7 +165,7 @@
         let mut from = range.from.clone();
         let mut all = Rows::default();
         loop {
-            let path = wire::read_path(range.table, &range.partition, &from, Some(&range.to));
+            let path = wire::read_path(range.table, &range.partition, &from, Some(&range.to), None);
             let page = self.get(StoreCall::Read, &path, Duration::ZERO).await?;
             all.version = page.version;
             all.rows.extend(page.rows);
@@ -204,7 +185,7 @@
         let mut from = String::new();
         let mut all = Rows::default();
         loop {
-            let path = wire::read_path(table, "", &from, None);
+            let path = wire::read_path(table, "", &from, None, None);
             let page = self.get(StoreCall::Read, &path, Duration::ZERO).await?;
             if all.version == 0 {
                 // Changes after the first page must not be missed.
@@ -218,6 +199,32 @@
         }
     }
 
+    /// Reads at most `limit` rows of a table's empty partition, from a key on.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store does not answer.
+    pub async fn read_some(
+        &self,
+        table: &str,
+        from: &str,
+        limit: usize,
+    ) -> Result<Rows, StoreError> {
+        let path = wire::read_path(table, "", from, None, Some(limit));
+        self.get(StoreCall::Read, &path, Duration::ZERO).await
+    }
+
+    /// Asks the store straight whether it answers this host again.
+    pub async fn probe(&self, table: &str, key: &str) {
+        let outgoing = Outgoing {
+            method: Method::GET,
+            path: wire::read_path(table, "", key, None, Some(1)),
+            body: Bytes::new(),
+        };
+        // The way itself takes note of how it went.
+        let _ = self.pass_on(&outgoing, Duration::ZERO).await;
+    }
+
     /// Waits for changes of a table after a version.
     ///
     /// # Errors
@@ -234,116 +241,165 @@
     }
 
     async fn get(&self, kind: StoreCall, path: &str, wait: Duration) -> Result<Rows, StoreError> {
-        let request = self.request(Method::GET, path, Vec::new());
-        match self.call(kind, request, wait).await? {
+        let outgoing = Outgoing {
+            method: Method::GET,
+            path: path.to_owned(),
+            body: Bytes::new(),
+        };
+        match self.call(kind, &outgoing, wait).await? {
             (StoreStatus::Done, body) => decode(&body),
             (status, _) => Err(unexpected(status)),
         }
     }
 
-    fn request(&self, method: Method, path: &str, body: Vec<u8>) -> Request<Full<Bytes>> {
-        let request = Request::builder()
-            .method(method)
-            .uri(path)
-            .header(http::header::HOST, self.settings.address.to_string())
-            .header(http::header::CONTENT_TYPE, "application/json");
-        request
-            .body(Full::new(Bytes::from(body)))
-            .expect("paths are escaped and headers are text")
-    }
-
     /// One call, whose answer the store may hold back for `wait`.
     async fn call(
         &self,
         kind: StoreCall,
-        request: Request<Full<Bytes>>,
+        outgoing: &Outgoing,
         wait: Duration,
     ) -> Result<(StoreStatus, Bytes), StoreError> {
-        let _open = self.open_call(wait);
         let started = self.clock.now();
-        let timeout = wait + self.settings.timeout;
-        let answer = tokio::time::timeout(timeout, self.exchange(request)).await;
-        let answer = answer.unwrap_or_else(|_| Err("it took too long".to_owned()));
-        let outcome = match answer {
-            Ok((StoreStatus::Busy, _)) => Err(StoreError::Busy),
-            Ok((StoreStatus::Unknown, _)) => Err(unexpected(StoreStatus::Unknown)),
-            Ok(done) => Ok(done),
-            Err(error) => Err(StoreError::NoAnswer(error)),
-        };
+        let outcome = self.call_any_way(outgoing, wait).await;
         let took = self.clock.now().saturating_sub(started);
-        let error = outcome.as_ref().err();
-        self.metrics.count_store_call(kind, error, took);
-        self.note(started, error);
+        self.metrics
+            .count_store_call(kind, outcome.as_ref().err(), took);
         outcome
     }
 
-    /// One request on a connection that is kept only if all went well: one on
-    /// which an answer was lost delivers nothing any more.
-    async fn exchange(
+    async fn call_any_way(
         &self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<(StoreStatus, Bytes), String> {
-        let idle = self.take_idle();
-        let mut connection = match idle {
-            Some(connection) => connection,
-            None => {
-                let opened = Connection::open(self.settings.address).await;
-                opened.map_err(|error| error.to_string())?
-            }
+        outgoing: &Outgoing,
+        wait: Duration,
+    ) -> Result<(StoreStatus, Bytes), StoreError> {
+        if self.is_direct_down()
+            && let Some(answer) = self.call_by_peers(outgoing, wait).await
+        {
+            return Ok(answer);
+        }
+        let direct = std::pin::pin!(self.call_direct(outgoing, wait));
+        let hedge = std::pin::pin!(self.call_when_silent(outgoing, wait));
+        let outcome = match futures_util::future::select(direct, hedge).await {
+            futures_util::future::Either::Left((outcome, _)) => outcome,
+            futures_util::future::Either::Right((Some(answer), _)) => return Ok(answer),
+            futures_util::future::Either::Right((None, direct)) => direct.await,
         };
-        let response = connection.send(request).await;
-        let response = response.map_err(|error| error.to_string())?;
-        let status = wire::status(response.status().as_u16());
-        let closes = rosebend_platform::headers::decode_answer(response.headers()).closes;
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
-            .collect()
-            .await;
-        let body = body.map_err(|error| error.to_string())?.to_bytes();
-        let mut idle = self.idle.borrow_mut();
-        if !closes && idle.len() < MAX_IDLE {
-            idle.push(connection);
+        match outcome {
+            Ok(answer) => Ok(answer),
+            Err(error) => {
+                let by_peers = self.call_by_peers(outgoing, wait).await;
+                by_peers.ok_or(error)
+            }
         }
-        Ok((status, body))
     }
 
-    fn take_idle(&self) -> Option<Connection> {
-        let mut idle = self.idle.borrow_mut();
-        while let Some(connection) = idle.pop() {
-            if connection.is_clean() {
-                return Some(connection);
-            }
+    /// The same call by a peer, once the straight way has been silent for too
+    /// long; none when no peer answered it either.
+    async fn call_when_silent(
+        &self,
+        outgoing: &Outgoing,
+        wait: Duration,
+    ) -> Option<(StoreStatus, Bytes)> {
+        if self.peers.borrow().is_empty() {
+            return None;
         }
-        None
+        tokio::time::sleep(wait + SILENCE_TIME).await;
+        if !self.is_direct_down() {
+            return None;
+        }
+        self.call_by_peers(outgoing, wait).await
     }
 
-    fn note(&self, started: Duration, error: Option<&StoreError>) {
-        let Some(error) = error else {
-            self.note_answer(started);
-            return;
+    /// One call straight to the store.
+    ///
+    /// # Errors
+    ///
+    /// Says whether the store refused or did not answer.
+    async fn call_direct(
+        &self,
+        outgoing: &Outgoing,
+        wait: Duration,
+    ) -> Result<(StoreStatus, Bytes), StoreError> {
+        let (status, body) = self.pass_on(outgoing, wait).await?;
+        Ok((wire::status(status), body))
+    }
+
+    /// One call straight to the store, with the status as it came; what a peer
+    /// is given of its call.
+    ///
+    /// # Errors
+    ///
+    /// Says whether the store refused or did not answer.
+    pub async fn pass_on(
+        &self,
+        outgoing: &Outgoing,
+        wait: Duration,
+    ) -> Result<(u16, Bytes), StoreError> {
+        let started = self.clock.now();
+        let answer = self
+            .direct
+            .call(outgoing, wait, self.settings.timeout)
+            .await;
+        let outcome = judge(answer);
+        let turn = match &outcome {
+            Ok(_) => self.direct.note_answer(started),
+            Err(_) => self.direct.note_failure(),
         };
-        let now = self.clock.now();
-        // Others of the same age deliver nothing either, most likely.
-        self.idle.borrow_mut().clear();
-        if self.failing_since.get().is_none() {
-            self.failing_since.set(Some(now));
-            log_event(&Event::new(EventKind::StoreLost).error(error));
+        match (turn, &outcome) {
+            (Some(Turn::Lost), Err(error)) => {
+                log_event(&Event::new(EventKind::StoreLost).error(error));
+            }
+            (Some(Turn::Regained(away)), _) => {
+                log_event(&Event::new(EventKind::StoreRegained).wait_ms(whole_ms(away)));
+            }
+            _ => {}
         }
+        outcome
     }
 
-    /// Takes note of an answer. One to a call from before the first failure,
-    /// such as a feed that was waiting, does not tell that the store is back.
-    fn note_answer(&self, started: Duration) {
-        let now = self.clock.now();
-        if let Some(since) = self.failing_since.get() {
-            if started < since {
-                return;
+    /// The same call by peers that the store may answer.
+    async fn call_by_peers(
+        &self,
+        outgoing: &Outgoing,
+        wait: Duration,
+    ) -> Option<(StoreStatus, Bytes)> {
+        for way in self.peers_to_ask() {
+            let started = self.clock.now();
+            let answer = way.call(outgoing, wait, self.settings.timeout).await;
+            match judge(answer) {
+                Ok((status, body)) => {
+                    if !way.was_ever_answered() || !way.is_up() {
+                        let event = Event::new(EventKind::StoreRelayed);
+                        log_event(&event.address(way.address()));
+                    }
+                    way.note_answer(started);
+                    return Some((wire::status(status), body));
+                }
+                Err(_) => {
+                    way.note_failure();
+                }
             }
-            self.failing_since.set(None);
-            self.recovered_at.set(Some(now));
-            let away = now.saturating_sub(since);
-            log_event(&Event::new(EventKind::StoreRegained).wait_ms(whole_ms(away)));
         }
-        self.last_success.set(Some(now));
+        None
+    }
+
+    /// Peers that answered lately first, then those that were not asked or are
+    /// long silent.
+    fn peers_to_ask(&self) -> Vec<Rc<Way>> {
+        let mut peers = self.peers.borrow().clone();
+        peers.sort_by_key(|way| (!way.was_answered_within(PEER_TRUST), !way.is_up()));
+        peers.truncate(MAX_PEERS_ASKED);
+        peers
+    }
+}
+
+/// What an answer, or its absence, says.
+fn judge(answer: Result<(u16, Bytes), String>) -> Result<(u16, Bytes), StoreError> {
+    let (status, body) = answer.map_err(StoreError::NoAnswer)?;
+    match wire::status(status) {
+        StoreStatus::Busy => Err(StoreError::Busy),
+        StoreStatus::Unknown => Err(StoreError::NoAnswer(format!("status {status}"))),
+        StoreStatus::Done | StoreStatus::Conflict | StoreStatus::HistoryGone => Ok((status, body)),
     }
 }
 
--- /dev/null
+++ b/gateway/src/store/way.rs
@@ -0,0 +1,245 @@
+//! One way to the store: straight, or by another gateway that passes calls on.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request};
+use http_body_util::{BodyExt, Full, Limited};
+use rosebend_platform::headers::decode_answer;
+
+use crate::clock::Clock;
+use crate::connection::Connection;
+
+/// Most idle connections that are kept. A host's calls seldom overlap by more.
+const MAX_IDLE: usize = 4;
+/// Largest answer that is read; the store sends at most 1 MB of rows, encoded.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
+/// How long calls may fail, with none answered, before the way counts as down.
+const DOUBT_TIME: Duration = Duration::from_millis(60);
+/// How long a call may be open, with no other answered since it was sent,
+/// before the way counts as silent. Calls take 6 to 20 ms, and 250 to 500 ms
+/// of a slow store, which has several open at once; a host that is cut off
+/// hears nothing.
+pub const SILENCE_TIME: Duration = Duration::from_millis(350);
+
+/// A call that may be sent more than once.
+#[derive(Clone, Debug)]
+pub struct Outgoing {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// Body; empty for reads.
+    pub body: Bytes,
+}
+
+/// What is known of a way's state.
+#[derive(Debug, Default)]
+struct Health {
+    last_success: Cell<Option<Duration>>,
+    /// First failure since the last success.
+    failing_since: Cell<Option<Duration>>,
+    /// End of the last time without answers.
+    recovered_at: Cell<Option<Duration>>,
+    /// When the answer of each open call may first be expected.
+    open_calls: RefCell<BTreeMap<u64, Duration>>,
+    next_call: Cell<u64>,
+}
+
+/// An open call; dropping it closes the call.
+#[derive(Debug)]
+struct OpenCall<'a> {
+    health: &'a Health,
+    id: u64,
+}
+
+impl Drop for OpenCall<'_> {
+    fn drop(&mut self) {
+        self.health.open_calls.borrow_mut().remove(&self.id);
+    }
+}
+
+/// How a way's state changed with a call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Turn {
+    /// It was answered before and is not now.
+    Lost,
+    /// It is answered again, after this time.
+    Regained(Duration),
+}
+
+/// A way to the store.
+#[derive(Debug)]
+pub struct Way {
+    address: SocketAddr,
+    clock: Clock,
+    idle: RefCell<Vec<Connection>>,
+    health: Health,
+}
+
+impl Way {
+    /// A way that was not used yet.
+    pub fn new(address: SocketAddr, clock: Clock) -> Self {
+        Self {
+            address,
+            clock,
+            idle: RefCell::default(),
+            health: Health::default(),
+        }
+    }
+
+    /// Where it leads.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Whether calls are answered, as far as the last ones tell.
+    pub fn is_up(&self) -> bool {
+        self.unreachable_for() < DOUBT_TIME
+    }
+
+    /// Whether a call was answered within `span` and none failed since.
+    pub fn was_answered_within(&self, span: Duration) -> bool {
+        let last = self.health.last_success.get();
+        let is_recent = |at| self.clock.now().saturating_sub(at) < span;
+        last.is_some_and(is_recent) && self.is_up()
+    }
+
+    /// Whether any call was ever answered.
+    pub fn was_ever_answered(&self) -> bool {
+        self.health.last_success.get().is_some()
+    }
+
+    /// For how long no call has been answered; zero while calls are.
+    pub fn unreachable_for(&self) -> Duration {
+        let now = self.clock.now();
+        let failing = self.health.failing_since.get();
+        let failing = failing.map_or(Duration::ZERO, |since| now.saturating_sub(since));
+        let silent = self.silent_for(now);
+        if silent < SILENCE_TIME {
+            return failing;
+        }
+        failing.max(silent)
+    }
+
+    /// Whether the store was away within `span` before now.
+    pub fn was_away_within(&self, span: Duration) -> bool {
+        let now = self.clock.now();
+        let recovered = self.health.recovered_at.get();
+        self.health.failing_since.get().is_some()
+            || recovered.is_some_and(|at| now.saturating_sub(at) < span)
+    }
+
+    /// How long the oldest open call has been without an answer, unless some
+    /// later call was answered.
+    fn silent_for(&self, now: Duration) -> Duration {
+        let open_calls = self.health.open_calls.borrow();
+        let oldest = open_calls.values().min();
+        let last_success = self.health.last_success.get().unwrap_or_default();
+        let oldest = oldest.filter(|oldest| **oldest > last_success);
+        oldest.map_or(Duration::ZERO, |oldest| now.saturating_sub(*oldest))
+    }
+
+    fn open_call(&self, wait: Duration) -> OpenCall<'_> {
+        let health = &self.health;
+        let id = health.next_call.get();
+        health.next_call.set(id + 1);
+        let expected = self.clock.now() + wait;
+        health.open_calls.borrow_mut().insert(id, expected);
+        OpenCall { health, id }
+    }
+
+    /// One call: status and body. The answer may be held back for `wait`, and
+    /// is given up after `timeout` more.
+    ///
+    /// # Errors
+    ///
+    /// Says why there is no answer; what was done is not known then.
+    pub async fn call(
+        &self,
+        outgoing: &Outgoing,
+        wait: Duration,
+        timeout: Duration,
+    ) -> Result<(u16, Bytes), String> {
+        let _open = self.open_call(wait);
+        let answer = tokio::time::timeout(wait + timeout, self.exchange(outgoing)).await;
+        answer.unwrap_or_else(|_| Err("it took too long".to_owned()))
+    }
+
+    /// One request on a connection that is kept only if all went well: one on
+    /// which an answer was lost delivers nothing any more.
+    async fn exchange(&self, outgoing: &Outgoing) -> Result<(u16, Bytes), String> {
+        let idle = self.take_idle();
+        let mut connection = match idle {
+            Some(connection) => connection,
+            None => {
+                let opened = Connection::open(self.address).await;
+                opened.map_err(|error| error.to_string())?
+            }
+        };
+        let response = connection.send(self.request(outgoing)).await;
+        let response = response.map_err(|error| error.to_string())?;
+        let status = response.status().as_u16();
+        let closes = decode_answer(response.headers()).closes;
+        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+        let body = body.collect().await.map_err(|error| error.to_string())?;
+        let mut idle = self.idle.borrow_mut();
+        if !closes && idle.len() < MAX_IDLE {
+            idle.push(connection);
+        }
+        Ok((status, body.to_bytes()))
+    }
+
+    fn request(&self, outgoing: &Outgoing) -> Request<Full<Bytes>> {
+        let request = Request::builder()
+            .method(outgoing.method.clone())
+            .uri(&outgoing.path)
+            .header(http::header::HOST, self.address.to_string())
+            .header(http::header::CONTENT_TYPE, "application/json");
+        request
+            .body(Full::new(outgoing.body.clone()))
+            .expect("paths are escaped and headers are text")
+    }
+
+    fn take_idle(&self) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some(connection) = idle.pop() {
+            if connection.is_clean() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Takes note of a failure.
+    pub fn note_failure(&self) -> Option<Turn> {
+        // Others of the same age deliver nothing either, most likely.
+        self.idle.borrow_mut().clear();
+        if self.health.failing_since.get().is_some() {
+            return None;
+        }
+        self.health.failing_since.set(Some(self.clock.now()));
+        Some(Turn::Lost)
+    }
+
+    /// Takes note of an answer to a call begun at `started`. One to a call from
+    /// before the first failure, such as a feed that was waiting, does not tell
+    /// that the store is back.
+    pub fn note_answer(&self, started: Duration) -> Option<Turn> {
+        let now = self.clock.now();
+        let mut turn = None;
+        if let Some(since) = self.health.failing_since.get() {
+            if started < since {
+                return None;
+            }
+            self.health.failing_since.set(None);
+            self.health.recovered_at.set(Some(now));
+            turn = Some(Turn::Regained(now.saturating_sub(since)));
+        }
+        self.health.last_success.set(Some(now));
+        turn
+    }
+}
--- a/gateway/tests/lifecycle.rs
+++ b/gateway/tests/lifecycle.rs
@@ -180,12 +180,17 @@
         .attempt("a2")
         .send(gateway.front)
         .await;
+    // One for the gateway's own row among its peers, two for the turn.
+    until("all is written", async || {
+        site.store.stats().transactions == 3
+    })
+    .await;
     let page = Ask::get("/metrics").send(gateway.metrics).await.body;
     for line in [
         "rosebend_gateway_requests_total{kind=\"streaming\",outcome=\"answered\"} 1",
         "rosebend_gateway_requests_total{kind=\"idempotent\",outcome=\"answered\"} 1",
         "rosebend_gateway_refusals_total{reason=\"no-route\"} 1",
-        "rosebend_gateway_store_calls_total{call=\"transact\",outcome=\"done\"} 2",
+        "rosebend_gateway_store_calls_total{call=\"transact\",outcome=\"done\"} 3",
         "rosebend_gateway_ready 1",
         "rosebend_gateway_routes_version 1",
     ] {
--- /dev/null
+++ b/gateway/tests/relay.rs
@@ -0,0 +1,117 @@
+//! A gateway that the store turns away goes on by a peer that it answers.
+
+mod support;
+
+use std::net::TcpListener;
+
+use rosebend_standin::backend::BackendFaults;
+use rosebend_standin::store::StoreFaults;
+use support::{Ask, Gateway, Site, until};
+
+const MODELS: usize = 0;
+
+fn faults() -> [(&'static str, StoreFaults); 2] {
+    let refuse = StoreFaults {
+        refuse: true,
+        ..StoreFaults::default()
+    };
+    let silent = StoreFaults {
+        silent: true,
+        ..StoreFaults::default()
+    };
+    [("refused", refuse), ("silent", silent)]
+}
+
+#[actix_rt::test]
+async fn a_host_that_is_turned_away_serves_turns_by_a_peer() {
+    for (name, faults) in faults() {
+        let site = Site::start();
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let open_door = site.store.open_door(listener).unwrap();
+        let peer = Gateway::start(open_door.address());
+        let gateway = site.gateway();
+        peer.until_ready().await;
+        gateway.until_ready().await;
+        // Both have written their rows and found each other.
+        until("the peers know each other", async || {
+            site.store.stats().reads >= 12
+        })
+        .await;
+        Ask::turn("t1", "p1", "first|").send(gateway.front).await;
+        site.faults(&faults).await;
+        until("calls go by the peer", async || {
+            !gateway.events("store-relayed").is_empty()
+        })
+        .await;
+        gateway.until_ready().await;
+        let ask = Ask::turn("t2", "p1", "second|").previous("t1");
+        let answer = ask.send(gateway.front).await;
+        assert_eq!((answer.status, answer.is_whole), (200, true), "{name}");
+        // What it recorded by the peer is there for others.
+        let ask = Ask::turn("t3", "p1", "third|").previous("t2");
+        assert_eq!(ask.send(peer.front).await.status, 200, "{name}");
+        // It learns of new routes.
+        site.declare(5);
+        until("the new version is in force", async || {
+            let events = gateway.events("routes-in-force");
+            events.iter().any(|event| event["version"] == 5)
+        })
+        .await;
+    }
+}
+
+#[actix_rt::test]
+async fn a_turn_that_runs_while_its_host_is_turned_away_is_recorded_by_a_peer() {
+    let site = Site::start();
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let open_door = site.store.open_door(listener).unwrap();
+    let peer = Gateway::start(open_door.address());
+    let gateway = site.gateway();
+    peer.until_ready().await;
+    gateway.until_ready().await;
+    until("the peers know each other", async || {
+        site.store.stats().reads >= 12
+    })
+    .await;
+    let slow = BackendFaults {
+        delay_ms: 100,
+        ..BackendFaults::default()
+    };
+    site.endpoint_faults(MODELS, &slow).await;
+    let front = gateway.front;
+    let turn = actix_rt::spawn(async move { Ask::turn("t1", "p1", "x|").send(front).await });
+    until("the turn runs", async || site.times_run("t1").await == 1).await;
+    let refuse = StoreFaults {
+        refuse: true,
+        ..StoreFaults::default()
+    };
+    site.faults(&refuse).await;
+    let answer = turn.await.unwrap();
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+    let ask = Ask::turn("t2", "p1", "y").previous("t1");
+    assert_eq!(ask.send(peer.front).await.status, 200);
+}
+
+#[actix_rt::test]
+async fn an_outage_of_the_whole_store_is_told_as_one_by_every_host() {
+    let site = Site::start();
+    let gateways = [site.gateway(), site.gateway()];
+    for gateway in &gateways {
+        gateway.until_ready().await;
+    }
+    until("the peers know each other", async || {
+        site.store.stats().reads >= 12
+    })
+    .await;
+    let refuse = StoreFaults {
+        refuse: true,
+        ..StoreFaults::default()
+    };
+    site.faults(&refuse).await;
+    for gateway in &gateways {
+        gateway.until_unready().await;
+        let answer = Ask::turn("t1", "p1", "x").send(gateway.front).await;
+        assert_eq!(answer.status, 503);
+    }
+    assert_eq!(site.times_run("t1").await, 0);
+}
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -192,7 +192,7 @@
         let settings = format!(
             "[gateway]\nhost = gateway-{number}\navailability_zone = newport-hall\n\
              front_listen = 127.0.0.1:0\nready_listen = 127.0.0.1:0\n\
-             metrics_listen = 127.0.0.1:0\nstop_grace_s = 8\n[store]\naddress = {store}\n"
+             metrics_listen = 127.0.0.1:0\nrelay_listen = 127.0.0.1:0\nstop_grace_s = 8\n[store]\naddress = {store}\n"
         );
         let name = format!("gateway-{}-{number}.ini", std::process::id());
         let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
@@ -206,7 +206,7 @@
         let mut output = BufReader::new(child.stdout.take().unwrap());
         let lines = Arc::new(Mutex::new(Vec::new()));
         let mut addresses = Vec::new();
-        while addresses.len() < 3 {
+        while addresses.len() < 4 {
             let mut line = String::new();
             assert!(
                 output.read_line(&mut line).unwrap() > 0,
--- a/gateway/tests/turns.rs
+++ b/gateway/tests/turns.rs
@@ -9,7 +9,7 @@
 use rosebend_gateway::connection::Connection;
 use rosebend_standin::backend::BackendFaults;
 use rosebend_standin::store::StoreFaults;
-use support::{Ask, Site};
+use support::{Ask, Site, until};
 
 const MODELS: usize = 0;
 const EVENTS: &str = "id: 0\ndata: word0\n\nid: 1\ndata: word1\n\nid: 2\ndata: word2\n\n";
@@ -191,6 +191,11 @@
     let site = Site::start();
     let gateway = site.gateway();
     gateway.until_ready().await;
+    // The gateway's own row among its peers.
+    until("its row is written", async || {
+        site.store.stats().transactions == 1
+    })
+    .await;
     let slow = StoreFaults {
         slow_ms: 100,
         ..StoreFaults::default()
@@ -208,7 +213,7 @@
         .unwrap();
     let first = response.into_body().frame().await.unwrap().unwrap();
     assert!(first.is_data());
-    assert_eq!(site.store.stats().transactions, 1);
+    assert_eq!(site.store.stats().transactions, 2);
 }
 
 #[actix_rt::test]
@@ -216,6 +221,10 @@
     let site = Site::start();
     let gateway = site.gateway();
     gateway.until_ready().await;
+    until("its row is written", async || {
+        site.store.stats().transactions == 1
+    })
+    .await;
     Ask::turn("t0", "p1", "x").send(gateway.front).await;
     let before = site.store.stats().transactions;
     for number in 1..5 {
--- a/state/src/settings/gateway.rs
+++ b/state/src/settings/gateway.rs
@@ -25,6 +25,8 @@
     pub ready_listen: SocketAddr,
     /// Where the metrics page is served.
     pub metrics_listen: SocketAddr,
+    /// Where peers' calls to the store are passed on.
+    pub relay_listen: SocketAddr,
     /// The platform's store.
     pub store: StoreSettings,
     /// Time between the signal to stop and the end of the process by force.
@@ -79,6 +81,12 @@
             presence: Presence::Required,
             meaning: "Where the metrics page is served.",
         },
+        Key {
+            name: "relay_listen",
+            kind: KeyKind::Address,
+            presence: Presence::Required,
+            meaning: "Where other gateways have their calls to the store passed on, while it does not answer them; reachable for gateways only.",
+        },
         Key {
             name: "stop_grace_s",
             kind: KeyKind::Decimal(Unit::Seconds, 1..=600),
@@ -135,6 +143,7 @@
             front_listen: values.address("gateway", "front_listen"),
             ready_listen: values.address("gateway", "ready_listen"),
             metrics_listen: values.address("gateway", "metrics_listen"),
+            relay_listen: values.address("gateway", "relay_listen"),
             store: StoreSettings::from(&values),
             stop_grace: values.seconds("gateway", "stop_grace_s"),
             log: common::log(&values),
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -139,11 +139,13 @@
     RecordUnreadable,
     /// The process listens on `address`; `reason` says for whom.
     Listening,
+    /// Calls to the store go by the peer at `address`, since the store does not answer this host.
+    StoreRelayed,
 }
 
 impl EventKind {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 65] = [
+    pub const ALL: [Self; 66] = [
         Self::ProcessStarted,
         Self::ProcessStopping,
         Self::ProcessStopped,
@@ -209,6 +211,7 @@
         Self::AcceptFailed,
         Self::RecordUnreadable,
         Self::Listening,
+        Self::StoreRelayed,
     ];
 
     /// The event's number, which stays with it for ever.
@@ -279,6 +282,7 @@
             Self::AcceptFailed => 822,
             Self::RecordUnreadable => 823,
             Self::Listening => 824,
+            Self::StoreRelayed => 825,
         }
     }
 
@@ -350,6 +354,7 @@
             Self::AcceptFailed => "accept-failed",
             Self::RecordUnreadable => "record-unreadable",
             Self::Listening => "listening",
+            Self::StoreRelayed => "store-relayed",
         }
     }
 
@@ -514,6 +519,9 @@
                 "A program's rows in the store do not have the form that this version writes."
             }
             Self::Listening => "The process listens on `address`; `reason` says for whom.",
+            Self::StoreRelayed => {
+                "Calls to the store go by the peer at `address`, since the store does not answer this host."
+            }
         }
     }
 }
