Refuse a request that crashed three endpoints, at every host

Cause: nothing kept a request that crashes each endpoint from coming again at any host; the counts that the decision needed were never fed. Change: when an answer breaks off and the endpoint then refuses connections, the requests that it ran are suspects; suspicions are rows that every host follows. An answer clears a suspect. Three crashes, since innocent neighbours share them and endpoints crash two at a time. Test: three endpoints end with the same request at two hosts, the fourth is not reached, other requests are served.

--- a/coordination/src/gateway/directory.rs
+++ b/coordination/src/gateway/directory.rs
@@ -1,6 +1,7 @@
 //! The endpoints that are there, and the choice among them.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use rosebend_state::deployment::{EndpointLoad, EndpointRecord, InstanceId, ServiceName};
@@ -210,6 +211,13 @@
         self.endpoints.contains_key(instance)
     }
 
+    /// Where an instance listens, while it is listed.
+    pub fn address(&self, instance: &str) -> Option<SocketAddr> {
+        self.endpoints
+            .get(instance)
+            .map(|endpoint| endpoint.record.address)
+    }
+
     /// Instances that are listed, for those who keep something for each.
     pub fn instances(&self) -> impl Iterator<Item = &InstanceId> {
         self.endpoints.keys()
--- a/coordination/src/gateway/fingerprint.rs
+++ b/coordination/src/gateway/fingerprint.rs
@@ -1,27 +1,30 @@
 //! Requests that crash the endpoints that run them.
 //!
-//! Such a request comes again with the same path and body. Each crash that it
-//! may have caused is counted; when the count reaches [`MAX_CRASHES`], the
-//! request is refused. Counts are shared between hosts through the store.
+//! Such a request comes again with the same path, caller and body, at any
+//! host. Each crash that it may have caused is counted; when the count reaches
+//! [`MAX_CRASHES`], the request is refused. A request that was answered is
+//! cleared: others that run at an endpoint when it crashes are suspects, too.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 use rosebend_util::hash_parts;
 
-/// Identifies a request by its content.
+/// Identifies a request by its content and caller.
 pub type Fingerprint = u64;
 
-/// Crashes after which a request is not run any more.
-pub const MAX_CRASHES: usize = 2;
+/// Crashes after which a request is not run any more. Endpoints that crash for
+/// another reason often crash two at a time, and the same innocent request, say
+/// one without a body, may have run at both.
+pub const MAX_CRASHES: usize = 3;
 
 /// How long a crash is held against a request. A request that really crashes
 /// endpoints comes again within seconds.
-const MEMORY: Duration = Duration::from_secs(120);
+pub const MEMORY: Duration = Duration::from_secs(60);
 
 /// The fingerprint of a request.
-pub fn fingerprint(host: &str, path: &str, body: &[u8]) -> Fingerprint {
-    hash_parts(&[host.as_bytes(), path.as_bytes(), body])
+pub fn fingerprint(host: &str, path: &str, caller: &str, body: &[u8]) -> Fingerprint {
+    hash_parts(&[host.as_bytes(), path.as_bytes(), caller.as_bytes(), body])
 }
 
 /// Crashes by the requests that were running.
@@ -37,13 +40,21 @@
         instances.insert(instance.to_owned(), now);
     }
 
+    /// Notes that the request was answered, and so crashes nothing.
+    pub fn clear(&mut self, request: Fingerprint) {
+        self.crashes.remove(&request);
+    }
+
+    /// Crashes that are held against the request.
+    pub fn count(&self, request: Fingerprint, now: Duration) -> usize {
+        let is_recent = |at: &&Duration| now.saturating_sub(**at) < MEMORY;
+        let instances = self.crashes.get(&request);
+        instances.map_or(0, |instances| instances.values().filter(is_recent).count())
+    }
+
     /// Whether the request is refused.
     pub fn is_refused(&self, request: Fingerprint, now: Duration) -> bool {
-        let Some(instances) = self.crashes.get(&request) else {
-            return false;
-        };
-        let is_recent = |at: &&Duration| now.saturating_sub(**at) < MEMORY;
-        instances.values().filter(is_recent).count() >= MAX_CRASHES
+        self.count(request, now) >= MAX_CRASHES
     }
 
     /// Drops what is not held against a request any more.
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -122,6 +122,8 @@
     let body = read_body(&mut request, max_bytes).await?;
     // Read the newest routes: the body may have taken a while.
     let routes = gateway.routes().unwrap_or(routes);
+    let caller = request.peer_addr().map(|peer| peer.ip().to_string());
+    let caller = caller.unwrap_or_default();
     let header = headers::decode_call(&headers).ok_or(Refusal::NoAttempt)?;
     let host = headers.get(http::header::HOST);
     let host = host
@@ -146,7 +148,7 @@
     Ok(Call {
         trail,
         method: method(&request)?,
-        fingerprint: fingerprint(host, &target, &body),
+        fingerprint: fingerprint(host, &target, &caller, &body),
         target,
         headers: headers::for_endpoint(&headers),
         header,
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -18,6 +18,7 @@
 use crate::clock::whole_ms;
 use crate::connection::{Connection, ConnectionError};
 use crate::gateway::{AtEndpoint, Gateway};
+use crate::quarantine;
 use crate::reply::Refusal;
 
 /// An endpoint's answer whose body is still to come.
@@ -89,6 +90,11 @@
     ///
     /// Tells what to say to the caller when no other endpoint is to be asked.
     pub fn failed(&mut self, instance: &str, failure: Failure) -> Result<(), Refusal> {
+        if failure == Failure::Broken
+            && let Some(address) = self.gateway.directory.borrow().address(instance)
+        {
+            quarantine::examine(self.gateway, self.call, instance, address);
+        }
         let now = self.gateway.clock.now();
         let left = self.call.left(now);
         self.note_failure(instance, failure, now);
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -4,7 +4,8 @@
 //! A request goes [`front`] -> [`call`] -> [`plain`] or [`turn`] ->
 //! [`exchange`] -> [`connection`]. What lasts goes through [`commits`] and
 //! [`store`]; what the process believes of routes and endpoints comes from
-//! [`watch`]. [`peers`] pass on each other's calls to the store. [`process`] starts and stops all of it.
+//! [`watch`]. [`peers`] pass on each other's calls to the store,
+//! [`quarantine`] tells between hosts which requests crash endpoints. [`process`] starts and stops all of it.
 //!
 //! [`trail`] is what is written of a request, [`metrics`] what is counted.
 //!
@@ -24,6 +25,7 @@
 pub mod pool;
 pub mod process;
 pub mod programs;
+pub mod quarantine;
 pub mod reply;
 pub mod store;
 pub mod trail;
--- a/gateway/src/plain.rs
+++ b/gateway/src/plain.rs
@@ -74,6 +74,7 @@
     let in_time = elapsed <= call.route.objective;
     call.trail.served(instance, status, elapsed, in_time);
     gateway.metrics.count_request(call.route.kind, "answered");
+    gateway.crashes.borrow_mut().clear(call.fingerprint);
     Exchanged::keep_connection(gateway, instance, exchanged.connection, &exchanged.header);
     Ok(Reply::Passed {
         status,
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -11,7 +11,7 @@
 use tokio::sync::watch;
 
 use crate::gateway::Gateway;
-use crate::{front, peers, watch as follow};
+use crate::{front, peers, quarantine, watch as follow};
 
 /// How long after the signal to stop new connections are still accepted: the
 /// balancer asks once a second and takes a host out after two misses.
@@ -68,6 +68,7 @@
     actix_rt::spawn(front::serve_peers(Rc::clone(&gateway), relay));
     actix_rt::spawn(peers::follow(Rc::clone(&gateway), relay_address));
     actix_rt::spawn(peers::probe(Rc::clone(&gateway)));
+    actix_rt::spawn(quarantine::follow(Rc::clone(&gateway)));
     log_event(&Event::new(EventKind::ProcessStarted).host(&gateway.settings.host));
     loop {
         tokio::select! {
--- /dev/null
+++ b/gateway/src/quarantine.rs
@@ -0,0 +1,119 @@
+//! Requests that crash endpoints, told between hosts through the store.
+//!
+//! When an answer breaks off and its endpoint then refuses connections, the
+//! endpoint has crashed and each request that it ran is suspected. A suspicion
+//! is a row; every host follows the rows.
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rosebend_coordination::gateway::fingerprint::{Fingerprint, MEMORY};
+use rosebend_state::deployment::{Row, RowId, RowVersion, RowWrite, Transaction};
+use rosebend_transport::event::{Event, EventKind, log_event};
+
+use crate::call::Call;
+use crate::connection::{Connection, ConnectionError};
+use crate::gateway::Gateway;
+use crate::store::StoreError;
+
+/// Table of suspicions.
+const TABLE: &str = "crashes";
+/// How long a feed of suspicions waits. Longer than other feeds, since a
+/// suspicion that comes late costs one endpoint's restart.
+const FEED_WAIT: Duration = Duration::from_secs(4);
+/// Pause after a failure.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Separates the request from the endpoint in a key.
+const SEPARATOR: char = '/';
+
+/// Finds out, beside the traffic, whether an endpoint whose answer broke off
+/// has crashed, and if so suspects the request.
+pub fn examine(gateway: &Rc<Gateway>, call: &Call, instance: &str, address: SocketAddr) {
+    let gateway = Rc::clone(gateway);
+    let (request, instance) = (call.fingerprint, instance.to_owned());
+    actix_rt::spawn(async move {
+        if has_crashed(address).await {
+            suspect(&gateway, request, &instance).await;
+        }
+    });
+}
+
+/// A machine that runs without the endpoint refuses a connection at once; one
+/// that is cut off does not answer.
+async fn has_crashed(address: SocketAddr) -> bool {
+    match Connection::open(address).await {
+        Err(ConnectionError::Connect(error)) => error.kind() == ErrorKind::ConnectionRefused,
+        _ => false,
+    }
+}
+
+async fn suspect(gateway: &Rc<Gateway>, request: Fingerprint, instance: &str) {
+    note(gateway, request, instance);
+    let row = RowId::new(TABLE, "", format!("{request:016x}{SEPARATOR}{instance}"));
+    let write = RowWrite {
+        row: row.clone(),
+        value: gateway.settings.host.clone().into_bytes(),
+    };
+    let transaction = Transaction {
+        writes: vec![write],
+        ..Transaction::default()
+    };
+    // This host knows it anyway; others learn of the next crash.
+    let _ = gateway.store.transact(&transaction).await;
+    tokio::time::sleep(MEMORY).await;
+    let transaction = Transaction {
+        deletes: vec![row],
+        ..Transaction::default()
+    };
+    // A row that stays is not held against a request any more.
+    let _ = gateway.store.transact(&transaction).await;
+}
+
+fn note(gateway: &Gateway, request: Fingerprint, instance: &str) {
+    let now = gateway.clock.now();
+    let mut crashes = gateway.crashes.borrow_mut();
+    let was_refused = crashes.is_refused(request, now);
+    crashes.add(request, instance, now);
+    if !was_refused && crashes.is_refused(request, now) {
+        let count = crashes.count(request, now) as u64;
+        log_event(&Event::new(EventKind::RequestQuarantined).count(count));
+    }
+}
+
+/// Follows other hosts' suspicions, for ever.
+pub async fn follow(gateway: Rc<Gateway>) {
+    let mut version = None;
+    loop {
+        match follow_once(&gateway, version).await {
+            Ok(newest) => version = Some(newest),
+            // The client has logged that the store is lost.
+            Err(_) => {
+                version = None;
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn follow_once(
+    gateway: &Gateway,
+    after: Option<RowVersion>,
+) -> Result<RowVersion, StoreError> {
+    let rows = match after {
+        None => gateway.store.read_table(TABLE).await?,
+        Some(after) => gateway.store.feed(TABLE, after, FEED_WAIT).await?,
+    };
+    for row in rows.rows.iter().filter(|row| row.value.is_some()) {
+        if let Some((request, instance)) = decode(row) {
+            note(gateway, request, instance);
+        }
+    }
+    Ok(rows.version)
+}
+
+fn decode(row: &Row) -> Option<(Fingerprint, &str)> {
+    let (request, instance) = row.id.key.split_once(SEPARATOR)?;
+    Some((Fingerprint::from_str_radix(request, 16).ok()?, instance))
+}
--- a/gateway/src/turn.rs
+++ b/gateway/src/turn.rs
@@ -30,6 +30,7 @@
 use crate::metrics::Timing;
 use crate::plain;
 use crate::programs;
+use crate::quarantine;
 use crate::reply::{self, Refusal};
 
 /// Turns of its size that a program's budget must hold beside a turn for it to
@@ -418,6 +419,10 @@
             .metrics
             .count_request(self.call.route.kind, "answered");
         let status = self.status;
+        self.gateway
+            .crashes
+            .borrow_mut()
+            .clear(self.call.fingerprint);
         self.call
             .trail
             .served(&self.at.instance, status, elapsed, in_time);
@@ -452,6 +457,9 @@
         let now = self.gateway.clock.now();
         let mut directory = self.gateway.directory.borrow_mut();
         directory.failed(&self.at.instance, now);
+        if let Some(address) = directory.address(&self.at.instance) {
+            quarantine::examine(&self.gateway, &self.call, &self.at.instance, address);
+        }
         io::Error::other(format!("the endpoint's answer broke off: {error}"))
     }
 }
--- /dev/null
+++ b/gateway/tests/quarantine.rs
@@ -0,0 +1,78 @@
+//! A request that crashes endpoints is refused everywhere after three of them;
+//! its neighbours are not.
+
+mod support;
+
+use std::io::Read;
+use std::net::TcpListener;
+
+use http::Method;
+use serde_json::json;
+use support::{Ask, Site, until};
+
+/// An endpoint that ends with the first request that it is sent.
+fn crashing_endpoint(site: &Site, number: usize) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let entry = json!({
+        "service": "desk", "address": listener.local_addr().unwrap().to_string(),
+        "zone": "newport-hall", "version": "v1", "slots": 8, "state": "ready",
+        "cold-left-ms": 0, "seq": 1,
+    });
+    site.store
+        .put("servers", &format!("i-crash-{number}"), &entry);
+    std::thread::spawn(move || {
+        let (mut connection, _) = listener.accept().unwrap();
+        drop(listener);
+        let mut bytes = [0; 64];
+        // What is read does not matter.
+        let _ = connection.read(&mut bytes);
+    });
+}
+
+#[actix_rt::test]
+async fn a_request_that_crashed_three_endpoints_is_refused_by_all_hosts() {
+    let site = Site::start();
+    site.store.delete("servers", &site.endpoints[1].instance);
+    let gateways = [site.gateway(), site.gateway()];
+    for gateway in &gateways {
+        gateway.until_ready().await;
+    }
+    let poison = |attempt: &str| {
+        Ask::new(Method::POST, "/fee/receipt")
+            .attempt(attempt)
+            .body("poison")
+    };
+    for number in 0..3 {
+        crashing_endpoint(&site, number);
+        let instance = format!("i-crash-{number}");
+        let gateway = &gateways[number % 2];
+        until("the endpoint is listed", async || {
+            let listed = gateway.events("endpoint-listed");
+            listed.iter().any(|event| event["endpoint"] == instance)
+        })
+        .await;
+        let answer = poison(&format!("a{number}")).send(gateway.front).await;
+        assert_eq!(answer.status, 502);
+        site.store.delete("servers", &instance);
+    }
+    for gateway in &gateways {
+        until("the request is in quarantine", async || {
+            !gateway.events("request-quarantined").is_empty()
+        })
+        .await;
+    }
+    // A sound endpoint is there again: the request stays refused, others not.
+    site.announce(1, "ready");
+    for (number, gateway) in gateways.iter().enumerate() {
+        until("the sound endpoint serves", async || {
+            let other = Ask::new(Method::POST, "/fee/receipt")
+                .attempt("b")
+                .body("fee 12");
+            other.send(gateway.front).await.status == 200
+        })
+        .await;
+        let attempt = format!("c{number}");
+        assert_eq!(poison(&attempt).send(gateway.front).await.status, 503);
+        assert_eq!(site.times_run(&attempt).await, 0);
+    }
+}
