--- a/gateway/src/turn.rs
+++ b/gateway/src/turn.rs
@@ -438,7 +438,8 @@
             output: record.output,
             endpoint: self.at.instance.clone(),
         });
-        let rows = turn.rows(self.gateway.settings.store.row_bytes);
+        // The limit is one of encoded bytes, of which four stand for three.
+        let rows = turn.rows(self.gateway.settings.store.row_bytes / 4 * 3);
         match spending.settle(rows).await {
             Ok(_) => {
                 let took = self.gateway.clock.now().saturating_sub(ended);
--- a/state/tests/settings.rs
+++ b/state/tests/settings.rs
@@ -1,8 +1,9 @@
 //! Reading of settings: what is accepted, and what every error says.
 
 use rosebend_state::settings::{
-    CLI_SCHEMA, CliSettings, Document, ENTRY_SCHEMA, EntrySettings, KeyKind, Presence, Role,
-    SIDECAR_SCHEMA, SidecarSettings, Tokens, Unit, reference_page,
+    CLI_SCHEMA, CliSettings, Document, ENTRY_SCHEMA, EntrySettings, GATEWAY_SCHEMA,
+    GatewaySettings, KeyKind, Presence, Role, SIDECAR_SCHEMA, SidecarSettings, Tokens, Unit,
+    reference_page,
 };
 
 fn errors_of_entry(file: &[u8]) -> String {
@@ -20,10 +21,38 @@
     insta::assert_debug_snapshot!(EntrySettings::try_from(&entry).unwrap());
     let sidecar = Document::try_from(example("sidecar.ini").as_slice()).unwrap();
     insta::assert_debug_snapshot!(SidecarSettings::try_from(&sidecar).unwrap());
+    let gateway = Document::try_from(example("gateway.ini").as_slice()).unwrap();
+    insta::assert_debug_snapshot!(GatewaySettings::try_from(&gateway).unwrap());
     let cli = Document::try_from(example("cli.ini").as_slice()).unwrap();
     insta::assert_debug_snapshot!(CliSettings::try_from(&cli).unwrap());
 }
 
+/// The template with values as the platform would fill them in.
+#[test]
+fn the_template_of_the_platform_gives_settings() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../deploy/gateway.ini");
+    let mut text = std::fs::read_to_string(path).unwrap();
+    let values = [
+        ("{{node-name}}", "edge-newport-hall-1"),
+        ("{{zone}}", "newport-hall"),
+        ("{{listen.front}}", "10.1.0.38:8149"),
+        ("{{listen.ready}}", "10.1.0.38:8141"),
+        ("{{ip}}", "10.1.0.38"),
+        ("{{internal-ports.0}}", "7380"),
+        ("{{bounds.grace-s}}", "8.5"),
+        ("{{platform.address}}", "10.200.1.7:8142"),
+        ("{{platform.writes-per-s}}", "800.0"),
+        ("{{platform.row-bytes}}", "65536"),
+    ];
+    for (placeholder, value) in values {
+        assert!(text.contains(placeholder), "{placeholder}");
+        text = text.replace(placeholder, value);
+    }
+    assert!(!text.contains("{{"), "{text}");
+    let document = Document::try_from(text.as_bytes()).unwrap();
+    insta::assert_debug_snapshot!(GatewaySettings::try_from(&document).unwrap());
+}
+
 #[test]
 fn the_reference_page_is_up_to_date() {
     let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../docs/SETTINGS.md");
@@ -32,7 +61,7 @@
 
 #[test]
 fn every_default_is_allowed_and_every_unit_is_in_the_name() {
-    for schema in [ENTRY_SCHEMA, SIDECAR_SCHEMA, CLI_SCHEMA] {
+    for schema in [ENTRY_SCHEMA, SIDECAR_SCHEMA, CLI_SCHEMA, GATEWAY_SCHEMA] {
         for key in schema.sections.iter().flat_map(|section| section.keys) {
             if let Presence::Default(value) = key.presence {
                 assert_eq!(key.kind.check(value), Ok(()), "{}", key.name);
@@ -40,6 +69,7 @@
             let suffix = match key.kind {
                 KeyKind::Number(Unit::Milliseconds, _) => "_ms",
                 KeyKind::Number(Unit::Bytes, _) => "_bytes",
+                KeyKind::Decimal(Unit::Seconds, _) => "_s",
                 KeyKind::Number(Unit::Tokens, _) => "tokens_limit",
                 _ => "",
             };
