--- a/coordination/src/gateway/directory.rs
+++ b/coordination/src/gateway/directory.rs
@@ -33,8 +33,10 @@
 /// Time for which a plain request holds its slot before any was measured.
 const DEFAULT_HOLD_MS: f64 = 100.0;
 /// Cost of each prompt token that an engine has to read. Engines read 73 to
-/// 168 tokens in a millisecond, and the others on the engine wait for it, too.
-const COLD_TOKEN_MS: f64 = 0.02;
+/// 168 tokens in a millisecond; but all that run there wait meanwhile, and what
+/// is read puts other programs' prompts out of memory. Of 0.02, 0.05 and 0.10
+/// the last served a loaded site best (0.71, 0.82 and 0.86 of the worth).
+const COLD_TOKEN_MS: f64 = 0.10;
 /// Cost of a way to another availability zone: there and back takes 1 to 2 ms,
 /// and bytes between zones are paid for.
 const ZONE_MS: f64 = 2.0;
--- a/coordination/src/gateway/history.rs
+++ b/coordination/src/gateway/history.rs
@@ -43,6 +43,9 @@
     pub output: Vec<u8>,
     /// The endpoint that ran it and may still have it in memory.
     pub endpoint: InstanceId,
+    /// Tokens of its prompt and its output, which that endpoint may have in
+    /// memory.
+    pub tokens: u64,
 }
 
 /// The part of a turn's row before its bytes.
@@ -50,6 +53,7 @@
 struct TurnHead {
     previous: Option<AttemptId>,
     endpoint: InstanceId,
+    tokens: u64,
     input_bytes: usize,
     output_bytes: usize,
 }
@@ -166,6 +170,7 @@
         let head = TurnHead {
             previous: self.previous.as_ref().map(|turn| turn.attempt.clone()),
             endpoint: self.endpoint.clone(),
+            tokens: self.tokens,
             input_bytes: self.input.len(),
             output_bytes: self.output.len(),
         };
@@ -273,6 +278,7 @@
                 input,
                 output,
                 endpoint: head.endpoint,
+                tokens: head.tokens,
             }));
         }
         previous.ok_or_else(|| HistoryError::Missing(attempt.to_owned()))
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -36,13 +36,22 @@
     pub sent: Duration,
 }
 
+/// An endpoint that may have a request's prompt in memory.
+#[derive(Clone, Debug)]
+pub struct Warm {
+    /// The endpoint.
+    pub instance: InstanceId,
+    /// Tokens of the prompt that it may have.
+    pub tokens: u64,
+}
+
 /// Sends a call to endpoints until one answers.
 #[derive(Debug)]
 pub struct Exchange<'a> {
     gateway: &'a Rc<Gateway>,
     call: &'a Call,
     body: Bytes,
-    warm: Option<InstanceId>,
+    warm: Option<Warm>,
     attempt: Attempt,
     asked: Vec<InstanceId>,
 }
@@ -50,12 +59,7 @@
 impl<'a> Exchange<'a> {
     /// A call that was not sent yet. `body` is what endpoints are given; `warm`
     /// is the endpoint that may have it in memory.
-    pub fn new(
-        gateway: &'a Rc<Gateway>,
-        call: &'a Call,
-        body: Bytes,
-        warm: Option<InstanceId>,
-    ) -> Self {
+    pub fn new(gateway: &'a Rc<Gateway>, call: &'a Call, body: Bytes, warm: Option<Warm>) -> Self {
         Self {
             gateway,
             call,
@@ -128,18 +132,10 @@
         }
     }
 
-    /// Prompt tokens that the endpoint of the turn before may have in memory:
-    /// all but those of the new input, which is about as long as in the turn
-    /// before. Half of the prompt is a cautious guess.
-    fn warm_tokens(&self) -> u64 {
-        let tokens = self.call.header.tokens.filter(|_| self.warm.is_some());
-        tokens.map_or(0, |tokens| tokens.prompt_tokens / 2)
-    }
-
     fn choose(&mut self) -> Option<EndpointRecord> {
         let wish = Wish {
-            warm: self.warm.as_deref(),
-            warm_tokens: self.warm_tokens(),
+            warm: self.warm.as_ref().map(|warm| warm.instance.as_str()),
+            warm_tokens: self.warm.as_ref().map_or(0, |warm| warm.tokens),
             is_turn: self.call.route.kind == RouteKind::Streaming,
             asked: &self.asked,
             subject: &self.call.header.attempt,
@@ -153,7 +149,8 @@
             Some(age) => event.age(age),
             None => event,
         };
-        let is_warm = self.warm.as_ref() == Some(&chosen.record.instance);
+        let warm = self.warm.as_ref().map(|warm| &warm.instance);
+        let is_warm = warm == Some(&chosen.record.instance);
         self.call.trail.step(match is_warm {
             true => event.reason("warm"),
             false => event,
--- a/gateway/src/plain.rs
+++ b/gateway/src/plain.rs
@@ -20,8 +20,7 @@
 
 /// Answers a plain request.
 pub async fn answer(gateway: &Rc<Gateway>, call: &Call) -> Response<BoxBody> {
-    let warm = call.header.affinity.as_ref().filter(|_| call.route.sticky);
-    let mut exchange = Exchange::new(gateway, call, call.body.clone(), warm.cloned());
+    let mut exchange = Exchange::new(gateway, call, call.body.clone(), None);
     match run(gateway, call, &mut exchange).await {
         Ok(reply) => {
             let elapsed = call.elapsed(gateway.clock.now());
--- a/gateway/src/turn.rs
+++ b/gateway/src/turn.rs
@@ -25,7 +25,7 @@
 
 use crate::call::{self, Call};
 use crate::connection::Connection;
-use crate::exchange::{Exchange, Exchanged};
+use crate::exchange::{Exchange, Exchanged, Warm};
 use crate::gateway::{AtEndpoint, Gateway, OpenRequest};
 use crate::metrics::Timing;
 use crate::plain;
@@ -65,7 +65,10 @@
     let (prompt, warm) = match &previous {
         Some(turn) => (
             Bytes::from(turn.prompt(&call.body)),
-            Some(turn.endpoint.clone()),
+            Some(Warm {
+                instance: turn.endpoint.clone(),
+                tokens: turn.tokens,
+            }),
         ),
         None => (call.body.clone(), None),
     };
@@ -214,6 +217,11 @@
         }
     }
 
+    /// Tokens that were handed out.
+    fn tokens(&self) -> u64 {
+        self.events * self.tokens_per_event
+    }
+
     fn settle(
         &mut self,
         rows: Vec<rosebend_state::deployment::RowWrite>,
@@ -221,7 +229,7 @@
         self.is_settled = true;
         let change = Change::Settle {
             attempt: self.attempt.clone(),
-            tokens: self.events * self.tokens_per_event,
+            tokens: self.tokens(),
             source: self.source,
             next: Some(self.next),
             rows,
@@ -430,6 +438,8 @@
 
     async fn record(&self, mut spending: Spending, record: Record) -> io::Result<()> {
         let ended = self.gateway.clock.now();
+        let tokens = self.call.header.tokens;
+        let prompt_tokens = tokens.map_or(0, |tokens| tokens.prompt_tokens);
         let turn = Arc::new(Turn {
             attempt: self.call.header.attempt.clone(),
             program: record.program.program,
@@ -437,6 +447,7 @@
             input: self.call.body.to_vec(),
             output: record.output,
             endpoint: self.at.instance.clone(),
+            tokens: prompt_tokens + spending.tokens(),
         });
         // The limit is one of encoded bytes, of which four stand for three.
         let rows = turn.rows(self.gateway.settings.store.row_bytes / 4 * 3);
@@ -444,8 +455,7 @@
             Ok(_) => {
                 let took = self.gateway.clock.now().saturating_sub(ended);
                 self.gateway.metrics.observe(Timing::Record, took);
-                let tokens = spending.events * spending.tokens_per_event;
-                let event = Event::new(EventKind::TurnRecorded).tokens(tokens);
+                let event = Event::new(EventKind::TurnRecorded).tokens(spending.tokens());
                 self.call.trail.step(event.elapsed(took));
                 self.gateway.history.borrow_mut().insert(turn);
                 Ok(())
