Delete the rows of programs that are over

Cause: no row was ever deleted; the store would fill. Change: a host deletes a program's ledger and the rows that it wrote once the ledger has not changed for the route's retention and a margin; a program that continues from another one's turn keeps a copy, so that neither needs the other's rows. An input of over 400 kB is refused with 413, since a turn becomes durable in one transaction. Test: programs of one and of two hosts leave no rows, one that continued from another outlives it.

--- a/coordination/src/gateway/lane.rs
+++ b/coordination/src/gateway/lane.rs
@@ -181,6 +181,11 @@
         self.known.contains_key(program)
     }
 
+    /// Version of the program's ledger as it is known; zero when it is not.
+    pub fn version(&self, program: &str) -> RowVersion {
+        self.known.get(program).map_or(0, |known| known.version)
+    }
+
     /// Whether the budget holds a turn by what is known, with what waits
     /// counted as it will be.
     pub fn seems_to_hold(&self, program: &str, most_tokens: u64, budget_tokens: u64) -> bool {
--- a/gateway/src/commits.rs
+++ b/gateway/src/commits.rs
@@ -72,6 +72,16 @@
         self.with_lane(program, |lane| lane.learn(program, version, ledger));
     }
 
+    /// Version of the program's ledger as it was last read or written here.
+    pub fn version(&self, program: &str) -> RowVersion {
+        self.with_lane(program, |lane| lane.version(program))
+    }
+
+    /// Forgets a program; its ledger is read again when it is needed.
+    pub fn forget(&self, program: &str) {
+        self.with_lane(program, |lane| lane.forget(program));
+    }
+
     /// Whether the program's ledger was read or written by this host.
     pub fn knows(&self, program: &str) -> bool {
         self.with_lane(program, |lane| lane.knows(program))
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use crate::metrics::{Metrics, Quantities};
 use crate::pool::Pool;
 use crate::reply::Refusal;
+use crate::retention::Retention;
 use crate::store::StoreClient;
 
 /// Bytes of turns that are kept in memory, so that most turns need no read.
@@ -48,6 +49,8 @@
     pub pool: RefCell<Pool>,
     /// Turns in memory.
     pub history: RefCell<History>,
+    /// Rows that are to be deleted one day.
+    pub retention: Retention,
     /// Requests that crash endpoints.
     pub crashes: RefCell<CrashCounts>,
     /// Requests that callers wait for.
@@ -71,6 +74,7 @@
             directory: RefCell::new(Directory::new(settings.availability_zone.clone())),
             pool: RefCell::default(),
             history: RefCell::new(History::new(HISTORY_BYTES)),
+            retention: Retention::default(),
             crashes: RefCell::default(),
             open_requests: Cell::new(0),
             stopping: Cell::new(false),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`store`]; what the process believes of routes and endpoints comes from
 //! [`watch`]. [`peers`] pass on each other's calls to the store,
 //! [`gossip`] tells them loads of endpoints,
+//! [`retention`] deletes what is over,
 //! [`quarantine`] tells between hosts which requests crash endpoints. [`process`] starts and stops all of it.
 //!
 //! [`trail`] is what is written of a request, [`metrics`] what is counted.
@@ -29,6 +30,7 @@
 pub mod programs;
 pub mod quarantine;
 pub mod reply;
+pub mod retention;
 pub mod store;
 pub mod trail;
 pub mod turn;
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -11,7 +11,7 @@
 use tokio::sync::watch;
 
 use crate::gateway::Gateway;
-use crate::{front, gossip, peers, quarantine, watch as follow};
+use crate::{front, gossip, peers, quarantine, retention, watch as follow};
 
 /// How long after the signal to stop new connections are still accepted: the
 /// balancer asks once a second and takes a host out after two misses.
@@ -75,6 +75,7 @@
     actix_rt::spawn(gossip::run(Rc::clone(&gateway), datagrams));
     actix_rt::spawn(peers::probe(Rc::clone(&gateway)));
     actix_rt::spawn(quarantine::follow(Rc::clone(&gateway)));
+    actix_rt::spawn(retention::run(Rc::clone(&gateway)));
     log_event(&Event::new(EventKind::ProcessStarted).host(&gateway.settings.host));
     loop {
         tokio::select! {
--- a/gateway/src/turn.rs
+++ b/gateway/src/turn.rs
@@ -19,7 +19,7 @@
 use rosebend_coordination::gateway::lane::{Change, NextTurn, Outcome, Source};
 use rosebend_platform::headers::{self, AnswerHeader};
 use rosebend_protocol::sse::SseReader;
-use rosebend_state::deployment::{AttemptId, InstanceId, ProgramHeader};
+use rosebend_state::deployment::{AttemptId, InstanceId, ProgramHeader, RowId, RowWrite};
 use rosebend_transport::event::{Event, EventKind};
 use tokio::sync::oneshot;
 
@@ -39,6 +39,10 @@
 /// With less in hand the turn waits for its reservation, about 13 ms.
 const TURNS_IN_HAND: u64 = 3;
 
+/// Largest input of a turn that is kept: it becomes durable in one transaction
+/// together with its output, and one holds 1 MB of encoded rows.
+const MAX_INPUT_BYTES: usize = 400_000;
+
 /// Tokens of a turn that does not say its most; only a turn without a budget
 /// may leave it out.
 const UNTOLD_MOST_TOKENS: u64 = 4_096;
@@ -57,6 +61,9 @@
     let Some(program) = program.filter(|_| call.route.keeps_history) else {
         return run_unrecorded(gateway, call).await;
     };
+    if call.body.len() > MAX_INPUT_BYTES {
+        return Err(Refusal::BodyTooLarge);
+    }
     if !gateway.store.is_reachable() {
         return Err(gateway.store_unreachable());
     }
@@ -222,10 +229,7 @@
         self.events * self.tokens_per_event
     }
 
-    fn settle(
-        &mut self,
-        rows: Vec<rosebend_state::deployment::RowWrite>,
-    ) -> oneshot::Receiver<Outcome> {
+    fn settle(&mut self, rows: Vec<RowWrite>) -> oneshot::Receiver<Outcome> {
         self.is_settled = true;
         let change = Change::Settle {
             attempt: self.attempt.clone(),
@@ -438,21 +442,13 @@
 
     async fn record(&self, mut spending: Spending, record: Record) -> io::Result<()> {
         let ended = self.gateway.clock.now();
-        let tokens = self.call.header.tokens;
-        let prompt_tokens = tokens.map_or(0, |tokens| tokens.prompt_tokens);
-        let turn = Arc::new(Turn {
-            attempt: self.call.header.attempt.clone(),
-            program: record.program.program,
-            previous: record.previous,
-            input: self.call.body.to_vec(),
-            output: record.output,
-            endpoint: self.at.instance.clone(),
-            tokens: prompt_tokens + spending.tokens(),
-        });
+        let turn = Arc::new(self.turn(record, spending.tokens()));
         // The limit is one of encoded bytes, of which four stand for three.
         let rows = turn.rows(self.gateway.settings.store.row_bytes / 4 * 3);
+        let row_ids: Vec<RowId> = rows.iter().map(|write| write.row.clone()).collect();
         match spending.settle(rows).await {
             Ok(_) => {
+                self.keep(&turn.program, row_ids);
                 let took = self.gateway.clock.now().saturating_sub(ended);
                 self.gateway.metrics.observe(Timing::Record, took);
                 let event = Event::new(EventKind::TurnRecorded).tokens(spending.tokens());
@@ -464,6 +460,41 @@
         }
     }
 
+    /// The turn as it is kept. One that continues from another program's turn
+    /// has a copy of all that was said there, so that each program's rows may
+    /// be deleted when that program is over.
+    fn turn(&self, record: Record, tokens: u64) -> Turn {
+        let program = record.program.program;
+        let prompt_tokens = self
+            .call
+            .header
+            .tokens
+            .map_or(0, |tokens| tokens.prompt_tokens);
+        let (previous, input) = match record.previous {
+            Some(other) if other.program != program => (None, other.prompt(&self.call.body)),
+            previous => (previous, self.call.body.to_vec()),
+        };
+        Turn {
+            attempt: self.call.header.attempt.clone(),
+            program,
+            previous,
+            input,
+            output: record.output,
+            endpoint: self.at.instance.clone(),
+            tokens: prompt_tokens + tokens,
+        }
+    }
+
+    /// Takes note of the turn's rows, to delete them one day.
+    fn keep(&self, program: &str, rows: Vec<RowId>) {
+        let version = self.gateway.commits.version(program);
+        let retention = self.call.route.retention + self.gateway.settings.retention_margin;
+        let now = self.gateway.clock.now();
+        self.gateway
+            .retention
+            .keep(program, rows, retention, version, now);
+    }
+
     fn broken(&self, error: &hyper::Error) -> io::Error {
         let now = self.gateway.clock.now();
         let mut directory = self.gateway.directory.borrow_mut();
--- /dev/null
+++ b/gateway/tests/retention.rs
@@ -0,0 +1,90 @@
+//! Rows of programs that are over go, those of others stay.
+
+mod support;
+
+use std::time::Duration;
+
+use serde_json::json;
+use support::{Ask, Site, routes, until};
+
+const MODELS: usize = 0;
+
+/// A site whose turns are kept for a second.
+fn site() -> Site {
+    let site = Site::without_routes();
+    let mut short = routes(1);
+    short["routes"][0]["retention-s"] = json!(1.0);
+    site.store.put("op", "config", &short);
+    site
+}
+
+#[actix_rt::test]
+async fn a_program_that_is_over_leaves_no_rows() {
+    let site = site();
+    let gateway = site.gateway();
+    gateway.until_ready().await;
+    Ask::turn("t1", "p1", "first|").send(gateway.front).await;
+    Ask::turn("t2", "p1", "second|")
+        .previous("t1")
+        .send(gateway.front)
+        .await;
+    assert_eq!((site.rows("programs"), site.rows("turns")), (3, 2));
+    until("its rows are gone", async || {
+        site.rows("programs") == 0 && site.rows("turns") == 0
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn a_program_of_two_hosts_leaves_no_rows_and_none_goes_early() {
+    let site = site();
+    let gateways = [site.gateway(), site.gateway()];
+    for gateway in &gateways {
+        gateway.until_ready().await;
+    }
+    let mut previous: Option<String> = None;
+    for number in 0..8 {
+        let attempt = format!("t{number}");
+        let mut ask = Ask::turn(&attempt, "p1", "x|");
+        if let Some(previous) = &previous {
+            ask = ask.previous(previous);
+        }
+        let answer = ask.send(gateways[number % 2].front).await;
+        assert_eq!(answer.status, 200, "turn {number}");
+        previous = Some(attempt);
+        // All turns together take longer than one is kept after its own end.
+        actix_rt::time::sleep(Duration::from_millis(400)).await;
+    }
+    until("its rows are gone", async || {
+        site.rows("programs") == 0 && site.rows("turns") == 0
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn a_program_that_continued_from_another_one_outlives_it() {
+    let site = site();
+    let gateway = site.gateway();
+    gateway.until_ready().await;
+    Ask::turn("t1", "p1", "first|").send(gateway.front).await;
+    Ask::turn("u1", "p2", "other|")
+        .previous("t1")
+        .send(gateway.front)
+        .await;
+    // The other program goes on while the first one is deleted.
+    let mut previous = "u1".to_owned();
+    for number in 2..10 {
+        actix_rt::time::sleep(Duration::from_millis(400)).await;
+        let attempt = format!("u{number}");
+        let ask = Ask::turn(&attempt, "p2", "x|").previous(&previous);
+        assert_eq!(ask.send(gateway.front).await.status, 200);
+        previous = attempt;
+    }
+    let fresh = site.gateway();
+    fresh.until_ready().await;
+    let ask = Ask::turn("u99", "p2", "last").previous(&previous);
+    assert_eq!(ask.send(fresh.front).await.status, 200);
+    let prompt = site.runs(MODELS).await["u99"].body.clone();
+    assert!(prompt.starts_with("first|word0\n"), "{prompt}");
+    assert!(prompt.ends_with("last"), "{prompt}");
+}
--- a/standin/src/store.rs
+++ b/standin/src/store.rs
@@ -172,6 +172,12 @@
         rows.version += 1;
     }
 
+    /// Number of rows of a table.
+    pub fn row_count(&self, table: &str) -> usize {
+        let rows = self.lock();
+        rows.rows.keys().filter(|key| key.0 == table).count()
+    }
+
     /// What the store has done.
     pub fn stats(&self) -> StoreStats {
         self.lock().stats.clone()
--- a/state/src/settings/gateway.rs
+++ b/state/src/settings/gateway.rs
@@ -31,6 +31,8 @@
     pub store: StoreSettings,
     /// Time between the signal to stop and the end of the process by force.
     pub stop_grace: Duration,
+    /// Time beyond a route's retention for which turns are kept.
+    pub retention_margin: Duration,
     /// Where log lines go.
     pub log: LogSettings,
 }
@@ -93,6 +95,12 @@
             presence: Presence::Default("8"),
             meaning: "Time between the signal to stop and the end of the process by force.",
         },
+        Key {
+            name: "retention_margin_ms",
+            kind: KeyKind::Number(Unit::Milliseconds, 0..=86_400_000),
+            presence: Presence::Default("15000"),
+            meaning: "Time beyond a route's retention for which turns are kept: a retry and a turn under way may still need them.",
+        },
     ],
 };
 
@@ -146,6 +154,7 @@
             relay_listen: values.address("gateway", "relay_listen"),
             store: StoreSettings::from(&values),
             stop_grace: values.seconds("gateway", "stop_grace_s"),
+            retention_margin: values.duration("gateway", "retention_margin_ms"),
             log: common::log(&values),
         })
     }
