Weigh the share of an endpoint's failures, and tell failures to peers

Change: the share of failures of each endpoint, halved every 4 s, weighs 1.5 s a failed request; gateways tell each other their failures with the loads.

--- a/coordination/src/gateway/directory.rs
+++ b/coordination/src/gateway/directory.rs
@@ -1,6 +1,6 @@
 //! The endpoints that are there, and the choice among them.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -49,6 +49,19 @@
 /// Cost of an endpoint to which no idle connection is open: a handshake takes
 /// about 2 ms, the endpoint holds a slot for it, and connections are paid for.
 const CONNECT_MS: f64 = 5.0;
+/// Cost of a request that fails, times the share of an endpoint's requests that
+/// failed lately. A call that fails ends its program, which is worth as much as
+/// some seconds of waiting; at 5 % it weighs 75 ms, two places in a queue.
+const FAILURE_MS: f64 = 1_500.0;
+/// Weight of a new outcome in the share of failures; about the last seven count.
+const FAILURE_WEIGHT: f64 = 0.15;
+/// Weight of a failure that a peer tells of.
+const OVERHEARD_WEIGHT: f64 = 0.08;
+/// Time in which a share of failures halves without a new outcome, so that an
+/// endpoint that has recovered is tried again.
+const FAILURE_HALF_LIFE: Duration = Duration::from_secs(4);
+/// Failures that are kept to be told to peers.
+const MAX_RECENT_FAILURES: usize = 64;
 /// Spread by which hosts that know the same are kept from choosing the same.
 const JITTER_MS: f64 = 6.0;
 
@@ -65,6 +78,9 @@
     failures: u32,
     /// Smoothed latency in milliseconds; zero before the first sample.
     latency_ms: f64,
+    /// Smoothed share of requests that failed, as of `failure_at`.
+    failure_share: f64,
+    failure_at: Duration,
     /// Set while its entry is missing after an outage of the store.
     lapsed_until: Option<Duration>,
     /// Until when it is slow after its start.
@@ -125,6 +141,8 @@
     endpoints: HashMap<InstanceId, Endpoint>,
     /// Smoothed latency of each service in milliseconds.
     service_latency_ms: HashMap<ServiceName, f64>,
+    /// Failures that this host saw itself, the newest last.
+    recent_failures: VecDeque<(InstanceId, Duration)>,
 }
 
 impl Directory {
@@ -134,6 +152,7 @@
             availability_zone,
             endpoints: HashMap::new(),
             service_latency_ms: HashMap::new(),
+            recent_failures: VecDeque::new(),
         }
     }
 
@@ -167,6 +186,8 @@
                     avoided_until: Duration::ZERO,
                     failures: 0,
                     latency_ms: 0.0,
+                    failure_share: 0.0,
+                    failure_at: now,
                     lapsed_until: None,
                     warm_at,
                 };
@@ -292,6 +313,7 @@
         if wish.warm != Some(endpoint.record.instance.as_str()) {
             cost_ms += wish.warm_tokens as f64 * COLD_TOKEN_MS;
         }
+        cost_ms += endpoint.failure_share(now) * FAILURE_MS;
         if now < endpoint.warm_at {
             cost_ms += WARMING_UP_MS;
         }
@@ -374,11 +396,12 @@
     }
 
     /// Notes that an endpoint answered, after a latency where one was measured.
-    pub fn answered(&mut self, instance: &str, latency: Option<Duration>) {
+    pub fn answered(&mut self, instance: &str, latency: Option<Duration>, now: Duration) {
         let Some(endpoint) = self.endpoints.get_mut(instance) else {
             return;
         };
         endpoint.failures = 0;
+        endpoint.note_outcome(0.0, FAILURE_WEIGHT, now);
         endpoint.avoided_until = Duration::ZERO;
         let Some(latency) = latency else {
             return;
@@ -399,10 +422,29 @@
         let doubled = FIRST_AVOIDANCE * 2_u32.pow(endpoint.failures.min(8));
         let avoided = doubled.min(MAX_AVOIDANCE);
         endpoint.failures += 1;
+        endpoint.note_outcome(1.0, FAILURE_WEIGHT, now);
         endpoint.avoided_until = now + avoided;
+        self.recent_failures.push_back((instance.to_owned(), now));
+        if self.recent_failures.len() > MAX_RECENT_FAILURES {
+            self.recent_failures.pop_front();
+        }
         Some(avoided)
     }
 
+    /// Takes a failure that a peer saw.
+    pub fn overhear_failure(&mut self, instance: &str, now: Duration) {
+        if let Some(endpoint) = self.endpoints.get_mut(instance) {
+            endpoint.note_outcome(1.0, OVERHEARD_WEIGHT, now);
+        }
+    }
+
+    /// Endpoints that failed this host since a time, once for each failure.
+    pub fn failed_since(&self, since: Duration) -> impl Iterator<Item = &InstanceId> {
+        let failures = self.recent_failures.iter();
+        let recent = failures.filter(move |(_, at)| *at >= since);
+        recent.map(|(instance, _)| instance)
+    }
+
     /// Notes that an endpoint refused a request for lack of room.
     pub fn full(&mut self, instance: &str, now: Duration) {
         if let Some(endpoint) = self.endpoints.get_mut(instance) {
@@ -424,6 +466,19 @@
 }
 
 impl Endpoint {
+    /// Share of its requests that failed lately.
+    fn failure_share(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.failure_at);
+        let half_lives = age.as_secs_f64() / FAILURE_HALF_LIFE.as_secs_f64();
+        self.failure_share * 0.5_f64.powf(half_lives)
+    }
+
+    fn note_outcome(&mut self, sample: f64, weight: f64, now: Duration) {
+        let share = self.failure_share(now);
+        self.failure_share = share + (sample - share) * weight;
+        self.failure_at = now;
+    }
+
     fn choice(&self, now: Duration) -> Choice<'_> {
         Choice {
             record: &self.record,
--- a/gateway/src/plain.rs
+++ b/gateway/src/plain.rs
@@ -63,11 +63,12 @@
         Ok(Ok(body)) => body.to_bytes(),
     };
     let instance = &exchanged.at.instance;
-    let latency = gateway.clock.now().saturating_sub(exchanged.sent);
+    let now = gateway.clock.now();
+    let latency = now.saturating_sub(exchanged.sent);
     gateway
         .directory
         .borrow_mut()
-        .answered(instance, Some(latency));
+        .answered(instance, Some(latency), now);
     let status = head.status.as_u16();
     let elapsed = call.elapsed(gateway.clock.now());
     let in_time = elapsed <= call.route.objective;
--- a/gateway/src/turn.rs
+++ b/gateway/src/turn.rs
@@ -388,9 +388,10 @@
     fn pass(&mut self, bytes: &Bytes) {
         if !self.has_begun {
             self.has_begun = true;
-            let latency = self.gateway.clock.now().saturating_sub(self.sent);
+            let now = self.gateway.clock.now();
+            let latency = now.saturating_sub(self.sent);
             let mut directory = self.gateway.directory.borrow_mut();
-            directory.answered(&self.at.instance, Some(latency));
+            directory.answered(&self.at.instance, Some(latency), now);
             self.first_event = self.call.elapsed(self.gateway.clock.now());
             self.gateway
                 .metrics
