Send no call by peers that the store refuses for its rate

Change: a throttled call is another answer than a refused one: the lane sends it again after its pause, the way to the store stays up, and peers are asked only once every call of 0.6 s was throttled. Test: three throttled transactions in a row: the turn is whole and nothing went by the peer; it failed before the way stayed up.

--- a/gateway/src/commits.rs
+++ b/gateway/src/commits.rs
@@ -142,7 +142,9 @@
 
     async fn wait_after(&self, error: &StoreError, pause: &mut Duration) {
         // Nothing is gained by waiting after a long wait for an answer.
-        if matches!(error, StoreError::Busy) || self.store.unreachable_for() < *pause {
+        if matches!(error, StoreError::Refused | StoreError::Throttled)
+            || self.store.unreachable_for() < *pause
+        {
             tokio::time::sleep(*pause).await;
         } else {
             tokio::time::sleep(FIRST_PAUSE).await;
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -202,7 +202,8 @@
     pub fn count_store_call(&self, call: StoreCall, error: Option<&StoreError>, took: Duration) {
         let outcome = match error {
             None => "done",
-            Some(StoreError::Busy) => "busy",
+            Some(StoreError::Refused) => "refused",
+            Some(StoreError::Throttled) => "throttled",
             Some(StoreError::HistoryGone) => "history_gone",
             Some(StoreError::NoAnswer(_)) => "no_answer",
         };
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -151,7 +151,8 @@
         .await
     {
         Ok(answer) => answer,
-        Err(StoreError::Busy) => (503, Bytes::new()),
+        Err(StoreError::Refused) => (503, Bytes::new()),
+        Err(StoreError::Throttled) => (429, Bytes::new()),
         Err(StoreError::HistoryGone | StoreError::NoAnswer(_)) => (504, Bytes::new()),
     }
 }
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -1,6 +1,6 @@
 //! The client of the platform's store.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,6 +23,9 @@
 
 /// How long a way by a peer is believed in after its last answer.
 const PEER_TRUST: Duration = Duration::from_millis(1_500);
+/// How long every call must have been refused as one too many before peers are
+/// asked. Within a second the store takes calls of every host that it serves.
+const THROTTLED_TIME: Duration = Duration::from_millis(600);
 /// Peers that are asked for one call, at most: in an outage of the whole store
 /// each of them only says so.
 const MAX_PEERS_ASKED: usize = 2;
@@ -30,9 +33,12 @@
 /// Why a call gave nothing.
 #[derive(Debug, thiserror::Error)]
 pub enum StoreError {
-    /// The store is too busy, or refuses this host; nothing was done.
-    #[error("the store is busy")]
-    Busy,
+    /// The store refuses this host, or everyone; nothing was done.
+    #[error("the store refuses calls")]
+    Refused,
+    /// More calls than the store takes; nothing was done.
+    #[error("the store takes no more calls in this second")]
+    Throttled,
     /// The history that was asked for is gone.
     #[error("the store's history is gone")]
     HistoryGone,
@@ -74,6 +80,8 @@
     clock: Clock,
     metrics: Rc<Metrics>,
     direct: Way,
+    /// First call refused as one too many, with none answered since.
+    throttled_since: Cell<Option<Duration>>,
     peers: RefCell<Vec<Rc<Way>>>,
 }
 
@@ -82,6 +90,7 @@
     pub fn new(settings: StoreSettings, clock: Clock, metrics: Rc<Metrics>) -> Self {
         Self {
             direct: Way::new(settings.address, clock),
+            throttled_since: Cell::new(None),
             peers: RefCell::default(),
             settings,
             clock,
@@ -295,6 +304,9 @@
         };
         match outcome {
             Ok(answer) => Ok(answer),
+            // The store's rate is one for all hosts: a peer would only add to
+            // the calls. A host that is always told so is turned away.
+            Err(StoreError::Throttled) if self.direct.is_up() => Err(StoreError::Throttled),
             Err(error) => {
                 let by_peers = self.call_by_peers(outgoing, wait).await;
                 by_peers.ok_or(error)
@@ -351,7 +363,11 @@
             .await;
         let outcome = judge(answer);
         let turn = match &outcome {
-            Ok(_) => self.direct.note_answer(started),
+            Ok(_) => {
+                self.throttled_since.set(None);
+                self.direct.note_answer(started)
+            }
+            Err(StoreError::Throttled) if !self.is_shut_out() => None,
             Err(_) => self.direct.note_failure(),
         };
         match (turn, &outcome) {
@@ -366,6 +382,15 @@
         outcome
     }
 
+    /// Whether every call has been refused as one too many for so long that the
+    /// store must be turning this host away.
+    fn is_shut_out(&self) -> bool {
+        let now = self.clock.now();
+        let since = self.throttled_since.get().unwrap_or(now);
+        self.throttled_since.set(Some(since));
+        now.saturating_sub(since) >= THROTTLED_TIME
+    }
+
     /// The same call by peers that the store may answer.
     async fn call_by_peers(
         &self,
@@ -406,7 +431,8 @@
 fn judge(answer: Result<(u16, Bytes), String>) -> Result<(u16, Bytes), StoreError> {
     let (status, body) = answer.map_err(StoreError::NoAnswer)?;
     match wire::status(status) {
-        StoreStatus::Busy => Err(StoreError::Busy),
+        StoreStatus::Refused => Err(StoreError::Refused),
+        StoreStatus::Throttled => Err(StoreError::Throttled),
         StoreStatus::Unknown => Err(StoreError::NoAnswer(format!("status {status}"))),
         StoreStatus::Done | StoreStatus::Conflict | StoreStatus::HistoryGone => Ok((status, body)),
     }
@@ -419,7 +445,8 @@
 fn unexpected(status: StoreStatus) -> StoreError {
     match status {
         StoreStatus::HistoryGone => StoreError::HistoryGone,
-        StoreStatus::Busy => StoreError::Busy,
+        StoreStatus::Refused => StoreError::Refused,
+        StoreStatus::Throttled => StoreError::Throttled,
         status => StoreError::NoAnswer(format!("unexpected status {status:?}")),
     }
 }
--- a/gateway/src/watch.rs
+++ b/gateway/src/watch.rs
@@ -32,7 +32,7 @@
         match routes_once(&gateway, version).await {
             Ok(newest) => version = Some(newest),
             // The client has logged that the store is lost.
-            Err(StoreError::HistoryGone | StoreError::Busy | StoreError::NoAnswer(_)) => {
+            Err(_) => {
                 version = None;
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
@@ -84,7 +84,7 @@
                 tokio::time::sleep(ENDPOINT_PAUSE).await;
             }
             // The client has logged that the store is lost.
-            Err(StoreError::HistoryGone | StoreError::Busy | StoreError::NoAnswer(_)) => {
+            Err(_) => {
                 version = None;
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
--- a/gateway/tests/relay.rs
+++ b/gateway/tests/relay.rs
@@ -115,3 +115,26 @@
     }
     assert_eq!(site.times_run("t1").await, 0);
 }
+
+#[actix_rt::test]
+async fn calls_beyond_the_rate_are_sent_again_and_not_by_peers() {
+    let site = Site::start();
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let open_door = site.store.open_door(listener).unwrap();
+    let peer = Gateway::start(open_door.address());
+    let gateway = site.gateway();
+    peer.until_ready().await;
+    gateway.until_ready().await;
+    until("the peers know each other", async || {
+        site.store.stats().reads >= 12
+    })
+    .await;
+    let throttle = StoreFaults {
+        throttle: 3,
+        ..StoreFaults::default()
+    };
+    site.faults(&throttle).await;
+    let answer = Ask::turn("t1", "p1", "x").send(gateway.front).await;
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+    assert!(gateway.events("store-relayed").is_empty());
+}
--- a/standin/src/store.rs
+++ b/standin/src/store.rs
@@ -40,6 +40,8 @@
     pub lose_answers: u64,
     /// Number of transactions more that are lost before they take effect.
     pub lose_calls: u64,
+    /// Number of transactions more that are refused with 429.
+    pub throttle: u64,
 }
 
 /// What the store has done.
@@ -275,6 +277,9 @@
         if is_write && take_one(&mut self.lock_faults().lose_calls) {
             return cut();
         }
+        if is_write && take_one(&mut self.lock_faults().throttle) {
+            return problem(429, "throttled", Ran::No, "too many calls");
+        }
         let reply = self.route(request).await;
         if is_write && take_one(&mut self.lock_faults().lose_answers) {
             return cut();
