--- a/replay/src/command.rs
+++ b/replay/src/command.rs
@@ -24,6 +24,15 @@
 rosebend-replay load --entry URL... --engine URL... --token-file FILE [--rate N] [--seconds N]
 rosebend-replay run --entry URL... --token-file FILE --program FILE [--effects URL --effect KEY]";
 
+/// What the exit codes mean.
+const EXIT_CODES: &str = "Exit codes: 0 done, 1 a stated outcome does not hold, 2 wrong usage or a file \
+that cannot be read.";
+
+/// What `--help` prints.
+fn help() -> String {
+    format!("Usage:\n{USAGE}\n\n{EXIT_CODES}\n")
+}
+
 /// What a command printed.
 #[derive(Debug)]
 pub struct Output {
@@ -72,6 +81,10 @@
     let usage = || CommandError::Usage("a command is needed".to_owned());
     let (command, rest) = arguments.split_first().ok_or_else(usage)?;
     match command.as_str() {
+        "--help" | "-h" | "help" => Ok(output(help())),
+        "--version" => Ok(output(
+            concat!("rosebend-replay ", env!("CARGO_PKG_VERSION"), "\n").to_owned(),
+        )),
         "policy" => policy(rest),
         "generate" => generate(rest),
         "bench" => Ok(output(bench::run())),
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -4,11 +4,13 @@
 use std::{io, net::TcpListener, process::ExitCode};
 
 use rosebend_standin::{
+    backend::Backend,
     engine::Engine,
     options::{Command, StandIn, parse},
     platform::Platform,
     server::RunningServer,
     service::Service,
+    store::Store,
 };
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -65,5 +67,7 @@
         StandIn::Platform(config) => Platform::start(listener, config),
         StandIn::Engine(config) => Engine::start(listener, config),
         StandIn::Service(config) => Service::start(listener, config),
+        StandIn::Store => Store::default().open_door(listener),
+        StandIn::Backend(instance) => Backend::start(listener, &instance),
     }
 }
--- a/standin/src/options.rs
+++ b/standin/src/options.rs
@@ -24,13 +24,17 @@
     Engine(EngineConfig),
     /// A plain service.
     Service(ServiceConfig),
+    /// The users' platform's store.
+    Store,
+    /// An endpoint of the users' platform, with the id of its run.
+    Backend(String),
 }
 
 /// What is wrong with the command line.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum OptionsError {
     /// No sub-command, or an unknown one.
-    #[error("the sub-command must be platform, engine or service\n{OVERVIEW}")]
+    #[error("the sub-command must be platform, engine, service, store or backend\n{OVERVIEW}")]
     SubCommand,
     /// An option is unknown, or lacks its value.
     #[error("{0}")]
@@ -47,16 +51,21 @@
     },
 }
 
+const VERSION: &str = concat!("rosebend-standin ", env!("CARGO_PKG_VERSION"));
+
 const OVERVIEW: &str = "\
-usage: rosebend-standin platform|engine|service [OPTIONS]
+usage: rosebend-standin platform|engine|service|store|backend [OPTIONS]
 
-Stand-ins for the platform, a model engine and a plain service. Each prints
+Stand-ins for the platform, a model engine and a plain service, and for the
+store and the endpoints of the users' platform. Each prints
 `listening on ADDRESS` once it is ready and exits with 0 on SIGTERM, after it
 has finished the requests in flight.
 
   rosebend-standin platform --listen 127.0.0.1:7000
   rosebend-standin engine --listen 127.0.0.1:0 --speed 10
   rosebend-standin service --listen 127.0.0.1:0 --delay-ms 50
+  rosebend-standin store --listen 127.0.0.1:7340
+  rosebend-standin backend --listen 127.0.0.1:0 --instance i-1
 
 `rosebend-standin SUB-COMMAND --help` lists the options.";
 
@@ -69,9 +78,12 @@
     let (name, rest) = arguments.split_first().ok_or(OptionsError::SubCommand)?;
     match name.as_str() {
         "--help" | "-h" => Ok(Command::Help(OVERVIEW.to_owned())),
+        "--version" => Ok(Command::Help(VERSION.to_owned())),
         "platform" => run(name, &platform_options(), rest, read_platform),
         "engine" => run(name, &engine_options(), rest, read_engine),
         "service" => run(name, &service_options(), rest, read_service),
+        "store" => run(name, &common_options(), rest, |_| Ok(StandIn::Store)),
+        "backend" => run(name, &backend_options(), rest, read_backend),
         _ => Err(OptionsError::SubCommand),
     }
 }
@@ -172,6 +184,17 @@
     Ok(StandIn::Engine(config.sped_up(speed)))
 }
 
+fn backend_options() -> Options {
+    let mut options = common_options();
+    options.optopt("", "instance", "id of the endpoint's run (i-1)", "ID");
+    options
+}
+
+fn read_backend(matches: &Matches) -> Result<StandIn, OptionsError> {
+    let instance = value(matches, "instance", "an id", "i-1".to_owned())?;
+    Ok(StandIn::Backend(instance))
+}
+
 fn service_options() -> Options {
     let mut options = common_options();
     options.optopt("", "delay-ms", "time of a call (0)", "MS");
--- a/standin/tests/options.rs
+++ b/standin/tests/options.rs
@@ -88,3 +88,18 @@
     // The idle connection was closed rather than waited for.
     assert_eq!(idle.read(&mut [0]).unwrap_or(0), 0);
 }
+
+#[test]
+fn the_stand_ins_of_the_users_platform_have_sub_commands() {
+    let words = |text: &str| text.split(' ').map(str::to_owned).collect::<Vec<_>>();
+    let store = parse(&words("store --listen 127.0.0.1:7340")).unwrap();
+    let address = "127.0.0.1:7340".parse().unwrap();
+    assert_eq!(store, Command::Run(address, StandIn::Store));
+    let backend = parse(&words("backend --listen 127.0.0.1:7340 --instance i-7")).unwrap();
+    let expected = StandIn::Backend("i-7".to_owned());
+    assert_eq!(backend, Command::Run(address, expected));
+    assert!(matches!(
+        parse(&words("--version")).unwrap(),
+        Command::Help(_)
+    ));
+}
--- a/transport/src/process_command.rs
+++ b/transport/src/process_command.rs
@@ -39,6 +39,10 @@
             println!("{}", options.usage(self.brief));
             return ExitCode::SUCCESS;
         }
+        if matches.opt_present("version") {
+            println!("{} {}", self.program, env!("CARGO_PKG_VERSION"));
+            return ExitCode::SUCCESS;
+        }
         let Some(path) = matches.opt_str("config").map(PathBuf::from) else {
             return self.usage(&options, "--config is wanted");
         };
@@ -87,6 +91,7 @@
     let mut options = Options::new();
     options.optopt("c", "config", "settings, in INI form", "FILE");
     options.optflag("", "check", "check the settings and exit");
+    options.optflag("V", "version", "print the version");
     options.optflag("h", "help", "print this page");
     options
 }
