Split turns, their spending and their streams, and the cost of endpoints

Change: spending.rs, turn_stream.rs and directory/cost.rs; the crate's page is a table from what to where.

--- a/coordination/src/gateway/directory.rs
+++ b/coordination/src/gateway/directory.rs
@@ -6,7 +6,8 @@
 
 use rosebend_state::deployment::{EndpointLoad, EndpointRecord, InstanceId, ServiceName};
 use rosebend_state::id::AvailabilityZone;
-use rosebend_util::hash_parts;
+
+mod cost;
 
 /// How long an entry that vanished in an outage of the store is kept: entries
 /// that lapsed meanwhile are back about two seconds after the store.
@@ -24,35 +25,6 @@
 /// request to request by more than that.
 const NOTABLE_SLOWNESS: f64 = 1.6;
 
-/// By how much a request takes longer at an endpoint whose slots are all taken
-/// than at an idle one: 73 tokens at 2.72 ms a step instead of 2.33 ms.
-const FULL_MS: f64 = 30.0;
-/// Time that a turn holds its slot; a request beyond the slots waits for its
-/// share of it.
-const TURN_HOLD_MS: f64 = 280.0;
-/// Time for which a plain request holds its slot before any was measured.
-const DEFAULT_HOLD_MS: f64 = 100.0;
-/// Cost of each prompt token that an engine has to read. Engines read 73 to
-/// 168 tokens in a millisecond; but all that run there wait meanwhile, and what
-/// is read puts other programs' prompts out of memory. Of 0.02, 0.05 and 0.10
-/// the last served a loaded site best (0.71, 0.82 and 0.86 of the worth).
-const COLD_TOKEN_MS: f64 = 0.10;
-/// Cost of a way to another availability zone: there and back takes 1 to 2 ms,
-/// and bytes between zones are paid for.
-const ZONE_MS: f64 = 2.0;
-/// Cost of an endpoint that just started and is slow.
-const WARMING_UP_MS: f64 = 60.0;
-/// Cost of an endpoint whose entry lapsed in an outage.
-const LAPSED_MS: f64 = 5_000.0;
-/// Cost of an endpoint that is avoided after failures; all may be.
-const AVOIDED_MS: f64 = 50_000.0;
-/// Cost of an endpoint to which no idle connection is open: a handshake takes
-/// about 2 ms, the endpoint holds a slot for it, and connections are paid for.
-const CONNECT_MS: f64 = 5.0;
-/// Cost of a request that fails, times the share of an endpoint's requests that
-/// failed lately. A call that fails ends its program, which is worth as much as
-/// some seconds of waiting; at 5 % it weighs 75 ms, two places in a queue.
-const FAILURE_MS: f64 = 1_500.0;
 /// Weight of a new outcome in the share of failures; about the last seven count.
 const FAILURE_WEIGHT: f64 = 0.15;
 /// Weight of a failure that a peer tells of.
@@ -62,9 +34,6 @@
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(4);
 /// Failures that are kept to be told to peers.
 const MAX_RECENT_FAILURES: usize = 64;
-/// Spread by which hosts that know the same are kept from choosing the same.
-const JITTER_MS: f64 = 6.0;
-
 /// What is known of one endpoint.
 #[derive(Clone, Debug)]
 struct Endpoint {
@@ -283,50 +252,13 @@
         };
         let candidates = self.endpoints.values().filter(is_candidate);
         let costs = candidates.map(|endpoint| {
-            let mut cost_ms = self.cost_ms(endpoint, wish, now);
-            if !is_connected(&endpoint.record.instance) {
-                cost_ms += CONNECT_MS;
-            }
-            (cost_ms, endpoint)
+            let has_connection = is_connected(&endpoint.record.instance);
+            (self.cost_ms(endpoint, wish, has_connection, now), endpoint)
         });
         let best = costs.min_by(|a, b| a.0.total_cmp(&b.0));
         best.map(|(_, endpoint)| endpoint.choice(now))
     }
 
-    /// Expected time that a request takes longer at an endpoint than at an
-    /// idle one that has all in memory, in milliseconds.
-    fn cost_ms(&self, endpoint: &Endpoint, wish: Wish<'_>, now: Duration) -> f64 {
-        let load = endpoint.expected_load(now);
-        let slots = f64::from(endpoint.record.slots);
-        let service_ms = self.service_latency_ms.get(&endpoint.record.service);
-        let service_ms = service_ms.copied().unwrap_or(DEFAULT_HOLD_MS);
-        let hold_ms = match wish.is_turn {
-            true => TURN_HOLD_MS,
-            false => service_ms,
-        };
-        let mut cost_ms = (load / slots).min(1.0) * FULL_MS;
-        cost_ms += (load + 1.0 - slots).max(0.0) * hold_ms / slots;
-        cost_ms += (self.slowness(endpoint) - 1.0) * service_ms;
-        if endpoint.record.availability_zone != self.availability_zone {
-            cost_ms += ZONE_MS;
-        }
-        if wish.warm != Some(endpoint.record.instance.as_str()) {
-            cost_ms += wish.warm_tokens as f64 * COLD_TOKEN_MS;
-        }
-        cost_ms += endpoint.failure_share(now) * FAILURE_MS;
-        if now < endpoint.warm_at {
-            cost_ms += WARMING_UP_MS;
-        }
-        if now < endpoint.avoided_until {
-            cost_ms += AVOIDED_MS;
-        }
-        if endpoint.lapsed_until.is_some() {
-            cost_ms += LAPSED_MS;
-        }
-        let hash = hash_parts(&[wish.subject.as_bytes(), endpoint.record.instance.as_bytes()]);
-        cost_ms + JITTER_MS * (hash % 1_024) as f64 / 1_024.0
-    }
-
     /// How many times slower than its service an endpoint is; 1 when alike.
     fn slowness(&self, endpoint: &Endpoint) -> f64 {
         let service = self.service_latency_ms.get(&endpoint.record.service);
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -1,18 +1,19 @@
 //! The gateway process: it takes callers' requests, sends each to an endpoint,
 //! and keeps the programs' turns in the platform's store.
 //!
-//! A request goes [`front`] -> [`call`] -> [`plain`] or [`turn`] ->
-//! [`exchange`] -> [`connection`]. What lasts goes through [`commits`] and
-//! [`store`]; what the process believes of routes and endpoints comes from
-//! [`watch`]. [`peers`] pass on each other's calls to the store,
-//! [`gossip`] tells them loads of endpoints,
-//! [`retention`] deletes what is over,
-//! [`quarantine`] tells between hosts which requests crash endpoints. [`process`] starts and stops all of it.
+//! | what | where |
+//! |---|---|
+//! | a request, step by step | [`front`], [`call`], [`plain`] or [`turn`], [`exchange`], [`connection`] |
+//! | a turn's budget, and its answer on the way | [`spending`], [`turn_stream`] |
+//! | what lasts | [`commits`], [`programs`], [`store`], [`retention`] |
+//! | what the process believes of routes and endpoints | [`watch`], [`gossip`], [`quarantine`] |
+//! | calls to the store by other gateways | [`peers`] |
+//! | what is written and counted | [`trail`], [`metrics`] |
+//! | start and stop | [`process`] |
 //!
-//! [`trail`] is what is written of a request, [`metrics`] what is counted.
-//!
-//! The decisions themselves are in `rosebend_coordination::gateway`, the names
-//! of the wire in `rosebend_platform`.
+//! [`gateway`] is the state that they share. The decisions themselves are in
+//! `rosebend_coordination::gateway`, the names of the wire in
+//! `rosebend_platform`.
 
 pub mod call;
 pub mod clock;
@@ -31,7 +32,9 @@
 pub mod quarantine;
 pub mod reply;
 pub mod retention;
+pub mod spending;
 pub mod store;
 pub mod trail;
 pub mod turn;
+pub mod turn_stream;
 pub mod watch;
--- /dev/null
+++ b/gateway/src/turn_stream.rs
@@ -0,0 +1,273 @@
+//! A turn's answer on its way from the endpoint to the caller.
+
+use std::io;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_http::Response;
+use actix_http::body::BoxBody;
+use bytes::Bytes;
+use futures_util::StreamExt;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use rosebend_coordination::gateway::history::Turn;
+use rosebend_platform::headers::{self, AnswerHeader};
+use rosebend_protocol::sse::SseReader;
+use rosebend_state::deployment::{InstanceId, ProgramHeader, RowId};
+use rosebend_transport::event::{Event, EventKind};
+
+use crate::call::Call;
+use crate::connection::Connection;
+use crate::exchange::Exchanged;
+use crate::gateway::{AtEndpoint, Gateway, OpenRequest};
+use crate::metrics::Timing;
+use crate::quarantine;
+use crate::reply::{self, Refusal};
+use crate::spending::Spending;
+
+/// What a turn's record will hold.
+#[derive(Debug)]
+pub struct Record {
+    /// The program.
+    pub program: ProgramHeader,
+    /// The turn that it continues from.
+    pub previous: Option<Arc<Turn>>,
+    /// Data of the events, each with a line feed.
+    pub output: Vec<u8>,
+}
+
+/// A stream on its way from an endpoint to a caller. Dropping it closes the
+/// endpoint's connection, which stops the work.
+struct TurnStream {
+    gateway: Rc<Gateway>,
+    call: Rc<Call>,
+    body: Incoming,
+    /// Kept until the body was read whole.
+    connection: Option<Connection>,
+    header: AnswerHeader,
+    at: AtEndpoint,
+    status: u16,
+    sent: Duration,
+    events: SseReader,
+    has_begun: bool,
+    /// From the request's arrival to its first event.
+    first_event: Duration,
+    recorded: Option<(Spending, Record)>,
+    _open: OpenRequest,
+}
+
+/// Passes a stream on, from its first bytes: one that breaks off before them
+/// is answered as a failure instead of by a connection that ends.
+///
+/// # Errors
+///
+/// Says how it failed before its first bytes.
+pub async fn pass_on(
+    gateway: &Rc<Gateway>,
+    call: &Rc<Call>,
+    exchanged: Exchanged,
+    recorded: Option<(Spending, Record)>,
+) -> Result<Response<BoxBody>, Refusal> {
+    let (head, body) = exchanged.response.into_parts();
+    let mut stream = TurnStream {
+        gateway: Rc::clone(gateway),
+        call: Rc::clone(call),
+        body,
+        connection: Some(exchanged.connection),
+        header: exchanged.header,
+        at: exchanged.at,
+        status: head.status.as_u16(),
+        sent: exchanged.sent,
+        events: SseReader::default(),
+        has_begun: false,
+        first_event: Duration::ZERO,
+        recorded,
+        _open: gateway.open_request(),
+    };
+    let first = stream.next().await.map_err(|error| match error.kind() {
+        io::ErrorKind::TimedOut => Refusal::TimeIsUp,
+        _ => Refusal::OutcomeUnknown,
+    })?;
+    let rest = futures_util::stream::unfold(Some(stream), |stream| async move {
+        let mut stream = stream?;
+        match stream.next().await {
+            Ok(Some(bytes)) => Some((Ok(bytes), Some(stream))),
+            Ok(None) => None,
+            Err(error) => Some((Err(error), None)),
+        }
+    });
+    let pieces = futures_util::stream::iter(first.map(Ok)).chain(rest);
+    let status = head.status.as_u16();
+    Ok(reply::stream(
+        status,
+        &headers::for_caller(&head.headers),
+        pieces,
+    ))
+}
+
+impl TurnStream {
+    /// The next bytes for the caller; none once the answer is whole and its
+    /// turn durable.
+    async fn next(&mut self) -> io::Result<Option<Bytes>> {
+        let until = self.gateway.clock.instant(self.call.deadline);
+        let next = tokio::time::timeout_at(until, self.next_piece()).await;
+        let next = next.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
+        if let Err(error) = &next {
+            self.cut(error);
+        }
+        next
+    }
+
+    /// Writes how the answer broke off.
+    fn cut(&self, error: &io::Error) {
+        self.call
+            .trail
+            .notable(Event::new(EventKind::AnswerBroken).error(error));
+        self.gateway
+            .metrics
+            .count_request(self.call.route.kind, "cut");
+        if self.has_begun {
+            let elapsed = self.call.elapsed(self.gateway.clock.now());
+            self.call.trail.ended("cut", self.status, elapsed);
+        }
+    }
+
+    async fn next_piece(&mut self) -> io::Result<Option<Bytes>> {
+        loop {
+            let Some(frame) = self.body.frame().await else {
+                self.finish().await?;
+                return Ok(None);
+            };
+            let frame = frame.map_err(|error| self.broken(&error))?;
+            if let Ok(bytes) = frame.into_data()
+                && !bytes.is_empty()
+            {
+                self.pass(&bytes);
+                return Ok(Some(bytes));
+            }
+        }
+    }
+
+    /// Takes note of bytes that are about to go out.
+    fn pass(&mut self, bytes: &Bytes) {
+        if !self.has_begun {
+            self.has_begun = true;
+            let now = self.gateway.clock.now();
+            let latency = now.saturating_sub(self.sent);
+            let mut directory = self.gateway.directory.borrow_mut();
+            directory.answered(&self.at.instance, Some(latency), now);
+            self.first_event = self.call.elapsed(self.gateway.clock.now());
+            self.gateway
+                .metrics
+                .observe(Timing::FirstEvent, self.first_event);
+        }
+        let events = self.events.push(bytes);
+        let Some((spending, record)) = &mut self.recorded else {
+            return;
+        };
+        for event in events {
+            spending.count_event();
+            record.output.extend_from_slice(&event.data);
+            record.output.push(b'\n');
+        }
+    }
+
+    /// Makes the turn durable and gives the connection back.
+    async fn finish(&mut self) -> io::Result<()> {
+        if let Some(connection) = self.connection.take() {
+            let instance: &InstanceId = &self.at.instance;
+            Exchanged::keep_connection(&self.gateway, instance, connection, &self.header);
+        }
+        let Some((spending, record)) = self.recorded.take() else {
+            self.served();
+            return Ok(());
+        };
+        self.record(spending, record).await?;
+        self.served();
+        Ok(())
+    }
+
+    /// Writes the one line of a turn that ended well, or all of a late one.
+    fn served(&self) {
+        let elapsed = self.call.elapsed(self.gateway.clock.now());
+        let in_time = self.first_event <= self.call.route.objective;
+        self.gateway.metrics.observe(Timing::Turn, elapsed);
+        self.gateway
+            .metrics
+            .count_request(self.call.route.kind, "answered");
+        let status = self.status;
+        self.gateway
+            .crashes
+            .borrow_mut()
+            .clear(self.call.fingerprint);
+        self.call
+            .trail
+            .served(&self.at.instance, status, elapsed, in_time);
+    }
+
+    async fn record(&self, mut spending: Spending, record: Record) -> io::Result<()> {
+        let ended = self.gateway.clock.now();
+        let turn = Arc::new(self.turn(record, spending.tokens()));
+        // The limit is one of encoded bytes, of which four stand for three.
+        let rows = turn.rows(self.gateway.settings.store.row_bytes / 4 * 3);
+        let row_ids: Vec<RowId> = rows.iter().map(|write| write.row.clone()).collect();
+        match spending.settle(rows).await {
+            Ok(_) => {
+                self.keep(&turn.program, row_ids);
+                let took = self.gateway.clock.now().saturating_sub(ended);
+                self.gateway.metrics.observe(Timing::Record, took);
+                let event = Event::new(EventKind::TurnRecorded).tokens(spending.tokens());
+                self.call.trail.step(event.elapsed(took));
+                self.gateway.history.borrow_mut().insert(turn);
+                Ok(())
+            }
+            Err(_) => Err(io::Error::other("the process stops")),
+        }
+    }
+
+    /// The turn as it is kept. One that continues from another program's turn
+    /// has a copy of all that was said there, so that each program's rows may
+    /// be deleted when that program is over.
+    fn turn(&self, record: Record, tokens: u64) -> Turn {
+        let program = record.program.program;
+        let prompt_tokens = self
+            .call
+            .header
+            .tokens
+            .map_or(0, |tokens| tokens.prompt_tokens);
+        let (previous, input) = match record.previous {
+            Some(other) if other.program != program => (None, other.prompt(&self.call.body)),
+            previous => (previous, self.call.body.to_vec()),
+        };
+        Turn {
+            attempt: self.call.header.attempt.clone(),
+            program,
+            previous,
+            input,
+            output: record.output,
+            endpoint: self.at.instance.clone(),
+            tokens: prompt_tokens + tokens,
+        }
+    }
+
+    /// Takes note of the turn's rows, to delete them one day.
+    fn keep(&self, program: &str, rows: Vec<RowId>) {
+        let version = self.gateway.commits.version(program);
+        let retention = self.call.route.retention + self.gateway.settings.retention_margin;
+        let now = self.gateway.clock.now();
+        self.gateway
+            .retention
+            .keep(program, rows, retention, version, now);
+    }
+
+    fn broken(&self, error: &hyper::Error) -> io::Error {
+        let now = self.gateway.clock.now();
+        let mut directory = self.gateway.directory.borrow_mut();
+        directory.failed(&self.at.instance, now);
+        if let Some(address) = directory.address(&self.at.instance) {
+            quarantine::examine(&self.gateway, &self.call, &self.at.instance, address);
+        }
+        io::Error::other(format!("the endpoint's answer broke off: {error}"))
+    }
+}
