--- a/coordination/src/gateway/comeback.rs
+++ b/coordination/src/gateway/comeback.rs
@@ -14,8 +14,8 @@
 /// An outage that has lasted for a while may be expected to last as long
 /// again. Coming back every second instead of every quarter of one lets a
 /// program outlast about three seconds of an outage with the few retries that
-/// its caller has, instead of one: 16 % fewer programs were refused over an
-/// outage of seven seconds.
+/// its caller has, instead of one. Over an outage of seven seconds 0.139 of the
+/// programs were refused at 250 ms and 0.107 at one second, one run each.
 pub fn after_outage(away: Duration) -> Duration {
     away.clamp(SOONEST, LATEST)
 }
--- a/coordination/src/gateway/history.rs
+++ b/coordination/src/gateway/history.rs
@@ -15,8 +15,9 @@
 
 /// Partitions of the store over which programs are spread.
 ///
-/// A partition applies about 125 transactions a second, one after another, and
-/// a turn needs two. 16 carry about 1,000 turns a second without gathering.
+/// A partition applies about 125 transactions a second, one after another.
+/// Fewer partitions hold up bursts, more of them gather fewer changes: of 6, 12,
+/// 16 and 48 a site with bursts earned 0.01, 0.68, 0.70 and 0.57 of its worth.
 /// The number is part of where rows lie: it cannot change while rows exist.
 const PARTITIONS: u64 = 16;
 /// Table of ledgers and turns.
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -21,7 +21,7 @@
 use crate::store::StoreClient;
 
 /// Bytes of turns that are kept in memory, so that most turns need no read.
-/// Ten minutes of a host's turns at letter 1's sizes.
+/// About 4,000 turns at 5.6 KB, the bytes a turn on a quiet day of one site.
 const HISTORY_BYTES: usize = 24 << 20;
 
 /// How long the store may be out of reach before the host takes no callers:
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -80,7 +80,7 @@
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            _ = hangup.recv() => log_event(&Event::new(EventKind::SettingsReloaded)),
+            _ = hangup.recv() => log_event(&Event::new(EventKind::ReloadAsked)),
         }
     }
     stop(&gateway, &close).await;
--- a/gateway/src/trail.rs
+++ b/gateway/src/trail.rs
@@ -2,8 +2,8 @@
 //!
 //! Its steps are kept until it ends. Of a request that ended well one line is
 //! written; of one that was refused, failed, came late, was retried or left by
-//! its caller, every step with its time. A host writes about 50 lines a second
-//! at 50 requests a second, instead of 400.
+//! its caller, every step with its time. That bounds the log by the requests
+//! and keeps the whole story of those that somebody will ask about.
 
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -129,8 +129,8 @@
     ReadyChanged,
     /// `count` lines of the log were dropped since they came faster than they could be written; `reason` is their level.
     LinesDropped,
-    /// The settings file was read again; `reason` says whether anything changed.
-    SettingsReloaded,
+    /// The process was asked to read its settings again; it keeps them, and takes new ones at its next start.
+    ReloadAsked,
     /// A request crashed `count` endpoints; it is refused everywhere.
     RequestQuarantined,
     /// A caller's connection could not be accepted.
@@ -206,7 +206,7 @@
         Self::StoreRegained,
         Self::ReadyChanged,
         Self::LinesDropped,
-        Self::SettingsReloaded,
+        Self::ReloadAsked,
         Self::RequestQuarantined,
         Self::AcceptFailed,
         Self::RecordUnreadable,
@@ -277,7 +277,7 @@
             Self::StoreRegained => 817,
             Self::ReadyChanged => 818,
             Self::LinesDropped => 819,
-            Self::SettingsReloaded => 820,
+            Self::ReloadAsked => 820,
             Self::RequestQuarantined => 821,
             Self::AcceptFailed => 822,
             Self::RecordUnreadable => 823,
@@ -349,7 +349,7 @@
             Self::StoreRegained => "store-regained",
             Self::ReadyChanged => "ready-changed",
             Self::LinesDropped => "lines-dropped",
-            Self::SettingsReloaded => "settings-reloaded",
+            Self::ReloadAsked => "reload-asked",
             Self::RequestQuarantined => "request-quarantined",
             Self::AcceptFailed => "accept-failed",
             Self::RecordUnreadable => "record-unreadable",
@@ -508,8 +508,8 @@
             Self::LinesDropped => {
                 "`count` lines of the log were dropped since they came faster than they could be written; `reason` is their level."
             }
-            Self::SettingsReloaded => {
-                "The settings file was read again; `reason` says whether anything changed."
+            Self::ReloadAsked => {
+                "The process was asked to read its settings again; it keeps them, and takes new ones at its next start."
             }
             Self::RequestQuarantined => {
                 "A request crashed `count` endpoints; it is refused everywhere."
