--- a/cli/tests/command/bench.rs
+++ b/cli/tests/command/bench.rs
@@ -17,10 +17,7 @@
     HostView, LiveProcess, OperatorContext, WriteIds, as_program_request, handle,
 };
 use rosebend_protocol::problem::{Problem, Ran};
-use rosebend_standin::{
-    platform::{Platform, PlatformConfig},
-    server::RunningServer,
-};
+use rosebend_standin::{server::RunningServer, store::Store};
 use rosebend_state::settings::PlatformSettings;
 use rosebend_transport::http_server::{
     HttpReply, HttpRequest, HttpServerConfig, ReplyBody, StreamPiece, serve,
@@ -47,7 +44,7 @@
     /// Starts with an empty table and an empty folder of this name.
     pub async fn start(name: &str) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let platform = Platform::start(listener, PlatformConfig::default()).unwrap();
+        let platform = Store::default().open_door(listener).unwrap();
         let fault = Arc::new(AtomicU8::new(ANSWERS_ALL));
         let context = context(&platform);
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -122,7 +119,7 @@
 
 fn context(platform: &RunningServer) -> OperatorContext {
     let settings = PlatformSettings {
-        url: platform.url(),
+        address: platform.address(),
         timeout: Duration::from_millis(500),
     };
     let revision = Arc::new(AtomicU64::new(0));
--- a/coordination/src/commit.rs
+++ b/coordination/src/commit.rs
@@ -28,7 +28,7 @@
 //! assert_eq!(batch.shards.len(), 1);
 //! ```
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
 use rosebend_state::id::{Epoch, Shard};
@@ -41,13 +41,17 @@
 /// Most doublings of the interval while the table refuses, for 1.6 s at 25 ms.
 const MAX_DOUBLINGS: u32 = 6;
 
-/// Limits of the group commits.
+/// Rows that the store takes in one transaction.
+pub(crate) const MAX_TRANSACTION_ROWS: usize = 100;
+
+/// Limits of the group commits. The store takes 1 MB on the wire, where a value
+/// is a third longer than here.
 #[derive(Clone, Copy, Debug)]
 pub struct CommitterConfig {
     /// Shortest time between the starts of two transactions.
     pub interval: Duration,
-    /// Most records in one transaction.
-    pub max_records: usize,
+    /// Most rows in one transaction: records and the rows of their shards.
+    pub max_rows: usize,
     /// Most bytes of records in one transaction, unless one is larger.
     pub max_bytes: usize,
 }
@@ -56,8 +60,8 @@
     fn default() -> Self {
         Self {
             interval: Duration::from_millis(25),
-            max_records: 500,
-            max_bytes: 1 << 20,
+            max_rows: MAX_TRANSACTION_ROWS,
+            max_bytes: 700_000,
         }
     }
 }
@@ -101,11 +105,8 @@
         /// Version of every row written.
         version: u64,
     },
-    /// The row of this shard had another version; nothing was written.
-    Conflict {
-        /// The shard whose row was newer.
-        shard: Shard,
-    },
+    /// The row of a shard had another version; nothing was written.
+    Conflict,
     /// The table refused it for now; nothing was written.
     Refused,
     /// No answer came.
@@ -298,16 +299,20 @@
 
     fn take_pending(&mut self) -> Vec<Pending> {
         let mut taken = Vec::new();
+        let mut shards = HashSet::new();
         let mut records = 0;
         let mut bytes = 0;
         while let Some(next) = self.pending.front() {
+            shards.insert(next.shard);
             records += next.records.len();
             bytes += next
                 .records
                 .iter()
                 .map(|record| record.value.len())
                 .sum::<usize>();
-            let full = records > self.config.max_records || bytes > self.config.max_bytes;
+            // A shard's row is named twice, as a condition and as a write.
+            let rows = records + 2 * shards.len();
+            let full = rows > self.config.max_rows || bytes > self.config.max_bytes;
             if full && !taken.is_empty() {
                 break;
             }
@@ -355,7 +360,7 @@
             BatchOutcome::Committed { version } => self.commit_in_flight(*version),
             // The conflict may be with an earlier sending of this very
             // transaction, so the rows decide.
-            BatchOutcome::Conflict { .. } | BatchOutcome::Unknown => self.read_in_flight_rows(),
+            BatchOutcome::Conflict | BatchOutcome::Unknown => self.read_in_flight_rows(),
             BatchOutcome::Refused => {
                 self.resend = true;
                 self.refusals += 1;
--- a/coordination/src/gateway/history.rs
+++ b/coordination/src/gateway/history.rs
@@ -7,7 +7,9 @@
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
-use rosebend_state::deployment::{AttemptId, InstanceId, ProgramKey, Row, RowId, RowWrite};
+use rosebend_state::deployment::{
+    AttemptId, InstanceId, ProgramKey, Row, RowId, RowRange, RowWrite,
+};
 use rosebend_util::hash_parts;
 use serde::{Deserialize, Serialize};
 
@@ -90,44 +92,31 @@
     RowId::new(PROGRAM_TABLE, &partition_of(program), key)
 }
 
-/// A range of keys to read.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Range {
-    /// The table.
-    pub table: &'static str,
-    /// The partition.
-    pub partition: String,
-    /// First key.
-    pub from: String,
-    /// First key behind the range.
-    pub to: String,
-}
-
 /// Where a program's ledger and turns are.
-pub fn program_range(program: &str) -> Range {
-    Range {
-        table: PROGRAM_TABLE,
+pub fn program_range(program: &str) -> RowRange {
+    RowRange {
+        table: PROGRAM_TABLE.to_owned(),
         partition: partition_of(program),
         from: format!("{program}{SEPARATOR}"),
-        to: format!("{program}{AFTER_SEPARATOR}"),
+        to: Some(format!("{program}{AFTER_SEPARATOR}")),
     }
 }
 
 /// Where a program's ledger alone is.
-pub fn ledger_range(program: &str) -> Range {
-    Range {
-        to: format!("{program}{SEPARATOR}\u{1}"),
+pub fn ledger_range(program: &str) -> RowRange {
+    RowRange {
+        to: Some(format!("{program}{SEPARATOR}\u{1}")),
         ..program_range(program)
     }
 }
 
 /// Where the index row of a turn is if its program lies in a partition.
-pub fn index_range(partition: String, attempt: &str) -> Range {
-    Range {
-        table: INDEX_TABLE,
+pub fn index_range(partition: String, attempt: &str) -> RowRange {
+    RowRange {
+        table: INDEX_TABLE.to_owned(),
         partition,
         from: attempt.to_owned(),
-        to: format!("{attempt}\u{1}"),
+        to: Some(format!("{attempt}\u{1}")),
     }
 }
 
--- a/coordination/src/ownership.rs
+++ b/coordination/src/ownership.rs
@@ -32,8 +32,13 @@
 
 use rosebend_state::id::{Epoch, HostId, Incarnation, Shard};
 
+use crate::commit::MAX_TRANSACTION_ROWS;
 use crate::neighbours;
 
+/// Most shards of one takeover: their rows and the silent host's row fit into
+/// one transaction, where each is named twice, as a condition and as a write.
+const MAX_TAKEOVER_SHARDS: usize = MAX_TRANSACTION_ROWS / 2 - 1;
+
 /// How ownership keeps time.
 #[derive(Clone, Copy, Debug)]
 pub struct OwnershipConfig {
@@ -517,6 +522,7 @@
         let new: Vec<_> = (0..self.config.shard_count)
             .filter(|shard| !self.shards.contains_key(shard))
             .filter(wanted)
+            .take(MAX_TAKEOVER_SHARDS)
             .map(|shard| (shard, None, 1))
             .collect();
         if !new.is_empty() {
@@ -532,6 +538,7 @@
             .values()
             .filter(orphan)
             .filter(|row| row.owner == silent)
+            .take(MAX_TAKEOVER_SHARDS)
             .map(|row| (row.shard, Some(row.version), row.epoch + 1))
             .collect();
         let version = self.hosts.get(&silent).map(|watched| watched.row.version);
--- a/entry/src/configuration.rs
+++ b/entry/src/configuration.rs
@@ -1,14 +1,15 @@
 //! Reads from the table what is newer than what is in force.
 
 use rosebend_coordination::configuration::{ChangeRow, REVISION_KEY, RevisionRow, change_key};
-use rosebend_protocol::platform::{Row, ScanRequest};
+use rosebend_protocol::table::{row_id, rows_under};
 use rosebend_state::{
+    deployment::Row,
     id::Revision,
     resource::{Change, ConfigUpdate, Resource, Snapshot},
 };
 use rosebend_transport::{
     event::{Event, EventKind, log_event},
-    platform_client::PlatformClient,
+    store::StoreClient,
 };
 use serde::de::DeserializeOwned;
 
@@ -24,37 +25,35 @@
 /// What is newer than `known`, of which `newest` is known to exist; none when
 /// it cannot be read now.
 pub async fn read_newer(
-    platform: &PlatformClient,
+    store: &StoreClient,
     known: Revision,
     newest: Revision,
 ) -> Option<ConfigUpdate> {
     if newest - known <= MAX_CHANGES
-        && let Some(changes) = read_changes(platform, known).await?
+        && let Some(changes) = read_changes(store, known).await?
     {
         return Some(ConfigUpdate::Changes(changes));
     }
-    read_snapshot(platform).await.map(ConfigUpdate::Snapshot)
+    read_snapshot(store).await.map(ConfigUpdate::Snapshot)
 }
 
 /// The changes after a revision; none when the next one is no longer kept.
-async fn read_changes(platform: &PlatformClient, known: Revision) -> Option<Option<Vec<Change>>> {
-    let page = ScanRequest {
-        prefix: CHANGE_PREFIX.to_owned(),
-        after: change_key(known),
-        limit: MAX_CHANGES as usize,
-    };
-    let rows = platform.scan(&page).await.ok()?.rows;
+async fn read_changes(store: &StoreClient, known: Revision) -> Option<Option<Vec<Change>>> {
+    let range = rows_under(CHANGE_PREFIX).after(&change_key(known));
+    let page = store.read_some(&range, MAX_CHANGES as usize).await;
+    let rows = page.ok()?.rows;
     let changes = rows.into_iter().map(change).collect::<Option<Vec<_>>>()?;
     let joins_on = changes.first().map(|change| change.revision) == Some(known + 1);
     Some(joins_on.then_some(changes))
 }
 
 /// All resources at one revision: nobody changed any while they were read.
-async fn read_snapshot(platform: &PlatformClient) -> Option<Snapshot> {
+async fn read_snapshot(store: &StoreClient) -> Option<Snapshot> {
     for _ in 0..SNAPSHOT_ATTEMPTS {
-        let revision = newest_revision(platform).await?;
-        let rows = platform.scan_all(rows::RESOURCE_PREFIX).await.ok()?;
-        if newest_revision(platform).await? != revision {
+        let revision = newest_revision(store).await?;
+        let rows = store.read(&rows_under(rows::RESOURCE_PREFIX)).await;
+        let rows = rows.ok()?.rows;
+        if newest_revision(store).await? != revision {
             continue;
         }
         let resources = rows
@@ -69,9 +68,9 @@
     None
 }
 
-async fn newest_revision(platform: &PlatformClient) -> Option<Revision> {
-    let rows = platform.read(vec![REVISION_KEY.to_owned()]).await.ok()?;
-    match rows.into_iter().next() {
+async fn newest_revision(store: &StoreClient) -> Option<Revision> {
+    let row = store.read_row(&row_id(REVISION_KEY)).await;
+    match row.ok()? {
         None => Some(0),
         Some(row) => parse::<RevisionRow>(row).map(|row| row.revision),
     }
@@ -93,7 +92,7 @@
 /// A row that cannot be read stops the update: what is in force stays, and the
 /// status shows that this host lags.
 fn parse<T: DeserializeOwned>(row: Row) -> Option<T> {
-    match serde_json::from_value(row.value) {
+    match rows::from_json(&row) {
         Ok(value) => Some(value),
         Err(error) => {
             log_event(&Event::new(EventKind::ConfigurationInvalid).error(&error));
--- a/entry/src/control/answers.rs
+++ b/entry/src/control/answers.rs
@@ -1,11 +1,13 @@
 //! The answers of calls in this entry's memory: growing, ended, or read back
 //! from the table.
 
+use std::rc::Rc;
 use std::sync::Arc;
 
 use bytes::Bytes;
 use rosebend_coordination::owner::{CallOutcome, CallStage, Placement};
 use rosebend_protocol::peer::Finished;
+use rosebend_protocol::table::row_id;
 use rosebend_state::id::CallId;
 use rosebend_state::record::{AnswerBody, AnswerRecord, TurnRecord, TurnState};
 use tokio::sync::oneshot;
@@ -116,13 +118,11 @@
     fn read_answer(&self, call: CallId) {
         let shard = call.program.shard(self.settings.shard_count);
         let key = rows::call_key(shard, &call);
-        let platform = self.platform.clone();
+        let store = Rc::clone(&self.store);
         let handle = self.handle.clone();
         actix_rt::spawn(async move {
-            let rows = platform.read(vec![key]).await.unwrap_or_default();
-            let turn = rows
-                .into_iter()
-                .find_map(|row| serde_json::from_value::<TurnRecord>(row.value).ok());
+            let row = store.read_row(&row_id(key)).await.unwrap_or_default();
+            let turn = row.and_then(|row| rows::from_json::<TurnRecord>(&row).ok());
             let answer = turn.and_then(|turn| match turn.state {
                 TurnState::Done { answer } => Some(answer),
                 _ => None,
--- a/entry/src/control/commits.rs
+++ b/entry/src/control/commits.rs
@@ -5,13 +5,16 @@
 };
 use rosebend_coordination::owner::Event;
 use rosebend_coordination::ownership::OwnershipEvent;
+use rosebend_protocol::table::{row_id, shard_key};
+use rosebend_state::deployment::{Row, RowId};
 use rosebend_state::id::Shard;
-use rosebend_transport::platform_client::PlatformError;
+use rosebend_transport::store::{StoreError, Transacted};
 
 use super::Command;
 use super::state::Control;
 use crate::rows;
 
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Wait before the rows of an unsettled transaction are read again.
@@ -34,20 +37,14 @@
     fn send_batch(&self, batch: CommitBatch) {
         let entry = &self.settings.entry;
         let transaction = rows::commit_transaction(&batch, &entry.host, &self.settings.incarnation);
-        let platform = self.platform.clone();
+        let store = Rc::clone(&self.store);
         let handle = self.handle.clone();
         actix_rt::spawn(async move {
-            let outcome = match platform.transact(&transaction).await {
-                Ok(committed) => BatchOutcome::Committed {
-                    version: committed.version,
-                },
-                Err(PlatformError::Conflict(conflict)) => {
-                    let key = conflict.key.strip_prefix(rows::SHARD_PREFIX);
-                    let shard = key.and_then(|key| key.parse().ok()).unwrap_or_default();
-                    BatchOutcome::Conflict { shard }
-                }
-                Err(PlatformError::Refused(_)) => BatchOutcome::Refused,
-                Err(PlatformError::NoAnswer(_) | PlatformError::Absent) => BatchOutcome::Unknown,
+            let outcome = match store.transact(&transaction).await {
+                Ok(Transacted::Applied(version)) => BatchOutcome::Committed { version },
+                Ok(Transacted::Conflict(_)) => BatchOutcome::Conflict,
+                Err(StoreError::Refused | StoreError::Throttled) => BatchOutcome::Refused,
+                Err(StoreError::NoAnswer(_) | StoreError::HistoryGone) => BatchOutcome::Unknown,
             };
             handle.send(Command::CommitEnded {
                 write_id: batch.write_id,
@@ -92,19 +89,20 @@
     }
 
     fn read_commit_rows(&self, shards: Vec<Shard>, wait: Duration) {
-        let platform = self.platform.clone();
+        let store = Rc::clone(&self.store);
         let handle = self.handle.clone();
         actix_rt::spawn(async move {
             actix_rt::time::sleep(wait).await;
-            let keys = shards.iter().map(|shard| rows::shard_key(*shard)).collect();
-            let rows = platform.read(keys).await.ok();
+            let keys = shards.iter().map(|shard| row_id(shard_key(*shard)));
+            let keys: Vec<RowId> = keys.collect();
+            let rows = store.read_rows(&keys).await.ok();
             let views = rows.map(|rows| rows.iter().filter_map(view).collect());
             handle.send(Command::CommitRowsRead(views));
         });
     }
 }
 
-fn view(row: &rosebend_protocol::platform::Row) -> Option<ShardRowView> {
+fn view(row: &Row) -> Option<ShardRowView> {
     let (shard, write_id) = rows::shard_row(row)?;
     Some(ShardRowView {
         shard: shard.shard,
--- a/entry/src/control/config.rs
+++ b/entry/src/control/config.rs
@@ -4,16 +4,19 @@
 //! One read a period tells whether anything changed. What comes into force is
 //! only ever newer than what was.
 
+use rosebend_coordination::configuration::RevisionRow;
 use rosebend_coordination::owner::Event;
 use rosebend_coordination::ownership::HostRow;
 use rosebend_protocol::configuration::{from_messages, to_messages};
 use rosebend_protocol::peer::entry_client::EntryClient;
 use rosebend_protocol::peer::{ExchangeReply, ExchangeRequest};
-use rosebend_protocol::platform::Row;
+use rosebend_protocol::table::{row_id, rows_under};
+use rosebend_state::deployment::Row;
 use rosebend_state::id::{HostId, Revision};
 use rosebend_state::resource::{Change, ConfigUpdate};
 use rosebend_transport::event::{Event as LogEvent, EventKind, log_event};
-use rosebend_transport::platform_client::PlatformClient;
+use rosebend_transport::store::StoreClient;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::timeout;
 
@@ -52,14 +55,14 @@
             return;
         }
         self.reading_config = true;
-        let platform = self.platform.clone();
+        let store = Rc::clone(&self.store);
         let handle = self.handle.clone();
         let known = ConfigMarks {
             revision: self.configuration.revision(),
             quarantine_version: self.quarantine_version,
         };
         actix_rt::spawn(async move {
-            let read = read_config(&platform, known).await;
+            let read = read_config(&store, known).await;
             handle.send(Command::ConfigRead(read));
         });
     }
@@ -159,13 +162,13 @@
     }
 }
 
-async fn read_config(platform: &PlatformClient, known: ConfigMarks) -> Option<ReadConfig> {
-    let keys = vec![
-        rows::REVISION_KEY.to_owned(),
-        rows::QUARANTINE_MARK_KEY.to_owned(),
+async fn read_config(store: &StoreClient, known: ConfigMarks) -> Option<ReadConfig> {
+    let keys = [
+        row_id(rows::REVISION_KEY),
+        row_id(rows::QUARANTINE_MARK_KEY),
     ];
-    let marks = platform.read(keys).await.ok()?;
-    let found = |key: &str| marks.iter().find(|row| row.key == key);
+    let marks = store.read_rows(&keys).await.ok()?;
+    let found = |key: &str| marks.iter().find(|row| row.id.key == key);
     let newest = found(rows::REVISION_KEY).map_or(0, revision_of);
     let quarantine_version = found(rows::QUARANTINE_MARK_KEY).map_or(0, |row| row.version);
     let mut read = ReadConfig {
@@ -174,21 +177,19 @@
         fingerprints: None,
     };
     if newest > known.revision {
-        read.update = read_newer(platform, known.revision, newest).await;
+        read.update = read_newer(store, known.revision, newest).await;
     }
     if quarantine_version > known.quarantine_version {
-        let rows = platform.scan_all(rows::QUARANTINE_PREFIX).await.ok()?;
+        let rows = store.read(&rows_under(rows::QUARANTINE_PREFIX)).await;
+        let rows = rows.ok()?.rows;
         let fingerprints = rows
             .iter()
-            .filter_map(|row| row.key.strip_prefix(rows::QUARANTINE_PREFIX));
+            .filter_map(|row| row.id.key.strip_prefix(rows::QUARANTINE_PREFIX));
         read.fingerprints = Some(fingerprints.map(str::to_owned).collect());
     }
     Some(read)
 }
 
 fn revision_of(row: &Row) -> u64 {
-    row.value
-        .get("revision")
-        .and_then(serde_json::Value::as_u64)
-        .unwrap_or(0)
+    rows::from_json::<RevisionRow>(row).map_or(0, |row| row.revision)
 }
--- a/entry/src/control/hosts.rs
+++ b/entry/src/control/hosts.rs
@@ -1,14 +1,15 @@
 //! The rows of entries: the own one is renewed, those of others are read.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use rosebend_coordination::ownership::{HostRow, OwnershipEvent};
 use rosebend_coordination::pace::Pace;
-use rosebend_protocol::platform::{Action, Condition, Operation, Row, Transaction};
+use rosebend_protocol::table::{row_id, rows_under};
+use rosebend_state::deployment::{Row, RowId, Transaction};
 use rosebend_state::id::HostId;
 use rosebend_transport::event::{Event as LogEvent, EventKind, log_event};
-use rosebend_transport::platform_client::{PlatformClient, PlatformError};
-use serde_json::json;
+use rosebend_transport::store::{StoreClient, Transacted};
 
 use super::state::{Control, pace_config};
 use super::{Command, RenewOutcome, status};
@@ -45,22 +46,19 @@
             config_revision: self.configuration.revision(),
         };
         let key = rows::host_key(&entry.host);
-        let condition = self.row_version.map_or(Condition::Any, Condition::Version);
-        let operation = Operation {
-            key: key.clone(),
-            condition,
-            action: Action::Put(json!(value)),
+        let row = row_id(key);
+        let write = Transaction::default().write(row.clone(), rows::to_json(&value));
+        let transaction = match self.row_version {
+            Some(version) => write.expect(row.clone(), version),
+            None => write,
         };
-        let platform = self.platform.clone();
+        let store = Rc::clone(&self.store);
         let handle = self.handle.clone();
         let incarnation = self.settings.incarnation.clone();
         actix_rt::spawn(async move {
-            let transaction = Transaction {
-                operations: vec![operation],
-            };
-            let outcome = match platform.transact(&transaction).await {
-                Ok(committed) => RenewOutcome::Renewed(committed.version),
-                Err(PlatformError::Conflict(_)) => own_row(&platform, key, &incarnation).await,
+            let outcome = match store.transact(&transaction).await {
+                Ok(Transacted::Applied(version)) => RenewOutcome::Renewed(version),
+                Ok(Transacted::Conflict(_)) => own_row(&store, &row, &incarnation).await,
                 Err(_) => RenewOutcome::Silent,
             };
             handle.send(Command::Renewed { outcome });
@@ -103,19 +101,20 @@
                 .full_read_at
                 .is_none_or(|at| now.saturating_sub(at) >= FULL_READ_PERIOD);
         let watches_all = asked.len() + 1 >= self.ownership.entry_count();
-        let platform = self.platform.clone();
+        let store = Rc::clone(&self.store);
         let handle = self.handle.clone();
         if is_full_due || watches_all {
             self.full_read_at = Some(now);
             actix_rt::spawn(async move {
-                let rows = platform.scan_all(rows::HOST_PREFIX).await.ok();
-                handle.send(Command::HostsRead(rows.map(|rows| host_rows(&rows))));
+                let rows = store.read(&rows_under(rows::HOST_PREFIX)).await.ok();
+                handle.send(Command::HostsRead(rows.map(|rows| host_rows(&rows.rows))));
             });
             return;
         }
         actix_rt::spawn(async move {
-            let keys = asked.iter().map(|host| rows::host_key(host)).collect();
-            let rows = platform.read(keys).await.ok();
+            let keys = asked.iter().map(|host| row_id(rows::host_key(host)));
+            let keys: Vec<RowId> = keys.collect();
+            let rows = store.read_rows(&keys).await.ok();
             let rows = rows.map(|rows| host_rows(&rows));
             handle.send(Command::HostsWatched { asked, rows });
         });
@@ -166,20 +165,14 @@
 
     /// Removes the own row, so that others need not wait for a lease.
     pub(super) fn leave(&self, done: tokio::sync::oneshot::Sender<()>) {
-        let operation = Operation {
-            key: rows::host_key(&self.settings.entry.host),
-            condition: self
-                .row_version
-                .map_or(Condition::Absent, Condition::Version),
-            action: Action::Delete,
-        };
-        let platform = self.platform.clone();
+        let row = row_id(rows::host_key(&self.settings.entry.host));
+        let transaction = Transaction::default()
+            .expect(row.clone(), self.row_version.unwrap_or(0))
+            .delete(row);
+        let store = Rc::clone(&self.store);
         actix_rt::spawn(async move {
-            let transaction = Transaction {
-                operations: vec![operation],
-            };
             // When this fails the row stays until it is written anew.
-            let _ = platform.transact(&transaction).await;
+            let _ = store.transact(&transaction).await;
             let _ = done.send(());
         });
     }
@@ -187,11 +180,11 @@
 
 /// After a conflict on the own row: did an earlier renewal, whose answer was
 /// lost, take effect, or does another process write the row?
-async fn own_row(platform: &PlatformClient, key: String, incarnation: &str) -> RenewOutcome {
-    let Ok(found) = platform.read(vec![key]).await else {
+async fn own_row(store: &StoreClient, row: &RowId, incarnation: &str) -> RenewOutcome {
+    let Ok(found) = store.read_row(row).await else {
         return RenewOutcome::Silent;
     };
-    match found.first().and_then(rows::host_row) {
+    match found.as_ref().and_then(rows::host_row) {
         Some((row, _)) if row.incarnation == incarnation => RenewOutcome::Renewed(row.version),
         _ => RenewOutcome::Replaced,
     }
--- a/entry/src/control/owner_events.rs
+++ b/entry/src/control/owner_events.rs
@@ -1,6 +1,7 @@
 //! The owner's events and what follows from them.
 
 use std::collections::VecDeque;
+use std::rc::Rc;
 use std::time::Duration;
 
 use rosebend_coordination::owner::{Action, Event, Metric};
@@ -78,11 +79,11 @@
 
     fn quarantine(&mut self, fingerprint: String) {
         // Durable and everywhere: the row is read with the configuration.
-        let platform = self.platform.clone();
+        let store = Rc::clone(&self.store);
         actix_rt::spawn(async move {
             let transaction = rows::quarantine_transaction(&fingerprint);
             for _ in 0..QUARANTINE_TRIES {
-                if platform.transact(&transaction).await.is_ok() {
+                if store.transact(&transaction).await.is_ok() {
                     return;
                 }
                 actix_rt::time::sleep(QUARANTINE_WAIT).await;
--- a/entry/src/control/shards.rs
+++ b/entry/src/control/shards.rs
@@ -1,16 +1,18 @@
 //! Ownership of shards: takeovers, loading, handoffs, the stop.
 
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use futures_util::future::join_all;
 use rosebend_coordination::owner::Event;
 use rosebend_coordination::ownership::{OwnershipAction, OwnershipEvent, ShardRow, Takeover};
 use rosebend_protocol::peer::Fence;
-use rosebend_protocol::platform::{Action, Condition, Operation, Transaction};
+use rosebend_protocol::table::{SHARD_PREFIX, row_id, rows_under};
+use rosebend_state::deployment::{Row, Transaction};
 use rosebend_state::id::{Epoch, HostId, Incarnation, Shard};
 use rosebend_transport::event::{Event as LogEvent, EventKind, log_event};
-use rosebend_transport::platform_client::{PlatformClient, PlatformError};
+use rosebend_transport::store::{StoreClient, StoreError, Transacted};
 
 use super::sidecars::{SidecarAddress, SidecarView};
 use super::state::{Control, Stopping};
@@ -108,12 +110,13 @@
         }
         self.reading_shards = true;
         self.shards_read_at = self.now();
-        let platform = self.platform.clone();
+        let store = Rc::clone(&self.store);
         let handle = self.handle.clone();
         actix_rt::spawn(async move {
-            let rows = platform.scan_all(rows::SHARD_PREFIX).await.ok();
+            let rows = store.read(&rows_under(SHARD_PREFIX)).await.ok();
             let shards = rows.map(|rows| {
-                rows.iter()
+                rows.rows
+                    .iter()
                     .filter_map(rows::shard_row)
                     .map(|(shard, _)| shard)
                     .collect()
@@ -146,14 +149,14 @@
         let entry = &self.settings.entry;
         let incarnation = &self.settings.incarnation;
         let transaction = rows::takeover_transaction(&takeover, &entry.host, incarnation, write_id);
-        let platform = self.platform.clone();
+        let store = Rc::clone(&self.store);
         let handle = self.handle.clone();
         actix_rt::spawn(async move {
-            let version = platform
-                .transact(&transaction)
-                .await
-                .ok()
-                .map(|done| done.version);
+            let version = match store.transact(&transaction).await {
+                Ok(Transacted::Applied(version)) => Some(version),
+                // Another entry was first, or nobody knows: the rows tell.
+                Ok(Transacted::Conflict(_)) | Err(_) => None,
+            };
             handle.send(Command::TakeoverEnded { takeover, version });
         });
     }
@@ -169,7 +172,7 @@
     /// Reads the records of gained shards, and asks the sidecars what they
     /// retain for them.
     fn load(&self, gained: Vec<(Shard, Epoch, bool)>) {
-        let platform = self.platform.clone();
+        let store = Rc::clone(&self.store);
         let handle = self.handle.clone();
         let traffic = self.traffic.clone();
         let sidecars: Vec<SidecarAddress> = self.sidecar_addresses();
@@ -185,7 +188,7 @@
                 retained::ask_all(&traffic, sidecars, fences, RETAINED_TIMEOUT).await;
             let mut loaded = Vec::new();
             for group in gained.chunks(LOADS_AT_ONCE) {
-                let reads = group.iter().map(|gained| load_shard(&platform, *gained));
+                let reads = group.iter().map(|gained| load_shard(&store, *gained));
                 match join_all(reads)
                     .await
                     .into_iter()
@@ -264,10 +267,10 @@
         let write_id = self.committer.take_write_id();
         let transaction =
             rows::handoff_transaction(shard, version, epoch + 1, &successor, write_id);
-        let platform = self.platform.clone();
+        let store = Rc::clone(&self.store);
         let handle = self.handle.clone();
         actix_rt::spawn(async move {
-            let passed_on = hand_over(&platform, transaction, &successor).await;
+            let passed_on = hand_over(&store, transaction, &successor).await;
             handle.send(Command::HandoffEnded {
                 shard,
                 epoch,
@@ -365,30 +368,29 @@
 /// since this entry read it last, and a shard passed to nobody waits for a
 /// takeover.
 async fn hand_over(
-    platform: &PlatformClient,
-    mut transaction: Transaction,
+    store: &StoreClient,
+    transaction: Transaction,
     successor: &(HostId, Incarnation),
 ) -> bool {
-    let key = rows::host_key(&successor.0);
-    let found = platform.read(vec![key.clone()]).await.unwrap_or_default();
-    let Some((row, _)) = found.first().and_then(rows::host_row) else {
+    let successor_row = row_id(rows::host_key(&successor.0));
+    let found = store.read_row(&successor_row).await.unwrap_or_default();
+    let Some((host, _)) = found.as_ref().and_then(rows::host_row) else {
         return false;
     };
-    if row.incarnation != successor.1 || row.leaving {
+    if host.incarnation != successor.1 || host.leaving {
         return false;
     }
-    transaction.operations.push(Operation {
-        key,
-        condition: Condition::Version(row.version),
-        action: Action::Check,
-    });
-    platform.transact(&transaction).await.is_ok()
+    let transaction = transaction.expect(successor_row, host.version);
+    matches!(
+        store.transact(&transaction).await,
+        Ok(Transacted::Applied(_))
+    )
 }
 
 async fn load_shard(
-    platform: &PlatformClient,
+    store: &StoreClient,
     (shard, epoch, is_new): (Shard, Epoch, bool),
-) -> Result<LoadedShard, PlatformError> {
+) -> Result<LoadedShard, StoreError> {
     let mut loaded = LoadedShard {
         shard,
         epoch,
@@ -400,18 +402,18 @@
     if is_new {
         return Ok(loaded);
     }
-    let programs = platform.scan_all(&rows::program_prefix(shard)).await?;
-    let turns = platform.scan_all(&rows::turn_prefix(shard)).await?;
-    loaded.programs = parse_rows(programs);
-    loaded.turns = parse_rows(turns);
+    let programs = store
+        .read(&rows_under(&rows::program_prefix(shard)))
+        .await?;
+    let turns = store.read(&rows_under(&rows::turn_prefix(shard))).await?;
+    loaded.programs = parse_rows(&programs.rows);
+    loaded.turns = parse_rows(&turns.rows);
     Ok(loaded)
 }
 
-fn parse_rows<T: serde::de::DeserializeOwned>(
-    rows: Vec<rosebend_protocol::platform::Row>,
-) -> Vec<T> {
-    rows.into_iter()
-        .filter_map(|row| serde_json::from_value(row.value).ok())
+fn parse_rows<T: serde::de::DeserializeOwned>(rows: &[Row]) -> Vec<T> {
+    rows.iter()
+        .filter_map(|row| rows::from_json(row).ok())
         .collect()
 }
 
--- a/entry/src/control/state.rs
+++ b/entry/src/control/state.rs
@@ -1,6 +1,7 @@
 //! The control state and its loop.
 
 use std::collections::{HashMap, HashSet, VecDeque};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use actix_rt::time::{interval, sleep};
@@ -13,7 +14,7 @@
 use rosebend_state::id::{CallId, EndpointId, Epoch, HostId, Incarnation, Shard};
 use rosebend_state::settings::EntrySettings;
 use rosebend_transport::metrics_page::{Metrics, Quantity};
-use rosebend_transport::platform_client::PlatformClient;
+use rosebend_transport::store::StoreClient;
 use rosebend_transport::traffic::Traffic;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::MissedTickBehavior;
@@ -63,7 +64,7 @@
     pub(super) settings: ControlSettings,
     pub(super) started: Instant,
     pub(super) handle: ControlHandle,
-    pub(super) platform: PlatformClient,
+    pub(super) store: Rc<StoreClient>,
     pub(super) traffic: Traffic,
     pub(super) owner: Owner,
     pub(super) ownership: Ownership,
@@ -128,7 +129,7 @@
     /// The control state, owning nothing yet.
     pub fn new(settings: ControlSettings, handle: ControlHandle, traffic: Traffic) -> Self {
         let entry = &settings.entry;
-        let platform = PlatformClient::new(&entry.platform.url, entry.platform.timeout);
+        let store = Rc::new(StoreClient::from_settings(&entry.platform));
         let owner = Owner::new(OwnerConfig {
             shard_count: settings.shard_count,
             seed: settings.seed,
@@ -158,7 +159,7 @@
         Self {
             started: Instant::now(),
             handle,
-            platform,
+            store,
             traffic,
             owner,
             ownership,
--- a/entry/src/operators/changes.rs
+++ b/entry/src/operators/changes.rs
@@ -3,14 +3,14 @@
 use std::time::{Duration, Instant};
 
 use rosebend_coordination::configuration::{ChangeRow, change_key};
-use rosebend_protocol::{platform::ScanRequest, problem::Problem};
+use rosebend_protocol::{problem::Problem, table::rows_under};
 use rosebend_state::{
     id::Revision,
     resource::{RawResource, ResourceKey},
 };
 use rosebend_transport::{
     http_server::{HttpReply, HttpRequest},
-    platform_client::PlatformClient,
+    store::StoreClient,
 };
 use serde::Serialize;
 use serde_json::{Value, json};
@@ -71,13 +71,13 @@
     let after = request.query_value("after").unwrap_or("0");
     let after = writing::parse_revision("after", after)?;
     let wait = wait(request)?;
-    let platform = context.platform();
-    let mut rows = after_revision(&platform, after, PAGE_CHANGES).await?;
+    let store = context.store();
+    let mut rows = after_revision(&store, after, PAGE_CHANGES).await?;
     if rows.is_empty() && !wait.is_zero() {
         wait_for_change(context, after, wait).await;
-        rows = after_revision(&platform, after, PAGE_CHANGES).await?;
+        rows = after_revision(&store, after, PAGE_CHANGES).await?;
     }
-    check_no_gap(&platform, after, &rows).await?;
+    check_no_gap(&store, after, &rows).await?;
     let list = ChangeList {
         after: rows.last().map_or(after, |row| row.revision),
         changes: rows.into_iter().map(ListedChange::from).collect(),
@@ -108,13 +108,13 @@
 /// A watch that starts before the oldest change kept must list the resources
 /// instead of going on as if nothing were missing.
 async fn check_no_gap(
-    platform: &PlatformClient,
+    store: &StoreClient,
     after: Revision,
     rows: &[ChangeRow],
 ) -> Result<(), Problem> {
     let first = match rows.first() {
         Some(row) => row.revision,
-        None => reading::newest_revision(platform).await? + 1,
+        None => reading::newest_revision(store).await? + 1,
     };
     match first > after + 1 {
         true => Err(problems::changes_gone(first)),
@@ -123,28 +123,20 @@
 }
 
 async fn after_revision(
-    platform: &PlatformClient,
+    store: &StoreClient,
     after: Revision,
     limit: usize,
 ) -> Result<Vec<ChangeRow>, Problem> {
-    let page = ScanRequest {
-        prefix: CHANGES_PREFIX.to_owned(),
-        after: change_key(after),
-        limit,
-    };
-    let page = platform.scan(&page).await;
-    let page = page.map_err(|error| problems::platform(&error))?;
+    let range = rows_under(CHANGES_PREFIX).after(&change_key(after));
+    let page = store.read_some(&range, limit).await;
+    let page = page.map_err(|error| problems::unreadable_table(&error))?;
     page.rows.into_iter().map(reading::parse).collect()
 }
 
 /// Who changed a resource after a revision; empty when that cannot be read,
 /// because the conflict itself is certain.
-pub(super) async fn of(
-    platform: &PlatformClient,
-    key: &ResourceKey,
-    after: Revision,
-) -> Vec<Value> {
-    let rows = after_revision(platform, after, PAGE_CHANGES).await;
+pub(super) async fn of(store: &StoreClient, key: &ResourceKey, after: Revision) -> Vec<Value> {
+    let rows = after_revision(store, after, PAGE_CHANGES).await;
     let rows = rows.unwrap_or_default().into_iter();
     rows.filter(|row| row.kind == key.kind() && row.name == key.name())
         .map(|row| {
--- a/entry/src/operators/context.rs
+++ b/entry/src/operators/context.rs
@@ -15,7 +15,7 @@
     resource::Change,
     settings::PlatformSettings,
 };
-use rosebend_transport::platform_client::PlatformClient;
+use rosebend_transport::store::StoreClient;
 use serde::Serialize;
 
 /// Asks the control thread what it knows.
@@ -82,10 +82,10 @@
         }
     }
 
-    /// A client of the platform. It belongs to the thread that asks, and so is
+    /// A client of the store. It belongs to the thread that asks, and so is
     /// made for each request; operators' requests are few.
-    pub(super) fn platform(&self) -> PlatformClient {
-        PlatformClient::new(&self.platform.url, self.platform.timeout)
+    pub(super) fn store(&self) -> StoreClient {
+        StoreClient::from_settings(&self.platform)
     }
 
     pub(super) fn write_id(&self) -> WriteId {
--- a/entry/src/operators/problems.rs
+++ b/entry/src/operators/problems.rs
@@ -8,7 +8,7 @@
     id::Revision,
     resource::{ResourceError, ResourceKey},
 };
-use rosebend_transport::platform_client::PlatformError;
+use rosebend_transport::store::StoreError;
 use serde_json::{Value, json};
 
 /// When to come back while the table is away.
@@ -90,7 +90,7 @@
     Problem::new(503, "table-unavailable", Ran::No, detail).retry_after(TABLE_RETRY)
 }
 
-pub(super) fn platform(error: &PlatformError) -> Problem {
+pub(super) fn unreadable_table(error: &StoreError) -> Problem {
     let detail = format!("the table could not be read: {error}");
     Problem::new(503, "table-unavailable", Ran::No, detail).retry_after(TABLE_RETRY)
 }
--- a/entry/src/operators/reading.rs
+++ b/entry/src/operators/reading.rs
@@ -1,14 +1,20 @@
 //! Reads resources from the table.
 
 use rosebend_coordination::configuration::{REVISION_KEY, RevisionRow};
-use rosebend_protocol::{platform::Row, problem::Problem};
+use rosebend_protocol::{
+    problem::Problem,
+    table::{row_id, rows_under},
+};
 use rosebend_state::{
+    deployment::Row,
     id::Revision,
     resource::{Resource, ResourceKey, ResourceKind},
 };
-use rosebend_transport::{http_server::HttpReply, platform_client::PlatformClient};
+use rosebend_transport::{http_server::HttpReply, store::StoreClient};
 use serde::{Serialize, de::DeserializeOwned};
 
+use crate::rows;
+
 use super::{OperatorContext, problems};
 
 /// Answer to `GET /api/v1/KIND`.
@@ -25,11 +31,11 @@
     context: &OperatorContext,
     kind: ResourceKind,
 ) -> Result<HttpReply, Problem> {
-    let platform = context.platform();
-    let revision = newest_revision(&platform).await?;
-    let rows = platform.scan_all(&kind.row_prefix()).await;
-    let rows = rows.map_err(|error| problems::platform(&error))?;
-    let resources = rows.into_iter().map(parse).collect::<Result<_, _>>()?;
+    let store = context.store();
+    let revision = newest_revision(&store).await?;
+    let rows = store.read(&rows_under(&kind.row_prefix())).await;
+    let rows = rows.map_err(|error| problems::unreadable_table(&error))?;
+    let resources = rows.rows.into_iter().map(parse).collect::<Result<_, _>>()?;
     let list = ResourceList {
         revision,
         resources,
@@ -41,7 +47,7 @@
     context: &OperatorContext,
     key: &ResourceKey,
 ) -> Result<HttpReply, Problem> {
-    match resource(&context.platform(), key).await? {
+    match resource(&context.store(), key).await? {
         Some(resource) => Ok(HttpReply::json(200, &resource)),
         None => Err(problems::not_found(key)),
     }
@@ -49,28 +55,28 @@
 
 /// A resource as the table holds it.
 pub(super) async fn resource(
-    platform: &PlatformClient,
+    store: &StoreClient,
     key: &ResourceKey,
 ) -> Result<Option<Resource>, Problem> {
-    read_row(platform, key.row_key()).await
+    read_row(store, key.row_key()).await
 }
 
 /// The newest revision; zero before the first change.
-pub(super) async fn newest_revision(platform: &PlatformClient) -> Result<Revision, Problem> {
-    let row: Option<RevisionRow> = read_row(platform, REVISION_KEY.to_owned()).await?;
+pub(super) async fn newest_revision(store: &StoreClient) -> Result<Revision, Problem> {
+    let row: Option<RevisionRow> = read_row(store, REVISION_KEY.to_owned()).await?;
     Ok(row.map_or(0, |row| row.revision))
 }
 
 async fn read_row<T: DeserializeOwned>(
-    platform: &PlatformClient,
+    store: &StoreClient,
     key: String,
 ) -> Result<Option<T>, Problem> {
-    let rows = platform.read(vec![key]).await;
-    let rows = rows.map_err(|error| problems::platform(&error))?;
-    rows.into_iter().next().map(parse).transpose()
+    let row = store.read_row(&row_id(key)).await;
+    let row = row.map_err(|error| problems::unreadable_table(&error))?;
+    row.map(parse).transpose()
 }
 
 /// What a row holds.
 pub(super) fn parse<T: DeserializeOwned>(row: Row) -> Result<T, Problem> {
-    serde_json::from_value(row.value).map_err(|_| problems::damaged_row(&row.key))
+    rows::from_json(&row).map_err(|_| problems::damaged_row(&row.id.key))
 }
--- a/entry/src/operators/status.rs
+++ b/entry/src/operators/status.rs
@@ -34,7 +34,7 @@
     let asked = asked.map(|value| writing::parse_revision("revision", value));
     let asked = asked.transpose()?;
     // In an outage of the table the status still tells what the hosts have.
-    let accepted_revision = reading::newest_revision(&context.platform()).await.ok();
+    let accepted_revision = reading::newest_revision(&context.store()).await.ok();
     let view = context.host_view().await;
     let revision = asked.or(accepted_revision).unwrap_or(view.revision);
     let (in_force, lagging): (Vec<_>, Vec<_>) = view
--- a/entry/src/operators/writing.rs
+++ b/entry/src/operators/writing.rs
@@ -5,22 +5,21 @@
 use rosebend_coordination::configuration::{
     Answer, ChangeOutcome, ChangeRequest, ChangeWriter, RowCondition, RowWrite, SeenRow, Step,
 };
-use rosebend_protocol::{
-    platform::{Action, Condition, Operation as RowOperation, Row, Transaction},
-    problem::Problem,
-};
+use rosebend_protocol::{problem::Problem, table::row_id};
 use rosebend_state::{
+    deployment::{Row, RowId, Transaction},
     id::Revision,
     resource::{RawResource, Resource, ResourceKey, ResourceSpec},
 };
 use rosebend_transport::{
     event::{Event, EventKind, log_event},
     http_server::{HttpReply, HttpRequest},
-    platform_client::{PlatformClient, PlatformError},
+    store::{StoreClient, StoreError, Transacted},
 };
 use serde::Serialize;
 
 use super::{OperatorContext, changes, problems, reading};
+use crate::rows;
 
 /// Longest time that an operator waits for the outcome of a change.
 const OUTCOME_TIMEOUT: Duration = Duration::from_secs(10);
@@ -121,9 +120,9 @@
     operator: &str,
     operation: Operation,
 ) -> Result<HttpReply, Problem> {
-    let platform = context.platform();
+    let store = context.store();
     let key = operation.key.clone();
-    let (outcome, write_id) = write(context, &platform, operator, &operation).await;
+    let (outcome, write_id) = write(context, &store, operator, &operation).await;
     match outcome {
         ChangeOutcome::Accepted(change) if operation.dry_run => {
             // The revision is not given yet, and may go to another change.
@@ -149,7 +148,7 @@
         }
         ChangeOutcome::Conflict(conflict) => {
             refused("revision-conflict");
-            let since = changes::of(&platform, &key, conflict.expected_revision).await;
+            let since = changes::of(&store, &key, conflict.expected_revision).await;
             Err(problems::conflict(&key, &conflict, &since))
         }
         ChangeOutcome::NotRun => {
@@ -186,9 +185,9 @@
     operator: &str,
     key: &ResourceKey,
 ) -> Result<HttpReply, Problem> {
-    let platform = context.platform();
+    let store = context.store();
     for _ in 0..DRAIN_ATTEMPTS {
-        let Some(resource) = reading::resource(&platform, key).await? else {
+        let Some(resource) = reading::resource(&store, key).await? else {
             return Err(problems::not_found(key));
         };
         let operation = draining(resource);
@@ -220,7 +219,7 @@
 /// Takes a change through the table. A dry run ends before the transaction.
 async fn write(
     context: &OperatorContext,
-    platform: &PlatformClient,
+    store: &StoreClient,
     operator: &str,
     operation: &Operation,
 ) -> (ChangeOutcome, String) {
@@ -237,8 +236,8 @@
         let answer = match writer.step() {
             Step::Done(outcome) => return (outcome, write_id),
             Step::Transact(_) if operation.dry_run => Answer::Committed,
-            Step::Transact(rows) => transact(platform, rows).await,
-            Step::Read(keys) => read(platform, keys).await,
+            Step::Transact(rows) => transact(store, rows).await,
+            Step::Read(keys) => read(store, keys).await,
         };
         let must_pause = matches!(answer, Answer::Refused | Answer::NoAnswer);
         writer.answer(answer);
@@ -251,40 +250,49 @@
     }
 }
 
-async fn transact(platform: &PlatformClient, rows: Vec<RowWrite>) -> Answer {
-    let operations = rows.into_iter().map(row_operation).collect();
-    match platform.transact(&Transaction { operations }).await {
-        Ok(_) => Answer::Committed,
-        Err(PlatformError::Conflict(_)) => Answer::Conflict,
-        Err(PlatformError::Refused(_)) => Answer::Refused,
-        Err(PlatformError::NoAnswer(_) | PlatformError::Absent) => Answer::NoAnswer,
+async fn transact(store: &StoreClient, rows: Vec<RowWrite>) -> Answer {
+    let transaction = rows.into_iter().fold(Transaction::default(), add_row);
+    match store.transact(&transaction).await {
+        Ok(Transacted::Applied(_)) => Answer::Committed,
+        Ok(Transacted::Conflict(_)) => Answer::Conflict,
+        Err(error) => failed(&error),
     }
 }
 
-async fn read(platform: &PlatformClient, keys: Vec<String>) -> Answer {
-    match platform.read(keys).await {
+async fn read(store: &StoreClient, keys: Vec<String>) -> Answer {
+    let rows: Vec<RowId> = keys.into_iter().map(row_id).collect();
+    match store.read_rows(&rows).await {
         Ok(rows) => Answer::Rows(rows.into_iter().map(seen_row).collect()),
-        Err(PlatformError::Refused(_)) => Answer::Refused,
-        Err(_) => Answer::NoAnswer,
+        Err(error) => failed(&error),
     }
 }
 
-fn row_operation(row: RowWrite) -> RowOperation {
-    RowOperation {
-        key: row.key,
-        condition: match row.condition {
-            RowCondition::Any => Condition::Any,
-            RowCondition::Absent => Condition::Absent,
-            RowCondition::Version(version) => Condition::Version(version),
-        },
-        action: row.value.map_or(Action::Delete, Action::Put),
+fn failed(error: &StoreError) -> Answer {
+    match error {
+        StoreError::Refused | StoreError::Throttled => Answer::Refused,
+        StoreError::NoAnswer(_) | StoreError::HistoryGone => Answer::NoAnswer,
+    }
+}
+
+fn add_row(transaction: Transaction, write: RowWrite) -> Transaction {
+    let row = row_id(write.key);
+    let transaction = match write.condition {
+        RowCondition::Any => transaction,
+        RowCondition::Absent => transaction.expect_absent(row.clone()),
+        RowCondition::Version(version) => transaction.expect(row.clone(), version),
+    };
+    match write.value {
+        Some(value) => transaction.write(row, rows::to_json(&value)),
+        None => transaction.delete(row),
     }
 }
 
+/// A row that cannot be read as JSON is passed on as null, which the change
+/// reports as damaged.
 fn seen_row(row: Row) -> SeenRow {
     SeenRow {
-        key: row.key,
+        value: rows::from_json(&row).unwrap_or_default(),
         version: row.version,
-        value: row.value,
+        key: row.id.key,
     }
 }
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -9,7 +9,8 @@
 use actix_rt::{Arbiter, System};
 use futures_util::{FutureExt, StreamExt};
 use rosebend_protocol::peer::entry_server::EntryServer;
-use rosebend_protocol::platform::{Action, Condition, Operation, Row, Transaction};
+use rosebend_protocol::table::row_id;
+use rosebend_state::deployment::{Row, Transaction};
 use rosebend_state::settings::EntrySettings;
 use rosebend_transport::event::{Event, EventKind, log_event};
 use rosebend_transport::host_token::{HostCheck, HostToken};
@@ -17,10 +18,9 @@
 use rosebend_transport::logging::{LoggingError, init_logging};
 use rosebend_transport::metrics_page::Metrics;
 use rosebend_transport::peers::MAX_MESSAGE_BYTES;
-use rosebend_transport::platform_client::{PlatformClient, PlatformError};
 use rosebend_transport::settings_file::{SettingsFileError, load_tokens};
+use rosebend_transport::store::{StoreClient, Transacted};
 use rosebend_transport::traffic::Traffic;
-use serde_json::json;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{oneshot, watch};
 use tokio_stream::wrappers::TcpListenerStream;
@@ -30,7 +30,7 @@
 use crate::http::HttpContext;
 use crate::operators::{HostView, OperatorContext, WriteIds};
 use crate::peer_service::PeerService;
-use crate::rows::{CLUSTER_KEY, ClusterValue};
+use crate::rows::{self, CLUSTER_KEY, ClusterValue};
 
 /// Threads that carry traffic to peers and sidecars.
 const TRAFFIC_THREADS: usize = 2;
@@ -217,24 +217,20 @@
 /// The number of shards of the cluster: the first entry of a new table fixes
 /// it. Without the table no entry can start, since it cannot own anything.
 async fn agree_on_shards(settings: &EntrySettings) -> u32 {
-    let platform = PlatformClient::new(&settings.platform.url, settings.platform.timeout);
-    let value = ClusterValue {
+    let store = StoreClient::from_settings(&settings.platform);
+    let row = row_id(CLUSTER_KEY);
+    let value = rows::to_json(&ClusterValue {
         shard_count: settings.shard_count,
-    };
-    let create = Transaction {
-        operations: vec![Operation {
-            key: CLUSTER_KEY.to_owned(),
-            condition: Condition::Absent,
-            action: Action::Put(json!(value)),
-        }],
-    };
+    });
+    let create = Transaction::default()
+        .expect_absent(row.clone())
+        .write(row.clone(), value);
     loop {
-        if let Ok(rows) = platform.read(vec![CLUSTER_KEY.to_owned()]).await {
-            if let Some(count) = rows.first().and_then(shard_count_of) {
+        if let Ok(found) = store.read_row(&row).await {
+            if let Some(count) = found.as_ref().and_then(shard_count_of) {
                 return count;
             }
-            let created: Result<_, PlatformError> = platform.transact(&create).await;
-            if created.is_ok() {
+            if let Ok(Transacted::Applied(_)) = store.transact(&create).await {
                 return settings.shard_count;
             }
         }
@@ -243,6 +239,6 @@
 }
 
 fn shard_count_of(row: &Row) -> Option<u32> {
-    let value: ClusterValue = serde_json::from_value(row.value.clone()).ok()?;
+    let value: ClusterValue = rows::from_json(row).ok()?;
     Some(value.shard_count)
 }
--- a/entry/src/rows.rs
+++ b/entry/src/rows.rs
@@ -5,19 +5,18 @@
 
 use rosebend_coordination::commit::{CommitBatch, RecordPut};
 use rosebend_coordination::ownership::{HostRow, ShardRow, Takeover};
-use rosebend_protocol::platform::{Action, Condition, Operation, Row, Transaction};
+use rosebend_protocol::table::{SHARD_PREFIX, row_id, shard_key};
+use rosebend_state::deployment::{Row, RowVersion, Transaction};
 use rosebend_state::id::{CallId, Epoch, HostId, Incarnation, ProgramId, Shard};
 use rosebend_state::record::{ProgramRecord, TurnRecord};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use serde_json::{Value, json};
+use serde_json::json;
 
 /// Key of the row that fixes the number of shards.
 pub const CLUSTER_KEY: &str = "cluster";
 /// Prefix of the rows that entries renew.
 pub const HOST_PREFIX: &str = "host/";
-/// Prefix of the rows of shards.
-pub const SHARD_PREFIX: &str = "shard/";
-
 /// Prefix of the rows of resources.
 pub const RESOURCE_PREFIX: &str = "resource/";
 /// Key of the row with the newest revision of the configuration.
@@ -71,11 +70,6 @@
     format!("{HOST_PREFIX}{host}")
 }
 
-/// Key of a shard's row.
-pub fn shard_key(shard: Shard) -> String {
-    format!("{SHARD_PREFIX}{shard:05}")
-}
-
 /// Prefix of the program records of a shard.
 pub fn program_prefix(shard: Shard) -> String {
     format!("program/{shard:05}/")
@@ -108,16 +102,10 @@
 
 /// The transaction that quarantines a request for all entries.
 pub fn quarantine_transaction(fingerprint: &str) -> Transaction {
-    let put = |key: String| Operation {
-        key,
-        condition: Condition::Any,
-        action: Action::Put(json!({})),
-    };
-    let operations = vec![
-        put(format!("{QUARANTINE_PREFIX}{fingerprint}")),
-        put(QUARANTINE_MARK_KEY.to_owned()),
-    ];
-    Transaction { operations }
+    let row = row_id(format!("{QUARANTINE_PREFIX}{fingerprint}"));
+    Transaction::default()
+        .write(row, to_json(&json!({})))
+        .write(row_id(QUARANTINE_MARK_KEY), to_json(&json!({})))
 }
 
 /// The rows of a commit's records.
@@ -132,34 +120,52 @@
 ) -> Vec<RecordPut> {
     let programs = programs.iter().map(|record| RecordPut {
         key: program_key(shard, &record.program),
-        value: to_json(record),
+        value: to_text(record),
     });
     let turns = turns.iter().map(|record| RecordPut {
         key: turn_key(shard, record),
-        value: to_json(record),
+        value: to_text(record),
     });
     programs.chain(turns).collect()
 }
 
-fn to_json(record: &impl Serialize) -> String {
+fn to_text(record: &impl Serialize) -> String {
     serde_json::to_string(record).expect("a record has a JSON form")
 }
 
+/// The value of a row.
+///
+/// # Panics
+///
+/// Panics when it has no JSON form, which no value of a row lacks.
+pub fn to_json(value: &impl Serialize) -> Vec<u8> {
+    serde_json::to_vec(value).expect("a row's value has a JSON form")
+}
+
+/// What a row holds.
+///
+/// # Errors
+///
+/// Fails when the row does not hold such a value.
+pub fn from_json<T: DeserializeOwned>(row: &Row) -> Result<T, serde_json::Error> {
+    serde_json::from_slice(row.value.as_deref().unwrap_or_default())
+}
+
 /// The transaction of a group commit.
 pub fn commit_transaction(batch: &CommitBatch, owner: &str, incarnation: &str) -> Transaction {
-    let shards = batch.shards.iter().map(|write| Operation {
-        key: shard_key(write.shard),
-        condition: Condition::Version(write.version),
-        action: put_shard(owner, incarnation, write.epoch, batch.write_id),
-    });
-    let records = batch.records.iter().map(|record| Operation {
-        key: record.key.clone(),
-        condition: Condition::Any,
-        action: Action::Put(serde_json::from_str(&record.value).unwrap_or(Value::Null)),
-    });
-    Transaction {
-        operations: shards.chain(records).collect(),
+    let mut transaction = Transaction::default();
+    for write in &batch.shards {
+        let row = row_id(shard_key(write.shard));
+        let value = shard_value(owner, incarnation, write.epoch, batch.write_id);
+        transaction = transaction
+            .expect(row.clone(), write.version)
+            .write(row, value);
     }
+    for record in &batch.records {
+        let value = record.value.clone().into_bytes();
+        transaction = transaction.write(row_id(&record.key), value);
+    }
+    transaction
 }
 
 /// The transaction of a takeover.
@@ -169,23 +175,21 @@
     incarnation: &str,
     write_id: u64,
 ) -> Transaction {
-    let mut operations: Vec<Operation> = takeover
-        .shards
-        .iter()
-        .map(|(shard, version, epoch)| Operation {
-            key: shard_key(*shard),
-            condition: condition(*version),
-            action: put_shard(owner, incarnation, *epoch, write_id),
-        })
-        .collect();
+    let mut transaction = Transaction::default();
+    for (shard, version, epoch) in &takeover.shards {
+        let row = row_id(shard_key(*shard));
+        let value = shard_value(owner, incarnation, *epoch, write_id);
+        transaction = transaction
+            .expect(row.clone(), version_or_absent(*version))
+            .write(row, value);
+    }
     if let Some((silent, version)) = &takeover.silent_host {
-        operations.push(Operation {
-            key: host_key(silent),
-            condition: condition(*version),
-            action: Action::Delete,
-        });
+        let row = row_id(host_key(silent));
+        transaction = transaction
+            .expect(row.clone(), version_or_absent(*version))
+            .delete(row);
     }
-    Transaction { operations }
+    transaction
 }
 
 /// The transaction that passes a shard on.
@@ -196,33 +200,31 @@
     successor: &(HostId, Incarnation),
     write_id: u64,
 ) -> Transaction {
-    let operation = Operation {
-        key: shard_key(shard),
-        condition: Condition::Version(version),
-        action: put_shard(&successor.0, &successor.1, epoch, write_id),
-    };
-    Transaction {
-        operations: vec![operation],
-    }
+    let row = row_id(shard_key(shard));
+    let value = shard_value(&successor.0, &successor.1, epoch, write_id);
+    Transaction::default()
+        .expect(row.clone(), version)
+        .write(row, value)
 }
 
-fn condition(version: Option<u64>) -> Condition {
-    version.map_or(Condition::Absent, Condition::Version)
+/// The version to expect of a row; that of an absent one is zero.
+fn version_or_absent(version: Option<RowVersion>) -> RowVersion {
+    version.unwrap_or(0)
 }
 
-fn put_shard(owner: &str, incarnation: &str, epoch: Epoch, write_id: u64) -> Action {
-    Action::Put(json!(ShardValue {
+fn shard_value(owner: &str, incarnation: &str, epoch: Epoch, write_id: u64) -> Vec<u8> {
+    to_json(&ShardValue {
         owner: owner.to_owned(),
         incarnation: incarnation.to_owned(),
         epoch,
         write_id,
-    }))
+    })
 }
 
 /// Reads the row of an entry; none when it is not one.
 pub fn host_row(row: &Row) -> Option<(HostRow, HostValue)> {
-    let host = row.key.strip_prefix(HOST_PREFIX)?;
-    let value: HostValue = serde_json::from_value(row.value.clone()).ok()?;
+    let host = row.id.key.strip_prefix(HOST_PREFIX)?;
+    let value: HostValue = from_json(row).ok()?;
     let view = HostRow {
         host: host.to_owned(),
         incarnation: value.incarnation.clone(),
@@ -235,8 +237,8 @@
 
 /// Reads the row of a shard, and the id of its last write.
 pub fn shard_row(row: &Row) -> Option<(ShardRow, u64)> {
-    let shard = row.key.strip_prefix(SHARD_PREFIX)?.parse().ok()?;
-    let value: ShardValue = serde_json::from_value(row.value.clone()).ok()?;
+    let shard = row.id.key.strip_prefix(SHARD_PREFIX)?.parse().ok()?;
+    let value: ShardValue = from_json(row).ok()?;
     let view = ShardRow {
         shard,
         version: row.version,
--- a/entry/tests/configuration.rs
+++ b/entry/tests/configuration.rs
@@ -1,21 +1,20 @@
-//! Reading what is newer from the platform's stand-in.
+//! Reading what is newer from the store's stand-in.
 
 use std::{net::TcpListener, time::Duration};
 
 use rosebend_coordination::configuration::{ChangeRow, REVISION_KEY, RevisionRow, change_key};
 use rosebend_entry::configuration::read_newer;
-use rosebend_protocol::platform::{Action, Condition, Operation, Transaction};
-use rosebend_standin::platform::{Platform, PlatformConfig};
+use rosebend_protocol::table::row_id;
+use rosebend_standin::store::Store;
+use rosebend_state::deployment::Transaction;
 use rosebend_state::resource::{ConfigUpdate, RawResource, ResourceKind};
-use rosebend_transport::platform_client::PlatformClient;
-use serde_json::{Value, json};
+use rosebend_transport::clock::Clock;
+use rosebend_transport::store::StoreClient;
+use serde::Serialize;
+use serde_json::json;
 
-fn row(key: String, value: Value) -> Operation {
-    Operation {
-        key,
-        condition: Condition::Any,
-        action: Action::Put(value),
-    }
+fn write(transaction: Transaction, key: &str, value: &impl Serialize) -> Transaction {
+    transaction.write(row_id(key), serde_json::to_vec(value).unwrap())
 }
 
 fn resource(revision: u64) -> RawResource {
@@ -26,39 +25,36 @@
     .unwrap()
 }
 
-fn change(revision: u64) -> Operation {
-    let change = ChangeRow {
+fn change(revision: u64) -> ChangeRow {
+    ChangeRow {
         revision,
         changed_by: "desk".to_owned(),
         kind: ResourceKind::Tool,
         name: "charge-fee".to_owned(),
         resource: Some(resource(revision)),
         write_id: format!("write-{revision}"),
-    };
-    row(change_key(revision), serde_json::to_value(change).unwrap())
+    }
 }
 
 /// A table whose changes 5 to 7 are kept, and none before.
-async fn fill(client: &PlatformClient) {
+async fn fill(client: &StoreClient) {
     let newest = RevisionRow {
         revision: 7,
         write_id: "write-7".to_owned(),
     };
-    let mut operations: Vec<Operation> = (5..=7).map(change).collect();
-    operations.push(row(
-        REVISION_KEY.to_owned(),
-        serde_json::to_value(newest).unwrap(),
-    ));
-    let stands = serde_json::to_value(resource(7)).unwrap();
-    operations.push(row("resource/tool/charge-fee".to_owned(), stands));
-    client.transact(&Transaction { operations }).await.unwrap();
+    let changes = (5..=7).fold(Transaction::default(), |transaction, revision| {
+        write(transaction, &change_key(revision), &change(revision))
+    });
+    let transaction = write(changes, REVISION_KEY, &newest);
+    let transaction = write(transaction, "resource/tool/charge-fee", &resource(7));
+    client.transact(&transaction).await.unwrap();
 }
 
 #[actix_rt::test]
 async fn changes_are_read_and_a_snapshot_when_they_are_gone() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let platform = Platform::start(listener, PlatformConfig::default()).unwrap();
-    let client = PlatformClient::new(&platform.url(), Duration::from_secs(5));
+    let store = Store::default().open_door(listener).unwrap();
+    let client = StoreClient::new(store.address(), Duration::from_secs(5), Clock::start());
     fill(&client).await;
 
     let Some(ConfigUpdate::Changes(changes)) = read_newer(&client, 5, 7).await else {
@@ -77,14 +73,10 @@
     }
 
     // A change that this version cannot read leaves what is in force.
-    let unknown = row(change_key(7), json!({"revision": 7, "kind": "weather"}));
-    client
-        .transact(&Transaction {
-            operations: vec![unknown],
-        })
-        .await
-        .unwrap();
+    let unknown = json!({"revision": 7, "kind": "weather"});
+    let transaction = write(Transaction::default(), &change_key(7), &unknown);
+    client.transact(&transaction).await.unwrap();
     assert_eq!(read_newer(&client, 5, 7).await, None);
-    platform.stop().await.unwrap();
+    store.stop().await.unwrap();
     assert_eq!(read_newer(&client, 5, 7).await, None);
 }
--- a/entry/tests/operators.rs
+++ b/entry/tests/operators.rs
@@ -13,10 +13,7 @@
 use rosebend_entry::operators::{
     HostView, LiveProcess, OperatorContext, WriteIds, as_program_request, handle,
 };
-use rosebend_standin::{
-    platform::{Platform, PlatformConfig},
-    server::RunningServer,
-};
+use rosebend_standin::{server::RunningServer, store::Store};
 use rosebend_state::settings::PlatformSettings;
 use rosebend_transport::http_server::{HttpReply, HttpRequest, ReplyBody};
 use serde_json::{Value, json};
@@ -31,12 +28,12 @@
 impl Bench {
     fn start() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let platform = Platform::start(listener, PlatformConfig::default()).unwrap();
+        let platform = Store::default().open_door(listener).unwrap();
         let in_force = Arc::new(AtomicU64::new(0));
         let (seen, told) = (in_force.clone(), in_force.clone());
         let context = OperatorContext::new(
             PlatformSettings {
-                url: platform.url(),
+                address: platform.address(),
                 timeout: Duration::from_millis(300),
             },
             WriteIds::new("entry-a", "1"),
@@ -213,14 +210,14 @@
     let bench = Bench::start();
     let path = "/api/v1/customer/caribmar?revision=0";
     bench.send("PUT", path, customer(1)).await;
-    bench.faults(json!({"outage": "refuse"})).await;
+    bench.faults(json!({"refuse": true})).await;
     let path = "/api/v1/customer/caribmar?revision=1";
     let (status, problem) = bench.send("PUT", path, customer(2)).await;
     assert_eq!((status, &problem["ran"]), (503, &json!("no")));
     let (status, shown) = bench.get("/api/v1/status").await;
     assert_eq!((status, &shown["accepted_revision"]), (200, &Value::Null));
     assert_eq!(shown["revision"], 1);
-    bench.faults(json!({"outage": false})).await;
+    bench.faults(json!({})).await;
     let (_, resource) = bench.get("/api/v1/customer/caribmar").await;
     assert_eq!(resource["spec"]["share_weight"], 1);
     bench.platform.stop().await.unwrap();
--- a/gateway/src/commits.rs
+++ b/gateway/src/commits.rs
@@ -9,11 +9,10 @@
 use rosebend_coordination::gateway::lane::{Answer, Change, ChangeId, Lane, Outcome};
 use rosebend_coordination::gateway::ledger::{Holder, Ledger};
 use rosebend_state::deployment::{AttemptId, ProgramKey, RowVersion, Transaction};
+use rosebend_transport::store::{StoreClient, StoreError, Transacted};
 use rosebend_util::random_id;
 use tokio::sync::oneshot;
 
-use crate::store::{StoreClient, StoreError};
-
 /// Pause before a transaction is sent again that was not applied, or of which
 /// that is not known. Each failure in a row doubles it.
 const FIRST_PAUSE: Duration = Duration::from_millis(40);
@@ -129,7 +128,7 @@
             let answer = match self.store.transact(&transaction).await {
                 Ok(answer) => {
                     pause = FIRST_PAUSE;
-                    answer
+                    lane_answer(answer)
                 }
                 Err(error) => {
                     self.wait_after(&error, &mut pause).await;
@@ -188,3 +187,10 @@
         }
     }
 }
+
+fn lane_answer(answer: Transacted) -> Answer {
+    match answer {
+        Transacted::Applied(version) => Answer::Applied(version),
+        Transacted::Conflict(rows) => Answer::Conflict(rows),
+    }
+}
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -12,11 +12,11 @@
 use rosebend_coordination::gateway::directory::Wish;
 use rosebend_platform::headers::{self, AnswerHeader};
 use rosebend_state::deployment::{EndpointRecord, InstanceId, RouteKind};
+use rosebend_transport::clock::whole_ms;
+use rosebend_transport::connection::{Connection, ConnectionError};
 use rosebend_transport::event::{Event, EventKind, log_event};
 
 use crate::call::Call;
-use crate::clock::whole_ms;
-use crate::connection::{Connection, ConnectionError};
 use crate::gateway::{AtEndpoint, Gateway};
 use crate::quarantine;
 use crate::reply::Refusal;
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -10,15 +10,15 @@
 use rosebend_coordination::gateway::history::History;
 use rosebend_coordination::gateway::route_table::RouteTable;
 use rosebend_state::deployment::InstanceId;
-use rosebend_state::settings::GatewaySettings;
+use rosebend_state::settings::{GatewaySettings, StoreSettings};
+use rosebend_transport::clock::{Clock, whole_ms};
+use rosebend_transport::store::StoreClient;
 
-use crate::clock::{Clock, whole_ms};
 use crate::commits::Commits;
 use crate::metrics::{Metrics, Quantities};
 use crate::pool::Pool;
 use crate::reply::Refusal;
 use crate::retention::Retention;
-use crate::store::StoreClient;
 
 /// Bytes of turns that are kept in memory, so that most turns need no read.
 /// About 4,000 turns at 5.6 KB, the bytes a turn on a quiet day of one site.
@@ -64,7 +64,7 @@
     pub fn new(settings: GatewaySettings) -> Self {
         let clock = Clock::start();
         let metrics = Rc::new(Metrics::default());
-        let store = Rc::new(StoreClient::new(settings.store, clock, Rc::clone(&metrics)));
+        let store = Rc::new(store_client(&settings.store, clock, &metrics));
         Self {
             commits: Rc::new(Commits::new(Rc::clone(&store))),
             store,
@@ -197,3 +197,11 @@
         self.gateway.directory.borrow_mut().end(&self.instance);
     }
 }
+
+/// The client of the store, whose calls are counted.
+fn store_client(settings: &StoreSettings, clock: Clock, metrics: &Rc<Metrics>) -> StoreClient {
+    let metrics = Rc::clone(metrics);
+    StoreClient::new(settings.address, settings.timeout, clock).with_observer(Box::new(
+        move |call, error, took| metrics.count_store_call(call, error, took),
+    ))
+}
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -11,10 +11,10 @@
 use std::time::Duration;
 
 use rosebend_state::deployment::{EndpointLoad, InstanceId};
+use rosebend_transport::clock::whole_ms;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
-use crate::clock::whole_ms;
 use crate::gateway::Gateway;
 
 /// Time between two datagrams to a peer. A request takes 200 to 400 ms at an
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -3,9 +3,9 @@
 //!
 //! | what | where |
 //! |---|---|
-//! | a request, step by step | [`front`], [`call`], [`plain`] or [`turn`], [`exchange`], [`connection`] |
+//! | a request, step by step | [`front`], [`call`], [`plain`] or [`turn`], [`exchange`], [`pool`] |
 //! | a turn's budget, and its answer on the way | [`spending`], [`turn_stream`] |
-//! | what lasts | [`commits`], [`programs`], [`store`], [`retention`] |
+//! | what lasts | [`commits`], [`programs`], [`retention`] |
 //! | what the process believes of routes and endpoints | [`watch`], [`gossip`], [`quarantine`] |
 //! | calls to the store by other gateways | [`peers`] |
 //! | what is written and counted | [`trail`], [`metrics`] |
@@ -13,12 +13,11 @@
 //!
 //! [`gateway`] is the state that they share. The decisions themselves are in
 //! `rosebend_coordination::gateway`, the names of the wire in
-//! `rosebend_platform`.
+//! `rosebend_platform`, connections and the client of the store in
+//! `rosebend_transport`.
 
 pub mod call;
-pub mod clock;
 pub mod commits;
-pub mod connection;
 pub mod exchange;
 pub mod front;
 pub mod gateway;
@@ -33,7 +32,6 @@
 pub mod reply;
 pub mod retention;
 pub mod spending;
-pub mod store;
 pub mod trail;
 pub mod turn;
 pub mod turn_stream;
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -11,8 +11,7 @@
 use prometheus_client::registry::{Registry, Unit};
 use rosebend_coordination::gateway::attempt::Failure;
 use rosebend_state::deployment::RouteKind;
-
-use crate::store::{StoreCall, StoreError};
+use rosebend_transport::store::{StoreCall, StoreError};
 
 const PREFIX: &str = "rosebend_gateway";
 /// Least bound of a time histogram, in seconds; each next one is twice as far.
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -15,12 +15,12 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use rosebend_platform::store::wait_of;
-use rosebend_state::deployment::{Row, RowId, RowWrite, Transaction};
+use rosebend_state::deployment::{Row, RowId, RowRange, RowWrite, Transaction};
+use rosebend_transport::store::{Outgoing, StoreError};
 use rosebend_util::hash_parts;
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::Gateway;
-use crate::store::{Outgoing, StoreError};
 
 /// Table of the gateways' own rows.
 const TABLE: &str = "gateways";
@@ -88,19 +88,11 @@
 /// Reads the rows behind this gateway's own, around the end of the table.
 async fn look(gateway: &Gateway) -> Result<usize, StoreError> {
     let own = key(&gateway.settings.host);
-    let mut rows = gateway
-        .store
-        .read_some(TABLE, &own, MAX_PEERS + 1)
-        .await?
-        .rows;
+    let all = RowRange::whole(TABLE, "");
+    let behind = all.clone().after(&own);
+    let mut rows = gateway.store.read_some(&behind, MAX_PEERS + 1).await?.rows;
     if rows.len() <= MAX_PEERS {
-        rows.extend(
-            gateway
-                .store
-                .read_some(TABLE, "", MAX_PEERS + 1)
-                .await?
-                .rows,
-        );
+        rows.extend(gateway.store.read_some(&all, MAX_PEERS + 1).await?.rows);
     }
     let mut addresses: Vec<SocketAddr> = Vec::new();
     for peer in rows.iter().filter_map(decode) {
--- a/gateway/src/pool.rs
+++ b/gateway/src/pool.rs
@@ -4,8 +4,7 @@
 use std::time::Duration;
 
 use rosebend_state::deployment::InstanceId;
-
-use crate::connection::Connection;
+use rosebend_transport::connection::Connection;
 
 /// Most idle connections kept to one endpoint. A host has a few requests at an
 /// endpoint at once; each connection counts against the endpoint's bound.
--- a/gateway/src/programs.rs
+++ b/gateway/src/programs.rs
@@ -10,11 +10,11 @@
 use rosebend_coordination::gateway::ledger::Ledger;
 use rosebend_state::deployment::ProgramHeader;
 use rosebend_transport::event::{Event, EventKind, log_event};
+use rosebend_transport::store::StoreError;
 
 use crate::call::Call;
 use crate::gateway::Gateway;
 use crate::reply::Refusal;
-use crate::store::StoreError;
 
 /// The turn that a program's next one continues from; none at its start.
 ///
--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -11,12 +11,12 @@
 
 use rosebend_coordination::gateway::fingerprint::{Fingerprint, MEMORY};
 use rosebend_state::deployment::{Row, RowId, RowVersion, RowWrite, Transaction};
+use rosebend_transport::connection::{Connection, ConnectionError};
 use rosebend_transport::event::{Event, EventKind, log_event};
+use rosebend_transport::store::StoreError;
 
 use crate::call::Call;
-use crate::connection::{Connection, ConnectionError};
 use crate::gateway::Gateway;
-use crate::store::StoreError;
 
 /// Table of suspicions.
 const TABLE: &str = "crashes";
--- a/gateway/src/retention.rs
+++ b/gateway/src/retention.rs
@@ -13,9 +13,9 @@
 use std::time::Duration;
 
 use rosebend_coordination::gateway::history::ledger_row;
-use rosebend_coordination::gateway::lane::Answer;
 use rosebend_platform::store::MAX_TRANSACTION_ROWS;
 use rosebend_state::deployment::{Condition, ProgramKey, RowId, RowVersion, Transaction};
+use rosebend_transport::store::Transacted;
 
 use crate::gateway::Gateway;
 
@@ -89,17 +89,17 @@
         return;
     };
     match gateway.store.transact(&transaction).await {
-        Ok(Answer::Applied(_)) => {
+        Ok(Transacted::Applied(_)) => {
             gateway.commits.forget(program);
             delete_rest(gateway, program).await;
         }
-        Ok(Answer::Conflict(rows)) => match rows.first() {
+        Ok(Transacted::Conflict(rows)) => match rows.first() {
             Some(row) => wait_again(gateway, program, row.version),
             // Another host has deleted the ledger: the program is over.
             None => delete_rest(gateway, program).await,
         },
         // The store is away, which the client has logged.
-        Ok(Answer::NotKnown) | Err(_) => {}
+        Err(_) => {}
     }
 }
 
--- a/gateway/src/turn_stream.rs
+++ b/gateway/src/turn_stream.rs
@@ -15,10 +15,10 @@
 use rosebend_platform::headers::{self, AnswerHeader};
 use rosebend_protocol::sse::SseReader;
 use rosebend_state::deployment::{InstanceId, ProgramHeader, RowId};
+use rosebend_transport::connection::Connection;
 use rosebend_transport::event::{Event, EventKind};
 
 use crate::call::Call;
-use crate::connection::Connection;
 use crate::exchange::Exchanged;
 use crate::gateway::{AtEndpoint, Gateway, OpenRequest};
 use crate::metrics::Timing;
--- a/gateway/src/watch.rs
+++ b/gateway/src/watch.rs
@@ -8,9 +8,9 @@
 use rosebend_platform::{deployment, endpoints};
 use rosebend_state::deployment::{EndpointRecord, Row, RowVersion};
 use rosebend_transport::event::{Event, EventKind, log_event};
+use rosebend_transport::store::StoreError;
 
 use crate::gateway::Gateway;
-use crate::store::StoreError;
 
 /// How long a feed waits for a change. Short, since a connection may fall
 /// silent, and what is believed must not be older than two seconds.
--- a/gateway/tests/lifecycle.rs
+++ b/gateway/tests/lifecycle.rs
@@ -4,9 +4,9 @@
 
 use std::time::Duration;
 
-use rosebend_gateway::connection::Connection;
 use rosebend_standin::backend::BackendFaults;
 use rosebend_standin::store::StoreFaults;
+use rosebend_transport::connection::Connection;
 use serde_json::json;
 use support::{Ask, Gateway, Site, until};
 
--- a/gateway/tests/soak/callers.rs
+++ b/gateway/tests/soak/callers.rs
@@ -10,8 +10,8 @@
 use http::Method;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use rosebend_gateway::connection::Connection;
 use rosebend_standin::backend::Runs;
+use rosebend_transport::connection::Connection;
 
 use crate::faults::Fleet;
 use crate::support::{Answer, Ask};
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -16,10 +16,10 @@
 use bytes::Bytes;
 use http::{Method, Request};
 use http_body_util::{BodyExt, Full};
-use rosebend_gateway::connection::Connection;
 use rosebend_standin::backend::{Backend, BackendFaults, Runs};
 use rosebend_standin::server::RunningServer;
 use rosebend_standin::store::{Store, StoreFaults};
+use rosebend_transport::connection::Connection;
 use serde_json::{Value, json};
 
 /// Longest wait for something that must come.
--- a/gateway/tests/turns.rs
+++ b/gateway/tests/turns.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use http_body_util::BodyExt;
-use rosebend_gateway::connection::Connection;
 use rosebend_standin::backend::BackendFaults;
 use rosebend_standin::store::StoreFaults;
+use rosebend_transport::connection::Connection;
 use support::{Ask, Site, until};
 
 const MODELS: usize = 0;
--- a/sidecar/src/endpoint/mod.rs
+++ b/sidecar/src/endpoint/mod.rs
@@ -24,7 +24,7 @@
     id::CallId,
     settings::{EndpointKind, SidecarSettings},
 };
-use rosebend_transport::{metrics_page::Metrics, platform_client::PlatformClient};
+use rosebend_transport::{metrics_page::Metrics, store::StoreClient};
 use tokio::{
     sync::{mpsc, oneshot},
     task::JoinSet,
@@ -91,7 +91,7 @@
 /// The client and address of the endpoint.
 pub(crate) struct Endpoint {
     client: Client,
-    platform: PlatformClient,
+    store: StoreClient,
     base_url: String,
     is_engine: bool,
     metrics: Metrics,
@@ -113,7 +113,7 @@
             .finish();
         Self {
             client,
-            platform: PlatformClient::new(&settings.platform.url, settings.platform.timeout),
+            store: StoreClient::from_settings(&settings.platform),
             base_url: settings.endpoint_url.trim_end_matches('/').to_owned(),
             is_engine: settings.kind == EndpointKind::Engine,
             metrics,
--- a/sidecar/src/endpoint/order.rs
+++ b/sidecar/src/endpoint/order.rs
@@ -2,11 +2,13 @@
 
 use std::time::Duration;
 
+use rosebend_protocol::table::{row_id, shard_key};
 use rosebend_state::id::{Epoch, Shard};
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 
 use super::{Endpoint, OrderJob};
 use crate::control::{Command, OrderReply};
+use crate::start_epochs::shard_epoch;
 
 /// Longest wait for the engine to do an order, such as loading a model.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(120);
@@ -19,13 +21,6 @@
     fence: u64,
 }
 
-/// The part of a shard's row that is read here.
-#[derive(Debug)]
-#[derive(Deserialize)]
-struct ShardEpoch {
-    epoch: Epoch,
-}
-
 impl Endpoint {
     /// Reads who owns the order's shard, and lets the control thread decide.
     pub(super) async fn check_order(&self, order: OrderJob) {
@@ -40,15 +35,11 @@
 
     /// The epoch of a shard's row; zero when nobody has owned it yet.
     async fn row_epoch(&self, shard: Shard) -> Result<Epoch, String> {
-        let key = format!("shard/{shard:05}");
-        let rows = self.platform.read(vec![key]).await;
-        let rows = rows.map_err(|error| error.to_string())?;
-        let Some(row) = rows.into_iter().next() else {
-            return Ok(0);
-        };
-        let value: ShardEpoch =
-            serde_json::from_value(row.value).map_err(|error| error.to_string())?;
-        Ok(value.epoch)
+        let row = self.store.read_row(&row_id(shard_key(shard))).await;
+        match row.map_err(|error| error.to_string())? {
+            None => Ok(0),
+            Some(row) => shard_epoch(&row).ok_or_else(|| "its row is damaged".to_owned()),
+        }
     }
 
     pub(super) async fn run_order(&self, job: OrderJob) {
--- a/sidecar/src/process.rs
+++ b/sidecar/src/process.rs
@@ -24,7 +24,7 @@
     http_server::{self, HttpReply, HttpRequest, HttpServerConfig},
     metrics_page::Metrics,
     peers::MAX_MESSAGE_BYTES,
-    platform_client::PlatformClient,
+    store::StoreClient,
 };
 use tokio::sync::{mpsc, oneshot};
 use tokio_stream::wrappers::TcpListenerStream;
@@ -114,8 +114,8 @@
     actix_rt::spawn(pages);
 
     let started = StartEpochs::default();
-    let platform = PlatformClient::new(&settings.platform.url, settings.platform.timeout);
-    actix_rt::spawn(started.clone().read(platform));
+    let store = StoreClient::from_settings(&settings.platform);
+    actix_rt::spawn(started.clone().read(store));
     let service = SidecarService {
         host: settings.host.clone(),
         availability_zone: settings.availability_zone.clone(),
--- a/sidecar/src/start_epochs.rs
+++ b/sidecar/src/start_epochs.rs
@@ -11,14 +11,15 @@
     time::Duration,
 };
 
-use rosebend_protocol::{peer::Fence, platform::Row};
+use rosebend_protocol::peer::Fence;
+use rosebend_protocol::table::{SHARD_PREFIX, rows_under};
+use rosebend_state::deployment::Row;
 use rosebend_state::id::{Epoch, Shard};
-use rosebend_transport::platform_client::PlatformClient;
+use rosebend_transport::store::StoreClient;
+use serde::Deserialize;
 
 /// Wait before the table is asked again.
 const READ_AGAIN_WAIT: Duration = Duration::from_secs(1);
-/// Prefix of the rows of shards.
-const SHARD_PREFIX: &str = "shard/";
 
 /// The epochs of all shards when the sidecar started; not known until the
 /// table was read. A read that comes late gives later epochs, of which less
@@ -30,11 +31,13 @@
 
 impl StartEpochs {
     /// Reads the epochs, and asks again until the table answers.
-    pub async fn read(self, platform: PlatformClient) {
+    pub async fn read(self, store: StoreClient) {
         loop {
-            if let Ok(rows) = platform.scan_all(SHARD_PREFIX).await {
+            if let Ok(rows) = store.read(&rows_under(SHARD_PREFIX)).await {
                 // Only this task sets them, and only once.
-                let _ = self.epochs.set(rows.iter().filter_map(epoch_of).collect());
+                let _ = self
+                    .epochs
+                    .set(rows.rows.iter().filter_map(epoch_of).collect());
                 return;
             }
             actix_rt::time::sleep(READ_AGAIN_WAIT).await;
@@ -55,7 +58,20 @@
     }
 }
 
+/// The part of a shard's row that is read here.
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct ShardRow {
+    epoch: Epoch,
+}
+
+/// The epoch that a shard's row tells; none when it is damaged.
+pub(crate) fn shard_epoch(row: &Row) -> Option<Epoch> {
+    let value: ShardRow = serde_json::from_slice(row.value.as_deref()?).ok()?;
+    Some(value.epoch)
+}
+
 fn epoch_of(row: &Row) -> Option<(Shard, Epoch)> {
-    let shard = row.key.strip_prefix(SHARD_PREFIX)?.parse().ok()?;
-    Some((shard, row.value.get("epoch")?.as_u64()?))
+    let shard = row.id.key.strip_prefix(SHARD_PREFIX)?.parse().ok()?;
+    Some((shard, shard_epoch(row)?))
 }
--- a/sidecar/tests/standin.rs
+++ b/sidecar/tests/standin.rs
@@ -7,15 +7,17 @@
 use awc::Client as HttpClient;
 use rosebend_protocol::{
     peer::{Fence, HoldsRequest, OrderReply, OrderRequest, RefusalReason},
-    platform::{Action, Condition, Operation, Transaction},
+    table::{row_id, shard_key},
 };
 use rosebend_standin::{
     engine::{Engine, EngineConfig, OrderList},
-    platform::{Platform, PlatformConfig},
     server::RunningServer,
     service::{Service, ServiceConfig},
+    store::Store,
 };
-use rosebend_transport::platform_client::PlatformClient;
+use rosebend_state::deployment::Transaction;
+use rosebend_transport::clock::Clock;
+use rosebend_transport::store::StoreClient;
 use serde_json::{Value, json};
 use support::{Client, TestSidecar, dispatch, fence, incarnation, model_call, tool_call};
 
@@ -118,18 +120,11 @@
     }
 }
 
-async fn set_epoch(platform: &PlatformClient, epoch: u64) {
+async fn set_epoch(store: &StoreClient, epoch: u64) {
     let value = json!({"owner": "entry-1", "incarnation": "x", "epoch": epoch, "write_id": 1});
-    let operation = Operation {
-        key: "shard/00000".to_owned(),
-        condition: Condition::Any,
-        action: Action::Put(value),
-    };
-    let operations = vec![operation];
-    platform
-        .transact(&Transaction { operations })
-        .await
-        .unwrap();
+    let value = serde_json::to_vec(&value).unwrap();
+    let transaction = Transaction::default().write(row_id(shard_key(0)), value);
+    store.transact(&transaction).await.unwrap();
 }
 
 async fn order(client: &mut Client, id: &str, epoch: u64) -> OrderReply {
@@ -145,11 +140,11 @@
 #[actix_rt::test]
 async fn an_engine_that_ignores_fences_gets_each_order_once_from_the_newest_owner() {
     let engine = engine();
-    let platform = Platform::start(listener(), PlatformConfig::default()).unwrap();
-    let url = format!("http://{}", platform.address());
-    let table = PlatformClient::new(&url, Duration::from_secs(1));
+    let platform = Store::default().open_door(listener()).unwrap();
+    let address = platform.address().to_string();
+    let table = StoreClient::new(platform.address(), Duration::from_secs(1), Clock::start());
     set_epoch(&table, 4).await;
-    let start = || TestSidecar::start_with_platform("engine", engine.address(), "", &url);
+    let start = || TestSidecar::start_with_platform("engine", engine.address(), "", &address);
     let sidecar = start();
     let mut client = sidecar.client().await;
     for _ in 0..2 {
--- a/sidecar/tests/support/mod.rs
+++ b/sidecar/tests/support/mod.rs
@@ -44,7 +44,7 @@
 
 impl TestSidecar {
     pub fn start(kind: &str, endpoint: SocketAddr, limits: &str) -> Self {
-        Self::start_with_platform(kind, endpoint, limits, "http://127.0.0.1:9")
+        Self::start_with_platform(kind, endpoint, limits, "127.0.0.1:9")
     }
 
     pub fn start_with_platform(
@@ -61,7 +61,7 @@
             "[sidecar]\nhost = agent-llm-1\navailability_zone = newport-hall\n\
              listen = 127.0.0.1:0\nmetrics_listen = 127.0.0.1:0\nkind = {kind}\n\
              endpoint_url = http://{endpoint}\n[limits]\n{limits}\n{stop}\n\
-             [platform]\nurl = {platform}\n[auth]\ntokens_file = tokens\n"
+             [platform]\naddress = {platform}\n[auth]\ntokens_file = tokens\n"
         );
         let document = Document::try_from(text.as_bytes()).unwrap();
         let settings = SidecarSettings::try_from(&document).unwrap();
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,13 +1,11 @@
-//! Stand-ins for what rosebend runs against: the platform, a model engine and
-//! a plain service. Tests, the quickstart and measurements start them as the
+//! Stand-ins for what rosebend runs against: the platform's store, model engines
+//! and services. Tests, the quickstart and measurements start them as the
 //! binary `rosebend-standin` or inside their own process.
 //!
-//! - [`platform`]: the transactional table, object store, host list and
-//!   weight store.
 //! - [`engine`]: a model engine that batches continuously and caches prefixes.
 //! - [`service`]: a plain service that counts the effects of its calls.
-//! - [`store`] and [`backend`]: the users' platform's store and its endpoints,
-//!   which speak the published protocol.
+//! - [`store`] and [`backend`]: the platform's store and its endpoints, which
+//!   speak the published protocol.
 //! - [`server`]: how each of them is started and stopped.
 //! - [`options`]: the command line.
 //!
@@ -32,7 +30,6 @@
 pub mod backend;
 pub mod engine;
 pub mod options;
-pub mod platform;
 mod reply;
 pub mod server;
 pub mod service;
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -1,5 +1,5 @@
-//! The program `rosebend-standin`: one stand-in for the platform, an engine or
-//! a plain service, until SIGTERM or SIGINT.
+//! The program `rosebend-standin`: one stand-in for the platform's store, an
+//! engine, a plain service or an endpoint of the platform, until SIGTERM or SIGINT.
 
 use std::{io, net::TcpListener, process::ExitCode};
 
@@ -7,7 +7,6 @@
     backend::Backend,
     engine::Engine,
     options::{Command, StandIn, parse},
-    platform::Platform,
     server::RunningServer,
     service::Service,
     store::Store,
@@ -64,10 +63,9 @@
 
 fn start(listener: TcpListener, stand_in: StandIn) -> io::Result<RunningServer> {
     match stand_in {
-        StandIn::Platform(config) => Platform::start(listener, config),
         StandIn::Engine(config) => Engine::start(listener, config),
         StandIn::Service(config) => Service::start(listener, config),
-        StandIn::Store => Store::default().open_door(listener),
+        StandIn::Store(config) => Store::new(config).open_door(listener),
         StandIn::Backend(instance) => Backend::start(listener, &instance),
     }
 }
--- a/standin/src/options.rs
+++ b/standin/src/options.rs
@@ -4,7 +4,7 @@
 
 use getopts::{Matches, Options};
 
-use crate::{engine::EngineConfig, platform::PlatformConfig, service::ServiceConfig};
+use crate::{engine::EngineConfig, service::ServiceConfig, store::StoreConfig};
 
 /// What the command line asks for.
 #[derive(Clone, Debug, PartialEq)]
@@ -18,15 +18,13 @@
 /// A stand-in with its settings.
 #[derive(Clone, Debug, PartialEq)]
 pub enum StandIn {
-    /// The platform.
-    Platform(PlatformConfig),
     /// A model engine.
     Engine(EngineConfig),
     /// A plain service.
     Service(ServiceConfig),
-    /// The users' platform's store.
-    Store,
-    /// An endpoint of the users' platform, with the id of its run.
+    /// The platform's store.
+    Store(StoreConfig),
+    /// An endpoint of the platform, with the id of its run.
     Backend(String),
 }
 
@@ -34,7 +32,7 @@
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum OptionsError {
     /// No sub-command, or an unknown one.
-    #[error("the sub-command must be platform, engine, service, store or backend\n{OVERVIEW}")]
+    #[error("the sub-command must be store, engine, service or backend\n{OVERVIEW}")]
     SubCommand,
     /// An option is unknown, or lacks its value.
     #[error("{0}")]
@@ -54,17 +52,16 @@
 const VERSION: &str = concat!("rosebend-standin ", env!("CARGO_PKG_VERSION"));
 
 const OVERVIEW: &str = "\
-usage: rosebend-standin platform|engine|service|store|backend [OPTIONS]
+usage: rosebend-standin store|engine|service|backend [OPTIONS]
 
-Stand-ins for the platform, a model engine and a plain service, and for the
-store and the endpoints of the users' platform. Each prints
+Stand-ins for the platform's store, a model engine, a plain service and an
+endpoint of the platform. Each prints
 `listening on ADDRESS` once it is ready and exits with 0 on SIGTERM, after it
 has finished the requests in flight.
 
-  rosebend-standin platform --listen 127.0.0.1:7000
+  rosebend-standin store --listen 127.0.0.1:7000
   rosebend-standin engine --listen 127.0.0.1:0 --speed 10
   rosebend-standin service --listen 127.0.0.1:0 --delay-ms 50
-  rosebend-standin store --listen 127.0.0.1:7340
   rosebend-standin backend --listen 127.0.0.1:0 --instance i-1
 
 `rosebend-standin SUB-COMMAND --help` lists the options.";
@@ -79,10 +76,9 @@
     match name.as_str() {
         "--help" | "-h" => Ok(Command::Help(OVERVIEW.to_owned())),
         "--version" => Ok(Command::Help(VERSION.to_owned())),
-        "platform" => run(name, &platform_options(), rest, read_platform),
         "engine" => run(name, &engine_options(), rest, read_engine),
         "service" => run(name, &service_options(), rest, read_service),
-        "store" => run(name, &common_options(), rest, |_| Ok(StandIn::Store)),
+        "store" => run(name, &store_options(), rest, read_store),
         "backend" => run(name, &backend_options(), rest, read_backend),
         _ => Err(OptionsError::SubCommand),
     }
@@ -116,24 +112,25 @@
     options
 }
 
-fn platform_options() -> Options {
+fn store_options() -> Options {
     let mut options = common_options();
     options.optopt("", "reads-per-second", "rate of reads (2000)", "N");
-    options.optopt("", "writes-per-second", "rate of writes (400)", "N");
-    options.optopt("", "weights-per-minute", "downloads of weights (6)", "N");
-    options.optopt("", "weights-ms", "time of one download (500)", "MS");
-    options.optopt("", "host-list-lag-ms", "lag of the host list (5000)", "MS");
+    options.optopt("", "writes-per-second", "rate of writes (800)", "N");
+    let partition = "rate of transactions of one partition (150)";
+    options.optopt("", "partition-transactions-per-second", partition, "N");
     options
 }
 
-fn read_platform(matches: &Matches) -> Result<StandIn, OptionsError> {
-    let defaults = PlatformConfig::default();
-    Ok(StandIn::Platform(PlatformConfig {
+fn read_store(matches: &Matches) -> Result<StandIn, OptionsError> {
+    let defaults = StoreConfig::default();
+    Ok(StandIn::Store(StoreConfig {
         reads_per_second: count(matches, "reads-per-second", defaults.reads_per_second)?,
         writes_per_second: count(matches, "writes-per-second", defaults.writes_per_second)?,
-        weights_per_minute: count(matches, "weights-per-minute", defaults.weights_per_minute)?,
-        weights_time: millis(matches, "weights-ms", defaults.weights_time)?,
-        host_list_lag: millis(matches, "host-list-lag-ms", defaults.host_list_lag)?,
+        partition_transactions_per_second: count(
+            matches,
+            "partition-transactions-per-second",
+            defaults.partition_transactions_per_second,
+        )?,
     }))
 }
 
--- a/standin/tests/options.rs
+++ b/standin/tests/options.rs
@@ -8,6 +8,7 @@
 };
 
 use rosebend_standin::options::{Command, OptionsError, StandIn, parse};
+use rosebend_standin::store::StoreConfig;
 
 fn arguments(line: &str) -> Vec<String> {
     line.split_whitespace().map(str::to_owned).collect()
@@ -28,14 +29,14 @@
     for line in [
         "",
         "desk",
-        "platform --writes-per-second many",
+        "store --writes-per-second many",
         "service --delay 3",
     ] {
         assert!(parse(&arguments(line)).is_err(), "{line}");
     }
     let error = parse(&arguments("engine --speed 0")).unwrap_err();
     assert!(matches!(error, OptionsError::Value { name: "speed", .. }));
-    let Ok(Command::Help(help)) = parse(&arguments("platform --help")) else {
+    let Ok(Command::Help(help)) = parse(&arguments("store --help")) else {
         panic!("help is no error");
     };
     assert!(help.contains("--writes-per-second"));
@@ -94,7 +95,10 @@
     let words = |text: &str| text.split(' ').map(str::to_owned).collect::<Vec<_>>();
     let store = parse(&words("store --listen 127.0.0.1:7340")).unwrap();
     let address = "127.0.0.1:7340".parse().unwrap();
-    assert_eq!(store, Command::Run(address, StandIn::Store));
+    assert_eq!(
+        store,
+        Command::Run(address, StandIn::Store(StoreConfig::default()))
+    );
     let backend = parse(&words("backend --listen 127.0.0.1:7340 --instance i-7")).unwrap();
     let expected = StandIn::Backend("i-7".to_owned());
     assert_eq!(backend, Command::Run(address, expected));
--- a/state/src/deployment.rs
+++ b/state/src/deployment.rs
@@ -14,7 +14,7 @@
     endpoint::{EndpointLoad, EndpointRecord},
     request::{CallHeader, ProgramHeader, PromptPart, TokenCounts},
     routes::{CallerLimits, Deployment, Engine, Route, RouteKind, RouteTarget, Service},
-    store::{Condition, Row, RowId, RowWrite, Transaction},
+    store::{Condition, Row, RowId, RowRange, RowWrite, Transaction},
 };
 
 /// Name of a service, as operators declare it.
--- a/state/src/deployment/store.rs
+++ b/state/src/deployment/store.rs
@@ -24,6 +24,48 @@
     }
 }
 
+/// Rows of one partition, in the order of their keys.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RowRange {
+    /// The table.
+    pub table: String,
+    /// The partition; may be empty.
+    pub partition: String,
+    /// The first key.
+    pub from: String,
+    /// The key before which the range ends; without one it goes to the end.
+    pub to: Option<String>,
+}
+
+impl RowRange {
+    /// All rows of a partition.
+    pub fn whole(table: &str, partition: &str) -> Self {
+        Self {
+            table: table.to_owned(),
+            partition: partition.to_owned(),
+            from: String::new(),
+            to: None,
+        }
+    }
+
+    /// The rows whose keys begin with a prefix.
+    pub fn prefix(table: &str, partition: &str, prefix: &str) -> Self {
+        Self {
+            from: prefix.to_owned(),
+            to: Some(format!("{prefix}{}", char::MAX)),
+            ..Self::whole(table, partition)
+        }
+    }
+
+    /// Without the rows up to a key and that of the key itself.
+    #[must_use]
+    pub fn after(mut self, key: &str) -> Self {
+        // No key ends with the least character.
+        self.from = format!("{key}\u{1}");
+        self
+    }
+}
+
 /// A row as it was read.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Row {
@@ -63,3 +105,32 @@
     /// Rows to delete.
     pub deletes: Vec<RowId>,
 }
+
+impl Transaction {
+    /// Requires a version of a row.
+    #[must_use]
+    pub fn expect(mut self, row: RowId, version: RowVersion) -> Self {
+        self.conditions.push(Condition { row, version });
+        self
+    }
+
+    /// Requires that a row does not exist.
+    #[must_use]
+    pub fn expect_absent(self, row: RowId) -> Self {
+        self.expect(row, 0)
+    }
+
+    /// Writes a row.
+    #[must_use]
+    pub fn write(mut self, row: RowId, value: Vec<u8>) -> Self {
+        self.writes.push(RowWrite { row, value });
+        self
+    }
+
+    /// Deletes a row.
+    #[must_use]
+    pub fn delete(mut self, row: RowId) -> Self {
+        self.deletes.push(row);
+        self
+    }
+}
--- a/state/src/settings/common.rs
+++ b/state/src/settings/common.rs
@@ -1,6 +1,6 @@
 //! Sections that several binaries share.
 
-use std::{path::PathBuf, time::Duration};
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
 use super::{
     schema::{Key, KeyKind, Presence, SectionSchema, Unit},
@@ -10,8 +10,8 @@
 /// How the platform is reached.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct PlatformSettings {
-    /// Base URL of the table, object store and host list.
-    pub url: String,
+    /// Where the store answers.
+    pub address: SocketAddr,
     /// Longest wait for each answer.
     pub timeout: Duration,
 }
@@ -46,10 +46,10 @@
     name: "platform",
     keys: &[
         Key {
-            name: "url",
-            kind: KeyKind::Url,
+            name: "address",
+            kind: KeyKind::Address,
             presence: Presence::Required,
-            meaning: "Where the platform's table, object store and host list answer.",
+            meaning: "Where the platform's store answers.",
         },
         Key {
             name: "timeout_ms",
@@ -90,7 +90,7 @@
 
 pub(super) fn platform(values: &Values<'_>) -> PlatformSettings {
     PlatformSettings {
-        url: values.text("platform", "url"),
+        address: values.address("platform", "address"),
         timeout: values.duration("platform", "timeout_ms"),
     }
 }
--- a/system-tests/src/cluster.rs
+++ b/system-tests/src/cluster.rs
@@ -10,10 +10,12 @@
     time::Duration,
 };
 
-use rosebend_protocol::platform::Row;
-use rosebend_standin::platform::PlatformStats;
+use rosebend_protocol::table::rows_under;
+use rosebend_standin::store::{StoreFaults, StoreStats};
+use rosebend_state::deployment::Row;
 use rosebend_state::id::ProgramId;
-use rosebend_transport::platform_client::PlatformClient;
+use rosebend_transport::clock::Clock;
+use rosebend_transport::store::StoreClient;
 use serde_json::{Value, json};
 
 use crate::{
@@ -135,6 +137,12 @@
     }
 }
 
+/// What a row holds; null when that is no JSON.
+pub fn row_json(row: &Row) -> Value {
+    let value = row.value.as_deref().unwrap_or_default();
+    serde_json::from_slice(value).unwrap_or_default()
+}
+
 impl Cluster {
     /// Starts a cluster, applies its resources, and waits until calls of the
     /// model and of a tool are taken.
@@ -145,9 +153,7 @@
     pub async fn start(config: ClusterConfig) -> Result<Self, HarnessError> {
         let directory = Directory::new()?;
         let path = directory.0.as_path();
-        let arguments = ["--host-list-lag-ms=1000".to_owned()];
-        let (platform, platform_address) =
-            start_stand_in("platform", "platform", &arguments, path).await?;
+        let (platform, platform_address) = start_stand_in("platform", "store", &[], path).await?;
         let platform_relay = match config.relay_platform {
             true => Some(Relay::start(platform_address).map_err(HarnessError::io("a relay"))?),
             false => None,
@@ -239,8 +245,9 @@
     /// # Errors
     ///
     /// Fails when the platform does not take them.
-    pub async fn set_platform_faults(&self, faults: &Value) -> Result<(), HarnessError> {
-        set_faults(self.platform_address, faults).await
+    pub async fn set_platform_faults(&self, faults: &StoreFaults) -> Result<(), HarnessError> {
+        let faults = serde_json::to_value(faults).expect("faults have a JSON form");
+        set_faults(self.platform_address, &faults).await
     }
 
     /// What the platform has done.
@@ -248,7 +255,7 @@
     /// # Errors
     ///
     /// Fails when the platform does not answer.
-    pub async fn platform_stats(&self) -> Result<PlatformStats, HarnessError> {
+    pub async fn platform_stats(&self) -> Result<StoreStats, HarnessError> {
         let reply = Caller::new("").get(self.platform_address, "/stats").await?;
         reply.read()
     }
@@ -259,13 +266,14 @@
     ///
     /// Fails when the table does not answer.
     pub async fn rows(&self, prefix: &str) -> Result<Vec<Row>, HarnessError> {
-        let url = format!("http://{}", self.platform_address);
-        let client = PlatformClient::new(&url, PLATFORM_TIMEOUT);
-        let rows = client.scan_all(prefix).await;
-        rows.map_err(|error| HarnessError::NoAnswer {
-            what: format!("the rows under {prefix}"),
-            detail: error.to_string(),
-        })
+        let address = self.platform_address;
+        let client = StoreClient::new(address, PLATFORM_TIMEOUT, Clock::start());
+        let rows = client.read(&rows_under(prefix)).await;
+        rows.map(|rows| rows.rows)
+            .map_err(|error| HarnessError::NoAnswer {
+                what: format!("the rows under {prefix}"),
+                detail: error.to_string(),
+            })
     }
 
     /// The shard of a program.
@@ -291,7 +299,7 @@
         let prefix = format!("shard/{:05}", self.shard_of(customer, session)?);
         wait_until("an owner", || async {
             let rows = self.rows(&prefix).await.ok()?;
-            let owner = rows.first()?.value.get("owner")?.as_str()?.to_owned();
+            let owner = row_json(rows.first()?)["owner"].as_str()?.to_owned();
             self.entries.iter().position(|entry| entry.name == owner)
         })
         .await
@@ -308,7 +316,10 @@
         let mut equal_looks = 0;
         for _ in 0..STEADY_LOOKS * 8 {
             let rows = self.rows("shard/").await?;
-            let owners: Vec<Value> = rows.iter().map(|row| row.value["owner"].clone()).collect();
+            let owners: Vec<Value> = rows
+                .iter()
+                .map(|row| row_json(row)["owner"].clone())
+                .collect();
             equal_looks = if owners == before { equal_looks + 1 } else { 0 };
             before = owners;
             if equal_looks == STEADY_LOOKS {
@@ -421,7 +432,7 @@
             .key("http_listen", address)
             .key("peer_listen", peer_address)
             .section("platform")
-            .key("url", format!("http://{platform}"))
+            .key("address", platform)
             .section("timing")
             .key("lease_ms", lease_ms)
             .key("renew_ms", lease_ms / 4)
@@ -490,7 +501,7 @@
             .key("kind", role.word())
             .key("endpoint_url", format!("http://{stand_in_address}"))
             .section("platform")
-            .key("url", format!("http://{}", self.platform_address));
+            .key("address", self.platform_address);
         let sidecar = self.start_configured(&name, Program::Sidecar, &settings)?;
         let relay = match self.config.relay_sidecars {
             true => Some(Relay::start(sidecar_address).map_err(HarnessError::io("a relay"))?),
--- a/system-tests/src/lib.rs
+++ b/system-tests/src/lib.rs
@@ -30,7 +30,7 @@
 
 pub use self::{
     caller::{Call, Caller, Reply},
-    cluster::{Cluster, ClusterConfig},
+    cluster::{Cluster, ClusterConfig, row_json},
     error::HarnessError,
     process::Signal,
     settle::{Settled, settle},
--- a/system-tests/tests/at_most_once.rs
+++ b/system-tests/tests/at_most_once.rs
@@ -1,6 +1,7 @@
 //! A fee is charged at most once, whatever dies, and exactly once when the
 //! caller was told that it was charged.
 
+use rosebend_standin::store::StoreFaults;
 use rosebend_system_tests::{
     Call, Caller, Cluster, ClusterConfig, Settled, Signal, settle, wait_until,
 };
@@ -84,7 +85,10 @@
     let caller = cluster.program("renewal-3").await.unwrap();
     for number in 1..=8_u64 {
         let key = format!("renewal-3-fee-{number}");
-        let lost = json!({ "lose_answers": number % 4 + 1 });
+        let lost = StoreFaults {
+            lose_answers: number % 4 + 1,
+            ..StoreFaults::default()
+        };
         cluster.set_platform_faults(&lost).await.unwrap();
         let fee = Call::tool("charge-fee", &key).key(&key).sequence(number);
         let entries = cluster.entries_from(number as usize);
--- a/system-tests/tests/configuration.rs
+++ b/system-tests/tests/configuration.rs
@@ -1,9 +1,10 @@
 //! An accepted change reaches every process, also while the table is away.
 
+use rosebend_standin::store::StoreFaults;
 use rosebend_system_tests::{
     Caller, Cluster, ClusterConfig, Signal, cluster::put_resource, settings::token, wait_until,
 };
-use serde_json::{Value, json};
+use serde_json::json;
 
 const KEY: (&str, &str) = ("customer", "caribmar");
 
@@ -29,11 +30,12 @@
     found["metadata"]["changed_at_revision"].as_u64().unwrap()
 }
 
-async fn set_outage(cluster: &Cluster, outage: Value) {
-    cluster
-        .set_platform_faults(&json!({ "outage": outage }))
-        .await
-        .unwrap();
+async fn set_outage(cluster: &Cluster, refuse: bool) {
+    let faults = StoreFaults {
+        refuse,
+        ..StoreFaults::default()
+    };
+    cluster.set_platform_faults(&faults).await.unwrap();
 }
 
 #[actix_rt::test]
@@ -53,7 +55,7 @@
     let put = put_resource(&desk, cluster.entry(0), KEY, spec, seen).await;
     let accepted = put.unwrap().success("a change").unwrap().json();
     let revision = accepted["revision"].as_u64().unwrap();
-    set_outage(&cluster, json!("refuse")).await;
+    set_outage(&cluster, true).await;
     for entry in &cluster.entries[1..] {
         entry.process.signal(Signal::Continue).unwrap();
     }
@@ -75,7 +77,7 @@
     .await
     .unwrap();
 
-    set_outage(&cluster, json!(false)).await;
+    set_outage(&cluster, false).await;
     wait_until("the table to be read again", || async {
         let found = desk
             .get(cluster.entry(2), "/api/v1/customer/caribmar")
--- a/system-tests/tests/operators.rs
+++ b/system-tests/tests/operators.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use rosebend_standin::store::StoreFaults;
 use rosebend_system_tests::{
     Caller, Cluster, ClusterConfig, Signal, cluster::put_resource, settings::token, wait_until,
 };
@@ -84,14 +85,14 @@
 
     // In an outage nothing is accepted, and nothing is forgotten.
     cluster
-        .set_platform_faults(&json!({ "outage": "refuse" }))
+        .set_platform_faults(&StoreFaults::refusing())
         .await
         .unwrap();
     let refused = put_resource(&desk, cluster.entry(1), key, spec(1), revision);
     let refused = refused.await.unwrap();
     assert!(refused.status >= 500, "{refused:?}");
     cluster
-        .set_platform_faults(&json!({ "outage": false }))
+        .set_platform_faults(&StoreFaults::default())
         .await
         .unwrap();
 
@@ -115,10 +116,11 @@
     let path = "/api/v1/customer/caribmar";
     for round in 0..4_u64 {
         let seen = revision_of(&desk, &cluster, 0, path).await;
-        cluster
-            .set_platform_faults(&json!({ "lose_answers": 2 }))
-            .await
-            .unwrap();
+        let lost = StoreFaults {
+            lose_answers: 2,
+            ..StoreFaults::default()
+        };
+        cluster.set_platform_faults(&lost).await.unwrap();
         let key = ("customer", "caribmar");
         let ceiling = 2_000_000 + round;
         let put = put_resource(&desk, cluster.entry(1), key, spec(ceiling), seen);
--- a/system-tests/tests/paused_owner.rs
+++ b/system-tests/tests/paused_owner.rs
@@ -1,8 +1,8 @@
 //! An owner that is paused beyond its lease and wakes up writes nothing.
 
-use rosebend_protocol::platform::Row;
+use rosebend_state::deployment::Row;
 use rosebend_system_tests::{
-    Call, Cluster, ClusterConfig, HarnessError, Signal, settle, wait_until,
+    Call, Cluster, ClusterConfig, HarnessError, Signal, row_json, settle, wait_until,
 };
 use serde_json::json;
 
@@ -24,10 +24,7 @@
 
 async fn renewal_of(cluster: &Cluster, name: &str) -> Result<u64, HarnessError> {
     let rows = cluster.rows(&format!("host/{name}")).await?;
-    let value = rows
-        .first()
-        .map(|row| row.value.clone())
-        .unwrap_or_default();
+    let value = rows.first().map(row_json).unwrap_or_default();
     Ok(value["renewal"].as_u64().unwrap_or(0))
 }
 
--- a/system-tests/tests/table_outage.rs
+++ b/system-tests/tests/table_outage.rs
@@ -7,6 +7,7 @@
 };
 
 use rosebend_protocol::problem::Ran;
+use rosebend_standin::store::StoreFaults;
 use rosebend_system_tests::{Call, Caller, Cluster, ClusterConfig, Signal, settle, wait_until};
 use serde_json::{Value, json};
 
@@ -57,13 +58,13 @@
     let config = ClusterConfig::default();
     let lease = Duration::from_millis(config.lease_ms);
     let cluster = Cluster::start(config).await.unwrap();
-    for outage in ["refuse", "hang"] {
+    for (outage, faults) in [
+        ("refuse", StoreFaults::refusing()),
+        ("hang", StoreFaults::hanging()),
+    ] {
         let caller = cluster.program(&format!("renewal-{outage}")).await.unwrap();
         let mut answers = go_on(&cluster, &caller, 1, Duration::ZERO).await;
-        cluster
-            .set_platform_faults(&json!({ "outage": outage }))
-            .await
-            .unwrap();
+        cluster.set_platform_faults(&faults).await.unwrap();
         let first = answers.len() as u64 + 1;
         answers.extend(go_on(&cluster, &caller, first, lease).await);
 
@@ -77,7 +78,7 @@
         assert_eq!(cluster.effects_of(&key).await.unwrap(), 0);
 
         cluster
-            .set_platform_faults(&json!({ "outage": false }))
+            .set_platform_faults(&StoreFaults::default())
             .await
             .unwrap();
         check_history(&cluster, &caller, &answers).await;
@@ -99,7 +100,7 @@
     let owner = cluster.owner_of("caribmar", "renewal-40").await.unwrap();
     let mut answers = go_on(&cluster, &caller, 1, Duration::ZERO).await;
     cluster
-        .set_platform_faults(&json!({ "outage": "refuse" }))
+        .set_platform_faults(&StoreFaults::refusing())
         .await
         .unwrap();
     let first = answers.len() as u64 + 1;
@@ -110,7 +111,7 @@
         .await
         .unwrap();
     cluster
-        .set_platform_faults(&json!({ "outage": false }))
+        .set_platform_faults(&StoreFaults::default())
         .await
         .unwrap();
     cluster.entries[owner].process.restart().unwrap();
@@ -173,13 +174,13 @@
     assert_eq!(cluster.open_effects().await.unwrap(), 1);
 
     cluster
-        .set_platform_faults(&json!({ "outage": "refuse" }))
+        .set_platform_faults(&StoreFaults::refusing())
         .await
         .unwrap();
     let first = answers.len() as u64 + 1;
     answers.extend(go_on(&cluster, &agent, first, lease).await);
     cluster
-        .set_platform_faults(&json!({ "outage": false }))
+        .set_platform_faults(&StoreFaults::default())
         .await
         .unwrap();
     charged.await.unwrap().unwrap().0.done().unwrap();
@@ -238,7 +239,7 @@
     .unwrap();
     actix_rt::time::sleep(Duration::from_secs(3)).await;
     cluster
-        .set_platform_faults(&json!({ "outage": "refuse" }))
+        .set_platform_faults(&StoreFaults::refusing())
         .await
         .unwrap();
 
@@ -246,7 +247,7 @@
     let mut answers = answers;
     answers.extend(go_on(&cluster, &agent, first, Duration::from_secs(1)).await);
     cluster
-        .set_platform_faults(&json!({ "outage": false }))
+        .set_platform_faults(&StoreFaults::default())
         .await
         .unwrap();
     charged.await.unwrap().done().unwrap();
--- a/transport/src/lib.rs
+++ b/transport/src/lib.rs
@@ -1,13 +1,15 @@
-//! Where rosebend's processes meet the network: HTTP servers, the platform's
+//! Where rosebend's processes meet the network: HTTP servers, the store's
 //! client, gRPC channels, logs and the metrics page.
 //!
 //! - [`event`] and [`logging`]: numbered events and where they are written.
 //! - [`bounded_log`]: a log that never blocks.
+//! - [`clock`]: time since the process started.
+//! - [`connection`]: one HTTP connection, owned by the code that sends on it.
 //! - [`host_token`]: how processes prove who they are.
 //! - [`http_server`]: requests in, replies out, whole or streamed.
 //! - [`peers`]: gRPC channels to other processes.
 //! - [`metrics_page`]: counters, gauges and histograms.
-//! - [`platform_client`]: the table, the object store and the host list.
+//! - [`store`]: the client of the platform's store.
 //! - [`traffic`]: the threads that carry traffic.
 //! - [`process_command`]: the command line of entries and sidecars.
 //! - [`settings_file`]: settings and tokens from files.
@@ -16,13 +18,15 @@
 //! "no effect" from "no answer".
 
 pub mod bounded_log;
+pub mod clock;
+pub mod connection;
 pub mod event;
 pub mod host_token;
 pub mod http_server;
 pub mod logging;
 pub mod metrics_page;
 pub mod peers;
-pub mod platform_client;
 pub mod process_command;
 pub mod settings_file;
+pub mod store;
 pub mod traffic;
--- a/gateway/src/store.rs
+++ b/transport/src/store/mod.rs
@@ -1,20 +1,22 @@
-//! The client of the platform's store.
+//! The client of the platform's store, for every process.
+//!
+//! The outcome of a transaction is one of three: it was applied, it was not, or
+//! nobody knows. A lost answer is never guessed; the caller settles it by the
+//! transaction's conditions or by reading back.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::Method;
-use rosebend_coordination::gateway::history::Range;
-use rosebend_coordination::gateway::lane::Answer;
 use rosebend_platform::store::{self as wire, Rows, StoreStatus};
-use rosebend_state::deployment::{Row, RowVersion, Transaction};
-use rosebend_state::settings::StoreSettings;
-use rosebend_transport::event::{Event, EventKind, log_event};
+use rosebend_state::deployment::{Row, RowId, RowRange, RowVersion, Transaction};
+use rosebend_state::settings::PlatformSettings;
 
 use crate::clock::{Clock, whole_ms};
-use crate::metrics::Metrics;
+use crate::event::{Event, EventKind, log_event};
 
 pub use self::way::Outgoing;
 use self::way::{SILENCE_TIME, Turn, Way};
@@ -47,6 +49,16 @@
     NoAnswer(String),
 }
 
+/// How a transaction was answered.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Transacted {
+    /// It was applied, and gave this version to the rows that it wrote.
+    Applied(RowVersion),
+    /// A condition did not hold and nothing was applied; the rows of its
+    /// conditions that exist.
+    Conflict(Vec<Row>),
+}
+
 /// What was asked of the store, for counters and logs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum StoreCall {
@@ -69,35 +81,59 @@
     }
 }
 
-/// The client; one for the process.
+/// Hears of each call: what was asked, why it gave nothing, how long it took.
+pub type CallObserver = Box<dyn Fn(StoreCall, Option<&StoreError>, Duration)>;
+
+/// The client; it belongs to the thread that made it.
 ///
 /// Calls go straight to the store. While the store does not answer this host,
 /// they go by a peer that it does answer. Every call may be sent twice:
 /// transactions carry their conditions or write rows that never change.
-#[derive(Debug)]
 pub struct StoreClient {
-    settings: StoreSettings,
+    /// Longest wait for an answer.
+    timeout: Duration,
     clock: Clock,
-    metrics: Rc<Metrics>,
+    observer: CallObserver,
     direct: Way,
     /// First call refused as one too many, with none answered since.
     throttled_since: Cell<Option<Duration>>,
     peers: RefCell<Vec<Rc<Way>>>,
 }
 
+impl std::fmt::Debug for StoreClient {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("StoreClient")
+            .field("direct", &self.direct)
+            .finish_non_exhaustive()
+    }
+}
+
 impl StoreClient {
-    /// A client that has not called yet.
-    pub fn new(settings: StoreSettings, clock: Clock, metrics: Rc<Metrics>) -> Self {
+    /// A client of the store at an address that has not called yet. It waits
+    /// at most `timeout` for each answer.
+    pub fn new(address: SocketAddr, timeout: Duration, clock: Clock) -> Self {
         Self {
-            direct: Way::new(settings.address, clock),
+            direct: Way::new(address, clock),
             throttled_since: Cell::new(None),
             peers: RefCell::default(),
-            settings,
+            observer: Box::new(|_, _, _| {}),
+            timeout,
             clock,
-            metrics,
         }
     }
 
+    /// A client as the settings of entries and sidecars tell it.
+    pub fn from_settings(settings: &PlatformSettings) -> Self {
+        Self::new(settings.address, settings.timeout, Clock::start())
+    }
+
+    /// Tells an observer of each call.
+    #[must_use]
+    pub fn with_observer(mut self, observer: CallObserver) -> Self {
+        self.observer = observer;
+        self
+    }
+
     /// Sets the peers that pass calls on, best first. Known ones keep their
     /// connections.
     pub fn set_peers(&self, addresses: &[std::net::SocketAddr]) {
@@ -157,7 +193,7 @@
     /// # Errors
     ///
     /// Fails when it was not applied, or when that is not known.
-    pub async fn transact(&self, transaction: &Transaction) -> Result<Answer, StoreError> {
+    pub async fn transact(&self, transaction: &Transaction) -> Result<Transacted, StoreError> {
         let outgoing = Outgoing {
             method: Method::POST,
             path: wire::TRANSACT_PATH.to_owned(),
@@ -167,31 +203,37 @@
         let (status, body) = call.await?;
         let rows = decode(&body)?;
         match status {
-            StoreStatus::Done => Ok(Answer::Applied(rows.version)),
-            StoreStatus::Conflict => Ok(Answer::Conflict(rows.rows)),
+            StoreStatus::Done => Ok(Transacted::Applied(rows.version)),
+            StoreStatus::Conflict => Ok(Transacted::Conflict(rows.rows)),
             _ => Err(unexpected(status)),
         }
     }
 
-    /// Reads all rows of a range.
+    /// Reads one row, if it exists.
     ///
     /// # Errors
     ///
-    /// Fails when the store does not answer; nothing is returned of a range
-    /// that was read in part.
-    pub async fn read(&self, range: &Range) -> Result<Rows, StoreError> {
-        let mut from = range.from.clone();
-        let mut all = Rows::default();
-        loop {
-            let path = wire::read_path(range.table, &range.partition, &from, Some(&range.to), None);
-            let page = self.get(StoreCall::Read, &path, Duration::ZERO).await?;
-            all.version = page.version;
-            all.rows.extend(page.rows);
-            match next_page(page.has_more, &all.rows) {
-                Some(next) => from = next,
-                None => return Ok(all),
-            }
+    /// Fails when the store does not answer.
+    pub async fn read_row(&self, row: &RowId) -> Result<Option<Row>, StoreError> {
+        let path = wire::read_path(&row.table, &row.partition, &row.key, None, Some(1));
+        let page = self.get(StoreCall::Read, &path, Duration::ZERO).await?;
+        // The first row from the key on may be a later one.
+        Ok(page.rows.into_iter().find(|found| found.id == *row))
+    }
+
+    /// Reads rows one after another, so that none is older than the one before;
+    /// absent ones are left out. Who conditions a transaction on the first row
+    /// thus also knows that the others have not changed before it was read.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store does not answer one of the reads.
+    pub async fn read_rows(&self, rows: &[RowId]) -> Result<Vec<Row>, StoreError> {
+        let mut found = Vec::new();
+        for row in rows {
+            found.extend(self.read_row(row).await?);
         }
+        Ok(found)
     }
 
     /// Reads all rows of a table's empty partition.
@@ -200,35 +242,42 @@
     ///
     /// Fails when the store does not answer.
     pub async fn read_table(&self, table: &str) -> Result<Rows, StoreError> {
-        let mut from = String::new();
+        self.read(&RowRange::whole(table, "")).await
+    }
+
+    /// Reads all rows of a range. The version is that of the first page, so
+    /// that a feed from it on misses no change.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store does not answer; nothing is returned of a range
+    /// that was read in part.
+    pub async fn read(&self, range: &RowRange) -> Result<Rows, StoreError> {
+        let mut from = range.from.clone();
+        let to = range.to.as_deref();
         let mut all = Rows::default();
         loop {
-            let path = wire::read_path(table, "", &from, None, None);
+            let path = wire::read_path(&range.table, &range.partition, &from, to, None);
             let page = self.get(StoreCall::Read, &path, Duration::ZERO).await?;
             if all.version == 0 {
-                // Changes after the first page must not be missed.
                 all.version = page.version;
             }
             all.rows.extend(page.rows);
-            match next_page(page.has_more, &all.rows) {
-                Some(next) => from = next,
+            match all.rows.last().filter(|_| page.has_more) {
+                Some(last) => from = range.clone().after(&last.id.key).from,
                 None => return Ok(all),
             }
         }
     }
 
-    /// Reads at most `limit` rows of a table's empty partition, from a key on.
+    /// Reads at most `limit` rows of a range.
     ///
     /// # Errors
     ///
     /// Fails when the store does not answer.
-    pub async fn read_some(
-        &self,
-        table: &str,
-        from: &str,
-        limit: usize,
-    ) -> Result<Rows, StoreError> {
-        let path = wire::read_path(table, "", from, None, Some(limit));
+    pub async fn read_some(&self, range: &RowRange, limit: usize) -> Result<Rows, StoreError> {
+        let to = range.to.as_deref();
+        let path = wire::read_path(&range.table, &range.partition, &range.from, to, Some(limit));
         self.get(StoreCall::Read, &path, Duration::ZERO).await
     }
 
@@ -280,8 +329,7 @@
         let started = self.clock.now();
         let outcome = self.call_any_way(outgoing, wait).await;
         let took = self.clock.now().saturating_sub(started);
-        self.metrics
-            .count_store_call(kind, outcome.as_ref().err(), took);
+        (self.observer)(kind, outcome.as_ref().err(), took);
         outcome
     }
 
@@ -357,10 +405,7 @@
         wait: Duration,
     ) -> Result<(u16, Bytes), StoreError> {
         let started = self.clock.now();
-        let answer = self
-            .direct
-            .call(outgoing, wait, self.settings.timeout)
-            .await;
+        let answer = self.direct.call(outgoing, wait, self.timeout).await;
         let outcome = judge(answer);
         let turn = match &outcome {
             Ok(_) => {
@@ -399,7 +444,7 @@
     ) -> Option<(StoreStatus, Bytes)> {
         for way in self.peers_to_ask() {
             let started = self.clock.now();
-            let answer = way.call(outgoing, wait, self.settings.timeout).await;
+            let answer = way.call(outgoing, wait, self.timeout).await;
             match judge(answer) {
                 Ok((status, body)) => {
                     if !way.was_ever_answered() || !way.is_up() {
@@ -450,9 +495,3 @@
         status => StoreError::NoAnswer(format!("unexpected status {status:?}")),
     }
 }
-
-/// First key of the next page: right behind the last row of this one.
-fn next_page(has_more: bool, rows: &[Row]) -> Option<String> {
-    let last = rows.last().filter(|_| has_more)?;
-    Some(format!("{}\u{1}", last.id.key))
-}
