Take in settings that change while a gateway runs

Cause: SIGHUP and a file that changed without a signal were only noted; the new settings waited for the next start. A store that moves to another address would have been lost until then.

Ruled out: reading the file only on SIGHUP, since the platform may change it without one; taking in addresses and names, which open sockets and rows in the store depend on.

Change: the file is read on SIGHUP and every 2 s (gateway/src/reload.rs). The store's address and limits, the grace and the retention margin are in force for what begins afterwards, all else waits for a start; a file that is not accepted changes nothing and is told once. Events 826 and 827. With it, a loss of the store is told once it counts, 60 ms after the first failure, rather than with every lost answer; what is refused for it makes sure that it was told.

Tests: changed_settings_are_taken_in_with_a_signal_and_without_one and settings_that_are_not_accepted_change_nothing_and_are_told_once fail before; the first also showed that a way to a new address counted as never answered, which refused turns until the next feed.

--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -31,8 +31,8 @@
 /// The process's state.
 #[derive(Debug)]
 pub struct Gateway {
-    /// Settings as they were read at the start.
-    pub settings: GatewaySettings,
+    /// Settings in force.
+    settings: RefCell<Rc<GatewaySettings>>,
     /// Time since the start.
     pub clock: Clock,
     /// What is counted.
@@ -78,10 +78,22 @@
             crashes: RefCell::default(),
             open_requests: Cell::new(0),
             stopping: Cell::new(false),
-            settings,
+            settings: RefCell::new(Rc::new(settings)),
         }
     }
 
+    /// Settings in force.
+    pub fn settings(&self) -> Rc<GatewaySettings> {
+        Rc::clone(&self.settings.borrow())
+    }
+
+    /// Puts other settings in force, for what begins from now on.
+    pub fn set_settings(&self, settings: GatewaySettings) {
+        let store = &settings.store;
+        self.store.set_store(store.address, store.timeout);
+        self.settings.replace(Rc::new(settings));
+    }
+
     /// The routes in force.
     pub fn routes(&self) -> Option<Rc<RouteTable>> {
         self.routes.borrow().clone()
@@ -100,6 +112,7 @@
 
     /// Refuses what needs the store.
     pub fn store_unreachable(&self) -> Refusal {
+        self.store.tell_if_lost();
         Refusal::StoreUnreachable(self.store.unreachable_for())
     }
 
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -9,7 +9,7 @@
 //! | what the process believes of routes and endpoints | [`watch`], [`gossip`], [`quarantine`] |
 //! | calls to the store by other gateways | [`peers`] |
 //! | what is written and counted | [`trail`], [`metrics`] |
-//! | start and stop | [`process`] |
+//! | start, stop and changed settings | [`process`], [`reload`] |
 //!
 //! [`gateway`] is the state that they share. The decisions themselves are in
 //! `rosebend_coordination::gateway`, the names of the wire in
@@ -29,6 +29,7 @@
 pub mod process;
 pub mod programs;
 pub mod quarantine;
+pub mod reload;
 pub mod reply;
 pub mod retention;
 pub mod spending;
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -56,15 +56,15 @@
         println!("{}: accepted", path.display());
         return ExitCode::SUCCESS;
     }
-    serve(settings)
+    serve(settings, path)
 }
 
-fn serve(settings: GatewaySettings) -> ExitCode {
+fn serve(settings: GatewaySettings, path: PathBuf) -> ExitCode {
     if let Err(error) = init_json_logging(&settings.log, &settings.host) {
         eprintln!("rosebend-gateway: {error}");
         return ExitCode::FAILURE;
     }
-    match process::run(settings) {
+    match process::run(settings, path) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error!("{error}");
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -65,7 +65,7 @@
 }
 
 async fn write_row(gateway: &Gateway, relay: SocketAddr) -> Result<(), StoreError> {
-    let host = gateway.settings.host.clone();
+    let host = gateway.settings().host.clone();
     let row = RowId::new(TABLE, "", key(&host));
     let value = serde_json::to_vec(&PeerRow { host, relay }).expect("text has a JSON form");
     let transaction = Transaction {
@@ -78,7 +78,7 @@
 /// Deletes this gateway's row at a planned stop.
 pub async fn leave(gateway: &Gateway) {
     let transaction = Transaction {
-        deletes: vec![RowId::new(TABLE, "", key(&gateway.settings.host))],
+        deletes: vec![RowId::new(TABLE, "", key(&gateway.settings().host))],
         ..Transaction::default()
     };
     // A row that stays costs a peer one call that is refused.
@@ -87,7 +87,7 @@
 
 /// Reads the rows behind this gateway's own, around the end of the table.
 async fn look(gateway: &Gateway) -> Result<usize, StoreError> {
-    let own = key(&gateway.settings.host);
+    let own = key(&gateway.settings().host);
     let all = RowRange::whole(TABLE, "");
     let behind = all.clone().after(&own);
     let mut rows = gateway.store.read_some(&behind, MAX_PEERS + 1).await?.rows;
@@ -96,7 +96,7 @@
     }
     let mut addresses: Vec<SocketAddr> = Vec::new();
     for peer in rows.iter().filter_map(decode) {
-        if peer.host != gateway.settings.host && !addresses.contains(&peer.relay) {
+        if peer.host != gateway.settings().host && !addresses.contains(&peer.relay) {
             addresses.push(peer.relay);
         }
     }
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -1,6 +1,7 @@
 //! Starts the process and stops it.
 
 use std::io;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,7 +12,7 @@
 use tokio::sync::watch;
 
 use crate::gateway::Gateway;
-use crate::{front, gossip, peers, quarantine, retention, watch as follow};
+use crate::{front, gossip, peers, quarantine, reload, retention, watch as follow};
 
 /// How long after the signal to stop new connections are still accepted: the
 /// balancer asks once a second and takes a host out after two misses.
@@ -40,18 +41,19 @@
     Signal(io::Error),
 }
 
-/// Runs a gateway until it is asked to stop.
+/// Runs a gateway until it is asked to stop, and follows the file of its
+/// settings.
 ///
 /// # Errors
 ///
 /// Fails when an address cannot be listened on.
-pub fn run(settings: GatewaySettings) -> Result<(), ProcessError> {
-    actix_rt::System::new().block_on(run_until_stopped(settings))
+pub fn run(settings: GatewaySettings, path: PathBuf) -> Result<(), ProcessError> {
+    actix_rt::System::new().block_on(run_until_stopped(settings, path))
 }
 
-async fn run_until_stopped(settings: GatewaySettings) -> Result<(), ProcessError> {
+async fn run_until_stopped(settings: GatewaySettings, path: PathBuf) -> Result<(), ProcessError> {
     let mut terminate = signal(SignalKind::terminate()).map_err(ProcessError::Signal)?;
-    let mut hangup = signal(SignalKind::hangup()).map_err(ProcessError::Signal)?;
+    let hangup = signal(SignalKind::hangup()).map_err(ProcessError::Signal)?;
     let front = listen(settings.front_listen, "callers")?;
     let ready = listen(settings.ready_listen, "balancer")?;
     let metrics = listen(settings.metrics_listen, "metrics")?;
@@ -76,13 +78,9 @@
     actix_rt::spawn(peers::probe(Rc::clone(&gateway)));
     actix_rt::spawn(quarantine::follow(Rc::clone(&gateway)));
     actix_rt::spawn(retention::run(Rc::clone(&gateway)));
-    log_event(&Event::new(EventKind::ProcessStarted).host(&gateway.settings.host));
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = hangup.recv() => log_event(&Event::new(EventKind::ReloadAsked)),
-        }
-    }
+    actix_rt::spawn(reload::follow(Rc::clone(&gateway), path, hangup));
+    log_event(&Event::new(EventKind::ProcessStarted).host(&gateway.settings().host));
+    terminate.recv().await;
     stop(&gateway, &close).await;
     Ok(())
 }
@@ -104,7 +102,7 @@
 /// Lets open requests end, and ends before it is made to.
 async fn stop(gateway: &Gateway, close: &watch::Sender<bool>) {
     gateway.stop();
-    let grace = gateway.settings.stop_grace.saturating_sub(END_MARGIN);
+    let grace = gateway.settings().stop_grace.saturating_sub(END_MARGIN);
     let end = gateway.clock.now() + grace;
     let open = gateway.open_requests();
     log_event(&Event::new(EventKind::ProcessStopping).count(open));
--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -54,7 +54,7 @@
     let row = RowId::new(TABLE, "", format!("{request:016x}{SEPARATOR}{instance}"));
     let write = RowWrite {
         row: row.clone(),
-        value: gateway.settings.host.clone().into_bytes(),
+        value: gateway.settings().host.clone().into_bytes(),
     };
     let transaction = Transaction {
         writes: vec![write],
--- a/gateway/src/turn_stream.rs
+++ b/gateway/src/turn_stream.rs
@@ -210,7 +210,7 @@
         let ended = self.gateway.clock.now();
         let turn = Arc::new(self.turn(record, spending.tokens()));
         // The limit is one of encoded bytes, of which four stand for three.
-        let rows = turn.rows(self.gateway.settings.store.row_bytes / 4 * 3);
+        let rows = turn.rows(self.gateway.settings().store.row_bytes / 4 * 3);
         let row_ids: Vec<RowId> = rows.iter().map(|write| write.row.clone()).collect();
         match spending.settle(rows).await {
             Ok(_) => {
@@ -254,7 +254,7 @@
     /// Takes note of the turn's rows, to delete them one day.
     fn keep(&self, program: &str, rows: Vec<RowId>) {
         let version = self.gateway.commits.version(program);
-        let retention = self.call.route.retention + self.gateway.settings.retention_margin;
+        let retention = self.call.route.retention + self.gateway.settings().retention_margin;
         let now = self.gateway.clock.now();
         self.gateway
             .retention
--- a/gateway/tests/lifecycle.rs
+++ b/gateway/tests/lifecycle.rs
@@ -134,6 +134,81 @@
     assert_eq!(gateway.exit_code().await, Some(0));
 }
 
+#[actix_rt::test]
+async fn changed_settings_are_taken_in_with_a_signal_and_without_one() {
+    let site = Site::start();
+    let first = site.door.address().to_string();
+    let doors: Vec<_> = (0..2)
+        .map(|_| {
+            let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+            site.store.open_door(listener).unwrap()
+        })
+        .collect();
+    let addresses: Vec<String> = doors
+        .iter()
+        .map(|door| door.address().to_string())
+        .collect();
+    let gateway = site.gateway();
+    gateway.until_ready().await;
+    // The store is at another address from now on.
+    site.faults(&StoreFaults::refusing()).await;
+    gateway.until_unready().await;
+    gateway.change_settings(&first, &addresses[0]);
+    gateway.signal("HUP");
+    gateway.until_ready().await;
+    assert_eq!(gateway.events("reload-asked").len(), 1);
+
+    gateway.change_settings(&addresses[0], &addresses[1]);
+    until("the file is taken in", async || {
+        gateway.events("settings-taken").len() == 2
+    })
+    .await;
+    let turn = Ask::turn("t1", "p1", "x").send(gateway.front).await;
+    assert_eq!((turn.status, turn.is_whole), (200, true));
+    let reasons = gateway.events("settings-taken");
+    assert!(
+        reasons.iter().all(|event| event["reason"] == "all"),
+        "{reasons:?}"
+    );
+
+    // What the process is called waits for its next start.
+    gateway.change_settings(
+        "availability_zone = newport-hall",
+        "availability_zone = harbour",
+    );
+    until("the rest is taken in", async || {
+        let events = gateway.events("settings-taken");
+        events
+            .iter()
+            .any(|event| event["reason"] == "all but what needs a start")
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn settings_that_are_not_accepted_change_nothing_and_are_told_once() {
+    let site = Site::start();
+    let gateway = site.gateway();
+    gateway.until_ready().await;
+    gateway.change_settings("stop_grace_s = 8", "stop_grace_s = soon");
+    gateway.signal("HUP");
+    until("the file is refused", async || {
+        !gateway.events("settings-refused").is_empty()
+    })
+    .await;
+    gateway.signal("HUP");
+    until("the file was looked at again", async || {
+        gateway.events("reload-asked").len() == 2
+    })
+    .await;
+    let turn = Ask::turn("t1", "p1", "x").send(gateway.front).await;
+    assert_eq!((turn.status, turn.is_whole), (200, true));
+    let refused = gateway.events("settings-refused");
+    assert_eq!(refused.len(), 1);
+    let error = refused[0]["error"].as_str().unwrap();
+    assert!(error.contains("stop_grace_s"), "{error}");
+}
+
 #[actix_rt::test]
 async fn requests_on_one_connection_are_answered_one_after_the_other() {
     let site = Site::start();
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -182,6 +182,7 @@
     pub front: SocketAddr,
     pub ready: SocketAddr,
     pub metrics: SocketAddr,
+    settings: PathBuf,
     lines: Arc<Mutex<Vec<String>>>,
 }
 
@@ -230,6 +231,7 @@
             front: of("callers"),
             ready: of("balancer"),
             metrics: of("metrics"),
+            settings: path,
             lines: Arc::clone(&lines),
         };
         std::thread::spawn(move || {
@@ -244,6 +246,15 @@
         gateway
     }
 
+    /// Replaces a part of the settings file, all at once.
+    pub fn change_settings(&self, from: &str, to: &str) {
+        let settings = std::fs::read_to_string(&self.settings).unwrap();
+        assert!(settings.contains(from), "{settings}");
+        let next = self.settings.with_extension("next");
+        std::fs::write(&next, settings.replace(from, to)).unwrap();
+        std::fs::rename(&next, &self.settings).unwrap();
+    }
+
     pub async fn is_ready(&self) -> bool {
         Ask::get("/readyz").send(self.ready).await.status == 200
     }
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -133,8 +133,12 @@
     ReadyChanged,
     /// `count` lines of the log were dropped since they came faster than they could be written; `reason` is their level.
     LinesDropped,
-    /// The process was asked to read its settings again; it keeps them, and takes new ones at its next start.
+    /// The process was asked to read its settings again.
     ReloadAsked,
+    /// A changed settings file is in force; `reason` says how far.
+    SettingsTaken,
+    /// A changed settings file is not accepted; the settings stay as they were.
+    SettingsRefused,
     /// A request crashed `count` endpoints; it is refused everywhere.
     RequestQuarantined,
     /// A caller's connection could not be accepted.
@@ -149,7 +153,7 @@
 
 impl EventKind {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 68] = [
+    pub const ALL: [Self; 70] = [
         Self::ProcessStarted,
         Self::ProcessStopping,
         Self::ProcessStopped,
@@ -213,6 +217,8 @@
         Self::ReadyChanged,
         Self::LinesDropped,
         Self::ReloadAsked,
+        Self::SettingsTaken,
+        Self::SettingsRefused,
         Self::RequestQuarantined,
         Self::AcceptFailed,
         Self::RecordUnreadable,
@@ -286,6 +292,8 @@
             Self::ReadyChanged => 818,
             Self::LinesDropped => 819,
             Self::ReloadAsked => 820,
+            Self::SettingsTaken => 826,
+            Self::SettingsRefused => 827,
             Self::RequestQuarantined => 821,
             Self::AcceptFailed => 822,
             Self::RecordUnreadable => 823,
@@ -360,6 +368,8 @@
             Self::ReadyChanged => "ready-changed",
             Self::LinesDropped => "lines-dropped",
             Self::ReloadAsked => "reload-asked",
+            Self::SettingsTaken => "settings-taken",
+            Self::SettingsRefused => "settings-refused",
             Self::RequestQuarantined => "request-quarantined",
             Self::AcceptFailed => "accept-failed",
             Self::RecordUnreadable => "record-unreadable",
@@ -398,6 +408,7 @@
             | Self::RequestEnded
             | Self::EndpointAvoided
             | Self::StoreLost
+            | Self::SettingsRefused
             | Self::LinesDropped
             | Self::AcceptFailed => Level::Warn,
             Self::CallAccepted | Self::CallFinished | Self::CallRefused | Self::RequestRefused => {
@@ -526,8 +537,10 @@
             Self::LinesDropped => {
                 "`count` lines of the log were dropped since they came faster than they could be written; `reason` is their level."
             }
-            Self::ReloadAsked => {
-                "The process was asked to read its settings again; it keeps them, and takes new ones at its next start."
+            Self::ReloadAsked => "The process was asked to read its settings again.",
+            Self::SettingsTaken => "A changed settings file is in force; `reason` says how far.",
+            Self::SettingsRefused => {
+                "A changed settings file is not accepted; the settings stay as they were."
             }
             Self::RequestQuarantined => {
                 "A request crashed `count` endpoints; it is refused everywhere."
--- a/transport/src/store/mod.rs
+++ b/transport/src/store/mod.rs
@@ -33,7 +33,7 @@
 const MAX_PEERS_ASKED: usize = 2;
 
 /// Why a call gave nothing.
-#[derive(Debug, thiserror::Error)]
+#[derive(Clone, Debug, thiserror::Error)]
 pub enum StoreError {
     /// The store refuses this host, or everyone; nothing was done.
     #[error("the store refuses calls")]
@@ -91,19 +91,21 @@
 /// transactions carry their conditions or write rows that never change.
 pub struct StoreClient {
     /// Longest wait for an answer.
-    timeout: Duration,
+    timeout: Cell<Duration>,
     clock: Clock,
     observer: CallObserver,
-    direct: Way,
+    direct: RefCell<Rc<Way>>,
     /// First call refused as one too many, with none answered since.
     throttled_since: Cell<Option<Duration>>,
+    /// Why the last straight call failed; none since one was answered.
+    last_failure: RefCell<Option<StoreError>>,
     peers: RefCell<Vec<Rc<Way>>>,
 }
 
 impl std::fmt::Debug for StoreClient {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("StoreClient")
-            .field("direct", &self.direct)
+            .field("direct", &self.direct())
             .finish_non_exhaustive()
     }
 }
@@ -113,11 +115,12 @@
     /// at most `timeout` for each answer.
     pub fn new(address: SocketAddr, timeout: Duration, clock: Clock) -> Self {
         Self {
-            direct: Way::new(address, clock),
+            direct: RefCell::new(Rc::new(Way::new(address, clock))),
             throttled_since: Cell::new(None),
+            last_failure: RefCell::default(),
             peers: RefCell::default(),
             observer: Box::new(|_, _, _| {}),
-            timeout,
+            timeout: Cell::new(timeout),
             clock,
         }
     }
@@ -134,6 +137,19 @@
         self
     }
 
+    /// Takes another address and another longest wait, for calls from now on.
+    pub fn set_store(&self, address: SocketAddr, timeout: Duration) {
+        self.timeout.set(timeout);
+        let direct = self.direct();
+        if direct.address() != address {
+            self.direct.replace(Rc::new(direct.moved_to(address)));
+        }
+    }
+
+    fn direct(&self) -> Rc<Way> {
+        Rc::clone(&self.direct.borrow())
+    }
+
     /// Sets the peers that pass calls on, best first. Known ones keep their
     /// connections.
     pub fn set_peers(&self, addresses: &[std::net::SocketAddr]) {
@@ -157,30 +173,41 @@
 
     /// Whether calls are answered, straight or by a peer.
     pub fn is_reachable(&self) -> bool {
-        self.was_ever_answered() && (self.direct.is_up() || self.is_relayed())
+        self.was_ever_answered() && (self.direct().is_up() || self.is_relayed())
     }
 
     /// For how long no call has been answered; zero while calls are.
     pub fn unreachable_for(&self) -> Duration {
-        match self.direct.is_up() || self.is_relayed() {
+        match self.direct().is_up() || self.is_relayed() {
             true => Duration::ZERO,
-            false => self.direct.unreachable_for(),
+            false => self.direct().unreachable_for(),
         }
     }
 
     /// Whether the store does not answer this host, whoever else it answers.
     pub fn is_direct_down(&self) -> bool {
-        !self.direct.is_up()
+        !self.direct().is_up()
+    }
+
+    /// Tells the log that the store does not answer, unless it knows: what is
+    /// refused for that must not stand there without its cause.
+    pub fn tell_if_lost(&self) {
+        if self.direct().turn_down().is_some() {
+            let failure = self.last_failure.borrow().clone();
+            let silent = || StoreError::NoAnswer("calls are open for too long".to_owned());
+            let failure = failure.unwrap_or_else(silent);
+            log_event(&Event::new(EventKind::StoreLost).error(&failure));
+        }
     }
 
     /// Whether the store was away within `span` before now.
     pub fn was_away_within(&self, span: Duration) -> bool {
-        self.direct.was_away_within(span)
+        self.direct().was_away_within(span)
     }
 
     fn was_ever_answered(&self) -> bool {
         let mut ways = self.peers.borrow().clone().into_iter();
-        self.direct.was_ever_answered() || ways.any(|way| way.was_ever_answered())
+        self.direct().was_ever_answered() || ways.any(|way| way.was_ever_answered())
     }
 
     fn is_relayed(&self) -> bool {
@@ -354,7 +381,7 @@
             Ok(answer) => Ok(answer),
             // The store's rate is one for all hosts: a peer would only add to
             // the calls. A host that is always told so is turned away.
-            Err(StoreError::Throttled) if self.direct.is_up() => Err(StoreError::Throttled),
+            Err(StoreError::Throttled) if self.direct().is_up() => Err(StoreError::Throttled),
             Err(error) => {
                 let by_peers = self.call_by_peers(outgoing, wait).await;
                 by_peers.ok_or(error)
@@ -405,15 +432,17 @@
         wait: Duration,
     ) -> Result<(u16, Bytes), StoreError> {
         let started = self.clock.now();
-        let answer = self.direct.call(outgoing, wait, self.timeout).await;
+        let direct = self.direct();
+        let answer = direct.call(outgoing, wait, self.timeout.get()).await;
         let outcome = judge(answer);
+        self.last_failure.replace(outcome.as_ref().err().cloned());
         let turn = match &outcome {
             Ok(_) => {
                 self.throttled_since.set(None);
-                self.direct.note_answer(started)
+                direct.note_answer(started)
             }
             Err(StoreError::Throttled) if !self.is_shut_out() => None,
-            Err(_) => self.direct.note_failure(),
+            Err(_) => direct.note_failure(),
         };
         match (turn, &outcome) {
             (Some(Turn::Lost), Err(error)) => {
@@ -444,7 +473,7 @@
     ) -> Option<(StoreStatus, Bytes)> {
         for way in self.peers_to_ask() {
             let started = self.clock.now();
-            let answer = way.call(outgoing, wait, self.timeout).await;
+            let answer = way.call(outgoing, wait, self.timeout.get()).await;
             match judge(answer) {
                 Ok((status, body)) => {
                     if !way.was_ever_answered() || !way.is_up() {
--- a/transport/src/store/way.rs
+++ b/transport/src/store/way.rs
@@ -44,6 +44,8 @@
     failing_since: Cell<Option<Duration>>,
     /// End of the last time without answers.
     recovered_at: Cell<Option<Duration>>,
+    /// Since when it has been told to be down.
+    told_lost_at: Cell<Option<Duration>>,
     /// When the answer of each open call may first be expected.
     open_calls: RefCell<BTreeMap<u64, Duration>>,
     next_call: Cell<u64>,
@@ -91,6 +93,16 @@
         }
     }
 
+    /// A way to the same store by another address, believed in until a call
+    /// fails.
+    pub fn moved_to(&self, address: SocketAddr) -> Self {
+        let way = Self::new(address, self.clock);
+        if self.was_ever_answered() {
+            way.health.last_success.set(Some(self.clock.now()));
+        }
+        way
+    }
+
     /// Where it leads.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -218,10 +230,22 @@
     pub fn note_failure(&self) -> Option<Turn> {
         // Others of the same age deliver nothing either, most likely.
         self.idle.borrow_mut().clear();
-        if self.health.failing_since.get().is_some() {
+        let failing_since = self.health.failing_since.get();
+        let failing_since = failing_since.unwrap_or_else(|| self.clock.now());
+        self.health.failing_since.set(Some(failing_since));
+        self.turn_down()
+    }
+
+    /// Whether the way counts as down since the last look. A single lost answer
+    /// does not make it so: told as a loss each, a store that loses answers
+    /// would fill the log.
+    pub fn turn_down(&self) -> Option<Turn> {
+        if self.is_up() || self.health.told_lost_at.get().is_some() {
             return None;
         }
-        self.health.failing_since.set(Some(self.clock.now()));
+        let now = self.clock.now();
+        let down_since = now.saturating_sub(self.unreachable_for());
+        self.health.told_lost_at.set(Some(down_since));
         Some(Turn::Lost)
     }
 
@@ -230,16 +254,15 @@
     /// that the store is back.
     pub fn note_answer(&self, started: Duration) -> Option<Turn> {
         let now = self.clock.now();
-        let mut turn = None;
         if let Some(since) = self.health.failing_since.get() {
             if started < since {
                 return None;
             }
             self.health.failing_since.set(None);
             self.health.recovered_at.set(Some(now));
-            turn = Some(Turn::Regained(now.saturating_sub(since)));
         }
         self.health.last_success.set(Some(now));
-        turn
+        let lost_at = self.health.told_lost_at.take()?;
+        Some(Turn::Regained(now.saturating_sub(lost_at)))
     }
 }
