--- a/gateway/tests/explain.rs
+++ b/gateway/tests/explain.rs
@@ -137,3 +137,29 @@
         "missing: no line names t9\n"
     );
 }
+
+#[actix_rt::test]
+async fn an_answer_that_the_store_loses_is_no_loss_of_the_store() {
+    let site = Site::start();
+    let gateway = site.gateway();
+    gateway.until_ready().await;
+    for number in 0..8 {
+        let lost = StoreFaults {
+            lose_answers: 1,
+            ..StoreFaults::default()
+        };
+        site.faults(&lost).await;
+        let turn = Ask::turn(&format!("t{number}"), &format!("p{number}"), "x");
+        let answer = turn.send(gateway.front).await;
+        assert_eq!((answer.status, answer.is_whole), (200, true));
+    }
+    assert_eq!(site.store.stats().lost_answers, 8);
+    assert!(gateway.events("store-lost").is_empty());
+
+    site.faults(&StoreFaults::refusing()).await;
+    gateway.until_unready().await;
+    assert_eq!(gateway.events("store-lost").len(), 1);
+    site.faults(&StoreFaults::default()).await;
+    gateway.until_ready().await;
+    assert_eq!(gateway.events("store-regained").len(), 1);
+}
