Refuse heads that are too long, and tell every refused request

Cause: the declared bound of a request's head was not kept: a head of 20 KB was served where 16 KB were allowed. A request that was refused before its route was known left a counter and no line, so its id led nowhere.

Change: 431 with a problem, and a `request-ended` line with the attempt, if it names one, for every refusal.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -13,7 +13,7 @@
 use rosebend_coordination::gateway::route_table::service_for;
 use rosebend_platform::headers;
 use rosebend_state::deployment::{CallHeader, Route, RouteKind, ServiceName};
-use rosebend_transport::event::{Event, EventKind};
+use rosebend_transport::event::{Event, EventKind, log_event};
 
 use crate::gateway::Gateway;
 use crate::reply::{Refusal, Reply};
@@ -74,12 +74,11 @@
 /// Answers a request of a caller.
 pub async fn answer(gateway: Rc<Gateway>, request: Request) -> Response<BoxBody> {
     let _open = gateway.open_request();
-    let response = match read(&gateway, request).await {
+    let arrived = gateway.clock.now();
+    let headers = to_http(request.headers());
+    let response = match read(&gateway, request, &headers, arrived).await {
         Ok(call) => serve(&gateway, call).await,
-        Err(refusal) => {
-            gateway.metrics.count_refusal(refusal.word());
-            Reply::Problem(refusal).into_response()
-        }
+        Err(refusal) => refuse_unread(&gateway, &headers, refusal, arrived),
     };
     close_if_stopping(&gateway, response)
 }
@@ -95,6 +94,25 @@
     }
 }
 
+/// Answers a request that cannot be served, of which no more than its headers
+/// is known.
+fn refuse_unread(
+    gateway: &Gateway,
+    headers: &HeaderMap,
+    refusal: Refusal,
+    arrived: Duration,
+) -> Response<BoxBody> {
+    let elapsed = gateway.clock.now().saturating_sub(arrived);
+    let event = Event::new(EventKind::RequestEnded).status(refusal.status());
+    let event = event.elapsed(elapsed).reason(refusal.word());
+    log_event(&match headers::decode_call(headers) {
+        Some(header) => event.attempt(&header.attempt),
+        None => event,
+    });
+    gateway.metrics.count_refusal(refusal.word());
+    Reply::Problem(refusal).into_response()
+}
+
 /// Answers a call that no endpoint answered.
 pub fn refuse(gateway: &Gateway, call: &Call, refusal: Refusal) -> Response<BoxBody> {
     let elapsed = call.elapsed(gateway.clock.now());
@@ -114,17 +132,23 @@
     response
 }
 
-async fn read(gateway: &Gateway, mut request: Request) -> Result<Call, Refusal> {
-    let arrived = gateway.clock.now();
-    let headers = to_http(request.headers());
+async fn read(
+    gateway: &Gateway,
+    mut request: Request,
+    headers: &HeaderMap,
+    arrived: Duration,
+) -> Result<Call, Refusal> {
     let routes = gateway.routes().ok_or(Refusal::NotReady)?;
-    let max_bytes = routes.deployment().limits.max_body_bytes;
-    let body = read_body(&mut request, max_bytes).await?;
+    let limits = routes.deployment().limits;
+    if head_bytes(&request, headers) > limits.max_header_bytes {
+        return Err(Refusal::HeadTooLarge);
+    }
+    let body = read_body(&mut request, limits.max_body_bytes).await?;
     // Read the newest routes: the body may have taken a while.
     let routes = gateway.routes().unwrap_or(routes);
     let caller = request.peer_addr().map(|peer| peer.ip().to_string());
     let caller = caller.unwrap_or_default();
-    let header = headers::decode_call(&headers).ok_or(Refusal::NoAttempt)?;
+    let header = headers::decode_call(headers).ok_or(Refusal::NoAttempt)?;
     let host = headers.get(http::header::HOST);
     let host = host
         .and_then(|value| value.to_str().ok())
@@ -150,7 +174,7 @@
         method: method(&request)?,
         fingerprint: fingerprint(host, &target, &caller, &body),
         target,
-        headers: headers::for_endpoint(&headers),
+        headers: headers::for_endpoint(headers),
         header,
         body,
         route: route.clone(),
@@ -160,6 +184,15 @@
     })
 }
 
+/// Bytes of a request's head, as they would be written.
+fn head_bytes(request: &Request, headers: &HeaderMap) -> usize {
+    // " HTTP/1.1" with its space and line end, and ": " with a line end each.
+    let line = request.method().as_str().len() + request.uri().to_string().len() + 12;
+    let fields = headers.iter();
+    let fields = fields.map(|(name, value)| name.as_str().len() + value.len() + 4);
+    line + fields.sum::<usize>()
+}
+
 fn method(request: &Request) -> Result<http::Method, Refusal> {
     let method = http::Method::from_bytes(request.method().as_str().as_bytes());
     method.map_err(|_| Refusal::NoRoute)
--- a/gateway/src/reply.rs
+++ b/gateway/src/reply.rs
@@ -38,6 +38,8 @@
     NoRoute,
     /// The process does not know the routes yet.
     NotReady,
+    /// The head is longer than allowed.
+    HeadTooLarge,
     /// The body is longer than allowed.
     BodyTooLarge,
     /// The body ended early.
@@ -74,6 +76,7 @@
             Self::NoAttempt => "no-attempt",
             Self::NoRoute => "no-route",
             Self::NotReady => "not-ready",
+            Self::HeadTooLarge => "head-too-large",
             Self::BodyTooLarge => "body-too-large",
             Self::BodyCutShort => "body-cut-short",
             Self::BodyTimeout => "body-timeout",
@@ -94,6 +97,7 @@
             Self::NoRoute | Self::NoSuchTurn => 404,
             Self::BodyTimeout => 408,
             Self::BodyTooLarge => 413,
+            Self::HeadTooLarge => 431,
             Self::BudgetSpent => 402,
             Self::NotReady | Self::NoRoom | Self::StoreUnreachable(_) => 503,
             Self::CrashesEndpoints => 503,
@@ -125,6 +129,7 @@
             Self::NoAttempt => "the request does not name its attempt",
             Self::NoRoute => "no route serves this host and path",
             Self::NotReady => "the routes are not known yet",
+            Self::HeadTooLarge => "the headers are longer than allowed",
             Self::BodyTooLarge => "the body is longer than allowed",
             Self::BodyCutShort => "the body ended early",
             Self::BodyTimeout => "the body did not arrive in time",
