Read a program's turns from its own rows only, and split handoffs off

Cause: reading a chain across programs was left behind when programs that continue from another one's turn began to keep a copy of it; nothing reached it.

Change: a turn whose chain is not in its program's rows or in memory is an unreadable record, as before for any other gap: 503 with a line, never 404. entry/src/control/handoff.rs holds what passes shards on and takes them. The owner's page says what moves with a shard instead of how its interface came to be.

Conclusion: no change of behaviour; the tests of turns and of handoffs are as they were.

--- a/coordination/src/owner/mod.rs
+++ b/coordination/src/owner/mod.rs
@@ -59,12 +59,13 @@
   and hands it to the next owner. Without it a retained answer can't be found
   by its key.
 
-# Deviations from the first sketch of this interface
+# What moves with a shard
 
 `ShardGained` carries what sidecars retain, and from which epoch on that is
-everything; `Claim` and `Claimed` carry the attempt; `Follow` says whether the call has ended already; a call that the
-shard's next owner has to finish ends as [`CallOutcome::Moved`]; and a caller
-whose opening or ending of a program was being written when the table stopped
+everything. A call that the shard's next owner has to finish ends as
+[`CallOutcome::Moved`]. [`Owner::records`] gives the successor of a drained shard
+its durable records, so that it need not wait for the table. A caller whose
+opening or ending of a program was being written when the table stopped
 answering is told [`Reply::Undecided`].
 */
 
--- a/entry/src/control.rs
+++ b/entry/src/control.rs
@@ -30,6 +30,7 @@
 mod commits;
 mod config;
 mod directory;
+mod handoff;
 mod hosts;
 mod owner_events;
 mod retained;
--- a/gateway/src/programs.rs
+++ b/gateway/src/programs.rs
@@ -4,8 +4,8 @@
 
 use futures_util::future::join_all;
 use rosebend_coordination::gateway::history::{
-    HistoryError, StoredProgram, Turn, index_range, indexed_program, ledger_range, ledger_row,
-    partitions, program_range,
+    StoredProgram, Turn, index_range, indexed_program, ledger_range, ledger_row, partitions,
+    program_range,
 };
 use rosebend_coordination::gateway::ledger::Ledger;
 use rosebend_state::deployment::ProgramHeader;
@@ -95,49 +95,16 @@
     if !stored.has_turn(attempt) {
         return Ok(None);
     }
-    match stored_turn(gateway, &stored, program, attempt).await {
-        Ok(turn) => {
-            remember(gateway, &turn);
-            Ok(Some(turn))
-        }
-        Err(refusal) => Err(refusal),
-    }
-}
-
-/// Builds a turn of a program; one that continues from another program's turn
-/// brings that one in first.
-async fn stored_turn(
-    gateway: &Gateway,
-    stored: &StoredProgram,
-    program: &str,
-    attempt: &str,
-) -> Result<Arc<Turn>, Refusal> {
-    let turn = stored.turn(program, attempt, &gateway.history.borrow());
-    let missing = match turn {
-        Ok(turn) => return Ok(turn),
-        Err(HistoryError::Missing(missing)) => missing,
-        Err(error) => {
-            log_event(
-                &Event::new(EventKind::RecordUnreadable)
-                    .program_key(program)
-                    .error(&error),
-            );
-            return Err(gateway.store_unreachable());
-        }
-    };
-    let origin = find_program(gateway, &missing).await?;
-    let origin = origin.filter(|origin| origin != program);
-    let origin = origin.ok_or_else(|| gateway.store_unreachable())?;
-    Box::pin(read_turn(gateway, &origin, &missing)).await?;
+    // A program that continues from another one's turn has a copy of that chain,
+    // so its own rows are all that is needed.
     let turn = stored.turn(program, attempt, &gateway.history.borrow());
-    turn.map_err(|error| {
-        log_event(
-            &Event::new(EventKind::RecordUnreadable)
-                .program_key(program)
-                .error(&error),
-        );
+    let turn = turn.map_err(|error| {
+        let event = Event::new(EventKind::RecordUnreadable);
+        log_event(&event.program_key(program).error(&error));
         gateway.store_unreachable()
-    })
+    })?;
+    remember(gateway, &turn);
+    Ok(Some(turn))
 }
 
 fn remember(gateway: &Gateway, turn: &Arc<Turn>) {
