Send a transaction again before its timeout

Change: a copy is sent after four times what answers took lately, 150 ms at least and 1 s at most, and a third after twice that; the first answer counts. Conditions and immutable rows make copies harmless, as for every retry before.

Test: a_transaction_whose_answer_does_not_come_is_sent_again_before_its_timeout fails before; the stand-in learns to swallow answers.

--- a/gateway/tests/turns.rs
+++ b/gateway/tests/turns.rs
@@ -264,6 +264,33 @@
     assert_eq!(site.runs(MODELS).await["t5"].body, expected);
 }
 
+#[actix_rt::test]
+async fn a_transaction_whose_answer_does_not_come_is_sent_again_before_its_timeout() {
+    let site = Site::start();
+    let gateway = site.gateway();
+    gateway.until_ready().await;
+    let address = site.door.address().to_string();
+    // Longer than any wait of this test.
+    gateway.change_settings(&address, &format!("{address}\ntimeout_ms = 60000"));
+    gateway.signal("HUP");
+    until("the timeout is in force", async || {
+        !gateway.events("settings-taken").is_empty()
+    })
+    .await;
+    let mute = StoreFaults {
+        swallow_answers: 2,
+        ..StoreFaults::default()
+    };
+    site.faults(&mute).await;
+    let turn = Ask::turn("t1", "p1", "x");
+    let answer = tokio::time::timeout(Duration::from_secs(20), turn.send(gateway.front)).await;
+    let answer = answer.expect("the turn does not wait for the timeout");
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+    let next = Ask::turn("t2", "p1", "y").previous("t1");
+    assert_eq!(next.send(gateway.front).await.status, 200);
+    assert_eq!(site.store.stats().lost_answers, 2);
+}
+
 #[actix_rt::test]
 async fn an_outage_refuses_turns_with_a_growing_time_to_come_back() {
     let site = Site::start();
--- a/standin/src/store/mod.rs
+++ b/standin/src/store/mod.rs
@@ -71,6 +71,9 @@
     pub slow_ms: u64,
     /// Number of transactions more that take effect without an answer.
     pub lose_answers: u64,
+    /// Number of transactions more that take effect and whose answer never
+    /// comes, on a connection that stays open.
+    pub swallow_answers: u64,
     /// Number of transactions more that are lost before they take effect.
     pub lose_calls: u64,
     /// Number of transactions more that are refused with 429.
@@ -344,6 +347,10 @@
             self.store.lock().stats.lost_answers += 1;
             return cut();
         }
+        if is_write && take_one(&mut self.lock_faults().swallow_answers) {
+            self.store.lock().stats.lost_answers += 1;
+            std::future::pending::<()>().await;
+        }
         let slow_ms = self.lock_faults().slow_ms;
         actix_rt::time::sleep(Duration::from_millis(slow_ms)).await;
         reply
--- a/transport/src/store/mod.rs
+++ b/transport/src/store/mod.rs
@@ -10,6 +10,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use http::Method;
 use rosebend_platform::store::{self as wire, Rows, StoreStatus};
 use rosebend_state::deployment::{Row, RowId, RowRange, RowVersion, Transaction};
@@ -32,6 +34,16 @@
 /// each of them only says so.
 const MAX_PEERS_ASKED: usize = 2;
 
+/// Shortest wait for the answer to a transaction before another copy is sent.
+/// Answers take 8 to 20 ms; a few take longer when a partition is busy.
+const MIN_PATIENCE: Duration = Duration::from_millis(150);
+/// Longest such wait. A slow store answers after 200 to 500 ms, and needs no
+/// second copy of each call.
+const MAX_PATIENCE: Duration = Duration::from_secs(1);
+/// Copies of one transaction, at most: where three answers in ten are lost, all
+/// of three are lost in one of 37 transactions.
+const MAX_COPIES: usize = 3;
+
 /// Why a call gave nothing.
 #[derive(Clone, Debug, thiserror::Error)]
 pub enum StoreError {
@@ -97,6 +109,8 @@
     direct: RefCell<Rc<Way>>,
     /// First call refused as one too many, with none answered since.
     throttled_since: Cell<Option<Duration>>,
+    /// How long to wait for the answer to a transaction before it is sent again.
+    patience: Cell<Duration>,
     /// Why the last straight call failed; none since one was answered.
     last_failure: RefCell<Option<StoreError>>,
     peers: RefCell<Vec<Rc<Way>>>,
@@ -117,6 +131,7 @@
         Self {
             direct: RefCell::new(Rc::new(Way::new(address, clock))),
             throttled_since: Cell::new(None),
+            patience: Cell::new(MIN_PATIENCE),
             last_failure: RefCell::default(),
             peers: RefCell::default(),
             observer: Box::new(|_, _, _| {}),
@@ -226,8 +241,7 @@
             path: wire::TRANSACT_PATH.to_owned(),
             body: Bytes::from(wire::encode_transaction(transaction)),
         };
-        let call = self.call(StoreCall::Transact, &outgoing, Duration::ZERO);
-        let (status, body) = call.await?;
+        let (status, body) = self.call_again_when_late(&outgoing).await?;
         let rows = decode(&body)?;
         match status {
             StoreStatus::Done => Ok(Transacted::Applied(rows.version)),
@@ -346,6 +360,52 @@
         }
     }
 
+    /// A transaction, sent again while no answer comes: its conditions keep a
+    /// second copy from taking effect twice. The first answer counts.
+    async fn call_again_when_late(
+        &self,
+        outgoing: &Outgoing,
+    ) -> Result<(StoreStatus, Bytes), StoreError> {
+        let mut copies = FuturesUnordered::new();
+        let mut sent = 0;
+        let mut patience = self.patience.get();
+        loop {
+            if sent < MAX_COPIES {
+                copies.push(self.timed_transaction(outgoing));
+                sent += 1;
+            }
+            let wait = match sent < MAX_COPIES {
+                true => patience,
+                false => self.timeout.get() * 2,
+            };
+            patience *= 2;
+            while let Ok(ended) = tokio::time::timeout(wait, copies.next()).await {
+                match ended {
+                    Some(Ok(answer)) => return Ok(answer),
+                    // Another copy may still be answered.
+                    Some(Err(_)) if !copies.is_empty() => {}
+                    Some(Err(error)) => return Err(error),
+                    None => return Err(StoreError::NoAnswer("no copy is open".to_owned())),
+                }
+            }
+        }
+    }
+
+    /// One copy of a transaction, whose time tells how long to wait for others.
+    async fn timed_transaction(
+        &self,
+        outgoing: &Outgoing,
+    ) -> Result<(StoreStatus, Bytes), StoreError> {
+        let started = self.clock.now();
+        let call = self.call(StoreCall::Transact, outgoing, Duration::ZERO);
+        let answer = call.await;
+        if answer.is_ok() {
+            let took = self.clock.now().saturating_sub(started);
+            self.patience.set(next_patience(self.patience.get(), took));
+        }
+        answer
+    }
+
     /// One call, whose answer the store may hold back for `wait`.
     async fn call(
         &self,
@@ -501,6 +561,13 @@
     }
 }
 
+/// The wait for the next answer: four times what answers took lately, eight of
+/// them together.
+fn next_patience(patience: Duration, took: Duration) -> Duration {
+    let next = (patience * 7 + took * 4) / 8;
+    next.clamp(MIN_PATIENCE, MAX_PATIENCE)
+}
+
 /// What an answer, or its absence, says.
 fn judge(answer: Result<(u16, Bytes), String>) -> Result<(u16, Bytes), StoreError> {
     let (status, body) = answer.map_err(StoreError::NoAnswer)?;
