Tell what fills a budget when a turn is refused for it

The logs of an incident say that turns were refused for their program's budget and not by what it was filled, so that tokens spent, reserved by turns that run and drawn ahead, by living and by dead processes, cannot be told apart. A refusal now writes the account and who drew ahead, with the host's name and the run of its process, and is counted by what fills it.

No decision is changed. A fourth story in gateway/tests/explain.rs holds the line and the counter.

--- a/coordination/src/gateway/lane.rs
+++ b/coordination/src/gateway/lane.rs
@@ -14,7 +14,7 @@
 };
 
 use crate::gateway::history::ledger_row;
-use crate::gateway::ledger::{Grant, Holder, Ledger};
+use crate::gateway::ledger::{Account, Grant, Holder, Ledger};
 
 /// Most changes of one transaction. Each has up to three rows, and a
 /// transaction holds 100.
@@ -189,6 +189,17 @@
     /// Whether the budget holds a turn by what is known, with what waits
     /// counted as it will be.
     pub fn seems_to_hold(&self, program: &str, most_tokens: u64, budget_tokens: u64) -> bool {
+        let committed = self.expected_ledger(program).committed_tokens();
+        committed.saturating_add(most_tokens) <= budget_tokens
+    }
+
+    /// What fills a program's budget by what is known, with what waits counted
+    /// as it will be.
+    pub fn account(&self, program: &str) -> Account {
+        self.expected_ledger(program).account()
+    }
+
+    fn expected_ledger(&self, program: &str) -> Ledger {
         let known = self.known.get(program);
         let mut ledger = known.cloned().unwrap_or_default().ledger;
         for pending in self.on_its_way.iter().chain(&self.waiting) {
@@ -196,7 +207,7 @@
                 apply_to(&mut ledger, &pending.change, &self.holder);
             }
         }
-        ledger.committed_tokens().saturating_add(most_tokens) <= budget_tokens
+        ledger
     }
 
     /// Forgets a program; its ledger is read again when it is needed.
--- a/coordination/src/gateway/ledger.rs
+++ b/coordination/src/gateway/ledger.rs
@@ -38,6 +38,55 @@
     settled: AttemptId,
 }
 
+/// What fills a program's budget, for the log.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Account {
+    /// Tokens of turns that ended.
+    pub spent_tokens: u64,
+    /// Tokens reserved for turns that run.
+    pub reserved_tokens: u64,
+    /// Tokens drawn ahead.
+    pub drawn_tokens: u64,
+    /// Who drew ahead, and how much.
+    pub drawers: BTreeMap<Holder, u64>,
+}
+
+/// What keeps a turn from being granted.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum FilledBy {
+    /// Turns that ended have spent the budget.
+    Spent,
+    /// Turns that run may yet spend it.
+    Running,
+    /// Tokens drawn ahead, which nobody may be using.
+    DrawnAhead,
+}
+
+impl FilledBy {
+    /// Word for logs and counters.
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::Spent => "spent",
+            Self::Running => "running",
+            Self::DrawnAhead => "drawn-ahead",
+        }
+    }
+}
+
+impl Account {
+    /// What keeps a budget from holding a turn that it does not hold.
+    pub fn filled_by(&self, most_tokens: u64, budget_tokens: u64) -> FilledBy {
+        let spent = self.spent_tokens.saturating_add(most_tokens);
+        if spent > budget_tokens {
+            return FilledBy::Spent;
+        }
+        if spent.saturating_add(self.reserved_tokens) > budget_tokens {
+            return FilledBy::Running;
+        }
+        FilledBy::DrawnAhead
+    }
+}
+
 /// Whether a turn may run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Grant {
@@ -50,11 +99,25 @@
 impl Ledger {
     /// Tokens that are spent or may yet be spent.
     pub fn committed_tokens(&self) -> u64 {
-        let reserved: u64 = self.reserved_tokens.values().sum();
-        let ahead: u64 = self.ahead.values().map(|ahead| ahead.tokens).sum();
-        self.spent_tokens
-            .saturating_add(reserved)
-            .saturating_add(ahead)
+        let account = self.account();
+        account
+            .spent_tokens
+            .saturating_add(account.reserved_tokens)
+            .saturating_add(account.drawn_tokens)
+    }
+
+    /// What the tokens are committed for.
+    pub fn account(&self) -> Account {
+        let drawn = self.ahead.iter().filter(|(_, ahead)| ahead.tokens > 0);
+        let drawers: BTreeMap<Holder, u64> = drawn
+            .map(|(holder, ahead)| (holder.clone(), ahead.tokens))
+            .collect();
+        Account {
+            spent_tokens: self.spent_tokens,
+            reserved_tokens: self.reserved_tokens.values().sum(),
+            drawn_tokens: drawers.values().sum(),
+            drawers,
+        }
     }
 
     /// Reserves a turn's most, unless that would go beyond the budget. A turn
--- a/gateway/src/commits.rs
+++ b/gateway/src/commits.rs
@@ -7,7 +7,7 @@
 
 use rosebend_coordination::gateway::history::partition_of;
 use rosebend_coordination::gateway::lane::{Answer, Change, ChangeId, Lane, Outcome};
-use rosebend_coordination::gateway::ledger::{Holder, Ledger};
+use rosebend_coordination::gateway::ledger::{Account, Holder, Ledger};
 use rosebend_state::deployment::{AttemptId, ProgramKey, RowVersion, Transaction};
 use rosebend_transport::store::{StoreClient, StoreError, Transacted};
 use rosebend_util::random_id;
@@ -36,10 +36,10 @@
 }
 
 impl Commits {
-    /// No changes yet.
-    pub fn new(store: Rc<StoreClient>) -> Self {
+    /// No changes yet. The name of this host tells in ledgers who drew ahead.
+    pub fn new(store: Rc<StoreClient>, host: &str) -> Self {
         Self {
-            holder: random_id(),
+            holder: format!("{host}/{}", random_id()),
             store,
             partitions: RefCell::default(),
         }
@@ -93,6 +93,11 @@
         })
     }
 
+    /// What fills a program's budget, as far as this host knows.
+    pub fn account(&self, program: &str) -> Account {
+        self.with_lane(program, |lane| lane.account(program))
+    }
+
     /// Lets a turn use tokens that this host drew ahead, if there are enough.
     pub fn take_ahead(&self, program: &str, attempt: &AttemptId, most_tokens: u64) -> bool {
         self.with_lane(program, |lane| {
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -66,7 +66,7 @@
         let metrics = Rc::new(Metrics::default());
         let store = Rc::new(store_client(&settings.store, clock, &metrics));
         Self {
-            commits: Rc::new(Commits::new(Rc::clone(&store))),
+            commits: Rc::new(Commits::new(Rc::clone(&store), &settings.host)),
             store,
             metrics,
             clock,
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 use rosebend_coordination::gateway::attempt::Failure;
+use rosebend_coordination::gateway::ledger::FilledBy;
 use rosebend_state::deployment::RouteKind;
 use rosebend_transport::store::{StoreCall, StoreError};
 
@@ -32,6 +33,12 @@
     reason: &'static str,
 }
 
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
+struct FilledLabel {
+    filled_by: &'static str,
+}
+
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 #[derive(EncodeLabelSet)]
 struct StoreLabel {
@@ -77,6 +84,7 @@
     registry: Registry,
     requests: Family<RequestLabel, Counter>,
     refusals: Family<ReasonLabel, Counter>,
+    budget_refusals: Family<FilledLabel, Counter>,
     endpoint_failures: Family<ReasonLabel, Counter>,
     store_calls: Family<StoreLabel, Counter>,
     new_connections: Counter,
@@ -99,6 +107,12 @@
             "Requests not answered by an endpoint, by reason",
             refusals.clone(),
         );
+        let budget_refusals = Family::default();
+        registry.register(
+            "budget_refusals",
+            "Turns refused for their program's budget, by what fills it",
+            budget_refusals.clone(),
+        );
         let endpoint_failures = Family::default();
         let help = "Exchanges with endpoints that gave no answer to pass on, by reason";
         registry.register("endpoint_failures", help, endpoint_failures.clone());
@@ -130,6 +144,7 @@
         Self {
             requests,
             refusals,
+            budget_refusals,
             endpoint_failures,
             store_calls,
             new_connections,
@@ -184,6 +199,14 @@
         self.refusals.get_or_create(&ReasonLabel { reason }).inc();
     }
 
+    /// Counts a turn that its program's budget does not hold.
+    pub fn count_budget_refusal(&self, filled_by: FilledBy) {
+        let filled_by = filled_by.word();
+        self.budget_refusals
+            .get_or_create(&FilledLabel { filled_by })
+            .inc();
+    }
+
     /// Counts an exchange with an endpoint that failed.
     pub fn count_failure(&self, failure: Failure) {
         let reason = failure.word();
--- a/gateway/src/spending.rs
+++ b/gateway/src/spending.rs
@@ -4,7 +4,7 @@
 
 use rosebend_coordination::gateway::lane::{Change, NextTurn, Outcome, Source};
 use rosebend_state::deployment::{AttemptId, ProgramHeader, RowWrite};
-use rosebend_transport::event::{Event, EventKind};
+use rosebend_transport::event::{Amount, Event, EventKind};
 use tokio::sync::oneshot;
 
 use crate::call::Call;
@@ -85,7 +85,7 @@
                 .commits
                 .seems_to_hold(&program, most_tokens, budget_tokens)
             {
-                return Err(Refusal::BudgetSpent);
+                return Err(spending.exhausted(call));
             }
         }
         let change = Change::Reserve {
@@ -125,11 +125,37 @@
                     .step(event.elapsed(call.elapsed(self.gateway.clock.now())));
                 Ok(())
             }
-            Ok(Ok(Outcome::Exhausted)) => Err(Refusal::BudgetSpent),
+            Ok(Ok(Outcome::Exhausted)) => Err(self.exhausted(call)),
             Ok(Err(_)) | Err(_) => Err(self.gateway.store_unreachable()),
         }
     }
 
+    /// Writes what fills the budget, so that a refusal can be explained.
+    fn exhausted(&self, call: &Call) -> Refusal {
+        let account = self.gateway.commits.account(&self.program);
+        let NextTurn {
+            most_tokens,
+            budget_tokens,
+        } = self.next;
+        let filled_by = account.filled_by(most_tokens, budget_tokens);
+        self.gateway.metrics.count_budget_refusal(filled_by);
+        let drawers = account.drawers.iter();
+        let holders: Vec<String> = drawers
+            .map(|(holder, tokens)| format!("{holder}:{tokens}"))
+            .collect();
+        let event = Event::new(EventKind::SpendingRefused)
+            .reason(filled_by.word())
+            .amount(Amount::Budget, budget_tokens)
+            .amount(Amount::Most, most_tokens)
+            .amount(Amount::Spent, account.spent_tokens)
+            .amount(Amount::Reserved, account.reserved_tokens)
+            .amount(Amount::Drawn, account.drawn_tokens)
+            .holders(&holders.join(","))
+            .elapsed(call.elapsed(self.gateway.clock.now()));
+        call.trail.step(event);
+        Refusal::BudgetSpent
+    }
+
     /// Counts an event that is handed out.
     pub fn count_event(&mut self) {
         self.events += 1;
--- a/gateway/tests/explain.rs
+++ b/gateway/tests/explain.rs
@@ -1,4 +1,4 @@
-//! Three kinds of failed request, each explained from the logs alone.
+//! Four kinds of failed request, each explained from the logs alone.
 
 mod support;
 
@@ -13,13 +13,14 @@
 const DESK: usize = 1;
 
 /// Members whose values differ from run to run.
-const VARYING: [&str; 6] = [
+const VARYING: [&str; 7] = [
     "elapsed_ms=",
     "age_ms=",
     "wait_ms=",
     "load=",
     "address=",
     "count=",
+    "holders=",
 ];
 
 /// The story of an attempt without what differs from run to run: times, and
@@ -168,3 +169,18 @@
     })
     .await;
 }
+
+#[actix_rt::test]
+async fn a_turn_refused_for_the_budget_of_its_program() {
+    let site = Site::start();
+    let gateway = site.gateway();
+    gateway.until_ready().await;
+    let turn = |attempt: &str| Ask::turn(attempt, "p1", "x").header("token-budget", "120");
+    assert_eq!(turn("t1").send(gateway.front).await.status, 200);
+    let refused = turn("t2").previous("t1").send(gateway.front).await;
+    assert_eq!(refused.status, 402);
+    insta::assert_snapshot!(story(&gateway, "t2").await);
+    let page = Ask::get("/metrics").send(gateway.metrics).await.body;
+    let counted = "rosebend_gateway_budget_refusals_total{filled_by=\"spent\"} 1";
+    assert!(page.contains(counted), "{page}");
+}
--- a/transport/src/event.rs
+++ b/transport/src/event.rs
@@ -63,9 +63,39 @@
     ElapsedMs(u64),
     Load(u64),
     Tokens(u64),
+    Amount(Amount, u64),
+    Holders(String),
     Address(SocketAddr),
 }
 
+/// What a number of tokens is, where an event has several.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Amount {
+    /// All that a program may spend.
+    Budget,
+    /// The most that the turn may generate.
+    Most,
+    /// Handed out by turns that ended.
+    Spent,
+    /// Reserved for turns that run.
+    Reserved,
+    /// Drawn ahead for turns to come.
+    Drawn,
+}
+
+impl Amount {
+    /// Name of the field in a log line.
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Budget => "budget_tokens",
+            Self::Most => "most_tokens",
+            Self::Spent => "spent_tokens",
+            Self::Reserved => "reserved_tokens",
+            Self::Drawn => "drawn_tokens",
+        }
+    }
+}
+
 /// A field's value, for lines in JSON.
 enum Value<'a> {
     Number(u64),
@@ -188,6 +218,16 @@
         self.with(Field::Tokens(tokens))
     }
 
+    /// Adds a number of tokens of a program's account.
+    pub fn amount(self, amount: Amount, tokens: u64) -> Self {
+        self.with(Field::Amount(amount, tokens))
+    }
+
+    /// Adds who holds tokens of a program, cut to a bounded length.
+    pub fn holders(self, holders: &str) -> Self {
+        self.with(Field::Holders(one_line(holders)))
+    }
+
     /// Adds an address of this host.
     pub fn address(self, address: SocketAddr) -> Self {
         self.with(Field::Address(address))
@@ -253,6 +293,8 @@
             Self::ElapsedMs(elapsed_ms) => number("elapsed_ms", *elapsed_ms),
             Self::Load(load) => number("load", *load),
             Self::Tokens(tokens) => number("tokens", *tokens),
+            Self::Amount(amount, tokens) => number(amount.name(), *tokens),
+            Self::Holders(text) => member("holders", text),
             Self::Customer(text) => member("customer", text),
             Self::Host(text) => member("peer", text),
             Self::Endpoint(text) => member("endpoint", text),
@@ -312,6 +354,8 @@
             Self::ElapsedMs(elapsed_ms) => write!(f, "elapsed_ms={elapsed_ms}"),
             Self::Load(load) => write!(f, "load={load}"),
             Self::Tokens(tokens) => write!(f, "tokens={tokens}"),
+            Self::Amount(amount, tokens) => write!(f, "{}={tokens}", amount.name()),
+            Self::Holders(holders) => write!(f, "holders={holders:?}"),
             Self::Address(address) => write!(f, "address={address}"),
         }
     }
@@ -386,10 +430,12 @@
 program), `shard`, `epoch`, `host`, `endpoint`, `revision`, `count`, `wait_ms`,
 `reason` (a word of a closed set) and `error`; for gateways also `attempt`
 (a caller's attempt), `route`, `status`, `version` (of the declared routes),
-`age_ms` (of what decided), `elapsed_ms`, `load`, `tokens` and `address`. Gateways write
-each event as a JSON object on a line of its own, with `at_ms`, `host`, `event`
-(the number), `name` and `level` before the fields; the host of a field is
-`peer` there. A prompt, an answer or a token is
+`age_ms` (of what decided), `elapsed_ms`, `load`, `tokens`, `address`, and a
+program's account: `budget_tokens`, `most_tokens` (of the turn), `spent_tokens`,
+`reserved_tokens`, `drawn_tokens` and `holders` (each HOST/RUN:TOKENS).
+Gateways write each event as a JSON object on a line of its own, with `at_ms`,
+`host`, `event` (the number), `name` and `level` before the fields; the host of a
+field is `peer` there. A prompt, an answer or a token is
 never written. Numbers stay with their event: a number that is given up is not
 given again. Events of level `debug` come once a call and are off by default.
 
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -109,6 +109,8 @@
     HistoryRead,
     /// Step: the turn may spend its most; `reason` says from where: drawn ahead, or a reservation.
     SpendingGranted,
+    /// Step: the program's budget does not hold the turn, by the account in the line.
+    SpendingRefused,
     /// Step: the endpoint's answer began with `status` after `elapsed_ms`.
     AnswerBegan,
     /// Step: the turn and the `tokens` that it handed out are durable after `elapsed_ms`.
@@ -153,7 +155,7 @@
 
 impl EventKind {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 70] = [
+    pub const ALL: [Self; 71] = [
         Self::ProcessStarted,
         Self::ProcessStopping,
         Self::ProcessStopped,
@@ -224,6 +226,7 @@
         Self::StoreRelayed,
         Self::SettingsTaken,
         Self::SettingsRefused,
+        Self::SpendingRefused,
     ];
 
     /// The event's number, which stays with it for ever.
@@ -294,6 +297,7 @@
             Self::ReloadAsked => 820,
             Self::SettingsTaken => 826,
             Self::SettingsRefused => 827,
+            Self::SpendingRefused => 828,
             Self::RequestQuarantined => 821,
             Self::AcceptFailed => 822,
             Self::RecordUnreadable => 823,
@@ -370,6 +374,7 @@
             Self::ReloadAsked => "reload-asked",
             Self::SettingsTaken => "settings-taken",
             Self::SettingsRefused => "settings-refused",
+            Self::SpendingRefused => "spending-refused",
             Self::RequestQuarantined => "request-quarantined",
             Self::AcceptFailed => "accept-failed",
             Self::RecordUnreadable => "record-unreadable",
@@ -511,6 +516,9 @@
             Self::SpendingGranted => {
                 "Step: the turn may spend its most; `reason` says from where: drawn ahead, or a reservation."
             }
+            Self::SpendingRefused => {
+                "Step: the budget does not hold the turn's most. `reason` says what fills it: spent, running, or drawn-ahead; `holders` names who reserved or drew."
+            }
             Self::AnswerBegan => {
                 "Step: the endpoint's answer began with `status` after `elapsed_ms`."
             }
