Hold budgets on streaming routes that keep no history

Change: what a turn spends, what is said in it, and the stream itself are independent parts of its way. Any turn whose program names a budget has the ledger, by the same reservations, draws and settlements; only a route that keeps history adds a record and waits for it. A program that is new to its host waits for its first reservation there, since nothing tells what it has spent; with the store away, tokens drawn ahead still serve a turn.

A turn costs one write, and the first one at a host two; none is on the way of the next.

--- a/gateway/src/spending.rs
+++ b/gateway/src/spending.rs
@@ -83,10 +83,18 @@
             call.trail.step(event);
             return Ok(spending);
         }
+        if !gateway.store.is_reachable() {
+            return Err(gateway.store_unreachable());
+        }
         let in_hand = most_tokens.saturating_mul(1 + TURNS_IN_HAND);
-        let is_ample = gateway
-            .commits
-            .seems_to_hold(&program, in_hand, budget_tokens);
+        // A turn that continues from a kept one has brought its ledger along, and
+        // one that continues from none begins its program. Without history
+        // nothing tells whether a program that is new here has spent its budget.
+        let is_known = call.route.keeps_history || gateway.commits.knows(&program);
+        let is_ample = is_known
+            && gateway
+                .commits
+                .seems_to_hold(&program, in_hand, budget_tokens);
         spending.source = Source::Reservation;
         spending.is_settled = false;
         spending.ask(Vec::new());
--- a/gateway/src/turn.rs
+++ b/gateway/src/turn.rs
@@ -1,14 +1,18 @@
-//! Turns of programs: streamed answers whose history and spending are kept.
+//! Streamed answers, and what of a program's turn lasts.
 //!
+//! Two things may last, each without the other: what the program spends, where
+//! the caller names a budget, and what was said, where the route keeps history.
 //! What the turn may spend is durable before its first event goes out; that
-//! commit runs while the endpoint reads the prompt. The turn's record and what
-//! it really spent are durable before the end of the answer goes out.
+//! commit runs while the endpoint reads the prompt. A record is durable before
+//! the end of the answer goes out; what a turn without one really spent is
+//! written afterwards.
 
 use std::rc::Rc;
 
 use actix_http::Response;
 use actix_http::body::BoxBody;
 use bytes::Bytes;
+use rosebend_state::deployment::ProgramHeader;
 
 use crate::call::{self, Call};
 use crate::exchange::{Exchange, Exchanged, Warm};
@@ -17,7 +21,7 @@
 use crate::programs;
 use crate::reply::Refusal;
 use crate::spending::Spending;
-use crate::turn_stream::{Record, pass_on};
+use crate::turn_stream::{Kept, Record, pass_on};
 
 /// Largest input of a turn that is kept: it becomes durable in one transaction
 /// together with its output, and one holds 1 MB of encoded rows.
@@ -33,19 +37,12 @@
 }
 
 async fn run(gateway: &Rc<Gateway>, call: &Rc<Call>) -> Result<Response<BoxBody>, Refusal> {
-    let program = call.header.program.clone();
-    let Some(program) = program.filter(|_| call.route.keeps_history) else {
-        return run_unrecorded(gateway, call).await;
+    let history = history(gateway, call).await?;
+    let mut spending = match spender(call) {
+        Some(program) => Some(Spending::reserve(gateway, call, program).await?),
+        None => None,
     };
-    if call.body.len() > MAX_INPUT_BYTES {
-        return Err(Refusal::BodyTooLarge);
-    }
-    if !gateway.store.is_reachable() {
-        return Err(gateway.store_unreachable());
-    }
-    let previous = programs::previous_turn(gateway, call, &program).await?;
-    let mut spending = Spending::reserve(gateway, call, &program).await?;
-    let (prompt, warm) = match &previous {
+    let (prompt, warm) = match history.as_ref().and_then(|record| record.previous.as_ref()) {
         Some(turn) => (
             Bytes::from(turn.prompt(&call.body)),
             Some(Warm {
@@ -59,29 +56,44 @@
     if !is_stream(&exchanged) {
         return pass_failure(gateway, call, exchanged).await;
     }
-    // It has run by now: that the budget is spent can't be said any more.
-    let granted = spending.granted(call).await;
-    granted.map_err(|_| Refusal::OutcomeUnknown)?;
-    let record = Record {
+    if let Some(spending) = &mut spending {
+        // It has run by now: that the budget is spent can't be said any more.
+        let granted = spending.granted(call).await;
+        granted.map_err(|_| Refusal::OutcomeUnknown)?;
+    }
+    let kept = Kept {
+        spending,
+        record: history,
+    };
+    pass_on(gateway, call, exchanged, kept).await
+}
+
+/// The beginning of the turn's record, where the route keeps history.
+async fn history(gateway: &Rc<Gateway>, call: &Call) -> Result<Option<Record>, Refusal> {
+    let program = call.header.program.clone();
+    let Some(program) = program.filter(|_| call.route.keeps_history) else {
+        return Ok(None);
+    };
+    if call.body.len() > MAX_INPUT_BYTES {
+        return Err(Refusal::BodyTooLarge);
+    }
+    if !gateway.store.is_reachable() {
+        return Err(gateway.store_unreachable());
+    }
+    let previous = programs::previous_turn(gateway, call, &program).await?;
+    Ok(Some(Record {
         program,
         previous,
         output: Vec::new(),
-    };
-    pass_on(gateway, call, exchanged, Some((spending, record))).await
+    }))
 }
 
-/// A streamed request that no program's history contains.
-async fn run_unrecorded(
-    gateway: &Rc<Gateway>,
-    call: &Rc<Call>,
-) -> Result<Response<BoxBody>, Refusal> {
-    let exchanged = Exchange::new(gateway, call, call.body.clone(), None)
-        .next()
-        .await?;
-    if !is_stream(&exchanged) {
-        return pass_failure(gateway, call, exchanged).await;
-    }
-    pass_on(gateway, call, exchanged, None).await
+/// The program whose ledger the turn needs: it has a budget, or a record, which
+/// lasts as long as the ledger.
+fn spender(call: &Call) -> Option<&ProgramHeader> {
+    let program = call.header.program.as_ref()?;
+    let is_counted = program.budget_tokens.is_some() || call.route.keeps_history;
+    is_counted.then_some(program)
 }
 
 fn is_stream(exchanged: &Exchanged) -> bool {
--- a/gateway/src/turn_stream.rs
+++ b/gateway/src/turn_stream.rs
@@ -38,6 +38,16 @@
     pub output: Vec<u8>,
 }
 
+/// What of a turn lasts.
+#[derive(Debug, Default)]
+pub struct Kept {
+    /// What it spends, where its program has a ledger.
+    pub spending: Option<Spending>,
+    /// What is said, where the route keeps it; a program with a record has a
+    /// ledger, too.
+    pub record: Option<Record>,
+}
+
 /// A stream on its way from an endpoint to a caller. Dropping it closes the
 /// endpoint's connection, which stops the work.
 struct TurnStream {
@@ -54,7 +64,7 @@
     has_begun: bool,
     /// From the request's arrival to its first event.
     first_event: Duration,
-    recorded: Option<(Spending, Record)>,
+    kept: Kept,
     _open: OpenRequest,
 }
 
@@ -68,7 +78,7 @@
     gateway: &Rc<Gateway>,
     call: &Rc<Call>,
     exchanged: Exchanged,
-    recorded: Option<(Spending, Record)>,
+    kept: Kept,
 ) -> Result<Response<BoxBody>, Refusal> {
     let (head, body) = exchanged.response.into_parts();
     let mut stream = TurnStream {
@@ -83,7 +93,7 @@
         events: SseReader::default(),
         has_begun: false,
         first_event: Duration::ZERO,
-        recorded,
+        kept,
         _open: gateway.open_request(),
     };
     let first = stream.next().await.map_err(|error| match error.kind() {
@@ -163,14 +173,14 @@
                 .metrics
                 .observe(Timing::FirstEvent, self.first_event);
         }
-        let events = self.events.push(bytes);
-        let Some((spending, record)) = &mut self.recorded else {
-            return;
-        };
-        for event in events {
-            spending.count_event();
-            record.output.extend_from_slice(&event.data);
-            record.output.push(b'\n');
+        for event in self.events.push(bytes) {
+            if let Some(spending) = &mut self.kept.spending {
+                spending.count_event();
+            }
+            if let Some(record) = &mut self.kept.record {
+                record.output.extend_from_slice(&event.data);
+                record.output.push(b'\n');
+            }
         }
     }
 
@@ -180,11 +190,12 @@
             let instance: &InstanceId = &self.at.instance;
             Exchanged::keep_connection(&self.gateway, instance, connection, &self.header);
         }
-        let Some((spending, record)) = self.recorded.take() else {
-            self.served();
-            return Ok(());
-        };
-        self.record(spending, record).await?;
+        let kept = std::mem::take(&mut self.kept);
+        match (kept.spending, kept.record) {
+            (Some(spending), Some(record)) => self.record(spending, record).await?,
+            (Some(mut spending), None) => self.settle(&mut spending),
+            (None, _) => {}
+        }
         self.served();
         Ok(())
     }
@@ -232,6 +243,15 @@
         }
     }
 
+    /// Has written what the turn spent. Nobody waits for it: until it is
+    /// durable, the turn counts at its most.
+    fn settle(&self, spending: &mut Spending) {
+        drop(spending.settle(Vec::new()));
+        if let Some(program) = &self.call.header.program {
+            self.keep(&program.program, Vec::new());
+        }
+    }
+
     /// The turn as it is kept. One that continues from another program's turn
     /// has a copy of all that was said there, so that each program's rows may
     /// be deleted when that program is over.
@@ -257,7 +277,7 @@
         }
     }
 
-    /// Takes note of the turn's rows, to delete them one day.
+    /// Takes note of the turn's rows, to delete them with the ledger one day.
     fn keep(&self, program: &str, rows: Vec<RowId>) {
         let version = self.gateway.commits.version(program);
         let retention = self.call.route.retention + self.gateway.settings().retention_margin;
--- a/gateway/tests/budget.rs
+++ b/gateway/tests/budget.rs
@@ -149,3 +149,100 @@
         actix_rt::time::sleep(std::time::Duration::from_millis(20)).await;
     }
 }
+
+/// A turn like those of [`turn`] on a route that keeps no history.
+fn unkept(attempt: &str, budget_tokens: u64) -> Ask {
+    turn(attempt, budget_tokens).at("/unkept/stream/turn")
+}
+
+#[actix_rt::test]
+async fn a_budget_holds_on_a_route_without_history() {
+    let site = Site::start();
+    let gateways = [site.gateway(), site.gateway()];
+    for gateway in &gateways {
+        gateway.until_ready().await;
+    }
+    let mut statuses = Vec::new();
+    for number in 0..10 {
+        let attempt = format!("t{number}");
+        let answer = unkept(&attempt, 300).send(gateways[number % 2].front).await;
+        statuses.push(answer.status);
+        let ran = site.times_run(&attempt).await;
+        assert_eq!(ran, u64::from(answer.status == 200), "{attempt}");
+    }
+    // The seventh turn finds 180 tokens spent, the eighth 210.
+    let expected: Vec<u16> = [200; 7].into_iter().chain([402; 3]).collect();
+    assert_eq!(statuses, expected);
+}
+
+#[actix_rt::test]
+async fn a_budget_without_history_outlives_all_hosts() {
+    let site = Site::start();
+    let mut first = site.gateway();
+    first.until_ready().await;
+    for attempt in ["t1", "t2", "t3"] {
+        let answer = unkept(attempt, 190).send(first.front).await;
+        assert_eq!(answer.status, 200);
+    }
+    // The settlement of the last turn is on its way when its answer ends.
+    until("all is settled", async || {
+        let page = Ask::get("/metrics").send(first.metrics).await.body;
+        page.contains("open_changes 0")
+    })
+    .await;
+    first.kill();
+    let second = site.gateway();
+    second.until_ready().await;
+    assert_eq!(unkept("t4", 190).send(second.front).await.status, 200);
+    assert_eq!(unkept("t5", 190).send(second.front).await.status, 402);
+}
+
+#[actix_rt::test]
+async fn a_turn_without_history_costs_a_write_and_none_on_its_way() {
+    let site = Site::start();
+    let gateway = site.gateway();
+    gateway.until_ready().await;
+    until("its row is written", async || {
+        site.store.stats().transactions == 1
+    })
+    .await;
+    unkept("t0", 1_000).send(gateway.front).await;
+    let settled = async || site.store.stats().transactions;
+    until("the first turn is settled", async || settled().await == 3).await;
+    for number in 1..5 {
+        let attempt = format!("t{number}");
+        assert_eq!(
+            unkept(&attempt, 1_000).send(gateway.front).await.status,
+            200
+        );
+        until("the turn is settled", async || {
+            settled().await == 3 + number
+        })
+        .await;
+    }
+    // With the store away, what was drawn ahead still serves a turn.
+    let away = StoreFaults {
+        refuse: true,
+        ..StoreFaults::default()
+    };
+    site.faults(&away).await;
+    gateway.until_unready().await;
+    assert_eq!(unkept("t5", 1_000).send(gateway.front).await.status, 200);
+    let refused = unkept("t6", 1_000).send(gateway.front).await;
+    assert_eq!(refused.status, 503, "{}", refused.body);
+    assert!(refused.retry_after_s().is_some());
+}
+
+#[actix_rt::test]
+async fn a_request_without_a_program_needs_no_store() {
+    let site = Site::start();
+    let gateway = site.gateway();
+    gateway.until_ready().await;
+    until("its row is written", async || {
+        site.store.stats().transactions == 1
+    })
+    .await;
+    let ask = Ask::new(http::Method::POST, "/unkept/stream/turn").attempt("t1");
+    assert_eq!(ask.send(gateway.front).await.status, 200);
+    assert_eq!(site.store.stats().transactions, 1);
+}
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -157,6 +157,7 @@
         "version": version,
         "routes": [
             turns,
+            route("unkept", "/unkept/stream/", "streaming", "models"),
             route("lookup", "/lookup/", "idempotent", "desk"),
             route("fee", "/fee/", "non_idempotent", "desk"),
         ],
@@ -393,6 +394,12 @@
             .body(input)
     }
 
+    /// The same request on another path.
+    pub fn at(mut self, path: &str) -> Self {
+        path.clone_into(&mut self.path);
+        self
+    }
+
     pub fn attempt(self, attempt: &str) -> Self {
         self.header("attempt-id", attempt)
     }
