--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -157,9 +157,9 @@
         "version": version,
         "routes": [
             turns,
-            route("unkept", "/unkept/stream/", "streaming", "models"),
             route("lookup", "/lookup/", "idempotent", "desk"),
             route("fee", "/fee/", "non_idempotent", "desk"),
+            route("unkept", "/unkept/stream/", "streaming", "models"),
         ],
         "services": [
             {"name": "models", "health-path": "/healthz", "max-conns": 100, "protocol": "h1",
