End a stream with an error event when its call cannot be gone on with

Cause: after the head of a stream was passed on, a problem of the next owner came to the caller as the bytes of its document and an end, which a caller reads as a cut. Reading the same code, a whole answer whose connection broke between its body and its end was joined to the answer of the next try, under the first one's status.

Ruled out: asking again after a problem, since an owner that knows no such call will not come to know it.

Change: the forward keeps a reply with one body until it is whole. Before the head of a stream it is passed on then; after it, it becomes the error event that ends the stream, and says that the call may have run where it said that it did not. The two places that built the reply for a problem are one.

--- a/entry/src/forward.rs
+++ b/entry/src/forward.rs
@@ -16,7 +16,6 @@
     ForwardEvent, ForwardHead, ForwardRequest, entry_client::EntryClient, forward_event::Event,
 };
 use rosebend_protocol::problem::{Problem, Ran};
-use rosebend_transport::http_server::PROBLEM_JSON;
 use rosebend_transport::peers::{MAX_MESSAGE_BYTES, PROGRESS_TIMEOUT, Peers};
 use tokio::sync::mpsc;
 use tonic::Streaming;
@@ -62,6 +61,16 @@
     next_offset: u64,
     /// Whether the request may have reached an owner.
     sent: bool,
+    /// The reply of this try, if it has one body, as far as it came.
+    whole: Option<WholeReply>,
+}
+
+/// A reply with one body. It is passed on once it is whole: one that breaks off
+/// must not be joined to the next try's.
+#[derive(Debug)]
+struct WholeReply {
+    head: ForwardHead,
+    body: Vec<u8>,
 }
 
 /// Forwards one request.
@@ -172,56 +181,89 @@
                     address => Try::AskAt(address),
                 });
             }
-            // The caller gets one head; that of a resumed stream is the same.
-            Event::Head(_) if progress.head.is_some() => return None,
-            Event::Head(head) => {
-                // Only a stream can be cut in its middle: a whole body comes
-                // at once.
-                if head.content_type == render::EVENT_STREAM {
-                    progress.head = Some(head.clone());
-                }
-                Forwarded::Head(head)
-            }
-            Event::Body(body) => {
-                progress.next_offset += u64::from(body.starts_with(b"id: "));
-                Forwarded::Body(body)
-            }
+            Event::Head(head) => Forwarded::Head(progress.begin(head)?),
+            Event::Body(body) => Forwarded::Body(progress.add(body)?),
             Event::End(_) => {
-                let _ = self.pieces.send(Forwarded::End).await;
+                match progress.whole.take() {
+                    Some(reply) => self.give_whole(reply, progress).await,
+                    None => self.give([Forwarded::End]).await,
+                }
                 return Some(Try::Ended);
             }
         };
         self.pieces.send(piece).await.is_err().then_some(Try::Ended)
     }
 
-    async fn give_problem(&self, progress: &Progress) {
-        let ran = if progress.sent { Ran::Unknown } else { Ran::No };
-        let detail = "the owner of the program was not reached; ask again with the same key";
-        let problem =
-            Problem::new(503, "owner-not-reached", ran, detail).retry_after(Duration::from_secs(2));
+    /// Passes on a reply that is whole. After the head of a stream it is one
+    /// more event of that stream, since a caller reads anything else as a cut.
+    async fn give_whole(&self, reply: WholeReply, progress: &Progress) {
+        let WholeReply { head, body } = reply;
         if progress.head.is_some() {
-            let _ = self
-                .pieces
-                .send(Forwarded::Body(render::problem_event(&problem)))
-                .await;
-            let _ = self.pieces.send(Forwarded::End).await;
-            return;
+            let event = render::problem_event(&problem_after_a_part(&body));
+            return self.give([Forwarded::Body(event), Forwarded::End]).await;
         }
-        let body = serde_json::to_vec(&problem).expect("a problem has a JSON form");
-        let head = ForwardHead {
-            status: u32::from(problem.status),
-            content_type: PROBLEM_JSON.to_owned(),
-            retry_after_ms: problem.retry_after_ms.unwrap_or_default(),
-            call_id: String::new(),
-        };
-        for piece in [
+        let pieces = [
             Forwarded::Head(head),
             Forwarded::Body(body.into()),
             Forwarded::End,
-        ] {
+        ];
+        self.give(pieces).await;
+    }
+
+    /// Passes on the last pieces. A caller that has gone needs none.
+    async fn give<const COUNT: usize>(&self, pieces: [Forwarded; COUNT]) {
+        for piece in pieces {
             let _ = self.pieces.send(piece).await;
         }
     }
+
+    async fn give_problem(&self, progress: &Progress) {
+        let ran = if progress.sent { Ran::Unknown } else { Ran::No };
+        let detail = "the owner of the program was not reached; ask again with the same key";
+        let problem =
+            Problem::new(503, "owner-not-reached", ran, detail).retry_after(Duration::from_secs(2));
+        let (head, body) = render::problem_reply(&problem);
+        let body = body.into();
+        self.give_whole(WholeReply { head, body }, progress).await;
+    }
+}
+
+impl Progress {
+    /// Takes a head, and returns it if the caller gets it now.
+    fn begin(&mut self, head: ForwardHead) -> Option<ForwardHead> {
+        self.whole = None;
+        if head.content_type != render::EVENT_STREAM {
+            let body = Vec::new();
+            self.whole = Some(WholeReply { head, body });
+            return None;
+        }
+        // The caller gets one head; that of a resumed stream is the same.
+        let is_first = self.head.is_none();
+        is_first.then(|| self.head.insert(head).clone())
+    }
+
+    /// Takes a piece of the body, and returns it if the caller gets it now.
+    fn add(&mut self, body: Bytes) -> Option<Bytes> {
+        if let Some(reply) = &mut self.whole {
+            reply.body.extend_from_slice(&body);
+            return None;
+        }
+        self.next_offset += u64::from(body.starts_with(b"id: "));
+        Some(body)
+    }
+}
+
+/// The problem that ends a stream. The stream has begun, so that nobody may say
+/// any more that its call did not run.
+fn problem_after_a_part(body: &[u8]) -> Problem {
+    let mut problem: Problem = serde_json::from_slice(body).unwrap_or_else(|error| {
+        let detail = format!("the rest of the answer: {error}");
+        Problem::new(502, "bad-answer", Ran::Unknown, detail)
+    });
+    if problem.ran == Ran::No {
+        problem.ran = Ran::Unknown;
+    }
+    problem
 }
 
 /// After the head of a stream was passed on, only the missing events of the
--- a/entry/src/render.rs
+++ b/entry/src/render.rs
@@ -5,7 +5,9 @@
 //! ends with `[DONE]`; an answer without that event is not whole.
 
 use bytes::Bytes;
+use rosebend_protocol::peer::ForwardHead;
 use rosebend_protocol::problem::{Problem, Ran};
+use rosebend_transport::http_server::PROBLEM_JSON;
 use serde_json::{Map, Value, json};
 
 /// Content type of server-sent events.
@@ -21,6 +23,18 @@
     event.into()
 }
 
+/// The head and the body of a reply that tells a problem.
+pub fn problem_reply(problem: &Problem) -> (ForwardHead, Bytes) {
+    let body = serde_json::to_vec(problem).expect("a problem has a JSON form");
+    let head = ForwardHead {
+        status: problem.status.into(),
+        content_type: PROBLEM_JSON.to_owned(),
+        retry_after_ms: problem.retry_after_ms.unwrap_or_default(),
+        call_id: String::new(),
+    };
+    (head, body.into())
+}
+
 /// The event that ends a stream which did not become whole.
 pub fn problem_event(problem: &Problem) -> Bytes {
     let text = serde_json::to_string(problem).expect("a problem has a JSON form");
--- a/entry/src/serve.rs
+++ b/entry/src/serve.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use rosebend_protocol::peer::{ForwardEnd, ForwardHead, ForwardRequest, forward_event::Event};
 use rosebend_protocol::problem::Problem;
-use rosebend_transport::http_server::{JSON, PROBLEM_JSON};
+use rosebend_transport::http_server::JSON;
 use serde_json::Value;
 use std::sync::Arc;
 use tokio::sync::mpsc;
@@ -74,14 +74,8 @@
 }
 
 fn problem_events(problem: &Problem) -> mpsc::Receiver<Event> {
-    let body = serde_json::to_vec(problem).expect("a problem has a JSON form");
-    let head = ForwardHead {
-        status: problem.status.into(),
-        content_type: PROBLEM_JSON.to_owned(),
-        retry_after_ms: problem.retry_after_ms.unwrap_or_default(),
-        call_id: String::new(),
-    };
-    whole(head, body.into())
+    let (head, body) = render::problem_reply(problem);
+    whole(head, body)
 }
 
 fn document_events(status: u16, document: &Value) -> mpsc::Receiver<Event> {
