Ask sidecars for their calls again on a new connection

Cause: an entry that takes a shard asks each sidecar once what it runs and retains, on the connection that is open. A connection that went silent, or that broke while it was asked, left the sidecar out: a repeatable call that runs there has no record in the table, and became unknown, while the last owner and its streams had just been told that the call goes on at the successor.

Ruled out: a longer wait than 1.5 s, since a silent connection stays silent, and all callers of the shard wait meanwhile; giving up the open connection at once, since a sidecar may be slow for other reasons, so that both are listened to.

Change: after 300 ms without a reply, or when the connection breaks, the sidecar is asked again on a new connection; the first reply counts. The silent connection is given up for what comes after, too: the reading of retained answers used it again.

--- a/entry/src/control/retained.rs
+++ b/entry/src/control/retained.rs
@@ -1,13 +1,15 @@
 //! Asks sidecars what they retain for gained shards.
 
 use std::collections::HashMap;
+use std::pin::pin;
 use std::time::Duration;
 
 use actix_rt::time::timeout;
-use futures_util::future::join_all;
+use futures_util::future::{Either, join_all, select};
 use rosebend_coordination::owner::RetainedTurn;
 use rosebend_protocol::peer::{
-    DispatchRequest, Fence, RetainedCall, RetainedRequest, sidecar_client::SidecarClient,
+    DispatchRequest, Fence, RetainedCall, RetainedReply, RetainedRequest,
+    sidecar_client::SidecarClient,
 };
 use rosebend_state::id::{Epoch, Shard};
 use rosebend_state::record::{AnswerRecord, TurnRecord};
@@ -21,6 +23,11 @@
 use crate::answer::LiveAnswer;
 use crate::dispatch::{self, Attempt, AttemptEnd};
 
+/// Silence after which a sidecar is asked again on a new connection. A reply takes
+/// a few milliseconds; what is left of the 1.5 s in which all have to answer is
+/// enough to connect, which may take 0.8 s, and for a reply.
+const ASK_AGAIN_WAIT: Duration = Duration::from_millis(300);
+
 /// Asks all sidecars at once; those that do not answer in time are left out.
 pub(super) async fn ask_all(
     traffic: &Traffic,
@@ -93,18 +100,7 @@
 
 /// None when the sidecar did not tell everything.
 async fn ask(peers: &Peers, address: &str, fences: Vec<Fence>) -> Option<Told> {
-    let channel = peers.channel(address).await.ok()?;
-    let mut client = SidecarClient::new(channel).max_decoding_message_size(MAX_MESSAGE_BYTES);
-    let reply = client
-        .retained(RetainedRequest {
-            fences: fences.clone(),
-        })
-        .await;
-    let Ok(reply) = reply else {
-        peers.forget(address);
-        return None;
-    };
-    let reply = reply.into_inner();
+    let reply = ask_twice(peers, address, &fences).await?;
     let started = reply
         .started
         .iter()
@@ -137,6 +133,36 @@
     })
 }
 
+/// Asks on the connection that is open and, when nothing comes on it, on a new
+/// one. The open one may have gone silent just now, and a call that its sidecar
+/// does not tell is unknown to the shard's new owner. The first reply counts.
+async fn ask_twice(peers: &Peers, address: &str, fences: &[Fence]) -> Option<RetainedReply> {
+    let mut first = pin!(ask_once(peers, address, fences));
+    match timeout(ASK_AGAIN_WAIT, &mut first).await {
+        Ok(Some(reply)) => return Some(reply),
+        // It broke.
+        Ok(None) => return ask_once(peers, address, fences).await,
+        Err(_) => peers.forget(address),
+    }
+    let second = pin!(ask_once(peers, address, fences));
+    match select(first, second).await {
+        Either::Left((Some(reply), _)) | Either::Right((Some(reply), _)) => Some(reply),
+        Either::Left((None, second)) => second.await,
+        Either::Right((None, first)) => first.await,
+    }
+}
+
+async fn ask_once(peers: &Peers, address: &str, fences: &[Fence]) -> Option<RetainedReply> {
+    let channel = peers.channel(address).await.ok()?;
+    let mut client = SidecarClient::new(channel).max_decoding_message_size(MAX_MESSAGE_BYTES);
+    let fences = fences.to_vec();
+    let Ok(reply) = client.retained(RetainedRequest { fences }).await else {
+        peers.forget(address);
+        return None;
+    };
+    Some(reply.into_inner())
+}
+
 async fn read_answer(
     peers: &Peers,
     address: &str,
