Tell readers of a call that cannot go on at its new owner

Cause, found by reading on from the cut stream: after a handoff or a takeover a stream is read on at the new owner without its request. When the call then ends badly (its engine crashes, its sidecar was replaced or never had it), the owner has no request to send again and parks the call, without a word to its readers. The stream neither went on nor ended; and whoever read a parked call afterwards waited, too.

Ruled out: sending the request again from where the stream stands, since another run may say something else, and two answers would be joined.

Change: parking a call tells its readers (CallOutcome::Parked), with whether it may have run; the stream ends with the error event not-under-way, and reading a parked call is refused with 503 and the same word. The same request, sent again, goes on with the call as before.

--- a/coordination/src/owner/action.rs
+++ b/coordination/src/owner/action.rs
@@ -169,6 +169,13 @@
         /// When to come back.
         retry_after: Duration,
     },
+    /// It is not under way any more, and this owner has no request that it could
+    /// send again: it was taken over with the shard, and only readers came. The
+    /// same request goes on with it.
+    Parked {
+        /// Whether it may have run.
+        may_have_run: bool,
+    },
     /// The shard went to another owner with the call under way. Whoever
     /// follows sends the same request, with the call's position, to it.
     Moved,
--- a/coordination/src/owner/ending.rs
+++ b/coordination/src/owner/ending.rs
@@ -127,8 +127,16 @@
         self.drop_turn(now, id);
     }
 
-    /// Takes the turn from the active call, for which nobody asks.
+    /// Takes the turn from the active call, whose request nobody has sent to
+    /// this owner. There may be readers, who would wait in vain for more.
     pub(super) fn park(&mut self, now: Duration, id: &ProgramId) {
+        let program = self.programs.get(id).expect("the call has its turn");
+        let active = program.active.as_deref().expect("it has its turn");
+        let may_have_run = active.may_have_run;
+        self.out.push(Action::CallEnded {
+            call: call_id(id, active.sequence),
+            outcome: CallOutcome::Parked { may_have_run },
+        });
         self.drop_turn(now, id);
     }
 
--- a/coordination/src/owner/mod.rs
+++ b/coordination/src/owner/mod.rs
@@ -95,7 +95,7 @@
 use rosebend_state::record::{AnswerRecord, CallKind};
 
 use self::account::Account;
-use self::program::Program;
+use self::program::{Program, Stage};
 use self::retry::RetryBudget;
 use self::shard::ShardState;
 use self::suspicion::Suspicion;
@@ -273,9 +273,12 @@
             });
         }
         let active = program.active.as_deref()?;
-        let stage = match active.stage.is_sent() {
-            true => CallStage::InFlight,
-            false => CallStage::Waiting,
+        let stage = match &active.stage {
+            Stage::Parked => CallStage::Parked {
+                may_have_run: active.may_have_run,
+            },
+            stage if stage.is_sent() => CallStage::InFlight,
+            _ => CallStage::Waiting,
         };
         (active.sequence == call.sequence).then(|| CallView {
             key: active.key.as_deref().map(str::to_owned),
--- a/coordination/src/owner/view.rs
+++ b/coordination/src/owner/view.rs
@@ -57,6 +57,11 @@
     Waiting,
     /// It was sent to an endpoint.
     InFlight,
+    /// It is not under way, until the same request comes again.
+    Parked {
+        /// Whether it may have run.
+        may_have_run: bool,
+    },
     /// It ended.
     Ended {
         /// How.
--- a/coordination/tests/owner_limits.rs
+++ b/coordination/tests/owner_limits.rs
@@ -2,6 +2,7 @@
 //! owner does.
 
 mod desk;
+mod taken_calls;
 
 use std::time::Duration;
 
--- a/coordination/tests/world/mod.rs
+++ b/coordination/tests/world/mod.rs
@@ -327,6 +327,8 @@
             }
             CallOutcome::Refused { reason, .. } => return self.refused(index, &asked, reason),
             CallOutcome::Moved => return,
+            // Who sent the request to this owner never hears that it has none.
+            CallOutcome::Parked { .. } => panic!("ticket {ticket} follows a parked call"),
         };
         self.clients[asked.client].told[position] = told;
     }
--- a/entry/src/control/answers.rs
+++ b/entry/src/control/answers.rs
@@ -32,8 +32,13 @@
 
 impl Control {
     pub(super) fn fetch(&mut self, call: CallId, reply: oneshot::Sender<ControlReply>) {
-        if self.owner.call(&call).is_none() {
-            let _ = reply.send(ControlReply::Problem(problems::unknown_call(&call)));
+        let problem = match self.owner.call(&call).map(|view| view.stage) {
+            None => Some(problems::unknown_call(&call)),
+            Some(CallStage::Parked { may_have_run }) => Some(problems::not_under_way(may_have_run)),
+            Some(_) => None,
+        };
+        if let Some(problem) = problem {
+            let _ = reply.send(ControlReply::Problem(problem));
             return;
         }
         let answer = self.live_answer(&call);
@@ -76,6 +81,9 @@
                 None => return self.read_answer(call.clone()),
             },
             CallOutcome::Moved => answer.finish(AnswerEnd::Moved),
+            CallOutcome::Parked { may_have_run } => {
+                answer.finish(AnswerEnd::Problem(problems::not_under_way(may_have_run)));
+            }
             CallOutcome::Failed { reason } => {
                 answer.finish(AnswerEnd::Problem(problems::call_failed(reason)));
             }
@@ -92,10 +100,12 @@
         self.note_ended(call, outcome);
     }
 
-    /// Bounds the ended answers in memory. One that has moved or was refused
-    /// must not be found again: the call may go on elsewhere or anew.
+    /// Bounds the ended answers in memory. One that has moved, was refused or is
+    /// parked must not be found again: the call may go on elsewhere or anew.
     fn note_ended(&mut self, call: &CallId, outcome: CallOutcome) {
-        if matches!(outcome, CallOutcome::Moved | CallOutcome::Refused { .. }) {
+        if let CallOutcome::Moved | CallOutcome::Refused { .. } | CallOutcome::Parked { .. } =
+            outcome
+        {
             self.live.remove(call);
             return;
         }
--- a/entry/src/control/callers.rs
+++ b/entry/src/control/callers.rs
@@ -219,11 +219,13 @@
     match stage {
         CallStage::Waiting => "waiting",
         CallStage::InFlight => "in-flight",
+        CallStage::Parked { .. } => "parked",
         CallStage::Ended { outcome, .. } => match outcome {
             CallOutcome::Done => "done",
             CallOutcome::Failed { .. } => "failed",
             CallOutcome::Unknown { .. } => "unknown",
             CallOutcome::Refused { .. } => "refused",
+            CallOutcome::Parked { .. } => "parked",
             CallOutcome::Moved => "moved",
         },
     }
--- a/entry/src/problems.rs
+++ b/entry/src/problems.rs
@@ -148,6 +148,16 @@
     Problem::new(404, "unknown-call", Ran::No, detail)
 }
 
+/// A call that is not under way, and goes on when its request comes again.
+pub fn not_under_way(may_have_run: bool) -> Problem {
+    let ran = match may_have_run {
+        true => Ran::Unknown,
+        false => Ran::No,
+    };
+    let detail = "the call is not under way any more; the same request can be sent again";
+    Problem::new(503, "not-under-way", ran, detail).retry_after(Duration::from_secs(1))
+}
+
 /// A recorded answer that could not be read just now.
 pub fn answer_not_read() -> Problem {
     let detail = "the call has ended; its answer cannot be read just now";
--- a/system-tests/tests/planned_stops.rs
+++ b/system-tests/tests/planned_stops.rs
@@ -6,7 +6,9 @@
 use rosebend_system_tests::{
     Call, Cluster, ClusterConfig, Signal,
     load::{Load, Report},
-    settle, wait_until,
+    settle,
+    sse::StreamEnd,
+    wait_until,
 };
 use serde_json::json;
 
@@ -174,3 +176,29 @@
     let status = cluster.entries[owner].process.wait().await.unwrap();
     assert!(status.success(), "{status}");
 }
+
+#[actix_rt::test]
+async fn a_stream_ends_with_an_error_when_its_engine_dies_after_a_handoff() {
+    let mut cluster = Cluster::start(ClusterConfig::default()).await.unwrap();
+    let caller = cluster.program("renewal-96").await.unwrap();
+    let owner = cluster.owner_of("caribmar", "renewal-96").await.unwrap();
+    let entry = cluster.entry(cluster.other_than(owner));
+    let call = Call::model("record", 4000).sequence(1);
+    let mut stream = caller.stream(entry, &call).await.unwrap();
+    stream.next().await.unwrap();
+    let process = &mut cluster.entries[owner].process;
+    assert!(process.end(Signal::Terminate).await.unwrap().success());
+    // The successor goes on with the stream, and has no request to send again.
+    for endpoint in &mut cluster.endpoints {
+        endpoint.stand_in.end(Signal::Kill).await.unwrap();
+    }
+    let (_, end) = stream.collect().await;
+    let StreamEnd::Error(problem) = end else {
+        panic!("{end:?}");
+    };
+    assert!(problem.contains("\"ran\":\"unknown\""), "{problem}");
+    // Whoever asks for it from now on is told so at once.
+    let reply = caller.fetch(entry, 1).await.unwrap();
+    assert_eq!(reply.status, 503, "{reply:?}");
+    assert_eq!(reply.json()["reason"], "not-under-way", "{reply:?}");
+}
