Hand a shard over with the calls that run, and tell its successor before stopping

Cause: a repeatable call has no record before it ends, so that a successor knows of one that runs only by the sidecar. A sidecar that answers nobody for 1.5 s (a pause, a lost link) made it unknown, and its streams ended, at a handoff that the last owner had planned; without a handoff a stream outlives such a silence. The word of the last owner may come after the successor has begun to read the table, and its records were dropped then. 2. The last owner's own read of the rows may tell of the handoff before the handoff's answer does; the shard was forgotten by then, and its records with it. 3. An entry that stops could end before it had told the successor.

Ruled out: waiting longer for sidecars, as all callers of the shard wait meanwhile; writing a record of every call before it is sent, which is a write more for each turn; handing calls over as records, since a position that the table does not know must not count as recorded.

Change: the records that go with a shard name the calls at endpoints that have no record. The records are taken as of the row that the handoff replaces: a later write changes the row and fails the handoff. A stop waits until successors were told.

Tests: a_successor_claims_a_call_of_which_its_sidecar_did_not_tell (owner) and a_stream_goes_on_when_its_shard_is_handed_over_and_its_sidecar_is_paused (processes) fail before; a_call_that_no_sidecar_has_did_not_reach_one holds the other side. a_drained_shard_hands_its_records_over_unless_an_end_is_not_written asks for the running call, too. The property over three owners now hands over with unreachable sidecars.

After a takeover from an owner that died there is no such word; then a call of a sidecar that is silent for 1.5 s is still unknown.

--- a/coordination/examples/owner_memory.rs
+++ b/coordination/examples/owner_memory.rs
@@ -74,6 +74,7 @@
                     programs: Vec::new(),
                     turns: Vec::new(),
                     retained: Vec::new(),
+                    under_way: Vec::new(),
                     retained_after: Some(0),
                 },
             );
--- a/coordination/src/owner/durable.rs
+++ b/coordination/src/owner/durable.rs
@@ -102,7 +102,9 @@
 
     /// The durable records of a shard, for the successor to which it is handed
     /// over, so that this need not wait for the table. Answers are left out,
-    /// which are read from the table when a caller asks for one.
+    /// which are read from the table when a caller asks for one. Calls at
+    /// endpoints that have no record yet are told beside them, so that the
+    /// successor knows of them even if their sidecars cannot be asked just now.
     ///
     /// None while anything is to be written: calls at endpoints may end after a
     /// shard was drained, and the successor must not take such an end as
@@ -117,9 +119,11 @@
             let turns = turns
                 .map(|(sequence, turn)| turn.record_with(id, *sequence, AnswerRecord::default()));
             records.turns.extend(turns);
-            let active = program.active.as_deref();
-            let active = active.filter(|call| call.has_record);
-            records.turns.extend(active.map(|call| call.record(id)));
+            match program.active.as_deref() {
+                Some(call) if call.has_record => records.turns.push(call.record(id)),
+                Some(call) if call.stage.is_sent() => records.under_way.push(call.record(id)),
+                _ => {}
+            }
         }
         Some(records)
     }
--- a/coordination/src/owner/event.rs
+++ b/coordination/src/owner/event.rs
@@ -184,6 +184,9 @@
         turns: Vec<TurnRecord>,
         /// What sidecars retain for the shard.
         retained: Vec<RetainedTurn>,
+        /// Calls that were at endpoints when the last owner handed the shard
+        /// over, as that owner knew them.
+        under_way: Vec<TurnRecord>,
         /// The highest epoch of the shard at which one of the sidecars
         /// started, when all of them told what they retain: of calls under a
         /// later epoch they know everything. For programs whose record has a
--- a/coordination/src/owner/mod.rs
+++ b/coordination/src/owner/mod.rs
@@ -64,7 +64,8 @@
 `ShardGained` carries what sidecars retain, and from which epoch on that is
 everything. A call that the shard's next owner has to finish ends as
 [`CallOutcome::Moved`]. [`Owner::records`] gives the successor of a drained shard
-its durable records, so that it need not wait for the table. A caller whose
+its durable records, so that it need not wait for the table, and the calls that
+have none yet, which it claims where sidecars did not tell. A caller whose
 opening or ending of a program was being written when the table stopped
 answering is told [`Reply::Undecided`].
 */
@@ -162,6 +163,7 @@
                 programs,
                 turns,
                 retained,
+                under_way,
                 retained_after,
             } => self.gain(
                 now,
@@ -171,6 +173,7 @@
                     programs,
                     turns,
                     retained,
+                    under_way,
                     retained_after,
                 },
             ),
--- a/coordination/src/owner/takeover.rs
+++ b/coordination/src/owner/takeover.rs
@@ -27,6 +27,7 @@
     pub(super) programs: Vec<ProgramRecord>,
     pub(super) turns: Vec<TurnRecord>,
     pub(super) retained: Vec<RetainedTurn>,
+    pub(super) under_way: Vec<TurnRecord>,
     pub(super) retained_after: Option<Epoch>,
 }
 
@@ -59,6 +60,9 @@
             self.programs.insert(record.program.clone(), program);
         }
         let mut retained = by_call(gain.retained);
+        if gain.retained_after.is_none() {
+            add_under_way(&mut retained, gain.under_way);
+        }
         let mut open_turns = BTreeMap::new();
         for record in gain.turns {
             let is_complete = complete.contains(&record.call.program.root());
@@ -397,6 +401,21 @@
     calls
 }
 
+/// Adds calls that the last owner knew to be at endpoints. A sidecar that told
+/// what it has knows better; the others may have these, and are asked.
+fn add_under_way(retained: &mut BTreeMap<CallId, RetainedCall>, under_way: Vec<TurnRecord>) {
+    for turn in under_way {
+        let call = retained.entry(turn.call.clone()).or_default();
+        let attempt = attempt_of(&turn);
+        let retained = RetainedTurn {
+            turn,
+            attempt,
+            answer: None,
+        };
+        call.attempts.entry(attempt).or_insert(retained);
+    }
+}
+
 fn attempt_of(record: &TurnRecord) -> Attempt {
     match record.state {
         TurnState::Intent { attempt, .. } | TurnState::NotRun { attempt } => attempt,
--- a/coordination/tests/desk/mod.rs
+++ b/coordination/tests/desk/mod.rs
@@ -46,6 +46,7 @@
             programs: Vec::new(),
             turns: Vec::new(),
             retained: Vec::new(),
+            under_way: Vec::new(),
             retained_after: Some(0),
         });
         desk
--- a/coordination/tests/owner_limits.rs
+++ b/coordination/tests/owner_limits.rs
@@ -233,6 +233,8 @@
         .map(|turn| turn.call.sequence)
         .collect();
     assert_eq!((records.programs.len(), sequences), (1, vec![1]));
+    let under_way = records.under_way.iter().map(|turn| turn.call.sequence);
+    assert_eq!(under_way.collect::<Vec<_>>(), [2]);
 
     // It ends after the shard was drained: only its sidecar has the answer.
     desk.is_table_up = false;
--- a/coordination/tests/taken_calls/mod.rs
+++ b/coordination/tests/taken_calls/mod.rs
@@ -63,6 +63,7 @@
             attempt: ATTEMPT,
             answer: None,
         }],
+        under_way: Vec::new(),
         retained_after: Some(0),
     });
     desk
@@ -104,3 +105,52 @@
     dispatch caribmar/a#1 to e1
     ");
 }
+
+/// An owner that has drained its shard while a repeatable call runs at `e1`.
+fn drained_owner() -> Desk {
+    let mut desk = Desk::new(OwnerConfig::default());
+    desk.open("a", 100);
+    desk.submit(call("a", "first"));
+    desk.event(Event::ShardLeaving { shard: 0 });
+    desk
+}
+
+/// A successor to which the shard was handed over. No sidecar told it anything,
+/// or all did, and none has a call.
+fn successor_of(owner: &Desk, do_sidecars_tell: bool) -> Desk {
+    let records = owner.owner.records(owner.now, 0).unwrap();
+    let mut desk = Desk::new(OwnerConfig::default());
+    desk.event(Event::ShardGained {
+        shard: 0,
+        epoch: 2,
+        programs: records.programs,
+        turns: records.turns,
+        retained: Vec::new(),
+        under_way: records.under_way,
+        retained_after: do_sidecars_tell.then_some(0),
+    });
+    desk
+}
+
+#[test]
+fn a_successor_claims_a_call_of_which_its_sidecar_did_not_tell() {
+    let mut desk = successor_of(&drained_owner(), false);
+    assert!(desk.owner.call(&running_call()).is_some());
+    desk.event(claimed(ClaimOutcome::Running));
+    desk.submit(call("a", "first"));
+    insta::assert_snapshot!(desk.seen(), @r"
+    claim caribmar/a#1
+    ticket 1 follows caribmar/a#1
+    ");
+}
+
+#[test]
+fn a_call_that_no_sidecar_has_did_not_reach_one() {
+    let mut desk = successor_of(&drained_owner(), true);
+    assert_eq!(desk.owner.call(&running_call()), None);
+    desk.submit(call("a", "first"));
+    insta::assert_snapshot!(desk.seen(), @r"
+    ticket 1 follows caribmar/a#1
+    dispatch caribmar/a#1 to e1
+    ");
+}
--- a/coordination/tests/world/faults.rs
+++ b/coordination/tests/world/faults.rs
@@ -206,7 +206,11 @@
         }
         let epoch = self.table.epoch(shard) + 1;
         let last = self.table.shards.insert(shard, (index, epoch));
-        let ShardRecords { programs, turns } = handed.unwrap_or_else(|| self.table.records(shard));
+        let ShardRecords {
+            programs,
+            turns,
+            under_way,
+        } = handed.unwrap_or_else(|| self.table.records(shard));
         let unreachable = (self.mode.partitions && pick.is_multiple_of(4)).then_some(pick / 4 % 2);
         let mut retained = Vec::new();
         for sidecar in 0..self.sidecars.len() {
@@ -228,6 +232,7 @@
             programs,
             turns,
             retained,
+            under_way,
             retained_after,
         };
         self.send_local(self.run_of(index), event);
@@ -240,7 +245,9 @@
     pub fn handoff(&mut self, index: usize, shard: Shard) {
         if self.is_current(index, shard) {
             let records = self.processes[index].owner.records(self.now, shard);
-            self.take((index + 1) % 3, shard, 1, records);
+            // Sidecars that cannot be reached, now and then.
+            let pick = self.now.as_millis() as usize / 10;
+            self.take((index + 1) % 3, shard, pick, records);
         }
     }
 
--- a/coordination/tests/world/table.rs
+++ b/coordination/tests/world/table.rs
@@ -43,6 +43,7 @@
         ShardRecords {
             programs: programs.cloned().collect(),
             turns: turns.cloned().collect(),
+            under_way: Vec::new(),
         }
     }
 
--- a/entry/src/control.rs
+++ b/entry/src/control.rs
@@ -15,7 +15,7 @@
 use rosebend_protocol::problem::Problem;
 use rosebend_state::deployment::RowVersion;
 use rosebend_state::id::{CallId, EndpointId, Epoch, HostId, Incarnation, Revision, Shard};
-use rosebend_state::record::{AnswerRecord, ProgramRecord, TurnRecord};
+use rosebend_state::record::{AnswerRecord, ProgramRecord, ShardRecords, TurnRecord};
 use rosebend_state::resource::Change;
 use tokio::sync::{mpsc, oneshot};
 
@@ -189,6 +189,8 @@
         successor: (HostId, Incarnation),
         /// Version of the row that names the successor.
         row_version: RowVersion,
+        /// The shard's records as of the row that the handoff replaced.
+        records: Option<ShardRecords>,
     },
     /// A shard was not passed on.
     NotHandedOver {
@@ -199,6 +201,8 @@
         /// The version that the shard's row was thought to have.
         tried_version: RowVersion,
     },
+    /// A successor was told of its shard, or did not answer.
+    SuccessorTold,
     /// A handoff is to be tried again.
     HandoffDue {
         /// The shard.
--- a/entry/src/control/handoff.rs
+++ b/entry/src/control/handoff.rs
@@ -9,6 +9,7 @@
 use rosebend_protocol::table::row_id;
 use rosebend_state::deployment::{RowVersion, Transaction};
 use rosebend_state::id::{Epoch, HostId, Incarnation, Shard};
+use rosebend_state::record::ShardRecords;
 use rosebend_transport::event::{Event as LogEvent, EventKind, log_event};
 use rosebend_transport::store::{StoreClient, StoreError, Transacted};
 
@@ -44,6 +45,10 @@
         ) else {
             return;
         };
+        // Whatever is written from now on changes the row, and fails the handoff.
+        // Afterwards these records may be gone: a read of the rows can tell of the
+        // handoff before its own answer does.
+        let records = self.owner.records(self.now(), shard);
         let write_id = self.committer.take_write_id();
         let transaction =
             rows::handoff_transaction(shard, version, epoch + 1, &successor, write_id);
@@ -62,6 +67,7 @@
                     epoch,
                     successor,
                     row_version,
+                    records,
                 },
                 None => Command::NotHandedOver {
                     shard,
@@ -78,10 +84,10 @@
         epoch: Epoch,
         successor: (HostId, Incarnation),
         row_version: RowVersion,
+        records: Option<ShardRecords>,
     ) {
         let event = LogEvent::new(EventKind::ShardHandedOver).shard(shard);
         log_event(&event.epoch(epoch).host(&successor.0));
-        let records = self.owner.records(self.now(), shard);
         let records = records.map(|records| rows::to_json(&records));
         let handed = HandedShard {
             shard,
--- a/entry/src/control/shards.rs
+++ b/entry/src/control/shards.rs
@@ -240,7 +240,10 @@
                 continue;
             }
             let shard = loaded.shard;
-            self.handed.remove(&shard);
+            // What the last owner sent may have come after the table was read.
+            let handed = self.handed.remove(&shard);
+            let handed = handed.filter(|(epoch, _)| *epoch == loaded.epoch);
+            let under_way = handed.map_or_else(Vec::new, |(_, records)| records.under_way);
             let retained_count = loaded.retained.len() as u64;
             self.owner_event(Event::ShardGained {
                 shard,
@@ -248,6 +251,7 @@
                 programs: loaded.programs,
                 turns: loaded.turns,
                 retained: loaded.retained,
+                under_way,
                 retained_after: loaded.retained_after,
             });
             let event = LogEvent::new(EventKind::ShardRecovered).shard(shard);
@@ -305,7 +309,8 @@
     fn may_stop(&self) -> bool {
         let owns_nothing = self.ownership.owned().next().is_none();
         let has_successor = self.ownership.live_peers().any(|peer| !peer.leaving);
-        let has_passed_on = owns_nothing || !has_successor;
+        let has_told = self.untold_successors == 0;
+        let has_passed_on = (owns_nothing && has_told) || !has_successor;
         has_passed_on && self.pending.is_empty() && self.committer.is_idle() && self.is_settled()
     }
 
--- a/entry/src/control/sidecars.rs
+++ b/entry/src/control/sidecars.rs
@@ -346,7 +346,11 @@
 
     /// Gives the successor of a shard its row and its records. It reads the
     /// table when this does not reach it.
-    pub(super) fn tell_successor(&self, successor: &(HostId, Incarnation), handed: HandedShard) {
+    pub(super) fn tell_successor(
+        &mut self,
+        successor: &(HostId, Incarnation),
+        handed: HandedShard,
+    ) {
         let peer = self
             .ownership
             .live_peers()
@@ -363,10 +367,13 @@
             fences,
             shards: vec![handed],
         };
+        self.untold_successors += 1;
+        let handle = self.handle.clone();
         self.traffic.spawn(move |peers| async move {
             if let Ok(channel) = peers.channel(&address).await {
                 let _ = timeout(REQUEST_TIMEOUT, EntryClient::new(channel).handoff(request)).await;
             }
+            handle.send(Command::SuccessorTold);
         });
     }
 }
--- a/entry/src/control/state.rs
+++ b/entry/src/control/state.rs
@@ -89,6 +89,8 @@
     pub(super) unloaded: Vec<(Shard, Epoch, bool)>,
     /// Records that came with shards, until those are loaded.
     pub(super) handed: HashMap<Shard, (Epoch, ShardRecords)>,
+    /// Shards passed on whose successors are being told.
+    pub(super) untold_successors: usize,
     /// Callers that wait for the owner's answer.
     pub(super) pending: HashMap<Ticket, PendingCaller>,
     pub(super) next_ticket: Ticket,
@@ -182,6 +184,7 @@
             knows_configuration: false,
             unloaded: Vec::new(),
             handed: HashMap::new(),
+            untold_successors: 0,
             pending: HashMap::new(),
             next_ticket: 1,
             live: HashMap::new(),
@@ -284,12 +287,14 @@
                 epoch,
                 successor,
                 row_version,
-            } => self.handed_over(shard, epoch, successor, row_version),
+                records,
+            } => self.handed_over(shard, epoch, successor, row_version, records),
             Command::NotHandedOver {
                 shard,
                 epoch,
                 tried_version,
             } => self.not_handed_over(shard, epoch, tried_version),
+            Command::SuccessorTold => self.untold_successors -= 1,
             Command::HandoffDue { shard } => self.pass_on(shard),
             Command::HandoffOffered(shards) => self.take_handed(shards),
             Command::OwnerDoubted => self.owner_doubted(),
--- a/state/src/record.rs
+++ b/state/src/record.rs
@@ -106,6 +106,10 @@
     pub programs: Vec<ProgramRecord>,
     /// Their calls.
     pub turns: Vec<TurnRecord>,
+    /// Calls at endpoints that have no record yet, as their owner knows them.
+    /// Nothing of this is in the table.
+    #[serde(default)]
+    pub under_way: Vec<TurnRecord>,
 }
 
 /// One call of a program.
--- a/system-tests/tests/planned_stops.rs
+++ b/system-tests/tests/planned_stops.rs
@@ -7,7 +7,7 @@
     Call, Cluster, ClusterConfig, Signal,
     load::{Load, Report},
     settle,
-    sse::StreamEnd,
+    sse::{StreamEnd, join_parts},
     wait_until,
 };
 use serde_json::json;
@@ -177,6 +177,51 @@
     assert!(status.success(), "{status}");
 }
 
+#[actix_rt::test]
+async fn a_stream_goes_on_when_its_shard_is_handed_over_and_its_sidecar_is_paused() {
+    let cluster = Cluster::start(ClusterConfig::default()).await.unwrap();
+    let caller = cluster.program("renewal-97").await.unwrap();
+    let owner = cluster.owner_of("caribmar", "renewal-97").await.unwrap();
+    let shard = cluster.shard_of("caribmar", "renewal-97").unwrap();
+    let entry = cluster.entry(cluster.other_than(owner));
+    let call = Call::model("record", 600).sequence(1);
+    let mut stream = caller.stream(entry, &call).await.unwrap();
+    let first = stream.next().await.unwrap();
+    for engine in cluster.engines() {
+        engine.sidecar.signal(Signal::Stop).unwrap();
+    }
+    let process = &cluster.entries[owner].process;
+    process.signal(Signal::Terminate).unwrap();
+    // Its successor serves the shard, and was told nothing by these sidecars.
+    let recovered = format!("shard-recovered shard={shard} epoch=2");
+    wait_until("the successor", || async {
+        let mut entries = cluster.entries.iter();
+        let is_served = entries.any(|entry| entry.process.log().contains(&recovered));
+        is_served.then_some(())
+    })
+    .await
+    .unwrap();
+    for engine in cluster.engines() {
+        engine.sidecar.signal(Signal::Continue).unwrap();
+    }
+    let (rest, end) = stream.collect().await;
+    assert_eq!(end, StreamEnd::Done);
+    let first = first.id.zip(first.content());
+    let parts: Vec<_> = first.into_iter().chain(rest).collect();
+    join_parts(0, &parts).unwrap();
+    assert_eq!(parts.len(), 600);
+    let mut runs = 0;
+    for engine in cluster.engines() {
+        let stats = engine.engine_stats().await.unwrap();
+        let of_session = stats
+            .runs
+            .iter()
+            .filter(|(id, _)| id.contains("renewal-97"));
+        runs += of_session.map(|(_, runs)| runs).sum::<u64>();
+    }
+    assert_eq!(runs, 1);
+}
+
 #[actix_rt::test]
 async fn a_stream_ends_with_an_error_when_its_engine_dies_after_a_handoff() {
     let mut cluster = Cluster::start(ClusterConfig::default()).await.unwrap();
