Keep what a handoff says and what sidecars tell in modules of their own

Cause: the word to a successor stood in the module of sidecars, and what sidecars retain for a shard in the module of shards, which the module that asks for it used in turn. Two tests counted the runs of a program's calls, each for itself.

Change: handoff.rs tells successors, retained.rs holds RetainedCalls, and the tests' cluster counts runs. No decision changes.

--- a/entry/src/control/handoff.rs
+++ b/entry/src/control/handoff.rs
@@ -3,9 +3,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix_rt::time::timeout;
 use rosebend_coordination::owner::Event;
 use rosebend_coordination::ownership::{OwnershipEvent, ShardRow};
-use rosebend_protocol::peer::HandedShard;
+use rosebend_protocol::peer::{Fence, HandedShard, HandoffRequest, entry_client::EntryClient};
 use rosebend_protocol::table::row_id;
 use rosebend_state::deployment::{RowVersion, Transaction};
 use rosebend_state::id::{Epoch, HostId, Incarnation, Shard};
@@ -15,6 +16,7 @@
 
 use super::Command;
 use super::state::Control;
+use crate::dispatch::REQUEST_TIMEOUT;
 use crate::rows;
 
 /// Wait before a handoff is tried again that met a write of this entry: about two
@@ -110,6 +112,35 @@
         self.ownership_event(OwnershipEvent::HandoffEnded { shard, passed_on });
     }
 
+    /// Gives the successor of a shard its row and its records. It reads the
+    /// table when this does not reach it.
+    fn tell_successor(&mut self, successor: &(HostId, Incarnation), handed: HandedShard) {
+        let peer = self
+            .ownership
+            .live_peers()
+            .find(|peer| peer.host == successor.0);
+        let Some(address) = peer.map(|peer| peer.peer_address.clone()) else {
+            return;
+        };
+        let fences = vec![Fence {
+            shard: handed.shard,
+            epoch: 0,
+        }];
+        let request = HandoffRequest {
+            sender: self.settings.entry.host.clone(),
+            fences,
+            shards: vec![handed],
+        };
+        self.untold_successors += 1;
+        let handle = self.handle.clone();
+        self.traffic.spawn(move |peers| async move {
+            if let Ok(channel) = peers.channel(&address).await {
+                let _ = timeout(REQUEST_TIMEOUT, EntryClient::new(channel).handoff(request)).await;
+            }
+            handle.send(Command::SuccessorTold);
+        });
+    }
+
     /// A call that was at its endpoint when the shard was drained may have
     /// ended since, and the write of its end changed the shard's row. Then the
     /// handoff is tried again at once: giving it up would keep the shard for
--- a/entry/src/control/retained.rs
+++ b/entry/src/control/retained.rs
@@ -18,7 +18,6 @@
 use tokio::sync::oneshot;
 
 use super::answers::answer_record;
-use super::shards::RetainedCalls;
 use super::sidecars::SidecarAddress;
 use crate::answer::LiveAnswer;
 use crate::dispatch::{self, Attempt, AttemptEnd};
@@ -28,6 +27,16 @@
 /// enough to connect, which may take 0.8 s, and for a reply.
 const ASK_AGAIN_WAIT: Duration = Duration::from_millis(300);
 
+/// Calls that sidecars retain, by shard.
+#[derive(Debug, Default)]
+pub(super) struct RetainedCalls {
+    /// By shard.
+    pub(super) calls: HashMap<Shard, Vec<RetainedTurn>>,
+    /// The highest epoch of a shard at which one of the sidecars started, for
+    /// each shard of which all sidecars told what they retain.
+    pub(super) started: HashMap<Shard, Epoch>,
+}
+
 /// Asks all sidecars at once; those that do not answer in time are left out.
 pub(super) async fn ask_all(
     traffic: &Traffic,
--- a/entry/src/control/shards.rs
+++ b/entry/src/control/shards.rs
@@ -1,6 +1,5 @@
 //! Ownership of shards: takeovers, loading, handoffs, the stop.
 
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -361,13 +360,3 @@
         .filter_map(|row| rows::from_json(row).ok())
         .collect()
 }
-
-/// Calls that sidecars retain, by shard.
-#[derive(Debug, Default)]
-pub(super) struct RetainedCalls {
-    /// By shard.
-    pub(super) calls: HashMap<Shard, Vec<rosebend_coordination::owner::RetainedTurn>>,
-    /// The highest epoch of a shard at which one of the sidecars started, for
-    /// each shard of which all sidecars told what they retain.
-    pub(super) started: HashMap<Shard, Epoch>,
-}
--- a/entry/src/control/sidecars.rs
+++ b/entry/src/control/sidecars.rs
@@ -8,10 +8,10 @@
 use rosebend_coordination::queue::LoadView;
 use rosebend_coordination::routing::{EndpointInfo, EndpointState};
 use rosebend_protocol::peer::{
-    AcknowledgeRequest, Fence, HandedShard, HandoffRequest, HoldsRequest, Load, StatusReply,
-    StatusRequest, entry_client::EntryClient, sidecar_client::SidecarClient,
+    AcknowledgeRequest, Fence, HoldsRequest, Load, StatusReply, StatusRequest,
+    sidecar_client::SidecarClient,
 };
-use rosebend_state::id::{CallId, EndpointId, Epoch, HostId, Incarnation, Shard};
+use rosebend_state::id::{CallId, EndpointId, Epoch, Incarnation, Shard};
 use rosebend_transport::event::{Event as LogEvent, EventKind, log_event};
 
 use super::Command;
@@ -343,39 +343,6 @@
             }
         });
     }
-
-    /// Gives the successor of a shard its row and its records. It reads the
-    /// table when this does not reach it.
-    pub(super) fn tell_successor(
-        &mut self,
-        successor: &(HostId, Incarnation),
-        handed: HandedShard,
-    ) {
-        let peer = self
-            .ownership
-            .live_peers()
-            .find(|peer| peer.host == successor.0);
-        let Some(address) = peer.map(|peer| peer.peer_address.clone()) else {
-            return;
-        };
-        let fences = vec![Fence {
-            shard: handed.shard,
-            epoch: 0,
-        }];
-        let request = HandoffRequest {
-            sender: self.settings.entry.host.clone(),
-            fences,
-            shards: vec![handed],
-        };
-        self.untold_successors += 1;
-        let handle = self.handle.clone();
-        self.traffic.spawn(move |peers| async move {
-            if let Ok(channel) = peers.channel(&address).await {
-                let _ = timeout(REQUEST_TIMEOUT, EntryClient::new(channel).handoff(request)).await;
-            }
-            handle.send(Command::SuccessorTold);
-        });
-    }
 }
 
 type EndpointSight = (Incarnation, bool, bool);
--- a/system-tests/src/cluster.rs
+++ b/system-tests/src/cluster.rs
@@ -227,6 +227,21 @@
         Ok(total)
     }
 
+    /// How often engines ran the calls of a program.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an engine does not answer.
+    pub async fn runs_of(&self, session: &str) -> Result<u64, HarnessError> {
+        let mut total = 0;
+        for engine in self.engines() {
+            let stats = engine.engine_stats().await?;
+            let of_session = stats.runs.iter().filter(|(id, _)| id.contains(session));
+            total += of_session.map(|(_, runs)| runs).sum::<u64>();
+        }
+        Ok(total)
+    }
+
     /// Calls that are at a service and have not had their effect.
     ///
     /// # Errors
--- a/system-tests/tests/planned_stops.rs
+++ b/system-tests/tests/planned_stops.rs
@@ -210,16 +210,7 @@
     let parts: Vec<_> = first.into_iter().chain(rest).collect();
     join_parts(0, &parts).unwrap();
     assert_eq!(parts.len(), 600);
-    let mut runs = 0;
-    for engine in cluster.engines() {
-        let stats = engine.engine_stats().await.unwrap();
-        let of_session = stats
-            .runs
-            .iter()
-            .filter(|(id, _)| id.contains("renewal-97"));
-        runs += of_session.map(|(_, runs)| runs).sum::<u64>();
-    }
-    assert_eq!(runs, 1);
+    assert_eq!(cluster.runs_of("renewal-97").await.unwrap(), 1);
 }
 
 #[actix_rt::test]
--- a/system-tests/tests/silent_connection.rs
+++ b/system-tests/tests/silent_connection.rs
@@ -47,17 +47,6 @@
     }
 }
 
-/// How often engines ran calls of a program.
-async fn runs_of(cluster: &Cluster, session: &str) -> u64 {
-    let mut runs = 0;
-    for engine in cluster.engines() {
-        let stats = engine.engine_stats().await.unwrap();
-        let of_session = stats.runs.iter().filter(|(id, _)| id.contains(session));
-        runs += of_session.map(|(_, runs)| runs).sum::<u64>();
-    }
-    runs
-}
-
 #[actix_rt::test]
 async fn a_stream_goes_on_when_the_connection_to_the_sidecar_is_silent() {
     let cluster = Cluster::start(ClusterConfig {
@@ -79,7 +68,7 @@
         assert_eq!(parts.len() as u64, TOKENS);
     }
     // Each was run once: the engines were not asked again.
-    assert_eq!(runs_of(&cluster, "renewal-50").await, 2);
+    assert_eq!(cluster.runs_of("renewal-50").await.unwrap(), 2);
 }
 
 #[actix_rt::test]
@@ -108,7 +97,7 @@
     parts.extend(rest);
     join_parts(0, &parts).unwrap();
     assert_eq!(parts.len() as u64, LONG_TOKENS);
-    assert_eq!(runs_of(&cluster, "renewal-54").await, 1);
+    assert_eq!(cluster.runs_of("renewal-54").await.unwrap(), 1);
     let status = cluster.entries[owner].process.wait().await.unwrap();
     assert!(status.success(), "{status}");
 }
