--- a/coordination/src/owner/mod.rs
+++ b/coordination/src/owner/mod.rs
@@ -64,7 +64,8 @@
 `ShardGained` carries what sidecars retain, and from which epoch on that is
 everything. A call that the shard's next owner has to finish ends as
 [`CallOutcome::Moved`]. [`Owner::records`] gives the successor of a drained shard
-its durable records, so that it need not wait for the table. A caller whose
+its durable records, so that it need not wait for the table, and the calls that
+have none yet, which it claims where sidecars did not tell. A caller whose
 opening or ending of a program was being written when the table stopped
 answering is told [`Reply::Undecided`].
 */
@@ -95,7 +96,7 @@
 use rosebend_state::record::{AnswerRecord, CallKind};
 
 use self::account::Account;
-use self::program::Program;
+use self::program::{Program, Stage};
 use self::retry::RetryBudget;
 use self::shard::ShardState;
 use self::suspicion::Suspicion;
@@ -162,6 +163,7 @@
                 programs,
                 turns,
                 retained,
+                under_way,
                 retained_after,
             } => self.gain(
                 now,
@@ -171,6 +173,7 @@
                     programs,
                     turns,
                     retained,
+                    under_way,
                     retained_after,
                 },
             ),
@@ -273,9 +276,12 @@
             });
         }
         let active = program.active.as_deref()?;
-        let stage = match active.stage.is_sent() {
-            true => CallStage::InFlight,
-            false => CallStage::Waiting,
+        let stage = match &active.stage {
+            Stage::Parked => CallStage::Parked {
+                may_have_run: active.may_have_run,
+            },
+            stage if stage.is_sent() => CallStage::InFlight,
+            _ => CallStage::Waiting,
         };
         (active.sequence == call.sequence).then(|| CallView {
             key: active.key.as_deref().map(str::to_owned),
--- a/entry/src/control/handoff.rs
+++ b/entry/src/control/handoff.rs
@@ -3,17 +3,20 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix_rt::time::timeout;
 use rosebend_coordination::owner::Event;
 use rosebend_coordination::ownership::{OwnershipEvent, ShardRow};
-use rosebend_protocol::peer::HandedShard;
+use rosebend_protocol::peer::{Fence, HandedShard, HandoffRequest, entry_client::EntryClient};
 use rosebend_protocol::table::row_id;
 use rosebend_state::deployment::{RowVersion, Transaction};
 use rosebend_state::id::{Epoch, HostId, Incarnation, Shard};
+use rosebend_state::record::ShardRecords;
 use rosebend_transport::event::{Event as LogEvent, EventKind, log_event};
 use rosebend_transport::store::{StoreClient, StoreError, Transacted};
 
 use super::Command;
 use super::state::Control;
+use crate::dispatch::REQUEST_TIMEOUT;
 use crate::rows;
 
 /// Wait before a handoff is tried again that met a write of this entry: about two
@@ -44,6 +47,10 @@
         ) else {
             return;
         };
+        // Whatever is written from now on changes the row, and fails the handoff.
+        // Afterwards these records may be gone: a read of the rows can tell of the
+        // handoff before its own answer does.
+        let records = self.owner.records(self.now(), shard);
         let write_id = self.committer.take_write_id();
         let transaction =
             rows::handoff_transaction(shard, version, epoch + 1, &successor, write_id);
@@ -62,6 +69,7 @@
                     epoch,
                     successor,
                     row_version,
+                    records,
                 },
                 None => Command::NotHandedOver {
                     shard,
@@ -78,10 +86,10 @@
         epoch: Epoch,
         successor: (HostId, Incarnation),
         row_version: RowVersion,
+        records: Option<ShardRecords>,
     ) {
         let event = LogEvent::new(EventKind::ShardHandedOver).shard(shard);
         log_event(&event.epoch(epoch).host(&successor.0));
-        let records = self.owner.records(self.now(), shard);
         let records = records.map(|records| rows::to_json(&records));
         let handed = HandedShard {
             shard,
@@ -104,6 +112,35 @@
         self.ownership_event(OwnershipEvent::HandoffEnded { shard, passed_on });
     }
 
+    /// Gives the successor of a shard its row and its records. It reads the
+    /// table when this does not reach it.
+    fn tell_successor(&mut self, successor: &(HostId, Incarnation), handed: HandedShard) {
+        let peer = self
+            .ownership
+            .live_peers()
+            .find(|peer| peer.host == successor.0);
+        let Some(address) = peer.map(|peer| peer.peer_address.clone()) else {
+            return;
+        };
+        let fences = vec![Fence {
+            shard: handed.shard,
+            epoch: 0,
+        }];
+        let request = HandoffRequest {
+            sender: self.settings.entry.host.clone(),
+            fences,
+            shards: vec![handed],
+        };
+        self.untold_successors += 1;
+        let handle = self.handle.clone();
+        self.traffic.spawn(move |peers| async move {
+            if let Ok(channel) = peers.channel(&address).await {
+                let _ = timeout(REQUEST_TIMEOUT, EntryClient::new(channel).handoff(request)).await;
+            }
+            handle.send(Command::SuccessorTold);
+        });
+    }
+
     /// A call that was at its endpoint when the shard was drained may have
     /// ended since, and the write of its end changed the shard's row. Then the
     /// handoff is tried again at once: giving it up would keep the shard for
--- a/entry/src/control/shards.rs
+++ b/entry/src/control/shards.rs
@@ -1,6 +1,5 @@
 //! Ownership of shards: takeovers, loading, handoffs, the stop.
 
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -240,7 +239,10 @@
                 continue;
             }
             let shard = loaded.shard;
-            self.handed.remove(&shard);
+            // What the last owner sent may have come after the table was read.
+            let handed = self.handed.remove(&shard);
+            let handed = handed.filter(|(epoch, _)| *epoch == loaded.epoch);
+            let under_way = handed.map_or_else(Vec::new, |(_, records)| records.under_way);
             let retained_count = loaded.retained.len() as u64;
             self.owner_event(Event::ShardGained {
                 shard,
@@ -248,6 +250,7 @@
                 programs: loaded.programs,
                 turns: loaded.turns,
                 retained: loaded.retained,
+                under_way,
                 retained_after: loaded.retained_after,
             });
             let event = LogEvent::new(EventKind::ShardRecovered).shard(shard);
@@ -305,7 +308,8 @@
     fn may_stop(&self) -> bool {
         let owns_nothing = self.ownership.owned().next().is_none();
         let has_successor = self.ownership.live_peers().any(|peer| !peer.leaving);
-        let has_passed_on = owns_nothing || !has_successor;
+        let has_told = self.untold_successors == 0;
+        let has_passed_on = (owns_nothing && has_told) || !has_successor;
         has_passed_on && self.pending.is_empty() && self.committer.is_idle() && self.is_settled()
     }
 
@@ -356,13 +360,3 @@
         .filter_map(|row| rows::from_json(row).ok())
         .collect()
 }
-
-/// Calls that sidecars retain, by shard.
-#[derive(Debug, Default)]
-pub(super) struct RetainedCalls {
-    /// By shard.
-    pub(super) calls: HashMap<Shard, Vec<rosebend_coordination::owner::RetainedTurn>>,
-    /// The highest epoch of a shard at which one of the sidecars started, for
-    /// each shard of which all sidecars told what they retain.
-    pub(super) started: HashMap<Shard, Epoch>,
-}
--- a/system-tests/tests/planned_stops.rs
+++ b/system-tests/tests/planned_stops.rs
@@ -6,7 +6,9 @@
 use rosebend_system_tests::{
     Call, Cluster, ClusterConfig, Signal,
     load::{Load, Report},
-    settle, wait_until,
+    settle,
+    sse::{StreamEnd, join_parts},
+    wait_until,
 };
 use serde_json::json;
 
@@ -174,3 +176,65 @@
     let status = cluster.entries[owner].process.wait().await.unwrap();
     assert!(status.success(), "{status}");
 }
+
+#[actix_rt::test]
+async fn a_stream_goes_on_when_its_shard_is_handed_over_and_its_sidecar_is_paused() {
+    let cluster = Cluster::start(ClusterConfig::default()).await.unwrap();
+    let caller = cluster.program("renewal-97").await.unwrap();
+    let owner = cluster.owner_of("caribmar", "renewal-97").await.unwrap();
+    let shard = cluster.shard_of("caribmar", "renewal-97").unwrap();
+    let entry = cluster.entry(cluster.other_than(owner));
+    let call = Call::model("record", 600).sequence(1);
+    let mut stream = caller.stream(entry, &call).await.unwrap();
+    let first = stream.next().await.unwrap();
+    for engine in cluster.engines() {
+        engine.sidecar.signal(Signal::Stop).unwrap();
+    }
+    let process = &cluster.entries[owner].process;
+    process.signal(Signal::Terminate).unwrap();
+    // Its successor serves the shard, and was told nothing by these sidecars.
+    let recovered = format!("shard-recovered shard={shard} epoch=2");
+    wait_until("the successor", || async {
+        let mut entries = cluster.entries.iter();
+        let is_served = entries.any(|entry| entry.process.log().contains(&recovered));
+        is_served.then_some(())
+    })
+    .await
+    .unwrap();
+    for engine in cluster.engines() {
+        engine.sidecar.signal(Signal::Continue).unwrap();
+    }
+    let (rest, end) = stream.collect().await;
+    assert_eq!(end, StreamEnd::Done);
+    let first = first.id.zip(first.content());
+    let parts: Vec<_> = first.into_iter().chain(rest).collect();
+    join_parts(0, &parts).unwrap();
+    assert_eq!(parts.len(), 600);
+    assert_eq!(cluster.runs_of("renewal-97").await.unwrap(), 1);
+}
+
+#[actix_rt::test]
+async fn a_stream_ends_with_an_error_when_its_engine_dies_after_a_handoff() {
+    let mut cluster = Cluster::start(ClusterConfig::default()).await.unwrap();
+    let caller = cluster.program("renewal-96").await.unwrap();
+    let owner = cluster.owner_of("caribmar", "renewal-96").await.unwrap();
+    let entry = cluster.entry(cluster.other_than(owner));
+    let call = Call::model("record", 4000).sequence(1);
+    let mut stream = caller.stream(entry, &call).await.unwrap();
+    stream.next().await.unwrap();
+    let process = &mut cluster.entries[owner].process;
+    assert!(process.end(Signal::Terminate).await.unwrap().success());
+    // The successor goes on with the stream, and has no request to send again.
+    for endpoint in &mut cluster.endpoints {
+        endpoint.stand_in.end(Signal::Kill).await.unwrap();
+    }
+    let (_, end) = stream.collect().await;
+    let StreamEnd::Error(problem) = end else {
+        panic!("{end:?}");
+    };
+    assert!(problem.contains("\"ran\":\"unknown\""), "{problem}");
+    // Whoever asks for it from now on is told so at once.
+    let reply = caller.fetch(entry, 1).await.unwrap();
+    assert_eq!(reply.status, 503, "{reply:?}");
+    assert_eq!(reply.json()["reason"], "not-under-way", "{reply:?}");
+}
