Tell entries that name no endpoint once, and keep the others

Cause: a refused entry was logged with each heartbeat, as a fault of operators' routes, and was taken as the deletion of the endpoint's entry. A load of any numbers, in an answer or a peer's datagram, overflowed the sum of running and waiting requests (a panic in a checked build, a wrong load else).

An entry that turns bad while its endpoint lives names no endpoint to use: it gets nothing new, and what is believed of it is kept until its entry is good again or deleted. One whose service nobody has declared counts as no endpoint until it is declared. Ids in the log are cut to one line. Sums saturate.

Conclusion: foreign entries cost two lines each, and no endpoint.

--- a/coordination/src/gateway.rs
+++ b/coordination/src/gateway.rs
@@ -4,6 +4,7 @@
 //!
 //! - [`route_table`]: requests to routes, and routes to services.
 //! - [`directory`]: the endpoints that are there, and the choice among them.
+//! - [`refusals`]: entries of endpoints that name none to use, each told once.
 //! - [`ledger`]: what a program has spent and what its running turns may spend.
 //! - [`lane`]: changes of programs gathered into transactions.
 //! - [`history`]: turns that were answered, and the prompts made of them.
@@ -18,4 +19,5 @@
 pub mod history;
 pub mod lane;
 pub mod ledger;
+pub mod refusals;
 pub mod route_table;
--- a/coordination/src/gateway/directory.rs
+++ b/coordination/src/gateway/directory.rs
@@ -1,6 +1,6 @@
 //! The endpoints that are there, and the choice among them.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -54,6 +54,9 @@
     lapsed_until: Option<Duration>,
     /// Until when it is slow after its start.
     warm_at: Duration,
+    /// Set while its entry cannot be read: it gets nothing new then, and what
+    /// is believed of it is kept for when its entry is good again.
+    is_refused: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -108,6 +111,8 @@
 pub struct Directory {
     availability_zone: AvailabilityZone,
     endpoints: HashMap<InstanceId, Endpoint>,
+    /// Services that operators have declared; none before they were read.
+    services: Option<HashSet<ServiceName>>,
     /// Smoothed latency of each service in milliseconds.
     service_latency_ms: HashMap<ServiceName, f64>,
     /// Failures that this host saw itself, the newest last.
@@ -120,6 +125,7 @@
         Self {
             availability_zone,
             endpoints: HashMap::new(),
+            services: None,
             service_latency_ms: HashMap::new(),
             recent_failures: VecDeque::new(),
         }
@@ -127,10 +133,29 @@
 
     /// Number of endpoints that are given requests.
     pub fn len(&self) -> usize {
-        let is_used = |endpoint: &&Endpoint| !endpoint.record.draining;
+        let is_used = |endpoint: &&Endpoint| {
+            endpoint.takes_requests() && self.is_declared(&endpoint.record.service)
+        };
         self.endpoints.values().filter(is_used).count()
     }
 
+    /// Takes the names of the services that operators have declared.
+    pub fn declare(&mut self, services: impl IntoIterator<Item = ServiceName>) {
+        self.services = Some(services.into_iter().collect());
+    }
+
+    fn is_declared(&self, service: &str) -> bool {
+        let services = self.services.as_ref();
+        services.is_none_or(|services| services.contains(service))
+    }
+
+    /// Endpoints of services that nobody has declared; no route leads to them.
+    pub fn undeclared(&self) -> Vec<InstanceId> {
+        let endpoints = self.endpoints.values().map(|endpoint| &endpoint.record);
+        let undeclared = endpoints.filter(|record| !self.is_declared(&record.service));
+        undeclared.map(|record| record.instance.clone()).collect()
+    }
+
     /// Whether no endpoint is given requests.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
@@ -139,12 +164,13 @@
     /// Takes an entry that was written or read. Tells what changed for the
     /// choice, if anything did.
     pub fn announce(&mut self, record: EndpointRecord, now: Duration) -> Option<Listing> {
-        let warm_at = now + record.warming_up;
+        let warm_at = now.saturating_add(record.warming_up);
         match self.endpoints.get_mut(&record.instance) {
             Some(endpoint) => {
                 let began_to_drain = record.draining && !endpoint.record.draining;
                 endpoint.record = record;
                 endpoint.lapsed_until = None;
+                endpoint.is_refused = false;
                 began_to_drain.then_some(Listing::Draining)
             }
             None => {
@@ -159,6 +185,7 @@
                     failure_at: now,
                     lapsed_until: None,
                     warm_at,
+                    is_refused: false,
                 };
                 let instance = endpoint.record.instance.clone();
                 self.endpoints.insert(instance, endpoint);
@@ -180,23 +207,37 @@
         Some(Listing::Gone)
     }
 
-    /// Takes a whole list of entries; others are withdrawn. Tells what changed
-    /// for the choice.
+    /// Takes an entry that names no endpoint to use. One that was listed gets
+    /// nothing new until its entry is good again.
+    pub fn refuse(&mut self, instance: &str) {
+        if let Some(endpoint) = self.endpoints.get_mut(instance) {
+            endpoint.is_refused = true;
+        }
+    }
+
+    /// Takes a whole list of entries, of which some are refused; others are
+    /// withdrawn. Tells what changed for the choice.
     pub fn replace(
         &mut self,
         records: Vec<EndpointRecord>,
+        refused: &[InstanceId],
         now: Duration,
         in_outage: bool,
     ) -> Vec<(InstanceId, Listing)> {
         let mut changes = Vec::new();
-        let is_listed =
-            |instance: &InstanceId| records.iter().any(|record| record.instance == *instance);
+        let is_listed = |instance: &InstanceId| {
+            let is_read = records.iter().any(|record| record.instance == *instance);
+            is_read || refused.contains(instance)
+        };
         let instances = self.endpoints.keys().cloned();
         let missing: Vec<InstanceId> = instances.filter(|instance| !is_listed(instance)).collect();
         for instance in missing {
             let change = self.withdraw(&instance, now, in_outage);
             changes.extend(change.map(|change| (instance, change)));
         }
+        for instance in refused {
+            self.refuse(instance);
+        }
         for record in records {
             let instance = record.instance.clone();
             let change = self.announce(record, now);
@@ -247,7 +288,7 @@
     ) -> Option<Choice<'_>> {
         let is_candidate = |endpoint: &&Endpoint| {
             endpoint.record.service == service
-                && !endpoint.record.draining
+                && endpoint.takes_requests()
                 && !wish.asked.contains(&endpoint.record.instance)
         };
         let candidates = self.endpoints.values().filter(is_candidate);
@@ -398,6 +439,11 @@
 }
 
 impl Endpoint {
+    /// Whether it may get something new.
+    fn takes_requests(&self) -> bool {
+        !self.record.draining && !self.is_refused
+    }
+
     /// Share of its requests that failed lately.
     fn failure_share(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.failure_at);
@@ -430,7 +476,8 @@
         let Some(left) = LOAD_MEMORY.checked_sub(age) else {
             return own;
         };
-        let total = report.load.running + report.load.waiting;
+        // Any number may stand in an answer or in a peer's datagram.
+        let total = report.load.running.saturating_add(report.load.waiting);
         let others = f64::from(total.saturating_sub(report.own));
         own + others * left.as_secs_f64() / LOAD_MEMORY.as_secs_f64()
     }
--- a/coordination/tests/gateway_directory.rs
+++ b/coordination/tests/gateway_directory.rs
@@ -172,7 +172,10 @@
 #[test]
 fn entries_that_lapse_in_an_outage_are_used_last_and_then_dropped() {
     let mut directory = directory();
-    assert_eq!(directory.replace(vec![record("b", ZONE)], NOW, true), []);
+    assert_eq!(
+        directory.replace(vec![record("b", ZONE)], &[], NOW, true),
+        []
+    );
     assert_eq!(shares(&directory, turn(), NOW), [0, 100, 0]);
     let asked = ["b".to_owned()];
     let wish = Wish {
@@ -227,3 +230,47 @@
     directory.failed("b", NOW);
     assert_eq!(directory.failed_since(NOW).collect::<Vec<_>>(), ["b"]);
 }
+
+#[test]
+fn an_endpoint_whose_entry_is_refused_gets_nothing_and_loses_nothing() {
+    let mut directory = directory();
+    directory.report("b", load(8, 8), NOW);
+    directory.refuse("a");
+    directory.refuse("nobody");
+    assert_eq!(directory.len(), 2);
+    assert_eq!(shares(&directory, turn(), NOW), [0, 0, 100]);
+    // A whole read in which it stands refused does not withdraw it.
+    let refused = ["a".to_owned(), "b".to_owned()];
+    assert_eq!(
+        directory.replace(vec![record("c", ZONE)], &refused, NOW, false),
+        []
+    );
+    directory.announce(record("a", ZONE), NOW);
+    directory.announce(record("b", ZONE), NOW);
+    let [a, b, _] = shares(&directory, turn(), NOW);
+    assert!(a > 0 && b == 0, "{a} {b}");
+}
+
+#[test]
+fn an_endpoint_of_a_service_that_nobody_declared_does_not_count() {
+    let mut directory = directory();
+    assert_eq!(directory.undeclared().len(), 0);
+    directory.declare(["desk".to_owned()]);
+    assert!(directory.is_empty());
+    assert_eq!(directory.undeclared().len(), 3);
+    directory.declare(["desk".to_owned(), "models".to_owned()]);
+    assert_eq!((directory.len(), directory.undeclared().len()), (3, 0));
+}
+
+#[test]
+fn no_time_or_number_overflows() {
+    let mut directory = directory();
+    let slow = EndpointRecord {
+        warming_up: Duration::MAX,
+        ..record("a", ZONE)
+    };
+    directory.withdraw("a", NOW, false);
+    directory.announce(slow, NOW);
+    directory.report("a", load(u32::MAX, u32::MAX), NOW);
+    assert_eq!(shares(&directory, turn(), NOW)[0], 0);
+}
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -8,6 +8,7 @@
 use rosebend_coordination::gateway::directory::Directory;
 use rosebend_coordination::gateway::fingerprint::CrashCounts;
 use rosebend_coordination::gateway::history::History;
+use rosebend_coordination::gateway::refusals::Refusals;
 use rosebend_coordination::gateway::route_table::RouteTable;
 use rosebend_state::deployment::InstanceId;
 use rosebend_state::settings::{GatewaySettings, StoreSettings};
@@ -46,6 +47,8 @@
     routes: RefCell<Option<Rc<RouteTable>>>,
     /// Endpoints that are there.
     pub directory: RefCell<Directory>,
+    /// Entries that name no endpoint to use.
+    pub refusals: RefCell<Refusals>,
     /// Idle connections to endpoints.
     pub pool: RefCell<Pool>,
     /// Turns in memory.
@@ -75,6 +78,7 @@
             clock,
             routes: RefCell::new(None),
             directory: RefCell::new(Directory::new(settings.availability_zone.clone())),
+            refusals: RefCell::default(),
             pool: RefCell::default(),
             history: RefCell::new(History::new(HISTORY_BYTES)),
             retention: Retention::default(),
@@ -110,6 +114,8 @@
         if version.is_some_and(|version| version >= routes.deployment().version) {
             return false;
         }
+        let services = routes.deployment().services.keys().cloned();
+        self.directory.borrow_mut().declare(services);
         *current = Some(Rc::new(routes));
         true
     }
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rosebend_coordination::gateway::directory::Directory;
 use rosebend_state::deployment::{EndpointLoad, InstanceId};
 use rosebend_transport::clock::whole_ms;
 use serde::{Deserialize, Serialize};
@@ -30,15 +31,49 @@
 
 /// One endpoint's load, as a peer heard it: running, waiting, slots, and its
 /// age in milliseconds.
+#[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
-struct Heard(InstanceId, u32, u32, u32, u64);
+pub struct Heard(pub InstanceId, pub u32, pub u32, pub u32, pub u64);
 
 /// What a peer heard and saw since its last datagram.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
-struct News {
-    loads: Vec<Heard>,
+pub struct News {
+    /// Loads that endpoints told.
+    pub loads: Vec<Heard>,
     /// Endpoints that failed, once for each failure.
-    failed: Vec<InstanceId>,
+    pub failed: Vec<InstanceId>,
+}
+
+/// A datagram that no gateway of this version sent.
+#[derive(Debug, thiserror::Error)]
+#[error("not a list of loads and failures: {0}")]
+pub struct NewsError(#[from] serde_json::Error);
+
+impl TryFrom<&[u8]> for News {
+    type Error = NewsError;
+
+    fn try_from(datagram: &[u8]) -> Result<Self, NewsError> {
+        Ok(serde_json::from_slice(datagram)?)
+    }
+}
+
+impl News {
+    /// Adds what a peer told to what is believed of endpoints.
+    pub fn tell(&self, directory: &mut Directory, now: Duration) {
+        for Heard(instance, running, waiting, slots, age_ms) in &self.loads {
+            let load = EndpointLoad {
+                running: *running,
+                waiting: *waiting,
+                slots: *slots,
+            };
+            let at = now.saturating_sub(Duration::from_millis(*age_ms));
+            directory.overhear(instance, load, at);
+        }
+        for instance in &self.failed {
+            directory.overhear_failure(instance, now);
+        }
+    }
 }
 
 /// Tells and hears loads, for ever.
@@ -92,23 +127,12 @@
         let Ok((bytes, _)) = socket.recv_from(&mut buffer).await else {
             continue;
         };
-        // What is no list of loads does not come from a gateway of this version.
-        let Ok(news) = serde_json::from_slice::<News>(&buffer[..bytes]) else {
+        // Anyone may send a datagram; what is said by no gateway of this
+        // version is passed over, as a datagram that is lost is.
+        let Ok(news) = News::try_from(&buffer[..bytes]) else {
             continue;
         };
         let now = gateway.clock.now();
-        let mut directory = gateway.directory.borrow_mut();
-        for Heard(instance, running, waiting, slots, age_ms) in news.loads {
-            let load = EndpointLoad {
-                running,
-                waiting,
-                slots,
-            };
-            let at = now.saturating_sub(Duration::from_millis(age_ms));
-            directory.overhear(&instance, load, at);
-        }
-        for instance in news.failed {
-            directory.overhear_failure(&instance, now);
-        }
+        news.tell(&mut gateway.directory.borrow_mut(), now);
     }
 }
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -88,6 +88,7 @@
     endpoint_failures: Family<ReasonLabel, Counter>,
     store_calls: Family<StoreLabel, Counter>,
     new_connections: Counter,
+    refused_entries: Family<ReasonLabel, Counter>,
     request: Histogram,
     first_event: Histogram,
     turn: Histogram,
@@ -128,6 +129,9 @@
             "Connections opened to endpoints",
             new_connections.clone(),
         );
+        let refused_entries = Family::default();
+        let help = "Entries of the table of endpoints that began to name none, by reason";
+        registry.register("refused_entries", help, refused_entries.clone());
         let mut histogram = |name: &str, help: &str| {
             let histogram = Histogram::new(exponential_buckets(FIRST_BOUND_SECONDS, 2.0, BOUNDS));
             registry.register_with_unit(name, help, Unit::Seconds, histogram.clone());
@@ -148,6 +152,7 @@
             endpoint_failures,
             store_calls,
             new_connections,
+            refused_entries,
             request,
             first_event,
             turn,
@@ -220,6 +225,13 @@
         self.new_connections.inc();
     }
 
+    /// Counts an entry that has begun to name no endpoint.
+    pub fn count_refused_entry(&self, reason: &'static str) {
+        self.refused_entries
+            .get_or_create(&ReasonLabel { reason })
+            .inc();
+    }
+
     /// Counts and times a call to the store.
     pub fn count_store_call(&self, call: StoreCall, error: Option<&StoreError>, took: Duration) {
         let outcome = match error {
--- a/gateway/src/turn_stream.rs
+++ b/gateway/src/turn_stream.rs
@@ -273,7 +273,7 @@
             input,
             output: record.output,
             endpoint: self.at.instance.clone(),
-            tokens: prompt_tokens + tokens,
+            tokens: prompt_tokens.saturating_add(tokens),
         }
     }
 
--- a/standin/src/store/mod.rs
+++ b/standin/src/store/mod.rs
@@ -193,10 +193,20 @@
 
     /// Writes a row as the operator or an endpoint does.
     pub fn put(&self, table: &str, key: &str, value: &Value) {
+        self.put_bytes(table, key, value.to_string().as_bytes());
+    }
+
+    /// Writes a row of any bytes, as a writer of another kind may.
+    pub fn put_bytes(&self, table: &str, key: &str, value: &[u8]) {
         use base64::Engine as _;
-        let value = base64::engine::general_purpose::STANDARD.encode(value.to_string());
+        let value = base64::engine::general_purpose::STANDARD.encode(value);
+        self.put_text(table, key, &value);
+    }
+
+    /// Writes a row whose value need not be the base64 of anything.
+    pub fn put_text(&self, table: &str, key: &str, value: &str) {
         let key = (table.to_owned(), String::new(), key.to_owned());
-        self.lock().rows.set(&[(key, Some(value))]);
+        self.lock().rows.set(&[(key, Some(value.to_owned()))]);
     }
 
     /// Deletes a row as the platform does.
--- a/transport/src/event.rs
+++ b/transport/src/event.rs
@@ -141,9 +141,9 @@
         self.with(Field::Host(host.to_owned()))
     }
 
-    /// Adds the endpoint.
+    /// Adds the endpoint, by an id that any writer may have chosen.
     pub fn endpoint(self, endpoint: &str) -> Self {
-        self.with(Field::Endpoint(endpoint.to_owned()))
+        self.with(Field::Endpoint(one_line(endpoint)))
     }
 
     /// Adds the revision of the configuration.
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -129,6 +129,10 @@
     EndpointListed,
     /// The endpoint gets no new requests; `reason` says why: it drains, its entry is gone, or its entry lapsed in an outage and did not come back.
     EndpointWithdrawn,
+    /// An entry of the table of endpoints names none to use; `reason` and `error` say why. It is told once.
+    EntryRefused,
+    /// An entry that named no endpoint is gone or good; `reason` says which.
+    EntryRefusalEnded,
     /// The endpoint failed and is avoided for `wait_ms`; `reason` says how it failed.
     EndpointAvoided,
     /// The platform's store does not answer this host; turns are refused.
@@ -159,7 +163,7 @@
 
 impl EventKind {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 73] = [
+    pub const ALL: [Self; 75] = [
         Self::ProcessStarted,
         Self::ProcessStopping,
         Self::ProcessStopped,
@@ -233,6 +237,8 @@
         Self::SpendingRefused,
         Self::HoldersAsked,
         Self::HolderSilent,
+        Self::EntryRefused,
+        Self::EntryRefusalEnded,
     ];
 
     /// The event's number, which stays with it for ever.
@@ -306,6 +312,8 @@
             Self::SpendingRefused => 828,
             Self::HoldersAsked => 829,
             Self::HolderSilent => 830,
+            Self::EntryRefused => 835,
+            Self::EntryRefusalEnded => 836,
             Self::RequestQuarantined => 821,
             Self::AcceptFailed => 822,
             Self::RecordUnreadable => 823,
@@ -374,6 +382,8 @@
             Self::RoutesUnreadable => "routes-unreadable",
             Self::EndpointListed => "endpoint-listed",
             Self::EndpointWithdrawn => "endpoint-withdrawn",
+            Self::EntryRefused => "entry-refused",
+            Self::EntryRefusalEnded => "entry-refusal-ended",
             Self::EndpointAvoided => "endpoint-avoided",
             Self::StoreLost => "store-lost",
             Self::StoreRegained => "store-regained",
@@ -421,6 +431,7 @@
             | Self::TokenRefused
             | Self::PeerRefused
             | Self::RequestEnded
+            | Self::EntryRefused
             | Self::EndpointAvoided
             | Self::StoreLost
             | Self::SettingsRefused
@@ -551,6 +562,12 @@
             Self::EndpointWithdrawn => {
                 "The endpoint gets no new requests; `reason` says why: it drains, its entry is gone, or its entry lapsed in an outage and did not come back."
             }
+            Self::EntryRefused => {
+                "An entry of the table of endpoints names none to use; `reason` and `error` say why. It is told once, and counted."
+            }
+            Self::EntryRefusalEnded => {
+                "An entry that named no endpoint is gone or good; `reason` says which."
+            }
             Self::EndpointAvoided => {
                 "The endpoint failed and is avoided for `wait_ms`; `reason` says how it failed."
             }
