--- a/coordination/src/gateway/directory.rs
+++ b/coordination/src/gateway/directory.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use rosebend_state::deployment::{EndpointLoad, EndpointRecord, InstanceId, ServiceName};
+use rosebend_state::deployment::{
+    EndpointIdentity, EndpointLoad, EndpointRecord, InstanceId, ServiceName,
+};
 use rosebend_state::id::AvailabilityZone;
 
 mod cost;
@@ -34,7 +36,13 @@
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(4);
 /// Failures that are kept to be told to peers.
 const MAX_RECENT_FAILURES: usize = 64;
-/// What is known of one endpoint.
+/// How long entries of an earlier start may come after those of a later one: a
+/// write whose answer was lost may take effect up to six seconds late. An
+/// earlier start that comes for longer is the one that lives, on a host whose
+/// clock was set back.
+const LATE_WRITE_TIME: Duration = Duration::from_secs(7);
+
+/// What is known of one start of an endpoint.
 #[derive(Clone, Debug)]
 struct Endpoint {
     record: EndpointRecord,
@@ -57,6 +65,8 @@
     /// Set while its entry cannot be read: it gets nothing new then, and what
     /// is believed of it is kept for when its entry is good again.
     is_refused: bool,
+    /// Since when entries of an earlier start have come, and none of this one.
+    earlier_since: Option<Duration>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -69,11 +79,22 @@
     is_first_hand: bool,
 }
 
+/// An endpoint whose entry is gone.
+#[derive(Clone, Copy, Debug)]
+struct Gone {
+    /// When its last start was.
+    started_ms: Option<u64>,
+    /// When its entry was gone.
+    at: Duration,
+}
+
 /// How an endpoint's place in the directory changed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Listing {
     /// It is new.
     Listed,
+    /// It started again: nothing that was believed of it holds any more.
+    StartedAgain,
     /// It gets nothing new, since it drains.
     Draining,
     /// It gets nothing new, since its entry is gone.
@@ -84,13 +105,13 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Wish<'a> {
     /// The endpoint that has the request's prompt or object in memory.
-    pub warm: Option<&'a str>,
+    pub warm: Option<&'a EndpointIdentity>,
     /// Prompt tokens that every other endpoint has to read.
     pub warm_tokens: u64,
     /// Whether the request is a turn at a model engine.
     pub is_turn: bool,
     /// Endpoints that were asked already.
-    pub asked: &'a [InstanceId],
+    pub asked: &'a [EndpointIdentity],
     /// What the request is about, to spread choices.
     pub subject: &'a str,
 }
@@ -110,13 +131,16 @@
 #[derive(Debug)]
 pub struct Directory {
     availability_zone: AvailabilityZone,
+    /// The latest start of each endpoint.
     endpoints: HashMap<InstanceId, Endpoint>,
+    /// Endpoints whose entry was gone less than [`LATE_WRITE_TIME`] ago.
+    gone: HashMap<InstanceId, Gone>,
     /// Services that operators have declared; none before they were read.
     services: Option<HashSet<ServiceName>>,
     /// Smoothed latency of each service in milliseconds.
     service_latency_ms: HashMap<ServiceName, f64>,
     /// Failures that this host saw itself, the newest last.
-    recent_failures: VecDeque<(InstanceId, Duration)>,
+    recent_failures: VecDeque<(EndpointIdentity, Duration)>,
 }
 
 impl Directory {
@@ -125,6 +149,7 @@
         Self {
             availability_zone,
             endpoints: HashMap::new(),
+            gone: HashMap::new(),
             services: None,
             service_latency_ms: HashMap::new(),
             recent_failures: VecDeque::new(),
@@ -153,7 +178,9 @@
     pub fn undeclared(&self) -> Vec<InstanceId> {
         let endpoints = self.endpoints.values().map(|endpoint| &endpoint.record);
         let undeclared = endpoints.filter(|record| !self.is_declared(&record.service));
-        undeclared.map(|record| record.instance.clone()).collect()
+        undeclared
+            .map(|record| record.identity.instance.clone())
+            .collect()
     }
 
     /// Whether no endpoint is given requests.
@@ -162,36 +189,40 @@
     }
 
     /// Takes an entry that was written or read. Tells what changed for the
-    /// choice, if anything did.
+    /// choice, if anything did. An entry of a start before the one that is
+    /// known came late and changes nothing.
     pub fn announce(&mut self, record: EndpointRecord, now: Duration) -> Option<Listing> {
-        let warm_at = now.saturating_add(record.warming_up);
-        match self.endpoints.get_mut(&record.instance) {
-            Some(endpoint) => {
-                let began_to_drain = record.draining && !endpoint.record.draining;
-                endpoint.record = record;
-                endpoint.lapsed_until = None;
-                endpoint.is_refused = false;
-                began_to_drain.then_some(Listing::Draining)
-            }
-            None => {
-                let endpoint = Endpoint {
-                    record,
-                    in_flight: 0,
-                    load: None,
-                    avoided_until: Duration::ZERO,
-                    failures: 0,
-                    latency_ms: 0.0,
-                    failure_share: 0.0,
-                    failure_at: now,
-                    lapsed_until: None,
-                    warm_at,
-                    is_refused: false,
-                };
-                let instance = endpoint.record.instance.clone();
-                self.endpoints.insert(instance, endpoint);
-                Some(Listing::Listed)
+        if self.came_late(&record, now) {
+            return None;
+        }
+        let instance = record.identity.instance.clone();
+        self.gone.remove(&instance);
+        let known = self.endpoints.get_mut(&instance);
+        let is_again = known.is_some();
+        if let Some(endpoint) = known.filter(|known| known.record.identity == record.identity) {
+            return endpoint.renew(record);
+        }
+        self.endpoints.insert(instance, Endpoint::new(record, now));
+        match is_again {
+            true => Some(Listing::StartedAgain),
+            false => Some(Listing::Listed),
+        }
+    }
+
+    /// Whether an entry is of a start that is over.
+    fn came_late(&mut self, record: &EndpointRecord, now: Duration) -> bool {
+        let identity = &record.identity;
+        if let Some(known) = self.endpoints.get_mut(&identity.instance) {
+            if !identity.is_before(&known.record.identity) {
+                known.earlier_since = None;
+                return false;
             }
+            let since = *known.earlier_since.get_or_insert(now);
+            return now.saturating_sub(since) < LATE_WRITE_TIME;
         }
+        self.gone.get(&identity.instance).is_some_and(|gone| {
+            identity.started_ms < gone.started_ms && now.saturating_sub(gone.at) < LATE_WRITE_TIME
+        })
     }
 
     /// Takes the deletion of an entry. One that vanished in an outage of the
@@ -203,10 +234,23 @@
             endpoint.lapsed_until.get_or_insert(until);
             return None;
         }
-        self.endpoints.remove(instance);
+        self.remove(instance, now);
         Some(Listing::Gone)
     }
 
+    fn remove(&mut self, instance: &str, now: Duration) {
+        if let Some((instance, endpoint)) = self.endpoints.remove_entry(instance) {
+            let started_ms = endpoint.record.identity.started_ms;
+            self.gone.insert(
+                instance,
+                Gone {
+                    started_ms,
+                    at: now,
+                },
+            );
+        }
+    }
+
     /// Takes an entry that names no endpoint to use. One that was listed gets
     /// nothing new until its entry is good again.
     pub fn refuse(&mut self, instance: &str) {
@@ -226,8 +270,8 @@
     ) -> Vec<(InstanceId, Listing)> {
         let mut changes = Vec::new();
         let is_listed = |instance: &InstanceId| {
-            let is_read = records.iter().any(|record| record.instance == *instance);
-            is_read || refused.contains(instance)
+            let mut read = records.iter().map(|record| &record.identity.instance);
+            read.any(|read| read == instance) || refused.contains(instance)
         };
         let instances = self.endpoints.keys().cloned();
         let missing: Vec<InstanceId> = instances.filter(|instance| !is_listed(instance)).collect();
@@ -239,7 +283,7 @@
             self.refuse(instance);
         }
         for record in records {
-            let instance = record.instance.clone();
+            let instance = record.identity.instance.clone();
             let change = self.announce(record, now);
             changes.extend(change.map(|change| (instance, change)));
         }
@@ -255,45 +299,57 @@
             .filter(|(_, endpoint)| is_over(endpoint));
         let over: Vec<InstanceId> = over.map(|(instance, _)| instance.clone()).collect();
         for instance in &over {
-            self.endpoints.remove(instance);
+            self.remove(instance, now);
         }
+        self.gone
+            .retain(|_, gone| now.saturating_sub(gone.at) < LATE_WRITE_TIME);
         over
     }
 
-    /// Whether the instance is still listed.
-    pub fn contains(&self, instance: &str) -> bool {
-        self.endpoints.contains_key(instance)
+    /// Whether this start is still listed.
+    pub fn contains(&self, identity: &EndpointIdentity) -> bool {
+        self.start(identity).is_some()
+    }
+
+    /// Whether a later start of the endpoint is listed.
+    pub fn has_started_again(&self, identity: &EndpointIdentity) -> bool {
+        let known = self.endpoints.get(&identity.instance);
+        known.is_some_and(|known| identity.is_before(&known.record.identity))
     }
 
-    /// Where an instance listens, while it is listed.
-    pub fn address(&self, instance: &str) -> Option<SocketAddr> {
-        self.endpoints
-            .get(instance)
-            .map(|endpoint| endpoint.record.address)
+    /// Where a start listens, while it is listed.
+    pub fn address(&self, identity: &EndpointIdentity) -> Option<SocketAddr> {
+        self.start(identity).map(|endpoint| endpoint.record.address)
     }
 
-    /// Instances that are listed, for those who keep something for each.
-    pub fn instances(&self) -> impl Iterator<Item = &InstanceId> {
-        self.endpoints.keys()
+    /// What is known of a start; nothing when another one is listed.
+    fn start(&self, identity: &EndpointIdentity) -> Option<&Endpoint> {
+        let known = self.endpoints.get(&identity.instance);
+        known.filter(|known| known.record.identity == *identity)
+    }
+
+    fn start_mut(&mut self, identity: &EndpointIdentity) -> Option<&mut Endpoint> {
+        let known = self.endpoints.get_mut(&identity.instance);
+        known.filter(|known| known.record.identity == *identity)
     }
 
     /// Chooses an endpoint of a service, or none when all were asked or leave.
-    /// `is_connected` tells whether an idle connection to an instance is open.
+    /// `is_connected` tells whether an idle connection to a start is open.
     pub fn choose(
         &self,
         service: &str,
         wish: Wish<'_>,
         now: Duration,
-        is_connected: impl Fn(&str) -> bool,
+        is_connected: impl Fn(&EndpointIdentity) -> bool,
     ) -> Option<Choice<'_>> {
         let is_candidate = |endpoint: &&Endpoint| {
             endpoint.record.service == service
                 && endpoint.takes_requests()
-                && !wish.asked.contains(&endpoint.record.instance)
+                && !wish.asked.contains(&endpoint.record.identity)
         };
         let candidates = self.endpoints.values().filter(is_candidate);
         let costs = candidates.map(|endpoint| {
-            let has_connection = is_connected(&endpoint.record.instance);
+            let has_connection = is_connected(&endpoint.record.identity);
             (self.cost_ms(endpoint, wish, has_connection, now), endpoint)
         });
         let best = costs.min_by(|a, b| a.0.total_cmp(&b.0));
@@ -312,22 +368,22 @@
     }
 
     /// Notes that a request was given to an endpoint.
-    pub fn begin(&mut self, instance: &str) {
-        if let Some(endpoint) = self.endpoints.get_mut(instance) {
+    pub fn begin(&mut self, identity: &EndpointIdentity) {
+        if let Some(endpoint) = self.start_mut(identity) {
             endpoint.in_flight += 1;
         }
     }
 
     /// Notes that an endpoint is done with a request.
-    pub fn end(&mut self, instance: &str) {
-        if let Some(endpoint) = self.endpoints.get_mut(instance) {
+    pub fn end(&mut self, identity: &EndpointIdentity) {
+        if let Some(endpoint) = self.start_mut(identity) {
             endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
         }
     }
 
     /// Takes the load that an endpoint told.
-    pub fn report(&mut self, instance: &str, load: EndpointLoad, now: Duration) {
-        if let Some(endpoint) = self.endpoints.get_mut(instance) {
+    pub fn report(&mut self, identity: &EndpointIdentity, load: EndpointLoad, now: Duration) {
+        if let Some(endpoint) = self.start_mut(identity) {
             let own = endpoint.in_flight;
             endpoint.load = Some(ReportedLoad {
                 load,
@@ -340,8 +396,8 @@
 
     /// Takes a load that another host heard at a time, unless a newer one is
     /// known.
-    pub fn overhear(&mut self, instance: &str, load: EndpointLoad, at: Duration) {
-        let Some(endpoint) = self.endpoints.get_mut(instance) else {
+    pub fn overhear(&mut self, identity: &EndpointIdentity, load: EndpointLoad, at: Duration) {
+        let Some(endpoint) = self.start_mut(identity) else {
             return;
         };
         if endpoint.load.is_none_or(|report| report.at < at) {
@@ -359,18 +415,24 @@
     pub fn heard_since(
         &self,
         since: Duration,
-    ) -> impl Iterator<Item = (&InstanceId, EndpointLoad, Duration)> {
-        let reports = self.endpoints.iter();
-        let reports = reports.filter_map(|(instance, endpoint)| Some((instance, endpoint.load?)));
+    ) -> impl Iterator<Item = (&EndpointIdentity, EndpointLoad, Duration)> {
+        let reports = self.endpoints.values();
+        let reports =
+            reports.filter_map(|endpoint| Some((&endpoint.record.identity, endpoint.load?)));
         let is_news = move |report: &ReportedLoad| report.is_first_hand && report.at >= since;
         reports
             .filter(move |(_, report)| is_news(report))
-            .map(|(instance, report)| (instance, report.load, report.at))
+            .map(|(identity, report)| (identity, report.load, report.at))
     }
 
     /// Notes that an endpoint answered, after a latency where one was measured.
-    pub fn answered(&mut self, instance: &str, latency: Option<Duration>, now: Duration) {
-        let Some(endpoint) = self.endpoints.get_mut(instance) else {
+    pub fn answered(
+        &mut self,
+        identity: &EndpointIdentity,
+        latency: Option<Duration>,
+        now: Duration,
+    ) {
+        let Some(endpoint) = self.start_mut(identity) else {
             return;
         };
         endpoint.failures = 0;
@@ -390,14 +452,14 @@
 
     /// Notes that an endpoint failed or could not be reached. Returns for how
     /// long it is avoided now, if it is listed.
-    pub fn failed(&mut self, instance: &str, now: Duration) -> Option<Duration> {
-        let endpoint = self.endpoints.get_mut(instance)?;
+    pub fn failed(&mut self, identity: &EndpointIdentity, now: Duration) -> Option<Duration> {
+        let endpoint = self.start_mut(identity)?;
         let doubled = FIRST_AVOIDANCE * 2_u32.pow(endpoint.failures.min(8));
         let avoided = doubled.min(MAX_AVOIDANCE);
         endpoint.failures += 1;
         endpoint.note_outcome(1.0, FAILURE_WEIGHT, now);
         endpoint.avoided_until = now + avoided;
-        self.recent_failures.push_back((instance.to_owned(), now));
+        self.recent_failures.push_back((identity.clone(), now));
         if self.recent_failures.len() > MAX_RECENT_FAILURES {
             self.recent_failures.pop_front();
         }
@@ -405,22 +467,22 @@
     }
 
     /// Takes a failure that a peer saw.
-    pub fn overhear_failure(&mut self, instance: &str, now: Duration) {
-        if let Some(endpoint) = self.endpoints.get_mut(instance) {
+    pub fn overhear_failure(&mut self, identity: &EndpointIdentity, now: Duration) {
+        if let Some(endpoint) = self.start_mut(identity) {
             endpoint.note_outcome(1.0, OVERHEARD_WEIGHT, now);
         }
     }
 
     /// Endpoints that failed this host since a time, once for each failure.
-    pub fn failed_since(&self, since: Duration) -> impl Iterator<Item = &InstanceId> {
+    pub fn failed_since(&self, since: Duration) -> impl Iterator<Item = &EndpointIdentity> {
         let failures = self.recent_failures.iter();
         let recent = failures.filter(move |(_, at)| *at >= since);
-        recent.map(|(instance, _)| instance)
+        recent.map(|(identity, _)| identity)
     }
 
     /// Notes that an endpoint refused a request for lack of room.
-    pub fn full(&mut self, instance: &str, now: Duration) {
-        if let Some(endpoint) = self.endpoints.get_mut(instance) {
+    pub fn full(&mut self, identity: &EndpointIdentity, now: Duration) {
+        if let Some(endpoint) = self.start_mut(identity) {
             let slots = endpoint.record.slots;
             let load = EndpointLoad {
                 running: slots,
@@ -439,6 +501,33 @@
 }
 
 impl Endpoint {
+    /// A start of which nothing is known but its entry.
+    fn new(record: EndpointRecord, now: Duration) -> Self {
+        Self {
+            warm_at: now.saturating_add(record.warming_up),
+            record,
+            in_flight: 0,
+            load: None,
+            avoided_until: Duration::ZERO,
+            failures: 0,
+            latency_ms: 0.0,
+            failure_share: 0.0,
+            failure_at: now,
+            lapsed_until: None,
+            is_refused: false,
+            earlier_since: None,
+        }
+    }
+
+    /// Takes another entry of the same start.
+    fn renew(&mut self, record: EndpointRecord) -> Option<Listing> {
+        let began_to_drain = record.draining && !self.record.draining;
+        self.record = record;
+        self.lapsed_until = None;
+        self.is_refused = false;
+        began_to_drain.then_some(Listing::Draining)
+    }
+
     /// Whether it may get something new.
     fn takes_requests(&self) -> bool {
         !self.record.draining && !self.is_refused
--- a/coordination/src/gateway/directory/cost.rs
+++ b/coordination/src/gateway/directory/cost.rs
@@ -65,7 +65,7 @@
         if !has_connection {
             cost_ms += CONNECT_MS;
         }
-        if wish.warm != Some(endpoint.record.instance.as_str()) {
+        if wish.warm != Some(&endpoint.record.identity) {
             cost_ms += wish.warm_tokens as f64 * COLD_TOKEN_MS;
         }
         cost_ms += endpoint.failure_share(now) * FAILURE_MS;
@@ -78,7 +78,8 @@
         if endpoint.lapsed_until.is_some() {
             cost_ms += LAPSED_MS;
         }
-        let hash = hash_parts(&[wish.subject.as_bytes(), endpoint.record.instance.as_bytes()]);
+        let instance = &endpoint.record.identity.instance;
+        let hash = hash_parts(&[wish.subject.as_bytes(), instance.as_bytes()]);
         cost_ms + JITTER_MS * (hash % 1_024) as f64 / 1_024.0
     }
 }
--- a/coordination/src/gateway/fingerprint.rs
+++ b/coordination/src/gateway/fingerprint.rs
@@ -8,6 +8,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use rosebend_state::deployment::EndpointIdentity;
 use rosebend_util::hash_parts;
 
 /// Identifies a request by its content and caller.
@@ -30,14 +31,15 @@
 /// Crashes by the requests that were running.
 #[derive(Debug, Default)]
 pub struct CrashCounts {
-    crashes: HashMap<Fingerprint, HashMap<String, Duration>>,
+    crashes: HashMap<Fingerprint, HashMap<EndpointIdentity, Duration>>,
 }
 
 impl CrashCounts {
-    /// Notes that an endpoint's run ended while it ran the request.
-    pub fn add(&mut self, request: Fingerprint, instance: &str, now: Duration) {
-        let instances = self.crashes.entry(request).or_default();
-        instances.insert(instance.to_owned(), now);
+    /// Notes that a start of an endpoint ended while it ran the request. One
+    /// that crashed at several starts counts once for each.
+    pub fn add(&mut self, request: Fingerprint, identity: &EndpointIdentity, now: Duration) {
+        let starts = self.crashes.entry(request).or_default();
+        starts.insert(identity.clone(), now);
     }
 
     /// Notes that the request was answered, and so crashes nothing.
@@ -48,8 +50,8 @@
     /// Crashes that are held against the request.
     pub fn count(&self, request: Fingerprint, now: Duration) -> usize {
         let is_recent = |at: &&Duration| now.saturating_sub(**at) < MEMORY;
-        let instances = self.crashes.get(&request);
-        instances.map_or(0, |instances| instances.values().filter(is_recent).count())
+        let starts = self.crashes.get(&request);
+        starts.map_or(0, |starts| starts.values().filter(is_recent).count())
     }
 
     /// Whether the request is refused.
@@ -59,9 +61,9 @@
 
     /// Drops what is not held against a request any more.
     pub fn expire(&mut self, now: Duration) {
-        for instances in self.crashes.values_mut() {
-            instances.retain(|_, at| now.saturating_sub(*at) < MEMORY);
+        for starts in self.crashes.values_mut() {
+            starts.retain(|_, at| now.saturating_sub(*at) < MEMORY);
         }
-        self.crashes.retain(|_, instances| !instances.is_empty());
+        self.crashes.retain(|_, starts| !starts.is_empty());
     }
 }
--- a/coordination/src/gateway/history.rs
+++ b/coordination/src/gateway/history.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use rosebend_state::deployment::{
-    AttemptId, InstanceId, ProgramKey, Row, RowId, RowRange, RowWrite,
+    AttemptId, EndpointIdentity, ProgramKey, Row, RowId, RowRange, RowWrite,
 };
 use rosebend_util::hash_parts;
 use serde::{Deserialize, Serialize};
@@ -44,8 +44,9 @@
     pub input: Vec<u8>,
     /// What was answered, as later prompts contain it.
     pub output: Vec<u8>,
-    /// The endpoint that ran it and may still have it in memory.
-    pub endpoint: InstanceId,
+    /// The start of an endpoint that ran it and may still have it in memory. Rows
+    /// of older versions name no start; no start that is known is taken for it.
+    pub endpoint: EndpointIdentity,
     /// Tokens of its prompt and its output, which that endpoint may have in
     /// memory.
     pub tokens: u64,
@@ -55,7 +56,7 @@
 #[derive(Deserialize, Serialize)]
 struct TurnHead {
     previous: Option<AttemptId>,
-    endpoint: InstanceId,
+    endpoint: EndpointIdentity,
     tokens: u64,
     input_bytes: usize,
     output_bytes: usize,
--- a/coordination/tests/gateway_directory.rs
+++ b/coordination/tests/gateway_directory.rs
@@ -3,14 +3,18 @@
 use std::time::Duration;
 
 use rosebend_coordination::gateway::directory::{Directory, Listing, Wish};
-use rosebend_state::deployment::{EndpointLoad, EndpointRecord};
+use rosebend_state::deployment::{EndpointIdentity, EndpointLoad, EndpointRecord};
 
 const NOW: Duration = Duration::from_secs(100);
 const ZONE: &str = "newport-hall";
 
+fn id(instance: &str) -> EndpointIdentity {
+    EndpointIdentity::unknown_start(instance)
+}
+
 fn record(instance: &str, zone: &str) -> EndpointRecord {
     EndpointRecord {
-        instance: instance.to_owned(),
+        identity: id(instance),
         service: "models".to_owned(),
         address: "127.0.0.1:9".parse().unwrap(),
         availability_zone: zone.to_owned(),
@@ -49,7 +53,7 @@
         let choice = directory.choose("models", wish, now, |_| true).unwrap();
         let index = ["a", "b", "c"]
             .iter()
-            .position(|name| *name == choice.record.instance);
+            .position(|name| *name == choice.record.identity.instance);
         shares[index.unwrap()] += 1;
     }
     shares
@@ -70,22 +74,23 @@
 
 #[test]
 fn a_warm_endpoint_is_kept_until_waiting_there_costs_more() {
+    let b = id("b");
     let warm = Wish {
-        warm: Some("b"),
+        warm: Some(&b),
         warm_tokens: 2_000,
         ..turn()
     };
     let mut directory = directory();
-    directory.report("b", load(7, 0), NOW);
+    directory.report(&id("b"), load(7, 0), NOW);
     assert_eq!(shares(&directory, warm, NOW), [0, 100, 0]);
-    directory.report("b", load(8, 4), NOW);
+    directory.report(&id("b"), load(8, 4), NOW);
     assert_eq!(shares(&directory, warm, NOW)[1], 0);
 }
 
 #[test]
 fn a_full_endpoint_is_passed_by_and_an_old_report_forgotten() {
     let mut directory = directory();
-    directory.report("a", load(8, 3), NOW);
+    directory.report(&id("a"), load(8, 3), NOW);
     assert_eq!(shares(&directory, turn(), NOW)[0], 0);
     let later = NOW + Duration::from_secs(2);
     assert!(shares(&directory, turn(), later)[0] > 0);
@@ -94,17 +99,17 @@
 #[test]
 fn a_newer_report_of_a_peer_replaces_an_older_one_only() {
     let mut directory = directory();
-    directory.report("a", load(8, 8), NOW);
-    directory.overhear("a", load(0, 0), NOW - Duration::from_millis(200));
+    directory.report(&id("a"), load(8, 8), NOW);
+    directory.overhear(&id("a"), load(0, 0), NOW - Duration::from_millis(200));
     assert_eq!(shares(&directory, turn(), NOW)[0], 0);
-    directory.overhear("a", load(0, 0), NOW + Duration::from_millis(1));
+    directory.overhear(&id("a"), load(0, 0), NOW + Duration::from_millis(1));
     assert!(shares(&directory, turn(), NOW)[0] > 0);
     // What a peer told is not told on as this host's own.
     assert_eq!(
         directory.heard_since(NOW - Duration::from_secs(1)).count(),
         0
     );
-    directory.report("b", load(1, 0), NOW);
+    directory.report(&id("b"), load(1, 0), NOW);
     assert_eq!(
         directory.heard_since(NOW - Duration::from_secs(1)).count(),
         1
@@ -115,11 +120,11 @@
 fn own_requests_count_before_the_endpoint_tells_of_them() {
     let mut directory = directory();
     for _ in 0..12 {
-        directory.begin("a");
+        directory.begin(&id("a"));
     }
     assert_eq!(shares(&directory, turn(), NOW)[0], 0);
     for _ in 0..12 {
-        directory.end("a");
+        directory.end(&id("a"));
     }
     assert!(shares(&directory, turn(), NOW)[0] > 0);
 }
@@ -127,16 +132,16 @@
 #[test]
 fn a_failed_endpoint_is_avoided_for_longer_each_time() {
     let mut directory = directory();
-    let first = directory.failed("a", NOW).unwrap();
+    let first = directory.failed(&id("a"), NOW).unwrap();
     assert_eq!(shares(&directory, turn(), NOW)[0], 0);
-    assert!(directory.failed("a", NOW + first).unwrap() > first);
+    assert!(directory.failed(&id("a"), NOW + first).unwrap() > first);
     // An answer ends the avoidance; the failures still count for a while.
-    directory.answered("a", None, NOW);
+    directory.answered(&id("a"), None, NOW);
     assert_eq!(shares(&directory, turn(), NOW + first)[0], 0);
     assert!(shares(&directory, turn(), NOW + Duration::from_secs(30))[0] > 0);
     // Where all are avoided, requests are still sent.
     for instance in ["a", "b", "c"] {
-        directory.failed(instance, NOW);
+        directory.failed(&id(instance), NOW);
     }
     assert!(directory.choose("models", turn(), NOW, |_| true).is_some());
 }
@@ -145,9 +150,9 @@
 fn a_slow_endpoint_gets_less() {
     let mut directory = directory();
     for _ in 0..20 {
-        directory.answered("a", Some(Duration::from_millis(400)), NOW);
-        directory.answered("b", Some(Duration::from_millis(50)), NOW);
-        directory.answered("c", Some(Duration::from_millis(50)), NOW);
+        directory.answered(&id("a"), Some(Duration::from_millis(400)), NOW);
+        directory.answered(&id("b"), Some(Duration::from_millis(50)), NOW);
+        directory.answered(&id("c"), Some(Duration::from_millis(50)), NOW);
     }
     assert_eq!(shares(&directory, turn(), NOW)[0], 0);
 }
@@ -177,7 +182,7 @@
         []
     );
     assert_eq!(shares(&directory, turn(), NOW), [0, 100, 0]);
-    let asked = ["b".to_owned()];
+    let asked = [id("b")];
     let wish = Wish {
         asked: &asked,
         ..turn()
@@ -186,18 +191,18 @@
     // One comes back in time.
     directory.announce(record("a", ZONE), NOW + Duration::from_secs(1));
     assert_eq!(directory.expire(NOW + Duration::from_secs(3)), ["c"]);
-    assert!(directory.contains("a"));
+    assert!(directory.contains(&id("a")));
 }
 
 #[test]
 fn an_endpoint_with_an_open_connection_is_preferred_while_loads_are_alike() {
     let mut directory = directory();
     let chosen = |directory: &Directory| {
-        let choice = directory.choose("models", turn(), NOW, |instance| instance == "c");
-        choice.unwrap().record.instance.clone()
+        let choice = directory.choose("models", turn(), NOW, |endpoint| *endpoint == id("c"));
+        choice.unwrap().record.identity.instance.clone()
     };
     assert_eq!(chosen(&directory), "c");
-    directory.report("c", load(8, 1), NOW);
+    directory.report(&id("c"), load(8, 1), NOW);
     assert_ne!(chosen(&directory), "c");
 }
 
@@ -206,16 +211,16 @@
     let mut directory = directory();
     for number in 0..30 {
         if number % 3 == 0 {
-            directory.failed("a", NOW);
+            directory.failed(&id("a"), NOW);
         } else {
-            directory.answered("a", None, NOW);
+            directory.answered(&id("a"), None, NOW);
         }
     }
     let later = NOW + Duration::from_secs(3);
     assert_eq!(shares(&directory, turn(), later)[0], 0);
     // The others are used although they are busier.
-    directory.report("b", load(8, 1), later);
-    directory.report("c", load(8, 1), later);
+    directory.report(&id("b"), load(8, 1), later);
+    directory.report(&id("c"), load(8, 1), later);
     assert_eq!(shares(&directory, turn(), later)[0], 0);
 }
 
@@ -223,18 +228,18 @@
 fn failures_that_peers_tell_of_count_and_are_not_told_on() {
     let mut directory = directory();
     for _ in 0..4 {
-        directory.overhear_failure("a", NOW);
+        directory.overhear_failure(&id("a"), NOW);
     }
     assert_eq!(shares(&directory, turn(), NOW)[0], 0);
     assert_eq!(directory.failed_since(Duration::ZERO).count(), 0);
-    directory.failed("b", NOW);
-    assert_eq!(directory.failed_since(NOW).collect::<Vec<_>>(), ["b"]);
+    directory.failed(&id("b"), NOW);
+    assert_eq!(directory.failed_since(NOW).collect::<Vec<_>>(), [&id("b")]);
 }
 
 #[test]
 fn an_endpoint_whose_entry_is_refused_gets_nothing_and_loses_nothing() {
     let mut directory = directory();
-    directory.report("b", load(8, 8), NOW);
+    directory.report(&id("b"), load(8, 8), NOW);
     directory.refuse("a");
     directory.refuse("nobody");
     assert_eq!(directory.len(), 2);
@@ -271,6 +276,6 @@
     };
     directory.withdraw("a", NOW, false);
     directory.announce(slow, NOW);
-    directory.report("a", load(u32::MAX, u32::MAX), NOW);
+    directory.report(&id("a"), load(u32::MAX, u32::MAX), NOW);
     assert_eq!(shares(&directory, turn(), NOW)[0], 0);
 }
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -11,7 +11,7 @@
 use rosebend_coordination::gateway::attempt::{Attempt, Failure, Next};
 use rosebend_coordination::gateway::directory::Wish;
 use rosebend_platform::headers::{self, AnswerHeader};
-use rosebend_state::deployment::{EndpointRecord, InstanceId, RouteKind};
+use rosebend_state::deployment::{EndpointIdentity, EndpointRecord, RouteKind};
 use rosebend_transport::clock::whole_ms;
 use rosebend_transport::connection::{Connection, ConnectionError};
 use rosebend_transport::event::{Event, EventKind, log_event};
@@ -39,8 +39,8 @@
 /// An endpoint that may have a request's prompt in memory.
 #[derive(Clone, Debug)]
 pub struct Warm {
-    /// The endpoint.
-    pub instance: InstanceId,
+    /// The start of the endpoint; a later one has nothing in memory.
+    pub endpoint: EndpointIdentity,
     /// Tokens of the prompt that it may have.
     pub tokens: u64,
 }
@@ -53,7 +53,7 @@
     body: Bytes,
     warm: Option<Warm>,
     attempt: Attempt,
-    asked: Vec<InstanceId>,
+    asked: Vec<EndpointIdentity>,
 }
 
 impl<'a> Exchange<'a> {
@@ -83,7 +83,7 @@
             };
             match self.try_at(&endpoint).await {
                 Ok(exchanged) => return Ok(exchanged),
-                Err(failure) => self.failed(&endpoint.instance, failure)?,
+                Err(failure) => self.failed(&endpoint.identity, failure)?,
             }
         }
     }
@@ -93,15 +93,13 @@
     /// # Errors
     ///
     /// Tells what to say to the caller when no other endpoint is to be asked.
-    pub fn failed(&mut self, instance: &str, failure: Failure) -> Result<(), Refusal> {
-        if failure == Failure::Broken
-            && let Some(address) = self.gateway.directory.borrow().address(instance)
-        {
-            quarantine::examine(self.gateway, self.call, instance, address);
+    pub fn failed(&mut self, endpoint: &EndpointIdentity, failure: Failure) -> Result<(), Refusal> {
+        if failure == Failure::Broken {
+            quarantine::examine(self.gateway, self.call, endpoint);
         }
         let now = self.gateway.clock.now();
         let left = self.call.left(now);
-        self.note_failure(instance, failure, now);
+        self.note_failure(endpoint, failure, now);
         match self.attempt.after(&self.call.route, failure, left) {
             Next::TryAnother => Ok(()),
             Next::Refuse => Err(Refusal::NoRoom),
@@ -110,17 +108,17 @@
         }
     }
 
-    fn note_failure(&self, instance: &str, failure: Failure, now: Duration) {
+    fn note_failure(&self, endpoint: &EndpointIdentity, failure: Failure, now: Duration) {
         self.gateway.metrics.count_failure(failure);
-        let event = Event::new(EventKind::EndpointFailed).endpoint(instance);
+        let event = Event::new(EventKind::EndpointFailed).endpoint(&endpoint.instance);
         let event = event.elapsed(self.call.elapsed(now)).reason(failure.word());
         self.call.trail.notable(event);
         if failure == Failure::Refused {
             return;
         }
-        let avoided = self.gateway.directory.borrow_mut().failed(instance, now);
+        let avoided = self.gateway.directory.borrow_mut().failed(endpoint, now);
         if let Some(avoided) = avoided {
-            let event = Event::new(EventKind::EndpointAvoided).endpoint(instance);
+            let event = Event::new(EventKind::EndpointAvoided).endpoint(&endpoint.instance);
             log_event(&event.wait_ms(whole_ms(avoided)).reason(failure.word()));
         }
     }
@@ -134,7 +132,7 @@
 
     fn choose(&mut self) -> Option<EndpointRecord> {
         let wish = Wish {
-            warm: self.warm.as_ref().map(|warm| warm.instance.as_str()),
+            warm: self.warm.as_ref().map(|warm| &warm.endpoint),
             warm_tokens: self.warm.as_ref().map_or(0, |warm| warm.tokens),
             is_turn: self.call.route.kind == RouteKind::Streaming,
             asked: &self.asked,
@@ -143,27 +141,28 @@
         let now = self.gateway.clock.now();
         let directory = self.gateway.directory.borrow();
         let pool = self.gateway.pool.borrow();
-        let is_connected = |instance: &str| pool.has_idle(instance, now);
+        let is_connected = |endpoint: &EndpointIdentity| pool.has_idle(endpoint, now);
         let chosen = directory.choose(&self.call.service, wish, now, is_connected)?;
-        let event = Event::new(EventKind::EndpointChosen).endpoint(&chosen.record.instance);
+        let event =
+            Event::new(EventKind::EndpointChosen).endpoint(&chosen.record.identity.instance);
         let event = event.load(chosen.expected_load);
         let event = match chosen.report_age {
             Some(age) => event.age(age),
             None => event,
         };
-        let warm = self.warm.as_ref().map(|warm| &warm.instance);
-        let is_warm = warm == Some(&chosen.record.instance);
+        let warm = self.warm.as_ref().map(|warm| &warm.endpoint);
+        let is_warm = warm == Some(&chosen.record.identity);
         self.call.trail.step(match is_warm {
             true => event.reason("warm"),
             false => event,
         });
         let endpoint = chosen.record.clone();
-        self.asked.push(endpoint.instance.clone());
+        self.asked.push(endpoint.identity.clone());
         Some(endpoint)
     }
 
     async fn try_at(&self, endpoint: &EndpointRecord) -> Result<Exchanged, Failure> {
-        let at = self.gateway.begin_at(&endpoint.instance);
+        let at = self.gateway.begin_at(&endpoint.identity);
         let left = self.call.left(self.gateway.clock.now());
         let exchanging = self.exchange(endpoint, at);
         let exchanged = tokio::time::timeout(left, exchanging).await;
@@ -181,7 +180,7 @@
         let response = connection.send(request).await.map_err(failure_of)?;
         let header = headers::decode_answer(response.headers());
         let elapsed = self.gateway.clock.now().saturating_sub(sent);
-        let event = Event::new(EventKind::AnswerBegan).endpoint(&endpoint.instance);
+        let event = Event::new(EventKind::AnswerBegan).endpoint(&endpoint.identity.instance);
         let event = event.status(response.status().as_u16()).elapsed(elapsed);
         self.call.trail.step(event);
         self.check(&response, &header, endpoint)?;
@@ -196,7 +195,7 @@
 
     async fn connect(&self, endpoint: &EndpointRecord) -> Result<Connection, Failure> {
         let now = self.gateway.clock.now();
-        let pooled = self.gateway.pool.borrow_mut().take(&endpoint.instance, now);
+        let pooled = self.gateway.pool.borrow_mut().take(&endpoint.identity, now);
         match pooled {
             Some(connection) => Ok(connection),
             None => {
@@ -213,7 +212,7 @@
         *request.uri_mut() = self.call.target.parse().unwrap_or_default();
         *request.headers_mut() = self.call.headers.clone();
         let left = self.call.left(now);
-        headers::address_to(request.headers_mut(), &endpoint.instance, left);
+        headers::address_to(request.headers_mut(), &endpoint.identity.instance, left);
         request
     }
 
@@ -227,7 +226,7 @@
         let now = self.gateway.clock.now();
         let mut directory = self.gateway.directory.borrow_mut();
         if let Some(load) = header.load {
-            directory.report(&endpoint.instance, load, now);
+            directory.report(&endpoint.identity, load, now);
         }
         let status = response.status().as_u16();
         let is_other = header.attempt.as_ref() != Some(&self.call.header.attempt);
@@ -235,7 +234,7 @@
             return Err(Failure::Broken);
         }
         if header.not_run || status == 421 {
-            directory.full(&endpoint.instance, now);
+            directory.full(&endpoint.identity, now);
             return Err(Failure::Refused);
         }
         let is_unproven = is_other || header.encoded || !header.stamped;
@@ -257,15 +256,15 @@
     /// Gives the connection back after the whole body was read.
     pub fn keep_connection(
         gateway: &Gateway,
-        instance: &str,
+        endpoint: &EndpointIdentity,
         connection: Connection,
         header: &AnswerHeader,
     ) {
-        if header.closes || !gateway.directory.borrow().contains(instance) {
+        if header.closes || !gateway.directory.borrow().contains(endpoint) {
             return;
         }
         let now = gateway.clock.now();
         let mut pool = gateway.pool.borrow_mut();
-        pool.put(instance, connection, header.keep_alive, now);
+        pool.put(endpoint, connection, header.keep_alive, now);
     }
 }
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 use rosebend_coordination::gateway::history::History;
 use rosebend_coordination::gateway::refusals::Refusals;
 use rosebend_coordination::gateway::route_table::RouteTable;
-use rosebend_state::deployment::InstanceId;
+use rosebend_state::deployment::EndpointIdentity;
 use rosebend_state::settings::{GatewaySettings, StoreSettings};
 use rosebend_transport::clock::{Clock, whole_ms};
 use rosebend_transport::store::StoreClient;
@@ -189,11 +189,11 @@
     }
 
     /// Counts a request at an endpoint until the guard is dropped.
-    pub fn begin_at(self: &Rc<Self>, instance: &InstanceId) -> AtEndpoint {
-        self.directory.borrow_mut().begin(instance);
+    pub fn begin_at(self: &Rc<Self>, endpoint: &EndpointIdentity) -> AtEndpoint {
+        self.directory.borrow_mut().begin(endpoint);
         AtEndpoint {
             gateway: Rc::clone(self),
-            instance: instance.clone(),
+            endpoint: endpoint.clone(),
         }
     }
 }
@@ -212,13 +212,13 @@
 #[derive(Debug)]
 pub struct AtEndpoint {
     gateway: Rc<Gateway>,
-    /// The endpoint.
-    pub instance: InstanceId,
+    /// The start of the endpoint.
+    pub endpoint: EndpointIdentity,
 }
 
 impl Drop for AtEndpoint {
     fn drop(&mut self) {
-        self.gateway.directory.borrow_mut().end(&self.instance);
+        self.gateway.directory.borrow_mut().end(&self.endpoint);
     }
 }
 
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use rosebend_coordination::gateway::directory::Directory;
-use rosebend_state::deployment::{EndpointLoad, InstanceId};
+use rosebend_state::deployment::{EndpointIdentity, EndpointLoad};
 use rosebend_transport::clock::whole_ms;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -21,19 +21,21 @@
 /// Time between two datagrams to a peer. A request takes 200 to 400 ms at an
 /// engine, so a load of this age still says something.
 const INTERVAL: Duration = Duration::from_millis(150);
-/// Loads of one datagram at most: about 900 bytes.
+/// Loads of one datagram at most: about 1,000 bytes.
 const MAX_LOADS: usize = 24;
-/// Failures of one datagram at most; with the loads about 1,300 bytes, which no
-/// link splits.
+/// Failures of one datagram at most; with the loads about 1,450 bytes.
 const MAX_FAILED: usize = 16;
+/// Largest datagram that is sent, in bytes: no link splits it. What ids of
+/// unusual length leave no room for is left out.
+const MAX_SENT_BYTES: usize = 1_472;
 /// Largest datagram that is read.
 const MAX_DATAGRAM_BYTES: usize = 2_048;
 
-/// One endpoint's load, as a peer heard it: running, waiting, slots, and its
-/// age in milliseconds.
+/// The load of one start of an endpoint, as a peer heard it: running, waiting,
+/// slots, and its age in milliseconds.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
-pub struct Heard(pub InstanceId, pub u32, pub u32, pub u32, pub u64);
+pub struct Heard(pub EndpointIdentity, pub u32, pub u32, pub u32, pub u64);
 
 /// What a peer heard and saw since its last datagram.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -41,8 +43,8 @@
 pub struct News {
     /// Loads that endpoints told.
     pub loads: Vec<Heard>,
-    /// Endpoints that failed, once for each failure.
-    pub failed: Vec<InstanceId>,
+    /// Starts of endpoints that failed, once for each failure.
+    pub failed: Vec<EndpointIdentity>,
 }
 
 /// A datagram that no gateway of this version sent.
@@ -59,19 +61,37 @@
 }
 
 impl News {
-    /// Adds what a peer told to what is believed of endpoints.
+    /// As many of the news as one datagram holds.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the news have no JSON form, which none lack.
+    pub fn datagram(mut self) -> Vec<u8> {
+        loop {
+            let datagram = serde_json::to_vec(&self).expect("text and numbers have a JSON form");
+            if datagram.len() <= MAX_SENT_BYTES {
+                return datagram;
+            }
+            if self.loads.pop().is_none() && self.failed.pop().is_none() {
+                return datagram;
+            }
+        }
+    }
+
+    /// Adds what a peer told to what is believed of endpoints. What it tells of
+    /// another start than the one that is listed here changes nothing.
     pub fn tell(&self, directory: &mut Directory, now: Duration) {
-        for Heard(instance, running, waiting, slots, age_ms) in &self.loads {
+        for Heard(endpoint, running, waiting, slots, age_ms) in &self.loads {
             let load = EndpointLoad {
                 running: *running,
                 waiting: *waiting,
                 slots: *slots,
             };
             let at = now.saturating_sub(Duration::from_millis(*age_ms));
-            directory.overhear(instance, load, at);
+            directory.overhear(endpoint, load, at);
         }
-        for instance in &self.failed {
-            directory.overhear_failure(instance, now);
+        for endpoint in &self.failed {
+            directory.overhear_failure(endpoint, now);
         }
     }
 }
@@ -94,10 +114,10 @@
     let now = gateway.clock.now();
     let since = now.saturating_sub(INTERVAL);
     let directory = gateway.directory.borrow();
-    let heard = directory.heard_since(since).map(|(instance, load, at)| {
+    let heard = directory.heard_since(since).map(|(endpoint, load, at)| {
         let age_ms = whole_ms(now.saturating_sub(at));
         Heard(
-            instance.clone(),
+            endpoint.clone(),
             load.running,
             load.waiting,
             load.slots,
@@ -106,11 +126,11 @@
     });
     let loads: Vec<Heard> = heard.take(MAX_LOADS).collect();
     let failed = directory.failed_since(since).take(MAX_FAILED).cloned();
-    let failed: Vec<InstanceId> = failed.collect();
+    let failed: Vec<EndpointIdentity> = failed.collect();
     if loads.is_empty() && failed.is_empty() {
         return None;
     }
-    Some(serde_json::to_vec(&News { loads, failed }).expect("text and numbers have a JSON form"))
+    Some(News { loads, failed }.datagram())
 }
 
 async fn tell(socket: &UdpSocket, peers: &[SocketAddr], datagram: &[u8]) {
--- a/gateway/src/plain.rs
+++ b/gateway/src/plain.rs
@@ -38,10 +38,10 @@
 ) -> Result<Reply, Refusal> {
     loop {
         let exchanged = exchange.next().await?;
-        let instance = exchanged.at.instance.clone();
+        let endpoint = exchanged.at.endpoint.clone();
         match read_whole(gateway, call, exchanged).await {
             Ok(reply) => return Ok(reply),
-            Err(failure) => exchange.failed(&instance, failure)?,
+            Err(failure) => exchange.failed(&endpoint, failure)?,
         }
     }
 }
@@ -62,20 +62,21 @@
         Ok(Err(_)) => return Err(Failure::Broken),
         Ok(Ok(body)) => body.to_bytes(),
     };
-    let instance = &exchanged.at.instance;
+    let endpoint = &exchanged.at.endpoint;
     let now = gateway.clock.now();
     let latency = now.saturating_sub(exchanged.sent);
     gateway
         .directory
         .borrow_mut()
-        .answered(instance, Some(latency), now);
+        .answered(endpoint, Some(latency), now);
     let status = head.status.as_u16();
     let elapsed = call.elapsed(gateway.clock.now());
     let in_time = elapsed <= call.route.objective;
-    call.trail.served(instance, status, elapsed, in_time);
+    call.trail
+        .served(&endpoint.instance, status, elapsed, in_time);
     gateway.metrics.count_request(call.route.kind, "answered");
     gateway.crashes.borrow_mut().clear(call.fingerprint);
-    Exchanged::keep_connection(gateway, instance, exchanged.connection, &exchanged.header);
+    Exchanged::keep_connection(gateway, endpoint, exchanged.connection, &exchanged.header);
     Ok(Reply::Passed {
         status,
         headers: headers::for_caller(&head.headers),
--- a/gateway/src/pool.rs
+++ b/gateway/src/pool.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use rosebend_state::deployment::InstanceId;
+use rosebend_state::deployment::EndpointIdentity;
 use rosebend_transport::connection::Connection;
 
 /// Most idle connections kept to one endpoint. A host has a few requests at an
@@ -24,16 +24,17 @@
     until: Duration,
 }
 
-/// Idle connections by endpoint.
+/// Idle connections by the start of an endpoint that they lead to: one that
+/// leads to an earlier start leads nowhere.
 #[derive(Debug, Default)]
 pub struct Pool {
-    idle: HashMap<InstanceId, Vec<Idle>>,
+    idle: HashMap<EndpointIdentity, Vec<Idle>>,
 }
 
 impl Pool {
     /// Takes a connection on which a request may be sent.
-    pub fn take(&mut self, instance: &str, now: Duration) -> Option<Connection> {
-        let idle = self.idle.get_mut(instance)?;
+    pub fn take(&mut self, identity: &EndpointIdentity, now: Duration) -> Option<Connection> {
+        let idle = self.idle.get_mut(identity)?;
         while let Some(last) = idle.pop() {
             if now < last.until && last.connection.is_clean() {
                 return Some(last.connection);
@@ -43,8 +44,8 @@
     }
 
     /// Whether a connection to an endpoint is kept whose time is not up.
-    pub fn has_idle(&self, instance: &str, now: Duration) -> bool {
-        let idle = self.idle.get(instance);
+    pub fn has_idle(&self, identity: &EndpointIdentity, now: Duration) -> bool {
+        let idle = self.idle.get(identity);
         idle.is_some_and(|idle| idle.iter().any(|idle| now < idle.until))
     }
 
@@ -52,7 +53,7 @@
     /// the peer says that it keeps it.
     pub fn put(
         &mut self,
-        instance: &str,
+        identity: &EndpointIdentity,
         connection: Connection,
         keep_alive: Option<Duration>,
         now: Duration,
@@ -61,7 +62,7 @@
             Some(limit) => limit.saturating_sub(IDLE_MARGIN).min(MAX_IDLE_TIME),
             None => UNTOLD_IDLE_TIME,
         };
-        let idle = self.idle.entry(instance.to_owned()).or_default();
+        let idle = self.idle.entry(identity.clone()).or_default();
         if keep.is_zero() || idle.len() >= MAX_IDLE {
             return;
         }
@@ -70,16 +71,11 @@
     }
 
     /// Closes connections whose time is up or whose endpoint is gone.
-    pub fn expire(&mut self, now: Duration, is_listed: impl Fn(&str) -> bool) {
+    pub fn expire(&mut self, now: Duration, is_listed: impl Fn(&EndpointIdentity) -> bool) {
         for idle in self.idle.values_mut() {
             idle.retain(|idle| now < idle.until);
         }
         self.idle
-            .retain(|instance, idle| !idle.is_empty() && is_listed(instance));
-    }
-
-    /// Closes the connections to an endpoint.
-    pub fn forget(&mut self, instance: &str) {
-        self.idle.remove(instance);
+            .retain(|identity, idle| !idle.is_empty() && is_listed(identity));
     }
 }
--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -5,12 +5,11 @@
 //! is a row; every host follows the rows.
 
 use std::io::ErrorKind;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use rosebend_coordination::gateway::fingerprint::{Fingerprint, MEMORY};
-use rosebend_state::deployment::{Row, RowId, RowVersion, RowWrite, Transaction};
+use rosebend_state::deployment::{EndpointIdentity, Row, RowId, RowVersion, RowWrite, Transaction};
 use rosebend_transport::connection::{Connection, ConnectionError};
 use rosebend_transport::event::{Event, EventKind, log_event};
 use rosebend_transport::store::StoreError;
@@ -30,28 +29,36 @@
 
 /// Finds out, beside the traffic, whether an endpoint whose answer broke off
 /// has crashed, and if so suspects the request.
-pub fn examine(gateway: &Rc<Gateway>, call: &Call, instance: &str, address: SocketAddr) {
+pub fn examine(gateway: &Rc<Gateway>, call: &Call, endpoint: &EndpointIdentity) {
     let gateway = Rc::clone(gateway);
-    let (request, instance) = (call.fingerprint, instance.to_owned());
+    let (request, endpoint) = (call.fingerprint, endpoint.clone());
     actix_rt::spawn(async move {
-        if has_crashed(address).await {
-            suspect(&gateway, request, &instance).await;
+        if has_crashed(&gateway, &endpoint).await {
+            suspect(&gateway, request, &endpoint).await;
         }
     });
 }
 
-/// A machine that runs without the endpoint refuses a connection at once; one
-/// that is cut off does not answer.
-async fn has_crashed(address: SocketAddr) -> bool {
+/// A start has ended when another one has begun under the same id. A machine
+/// that runs without the endpoint refuses a connection at once; one that is cut
+/// off does not answer.
+async fn has_crashed(gateway: &Gateway, endpoint: &EndpointIdentity) -> bool {
+    if gateway.directory.borrow().has_started_again(endpoint) {
+        return true;
+    }
+    let address = gateway.directory.borrow().address(endpoint);
+    let Some(address) = address else {
+        return false;
+    };
     match Connection::open(address).await {
         Err(ConnectionError::Connect(error)) => error.kind() == ErrorKind::ConnectionRefused,
         _ => false,
     }
 }
 
-async fn suspect(gateway: &Rc<Gateway>, request: Fingerprint, instance: &str) {
-    note(gateway, request, instance);
-    let row = RowId::new(TABLE, "", format!("{request:016x}{SEPARATOR}{instance}"));
+async fn suspect(gateway: &Rc<Gateway>, request: Fingerprint, endpoint: &EndpointIdentity) {
+    note(gateway, request, endpoint);
+    let row = RowId::new(TABLE, "", format!("{request:016x}{SEPARATOR}{endpoint}"));
     let write = RowWrite {
         row: row.clone(),
         value: gateway.settings().host.clone().into_bytes(),
@@ -71,11 +78,11 @@
     let _ = gateway.store.transact(&transaction).await;
 }
 
-fn note(gateway: &Gateway, request: Fingerprint, instance: &str) {
+fn note(gateway: &Gateway, request: Fingerprint, endpoint: &EndpointIdentity) {
     let now = gateway.clock.now();
     let mut crashes = gateway.crashes.borrow_mut();
     let was_refused = crashes.is_refused(request, now);
-    crashes.add(request, instance, now);
+    crashes.add(request, endpoint, now);
     if !was_refused && crashes.is_refused(request, now) {
         let count = crashes.count(request, now) as u64;
         log_event(&Event::new(EventKind::RequestQuarantined).count(count));
@@ -106,14 +113,15 @@
         Some(after) => gateway.store.feed(TABLE, after, FEED_WAIT).await?,
     };
     for row in rows.rows.iter().filter(|row| row.value.is_some()) {
-        if let Some((request, instance)) = decode(row) {
-            note(gateway, request, instance);
+        if let Some((request, endpoint)) = decode(row) {
+            note(gateway, request, &endpoint);
         }
     }
     Ok(rows.version)
 }
 
-fn decode(row: &Row) -> Option<(Fingerprint, &str)> {
-    let (request, instance) = row.id.key.split_once(SEPARATOR)?;
-    Some((Fingerprint::from_str_radix(request, 16).ok()?, instance))
+fn decode(row: &Row) -> Option<(Fingerprint, EndpointIdentity)> {
+    let (request, endpoint) = row.id.key.split_once(SEPARATOR)?;
+    let request = Fingerprint::from_str_radix(request, 16).ok()?;
+    Some((request, endpoint.parse().ok()?))
 }
--- a/gateway/src/turn.rs
+++ b/gateway/src/turn.rs
@@ -46,7 +46,7 @@
         Some(turn) => (
             Bytes::from(turn.prompt(&call.body)),
             Some(Warm {
-                instance: turn.endpoint.clone(),
+                endpoint: turn.endpoint.clone(),
                 tokens: turn.tokens,
             }),
         ),
--- a/gateway/src/turn_stream.rs
+++ b/gateway/src/turn_stream.rs
@@ -15,7 +15,7 @@
 use rosebend_coordination::gateway::lane::Outcome;
 use rosebend_platform::headers::{self, AnswerHeader};
 use rosebend_protocol::sse::SseReader;
-use rosebend_state::deployment::{InstanceId, ProgramHeader, RowId};
+use rosebend_state::deployment::{ProgramHeader, RowId};
 use rosebend_transport::connection::Connection;
 use rosebend_transport::event::{Event, EventKind, log_event};
 
@@ -167,7 +167,7 @@
             let now = self.gateway.clock.now();
             let latency = now.saturating_sub(self.sent);
             let mut directory = self.gateway.directory.borrow_mut();
-            directory.answered(&self.at.instance, Some(latency), now);
+            directory.answered(&self.at.endpoint, Some(latency), now);
             self.first_event = self.call.elapsed(self.gateway.clock.now());
             self.gateway
                 .metrics
@@ -187,8 +187,8 @@
     /// Makes the turn durable and gives the connection back.
     async fn finish(&mut self) -> io::Result<()> {
         if let Some(connection) = self.connection.take() {
-            let instance: &InstanceId = &self.at.instance;
-            Exchanged::keep_connection(&self.gateway, instance, connection, &self.header);
+            let endpoint = &self.at.endpoint;
+            Exchanged::keep_connection(&self.gateway, endpoint, connection, &self.header);
         }
         let kept = std::mem::take(&mut self.kept);
         match (kept.spending, kept.record) {
@@ -215,7 +215,7 @@
             .clear(self.call.fingerprint);
         self.call
             .trail
-            .served(&self.at.instance, status, elapsed, in_time);
+            .served(&self.at.endpoint.instance, status, elapsed, in_time);
     }
 
     async fn record(&self, mut spending: Spending, record: Record) -> io::Result<()> {
@@ -272,7 +272,7 @@
             previous,
             input,
             output: record.output,
-            endpoint: self.at.instance.clone(),
+            endpoint: self.at.endpoint.clone(),
             tokens: prompt_tokens.saturating_add(tokens),
         }
     }
@@ -289,11 +289,9 @@
 
     fn broken(&self, error: &hyper::Error) -> io::Error {
         let now = self.gateway.clock.now();
-        let mut directory = self.gateway.directory.borrow_mut();
-        directory.failed(&self.at.instance, now);
-        if let Some(address) = directory.address(&self.at.instance) {
-            quarantine::examine(&self.gateway, &self.call, &self.at.instance, address);
-        }
+        let endpoint = &self.at.endpoint;
+        self.gateway.directory.borrow_mut().failed(endpoint, now);
+        quarantine::examine(&self.gateway, &self.call, endpoint);
         io::Error::other(format!("the endpoint's answer broke off: {error}"))
     }
 }
--- a/gateway/src/watch.rs
+++ b/gateway/src/watch.rs
@@ -142,7 +142,7 @@
     let ended = gateway.refusals.borrow_mut().retain(&listed);
     ended.iter().for_each(|instance| log_end(instance, GONE));
     for record in &records {
-        end_refusal(gateway, &record.instance, GOOD);
+        end_refusal(gateway, &record.identity.instance, GOOD);
     }
     let now = gateway.clock.now();
     let in_outage = gateway.store.was_away_within(LAPSE_SPAN);
@@ -246,6 +246,7 @@
 fn log_listing(instance: &str, change: Listing) {
     let event = match change {
         Listing::Listed => Event::new(EventKind::EndpointListed),
+        Listing::StartedAgain => Event::new(EventKind::EndpointListed).reason("started-again"),
         Listing::Draining => Event::new(EventKind::EndpointWithdrawn).reason("draining"),
         Listing::Gone => Event::new(EventKind::EndpointWithdrawn).reason("gone"),
     };
@@ -271,6 +272,6 @@
         gateway.crashes.borrow_mut().expire(now);
         let directory = gateway.directory.borrow();
         let mut pool = gateway.pool.borrow_mut();
-        pool.expire(now, |instance| directory.contains(instance));
+        pool.expire(now, |endpoint| directory.contains(endpoint));
     }
 }
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -47,8 +47,17 @@
     pub instance: String,
     pub service: String,
     pub server: RunningServer,
+    /// Time of day of its start; none when it tells none.
+    pub born_ms: Option<u64>,
+    /// How much longer it says that it is slow.
+    pub cold_left_ms: u64,
+    /// Servers of its earlier starts, which still serve.
+    pub earlier: Vec<RunningServer>,
 }
 
+/// When the first start of each endpoint was.
+pub const FIRST_START_MS: u64 = 1_764_720_000_000;
+
 impl Site {
     /// A site whose routes and endpoints are declared.
     pub fn start() -> Self {
@@ -73,30 +82,57 @@
 
     pub fn add_endpoint(&mut self, service: &str) -> usize {
         let instance = format!("i-{service}-{}", self.endpoints.len());
-        let server = Backend::start(free_listener(), &instance).unwrap();
+        let born_ms = FIRST_START_MS;
+        let server = Backend::start_at(free_listener(), &instance, born_ms).unwrap();
         self.endpoints.push(Endpoint {
             instance,
             service: service.to_owned(),
             server,
+            born_ms: Some(born_ms),
+            cold_left_ms: 0,
+            earlier: Vec::new(),
         });
         let index = self.endpoints.len() - 1;
         self.announce(index, "ready");
         index
     }
 
+    /// Starts an endpoint again under its id, a millisecond after the start
+    /// before and at another address. The server of that start serves on, so
+    /// that a request which it is still sent shows.
+    pub fn start_again(&mut self, index: usize) {
+        let endpoint = &mut self.endpoints[index];
+        let born_ms = endpoint.born_ms.unwrap_or(FIRST_START_MS) + 1;
+        let server = Backend::start_at(free_listener(), &endpoint.instance, born_ms).unwrap();
+        let earlier = std::mem::replace(&mut endpoint.server, server);
+        endpoint.earlier.push(earlier);
+        endpoint.born_ms = Some(born_ms);
+        self.announce(index, "ready");
+    }
+
+    /// What ran at an earlier start of an endpoint.
+    pub async fn earlier_runs(&self, index: usize, start: usize) -> Runs {
+        let address = self.endpoints[index].earlier[start].address();
+        let answer = Ask::get("/runs").send(address).await;
+        serde_json::from_str(&answer.body).unwrap()
+    }
+
     /// Writes an endpoint's entry.
     pub fn announce(&self, index: usize, state: &str) {
         let endpoint = &self.endpoints[index];
-        let entry = json!({
+        let mut entry = json!({
             "service": endpoint.service,
             "address": endpoint.server.address().to_string(),
             "zone": "newport-hall",
             "version": "v1",
             "slots": 8,
             "state": state,
-            "cold-left-ms": 0,
+            "cold-left-ms": endpoint.cold_left_ms,
             "seq": 1,
         });
+        if let Some(born_ms) = endpoint.born_ms {
+            entry["born"] = json!(born_ms);
+        }
         self.store.put("servers", &endpoint.instance, &entry);
     }
 
--- a/standin/src/backend.rs
+++ b/standin/src/backend.rs
@@ -6,13 +6,17 @@
 //! | any with an attempt, path with `/stream` | streams events |
 //! | any other with an attempt | answers after the delay |
 //! | `POST /faults` [`BackendFaults`] | changes the faults |
-//! | `GET /runs` [`Runs`] | what has run, by attempt |
+//! | `GET /runs` [`Runs`] | what has run at this start, by attempt |
+//! | `GET /report` | its state, with the time of its start |
+//!
+//! It may start again under the id that it had, at the same address or another
+//! one; it knows nothing of before then.
 
 use std::collections::BTreeMap;
 use std::io;
 use std::net::TcpListener;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use rosebend_protocol::problem::Ran;
@@ -83,10 +87,18 @@
     running: u64,
 }
 
+/// The time of day in whole milliseconds, as a start tells it.
+pub fn time_of_day_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.map_or(0, |now| u64::try_from(now.as_millis()).unwrap_or(u64::MAX))
+}
+
 /// The endpoint.
 #[derive(Clone, Debug)]
 pub struct Backend {
     instance: String,
+    /// Time of day at which it started.
+    born_ms: u64,
     state: Arc<Mutex<State>>,
 }
 
@@ -109,8 +121,23 @@
     ///
     /// Fails when the listener cannot be used.
     pub fn start(listener: TcpListener, instance: &str) -> io::Result<RunningServer> {
+        Self::start_at(listener, instance, time_of_day_ms())
+    }
+
+    /// Starts an endpoint that tells `born_ms` as the time of its start. One
+    /// that has this id may have run before.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the listener cannot be used.
+    pub fn start_at(
+        listener: TcpListener,
+        instance: &str,
+        born_ms: u64,
+    ) -> io::Result<RunningServer> {
         let backend = Self {
             instance: instance.to_owned(),
+            born_ms,
             state: Arc::default(),
         };
         RunningServer::start("backend", listener, |_| {
@@ -124,6 +151,7 @@
     async fn answer(&self, request: HttpRequest) -> HttpReply {
         match (request.method.as_str(), request.path.as_str()) {
             ("POST", "/faults") => self.set_faults(&request),
+            ("GET", "/report") => self.report(),
             ("GET", "/runs") => HttpReply::json(200, &self.lock().runs),
             _ => self.run(request).await,
         }
@@ -139,6 +167,16 @@
         }
     }
 
+    fn report(&self) -> HttpReply {
+        let active = self.lock().running;
+        let report = json!({
+            "stage": "both", "models": [], "busy": false, "seq": 0, "queued": 0,
+            "active": active, "kv-used": 0, "kv-total": 0, "handles": 0,
+            "born": self.born_ms,
+        });
+        HttpReply::json(200, &report)
+    }
+
     async fn run(&self, request: HttpRequest) -> HttpReply {
         let Some(attempt) = request.header("attempt-id").map(str::to_owned) else {
             return not_run(400, "no-attempt");
--- a/state/src/deployment.rs
+++ b/state/src/deployment.rs
@@ -11,7 +11,7 @@
 mod store;
 
 pub use self::{
-    endpoint::{EndpointLoad, EndpointRecord},
+    endpoint::{EndpointIdentity, EndpointLoad, EndpointRecord},
     request::{CallHeader, ProgramHeader, PromptPart, TokenCounts},
     routes::{CallerLimits, Deployment, Engine, Route, RouteKind, RouteTarget, Service},
     store::{Condition, Row, RowId, RowRange, RowWrite, Transaction},
@@ -19,7 +19,8 @@
 
 /// Name of a service, as operators declare it.
 pub type ServiceName = String;
-/// Id of one run of an endpoint: a restarted endpoint has a new one.
+/// Id of an endpoint, which it may keep when it starts again; [`EndpointIdentity`]
+/// tells its starts apart.
 pub type InstanceId = String;
 /// Id of one attempt of a caller; each retry has its own.
 pub type AttemptId = String;
--- a/state/src/deployment/endpoint.rs
+++ b/state/src/deployment/endpoint.rs
@@ -1,16 +1,81 @@
 //! Endpoints as they announce themselves.
 
+use std::convert::Infallible;
+use std::fmt;
 use std::net::SocketAddr;
+use std::str::FromStr;
 use std::time::Duration;
 
+use serde_with::{DeserializeFromStr, SerializeDisplay};
+
 use crate::deployment::{InstanceId, ServiceName};
 use crate::id::AvailabilityZone;
 
-/// One run of an endpoint.
+/// Separates the id from the start in the text of an identity; ids that are
+/// used do not contain it.
+const SEPARATOR: char = '/';
+
+/// One start of an endpoint. An endpoint may start again under the id that it
+/// had, and then knows nothing of before: all that is believed of an endpoint
+/// belongs to one identity.
+///
+/// The text of an identity is `INSTANCE/STARTED_MS`, or `INSTANCE` alone where
+/// the start is not known.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(DeserializeFromStr, SerializeDisplay)]
+pub struct EndpointIdentity {
+    /// The id, which may outlast a start.
+    pub instance: InstanceId,
+    /// Time of day of the start, in milliseconds since 1970 by the endpoint's
+    /// clock. An endpoint that tells none counts as started before all that do.
+    pub started_ms: Option<u64>,
+}
+
+impl EndpointIdentity {
+    /// An endpoint that does not tell when it started.
+    pub fn unknown_start(instance: impl Into<InstanceId>) -> Self {
+        Self {
+            instance: instance.into(),
+            started_ms: None,
+        }
+    }
+
+    /// Whether this is an earlier start under the same id.
+    pub fn is_before(&self, other: &Self) -> bool {
+        self.instance == other.instance && self.started_ms < other.started_ms
+    }
+}
+
+impl fmt::Display for EndpointIdentity {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.started_ms {
+            Some(started_ms) => write!(f, "{}{SEPARATOR}{started_ms}", self.instance),
+            None => f.write_str(&self.instance),
+        }
+    }
+}
+
+impl FromStr for EndpointIdentity {
+    type Err = Infallible;
+
+    fn from_str(text: &str) -> Result<Self, Infallible> {
+        let parts = text.rsplit_once(SEPARATOR);
+        let parts = parts.and_then(|(id, started_ms)| Some((id, started_ms.parse().ok()?)));
+        Ok(match parts {
+            Some((instance, started_ms)) => Self {
+                instance: instance.to_owned(),
+                started_ms: Some(started_ms),
+            },
+            None => Self::unknown_start(text),
+        })
+    }
+}
+
+/// An endpoint as its entry tells it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct EndpointRecord {
-    /// Id of this run.
-    pub instance: InstanceId,
+    /// Which start of which endpoint it is.
+    pub identity: EndpointIdentity,
     /// Service that it belongs to.
     pub service: ServiceName,
     /// Where it listens.
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -125,7 +125,7 @@
     RoutesInForce,
     /// What operators declared cannot be read; the routes before stay in force.
     RoutesUnreadable,
-    /// The endpoint announced itself; it gets requests.
+    /// The endpoint announced itself; it gets requests. `reason` is started-again when an earlier start under its id was listed.
     EndpointListed,
     /// The endpoint gets no new requests; `reason` says why: it drains, its entry is gone, or its entry lapsed in an outage and did not come back.
     EndpointWithdrawn,
@@ -558,7 +558,9 @@
             Self::RoutesUnreadable => {
                 "What operators declared cannot be read; the routes before stay in force."
             }
-            Self::EndpointListed => "The endpoint announced itself; it gets requests.",
+            Self::EndpointListed => {
+                "The endpoint announced itself; it gets requests. `reason` is started-again when an earlier start under its id was listed."
+            }
             Self::EndpointWithdrawn => {
                 "The endpoint gets no new requests; `reason` says why: it drains, its entry is gone, or its entry lapsed in an outage and did not come back."
             }
