Part the directory of endpoints and the handling of its entries

The refusals beyond the bound were not counted, as their comment said they were.

Ruled out: a crate of its own; the parts share private fields.

Change: directory/listing.rs has which starts are there, directory/endpoint.rs what is known of one, gateway/src/entries.rs what an entry changes and tells. Refusals::note tells new, known and beyond the bound apart; those beyond are counted, and an undeclared endpoint that is gone is told as gone.

--- a/coordination/src/gateway/directory.rs
+++ b/coordination/src/gateway/directory.rs
@@ -1,4 +1,8 @@
 //! The endpoints that are there, and the choice among them.
+//!
+//! - `listing`: which endpoints there are, and which start of each.
+//! - `endpoint`: what is known of one of them.
+//! - `cost`: what a request costs there.
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
@@ -10,96 +14,28 @@
 use rosebend_state::id::AvailabilityZone;
 
 mod cost;
+mod endpoint;
+mod listing;
+
+pub use self::listing::Listing;
+
+use self::endpoint::{Endpoint, ReportedLoad, smooth};
+use self::listing::Gone;
 
-/// How long an entry that vanished in an outage of the store is kept: entries
-/// that lapsed meanwhile are back about two seconds after the store.
-const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
-/// How old a reported load may be before nothing is concluded from it.
-const LOAD_MEMORY: Duration = Duration::from_millis(1_500);
 /// First time for which an endpoint that failed is avoided; it doubles with
 /// each failure in a row.
 const FIRST_AVOIDANCE: Duration = Duration::from_millis(300);
 /// Longest time for which an endpoint that failed is avoided.
 const MAX_AVOIDANCE: Duration = Duration::from_millis(2_400);
-/// Weight of a new sample of latency; about the last eight count.
-const SAMPLE_WEIGHT: f64 = 0.12;
 /// Latency ratio below which endpoints count as equally fast: work varies from
 /// request to request by more than that.
 const NOTABLE_SLOWNESS: f64 = 1.6;
-
 /// Weight of a new outcome in the share of failures; about the last seven count.
 const FAILURE_WEIGHT: f64 = 0.15;
 /// Weight of a failure that a peer tells of.
 const OVERHEARD_WEIGHT: f64 = 0.08;
-/// Time in which a share of failures halves without a new outcome, so that an
-/// endpoint that has recovered is tried again.
-const FAILURE_HALF_LIFE: Duration = Duration::from_secs(4);
 /// Failures that are kept to be told to peers.
 const MAX_RECENT_FAILURES: usize = 64;
-/// How long entries of an earlier start may come after those of a later one: a
-/// write whose answer was lost may take effect up to six seconds late. An
-/// earlier start that comes for longer is the one that lives, on a host whose
-/// clock was set back.
-const LATE_WRITE_TIME: Duration = Duration::from_secs(7);
-
-/// What is known of one start of an endpoint.
-#[derive(Clone, Debug)]
-struct Endpoint {
-    record: EndpointRecord,
-    /// Requests of this host that it has now.
-    in_flight: u32,
-    load: Option<ReportedLoad>,
-    /// Until when it is avoided, after failures.
-    avoided_until: Duration,
-    /// Failures in a row.
-    failures: u32,
-    /// Smoothed latency in milliseconds; zero before the first sample.
-    latency_ms: f64,
-    /// Smoothed share of requests that failed, as of `failure_at`.
-    failure_share: f64,
-    failure_at: Duration,
-    /// Set while its entry is missing after an outage of the store.
-    lapsed_until: Option<Duration>,
-    /// Until when it is slow after its start.
-    warm_at: Duration,
-    /// Set while its entry cannot be read: it gets nothing new then, and what
-    /// is believed of it is kept for when its entry is good again.
-    is_refused: bool,
-    /// Since when entries of an earlier start have come, and none of this one.
-    earlier_since: Option<Duration>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct ReportedLoad {
-    load: EndpointLoad,
-    at: Duration,
-    /// Requests of this host that it had when it reported.
-    own: u32,
-    /// Whether this host heard it itself.
-    is_first_hand: bool,
-}
-
-/// An endpoint whose entry is gone.
-#[derive(Clone, Copy, Debug)]
-struct Gone {
-    /// When its last start was.
-    started_ms: Option<u64>,
-    /// When its entry was gone.
-    at: Duration,
-}
-
-/// How an endpoint's place in the directory changed.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Listing {
-    /// It is new.
-    Listed,
-    /// It started again: nothing that was believed of it holds any more.
-    StartedAgain,
-    /// It gets nothing new, since it drains.
-    Draining,
-    /// It gets nothing new, since its entry is gone.
-    Gone,
-}
 
 /// What a request wants from its endpoint.
 #[derive(Clone, Copy, Debug, Default)]
@@ -133,7 +69,7 @@
     availability_zone: AvailabilityZone,
     /// The latest start of each endpoint.
     endpoints: HashMap<InstanceId, Endpoint>,
-    /// Endpoints whose entry was gone less than [`LATE_WRITE_TIME`] ago.
+    /// Endpoints whose entry was gone less than [`listing::LATE_WRITE_TIME`] ago.
     gone: HashMap<InstanceId, Gone>,
     /// Services that operators have declared; none before they were read.
     services: Option<HashSet<ServiceName>>,
@@ -188,122 +124,9 @@
         self.len() == 0
     }
 
-    /// Takes an entry that was written or read. Tells what changed for the
-    /// choice, if anything did. An entry of a start before the one that is
-    /// known came late and changes nothing.
-    pub fn announce(&mut self, record: EndpointRecord, now: Duration) -> Option<Listing> {
-        if self.came_late(&record, now) {
-            return None;
-        }
-        let instance = record.identity.instance.clone();
-        self.gone.remove(&instance);
-        let known = self.endpoints.get_mut(&instance);
-        let is_again = known.is_some();
-        if let Some(endpoint) = known.filter(|known| known.record.identity == record.identity) {
-            return endpoint.renew(record);
-        }
-        self.endpoints.insert(instance, Endpoint::new(record, now));
-        match is_again {
-            true => Some(Listing::StartedAgain),
-            false => Some(Listing::Listed),
-        }
-    }
-
-    /// Whether an entry is of a start that is over.
-    fn came_late(&mut self, record: &EndpointRecord, now: Duration) -> bool {
-        let identity = &record.identity;
-        if let Some(known) = self.endpoints.get_mut(&identity.instance) {
-            if !identity.is_before(&known.record.identity) {
-                known.earlier_since = None;
-                return false;
-            }
-            let since = *known.earlier_since.get_or_insert(now);
-            return now.saturating_sub(since) < LATE_WRITE_TIME;
-        }
-        self.gone.get(&identity.instance).is_some_and(|gone| {
-            identity.started_ms < gone.started_ms && now.saturating_sub(gone.at) < LATE_WRITE_TIME
-        })
-    }
-
-    /// Takes the deletion of an entry. One that vanished in an outage of the
-    /// store may come back; it is kept for a while.
-    pub fn withdraw(&mut self, instance: &str, now: Duration, in_outage: bool) -> Option<Listing> {
-        let endpoint = self.endpoints.get_mut(instance)?;
-        if in_outage && !endpoint.record.draining {
-            let until = now + LAPSE_GRACE;
-            endpoint.lapsed_until.get_or_insert(until);
-            return None;
-        }
-        self.remove(instance, now);
-        Some(Listing::Gone)
-    }
-
-    fn remove(&mut self, instance: &str, now: Duration) {
-        if let Some((instance, endpoint)) = self.endpoints.remove_entry(instance) {
-            let started_ms = endpoint.record.identity.started_ms;
-            self.gone.insert(
-                instance,
-                Gone {
-                    started_ms,
-                    at: now,
-                },
-            );
-        }
-    }
-
-    /// Takes an entry that names no endpoint to use. One that was listed gets
-    /// nothing new until its entry is good again.
-    pub fn refuse(&mut self, instance: &str) {
-        if let Some(endpoint) = self.endpoints.get_mut(instance) {
-            endpoint.is_refused = true;
-        }
-    }
-
-    /// Takes a whole list of entries, of which some are refused; others are
-    /// withdrawn. Tells what changed for the choice.
-    pub fn replace(
-        &mut self,
-        records: Vec<EndpointRecord>,
-        refused: &[InstanceId],
-        now: Duration,
-        in_outage: bool,
-    ) -> Vec<(InstanceId, Listing)> {
-        let mut changes = Vec::new();
-        let is_listed = |instance: &InstanceId| {
-            let mut read = records.iter().map(|record| &record.identity.instance);
-            read.any(|read| read == instance) || refused.contains(instance)
-        };
-        let instances = self.endpoints.keys().cloned();
-        let missing: Vec<InstanceId> = instances.filter(|instance| !is_listed(instance)).collect();
-        for instance in missing {
-            let change = self.withdraw(&instance, now, in_outage);
-            changes.extend(change.map(|change| (instance, change)));
-        }
-        for instance in refused {
-            self.refuse(instance);
-        }
-        for record in records {
-            let instance = record.identity.instance.clone();
-            let change = self.announce(record, now);
-            changes.extend(change.map(|change| (instance, change)));
-        }
-        changes
-    }
-
-    /// Drops entries that did not come back after an outage, and tells which.
-    pub fn expire(&mut self, now: Duration) -> Vec<InstanceId> {
-        let is_over = |endpoint: &Endpoint| endpoint.lapsed_until.is_some_and(|until| now >= until);
-        let over = self
-            .endpoints
-            .iter()
-            .filter(|(_, endpoint)| is_over(endpoint));
-        let over: Vec<InstanceId> = over.map(|(instance, _)| instance.clone()).collect();
-        for instance in &over {
-            self.remove(instance, now);
-        }
-        self.gone
-            .retain(|_, gone| now.saturating_sub(gone.at) < LATE_WRITE_TIME);
-        over
+    /// Whether any start of an endpoint is listed.
+    pub fn is_listed(&self, instance: &str) -> bool {
+        self.endpoints.contains_key(instance)
     }
 
     /// Whether this start is still listed.
@@ -384,13 +207,7 @@
     /// Takes the load that an endpoint told.
     pub fn report(&mut self, identity: &EndpointIdentity, load: EndpointLoad, now: Duration) {
         if let Some(endpoint) = self.start_mut(identity) {
-            let own = endpoint.in_flight;
-            endpoint.load = Some(ReportedLoad {
-                load,
-                at: now,
-                own,
-                is_first_hand: true,
-            });
+            endpoint.note_load(load, now, true);
         }
     }
 
@@ -401,13 +218,7 @@
             return;
         };
         if endpoint.load.is_none_or(|report| report.at < at) {
-            let own = endpoint.in_flight;
-            endpoint.load = Some(ReportedLoad {
-                load,
-                at,
-                own,
-                is_first_hand: false,
-            });
+            endpoint.note_load(load, at, false);
         }
     }
 
@@ -489,94 +300,7 @@
                 waiting: slots,
                 slots,
             };
-            let own = endpoint.in_flight;
-            endpoint.load = Some(ReportedLoad {
-                load,
-                at: now,
-                own,
-                is_first_hand: true,
-            });
-        }
-    }
-}
-
-impl Endpoint {
-    /// A start of which nothing is known but its entry.
-    fn new(record: EndpointRecord, now: Duration) -> Self {
-        Self {
-            warm_at: now.saturating_add(record.warming_up),
-            record,
-            in_flight: 0,
-            load: None,
-            avoided_until: Duration::ZERO,
-            failures: 0,
-            latency_ms: 0.0,
-            failure_share: 0.0,
-            failure_at: now,
-            lapsed_until: None,
-            is_refused: false,
-            earlier_since: None,
-        }
-    }
-
-    /// Takes another entry of the same start.
-    fn renew(&mut self, record: EndpointRecord) -> Option<Listing> {
-        let began_to_drain = record.draining && !self.record.draining;
-        self.record = record;
-        self.lapsed_until = None;
-        self.is_refused = false;
-        began_to_drain.then_some(Listing::Draining)
-    }
-
-    /// Whether it may get something new.
-    fn takes_requests(&self) -> bool {
-        !self.record.draining && !self.is_refused
-    }
-
-    /// Share of its requests that failed lately.
-    fn failure_share(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.failure_at);
-        let half_lives = age.as_secs_f64() / FAILURE_HALF_LIFE.as_secs_f64();
-        self.failure_share * 0.5_f64.powf(half_lives)
-    }
-
-    fn note_outcome(&mut self, sample: f64, weight: f64, now: Duration) {
-        let share = self.failure_share(now);
-        self.failure_share = share + (sample - share) * weight;
-        self.failure_at = now;
-    }
-
-    fn choice(&self, now: Duration) -> Choice<'_> {
-        Choice {
-            record: &self.record,
-            expected_load: self.expected_load(now) as u64,
-            report_age: self.load.map(|report| now.saturating_sub(report.at)),
+            endpoint.note_load(load, now, true);
         }
     }
-
-    /// Requests that it has now, as far as this host can tell: its own, and
-    /// those of others by the last report, which fades with its age.
-    fn expected_load(&self, now: Duration) -> f64 {
-        let own = f64::from(self.in_flight);
-        let Some(report) = self.load else {
-            return own;
-        };
-        let age = now.saturating_sub(report.at);
-        let Some(left) = LOAD_MEMORY.checked_sub(age) else {
-            return own;
-        };
-        // Any number may stand in an answer or in a peer's datagram.
-        let total = report.load.running.saturating_add(report.load.waiting);
-        let others = f64::from(total.saturating_sub(report.own));
-        own + others * left.as_secs_f64() / LOAD_MEMORY.as_secs_f64()
-    }
-}
-
-/// Moves a smoothed value towards a sample; the first sample sets it.
-fn smooth(value: &mut f64, sample: f64) {
-    if *value <= 0.0 {
-        *value = sample;
-    } else {
-        *value += (sample - *value) * SAMPLE_WEIGHT;
-    }
 }
--- a/coordination/src/gateway/refusals.rs
+++ b/coordination/src/gateway/refusals.rs
@@ -4,10 +4,21 @@
 
 use rosebend_state::deployment::InstanceId;
 
-/// Entries that are remembered at most. Those beyond are counted and not
-/// logged: whoever can write that many could fill the log.
+/// Entries that are remembered at most. Those beyond are not logged: whoever
+/// can write that many could fill the log.
 const MAX_NOTED: usize = 256;
 
+/// How a refused entry is taken note of.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Noted {
+    /// It was not refused before: it is logged and counted.
+    New,
+    /// It was refused before: there is nothing to tell.
+    Known,
+    /// Too many are remembered: it is counted each time that it is read.
+    Beyond,
+}
+
 /// Entries that are refused now, with the word that says why.
 #[derive(Debug, Default)]
 pub struct Refusals {
@@ -16,14 +27,16 @@
 }
 
 impl Refusals {
-    /// Notes that an entry is refused. Tells whether that is to be logged: it
-    /// is not when the entry was refused before.
-    pub fn note(&mut self, instance: &str, word: &'static str) -> bool {
-        if self.words.contains_key(instance) || self.words.len() >= MAX_NOTED {
-            return false;
+    /// Notes that an entry is refused.
+    pub fn note(&mut self, instance: &str, word: &'static str) -> Noted {
+        if self.words.contains_key(instance) {
+            return Noted::Known;
+        }
+        if self.words.len() >= MAX_NOTED {
+            return Noted::Beyond;
         }
         self.words.insert(instance.to_owned(), word);
-        true
+        Noted::New
     }
 
     /// Notes that an entry is not refused any more, be it gone or good. Tells
--- /dev/null
+++ b/gateway/src/entries.rs
@@ -0,0 +1,157 @@
+//! Entries of the table of endpoints, by whichever writer: what they change for
+//! the choice of endpoints, and what is told of those that name none.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use rosebend_coordination::gateway::directory::Listing;
+use rosebend_coordination::gateway::refusals::Noted;
+use rosebend_platform::endpoints::{self, EntryError};
+use rosebend_state::deployment::{EndpointRecord, Row};
+use rosebend_transport::event::{Event, EventKind, log_event};
+
+use crate::gateway::Gateway;
+
+/// How long after an outage an entry that vanished counts as lapsed in it.
+const LAPSE_SPAN: Duration = Duration::from_secs(2);
+/// Reason of an entry whose service nobody has declared.
+const UNDECLARED: &str = "service";
+/// How the refusal of an entry ended: it names an endpoint now.
+const GOOD: &str = "good";
+/// How the refusal of an entry ended: it was deleted.
+const GONE: &str = "gone";
+
+/// Takes the rows of a whole read.
+pub fn take_all(gateway: &Gateway, rows: &[Row]) {
+    let mut records = Vec::new();
+    let mut refused = Vec::new();
+    for row in rows {
+        match read_entry(row) {
+            Entry::Endpoint(record) => records.push(record),
+            Entry::Refused(error) => {
+                note_refusal(gateway, &row.id.key, error.word(), Some(&error));
+                refused.push(row.id.key.clone());
+            }
+            Entry::Gone => {}
+        }
+    }
+    let listed = rows.iter().map(|row| row.id.key.as_str());
+    let listed: HashSet<&str> = listed.collect();
+    let ended = gateway.refusals.borrow_mut().retain(&listed);
+    ended.iter().for_each(|instance| log_end(instance, GONE));
+    for record in &records {
+        end_refusal(gateway, &record.identity.instance, GOOD);
+    }
+    let now = gateway.clock.now();
+    let in_outage = gateway.store.was_away_within(LAPSE_SPAN);
+    let mut directory = gateway.directory.borrow_mut();
+    for (instance, change) in directory.replace(records, &refused, now, in_outage) {
+        log_listing(&instance, change);
+    }
+}
+
+/// Takes a row of a feed.
+pub fn take(gateway: &Gateway, row: &Row) {
+    let instance = &row.id.key;
+    let now = gateway.clock.now();
+    let in_outage = gateway.store.was_away_within(LAPSE_SPAN);
+    let change = match read_entry(row) {
+        Entry::Endpoint(record) => {
+            end_refusal(gateway, instance, GOOD);
+            gateway.directory.borrow_mut().announce(record, now)
+        }
+        Entry::Refused(error) => {
+            note_refusal(gateway, instance, error.word(), Some(&error));
+            gateway.directory.borrow_mut().refuse(instance);
+            None
+        }
+        Entry::Gone => {
+            end_refusal(gateway, instance, GONE);
+            let mut directory = gateway.directory.borrow_mut();
+            directory.withdraw(instance, now, in_outage)
+        }
+    };
+    if let Some(change) = change {
+        log_listing(instance, change);
+    }
+}
+
+/// What a row of the table of endpoints says.
+enum Entry {
+    /// It names an endpoint.
+    Endpoint(EndpointRecord),
+    /// It names none to use.
+    Refused(EntryError),
+    /// It was deleted.
+    Gone,
+}
+
+fn read_entry(row: &Row) -> Entry {
+    let Some(value) = &row.value else {
+        return Entry::Gone;
+    };
+    match endpoints::decode(&row.id.key, value) {
+        Ok(record) => Entry::Endpoint(record),
+        Err(error) => Entry::Refused(error),
+    }
+}
+
+/// Tells and counts an entry that names no endpoint, unless it is known.
+fn note_refusal(gateway: &Gateway, instance: &str, word: &'static str, error: Option<&EntryError>) {
+    let noted = gateway.refusals.borrow_mut().note(instance, word);
+    if noted == Noted::Known {
+        return;
+    }
+    gateway.metrics.count_refused_entry(word);
+    if noted == Noted::Beyond {
+        return;
+    }
+    let event = Event::new(EventKind::EntryRefused).endpoint(instance);
+    let event = event.reason(word);
+    log_event(&match error {
+        Some(error) => event.error(error),
+        None => event,
+    });
+}
+
+fn end_refusal(gateway: &Gateway, instance: &str, how: &'static str) {
+    // One of an undeclared service ends when the service is declared.
+    let is_undeclared = gateway.refusals.borrow().word(instance) == Some(UNDECLARED);
+    if is_undeclared && how == GOOD {
+        return;
+    }
+    if gateway.refusals.borrow_mut().end(instance) {
+        log_end(instance, how);
+    }
+}
+
+fn log_end(instance: &str, how: &'static str) {
+    let event = Event::new(EventKind::EntryRefusalEnded).endpoint(instance);
+    log_event(&event.reason(how));
+}
+
+/// Tells which endpoints are of a service that nobody has declared. It may be
+/// declared later.
+pub fn note_undeclared(gateway: &Gateway) {
+    let undeclared = gateway.directory.borrow().undeclared();
+    for instance in &undeclared {
+        note_refusal(gateway, instance, UNDECLARED, None);
+    }
+    let known = gateway.refusals.borrow().for_word(UNDECLARED);
+    for instance in known.iter().filter(|known| !undeclared.contains(known)) {
+        let is_listed = gateway.directory.borrow().is_listed(instance);
+        if gateway.refusals.borrow_mut().end(instance) {
+            log_end(instance, if is_listed { GOOD } else { GONE });
+        }
+    }
+}
+
+fn log_listing(instance: &str, change: Listing) {
+    let event = match change {
+        Listing::Listed => Event::new(EventKind::EndpointListed),
+        Listing::StartedAgain => Event::new(EventKind::EndpointListed).reason("started-again"),
+        Listing::Draining => Event::new(EventKind::EndpointWithdrawn).reason("draining"),
+        Listing::Gone => Event::new(EventKind::EndpointWithdrawn).reason("gone"),
+    };
+    log_event(&event.endpoint(instance));
+}
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -6,7 +6,7 @@
 //! | a request, step by step | [`front`], [`call`], [`plain`] or [`turn`], [`exchange`], [`pool`] |
 //! | a turn's budget, and its answer on the way | [`spending`], [`recall`], [`turn_stream`] |
 //! | what lasts | [`commits`], [`programs`], [`retention`] |
-//! | what the process believes of routes and endpoints | [`watch`], [`gossip`], [`quarantine`] |
+//! | what the process believes of routes and endpoints | [`watch`], [`entries`], [`gossip`], [`quarantine`] |
 //! | calls to the store by other gateways | [`peers`] |
 //! | what is written and counted | [`trail`], [`metrics`] |
 //! | start, stop and changed settings | [`process`], [`reload`] |
@@ -18,6 +18,7 @@
 
 pub mod call;
 pub mod commits;
+pub mod entries;
 pub mod exchange;
 pub mod front;
 pub mod gateway;
