Test that crashes of starts under one id count each

Cause: the row of a suspicion names the start, and no test of processes read one written by another host for several starts of one endpoint.

Ruled out: the unit test alone; it does not go through the store's rows.

Change: a test with two hosts and three starts under one id.

Conclusion: a request that crashes one endpoint three times over is refused by all hosts.

--- a/gateway/tests/quarantine.rs
+++ b/gateway/tests/quarantine.rs
@@ -10,16 +10,15 @@
 use serde_json::json;
 use support::{Ask, Site, until};
 
-/// An endpoint that ends with the first request that it is sent.
-fn crashing_endpoint(site: &Site, number: usize) {
+/// A start of an endpoint that ends with the first request that it is sent.
+fn crashing_endpoint(site: &Site, instance: &str, born_ms: u64) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let entry = json!({
         "service": "desk", "address": listener.local_addr().unwrap().to_string(),
         "zone": "newport-hall", "version": "v1", "slots": 8, "state": "ready",
-        "cold-left-ms": 0, "seq": 1,
+        "cold-left-ms": 0, "seq": 1, "born": born_ms,
     });
-    site.store
-        .put("servers", &format!("i-crash-{number}"), &entry);
+    site.store.put("servers", instance, &entry);
     std::thread::spawn(move || {
         let (mut connection, _) = listener.accept().unwrap();
         drop(listener);
@@ -43,8 +42,8 @@
             .body("poison")
     };
     for number in 0..3 {
-        crashing_endpoint(&site, number);
         let instance = format!("i-crash-{number}");
+        crashing_endpoint(&site, &instance, 1);
         let gateway = &gateways[number % 2];
         until("the endpoint is listed", async || {
             let listed = gateway.events("endpoint-listed");
@@ -76,3 +75,36 @@
         assert_eq!(site.times_run(&attempt).await, 0);
     }
 }
+
+#[actix_rt::test]
+async fn crashes_of_three_starts_under_one_id_are_three_crashes() {
+    let site = Site::start();
+    site.store.delete("servers", &site.endpoints[1].instance);
+    let gateways = [site.gateway(), site.gateway()];
+    for gateway in &gateways {
+        gateway.until_ready().await;
+    }
+    for number in 0..3 {
+        crashing_endpoint(&site, "i-crash", number);
+        // Each host sees each start, which feeds do not promise by themselves.
+        for gateway in &gateways {
+            until("the start is listed", async || {
+                let listed = gateway.events("endpoint-listed").into_iter();
+                let starts = listed.filter(|event| event["endpoint"] == "i-crash");
+                starts.count() as u64 == number + 1
+            })
+            .await;
+        }
+        let gateway = &gateways[usize::try_from(number).unwrap() % 2];
+        let ask = Ask::new(Method::POST, "/fee/receipt")
+            .attempt(&format!("a{number}"))
+            .body("poison");
+        assert_eq!(ask.send(gateway.front).await.status, 502);
+    }
+    for gateway in &gateways {
+        until("the request is in quarantine", async || {
+            !gateway.events("request-quarantined").is_empty()
+        })
+        .await;
+    }
+}
