Merge the endpoints' identity and checked entries

What a gateway believes of an endpoint belongs to one start, and an entry by another writer names no endpoint.

--- a/coordination/src/gateway/directory.rs
+++ b/coordination/src/gateway/directory.rs
@@ -1,93 +1,53 @@
 //! The endpoints that are there, and the choice among them.
+//!
+//! - `listing`: which endpoints there are, and which start of each.
+//! - `endpoint`: what is known of one of them.
+//! - `cost`: what a request costs there.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use rosebend_state::deployment::{EndpointLoad, EndpointRecord, InstanceId, ServiceName};
+use rosebend_state::deployment::{
+    EndpointIdentity, EndpointLoad, EndpointRecord, InstanceId, ServiceName,
+};
 use rosebend_state::id::AvailabilityZone;
 
 mod cost;
+mod endpoint;
+mod listing;
+
+pub use self::listing::Listing;
+
+use self::endpoint::{Endpoint, ReportedLoad, smooth};
+use self::listing::Gone;
 
-/// How long an entry that vanished in an outage of the store is kept: entries
-/// that lapsed meanwhile are back about two seconds after the store.
-const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
-/// How old a reported load may be before nothing is concluded from it.
-const LOAD_MEMORY: Duration = Duration::from_millis(1_500);
 /// First time for which an endpoint that failed is avoided; it doubles with
 /// each failure in a row.
 const FIRST_AVOIDANCE: Duration = Duration::from_millis(300);
 /// Longest time for which an endpoint that failed is avoided.
 const MAX_AVOIDANCE: Duration = Duration::from_millis(2_400);
-/// Weight of a new sample of latency; about the last eight count.
-const SAMPLE_WEIGHT: f64 = 0.12;
 /// Latency ratio below which endpoints count as equally fast: work varies from
 /// request to request by more than that.
 const NOTABLE_SLOWNESS: f64 = 1.6;
-
 /// Weight of a new outcome in the share of failures; about the last seven count.
 const FAILURE_WEIGHT: f64 = 0.15;
 /// Weight of a failure that a peer tells of.
 const OVERHEARD_WEIGHT: f64 = 0.08;
-/// Time in which a share of failures halves without a new outcome, so that an
-/// endpoint that has recovered is tried again.
-const FAILURE_HALF_LIFE: Duration = Duration::from_secs(4);
 /// Failures that are kept to be told to peers.
 const MAX_RECENT_FAILURES: usize = 64;
-/// What is known of one endpoint.
-#[derive(Clone, Debug)]
-struct Endpoint {
-    record: EndpointRecord,
-    /// Requests of this host that it has now.
-    in_flight: u32,
-    load: Option<ReportedLoad>,
-    /// Until when it is avoided, after failures.
-    avoided_until: Duration,
-    /// Failures in a row.
-    failures: u32,
-    /// Smoothed latency in milliseconds; zero before the first sample.
-    latency_ms: f64,
-    /// Smoothed share of requests that failed, as of `failure_at`.
-    failure_share: f64,
-    failure_at: Duration,
-    /// Set while its entry is missing after an outage of the store.
-    lapsed_until: Option<Duration>,
-    /// Until when it is slow after its start.
-    warm_at: Duration,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct ReportedLoad {
-    load: EndpointLoad,
-    at: Duration,
-    /// Requests of this host that it had when it reported.
-    own: u32,
-    /// Whether this host heard it itself.
-    is_first_hand: bool,
-}
-
-/// How an endpoint's place in the directory changed.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Listing {
-    /// It is new.
-    Listed,
-    /// It gets nothing new, since it drains.
-    Draining,
-    /// It gets nothing new, since its entry is gone.
-    Gone,
-}
 
 /// What a request wants from its endpoint.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Wish<'a> {
     /// The endpoint that has the request's prompt or object in memory.
-    pub warm: Option<&'a str>,
+    pub warm: Option<&'a EndpointIdentity>,
     /// Prompt tokens that every other endpoint has to read.
     pub warm_tokens: u64,
     /// Whether the request is a turn at a model engine.
     pub is_turn: bool,
     /// Endpoints that were asked already.
-    pub asked: &'a [InstanceId],
+    pub asked: &'a [EndpointIdentity],
     /// What the request is about, to spread choices.
     pub subject: &'a str,
 }
@@ -107,11 +67,16 @@
 #[derive(Debug)]
 pub struct Directory {
     availability_zone: AvailabilityZone,
+    /// The latest start of each endpoint.
     endpoints: HashMap<InstanceId, Endpoint>,
+    /// Endpoints whose entry was gone less than [`listing::LATE_WRITE_TIME`] ago.
+    gone: HashMap<InstanceId, Gone>,
+    /// Services that operators have declared; none before they were read.
+    services: Option<HashSet<ServiceName>>,
     /// Smoothed latency of each service in milliseconds.
     service_latency_ms: HashMap<ServiceName, f64>,
     /// Failures that this host saw itself, the newest last.
-    recent_failures: VecDeque<(InstanceId, Duration)>,
+    recent_failures: VecDeque<(EndpointIdentity, Duration)>,
 }
 
 impl Directory {
@@ -120,6 +85,8 @@
         Self {
             availability_zone,
             endpoints: HashMap::new(),
+            gone: HashMap::new(),
+            services: None,
             service_latency_ms: HashMap::new(),
             recent_failures: VecDeque::new(),
         }
@@ -127,132 +94,85 @@
 
     /// Number of endpoints that are given requests.
     pub fn len(&self) -> usize {
-        let is_used = |endpoint: &&Endpoint| !endpoint.record.draining;
+        let is_used = |endpoint: &&Endpoint| {
+            endpoint.takes_requests() && self.is_declared(&endpoint.record.service)
+        };
         self.endpoints.values().filter(is_used).count()
     }
 
+    /// Takes the names of the services that operators have declared.
+    pub fn declare(&mut self, services: impl IntoIterator<Item = ServiceName>) {
+        self.services = Some(services.into_iter().collect());
+    }
+
+    fn is_declared(&self, service: &str) -> bool {
+        let services = self.services.as_ref();
+        services.is_none_or(|services| services.contains(service))
+    }
+
+    /// Endpoints of services that nobody has declared; no route leads to them.
+    pub fn undeclared(&self) -> Vec<InstanceId> {
+        let endpoints = self.endpoints.values().map(|endpoint| &endpoint.record);
+        let undeclared = endpoints.filter(|record| !self.is_declared(&record.service));
+        undeclared
+            .map(|record| record.identity.instance.clone())
+            .collect()
+    }
+
     /// Whether no endpoint is given requests.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
     }
 
-    /// Takes an entry that was written or read. Tells what changed for the
-    /// choice, if anything did.
-    pub fn announce(&mut self, record: EndpointRecord, now: Duration) -> Option<Listing> {
-        let warm_at = now + record.warming_up;
-        match self.endpoints.get_mut(&record.instance) {
-            Some(endpoint) => {
-                let began_to_drain = record.draining && !endpoint.record.draining;
-                endpoint.record = record;
-                endpoint.lapsed_until = None;
-                began_to_drain.then_some(Listing::Draining)
-            }
-            None => {
-                let endpoint = Endpoint {
-                    record,
-                    in_flight: 0,
-                    load: None,
-                    avoided_until: Duration::ZERO,
-                    failures: 0,
-                    latency_ms: 0.0,
-                    failure_share: 0.0,
-                    failure_at: now,
-                    lapsed_until: None,
-                    warm_at,
-                };
-                let instance = endpoint.record.instance.clone();
-                self.endpoints.insert(instance, endpoint);
-                Some(Listing::Listed)
-            }
-        }
-    }
-
-    /// Takes the deletion of an entry. One that vanished in an outage of the
-    /// store may come back; it is kept for a while.
-    pub fn withdraw(&mut self, instance: &str, now: Duration, in_outage: bool) -> Option<Listing> {
-        let endpoint = self.endpoints.get_mut(instance)?;
-        if in_outage && !endpoint.record.draining {
-            let until = now + LAPSE_GRACE;
-            endpoint.lapsed_until.get_or_insert(until);
-            return None;
-        }
-        self.endpoints.remove(instance);
-        Some(Listing::Gone)
+    /// Whether any start of an endpoint is listed.
+    pub fn is_listed(&self, instance: &str) -> bool {
+        self.endpoints.contains_key(instance)
     }
 
-    /// Takes a whole list of entries; others are withdrawn. Tells what changed
-    /// for the choice.
-    pub fn replace(
-        &mut self,
-        records: Vec<EndpointRecord>,
-        now: Duration,
-        in_outage: bool,
-    ) -> Vec<(InstanceId, Listing)> {
-        let mut changes = Vec::new();
-        let is_listed =
-            |instance: &InstanceId| records.iter().any(|record| record.instance == *instance);
-        let instances = self.endpoints.keys().cloned();
-        let missing: Vec<InstanceId> = instances.filter(|instance| !is_listed(instance)).collect();
-        for instance in missing {
-            let change = self.withdraw(&instance, now, in_outage);
-            changes.extend(change.map(|change| (instance, change)));
-        }
-        for record in records {
-            let instance = record.instance.clone();
-            let change = self.announce(record, now);
-            changes.extend(change.map(|change| (instance, change)));
-        }
-        changes
+    /// Whether this start is still listed.
+    pub fn contains(&self, identity: &EndpointIdentity) -> bool {
+        self.start(identity).is_some()
     }
 
-    /// Drops entries that did not come back after an outage, and tells which.
-    pub fn expire(&mut self, now: Duration) -> Vec<InstanceId> {
-        let is_over = |endpoint: &Endpoint| endpoint.lapsed_until.is_some_and(|until| now >= until);
-        let over = self
-            .endpoints
-            .iter()
-            .filter(|(_, endpoint)| is_over(endpoint));
-        let over: Vec<InstanceId> = over.map(|(instance, _)| instance.clone()).collect();
-        for instance in &over {
-            self.endpoints.remove(instance);
-        }
-        over
+    /// Whether a later start of the endpoint is listed.
+    pub fn has_started_again(&self, identity: &EndpointIdentity) -> bool {
+        let known = self.endpoints.get(&identity.instance);
+        known.is_some_and(|known| identity.is_before(&known.record.identity))
     }
 
-    /// Whether the instance is still listed.
-    pub fn contains(&self, instance: &str) -> bool {
-        self.endpoints.contains_key(instance)
+    /// Where a start listens, while it is listed.
+    pub fn address(&self, identity: &EndpointIdentity) -> Option<SocketAddr> {
+        self.start(identity).map(|endpoint| endpoint.record.address)
     }
 
-    /// Where an instance listens, while it is listed.
-    pub fn address(&self, instance: &str) -> Option<SocketAddr> {
-        self.endpoints
-            .get(instance)
-            .map(|endpoint| endpoint.record.address)
+    /// What is known of a start; nothing when another one is listed.
+    fn start(&self, identity: &EndpointIdentity) -> Option<&Endpoint> {
+        let known = self.endpoints.get(&identity.instance);
+        known.filter(|known| known.record.identity == *identity)
     }
 
-    /// Instances that are listed, for those who keep something for each.
-    pub fn instances(&self) -> impl Iterator<Item = &InstanceId> {
-        self.endpoints.keys()
+    fn start_mut(&mut self, identity: &EndpointIdentity) -> Option<&mut Endpoint> {
+        let known = self.endpoints.get_mut(&identity.instance);
+        known.filter(|known| known.record.identity == *identity)
     }
 
     /// Chooses an endpoint of a service, or none when all were asked or leave.
-    /// `is_connected` tells whether an idle connection to an instance is open.
+    /// `is_connected` tells whether an idle connection to a start is open.
     pub fn choose(
         &self,
         service: &str,
         wish: Wish<'_>,
         now: Duration,
-        is_connected: impl Fn(&str) -> bool,
+        is_connected: impl Fn(&EndpointIdentity) -> bool,
     ) -> Option<Choice<'_>> {
         let is_candidate = |endpoint: &&Endpoint| {
             endpoint.record.service == service
-                && !endpoint.record.draining
-                && !wish.asked.contains(&endpoint.record.instance)
+                && endpoint.takes_requests()
+                && !wish.asked.contains(&endpoint.record.identity)
         };
         let candidates = self.endpoints.values().filter(is_candidate);
         let costs = candidates.map(|endpoint| {
-            let has_connection = is_connected(&endpoint.record.instance);
+            let has_connection = is_connected(&endpoint.record.identity);
             (self.cost_ms(endpoint, wish, has_connection, now), endpoint)
         });
         let best = costs.min_by(|a, b| a.0.total_cmp(&b.0));
@@ -271,46 +191,34 @@
     }
 
     /// Notes that a request was given to an endpoint.
-    pub fn begin(&mut self, instance: &str) {
-        if let Some(endpoint) = self.endpoints.get_mut(instance) {
+    pub fn begin(&mut self, identity: &EndpointIdentity) {
+        if let Some(endpoint) = self.start_mut(identity) {
             endpoint.in_flight += 1;
         }
     }
 
     /// Notes that an endpoint is done with a request.
-    pub fn end(&mut self, instance: &str) {
-        if let Some(endpoint) = self.endpoints.get_mut(instance) {
+    pub fn end(&mut self, identity: &EndpointIdentity) {
+        if let Some(endpoint) = self.start_mut(identity) {
             endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
         }
     }
 
     /// Takes the load that an endpoint told.
-    pub fn report(&mut self, instance: &str, load: EndpointLoad, now: Duration) {
-        if let Some(endpoint) = self.endpoints.get_mut(instance) {
-            let own = endpoint.in_flight;
-            endpoint.load = Some(ReportedLoad {
-                load,
-                at: now,
-                own,
-                is_first_hand: true,
-            });
+    pub fn report(&mut self, identity: &EndpointIdentity, load: EndpointLoad, now: Duration) {
+        if let Some(endpoint) = self.start_mut(identity) {
+            endpoint.note_load(load, now, true);
         }
     }
 
     /// Takes a load that another host heard at a time, unless a newer one is
     /// known.
-    pub fn overhear(&mut self, instance: &str, load: EndpointLoad, at: Duration) {
-        let Some(endpoint) = self.endpoints.get_mut(instance) else {
+    pub fn overhear(&mut self, identity: &EndpointIdentity, load: EndpointLoad, at: Duration) {
+        let Some(endpoint) = self.start_mut(identity) else {
             return;
         };
         if endpoint.load.is_none_or(|report| report.at < at) {
-            let own = endpoint.in_flight;
-            endpoint.load = Some(ReportedLoad {
-                load,
-                at,
-                own,
-                is_first_hand: false,
-            });
+            endpoint.note_load(load, at, false);
         }
     }
 
@@ -318,18 +226,24 @@
     pub fn heard_since(
         &self,
         since: Duration,
-    ) -> impl Iterator<Item = (&InstanceId, EndpointLoad, Duration)> {
-        let reports = self.endpoints.iter();
-        let reports = reports.filter_map(|(instance, endpoint)| Some((instance, endpoint.load?)));
+    ) -> impl Iterator<Item = (&EndpointIdentity, EndpointLoad, Duration)> {
+        let reports = self.endpoints.values();
+        let reports =
+            reports.filter_map(|endpoint| Some((&endpoint.record.identity, endpoint.load?)));
         let is_news = move |report: &ReportedLoad| report.is_first_hand && report.at >= since;
         reports
             .filter(move |(_, report)| is_news(report))
-            .map(|(instance, report)| (instance, report.load, report.at))
+            .map(|(identity, report)| (identity, report.load, report.at))
     }
 
     /// Notes that an endpoint answered, after a latency where one was measured.
-    pub fn answered(&mut self, instance: &str, latency: Option<Duration>, now: Duration) {
-        let Some(endpoint) = self.endpoints.get_mut(instance) else {
+    pub fn answered(
+        &mut self,
+        identity: &EndpointIdentity,
+        latency: Option<Duration>,
+        now: Duration,
+    ) {
+        let Some(endpoint) = self.start_mut(identity) else {
             return;
         };
         endpoint.failures = 0;
@@ -349,14 +263,14 @@
 
     /// Notes that an endpoint failed or could not be reached. Returns for how
     /// long it is avoided now, if it is listed.
-    pub fn failed(&mut self, instance: &str, now: Duration) -> Option<Duration> {
-        let endpoint = self.endpoints.get_mut(instance)?;
+    pub fn failed(&mut self, identity: &EndpointIdentity, now: Duration) -> Option<Duration> {
+        let endpoint = self.start_mut(identity)?;
         let doubled = FIRST_AVOIDANCE * 2_u32.pow(endpoint.failures.min(8));
         let avoided = doubled.min(MAX_AVOIDANCE);
         endpoint.failures += 1;
         endpoint.note_outcome(1.0, FAILURE_WEIGHT, now);
         endpoint.avoided_until = now + avoided;
-        self.recent_failures.push_back((instance.to_owned(), now));
+        self.recent_failures.push_back((identity.clone(), now));
         if self.recent_failures.len() > MAX_RECENT_FAILURES {
             self.recent_failures.pop_front();
         }
@@ -364,83 +278,29 @@
     }
 
     /// Takes a failure that a peer saw.
-    pub fn overhear_failure(&mut self, instance: &str, now: Duration) {
-        if let Some(endpoint) = self.endpoints.get_mut(instance) {
+    pub fn overhear_failure(&mut self, identity: &EndpointIdentity, now: Duration) {
+        if let Some(endpoint) = self.start_mut(identity) {
             endpoint.note_outcome(1.0, OVERHEARD_WEIGHT, now);
         }
     }
 
     /// Endpoints that failed this host since a time, once for each failure.
-    pub fn failed_since(&self, since: Duration) -> impl Iterator<Item = &InstanceId> {
+    pub fn failed_since(&self, since: Duration) -> impl Iterator<Item = &EndpointIdentity> {
         let failures = self.recent_failures.iter();
         let recent = failures.filter(move |(_, at)| *at >= since);
-        recent.map(|(instance, _)| instance)
+        recent.map(|(identity, _)| identity)
     }
 
     /// Notes that an endpoint refused a request for lack of room.
-    pub fn full(&mut self, instance: &str, now: Duration) {
-        if let Some(endpoint) = self.endpoints.get_mut(instance) {
+    pub fn full(&mut self, identity: &EndpointIdentity, now: Duration) {
+        if let Some(endpoint) = self.start_mut(identity) {
             let slots = endpoint.record.slots;
             let load = EndpointLoad {
                 running: slots,
                 waiting: slots,
                 slots,
             };
-            let own = endpoint.in_flight;
-            endpoint.load = Some(ReportedLoad {
-                load,
-                at: now,
-                own,
-                is_first_hand: true,
-            });
-        }
-    }
-}
-
-impl Endpoint {
-    /// Share of its requests that failed lately.
-    fn failure_share(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.failure_at);
-        let half_lives = age.as_secs_f64() / FAILURE_HALF_LIFE.as_secs_f64();
-        self.failure_share * 0.5_f64.powf(half_lives)
-    }
-
-    fn note_outcome(&mut self, sample: f64, weight: f64, now: Duration) {
-        let share = self.failure_share(now);
-        self.failure_share = share + (sample - share) * weight;
-        self.failure_at = now;
-    }
-
-    fn choice(&self, now: Duration) -> Choice<'_> {
-        Choice {
-            record: &self.record,
-            expected_load: self.expected_load(now) as u64,
-            report_age: self.load.map(|report| now.saturating_sub(report.at)),
+            endpoint.note_load(load, now, true);
         }
     }
-
-    /// Requests that it has now, as far as this host can tell: its own, and
-    /// those of others by the last report, which fades with its age.
-    fn expected_load(&self, now: Duration) -> f64 {
-        let own = f64::from(self.in_flight);
-        let Some(report) = self.load else {
-            return own;
-        };
-        let age = now.saturating_sub(report.at);
-        let Some(left) = LOAD_MEMORY.checked_sub(age) else {
-            return own;
-        };
-        let total = report.load.running + report.load.waiting;
-        let others = f64::from(total.saturating_sub(report.own));
-        own + others * left.as_secs_f64() / LOAD_MEMORY.as_secs_f64()
-    }
-}
-
-/// Moves a smoothed value towards a sample; the first sample sets it.
-fn smooth(value: &mut f64, sample: f64) {
-    if *value <= 0.0 {
-        *value = sample;
-    } else {
-        *value += (sample - *value) * SAMPLE_WEIGHT;
-    }
 }
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -8,8 +8,9 @@
 use rosebend_coordination::gateway::directory::Directory;
 use rosebend_coordination::gateway::fingerprint::CrashCounts;
 use rosebend_coordination::gateway::history::History;
+use rosebend_coordination::gateway::refusals::Refusals;
 use rosebend_coordination::gateway::route_table::RouteTable;
-use rosebend_state::deployment::InstanceId;
+use rosebend_state::deployment::EndpointIdentity;
 use rosebend_state::settings::{GatewaySettings, StoreSettings};
 use rosebend_transport::clock::{Clock, whole_ms};
 use rosebend_transport::store::StoreClient;
@@ -46,6 +47,8 @@
     routes: RefCell<Option<Rc<RouteTable>>>,
     /// Endpoints that are there.
     pub directory: RefCell<Directory>,
+    /// Entries that name no endpoint to use.
+    pub refusals: RefCell<Refusals>,
     /// Idle connections to endpoints.
     pub pool: RefCell<Pool>,
     /// Turns in memory.
@@ -75,6 +78,7 @@
             clock,
             routes: RefCell::new(None),
             directory: RefCell::new(Directory::new(settings.availability_zone.clone())),
+            refusals: RefCell::default(),
             pool: RefCell::default(),
             history: RefCell::new(History::new(HISTORY_BYTES)),
             retention: Retention::default(),
@@ -110,6 +114,8 @@
         if version.is_some_and(|version| version >= routes.deployment().version) {
             return false;
         }
+        let services = routes.deployment().services.keys().cloned();
+        self.directory.borrow_mut().declare(services);
         *current = Some(Rc::new(routes));
         true
     }
@@ -184,11 +190,11 @@
     }
 
     /// Counts a request at an endpoint until the guard is dropped.
-    pub fn begin_at(self: &Rc<Self>, instance: &InstanceId) -> AtEndpoint {
-        self.directory.borrow_mut().begin(instance);
+    pub fn begin_at(self: &Rc<Self>, endpoint: &EndpointIdentity) -> AtEndpoint {
+        self.directory.borrow_mut().begin(endpoint);
         AtEndpoint {
             gateway: Rc::clone(self),
-            instance: instance.clone(),
+            endpoint: endpoint.clone(),
         }
     }
 }
@@ -207,13 +213,13 @@
 #[derive(Debug)]
 pub struct AtEndpoint {
     gateway: Rc<Gateway>,
-    /// The endpoint.
-    pub instance: InstanceId,
+    /// The start of the endpoint.
+    pub endpoint: EndpointIdentity,
 }
 
 impl Drop for AtEndpoint {
     fn drop(&mut self) {
-        self.gateway.directory.borrow_mut().end(&self.instance);
+        self.gateway.directory.borrow_mut().end(&self.endpoint);
     }
 }
 
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -10,7 +10,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rosebend_state::deployment::{EndpointLoad, InstanceId};
+use rosebend_coordination::gateway::directory::Directory;
+use rosebend_state::deployment::{EndpointIdentity, EndpointLoad};
 use rosebend_transport::clock::whole_ms;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -20,25 +21,79 @@
 /// Time between two datagrams to a peer. A request takes 200 to 400 ms at an
 /// engine, so a load of this age still says something.
 const INTERVAL: Duration = Duration::from_millis(150);
-/// Loads of one datagram at most: about 900 bytes.
+/// Loads of one datagram at most: about 1,000 bytes.
 const MAX_LOADS: usize = 24;
-/// Failures of one datagram at most; with the loads about 1,300 bytes, which no
-/// link splits.
+/// Failures of one datagram at most; with the loads about 1,450 bytes.
 const MAX_FAILED: usize = 16;
+/// Largest datagram that is sent, in bytes: no link splits it. What ids of
+/// unusual length leave no room for is left out.
+const MAX_SENT_BYTES: usize = 1_472;
 /// Largest datagram that is read.
 const MAX_DATAGRAM_BYTES: usize = 2_048;
 
-/// One endpoint's load, as a peer heard it: running, waiting, slots, and its
-/// age in milliseconds.
+/// The load of one start of an endpoint, as a peer heard it: running, waiting,
+/// slots, and its age in milliseconds.
+#[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
-struct Heard(InstanceId, u32, u32, u32, u64);
+pub struct Heard(pub EndpointIdentity, pub u32, pub u32, pub u32, pub u64);
 
 /// What a peer heard and saw since its last datagram.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
-struct News {
-    loads: Vec<Heard>,
-    /// Endpoints that failed, once for each failure.
-    failed: Vec<InstanceId>,
+pub struct News {
+    /// Loads that endpoints told.
+    pub loads: Vec<Heard>,
+    /// Starts of endpoints that failed, once for each failure.
+    pub failed: Vec<EndpointIdentity>,
+}
+
+/// A datagram that no gateway of this version sent.
+#[derive(Debug, thiserror::Error)]
+#[error("not a list of loads and failures: {0}")]
+pub struct NewsError(#[from] serde_json::Error);
+
+impl TryFrom<&[u8]> for News {
+    type Error = NewsError;
+
+    fn try_from(datagram: &[u8]) -> Result<Self, NewsError> {
+        Ok(serde_json::from_slice(datagram)?)
+    }
+}
+
+impl News {
+    /// As many of the news as one datagram holds.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the news have no JSON form, which none lack.
+    pub fn datagram(mut self) -> Vec<u8> {
+        loop {
+            let datagram = serde_json::to_vec(&self).expect("text and numbers have a JSON form");
+            if datagram.len() <= MAX_SENT_BYTES {
+                return datagram;
+            }
+            if self.loads.pop().is_none() && self.failed.pop().is_none() {
+                return datagram;
+            }
+        }
+    }
+
+    /// Adds what a peer told to what is believed of endpoints. What it tells of
+    /// another start than the one that is listed here changes nothing.
+    pub fn tell(&self, directory: &mut Directory, now: Duration) {
+        for Heard(endpoint, running, waiting, slots, age_ms) in &self.loads {
+            let load = EndpointLoad {
+                running: *running,
+                waiting: *waiting,
+                slots: *slots,
+            };
+            let at = now.saturating_sub(Duration::from_millis(*age_ms));
+            directory.overhear(endpoint, load, at);
+        }
+        for endpoint in &self.failed {
+            directory.overhear_failure(endpoint, now);
+        }
+    }
 }
 
 /// Tells and hears loads, for ever.
@@ -59,10 +114,10 @@
     let now = gateway.clock.now();
     let since = now.saturating_sub(INTERVAL);
     let directory = gateway.directory.borrow();
-    let heard = directory.heard_since(since).map(|(instance, load, at)| {
+    let heard = directory.heard_since(since).map(|(endpoint, load, at)| {
         let age_ms = whole_ms(now.saturating_sub(at));
         Heard(
-            instance.clone(),
+            endpoint.clone(),
             load.running,
             load.waiting,
             load.slots,
@@ -71,11 +126,11 @@
     });
     let loads: Vec<Heard> = heard.take(MAX_LOADS).collect();
     let failed = directory.failed_since(since).take(MAX_FAILED).cloned();
-    let failed: Vec<InstanceId> = failed.collect();
+    let failed: Vec<EndpointIdentity> = failed.collect();
     if loads.is_empty() && failed.is_empty() {
         return None;
     }
-    Some(serde_json::to_vec(&News { loads, failed }).expect("text and numbers have a JSON form"))
+    Some(News { loads, failed }.datagram())
 }
 
 async fn tell(socket: &UdpSocket, peers: &[SocketAddr], datagram: &[u8]) {
@@ -92,23 +147,12 @@
         let Ok((bytes, _)) = socket.recv_from(&mut buffer).await else {
             continue;
         };
-        // What is no list of loads does not come from a gateway of this version.
-        let Ok(news) = serde_json::from_slice::<News>(&buffer[..bytes]) else {
+        // Anyone may send a datagram; what is said by no gateway of this
+        // version is passed over, as a datagram that is lost is.
+        let Ok(news) = News::try_from(&buffer[..bytes]) else {
             continue;
         };
         let now = gateway.clock.now();
-        let mut directory = gateway.directory.borrow_mut();
-        for Heard(instance, running, waiting, slots, age_ms) in news.loads {
-            let load = EndpointLoad {
-                running,
-                waiting,
-                slots,
-            };
-            let at = now.saturating_sub(Duration::from_millis(age_ms));
-            directory.overhear(&instance, load, at);
-        }
-        for instance in news.failed {
-            directory.overhear_failure(&instance, now);
-        }
+        news.tell(&mut gateway.directory.borrow_mut(), now);
     }
 }
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -90,6 +90,7 @@
     endpoint_failures: Family<ReasonLabel, Counter>,
     store_calls: Family<StoreLabel, Counter>,
     new_connections: Counter,
+    refused_entries: Family<ReasonLabel, Counter>,
     request: Histogram,
     first_event: Histogram,
     turn: Histogram,
@@ -130,6 +131,9 @@
             "Connections opened to endpoints",
             new_connections.clone(),
         );
+        let refused_entries = Family::default();
+        let help = "Entries of the table of endpoints that began to name none, by reason";
+        registry.register("refused_entries", help, refused_entries.clone());
         let mut histogram = |name: &str, help: &str| {
             let histogram = Histogram::new(exponential_buckets(FIRST_BOUND_SECONDS, 2.0, BOUNDS));
             registry.register_with_unit(name, help, Unit::Seconds, histogram.clone());
@@ -150,6 +154,7 @@
             endpoint_failures,
             store_calls,
             new_connections,
+            refused_entries,
             request,
             first_event,
             turn,
@@ -226,6 +231,13 @@
         self.new_connections.inc();
     }
 
+    /// Counts an entry that has begun to name no endpoint.
+    pub fn count_refused_entry(&self, reason: &'static str) {
+        self.refused_entries
+            .get_or_create(&ReasonLabel { reason })
+            .inc();
+    }
+
     /// Counts and times a call to the store.
     pub fn count_store_call(&self, call: StoreCall, error: Option<&StoreError>, took: Duration) {
         let outcome = match error {
--- a/gateway/src/watch.rs
+++ b/gateway/src/watch.rs
@@ -3,13 +3,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rosebend_coordination::gateway::directory::Listing;
 use rosebend_coordination::gateway::route_table::RouteTable;
 use rosebend_platform::{deployment, endpoints};
-use rosebend_state::deployment::{EndpointRecord, Row, RowVersion};
+use rosebend_state::deployment::{Row, RowVersion};
 use rosebend_transport::event::{Event, EventKind, log_event};
 use rosebend_transport::store::StoreError;
 
+use crate::entries;
 use crate::gateway::Gateway;
 
 /// How long a feed waits for a change. Short, since a connection may fall
@@ -20,8 +20,6 @@
 const ENDPOINT_PAUSE: Duration = Duration::from_millis(550);
 /// Pause after a failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
-/// How long after an outage an entry that vanished counts as lapsed in it.
-const LAPSE_SPAN: Duration = Duration::from_secs(2);
 /// Time between two rounds of tidying up.
 const TIDY_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -68,6 +66,7 @@
             let version = deployment.version;
             if gateway.put_in_force(RouteTable::new(deployment)) {
                 log_event(&Event::new(EventKind::RoutesInForce).version(version));
+                entries::note_undeclared(gateway);
             }
         }
         Err(error) => log_event(&Event::new(EventKind::RoutesUnreadable).error(&error)),
@@ -105,49 +104,14 @@
                 .await?
         }
     };
-    let now = gateway.clock.now();
-    let in_outage = gateway.store.was_away_within(LAPSE_SPAN);
-    let mut directory = gateway.directory.borrow_mut();
-    if after.is_none() {
-        let records = rows.rows.iter().filter_map(decode_endpoint).collect();
-        for (instance, change) in directory.replace(records, now, in_outage) {
-            log_listing(&instance, change);
-        }
-        return Ok(rows.version);
-    }
-    for row in &rows.rows {
-        let change = match decode_endpoint(row) {
-            Some(record) => directory.announce(record, now),
-            None => directory.withdraw(&row.id.key, now, in_outage),
-        };
-        if let Some(change) = change {
-            log_listing(&row.id.key, change);
-        }
+    match after {
+        None => entries::take_all(gateway, &rows.rows),
+        Some(_) => rows.rows.iter().for_each(|row| entries::take(gateway, row)),
     }
+    entries::note_undeclared(gateway);
     Ok(rows.version)
 }
 
-fn log_listing(instance: &str, change: Listing) {
-    let event = match change {
-        Listing::Listed => Event::new(EventKind::EndpointListed),
-        Listing::Draining => Event::new(EventKind::EndpointWithdrawn).reason("draining"),
-        Listing::Gone => Event::new(EventKind::EndpointWithdrawn).reason("gone"),
-    };
-    log_event(&event.endpoint(instance));
-}
-
-fn decode_endpoint(row: &Row) -> Option<EndpointRecord> {
-    let value = row.value.as_ref()?;
-    match endpoints::decode(&row.id.key, value) {
-        Ok(record) => Some(record),
-        Err(error) => {
-            let event = Event::new(EventKind::RoutesUnreadable);
-            log_event(&event.endpoint(&row.id.key).error(&error));
-            None
-        }
-    }
-}
-
 /// Drops what is not needed any more and tells changes of readiness, for ever.
 pub async fn tidy(gateway: Rc<Gateway>) {
     let mut was_ready = false;
@@ -167,6 +131,6 @@
         gateway.crashes.borrow_mut().expire(now);
         let directory = gateway.directory.borrow();
         let mut pool = gateway.pool.borrow_mut();
-        pool.expire(now, |instance| directory.contains(instance));
+        pool.expire(now, |endpoint| directory.contains(endpoint));
     }
 }
