Read rows of programs to an end, whatever they hold

Cause: rows of programs were taken as this version writes them. Lengths of a head were added without a check (a panic in `record`), predecessors were followed without a memory (a chain that loops, or names itself, was read for ever and grew), a chain of turns was dropped one stack frame a turn, pieces were joined in the order in which they came (another order, a fifth digit or a piece missing gave other bytes), a head without `previous` was a first turn, one foreign row made all of a program unreadable, and an index row could name a program that leads to others' rows.

Ruled out: depth of JSON, which the parser bounds, and numbers that are negative, fractional or not finite, which it refuses.

Change: pieces are kept by number and must be gapless and written as this version writes them; a chain that comes back to one of its turns is malformed; chains are dropped in a loop; lengths are added with a check; `previous` must be there. A turn whose rows are wrong is there and fails alone, so that it is not denied; only an unreadable ledger fails a program.

--- a/coordination/src/gateway/history.rs
+++ b/coordination/src/gateway/history.rs
@@ -4,7 +4,7 @@
 //! store each is a row of its own, with an index row by which a turn is found
 //! whose program is not known.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
 use rosebend_state::deployment::{
@@ -30,6 +30,8 @@
 const SEPARATOR: char = '/';
 /// The character after [`SEPARATOR`], which ends the range of a program.
 const AFTER_SEPARATOR: char = '0';
+/// Longest id of a program, in bytes: that of callers' headers.
+const MAX_PROGRAM_BYTES: usize = 80;
 
 /// A turn that was answered whole.
 #[derive(Debug, Eq, PartialEq)]
@@ -54,6 +56,8 @@
 /// The part of a turn's row before its bytes.
 #[derive(Deserialize, Serialize)]
 struct TurnHead {
+    /// Null for a first turn. Left out, it would make a first turn of any.
+    #[serde(deserialize_with = "Option::deserialize")]
     previous: Option<AttemptId>,
     endpoint: InstanceId,
     tokens: u64,
@@ -64,7 +68,8 @@
 /// Why rows do not give a turn.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum HistoryError {
-    /// A row does not have the form that this version writes.
+    /// Rows do not have the form that this version writes, or a chain of turns
+    /// comes back to one of its own.
     #[error("row {0} is no turn")]
     Malformed(String),
     /// A turn names a predecessor that is not there.
@@ -120,9 +125,13 @@
     }
 }
 
-/// The program that an index row names.
+/// The program that an index row names; none when its value is no id, which
+/// would lead to rows of other programs.
 pub fn indexed_program(row: &Row) -> Option<ProgramKey> {
-    String::from_utf8(row.value.clone()?).ok()
+    let program = String::from_utf8(row.value.clone()?).ok()?;
+    let is_allowed = |byte: u8| byte.is_ascii_graphic() && byte != SEPARATOR as u8;
+    let is_id = (1..=MAX_PROGRAM_BYTES).contains(&program.len());
+    (is_id && program.bytes().all(is_allowed)).then_some(program)
 }
 
 impl Turn {
@@ -184,12 +193,65 @@
 
     fn piece_key(&self, number: usize) -> String {
         format!(
-            "{}{SEPARATOR}{}{SEPARATOR}{number:04}",
-            self.program, self.attempt
+            "{}{SEPARATOR}{}{SEPARATOR}{}",
+            self.program,
+            self.attempt,
+            piece_text(number)
         )
     }
 }
 
+impl Drop for Turn {
+    /// Drops a chain turn by turn: each within the drop of the one after it
+    /// would need a stack as deep as the chain is long.
+    fn drop(&mut self) {
+        let mut next = self.previous.take();
+        while let Some(turn) = next {
+            // A turn that others hold stays, and so does all before it.
+            next = Arc::into_inner(turn).and_then(|mut turn| turn.previous.take());
+        }
+    }
+}
+
+/// The pieces of a turn's record, as they were found.
+#[derive(Debug, Default)]
+struct Record {
+    /// Values by the piece's number.
+    pieces: BTreeMap<usize, Vec<u8>>,
+    /// Whether a row stands among them that is no piece, or two are the same.
+    is_malformed: bool,
+}
+
+impl Record {
+    fn add(&mut self, number: Option<usize>, value: Option<&Vec<u8>>) {
+        let (Some(number), Some(value)) = (number, value) else {
+            self.is_malformed = true;
+            return;
+        };
+        let before = self.pieces.insert(number, value.clone());
+        self.is_malformed |= before.is_some();
+    }
+
+    /// The whole record; none when a piece is missing. The order of the rows
+    /// does not matter.
+    fn bytes(&self) -> Option<Vec<u8>> {
+        let is_gapless = self.pieces.keys().copied().eq(0..self.pieces.len());
+        let pieces: Vec<&[u8]> = self.pieces.values().map(Vec::as_slice).collect();
+        (is_gapless && !self.is_malformed).then(|| pieces.concat())
+    }
+}
+
+/// The number of a piece, written as this version writes it and not otherwise:
+/// no two texts stand for the same number.
+fn piece_number(text: &str) -> Option<usize> {
+    let number = text.parse().ok()?;
+    (piece_text(number) == text).then_some(number)
+}
+
+fn piece_text(number: usize) -> String {
+    format!("{number:04}")
+}
+
 /// A program as its rows tell it.
 #[derive(Debug, Default)]
 pub struct StoredProgram {
@@ -197,16 +259,17 @@
     pub ledger_version: u64,
     /// The ledger.
     pub ledger: Ledger,
-    /// Turns by attempt.
-    records: HashMap<AttemptId, Vec<u8>>,
+    /// Records of turns by attempt.
+    records: HashMap<AttemptId, Record>,
 }
 
 impl StoredProgram {
-    /// Reads the rows of a program's range.
+    /// Reads the rows of a program's range, in any order. A turn whose rows
+    /// are wrong is there and fails when it is asked for; the others hold.
     ///
     /// # Errors
     ///
-    /// Fails when a row does not have the form that this version writes.
+    /// Fails when the ledger cannot be read: what was spent is not known then.
     pub fn from_rows(program: &str, rows: &[Row]) -> Result<Self, HistoryError> {
         let mut stored = Self::default();
         for row in rows {
@@ -216,19 +279,25 @@
     }
 
     fn add(&mut self, program: &str, row: &Row) -> Result<(), HistoryError> {
-        let malformed = || HistoryError::Malformed(row.id.key.clone());
-        let value = row.value.as_ref().ok_or_else(malformed)?;
-        let rest = row.id.key.strip_prefix(program).ok_or_else(malformed)?;
-        let rest = rest.strip_prefix(SEPARATOR).ok_or_else(malformed)?;
-        if rest.is_empty() {
-            self.ledger = Ledger::decode(value).map_err(|_| malformed())?;
-            self.ledger_version = row.version;
+        let rest = row.id.key.strip_prefix(program);
+        let Some(rest) = rest.and_then(|rest| rest.strip_prefix(SEPARATOR)) else {
+            // The row of another program tells nothing of this one.
             return Ok(());
+        };
+        if rest.is_empty() {
+            return self.take_ledger(row);
         }
-        // Pieces come in the order of their keys, which is that of the record.
-        let (attempt, _) = rest.split_once(SEPARATOR).ok_or_else(malformed)?;
+        let (attempt, number) = rest.split_once(SEPARATOR).unwrap_or((rest, ""));
         let record = self.records.entry(attempt.to_owned()).or_default();
-        record.extend_from_slice(value);
+        record.add(piece_number(number), row.value.as_ref());
+        Ok(())
+    }
+
+    fn take_ledger(&mut self, row: &Row) -> Result<(), HistoryError> {
+        let malformed = || HistoryError::Malformed(row.id.key.clone());
+        let value = row.value.as_ref().ok_or_else(malformed)?;
+        self.ledger = Ledger::decode(value).map_err(|_| malformed())?;
+        self.ledger_version = row.version;
         Ok(())
     }
 
@@ -249,9 +318,13 @@
         cache: &History,
     ) -> Result<Arc<Turn>, HistoryError> {
         let mut pending = Vec::new();
+        let mut seen = HashSet::new();
         let mut next = Some(attempt.to_owned());
         let mut previous = None;
         while let Some(attempt) = next {
+            if !seen.insert(attempt.clone()) {
+                return Err(HistoryError::Malformed(attempt));
+            }
             if let Some(turn) = cache.get(&attempt) {
                 previous = Some(turn);
                 break;
@@ -278,13 +351,15 @@
         let missing = || HistoryError::Missing(attempt.to_owned());
         let malformed = || HistoryError::Malformed(attempt.to_owned());
         let record = self.records.get(attempt).ok_or_else(missing)?;
+        let record = record.bytes().ok_or_else(malformed)?;
         let end = record
             .iter()
             .position(|byte| *byte == b'\n')
             .ok_or_else(malformed)?;
         let head: TurnHead = serde_json::from_slice(&record[..end]).map_err(|_| malformed())?;
         let bytes = &record[end + 1..];
-        if bytes.len() != head.input_bytes + head.output_bytes {
+        let told_bytes = head.input_bytes.checked_add(head.output_bytes);
+        if told_bytes != Some(bytes.len()) {
             return Err(malformed());
         }
         let (input, output) = bytes.split_at(head.input_bytes);
--- /dev/null
+++ b/coordination/tests/gateway_history.rs
@@ -0,0 +1,364 @@
+//! Rows of programs as anyone may have written them: no value panics or hangs,
+//! and a turn whose rows are wrong is unusable alone.
+
+use std::sync::Arc;
+
+use proptest::prelude::*;
+use proptest::sample::{Index, select};
+use rosebend_coordination::gateway::history::{
+    History, HistoryError, StoredProgram, Turn, indexed_program, ledger_row, partition_of,
+};
+use rosebend_coordination::gateway::ledger::{Claim, Ledger};
+use rosebend_state::deployment::{Row, RowId, RowWrite};
+use serde_json::{Value, json};
+
+const PROGRAM: &str = "p1";
+/// Small, so that records are split over several rows.
+const ROW_BYTES: usize = 48;
+/// Turns of a chain whose end, if it took one step of the stack a turn, would
+/// be beyond the stack of a thread.
+const LONG_CHAIN: usize = 300_000;
+
+fn turn(attempt: &str, previous: Option<Arc<Turn>>) -> Arc<Turn> {
+    Arc::new(Turn {
+        attempt: attempt.to_owned(),
+        program: PROGRAM.to_owned(),
+        previous,
+        input: format!("what {attempt} was asked, at some length").into_bytes(),
+        output: format!("what {attempt} answered, at some more length").into_bytes(),
+        endpoint: "i-1".to_owned(),
+        tokens: 7,
+    })
+}
+
+fn stored(write: RowWrite) -> Row {
+    Row {
+        id: write.row,
+        version: 1,
+        value: Some(write.value),
+    }
+}
+
+/// The rows of a chain of turns `t0`, `t1` and so on, in the order of keys.
+fn chain_rows(turns: usize) -> Vec<Row> {
+    let mut rows = Vec::new();
+    let mut previous = None;
+    for number in 0..turns {
+        let turn = turn(&format!("t{number}"), previous);
+        let writes = turn.rows(ROW_BYTES).into_iter();
+        let pieces = writes.filter(|write| write.row.table == ledger_row(PROGRAM).table);
+        rows.extend(pieces.map(stored));
+        previous = Some(turn);
+    }
+    rows.sort_by(|a, b| a.id.cmp(&b.id));
+    rows
+}
+
+fn piece(attempt: &str, number: &str, value: &[u8]) -> Row {
+    Row {
+        id: RowId::new(
+            &ledger_row(PROGRAM).table,
+            &partition_of(PROGRAM),
+            format!("{PROGRAM}/{attempt}/{number}"),
+        ),
+        version: 1,
+        value: Some(value.to_vec()),
+    }
+}
+
+/// A record's only piece, with a head of any kind.
+fn record(attempt: &str, head: &Value, bytes: &[u8]) -> Row {
+    let mut value = serde_json::to_vec(head).unwrap();
+    value.push(b'\n');
+    value.extend_from_slice(bytes);
+    piece(attempt, "0000", &value)
+}
+
+fn head(previous: Option<&str>, input_bytes: u64, output_bytes: u64) -> Value {
+    json!({
+        "previous": previous, "endpoint": "i-1", "tokens": 7,
+        "input_bytes": input_bytes, "output_bytes": output_bytes,
+    })
+}
+
+fn read(rows: &[Row], attempt: &str) -> Result<Arc<Turn>, HistoryError> {
+    let stored = StoredProgram::from_rows(PROGRAM, rows)?;
+    stored.turn(PROGRAM, attempt, &History::new(1 << 20))
+}
+
+fn malformed(attempt: &str) -> Result<Arc<Turn>, HistoryError> {
+    Err(HistoryError::Malformed(attempt.to_owned()))
+}
+
+#[test]
+fn a_chain_is_read_as_it_was_written() {
+    let read = read(&chain_rows(3), "t2").unwrap();
+    let attempts: Vec<&str> = read.chain().map(|turn| turn.attempt.as_str()).collect();
+    assert_eq!(attempts, ["t2", "t1", "t0"]);
+}
+
+#[test]
+fn lengths_that_overflow_together_make_the_turn_unusable() {
+    let rows = [record("t0", &head(None, u64::MAX, 3), b"ab")];
+    assert_eq!(read(&rows, "t0"), malformed("t0"));
+}
+
+#[test]
+fn a_head_that_tells_no_predecessor_is_not_that_of_a_first_turn() {
+    let mut head = head(None, 1, 1);
+    assert!(read(&[record("t0", &head, b"ab")], "t0").is_ok());
+    head.as_object_mut().unwrap().remove("previous");
+    assert_eq!(read(&[record("t0", &head, b"ab")], "t0"), malformed("t0"));
+}
+
+#[test]
+fn a_turn_that_names_itself_ends_the_reading() {
+    let rows = [record("t0", &head(Some("t0"), 1, 1), b"ab")];
+    assert_eq!(read(&rows, "t0"), malformed("t0"));
+}
+
+#[test]
+fn a_chain_that_loops_ends_the_reading() {
+    let rows = [
+        record("t0", &head(Some("t2"), 1, 1), b"ab"),
+        record("t1", &head(Some("t0"), 1, 1), b"cd"),
+        record("t2", &head(Some("t1"), 1, 1), b"ef"),
+        record("t3", &head(Some("t2"), 1, 1), b"gh"),
+    ];
+    assert_eq!(read(&rows, "t2"), malformed("t2"));
+    assert_eq!(read(&rows, "t3"), malformed("t2"));
+}
+
+#[test]
+fn a_long_chain_is_dropped_within_the_stack() {
+    let mut last = None;
+    for _ in 0..LONG_CHAIN {
+        last = Some(turn("t", last));
+    }
+    drop(last);
+}
+
+#[test]
+fn pieces_in_another_order_give_the_same_turn() {
+    let mut rows = chain_rows(2);
+    let expected = read(&rows, "t1");
+    assert!(expected.is_ok());
+    rows.reverse();
+    assert_eq!(read(&rows, "t1"), expected);
+}
+
+#[test]
+fn a_piece_that_is_missing_or_too_much_makes_its_turn_unusable_alone() {
+    let rows = chain_rows(2);
+    let pieces = |attempt: &str| {
+        let begin = format!("{PROGRAM}/{attempt}/");
+        rows.iter()
+            .filter(move |row| row.id.key.starts_with(&begin))
+            .count()
+    };
+    assert!(pieces("t1") > 2);
+    for missing in 0..pieces("t1") {
+        let key = format!("{PROGRAM}/t1/{missing:04}");
+        let mut rest = rows.clone();
+        rest.retain(|row| row.id.key != key);
+        assert_eq!(
+            read(&rest, "t1"),
+            malformed("t1"),
+            "without piece {missing}"
+        );
+        assert!(read(&rest, "t0").is_ok());
+    }
+    for number in ["9999", "+1", "00001", "x", ""] {
+        let mut more = rows.clone();
+        more.push(piece("t1", number, b""));
+        assert_eq!(read(&more, "t1"), malformed("t1"), "with piece {number:?}");
+        assert!(read(&more, "t0").is_ok());
+    }
+}
+
+#[test]
+fn a_record_of_more_pieces_than_four_digits_count_is_read() {
+    let long = Arc::new(Turn {
+        attempt: "t0".to_owned(),
+        program: PROGRAM.to_owned(),
+        previous: None,
+        input: (0..12_000).map(|number| (number % 251) as u8).collect(),
+        output: Vec::new(),
+        endpoint: "i-1".to_owned(),
+        tokens: 7,
+    });
+    let mut rows: Vec<Row> = long.rows(1).into_iter().map(stored).collect();
+    rows.retain(|row| row.id.table == ledger_row(PROGRAM).table);
+    rows.sort_by(|a, b| a.id.cmp(&b.id));
+    assert_eq!(read(&rows, "t0"), Ok(long));
+}
+
+#[test]
+fn a_row_that_is_no_piece_leaves_the_other_turns_and_the_ledger() {
+    let mut ledger = Ledger::default();
+    let claim = Claim {
+        holder: &"gateway-1/run".to_owned(),
+        attempt: &"t0".to_owned(),
+        most_tokens: 5,
+        budget_tokens: 10,
+    };
+    ledger.reserve(&claim, &[]);
+    let mut rows = chain_rows(1);
+    rows.push(Row {
+        id: ledger_row(PROGRAM),
+        version: 9,
+        value: Some(ledger.encode()),
+    });
+    let mut foreign = piece("t5", "0000", b"");
+    foreign.id.key = format!("{PROGRAM}/t5");
+    rows.push(foreign);
+    let mut gone = piece("t6", "0000", b"");
+    gone.value = None;
+    rows.push(gone);
+    let stored = StoredProgram::from_rows(PROGRAM, &rows).unwrap();
+    assert_eq!((stored.ledger_version, &stored.ledger), (9, &ledger));
+    let cache = History::new(1 << 20);
+    assert!(stored.turn(PROGRAM, "t0", &cache).is_ok());
+    for attempt in ["t5", "t6"] {
+        // It cannot be denied that the turn exists.
+        assert!(stored.has_turn(attempt), "{attempt}");
+        assert_eq!(stored.turn(PROGRAM, attempt, &cache), malformed(attempt));
+    }
+}
+
+#[test]
+fn a_ledger_that_cannot_be_read_is_no_empty_one() {
+    for value in [
+        "",
+        "{}",
+        "[]",
+        "{\"spent_tokens\": -1}",
+        "{\"spent_tokens\": 1e400}",
+    ] {
+        let mut rows = chain_rows(1);
+        rows.push(Row {
+            id: ledger_row(PROGRAM),
+            version: 9,
+            value: Some(value.as_bytes().to_vec()),
+        });
+        assert!(StoredProgram::from_rows(PROGRAM, &rows).is_err(), "{value}");
+    }
+}
+
+#[test]
+fn an_index_row_names_a_program_only_by_an_id() {
+    let index = |value: &[u8]| {
+        indexed_program(&Row {
+            id: RowId::new("turns", "p00", "t0"),
+            version: 1,
+            value: Some(value.to_vec()),
+        })
+    };
+    assert_eq!(index(b"p1"), Some(PROGRAM.to_owned()));
+    let long = [b'p'; 4_096];
+    let foreign: [&[u8]; 6] = [b"", b"p1/t0", b"p\n1", b"p 1", b"\xff\xfe", &long];
+    for value in foreign {
+        assert_eq!(index(value), None, "{value:?}");
+    }
+}
+
+/// Something that another writer may have put in place of a field of a head.
+fn odd_value() -> impl Strategy<Value = Value> {
+    prop_oneof![
+        Just(Value::Null),
+        any::<bool>().prop_map(Value::from),
+        any::<u64>().prop_map(Value::from),
+        any::<i64>().prop_map(Value::from),
+        any::<f64>().prop_map(|number| json!(number)),
+        select(vec![0, 1, u64::MAX, u64::MAX - 1, 1 << 63]).prop_map(Value::from),
+        "[a-z]{0,3}|t[0-9]".prop_map(Value::from),
+        Just(json!("x".repeat(100_000))),
+        Just(json!([[[[]]]])),
+        Just(json!({"a": {"b": {}}})),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(512) })]
+
+    #[test]
+    fn arbitrary_rows_are_read_to_an_end(
+        rows in proptest::collection::vec(
+            ("(p1|p2|)(/|)(t[0-4]|)(/|)(000[0-3]|[0-9]{0,30}|)", proptest::option::of(any::<Vec<u8>>())),
+            0..24,
+        ),
+        asked in "t[0-4]|",
+    ) {
+        let row = |(key, value)| Row { id: RowId::new("programs", "p00", key), version: 1, value };
+        let rows: Vec<Row> = rows.into_iter().map(row).collect();
+        let _ = read(&rows, &asked);
+        for row in &rows {
+            let _ = indexed_program(row);
+            let _ = Ledger::decode(row.value.as_deref().unwrap_or_default());
+        }
+    }
+
+    #[test]
+    fn heads_with_other_fields_are_read_to_an_end(
+        changes in proptest::collection::vec(
+            (select(vec!["previous", "endpoint", "tokens", "input_bytes", "output_bytes"]), proptest::option::of(odd_value())),
+            1..4,
+        ),
+        bytes in any::<Vec<u8>>(),
+    ) {
+        let half = (bytes.len() / 2) as u64;
+        let mut changed = head(None, half, bytes.len() as u64 - half);
+        let fields = changed.as_object_mut().unwrap();
+        for (field, value) in changes {
+            match value {
+                Some(value) => fields.insert(field.to_owned(), value),
+                None => fields.remove(field),
+            };
+        }
+        let rows = [record("t0", &changed, &bytes)];
+        if let Ok(turn) = read(&rows, "t0") {
+            prop_assert_eq!([turn.input.as_slice(), &turn.output].concat(), bytes);
+        }
+    }
+
+    #[test]
+    fn a_changed_byte_or_a_lost_row_never_gives_a_turn_of_other_length(
+        at in any::<Index>(),
+        byte in any::<Option<(Index, u8)>>(),
+    ) {
+        let mut rows = chain_rows(3);
+        let at = at.index(rows.len());
+        match byte {
+            Some((position, byte)) => {
+                let value = rows[at].value.as_mut().unwrap();
+                let position = position.index(value.len());
+                value[position] = byte;
+            }
+            None => { rows.remove(at); }
+        }
+        if let Ok(turn) = read(&rows, "t2") {
+            let bytes = |turn: &Turn| turn.prompt(b"").len();
+            // A head's `previous` may have become null or another turn's.
+            let expected = read(&chain_rows(3), "t2").unwrap();
+            prop_assert!(bytes(&turn) <= bytes(&expected));
+        }
+    }
+
+    #[test]
+    fn ledgers_are_decoded_or_refused(
+        value in any::<Vec<u8>>(),
+        place in select(vec!["/spent_tokens", "/reserved", "/reserved/t0", "/reserved/t0/tokens", "/reserved/t0/holder", "/ahead", "/ahead/h/tokens", "/ahead/h/after", "/forgiven_tokens"]),
+        odd in odd_value(),
+    ) {
+        let _ = Ledger::decode(&value);
+        let mut ledger = json!({
+            "spent_tokens": 1, "forgiven_tokens": 1,
+            "reserved": {"t0": {"tokens": 2, "holder": "h"}},
+            "ahead": {"h": {"tokens": 3, "after": "t0"}},
+        });
+        let committed = Ledger::decode(ledger.to_string().as_bytes()).map(|ledger| ledger.committed_tokens());
+        prop_assert_eq!(committed.ok(), Some(6));
+        *ledger.pointer_mut(place).unwrap() = odd;
+        let _ = Ledger::decode(ledger.to_string().as_bytes());
+    }
+}
