Refuse a declared route that cannot be used alone

Cause: a route's retention was given to `Duration::from_secs_f64`, which panics on what is too large (1e20 s), and sums of times near the largest could overflow later. Other values were turned into defaults without a word: a weight below a thousandth into no share, one that is negative into an absent service, no attempts into one, an event of no tokens into one of one token, a history without a time into one of zero seconds, the first of two services of one name into none. And any other odd value, an unknown kind say, cost the whole version.

Ruled out: deep nesting, which the parser refuses. Keeping the route of the version before, since a version is a whole and that route may be why there is a new one.

A route out of range is listed as unusable with its place and reason; its requests get 503 as not run, and go to no wider route, which may allow more. A version whose number, limits, or places cannot be read leaves the one before in force, as ever. One event, `route-unusable`, tells each, at most eight of a version.

--- a/cli/src/explain.rs
+++ b/cli/src/explain.rs
@@ -14,7 +14,7 @@
 const BELIEFS_BEFORE_MS: u64 = 3_000;
 
 /// Events that are told as beliefs when they fall into the time of the story.
-const BELIEFS: [&str; 14] = [
+const BELIEFS: [&str; 15] = [
     "process-started",
     "process-stopping",
     "process-stopped",
@@ -24,6 +24,7 @@
     "ready-changed",
     "routes-in-force",
     "routes-unreadable",
+    "route-unusable",
     "record-unreadable",
     "endpoint-listed",
     "endpoint-withdrawn",
--- a/coordination/src/gateway/route_table.rs
+++ b/coordination/src/gateway/route_table.rs
@@ -2,31 +2,70 @@
 
 use std::collections::HashMap;
 
-use rosebend_state::deployment::{Deployment, Route, ServiceName};
+use rosebend_state::deployment::{Deployment, Route, ServiceName, UnusableRoute};
 use rosebend_util::hash_parts;
 
 /// The routes of one version, by host.
 #[derive(Clone, Debug)]
 pub struct RouteTable {
     deployment: Deployment,
-    /// Indexes into the deployment's routes, longest prefix first.
-    by_host: HashMap<String, Vec<usize>>,
+    /// Where the routes stand, longest prefix first.
+    by_host: HashMap<String, Vec<Place>>,
+}
+
+/// Index of a route in its list of the deployment.
+#[derive(Clone, Copy, Debug)]
+enum Place {
+    Usable(usize),
+    Unusable(usize),
+}
+
+/// Why no route serves a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RouteError {
+    /// There is none for its host and path.
+    Unknown,
+    /// The route that it takes has a value that can't be used. The request goes
+    /// to no other: it might be run more often there than it may be.
+    Unusable,
 }
 
 impl RouteTable {
     /// Indexes a deployment.
     pub fn new(deployment: Deployment) -> Self {
-        let mut by_host: HashMap<String, Vec<usize>> = HashMap::new();
-        for (index, route) in deployment.routes.iter().enumerate() {
-            let host = route.host.to_ascii_lowercase();
-            by_host.entry(host).or_default().push(index);
+        let mut table = Self {
+            by_host: HashMap::new(),
+            deployment,
+        };
+        for index in 0..table.deployment.routes.len() {
+            let host = table.deployment.routes[index].host.clone();
+            table.add(&host, Place::Usable(index));
         }
-        for indexes in by_host.values_mut() {
-            indexes.sort_by_key(|index| std::cmp::Reverse(deployment.routes[*index].prefix.len()));
+        for index in 0..table.deployment.unusable_routes.len() {
+            let host = table.deployment.unusable_routes[index].host.clone();
+            table.add(&host, Place::Unusable(index));
         }
-        Self {
-            deployment,
-            by_host,
+        table.sort();
+        table
+    }
+
+    fn add(&mut self, host: &str, place: Place) {
+        let host = host.to_ascii_lowercase();
+        self.by_host.entry(host).or_default().push(place);
+    }
+
+    fn sort(&mut self) {
+        let mut by_host = std::mem::take(&mut self.by_host);
+        for places in by_host.values_mut() {
+            places.sort_by_key(|place| std::cmp::Reverse(self.prefix(*place).len()));
+        }
+        self.by_host = by_host;
+    }
+
+    fn prefix(&self, place: Place) -> &str {
+        match place {
+            Place::Usable(index) => &self.deployment.routes[index].prefix,
+            Place::Unusable(index) => &self.deployment.unusable_routes[index].prefix,
         }
     }
 
@@ -35,13 +74,26 @@
         &self.deployment
     }
 
+    /// Routes that can't be used.
+    pub fn unusable_routes(&self) -> &[UnusableRoute] {
+        &self.deployment.unusable_routes
+    }
+
     /// The route of a request: of those of its host, the one with the longest
     /// prefix that begins the path.
-    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+    ///
+    /// # Errors
+    ///
+    /// Tells why no route serves it.
+    pub fn route(&self, host: &str, path: &str) -> Result<&Route, RouteError> {
         let host = without_port(host).to_ascii_lowercase();
-        let indexes = self.by_host.get(&host)?;
-        let mut routes = indexes.iter().map(|index| &self.deployment.routes[*index]);
-        routes.find(|route| path.starts_with(&route.prefix))
+        let places = self.by_host.get(&host).ok_or(RouteError::Unknown)?;
+        let mut places = places.iter();
+        let place = places.find(|place| path.starts_with(self.prefix(**place)));
+        match place.ok_or(RouteError::Unknown)? {
+            Place::Usable(index) => Ok(&self.deployment.routes[*index]),
+            Place::Unusable(_) => Err(RouteError::Unusable),
+        }
     }
 }
 
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -153,7 +153,7 @@
     let host = host
         .and_then(|value| value.to_str().ok())
         .unwrap_or_default();
-    let route = routes.route(host, request.path()).ok_or(Refusal::NoRoute)?;
+    let route = routes.route(host, request.path()).map_err(Refusal::from)?;
     let subject = header
         .program
         .as_ref()
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use rosebend_state::deployment::InstanceId;
 use rosebend_state::settings::{GatewaySettings, StoreSettings};
 use rosebend_transport::clock::{Clock, whole_ms};
+use rosebend_transport::event::{Event, EventKind, log_event};
 use rosebend_transport::store::StoreClient;
 
 use crate::commits::Commits;
@@ -25,6 +26,10 @@
 /// About 4,000 turns at 5.6 KB, the bytes a turn on a quiet day of one site.
 const HISTORY_BYTES: usize = 24 << 20;
 
+/// Lines about routes of one version that can't be used; each line tells how
+/// many there are.
+const MAX_UNUSABLE_LINES: usize = 8;
+
 /// How long the store may be out of reach before the host takes no callers:
 /// others may reach it, and the balancer takes seconds to see the answer.
 const UNREADY_AFTER: Duration = Duration::from_millis(400);
@@ -110,6 +115,7 @@
         if version.is_some_and(|version| version >= routes.deployment().version) {
             return false;
         }
+        log_unusable(&routes);
         *current = Some(Rc::new(routes));
         true
     }
@@ -192,6 +198,22 @@
     }
 }
 
+/// Writes which routes of a version can't be used, once and the first of them.
+fn log_unusable(routes: &RouteTable) {
+    let unusable = routes.unusable_routes();
+    let version = routes.deployment().version;
+    for route in unusable.iter().take(MAX_UNUSABLE_LINES) {
+        let event = Event::new(EventKind::RouteUnusable).version(version);
+        let event = event.route(&route.name).count(unusable.len() as u64);
+        log_event(&event.error(&UnusableReason(&route.reason)));
+    }
+}
+
+/// Why a route can't be used, as an error for the log.
+#[derive(Debug, thiserror::Error)]
+#[error("{0}")]
+struct UnusableReason<'a>(&'a str);
+
 /// Counts a request that a caller waits for.
 #[derive(Debug)]
 pub struct OpenRequest(Rc<Gateway>);
--- a/gateway/src/reply.rs
+++ b/gateway/src/reply.rs
@@ -10,6 +10,7 @@
 use futures_util::Stream;
 use http::HeaderMap;
 use rosebend_coordination::gateway::comeback::after_outage;
+use rosebend_coordination::gateway::route_table::RouteError;
 use rosebend_platform::headers;
 use rosebend_protocol::problem::{Problem, Ran};
 
@@ -36,6 +37,8 @@
     NoAttempt,
     /// No route serves it.
     NoRoute,
+    /// Its route has a value that can't be used.
+    RouteUnusable,
     /// The process does not know the routes yet.
     NotReady,
     /// The head is longer than allowed.
@@ -71,6 +74,18 @@
 const ROOM_RETRY: Duration = Duration::from_millis(100);
 /// When a caller may come back that came before the routes were known.
 const START_RETRY: Duration = Duration::from_millis(200);
+/// When a caller may come back whose route can't be used: operators write
+/// another version in seconds at best.
+const ROUTE_RETRY: Duration = Duration::from_secs(1);
+
+impl From<RouteError> for Refusal {
+    fn from(error: RouteError) -> Self {
+        match error {
+            RouteError::Unknown => Self::NoRoute,
+            RouteError::Unusable => Self::RouteUnusable,
+        }
+    }
+}
 
 /// When a caller may come back whose budget waits for a settlement: that is
 /// one write, which takes 13 to 17 ms, and longer where the store is busy.
@@ -82,6 +97,7 @@
         match self {
             Self::NoAttempt => "no-attempt",
             Self::NoRoute => "no-route",
+            Self::RouteUnusable => "route-unusable",
             Self::NotReady => "not-ready",
             Self::HeadTooLarge => "head-too-large",
             Self::BodyTooLarge => "body-too-large",
@@ -108,6 +124,7 @@
             Self::HeadTooLarge => 431,
             Self::BudgetSpent => 402,
             Self::NotReady | Self::NoRoom | Self::StoreUnreachable(_) => 503,
+            Self::RouteUnusable => 503,
             Self::BudgetUnsettled | Self::CrashesEndpoints => 503,
             Self::OutcomeUnknown => 502,
             Self::TimeIsUp => 504,
@@ -129,6 +146,7 @@
             Self::BudgetUnsettled => Some(SETTLE_RETRY),
             Self::StoreUnreachable(away) => Some(after_outage(away)),
             Self::NotReady => Some(START_RETRY),
+            Self::RouteUnusable => Some(ROUTE_RETRY),
             _ => None,
         }
     }
@@ -137,6 +155,9 @@
         match self {
             Self::NoAttempt => "the request does not name its attempt",
             Self::NoRoute => "no route serves this host and path",
+            Self::RouteUnusable => {
+                "the route of this host and path is declared with a value that cannot be used"
+            }
             Self::NotReady => "the routes are not known yet",
             Self::HeadTooLarge => "the headers are longer than allowed",
             Self::BodyTooLarge => "the body is longer than allowed",
--- a/state/src/deployment.rs
+++ b/state/src/deployment.rs
@@ -13,7 +13,9 @@
 pub use self::{
     endpoint::{EndpointLoad, EndpointRecord},
     request::{CallHeader, ProgramHeader, PromptPart, TokenCounts},
-    routes::{CallerLimits, Deployment, Engine, Route, RouteKind, RouteTarget, Service},
+    routes::{
+        CallerLimits, Deployment, Engine, Route, RouteKind, RouteTarget, Service, UnusableRoute,
+    },
     store::{Condition, Row, RowId, RowRange, RowWrite, Transaction},
 };
 
--- a/state/src/deployment/routes.rs
+++ b/state/src/deployment/routes.rs
@@ -10,9 +10,12 @@
 pub struct Deployment {
     /// Version; a process never goes back to a lower one.
     pub version: DeploymentVersion,
-    /// All routes.
+    /// Routes that can be used.
     pub routes: Vec<Route>,
-    /// All services by name.
+    /// Routes that can't be used; their requests are refused and go to no
+    /// other route.
+    pub unusable_routes: Vec<UnusableRoute>,
+    /// Services that can be used, by name; all that routes name are there.
     pub services: HashMap<ServiceName, Service>,
     /// Bounds on what callers send.
     pub limits: CallerLimits,
@@ -47,6 +50,19 @@
     pub sticky: bool,
 }
 
+/// A declared route with a value that can't be used.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct UnusableRoute {
+    /// The operator's name of the route.
+    pub name: String,
+    /// Value of the `Host` header.
+    pub host: String,
+    /// Beginning of the path; it begins and ends with a slash.
+    pub prefix: String,
+    /// What is wrong, in a text of bounded length.
+    pub reason: String,
+}
+
 /// What may be repeated on a route.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RouteKind {
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -125,6 +125,8 @@
     RoutesInForce,
     /// What operators declared cannot be read; the routes before stay in force.
     RoutesUnreadable,
+    /// A route of `version`, one of `count`, has a value that can't be used.
+    RouteUnusable,
     /// The endpoint announced itself; it gets requests.
     EndpointListed,
     /// The endpoint gets no new requests; `reason` says why: it drains, its entry is gone, or its entry lapsed in an outage and did not come back.
@@ -159,7 +161,7 @@
 
 impl EventKind {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 73] = [
+    pub const ALL: [Self; 74] = [
         Self::ProcessStarted,
         Self::ProcessStopping,
         Self::ProcessStopped,
@@ -233,6 +235,7 @@
         Self::SpendingRefused,
         Self::HoldersAsked,
         Self::HolderSilent,
+        Self::RouteUnusable,
     ];
 
     /// The event's number, which stays with it for ever.
@@ -293,6 +296,7 @@
             Self::AnswerBroken => 810,
             Self::RoutesInForce => 811,
             Self::RoutesUnreadable => 812,
+            Self::RouteUnusable => 839,
             Self::EndpointListed => 813,
             Self::EndpointWithdrawn => 814,
             Self::EndpointAvoided => 815,
@@ -372,6 +376,7 @@
             Self::AnswerBroken => "answer-broken",
             Self::RoutesInForce => "routes-in-force",
             Self::RoutesUnreadable => "routes-unreadable",
+            Self::RouteUnusable => "route-unusable",
             Self::EndpointListed => "endpoint-listed",
             Self::EndpointWithdrawn => "endpoint-withdrawn",
             Self::EndpointAvoided => "endpoint-avoided",
@@ -400,6 +405,7 @@
             | Self::EndpointCrashed
             | Self::ConfigurationInvalid
             | Self::RoutesUnreadable
+            | Self::RouteUnusable
             | Self::RequestQuarantined
             | Self::RecordUnreadable => Level::Error,
             Self::ProcessPaused
@@ -547,6 +553,9 @@
             Self::RoutesUnreadable => {
                 "What operators declared cannot be read; the routes before stay in force."
             }
+            Self::RouteUnusable => {
+                "A route of `version`, one of `count`, has a value that cannot be used; its requests are refused as not run, and the other routes are in force."
+            }
             Self::EndpointListed => "The endpoint announced itself; it gets requests.",
             Self::EndpointWithdrawn => {
                 "The endpoint gets no new requests; `reason` says why: it drains, its entry is gone, or its entry lapsed in an outage and did not come back."
