Tell a header that cannot be used instead of passing over it

Cause: a caller's header that did not parse counted as missing. A budget that is negative, infinite or a word was no budget, so that the program could spend without end; a predecessor that is no id made a first turn, which ran without its history; a program's id with a slash made a turn of no program.

Ruled out: a panic within the decoder, of which the tests over arbitrary bytes found none.

Change: `decode_call` returns the header that cannot be used, and the caller gets 400 with a sentence that names it; the line of the request's end tells it as well.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -105,9 +105,13 @@
     let elapsed = gateway.clock.now().saturating_sub(arrived);
     let event = Event::new(EventKind::RequestEnded).status(refusal.status());
     let event = event.elapsed(elapsed).reason(refusal.word());
-    log_event(&match headers::decode_call(headers) {
-        Some(header) => event.attempt(&header.attempt),
-        None => event,
+    let event = match refusal {
+        Refusal::HeaderUnusable(error) => event.error(&error),
+        _ => event,
+    };
+    log_event(&match headers::decode_attempt(headers) {
+        Ok(attempt) => event.attempt(&attempt),
+        Err(_) => event,
     });
     gateway.metrics.count_refusal(refusal.word());
     Reply::Problem(refusal).into_response()
@@ -148,11 +152,8 @@
     let routes = gateway.routes().unwrap_or(routes);
     let caller = request.peer_addr().map(|peer| peer.ip().to_string());
     let caller = caller.unwrap_or_default();
-    let header = headers::decode_call(headers).ok_or(Refusal::NoAttempt)?;
-    let host = headers.get(http::header::HOST);
-    let host = host
-        .and_then(|value| value.to_str().ok())
-        .unwrap_or_default();
+    let header = headers::decode_call(headers).map_err(Refusal::HeaderUnusable)?;
+    let host = headers::host(headers).map_err(Refusal::HeaderUnusable)?;
     let route = routes.route(host, request.path()).map_err(Refusal::from)?;
     let subject = header
         .program
--- a/gateway/src/reply.rs
+++ b/gateway/src/reply.rs
@@ -11,7 +11,7 @@
 use http::HeaderMap;
 use rosebend_coordination::gateway::comeback::after_outage;
 use rosebend_coordination::gateway::route_table::RouteError;
-use rosebend_platform::headers;
+use rosebend_platform::headers::{self, HeaderError};
 use rosebend_protocol::problem::{Problem, Ran};
 
 /// An endpoint's answer, or one of the gateway's own.
@@ -33,8 +33,8 @@
 /// Why a request is not answered by an endpoint.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Refusal {
-    /// The request does not say which attempt it is.
-    NoAttempt,
+    /// A header is missing or can't be used.
+    HeaderUnusable(HeaderError),
     /// No route serves it.
     NoRoute,
     /// Its route has a value that can't be used.
@@ -95,7 +95,7 @@
     /// Word for logs, counters and callers.
     pub fn word(self) -> &'static str {
         match self {
-            Self::NoAttempt => "no-attempt",
+            Self::HeaderUnusable(_) => "header-unusable",
             Self::NoRoute => "no-route",
             Self::RouteUnusable => "route-unusable",
             Self::NotReady => "not-ready",
@@ -117,7 +117,7 @@
     /// The status code.
     pub fn status(self) -> u16 {
         match self {
-            Self::NoAttempt | Self::BodyCutShort => 400,
+            Self::HeaderUnusable(_) | Self::BodyCutShort => 400,
             Self::NoRoute | Self::NoSuchTurn => 404,
             Self::BodyTimeout => 408,
             Self::BodyTooLarge => 413,
@@ -153,7 +153,7 @@
 
     fn detail(self) -> &'static str {
         match self {
-            Self::NoAttempt => "the request does not name its attempt",
+            Self::HeaderUnusable(error) => error.text(),
             Self::NoRoute => "no route serves this host and path",
             Self::RouteUnusable => {
                 "the route of this host and path is declared with a value that cannot be used"
