Take what an answer of the store lacks for no answer

Cause: each field of an answer had a default. `{}` was an empty table, by which all endpoints were withdrawn, a transaction applied at version zero, and a conflict over rows that are not there, for which a host deletes the rest of a program. A row without a value counted as deleted, one without a version as absent, and one value that is no base64 cost the whole answer. A page that does not go on (empty, the same again, or in another order) with more to come was asked for without end. And a call whose path is none, of a peer or made of a key that somebody else wrote, stopped the process in `Way::request`.

Ruled out: answers without a bound, which are cut at 4 MiB; waits, which are bounded by `wait_of` and `MAX_FEED_WAIT`.

Change: reads, conflicts and applied transactions are decoded each for what it must have; a page must end at a key not before that it began at; a call has a checked path by its type, and a key that no path can name gives an error to its reader.

--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -167,7 +167,7 @@
     }
     match gateway
         .store
-        .pass_on(outgoing, wait_of(&outgoing.path))
+        .pass_on(outgoing, wait_of(outgoing.path.as_str()))
         .await
     {
         Ok(answer) => answer,
@@ -188,7 +188,7 @@
     }
     Some(Outgoing {
         method: http::Method::from_bytes(request.method().as_str().as_bytes()).ok()?,
-        path: request.uri().path_and_query()?.to_string(),
+        path: request.uri().path_and_query()?.as_str().parse().ok()?,
         body: body.freeze(),
     })
 }
--- a/transport/src/store/mod.rs
+++ b/transport/src/store/mod.rs
@@ -13,6 +13,8 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use http::Method;
+use http::uri::PathAndQuery;
+use rosebend_platform::DecodeError;
 use rosebend_platform::store::{self as wire, Rows, StoreStatus};
 use rosebend_state::deployment::{Row, RowId, RowRange, RowVersion, Transaction};
 use rosebend_state::settings::PlatformSettings;
@@ -238,14 +240,19 @@
     pub async fn transact(&self, transaction: &Transaction) -> Result<Transacted, StoreError> {
         let outgoing = Outgoing {
             method: Method::POST,
-            path: wire::TRANSACT_PATH.to_owned(),
+            path: PathAndQuery::from_static(wire::TRANSACT_PATH),
             body: Bytes::from(wire::encode_transaction(transaction)),
         };
         let (status, body) = self.call_again_when_late(&outgoing).await?;
-        let rows = decode(&body)?;
         match status {
-            StoreStatus::Done => Ok(Transacted::Applied(rows.version)),
-            StoreStatus::Conflict => Ok(Transacted::Conflict(rows.rows)),
+            StoreStatus::Done => {
+                let version = wire::decode_applied(&body).map_err(unreadable)?;
+                Ok(Transacted::Applied(version))
+            }
+            StoreStatus::Conflict => {
+                let rows = wire::decode_conflict(&body).map_err(unreadable)?;
+                Ok(Transacted::Conflict(rows))
+            }
             _ => Err(unexpected(status)),
         }
     }
@@ -304,10 +311,14 @@
                 all.version = page.version;
             }
             all.rows.extend(page.rows);
-            match all.rows.last().filter(|_| page.has_more) {
-                Some(last) => from = range.clone().after(&last.id.key).from,
-                None => return Ok(all),
+            if !page.has_more {
+                return Ok(all);
             }
+            let last = all.rows.last().map(|row| row.id.key.as_str());
+            // A page that does not go on would be read for ever.
+            let last = last.filter(|key| *key >= from.as_str());
+            let last = last.ok_or_else(no_progress)?;
+            from = range.clone().after(last).from;
         }
     }
 
@@ -324,13 +335,11 @@
 
     /// Asks the store straight whether it answers this host again.
     pub async fn probe(&self, table: &str, key: &str) {
-        let outgoing = Outgoing {
-            method: Method::GET,
-            path: wire::read_path(table, "", key, None, Some(1)),
-            body: Bytes::new(),
-        };
-        // The way itself takes note of how it went.
-        let _ = self.pass_on(&outgoing, Duration::ZERO).await;
+        let path = wire::read_path(table, "", key, None, Some(1));
+        if let Ok(outgoing) = Outgoing::get(&path) {
+            // The way itself takes note of how it went.
+            let _ = self.pass_on(&outgoing, Duration::ZERO).await;
+        }
     }
 
     /// Waits for changes of a table after a version.
@@ -349,13 +358,9 @@
     }
 
     async fn get(&self, kind: StoreCall, path: &str, wait: Duration) -> Result<Rows, StoreError> {
-        let outgoing = Outgoing {
-            method: Method::GET,
-            path: path.to_owned(),
-            body: Bytes::new(),
-        };
+        let outgoing = Outgoing::get(path)?;
         match self.call(kind, &outgoing, wait).await? {
-            (StoreStatus::Done, body) => decode(&body),
+            (StoreStatus::Done, body) => wire::decode_rows(&body).map_err(unreadable),
             (status, _) => Err(unexpected(status)),
         }
     }
@@ -579,8 +584,13 @@
     }
 }
 
-fn decode(body: &[u8]) -> Result<Rows, StoreError> {
-    wire::decode_rows(body).map_err(|error| StoreError::NoAnswer(error.to_string()))
+/// What was done is not known where the answer can't be read.
+fn unreadable(error: DecodeError) -> StoreError {
+    StoreError::NoAnswer(error.to_string())
+}
+
+fn no_progress() -> StoreError {
+    StoreError::NoAnswer("a page that does not go on".to_owned())
 }
 
 fn unexpected(status: StoreStatus) -> StoreError {
--- a/transport/src/store/way.rs
+++ b/transport/src/store/way.rs
@@ -6,12 +6,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request};
+use http::uri::PathAndQuery;
+use http::{HeaderValue, Method, Request, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use rosebend_platform::headers::decode_answer;
 
 use crate::clock::Clock;
 use crate::connection::Connection;
+use crate::store::StoreError;
 
 /// Most idle connections that are kept. A host's calls seldom overlap by more.
 const MAX_IDLE: usize = 4;
@@ -30,12 +32,28 @@
 pub struct Outgoing {
     /// Method.
     pub method: Method,
-    /// Path and query.
-    pub path: String,
+    /// Path and query; what is none can't be sent.
+    pub path: PathAndQuery,
     /// Body; empty for reads.
     pub body: Bytes,
 }
 
+impl Outgoing {
+    /// A call that reads.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the path is none, or longer than one may be.
+    pub fn get(path: &str) -> Result<Self, StoreError> {
+        let no_path = |_| StoreError::NoAnswer("the call has no path".to_owned());
+        Ok(Self {
+            method: Method::GET,
+            path: path.parse().map_err(no_path)?,
+            body: Bytes::new(),
+        })
+    }
+}
+
 /// What is known of a way's state.
 #[derive(Debug, Default)]
 struct Health {
@@ -206,14 +224,17 @@
     }
 
     fn request(&self, outgoing: &Outgoing) -> Request<Full<Bytes>> {
-        let request = Request::builder()
-            .method(outgoing.method.clone())
-            .uri(&outgoing.path)
-            .header(http::header::HOST, self.address.to_string())
-            .header(http::header::CONTENT_TYPE, "application/json");
+        let mut request = Request::new(Full::new(outgoing.body.clone()));
+        *request.method_mut() = outgoing.method.clone();
+        *request.uri_mut() = Uri::from(outgoing.path.clone());
+        let headers = request.headers_mut();
+        let json = HeaderValue::from_static("application/json");
+        headers.insert(http::header::CONTENT_TYPE, json);
+        // An address is digits and punctuation, which a header may hold.
+        if let Ok(host) = HeaderValue::from_str(&self.address.to_string()) {
+            headers.insert(http::header::HOST, host);
+        }
         request
-            .body(Full::new(outgoing.body.clone()))
-            .expect("paths are escaped and headers are text")
     }
 
     fn take_idle(&self) -> Option<Connection> {
