--- a/protocol/src/sse.rs
+++ b/protocol/src/sse.rs
@@ -41,7 +41,7 @@
         }
         let (field, value) = split_field(line);
         match field {
-            b"id" => self.id = std::str::from_utf8(value).ok()?.parse().ok(),
+            b"id" => self.id = number(value),
             b"data" => {
                 if self.has_data {
                     self.data.push(b'\n');
@@ -61,6 +61,11 @@
     }
 }
 
+/// The number that a value is, if it is one.
+fn number(value: &[u8]) -> Option<u64> {
+    std::str::from_utf8(value).ok()?.parse().ok()
+}
+
 fn split_field(line: &[u8]) -> (&[u8], &[u8]) {
     match line.iter().position(|byte| *byte == b':') {
         Some(colon) => {
