Let rows that name no peer take the place of none

Cause: a gateway reads the nine rows behind its own and took each as a peer that parses: one with port 0, with an address that none has, under another key than its host's or written by another host. Eight of them leave no place for a peer, and a host that the store turns away then has nobody to go by. Rows that do not parse were passed over without a word.

Ruled out: a panic; none of the values gave one.

Change: a row is checked by `TryFrom`, which also wants the key of its host and the host's own run as its writer. Where some of the nearest rows name no gateway, up to 256 are read. Such a row is told once, by `peer-row-unusable`, and eight at most in a process.

--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -5,6 +5,7 @@
 //! follow its own: a random, bounded set of peers, whatever the number of
 //! hosts.
 
+use std::collections::BTreeSet;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -17,17 +18,23 @@
 use rosebend_coordination::gateway::ledger::Holder;
 use rosebend_platform::store::wait_of;
 use rosebend_state::deployment::{Row, RowId, RowRange, RowWrite, Transaction};
+use rosebend_transport::event::{Event, EventKind, log_event};
 use rosebend_transport::store::{Outgoing, StoreError};
-use rosebend_util::hash_parts;
-use serde::{Deserialize, Serialize};
 
+use self::row::{PeerRow, PeerRowError, key};
 use crate::gateway::Gateway;
 use crate::recall;
 
+mod row;
+
 /// Table of the gateways' own rows.
 const TABLE: &str = "gateways";
 /// Peers that are known at most.
 const MAX_PEERS: usize = 8;
+/// Rows that are read at most where some of the nearest name no gateway.
+const MAX_ROWS: usize = 256;
+/// Rows that name no gateway and are told at most, each once.
+const MAX_TOLD: usize = 8;
 /// Time between two looks at the peers. A new host is known to its neighbours
 /// after this time; only one that is turned away needs them.
 const LOOK_INTERVAL: Duration = Duration::from_secs(6);
@@ -38,26 +45,15 @@
 /// Time between two questions whether the store answers this host again.
 const PROBE_INTERVAL: Duration = Duration::from_millis(400);
 
-#[derive(Deserialize, Serialize)]
-struct PeerRow {
-    host: String,
-    relay: SocketAddr,
-    /// The run of the host's process that wrote the row.
-    holder: Holder,
-}
-
-fn key(host: &str) -> String {
-    format!("{:016x}", hash_parts(&[host.as_bytes()]))
-}
-
 /// Writes this gateway's row and follows its peers, for ever.
 pub async fn follow(gateway: Rc<Gateway>, relay: SocketAddr) {
     let mut is_written = false;
+    let mut unusable = Unusable::default();
     loop {
         if !is_written {
             is_written = write_row(&gateway, relay).await.is_ok();
         }
-        let found = look(&gateway).await.unwrap_or(0);
+        let found = look(&gateway, &mut unusable).await.unwrap_or(0);
         let is_settled = is_written && found > 0;
         let pause = if is_settled {
             LOOK_INTERVAL
@@ -94,24 +90,62 @@
     let _ = gateway.store.transact(&transaction).await;
 }
 
+/// Keys of rows that name no gateway, as far as they were told.
+#[derive(Debug, Default)]
+struct Unusable(BTreeSet<String>);
+
+impl Unusable {
+    /// Tells a row once, and no more than a few of them: whoever writes such
+    /// rows may write many.
+    fn tell(&mut self, row: &Row, error: &PeerRowError) {
+        if self.0.len() < MAX_TOLD && self.0.insert(row.id.key.clone()) {
+            log_event(&Event::new(EventKind::PeerRowUnusable).error(error));
+        }
+    }
+}
+
 /// Reads the rows behind this gateway's own, around the end of the table.
-async fn look(gateway: &Gateway) -> Result<usize, StoreError> {
+async fn look(gateway: &Gateway, unusable: &mut Unusable) -> Result<usize, StoreError> {
+    let mut addresses = read_peers(gateway, MAX_PEERS + 1, unusable).await?;
+    if addresses.is_none() {
+        addresses = read_peers(gateway, MAX_ROWS, unusable).await?;
+    }
+    let mut addresses = addresses.unwrap_or_default();
+    addresses.truncate(MAX_PEERS);
+    gateway.store.set_peers(&addresses);
+    Ok(addresses.len())
+}
+
+/// Addresses of peers, of at most `limit` rows; none when so few of them name a
+/// gateway that more should be read.
+async fn read_peers(
+    gateway: &Gateway,
+    limit: usize,
+    unusable: &mut Unusable,
+) -> Result<Option<Vec<SocketAddr>>, StoreError> {
     let own = key(&gateway.settings().host);
     let all = RowRange::whole(TABLE, "");
     let behind = all.clone().after(&own);
-    let mut rows = gateway.store.read_some(&behind, MAX_PEERS + 1).await?.rows;
-    if rows.len() <= MAX_PEERS {
-        rows.extend(gateway.store.read_some(&all, MAX_PEERS + 1).await?.rows);
+    let mut rows = gateway.store.read_some(&behind, limit).await?.rows;
+    if rows.len() < limit {
+        rows.extend(gateway.store.read_some(&all, limit).await?.rows);
     }
     let mut addresses: Vec<SocketAddr> = Vec::new();
-    for peer in rows.iter().filter_map(decode) {
-        if peer.host != gateway.settings().host && !addresses.contains(&peer.relay) {
-            addresses.push(peer.relay);
+    let mut is_all_usable = true;
+    for row in &rows {
+        match PeerRow::try_from(row) {
+            Ok(peer) if row.id.key != own && !addresses.contains(&peer.relay) => {
+                addresses.push(peer.relay);
+            }
+            Ok(_) => {}
+            Err(error) => {
+                is_all_usable = false;
+                unusable.tell(row, &error);
+            }
         }
     }
-    addresses.truncate(MAX_PEERS);
-    gateway.store.set_peers(&addresses);
-    Ok(addresses.len())
+    let is_enough = is_all_usable || addresses.len() >= MAX_PEERS || limit >= MAX_ROWS;
+    Ok(is_enough.then_some(addresses))
 }
 
 /// Where a process answers its peers; none when it has left, or another one
@@ -126,15 +160,12 @@
     };
     let id = RowId::new(TABLE, "", key(host));
     let row = gateway.store.read_row(&id).await?;
-    let peer = row.as_ref().and_then(decode);
+    // A row that names no gateway is told by who looks for peers.
+    let peer = row.and_then(|row| PeerRow::try_from(&row).ok());
     let peer = peer.filter(|peer| peer.holder == *holder);
     Ok(peer.map(|peer| peer.relay))
 }
 
-fn decode(row: &Row) -> Option<PeerRow> {
-    serde_json::from_slice(row.value.as_ref()?).ok()
-}
-
 /// Asks again and again, while the store does not answer this host, whether it
 /// does; for ever.
 pub async fn probe(gateway: Rc<Gateway>) {
--- a/gateway/tests/foreign.rs
+++ b/gateway/tests/foreign.rs
@@ -3,11 +3,16 @@
 
 mod support;
 
+use std::net::TcpListener;
+
+use rosebend_standin::store::StoreFaults;
 use serde_json::json;
 use support::{Ask, Gateway, Site, until};
 
 const MODELS: usize = 0;
 const DESK: usize = 1;
+/// Rows that name no gateway; more than a host knows of peers.
+const FOREIGN_PEERS: usize = 96;
 
 async fn status(gateway: &Gateway, path: &str, attempt: &str) -> u16 {
     let ask = Ask::get(path).attempt(attempt);
@@ -108,3 +113,66 @@
     let answer = Ask::turn("a2", "p1", "hello").send(gateway.front).await;
     assert_eq!(answer.status, 200);
 }
+
+/// Rows of the table of gateways that name no gateway, spread over all keys.
+fn write_foreign_peers(site: &Site) {
+    let long = "x".repeat(10_000);
+    let odd = |number: usize| {
+        let host = format!("foreign-{number}");
+        match number % 6 {
+            0 => json!({"host": host, "relay": "127.0.0.1:0", "holder": format!("{host}/1")}),
+            1 => json!({"host": host, "relay": "0.0.0.0:9", "holder": format!("{host}/1")}),
+            2 => json!({"host": host, "relay": "127.0.0.1:9", "holder": format!("{host}/1")}),
+            3 => json!({"host": long, "relay": "224.0.0.1:9", "holder": long}),
+            4 => json!({"host": host, "relay": 9}),
+            _ => json!("no object"),
+        }
+    };
+    for number in 0..FOREIGN_PEERS {
+        let key = format!("{:02x}", number * 256 / FOREIGN_PEERS);
+        site.store.put("gateways", &key, &odd(number));
+    }
+}
+
+#[actix_rt::test]
+async fn rows_that_name_no_peer_take_the_place_of_none() {
+    let site = Site::start();
+    write_foreign_peers(&site);
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let open_door = site.store.open_door(listener).unwrap();
+    let peer = Gateway::start(open_door.address());
+    peer.until_ready().await;
+    until("the peer has written its row", async || {
+        site.rows("gateways") == FOREIGN_PEERS + 1
+    })
+    .await;
+    let gateway = site.gateway();
+    gateway.until_ready().await;
+    until("the rows are told", async || {
+        !gateway.events("peer-row-unusable").is_empty()
+    })
+    .await;
+    // The look that told them reads on for peers, or another one does.
+    let before = site.store.stats().reads;
+    until("the gateway has looked for peers", async || {
+        site.store.stats().reads >= before + 2
+    })
+    .await;
+    let refuse = StoreFaults {
+        refuse: true,
+        ..StoreFaults::default()
+    };
+    site.faults(&refuse).await;
+    until("calls go by the peer", async || {
+        !gateway.events("store-relayed").is_empty()
+    })
+    .await;
+    let relayed = gateway.events("store-relayed");
+    assert!(
+        relayed
+            .iter()
+            .all(|event| event["address"] != "127.0.0.1:9")
+    );
+    let told = gateway.events("peer-row-unusable");
+    assert!((1..=8).contains(&told.len()), "{} lines", told.len());
+}
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -127,6 +127,8 @@
     RoutesUnreadable,
     /// A route of `version`, one of `count`, has a value that can't be used.
     RouteUnusable,
+    /// A row of the table of gateways names none.
+    PeerRowUnusable,
     /// The endpoint announced itself; it gets requests.
     EndpointListed,
     /// The endpoint gets no new requests; `reason` says why: it drains, its entry is gone, or its entry lapsed in an outage and did not come back.
@@ -161,7 +163,7 @@
 
 impl EventKind {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 74] = [
+    pub const ALL: [Self; 75] = [
         Self::ProcessStarted,
         Self::ProcessStopping,
         Self::ProcessStopped,
@@ -236,6 +238,7 @@
         Self::HoldersAsked,
         Self::HolderSilent,
         Self::RouteUnusable,
+        Self::PeerRowUnusable,
     ];
 
     /// The event's number, which stays with it for ever.
@@ -297,6 +300,7 @@
             Self::RoutesInForce => 811,
             Self::RoutesUnreadable => 812,
             Self::RouteUnusable => 839,
+            Self::PeerRowUnusable => 840,
             Self::EndpointListed => 813,
             Self::EndpointWithdrawn => 814,
             Self::EndpointAvoided => 815,
@@ -377,6 +381,7 @@
             Self::RoutesInForce => "routes-in-force",
             Self::RoutesUnreadable => "routes-unreadable",
             Self::RouteUnusable => "route-unusable",
+            Self::PeerRowUnusable => "peer-row-unusable",
             Self::EndpointListed => "endpoint-listed",
             Self::EndpointWithdrawn => "endpoint-withdrawn",
             Self::EndpointAvoided => "endpoint-avoided",
@@ -431,6 +436,7 @@
             | Self::StoreLost
             | Self::SettingsRefused
             | Self::HolderSilent
+            | Self::PeerRowUnusable
             | Self::LinesDropped
             | Self::AcceptFailed => Level::Warn,
             Self::CallAccepted | Self::CallFinished | Self::CallRefused | Self::RequestRefused => {
@@ -556,6 +562,9 @@
             Self::RouteUnusable => {
                 "A route of `version`, one of `count`, has a value that cannot be used; its requests are refused as not run, and the other routes are in force."
             }
+            Self::PeerRowUnusable => {
+                "A row of the table of gateways names none; `error` says why. It is passed over and told once."
+            }
             Self::EndpointListed => "The endpoint announced itself; it gets requests.",
             Self::EndpointWithdrawn => {
                 "The endpoint gets no new requests; `reason` says why: it drains, its entry is gone, or its entry lapsed in an outage and did not come back."
