Guide through the folder of a gateway's decisions

Cause: the folder's page named its files and neither who asks them nor how they follow each other, which the other folders' pages tell.

Ruled out: a page beside the code, which would not be built with it.

Change: a table of questions, the file that answers each, and the module of the gateway that asks, taken from its imports; and the way of a turn.

--- a/coordination/src/gateway.rs
+++ b/coordination/src/gateway.rs
@@ -2,14 +2,27 @@
 //! it, whether a program may spend, what becomes durable together, and what
 //! follows when an endpoint fails.
 //!
-//! - [`route_table`]: requests to routes, and routes to services.
-//! - [`directory`]: the endpoints that are there, and the choice among them.
-//! - [`ledger`]: what a program has spent and what its running turns may spend.
-//! - [`lane`]: changes of programs gathered into transactions.
-//! - [`history`]: turns that were answered, and the prompts made of them.
-//! - [`attempt`]: what follows when an endpoint did not answer as it should.
-//! - [`comeback`]: when a caller that was refused may come back.
-//! - [`fingerprint`]: requests that crash endpoints.
+//! | question | where | who asks |
+//! |---|---|---|
+//! | which route a request takes, and which service serves it | [`route_table`] | `call` |
+//! | which endpoints are there, and which of them runs a request | [`directory`], its prices in `directory::cost` | `watch`, `gossip`, `exchange` |
+//! | what follows when an endpoint did not answer as it should | [`attempt`] | `exchange` |
+//! | which requests crash endpoints | [`fingerprint`] | `quarantine`, `call` |
+//! | when a caller that was refused may come back | [`comeback`] | `reply` |
+//! | what a program has spent, and what its turns may spend | [`ledger`] | `spending` and `recall`, by [`lane`] |
+//! | which changes of programs become durable together | [`lane`] | `commits` |
+//! | what was said in earlier turns, and its rows in the store | [`history`] | `programs`, `turn_stream` |
+//!
+//! The modules that ask are those of `rosebend_gateway`, which has the clock,
+//! the connections and the store. Routes, endpoints, calls and rows come as the
+//! checked types of `rosebend_state::deployment`; only rows of programs, whose
+//! form is this folder's own, are decoded here.
+//!
+//! A turn goes through most of it: its route is found, its predecessor read
+//! from [`history`] and joined to its prompt, its most reserved in the
+//! [`ledger`] by a change in its [`lane`], an endpoint chosen from the
+//! [`directory`]; and at its end one transaction of the [`lane`] holds its
+//! rows and what it really spent.
 
 pub mod attempt;
 pub mod comeback;
