Reproduce a ledger whose sums overflow

Cause: `Ledger::account` adds the tokens of reservations and of draws without a check (coordination/src/gateway/ledger.rs, `+=` and `sum`). A ledger that somebody else wrote, each number of which fits its type, stops a host in a build with checks; without them the sum wraps and a full program seems to have spent little.

Ruled out: ledgers that this version writes, since a turn may not say more than 2^40 tokens.

A check of the sum in `Ledger::decode`, or saturating sums, would mend it.

--- a/coordination/tests/gateway_history.rs
+++ b/coordination/tests/gateway_history.rs
@@ -245,6 +245,26 @@
     }
 }
 
+/// Whoever wrote such a ledger, its program must not be taken for one that has
+/// spent little.
+#[test]
+fn a_ledger_whose_sums_no_type_holds_is_refused_or_full() {
+    let most = u64::MAX;
+    let turn = |tokens: u64| json!({"tokens": tokens, "holder": "h"});
+    let draw = |tokens: u64| json!({"tokens": tokens, "after": "t0"});
+    let ledgers = [
+        json!({"spent_tokens": most, "reserved": {"t0": turn(most)}}),
+        json!({"spent_tokens": 0, "reserved": {"t0": turn(most), "t1": turn(most)}}),
+        json!({"spent_tokens": 0, "reserved": {"t0": turn(most)}, "ahead": {"h": draw(most)}}),
+        json!({"spent_tokens": 0, "ahead": {"h": draw(most), "i": draw(most)}}),
+    ];
+    for ledger in ledgers {
+        let decoded = Ledger::decode(ledger.to_string().as_bytes());
+        let committed = decoded.map_or(most, |ledger| ledger.committed_tokens());
+        assert_eq!(committed, most, "{ledger}");
+    }
+}
+
 #[test]
 fn an_index_row_names_a_program_only_by_an_id() {
     let index = |value: &[u8]| {
