Move what gateways' tests repeat to their support

Ruled out: a macro, which would hide what a test begins with; and joining tests, since each has its own name and reason.

Change: seven functions of support/mod.rs take the place of those lines. No assertion, wait or name of a test is changed: each file has as many tests and as many lines with `assert` as before.

The tests of the gateway pass.

--- a/gateway/tests/budget.rs
+++ b/gateway/tests/budget.rs
@@ -29,10 +29,7 @@
 #[actix_rt::test]
 async fn a_turn_that_found_no_room_at_one_host_is_served_at_another() {
     let site = Site::start();
-    let gateways = [site.gateway(), site.gateway()];
-    for gateway in &gateways {
-        gateway.until_ready().await;
-    }
+    let gateways = site.two_ready_gateways().await;
     let full = BackendFaults {
         refuse: 1,
         ..BackendFaults::default()
@@ -52,13 +49,11 @@
 #[actix_rt::test]
 async fn what_a_killed_host_had_drawn_is_no_program_s_loss() {
     let site = Site::start();
-    let mut first = site.gateway();
-    first.until_ready().await;
+    let mut first = site.ready_gateway().await;
     let answer = turn("t1", 200).send(first.front).await;
     assert_eq!(answer.status, 200);
     first.kill();
-    let second = site.gateway();
-    second.until_ready().await;
+    let second = site.ready_gateway().await;
     // 30 tokens are spent, so that the budget holds one more turn.
     let next = turn("t2", 200).previous("t1");
     let answer = next.send(second.front).await;
@@ -74,10 +69,7 @@
 #[actix_rt::test]
 async fn a_host_gives_up_what_it_drew_and_does_not_use() {
     let site = Site::start();
-    let gateways = [site.gateway(), site.gateway()];
-    for gateway in &gateways {
-        gateway.until_ready().await;
-    }
+    let gateways = site.two_ready_gateways().await;
     let [first, second] = &gateways;
     assert_eq!(turn("t1", 230).send(first.front).await.status, 200);
     // 30 tokens are spent and 100 drawn ahead at the first host. Two turns at
@@ -167,10 +159,7 @@
 #[actix_rt::test]
 async fn a_budget_holds_on_a_route_without_history() {
     let site = Site::start();
-    let gateways = [site.gateway(), site.gateway()];
-    for gateway in &gateways {
-        gateway.until_ready().await;
-    }
+    let gateways = site.two_ready_gateways().await;
     let mut statuses = Vec::new();
     for number in 0..10 {
         let attempt = format!("t{number}");
@@ -187,25 +176,21 @@
 #[actix_rt::test]
 async fn a_budget_without_history_outlives_all_hosts() {
     let site = Site::start();
-    let mut first = site.gateway();
-    first.until_ready().await;
+    let mut first = site.ready_gateway().await;
     for attempt in ["t1", "t2", "t3"] {
         let answer = unkept(attempt, 190).send(first.front).await;
         assert_eq!(answer.status, 200);
     }
     until_settled(&first).await;
     first.kill();
-    let second = site.gateway();
-    second.until_ready().await;
+    let second = site.ready_gateway().await;
     assert_eq!(unkept("t4", 190).send(second.front).await.status, 200);
     assert_eq!(unkept("t5", 190).send(second.front).await.status, 402);
 }
 
 #[actix_rt::test]
 async fn a_turn_without_history_costs_a_write_and_none_on_its_way() {
-    let site = Site::start();
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let (site, gateway) = Site::start_with_gateway().await;
     until("its row is written", async || {
         site.store.stats().transactions == 1
     })
@@ -218,11 +203,7 @@
     // The first one reserved, each settled.
     assert_eq!(site.store.stats().transactions, 1 + 1 + 5);
     // With the store away, what was drawn ahead still serves a turn.
-    let away = StoreFaults {
-        refuse: true,
-        ..StoreFaults::default()
-    };
-    site.faults(&away).await;
+    site.faults(&StoreFaults::refusing()).await;
     gateway.until_unready().await;
     assert_eq!(unkept("t5", 1_000).send(gateway.front).await.status, 200);
     let refused = unkept("t6", 1_000).send(gateway.front).await;
@@ -232,9 +213,7 @@
 
 #[actix_rt::test]
 async fn a_request_without_a_program_needs_no_store() {
-    let site = Site::start();
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let (site, gateway) = Site::start_with_gateway().await;
     until("its row is written", async || {
         site.store.stats().transactions == 1
     })
--- a/gateway/tests/explain.rs
+++ b/gateway/tests/explain.rs
@@ -75,11 +75,7 @@
     let turned_away = site.gateway();
     served.until_ready().await;
     turned_away.until_ready().await;
-    let refuse = StoreFaults {
-        refuse: true,
-        ..StoreFaults::default()
-    };
-    site.faults(&refuse).await;
+    site.faults(&StoreFaults::refusing()).await;
     until("the host says that it is not ready", async || {
         let changes = turned_away.events("ready-changed");
         changes
@@ -95,9 +91,7 @@
 
 #[actix_rt::test]
 async fn a_call_that_may_not_be_repeated_ends_unknown() {
-    let site = Site::start();
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let (site, gateway) = Site::start_with_gateway().await;
     let faults = BackendFaults {
         lose_answers: 1,
         ..BackendFaults::default()
@@ -116,9 +110,7 @@
 
 #[actix_rt::test]
 async fn a_turn_that_came_late_through_a_slow_endpoint() {
-    let site = Site::start();
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let (site, gateway) = Site::start_with_gateway().await;
     let slow = BackendFaults {
         delay_ms: 500,
         events: 1,
@@ -133,8 +125,7 @@
 #[actix_rt::test]
 async fn a_host_that_was_killed_leaves_no_end_and_the_story_says_so() {
     let site = Site::start();
-    let mut gateway = site.gateway();
-    gateway.until_ready().await;
+    let mut gateway = site.ready_gateway().await;
     Ask::turn("t1", "p1", "x").send(gateway.front).await;
     gateway.kill();
     actix_rt::time::sleep(Duration::from_millis(50)).await;
@@ -151,9 +142,7 @@
 
 #[actix_rt::test]
 async fn an_answer_that_the_store_loses_is_no_loss_of_the_store() {
-    let site = Site::start();
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let (site, gateway) = Site::start_with_gateway().await;
     for number in 0..8 {
         let lost = StoreFaults {
             lose_answers: 1,
@@ -182,9 +171,7 @@
 
 #[actix_rt::test]
 async fn a_turn_refused_for_the_budget_of_its_program() {
-    let site = Site::start();
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let (_site, gateway) = Site::start_with_gateway().await;
     let turn = |attempt: &str| Ask::turn(attempt, "p1", "x").header("token-budget", "120");
     assert_eq!(turn("t1").send(gateway.front).await.status, 200);
     let refused = turn("t2").previous("t1").send(gateway.front).await;
@@ -198,10 +185,7 @@
 #[actix_rt::test]
 async fn a_turn_refused_while_a_turn_at_another_host_may_spend_the_rest() {
     let site = Site::start();
-    let gateways = [site.gateway(), site.gateway()];
-    for gateway in &gateways {
-        gateway.until_ready().await;
-    }
+    let gateways = site.two_ready_gateways().await;
     let paced = BackendFaults {
         delay_ms: 400,
         ..BackendFaults::default()
--- a/gateway/tests/foreign.rs
+++ b/gateway/tests/foreign.rs
@@ -3,8 +3,6 @@
 
 mod support;
 
-use std::net::TcpListener;
-
 use rosebend_standin::store::StoreFaults;
 use serde_json::json;
 use support::{Ask, Gateway, Site, until};
@@ -21,9 +19,7 @@
 
 #[actix_rt::test]
 async fn a_route_that_cannot_be_used_is_refused_alone() {
-    let site = Site::start();
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let (site, gateway) = Site::start_with_gateway().await;
     let mut next = support::routes(7);
     next["routes"][0]["retention-s"] = json!(1e20);
     next["routes"][2]["max-attempts"] = json!(0);
@@ -60,9 +56,7 @@
 
 #[actix_rt::test]
 async fn a_version_that_cannot_be_read_leaves_the_one_before_in_force() {
-    let site = Site::start();
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let (site, gateway) = Site::start_with_gateway().await;
     let mut next = support::routes(7);
     next["limits"]["idle-timeout-ms"] = json!(u64::MAX);
     site.store.put("op", "config", &next);
@@ -76,9 +70,7 @@
 
 #[actix_rt::test]
 async fn a_header_that_cannot_be_used_is_told_and_runs_nowhere() {
-    let site = Site::start();
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let (site, gateway) = Site::start_with_gateway().await;
     let long = "x".repeat(200);
     let table = [
         ("token-budget", "-5"),
@@ -138,16 +130,14 @@
 async fn rows_that_name_no_peer_take_the_place_of_none() {
     let site = Site::start();
     write_foreign_peers(&site);
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let open_door = site.store.open_door(listener).unwrap();
+    let open_door = site.open_door();
     let peer = Gateway::start(open_door.address());
     peer.until_ready().await;
     until("the peer has written its row", async || {
         site.rows("gateways") == FOREIGN_PEERS + 1
     })
     .await;
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let gateway = site.ready_gateway().await;
     until("the rows are told", async || {
         !gateway.events("peer-row-unusable").is_empty()
     })
@@ -158,11 +148,7 @@
         site.store.stats().reads >= before + 2
     })
     .await;
-    let refuse = StoreFaults {
-        refuse: true,
-        ..StoreFaults::default()
-    };
-    site.faults(&refuse).await;
+    site.faults(&StoreFaults::refusing()).await;
     until("calls go by the peer", async || {
         !gateway.events("store-relayed").is_empty()
     })
--- a/gateway/tests/lifecycle.rs
+++ b/gateway/tests/lifecycle.rs
@@ -16,26 +16,18 @@
 async fn before_the_routes_are_known_nothing_is_denied() {
     let site = Site::without_routes();
     let gateway = site.gateway();
-    let answer = Ask::get("/lookup/x")
-        .attempt("a1")
-        .send(gateway.front)
-        .await;
+    let answer = Ask::lookup("a1").send(gateway.front).await;
     assert_eq!(answer.status, 503);
     assert!(!gateway.is_ready().await);
     site.declare(1);
     gateway.until_ready().await;
-    let answer = Ask::get("/lookup/x")
-        .attempt("a1")
-        .send(gateway.front)
-        .await;
+    let answer = Ask::lookup("a1").send(gateway.front).await;
     assert_eq!(answer.status, 200);
 }
 
 #[actix_rt::test]
 async fn a_new_version_takes_hold_and_an_old_one_never_comes_back() {
-    let site = Site::start();
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let (site, gateway) = Site::start_with_gateway().await;
     let mut next = support::routes(7);
     next["routes"][1]["prefix"] = json!("/status/");
     site.store.put("op", "config", &next);
@@ -55,18 +47,13 @@
         .send(gateway.front)
         .await;
     assert_eq!(answer.status, 200);
-    let answer = Ask::get("/lookup/x")
-        .attempt("a3")
-        .send(gateway.front)
-        .await;
+    let answer = Ask::lookup("a3").send(gateway.front).await;
     assert_eq!(answer.status, 404);
 }
 
 #[actix_rt::test]
 async fn a_change_arrives_after_the_history_is_gone() {
-    let site = Site::start();
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let (site, gateway) = Site::start_with_gateway().await;
     site.store.forget_history();
     site.declare(9);
     until("the version is in force", async || {
@@ -78,40 +65,27 @@
 
 #[actix_rt::test]
 async fn an_entry_that_lapsed_in_an_outage_is_kept_until_it_had_time_to_return() {
-    let site = Site::start();
-    let gateway = site.gateway();
-    gateway.until_ready().await;
-    let refuse = StoreFaults {
-        refuse: true,
-        ..StoreFaults::default()
-    };
-    site.faults(&refuse).await;
+    let (site, gateway) = Site::start_with_gateway().await;
+    site.faults(&StoreFaults::refusing()).await;
     gateway.until_unready().await;
     site.store.delete("servers", &site.endpoints[1].instance);
     site.faults(&StoreFaults::default()).await;
     gateway.until_ready().await;
-    let answer = Ask::get("/lookup/x")
-        .attempt("a1")
-        .send(gateway.front)
-        .await;
+    let answer = Ask::lookup("a1").send(gateway.front).await;
     assert_eq!(answer.status, 200);
     until("the entry is given up", async || {
         let events = gateway.events("endpoint-withdrawn");
         events.iter().any(|event| event["reason"] == "lapsed")
     })
     .await;
-    let answer = Ask::get("/lookup/x")
-        .attempt("a2")
-        .send(gateway.front)
-        .await;
+    let answer = Ask::lookup("a2").send(gateway.front).await;
     assert_eq!(answer.status, 503);
 }
 
 #[actix_rt::test]
 async fn a_planned_stop_cuts_no_answer() {
     let site = Site::start();
-    let mut gateway = site.gateway();
-    gateway.until_ready().await;
+    let mut gateway = site.ready_gateway().await;
     let slow = BackendFaults {
         delay_ms: 300,
         events: 6,
@@ -124,10 +98,7 @@
     gateway.signal("TERM");
     gateway.until_unready().await;
     // The balancer may still send callers here.
-    let late = Ask::get("/lookup/x")
-        .attempt("a1")
-        .send(gateway.front)
-        .await;
+    let late = Ask::lookup("a1").send(gateway.front).await;
     assert_eq!(late.status, 200);
     let answer = turn.await.unwrap();
     assert_eq!((answer.status, answer.is_whole), (200, true));
@@ -148,8 +119,7 @@
         .iter()
         .map(|door| door.address().to_string())
         .collect();
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let gateway = site.ready_gateway().await;
     // The store is at another address from now on.
     site.faults(&StoreFaults::refusing()).await;
     gateway.until_unready().await;
@@ -190,9 +160,7 @@
 
 #[actix_rt::test]
 async fn settings_that_are_not_accepted_change_nothing_and_are_told_once() {
-    let site = Site::start();
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let (_site, gateway) = Site::start_with_gateway().await;
     gateway.change_settings("stop_grace_s = 8", "stop_grace_s = soon");
     gateway.signal("HUP");
     until("the file is refused", async || {
@@ -214,9 +182,7 @@
 
 #[actix_rt::test]
 async fn requests_on_one_connection_are_answered_one_after_the_other() {
-    let site = Site::start();
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let (_site, gateway) = Site::start_with_gateway().await;
     let mut connection = Connection::open(gateway.front).await.unwrap();
     for number in 0..5 {
         let attempt = format!("a{number}");
@@ -246,14 +212,9 @@
 
 #[actix_rt::test]
 async fn the_metrics_page_tells_requests_refusals_and_store_calls() {
-    let site = Site::start();
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let (site, gateway) = Site::start_with_gateway().await;
     Ask::turn("t1", "p1", "x").send(gateway.front).await;
-    Ask::get("/lookup/x")
-        .attempt("a1")
-        .send(gateway.front)
-        .await;
+    Ask::lookup("a1").send(gateway.front).await;
     Ask::get("/nowhere/x")
         .attempt("a2")
         .send(gateway.front)
--- a/gateway/tests/plain.rs
+++ b/gateway/tests/plain.rs
@@ -21,9 +21,7 @@
 
 #[actix_rt::test]
 async fn an_answer_is_passed_on_unchanged() {
-    let site = Site::start();
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let (site, gateway) = Site::start_with_gateway().await;
     let answer = lookup("a1")
         .header("x-more", "kept")
         .send(gateway.front)
@@ -44,8 +42,7 @@
 async fn a_refused_request_goes_to_another_endpoint() {
     let mut site = Site::start();
     let other = site.add_endpoint("desk");
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let gateway = site.ready_gateway().await;
     let faults = BackendFaults {
         refuse: 1_000,
         ..BackendFaults::default()
@@ -61,9 +58,7 @@
 
 #[actix_rt::test]
 async fn a_refusal_says_when_to_come_back_and_is_true() {
-    let site = Site::start();
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let (site, gateway) = Site::start_with_gateway().await;
     let faults = BackendFaults {
         refuse: 1_000,
         ..BackendFaults::default()
@@ -79,8 +74,7 @@
 async fn a_lost_answer_is_told_as_unknown_and_not_run_again() {
     let mut site = Site::start();
     site.add_endpoint("desk");
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let gateway = site.ready_gateway().await;
     let faults = BackendFaults {
         lose_answers: 1_000,
         ..BackendFaults::default()
@@ -102,8 +96,7 @@
 async fn an_idempotent_request_runs_again_after_a_lost_answer() {
     let mut site = Site::start();
     let other = site.add_endpoint("desk");
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let gateway = site.ready_gateway().await;
     let faults = BackendFaults {
         lose_answers: 1_000,
         ..BackendFaults::default()
@@ -132,9 +125,7 @@
             ..BackendFaults::default()
         },
     ];
-    let site = Site::start();
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let (site, gateway) = Site::start_with_gateway().await;
     for (number, faults) in table.iter().enumerate() {
         site.endpoint_faults(DESK, faults).await;
         let attempt = format!("a{number}");
@@ -146,9 +137,7 @@
 
 #[actix_rt::test]
 async fn orders_that_a_caller_forged_do_not_reach_an_endpoint() {
-    let site = Site::start();
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let (site, gateway) = Site::start_with_gateway().await;
     let forged = [
         "hold",
         "pin-ms",
@@ -178,9 +167,7 @@
 
 #[actix_rt::test]
 async fn an_endpoint_is_given_no_more_time_than_the_caller_has() {
-    let site = Site::start();
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let (site, gateway) = Site::start_with_gateway().await;
     let ask = lookup("a1").header("deadline-ms", "900");
     assert_eq!(ask.send(gateway.front).await.status, 200);
     let given: u64 = site.runs(DESK).await["a1"].headers["deadline-ms"]
@@ -191,9 +178,7 @@
 
 #[actix_rt::test]
 async fn bad_requests_get_a_clear_error_and_run_nowhere() {
-    let site = Site::start();
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let (site, gateway) = Site::start_with_gateway().await;
     let long = "x".repeat(150_000);
     let table = [
         (Ask::get("/lookup/x"), 400),
@@ -217,8 +202,7 @@
 async fn an_endpoint_that_leaves_gets_nothing_new() {
     let mut site = Site::start();
     let other = site.add_endpoint("desk");
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let gateway = site.ready_gateway().await;
     site.announce(DESK, "draining");
     support::until("the endpoint is withdrawn", async || {
         !gateway.events("endpoint-withdrawn").is_empty()
@@ -233,9 +217,7 @@
 
 #[actix_rt::test]
 async fn work_stops_when_its_caller_leaves() {
-    let site = Site::start();
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let (site, gateway) = Site::start_with_gateway().await;
     let slow = BackendFaults {
         delay_ms: 60_000,
         ..BackendFaults::default()
--- a/gateway/tests/quarantine.rs
+++ b/gateway/tests/quarantine.rs
@@ -33,10 +33,7 @@
 async fn a_request_that_crashed_three_endpoints_is_refused_by_all_hosts() {
     let site = Site::start();
     site.store.delete("servers", &site.endpoints[1].instance);
-    let gateways = [site.gateway(), site.gateway()];
-    for gateway in &gateways {
-        gateway.until_ready().await;
-    }
+    let gateways = site.two_ready_gateways().await;
     let poison = |attempt: &str| {
         Ask::new(Method::POST, "/fee/receipt")
             .attempt(attempt)
--- a/gateway/tests/relay.rs
+++ b/gateway/tests/relay.rs
@@ -2,11 +2,9 @@
 
 mod support;
 
-use std::net::TcpListener;
-
 use rosebend_standin::backend::BackendFaults;
 use rosebend_standin::store::StoreFaults;
-use support::{Ask, Gateway, Site, until};
+use support::{Ask, Site, until};
 
 const MODELS: usize = 0;
 
@@ -25,18 +23,7 @@
 #[actix_rt::test]
 async fn a_host_that_is_turned_away_serves_turns_by_a_peer() {
     for (name, faults) in faults() {
-        let site = Site::start();
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let open_door = site.store.open_door(listener).unwrap();
-        let peer = Gateway::start(open_door.address());
-        let gateway = site.gateway();
-        peer.until_ready().await;
-        gateway.until_ready().await;
-        // Both have written their rows and found each other.
-        until("the peers know each other", async || {
-            site.store.stats().reads >= 12
-        })
-        .await;
+        let (site, _open_door, peer, gateway) = Site::start_with_peer().await;
         Ask::turn("t1", "p1", "first|").send(gateway.front).await;
         site.faults(&faults).await;
         until("calls go by the peer", async || {
@@ -62,17 +49,7 @@
 
 #[actix_rt::test]
 async fn a_turn_that_runs_while_its_host_is_turned_away_is_recorded_by_a_peer() {
-    let site = Site::start();
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let open_door = site.store.open_door(listener).unwrap();
-    let peer = Gateway::start(open_door.address());
-    let gateway = site.gateway();
-    peer.until_ready().await;
-    gateway.until_ready().await;
-    until("the peers know each other", async || {
-        site.store.stats().reads >= 12
-    })
-    .await;
+    let (site, _open_door, peer, gateway) = Site::start_with_peer().await;
     let slow = BackendFaults {
         delay_ms: 100,
         ..BackendFaults::default()
@@ -81,11 +58,7 @@
     let front = gateway.front;
     let turn = actix_rt::spawn(async move { Ask::turn("t1", "p1", "x|").send(front).await });
     until("the turn runs", async || site.times_run("t1").await == 1).await;
-    let refuse = StoreFaults {
-        refuse: true,
-        ..StoreFaults::default()
-    };
-    site.faults(&refuse).await;
+    site.faults(&StoreFaults::refusing()).await;
     let answer = turn.await.unwrap();
     assert_eq!((answer.status, answer.is_whole), (200, true));
     let ask = Ask::turn("t2", "p1", "y").previous("t1");
@@ -95,19 +68,9 @@
 #[actix_rt::test]
 async fn an_outage_of_the_whole_store_is_told_as_one_by_every_host() {
     let site = Site::start();
-    let gateways = [site.gateway(), site.gateway()];
-    for gateway in &gateways {
-        gateway.until_ready().await;
-    }
-    until("the peers know each other", async || {
-        site.store.stats().reads >= 12
-    })
-    .await;
-    let refuse = StoreFaults {
-        refuse: true,
-        ..StoreFaults::default()
-    };
-    site.faults(&refuse).await;
+    let gateways = site.two_ready_gateways().await;
+    site.until_peers_meet().await;
+    site.faults(&StoreFaults::refusing()).await;
     for gateway in &gateways {
         gateway.until_unready().await;
         let answer = Ask::turn("t1", "p1", "x").send(gateway.front).await;
@@ -118,17 +81,7 @@
 
 #[actix_rt::test]
 async fn calls_beyond_the_rate_are_sent_again_and_not_by_peers() {
-    let site = Site::start();
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let open_door = site.store.open_door(listener).unwrap();
-    let peer = Gateway::start(open_door.address());
-    let gateway = site.gateway();
-    peer.until_ready().await;
-    gateway.until_ready().await;
-    until("the peers know each other", async || {
-        site.store.stats().reads >= 12
-    })
-    .await;
+    let (site, _open_door, _peer, gateway) = Site::start_with_peer().await;
     let throttle = StoreFaults {
         throttle: 3,
         ..StoreFaults::default()
--- a/gateway/tests/retention.rs
+++ b/gateway/tests/retention.rs
@@ -21,8 +21,7 @@
 #[actix_rt::test]
 async fn a_program_that_is_over_leaves_no_rows() {
     let site = site();
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let gateway = site.ready_gateway().await;
     Ask::turn("t1", "p1", "first|").send(gateway.front).await;
     Ask::turn("t2", "p1", "second|")
         .previous("t1")
@@ -38,10 +37,7 @@
 #[actix_rt::test]
 async fn a_program_of_two_hosts_leaves_no_rows_and_none_goes_early() {
     let site = site();
-    let gateways = [site.gateway(), site.gateway()];
-    for gateway in &gateways {
-        gateway.until_ready().await;
-    }
+    let gateways = site.two_ready_gateways().await;
     let mut previous: Option<String> = None;
     for number in 0..8 {
         let attempt = format!("t{number}");
@@ -64,8 +60,7 @@
 #[actix_rt::test]
 async fn a_program_that_continued_from_another_one_outlives_it() {
     let site = site();
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let gateway = site.ready_gateway().await;
     Ask::turn("t1", "p1", "first|").send(gateway.front).await;
     Ask::turn("u1", "p2", "other|")
         .previous("t1")
@@ -80,8 +75,7 @@
         assert_eq!(ask.send(gateway.front).await.status, 200);
         previous = attempt;
     }
-    let fresh = site.gateway();
-    fresh.until_ready().await;
+    let fresh = site.ready_gateway().await;
     let ask = Ask::turn("u99", "p2", "last").previous(&previous);
     assert_eq!(ask.send(fresh.front).await.status, 200);
     let prompt = site.runs(MODELS).await["u99"].body.clone();
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -57,6 +57,27 @@
         site
     }
 
+    /// A site whose routes and endpoints are declared, and a gateway that takes
+    /// callers.
+    pub async fn start_with_gateway() -> (Self, Gateway) {
+        let site = Self::start();
+        let gateway = site.ready_gateway().await;
+        (site, gateway)
+    }
+
+    /// A site with two gateways that know each other. The first has a door of
+    /// the store to itself, which faults of the site do not touch.
+    pub async fn start_with_peer() -> (Self, RunningServer, Gateway, Gateway) {
+        let site = Self::start();
+        let open_door = site.open_door();
+        let peer = Gateway::start(open_door.address());
+        let gateway = site.gateway();
+        peer.until_ready().await;
+        gateway.until_ready().await;
+        site.until_peers_meet().await;
+        (site, open_door, peer, gateway)
+    }
+
     /// A site whose operators have declared nothing yet.
     pub fn without_routes() -> Self {
         let store = Store::default();
@@ -139,6 +160,35 @@
     pub fn gateway(&self) -> Gateway {
         Gateway::start(self.door.address())
     }
+
+    /// A gateway that takes callers.
+    pub async fn ready_gateway(&self) -> Gateway {
+        let gateway = self.gateway();
+        gateway.until_ready().await;
+        gateway
+    }
+
+    /// Two gateways that take callers, started at the same time.
+    pub async fn two_ready_gateways(&self) -> [Gateway; 2] {
+        let gateways = [self.gateway(), self.gateway()];
+        for gateway in &gateways {
+            gateway.until_ready().await;
+        }
+        gateways
+    }
+
+    /// Another door of the store, without faults.
+    pub fn open_door(&self) -> RunningServer {
+        self.store.open_door(free_listener()).unwrap()
+    }
+
+    /// Waits until two gateways have written their rows and found each other.
+    pub async fn until_peers_meet(&self) {
+        until("the peers know each other", async || {
+            self.store.stats().reads >= 12
+        })
+        .await;
+    }
 }
 
 /// The routes that tests use.
@@ -383,6 +433,11 @@
         Self::new(Method::GET, path)
     }
 
+    /// A request that needs nothing of the store.
+    pub fn lookup(attempt: &str) -> Self {
+        Self::get("/lookup/x").attempt(attempt)
+    }
+
     /// A turn of a program.
     pub fn turn(attempt: &str, program: &str, input: &str) -> Self {
         Self::new(Method::POST, "/stream/turn")
--- a/gateway/tests/turns.rs
+++ b/gateway/tests/turns.rs
@@ -17,9 +17,7 @@
 
 #[actix_rt::test]
 async fn a_turn_gets_all_that_was_said_before() {
-    let site = Site::start();
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let (site, gateway) = Site::start_with_gateway().await;
     let first = Ask::turn("t1", "p1", "first|").send(gateway.front).await;
     assert_eq!(
         (first.status, first.body.as_str(), first.is_whole),
@@ -42,16 +40,14 @@
 #[actix_rt::test]
 async fn a_program_goes_on_at_another_host_after_its_host_died() {
     let site = Site::start();
-    let mut first = site.gateway();
-    first.until_ready().await;
+    let mut first = site.ready_gateway().await;
     Ask::turn("t1", "p1", "first|").send(first.front).await;
     Ask::turn("t2", "p1", "second|")
         .previous("t1")
         .send(first.front)
         .await;
     first.kill();
-    let second = site.gateway();
-    second.until_ready().await;
+    let second = site.ready_gateway().await;
     let answer = Ask::turn("t3", "p1", "third|")
         .previous("t2")
         .send(second.front)
@@ -64,11 +60,9 @@
 #[actix_rt::test]
 async fn another_program_may_continue_from_a_turn() {
     let site = Site::start();
-    let first = site.gateway();
-    first.until_ready().await;
+    let first = site.ready_gateway().await;
     Ask::turn("t1", "p1", "first|").send(first.front).await;
-    let second = site.gateway();
-    second.until_ready().await;
+    let second = site.ready_gateway().await;
     let answer = Ask::turn("u1", "p2", "other|")
         .previous("t1")
         .send(second.front)
@@ -79,8 +73,7 @@
         format!("first|{OUTPUT}other|")
     );
     // The new program's own turns are found by a third host, across both.
-    let third = site.gateway();
-    third.until_ready().await;
+    let third = site.ready_gateway().await;
     let answer = Ask::turn("u2", "p2", "more|")
         .previous("u1")
         .send(third.front)
@@ -92,14 +85,11 @@
 
 #[actix_rt::test]
 async fn long_inputs_are_kept_over_several_rows() {
-    let site = Site::start();
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let (site, gateway) = Site::start_with_gateway().await;
     let long = "abcdefghij".repeat(9_500);
     let answer = Ask::turn("t1", "p1", &long).send(gateway.front).await;
     assert_eq!(answer.status, 200);
-    let other = site.gateway();
-    other.until_ready().await;
+    let other = site.ready_gateway().await;
     let answer = Ask::turn("t2", "p1", "next")
         .previous("t1")
         .send(other.front)
@@ -113,9 +103,7 @@
 
 #[actix_rt::test]
 async fn a_turn_that_never_was_is_denied_and_one_in_doubt_is_not() {
-    let site = Site::start();
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let (site, gateway) = Site::start_with_gateway().await;
     let unknown = Ask::turn("t9", "p1", "x").previous("never");
     assert_eq!(unknown.send(gateway.front).await.status, 404);
     let silent = StoreFaults {
@@ -131,9 +119,7 @@
 
 #[actix_rt::test]
 async fn a_turn_that_broke_off_is_not_part_of_the_history() {
-    let site = Site::start();
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let (site, gateway) = Site::start_with_gateway().await;
     let faults = BackendFaults {
         cut_bodies: 1,
         delay_ms: 30,
@@ -152,10 +138,7 @@
 #[actix_rt::test]
 async fn a_program_never_gets_more_than_its_budget() {
     let site = Site::start();
-    let gateways = [site.gateway(), site.gateway()];
-    for gateway in &gateways {
-        gateway.until_ready().await;
-    }
+    let gateways = site.two_ready_gateways().await;
     // Each turn may generate 100 tokens, and generates 30.
     let mut served = 0;
     let mut previous: Option<String> = None;
@@ -185,9 +168,7 @@
 
 #[actix_rt::test]
 async fn no_event_goes_out_before_the_turn_may_spend() {
-    let site = Site::start();
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let (site, gateway) = Site::start_with_gateway().await;
     // The gateway's own row among its peers.
     until("its row is written", async || {
         site.store.stats().transactions == 1
@@ -215,9 +196,7 @@
 
 #[actix_rt::test]
 async fn a_turn_needs_one_write_where_its_program_was_before() {
-    let site = Site::start();
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let (site, gateway) = Site::start_with_gateway().await;
     until("its row is written", async || {
         site.store.stats().transactions == 1
     })
@@ -233,9 +212,7 @@
 
 #[actix_rt::test]
 async fn lost_answers_of_the_store_lose_no_turn() {
-    let site = Site::start();
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let (site, gateway) = Site::start_with_gateway().await;
     let mut previous = String::new();
     for number in 0..6 {
         let faults = StoreFaults {
@@ -263,9 +240,7 @@
 
 #[actix_rt::test]
 async fn a_transaction_whose_answer_does_not_come_is_sent_again_before_its_timeout() {
-    let site = Site::start();
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let (site, gateway) = Site::start_with_gateway().await;
     let address = site.door.address().to_string();
     // Longer than any wait of this test.
     gateway.change_settings(&address, &format!("{address}\ntimeout_ms = 60000"));
@@ -290,14 +265,8 @@
 
 #[actix_rt::test]
 async fn an_outage_refuses_turns_with_a_growing_time_to_come_back() {
-    let site = Site::start();
-    let gateway = site.gateway();
-    gateway.until_ready().await;
-    let refuse = StoreFaults {
-        refuse: true,
-        ..StoreFaults::default()
-    };
-    site.faults(&refuse).await;
+    let (site, gateway) = Site::start_with_gateway().await;
+    site.faults(&StoreFaults::refusing()).await;
     gateway.until_unready().await;
     actix_rt::time::sleep(Duration::from_millis(1_200)).await;
     let answer = Ask::turn("t1", "p1", "x").send(gateway.front).await;
@@ -305,10 +274,7 @@
     assert_eq!(answer.retry_after_s(), Some(1.0));
     assert_eq!(site.times_run("t1").await, 0);
     // Requests that need nothing of the store go on.
-    let lookup = Ask::get("/lookup/x")
-        .attempt("a1")
-        .send(gateway.front)
-        .await;
+    let lookup = Ask::lookup("a1").send(gateway.front).await;
     assert_eq!(lookup.status, 200);
     site.faults(&StoreFaults::default()).await;
     gateway.until_ready().await;
@@ -318,9 +284,7 @@
 
 #[actix_rt::test]
 async fn a_silent_store_is_noticed_without_waiting_for_a_timeout() {
-    let site = Site::start();
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let (site, gateway) = Site::start_with_gateway().await;
     let silent = StoreFaults {
         silent: true,
         ..StoreFaults::default()
--- a/gateway/tests/wire.rs
+++ b/gateway/tests/wire.rs
@@ -25,8 +25,7 @@
 async fn site() -> (Site, Gateway) {
     let site = Site::without_routes();
     site.store.put("op", "config", &impatient(1));
-    let gateway = site.gateway();
-    gateway.until_ready().await;
+    let gateway = site.ready_gateway().await;
     (site, gateway)
 }
 
