--- a/coordination/src/gateway/ledger.rs
+++ b/coordination/src/gateway/ledger.rs
@@ -27,6 +27,7 @@
 //! after it costs the writes that [`Ledger::draw_ahead`] saves.
 
 use std::collections::BTreeMap;
+use std::collections::btree_map::Entry;
 
 use rosebend_state::deployment::AttemptId;
 use serde::{Deserialize, Serialize};
@@ -211,15 +212,15 @@
     pub fn account(&self) -> Account {
         let mut held: BTreeMap<Holder, u64> = BTreeMap::new();
         for reservation in self.reserved.values() {
-            *held.entry(reservation.holder.clone()).or_default() += reservation.tokens;
+            add(held.entry(reservation.holder.clone()), reservation.tokens);
         }
         for (holder, ahead) in self.drawn() {
-            *held.entry(holder.clone()).or_default() += ahead.tokens;
+            add(held.entry(holder.clone()), ahead.tokens);
         }
         Account {
             spent_tokens: self.spent_tokens,
-            reserved_tokens: self.reserved.values().map(|turn| turn.tokens).sum(),
-            drawn_tokens: self.drawn().map(|(_, ahead)| ahead.tokens).sum(),
+            reserved_tokens: sum(self.reserved.values().map(|turn| turn.tokens)),
+            drawn_tokens: sum(self.drawn().map(|(_, ahead)| ahead.tokens)),
             held,
         }
     }
@@ -329,7 +330,7 @@
             let forgiven = left.min(*tokens);
             *tokens -= forgiven;
             left -= forgiven;
-            self.forgiven_tokens += forgiven;
+            self.forgiven_tokens = self.forgiven_tokens.saturating_add(forgiven);
         }
     }
 
@@ -403,6 +404,17 @@
     }
 }
 
+/// Adds tokens of one holder. A ledger may be any other writer's: sums stop at
+/// the largest number, which no budget holds, rather than start at zero again.
+fn add(held: Entry<'_, Holder, u64>, tokens: u64) {
+    let held = held.or_default();
+    *held = held.saturating_add(tokens);
+}
+
+fn sum(tokens: impl Iterator<Item = u64>) -> u64 {
+    tokens.fold(0, u64::saturating_add)
+}
+
 fn is_zero(tokens: &u64) -> bool {
     *tokens == 0
 }
--- a/gateway/src/programs.rs
+++ b/gateway/src/programs.rs
@@ -117,8 +117,14 @@
     for rows in join_all(reads).await {
         let rows = rows.map_err(|error| unreachable(gateway, &error))?;
         let row = rows.rows.iter().find(|row| row.id.key == attempt);
-        if let Some(program) = row.and_then(indexed_program) {
-            return Ok(Some(program));
+        if let Some(row) = row {
+            // A row that names no program is no proof that the turn never was.
+            let program = indexed_program(row);
+            return program.map(Some).ok_or_else(|| {
+                let event = Event::new(EventKind::RecordUnreadable);
+                log_event(&event.attempt(attempt));
+                gateway.store_unreachable()
+            });
         }
     }
     Ok(None)
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -125,6 +125,10 @@
     RoutesInForce,
     /// What operators declared cannot be read; the routes before stay in force.
     RoutesUnreadable,
+    /// A route of `version`, one of `count`, has a value that can't be used.
+    RouteUnusable,
+    /// A row of the table of gateways names none.
+    PeerRowUnusable,
     /// The endpoint announced itself; it gets requests. `reason` is started-again when an earlier start under its id was listed.
     EndpointListed,
     /// The endpoint gets no new requests; `reason` says why: it drains, its entry is gone, or its entry lapsed in an outage and did not come back.
@@ -163,7 +167,7 @@
 
 impl EventKind {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 75] = [
+    pub const ALL: [Self; 77] = [
         Self::ProcessStarted,
         Self::ProcessStopping,
         Self::ProcessStopped,
@@ -239,6 +243,8 @@
         Self::HolderSilent,
         Self::EntryRefused,
         Self::EntryRefusalEnded,
+        Self::RouteUnusable,
+        Self::PeerRowUnusable,
     ];
 
     /// The event's number, which stays with it for ever.
@@ -299,6 +305,8 @@
             Self::AnswerBroken => 810,
             Self::RoutesInForce => 811,
             Self::RoutesUnreadable => 812,
+            Self::RouteUnusable => 839,
+            Self::PeerRowUnusable => 840,
             Self::EndpointListed => 813,
             Self::EndpointWithdrawn => 814,
             Self::EndpointAvoided => 815,
@@ -380,6 +388,8 @@
             Self::AnswerBroken => "answer-broken",
             Self::RoutesInForce => "routes-in-force",
             Self::RoutesUnreadable => "routes-unreadable",
+            Self::RouteUnusable => "route-unusable",
+            Self::PeerRowUnusable => "peer-row-unusable",
             Self::EndpointListed => "endpoint-listed",
             Self::EndpointWithdrawn => "endpoint-withdrawn",
             Self::EntryRefused => "entry-refused",
@@ -410,6 +420,7 @@
             | Self::EndpointCrashed
             | Self::ConfigurationInvalid
             | Self::RoutesUnreadable
+            | Self::RouteUnusable
             | Self::RequestQuarantined
             | Self::RecordUnreadable => Level::Error,
             Self::ProcessPaused
@@ -436,6 +447,7 @@
             | Self::StoreLost
             | Self::SettingsRefused
             | Self::HolderSilent
+            | Self::PeerRowUnusable
             | Self::LinesDropped
             | Self::AcceptFailed => Level::Warn,
             Self::CallAccepted | Self::CallFinished | Self::CallRefused | Self::RequestRefused => {
@@ -561,6 +573,12 @@
             Self::EndpointListed => {
                 "The endpoint announced itself; it gets requests. `reason` is started-again when an earlier start under its id was listed."
             }
+            Self::RouteUnusable => {
+                "A route of `version`, one of `count`, has a value that cannot be used; its requests are refused as not run, and the other routes are in force."
+            }
+            Self::PeerRowUnusable => {
+                "A row of the table of gateways names none; `error` says why. It is passed over and told once."
+            }
             Self::EndpointWithdrawn => {
                 "The endpoint gets no new requests; `reason` says why: it drains, its entry is gone, or its entry lapsed in an outage and did not come back."
             }
