Go on with a stream at another endpoint where its route allows it

Cause: an endpoint that crashed, broke off or fell silent within a stream ended the caller's answer on every route, also where streams may be resumed; and a caller's Last-Event-Id went to endpoints on routes where nothing may be resumed.

Change: on routes that allow it, the answer is made by one run after another: the connection of the one that failed is closed, the next endpoint is told the last whole event that went out, and the caller sees one answer with the headers of the run whose events went out first. Runs are bounded by the route's attempts and time. Each event that goes out is counted for the budget and recorded, once. A turn whose caller resumes it on a route that keeps history is made from its first event, so that its record is whole; the events that the caller has are not sent again. On other routes Last-Event-Id stays here.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -12,7 +12,7 @@
 use rosebend_coordination::gateway::fingerprint::{Fingerprint, fingerprint};
 use rosebend_coordination::gateway::route_table::service_for;
 use rosebend_platform::headers;
-use rosebend_state::deployment::{CallHeader, Route, RouteKind, ServiceName};
+use rosebend_state::deployment::{CallHeader, EventId, Route, RouteKind, ServiceName};
 use rosebend_transport::event::{Event, EventKind, log_event};
 
 use crate::gateway::Gateway;
@@ -64,6 +64,14 @@
         now.saturating_sub(self.arrived)
     }
 
+    /// The event after which endpoints are to go on, where the caller resumes a
+    /// stream. A turn whose history is kept is made anew from its first event:
+    /// its record has to hold all of them.
+    pub fn resumes_after(&self) -> Option<EventId> {
+        let may_resume = self.route.resumes_streams() && !self.route.keeps_history;
+        self.header.last_event.filter(|_| may_resume)
+    }
+
     /// What the request is about, for spreading and affinity.
     pub fn subject(&self) -> &str {
         let program = self.header.program.as_ref();
@@ -90,7 +98,9 @@
     }
     match call.route.kind {
         RouteKind::Streaming => turn::answer(gateway, call).await,
-        RouteKind::Idempotent | RouteKind::NonIdempotent => plain::answer(gateway, &call).await,
+        RouteKind::Idempotent | RouteKind::NonIdempotent => {
+            plain::answer(gateway, &Rc::new(call)).await
+        }
     }
 }
 
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -11,7 +11,7 @@
 use rosebend_coordination::gateway::attempt::{Attempt, Failure, Next};
 use rosebend_coordination::gateway::directory::Wish;
 use rosebend_platform::headers::{self, AnswerHeader};
-use rosebend_state::deployment::{EndpointRecord, InstanceId, RouteKind};
+use rosebend_state::deployment::{EndpointRecord, EventId, InstanceId, RouteKind};
 use rosebend_transport::clock::whole_ms;
 use rosebend_transport::connection::{Connection, ConnectionError};
 use rosebend_transport::event::{Event, EventKind, log_event};
@@ -47,29 +47,43 @@
 
 /// Sends a call to endpoints until one answers.
 #[derive(Debug)]
-pub struct Exchange<'a> {
-    gateway: &'a Rc<Gateway>,
-    call: &'a Call,
+pub struct Exchange {
+    gateway: Rc<Gateway>,
+    call: Rc<Call>,
     body: Bytes,
     warm: Option<Warm>,
     attempt: Attempt,
     asked: Vec<InstanceId>,
+    /// The event of a stream after which endpoints are to go on.
+    last_event: Option<EventId>,
 }
 
-impl<'a> Exchange<'a> {
+impl Exchange {
     /// A call that was not sent yet. `body` is what endpoints are given; `warm`
     /// is the endpoint that may have it in memory.
-    pub fn new(gateway: &'a Rc<Gateway>, call: &'a Call, body: Bytes, warm: Option<Warm>) -> Self {
+    pub fn new(gateway: &Rc<Gateway>, call: &Rc<Call>, body: Bytes, warm: Option<Warm>) -> Self {
         Self {
-            gateway,
-            call,
+            gateway: Rc::clone(gateway),
+            call: Rc::clone(call),
             body,
             warm,
             attempt: Attempt::default(),
             asked: Vec::new(),
+            last_event: call.resumes_after(),
         }
     }
 
+    /// Lets the endpoint that is asked next go on after an event.
+    pub fn go_on_after(&mut self, last: EventId) {
+        self.last_event = Some(last);
+    }
+
+    /// How long the stream of the present endpoint may be silent before another
+    /// one is asked; none where that is not allowed.
+    pub fn patience(&self) -> Option<Duration> {
+        self.attempt.patience(&self.call.route)
+    }
+
     /// The next answer that may be passed on.
     ///
     /// # Errors
@@ -97,7 +111,7 @@
         if failure == Failure::Broken
             && let Some(address) = self.gateway.directory.borrow().address(instance)
         {
-            quarantine::examine(self.gateway, self.call, instance, address);
+            quarantine::examine(&self.gateway, &self.call, instance, address);
         }
         let now = self.gateway.clock.now();
         let left = self.call.left(now);
@@ -166,8 +180,12 @@
         let at = self.gateway.begin_at(&endpoint.instance);
         let left = self.call.left(self.gateway.clock.now());
         let exchanging = self.exchange(endpoint, at);
-        let exchanged = tokio::time::timeout(left, exchanging).await;
-        exchanged.unwrap_or(Err(Failure::TimedOut))
+        let patience = self.patience().unwrap_or(left);
+        let exchanged = tokio::time::timeout(left.min(patience), exchanging).await;
+        exchanged.unwrap_or(Err(match patience < left {
+            true => Failure::Silent,
+            false => Failure::TimedOut,
+        }))
     }
 
     async fn exchange(
@@ -214,6 +232,9 @@
         *request.headers_mut() = self.call.headers.clone();
         let left = self.call.left(now);
         headers::address_to(request.headers_mut(), &endpoint.instance, left);
+        if self.call.route.kind == RouteKind::Streaming {
+            headers::resume_after(request.headers_mut(), self.last_event);
+        }
         request
     }
 
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -4,7 +4,7 @@
 //! | what | where |
 //! |---|---|
 //! | a request, step by step | [`front`], [`call`], [`plain`] or [`turn`], [`exchange`], [`pool`] |
-//! | a turn's budget, and its answer on the way | [`spending`], [`recall`], [`turn_stream`] |
+//! | a turn's budget, and its answer on the way | [`spending`], [`recall`], [`turn_stream`], [`runs`] |
 //! | what lasts | [`commits`], [`programs`], [`retention`] |
 //! | what the process believes of routes and endpoints | [`watch`], [`gossip`], [`quarantine`] |
 //! | calls to the store by other gateways | [`peers`] |
@@ -33,6 +33,7 @@
 pub mod reload;
 pub mod reply;
 pub mod retention;
+pub mod runs;
 pub mod spending;
 pub mod trail;
 pub mod turn;
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -88,6 +88,7 @@
     refusals: Family<ReasonLabel, Counter>,
     budget_refusals: Family<FilledLabel, Counter>,
     endpoint_failures: Family<ReasonLabel, Counter>,
+    resumptions: Family<ReasonLabel, Counter>,
     store_calls: Family<StoreLabel, Counter>,
     new_connections: Counter,
     request: Histogram,
@@ -118,6 +119,9 @@
         let endpoint_failures = Family::default();
         let help = "Exchanges with endpoints that gave no answer to pass on, by reason";
         registry.register("endpoint_failures", help, endpoint_failures.clone());
+        let resumptions = Family::default();
+        let help = "Streams that went on at another endpoint, by how the one before failed";
+        registry.register("resumptions", help, resumptions.clone());
         let store_calls = Family::default();
         registry.register(
             "store_calls",
@@ -148,6 +152,7 @@
             refusals,
             budget_refusals,
             endpoint_failures,
+            resumptions,
             store_calls,
             new_connections,
             request,
@@ -221,6 +226,14 @@
             .inc();
     }
 
+    /// Counts a stream that goes on at another endpoint.
+    pub fn count_resumption(&self, failure: Failure) {
+        let reason = failure.word();
+        self.resumptions
+            .get_or_create(&ReasonLabel { reason })
+            .inc();
+    }
+
     /// Counts a connection to an endpoint.
     pub fn count_connection(&self) {
         self.new_connections.inc();
--- a/gateway/src/plain.rs
+++ b/gateway/src/plain.rs
@@ -19,7 +19,7 @@
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 
 /// Answers a plain request.
-pub async fn answer(gateway: &Rc<Gateway>, call: &Call) -> Response<BoxBody> {
+pub async fn answer(gateway: &Rc<Gateway>, call: &Rc<Call>) -> Response<BoxBody> {
     let mut exchange = Exchange::new(gateway, call, call.body.clone(), None);
     match run(gateway, call, &mut exchange).await {
         Ok(reply) => {
@@ -34,7 +34,7 @@
 async fn run(
     gateway: &Rc<Gateway>,
     call: &Call,
-    exchange: &mut Exchange<'_>,
+    exchange: &mut Exchange,
 ) -> Result<Reply, Refusal> {
     loop {
         let exchanged = exchange.next().await?;
--- a/gateway/src/turn.rs
+++ b/gateway/src/turn.rs
@@ -52,7 +52,8 @@
         ),
         None => (call.body.clone(), None),
     };
-    let exchanged = Exchange::new(gateway, call, prompt, warm).next().await?;
+    let mut exchange = Exchange::new(gateway, call, prompt, warm);
+    let exchanged = exchange.next().await?;
     if !is_stream(&exchanged) {
         return pass_failure(gateway, call, exchanged).await;
     }
@@ -65,7 +66,7 @@
         spending,
         record: history,
     };
-    pass_on(gateway, call, exchanged, kept).await
+    pass_on(gateway, call, exchange, exchanged, kept).await
 }
 
 /// The beginning of the turn's record, where the route keeps history.
--- a/gateway/src/turn_stream.rs
+++ b/gateway/src/turn_stream.rs
@@ -9,22 +9,19 @@
 use actix_http::body::BoxBody;
 use bytes::Bytes;
 use futures_util::StreamExt;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use rosebend_coordination::gateway::history::Turn;
 use rosebend_coordination::gateway::lane::Outcome;
-use rosebend_platform::headers::{self, AnswerHeader};
-use rosebend_protocol::sse::SseReader;
-use rosebend_state::deployment::{InstanceId, ProgramHeader, RowId};
-use rosebend_transport::connection::Connection;
+use rosebend_platform::headers;
+use rosebend_protocol::sse::{SseEvent, SseReader};
+use rosebend_state::deployment::{ProgramHeader, RowId};
 use rosebend_transport::event::{Event, EventKind, log_event};
 
 use crate::call::Call;
-use crate::exchange::Exchanged;
-use crate::gateway::{AtEndpoint, Gateway, OpenRequest};
+use crate::exchange::{Exchange, Exchanged};
+use crate::gateway::{Gateway, OpenRequest};
 use crate::metrics::Timing;
-use crate::quarantine;
 use crate::reply::{self, Refusal};
+use crate::runs::{Piece, Runs};
 use crate::spending::Spending;
 
 /// How long a ledger without a record is kept at least after its last turn, where
@@ -53,18 +50,21 @@
     pub record: Option<Record>,
 }
 
+impl Kept {
+    fn record(&mut self, event: &SseEvent) {
+        if let Some(record) = &mut self.record {
+            record.output.extend_from_slice(&event.data);
+            record.output.push(b'\n');
+        }
+    }
+}
+
 /// A stream on its way from an endpoint to a caller. Dropping it closes the
 /// endpoint's connection, which stops the work.
 struct TurnStream {
     gateway: Rc<Gateway>,
     call: Rc<Call>,
-    body: Incoming,
-    /// Kept until the body was read whole.
-    connection: Option<Connection>,
-    header: AnswerHeader,
-    at: AtEndpoint,
-    status: u16,
-    sent: Duration,
+    runs: Runs,
     events: SseReader,
     has_begun: bool,
     /// From the request's arrival to its first event.
@@ -82,19 +82,14 @@
 pub async fn pass_on(
     gateway: &Rc<Gateway>,
     call: &Rc<Call>,
+    exchange: Exchange,
     exchanged: Exchanged,
     kept: Kept,
 ) -> Result<Response<BoxBody>, Refusal> {
-    let (head, body) = exchanged.response.into_parts();
     let mut stream = TurnStream {
         gateway: Rc::clone(gateway),
         call: Rc::clone(call),
-        body,
-        connection: Some(exchanged.connection),
-        header: exchanged.header,
-        at: exchanged.at,
-        status: head.status.as_u16(),
-        sent: exchanged.sent,
+        runs: Runs::new(gateway, call, exchange, exchanged),
         events: SseReader::default(),
         has_begun: false,
         first_event: Duration::ZERO,
@@ -105,6 +100,10 @@
         io::ErrorKind::TimedOut => Refusal::TimeIsUp,
         _ => Refusal::OutcomeUnknown,
     })?;
+    // That of the run whose events go out first, also if others follow.
+    let head = stream.runs.head();
+    let status = head.status.as_u16();
+    let headers = headers::for_caller(&head.headers);
     let rest = futures_util::stream::unfold(Some(stream), |stream| async move {
         let mut stream = stream?;
         match stream.next().await {
@@ -114,12 +113,7 @@
         }
     });
     let pieces = futures_util::stream::iter(first.map(Ok)).chain(rest);
-    let status = head.status.as_u16();
-    Ok(reply::stream(
-        status,
-        &headers::for_caller(&head.headers),
-        pieces,
-    ))
+    Ok(reply::stream(status, &headers, pieces))
 }
 
 impl TurnStream {
@@ -145,56 +139,51 @@
             .count_request(self.call.route.kind, "cut");
         if self.has_begun {
             let elapsed = self.call.elapsed(self.gateway.clock.now());
-            self.call.trail.ended("cut", self.status, elapsed);
+            let status = self.runs.head().status.as_u16();
+            self.call.trail.ended("cut", status, elapsed);
         }
     }
 
     async fn next_piece(&mut self) -> io::Result<Option<Bytes>> {
-        loop {
-            let Some(frame) = self.body.frame().await else {
-                self.finish().await?;
-                return Ok(None);
-            };
-            let frame = frame.map_err(|error| self.broken(&error))?;
-            if let Ok(bytes) = frame.into_data()
-                && !bytes.is_empty()
-            {
-                self.pass(&bytes);
+        while let Some(piece) = self.runs.next().await? {
+            let bytes = self.pass(piece);
+            if !bytes.is_empty() {
                 return Ok(Some(bytes));
             }
         }
+        self.finish().await?;
+        Ok(None)
     }
 
     /// Takes note of bytes that are about to go out.
-    fn pass(&mut self, bytes: &Bytes) {
+    fn pass(&mut self, piece: Piece) -> Bytes {
+        // What the caller has from an earlier attempt was counted there; it is
+        // part of the turn and not handed out again.
+        for event in self.events.push(&piece.repeated) {
+            self.kept.record(&event);
+        }
+        if piece.fresh.is_empty() {
+            return piece.fresh;
+        }
         if !self.has_begun {
             self.has_begun = true;
-            let now = self.gateway.clock.now();
-            let latency = now.saturating_sub(self.sent);
-            let mut directory = self.gateway.directory.borrow_mut();
-            directory.answered(&self.at.instance, Some(latency), now);
             self.first_event = self.call.elapsed(self.gateway.clock.now());
             self.gateway
                 .metrics
                 .observe(Timing::FirstEvent, self.first_event);
         }
-        for event in self.events.push(bytes) {
+        for event in self.events.push(&piece.fresh) {
             if let Some(spending) = &mut self.kept.spending {
                 spending.count_event();
             }
-            if let Some(record) = &mut self.kept.record {
-                record.output.extend_from_slice(&event.data);
-                record.output.push(b'\n');
-            }
+            self.kept.record(&event);
         }
+        piece.fresh
     }
 
     /// Makes the turn durable and gives the connection back.
     async fn finish(&mut self) -> io::Result<()> {
-        if let Some(connection) = self.connection.take() {
-            let instance: &InstanceId = &self.at.instance;
-            Exchanged::keep_connection(&self.gateway, instance, connection, &self.header);
-        }
+        self.runs.keep_connection();
         let kept = std::mem::take(&mut self.kept);
         match (kept.spending, kept.record) {
             (Some(spending), Some(record)) => self.record(spending, record).await?,
@@ -213,14 +202,14 @@
         self.gateway
             .metrics
             .count_request(self.call.route.kind, "answered");
-        let status = self.status;
+        let status = self.runs.head().status.as_u16();
         self.gateway
             .crashes
             .borrow_mut()
             .clear(self.call.fingerprint);
         self.call
             .trail
-            .served(&self.at.instance, status, elapsed, in_time);
+            .served(self.runs.endpoint(), status, elapsed, in_time);
     }
 
     async fn record(&self, mut spending: Spending, record: Record) -> io::Result<()> {
@@ -278,7 +267,7 @@
             previous,
             input,
             output: record.output,
-            endpoint: self.at.instance.clone(),
+            endpoint: self.runs.endpoint().clone(),
             tokens: prompt_tokens + tokens,
         }
     }
@@ -292,14 +281,4 @@
             .retention
             .keep(program, rows, retention, version, now);
     }
-
-    fn broken(&self, error: &hyper::Error) -> io::Error {
-        let now = self.gateway.clock.now();
-        let mut directory = self.gateway.directory.borrow_mut();
-        directory.failed(&self.at.instance, now);
-        if let Some(address) = directory.address(&self.at.instance) {
-            quarantine::examine(&self.gateway, &self.call, &self.at.instance, address);
-        }
-        io::Error::other(format!("the endpoint's answer broke off: {error}"))
-    }
 }
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -155,11 +155,13 @@
     Listening,
     /// Calls to the store go by the peer at `address`, since the store does not answer this host.
     StoreRelayed,
+    /// Step: the stream goes on at `endpoint` after its last whole event; `reason` says how the endpoint before failed.
+    StreamResumed,
 }
 
 impl EventKind {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 73] = [
+    pub const ALL: [Self; 74] = [
         Self::ProcessStarted,
         Self::ProcessStopping,
         Self::ProcessStopped,
@@ -233,6 +235,7 @@
         Self::SpendingRefused,
         Self::HoldersAsked,
         Self::HolderSilent,
+        Self::StreamResumed,
     ];
 
     /// The event's number, which stays with it for ever.
@@ -306,6 +309,7 @@
             Self::SpendingRefused => 828,
             Self::HoldersAsked => 829,
             Self::HolderSilent => 830,
+            Self::StreamResumed => 840,
             Self::RequestQuarantined => 821,
             Self::AcceptFailed => 822,
             Self::RecordUnreadable => 823,
@@ -385,6 +389,7 @@
             Self::SpendingRefused => "spending-refused",
             Self::HoldersAsked => "holders-asked",
             Self::HolderSilent => "holder-silent",
+            Self::StreamResumed => "stream-resumed",
             Self::RequestQuarantined => "request-quarantined",
             Self::AcceptFailed => "accept-failed",
             Self::RecordUnreadable => "record-unreadable",
@@ -543,6 +548,9 @@
                 "Step: the turn and the `tokens` that it handed out are durable after `elapsed_ms`."
             }
             Self::AnswerBroken => "Step: the answer broke off; `error` says how.",
+            Self::StreamResumed => {
+                "Step: the stream goes on at `endpoint` after its last whole event; `reason` says how the endpoint before failed."
+            }
             Self::RoutesInForce => "The declared routes of `version` are in force here.",
             Self::RoutesUnreadable => {
                 "What operators declared cannot be read; the routes before stay in force."
