--- a/coordination/src/gateway/attempt.rs
+++ b/coordination/src/gateway/attempt.rs
@@ -18,8 +18,7 @@
 
 /// Share of its caller's patience for which a silent stream is borne while
 /// another endpoint may run it. With grey endpoints, programs earned 0.92 of
-/// their worth when nothing went on, 0.94 with a half and 0.95 with a quarter;
-/// under load, days differed by no more than their noise.
+/// their worth when nothing went on, 0.94 with a half and 0.95 with a quarter.
 const PATIENCE_SHARE: u32 = 4;
 
 /// How one exchange with an endpoint ended without an answer to pass on.
