--- a/coordination/src/gateway.rs
+++ b/coordination/src/gateway.rs
@@ -8,6 +8,7 @@
 //! | which endpoints are there, and which of them runs a request | [`directory`], its prices in `directory::cost` | `watch`, `gossip`, `exchange` |
 //! | which entries name no endpoint to use | [`refusals`] | `watch` |
 //! | what follows when an endpoint did not answer as it should | [`attempt`] | `exchange` |
+//! | which events of a stream go out, and where its next run goes on | [`event_series`] | `runs` |
 //! | which requests crash endpoints | [`fingerprint`] | `quarantine`, `call` |
 //! | when a caller that was refused may come back | [`comeback`] | `reply` |
 //! | what a program has spent, and what its turns may spend | [`ledger`] | `spending` and `recall`, by [`lane`] |
@@ -28,6 +29,7 @@
 pub mod attempt;
 pub mod comeback;
 pub mod directory;
+pub mod event_series;
 pub mod fingerprint;
 pub mod history;
 pub mod lane;
--- a/coordination/tests/gateway_routes.rs
+++ b/coordination/tests/gateway_routes.rs
@@ -27,6 +27,8 @@
         keeps_history: false,
         retention: Duration::ZERO,
         sticky: false,
+        resumable: false,
+        event_gap: Duration::ZERO,
     }
 }
 
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -163,11 +163,13 @@
     Listening,
     /// Calls to the store go by the peer at `address`, since the store does not answer this host.
     StoreRelayed,
+    /// Step: the stream goes on at `endpoint` after its last whole event; `reason` says how the endpoint before failed.
+    StreamResumed,
 }
 
 impl EventKind {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 77] = [
+    pub const ALL: [Self; 78] = [
         Self::ProcessStarted,
         Self::ProcessStopping,
         Self::ProcessStopped,
@@ -245,6 +247,7 @@
         Self::EntryRefusalEnded,
         Self::RouteUnusable,
         Self::PeerRowUnusable,
+        Self::StreamResumed,
     ];
 
     /// The event's number, which stays with it for ever.
@@ -322,6 +325,7 @@
             Self::HolderSilent => 830,
             Self::EntryRefused => 835,
             Self::EntryRefusalEnded => 836,
+            Self::StreamResumed => 841,
             Self::RequestQuarantined => 821,
             Self::AcceptFailed => 822,
             Self::RecordUnreadable => 823,
@@ -405,6 +409,7 @@
             Self::SpendingRefused => "spending-refused",
             Self::HoldersAsked => "holders-asked",
             Self::HolderSilent => "holder-silent",
+            Self::StreamResumed => "stream-resumed",
             Self::RequestQuarantined => "request-quarantined",
             Self::AcceptFailed => "accept-failed",
             Self::RecordUnreadable => "record-unreadable",
@@ -566,6 +571,9 @@
                 "Step: the turn and the `tokens` that it handed out are durable after `elapsed_ms`."
             }
             Self::AnswerBroken => "Step: the answer broke off; `error` says how.",
+            Self::StreamResumed => {
+                "Step: the stream goes on at `endpoint` after its last whole event; `reason` says how the endpoint before failed."
+            }
             Self::RoutesInForce => "The declared routes of `version` are in force here.",
             Self::RoutesUnreadable => {
                 "What operators declared cannot be read; the routes before stay in force."
