Let a stand-in endpoint start again under its id

A soak needs endpoints that come back under the id that they had. On POST /restart the stand-in breaks off what runs, forgets its faults, counts its requests anew and tells a later start in GET /report. What ran is kept for tests over all starts.

--- a/standin/src/backend.rs
+++ b/standin/src/backend.rs
@@ -6,20 +6,22 @@
 //! | any with an attempt, path with `/stream` | streams events |
 //! | any other with an attempt | answers after the delay |
 //! | `POST /faults` [`BackendFaults`] | changes the faults |
-//! | `GET /runs` [`Runs`] | what has run, by attempt |
+//! | `POST /restart` | breaks off what runs and starts again under the same id |
+//! | `GET /report` [`Report`] | what it says of itself |
+//! | `GET /runs` [`Runs`] | what has run at any start, by attempt |
 
 use std::collections::BTreeMap;
 use std::io;
 use std::net::TcpListener;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use rosebend_protocol::problem::Ran;
 use rosebend_transport::http_server::{HttpReply, HttpRequest, ReplyBody, StreamPiece};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 use crate::reply::{cut, parse, problem, take_one};
 use crate::server::RunningServer;
@@ -76,11 +78,25 @@
 /// What has run, by attempt.
 pub type Runs = BTreeMap<String, Run>;
 
+/// What an endpoint says of itself.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Report {
+    /// Unix millisecond of its start.
+    pub born: u64,
+    /// Requests that run.
+    pub active: u64,
+    /// Requests that it has begun since its start.
+    pub seq: u64,
+}
+
 #[derive(Debug, Default)]
 struct State {
     faults: BackendFaults,
+    /// Record for tests; it outlasts the endpoint's starts.
     runs: Runs,
     running: u64,
+    begun: u64,
 }
 
 /// The endpoint.
@@ -88,6 +104,8 @@
 pub struct Backend {
     instance: String,
     state: Arc<Mutex<State>>,
+    /// Unix millisecond of the present start; each is later than the one before.
+    born_ms: Arc<watch::Sender<u64>>,
 }
 
 /// Counts a request while it runs.
@@ -112,6 +130,7 @@
         let backend = Self {
             instance: instance.to_owned(),
             state: Arc::default(),
+            born_ms: Arc::new(watch::Sender::new(unix_ms())),
         };
         RunningServer::start("backend", listener, |_| {
             move |request| {
@@ -124,8 +143,38 @@
     async fn answer(&self, request: HttpRequest) -> HttpReply {
         match (request.method.as_str(), request.path.as_str()) {
             ("POST", "/faults") => self.set_faults(&request),
+            ("POST", "/restart") => self.restart(),
+            ("GET", "/report") => HttpReply::json(200, &self.report()),
             ("GET", "/runs") => HttpReply::json(200, &self.lock().runs),
-            _ => self.run(request).await,
+            _ => self.run_until_restart(request).await,
+        }
+    }
+
+    fn report(&self) -> Report {
+        let state = self.lock();
+        Report {
+            born: *self.born_ms.borrow(),
+            active: state.running,
+            seq: state.begun,
+        }
+    }
+
+    fn restart(&self) -> HttpReply {
+        {
+            let mut state = self.lock();
+            state.faults = BackendFaults::default();
+            state.begun = 0;
+        }
+        self.born_ms
+            .send_modify(|born_ms| *born_ms = unix_ms().max(*born_ms + 1));
+        HttpReply::json(200, &self.report())
+    }
+
+    async fn run_until_restart(&self, request: HttpRequest) -> HttpReply {
+        let mut born_ms = self.born_ms.subscribe();
+        tokio::select! {
+            reply = self.run(request) => reply,
+            _ = born_ms.changed() => cut(),
         }
     }
 
@@ -171,6 +220,7 @@
     fn note(&self, attempt: &str, request: &HttpRequest) {
         let mut state = self.lock();
         state.running += 1;
+        state.begun += 1;
         let run = state.runs.entry(attempt.to_owned()).or_default();
         run.count += 1;
         run.target = format!("{} {}", request.method, request.path);
@@ -195,6 +245,7 @@
             let is_cut = take_one(&mut state.faults.cut_bodies);
             (state.faults.delay_ms, state.faults.events, is_cut)
         };
+        let mut born_ms = self.born_ms.subscribe();
         actix_rt::spawn(async move {
             for number in 0..events {
                 let event = format!("id: {number}\ndata: word{number}\n\n");
@@ -202,7 +253,12 @@
                 if sent.is_err() || (is_cut && number + 1 == events) {
                     return;
                 }
-                actix_rt::time::sleep(Duration::from_millis(delay_ms)).await;
+                let pause = actix_rt::time::sleep(Duration::from_millis(delay_ms));
+                tokio::select! {
+                    () = pause => {}
+                    // Dropping the sender breaks the stream off.
+                    _ = born_ms.changed() => return,
+                }
             }
             // The caller may have gone before the end.
             let _ = sender.send(StreamPiece::End).await;
@@ -233,6 +289,12 @@
     }
 }
 
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let elapsed = since.unwrap_or_default();
+    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn not_run(status: u16, reason: &str) -> HttpReply {
     let mut reply = problem(status, reason, Ran::No, "not run");
     reply.headers.push(("not-executed", "1".to_owned()));
