Soak with restarts, overlapping series, and budgets counted by callers

The soak struck one fault after the other, its callers left a host as soon as it was asked to stop, and no program ever came near its budget of 1,000 tokens, so that its check of budgets could not fail.

Now faults come in series of up to four, several series at a time: kills of one, many or all hosts, SIGTERM (with STOP and CONT on its way, or ended by SIGKILL), STOP and CONT, SIGHUP with sound and spoilt settings, routes declared anew, the store, connections, and endpoints that start again under their id, with their entry lapsed, late, or followed by the one of the start before. Hosts come back under their names. Callers use their open connections until the process is gone. ROSEBEND_SOAK_HOSTS sets the number of processes.

New checks: no program is refused for its budget though it had not spent it (a turn counts at its most if it may have reached an endpoint and did not end whole); programs go on from turns of before the faults; no process panics or ends by itself. Budgets are 120 to 1,000 tokens and a share of the programs runs until it is stopped. A program may get one turn's most beyond its budget where the check before allowed none: that is the promise since draws of a gone host are forgiven, and the summary counts such programs.

--- a/gateway/tests/soak.rs
+++ b/gateway/tests/soak.rs
@@ -1,29 +1,37 @@
 //! A randomized soak: gateways as processes, callers that never stop, and
-//! faults from outside, several at a time.
+//! faults from outside, in series that overlap.
 //!
 //! CI plays the seeds of `SEEDS` for a few seconds each. By hand, with fresh
-//! seeds and for longer:
+//! seeds, for longer, and with as many processes as the machine bears:
 //!
 //! ```text
 //! ROSEBEND_SOAK_SEEDS=100-149 ROSEBEND_SOAK_SECONDS=20 \
 //!     cargo test -p rosebend-gateway --test soak -- --nocapture
+//! ROSEBEND_SOAK_SEEDS=200 ROSEBEND_SOAK_SECONDS=60 ROSEBEND_SOAK_HOSTS=200 \
+//!     cargo test -p rosebend-gateway --test soak -- --nocapture
 //! ```
 //!
-//! A seed that ever failed is added to `SEEDS` with a line on the cause.
+//! What comes when depends on the machine; what must hold does not. A seed that
+//! ever failed is added to `SEEDS` with a line on the cause.
 
 mod support;
 
+#[path = "soak/budgets.rs"]
+mod budgets;
 #[path = "soak/callers.rs"]
 mod callers;
 #[path = "soak/faults.rs"]
 mod faults;
+#[path = "soak/fleet.rs"]
+mod fleet;
 
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::str::FromStr;
 use std::time::{Duration, Instant};
 
 use callers::{Callers, Ledger};
-use faults::Fleet;
+use fleet::{Fleet, Shared};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use support::{Ask, until};
@@ -31,16 +39,23 @@
 /// Seeds that CI plays.
 const SEEDS: [u64; 2] = [1, 2];
 /// How long the faults of a seed come in CI.
-const SECONDS: u64 = 6;
-/// Callers that run programs at the same time.
+const SECONDS: u64 = 8;
+/// Hosts in CI.
+const HOSTS: usize = 3;
+/// Callers that run programs at the same time on a small fleet.
 const CALLERS: usize = 8;
+/// Hosts for each caller more.
+const HOSTS_PER_CALLER: usize = 5;
+/// Programs that must go on after the faults.
+const PROGRAMS_TO_GO_ON: usize = 40;
 
 #[actix_rt::test]
 async fn the_promises_hold_under_faults() {
-    let seeds = seeds();
-    for seed in seeds {
+    let seconds = setting("ROSEBEND_SOAK_SECONDS", SECONDS);
+    let hosts = setting("ROSEBEND_SOAK_HOSTS", HOSTS);
+    for seed in seeds() {
         println!("seed {seed}");
-        play(seed, Duration::from_secs(seconds())).await;
+        play(seed, hosts, Duration::from_secs(seconds)).await;
     }
 }
 
@@ -52,15 +67,20 @@
     (first.parse().unwrap()..=last.parse().unwrap()).collect()
 }
 
-fn seconds() -> u64 {
-    let text = std::env::var("ROSEBEND_SOAK_SECONDS");
-    text.map_or(SECONDS, |text| text.parse().unwrap())
+/// A number from the environment.
+fn setting<T: FromStr>(name: &str, default: T) -> T {
+    let text = std::env::var(name).ok();
+    text.map_or(default, |text| {
+        let number = text.parse().ok();
+        number.unwrap_or_else(|| panic!("{name} is no number: {text}"))
+    })
 }
 
-async fn play(seed: u64, time: Duration) {
-    let fleet = Rc::new(RefCell::new(Fleet::start().await));
+async fn play(seed: u64, hosts: usize, time: Duration) {
+    let fleet = Fleet::start(hosts).await;
     let ledger = Rc::new(RefCell::new(Ledger::default()));
-    let callers = Callers::start(CALLERS, seed, &fleet, &ledger);
+    let callers = CALLERS + hosts / HOSTS_PER_CALLER;
+    let callers = Callers::start(callers, seed, &fleet, &ledger);
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let end = Instant::now() + time;
     while Instant::now() < end {
@@ -69,17 +89,25 @@
     faults::heal(&fleet).await;
     callers.stop().await;
     check_recovery(&fleet, seed).await;
-    let runs = faults::all_runs(&fleet).await;
+    callers::go_on(PROGRAMS_TO_GO_ON, seed, &fleet, &ledger).await;
+    let defects = fleet.borrow_mut().defects();
+    assert!(defects.is_empty(), "seed {seed}: {defects:#?}");
+    let runs = fleet::all_runs(&fleet).await;
     let ledger = ledger.borrow();
-    println!("seed {seed}: {}", ledger.summary());
+    let memory_mb = fleet.borrow().memory_mb();
+    println!(
+        "seed {seed}: {}; {hosts} processes of {memory_mb} MB in all",
+        ledger.summary()
+    );
     ledger.check(&runs, seed);
 }
 
-/// Every gateway serves a new program once the faults are over.
-async fn check_recovery(fleet: &Rc<RefCell<Fleet>>, seed: u64) {
+/// Every host serves a new program once the faults are over.
+async fn check_recovery(fleet: &Shared, seed: u64) {
     let fronts = fleet.borrow().fronts();
+    let hosts = fleet.borrow().host_count();
+    assert_eq!(fronts.len(), hosts, "seed {seed}: a host is down");
     for (number, front) in fronts.into_iter().enumerate() {
-        let front = front.unwrap_or_else(|| panic!("seed {seed}: gateway {number} is down"));
         let tries = RefCell::new(0);
         until("a gateway serves again", async || {
             *tries.borrow_mut() += 1;
--- a/gateway/tests/soak/callers.rs
+++ b/gateway/tests/soak/callers.rs
@@ -1,29 +1,41 @@
 //! Callers that run programs, and what must be true of all that they saw.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix_rt::task::JoinHandle;
 use http::Method;
+use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rosebend_standin::backend::Runs;
 use rosebend_transport::connection::Connection;
 
-use crate::faults::Fleet;
+use crate::budgets::{Budgets, End};
+use crate::fleet::Shared;
 use crate::support::{Answer, Ask};
 
 /// Longest wait of a caller for one answer.
 const PATIENCE: Duration = Duration::from_secs(4);
-/// Tokens that a program may use.
-const BUDGET: u64 = 1_000;
-/// Tokens of one event, by the declared routes.
-const TOKENS_PER_EVENT: u64 = 10;
+/// Budgets of programs; the least holds one turn, and the most all turns of
+/// programs that end.
+const BUDGETS: [u64; 4] = [120, 250, 400, 1_000];
+/// Share of the programs that go on until their budget is spent.
+const RUNAWAYS: f64 = 0.15;
+/// Turns of such a program at most; by then each budget is spent.
+const RUNAWAY_TURNS: usize = 110;
+/// Share of the turns after which a sub-agent runs beside the program.
+const SUB_AGENTS: f64 = 0.1;
+/// Tries of one turn.
+const TRIES: usize = 8;
+/// Share of the requests that go out on an open connection, whatever has become
+/// of its host since.
+const KEPT: f64 = 0.7;
 /// Statuses that promise that a request has not run and never will.
-const PROMISES: [u16; 7] = [402, 404, 408, 413, 421, 429, 503];
+const PROMISES: [u16; 8] = [402, 404, 408, 410, 413, 421, 429, 503];
 
 /// What callers saw.
 #[derive(Default)]
@@ -32,8 +44,9 @@
     unsafe_answers: HashMap<String, u16>,
     /// Prompts that turns answered whole must have had.
     prompts: HashMap<String, String>,
-    /// Tokens handed out, by program.
-    tokens: HashMap<String, u64>,
+    budgets: Budgets,
+    /// Where each program stood after its last whole turn.
+    ends: BTreeMap<String, Said>,
     whole: u64,
     refused: u64,
     other: u64,
@@ -43,7 +56,8 @@
 impl Ledger {
     pub fn summary(&self) -> String {
         let (whole, refused, other) = (self.whole, self.refused, self.other);
-        format!("{whole} whole, {refused} refused, {other} other answers")
+        let budgets = self.budgets.summary();
+        format!("{whole} whole, {refused} refused, {other} other answers; {budgets}")
     }
 
     fn count(&mut self, answer: &Answer) {
@@ -84,15 +98,18 @@
             let run = run.unwrap_or_else(|| panic!("seed {seed}: {attempt} did not run"));
             assert_eq!(run.body, *prompt, "seed {seed}: {attempt}");
         }
-        for (program, tokens) in &self.tokens {
-            assert!(
-                *tokens <= BUDGET,
-                "seed {seed}: {program} got {tokens} tokens"
-            );
-        }
+        self.budgets.check(seed);
     }
 }
 
+/// All that was said up to the end of a turn.
+#[derive(Clone, Debug)]
+struct Said {
+    attempt: String,
+    text: String,
+    budget_tokens: u64,
+}
+
 /// Callers at work.
 pub struct Callers {
     stopping: Rc<Cell<bool>>,
@@ -100,12 +117,7 @@
 }
 
 impl Callers {
-    pub fn start(
-        count: usize,
-        seed: u64,
-        fleet: &Rc<RefCell<Fleet>>,
-        ledger: &Rc<RefCell<Ledger>>,
-    ) -> Self {
+    pub fn start(count: usize, seed: u64, fleet: &Shared, ledger: &Rc<RefCell<Ledger>>) -> Self {
         let stopping = Rc::new(Cell::new(false));
         let caller = |number| Caller {
             name: format!("s{seed}c{number}"),
@@ -113,7 +125,7 @@
             fleet: Rc::clone(fleet),
             ledger: Rc::clone(ledger),
             stopping: Rc::clone(&stopping),
-            connections: HashMap::new(),
+            connections: BTreeMap::new(),
             attempts: 0,
         };
         let tasks = (0..count).map(|number| actix_rt::spawn(caller(number).run()));
@@ -132,14 +144,37 @@
     }
 }
 
+/// Lets programs of before go on by one turn, which must be served now.
+pub async fn go_on(most: usize, seed: u64, fleet: &Shared, ledger: &Rc<RefCell<Ledger>>) {
+    let mut caller = Caller {
+        name: format!("s{seed}z"),
+        random: ChaCha8Rng::seed_from_u64(seed),
+        fleet: Rc::clone(fleet),
+        ledger: Rc::clone(ledger),
+        stopping: Rc::default(),
+        connections: BTreeMap::new(),
+        attempts: 0,
+    };
+    let ends = ledger.borrow().ends.clone();
+    let budgets = |program: &str| ledger.borrow().budgets.holds_a_turn(program);
+    let able = ends.into_iter().filter(|(program, _)| budgets(program));
+    for (program, said) in able.take(most) {
+        let next = caller.turn(&program, "last", said.budget_tokens, Some(&said));
+        if next.await.is_none() {
+            let violation = format!("{program} could not go on");
+            ledger.borrow_mut().violations.push(violation);
+        }
+    }
+}
+
 struct Caller {
     name: String,
     random: ChaCha8Rng,
-    fleet: Rc<RefCell<Fleet>>,
+    fleet: Shared,
     ledger: Rc<RefCell<Ledger>>,
     stopping: Rc<Cell<bool>>,
     /// Connections that are kept until their process is gone.
-    connections: HashMap<SocketAddr, Connection>,
+    connections: BTreeMap<SocketAddr, Connection>,
     attempts: u64,
 }
 
@@ -153,44 +188,102 @@
         }
     }
 
-    /// A program of a few turns, with calls of tools between them.
+    /// A program of a few turns, with calls of tools between them, and at times
+    /// a sub-agent beside it.
     async fn program(&mut self, program: &str) {
-        let mut previous: Option<(String, String)> = None;
-        for turn in 0..self.random.random_range(2..7) {
+        let budget_tokens = *BUDGETS.choose(&mut self.random).unwrap();
+        let turns = match self.random.random_bool(RUNAWAYS) {
+            true => RUNAWAY_TURNS,
+            false => self.random.random_range(2..7),
+        };
+        let mut said: Option<Said> = None;
+        let mut agents = Vec::new();
+        for turn in 0..turns {
             self.tool().await;
-            let Some(next) = self.turn(program, turn, previous.as_ref()).await else {
+            let name = turn.to_string();
+            said = self
+                .turn(program, &name, budget_tokens, said.as_ref())
+                .await;
+            let Some(said) = &said else {
+                break;
+            };
+            if self.random.random_bool(SUB_AGENTS) {
+                let agent = self.sub_agent(turn);
+                agents.push(actix_rt::spawn(
+                    agent.run_beside(program.to_owned(), said.clone()),
+                ));
+            }
+        }
+        for agent in agents {
+            agent.await.unwrap();
+        }
+    }
+
+    /// A caller that works for the same program.
+    fn sub_agent(&mut self, turn: usize) -> Self {
+        Self {
+            name: format!("{}t{}n{turn}", self.name, self.attempts),
+            random: ChaCha8Rng::seed_from_u64(self.random.random()),
+            fleet: Rc::clone(&self.fleet),
+            ledger: Rc::clone(&self.ledger),
+            stopping: Rc::clone(&self.stopping),
+            connections: BTreeMap::new(),
+            attempts: 0,
+        }
+    }
+
+    /// Two turns that go on from one of the program that it works for.
+    async fn run_beside(mut self, program: String, said: Said) {
+        let mut said = Some(said);
+        for turn in 0..2 {
+            let before = said.take();
+            let Some(before) = before else {
                 return;
             };
-            previous = Some(next);
+            let name = format!("{}.{turn}", self.name);
+            said = self
+                .turn(&program, &name, before.budget_tokens, Some(&before))
+                .await;
         }
     }
 
-    /// One turn, sent again until it is answered whole. Returns its attempt and
-    /// all that was said up to its end.
+    /// One turn, sent again until it is answered whole. Returns all that was
+    /// said up to its end.
     async fn turn(
         &mut self,
         program: &str,
-        turn: usize,
-        previous: Option<&(String, String)>,
-    ) -> Option<(String, String)> {
-        for _ in 0..8 {
+        turn: &str,
+        budget_tokens: u64,
+        previous: Option<&Said>,
+    ) -> Option<Said> {
+        let input = format!("{program}.{turn}|");
+        for _ in 0..TRIES {
             let attempt = self.attempt();
-            let input = format!("{program}.{turn}|");
-            let mut ask = Ask::turn(&attempt, program, &input);
-            if let Some((attempt, _)) = previous {
-                ask = ask.previous(attempt);
+            let mut ask = Ask::turn(&attempt, program, &input)
+                .header("token-budget", &budget_tokens.to_string());
+            if let Some(previous) = previous {
+                ask = ask.previous(&previous.attempt);
             }
+            let budgets = &self.ledger;
+            budgets
+                .borrow_mut()
+                .budgets
+                .begin(program, &attempt, budget_tokens);
             let answer = self.ask(&ask).await;
-            self.note_turn(program, &attempt, previous, &answer);
+            self.note_turn(program, &attempt, previous, answer.as_ref());
+            let answer = answer.unwrap_or_default();
             if answer.status == 200 && answer.is_whole {
-                let said = previous.map_or("", |(_, said)| said.as_str());
-                let prompt = format!("{said}{input}");
-                let output = output_of(&answer.body);
-                self.ledger
-                    .borrow_mut()
-                    .prompts
-                    .insert(attempt.clone(), prompt.clone());
-                return Some((attempt, format!("{prompt}{output}")));
+                let before = previous.map_or("", |said| said.text.as_str());
+                let prompt = format!("{before}{input}");
+                let said = Said {
+                    attempt,
+                    text: format!("{prompt}{}", output_of(&answer.body)),
+                    budget_tokens,
+                };
+                let mut ledger = self.ledger.borrow_mut();
+                ledger.prompts.insert(said.attempt.clone(), prompt);
+                ledger.ends.insert(program.to_owned(), said.clone());
+                return Some(said);
             }
             if answer.status == 402 || self.stopping.get() {
                 return None;
@@ -204,24 +297,24 @@
         &self,
         program: &str,
         attempt: &str,
-        previous: Option<&(String, String)>,
-        answer: &Answer,
+        previous: Option<&Said>,
+        answer: Option<&Answer>,
     ) {
         let mut ledger = self.ledger.borrow_mut();
+        ledger.budgets.end(program, attempt, end_of(answer));
+        let Some(answer) = answer else {
+            return;
+        };
         ledger.count(answer);
         ledger
             .unsafe_answers
             .insert(attempt.to_owned(), answer.status);
-        if answer.status == 404
-            && let Some((previous, _)) = previous
+        if [404, 410].contains(&answer.status)
+            && let Some(previous) = previous
         {
-            let violation = format!("{attempt}: {previous} was denied");
+            let violation = format!("{attempt}: {} was denied", previous.attempt);
             ledger.violations.push(violation);
         }
-        if answer.status == 200 {
-            let events = answer.body.matches("data: ").count() as u64;
-            *ledger.tokens.entry(program.to_owned()).or_default() += events * TOKENS_PER_EVENT;
-        }
     }
 
     /// A call that may or may not be repeated.
@@ -232,7 +325,9 @@
             true => Ask::new(Method::POST, "/fee/receipt").body("fee"),
             false => Ask::get("/lookup/status"),
         };
-        let answer = self.ask(&ask.attempt(&attempt)).await;
+        let Some(answer) = self.ask(&ask.attempt(&attempt)).await else {
+            return;
+        };
         let mut ledger = self.ledger.borrow_mut();
         ledger.count(&answer);
         if answer.status == 200 && answer.is_whole && answer.body != format!("answer to {attempt}")
@@ -250,22 +345,17 @@
         format!("{}a{}", self.name, self.attempts)
     }
 
-    /// Sends a request to a gateway at random, on a kept connection if there is
-    /// one; a request that got no answer is not known to have failed.
-    async fn ask(&mut self, ask: &Ask) -> Answer {
-        let fronts: Vec<SocketAddr> = self.fleet.borrow().fronts().into_iter().flatten().collect();
-        if fronts.is_empty() {
+    /// Sends a request to a host; none when it could not be sent. One that got
+    /// no answer is not known to have failed.
+    async fn ask(&mut self, ask: &Ask) -> Option<Answer> {
+        let Some(front) = self.choose() else {
             actix_rt::time::sleep(Duration::from_millis(50)).await;
-            return Answer::default();
-        }
-        let front = fronts[self.random.random_range(0..fronts.len())];
-        let kept = self.connections.remove(&front).filter(Connection::is_clean);
-        let connection = match kept {
-            Some(connection) => Ok(connection),
-            None => Connection::open(front).await,
+            return None;
         };
-        let Ok(mut connection) = connection else {
-            return Answer::default();
+        let kept = self.connections.remove(&front).filter(Connection::is_clean);
+        let mut connection = match kept {
+            Some(connection) => connection,
+            None => Connection::open(front).await.ok()?,
         };
         let answer = tokio::time::timeout(PATIENCE, ask.send_on(&mut connection)).await;
         let answer = answer.unwrap_or_default();
@@ -273,7 +363,32 @@
         if answer.status != 0 && answer.is_whole && !closes {
             self.connections.insert(front, connection);
         }
-        answer
+        Some(answer)
+    }
+
+    /// A host to which a connection is open, whether it is leaving or frozen,
+    /// or one that takes callers.
+    fn choose(&mut self) -> Option<SocketAddr> {
+        let open: Vec<SocketAddr> = self.connections.keys().copied().collect();
+        if !open.is_empty() && self.random.random_bool(KEPT) {
+            return open.choose(&mut self.random).copied();
+        }
+        let fronts = self.fleet.borrow().fronts();
+        fronts.choose(&mut self.random).copied()
+    }
+}
+
+/// How a turn ended, by what its caller got.
+fn end_of(answer: Option<&Answer>) -> End {
+    let Some(answer) = answer else {
+        return End::NotRun;
+    };
+    let events = answer.body.matches("data: ").count() as u64;
+    match answer.status {
+        200 if answer.is_whole => End::Whole { events },
+        402 => End::BudgetSpent,
+        status if PROMISES.contains(&status) => End::NotRun,
+        _ => End::Unknown { events },
     }
 }
 
--- a/gateway/tests/soak/faults.rs
+++ b/gateway/tests/soak/faults.rs
@@ -1,89 +1,135 @@
-//! The fleet under test, and what strikes it.
+//! What strikes the fleet: series of one kind of fault each, which overlap.
 
-use std::cell::RefCell;
-use std::net::{SocketAddr, TcpListener};
-use std::rc::Rc;
 use std::time::Duration;
 
-use rand::RngExt;
+use rand::seq::IndexedRandom;
+use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use rosebend_standin::backend::{BackendFaults, Runs};
-use rosebend_standin::server::RunningServer;
+use rosebend_standin::backend::BackendFaults;
 use rosebend_standin::store::StoreFaults;
-use rosebend_system_tests::relay::Relay;
 use serde_json::json;
 
-use crate::support::{self, Ask, Gateway, Site};
+use crate::fleet::{self, SOUND_MARGIN, Shared};
 
-const GATEWAYS: usize = 3;
+/// Faults in one series at most.
+const LONGEST_SERIES: u32 = 4;
 
-/// Three gateways, each with a door and a relay to the store of its own, and
-/// two endpoints of each service, each behind a relay.
-pub struct Fleet {
-    site: Site,
-    doors: Vec<RunningServer>,
-    store_relays: Vec<Relay>,
-    endpoint_relays: Vec<Relay>,
-    gateways: Vec<Option<Gateway>>,
-    version: u64,
+/// A kind of fault.
+#[derive(Clone, Copy, Debug)]
+enum Kind {
+    Door,
+    WholeStore,
+    SilentStore,
+    CutStore,
+    SilentEndpoint,
+    CutEndpoint,
+    FaultyEndpoint,
+    RestartedEndpoint,
+    DrainedEndpoint,
+    ForgottenHistory,
+    ChangedRoutes,
+    Kill,
+    KillMany,
+    Stop,
+    Freeze,
+    Reload,
 }
 
-impl Fleet {
-    pub async fn start() -> Self {
-        let mut site = Site::without_routes();
-        site.add_endpoint("models");
-        site.add_endpoint("desk");
-        let endpoints = site.endpoints.iter();
-        let relays = endpoints.map(|endpoint| Relay::start(endpoint.server.address()).unwrap());
-        let endpoint_relays: Vec<Relay> = relays.collect();
-        let listener = || TcpListener::bind("127.0.0.1:0").unwrap();
-        let doors = (0..GATEWAYS).map(|_| site.store.open_door(listener()).unwrap());
-        let doors: Vec<RunningServer> = doors.collect();
-        let store_relays = doors
-            .iter()
-            .map(|door| Relay::start(door.address()).unwrap());
-        let store_relays: Vec<Relay> = store_relays.collect();
-        let mut fleet = Self {
-            site,
-            doors,
-            store_relays,
-            endpoint_relays,
-            gateways: Vec::new(),
-            version: 1,
-        };
-        for index in 0..fleet.site.endpoints.len() {
-            fleet.announce(index, "ready");
-        }
-        fleet.site.declare(1);
-        fleet.gateways = (0..GATEWAYS)
-            .map(|index| Some(fleet.gateway(index)))
-            .collect();
-        for gateway in fleet.gateways.iter().flatten() {
-            gateway.until_ready().await;
-        }
-        fleet
-    }
+const KINDS: [Kind; 16] = [
+    Kind::Door,
+    Kind::WholeStore,
+    Kind::SilentStore,
+    Kind::CutStore,
+    Kind::SilentEndpoint,
+    Kind::CutEndpoint,
+    Kind::FaultyEndpoint,
+    Kind::RestartedEndpoint,
+    Kind::DrainedEndpoint,
+    Kind::ForgottenHistory,
+    Kind::ChangedRoutes,
+    Kind::Kill,
+    Kind::KillMany,
+    Kind::Stop,
+    Kind::Freeze,
+    Kind::Reload,
+];
 
-    fn gateway(&self, index: usize) -> Gateway {
-        Gateway::start(self.store_relays[index].address())
+/// Begins a series of faults and waits for a short while. Earlier series may
+/// still last.
+pub async fn strike(fleet: &Shared, random: &mut ChaCha8Rng) {
+    let kind = *KINDS.choose(random).unwrap();
+    let own = ChaCha8Rng::seed_from_u64(random.next_u64());
+    let series = actix_rt::spawn(series(fleet.clone(), kind, own));
+    fleet.borrow_mut().keep(series);
+    pause(random, 50, 600).await;
+}
+
+/// Waits for the end of all series, ends all faults and starts every host.
+pub async fn heal(fleet: &Shared) {
+    let series = fleet.borrow_mut().take_series();
+    for series in series {
+        series.await.unwrap();
+    }
+    let doors = fleet.borrow().door_count();
+    for door in 0..doors {
+        fleet::set_door_faults(fleet, door, &StoreFaults::default()).await;
     }
+    let endpoints = fleet.borrow().endpoint_count();
+    for endpoint in 0..endpoints {
+        fleet::set_endpoint_faults(fleet, endpoint, &BackendFaults::default()).await;
+        announce(fleet, endpoint, "ready").await;
+    }
+    let mut fleet = fleet.borrow_mut();
+    for host in 0..fleet.host_count() {
+        fleet.start_host(host);
+    }
+}
 
-    /// Where each gateway takes callers, as far as it runs.
-    pub fn fronts(&self) -> Vec<Option<SocketAddr>> {
-        let gateways = self.gateways.iter();
-        gateways
-            .map(|gateway| Some(gateway.as_ref()?.front))
-            .collect()
+async fn series(fleet: Shared, kind: Kind, mut random: ChaCha8Rng) {
+    for _ in 0..random.random_range(1..=LONGEST_SERIES) {
+        fault(&fleet, kind, &mut random).await;
+        pause(&mut random, 10, 400).await;
     }
+}
 
-    fn announce(&self, index: usize, state: &str) {
-        let endpoint = &self.site.endpoints[index];
-        let address = self.endpoint_relays[index].address().to_string();
-        let entry = json!({
-            "service": endpoint.service, "address": address, "zone": "newport-hall",
-            "version": "v1", "slots": 8, "state": state, "cold-left-ms": 0, "seq": 1,
-        });
-        self.site.store.put("servers", &endpoint.instance, &entry);
+async fn fault(fleet: &Shared, kind: Kind, random: &mut ChaCha8Rng) {
+    let host = random.random_range(0..fleet.borrow().host_count());
+    let door = random.random_range(0..fleet.borrow().door_count());
+    let endpoint = random.random_range(0..fleet.borrow().endpoint_count());
+    match kind {
+        Kind::Door => fail_doors(fleet, door..door + 1, random).await,
+        Kind::WholeStore => {
+            let doors = fleet.borrow().door_count();
+            fail_doors(fleet, 0..doors, random).await;
+        }
+        Kind::SilentStore => fleet.borrow().store_relays[door].silence(),
+        Kind::CutStore => fleet.borrow().store_relays[door].cut(),
+        Kind::SilentEndpoint => fleet.borrow().endpoint_relays[endpoint].silence(),
+        Kind::CutEndpoint => fleet.borrow().endpoint_relays[endpoint].cut(),
+        Kind::FaultyEndpoint => {
+            let faults = endpoint_faults(random);
+            fleet::set_endpoint_faults(fleet, endpoint, &faults).await;
+        }
+        Kind::RestartedEndpoint => restart_endpoint(fleet, endpoint, random).await,
+        Kind::DrainedEndpoint => {
+            announce(fleet, endpoint, "draining").await;
+            pause(random, 200, 800).await;
+            announce(fleet, endpoint, "ready").await;
+        }
+        Kind::ForgottenHistory => fleet.borrow().site.store.forget_history(),
+        Kind::ChangedRoutes => fleet
+            .borrow_mut()
+            .declare(random.random_range(2_500..3_500)),
+        Kind::Kill => kill(fleet, &[host], random).await,
+        Kind::KillMany => {
+            let share = *[0.3, 0.6, 1.0].choose(random).unwrap();
+            let hosts = 0..fleet.borrow().host_count();
+            let struck: Vec<usize> = hosts.filter(|_| random.random_bool(share)).collect();
+            kill(fleet, &struck, random).await;
+        }
+        Kind::Stop => stop(fleet, host, random).await,
+        Kind::Freeze => freeze(fleet, host, random).await,
+        Kind::Reload => reload(fleet, host, random).await,
     }
 }
 
@@ -93,56 +139,15 @@
     actix_rt::time::sleep(Duration::from_millis(wait_ms)).await;
 }
 
-/// Begins one fault at random and waits for a short while. Earlier ones may
-/// still last.
-pub async fn strike(fleet: &Rc<RefCell<Fleet>>, random: &mut ChaCha8Rng) {
-    let index = random.random_range(0..GATEWAYS);
-    let endpoint = random.random_range(0..4);
-    match random.random_range(0..14) {
-        0 => door(fleet, index, store_faults(random)).await,
-        1 => door(fleet, index, StoreFaults::default()).await,
-        2 => fleet.borrow().store_relays[index].silence(),
-        3 => fleet.borrow().store_relays[index].cut(),
-        4 => fleet.borrow().endpoint_relays[endpoint].silence(),
-        5 => fleet.borrow().endpoint_relays[endpoint].cut(),
-        6 => endpoint_faults(fleet, endpoint, random).await,
-        7 => fleet.borrow().site.store.forget_history(),
-        8 => declare(fleet),
-        9 => drain(fleet, endpoint, random).await,
-        10 => kill(fleet, index).await,
-        11 => stop(fleet, index),
-        12 => freeze(fleet, index, random).await,
-        _ => whole_store(fleet, random).await,
-    }
-    pause(random, 50, 400).await;
-}
-
-/// Ends all faults and brings every process back.
-pub async fn heal(fleet: &Rc<RefCell<Fleet>>) {
-    for index in 0..GATEWAYS {
-        door(fleet, index, StoreFaults::default()).await;
-    }
-    for endpoint in 0..4 {
-        let address = fleet.borrow().site.endpoints[endpoint].server.address();
-        post(address, &json!(BackendFaults::default())).await;
-        fleet.borrow().announce(endpoint, "ready");
-    }
-    for index in 0..GATEWAYS {
-        if fleet.borrow().gateways[index].is_none() {
-            start(fleet, index);
-        }
+async fn fail_doors(fleet: &Shared, doors: std::ops::Range<usize>, random: &mut ChaCha8Rng) {
+    let faults = store_faults(random);
+    for door in doors.clone() {
+        fleet::set_door_faults(fleet, door, &faults).await;
     }
-}
-
-/// What ran at all endpoints.
-pub async fn all_runs(fleet: &Rc<RefCell<Fleet>>) -> Vec<Runs> {
-    let mut runs = Vec::new();
-    for endpoint in 0..4 {
-        let address = fleet.borrow().site.endpoints[endpoint].server.address();
-        let answer = Ask::get("/runs").send(address).await;
-        runs.push(serde_json::from_str(&answer.body).unwrap());
+    pause(random, 200, 1_500).await;
+    for door in doors {
+        fleet::set_door_faults(fleet, door, &StoreFaults::default()).await;
     }
-    runs
 }
 
 fn store_faults(random: &mut ChaCha8Rng) -> StoreFaults {
@@ -157,23 +162,7 @@
     faults
 }
 
-async fn door(fleet: &Rc<RefCell<Fleet>>, index: usize, faults: StoreFaults) {
-    let address = fleet.borrow().doors[index].address();
-    post(address, &json!(faults)).await;
-}
-
-async fn whole_store(fleet: &Rc<RefCell<Fleet>>, random: &mut ChaCha8Rng) {
-    let faults = store_faults(random);
-    for index in 0..GATEWAYS {
-        door(fleet, index, faults.clone()).await;
-    }
-    pause(random, 200, 1_500).await;
-    for index in 0..GATEWAYS {
-        door(fleet, index, StoreFaults::default()).await;
-    }
-}
-
-async fn endpoint_faults(fleet: &Rc<RefCell<Fleet>>, endpoint: usize, random: &mut ChaCha8Rng) {
+fn endpoint_faults(random: &mut ChaCha8Rng) -> BackendFaults {
     let mut faults = BackendFaults {
         delay_ms: random.random_range(0..60),
         events: random.random_range(1..6),
@@ -187,62 +176,91 @@
         3 => faults.other_attempt = count,
         _ => faults.unstamped = count,
     }
-    let address = fleet.borrow().site.endpoints[endpoint].server.address();
-    post(address, &json!(faults)).await;
-}
-
-async fn post(address: SocketAddr, faults: &serde_json::Value) {
-    let ask = Ask::new(http::Method::POST, "/faults").body(&faults.to_string());
-    assert_eq!(ask.send(address).await.status, 200);
-}
-
-fn declare(fleet: &Rc<RefCell<Fleet>>) {
-    let mut fleet = fleet.borrow_mut();
-    fleet.version += 3;
-    let version = fleet.version;
-    fleet
-        .site
-        .store
-        .put("op", "config", &support::routes(version));
+    faults
 }
 
-async fn drain(fleet: &Rc<RefCell<Fleet>>, endpoint: usize, random: &mut ChaCha8Rng) {
-    fleet.borrow().announce(endpoint, "draining");
-    pause(random, 200, 800).await;
-    fleet.borrow().announce(endpoint, "ready");
+/// Writes the entry of an endpoint's present start.
+async fn announce(fleet: &Shared, endpoint: usize, state: &str) {
+    let address = fleet.borrow().endpoint_address(endpoint);
+    let born_ms = fleet::report(address).await.born;
+    fleet.borrow().announce(endpoint, state, born_ms);
 }
 
-fn start(fleet: &Rc<RefCell<Fleet>>, index: usize) {
-    let gateway = fleet.borrow().gateway(index);
-    fleet.borrow_mut().gateways[index] = Some(gateway);
+/// Lets an endpoint fall and start again under its id, for a time that may be
+/// shorter than any heartbeat. Its entry may lapse meanwhile, and the one of the
+/// start before may be heard once more.
+async fn restart_endpoint(fleet: &Shared, endpoint: usize, random: &mut ChaCha8Rng) {
+    let address = fleet.borrow().endpoint_address(endpoint);
+    let old_ms = fleet::report(address).await.born;
+    fleet.borrow().endpoint_relays[endpoint].refuse(true);
+    fleet.borrow().endpoint_relays[endpoint].cut();
+    fleet::post(address, "/restart", &json!({})).await;
+    if random.random_bool(0.3) {
+        fleet.borrow().forget(endpoint);
+    }
+    pause(random, 10, 900).await;
+    fleet.borrow().endpoint_relays[endpoint].refuse(false);
+    if random.random_bool(0.3) {
+        // It takes requests before its entry says that it has started.
+        pause(random, 10, 300).await;
+    }
+    announce(fleet, endpoint, "ready").await;
+    if random.random_bool(0.3) {
+        fleet.borrow().announce(endpoint, "ready", old_ms);
+        pause(random, 10, 100).await;
+        announce(fleet, endpoint, "ready").await;
+    }
 }
 
-async fn kill(fleet: &Rc<RefCell<Fleet>>, index: usize) {
-    // Dropping a gateway kills it.
-    drop(fleet.borrow_mut().gateways[index].take());
-    actix_rt::time::sleep(Duration::from_millis(100)).await;
-    start(fleet, index);
+/// Kills the processes of some hosts at once and starts them again.
+async fn kill(fleet: &Shared, hosts: &[usize], random: &mut ChaCha8Rng) {
+    for &host in hosts {
+        // Dropping a process kills it.
+        drop(fleet.borrow_mut().take(host));
+    }
+    pause(random, 50, 400).await;
+    for &host in hosts {
+        fleet.borrow_mut().start_host(host);
+    }
 }
 
-/// Asks a gateway to stop, and starts another in its place at once.
-fn stop(fleet: &Rc<RefCell<Fleet>>, index: usize) {
-    let old = fleet.borrow_mut().gateways[index].take();
-    start(fleet, index);
-    if let Some(mut old) = old {
-        old.signal("TERM");
-        actix_rt::spawn(async move {
-            assert_eq!(old.exit_code().await, Some(0));
-        });
+/// Asks a process to stop. It may stand still or be killed on its way, and
+/// another host may take its place at once.
+async fn stop(fleet: &Shared, host: usize, random: &mut ChaCha8Rng) {
+    let Some(mut old) = fleet.borrow_mut().take(host) else {
+        return;
+    };
+    old.signal("TERM");
+    if random.random_bool(0.5) {
+        fleet.borrow_mut().replace_host(host);
+    }
+    if random.random_bool(0.2) {
+        old.signal("STOP");
+        pause(random, 50, 800).await;
+        old.signal("CONT");
     }
+    if random.random_bool(0.2) {
+        pause(random, 10, 800).await;
+        old.kill();
+    } else {
+        assert_eq!(old.exit_code().await, Some(0));
+    }
+    fleet.borrow_mut().note_panics(&old);
+    fleet.borrow_mut().start_host(host);
 }
 
-async fn freeze(fleet: &Rc<RefCell<Fleet>>, index: usize, random: &mut ChaCha8Rng) {
-    let frozen = fleet.borrow_mut().gateways[index].take();
-    let Some(gateway) = frozen else {
+async fn freeze(fleet: &Shared, host: usize, random: &mut ChaCha8Rng) {
+    let Some(id) = fleet.borrow_mut().freeze(host) else {
         return;
     };
-    gateway.signal("STOP");
     pause(random, 100, 1_500).await;
-    gateway.signal("CONT");
-    fleet.borrow_mut().gateways[index] = Some(gateway);
+    fleet.borrow_mut().wake(host, id);
+}
+
+/// Changes a host's settings, or spoils them, and puts them right again.
+async fn reload(fleet: &Shared, host: usize, random: &mut ChaCha8Rng) {
+    let margin = *["600", "never"].choose(random).unwrap();
+    fleet.borrow_mut().set_margin(host, margin);
+    pause(random, 10, 300).await;
+    fleet.borrow_mut().set_margin(host, SOUND_MARGIN);
 }
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -8,7 +8,7 @@
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -190,6 +190,7 @@
     pub metrics: SocketAddr,
     settings: PathBuf,
     lines: Arc<Mutex<Vec<String>>>,
+    panics: Arc<Mutex<Vec<String>>>,
 }
 
 impl Gateway {
@@ -200,9 +201,19 @@
     /// Starts a gateway; `reads_on` tells whether its output is read on after
     /// the lines that tell its addresses.
     pub fn start_reading(store: SocketAddr, reads_on: bool) -> Self {
+        Self::start_on(&Self::new_host(), store, reads_on)
+    }
+
+    /// A host's name that no other test of the process has.
+    pub fn new_host() -> String {
+        format!("gateway-{}", unique())
+    }
+
+    /// Starts the process of a host, which may have run one before.
+    pub fn start_on(host: &str, store: SocketAddr, reads_on: bool) -> Self {
         let number = unique();
         let settings = format!(
-            "[gateway]\nhost = gateway-{number}\navailability_zone = newport-hall\n\
+            "[gateway]\nhost = {host}\navailability_zone = newport-hall\n\
              front_listen = 127.0.0.1:0\nready_listen = 127.0.0.1:0\n\
              metrics_listen = 127.0.0.1:0\nrelay_listen = 127.0.0.1:0\nstop_grace_s = 8\nretention_margin_ms = 500\n[store]\naddress = {store}\n"
         );
@@ -213,8 +224,11 @@
             .arg("--config")
             .arg(&path)
             .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
             .spawn()
             .unwrap();
+        let panics = Arc::new(Mutex::new(Vec::new()));
+        note_panics(child.stderr.take().unwrap(), Arc::clone(&panics));
         let mut output = BufReader::new(child.stdout.take().unwrap());
         let lines = Arc::new(Mutex::new(Vec::new()));
         let mut addresses = Vec::new();
@@ -239,6 +253,7 @@
             metrics: of("metrics"),
             settings: path,
             lines: Arc::clone(&lines),
+            panics,
         };
         std::thread::spawn(move || {
             if !reads_on {
@@ -289,6 +304,16 @@
             .collect()
     }
 
+    /// What panicked in it so far; the process may go on without that part.
+    pub fn panics(&self) -> Vec<String> {
+        self.panics.lock().unwrap().clone()
+    }
+
+    /// Whether the process has not ended.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
     /// Id of the process.
     pub fn id(&self) -> u32 {
         self.child.id()
@@ -318,6 +343,18 @@
     }
 }
 
+/// Passes on what a process writes as errors, and keeps the panics.
+fn note_panics(errors: ChildStderr, panics: Arc<Mutex<Vec<String>>>) {
+    std::thread::spawn(move || {
+        for line in BufReader::new(errors).lines().map_while(Result::ok) {
+            eprintln!("{line}");
+            if line.contains("panicked at") {
+                panics.lock().unwrap().push(line);
+            }
+        }
+    });
+}
+
 impl Drop for Gateway {
     fn drop(&mut self) {
         // It may have ended already.
