--- a/gateway/tests/soak.rs
+++ b/gateway/tests/soak.rs
@@ -99,6 +99,10 @@
         "seed {seed}: {}; {hosts} processes of {memory_mb} MB in all",
         ledger.summary()
     );
+    if let Some(refused) = ledger.wrongly_refused() {
+        let trail = fleet.borrow().trail(&[&refused.program, &refused.attempt]);
+        println!("{}", trail.join("\n"));
+    }
     ledger.check(&runs, seed);
 }
 
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -293,6 +293,11 @@
         self.lines.lock().unwrap().clone()
     }
 
+    /// Its log, which outlasts the process.
+    pub fn shared_log(&self) -> Arc<Mutex<Vec<String>>> {
+        Arc::clone(&self.lines)
+    }
+
     /// The events of its log so far that have a name.
     pub fn events(&self, name: &str) -> Vec<Value> {
         let lines = self.log();
