Reproduce a refusal for a draw whose turn has ended

On a route without history a turn's end is handed out before its settlement is durable. If the turn used tokens that its host had drawn ahead and the program's next turn comes to another host meanwhile, that host asks the first one, which knows of a turn that is about to be settled only where the turn had a reservation of its own: it says that the draw is in use, and the next turn is answered 402, for good, where 503 with a time to come back or a wait of some milliseconds would do.

Ruled out: that the budget does not hold the turn. With the first answer not looked at, the second attempt of the test is served once all is settled.

--- a/gateway/tests/budget.rs
+++ b/gateway/tests/budget.rs
@@ -243,3 +243,36 @@
     assert_eq!(ask.send(gateway.front).await.status, 200);
     assert_eq!(site.store.stats().transactions, 1);
 }
+
+/// A turn that used tokens drawn ahead has ended, and its settlement is on its
+/// way: its program's next turn comes to another host.
+#[actix_rt::test]
+async fn a_draw_that_is_being_settled_is_waited_for() {
+    let site = Site::start();
+    let door = site
+        .store
+        .open_door(TcpListener::bind("127.0.0.1:0").unwrap())
+        .unwrap();
+    let slow = Gateway::start(door.address());
+    let other = site.gateway();
+    slow.until_ready().await;
+    other.until_ready().await;
+    for (attempt, host) in [("t1", &slow), ("t2", &other)] {
+        assert_eq!(unkept(attempt, 250).send(host.front).await.status, 200);
+        until_settled(host).await;
+    }
+    let faults = StoreFaults {
+        slow_ms: 250,
+        ..StoreFaults::default()
+    };
+    let faults =
+        Ask::new(http::Method::POST, "/faults").body(&serde_json::json!(faults).to_string());
+    assert_eq!(faults.send(door.address()).await.status, 200);
+    assert_eq!(unkept("t3", 250).send(slow.front).await.status, 200);
+    // 90 tokens of 250 are spent, and the budget holds one more turn.
+    let answer = unkept("t4", 250).send(other.front).await;
+    assert_ne!(answer.status, 402, "{}", answer.body);
+    until_settled(&slow).await;
+    let answer = unkept("t5", 250).send(other.front).await;
+    assert_eq!(answer.status, 200, "{}", answer.body);
+}
