Forget a relay's connections once they have ended

The relay of the tests kept both ends of every connection until it was cut, so that a soak with 200 hosts ran out of its 20,000 descriptors within 20 s. A connection is now forgotten when it is passed on in neither direction any more; silence and cut do what they did.

--- a/system-tests/src/relay.rs
+++ b/system-tests/src/relay.rs
@@ -5,6 +5,7 @@
 //! closes every open connection; [`Relay::refuse`] accepts no new ones.
 
 use std::{
+    collections::HashMap,
     io::{self, Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
@@ -31,8 +32,16 @@
     /// Number of the next connection.
     next: AtomicU64,
     refuse: AtomicBool,
-    /// Both ends of the open connections.
-    open: Mutex<Vec<TcpStream>>,
+    /// The open connections by their numbers.
+    open: Mutex<HashMap<u64, Open>>,
+}
+
+/// A connection that is passed on.
+#[derive(Debug)]
+struct Open {
+    ends: [TcpStream; 2],
+    /// Directions in which it is still passed on; it is forgotten with the last.
+    directions: u8,
 }
 
 impl Relay {
@@ -63,9 +72,11 @@
 
     /// Closes the open connections.
     pub fn cut(&self) {
-        for stream in self.state.lock_open().drain(..) {
-            // It may be closed already.
-            let _ = stream.shutdown(Shutdown::Both);
+        for (_, open) in self.state.lock_open().drain() {
+            for end in open.ends {
+                // It may be closed already.
+                let _ = end.shutdown(Shutdown::Both);
+            }
         }
     }
 
@@ -81,10 +92,21 @@
 }
 
 impl State {
-    fn lock_open(&self) -> std::sync::MutexGuard<'_, Vec<TcpStream>> {
+    fn lock_open(&self) -> std::sync::MutexGuard<'_, HashMap<u64, Open>> {
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Notes that a connection is not passed on any more in one direction.
+    fn end_direction(&self, number: u64) {
+        let mut connections = self.lock_open();
+        if let Some(open) = connections.get_mut(&number) {
+            open.directions -= 1;
+            if open.directions == 0 {
+                connections.remove(&number);
+            }
+        }
+    }
+
     fn is_silent(&self, number: u64) -> bool {
         number < self.silent_below.load(Ordering::SeqCst)
     }
@@ -118,10 +140,11 @@
     near.set_nodelay(true)?;
     far.set_nodelay(true)?;
     let number = state.next.fetch_add(1, Ordering::SeqCst);
-    let mut open = state.lock_open();
-    open.push(near.try_clone()?);
-    open.push(far.try_clone()?);
-    drop(open);
+    let open = Open {
+        ends: [near.try_clone()?, far.try_clone()?],
+        directions: 2,
+    };
+    state.lock_open().insert(number, open);
     pass(near.try_clone()?, far.try_clone()?, number, state);
     pass(far, near, number, state);
     Ok(())
@@ -139,11 +162,10 @@
                 break;
             }
         }
-        if state
-            .upgrade()
-            .is_some_and(|state| !state.is_silent(number))
-        {
+        let Some(state) = state.upgrade() else { return };
+        if !state.is_silent(number) {
             let _ = to.shutdown(Shutdown::Write);
         }
+        state.end_direction(number);
     });
 }
