--- a/gateway/tests/soak.rs
+++ b/gateway/tests/soak.rs
@@ -37,6 +37,17 @@
 use support::{Ask, until};
 
 /// Seeds that CI plays.
+///
+/// - 2: a turn was refused for tokens drawn ahead at another host, whose turn had
+///   ended and was being settled, on a route without history; see `budget.rs`.
+///
+/// By hand with 200 hosts, not in CI, causes not found yet:
+///
+/// - 300: a sub-agent's turn was refused for a draw that another host made anew
+///   while the turn had the one before given up; in one of two runs a program
+///   got 1,210 tokens of 1,000.
+/// - 301: a program on a route without history got 510 tokens of 400 after an
+///   outage of the store.
 const SEEDS: [u64; 2] = [1, 2];
 /// How long the faults of a seed come in CI.
 const SECONDS: u64 = 8;
@@ -103,6 +114,9 @@
         let trail = fleet.borrow().trail(&[&refused.program, &refused.attempt]);
         println!("{}", trail.join("\n"));
     }
+    if let Some(program) = ledger.overspent() {
+        println!("{}", fleet.borrow().trail(&[program]).join("\n"));
+    }
     ledger.check(&runs, seed);
 }
 
--- a/gateway/tests/soak/budgets.rs
+++ b/gateway/tests/soak/budgets.rs
@@ -128,6 +128,14 @@
         self.wrongly_refused.first().cloned()
     }
 
+    /// A program that got more than a turn's most beyond its budget.
+    pub fn overspent(&self) -> Option<&str> {
+        let mut programs = self.programs.iter();
+        let (program, _) = programs
+            .find(|(_, account)| account.handed_out_tokens > account.budget_tokens + MOST_TOKENS)?;
+        Some(program)
+    }
+
     /// Checks that every budget was kept, and that none was kept from its
     /// program. The death or silence of a host may cost one turn's most.
     pub fn check(&self, seed: u64) {
--- a/gateway/tests/soak/callers.rs
+++ b/gateway/tests/soak/callers.rs
@@ -67,6 +67,11 @@
         self.budgets.wrongly_refused()
     }
 
+    /// A program that got more than its budget allows.
+    pub fn overspent(&self) -> Option<&str> {
+        self.budgets.overspent()
+    }
+
     fn count(&mut self, answer: &Answer) {
         match answer.status {
             200 if answer.is_whole => self.whole += 1,
