--- a/standin/src/backend.rs
+++ b/standin/src/backend.rs
@@ -6,11 +6,9 @@
 //! | any with an attempt, path with `/stream` | streams events, after `Last-Event-Id` where it is told |
 //! | any other with an attempt | answers after the delay |
 //! | `POST /faults` [`BackendFaults`] | changes the faults |
-//! | `GET /runs` [`Runs`] | what has run at this start, by attempt |
-//! | `GET /report` | its state, with the time of its start |
-//!
-//! It may start again under the id that it had, at the same address or another
-//! one; it knows nothing of before then.
+//! | `POST /restart` | breaks off what runs and starts again under the same id |
+//! | `GET /report` [`Report`] | what it says of itself |
+//! | `GET /runs` [`Runs`] | what has run at any start, by attempt |
 
 use std::collections::BTreeMap;
 use std::io;
@@ -23,7 +21,7 @@
 use rosebend_transport::http_server::{HttpReply, HttpRequest, ReplyBody, StreamPiece};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 use crate::reply::{cut, parse, problem, take_one};
 use crate::server::RunningServer;
@@ -97,11 +95,25 @@
 /// What has run, by attempt.
 pub type Runs = BTreeMap<String, Run>;
 
+/// What an endpoint says of itself.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Report {
+    /// Unix millisecond of its start.
+    pub born: u64,
+    /// Requests that run.
+    pub active: u64,
+    /// Requests that it has begun since its start.
+    pub seq: u64,
+}
+
 #[derive(Debug, Default)]
 struct State {
     faults: BackendFaults,
+    /// Record for tests; it outlasts the endpoint's starts.
     runs: Runs,
     running: u64,
+    begun: u64,
 }
 
 /// The time of day in whole milliseconds, as a start tells it.
@@ -114,9 +126,9 @@
 #[derive(Clone, Debug)]
 pub struct Backend {
     instance: String,
-    /// Time of day at which it started.
-    born_ms: u64,
     state: Arc<Mutex<State>>,
+    /// Unix millisecond of the present start; each is later than the one before.
+    born_ms: Arc<watch::Sender<u64>>,
 }
 
 /// Counts a request while it runs.
@@ -154,8 +166,8 @@
     ) -> io::Result<RunningServer> {
         let backend = Self {
             instance: instance.to_owned(),
-            born_ms,
             state: Arc::default(),
+            born_ms: Arc::new(watch::Sender::new(born_ms)),
         };
         RunningServer::start("backend", listener, |_| {
             move |request| {
@@ -168,9 +180,38 @@
     async fn answer(&self, request: HttpRequest) -> HttpReply {
         match (request.method.as_str(), request.path.as_str()) {
             ("POST", "/faults") => self.set_faults(&request),
-            ("GET", "/report") => self.report(),
+            ("POST", "/restart") => self.restart(),
+            ("GET", "/report") => HttpReply::json(200, &self.report()),
             ("GET", "/runs") => HttpReply::json(200, &self.lock().runs),
-            _ => self.run(request).await,
+            _ => self.run_until_restart(request).await,
+        }
+    }
+
+    fn report(&self) -> Report {
+        let state = self.lock();
+        Report {
+            born: *self.born_ms.borrow(),
+            active: state.running,
+            seq: state.begun,
+        }
+    }
+
+    fn restart(&self) -> HttpReply {
+        {
+            let mut state = self.lock();
+            state.faults = BackendFaults::default();
+            state.begun = 0;
+        }
+        self.born_ms
+            .send_modify(|born_ms| *born_ms = time_of_day_ms().max(*born_ms + 1));
+        HttpReply::json(200, &self.report())
+    }
+
+    async fn run_until_restart(&self, request: HttpRequest) -> HttpReply {
+        let mut born_ms = self.born_ms.subscribe();
+        tokio::select! {
+            reply = self.run(request) => reply,
+            _ = born_ms.changed() => cut(),
         }
     }
 
@@ -184,16 +225,6 @@
         }
     }
 
-    fn report(&self) -> HttpReply {
-        let active = self.lock().running;
-        let report = json!({
-            "stage": "both", "models": [], "busy": false, "seq": 0, "queued": 0,
-            "active": active, "kv-used": 0, "kv-total": 0, "handles": 0,
-            "born": self.born_ms,
-        });
-        HttpReply::json(200, &report)
-    }
-
     async fn run(&self, request: HttpRequest) -> HttpReply {
         let Some(attempt) = request.header("attempt-id").map(str::to_owned) else {
             return not_run(400, "no-attempt");
@@ -226,6 +257,7 @@
     fn note(&self, attempt: &str, request: &HttpRequest) {
         let mut state = self.lock();
         state.running += 1;
+        state.begun += 1;
         let run = state.runs.entry(attempt.to_owned()).or_default();
         run.count += 1;
         run.target = format!("{} {}", request.method, request.path);
@@ -250,12 +282,18 @@
             let plan = StreamPlan::new(&mut state.faults, request);
             (plan, state.faults.delay_ms)
         };
+        let mut born_ms = self.born_ms.subscribe();
         actix_rt::spawn(async move {
             for event in plan.pieces {
                 if sender.send(StreamPiece::Data(event)).await.is_err() {
                     return;
                 }
-                actix_rt::time::sleep(Duration::from_millis(delay_ms)).await;
+                let pause = actix_rt::time::sleep(Duration::from_millis(delay_ms));
+                tokio::select! {
+                    () = pause => {}
+                    // Dropping the sender breaks the stream off.
+                    _ = born_ms.changed() => return,
+                }
             }
             match plan.end {
                 StreamEnd::Whole => {
