Let the dispatch stand above what it dispatches to

call.rs held both the type that everything which serves a request works on and the code that gives requests to it, so that eight modules of the gateway knew each other in a circle, and recall and gateway another two. The type stays in call.rs; dispatch.rs reads a request by intake.rs and gives it to plain or turn; the addresses of holders have a module of their own. Nothing is decided differently; all tests of the gateway pass.

--- a/coordination/src/gateway.rs
+++ b/coordination/src/gateway.rs
@@ -4,12 +4,12 @@
 //!
 //! | question | where | who asks |
 //! |---|---|---|
-//! | which route a request takes, and which service serves it | [`route_table`] | `call` |
+//! | which route a request takes, and which service serves it | [`route_table`] | `intake` |
 //! | which endpoints are there, and which of them runs a request | [`directory`], its prices in `directory::cost` | `watch`, `gossip`, `exchange` |
 //! | which entries name no endpoint to use | [`refusals`] | `watch` |
 //! | what follows when an endpoint did not answer as it should | [`attempt`] | `exchange` |
 //! | which events of a stream go out, and where its next run goes on | [`event_series`] | `runs` |
-//! | which requests crash endpoints | [`fingerprint`] | `quarantine`, `call` |
+//! | which requests crash endpoints | [`fingerprint`] | `quarantine`, `dispatch` |
 //! | when a caller that was refused may come back | [`comeback`] | `reply` |
 //! | what a program has spent, and what its turns may spend | [`ledger`] | `spending` and `recall`, by [`lane`] |
 //! | which changes of programs become durable together | [`lane`] | `commits` |
--- /dev/null
+++ b/gateway/src/dispatch.rs
@@ -0,0 +1,74 @@
+//! Every request of a caller: read, given to the code for its route, answered.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::{HttpMessage, Request, Response};
+use http::HeaderMap;
+use rosebend_platform::headers;
+use rosebend_state::deployment::RouteKind;
+use rosebend_transport::event::{Event, EventKind, log_event};
+
+use crate::call::{Call, refuse};
+use crate::gateway::Gateway;
+use crate::reply::{Refusal, Reply};
+use crate::{intake, plain, turn};
+
+/// Answers a request of a caller.
+pub async fn answer(gateway: Rc<Gateway>, request: Request) -> Response<BoxBody> {
+    let _open = gateway.open_request();
+    let arrived = gateway.clock.now();
+    let headers = intake::to_http(request.headers());
+    let response = match intake::read(&gateway, request, &headers, arrived).await {
+        Ok(call) => serve(&gateway, call).await,
+        Err(refusal) => refuse_unread(&gateway, &headers, refusal, arrived),
+    };
+    close_if_stopping(&gateway, response)
+}
+
+async fn serve(gateway: &Rc<Gateway>, call: Call) -> Response<BoxBody> {
+    let now = gateway.clock.now();
+    if gateway.crashes.borrow().is_refused(call.fingerprint, now) {
+        return refuse(gateway, &call, Refusal::CrashesEndpoints);
+    }
+    match call.route.kind {
+        RouteKind::Streaming => turn::answer(gateway, call).await,
+        RouteKind::Idempotent | RouteKind::NonIdempotent => {
+            plain::answer(gateway, &Rc::new(call)).await
+        }
+    }
+}
+
+/// Answers a request that cannot be served, of which no more than its headers
+/// is known.
+fn refuse_unread(
+    gateway: &Gateway,
+    headers: &HeaderMap,
+    refusal: Refusal,
+    arrived: Duration,
+) -> Response<BoxBody> {
+    let elapsed = gateway.clock.now().saturating_sub(arrived);
+    let event = Event::new(EventKind::RequestEnded).status(refusal.status());
+    let event = event.elapsed(elapsed).reason(refusal.word());
+    let event = match refusal {
+        Refusal::HeaderUnusable(error) => event.error(&error),
+        _ => event,
+    };
+    log_event(&match headers::decode_attempt(headers) {
+        Ok(attempt) => event.attempt(&attempt),
+        Err(_) => event,
+    });
+    gateway.metrics.count_refusal(refusal.word());
+    Reply::Problem(refusal).into_response()
+}
+
+/// A process that stops takes no further request on a connection.
+fn close_if_stopping(gateway: &Gateway, mut response: Response<BoxBody>) -> Response<BoxBody> {
+    if gateway.is_stopping() {
+        response
+            .head_mut()
+            .set_connection_type(actix_http::ConnectionType::Close);
+    }
+    response
+}
--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -20,7 +20,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use crate::call;
+use crate::dispatch;
 use crate::gateway::Gateway;
 use crate::peers;
 
@@ -134,7 +134,7 @@
 fn caller_service(gateway: Rc<Gateway>, limits: Limits, closing: watch::Receiver<bool>) -> Serve {
     let handler = move |request: Request| {
         let gateway = Rc::clone(&gateway);
-        async move { Ok::<_, Infallible>(call::answer(gateway, request).await) }
+        async move { Ok::<_, Infallible>(dispatch::answer(gateway, request).await) }
     };
     serve_with(handler, limits, closing)
 }
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -17,9 +17,9 @@
 use rosebend_transport::store::StoreClient;
 
 use crate::commits::Commits;
+use crate::holders::HolderAddresses;
 use crate::metrics::{Metrics, Quantities};
 use crate::pool::Pool;
-use crate::recall::HolderAddresses;
 use crate::reply::Refusal;
 use crate::retention::Retention;
 
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -3,8 +3,8 @@
 //!
 //! | what | where |
 //! |---|---|
-//! | a request, step by step | [`front`], [`call`], [`plain`] or [`turn`], [`exchange`], [`pool`] |
-//! | a turn's budget, and its answer on the way | [`spending`], [`recall`], [`turn_stream`], [`runs`] |
+//! | a request, step by step | [`front`], [`dispatch`], [`intake`], [`plain`] or [`turn`], [`exchange`], [`pool`]; all work on a [`call`] |
+//! | a turn's budget, and its answer on the way | [`spending`], [`recall`], [`holders`], [`turn_stream`], [`runs`] |
 //! | what lasts | [`commits`], [`programs`], [`retention`] |
 //! | what the process believes of routes and endpoints | [`watch`], [`entries`], [`gossip`], [`quarantine`] |
 //! | calls to the store by other gateways | [`peers`] |
@@ -18,11 +18,14 @@
 
 pub mod call;
 pub mod commits;
+pub mod dispatch;
 pub mod entries;
 pub mod exchange;
 pub mod front;
 pub mod gateway;
 pub mod gossip;
+pub mod holders;
+pub mod intake;
 pub mod metrics;
 pub mod peers;
 pub mod plain;
--- a/gateway/src/recall.rs
+++ b/gateway/src/recall.rs
@@ -6,8 +6,6 @@
 //! That takes a read and a question of a few milliseconds to each holder, and
 //! only a turn that would be refused pays for it.
 
-use std::cell::RefCell;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -36,9 +34,6 @@
 /// tenth of a core in about 30; one that takes longer is treated as gone, and
 /// the caller still has most of its time.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
-/// Addresses that are kept at most, about 100 bytes each. The largest known
-/// site has 127 hosts, so that they last for several restarts of all.
-const MAX_ADDRESSES: usize = 512;
 /// Largest answer that is read: the attempts of a program's running turns.
 const MAX_ANSWER_BYTES: usize = 64 << 10;
 
@@ -212,26 +207,6 @@
     Ok(found)
 }
 
-/// Addresses of other runs of gateways.
-#[derive(Debug, Default)]
-pub struct HolderAddresses {
-    addresses: RefCell<HashMap<Holder, SocketAddr>>,
-}
-
-impl HolderAddresses {
-    fn get(&self, holder: &Holder) -> Option<SocketAddr> {
-        self.addresses.borrow().get(holder).copied()
-    }
-
-    fn put(&self, holder: &Holder, address: SocketAddr) {
-        let mut addresses = self.addresses.borrow_mut();
-        if addresses.len() >= MAX_ADDRESSES {
-            addresses.clear();
-        }
-        addresses.insert(holder.clone(), address);
-    }
-}
-
 fn unanswered(holder: &Holder) -> Event {
     Event::new(EventKind::HolderSilent).holders(holder)
 }
