Join the transactions of all hosts by one host for each partition

Cause: each host committed its own turns.

Ruled out: processor time (one host used 0.01 of a core), the endpoints (their runs had ended with 200 in the stories read), and the number of partitions (more of them meet the store's rate, fewer their own).

Change: a host sends the transactions of a partition to the host that gathers for it, chosen by rendezvous hashing among the stronger ones, which joins what waits into the next one. Each part keeps its own conditions, so that nothing is agreed or leased and a part may be sent twice; a gatherer that is silent is left alone and the part goes by the next one or straight. Every host follows the table of gateways by a feed instead of looking at its neighbours.

In three tests of budgets the host that is cut off from the store now is one that no other can commit for: otherwise it writes by another host, and the situation which they test does not come about.

--- a/coordination/src/gateway.rs
+++ b/coordination/src/gateway.rs
@@ -13,6 +13,8 @@
 //! | when a caller that was refused may come back | [`comeback`] | `reply` |
 //! | what a program has spent, and what its turns may spend | [`ledger`] | `spending` and `recall`, by [`lane`] |
 //! | which changes of programs become durable together | [`lane`] | `commits` |
+//! | which hosts' transactions are joined into one | [`group_commit`] | `joined_commits` |
+//! | who joins the transactions of a partition | [`gatherers`] | `joined_commits` |
 //! | what was said in earlier turns, and its rows in the store | [`history`] | `programs`, `turn_stream` |
 //!
 //! The modules that ask are those of `rosebend_gateway`, which has the clock,
@@ -31,6 +33,8 @@
 pub mod directory;
 pub mod event_series;
 pub mod fingerprint;
+pub mod gatherers;
+pub mod group_commit;
 pub mod history;
 pub mod lane;
 pub mod ledger;
--- /dev/null
+++ b/coordination/src/gateway/group_commit.rs
@@ -0,0 +1,229 @@
+//! Transactions of many hosts, joined into one at a time for each partition.
+//!
+//! A partition of the store applies one transaction after another, however
+//! little each holds, and every call counts against the rate of all hosts
+//! together. With hundreds of hosts that write a little each, a host alone has
+//! nothing to gather. So the hosts send the transactions of a partition to one
+//! of them, which joins whatever waits there into the next one.
+//!
+//! Nothing is agreed for that, and the joining host keeps nothing that its
+//! senders lack. Each part carries its own conditions, so a part that was
+//! applied here and is sent again elsewhere fails them; two hosts that join
+//! the same partition only join less. When the conditions of a joined
+//! transaction fail, the rows that come back tell whose they are: those parts
+//! end with the conflict, and the others go again.
+
+use std::collections::{HashMap, HashSet, VecDeque};
+
+use rosebend_state::deployment::{Condition, Row, RowId, RowVersion, Transaction};
+
+use crate::gateway::lane::Answer;
+
+/// Most entries of one transaction, its conditions among them: the store takes
+/// no more.
+const MAX_ENTRIES: usize = 100;
+/// Most bytes of the values of one transaction before their encoding, which
+/// adds a third; a call holds 1 MB.
+const MAX_BYTES: usize = 600_000;
+/// Rows whose newest version is remembered, about 400 bytes each. A partition
+/// with 100 turns a second needs the last few seconds of them, since who writes
+/// under an older version has read it within the last turn.
+const MAX_RECENT: usize = 1_024;
+
+/// Names a part until its outcome is known.
+pub type PartId = u64;
+
+/// One host's transaction.
+#[derive(Debug)]
+struct Part {
+    id: PartId,
+    transaction: Transaction,
+}
+
+/// The transactions of one partition that wait to be joined, and those on their
+/// way.
+///
+/// At most one joined transaction is on its way, and no row stands in two of its
+/// parts.
+#[derive(Debug, Default)]
+pub struct GroupCommit {
+    waiting: VecDeque<Part>,
+    on_its_way: Vec<Part>,
+    recent: Recent,
+    next_id: PartId,
+}
+
+impl GroupCommit {
+    /// Adds a host's transaction.
+    pub fn submit(&mut self, transaction: Transaction) -> PartId {
+        self.next_id += 1;
+        let id = self.next_id;
+        self.waiting.push_back(Part { id, transaction });
+        id
+    }
+
+    /// Number of parts whose outcome is open.
+    pub fn open_parts(&self) -> usize {
+        self.waiting.len() + self.on_its_way.len()
+    }
+
+    /// Joins what waits into the next transaction, unless one is on its way or
+    /// nothing waits. Parts that are known to conflict end here, without a call.
+    pub fn next_transaction(&mut self) -> (Option<Transaction>, Vec<(PartId, Answer)>) {
+        let mut ended = Vec::new();
+        if !self.on_its_way.is_empty() {
+            return (None, ended);
+        }
+        let mut joined = Joined::default();
+        for part in std::mem::take(&mut self.waiting) {
+            if let Some(rows) = self.recent.conflict(&part.transaction) {
+                ended.push((part.id, Answer::Conflict(rows)));
+            } else if joined.take(&part.transaction) {
+                self.on_its_way.push(part);
+            } else {
+                self.waiting.push_back(part);
+            }
+        }
+        let is_empty = self.on_its_way.is_empty();
+        ((!is_empty).then_some(joined.transaction), ended)
+    }
+
+    /// Takes the answer to the joined transaction on its way, and tells what it
+    /// means to each of its parts. Parts that are not told wait to go again.
+    pub fn answered(&mut self, answer: Answer) -> Vec<(PartId, Answer)> {
+        let parts = std::mem::take(&mut self.on_its_way);
+        match answer {
+            Answer::Applied(version) => {
+                for part in &parts {
+                    self.recent.note_applied(&part.transaction, version);
+                }
+                tell_all(parts, &Answer::Applied(version))
+            }
+            Answer::Conflict(rows) => self.conflicted(parts, &rows),
+            Answer::NotKnown => tell_all(parts, &Answer::NotKnown),
+        }
+    }
+
+    fn conflicted(&mut self, parts: Vec<Part>, rows: &[Row]) -> Vec<(PartId, Answer)> {
+        let present: HashMap<&RowId, &Row> = rows.iter().map(|row| (&row.id, row)).collect();
+        let holds = |condition: &Condition| {
+            let version = present.get(&condition.row).map_or(0, |row| row.version);
+            version == condition.version
+        };
+        let (again, failed): (Vec<Part>, Vec<Part>) = parts
+            .into_iter()
+            .partition(|part| part.transaction.conditions.iter().all(holds));
+        if failed.is_empty() {
+            // Nobody's condition failed by these rows: the answer is of something
+            // else, and going again could go on for ever.
+            return tell_all(again, &Answer::NotKnown);
+        }
+        for row in rows {
+            self.recent.note(row.clone());
+        }
+        for part in again.into_iter().rev() {
+            self.waiting.push_front(part);
+        }
+        let conflict = |part: Part| {
+            let conditions = part.transaction.conditions.iter();
+            let rows = conditions.filter_map(|condition| present.get(&condition.row).copied());
+            (part.id, Answer::Conflict(rows.cloned().collect()))
+        };
+        failed.into_iter().map(conflict).collect()
+    }
+}
+
+fn tell_all(parts: Vec<Part>, answer: &Answer) -> Vec<(PartId, Answer)> {
+    let parts = parts.into_iter();
+    parts.map(|part| (part.id, answer.clone())).collect()
+}
+
+/// A transaction that is being joined.
+#[derive(Default)]
+struct Joined {
+    transaction: Transaction,
+    rows: HashSet<RowId>,
+    entries: usize,
+    bytes: usize,
+}
+
+impl Joined {
+    /// Takes a part in, if it has room and no row of it stands in another part.
+    /// The first part always has room.
+    fn take(&mut self, part: &Transaction) -> bool {
+        let (entries, bytes) = (part.entries(), part.value_bytes());
+        let has_room = self.entries + entries <= MAX_ENTRIES && self.bytes + bytes <= MAX_BYTES;
+        let is_first = self.entries == 0;
+        let is_apart = part.rows().all(|row| !self.rows.contains(row));
+        if !is_apart || !(has_room || is_first) {
+            return false;
+        }
+        self.entries += entries;
+        self.bytes += bytes;
+        self.rows.extend(part.rows().cloned());
+        let joined = &mut self.transaction;
+        joined.conditions.extend(part.conditions.iter().cloned());
+        joined.writes.extend(part.writes.iter().cloned());
+        joined.deletes.extend(part.deletes.iter().cloned());
+        true
+    }
+}
+
+/// Conditioned rows as they were last written or read here. A row may be newer
+/// in the store, never older.
+#[derive(Debug, Default)]
+struct Recent {
+    rows: HashMap<RowId, Row>,
+    /// The rows in the order in which they became known; the oldest yield.
+    order: VecDeque<RowId>,
+}
+
+impl Recent {
+    /// The present rows of a transaction's conditions, when one of them is known
+    /// to have failed. It saves the call that would only say so.
+    fn conflict(&self, transaction: &Transaction) -> Option<Vec<Row>> {
+        let mut rows = Vec::new();
+        let mut has_failed = false;
+        for condition in &transaction.conditions {
+            // A row that is not known, or known from before, may be any.
+            let row = self.rows.get(&condition.row);
+            let row = row.filter(|row| row.version >= condition.version)?;
+            has_failed |= row.version > condition.version;
+            rows.push(row.clone());
+        }
+        has_failed.then_some(rows)
+    }
+
+    /// Takes note of what a transaction left of its conditioned rows.
+    fn note_applied(&mut self, transaction: &Transaction, version: RowVersion) {
+        for row in &transaction.deletes {
+            self.rows.remove(row);
+        }
+        for condition in &transaction.conditions {
+            let mut writes = transaction.writes.iter();
+            if let Some(write) = writes.find(|write| write.row == condition.row) {
+                self.note(Row {
+                    id: write.row.clone(),
+                    version,
+                    value: Some(write.value.clone()),
+                });
+            }
+        }
+    }
+
+    fn note(&mut self, row: Row) {
+        match self.rows.get_mut(&row.id) {
+            Some(known) if known.version >= row.version => return,
+            Some(known) => *known = row,
+            None => {
+                self.order.push_back(row.id.clone());
+                self.rows.insert(row.id.clone(), row);
+            }
+        }
+        while self.order.len() > MAX_RECENT {
+            if let Some(oldest) = self.order.pop_front() {
+                self.rows.remove(&oldest);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/coordination/tests/gateway_group_commit.rs
@@ -0,0 +1,157 @@
+//! Transactions of several hosts that are joined: which go together, and what
+//! the answer of the store means to each.
+
+use rosebend_coordination::gateway::group_commit::GroupCommit;
+use rosebend_coordination::gateway::lane::Answer;
+use rosebend_state::deployment::{Row, RowId, RowVersion, Transaction};
+
+fn ledger(program: &str) -> RowId {
+    RowId::new("programs", "p00", format!("{program}/"))
+}
+
+/// A change of a program's ledger as it was at a version.
+fn change(program: &str, version: RowVersion) -> Transaction {
+    Transaction::default()
+        .expect(ledger(program), version)
+        .write(
+            ledger(program),
+            format!("{program} after {version}").into_bytes(),
+        )
+}
+
+fn row(program: &str, version: RowVersion) -> Row {
+    Row {
+        id: ledger(program),
+        version,
+        value: Some(format!("{program} at {version}").into_bytes()),
+    }
+}
+
+#[test]
+fn what_waits_is_joined_into_one() {
+    let mut group = GroupCommit::default();
+    let first = group.submit(change("a", 0));
+    let (transaction, ended) = group.next_transaction();
+    assert_eq!((transaction, ended), (Some(change("a", 0)), Vec::new()));
+    let second = group.submit(change("b", 3));
+    let third = group.submit(change("c", 0));
+    assert_eq!(group.next_transaction().0, None, "one is on its way");
+    let ended = group.answered(Answer::Applied(7));
+    assert_eq!(ended, [(first, Answer::Applied(7))]);
+    let joined = group.next_transaction().0.unwrap();
+    assert_eq!(joined.conditions.len(), 2);
+    assert_eq!(joined.writes.len(), 2);
+    let ended = group.answered(Answer::Applied(8));
+    assert_eq!(
+        ended,
+        [(second, Answer::Applied(8)), (third, Answer::Applied(8))]
+    );
+    assert_eq!(group.open_parts(), 0);
+}
+
+#[test]
+fn a_conflict_is_told_to_whose_it_is_and_the_others_go_again() {
+    let mut group = GroupCommit::default();
+    let sound = group.submit(change("a", 4));
+    let old = group.submit(change("b", 3));
+    group.next_transaction();
+    let present = vec![row("a", 4), row("b", 5)];
+    let ended = group.answered(Answer::Conflict(present));
+    assert_eq!(ended, [(old, Answer::Conflict(vec![row("b", 5)]))]);
+    assert_eq!(group.next_transaction().0, Some(change("a", 4)));
+    assert_eq!(
+        group.answered(Answer::Applied(6)),
+        [(sound, Answer::Applied(6))]
+    );
+}
+
+#[test]
+fn a_row_that_must_not_exist_and_does_is_a_conflict() {
+    let mut group = GroupCommit::default();
+    let first = group.submit(change("a", 0));
+    let second = group.submit(change("b", 0));
+    group.next_transaction();
+    let ended = group.answered(Answer::Conflict(vec![row("a", 2)]));
+    assert_eq!(ended, [(first, Answer::Conflict(vec![row("a", 2)]))]);
+    group.next_transaction();
+    let ended = group.answered(Answer::Applied(3));
+    assert_eq!(ended, [(second, Answer::Applied(3))]);
+}
+
+#[test]
+fn two_changes_of_one_program_go_one_after_the_other_and_the_later_is_told_at_once() {
+    let mut group = GroupCommit::default();
+    let first = group.submit(change("a", 1));
+    let second = group.submit(change("a", 1));
+    assert_eq!(group.next_transaction().0, Some(change("a", 1)));
+    let ended = group.answered(Answer::Applied(9));
+    assert_eq!(ended, [(first, Answer::Applied(9))]);
+    // No call is needed to know that the version is old.
+    let written = Row {
+        value: Some(b"a after 1".to_vec()),
+        ..row("a", 9)
+    };
+    let (transaction, ended) = group.next_transaction();
+    assert_eq!(transaction, None);
+    assert_eq!(ended, [(second, Answer::Conflict(vec![written]))]);
+}
+
+#[test]
+fn what_is_known_of_a_row_from_before_is_no_conflict() {
+    let mut group = GroupCommit::default();
+    group.submit(change("a", 1));
+    group.next_transaction();
+    group.answered(Answer::Applied(2));
+    // Another host has written the row since, past this one.
+    group.submit(change("a", 5));
+    assert_eq!(group.next_transaction().0, Some(change("a", 5)));
+}
+
+#[test]
+fn an_answer_that_is_lost_is_told_to_all() {
+    let mut group = GroupCommit::default();
+    let first = group.submit(change("a", 0));
+    let second = group.submit(change("b", 0));
+    group.next_transaction();
+    let ended = group.answered(Answer::NotKnown);
+    assert_eq!(
+        ended,
+        [(first, Answer::NotKnown), (second, Answer::NotKnown)]
+    );
+}
+
+#[test]
+fn a_conflict_of_nobody_ends_all_rather_than_going_on_for_ever() {
+    let mut group = GroupCommit::default();
+    let only = group.submit(change("a", 4));
+    group.next_transaction();
+    let ended = group.answered(Answer::Conflict(vec![row("a", 4)]));
+    assert_eq!(ended, [(only, Answer::NotKnown)]);
+}
+
+#[test]
+fn a_joined_transaction_keeps_to_the_store_s_limits() {
+    let mut group = GroupCommit::default();
+    for number in 0..80 {
+        group.submit(change(&format!("p{number}"), 0));
+    }
+    let mut joined = 0;
+    while let (Some(transaction), _) = group.next_transaction() {
+        assert!(transaction.entries() <= 100, "{}", transaction.entries());
+        joined += transaction.writes.len();
+        group.answered(Answer::Applied(1));
+    }
+    assert_eq!(joined, 80);
+    // Large values, and one that is larger than all together may be.
+    let sizes = [400_000, 300_000, 900_000, 10];
+    for (number, bytes) in sizes.into_iter().enumerate() {
+        let row = RowId::new("programs", "p00", format!("large-{number}"));
+        group.submit(Transaction::default().write(row, vec![0; bytes]));
+    }
+    let mut sent = Vec::new();
+    while let (Some(transaction), _) = group.next_transaction() {
+        sent.push(transaction.value_bytes());
+        group.answered(Answer::Applied(2));
+    }
+    assert_eq!(sent, [400_010, 300_000, 900_000]);
+}
--- a/gateway/src/commits.rs
+++ b/gateway/src/commits.rs
@@ -10,9 +10,10 @@
 use rosebend_coordination::gateway::ledger::{Account, Draw, Holder, Holding, Ledger};
 use rosebend_state::deployment::{AttemptId, ProgramKey, RowVersion, Transaction};
 use rosebend_transport::store::{StoreClient, StoreError, Transacted};
-use rosebend_util::random_id;
 use tokio::sync::oneshot;
 
+use crate::joined_commits::JoinedCommits;
+
 /// Pause before a transaction is sent again that was not applied, or of which
 /// that is not known. Each failure in a row doubles it.
 const FIRST_PAUSE: Duration = Duration::from_millis(40);
@@ -32,15 +33,17 @@
     /// This run of the process, under which tokens are drawn ahead.
     holder: Holder,
     store: Rc<StoreClient>,
+    joined: Rc<JoinedCommits>,
     partitions: RefCell<HashMap<String, Partition>>,
 }
 
 impl Commits {
-    /// No changes yet. The name of this host tells in ledgers who drew ahead.
-    pub fn new(store: Rc<StoreClient>, host: &str) -> Self {
+    /// No changes yet. The holder tells in ledgers who drew ahead.
+    pub fn new(holder: Holder, store: Rc<StoreClient>, joined: Rc<JoinedCommits>) -> Self {
         Self {
-            holder: format!("{host}/{}", random_id()),
+            holder,
             store,
+            joined,
             partitions: RefCell::default(),
         }
     }
@@ -162,7 +165,7 @@
     async fn send_all(self: Rc<Self>, name: String) {
         let mut pause = FIRST_PAUSE;
         while let Some(transaction) = self.next_transaction(&name) {
-            let answer = match self.store.transact(&transaction).await {
+            let answer = match self.joined.transact(&transaction).await {
                 Ok(answer) => {
                     pause = FIRST_PAUSE;
                     lane_answer(answer)
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -15,9 +15,11 @@
 use rosebend_transport::clock::{Clock, whole_ms};
 use rosebend_transport::event::{Event, EventKind, log_event};
 use rosebend_transport::store::StoreClient;
+use rosebend_util::random_id;
 
 use crate::commits::Commits;
 use crate::holders::HolderAddresses;
+use crate::joined_commits::JoinedCommits;
 use crate::metrics::{Metrics, Quantities};
 use crate::pool::Pool;
 use crate::reply::Refusal;
@@ -46,6 +48,8 @@
     pub metrics: Rc<Metrics>,
     /// The platform's store.
     pub store: Rc<StoreClient>,
+    /// Transactions on their way to the store, and those joined for other hosts.
+    pub joined_commits: Rc<JoinedCommits>,
     /// Changes of programs on their way to the store.
     pub commits: Rc<Commits>,
     /// Routes in force; none before the first was read.
@@ -76,8 +80,15 @@
         let clock = Clock::start();
         let metrics = Rc::new(Metrics::default());
         let store = Rc::new(store_client(&settings.store, clock, &metrics));
+        // Tokens that one run of the process reserved are not the next one's.
+        let run = format!("{}/{}", settings.host, random_id());
+        let joined_commits =
+            JoinedCommits::new(run.clone(), Rc::clone(&store), Rc::clone(&metrics), clock);
+        let joined_commits = Rc::new(joined_commits);
+        let commits = Commits::new(run, Rc::clone(&store), Rc::clone(&joined_commits));
         Self {
-            commits: Rc::new(Commits::new(Rc::clone(&store), &settings.host)),
+            commits: Rc::new(commits),
+            joined_commits,
             store,
             metrics,
             clock,
@@ -176,6 +187,8 @@
             store_unreachable_ms: whole_ms(self.store.unreachable_for()),
             ready: u64::from(self.is_ready()),
             peers: self.store.peer_addresses().len() as u64,
+            open_parts: self.joined_commits.open_parts() as u64,
+            oldest_part_ms: whole_ms(self.joined_commits.oldest_part()),
         }
     }
 
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -5,7 +5,7 @@
 //! |---|---|
 //! | a request, step by step | [`front`], [`dispatch`], [`intake`], [`plain`] or [`turn`], [`exchange`], [`pool`]; all work on a [`call`] |
 //! | a turn's budget, and its answer on the way | [`spending`], [`recall`], [`holders`], [`turn_stream`], [`runs`] |
-//! | what lasts | [`commits`], [`programs`], [`retention`] |
+//! | what lasts | [`commits`], [`joined_commits`], [`programs`], [`retention`] |
 //! | what the process believes of routes and endpoints | [`watch`], [`entries`], [`gossip`], [`quarantine`] |
 //! | calls to the store by other gateways | [`peers`] |
 //! | what is written and counted | [`trail`], [`metrics`] |
@@ -26,6 +26,7 @@
 pub mod gossip;
 pub mod holders;
 pub mod intake;
+pub mod joined_commits;
 pub mod metrics;
 pub mod peers;
 pub mod plain;
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -39,6 +39,12 @@
     filled_by: &'static str,
 }
 
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
+struct WayLabel {
+    way: &'static str,
+}
+
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 #[derive(EncodeLabelSet)]
 struct StoreLabel {
@@ -61,6 +67,15 @@
     StoreCall,
 }
 
+/// Who sends a transaction to the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CommitWay {
+    /// This host.
+    Here,
+    /// The host that gathers for the partition.
+    Gatherer,
+}
+
 /// A quantity as it stands when the page is asked for.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Quantities {
@@ -78,6 +93,10 @@
     pub ready: u64,
     /// Other gateways that may pass calls to the store on.
     pub peers: u64,
+    /// Transactions, of all hosts, that wait here for the store.
+    pub open_parts: u64,
+    /// Milliseconds for which the oldest of them has waited.
+    pub oldest_part_ms: u64,
 }
 
 /// The metrics of a process.
@@ -90,6 +109,10 @@
     endpoint_failures: Family<ReasonLabel, Counter>,
     resumptions: Family<ReasonLabel, Counter>,
     store_calls: Family<StoreLabel, Counter>,
+    commits: Family<WayLabel, Counter>,
+    joined_parts: Counter,
+    joined_transactions: Counter,
+    refused_commits: Counter,
     new_connections: Counter,
     refused_entries: Family<ReasonLabel, Counter>,
     request: Histogram,
@@ -97,7 +120,7 @@
     turn: Histogram,
     record: Histogram,
     store_call: Histogram,
-    gauges: [Gauge; 7],
+    gauges: [Gauge; 9],
 }
 
 impl Default for Metrics {
@@ -129,6 +152,23 @@
             "Calls to the store by kind and outcome",
             store_calls.clone(),
         );
+        let commits = Family::default();
+        registry.register(
+            "commits",
+            "Transactions sent, by who sends them",
+            commits.clone(),
+        );
+        let mut counter = |name: &str, help: &str| {
+            let counter = Counter::default();
+            registry.register(name, help, counter.clone());
+            counter
+        };
+        let help = "Transactions of all hosts that ended in joined ones of this host";
+        let joined_parts = counter("joined_parts", help);
+        let help = "Joined transactions that this host sent to the store";
+        let joined_transactions = counter("joined_transactions", help);
+        let help = "Transactions of other hosts that could not be read";
+        let refused_commits = counter("refused_commits", help);
         let new_connections = Counter::default();
         registry.register(
             "endpoint_connections",
@@ -158,6 +198,10 @@
             endpoint_failures,
             resumptions,
             store_calls,
+            commits,
+            joined_parts,
+            joined_transactions,
+            refused_commits,
             new_connections,
             refused_entries,
             request,
@@ -171,7 +215,7 @@
     }
 }
 
-fn gauges(registry: &mut Registry) -> [Gauge; 7] {
+fn gauges(registry: &mut Registry) -> [Gauge; 9] {
     let names = [
         ("open_requests", "Requests that callers wait for"),
         (
@@ -189,6 +233,14 @@
             "peers",
             "Other gateways that may pass calls to the store on",
         ),
+        (
+            "open_parts",
+            "Transactions, of all hosts, that wait here for the store",
+        ),
+        (
+            "oldest_part_ms",
+            "Milliseconds for which the oldest of them has waited",
+        ),
     ];
     names.map(|(name, help)| {
         let gauge = Gauge::default();
@@ -239,6 +291,26 @@
             .inc();
     }
 
+    /// Counts a transaction that is sent.
+    pub fn count_commit(&self, way: CommitWay) {
+        let way = match way {
+            CommitWay::Here => "here",
+            CommitWay::Gatherer => "gatherer",
+        };
+        self.commits.get_or_create(&WayLabel { way }).inc();
+    }
+
+    /// Counts a joined transaction that ended so many of its parts.
+    pub fn count_joined(&self, parts: usize) {
+        self.joined_transactions.inc();
+        self.joined_parts.inc_by(parts as u64);
+    }
+
+    /// Counts another host's transaction that could not be read.
+    pub fn count_refused_commit(&self) {
+        self.refused_commits.inc();
+    }
+
     /// Counts a connection to an endpoint.
     pub fn count_connection(&self) {
         self.new_connections.inc();
@@ -289,6 +361,8 @@
             now.store_unreachable_ms,
             now.ready,
             now.peers,
+            now.open_parts,
+            now.oldest_part_ms,
         ];
         for (gauge, value) in self.gauges.iter().zip(values) {
             gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -1,11 +1,13 @@
 //! Gateways that know each other, so that one which the store turns away can
-//! send its calls by another.
+//! send its calls by another, and that one can commit for many.
 //!
-//! Each gateway has a row under a hash of its name and reads the few rows that
-//! follow its own: a random, bounded set of peers, whatever the number of
-//! hosts.
+//! Each gateway has a row under a hash of its name and follows the table: a row
+//! changes only when a process starts or stops as planned, so that following
+//! all of it costs one call of a few bytes each few seconds, and 380 hosts take
+//! about 100 KB of memory. The few hosts behind a gateway's own row pass its
+//! calls on; they differ from host to host.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -15,31 +17,33 @@
 use actix_http::{Request, Response, StatusCode};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
+use rosebend_coordination::gateway::gatherers::Candidate;
 use rosebend_coordination::gateway::ledger::Holder;
 use rosebend_platform::store::wait_of;
-use rosebend_state::deployment::{Row, RowId, RowRange, RowWrite, Transaction};
+use rosebend_state::deployment::{Row, RowId, RowVersion, RowWrite, Transaction};
 use rosebend_transport::event::{Event, EventKind, log_event};
 use rosebend_transport::store::{Outgoing, StoreError};
 
 use self::row::{PeerRow, PeerRowError, key};
 use crate::gateway::Gateway;
-use crate::recall;
+use crate::{joined_commits, recall};
 
 mod row;
 
 /// Table of the gateways' own rows.
 const TABLE: &str = "gateways";
-/// Peers that are known at most.
+/// Peers that pass calls to the store on, at most.
 const MAX_PEERS: usize = 8;
-/// Rows that are read at most where some of the nearest name no gateway.
-const MAX_ROWS: usize = 256;
 /// Rows that name no gateway and are told at most, each once.
 const MAX_TOLD: usize = 8;
-/// Time between two looks at the peers. A new host is known to its neighbours
-/// after this time; only one that is turned away needs them.
-const LOOK_INTERVAL: Duration = Duration::from_secs(6);
-/// Time between two looks while the row is not written or no peer is known.
-const START_INTERVAL: Duration = Duration::from_millis(700);
+/// How long a feed of the table waits for a change. A connection that has fallen
+/// silent is noticed after this time, and who has left is found out by asking.
+const FEED_WAIT: Duration = Duration::from_secs(5);
+/// Pause after a change: when many hosts start at once, their rows come one by
+/// one.
+const CHANGE_PAUSE: Duration = Duration::from_millis(500);
+/// Pause after a failure.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Largest call that is passed on; the store takes at most 1 MB of rows, encoded.
 const MAX_CALL_BYTES: usize = 2 << 20;
 /// Time between two questions whether the store answers this host again.
@@ -47,22 +51,120 @@
 
 /// Writes this gateway's row and follows its peers, for ever.
 pub async fn follow(gateway: Rc<Gateway>, relay: SocketAddr) {
+    let mut table = PeerTable::default();
+    let mut version = None;
     let mut is_written = false;
-    let mut unusable = Unusable::default();
     loop {
         if !is_written {
             is_written = write_row(&gateway, relay).await.is_ok();
         }
-        // A late write of the host's last run may have replaced it.
-        is_written = is_written && has_own_row(&gateway).await.unwrap_or(true);
-        let found = look(&gateway, &mut unusable).await.unwrap_or(0);
-        let is_settled = is_written && found > 0;
-        let pause = if is_settled {
-            LOOK_INTERVAL
-        } else {
-            START_INTERVAL
+        match follow_once(&gateway, version, &mut table).await {
+            Ok(newest) => {
+                let has_changed = version != Some(newest);
+                version = Some(newest);
+                // A late write of the host's last run may have replaced it.
+                is_written &= table.has(gateway.commits.holder());
+                if has_changed {
+                    tokio::time::sleep(CHANGE_PAUSE).await;
+                }
+            }
+            // The client has logged that the store is lost.
+            Err(_) => {
+                version = None;
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn follow_once(
+    gateway: &Gateway,
+    after: Option<RowVersion>,
+    table: &mut PeerTable,
+) -> Result<RowVersion, StoreError> {
+    let rows = match after {
+        None => {
+            let rows = gateway.store.read_table(TABLE).await?;
+            table.peers.clear();
+            rows
+        }
+        Some(after) => gateway.store.feed(TABLE, after, FEED_WAIT).await?,
+    };
+    for row in &rows.rows {
+        table.take(row);
+    }
+    if after.is_none() || !rows.rows.is_empty() {
+        let own = key(&gateway.settings().host);
+        gateway.store.set_peers(&table.behind(&own));
+        gateway.joined_commits.set_hosts(table.candidates());
+    }
+    Ok(rows.version)
+}
+
+/// The gateways that are there, by their rows' keys.
+#[derive(Debug, Default)]
+struct PeerTable {
+    peers: BTreeMap<String, PeerRow>,
+    /// Keys of rows that name no gateway, as far as they were told.
+    unusable: BTreeSet<String>,
+}
+
+impl PeerTable {
+    fn take(&mut self, row: &Row) {
+        if row.value.is_none() {
+            self.peers.remove(&row.id.key);
+            return;
+        }
+        match PeerRow::try_from(row) {
+            Ok(peer) => {
+                self.peers.insert(row.id.key.clone(), peer);
+            }
+            Err(error) => {
+                self.peers.remove(&row.id.key);
+                self.tell(row, &error);
+            }
+        }
+    }
+
+    /// Tells a row once, and no more than a few of them: whoever writes such
+    /// rows may write many.
+    fn tell(&mut self, row: &Row, error: &PeerRowError) {
+        if self.unusable.len() < MAX_TOLD && self.unusable.insert(row.id.key.clone()) {
+            log_event(&Event::new(EventKind::PeerRowUnusable).error(error));
+        }
+    }
+
+    /// Whether a run of a gateway is there.
+    fn has(&self, holder: &Holder) -> bool {
+        self.peers.values().any(|peer| peer.holder == *holder)
+    }
+
+    /// Where the hosts behind a key pass calls on, around the end of the table.
+    fn behind(&self, own: &str) -> Vec<SocketAddr> {
+        let (before, behind) = self
+            .peers
+            .iter()
+            .partition::<Vec<_>, _>(|(key, _)| key.as_str() <= own);
+        let others = behind.into_iter().chain(before);
+        let others = others.filter(|(key, _)| key.as_str() != own);
+        let mut addresses = Vec::new();
+        for (_, peer) in others {
+            if addresses.len() < MAX_PEERS && !addresses.contains(&peer.relay) {
+                addresses.push(peer.relay);
+            }
+        }
+        addresses
+    }
+
+    /// All of them, as hosts that may commit for others.
+    fn candidates(&self) -> Vec<Candidate<SocketAddr>> {
+        let candidate = |peer: &PeerRow| Candidate {
+            host: peer.host.clone(),
+            run: peer.holder.clone(),
+            address: peer.relay,
+            processor_milli: peer.processor_milli,
         };
-        tokio::time::sleep(pause).await;
+        self.peers.values().map(candidate).collect()
     }
 }
 
@@ -73,6 +175,7 @@
         host,
         relay,
         holder: gateway.commits.holder().clone(),
+        processor_milli: gateway.settings().processor_milli,
     };
     let value = serde_json::to_vec(&peer).expect("text has a JSON form");
     let transaction = Transaction {
@@ -82,12 +185,6 @@
     gateway.store.transact(&transaction).await.map(|_| ())
 }
 
-/// Whether the host's row is that of this run.
-async fn has_own_row(gateway: &Gateway) -> Result<bool, StoreError> {
-    let own = find(gateway, gateway.commits.holder()).await?;
-    Ok(own.is_some())
-}
-
 /// Deletes this gateway's row at a planned stop.
 pub async fn leave(gateway: &Gateway) {
     let transaction = Transaction {
@@ -98,64 +195,6 @@
     let _ = gateway.store.transact(&transaction).await;
 }
 
-/// Keys of rows that name no gateway, as far as they were told.
-#[derive(Debug, Default)]
-struct Unusable(BTreeSet<String>);
-
-impl Unusable {
-    /// Tells a row once, and no more than a few of them: whoever writes such
-    /// rows may write many.
-    fn tell(&mut self, row: &Row, error: &PeerRowError) {
-        if self.0.len() < MAX_TOLD && self.0.insert(row.id.key.clone()) {
-            log_event(&Event::new(EventKind::PeerRowUnusable).error(error));
-        }
-    }
-}
-
-/// Reads the rows behind this gateway's own, around the end of the table.
-async fn look(gateway: &Gateway, unusable: &mut Unusable) -> Result<usize, StoreError> {
-    let mut addresses = read_peers(gateway, MAX_PEERS + 1, unusable).await?;
-    if addresses.is_none() {
-        addresses = read_peers(gateway, MAX_ROWS, unusable).await?;
-    }
-    let mut addresses = addresses.unwrap_or_default();
-    addresses.truncate(MAX_PEERS);
-    gateway.store.set_peers(&addresses);
-    Ok(addresses.len())
-}
-
-/// Addresses of peers, of at most `limit` rows; none when so few of them name a
-/// gateway that more should be read.
-async fn read_peers(
-    gateway: &Gateway,
-    limit: usize,
-    unusable: &mut Unusable,
-) -> Result<Option<Vec<SocketAddr>>, StoreError> {
-    let own = key(&gateway.settings().host);
-    let all = RowRange::whole(TABLE, "");
-    let behind = all.clone().after(&own);
-    let mut rows = gateway.store.read_some(&behind, limit).await?.rows;
-    if rows.len() < limit {
-        rows.extend(gateway.store.read_some(&all, limit).await?.rows);
-    }
-    let mut addresses: Vec<SocketAddr> = Vec::new();
-    let mut is_all_usable = true;
-    for row in &rows {
-        match PeerRow::try_from(row) {
-            Ok(peer) if row.id.key != own && !addresses.contains(&peer.relay) => {
-                addresses.push(peer.relay);
-            }
-            Ok(_) => {}
-            Err(error) => {
-                is_all_usable = false;
-                unusable.tell(row, &error);
-            }
-        }
-    }
-    let is_enough = is_all_usable || addresses.len() >= MAX_PEERS || limit >= MAX_ROWS;
-    Ok(is_enough.then_some(addresses))
-}
-
 /// Where a process answers its peers; none when it has left, or another one
 /// runs on its host by now.
 ///
@@ -185,19 +224,25 @@
     }
 }
 
-/// Answers a peer's question, or passes its call on to the store, straight.
+/// Answers a peer's question, commits for it, or passes its call on to the store,
+/// straight.
 pub async fn pass_on(
     gateway: Rc<Gateway>,
     request: Request,
 ) -> Result<Response<BoxBody>, Infallible> {
-    let is_question = request.path() == recall::PATH;
-    let (status, body) = match read(request).await {
-        Some(question) if is_question => return Ok(recall::answer(&gateway, &question.body)),
-        Some(outgoing) => answer(&gateway, &outgoing).await,
-        None => (400, Bytes::new()),
+    let path = request.path().to_owned();
+    let Some(outgoing) = read(request).await else {
+        return Ok(Response::with_body(StatusCode::BAD_REQUEST, ().boxed()));
     };
-    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
-    Ok(Response::with_body(status, body.boxed()))
+    Ok(match path.as_str() {
+        recall::PATH => recall::answer(&gateway, &outgoing.body),
+        joined_commits::PATH => joined_commits::answer(&gateway, &outgoing.body),
+        _ => {
+            let (status, body) = answer(&gateway, &outgoing).await;
+            let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+            Response::with_body(status, body.boxed())
+        }
+    })
 }
 
 async fn answer(gateway: &Gateway, outgoing: &Outgoing) -> (u16, Bytes) {
--- a/gateway/src/peers/row.rs
+++ b/gateway/src/peers/row.rs
@@ -17,6 +17,10 @@
     pub relay: SocketAddr,
     /// The run of the host's process that wrote the row, as HOST/RUN.
     pub holder: Holder,
+    /// The host's share of a processor, in thousandths of a core. Rows of older
+    /// versions do not tell it: those hosts do not commit for others.
+    #[serde(default)]
+    pub processor_milli: u32,
 }
 
 /// A row names no gateway.
--- a/gateway/src/retention.rs
+++ b/gateway/src/retention.rs
@@ -88,7 +88,7 @@
     let Some(transaction) = first_deletion(gateway, program) else {
         return;
     };
-    match gateway.store.transact(&transaction).await {
+    match gateway.joined_commits.transact(&transaction).await {
         Ok(Transacted::Applied(_)) => {
             gateway.commits.forget(program);
             delete_rest(gateway, program).await;
@@ -141,6 +141,6 @@
             ..Transaction::default()
         };
         // Rows that stay cost room only; the client has logged the failure.
-        let _ = gateway.store.transact(&transaction).await;
+        let _ = gateway.joined_commits.transact(&transaction).await;
     }
 }
--- a/gateway/tests/budget.rs
+++ b/gateway/tests/budget.rs
@@ -101,7 +101,8 @@
         .store
         .open_door(TcpListener::bind("127.0.0.1:0").unwrap())
         .unwrap();
-    let cut_off = Gateway::start(door.address());
+    // It commits by no other host, which the store answers.
+    let cut_off = Gateway::start_strong(door.address());
     let other = site.gateway();
     cut_off.until_ready().await;
     other.until_ready().await;
@@ -233,7 +234,8 @@
         .store
         .open_door(TcpListener::bind("127.0.0.1:0").unwrap())
         .unwrap();
-    let cut_off = Gateway::start(door.address());
+    // It commits by no other host, which the store answers.
+    let cut_off = Gateway::start_strong(door.address());
     let other = site.gateway();
     cut_off.until_ready().await;
     other.until_ready().await;
@@ -322,7 +324,8 @@
         .store
         .open_door(TcpListener::bind("127.0.0.1:0").unwrap())
         .unwrap();
-    let slow = Gateway::start(door.address());
+    // It commits by no other host, whose store is not slow.
+    let slow = Gateway::start_strong(door.address());
     let other = site.gateway();
     slow.until_ready().await;
     other.until_ready().await;
@@ -350,7 +353,9 @@
 async fn a_second_host_draws_only_while_the_store_takes_too_few_writes() {
     for (throttled, writes) in [(0, 2), (1, 1)] {
         let site = Site::start();
-        let gateways = [site.gateway(), site.gateway()];
+        // The second one commits for both.
+        let second = Gateway::start_strong(site.door.address());
+        let gateways = [site.gateway(), second];
         for gateway in &gateways {
             gateway.until_ready().await;
         }
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -268,6 +268,7 @@
     pub front: SocketAddr,
     pub ready: SocketAddr,
     pub metrics: SocketAddr,
+    pub relay: SocketAddr,
     settings: PathBuf,
     lines: Arc<Mutex<Vec<String>>>,
     panics: Arc<Mutex<Vec<String>>>,
@@ -278,6 +279,17 @@
         Self::start_reading(store, true)
     }
 
+    /// Starts a gateway that commits for the others of a site, and by no other:
+    /// it has more of a processor.
+    pub fn start_strong(store: SocketAddr) -> Self {
+        Self::start_strong_on(&Self::new_host(), store)
+    }
+
+    /// The same for a host that may have run a process before.
+    pub fn start_strong_on(host: &str, store: SocketAddr) -> Self {
+        Self::start_with(host, store, true, "processor_cores = 4\n")
+    }
+
     /// Starts a gateway; `reads_on` tells whether its output is read on after
     /// the lines that tell its addresses.
     pub fn start_reading(store: SocketAddr, reads_on: bool) -> Self {
@@ -291,11 +303,15 @@
 
     /// Starts the process of a host, which may have run one before.
     pub fn start_on(host: &str, store: SocketAddr, reads_on: bool) -> Self {
+        Self::start_with(host, store, reads_on, "")
+    }
+
+    fn start_with(host: &str, store: SocketAddr, reads_on: bool, more: &str) -> Self {
         let number = unique();
         let settings = format!(
             "[gateway]\nhost = {host}\navailability_zone = newport-hall\n\
              front_listen = 127.0.0.1:0\nready_listen = 127.0.0.1:0\n\
-             metrics_listen = 127.0.0.1:0\nrelay_listen = 127.0.0.1:0\nstop_grace_s = 8\nretention_margin_ms = 500\n[store]\naddress = {store}\n"
+             metrics_listen = 127.0.0.1:0\nrelay_listen = 127.0.0.1:0\nstop_grace_s = 8\nretention_margin_ms = 500\n{more}[store]\naddress = {store}\n"
         );
         let name = format!("gateway-{}-{number}.ini", std::process::id());
         let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
@@ -331,6 +347,7 @@
             front: of("callers"),
             ready: of("balancer"),
             metrics: of("metrics"),
+            relay: of("peers"),
             settings: path,
             lines: Arc::clone(&lines),
             panics,
@@ -368,6 +385,14 @@
         until("the gateway is not ready", async || !self.is_ready().await).await;
     }
 
+    /// The value of a metric, zero while it is not on the page.
+    pub async fn metric(&self, name: &str) -> u64 {
+        let page = Ask::get("/metrics").send(self.metrics).await.body;
+        let prefix = format!("rosebend_gateway_{name} ");
+        let value = page.lines().find_map(|line| line.strip_prefix(&prefix));
+        value.map_or(0, |value| value.parse().unwrap())
+    }
+
     /// Waits until so many other gateways may pass its calls to the store on.
     pub async fn until_peers(&self, count: usize) {
         let line = format!("rosebend_gateway_peers {count}\n");
--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -1,6 +1,7 @@
 //! What rosebend's processes say to each other, to callers and to
 //! operators.
 //!
+//! - [`commit`]: transactions that one gateway commits for another.
 //! - [`configuration`]: updates of the configuration as messages.
 //! - [`peer`]: the gRPC messages between entries and sidecars.
 //! - [`problem`]: how errors are told.
@@ -9,6 +10,7 @@
 //!
 //! This crate opens no connection: `rosebend-transport` does.
 
+pub mod commit;
 pub mod configuration;
 pub mod peer;
 pub mod problem;
--- a/state/src/deployment/store.rs
+++ b/state/src/deployment/store.rs
@@ -107,6 +107,23 @@
 }
 
 impl Transaction {
+    /// All rows that it names, those of its conditions first.
+    pub fn rows(&self) -> impl Iterator<Item = &RowId> {
+        let conditions = self.conditions.iter().map(|condition| &condition.row);
+        let writes = self.writes.iter().map(|write| &write.row);
+        conditions.chain(writes).chain(&self.deletes)
+    }
+
+    /// Number of its entries; conditions count like writes and deletes.
+    pub fn entries(&self) -> usize {
+        self.conditions.len() + self.writes.len() + self.deletes.len()
+    }
+
+    /// Bytes of the values that it writes.
+    pub fn value_bytes(&self) -> usize {
+        self.writes.iter().map(|write| write.value.len()).sum()
+    }
+
     /// Requires a version of a row.
     #[must_use]
     pub fn expect(mut self, row: RowId, version: RowVersion) -> Self {
--- a/state/src/settings/gateway.rs
+++ b/state/src/settings/gateway.rs
@@ -27,6 +27,8 @@
     pub metrics_listen: SocketAddr,
     /// Where peers' calls to the store are passed on.
     pub relay_listen: SocketAddr,
+    /// The host's share of a processor, in thousandths of a core.
+    pub processor_milli: u32,
     /// The platform's store.
     pub store: StoreSettings,
     /// Time between the signal to stop and the end of the process by force.
@@ -87,7 +89,13 @@
             name: "relay_listen",
             kind: KeyKind::Address,
             presence: Presence::Required,
-            meaning: "Where other gateways have their calls to the store passed on, while it does not answer them, by TCP, and tell loads of endpoints, by UDP; reachable for gateways only.",
+            meaning: "Where other gateways have their transactions joined and, while the store does not answer them, their calls passed on, by TCP, and tell loads of endpoints, by UDP; reachable for gateways only.",
+        },
+        Key {
+            name: "processor_cores",
+            kind: KeyKind::Decimal(Unit::Count, 0..=1_024),
+            presence: Presence::Default("1"),
+            meaning: "The host's share of a processor, in cores; hosts with half of the largest share or more commit for the others.",
         },
         Key {
             name: "stop_grace_s",
@@ -152,6 +160,7 @@
             ready_listen: values.address("gateway", "ready_listen"),
             metrics_listen: values.address("gateway", "metrics_listen"),
             relay_listen: values.address("gateway", "relay_listen"),
+            processor_milli: values.thousandths("gateway", "processor_cores"),
             store: StoreSettings::from(&values),
             stop_grace: values.seconds("gateway", "stop_grace_s"),
             retention_margin: values.duration("gateway", "retention_margin_ms"),
--- a/state/src/settings/values.rs
+++ b/state/src/settings/values.rs
@@ -86,6 +86,13 @@
         number as u64
     }
 
+    /// A number that may have a decimal point, in thousandths.
+    pub fn thousandths(&self, section: &str, key: &str) -> u32 {
+        let value = self.required(section, key);
+        let number: f64 = value.parse().expect("the schema checked the number");
+        (number * 1_000.0) as u32
+    }
+
     /// An address.
     pub fn address(&self, section: &str, key: &str) -> SocketAddr {
         let value = self.required(section, key);
--- a/state/tests/settings.rs
+++ b/state/tests/settings.rs
@@ -39,6 +39,7 @@
         ("{{listen.ready}}", "10.1.0.38:8141"),
         ("{{ip}}", "10.1.0.38"),
         ("{{internal-ports.0}}", "7380"),
+        ("{{limits.cpu-share}}", "0.09"),
         ("{{bounds.grace-s}}", "8.5"),
         ("{{platform.address}}", "10.200.1.7:8142"),
         ("{{platform.writes-per-s}}", "800.0"),
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -165,11 +165,13 @@
     StoreRelayed,
     /// Step: the stream goes on at `endpoint` after its last whole event; `reason` says how the endpoint before failed.
     StreamResumed,
+    /// `host` does not commit for others for `wait_ms`; `reason` says what it did.
+    GathererAvoided,
 }
 
 impl EventKind {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 78] = [
+    pub const ALL: [Self; 79] = [
         Self::ProcessStarted,
         Self::ProcessStopping,
         Self::ProcessStopped,
@@ -248,6 +250,7 @@
         Self::RouteUnusable,
         Self::PeerRowUnusable,
         Self::StreamResumed,
+        Self::GathererAvoided,
     ];
 
     /// The event's number, which stays with it for ever.
@@ -326,6 +329,7 @@
             Self::EntryRefused => 835,
             Self::EntryRefusalEnded => 836,
             Self::StreamResumed => 841,
+            Self::GathererAvoided => 842,
             Self::RequestQuarantined => 821,
             Self::AcceptFailed => 822,
             Self::RecordUnreadable => 823,
@@ -410,6 +414,7 @@
             Self::HoldersAsked => "holders-asked",
             Self::HolderSilent => "holder-silent",
             Self::StreamResumed => "stream-resumed",
+            Self::GathererAvoided => "gatherer-avoided",
             Self::RequestQuarantined => "request-quarantined",
             Self::AcceptFailed => "accept-failed",
             Self::RecordUnreadable => "record-unreadable",
@@ -449,6 +454,7 @@
             | Self::RequestEnded
             | Self::EntryRefused
             | Self::EndpointAvoided
+            | Self::GathererAvoided
             | Self::StoreLost
             | Self::SettingsRefused
             | Self::HolderSilent
@@ -571,6 +577,9 @@
                 "Step: the turn and the `tokens` that it handed out are durable after `elapsed_ms`."
             }
             Self::AnswerBroken => "Step: the answer broke off; `error` says how.",
+            Self::GathererAvoided => {
+                "`host` does not commit for others for `wait_ms`; `reason` says what it did."
+            }
             Self::StreamResumed => {
                 "Step: the stream goes on at `endpoint` after its last whole event; `reason` says how the endpoint before failed."
             }
--- a/transport/src/store/mod.rs
+++ b/transport/src/store/mod.rs
@@ -38,7 +38,7 @@
 
 /// Shortest wait for the answer to a transaction before another copy is sent.
 /// Answers take 8 to 20 ms; a few take longer when a partition is busy.
-const MIN_PATIENCE: Duration = Duration::from_millis(150);
+pub const MIN_PATIENCE: Duration = Duration::from_millis(150);
 /// Longest such wait. A slow store answers after 200 to 500 ms, and needs no
 /// second copy of each call.
 const MAX_PATIENCE: Duration = Duration::from_secs(1);
@@ -527,6 +527,12 @@
         outcome
     }
 
+    /// Notes that another host's call was refused as one beyond the store's rate,
+    /// which is one for all hosts.
+    pub fn note_throttled(&self) {
+        self.last_throttled.set(Some(self.clock.now()));
+    }
+
     /// Whether a call was refused within `span` as one beyond the store's rate.
     pub fn was_throttled_within(&self, span: Duration) -> bool {
         let now = self.clock.now();
@@ -581,7 +587,7 @@
 
 /// The wait for the next answer: four times what answers took lately, eight of
 /// them together.
-fn next_patience(patience: Duration, took: Duration) -> Duration {
+pub fn next_patience(patience: Duration, took: Duration) -> Duration {
     let next = (patience * 7 + took * 4) / 8;
     next.clamp(MIN_PATIENCE, MAX_PATIENCE)
 }
