Refuse new programs while engines have queues

Records were durable within 200 ms; engines told 8 to 16 turns for 8 slots and first bytes took 200 to 900 ms, so that every program was late, and those begun in the burst kept the queues up.

Change: a host does not begin new programs while the first bytes of its turns take 80 to 240 ms longer than the shortest that it has seen; urgent kinds from twice that on. It says so at once, with 250 ms to 1 s as the time to come back.

--- a/coordination/src/gateway.rs
+++ b/coordination/src/gateway.rs
@@ -6,6 +6,7 @@
 //! |---|---|---|
 //! | which route a request takes, and which service serves it | [`route_table`] | `intake` |
 //! | which endpoints are there, and which of them runs a request | [`directory`], its prices in `directory::cost` | `watch`, `gossip`, `exchange` |
+//! | whether a new program is begun while engines have queues | [`admission`] | `turn` |
 //! | which entries name no endpoint to use | [`refusals`] | `watch` |
 //! | what follows when an endpoint did not answer as it should | [`attempt`] | `exchange` |
 //! | which events of a stream go out, and where its next run goes on | [`event_series`] | `runs` |
@@ -28,6 +29,7 @@
 //! [`directory`]; and at its end one transaction of the [`pending_changes`] holds its
 //! rows and what it really spent.
 
+pub mod admission;
 pub mod attempt;
 pub mod comeback;
 pub mod directory;
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -202,6 +202,11 @@
         let event = event.status(response.status().as_u16()).elapsed(elapsed);
         self.call.trail.step(event);
         self.check(&response, &header, endpoint)?;
+        if self.call.route.kind == RouteKind::Streaming {
+            let now = self.gateway.clock.now();
+            let mut admission = self.gateway.admission.borrow_mut();
+            admission.note(&self.call.service, elapsed, now);
+        }
         Ok(Exchanged {
             response,
             header,
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rosebend_coordination::gateway::admission::Admission;
 use rosebend_coordination::gateway::directory::Directory;
 use rosebend_coordination::gateway::fingerprint::CrashCounts;
 use rosebend_coordination::gateway::history::History;
@@ -56,6 +57,8 @@
     routes: RefCell<Option<Rc<RouteTable>>>,
     /// Endpoints that are there.
     pub directory: RefCell<Directory>,
+    /// The queues of engines, which decide whether new programs are begun.
+    pub admission: RefCell<Admission>,
     /// Entries that name no endpoint to use.
     pub refusals: RefCell<Refusals>,
     /// Idle connections to endpoints.
@@ -95,6 +98,7 @@
             clock,
             routes: RefCell::new(None),
             directory: RefCell::new(Directory::new(settings.availability_zone.clone())),
+            admission: RefCell::default(),
             refusals: RefCell::default(),
             pool: RefCell::default(),
             history: RefCell::new(History::new(HISTORY_BYTES)),
--- a/gateway/src/reply.rs
+++ b/gateway/src/reply.rs
@@ -51,6 +51,9 @@
     BodyTimeout,
     /// Every endpoint that was asked refused or was out of reach.
     NoRoom,
+    /// The engines have longer queues than a new program bears; the caller may
+    /// come back after this time.
+    Overloaded(Duration),
     /// The store, which has the program's history and budget, has been out of
     /// reach for this time.
     StoreUnreachable(Duration),
@@ -104,6 +107,7 @@
             Self::BodyCutShort => "body-cut-short",
             Self::BodyTimeout => "body-timeout",
             Self::NoRoom => "no-room",
+            Self::Overloaded(_) => "overloaded",
             Self::StoreUnreachable(_) => "store-unreachable",
             Self::BudgetSpent => "budget-spent",
             Self::BudgetUnsettled => "budget-unsettled",
@@ -124,7 +128,7 @@
             Self::HeadTooLarge => 431,
             Self::BudgetSpent => 402,
             Self::NotReady | Self::NoRoom | Self::StoreUnreachable(_) => 503,
-            Self::RouteUnusable => 503,
+            Self::RouteUnusable | Self::Overloaded(_) => 503,
             Self::BudgetUnsettled | Self::CrashesEndpoints => 503,
             Self::OutcomeUnknown => 502,
             Self::TimeIsUp => 504,
@@ -143,6 +147,7 @@
     pub fn retry_after(self) -> Option<Duration> {
         match self {
             Self::NoRoom => Some(ROOM_RETRY),
+            Self::Overloaded(comeback) => Some(comeback),
             Self::BudgetUnsettled => Some(SETTLE_RETRY),
             Self::StoreUnreachable(away) => Some(after_outage(away)),
             Self::NotReady => Some(START_RETRY),
@@ -164,6 +169,7 @@
             Self::BodyCutShort => "the body ended early",
             Self::BodyTimeout => "the body did not arrive in time",
             Self::NoRoom => "no endpoint has room",
+            Self::Overloaded(_) => "the engines' queues are too long for a new program",
             Self::StoreUnreachable(_) => "the program's history and budget are out of reach",
             Self::BudgetSpent => "the program's budget does not hold this turn",
             Self::BudgetUnsettled => "turns of the program are being settled",
--- a/gateway/src/turn.rs
+++ b/gateway/src/turn.rs
@@ -37,6 +37,7 @@
 }
 
 async fn run(gateway: &Rc<Gateway>, call: &Rc<Call>) -> Result<Response<BoxBody>, Refusal> {
+    admit(gateway, call)?;
     let history = history(gateway, call).await?;
     let mut spending = match spender(call) {
         Some(program) => Some(Spending::reserve(gateway, call, program).await?),
@@ -69,6 +70,21 @@
     pass_on(gateway, call, exchange, exchanged, kept).await
 }
 
+/// Whether a new program may begin while engines have queues. Where no history is
+/// kept, nothing tells a program's first turn from its others.
+fn admit(gateway: &Gateway, call: &Call) -> Result<(), Refusal> {
+    let program = call.header.program.as_ref();
+    let begins = program.is_some_and(|program| program.previous.is_none());
+    if !(begins && call.route.keeps_history) {
+        return Ok(());
+    }
+    let is_urgent = call.route.priority == 0;
+    let admission = gateway.admission.borrow();
+    let now = gateway.clock.now();
+    let comeback = admission.refuse(&call.service, is_urgent, &call.header.attempt, now);
+    comeback.map_or(Ok(()), |comeback| Err(Refusal::Overloaded(comeback)))
+}
+
 /// The beginning of the turn's record, where the route keeps history.
 async fn history(gateway: &Rc<Gateway>, call: &Call) -> Result<Option<Record>, Refusal> {
     let program = call.header.program.clone();
--- /dev/null
+++ b/gateway/tests/overload.rs
@@ -0,0 +1,61 @@
+//! Engines with queues: new programs are told to come back, and those under way go
+//! on.
+
+mod support;
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use rosebend_standin::backend::BackendFaults;
+use rosebend_transport::connection::Connection;
+use support::{Ask, Site, until};
+
+const MODELS: usize = 0;
+
+fn program(number: usize) -> Ask {
+    Ask::turn(&format!("t{number}"), &format!("p{number}"), "x")
+}
+
+#[actix_rt::test]
+async fn new_programs_wait_while_first_bytes_are_late() {
+    let (site, gateway) = Site::start_with_gateway().await;
+    for number in 0..5 {
+        let answer = program(number).send(gateway.front).await;
+        assert_eq!(answer.status, 200);
+    }
+    let late = BackendFaults {
+        delay_ms: 400,
+        events: 5,
+        ..BackendFaults::default()
+    };
+    site.endpoint_faults(MODELS, &late).await;
+    let front = gateway.front;
+    let begun = (10..40).map(move |number| async move { program(number).send(front).await });
+    let begun = actix_rt::spawn(join_all(begun));
+    let tries = Cell::new(100);
+    until("a new program is refused", async || {
+        let number = tries.replace(tries.get() + 1);
+        let mut connection = Connection::open(front).await.unwrap();
+        let request = program(number).request();
+        let response = connection.send(request).await.unwrap();
+        response.status() == 503
+    })
+    .await;
+    let refused = format!("t{}", tries.get() - 1);
+    assert_eq!(site.times_run(&refused).await, 0);
+    let ended = gateway.events("request-ended");
+    let ended = ended.iter().find(|event| event["attempt"] == *refused);
+    assert_eq!(ended.unwrap()["reason"], "overloaded");
+    for answer in begun.await.unwrap() {
+        assert_eq!((answer.status, answer.is_whole), (200, true));
+    }
+    // A program that is under way goes on.
+    let next = Ask::turn("next", "p10", "x").previous("t10");
+    assert_eq!(next.send(gateway.front).await.status, 200);
+    // Nobody was heard of for a while, and the engine is quick again.
+    site.endpoint_faults(MODELS, &BackendFaults::default())
+        .await;
+    actix_rt::time::sleep(Duration::from_secs(3)).await;
+    assert_eq!(program(51).send(gateway.front).await.status, 200);
+}
