Refuse transactions of partitions that hold no programs

Any text could name a partition to commit in, and each would have been kept for ever. A message that names another partition than those of programs is refused with the reason and counted, as one that is none; tested with the others.

--- a/gateway/src/joined_commits/ask.rs
+++ b/gateway/src/joined_commits/ask.rs
@@ -15,6 +15,7 @@
 use bytes::Bytes;
 use http::{Method, Request};
 use http_body_util::{BodyExt, Full, Limited};
+use rosebend_coordination::gateway::history::partitions;
 use rosebend_protocol::commit::{
     CommitError, Committed, decode_committed, decode_transaction, encode_committed,
     encode_transaction,
@@ -131,9 +132,28 @@
     }
 }
 
+/// Why a message asks for nothing that is done for it.
+#[derive(Debug, thiserror::Error)]
+enum MessageError {
+    #[error(transparent)]
+    Malformed(#[from] CommitError),
+    #[error("partition {0} holds no programs")]
+    Partition(String),
+}
+
+fn read(message: &[u8]) -> Result<Transaction, MessageError> {
+    let transaction = decode_transaction(message)?;
+    let partition = transaction.rows().next().map(|row| row.partition.clone());
+    let partition = partition.unwrap_or_default();
+    match partitions().any(|known| known == partition) {
+        true => Ok(transaction),
+        false => Err(MessageError::Partition(partition)),
+    }
+}
+
 /// Answers a gateway that asks for a transaction.
 pub fn answer(gateway: &Rc<Gateway>, message: &[u8]) -> Response<BoxBody> {
-    let transaction = match decode_transaction(message) {
+    let transaction = match read(message) {
         Ok(transaction) => transaction,
         Err(error) => {
             gateway.metrics.count_refused_commit();
--- a/gateway/tests/joined_commits.rs
+++ b/gateway/tests/joined_commits.rs
@@ -6,8 +6,10 @@
 use std::net::TcpListener;
 
 use http::Method;
+use rosebend_protocol::commit::encode_transaction;
 use rosebend_standin::server::RunningServer;
 use rosebend_standin::store::StoreFaults;
+use rosebend_state::deployment::{RowId, Transaction};
 use support::{Ask, Gateway, Site, until};
 
 const BY_GATHERER: &str = "commits_total{way=\"gatherer\"}";
@@ -123,7 +125,10 @@
 #[actix_rt::test]
 async fn a_message_that_is_none_is_refused_and_costs_nothing_else() {
     let (_site, _door, gatherer, other) = start().await;
-    let messages = ["", "nonsense", "\u{8}\u{2}"];
+    let row = RowId::new("programs", "elsewhere", "p1/");
+    let elsewhere = encode_transaction(&Transaction::default().delete(row));
+    let elsewhere = String::from_utf8(elsewhere).unwrap();
+    let messages = ["", "nonsense", "\u{8}\u{2}", &elsewhere];
     for message in messages {
         let ask = Ask::new(Method::POST, "/peer/commit").body(message);
         assert_eq!(ask.send(gatherer.relay).await.status, 400, "{message:?}");
