Serve customers by their keys

Cause: the gateways knew nothing of customers. Ruled out: forged headers alone; every keyed request was passed on. A request is refused by its head (401), its endpoint gets the customer's name, and programs, turns and quarantine belong to the customer, so that another one's turn is none.

--- a/coordination/src/gateway.rs
+++ b/coordination/src/gateway.rs
@@ -38,6 +38,7 @@
 pub mod gatherers;
 pub mod group_commit;
 pub mod history;
+pub mod identity;
 pub mod ledger;
 pub mod pending_changes;
 pub mod refusals;
--- a/coordination/src/gateway/history.rs
+++ b/coordination/src/gateway/history.rs
@@ -30,8 +30,9 @@
 const SEPARATOR: char = '/';
 /// The character after [`SEPARATOR`], which ends the range of a program.
 const AFTER_SEPARATOR: char = '0';
-/// Longest id of a program, in bytes: that of callers' headers.
-const MAX_PROGRAM_BYTES: usize = 80;
+/// Longest id of a program, in bytes: that of callers' headers, and what tells
+/// their customer.
+const MAX_PROGRAM_BYTES: usize = 97;
 
 /// A turn that was answered whole.
 #[derive(Debug, Eq, PartialEq)]
--- a/coordination/tests/gateway_attempt.rs
+++ b/coordination/tests/gateway_attempt.rs
@@ -35,6 +35,7 @@
         sticky: false,
         resumable,
         event_gap: Duration::from_millis(200),
+        is_public: false,
     }
 }
 
--- a/coordination/tests/gateway_routes.rs
+++ b/coordination/tests/gateway_routes.rs
@@ -29,6 +29,7 @@
         sticky: false,
         resumable: false,
         event_gap: Duration::ZERO,
+        is_public: false,
     }
 }
 
@@ -53,6 +54,7 @@
             header_timeout: Duration::from_secs(1),
             idle_timeout: Duration::from_secs(1),
         },
+        customers: None,
     })
 }
 
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -1,6 +1,7 @@
 //! A caller's request that was read and found its route: what everything that
 //! serves it works on.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use actix_http::Response;
@@ -8,7 +9,9 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use rosebend_coordination::gateway::fingerprint::Fingerprint;
-use rosebend_state::deployment::{CallHeader, EventId, Route, ServiceName};
+use rosebend_state::deployment::{
+    AttemptId, CallHeader, Customer, EventId, ProgramHeader, Route, ServiceName,
+};
 
 use crate::gateway::Gateway;
 use crate::reply::{Refusal, Reply};
@@ -23,6 +26,8 @@
     pub target: String,
     /// Headers that go on to an endpoint.
     pub headers: HeaderMap,
+    /// Whose request it is; none where no key is wanted.
+    pub customer: Option<Arc<Customer>>,
     /// What the caller says about the request.
     pub header: CallHeader,
     /// The whole body.
@@ -60,6 +65,37 @@
         self.header.last_event.filter(|_| may_resume)
     }
 
+    /// Rank of the request; 0 is the most urgent. That of its customer goes
+    /// before that of its route.
+    pub fn priority(&self) -> u32 {
+        let customer = self.customer.as_ref();
+        let own = customer.and_then(|customer| customer.priority);
+        own.unwrap_or(self.route.priority)
+    }
+
+    /// The request's program, with ids that no other customer's callers can name.
+    pub fn program(&self) -> Option<ProgramHeader> {
+        let program = self.header.program.as_ref()?;
+        Some(ProgramHeader {
+            program: self.scoped(&program.program),
+            previous: program.previous.as_ref().map(|turn| self.scoped(turn)),
+            ..program.clone()
+        })
+    }
+
+    /// The turn that the request is, as it is kept: an id that no other
+    /// customer's callers can name.
+    pub fn turn(&self) -> AttemptId {
+        self.scoped(&self.header.attempt)
+    }
+
+    fn scoped(&self, id: &str) -> String {
+        match &self.customer {
+            Some(customer) => customer.scoped(id),
+            None => id.to_owned(),
+        }
+    }
+
     /// What the request is about, for spreading and affinity.
     pub fn subject(&self) -> &str {
         let program = self.header.program.as_ref();
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -9,6 +9,7 @@
 use rosebend_coordination::gateway::directory::Directory;
 use rosebend_coordination::gateway::fingerprint::CrashCounts;
 use rosebend_coordination::gateway::history::History;
+use rosebend_coordination::gateway::identity::Confirmation;
 use rosebend_coordination::gateway::refusals::Refusals;
 use rosebend_coordination::gateway::route_table::RouteTable;
 use rosebend_state::deployment::EndpointIdentity;
@@ -30,7 +31,7 @@
 /// About 4,000 turns at 5.6 KB, the bytes a turn on a quiet day of one site.
 const HISTORY_BYTES: usize = 24 << 20;
 
-/// Lines about routes of one version that can't be used; each line tells how
+/// Lines about routes, and about customers, of one version that can't be used; each line tells how
 /// many there are.
 const MAX_UNUSABLE_LINES: usize = 8;
 
@@ -55,6 +56,8 @@
     pub commits: Rc<Commits>,
     /// Routes in force; none before the first was read.
     routes: RefCell<Option<Rc<RouteTable>>>,
+    /// When the store last said that these are the newest.
+    confirmation: Cell<Confirmation>,
     /// Endpoints that are there.
     pub directory: RefCell<Directory>,
     /// The queues of engines, which decide whether new programs are begun.
@@ -97,6 +100,7 @@
             metrics,
             clock,
             routes: RefCell::new(None),
+            confirmation: Cell::default(),
             directory: RefCell::new(Directory::new(settings.availability_zone.clone())),
             admission: RefCell::default(),
             refusals: RefCell::default(),
@@ -139,10 +143,35 @@
         let services = routes.deployment().services.keys().cloned();
         self.directory.borrow_mut().declare(services);
         log_unusable(&routes);
+        log_unusable_customers(&routes);
         *current = Some(Rc::new(routes));
         true
     }
 
+    /// Takes note that the store has no newer routes.
+    pub fn confirm_routes(&self) {
+        let mut confirmation = self.confirmation.get();
+        confirmation.confirm(self.clock.now());
+        self.confirmation.set(confirmation);
+    }
+
+    /// Whether a customer's key may be trusted to be what it was.
+    pub fn are_keys_confirmed(&self) -> bool {
+        let age = self.confirmation.get().age(self.clock.now());
+        let within = self.settings.borrow().customers.keys_confirmed_within;
+        within.is_none_or(|within| age <= within)
+    }
+
+    /// What is said of a request that the routes deny; a newer version, of which
+    /// this host has not heard, may have its route or key.
+    pub fn unless_doubted(&self, denial: Refusal) -> Refusal {
+        let is_denied = matches!(denial, Refusal::NoRoute | Refusal::UnknownKey);
+        match is_denied && self.confirmation.get().is_doubted(self.clock.now()) {
+            true => Refusal::RoutesUnconfirmed,
+            false => denial,
+        }
+    }
+
     /// Refuses what needs the store.
     pub fn store_unreachable(&self) -> Refusal {
         self.store.tell_if_lost();
@@ -235,6 +264,23 @@
     }
 }
 
+/// Writes which customers of a version can't be used, once and the first of them.
+fn log_unusable_customers(routes: &RouteTable) {
+    let deployment = routes.deployment();
+    let Some(customers) = &deployment.customers else {
+        return;
+    };
+    let count = customers.unusable.len() as u64;
+    for customer in customers.unusable.iter().take(MAX_UNUSABLE_LINES) {
+        let event = Event::new(EventKind::CustomerUnusable).version(deployment.version);
+        let event = event.count(count).reason(customer.reason);
+        log_event(&match &customer.name {
+            Some(name) => event.customer(name),
+            None => event,
+        });
+    }
+}
+
 /// Why a route can't be used, as an error for the log.
 #[derive(Debug, thiserror::Error)]
 #[error("{0}")]
--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -1,5 +1,6 @@
 //! Reads a caller's request, and finds its route.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use actix_http::Request;
@@ -8,8 +9,10 @@
 use futures_util::StreamExt;
 use http::HeaderMap;
 use rosebend_coordination::gateway::fingerprint::fingerprint;
-use rosebend_coordination::gateway::route_table::service_for;
+use rosebend_coordination::gateway::identity::identify;
+use rosebend_coordination::gateway::route_table::{RouteTable, service_for};
 use rosebend_platform::headers;
+use rosebend_state::deployment::{Customer, Route};
 use rosebend_transport::event::{Event, EventKind};
 
 use crate::call::Call;
@@ -39,14 +42,16 @@
     if head_bytes(&request, headers) > limits.max_header_bytes {
         return Err(Refusal::HeadTooLarge);
     }
+    // What the head refuses by itself needs no body.
+    place(gateway, &routes, &request, headers)?;
     let body = read_body(&mut request, limits.max_body_bytes).await?;
     // Read the newest routes: the body may have taken a while.
     let routes = gateway.routes().unwrap_or(routes);
+    let (route, customer) = place(gateway, &routes, &request, headers)?;
     let caller = request.peer_addr().map(|peer| peer.ip().to_string());
     let caller = caller.unwrap_or_default();
     let header = headers::decode_call(headers).map_err(Refusal::HeaderUnusable)?;
     let host = headers::host(headers).map_err(Refusal::HeaderUnusable)?;
-    let route = routes.route(host, request.path()).map_err(Refusal::from)?;
     let subject = header
         .program
         .as_ref()
@@ -61,13 +66,24 @@
         .map(|program| program.program.clone());
     let trail = Trail::new(header.attempt.clone(), program, route.name.clone());
     let version = routes.deployment().version;
-    trail.step(Event::new(EventKind::RequestArrived).version(version));
+    let arrival = Event::new(EventKind::RequestArrived).version(version);
+    trail.step(match &customer {
+        Some(customer) => arrival.customer(&customer.name),
+        None => arrival,
+    });
+    let scope = customer.as_ref().map(|customer| customer.scoped(&caller));
+    let caller = scope.unwrap_or(caller);
+    let mut kept = headers::for_endpoint(headers);
+    if routes.deployment().customers.is_some() {
+        headers::name_customer(&mut kept, customer.as_deref());
+    }
     Ok(Call {
         trail,
         method: method(&request)?,
         fingerprint: fingerprint(host, &target, &caller, &body),
         target,
-        headers: headers::for_endpoint(headers),
+        headers: kept,
+        customer,
         header,
         body,
         route: route.clone(),
@@ -77,6 +93,29 @@
     })
 }
 
+/// The route of a request and its customer, by the head alone.
+///
+/// # Errors
+///
+/// Says why there is none.
+fn place<'a>(
+    gateway: &Gateway,
+    routes: &'a RouteTable,
+    request: &Request,
+    headers: &HeaderMap,
+) -> Result<(&'a Route, Option<Arc<Customer>>), Refusal> {
+    let host = headers::host(headers).map_err(Refusal::HeaderUnusable)?;
+    let route = routes.route(host, request.path());
+    let route = route.map_err(|error| gateway.unless_doubted(error.into()))?;
+    let key = headers::customer_key(headers);
+    let customer = identify(routes.deployment(), route, key.as_ref());
+    let customer = customer.map_err(|error| gateway.unless_doubted(error.into()))?;
+    if customer.is_some() && !gateway.are_keys_confirmed() {
+        return Err(Refusal::KeysUnconfirmed);
+    }
+    Ok((route, customer))
+}
+
 /// Bytes of a request's head, as they would be written.
 fn head_bytes(request: &Request, headers: &HeaderMap) -> usize {
     // " HTTP/1.1" with its space and line end, and ": " with a line end each.
--- a/gateway/src/reload.rs
+++ b/gateway/src/reload.rs
@@ -80,6 +80,7 @@
         store: settings.store,
         stop_grace: settings.stop_grace,
         retention_margin: settings.retention_margin,
+        customers: settings.customers,
         ..GatewaySettings::clone(&current)
     };
     let reach = match next == *settings {
--- a/gateway/src/reply.rs
+++ b/gateway/src/reply.rs
@@ -10,6 +10,7 @@
 use futures_util::Stream;
 use http::HeaderMap;
 use rosebend_coordination::gateway::comeback::after_outage;
+use rosebend_coordination::gateway::identity::IdentityError;
 use rosebend_coordination::gateway::route_table::RouteError;
 use rosebend_platform::headers::{self, HeaderError};
 use rosebend_protocol::problem::{Problem, Ran};
@@ -35,6 +36,16 @@
 pub enum Refusal {
     /// A header is missing or can't be used.
     HeaderUnusable(HeaderError),
+    /// Its caller sent no key.
+    NoKey,
+    /// Nobody holds its caller's key.
+    UnknownKey,
+    /// Its caller's key is that of a customer whose entry can't be used.
+    KeyUnusable,
+    /// This host has not heard for too long whether keys still hold.
+    KeysUnconfirmed,
+    /// A newer version that this host has not heard of may have its route or key.
+    RoutesUnconfirmed,
     /// No route serves it.
     NoRoute,
     /// Its route has a value that can't be used.
@@ -75,9 +86,10 @@
 /// When a caller may come back that found no room: about the time in which a
 /// slot is freed.
 const ROOM_RETRY: Duration = Duration::from_millis(100);
-/// When a caller may come back that came before the routes were known.
+/// When a caller may come back that came before the routes were known, or to a
+/// host that has not heard of them lately: its retry comes to another one.
 const START_RETRY: Duration = Duration::from_millis(200);
-/// When a caller may come back whose route can't be used: operators write
+/// When a caller may come back whose route or customer can't be used: operators write
 /// another version in seconds at best.
 const ROUTE_RETRY: Duration = Duration::from_secs(1);
 
@@ -90,6 +102,16 @@
     }
 }
 
+impl From<IdentityError> for Refusal {
+    fn from(error: IdentityError) -> Self {
+        match error {
+            IdentityError::NoKey => Self::NoKey,
+            IdentityError::UnknownKey => Self::UnknownKey,
+            IdentityError::KeyUnusable => Self::KeyUnusable,
+        }
+    }
+}
+
 /// When a caller may come back whose budget waits for a settlement: that is
 /// one write, which takes 13 to 17 ms, and longer where the store is busy.
 const SETTLE_RETRY: Duration = Duration::from_millis(50);
@@ -99,6 +121,11 @@
     pub fn word(self) -> &'static str {
         match self {
             Self::HeaderUnusable(_) => "header-unusable",
+            Self::NoKey => "no-key",
+            Self::UnknownKey => "unknown-key",
+            Self::KeyUnusable => "key-unusable",
+            Self::KeysUnconfirmed => "keys-unconfirmed",
+            Self::RoutesUnconfirmed => "routes-unconfirmed",
             Self::NoRoute => "no-route",
             Self::RouteUnusable => "route-unusable",
             Self::NotReady => "not-ready",
@@ -122,6 +149,7 @@
     pub fn status(self) -> u16 {
         match self {
             Self::HeaderUnusable(_) | Self::BodyCutShort => 400,
+            Self::NoKey | Self::UnknownKey => 401,
             Self::NoRoute | Self::NoSuchTurn => 404,
             Self::BodyTimeout => 408,
             Self::BodyTooLarge => 413,
@@ -129,6 +157,7 @@
             Self::BudgetSpent => 402,
             Self::NotReady | Self::NoRoom | Self::StoreUnreachable(_) => 503,
             Self::RouteUnusable | Self::Overloaded(_) => 503,
+            Self::KeyUnusable | Self::KeysUnconfirmed | Self::RoutesUnconfirmed => 503,
             Self::BudgetUnsettled | Self::CrashesEndpoints => 503,
             Self::OutcomeUnknown => 502,
             Self::TimeIsUp => 504,
@@ -150,8 +179,8 @@
             Self::Overloaded(comeback) => Some(comeback),
             Self::BudgetUnsettled => Some(SETTLE_RETRY),
             Self::StoreUnreachable(away) => Some(after_outage(away)),
-            Self::NotReady => Some(START_RETRY),
-            Self::RouteUnusable => Some(ROUTE_RETRY),
+            Self::NotReady | Self::KeysUnconfirmed | Self::RoutesUnconfirmed => Some(START_RETRY),
+            Self::RouteUnusable | Self::KeyUnusable => Some(ROUTE_RETRY),
             _ => None,
         }
     }
@@ -159,6 +188,13 @@
     fn detail(self) -> &'static str {
         match self {
             Self::HeaderUnusable(error) => error.text(),
+            Self::NoKey => "a key is wanted: Authorization: Bearer KEY",
+            Self::UnknownKey => "nobody holds this key",
+            Self::KeyUnusable => {
+                "the customer of this key is declared with a value that cannot be used"
+            }
+            Self::KeysUnconfirmed => "this host cannot tell whether the key still holds",
+            Self::RoutesUnconfirmed => "this host may not know the newest routes and keys",
             Self::NoRoute => "no route serves this host and path",
             Self::RouteUnusable => {
                 "the route of this host and path is declared with a value that cannot be used"
@@ -215,6 +251,10 @@
             let value = http::HeaderValue::from_str(&text).expect("digits are a header's value");
             own.insert(headers::RETRY_AFTER, value);
         }
+        if self.status() == 401 {
+            let scheme = http::HeaderValue::from_static(headers::KEY_SCHEME);
+            own.insert(http::header::WWW_AUTHENTICATE, scheme);
+        }
         copy_headers(&own, response.headers_mut());
         response
     }
--- a/gateway/src/spending.rs
+++ b/gateway/src/spending.rs
@@ -64,7 +64,7 @@
         let most_tokens = most.unwrap_or(UNTOLD_MOST_TOKENS);
         let budget_tokens = header.budget_tokens.unwrap_or(u64::MAX);
         let program = header.program.clone();
-        let attempt = call.header.attempt.clone();
+        let attempt = call.turn();
         if !gateway.store.is_reachable() {
             return Err(gateway.store_unreachable());
         }
--- a/gateway/src/turn.rs
+++ b/gateway/src/turn.rs
@@ -40,7 +40,7 @@
     admit(gateway, call)?;
     let history = history(gateway, call).await?;
     let mut spending = match spender(call) {
-        Some(program) => Some(Spending::reserve(gateway, call, program).await?),
+        Some(program) => Some(Spending::reserve(gateway, call, &program).await?),
         None => None,
     };
     let (prompt, warm) = match history.as_ref().and_then(|record| record.previous.as_ref()) {
@@ -78,7 +78,7 @@
     if !(begins && call.route.keeps_history) {
         return Ok(());
     }
-    let is_urgent = call.route.priority == 0;
+    let is_urgent = call.priority() == 0;
     let admission = gateway.admission.borrow();
     let now = gateway.clock.now();
     let comeback = admission.refuse(&call.service, is_urgent, &call.header.attempt, now);
@@ -87,8 +87,7 @@
 
 /// The beginning of the turn's record, where the route keeps history.
 async fn history(gateway: &Rc<Gateway>, call: &Call) -> Result<Option<Record>, Refusal> {
-    let program = call.header.program.clone();
-    let Some(program) = program.filter(|_| call.route.keeps_history) else {
+    let Some(program) = call.program().filter(|_| call.route.keeps_history) else {
         return Ok(None);
     };
     if call.body.len() > MAX_INPUT_BYTES {
@@ -107,8 +106,8 @@
 
 /// The program whose ledger the turn needs: it has a budget, or a record, which
 /// lasts as long as the ledger.
-fn spender(call: &Call) -> Option<&ProgramHeader> {
-    let program = call.header.program.as_ref()?;
+fn spender(call: &Call) -> Option<ProgramHeader> {
+    let program = call.program()?;
     let is_counted = program.budget_tokens.is_some() || call.route.keeps_history;
     is_counted.then_some(program)
 }
--- a/gateway/src/turn_stream.rs
+++ b/gateway/src/turn_stream.rs
@@ -241,7 +241,7 @@
     /// durable, the turn counts at its most.
     fn settle(&self, spending: &mut Spending) {
         spending.settle_later();
-        if let Some(program) = &self.call.header.program {
+        if let Some(program) = self.call.program() {
             let retention = self.call.route.retention.max(LEDGER_RETENTION);
             self.keep(&program.program, Vec::new(), retention);
         }
@@ -262,7 +262,7 @@
             previous => (previous, self.call.body.to_vec()),
         };
         Turn {
-            attempt: self.call.header.attempt.clone(),
+            attempt: self.call.turn(),
             program,
             previous,
             input,
--- a/gateway/src/watch.rs
+++ b/gateway/src/watch.rs
@@ -54,6 +54,7 @@
     for row in &rows.rows {
         take_routes(gateway, row);
     }
+    gateway.confirm_routes();
     Ok(rows.version)
 }
 
--- /dev/null
+++ b/gateway/tests/customers.rs
@@ -0,0 +1,339 @@
+//! Customers and their keys: whose requests run, under which name, and what one
+//! customer can reach of another's.
+
+mod support;
+
+use http::Method;
+use rosebend_standin::backend::BackendFaults;
+use rosebend_standin::store::StoreFaults;
+use serde_json::{Value, json};
+use support::{Answer, Ask, Gateway, Site, routes, until};
+
+const MODELS: usize = 0;
+const DESK: usize = 1;
+/// Keys of the two customers that tests declare.
+const SHIP_KEY: &str = "ship-key-000001";
+const CREW_KEY: &str = "crew-key-000001";
+
+fn customer(name: &str, keys: &[&str]) -> Value {
+    json!({"name": name, "api-keys": keys, "priority": 1, "rate-per-s": 0, "burst": 0})
+}
+
+fn with_customers(version: u64, customers: &[Value]) -> Value {
+    let mut declared = routes(version);
+    declared["tenants"] = json!(customers);
+    declared["routes"][3]["public"] = json!(true);
+    declared
+}
+
+fn two_customers(version: u64) -> Value {
+    let customers = [
+        customer("ship", &[SHIP_KEY]),
+        customer("crew", &[CREW_KEY, "crew-key-000002"]),
+    ];
+    with_customers(version, &customers)
+}
+
+fn declare(site: &Site, declared: &Value) {
+    site.store.put("op", "config", declared);
+}
+
+async fn start() -> (Site, Gateway) {
+    let site = Site::without_routes();
+    declare(&site, &two_customers(1));
+    let gateway = site.ready_gateway().await;
+    (site, gateway)
+}
+
+trait Keyed {
+    fn key(self, key: &str) -> Self;
+}
+
+impl Keyed for Ask {
+    fn key(self, key: &str) -> Self {
+        self.header("authorization", &format!("Bearer {key}"))
+    }
+}
+
+fn reason(answer: &Answer) -> String {
+    let problem: Value = serde_json::from_str(&answer.body).unwrap();
+    problem["reason"].as_str().unwrap().to_owned()
+}
+
+async fn until_version(gateway: &Gateway, version: u64) {
+    until("the routes are in force", async || {
+        gateway.metric("routes_version").await == version
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn an_endpoint_gets_the_customers_name_and_not_its_key() {
+    let (site, gateway) = start().await;
+    let forged = Ask::lookup("a1").key(SHIP_KEY).header("tenant", "crew");
+    assert_eq!(forged.send(gateway.front).await.status, 200);
+    let turn = Ask::turn("t1", "p1", "first|").key(CREW_KEY);
+    assert_eq!(turn.send(gateway.front).await.status, 200);
+    let lookup = site.runs(DESK).await["a1"].clone();
+    assert_eq!(lookup.headers["tenant"], "ship");
+    assert!(!lookup.headers.contains_key("authorization"));
+    let turn = site.runs(MODELS).await["t1"].clone();
+    assert_eq!(turn.headers["tenant"], "crew");
+    assert!(!turn.headers.contains_key("authorization"));
+}
+
+#[actix_rt::test]
+async fn a_further_attempt_bears_the_customers_name_as_well() {
+    let mut site = Site::without_routes();
+    let other = site.add_endpoint("desk");
+    declare(&site, &two_customers(1));
+    let gateway = site.ready_gateway().await;
+    let faults = BackendFaults {
+        refuse: 1_000,
+        ..BackendFaults::default()
+    };
+    site.endpoint_faults(DESK, &faults).await;
+    for number in 0..4 {
+        let ask = Ask::lookup(&format!("a{number}")).key(SHIP_KEY);
+        assert_eq!(ask.send(gateway.front).await.status, 200);
+    }
+    let runs = site.runs(other).await;
+    assert_eq!(runs.len(), 4);
+    for run in runs.values() {
+        assert_eq!(run.headers["tenant"], "ship");
+        assert!(!run.headers.contains_key("authorization"));
+    }
+}
+
+#[actix_rt::test]
+async fn a_request_without_a_known_key_is_refused_and_does_not_run() {
+    let (site, gateway) = start().await;
+    let table = [
+        (Ask::lookup("a1"), "no-key"),
+        (Ask::lookup("a2").key("nobodys-key"), "unknown-key"),
+        (
+            Ask::lookup("a3").header("authorization", "Bearer"),
+            "no-key",
+        ),
+        (Ask::lookup("a4").header("authorization", ""), "no-key"),
+        (
+            Ask::lookup("a5").header("authorization", SHIP_KEY),
+            "no-key",
+        ),
+        (
+            Ask::lookup("a6").header("authorization", &format!("Basic {SHIP_KEY}")),
+            "no-key",
+        ),
+        (Ask::lookup("a7").key(&"x".repeat(8_000)), "unknown-key"),
+        (Ask::lookup("a8").key(&format!("{SHIP_KEY} ")), ""),
+        (
+            Ask::lookup("a9").header("authorization", &format!("bEARER   {SHIP_KEY}")),
+            "",
+        ),
+        (
+            Ask::turn("t1", "p1", "x").key(&SHIP_KEY[1..]),
+            "unknown-key",
+        ),
+    ];
+    for (ask, word) in table {
+        let answer = ask.send(gateway.front).await;
+        if word.is_empty() {
+            assert_eq!(answer.status, 200, "{ask:?}");
+            continue;
+        }
+        assert_eq!(answer.status, 401, "{ask:?}");
+        assert_eq!(reason(&answer), word, "{ask:?}");
+        assert_eq!(answer.header("www-authenticate"), Some("Bearer"));
+    }
+    for attempt in ["a1", "a2", "a3", "a4", "a5", "a6", "a7", "t1"] {
+        assert_eq!(site.times_run(attempt).await, 0, "{attempt}");
+    }
+}
+
+#[actix_rt::test]
+async fn a_public_route_takes_callers_without_a_key() {
+    let (site, gateway) = start().await;
+    let ask = Ask::new(Method::POST, "/unkept/stream/x")
+        .attempt("a1")
+        .header("tenant", "crew");
+    assert_eq!(ask.send(gateway.front).await.status, 200);
+    let run = site.runs(MODELS).await["a1"].clone();
+    assert!(!run.headers.contains_key("tenant"));
+    let ask = ask.attempt("a2").key(SHIP_KEY);
+    assert_eq!(ask.send(gateway.front).await.status, 200);
+    let run = site.runs(MODELS).await["a2"].clone();
+    assert!(!run.headers.contains_key("authorization"));
+}
+
+#[actix_rt::test]
+async fn where_no_customers_are_declared_no_key_is_wanted() {
+    let (site, gateway) = Site::start_with_gateway().await;
+    let ask = Ask::lookup("a1").key("of-the-endpoint");
+    assert_eq!(ask.send(gateway.front).await.status, 200);
+    let run = site.runs(DESK).await["a1"].clone();
+    assert_eq!(run.headers["authorization"], "Bearer of-the-endpoint");
+}
+
+#[actix_rt::test]
+async fn keys_that_are_taken_away_or_moved_hold_no_longer() {
+    let (site, gateway) = start().await;
+    assert_eq!(ask_with(&gateway, "a1", SHIP_KEY).await.status, 200);
+    let moved = [customer("ship", &[]), customer("crew", &[SHIP_KEY])];
+    declare(&site, &with_customers(2, &moved));
+    until_version(&gateway, 2).await;
+    assert_eq!(ask_with(&gateway, "a2", SHIP_KEY).await.status, 200);
+    assert_eq!(site.runs(DESK).await["a2"].headers["tenant"], "crew");
+    assert_eq!(ask_with(&gateway, "a3", CREW_KEY).await.status, 401);
+    declare(&site, &with_customers(3, &[]));
+    until_version(&gateway, 3).await;
+    assert_eq!(ask_with(&gateway, "a4", SHIP_KEY).await.status, 401);
+}
+
+async fn ask_with(gateway: &Gateway, attempt: &str, key: &str) -> Answer {
+    Ask::lookup(attempt).key(key).send(gateway.front).await
+}
+
+#[actix_rt::test]
+async fn an_entry_that_cannot_be_used_costs_its_customer_alone() {
+    let site = Site::without_routes();
+    let mut broken = customer("ship", &[SHIP_KEY]);
+    broken["rate-per-s"] = json!("many");
+    let customers = [
+        broken,
+        customer("crew", &[CREW_KEY]),
+        customer("mate", &["shared-key"]),
+        customer("cook", &["shared-key", "cook-key"]),
+    ];
+    declare(&site, &with_customers(1, &customers));
+    let gateway = site.ready_gateway().await;
+    assert_eq!(ask_with(&gateway, "a1", CREW_KEY).await.status, 200);
+    assert_eq!(ask_with(&gateway, "a2", "cook-key").await.status, 200);
+    for (attempt, key) in [("a3", SHIP_KEY), ("a4", "shared-key")] {
+        let answer = ask_with(&gateway, attempt, key).await;
+        assert_eq!(answer.status, 503);
+        assert_eq!(reason(&answer), "key-unusable");
+    }
+    assert_eq!(ask_with(&gateway, "a5", "nobodys-key").await.status, 401);
+    assert_eq!(gateway.events("customer-unusable").len(), 2);
+}
+
+#[actix_rt::test]
+async fn a_host_that_hears_nothing_of_the_store_denies_no_key() {
+    let (site, gateway) = start().await;
+    assert_eq!(ask_with(&gateway, "a1", "new-key").await.status, 401);
+    let silent = StoreFaults {
+        silent: true,
+        ..StoreFaults::default()
+    };
+    site.faults(&silent).await;
+    until("the host doubts its routes", async || {
+        ask_with(&gateway, "a2", "new-key").await.status == 503
+    })
+    .await;
+    // What it knows goes on, as the operators' setting has it.
+    assert_eq!(ask_with(&gateway, "a3", SHIP_KEY).await.status, 200);
+}
+
+#[actix_rt::test]
+async fn a_host_with_strict_keys_serves_none_that_it_cannot_confirm() {
+    let site = Site::without_routes();
+    declare(&site, &two_customers(1));
+    let gateway = Gateway::start_with_customers(
+        site.door.address(),
+        "strict_keys = yes\nkeys_confirmed_within_ms = 2000\n",
+    );
+    gateway.until_ready().await;
+    assert_eq!(ask_with(&gateway, "a1", SHIP_KEY).await.status, 200);
+    let silent = StoreFaults {
+        silent: true,
+        ..StoreFaults::default()
+    };
+    site.faults(&silent).await;
+    until("the host refuses keys", async || {
+        let answer = ask_with(&gateway, "a2", SHIP_KEY).await;
+        answer.status == 503 && reason(&answer) == "keys-unconfirmed"
+    })
+    .await;
+    site.faults(&StoreFaults::default()).await;
+    until("the host takes keys again", async || {
+        ask_with(&gateway, "a3", SHIP_KEY).await.status == 200
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn a_turn_of_another_customer_is_none() {
+    let (site, gateway) = start().await;
+    let first = Ask::turn("t1", "p1", "first|").key(SHIP_KEY);
+    assert_eq!(first.send(gateway.front).await.status, 200);
+    let other = site.ready_gateway().await;
+    for (number, front) in [gateway.front, other.front].into_iter().enumerate() {
+        let attempt = format!("u{number}");
+        let stolen = Ask::turn(&attempt, "p1", "x").previous("t1").key(CREW_KEY);
+        let stolen = stolen.send(front).await;
+        let never = Ask::turn(&attempt, "p1", "x").previous("t9").key(CREW_KEY);
+        let never = never.send(front).await;
+        assert_eq!((stolen.status, never.status), (404, 404));
+        assert_eq!(stolen.body, never.body);
+        assert_eq!(site.times_run(&attempt).await, 0);
+    }
+    let next = Ask::turn("t2", "p1", "second|")
+        .previous("t1")
+        .key(SHIP_KEY);
+    assert_eq!(next.send(other.front).await.status, 200);
+}
+
+#[actix_rt::test]
+async fn programs_and_attempts_of_two_customers_may_have_the_same_ids() {
+    let (site, gateway) = start().await;
+    for (key, input) in [(SHIP_KEY, "ship|"), (CREW_KEY, "crew|")] {
+        let turn = Ask::turn("t1", "p1", input).key(key);
+        let turn = turn.header("token-budget", "100");
+        // Each has a budget of its own, which holds one turn.
+        assert_eq!(turn.send(gateway.front).await.status, 200);
+    }
+    let other = site.ready_gateway().await;
+    for (number, (key, input)) in [(SHIP_KEY, "ship|"), (CREW_KEY, "crew|")]
+        .iter()
+        .enumerate()
+    {
+        let attempt = format!("n{number}");
+        let turn = Ask::turn(&attempt, "p1", "next").previous("t1").key(key);
+        assert_eq!(turn.send(other.front).await.status, 200);
+        let body = site.runs(MODELS).await[&attempt].body.clone();
+        assert!(body.starts_with(input), "{body}");
+    }
+}
+
+#[actix_rt::test]
+async fn turns_of_a_time_without_customers_are_no_customers() {
+    let site = Site::start();
+    let gateway = site.ready_gateway().await;
+    let first = Ask::turn("t1", "p1", "first|");
+    assert_eq!(first.send(gateway.front).await.status, 200);
+    declare(&site, &two_customers(2));
+    until_version(&gateway, 2).await;
+    let next = Ask::turn("t2", "p1", "x").previous("t1").key(SHIP_KEY);
+    assert_eq!(next.send(gateway.front).await.status, 404);
+}
+
+#[actix_rt::test]
+async fn no_key_is_ever_written_or_told() {
+    let (site, gateway) = start().await;
+    let mut broken = customer("ship", &[]);
+    broken["api-keys"] = json!(SHIP_KEY);
+    declare(
+        &site,
+        &with_customers(2, &[broken, customer("crew", &[CREW_KEY])]),
+    );
+    until_version(&gateway, 2).await;
+    let mut told = String::new();
+    for (number, key) in [SHIP_KEY, CREW_KEY, "a-strangers-key"].iter().enumerate() {
+        told += &ask_with(&gateway, &format!("a{number}"), key).await.body;
+    }
+    told += &Ask::get("/metrics").send(gateway.metrics).await.body;
+    told += &gateway.log().concat();
+    for key in [SHIP_KEY, CREW_KEY, "a-strangers-key"] {
+        assert!(!told.contains(key));
+    }
+}
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -327,6 +327,12 @@
         Self::start_with(&Self::new_host(), store, true, &settings)
     }
 
+    /// Starts a gateway with settings of the section on customers.
+    pub fn start_with_customers(store: SocketAddr, customers: &str) -> Self {
+        let settings = format!("[customers]\n{customers}");
+        Self::start_with(&Self::new_host(), store, true, &settings)
+    }
+
     fn start_with(host: &str, store: SocketAddr, reads_on: bool, more: &str) -> Self {
         let number = unique();
         let relay = match more.contains("relay_listen") {
--- a/state/src/deployment.rs
+++ b/state/src/deployment.rs
@@ -5,12 +5,17 @@
 //! These are the project's own types. The `platform` crate decodes what the
 //! wire carries into them; nothing else knows the wire's names.
 
+mod customers;
 mod endpoint;
 mod request;
 mod routes;
 mod store;
 
 pub use self::{
+    customers::{
+        Customer, CustomerKey, CustomerLimit, CustomerName, Customers, KeyDigest, KeyOwner,
+        UnusableCustomer,
+    },
     endpoint::{EndpointIdentity, EndpointLoad, EndpointRecord},
     request::{CallHeader, ProgramHeader, PromptPart, TokenCounts},
     routes::{
--- a/state/src/deployment/routes.rs
+++ b/state/src/deployment/routes.rs
@@ -3,10 +3,10 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use crate::deployment::{DeploymentVersion, ServiceName};
+use crate::deployment::{Customers, DeploymentVersion, ServiceName};
 
 /// Everything that operators declared, at one version.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Deployment {
     /// Version; a process never goes back to a lower one.
     pub version: DeploymentVersion,
@@ -19,6 +19,8 @@
     pub services: HashMap<ServiceName, Service>,
     /// Bounds on what callers send.
     pub limits: CallerLimits,
+    /// Whose callers are served; none where no key is wanted of anybody.
+    pub customers: Option<Customers>,
 }
 
 /// Which requests go to which services, and how long they may take.
@@ -53,6 +55,8 @@
     /// Longest pause between two events of a stream for which an answer is
     /// still in time; zero where the operators name none.
     pub event_gap: Duration,
+    /// Whether callers need no key.
+    pub is_public: bool,
 }
 
 impl Route {
--- a/state/src/settings/gateway.rs
+++ b/state/src/settings/gateway.rs
@@ -35,10 +35,27 @@
     pub stop_grace: Duration,
     /// Time beyond a route's retention for which turns are kept.
     pub retention_margin: Duration,
+    /// What holds for customers.
+    pub customers: CustomerSettings,
     /// Where log lines go.
     pub log: LogSettings,
 }
 
+/// What holds for customers and their keys.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CustomerSettings {
+    /// How old the host's knowledge of keys may be for it to serve under them;
+    /// none where it serves under what it knows.
+    pub keys_confirmed_within: Option<Duration>,
+    /// The time over which operators judge a customer's limit.
+    pub limit_window: Duration,
+    /// Part of what a limit allows in such a time by which it may be exceeded,
+    /// in thousandths.
+    pub limit_overage_milli: u32,
+    /// Requests in such a time by which it may be exceeded besides.
+    pub limit_slack: u64,
+}
+
 /// How the platform's store is reached and what it bears.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct StoreSettings {
@@ -142,10 +159,51 @@
     ],
 };
 
+const CUSTOMERS_SECTION: SectionSchema = SectionSchema {
+    name: "customers",
+    keys: &[
+        Key {
+            name: "strict_keys",
+            kind: KeyKind::Choice(&["yes", "no"]),
+            presence: Presence::Default("no"),
+            meaning: "Whether a host that has not heard of the store for keys_confirmed_within_ms refuses requests that need a key.",
+        },
+        Key {
+            name: "keys_confirmed_within_ms",
+            kind: KeyKind::Number(Unit::Milliseconds, 100..=86_400_000),
+            presence: Presence::Default("5000"),
+            meaning: "Longest time for which a key that was taken away may still be taken where strict_keys is yes.",
+        },
+        Key {
+            name: "limit_window_s",
+            kind: KeyKind::Decimal(Unit::Seconds, 1..=600),
+            presence: Presence::Default("5"),
+            meaning: "Time over which a customer's limit is judged.",
+        },
+        Key {
+            name: "limit_overage",
+            kind: KeyKind::Decimal(Unit::Count, 0..=10),
+            presence: Presence::Default("0.1"),
+            meaning: "Part of what a customer's limit allows in that time by which it may be exceeded.",
+        },
+        Key {
+            name: "limit_slack",
+            kind: KeyKind::Number(Unit::Count, 0..=1_000_000),
+            presence: Presence::Default("20"),
+            meaning: "Requests in that time by which it may be exceeded besides.",
+        },
+    ],
+};
+
 /// Settings of `rosebend-gateway`.
 pub const GATEWAY_SCHEMA: Schema = Schema {
     program: "rosebend-gateway",
-    sections: &[GATEWAY_SECTION, STORE_SECTION, LOG_SECTION],
+    sections: &[
+        GATEWAY_SECTION,
+        STORE_SECTION,
+        CUSTOMERS_SECTION,
+        LOG_SECTION,
+    ],
 };
 
 impl TryFrom<&Document> for GatewaySettings {
@@ -164,11 +222,26 @@
             store: StoreSettings::from(&values),
             stop_grace: values.seconds("gateway", "stop_grace_s"),
             retention_margin: values.duration("gateway", "retention_margin_ms"),
+            customers: CustomerSettings::from(&values),
             log: common::log(&values),
         })
     }
 }
 
+impl From<&Values<'_>> for CustomerSettings {
+    fn from(values: &Values<'_>) -> Self {
+        let section = "customers";
+        let within = values.duration(section, "keys_confirmed_within_ms");
+        let is_strict = values.text(section, "strict_keys") == "yes";
+        Self {
+            keys_confirmed_within: is_strict.then_some(within),
+            limit_window: values.seconds(section, "limit_window_s"),
+            limit_overage_milli: values.thousandths(section, "limit_overage"),
+            limit_slack: values.number(section, "limit_slack"),
+        }
+    }
+}
+
 impl From<&Values<'_>> for StoreSettings {
     fn from(values: &Values<'_>) -> Self {
         Self {
--- a/state/tests/settings.rs
+++ b/state/tests/settings.rs
@@ -1,9 +1,11 @@
 //! Reading of settings: what is accepted, and what every error says.
 
+use std::time::Duration;
+
 use rosebend_state::settings::{
-    CLI_SCHEMA, CliSettings, Document, ENTRY_SCHEMA, EntrySettings, GATEWAY_SCHEMA,
-    GatewaySettings, KeyKind, Presence, Role, SIDECAR_SCHEMA, SidecarSettings, Tokens, Unit,
-    reference_page,
+    CLI_SCHEMA, CliSettings, CustomerSettings, Document, ENTRY_SCHEMA, EntrySettings,
+    GATEWAY_SCHEMA, GatewaySettings, KeyKind, Presence, Role, SIDECAR_SCHEMA, SidecarSettings,
+    Tokens, Unit, reference_page,
 };
 
 fn errors_of_entry(file: &[u8]) -> String {
@@ -49,9 +51,49 @@
         assert!(text.contains(placeholder), "{placeholder}");
         text = text.replace(placeholder, value);
     }
+    let without_customers = settings_of(&text, &[]);
+    insta::assert_debug_snapshot!(without_customers);
+    let bounds = [
+        ("bounds.strict-revoke", "true"),
+        ("bounds.revoke-ms", "7000"),
+        ("bounds.quota-window-s", "10"),
+        ("bounds.quota-overage", "0.25"),
+        ("bounds.quota-slack", "5"),
+    ];
+    let with_customers = settings_of(&text, &bounds);
+    assert_eq!(
+        with_customers.customers,
+        CustomerSettings {
+            keys_confirmed_within: Some(Duration::from_secs(7)),
+            limit_window: Duration::from_secs(10),
+            limit_overage_milli: 250,
+            limit_slack: 5,
+        }
+    );
+}
+
+/// The settings of a template whose sections are kept where their value is
+/// there, and left out otherwise.
+fn settings_of(template: &str, present: &[(&str, &str)]) -> GatewaySettings {
+    let mut text = template.to_owned();
+    while let Some(at) = text.find("{{#").or_else(|| text.find("{{^")) {
+        let is_negated = text[at..].starts_with("{{^");
+        let name_end = at + text[at..].find("}}").unwrap();
+        let name = text[at + 3..name_end].to_owned();
+        let close = format!("{{{{/{name}}}}}");
+        let inner_end = at + text[at..].find(&close).unwrap();
+        let inner = text[name_end + 2..inner_end].to_owned();
+        let value = present.iter().find(|(known, _)| *known == name);
+        let kept = match (value, is_negated) {
+            (Some((_, value)), false) => inner.replace("{{.}}", value),
+            (None, true) => inner,
+            _ => String::new(),
+        };
+        text.replace_range(at..inner_end + close.len(), &kept);
+    }
     assert!(!text.contains("{{"), "{text}");
     let document = Document::try_from(text.as_bytes()).unwrap();
-    insta::assert_debug_snapshot!(GatewaySettings::try_from(&document).unwrap());
+    GatewaySettings::try_from(&document).unwrap()
 }
 
 #[test]
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -127,6 +127,8 @@
     RoutesUnreadable,
     /// A route of `version`, one of `count`, has a value that can't be used.
     RouteUnusable,
+    /// A customer of `version`, one of `count`, has a value that can't be used.
+    CustomerUnusable,
     /// A row of the table of gateways names none.
     PeerRowUnusable,
     /// The endpoint announced itself; it gets requests. `reason` is started-again when an earlier start under its id was listed.
@@ -171,7 +173,7 @@
 
 impl EventKind {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 79] = [
+    pub const ALL: [Self; 80] = [
         Self::ProcessStarted,
         Self::ProcessStopping,
         Self::ProcessStopped,
@@ -248,6 +250,7 @@
         Self::EntryRefused,
         Self::EntryRefusalEnded,
         Self::RouteUnusable,
+        Self::CustomerUnusable,
         Self::PeerRowUnusable,
         Self::StreamResumed,
         Self::GathererAvoided,
@@ -312,6 +315,7 @@
             Self::RoutesInForce => 811,
             Self::RoutesUnreadable => 812,
             Self::RouteUnusable => 839,
+            Self::CustomerUnusable => 843,
             Self::PeerRowUnusable => 840,
             Self::EndpointListed => 813,
             Self::EndpointWithdrawn => 814,
@@ -397,6 +401,7 @@
             Self::RoutesInForce => "routes-in-force",
             Self::RoutesUnreadable => "routes-unreadable",
             Self::RouteUnusable => "route-unusable",
+            Self::CustomerUnusable => "customer-unusable",
             Self::PeerRowUnusable => "peer-row-unusable",
             Self::EndpointListed => "endpoint-listed",
             Self::EndpointWithdrawn => "endpoint-withdrawn",
@@ -431,6 +436,7 @@
             | Self::ConfigurationInvalid
             | Self::RoutesUnreadable
             | Self::RouteUnusable
+            | Self::CustomerUnusable
             | Self::RequestQuarantined
             | Self::RecordUnreadable => Level::Error,
             Self::ProcessPaused
@@ -591,6 +597,9 @@
             Self::RouteUnusable => {
                 "A route of `version`, one of `count`, has a value that cannot be used; its requests are refused as not run, and the other routes are in force."
             }
+            Self::CustomerUnusable => {
+                "A customer of `version`, one of `count`, has a value that cannot be used, of the field that `reason` names; requests with its keys are refused as not run, and the other customers are served."
+            }
             Self::PeerRowUnusable => {
                 "A row of the table of gateways names none; `error` says why. It is passed over and told once."
             }
--- a/util/src/lib.rs
+++ b/util/src/lib.rs
@@ -18,9 +18,14 @@
     hasher.digest()
 }
 
+/// The SHA-256 of some bytes.
+pub fn digest(bytes: &[u8]) -> [u8; 32] {
+    Sha256::digest(bytes).into()
+}
+
 /// The SHA-256 of some bytes, in hexadecimal.
 pub fn digest_hex(bytes: &[u8]) -> String {
-    to_hex(&Sha256::digest(bytes))
+    to_hex(&digest(bytes))
 }
 
 /// Bytes in hexadecimal.
