--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -64,13 +64,10 @@
         .program
         .as_ref()
         .map(|program| program.program.clone());
-    let trail = Trail::new(header.attempt.clone(), program, route.name.clone());
+    let name = customer.as_ref().map(|customer| customer.name.clone());
+    let trail = Trail::new(header.attempt.clone(), program, name, route.name.clone());
     let version = routes.deployment().version;
-    let arrival = Event::new(EventKind::RequestArrived).version(version);
-    trail.step(match &customer {
-        Some(customer) => arrival.customer(&customer.name),
-        None => arrival,
-    });
+    trail.step(Event::new(EventKind::RequestArrived).version(version));
     let scope = customer.as_ref().map(|customer| customer.scoped(&caller));
     let caller = scope.unwrap_or(caller);
     let mut kept = headers::for_endpoint(headers);
--- a/gateway/src/trail.rs
+++ b/gateway/src/trail.rs
@@ -8,7 +8,7 @@
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
 
-use rosebend_state::deployment::{AttemptId, ProgramKey};
+use rosebend_state::deployment::{AttemptId, CustomerName, ProgramKey};
 use rosebend_transport::event::{Event, EventKind, log_event, log_event_at, now_ms};
 
 /// The steps of one request.
@@ -16,6 +16,7 @@
 pub struct Trail {
     attempt: AttemptId,
     program: Option<ProgramKey>,
+    customer: Option<CustomerName>,
     route: String,
     /// Steps with the time of day.
     steps: RefCell<Vec<(u64, Event)>>,
@@ -26,10 +27,16 @@
 
 impl Trail {
     /// The trail of a request that has just been read.
-    pub fn new(attempt: AttemptId, program: Option<ProgramKey>, route: String) -> Self {
+    pub fn new(
+        attempt: AttemptId,
+        program: Option<ProgramKey>,
+        customer: Option<CustomerName>,
+        route: String,
+    ) -> Self {
         Self {
             attempt,
             program,
+            customer,
             route,
             steps: RefCell::default(),
             is_notable: Cell::new(false),
@@ -79,6 +86,10 @@
 
     fn about(&self, event: Event) -> Event {
         let event = event.attempt(&self.attempt).route(&self.route);
+        let event = match &self.customer {
+            Some(customer) => event.customer(customer),
+            None => event,
+        };
         match &self.program {
             Some(program) => event.program_key(program),
             None => event,
