Keep customers' limits over all hosts

Cause: nothing limited a customer. Change: of each customer one host, chosen by rendezvous hashing in 16 groups, hands out what its limit allows in small grants; a host asks by a datagram when it has nothing left. It hands out the part of the limit that belongs to the hosts which it heard and which heard it, so cut-off hosts add up to no more. Programs under way go before new ones, by what programs turn out to need. 429 with the time at which it would fit; 503 with the time until another host hands out.

--- a/coordination/src/gateway.rs
+++ b/coordination/src/gateway.rs
@@ -40,6 +40,7 @@
 pub mod history;
 pub mod identity;
 pub mod ledger;
+pub mod limits;
 pub mod pending_changes;
 pub mod refusals;
 pub mod route_table;
--- a/coordination/src/gateway/gatherers.rs
+++ b/coordination/src/gateway/gatherers.rs
@@ -44,6 +44,25 @@
     pub processor_milli: u32,
 }
 
+/// Those hosts that are strong enough to work for others.
+pub fn strong<A>(hosts: Vec<Candidate<A>>) -> Vec<Candidate<A>> {
+    let strongest = hosts.iter().map(|host| host.processor_milli).max();
+    let least = strongest.unwrap_or(0) / STRONG_SHARE;
+    let strong = hosts.into_iter();
+    let strong = strong.filter(|host| host.processor_milli >= least);
+    strong.collect()
+}
+
+/// Hosts in the order in which they are to do what `work` names.
+pub fn ranked_by<'a, A>(
+    work: &str,
+    hosts: impl Iterator<Item = &'a Candidate<A>>,
+) -> Vec<&'a Candidate<A>> {
+    let mut ranked: Vec<&Candidate<A>> = hosts.collect();
+    ranked.sort_by_key(|host| hash_parts(&[work.as_bytes(), host.host.as_bytes()]));
+    ranked
+}
+
 /// A host that was silent.
 #[derive(Clone, Debug)]
 struct Avoided {
@@ -71,11 +90,7 @@
 impl<A> Gatherers<A> {
     /// Takes all hosts that are there, this one among them.
     pub fn set(&mut self, hosts: Vec<Candidate<A>>) {
-        let strongest = hosts.iter().map(|host| host.processor_milli).max();
-        let least = strongest.unwrap_or(0) / STRONG_SHARE;
-        let strong = hosts.into_iter();
-        let strong = strong.filter(|host| host.processor_milli >= least);
-        self.candidates = strong.collect();
+        self.candidates = strong(hosts);
         let candidates = &self.candidates;
         self.avoided
             .retain(|host, _| candidates.iter().any(|known| known.host == *host));
@@ -83,15 +98,11 @@
 
     /// The hosts to ask for a partition's transaction, best first.
     pub fn ranked(&self, partition: &str, now: Duration) -> Vec<&Candidate<A>> {
-        let rank = |host: &&Candidate<A>| hash_parts(&[partition.as_bytes(), host.host.as_bytes()]);
-        let mut usable: Vec<_> = self
-            .candidates
-            .iter()
-            .filter(|candidate| !self.is_avoided(candidate, now))
-            .collect();
-        usable.sort_by_key(rank);
-        usable.truncate(MAX_ASKED);
-        usable
+        let candidates = self.candidates.iter();
+        let usable = candidates.filter(|candidate| !self.is_avoided(candidate, now));
+        let mut ranked = ranked_by(partition, usable);
+        ranked.truncate(MAX_ASKED);
+        ranked
     }
 
     fn is_avoided(&self, candidate: &Candidate<A>, now: Duration) -> bool {
--- /dev/null
+++ b/coordination/src/gateway/limits/bucket.rs
@@ -0,0 +1,39 @@
+//! Token buckets: what a limit allows now.
+
+use std::time::Duration;
+
+/// A bucket that fills at a rate up to a size. It may be overdrawn: what was used
+/// without asking is taken from it later.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bucket {
+    level: f64,
+    filled_at: Duration,
+}
+
+impl Bucket {
+    /// A bucket with something in it.
+    pub fn new(level: f64, now: Duration) -> Self {
+        Self {
+            level,
+            filled_at: now,
+        }
+    }
+
+    /// Fills the bucket for the time that has passed.
+    pub fn fill(&mut self, rate_per_s: f64, size: f64, now: Duration) {
+        let passed = now.saturating_sub(self.filled_at).as_secs_f64();
+        // No debt lasts longer than it takes to fill the bucket once.
+        self.level = (self.level + rate_per_s * passed).clamp(-size, size);
+        self.filled_at = now;
+    }
+
+    /// Takes out of it, also more than is in it.
+    pub fn take(&mut self, amount: f64) {
+        self.level -= amount;
+    }
+
+    /// What is in it; negative when it is overdrawn.
+    pub fn level(&self) -> f64 {
+        self.level
+    }
+}
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -1,6 +1,7 @@
 //! A caller's request that was read and found its route: what everything that
 //! serves it works on.
 
+use std::cell::Cell;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,11 +10,14 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use rosebend_coordination::gateway::fingerprint::Fingerprint;
+use rosebend_coordination::gateway::limits::stock::Demand;
+use rosebend_protocol::problem::Ran;
 use rosebend_state::deployment::{
     AttemptId, CallHeader, Customer, EventId, ProgramHeader, Route, ServiceName,
 };
 
 use crate::gateway::Gateway;
+use crate::limits;
 use crate::reply::{Refusal, Reply};
 use crate::trail::Trail;
 
@@ -42,6 +46,8 @@
     pub deadline: Duration,
     /// Identifies its content.
     pub fingerprint: Fingerprint,
+    /// What it counts for in its customer's limit, once it does.
+    pub counted: Cell<Option<Demand>>,
     /// What is written of it.
     pub trail: Trail,
 }
@@ -96,6 +102,14 @@
         }
     }
 
+    /// Whether the request begins a program, as far as that can be told: where no
+    /// history is kept, nothing tells a program's first turn from its others.
+    pub fn begins_program(&self) -> bool {
+        let program = self.header.program.as_ref();
+        let is_first = program.is_some_and(|program| program.previous.is_none());
+        is_first && self.route.keeps_history
+    }
+
     /// What the request is about, for spreading and affinity.
     pub fn subject(&self) -> &str {
         let program = self.header.program.as_ref();
@@ -105,6 +119,9 @@
 
 /// Answers a call that no endpoint answered.
 pub fn refuse(gateway: &Gateway, call: &Call, refusal: Refusal) -> Response<BoxBody> {
+    if refusal.ran() == Ran::No {
+        limits::give_back(gateway, call);
+    }
     let elapsed = call.elapsed(gateway.clock.now());
     call.trail.ended(refusal.word(), refusal.status(), elapsed);
     gateway.metrics.count_refusal(refusal.word());
--- a/gateway/src/dispatch.rs
+++ b/gateway/src/dispatch.rs
@@ -13,7 +13,7 @@
 use crate::call::{Call, refuse};
 use crate::gateway::Gateway;
 use crate::reply::{Refusal, Reply};
-use crate::{intake, plain, turn};
+use crate::{intake, limits, plain, turn};
 
 /// Answers a request of a caller.
 pub async fn answer(gateway: Rc<Gateway>, request: Request) -> Response<BoxBody> {
@@ -32,6 +32,9 @@
     if gateway.crashes.borrow().is_refused(call.fingerprint, now) {
         return refuse(gateway, &call, Refusal::CrashesEndpoints);
     }
+    if let Err(refusal) = limits::admit(gateway, &call).await {
+        return refuse(gateway, &call, refusal);
+    }
     match call.route.kind {
         RouteKind::Streaming => turn::answer(gateway, call).await,
         RouteKind::Idempotent | RouteKind::NonIdempotent => {
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -10,10 +10,11 @@
 use rosebend_coordination::gateway::fingerprint::CrashCounts;
 use rosebend_coordination::gateway::history::History;
 use rosebend_coordination::gateway::identity::Confirmation;
+use rosebend_coordination::gateway::limits::Tolerance;
 use rosebend_coordination::gateway::refusals::Refusals;
 use rosebend_coordination::gateway::route_table::RouteTable;
-use rosebend_state::deployment::EndpointIdentity;
-use rosebend_state::settings::{GatewaySettings, StoreSettings};
+use rosebend_state::deployment::{Customers, EndpointIdentity};
+use rosebend_state::settings::{CustomerSettings, GatewaySettings, StoreSettings};
 use rosebend_transport::clock::{Clock, whole_ms};
 use rosebend_transport::event::{Event, EventKind, log_event};
 use rosebend_transport::store::StoreClient;
@@ -22,6 +23,7 @@
 use crate::commits::Commits;
 use crate::holders::HolderAddresses;
 use crate::joined_commits::JoinedCommits;
+use crate::limits::Limits;
 use crate::metrics::{Metrics, Quantities};
 use crate::pool::Pool;
 use crate::reply::Refusal;
@@ -68,6 +70,8 @@
     pub pool: RefCell<Pool>,
     /// Turns in memory.
     pub history: RefCell<History>,
+    /// Customers' limits.
+    pub limits: Limits,
     /// Rows that are to be deleted one day.
     pub retention: Retention,
     /// Where other gateways answer that hold tokens of programs.
@@ -92,7 +96,7 @@
             JoinedCommits::new(run.clone(), Rc::clone(&store), Rc::clone(&metrics), clock);
         joined_commits.set_writes_per_s(settings.store.writes_per_s);
         let joined_commits = Rc::new(joined_commits);
-        let commits = Commits::new(run, Rc::clone(&store), Rc::clone(&joined_commits));
+        let commits = Commits::new(run.clone(), Rc::clone(&store), Rc::clone(&joined_commits));
         Self {
             commits: Rc::new(commits),
             joined_commits,
@@ -106,6 +110,7 @@
             refusals: RefCell::default(),
             pool: RefCell::default(),
             history: RefCell::new(History::new(HISTORY_BYTES)),
+            limits: Limits::new(run.clone(), tolerance(&settings.customers)),
             retention: Retention::default(),
             holders: HolderAddresses::default(),
             crashes: RefCell::default(),
@@ -125,6 +130,7 @@
         let store = &settings.store;
         self.store.set_store(store.address, store.timeout);
         self.joined_commits.set_writes_per_s(store.writes_per_s);
+        self.limits.set_tolerance(tolerance(&settings.customers));
         self.settings.replace(Rc::new(settings));
     }
 
@@ -144,6 +150,9 @@
         self.directory.borrow_mut().declare(services);
         log_unusable(&routes);
         log_unusable_customers(&routes);
+        let customers = routes.deployment().customers.as_ref();
+        self.limits
+            .declare(customers.map(Customers::limits).unwrap_or_default());
         *current = Some(Rc::new(routes));
         true
     }
@@ -253,6 +262,15 @@
     }
 }
 
+/// What operators bear beyond customers' limits.
+fn tolerance(settings: &CustomerSettings) -> Tolerance {
+    Tolerance {
+        window: settings.limit_window,
+        overage: f64::from(settings.limit_overage_milli) / 1_000.0,
+        slack: settings.limit_slack as f64,
+    }
+}
+
 /// Writes which routes of a version can't be used, once and the first of them.
 fn log_unusable(routes: &RouteTable) {
     let unusable = routes.unusable_routes();
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -17,6 +17,7 @@
 use tokio::net::UdpSocket;
 
 use crate::gateway::Gateway;
+use crate::limits;
 
 /// Time between two datagrams to a peer. A request takes 200 to 400 ms at an
 /// engine, so a load of this age still says something.
@@ -97,8 +98,7 @@
 }
 
 /// Tells and hears loads, for ever.
-pub async fn run(gateway: Rc<Gateway>, socket: UdpSocket) {
-    let socket = Rc::new(socket);
+pub async fn run(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     actix_rt::spawn(hear(Rc::clone(&gateway), Rc::clone(&socket)));
     loop {
         tokio::time::sleep(INTERVAL).await;
@@ -144,9 +144,13 @@
     let mut buffer = [0; MAX_DATAGRAM_BYTES];
     loop {
         // An error tells of an earlier datagram that could not be delivered.
-        let Ok((bytes, _)) = socket.recv_from(&mut buffer).await else {
+        let Ok((bytes, from)) = socket.recv_from(&mut buffer).await else {
             continue;
         };
+        if let Some(message) = buffer[..bytes].strip_prefix(&limits::MARK) {
+            limits::take(&gateway, message, from);
+            continue;
+        }
         // Anyone may send a datagram; what is said by no gateway of this
         // version is passed over, as a datagram that is lost is.
         let Ok(news) = News::try_from(&buffer[..bytes]) else {
--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -1,5 +1,6 @@
 //! Reads a caller's request, and finds its route.
 
+use std::cell::Cell;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -87,6 +88,7 @@
         service,
         arrived,
         deadline: arrived + time,
+        counted: Cell::default(),
     })
 }
 
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! |---|---|
 //! | a request, step by step | [`front`], [`dispatch`], [`intake`], [`plain`] or [`turn`], [`exchange`], [`pool`]; all work on a [`call`] |
 //! | a turn's budget, and its answer on the way | [`spending`], [`recall`], [`holders`], [`turn_stream`], [`runs`] |
+//! | how much a customer may send | [`limits`] |
 //! | what lasts | [`commits`], [`joined_commits`], [`programs`], [`retention`] |
 //! | what the process believes of routes and endpoints | [`watch`], [`entries`], [`gossip`], [`quarantine`] |
 //! | calls to the store by other gateways | [`peers`] |
@@ -27,6 +28,7 @@
 pub mod holders;
 pub mod intake;
 pub mod joined_commits;
+pub mod limits;
 pub mod metrics;
 pub mod peers;
 pub mod plain;
--- /dev/null
+++ b/gateway/src/limits.rs
@@ -0,0 +1,240 @@
+//! Customers' limits: asks their allocators, and answers as one.
+//!
+//! The decisions are in `rosebend_coordination::gateway::limits`. Messages are
+//! datagrams: one that is lost is asked for again, and one that comes from no run
+//! of a gateway that this host knows changes nothing.
+
+use std::cell::{OnceCell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rosebend_coordination::gateway::gatherers::Candidate;
+use rosebend_coordination::gateway::ledger::Holder;
+use rosebend_coordination::gateway::limits::message::{Answer, Ask};
+use rosebend_coordination::gateway::limits::stock::Demand;
+use rosebend_coordination::gateway::limits::{Decision, HostLimits, Tolerance};
+use rosebend_state::deployment::{CustomerLimit, CustomerName};
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+
+use crate::call::Call;
+use crate::gateway::Gateway;
+use crate::reply::Refusal;
+
+/// Begins every datagram of this module; no other begins so.
+pub const MARK: [u8; 2] = *b"L1";
+/// How long a request waits for its allocator: a few round trips of 2 to 4 ms, or
+/// one to a host at a tenth of a core.
+const PATIENCE: Duration = Duration::from_millis(60);
+/// Pause before a waiting request asks again: datagrams are lost.
+const ASK_AGAIN: Duration = Duration::from_millis(21);
+/// Shortest time after which a caller may come back to whom nobody could tell.
+const MIN_COMEBACK: Duration = Duration::from_millis(200);
+/// Time between two looks at what there is to tell.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// What gateways say to each other about limits.
+#[derive(Debug, Deserialize, Serialize)]
+enum Message {
+    Ask(Ask),
+    Answer(Answer),
+}
+
+/// Customers' limits, as this host keeps to them and hands them out.
+#[derive(Debug)]
+pub struct Limits {
+    state: RefCell<HostLimits<SocketAddr>>,
+    socket: OnceCell<Rc<UdpSocket>>,
+    /// Wakes requests that wait, with each answer.
+    answered: Notify,
+}
+
+impl Limits {
+    /// No customer and no other host known.
+    pub fn new(own_run: Holder, tolerance: Tolerance) -> Self {
+        Self {
+            state: RefCell::new(HostLimits::new(own_run, tolerance)),
+            socket: OnceCell::new(),
+            answered: Notify::new(),
+        }
+    }
+
+    /// Sends by this socket from now on.
+    pub fn talk_by(&self, socket: Rc<UdpSocket>) {
+        // The process has one socket for datagrams, and sets it once.
+        let _ = self.socket.set(socket);
+    }
+
+    /// Takes the limits that operators declare.
+    pub fn declare(&self, limits: HashMap<CustomerName, CustomerLimit>) {
+        self.state.borrow_mut().set_limits(limits);
+    }
+
+    /// Takes what operators bear beyond the limits.
+    pub fn set_tolerance(&self, tolerance: Tolerance) {
+        self.state.borrow_mut().set_tolerance(tolerance);
+    }
+
+    /// Takes all hosts that are there, this one among them.
+    pub fn set_hosts(&self, hosts: Vec<Candidate<SocketAddr>>) {
+        self.state.borrow_mut().set_hosts(hosts);
+    }
+
+    fn say(&self, to: SocketAddr, message: &Message) {
+        let Some(socket) = self.socket.get() else {
+            return;
+        };
+        let mut datagram = MARK.to_vec();
+        serde_json::to_writer(&mut datagram, message).expect("text and numbers have a JSON form");
+        // A full link, or a host that is gone: whoever waits asks again.
+        let _ = socket.try_send_to(&datagram, to);
+    }
+
+    fn ask_for(&self, customer: &str, now: Duration) {
+        let ask = self.state.borrow_mut().asks_for(customer, now);
+        if let Some((to, ask)) = ask {
+            self.say(to, &Message::Ask(ask));
+        }
+    }
+}
+
+/// Whether a customer's limit allows a request, which counts there from then on.
+///
+/// # Errors
+///
+/// Says that it does not, or that nobody can tell.
+pub async fn admit(gateway: &Gateway, call: &Call) -> Result<(), Refusal> {
+    let Some(customer) = &call.customer else {
+        return Ok(());
+    };
+    let customer = customer.name.as_str();
+    let demand = demand_of(call);
+    let now = gateway.clock.now();
+    let decision = gateway
+        .limits
+        .state
+        .borrow_mut()
+        .decide(customer, demand, now);
+    let decision = match decision {
+        Decision::Ask => wait(gateway, customer, demand).await,
+        decision => decision,
+    };
+    match decision {
+        Decision::Admit => {
+            call.counted.set(Some(demand));
+            Ok(())
+        }
+        Decision::Refuse(wait) => Err(Refusal::OverLimit(wait)),
+        Decision::NotKnown(wait) => Err(Refusal::LimitNotKnown(wait.max(MIN_COMEBACK))),
+        Decision::Ask => Err(Refusal::LimitNotKnown(MIN_COMEBACK)),
+    }
+}
+
+/// Takes a request out of its customer's count that counts there and did not run.
+pub fn give_back(gateway: &Gateway, call: &Call) {
+    if let (Some(customer), Some(demand)) = (&call.customer, call.counted.take()) {
+        let mut state = gateway.limits.state.borrow_mut();
+        state.give_back(&customer.name, demand);
+    }
+}
+
+fn demand_of(call: &Call) -> Demand {
+    match call.begins_program() {
+        true => Demand::Begin,
+        false => Demand::Request,
+    }
+}
+
+/// Counts a waiting request until it is dropped, also when its caller leaves.
+struct Waiting<'a> {
+    limits: &'a Limits,
+    customer: &'a str,
+    demand: Demand,
+}
+
+impl<'a> Waiting<'a> {
+    fn begin(limits: &'a Limits, customer: &'a str, demand: Demand) -> Self {
+        limits.state.borrow_mut().begin_waiting(customer, demand);
+        Self {
+            limits,
+            customer,
+            demand,
+        }
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let mut state = self.limits.state.borrow_mut();
+        state.end_waiting(self.customer, self.demand);
+    }
+}
+
+async fn wait(gateway: &Gateway, customer: &str, demand: Demand) -> Decision {
+    let limits = &gateway.limits;
+    let until = gateway.clock.now() + PATIENCE;
+    let _waiting = Waiting::begin(limits, customer, demand);
+    loop {
+        let answered = limits.answered.notified();
+        let now = gateway.clock.now();
+        limits.ask_for(customer, now);
+        // What this host allocates itself is there at once.
+        let decision = limits.state.borrow_mut().decide(customer, demand, now);
+        if decision != Decision::Ask {
+            return decision;
+        }
+        if now >= until {
+            return limits
+                .state
+                .borrow_mut()
+                .decide_unanswered(customer, demand, now);
+        }
+        let pause = tokio::time::sleep(ASK_AGAIN.min(until - now));
+        tokio::select! {
+            () = answered => {}
+            () = pause => {}
+        }
+    }
+}
+
+/// Tells allocators what there is to tell, for ever.
+pub async fn run(gateway: Rc<Gateway>) {
+    loop {
+        tokio::time::sleep(LOOK).await;
+        let now = gateway.clock.now();
+        let asks = {
+            let mut state = gateway.limits.state.borrow_mut();
+            state.expire(now);
+            state.asks(now)
+        };
+        for (to, ask) in asks {
+            gateway.limits.say(to, &Message::Ask(ask));
+        }
+    }
+}
+
+/// Takes what another gateway says.
+pub fn take(gateway: &Gateway, message: &[u8], from: SocketAddr) {
+    // What no gateway of this version sent is passed over, as one that is lost.
+    let Ok(message) = serde_json::from_slice(message) else {
+        return;
+    };
+    let limits = &gateway.limits;
+    let now = gateway.clock.now();
+    match message {
+        Message::Ask(ask) => {
+            let answer = limits.state.borrow_mut().take_ask(&ask, now);
+            if let Some(answer) = answer {
+                limits.say(from, &Message::Answer(answer));
+            }
+        }
+        Message::Answer(answer) => {
+            if limits.state.borrow_mut().take_answer(&answer, now) {
+                limits.answered.notify_waiters();
+            }
+        }
+    }
+}
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -97,6 +97,7 @@
         let own = key(&gateway.settings().host);
         gateway.store.set_peers(&table.behind(&own));
         gateway.joined_commits.set_hosts(table.candidates());
+        gateway.limits.set_hosts(table.candidates());
     }
     Ok(rows.version)
 }
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -12,7 +12,7 @@
 use tokio::sync::watch;
 
 use crate::gateway::Gateway;
-use crate::{front, gossip, peers, quarantine, reload, retention, watch as follow};
+use crate::{front, gossip, limits, peers, quarantine, reload, retention, watch as follow};
 
 /// How long after the signal to stop new connections are still accepted: the
 /// balancer asks once a second and takes a host out after two misses.
@@ -76,7 +76,10 @@
         address: relay_address,
         error,
     })?;
+    let datagrams = Rc::new(datagrams);
+    gateway.limits.talk_by(Rc::clone(&datagrams));
     actix_rt::spawn(gossip::run(Rc::clone(&gateway), datagrams));
+    actix_rt::spawn(limits::run(Rc::clone(&gateway)));
     actix_rt::spawn(peers::probe(Rc::clone(&gateway)));
     actix_rt::spawn(quarantine::follow(Rc::clone(&gateway)));
     actix_rt::spawn(retention::run(Rc::clone(&gateway)));
--- a/gateway/src/reply.rs
+++ b/gateway/src/reply.rs
@@ -44,6 +44,11 @@
     KeyUnusable,
     /// This host has not heard for too long whether keys still hold.
     KeysUnconfirmed,
+    /// Its customer's limit does not allow it now; it may after this time.
+    OverLimit(Duration),
+    /// What its customer's limit allows is not known here; it may be after this
+    /// time.
+    LimitNotKnown(Duration),
     /// A newer version that this host has not heard of may have its route or key.
     RoutesUnconfirmed,
     /// No route serves it.
@@ -126,6 +131,8 @@
             Self::KeyUnusable => "key-unusable",
             Self::KeysUnconfirmed => "keys-unconfirmed",
             Self::RoutesUnconfirmed => "routes-unconfirmed",
+            Self::OverLimit(_) => "over-limit",
+            Self::LimitNotKnown(_) => "limit-not-known",
             Self::NoRoute => "no-route",
             Self::RouteUnusable => "route-unusable",
             Self::NotReady => "not-ready",
@@ -158,6 +165,8 @@
             Self::NotReady | Self::NoRoom | Self::StoreUnreachable(_) => 503,
             Self::RouteUnusable | Self::Overloaded(_) => 503,
             Self::KeyUnusable | Self::KeysUnconfirmed | Self::RoutesUnconfirmed => 503,
+            Self::LimitNotKnown(_) => 503,
+            Self::OverLimit(_) => 429,
             Self::BudgetUnsettled | Self::CrashesEndpoints => 503,
             Self::OutcomeUnknown => 502,
             Self::TimeIsUp => 504,
@@ -179,6 +188,7 @@
             Self::Overloaded(comeback) => Some(comeback),
             Self::BudgetUnsettled => Some(SETTLE_RETRY),
             Self::StoreUnreachable(away) => Some(after_outage(away)),
+            Self::OverLimit(wait) | Self::LimitNotKnown(wait) => Some(wait),
             Self::NotReady | Self::KeysUnconfirmed | Self::RoutesUnconfirmed => Some(START_RETRY),
             Self::RouteUnusable | Self::KeyUnusable => Some(ROUTE_RETRY),
             _ => None,
@@ -194,6 +204,8 @@
                 "the customer of this key is declared with a value that cannot be used"
             }
             Self::KeysUnconfirmed => "this host cannot tell whether the key still holds",
+            Self::OverLimit(_) => "the customer has sent as many requests as its limit allows",
+            Self::LimitNotKnown(_) => "this host cannot tell what the customer's limit allows",
             Self::RoutesUnconfirmed => "this host may not know the newest routes and keys",
             Self::NoRoute => "no route serves this host and path",
             Self::RouteUnusable => {
--- a/gateway/src/turn.rs
+++ b/gateway/src/turn.rs
@@ -70,12 +70,9 @@
     pass_on(gateway, call, exchange, exchanged, kept).await
 }
 
-/// Whether a new program may begin while engines have queues. Where no history is
-/// kept, nothing tells a program's first turn from its others.
+/// Whether a new program may begin while engines have queues.
 fn admit(gateway: &Gateway, call: &Call) -> Result<(), Refusal> {
-    let program = call.header.program.as_ref();
-    let begins = program.is_some_and(|program| program.previous.is_none());
-    if !(begins && call.route.keeps_history) {
+    if !call.begins_program() {
         return Ok(());
     }
     let is_urgent = call.priority() == 0;
--- a/state/src/deployment/customers.rs
+++ b/state/src/deployment/customers.rs
@@ -128,4 +128,13 @@
             false => None,
         })
     }
+
+    /// The limits of all customers that have one.
+    pub fn limits(&self) -> HashMap<CustomerName, CustomerLimit> {
+        let limits = self.owners.values().filter_map(|owner| match owner {
+            KeyOwner::Customer(customer) => Some((customer.name.clone(), customer.limit?)),
+            KeyOwner::Unusable => None,
+        });
+        limits.collect()
+    }
 }
