Let crowds of a customer's programs in as far as operators bear them

Programs' needs were learned from served requests alone. Ruled out: a limit counted over the sliding window itself. Change: the bucket holds the burst, half of the overage and three quarters of the slack; a refused request counts for what a program needs.

--- a/coordination/src/gateway/limits.rs
+++ b/coordination/src/gateway/limits.rs
@@ -17,7 +17,7 @@
 //! Nothing is agreed on. An allocator hands out the part of the limit that
 //! belongs to the hosts which it heard lately and which heard it: hosts that are
 //! cut off from each other find allocators of their own, and their parts add up
-//! to the limit. An allocator that starts knows nothing and begins with an
+//! to the limit. An allocator that starts knows nothing and begins with a nearly
 //! empty bucket, so that nothing is handed out twice after any restart.
 
 use std::collections::{HashMap, HashSet};
@@ -52,25 +52,17 @@
     hash_parts(&[customer.as_bytes()]) % GROUPS
 }
 
-/// By how much the operators bear that a limit is exceeded.
+/// How operators judge a limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Tolerance {
-    /// The time over which they judge it.
+    /// The time over which they do.
     pub window: Duration,
-    /// Part of what the limit allows in such a time.
+    /// Part of what the limit allows in such a time by which it may be exceeded.
     pub overage: f64,
     /// Requests in such a time besides.
     pub slack: f64,
 }
 
-impl Tolerance {
-    /// Requests in a window beyond the limit that are borne.
-    pub fn of(&self, limit: CustomerLimit) -> f64 {
-        let allowed = limit.rate_per_s * self.window.as_secs_f64() + limit.burst;
-        allowed * self.overage + self.slack
-    }
-}
-
 /// Whether a request of a customer is served.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Decision {
--- a/coordination/src/gateway/limits/allocator.rs
+++ b/coordination/src/gateway/limits/allocator.rs
@@ -11,9 +11,13 @@
 use super::{Group, Tolerance};
 use crate::gateway::ledger::Holder;
 
-/// Part of what operators bear beyond a limit that a bucket holds besides the
-/// burst, as one in so many. The rest is for what is served unasked.
-const TOLERANCE_PART: f64 = 2.0;
+/// Part of what operators bear beyond a limit, in proportion to it, that a bucket
+/// holds besides the burst. The rest is for what is served unasked, and for
+/// requests that reach their endpoints later than they were counted.
+const OVERAGE_PART: f64 = 0.5;
+/// The same of the requests that they bear besides. Small customers, whose requests
+/// come in crowds of a few programs, need them most.
+const SLACK_PART: f64 = 0.75;
 /// Part of what is left that a host may have for requests which have not come, as
 /// one in so many: what one host keeps, others lack.
 const AHEAD_PART: f64 = 16.0;
@@ -58,8 +62,6 @@
     /// Sum of what the hosts have.
     held: u64,
     learned: Learned,
-    /// Until when programs under way lack requests that were refused.
-    starved_until: Duration,
 }
 
 /// What one host has of a customer's limit.
@@ -139,19 +141,16 @@
         account.requests.fill(rate, sizes.requests, now);
         account.begins.fill(rate, sizes.begins, now);
         let (served, begun) = account.report(host, wanted, now);
-        // Programs that are refused requests need fewer: of them nothing is learned,
-        // or the more would begin the more of them fail.
-        if now >= account.starved_until {
-            account.learned.add(served, begun, now);
-            self.learned.add(served, begun, now);
-        }
+        account.learned.add(served, begun, now);
+        self.learned.add(served, begun, now);
         let usual = self.learned.requests_per_program(USUAL_REQUESTS);
         let needed = account.learned.requests_per_program(usual);
         account.settle_begins(host, wanted, begun, needed);
         let granted = account.grant(host, wanted, &sizes, rate, needed);
-        if granted.requests < wanted.waiting {
-            account.starved_until = now + PROGRAM_TIME;
-        }
+        // A program that is refused requests needs them all the same, and those that
+        // fail for it must not let more of them begin.
+        let refused = wanted.waiting.saturating_sub(granted.requests);
+        account.learned.add(f64::from(refused), 0.0, now);
         granted
     }
 
@@ -176,18 +175,19 @@
 struct Sizes {
     requests: f64,
     begins: f64,
-    /// What a bucket has when its allocator begins to know the customer.
+    /// What is in the first when its allocator begins to know the customer.
     first: f64,
 }
 
 impl Sizes {
     fn new(limit: CustomerLimit, tolerance: Tolerance) -> Self {
-        let borne = tolerance.of(limit) / TOLERANCE_PART;
-        let requests = limit.burst + borne;
+        let allowed = limit.rate_per_s * tolerance.window.as_secs_f64() + limit.burst;
+        let slack = tolerance.slack * SLACK_PART;
+        let requests = limit.burst + allowed * tolerance.overage * OVERAGE_PART + slack;
         Self {
             requests,
             begins: requests + limit.rate_per_s * PROGRAM_TIME.as_secs_f64(),
-            first: borne,
+            first: slack / 2.0,
         }
     }
 }
@@ -200,7 +200,6 @@
             hosts: HashMap::new(),
             held: 0,
             learned: Learned::default(),
-            starved_until: Duration::ZERO,
         }
     }
 
--- a/coordination/src/gateway/limits/bucket.rs
+++ b/coordination/src/gateway/limits/bucket.rs
@@ -2,8 +2,7 @@
 
 use std::time::Duration;
 
-/// A bucket that fills at a rate up to a size. It may be overdrawn: what was used
-/// without asking is taken from it later.
+/// A bucket that fills at a rate up to a size. It may be overdrawn.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bucket {
     level: f64,
