Refuse a partition alone that the store refuses alone

Ruled out: the host's own way (calls of the other partitions were answered). Change: a refusal of a named partition is that partition's; it is not asked for 250 ms, its programs are refused at once with its time to come back, gatherers say so, and a host that has not heard of the store lately asks it before it believes that. A turn that waits for its reservation before it is sent is refused once its partition is out of reach, not at its deadline. Test: gateway/tests/partitions.rs; the stand-in refuses a partition.

--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -8,7 +8,7 @@
 use rosebend_coordination::gateway::admission::Admission;
 use rosebend_coordination::gateway::directory::Directory;
 use rosebend_coordination::gateway::fingerprint::CrashCounts;
-use rosebend_coordination::gateway::history::History;
+use rosebend_coordination::gateway::history::{History, partition_of};
 use rosebend_coordination::gateway::identity::Confirmation;
 use rosebend_coordination::gateway::limits::Tolerance;
 use rosebend_coordination::gateway::refusals::Refusals;
@@ -187,6 +187,26 @@
         Refusal::StoreUnreachable(self.store.unreachable_for())
     }
 
+    /// Whether the store answers for a program.
+    ///
+    /// # Errors
+    ///
+    /// Refuses the program while it does not, or refuses the program's partition.
+    pub fn reach(&self, program: &str) -> Result<(), Refusal> {
+        let partition = partition_of(program);
+        match self.store.is_reachable() && !self.store.is_partition_refused(&partition) {
+            true => Ok(()),
+            false => Err(self.program_unreachable(program)),
+        }
+    }
+
+    /// Refuses what needs a program's rows.
+    pub fn program_unreachable(&self, program: &str) -> Refusal {
+        self.store.tell_if_lost();
+        let partition = partition_of(program);
+        Refusal::StoreUnreachable(self.store.partition_unreachable_for(&partition))
+    }
+
     /// Whether the balancer should send callers here.
     pub fn is_ready(&self) -> bool {
         self.readiness().is_ok()
--- a/gateway/src/joined_commits.rs
+++ b/gateway/src/joined_commits.rs
@@ -152,6 +152,9 @@
     ///
     /// Fails when it was not applied, or when that is not known.
     pub async fn transact(self: &Rc<Self>, transaction: &Transaction) -> Outcome {
+        if self.store.is_left_alone(partition_of(transaction)) {
+            return Err(StoreError::Refused);
+        }
         let mut tries = FuturesUnordered::new();
         let mut failed = StoreError::NoAnswer("no way was tried".to_owned());
         for way in self.ways(transaction) {
@@ -184,9 +187,8 @@
             log_event(&Event::new(EventKind::PeerRefused).error(&error));
             return vec![Way::Here];
         }
-        let partition = transaction.rows().next().map(|row| row.partition.as_str());
         let gatherers = self.gatherers.borrow();
-        for candidate in gatherers.ranked(partition.unwrap_or_default(), self.clock.now()) {
+        for candidate in gatherers.ranked(partition_of(transaction), self.clock.now()) {
             if candidate.run == self.own_run {
                 break;
             }
@@ -262,6 +264,11 @@
                 self.avoid(candidate, "store-unreachable");
                 Tried::Failed(StoreError::Refused)
             }
+            // It is refused to every host; another way would only ask again.
+            Committed::PartitionRefused => {
+                self.store.note_partition_refused(partition_of(transaction));
+                Tried::Ended(Err(StoreError::Refused))
+            }
             Committed::NoAnswer => {
                 self.avoid(candidate, "store-unreachable");
                 Tried::Failed(StoreError::NoAnswer("of the gatherer's store".to_owned()))
@@ -285,8 +292,7 @@
     ///
     /// Fails when it was not applied, or when that is not known.
     pub async fn join(self: &Rc<Self>, transaction: Transaction) -> Outcome {
-        let name = transaction.rows().next().map(|row| row.partition.clone());
-        let name = name.unwrap_or_default();
+        let name = partition_of(&transaction).to_owned();
         let (told, outcome) = oneshot::channel();
         let since = self.clock.now();
         {
@@ -369,12 +375,20 @@
     StoreError::NoAnswer("a conflict of none of the conditions".to_owned())
 }
 
-/// An outcome as another gateway is told it.
-fn committed(outcome: Outcome) -> Committed {
+/// The partition of a transaction, which has one.
+fn partition_of(transaction: &Transaction) -> &str {
+    let row = transaction.rows().next();
+    row.map_or("", |row| row.partition.as_str())
+}
+
+/// An outcome as another gateway is told it; `is_up` tells that the store answers
+/// this one.
+fn committed(outcome: Outcome, is_up: bool) -> Committed {
     match outcome {
         Ok(Transacted::Applied(version)) => Committed::Applied(version),
         Ok(Transacted::Conflict(rows)) => Committed::Conflict(rows),
         Err(StoreError::Throttled) => Committed::Throttled,
+        Err(StoreError::Refused) if is_up => Committed::PartitionRefused,
         Err(StoreError::Refused) => Committed::Refused,
         Err(StoreError::HistoryGone | StoreError::NoAnswer(_)) => Committed::NoAnswer,
     }
--- a/gateway/src/joined_commits/ask.rs
+++ b/gateway/src/joined_commits/ask.rs
@@ -180,8 +180,10 @@
         return Response::with_body(StatusCode::OK, body.boxed());
     }
     let commits = Rc::clone(&gateway.joined_commits);
+    let store = Rc::clone(&gateway.store);
     let outcome = async move {
-        let committed = committed(commits.join(transaction).await);
+        let outcome = commits.join(transaction).await;
+        let committed = committed(outcome, !store.is_direct_down());
         Ok::<_, Infallible>(Bytes::from(encode_committed(&committed)))
     };
     let body = BodyStream::new(Box::pin(futures_util::stream::once(outcome)));
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -22,7 +22,7 @@
 use rosebend_platform::store::wait_of;
 use rosebend_state::deployment::{Row, RowId, RowVersion, RowWrite, Transaction};
 use rosebend_transport::event::{Event, EventKind, log_event};
-use rosebend_transport::store::{Outgoing, StoreError};
+use rosebend_transport::store::{Concern, Outgoing, StoreError};
 
 use self::row::{PeerRow, PeerRowError, key};
 use crate::gateway::Gateway;
@@ -272,6 +272,7 @@
         }
     }
     Some(Outgoing {
+        concern: Concern::Unknown,
         method: http::Method::from_bytes(request.method().as_str().as_bytes()).ok()?,
         path: request.uri().path_and_query()?.as_str().parse().ok()?,
         body: body.freeze(),
--- a/gateway/src/programs.rs
+++ b/gateway/src/programs.rs
@@ -63,7 +63,8 @@
 /// Fails when the store is out of reach.
 pub async fn refresh_ledger(gateway: &Gateway, program: &str) -> Result<(), Refusal> {
     let rows = gateway.store.read(&ledger_range(program)).await;
-    let rows = rows.map_err(|error| unreachable(gateway, &error))?;
+    // The client has logged how the call failed.
+    let rows = rows.map_err(|_: StoreError| gateway.program_unreachable(program))?;
     let id = ledger_row(program);
     let row = rows.rows.iter().find(|row| row.id == id);
     let value = row.and_then(|row| Some((row.version, row.value.as_ref()?)));
@@ -82,7 +83,8 @@
     attempt: &str,
 ) -> Result<Option<Arc<Turn>>, Refusal> {
     let rows = gateway.store.read(&program_range(program)).await;
-    let rows = rows.map_err(|error| unreachable(gateway, &error))?;
+    // The client has logged how the call failed.
+    let rows = rows.map_err(|_: StoreError| gateway.program_unreachable(program))?;
     let stored = StoredProgram::from_rows(program, &rows.rows);
     let stored = stored.map_err(|error| unreadable(gateway, program, &error))?;
     gateway
--- a/gateway/src/spending.rs
+++ b/gateway/src/spending.rs
@@ -26,6 +26,8 @@
 /// Pause before the second look whether it is settled; each next one is twice
 /// as long, which makes four looks in all.
 const FIRST_SETTLE_POLL: Duration = Duration::from_millis(15);
+/// Time between two looks whether the store is still in reach.
+const REACH_POLL: Duration = Duration::from_millis(20);
 /// Tokens of a turn that does not say its most; only a turn without a budget
 /// may leave it out.
 const UNTOLD_MOST_TOKENS: u64 = 4_096;
@@ -65,9 +67,7 @@
         let budget_tokens = header.budget_tokens.unwrap_or(u64::MAX);
         let program = header.program.clone();
         let attempt = call.turn();
-        if !gateway.store.is_reachable() {
-            return Err(gateway.store_unreachable());
-        }
+        gateway.reach(&program)?;
         let mut spending = Self {
             gateway: Rc::clone(gateway),
             program: program.clone(),
@@ -90,11 +90,22 @@
                 .seems_to_hold(&program, in_hand, budget_tokens);
         spending.ask(Vec::new());
         if !is_ample {
-            spending.granted(call).await?;
+            spending.granted_before_it_is_sent(call).await?;
         }
         Ok(spending)
     }
 
+    /// Waits until the reservation of a turn is durable that was not sent yet: it
+    /// is refused as soon as the store is out of reach.
+    async fn granted_before_it_is_sent(&mut self, call: &Call) -> Result<(), Refusal> {
+        let gateway = Rc::clone(&self.gateway);
+        let program = self.program.clone();
+        tokio::select! {
+            granted = self.granted(call) => granted,
+            refusal = until_unreachable(&gateway, &program) => Err(refusal),
+        }
+    }
+
     /// Asks for the turn's most, with what it may have of hosts that are gone.
     fn ask(&mut self, gone: Vec<Holder>) {
         let change = Change::Reserve {
@@ -261,6 +272,16 @@
     }
 }
 
+/// Ends once the store is out of reach for a program.
+async fn until_unreachable(gateway: &Gateway, program: &str) -> Refusal {
+    loop {
+        tokio::time::sleep(REACH_POLL).await;
+        if let Err(refusal) = gateway.reach(program) {
+            return refusal;
+        }
+    }
+}
+
 fn tokens_per_event(gateway: &Gateway, service: &str) -> u64 {
     let routes = gateway.routes();
     let service = routes
--- a/gateway/src/turn.rs
+++ b/gateway/src/turn.rs
@@ -90,9 +90,7 @@
     if call.body.len() > MAX_INPUT_BYTES {
         return Err(Refusal::BodyTooLarge);
     }
-    if !gateway.store.is_reachable() {
-        return Err(gateway.store_unreachable());
-    }
+    gateway.reach(&program.program)?;
     let previous = programs::previous_turn(gateway, call, &program).await?;
     Ok(Some(Record {
         program,
--- /dev/null
+++ b/gateway/tests/partitions.rs
@@ -0,0 +1,90 @@
+//! The store refuses one partition and answers for the others: programs there wait
+//! for it, and nobody else notices.
+
+mod support;
+
+use rosebend_coordination::gateway::history::partition_of;
+use rosebend_standin::store::StoreFaults;
+use support::{Ask, Gateway, Site, until};
+
+/// Programs of two partitions.
+fn programs() -> (String, String) {
+    let mut names = (0..).map(|number| format!("p{number}"));
+    let first = names.next().unwrap();
+    let other = names.find(|name| partition_of(name) != partition_of(&first));
+    (first, other.unwrap())
+}
+
+fn refusing(partition: &str) -> StoreFaults {
+    StoreFaults {
+        refuse_partition: partition.to_owned(),
+        ..StoreFaults::default()
+    }
+}
+
+/// Serves turns of a program one after another.
+async fn turns(gateways: &[Gateway], program: &str, name: &str, count: usize) -> Vec<u16> {
+    let mut statuses = Vec::new();
+    for number in 0..count {
+        let ask =
+            Ask::turn(&format!("{name}{number}"), program, "x").header("token-budget", "1000000");
+        let front = gateways[number % gateways.len()].front;
+        statuses.push(ask.send(front).await.status);
+    }
+    statuses
+}
+
+/// The first turn that a host sends finds out. It runs while its reservation is on
+/// its way, as every turn does.
+async fn find_out(gateway: &Gateway, program: &str) {
+    let ask = Ask::turn("first", program, "x").header("deadline-ms", "200");
+    let status = ask.send(gateway.front).await.status;
+    assert!([502, 503, 504].contains(&status), "{status}");
+}
+
+#[actix_rt::test]
+async fn a_refused_partition_costs_its_own_programs_alone() {
+    let site = Site::start();
+    let gateways = site.two_ready_gateways().await;
+    for gateway in &gateways {
+        gateway.until_peers(1).await;
+    }
+    let (refused, other) = programs();
+    assert_eq!(turns(&gateways, &refused, "a", 2).await, [200, 200]);
+    site.faults(&refusing(&partition_of(&refused))).await;
+    for gateway in &gateways {
+        find_out(gateway, &refused).await;
+    }
+    for round in 0..6 {
+        let statuses = turns(&gateways, &refused, &format!("r{round}-"), 2).await;
+        assert_eq!(statuses, [503, 503]);
+        let statuses = turns(&gateways, &other, &format!("o{round}-"), 6).await;
+        assert_eq!(statuses, [200; 6]);
+    }
+    for gateway in &gateways {
+        assert!(gateway.is_ready().await);
+        assert!(gateway.events("store-lost").is_empty());
+        assert!(gateway.events("gatherer-avoided").is_empty());
+    }
+    site.faults(&StoreFaults::default()).await;
+    until("the partition is served again", async || {
+        turns(&gateways, &refused, "b", 2).await == [200, 200]
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn a_refused_partition_says_when_to_come_back() {
+    let (site, gateway) = Site::start_with_gateway().await;
+    let (refused, _) = programs();
+    site.faults(&refusing(&partition_of(&refused))).await;
+    find_out(&gateway, &refused).await;
+    let ask = Ask::turn("t1", &refused, "x");
+    for _ in 0..2 {
+        let answer = ask.send(gateway.front).await;
+        assert_eq!(answer.status, 503);
+        assert!(answer.retry_after_s().unwrap() >= 0.25);
+        assert!(answer.body.contains("store-unreachable"), "{}", answer.body);
+    }
+    assert_eq!(site.times_run("t1").await, 0);
+}
--- a/protocol/src/commit.rs
+++ b/protocol/src/commit.rs
@@ -48,6 +48,8 @@
     Throttled,
     /// The other gateway does not reach the store; nothing was done.
     Refused,
+    /// The store refuses the partition and answers for others; nothing was done.
+    PartitionRefused,
     /// The store did not answer: what was done is not known.
     NoAnswer,
 }
@@ -112,6 +114,7 @@
     Throttled = 3,
     Refused = 4,
     NoAnswer = 5,
+    PartitionRefused = 6,
 }
 
 /// What one gateway asks of another.
@@ -224,6 +227,7 @@
         }
         Committed::Throttled => WireOutcome::Throttled,
         Committed::Refused => WireOutcome::Refused,
+        Committed::PartitionRefused => WireOutcome::PartitionRefused,
         Committed::NoAnswer => WireOutcome::NoAnswer,
     };
     wire.set_outcome(outcome);
@@ -258,6 +262,7 @@
         }
         WireOutcome::Throttled => Ok(Committed::Throttled),
         WireOutcome::Refused => Ok(Committed::Refused),
+        WireOutcome::PartitionRefused => Ok(Committed::PartitionRefused),
         WireOutcome::NoAnswer => Ok(Committed::NoAnswer),
     }
 }
--- a/protocol/tests/commit.rs
+++ b/protocol/tests/commit.rs
@@ -47,6 +47,7 @@
         prop::collection::vec(row, 0..20).prop_map(Committed::Conflict),
         Just(Committed::Throttled),
         Just(Committed::Refused),
+        Just(Committed::PartitionRefused),
         Just(Committed::NoAnswer),
     ]
 }
--- a/standin/src/store/mod.rs
+++ b/standin/src/store/mod.rs
@@ -62,6 +62,8 @@
 pub struct StoreFaults {
     /// Answers every call with 503 and does nothing.
     pub refuse: bool,
+    /// Answers calls for this partition with 503 and does nothing of them.
+    pub refuse_partition: String,
     /// Answers nothing and does nothing; the calls that it held are cut in the
     /// end.
     pub hang: bool,
@@ -294,6 +296,22 @@
     }
 }
 
+fn unavailable() -> HttpReply {
+    problem(503, "refused", Ran::No, "the store serves others")
+}
+
+/// Whether a call reads or writes rows of a partition.
+fn is_for_partition(request: &HttpRequest, partition: &str) -> bool {
+    match request.path.as_str() {
+        "/rows-get" => request.query_value("part") == Some(partition),
+        "/rows-tx" => {
+            let body = String::from_utf8_lossy(&request.body);
+            body.contains(&format!("\"part\":\"{partition}\""))
+        }
+        _ => false,
+    }
+}
+
 /// One address of a store.
 #[derive(Clone, Debug)]
 struct Door {
@@ -334,7 +352,7 @@
             actix_rt::time::sleep(POLL).await;
         }
         match self.lock_faults().refuse {
-            true => Some(problem(503, "refused", Ran::No, "the store serves others")),
+            true => Some(unavailable()),
             false => Some(cut()),
         }
     }
@@ -350,6 +368,11 @@
         if is_write && take_one(&mut self.lock_faults().throttle) {
             return self.store.lock().throttled();
         }
+        let refused = self.lock_faults().refuse_partition.clone();
+        if !refused.is_empty() && is_for_partition(request, &refused) {
+            self.store.lock().stats.outages += 1;
+            return unavailable();
+        }
         let reply = match self.route(request).await {
             Ok(reply) | Err(reply) => reply,
         };
--- a/transport/src/store/mod.rs
+++ b/transport/src/store/mod.rs
@@ -22,9 +22,11 @@
 use crate::clock::{Clock, whole_ms};
 use crate::event::{Event, EventKind, log_event};
 
-pub use self::way::Outgoing;
+use self::refused::RefusedPartitions;
+pub use self::way::{Concern, Outgoing};
 use self::way::{SILENCE_TIME, Turn, Way};
 
+mod refused;
 mod way;
 
 /// How long a way by a peer is believed in after its last answer.
@@ -32,6 +34,8 @@
 /// How long every call must have been refused as one too many before peers are
 /// asked. Within a second the store takes calls of every host that it serves.
 const THROTTLED_TIME: Duration = Duration::from_millis(600);
+/// Table that is read to learn whether the store answers at all.
+const PROBED_TABLE: &str = "gateways";
 /// Peers that are asked for one call, at most: in an outage of the whole store
 /// each of them only says so.
 const MAX_PEERS_ASKED: usize = 2;
@@ -116,6 +120,7 @@
     /// Why the last straight call failed; none since one was answered.
     last_failure: RefCell<Option<StoreError>>,
     peers: RefCell<Vec<Rc<Way>>>,
+    refused: RefusedPartitions,
 }
 
 impl std::fmt::Debug for StoreClient {
@@ -136,6 +141,7 @@
             patience: Cell::new(MIN_PATIENCE),
             last_failure: RefCell::default(),
             peers: RefCell::default(),
+            refused: RefusedPartitions::default(),
             observer: Box::new(|_, _, _| {}),
             timeout: Cell::new(timeout),
             clock,
@@ -201,6 +207,29 @@
         }
     }
 
+    /// Whether the store refuses a partition, as far as the last calls tell, while
+    /// it answers for others.
+    pub fn is_partition_refused(&self, partition: &str) -> bool {
+        let now = self.clock.now();
+        self.refused.refused_for(partition, now).is_some()
+    }
+
+    /// Whether a partition was refused so lately that it is not asked again now.
+    pub fn is_left_alone(&self, partition: &str) -> bool {
+        self.refused.is_left_alone(partition, self.clock.now())
+    }
+
+    /// For how long a partition was out of reach, by itself or with the store.
+    pub fn partition_unreachable_for(&self, partition: &str) -> Duration {
+        let refused = self.refused.refused_for(partition, self.clock.now());
+        refused.unwrap_or_default().max(self.unreachable_for())
+    }
+
+    /// Takes note that another host was refused a partition.
+    pub fn note_partition_refused(&self, partition: &str) {
+        self.refused.note_refused(partition, self.clock.now());
+    }
+
     /// Whether the store does not answer this host, whoever else it answers.
     pub fn is_direct_down(&self) -> bool {
         !self.direct().is_up()
@@ -238,7 +267,9 @@
     ///
     /// Fails when it was not applied, or when that is not known.
     pub async fn transact(&self, transaction: &Transaction) -> Result<Transacted, StoreError> {
+        let partition = transaction.rows().next().map(|row| row.partition.as_str());
         let outgoing = Outgoing {
+            concern: Concern::of(partition.unwrap_or_default()),
             method: Method::POST,
             path: PathAndQuery::from_static(wire::TRANSACT_PATH),
             body: Bytes::from(wire::encode_transaction(transaction)),
@@ -264,7 +295,7 @@
     /// Fails when the store does not answer.
     pub async fn read_row(&self, row: &RowId) -> Result<Option<Row>, StoreError> {
         let path = wire::read_path(&row.table, &row.partition, &row.key, None, Some(1));
-        let page = self.get(StoreCall::Read, &path, Duration::ZERO).await?;
+        let page = self.read_page(&path, &row.partition).await?;
         // The first row from the key on may be a later one.
         Ok(page.rows.into_iter().find(|found| found.id == *row))
     }
@@ -306,7 +337,7 @@
         let mut all = Rows::default();
         loop {
             let path = wire::read_path(&range.table, &range.partition, &from, to, None);
-            let page = self.get(StoreCall::Read, &path, Duration::ZERO).await?;
+            let page = self.read_page(&path, &range.partition).await?;
             if all.version == 0 {
                 all.version = page.version;
             }
@@ -330,13 +361,18 @@
     pub async fn read_some(&self, range: &RowRange, limit: usize) -> Result<Rows, StoreError> {
         let to = range.to.as_deref();
         let path = wire::read_path(&range.table, &range.partition, &range.from, to, Some(limit));
-        self.get(StoreCall::Read, &path, Duration::ZERO).await
+        self.read_page(&path, &range.partition).await
+    }
+
+    async fn read_page(&self, path: &str, partition: &str) -> Result<Rows, StoreError> {
+        let outgoing = Outgoing::get(path, partition)?;
+        self.get(StoreCall::Read, &outgoing, Duration::ZERO).await
     }
 
     /// Asks the store straight whether it answers this host again.
     pub async fn probe(&self, table: &str, key: &str) {
         let path = wire::read_path(table, "", key, None, Some(1));
-        if let Ok(outgoing) = Outgoing::get(&path) {
+        if let Ok(outgoing) = Outgoing::get(&path, "") {
             // The way itself takes note of how it went.
             let _ = self.pass_on(&outgoing, Duration::ZERO).await;
         }
@@ -354,12 +390,17 @@
         wait: Duration,
     ) -> Result<Rows, StoreError> {
         let path = wire::feed_path(table, after, wait);
-        self.get(StoreCall::Feed, &path, wait).await
+        let outgoing = Outgoing::get(&path, "")?;
+        self.get(StoreCall::Feed, &outgoing, wait).await
     }
 
-    async fn get(&self, kind: StoreCall, path: &str, wait: Duration) -> Result<Rows, StoreError> {
-        let outgoing = Outgoing::get(path)?;
-        match self.call(kind, &outgoing, wait).await? {
+    async fn get(
+        &self,
+        kind: StoreCall,
+        outgoing: &Outgoing,
+        wait: Duration,
+    ) -> Result<Rows, StoreError> {
+        match self.call(kind, outgoing, wait).await? {
             (StoreStatus::Done, body) => wire::decode_rows(&body).map_err(unreadable),
             (status, _) => Err(unexpected(status)),
         }
@@ -417,6 +458,38 @@
         kind: StoreCall,
         outgoing: &Outgoing,
         wait: Duration,
+    ) -> Result<(StoreStatus, Bytes), StoreError> {
+        let Concern::Partition(partition) = &outgoing.concern else {
+            return self.observed_call(kind, outgoing, wait).await;
+        };
+        if self.is_left_alone(partition) {
+            return Err(StoreError::Refused);
+        }
+        let outcome = self.observed_call(kind, outgoing, wait).await;
+        match &outcome {
+            Ok(_) => self.refused.note_answered(partition),
+            Err(StoreError::Refused) if self.answers_others().await => {
+                self.note_partition_refused(partition);
+            }
+            Err(_) => {}
+        }
+        outcome
+    }
+
+    /// Whether the store answers for other partitions, which it is asked unless it
+    /// just did.
+    async fn answers_others(&self) -> bool {
+        if !self.direct().answers_others() {
+            self.probe(PROBED_TABLE, "").await;
+        }
+        self.direct().answers_others()
+    }
+
+    async fn observed_call(
+        &self,
+        kind: StoreCall,
+        outgoing: &Outgoing,
+        wait: Duration,
     ) -> Result<(StoreStatus, Bytes), StoreError> {
         let started = self.clock.now();
         let outcome = self.call_any_way(outgoing, wait).await;
@@ -449,6 +522,10 @@
             Err(StoreError::Throttled) if self.direct().is_up() => Err(StoreError::Throttled),
             Err(error) => {
                 let by_peers = self.call_by_peers(outgoing, wait).await;
+                if by_peers.is_some() && matches!(error, StoreError::Refused) {
+                    // It is this host that the store refuses.
+                    self.tell(self.direct().note_failure(), &error);
+                }
                 by_peers.ok_or(error)
             }
         }
@@ -507,18 +584,25 @@
                 direct.note_answer(started)
             }
             Err(StoreError::Throttled) if !self.is_shut_out() => None,
+            Err(StoreError::Refused) if outgoing.concern != Concern::Store => None,
             Err(_) => direct.note_failure(),
         };
-        match (turn, &outcome) {
-            (Some(Turn::Lost), Err(error)) => {
-                log_event(&Event::new(EventKind::StoreLost).error(error));
-            }
-            (Some(Turn::Regained(away)), _) => {
+        match &outcome {
+            Ok(_) => self.tell(turn, &StoreError::Refused),
+            Err(error) => self.tell(turn, error),
+        }
+        outcome
+    }
+
+    /// Writes how the straight way's state changed; `error` is why it was lost.
+    fn tell(&self, turn: Option<Turn>, error: &StoreError) {
+        match turn {
+            Some(Turn::Lost) => log_event(&Event::new(EventKind::StoreLost).error(error)),
+            Some(Turn::Regained(away)) => {
                 log_event(&Event::new(EventKind::StoreRegained).wait_ms(whole_ms(away)));
             }
-            _ => {}
+            None => {}
         }
-        outcome
     }
 
     /// Whether every call has been refused as one too many for so long that the
@@ -548,6 +632,7 @@
                     way.note_answer(started);
                     return Some((wire::status(status), body));
                 }
+                Err(StoreError::Refused) if outgoing.concern != Concern::Store => {}
                 Err(_) => {
                     way.note_failure();
                 }
--- a/transport/src/store/way.rs
+++ b/transport/src/store/way.rs
@@ -27,9 +27,22 @@
 /// hears nothing.
 pub const SILENCE_TIME: Duration = Duration::from_millis(350);
 
+/// What a refusal of a call says something about.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Concern {
+    /// The whole store.
+    Store,
+    /// A partition, which the store may refuse alone.
+    Partition(String),
+    /// One of both: it is another host's call.
+    Unknown,
+}
+
 /// A call that may be sent more than once.
 #[derive(Clone, Debug)]
 pub struct Outgoing {
+    /// What it is about.
+    pub concern: Concern,
     /// Method.
     pub method: Method,
     /// Path and query; what is none can't be sent.
@@ -38,15 +51,27 @@
     pub body: Bytes,
 }
 
+impl Concern {
+    /// A partition; that without a name has the rows by which hosts know what the
+    /// store has, and stands for all of it.
+    pub fn of(partition: &str) -> Self {
+        match partition {
+            "" => Self::Store,
+            name => Self::Partition(name.to_owned()),
+        }
+    }
+}
+
 impl Outgoing {
-    /// A call that reads.
+    /// A call that reads rows of a partition, or waits for changes of all.
     ///
     /// # Errors
     ///
     /// Fails when the path is none, or longer than one may be.
-    pub fn get(path: &str) -> Result<Self, StoreError> {
+    pub fn get(path: &str, partition: &str) -> Result<Self, StoreError> {
         let no_path = |_| StoreError::NoAnswer("the call has no path".to_owned());
         Ok(Self {
+            concern: Concern::of(partition),
             method: Method::GET,
             path: path.parse().map_err(no_path)?,
             body: Bytes::new(),
@@ -54,6 +79,11 @@
     }
 }
 
+/// How long after its last answer a way is believed in although it refuses a
+/// partition. Hosts call for other partitions, or wait for changes, a few times in
+/// that time; where they do not, they ask.
+const PARTLY_TRUST: Duration = Duration::from_millis(400);
+
 /// What is known of a way's state.
 #[derive(Debug, Default)]
 struct Health {
@@ -138,6 +168,14 @@
         last.is_some_and(is_recent) && self.is_up()
     }
 
+    /// Whether a call was answered so lately that a partition which is refused must
+    /// be refused alone.
+    pub fn answers_others(&self) -> bool {
+        let last = self.health.last_success.get();
+        let is_recent = |at| self.clock.now().saturating_sub(at) < PARTLY_TRUST;
+        last.is_some_and(is_recent)
+    }
+
     /// Whether any call was ever answered.
     pub fn was_ever_answered(&self) -> bool {
         self.health.last_success.get().is_some()
--- a/transport/tests/store_pages.rs
+++ b/transport/tests/store_pages.rs
@@ -83,11 +83,11 @@
 #[test]
 fn a_call_that_is_none_is_not_made() {
     for path in ["no path", "", "/a b", "/\u{7f}", "http://", "/a\r\nx: y"] {
-        assert!(Outgoing::get(path).is_err(), "{path:?}");
+        assert!(Outgoing::get(path, "").is_err(), "{path:?}");
     }
     let long = format!("/rows-get?from={}", "x".repeat(100_000));
-    assert!(Outgoing::get(&long).is_err());
-    assert!(Outgoing::get("/rows-get?table=t&from=%2F").is_ok());
+    assert!(Outgoing::get(&long, "").is_err());
+    assert!(Outgoing::get("/rows-get?table=t&from=%2F", "").is_ok());
 }
 
 #[actix_rt::test]
