Notice at once that a refused partition is back, and start with a little more

Change: a gatherer's answer clears the mark, which holds for 600 ms; for 2 s a turn waits for its reservation before it is sent. A bucket that nobody saw full begins with two fifths of the overage and a quarter of the slack, which with what a full one holds is less than operators bear.

--- a/coordination/src/gateway/limits/allocator.rs
+++ b/coordination/src/gateway/limits/allocator.rs
@@ -18,6 +18,10 @@
 /// The same of the requests that they bear besides. Small customers, whose requests
 /// come in crowds of a few programs, need them most.
 const SLACK_PART: f64 = 0.75;
+/// The same of what a bucket holds that was never seen full: nobody knows what was
+/// served before. With the parts above it is less than all that operators bear.
+const FIRST_OVERAGE_PART: f64 = 0.4;
+const FIRST_SLACK_PART: f64 = 0.25;
 /// Part of what is left that a host may have for requests which have not come, as
 /// one in so many: what one host keeps, others lack.
 const AHEAD_PART: f64 = 16.0;
@@ -182,12 +186,12 @@
 impl Sizes {
     fn new(limit: CustomerLimit, tolerance: Tolerance) -> Self {
         let allowed = limit.rate_per_s * tolerance.window.as_secs_f64() + limit.burst;
-        let slack = tolerance.slack * SLACK_PART;
-        let requests = limit.burst + allowed * tolerance.overage * OVERAGE_PART + slack;
+        let overage = allowed * tolerance.overage;
+        let requests = limit.burst + overage * OVERAGE_PART + tolerance.slack * SLACK_PART;
         Self {
             requests,
             begins: requests + limit.rate_per_s * PROGRAM_TIME.as_secs_f64(),
-            first: slack / 2.0,
+            first: overage * FIRST_OVERAGE_PART + tolerance.slack * FIRST_SLACK_PART,
         }
     }
 }
--- a/gateway/src/joined_commits.rs
+++ b/gateway/src/joined_commits.rs
@@ -249,15 +249,14 @@
         };
         let took = self.clock.now().saturating_sub(asked_at);
         self.patience.set(next_patience(self.patience.get(), took));
+        if matches!(committed, Committed::Applied(_) | Committed::Conflict(_)) {
+            self.gatherers.borrow_mut().answered(&candidate.host);
+            self.store
+                .note_partition_answered(partition_of(transaction));
+        }
         match committed {
-            Committed::Applied(version) => {
-                self.gatherers.borrow_mut().answered(&candidate.host);
-                Tried::Ended(Ok(Transacted::Applied(version)))
-            }
-            Committed::Conflict(rows) => {
-                self.gatherers.borrow_mut().answered(&candidate.host);
-                Tried::Ended(Ok(Transacted::Conflict(rows)))
-            }
+            Committed::Applied(version) => Tried::Ended(Ok(Transacted::Applied(version))),
+            Committed::Conflict(rows) => Tried::Ended(Ok(Transacted::Conflict(rows))),
             // The rate is one for all hosts: another way would only add to it.
             Committed::Throttled => Tried::Ended(Err(StoreError::Throttled)),
             Committed::Refused => {
--- a/gateway/src/spending.rs
+++ b/gateway/src/spending.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rosebend_coordination::gateway::history::partition_of;
 use rosebend_coordination::gateway::ledger::{FilledBy, Holder};
 use rosebend_coordination::gateway::pending_changes::{Change, Outcome};
 use rosebend_state::deployment::{AttemptId, ProgramHeader, RowWrite};
@@ -84,7 +85,9 @@
         // one that continues from none begins its program. Without history
         // nothing tells whether a program that is new here has spent its budget.
         let is_known = call.route.keeps_history || gateway.commits.knows(&program);
+        let is_doubted = gateway.store.is_partition_doubted(&partition_of(&program));
         let is_ample = is_known
+            && !is_doubted
             && gateway
                 .commits
                 .seems_to_hold(&program, in_hand, budget_tokens);
--- a/transport/src/store/mod.rs
+++ b/transport/src/store/mod.rs
@@ -225,6 +225,16 @@
         refused.unwrap_or_default().max(self.unreachable_for())
     }
 
+    /// Whether a partition was refused lately and not answered since.
+    pub fn is_partition_doubted(&self, partition: &str) -> bool {
+        self.refused.is_doubted(partition, self.clock.now())
+    }
+
+    /// Takes note that another host was answered for a partition.
+    pub fn note_partition_answered(&self, partition: &str) {
+        self.refused.note_answered(partition);
+    }
+
     /// Takes note that another host was refused a partition.
     pub fn note_partition_refused(&self, partition: &str) {
         self.refused.note_refused(partition, self.clock.now());
--- a/transport/src/store/refused.rs
+++ b/transport/src/store/refused.rs
@@ -9,7 +9,10 @@
 const ASK_AGAIN: Duration = Duration::from_millis(250);
 /// How long after its last refusal a partition counts as refused. What waits for it
 /// asks again before that; where nothing waits, the next call finds out.
-const BELIEVED_FOR: Duration = Duration::from_secs(1);
+const BELIEVED_FOR: Duration = Duration::from_millis(600);
+/// How long after its last refusal a partition is doubted: what is sent for it waits
+/// to see that it is answered.
+const DOUBTED_FOR: Duration = Duration::from_secs(2);
 
 /// Refusals of one partition in a row.
 #[derive(Clone, Copy, Debug)]
@@ -34,7 +37,7 @@
     /// Takes note that a call for a partition was refused.
     pub fn note_refused(&self, partition: &str, now: Duration) {
         let mut partitions = self.partitions.borrow_mut();
-        partitions.retain(|_, refused| refused.is_within(BELIEVED_FOR, now));
+        partitions.retain(|_, refused| refused.is_within(DOUBTED_FOR, now));
         let first = Refused {
             since: now,
             last_at: now,
@@ -61,6 +64,12 @@
         is_believed.then(|| now.saturating_sub(refused.since))
     }
 
+    /// Whether a partition was refused lately and not answered since.
+    pub fn is_doubted(&self, partition: &str, now: Duration) -> bool {
+        let refused = self.get(partition);
+        refused.is_some_and(|refused| refused.is_within(DOUBTED_FOR, now))
+    }
+
     fn get(&self, partition: &str) -> Option<Refused> {
         self.partitions.borrow().get(partition).copied()
     }
