Tell by what a limit refused, and rank customers before routes

Cause: a refusal for a limit could not be explained from the log, and admission asked the route's rank alone: most customers have rank 1, so that either route's rank or the customer's was lost. With 16 customers a message about limits came near the 2 kB that a host reads (worked out from its form). Urgency is by customer first, then by route. Messages hold eight customers, hosts read 8 kB. What of a version can't be used is logged by a module of its own.

--- a/coordination/src/gateway/admission.rs
+++ b/coordination/src/gateway/admission.rs
@@ -38,14 +38,48 @@
 /// Wait from which on all of them are; their programs would be late by their
 /// turns' waits alone.
 const ALL_REFUSED_MS: f64 = 240.0;
-/// By how much longer the queues must be for the most urgent programs.
-const URGENT_FACTOR: f64 = 2.0;
 /// Shortest time after which a refused caller may come back, in which a few
 /// hundred turns end at the engines of a deployment.
 const MIN_COMEBACK: Duration = Duration::from_millis(250);
 /// Longest such time: callers follow it for a third of the time that they have.
 const MAX_COMEBACK: Duration = Duration::from_secs(1);
 
+/// How urgent a program is: by its customer first, among customers of the same rank
+/// by its route.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Urgency {
+    /// Neither its customer nor its route is of the highest rank.
+    Usual,
+    /// Its route is.
+    Route,
+    /// Its customer is.
+    Customer,
+    /// Both are.
+    Both,
+}
+
+impl Urgency {
+    /// The urgency by ranks, of which 0 is the highest; a customer may have none.
+    pub fn new(customer_rank: Option<u32>, route_rank: u32) -> Self {
+        match (customer_rank == Some(0), route_rank == 0) {
+            (false, false) => Self::Usual,
+            (false, true) => Self::Route,
+            (true, false) => Self::Customer,
+            (true, true) => Self::Both,
+        }
+    }
+
+    /// By how much longer queues must be for such programs to be refused.
+    fn factor(self) -> f64 {
+        match self {
+            Self::Usual => 1.0,
+            Self::Route => 2.0,
+            Self::Customer => 3.0,
+            Self::Both => 4.0,
+        }
+    }
+}
+
 /// What was heard of the queues of a service.
 #[derive(Clone, Copy, Debug)]
 struct Queues {
@@ -91,18 +125,16 @@
     }
 
     /// When the caller of a new program may come back, if it is not begun now.
-    /// `is_urgent` tells that no kind of request is more urgent, and `attempt`
-    /// spreads the choice.
+    /// `attempt` spreads the choice.
     pub fn refuse(
         &self,
         service: &str,
-        is_urgent: bool,
+        urgency: Urgency,
         attempt: &str,
         now: Duration,
     ) -> Option<Duration> {
         let wait_ms = self.wait_ms(service, now);
-        let factor = if is_urgent { URGENT_FACTOR } else { 1.0 };
-        let beyond_ms = wait_ms / factor - FIRST_REFUSED_MS;
+        let beyond_ms = wait_ms / urgency.factor() - FIRST_REFUSED_MS;
         let share = beyond_ms / (ALL_REFUSED_MS - FIRST_REFUSED_MS);
         let place = hash_parts(&[attempt.as_bytes()]) % 1_024;
         let is_refused = (place as f64) < share * 1_024.0;
--- a/coordination/src/gateway/limits.rs
+++ b/coordination/src/gateway/limits.rs
@@ -42,8 +42,9 @@
 /// Groups of customers that have the same allocator. Few, so that each host has
 /// to keep in touch with few others, however many there are.
 const GROUPS: u64 = 16;
-/// Customers of one message; with names of usual length it fits a datagram.
-const MAX_CUSTOMERS: usize = 16;
+/// Customers of one message: with names of usual length no link splits it, and with
+/// the longest ones it has a few kilobytes.
+const MAX_CUSTOMERS: usize = 8;
 /// A group of customers.
 pub type Group = u64;
 
@@ -76,6 +77,17 @@
     NotKnown(Duration),
 }
 
+/// What a host knows of a customer's limit, for the log.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Facts {
+    /// Requests of the customer that this host has served.
+    pub served: u64,
+    /// The run of the host that hands out the limit; none when all are silent.
+    pub allocator: Option<Holder>,
+    /// How long ago it was last heard.
+    pub heard: Option<Duration>,
+}
+
 /// The limits as one host keeps to them, and those that it allocates.
 #[derive(Debug)]
 pub struct HostLimits<A> {
@@ -166,6 +178,18 @@
         }
     }
 
+    /// What a refusal was decided by.
+    pub fn facts(&self, customer: &str, now: Duration) -> Facts {
+        let allocator = self.links.current(group_of(customer), now);
+        let run = allocator.map(|allocator| allocator.run.clone());
+        let heard_ms = run.as_ref().and_then(|run| self.links.heard_ms(run, now));
+        Facts {
+            served: self.stocks.get(customer).map_or(0, Stock::served),
+            allocator: run,
+            heard: heard_ms.map(Duration::from_millis),
+        }
+    }
+
     fn stock(&mut self, customer: &str) -> &mut Stock {
         if !self.stocks.contains_key(customer) {
             self.stocks.insert(customer.to_owned(), Stock::default());
--- a/coordination/src/gateway/limits/stock.rs
+++ b/coordination/src/gateway/limits/stock.rs
@@ -133,6 +133,11 @@
         }
     }
 
+    /// Requests that this host has served, less those that did not run.
+    pub fn served(&self) -> u64 {
+        self.served
+    }
+
     /// Whether requests wait.
     pub fn is_waiting(&self) -> bool {
         self.requests.waiting + self.begins.waiting > 0
--- a/coordination/tests/gateway_admission.rs
+++ b/coordination/tests/gateway_admission.rs
@@ -15,7 +15,7 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use rosebend_coordination::gateway::admission::Admission;
+use rosebend_coordination::gateway::admission::{Admission, Urgency};
 
 const ENGINES: usize = 40;
 const SLOTS: usize = 8;
@@ -118,7 +118,8 @@
             let attempt = program.to_string();
             let now = self.now();
             let admission = self.admission.as_ref();
-            let refused = admission.and_then(|known| known.refuse(SERVICE, false, &attempt, now));
+            let refused =
+                admission.and_then(|known| known.refuse(SERVICE, Urgency::Usual, &attempt, now));
             if refused.is_some() {
                 self.fared[phase].refused += 1;
                 return;
@@ -194,30 +195,63 @@
 fn urgent_programs_are_refused_last_and_none_without_queues() {
     let now = Duration::from_secs(1);
     let mut admission = Admission::default();
-    let refused = |admission: &Admission, is_urgent, now| {
+    let refused = |admission: &Admission, urgency, now| {
         let attempts = (0..100).map(|number| format!("a{number}"));
         let refused =
-            attempts.filter_map(|attempt| admission.refuse(SERVICE, is_urgent, &attempt, now));
+            attempts.filter_map(|attempt| admission.refuse(SERVICE, urgency, &attempt, now));
         refused.count()
     };
     let took = |ms| Duration::from_millis(ms);
     for _ in 0..50 {
         admission.note(SERVICE, took(40), now);
     }
-    assert_eq!(refused(&admission, false, now), 0);
+    assert_eq!(refused(&admission, Urgency::Usual, now), 0);
     for _ in 0..50 {
         admission.note(SERVICE, took(220), now);
     }
-    let less_urgent = refused(&admission, false, now);
+    let less_urgent = refused(&admission, Urgency::Usual, now);
     assert!((30..90).contains(&less_urgent), "{less_urgent}");
-    let urgent = refused(&admission, true, now);
+    let urgent = refused(&admission, Urgency::Route, now);
     assert!(urgent < less_urgent / 2, "{urgent} and {less_urgent}");
     // Nothing is heard for a while: somebody must find out.
-    assert_eq!(refused(&admission, false, now + Duration::from_secs(3)), 0);
+    assert_eq!(
+        refused(&admission, Urgency::Usual, now + Duration::from_secs(3)),
+        0
+    );
     // Engines that are slow at all times are not full.
     let mut slow = Admission::default();
     for _ in 0..50 {
         slow.note(SERVICE, took(900), now);
     }
-    assert_eq!(refused(&slow, false, now), 0);
+    assert_eq!(refused(&slow, Urgency::Usual, now), 0);
+}
+
+#[test]
+fn a_customers_rank_goes_before_its_routes() {
+    let order = [
+        Urgency::new(Some(1), 1),
+        Urgency::new(Some(1), 0),
+        Urgency::new(Some(0), 1),
+        Urgency::new(Some(0), 0),
+    ];
+    assert!(order.is_sorted());
+    assert_eq!(Urgency::new(None, 0), Urgency::new(Some(2), 0));
+    let mut admission = Admission::default();
+    let at = |ms| Duration::from_millis(ms);
+    admission.note(SERVICE, at(20), at(0));
+    for number in 1..60 {
+        admission.note(SERVICE, at(330), at(number));
+    }
+    let refused = order.map(|urgency| {
+        let attempts = (0..200).map(|number| number.to_string());
+        let refused = attempts.filter(|attempt| {
+            let comeback = admission.refuse(SERVICE, urgency, attempt, at(60));
+            comeback.is_some()
+        });
+        refused.count()
+    });
+    assert!(
+        refused.is_sorted_by(|more, fewer| more > fewer),
+        "{refused:?}"
+    );
 }
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -9,6 +9,7 @@
 use actix_http::body::BoxBody;
 use bytes::Bytes;
 use http::HeaderMap;
+use rosebend_coordination::gateway::admission::Urgency;
 use rosebend_coordination::gateway::fingerprint::Fingerprint;
 use rosebend_coordination::gateway::limits::stock::Demand;
 use rosebend_protocol::problem::Ran;
@@ -71,12 +72,11 @@
         self.header.last_event.filter(|_| may_resume)
     }
 
-    /// Rank of the request; 0 is the most urgent. That of its customer goes
-    /// before that of its route.
-    pub fn priority(&self) -> u32 {
+    /// How urgent the request is.
+    pub fn urgency(&self) -> Urgency {
         let customer = self.customer.as_ref();
-        let own = customer.and_then(|customer| customer.priority);
-        own.unwrap_or(self.route.priority)
+        let customer_rank = customer.and_then(|customer| customer.priority);
+        Urgency::new(customer_rank, self.route.priority)
     }
 
     /// The request's program, with ids that no other customer's callers can name.
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -16,7 +16,6 @@
 use rosebend_state::deployment::{Customers, EndpointIdentity};
 use rosebend_state::settings::{CustomerSettings, GatewaySettings, StoreSettings};
 use rosebend_transport::clock::{Clock, whole_ms};
-use rosebend_transport::event::{Event, EventKind, log_event};
 use rosebend_transport::store::StoreClient;
 use rosebend_util::random_id;
 
@@ -28,15 +27,12 @@
 use crate::pool::Pool;
 use crate::reply::Refusal;
 use crate::retention::Retention;
+use crate::unusable;
 
 /// Bytes of turns that are kept in memory, so that most turns need no read.
 /// About 4,000 turns at 5.6 KB, the bytes a turn on a quiet day of one site.
 const HISTORY_BYTES: usize = 24 << 20;
 
-/// Lines about routes, and about customers, of one version that can't be used; each line tells how
-/// many there are.
-const MAX_UNUSABLE_LINES: usize = 8;
-
 /// How long the store may be out of reach before the host takes no callers:
 /// others may reach it, and the balancer takes seconds to see the answer.
 const UNREADY_AFTER: Duration = Duration::from_millis(400);
@@ -148,8 +144,8 @@
         }
         let services = routes.deployment().services.keys().cloned();
         self.directory.borrow_mut().declare(services);
-        log_unusable(&routes);
-        log_unusable_customers(&routes);
+        unusable::log_routes(&routes);
+        unusable::log_customers(&routes);
         let customers = routes.deployment().customers.as_ref();
         self.limits
             .declare(customers.map(Customers::limits).unwrap_or_default());
@@ -291,39 +287,6 @@
     }
 }
 
-/// Writes which routes of a version can't be used, once and the first of them.
-fn log_unusable(routes: &RouteTable) {
-    let unusable = routes.unusable_routes();
-    let version = routes.deployment().version;
-    for route in unusable.iter().take(MAX_UNUSABLE_LINES) {
-        let event = Event::new(EventKind::RouteUnusable).version(version);
-        let event = event.route(&route.name).count(unusable.len() as u64);
-        log_event(&event.error(&UnusableReason(&route.reason)));
-    }
-}
-
-/// Writes which customers of a version can't be used, once and the first of them.
-fn log_unusable_customers(routes: &RouteTable) {
-    let deployment = routes.deployment();
-    let Some(customers) = &deployment.customers else {
-        return;
-    };
-    let count = customers.unusable.len() as u64;
-    for customer in customers.unusable.iter().take(MAX_UNUSABLE_LINES) {
-        let event = Event::new(EventKind::CustomerUnusable).version(deployment.version);
-        let event = event.count(count).reason(customer.reason);
-        log_event(&match &customer.name {
-            Some(name) => event.customer(name),
-            None => event,
-        });
-    }
-}
-
-/// Why a route can't be used, as an error for the log.
-#[derive(Debug, thiserror::Error)]
-#[error("{0}")]
-struct UnusableReason<'a>(&'a str);
-
 /// Counts a request that a caller waits for.
 #[derive(Debug)]
 pub struct OpenRequest(Rc<Gateway>);
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -29,8 +29,8 @@
 /// Largest datagram that is sent, in bytes: no link splits it. What ids of
 /// unusual length leave no room for is left out.
 const MAX_SENT_BYTES: usize = 1_472;
-/// Largest datagram that is read.
-const MAX_DATAGRAM_BYTES: usize = 2_048;
+/// Largest datagram that is read; those about limits have names of customers.
+const MAX_DATAGRAM_BYTES: usize = 8_192;
 
 /// The load of one start of an endpoint, as a peer heard it: running, waiting,
 /// slots, and its age in milliseconds.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -5,9 +5,9 @@
 //! |---|---|
 //! | a request, step by step | [`front`], [`dispatch`], [`intake`], [`plain`] or [`turn`], [`exchange`], [`pool`]; all work on a [`call`] |
 //! | a turn's budget, and its answer on the way | [`spending`], [`recall`], [`holders`], [`turn_stream`], [`runs`] |
-//! | how much a customer may send | [`limits`] |
+//! | whose a request is, and how much its customer may send | [`intake`], [`limits`] |
 //! | what lasts | [`commits`], [`joined_commits`], [`programs`], [`retention`] |
-//! | what the process believes of routes and endpoints | [`watch`], [`entries`], [`gossip`], [`quarantine`] |
+//! | what the process believes of routes and endpoints | [`watch`], [`unusable`], [`entries`], [`gossip`], [`quarantine`] |
 //! | calls to the store by other gateways | [`peers`] |
 //! | what is written and counted | [`trail`], [`metrics`] |
 //! | start, stop and changed settings | [`process`], [`reload`] |
@@ -45,4 +45,5 @@
 pub mod trail;
 pub mod turn;
 pub mod turn_stream;
+pub mod unusable;
 pub mod watch;
--- a/gateway/src/limits.rs
+++ b/gateway/src/limits.rs
@@ -16,6 +16,8 @@
 use rosebend_coordination::gateway::limits::stock::Demand;
 use rosebend_coordination::gateway::limits::{Decision, HostLimits, Tolerance};
 use rosebend_state::deployment::{CustomerLimit, CustomerName};
+use rosebend_transport::clock::whole_ms;
+use rosebend_transport::event::{Event, EventKind};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -127,12 +129,43 @@
             call.counted.set(Some(demand));
             Ok(())
         }
-        Decision::Refuse(wait) => Err(Refusal::OverLimit(wait)),
-        Decision::NotKnown(wait) => Err(Refusal::LimitNotKnown(wait.max(MIN_COMEBACK))),
+        Decision::Refuse(wait) => Err(tell(gateway, call, Refusal::OverLimit(wait))),
+        Decision::NotKnown(wait) => {
+            let refusal = Refusal::LimitNotKnown(wait.max(MIN_COMEBACK));
+            Err(tell(gateway, call, refusal))
+        }
         Decision::Ask => Err(Refusal::LimitNotKnown(MIN_COMEBACK)),
     }
 }
 
+/// Writes by what a refusal was decided.
+fn tell(gateway: &Gateway, call: &Call, refusal: Refusal) -> Refusal {
+    let customer = call
+        .customer
+        .as_ref()
+        .map(|customer| customer.name.as_str());
+    let customer = customer.unwrap_or_default();
+    let now = gateway.clock.now();
+    let facts = gateway.limits.state.borrow().facts(customer, now);
+    let demand = match demand_of(call) {
+        Demand::Begin => "begins-program",
+        Demand::Request => "under-way",
+    };
+    let wait = refusal.retry_after().unwrap_or_default();
+    let event = Event::new(EventKind::LimitRefused).customer(customer);
+    let event = event.reason(demand).wait_ms(whole_ms(wait));
+    let event = event.count(facts.served);
+    let event = match &facts.allocator {
+        Some(allocator) => event.host(allocator),
+        None => event,
+    };
+    call.trail.step(match facts.heard {
+        Some(heard) => event.age(heard),
+        None => event,
+    });
+    refusal
+}
+
 /// Takes a request out of its customer's count that counts there and did not run.
 pub fn give_back(gateway: &Gateway, call: &Call) {
     if let (Some(customer), Some(demand)) = (&call.customer, call.counted.take()) {
--- a/gateway/src/turn.rs
+++ b/gateway/src/turn.rs
@@ -75,10 +75,9 @@
     if !call.begins_program() {
         return Ok(());
     }
-    let is_urgent = call.priority() == 0;
     let admission = gateway.admission.borrow();
     let now = gateway.clock.now();
-    let comeback = admission.refuse(&call.service, is_urgent, &call.header.attempt, now);
+    let comeback = admission.refuse(&call.service, call.urgency(), &call.header.attempt, now);
     comeback.map_or(Ok(()), |comeback| Err(Refusal::Overloaded(comeback)))
 }
 
--- a/gateway/tests/explain.rs
+++ b/gateway/tests/explain.rs
@@ -1,4 +1,4 @@
-//! Four kinds of failed request, each explained from the logs alone.
+//! Six kinds of failed request, each explained from the logs alone.
 
 mod support;
 
@@ -13,7 +13,8 @@
 const DESK: usize = 1;
 
 /// Members whose values differ from run to run.
-const VARYING: [&str; 6] = [
+const VARYING: [&str; 7] = [
+    "peer=",
     "elapsed_ms=",
     "age_ms=",
     "wait_ms=",
@@ -204,3 +205,55 @@
     assert_eq!((served.status, refused.status), (200, 402));
     insta::assert_snapshot!(story(&gateways[1], "t2").await);
 }
+
+const KEY: &str = "ship-key-000001";
+
+/// Routes with one customer, that may send one request a second.
+fn with_customer(version: u64, keys: &[&str]) -> serde_json::Value {
+    let mut declared = support::routes(version);
+    declared["tenants"] = serde_json::json!([
+        {"name": "ship", "api-keys": keys, "priority": 1, "rate-per-s": 1, "burst": 1},
+    ]);
+    declared
+}
+
+fn keyed(attempt: &str) -> Ask {
+    Ask::lookup(attempt).header("authorization", &format!("Bearer {KEY}"))
+}
+
+#[actix_rt::test]
+async fn a_request_refused_for_its_customers_limit() {
+    let site = Site::without_routes();
+    site.store.put("op", "config", &with_customer(1, &[KEY]));
+    let gateway = site.ready_gateway().await;
+    let mut number = 0;
+    loop {
+        number += 1;
+        let status = keyed(&format!("a{number}"))
+            .send(gateway.front)
+            .await
+            .status;
+        if status == 429 {
+            break;
+        }
+        assert!([200, 503].contains(&status), "{status}");
+        assert!(number < 200, "nothing was refused");
+    }
+    let attempt = format!("a{number}");
+    let story = story(&gateway, &attempt).await;
+    insta::assert_snapshot!(story.replace(&attempt, "ATTEMPT"));
+}
+
+#[actix_rt::test]
+async fn a_request_whose_key_was_taken_away() {
+    let site = Site::without_routes();
+    site.store.put("op", "config", &with_customer(1, &[KEY]));
+    let gateway = site.ready_gateway().await;
+    site.store.put("op", "config", &with_customer(2, &[]));
+    until("the key is gone", async || {
+        gateway.metric("routes_version").await == 2
+    })
+    .await;
+    assert_eq!(keyed("a1").send(gateway.front).await.status, 401);
+    insta::assert_snapshot!(story(&gateway, "a1").await);
+}
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -111,6 +111,8 @@
     SpendingGranted,
     /// Step: the program's budget does not hold the turn, by the account in the line.
     SpendingRefused,
+    /// Step: the customer's limit does not allow the request now.
+    LimitRefused,
     /// Step: those who hold tokens of a budget that does not hold the turn were asked.
     HoldersAsked,
     /// A host that holds tokens of a program did not say whether it uses them.
@@ -173,7 +175,7 @@
 
 impl EventKind {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 80] = [
+    pub const ALL: [Self; 81] = [
         Self::ProcessStarted,
         Self::ProcessStopping,
         Self::ProcessStopped,
@@ -245,6 +247,7 @@
         Self::SettingsTaken,
         Self::SettingsRefused,
         Self::SpendingRefused,
+        Self::LimitRefused,
         Self::HoldersAsked,
         Self::HolderSilent,
         Self::EntryRefused,
@@ -328,6 +331,7 @@
             Self::SettingsTaken => 826,
             Self::SettingsRefused => 827,
             Self::SpendingRefused => 828,
+            Self::LimitRefused => 844,
             Self::HoldersAsked => 829,
             Self::HolderSilent => 830,
             Self::EntryRefused => 835,
@@ -416,6 +420,7 @@
             Self::SettingsTaken => "settings-taken",
             Self::SettingsRefused => "settings-refused",
             Self::SpendingRefused => "spending-refused",
+            Self::LimitRefused => "limit-refused",
             Self::HoldersAsked => "holders-asked",
             Self::HolderSilent => "holder-silent",
             Self::StreamResumed => "stream-resumed",
@@ -565,6 +570,9 @@
             }
             Self::HistoryRead => "Step: the turn to continue was found; `reason` says where.",
             Self::SpendingGranted => "Step: the turn may spend its most; `reason` says from where.",
+            Self::LimitRefused => {
+                "Step: the limit of `customer` does not allow the request for `wait_ms`. `reason` says whether it was of a program under way or would have begun one, `count` how many of the customer's requests this host has served, `peer` who hands out the limit, and `age_ms` how long ago it was last heard."
+            }
             Self::SpendingRefused => {
                 "Step: the budget does not hold the turn's most. `reason` says what fills it: spent or running; `holders` names who reserved."
             }
