Hand out no second burst where an allocator is found again

Cause, found by reading: an allocator that hosts had left for another one kept its bucket, and filled it for all the time in which the other one handed out the same limit, so that hosts which came back got the burst once more. Test first: an_allocator_that_nobody_asked_for_a_while_hands_out_no_second_burst (255 requests handed out at once after 10 s, where 60 are allowed to a bucket that nobody saw full); two more of hosts that die in turn and that are muted.

--- a/coordination/src/gateway/limits.rs
+++ b/coordination/src/gateway/limits.rs
@@ -45,6 +45,7 @@
 /// Customers of one message: with names of usual length no link splits it, and with
 /// the longest ones it has a few kilobytes.
 const MAX_CUSTOMERS: usize = 8;
+
 /// A group of customers.
 pub type Group = u64;
 
--- a/coordination/src/gateway/limits/allocator.rs
+++ b/coordination/src/gateway/limits/allocator.rs
@@ -39,6 +39,9 @@
 const USUAL_WEIGHT: f64 = 4.0;
 /// Time in which what was learned of programs loses half of its weight.
 const LEARNED_HALF_LIFE: Duration = Duration::from_secs(10);
+/// How long a customer's bucket is believed that no host asked for: within this time
+/// an allocator that hosts have left is left by all of them.
+const STALE_AFTER: Duration = Duration::from_millis(2_500);
 /// How long a host that says nothing is remembered, with what it had.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(10);
 /// Bounds on the time after which a refused request may come again. Callers follow
@@ -65,6 +68,8 @@
     hosts: HashMap<Holder, HostAccount>,
     /// Sum of what the hosts have.
     held: u64,
+    /// When a host last asked.
+    asked_at: Duration,
     learned: Learned,
 }
 
@@ -142,8 +147,7 @@
         let account = self.accounts.entry(wanted.customer.clone());
         let account = account.or_insert_with(|| Account::new(&sizes, now));
         let rate = limit.rate_per_s * share;
-        account.requests.fill(rate, sizes.requests, now);
-        account.begins.fill(rate, sizes.begins, now);
+        account.fill(rate, &sizes, now);
         let (served, begun) = account.report(host, wanted, now);
         account.learned.add(served, begun, now);
         self.learned.add(served, begun, now);
@@ -171,6 +175,9 @@
         for account in self.accounts.values_mut() {
             account.expire(now);
         }
+        // Another host may have handed out a limit that this one was not asked for.
+        self.accounts
+            .retain(|_, account| now.saturating_sub(account.asked_at) < STALE_AFTER);
     }
 }
 
@@ -199,14 +206,25 @@
 impl Account {
     fn new(sizes: &Sizes, now: Duration) -> Self {
         Self {
-            requests: Bucket::new(sizes.first, now),
-            begins: Bucket::new(sizes.begins / 2.0, now),
+            requests: Bucket::new(sizes.first),
+            begins: Bucket::new(sizes.begins / 2.0),
             hosts: HashMap::new(),
             held: 0,
+            asked_at: now,
             learned: Learned::default(),
         }
     }
 
+    /// Fills the buckets at a rate.
+    fn fill(&mut self, rate_per_s: f64, sizes: &Sizes, now: Duration) {
+        // Another host may have filled its own meanwhile. A customer that seldom asks
+        // needs no more than comes in this time.
+        let passed = now.saturating_sub(self.asked_at).min(SILENT_AFTER);
+        self.requests.fill(rate_per_s, sizes.requests, passed);
+        self.begins.fill(rate_per_s, sizes.begins, passed);
+        self.asked_at = now;
+    }
+
     /// Takes what a host says of itself. Returns what it served since it last did,
     /// and how many programs it began.
     fn report(&mut self, host: &Holder, wanted: &Wanted, now: Duration) -> (f64, f64) {
--- a/coordination/src/gateway/limits/bucket.rs
+++ b/coordination/src/gateway/limits/bucket.rs
@@ -6,24 +6,18 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bucket {
     level: f64,
-    filled_at: Duration,
 }
 
 impl Bucket {
     /// A bucket with something in it.
-    pub fn new(level: f64, now: Duration) -> Self {
-        Self {
-            level,
-            filled_at: now,
-        }
+    pub fn new(level: f64) -> Self {
+        Self { level }
     }
 
-    /// Fills the bucket for the time that has passed.
-    pub fn fill(&mut self, rate_per_s: f64, size: f64, now: Duration) {
-        let passed = now.saturating_sub(self.filled_at).as_secs_f64();
+    /// Fills the bucket for some time.
+    pub fn fill(&mut self, rate_per_s: f64, size: f64, time: Duration) {
         // No debt lasts longer than it takes to fill the bucket once.
-        self.level = (self.level + rate_per_s * passed).clamp(-size, size);
-        self.filled_at = now;
+        self.level = (self.level + rate_per_s * time.as_secs_f64()).clamp(-size, size);
     }
 
     /// Takes out of it, also more than is in it.
--- a/coordination/tests/gateway_limits.rs
+++ b/coordination/tests/gateway_limits.rs
@@ -9,7 +9,9 @@
 
 use std::time::Duration;
 
-use limit_world::{Fared, Sends, World, many};
+use limit_world::{Fared, Sends, TOLERANCE, World, many};
+use rosebend_coordination::gateway::limits::allocator::Allocator;
+use rosebend_coordination::gateway::limits::message::Wanted;
 use rosebend_state::deployment::CustomerLimit;
 
 /// Part of its limit that a customer usually needs.
@@ -124,6 +126,41 @@
     assert!((world.fared[0].ended - ended) as f64 >= allowed * 0.8);
 }
 
+#[test]
+fn limits_hold_while_allocators_die_and_come_back_in_turn() {
+    let mut world = hot(HOSTS, 200.0, 6.0, 23);
+    for round in 0..2 {
+        for index in (0..HOSTS).step_by(2) {
+            world.kill(index);
+            world.run_for(Duration::from_millis(1_800));
+            world.start(index);
+            world.run_for(Duration::from_millis(300 + 900 * round));
+        }
+    }
+    assert_none_beyond(&world);
+}
+
+#[test]
+fn limits_hold_when_an_allocator_is_left_and_found_again() {
+    let mut world = hot(HOSTS, 200.0, 0.5, 29);
+    for index in (0..HOSTS).step_by(2) {
+        // The next one allocates for a while, to a customer that needs little.
+        world.mute(index);
+        world.run_for(seconds(3));
+        world.heal();
+        world.run_for(seconds(6));
+        // Then the customer needs much, and the next one allocates again.
+        world.customers[0].programs_per_s *= 12.0;
+        world.run_for(seconds(1));
+        world.mute(index);
+        world.run_for(seconds(4));
+        world.heal();
+        world.customers[0].programs_per_s /= 12.0;
+        world.run_for(seconds(4));
+    }
+    assert_none_beyond(&world);
+}
+
 #[test]
 fn limits_hold_from_the_first_request_on_after_all_were_killed() {
     let mut world = hot(HOSTS, 200.0, 6.0, 9);
@@ -174,3 +211,40 @@
     }
     assert!(per_host[2] <= per_host[0] * 1.5, "{per_host:?}");
 }
+
+#[test]
+fn an_allocator_that_nobody_asked_for_a_while_hands_out_no_second_burst() {
+    let limit = CustomerLimit {
+        rate_per_s: 200.0,
+        burst: 200.0,
+    };
+    let host = "host/run".to_owned();
+    let mut allocator = Allocator::default();
+    let mut served = 0;
+    let mut ask = |allocator: &mut Allocator, now_ms: u64| {
+        let wanted = Wanted {
+            customer: "customer".to_owned(),
+            served,
+            begun: 0,
+            held: 0,
+            held_begins: 0,
+            waiting: 10_000,
+            waiting_begins: 0,
+            expected: 0,
+        };
+        let now = Duration::from_millis(now_ms);
+        let granted = allocator.grant(&host, &wanted, limit, TOLERANCE, 1.0, now);
+        served += u64::from(granted.requests);
+        granted.requests
+    };
+    // It was asked for long enough to be full.
+    (0..100).for_each(|round| {
+        let _ = ask(&mut allocator, round * 100);
+    });
+    // Hosts keep to another one for a while, which hands out the whole limit.
+    for second in 10..20 {
+        allocator.expire(seconds(second));
+    }
+    let granted = ask(&mut allocator, 20_000);
+    assert!(granted <= 60, "{granted}");
+}
