--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -247,16 +247,16 @@
         Self::SettingsTaken,
         Self::SettingsRefused,
         Self::SpendingRefused,
-        Self::LimitRefused,
         Self::HoldersAsked,
         Self::HolderSilent,
         Self::EntryRefused,
         Self::EntryRefusalEnded,
         Self::RouteUnusable,
-        Self::CustomerUnusable,
         Self::PeerRowUnusable,
         Self::StreamResumed,
         Self::GathererAvoided,
+        Self::CustomerUnusable,
+        Self::LimitRefused,
     ];
 
     /// The event's number, which stays with it for ever.
