--- a/coordination/src/gateway/limits/stock.rs
+++ b/coordination/src/gateway/limits/stock.rs
@@ -12,8 +12,8 @@
 const VALID_FOR: Duration = Duration::from_secs(1);
 /// Time over which the pace of requests is measured.
 const PACE_TIME_S: f64 = 2.0;
-/// Time for which requests are asked for ahead: two questions a second and a host
-/// are few, and what is held ahead is no other host's.
+/// Time for which requests are asked for ahead, so that most are served without a
+/// question. What a host holds for longer, others lack.
 const AHEAD_S: f64 = 0.3;
 /// Pause before a question without an answer is asked again: datagrams are lost.
 const ASK_AGAIN: Duration = Duration::from_millis(20);
--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -13,7 +13,7 @@
 use rosebend_coordination::gateway::identity::identify;
 use rosebend_coordination::gateway::route_table::{RouteTable, service_for};
 use rosebend_platform::headers;
-use rosebend_state::deployment::{Customer, Route};
+use rosebend_state::deployment::{Customer, Deployment, Route};
 use rosebend_transport::event::{Event, EventKind};
 
 use crate::call::Call;
@@ -69,18 +69,15 @@
     let trail = Trail::new(header.attempt.clone(), program, name, route.name.clone());
     let version = routes.deployment().version;
     trail.step(Event::new(EventKind::RequestArrived).version(version));
+    // Equal requests of two customers are not the same one.
     let scope = customer.as_ref().map(|customer| customer.scoped(&caller));
     let caller = scope.unwrap_or(caller);
-    let mut kept = headers::for_endpoint(headers);
-    if routes.deployment().customers.is_some() {
-        headers::name_customer(&mut kept, customer.as_deref());
-    }
     Ok(Call {
         trail,
         method: method(&request)?,
         fingerprint: fingerprint(host, &target, &caller, &body),
         target,
-        headers: kept,
+        headers: for_endpoint(headers, routes.deployment(), customer.as_deref()),
         customer,
         header,
         body,
@@ -115,6 +112,20 @@
     Ok((route, customer))
 }
 
+/// Headers that go on to an endpoint; where customers are declared, with the name of
+/// the request's.
+fn for_endpoint(
+    headers: &HeaderMap,
+    deployment: &Deployment,
+    customer: Option<&Customer>,
+) -> HeaderMap {
+    let mut kept = headers::for_endpoint(headers);
+    if deployment.customers.is_some() {
+        headers::name_customer(&mut kept, customer);
+    }
+    kept
+}
+
 /// Bytes of a request's head, as they would be written.
 fn head_bytes(request: &Request, headers: &HeaderMap) -> usize {
     // " HTTP/1.1" with its space and line end, and ": " with a line end each.
--- a/gateway/src/limits.rs
+++ b/gateway/src/limits.rs
@@ -140,11 +140,8 @@
 
 /// Writes by what a refusal was decided.
 fn tell(gateway: &Gateway, call: &Call, refusal: Refusal) -> Refusal {
-    let customer = call
-        .customer
-        .as_ref()
-        .map(|customer| customer.name.as_str());
-    let customer = customer.unwrap_or_default();
+    let customer = call.customer.as_ref();
+    let customer = customer.map_or("", |customer| customer.name.as_str());
     let now = gateway.clock.now();
     let facts = gateway.limits.state.borrow().facts(customer, now);
     let demand = match demand_of(call) {
