--- a/coordination/src/gateway.rs
+++ b/coordination/src/gateway.rs
@@ -13,6 +13,7 @@
 //! | which requests crash endpoints | [`fingerprint`] | `quarantine`, `dispatch` |
 //! | when a caller that was refused may come back | [`comeback`] | `reply` |
 //! | what a program has spent, and what its turns may spend | [`ledger`] | `spending` and `recall`, by [`pending_changes`] |
+//! | what programs may spend while the store is unavailable | [`escrow`] | `spending`, by `escrow` |
 //! | which changes of programs become durable together | [`pending_changes`] | `commits` |
 //! | which hosts' transactions are joined into one | [`group_commit`] | `joined_commits` |
 //! | who joins the transactions of a partition | [`gatherers`] | `joined_commits` |
@@ -33,6 +34,7 @@
 pub mod attempt;
 pub mod comeback;
 pub mod directory;
+pub mod escrow;
 pub mod event_series;
 pub mod fingerprint;
 pub mod gatherers;
--- /dev/null
+++ b/coordination/src/gateway/escrow/message.rs
@@ -0,0 +1,83 @@
+//! Messages between a host whose turn needs a slot and the slot's owner.
+
+use rosebend_state::deployment::ProgramKey;
+use serde::{Deserialize, Serialize};
+
+use super::GrantId;
+use super::accounts::{Accounts, Closing, GrantRequest};
+use super::slots::SlotId;
+use crate::gateway::ledger::Holder;
+
+/// A question to a slot's owner. It may be repeated.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Question {
+    /// Answers carry the same number.
+    pub number: u64,
+    /// The run that asks.
+    pub from: Holder,
+    /// The run that is asked; no other one answers.
+    pub to: Holder,
+    /// The slot.
+    pub slot: SlotId,
+    /// What is asked.
+    pub ask: Ask,
+}
+
+/// What a slot's owner is asked.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub enum Ask {
+    /// A turn wants a grant, or a larger one.
+    Grant(ProgramKey, GrantRequest),
+    /// A granted turn has ended with so many tokens.
+    Report(ProgramKey, GrantId, u64),
+    /// The ledger has a grant.
+    Settle(ProgramKey, GrantId),
+    /// The ledger needs what the slot may grant of the program's budget.
+    Close(ProgramKey),
+    /// The owner stops while the store is unavailable: the one that is asked owns
+    /// the slot from now on.
+    TakeOver(Accounts),
+    /// The run that asks has taken the slot over from this one.
+    Moved(Holder),
+}
+
+/// What a slot's owner answers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub enum Reply {
+    /// The turn may spend what it wants.
+    Granted,
+    /// The program's share does not hold the turn.
+    Refused,
+    /// The slot is closed for the program.
+    Closed,
+    /// The slot will be closed once the grants are in the ledger.
+    Outstanding,
+    /// It is noted.
+    Noted,
+    /// The one that was asked does not own the slot.
+    NotOwner,
+}
+
+impl From<Closing> for Reply {
+    fn from(closing: Closing) -> Self {
+        match closing {
+            Closing::Closed => Self::Closed,
+            Closing::Outstanding(_) => Self::Outstanding,
+        }
+    }
+}
+
+/// An answer to a question.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Answer {
+    /// Number of the question.
+    pub number: u64,
+    /// The run that asked.
+    pub to: Holder,
+    /// What it is told.
+    pub reply: Reply,
+}
--- /dev/null
+++ b/coordination/src/gateway/escrow/slots.rs
@@ -0,0 +1,437 @@
+//! Which run of a gateway owns each slot.
+//!
+//! A row in the store names the owner. A run writes its own name where nobody's
+//! stands, under the version that it has seen. A run that stops writes that of its
+//! successor, with its accounts; while the store is unavailable it sends them to
+//! the successor instead. What a run knew that died is lost: its slots stay without an owner for [`QUARANTINE`], in which
+//! ledgers go on keeping room for its grants.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use rosebend_state::deployment::RowVersion;
+use serde::{Deserialize, Serialize};
+
+use super::accounts::Accounts;
+use super::message::{Ask, Reply};
+use super::{SLOTS, SlotIndex};
+use crate::gateway::gatherers::{Candidate, ranked_by, strong};
+use crate::gateway::history::partitions;
+use crate::gateway::ledger::Holder;
+
+/// How long a slot stays with an owner that is gone.
+pub const QUARANTINE: Duration = Duration::from_secs(300);
+/// How long the table of hosts must be unchanged before a slot that never had an
+/// owner is taken, so that hosts which start together share the slots.
+const STABLE_FOR: Duration = Duration::from_millis(1_500);
+/// Longest wait for a table of hosts that keeps changing.
+const MAX_CLAIM_DELAY: Duration = Duration::from_secs(4);
+/// Largest value of a slot's row, in bytes.
+const MAX_ROW_BYTES: usize = 40_000;
+/// Begins the key of a slot's row.
+const KEY_PREFIX: &str = "escrow/";
+
+/// A slot of a partition.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
+pub struct SlotId {
+    /// The partition of programs.
+    pub partition: String,
+    /// Its number there.
+    pub index: SlotIndex,
+}
+
+impl SlotId {
+    /// The slots of a partition.
+    pub fn of(partition: &str) -> impl Iterator<Item = Self> + use<> {
+        let partition = partition.to_owned();
+        (0..SLOTS).map(move |index| Self {
+            partition: partition.clone(),
+            index,
+        })
+    }
+
+    /// All slots.
+    pub fn all() -> impl Iterator<Item = Self> {
+        partitions().flat_map(|partition| Self::of(&partition))
+    }
+
+    /// Key of the slot's row.
+    pub fn key(&self) -> String {
+        format!("{KEY_PREFIX}{}/{}", self.partition, self.index)
+    }
+
+    /// The slot whose row has a key.
+    pub fn from_key(key: &str) -> Option<Self> {
+        let (partition, index) = key.strip_prefix(KEY_PREFIX)?.split_once('/')?;
+        Some(Self {
+            partition: partition.to_owned(),
+            index: index.parse().ok().filter(|index| *index < SLOTS)?,
+        })
+    }
+}
+
+/// A slot's row.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct SlotRow {
+    /// The owner; none after the planned stop of the last host.
+    pub owner: Option<Holder>,
+    /// Accounts that the owner before left at its planned stop.
+    #[serde(default)]
+    pub accounts: Accounts,
+}
+
+impl SlotRow {
+    /// The row as a value.
+    ///
+    /// # Panics
+    ///
+    /// Panics when a row has no JSON form, which none has.
+    pub fn encode(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("strings and numbers have a JSON form")
+    }
+
+    /// Reads a row's value.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the value is no slot's row.
+    pub fn decode(value: &[u8]) -> Result<Self, serde_json::Error> {
+        serde_json::from_slice(value)
+    }
+}
+
+/// A change of a slot's row, under the version that was seen.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SlotWrite {
+    /// The slot.
+    pub slot: SlotId,
+    /// Version that its row must have; zero where there is none.
+    pub version: RowVersion,
+    /// The row from then on.
+    pub row: SlotRow,
+}
+
+/// Who owns a slot, as far as this host knows.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Owner<A> {
+    /// This run.
+    Own,
+    /// Another run, which answers at an address.
+    Other(Holder, A),
+    /// A run that is not among the hosts any more.
+    Gone,
+    /// Nobody, and nothing is lost.
+    Nobody,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Known {
+    version: RowVersion,
+    row: SlotRow,
+    /// Since when the owner has been missing among the hosts.
+    missing_since: Option<Duration>,
+    /// The run that took the slot over from the row's owner.
+    moved_to: Option<Holder>,
+}
+
+impl Known {
+    fn owner(&self) -> Option<&Holder> {
+        self.moved_to.as_ref().or(self.row.owner.as_ref())
+    }
+}
+
+/// The slots, as one run of a gateway knows them.
+#[derive(Debug)]
+pub struct Slots<A> {
+    own_run: Holder,
+    hosts: Vec<Candidate<A>>,
+    hosts_changed_at: Duration,
+    /// Whether all hosts keep room for grants in their ledgers; no slot is taken
+    /// before.
+    all_withhold: bool,
+    known: BTreeMap<SlotId, Known>,
+    /// Since when there has been a slot without a row that this run should own.
+    wanted_since: Option<Duration>,
+    held: BTreeMap<SlotId, Accounts>,
+    /// Slots that this run owned when it began to stop. It never answers for them
+    /// again, as others may by now.
+    released: BTreeSet<SlotId>,
+    is_stopping: bool,
+}
+
+impl<A: Clone> Slots<A> {
+    /// No host and no row known.
+    pub const fn new(own_run: Holder) -> Self {
+        Self {
+            own_run,
+            hosts: Vec::new(),
+            hosts_changed_at: Duration::ZERO,
+            all_withhold: false,
+            known: BTreeMap::new(),
+            wanted_since: None,
+            held: BTreeMap::new(),
+            released: BTreeSet::new(),
+            is_stopping: false,
+        }
+    }
+
+    /// Takes all hosts that are there, this one among them.
+    pub fn set_hosts(&mut self, hosts: Vec<Candidate<A>>, all_withhold: bool, now: Duration) {
+        let runs = |hosts: &[Candidate<A>]| -> Vec<Holder> {
+            hosts.iter().map(|host| host.run.clone()).collect()
+        };
+        if runs(&hosts) != runs(&self.hosts) {
+            self.hosts_changed_at = now;
+        }
+        self.hosts = hosts;
+        self.all_withhold = all_withhold;
+    }
+
+    /// Takes a slot's row.
+    pub fn take_row(&mut self, slot: SlotId, version: RowVersion, row: SlotRow) {
+        let known = self.known.entry(slot.clone()).or_default();
+        if version < known.version {
+            return;
+        }
+        let has_new_owner = known.row.owner != row.owner;
+        known.version = version;
+        known.row = row;
+        if has_new_owner {
+            known.missing_since = None;
+            known.moved_to = None;
+        }
+        let is_own = known.row.owner.as_ref() == Some(&self.own_run);
+        if is_own && has_new_owner && !self.is_stopping && !self.held.contains_key(&slot) {
+            let accounts = known.row.accounts.clone();
+            self.held.insert(slot, accounts);
+        }
+    }
+
+    /// Who owns a slot.
+    pub fn owner(&self, slot: &SlotId) -> Owner<A> {
+        if self.held.contains_key(slot) {
+            return Owner::Own;
+        }
+        let owner = self.known.get(slot).and_then(Known::owner);
+        match owner {
+            None => Owner::Nobody,
+            Some(run) => match self.host(run) {
+                Some(host) if *run != self.own_run => {
+                    Owner::Other(run.clone(), host.address.clone())
+                }
+                _ => Owner::Gone,
+            },
+        }
+    }
+
+    fn host(&self, run: &Holder) -> Option<&Candidate<A>> {
+        self.hosts.iter().find(|host| host.run == *run)
+    }
+
+    /// Number of slots whose owner is among the hosts.
+    pub fn owned(&self) -> usize {
+        let owners = SlotId::all().map(|slot| self.owner(&slot));
+        let owned = owners.filter(|owner| matches!(owner, Owner::Own | Owner::Other(..)));
+        owned.count()
+    }
+
+    /// Slots that this run owns.
+    pub fn held(&self) -> impl Iterator<Item = (&SlotId, &Accounts)> {
+        self.held.iter()
+    }
+
+    /// What this run answers to a question about a slot.
+    pub fn answer(&mut self, slot: &SlotId, from: &Holder, ask: Ask) -> Reply {
+        match ask {
+            Ask::TakeOver(accounts) => return self.take_over(slot, from, accounts),
+            Ask::Moved(owner) => return self.moved(slot, &owner, from),
+            _ => {}
+        }
+        let Some(accounts) = self.held.get_mut(slot) else {
+            return Reply::NotOwner;
+        };
+        match ask {
+            Ask::Grant(program, request) => match accounts.grant(&program, &request) {
+                true => Reply::Granted,
+                false => Reply::Refused,
+            },
+            Ask::Report(program, grant, tokens) => {
+                accounts.report(&program, &grant, tokens);
+                Reply::Noted
+            }
+            Ask::Settle(program, grant) => {
+                accounts.settle(&program, &grant);
+                Reply::Noted
+            }
+            Ask::Close(program) => accounts.close(&program).into(),
+            Ask::TakeOver(_) | Ask::Moved(_) => Reply::Noted,
+        }
+    }
+
+    fn take_over(&mut self, slot: &SlotId, from: &Holder, accounts: Accounts) -> Reply {
+        let known = self.known.entry(slot.clone()).or_default();
+        if known.moved_to.as_ref() == Some(&self.own_run) {
+            // The question was repeated.
+            return Reply::Noted;
+        }
+        if self.is_stopping || known.owner() != Some(from) {
+            return Reply::NotOwner;
+        }
+        known.moved_to = Some(self.own_run.clone());
+        self.held.insert(slot.clone(), accounts);
+        Reply::Noted
+    }
+
+    fn moved(&mut self, slot: &SlotId, owner: &Holder, to: &Holder) -> Reply {
+        let known = self.known.entry(slot.clone()).or_default();
+        if known.owner() == Some(owner) {
+            known.moved_to = Some(to.clone());
+        }
+        Reply::Noted
+    }
+
+    /// Rows by which this run becomes the owner of what it should own.
+    pub fn claims(&mut self, now: Duration) -> Vec<SlotWrite> {
+        self.note_missing(now);
+        let wanted = SlotId::all().filter(|slot| self.is_wanted(slot, now));
+        let (mut wanted, new): (Vec<SlotId>, Vec<SlotId>) =
+            wanted.partition(|slot| self.known.contains_key(slot));
+        if new.is_empty() {
+            self.wanted_since = None;
+        } else {
+            let since = *self.wanted_since.get_or_insert(now);
+            let is_stable = now.saturating_sub(self.hosts_changed_at) >= STABLE_FOR;
+            if is_stable || now.saturating_sub(since) >= MAX_CLAIM_DELAY {
+                wanted.extend(new);
+            }
+        }
+        wanted.into_iter().map(|slot| self.claim(slot)).collect()
+    }
+
+    /// A row by which this run becomes the owner of a slot that nobody owns.
+    pub fn claim_now(&self, slot: &SlotId) -> Option<SlotWrite> {
+        let is_free = matches!(self.owner(slot), Owner::Nobody);
+        let may_own = self.all_withhold && !self.is_stopping;
+        (is_free && may_own).then(|| self.claim(slot.clone()))
+    }
+
+    fn claim(&self, slot: SlotId) -> SlotWrite {
+        let known = self.known.get(&slot).cloned().unwrap_or_default();
+        // Accounts of an owner that is gone are those of its start.
+        let accounts = match known.row.owner {
+            None => known.row.accounts,
+            Some(_) => Accounts::default(),
+        };
+        let accounts = self.held.get(&slot).cloned().unwrap_or(accounts);
+        let row = SlotRow {
+            owner: Some(self.own_run.clone()),
+            accounts,
+        };
+        SlotWrite {
+            slot,
+            version: known.version,
+            row,
+        }
+    }
+
+    fn note_missing(&mut self, now: Duration) {
+        let runs: Vec<&Holder> = self.hosts.iter().map(|host| &host.run).collect();
+        for known in self.known.values_mut() {
+            let is_missing = known.owner().is_some_and(|owner| !runs.contains(&owner));
+            match is_missing {
+                true => known.missing_since = Some(known.missing_since.unwrap_or(now)),
+                false => known.missing_since = None,
+            }
+        }
+    }
+
+    /// Whether this run should write its name into a slot's row.
+    fn is_wanted(&self, slot: &SlotId, now: Duration) -> bool {
+        if !self.all_withhold || self.is_stopping {
+            return false;
+        }
+        let known = self.known.get(slot);
+        let row_owner = known.and_then(|known| known.row.owner.as_ref());
+        if self.held.contains_key(slot) {
+            // It was taken over from a run that could not write the row.
+            return row_owner != Some(&self.own_run);
+        }
+        let missing_since = known.and_then(|known| known.missing_since);
+        let is_lapsed = missing_since.is_some_and(|since| now.saturating_sub(since) >= QUARANTINE);
+        let is_free = row_owner.is_none() || is_lapsed;
+        is_free && self.next_owner(slot) == Some(&self.own_run)
+    }
+
+    /// The run that takes a slot that is free: the first in the partition's order
+    /// that does not own the other slot.
+    fn next_owner(&self, slot: &SlotId) -> Option<&Holder> {
+        let hosts = strong(self.hosts.clone());
+        let ranked = ranked_by(&format!("{KEY_PREFIX}{}", slot.partition), hosts.iter());
+        let ranked: Vec<Holder> = ranked.into_iter().map(|host| host.run.clone()).collect();
+        let mut taken = Vec::new();
+        for other in SlotId::of(&slot.partition) {
+            let owner = self.known.get(&other).and_then(Known::owner);
+            let owner = owner.filter(|owner| ranked.contains(owner));
+            let is_free = |run: &&Holder| !taken.contains(*run);
+            let next = match owner {
+                Some(owner) if other != *slot => Some(owner.clone()),
+                _ => ranked.iter().find(is_free).or(ranked.first()).cloned(),
+            };
+            if other == *slot {
+                return self.host(&next?).map(|host| &host.run);
+            }
+            taken.extend(next);
+        }
+        None
+    }
+
+    /// Rows by which this run leaves its slots to others, with what it knows of
+    /// them. It answers for them no more.
+    pub fn release(&mut self) -> Vec<SlotWrite> {
+        self.is_stopping = true;
+        let mut released = std::mem::take(&mut self.held);
+        // Others may have named this run as their successor since it began to stop.
+        for (slot, known) in &self.known {
+            let is_own = known.row.owner.as_ref() == Some(&self.own_run);
+            if is_own && !self.released.contains(slot) {
+                let accounts = || known.row.accounts.clone();
+                released.entry(slot.clone()).or_insert_with(accounts);
+            }
+        }
+        self.released.extend(released.keys().cloned());
+        let mut writes = Vec::new();
+        for (slot, accounts) in released {
+            let version = self.known.get(&slot).map_or(0, |known| known.version);
+            let row = SlotRow {
+                owner: self.successor(&slot).map(|host| host.run.clone()),
+                accounts,
+            };
+            // One that has no room in its row stays with a run that is gone.
+            if row.encode().len() <= MAX_ROW_BYTES {
+                writes.push(SlotWrite { slot, version, row });
+            }
+        }
+        writes
+    }
+
+    /// The host that takes a slot over from this run, which stops.
+    pub fn successor(&self, slot: &SlotId) -> Option<&Candidate<A>> {
+        let hosts = strong(self.hosts.clone());
+        let ranked = ranked_by(&format!("{KEY_PREFIX}{}", slot.partition), hosts.iter());
+        let others = SlotId::of(&slot.partition).filter(|other| other != slot);
+        let others: Vec<Holder> = others
+            .filter_map(|other| self.known.get(&other)?.owner().cloned())
+            .collect();
+        let mut candidates = ranked.into_iter().filter(|host| host.run != self.own_run);
+        let first = candidates.clone().find(|host| !others.contains(&host.run));
+        let chosen = first.or_else(|| candidates.next())?.run.clone();
+        self.host(&chosen)
+    }
+
+    /// Other hosts.
+    pub fn peers(&self) -> impl Iterator<Item = &Candidate<A>> {
+        self.hosts.iter().filter(|host| host.run != self.own_run)
+    }
+}
--- a/coordination/src/gateway/ledger.rs
+++ b/coordination/src/gateway/ledger.rs
@@ -15,10 +15,14 @@
 
 use std::collections::BTreeMap;
 use std::collections::btree_map::Entry;
+use std::time::Duration;
 
 use rosebend_state::deployment::AttemptId;
 use serde::{Deserialize, Serialize};
 
+use crate::gateway::escrow::terms::{CLOSED_FOR, EscrowTerms};
+use crate::gateway::escrow::{GrantId, SLOTS, SlotIndex, share_tokens};
+
 /// One run of a host's process, as HOST/RUN. The next run cannot know what became
 /// of the turns of this one.
 pub type Holder = String;
@@ -37,6 +41,21 @@
     /// have been handed out; never more than one turn's most.
     #[serde(default, skip_serializing_if = "is_zero")]
     forgiven_tokens: u64,
+    /// The part of `forgiven_tokens` that slots may have granted whose owners are
+    /// gone; it is withheld no more.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    forgiven_slot_tokens: u64,
+    /// Tokens of turns that ran while the store was unavailable, by their grants.
+    /// They stay apart so that adding one twice makes no difference.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    granted: BTreeMap<GrantId, u64>,
+    /// Whether a turn of a route that takes grants has reserved or settled here.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    may_have_grants: bool,
+    /// Until when a slot counts as closed for the program, in milliseconds since
+    /// 1970.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    closed_until_unix_ms: BTreeMap<SlotIndex, u64>,
 }
 
 /// The most of a running turn.
@@ -88,6 +107,8 @@
     pub most_tokens: u64,
     /// Budget of the program.
     pub budget_tokens: u64,
+    /// Slots that may have granted from the budget what the ledger does not have.
+    pub escrow: &'a EscrowTerms,
 }
 
 /// What keeps a turn from being granted.
@@ -97,6 +118,8 @@
     Spent,
     /// Turns that run may yet spend it.
     Running,
+    /// A part of it is withheld for grants that the ledger may not have.
+    Withheld,
 }
 
 impl FilledBy {
@@ -105,6 +128,7 @@
         match self {
             Self::Spent => "spent",
             Self::Running => "running",
+            Self::Withheld => "withheld",
         }
     }
 }
@@ -112,9 +136,13 @@
 impl Account {
     /// What keeps a budget from holding a turn that it does not hold.
     pub fn filled_by(&self, most_tokens: u64, budget_tokens: u64) -> FilledBy {
-        match self.spent_tokens.saturating_add(most_tokens) > budget_tokens {
-            true => FilledBy::Spent,
-            false => FilledBy::Running,
+        let wanted = self.spent_tokens.saturating_add(most_tokens);
+        if wanted > budget_tokens {
+            return FilledBy::Spent;
+        }
+        match wanted.saturating_add(self.reserved_tokens) > budget_tokens {
+            true => FilledBy::Running,
+            false => FilledBy::Withheld,
         }
     }
 }
@@ -142,7 +170,7 @@
             add(held.entry(reservation.holder.clone()), reservation.tokens);
         }
         Account {
-            spent_tokens: self.spent_tokens,
+            spent_tokens: self.spent_tokens.saturating_add(self.granted_tokens()),
             reserved_tokens: sum(self.reserved.values().map(|turn| turn.tokens)),
             held,
         }
@@ -169,10 +197,12 @@
             return Grant::Reserved;
         }
         let mut next = self.clone();
+        next.close(turn.escrow);
+        let available = next.forgive_slots(turn);
         for holder in gone {
-            next.forgive(holder, turn);
+            next.forgive(holder, turn.most_tokens, available);
         }
-        if !next.holds(turn.most_tokens, turn.budget_tokens) {
+        if !next.holds(turn.most_tokens, available) {
             return Grant::Exhausted;
         }
         let reservation = Reservation {
@@ -189,12 +219,63 @@
         self.committed_tokens().saturating_add(tokens) <= budget_tokens
     }
 
-    /// Stops counting as much of what a gone holder held as a turn lacks, as
+    /// Takes note of slots that were closed.
+    fn close(&mut self, escrow: &EscrowTerms) {
+        if let EscrowTerms::Eligible {
+            now_unix_ms,
+            closed,
+            ..
+        } = escrow
+        {
+            let until = now_unix_ms.saturating_add(whole_ms(CLOSED_FOR));
+            for slot in closed {
+                self.closed_until_unix_ms.insert(*slot, until);
+            }
+            self.closed_until_unix_ms
+                .retain(|_, until| *until > *now_unix_ms);
+        }
+    }
+
+    /// What of the budget may be spent by this ledger: all but the shares of open
+    /// slots. Of slots whose owners are gone it takes as much as the turn lacks, as
     /// long as all that was ever forgiven is no more than the turn's most.
-    fn forgive(&mut self, holder: &Holder, turn: &Claim<'_>) {
+    fn forgive_slots(&mut self, turn: &Claim<'_>) -> u64 {
+        let EscrowTerms::Eligible {
+            takes_grants, gone, ..
+        } = turn.escrow
+        else {
+            return turn.budget_tokens;
+        };
+        self.may_have_grants |= *takes_grants;
+        if !self.may_have_grants {
+            return turn.budget_tokens;
+        }
+        let share = share_tokens(turn.budget_tokens);
+        let is_open = |slot: &SlotIndex| !self.closed_until_unix_ms.contains_key(slot);
+        let open = (0..SLOTS).filter(is_open).count() as u64;
+        let lost = gone.iter().copied().filter(is_open).count() as u64;
+        let withheld = share.saturating_mul(open);
+        let left = withheld.saturating_sub(self.forgiven_slot_tokens);
+        let available = turn.budget_tokens.saturating_sub(left);
         let wanted = self.committed_tokens().saturating_add(turn.most_tokens);
-        let missing = wanted.saturating_sub(turn.budget_tokens);
+        let missing = wanted.saturating_sub(available);
         let allowed = turn.most_tokens.saturating_sub(self.forgiven_tokens);
+        let forgiven = missing
+            .min(allowed)
+            .min(left)
+            .min(share.saturating_mul(lost));
+        self.forgiven_tokens = self.forgiven_tokens.saturating_add(forgiven);
+        self.forgiven_slot_tokens = self.forgiven_slot_tokens.saturating_add(forgiven);
+        available.saturating_add(forgiven)
+    }
+
+    /// Stops counting as much of what a gone holder held as a turn lacks of what is
+    /// available, as long as all that was ever forgiven is no more than the turn's
+    /// most.
+    fn forgive(&mut self, holder: &Holder, most_tokens: u64, available_tokens: u64) {
+        let wanted = self.committed_tokens().saturating_add(most_tokens);
+        let missing = wanted.saturating_sub(available_tokens);
+        let allowed = most_tokens.saturating_sub(self.forgiven_tokens);
         let mut left = missing.min(allowed);
         let turns = self.reserved.values_mut();
         for turn in turns.filter(|turn| turn.holder == *holder) {
@@ -213,6 +294,18 @@
         }
     }
 
+    /// Adds what a turn handed out by a grant, in place of its reservation if it
+    /// has one. Adding a grant twice changes nothing.
+    pub fn settle_grant(&mut self, attempt: &AttemptId, grant: &GrantId, tokens: u64) {
+        self.may_have_grants = true;
+        self.reserved.remove(attempt);
+        self.granted.entry(grant.clone()).or_insert(tokens);
+    }
+
+    fn granted_tokens(&self) -> u64 {
+        sum(self.granted.values().copied())
+    }
+
     /// The ledger as a row's value.
     ///
     /// # Panics
@@ -243,6 +336,10 @@
     tokens.fold(0, u64::saturating_add)
 }
 
+fn whole_ms(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn is_zero(tokens: &u64) -> bool {
     *tokens == 0
 }
--- a/coordination/src/gateway/pending_changes.rs
+++ b/coordination/src/gateway/pending_changes.rs
@@ -14,6 +14,8 @@
     Transaction,
 };
 
+use crate::gateway::escrow::GrantId;
+use crate::gateway::escrow::terms::EscrowTerms;
 use crate::gateway::history::ledger_row;
 use crate::gateway::ledger::{Account, Claim, Grant, Holder, Holding, Ledger};
 
@@ -40,6 +42,9 @@
         budget_tokens: u64,
         /// Holders that are gone, whose tokens it may have if it needs them.
         gone: Vec<Holder>,
+        /// Slots that may have granted from the budget what the ledger does not
+        /// have.
+        escrow: EscrowTerms,
     },
     /// A turn has ended.
     Settle {
@@ -50,6 +55,26 @@
         /// Rows that become durable with the end.
         rows: Vec<RowWrite>,
     },
+    /// A turn has ended that ran by a grant.
+    SettleGrant {
+        /// The turn.
+        attempt: AttemptId,
+        /// The grant.
+        grant: GrantId,
+        /// Tokens that were handed out.
+        tokens: u64,
+    },
+}
+
+impl Change {
+    /// The turn that it is of.
+    const fn attempt(&self) -> &AttemptId {
+        match self {
+            Self::Reserve { attempt, .. }
+            | Self::Settle { attempt, .. }
+            | Self::SettleGrant { attempt, .. } => attempt,
+        }
+    }
 }
 
 /// How a change ended.
@@ -87,7 +112,7 @@
     /// already.
     fn most_entries(&self) -> usize {
         match &self.change {
-            Change::Reserve { .. } => LEDGER_ENTRIES,
+            Change::Reserve { .. } | Change::SettleGrant { .. } => LEDGER_ENTRIES,
             Change::Settle { rows, .. } => LEDGER_ENTRIES + rows.len(),
         }
     }
@@ -144,7 +169,7 @@
             Change::Reserve { attempt, .. } => {
                 self.running.insert(attempt.clone());
             }
-            Change::Settle { attempt, .. } => {
+            Change::Settle { attempt, .. } | Change::SettleGrant { attempt, .. } => {
                 self.running.remove(attempt);
             }
         }
@@ -319,9 +344,7 @@
     /// one would give its program a new budget.
     fn give_up(&mut self, changes: Vec<Pending>) -> Vec<(ChangeId, Outcome)> {
         for pending in &changes {
-            let (Change::Reserve { attempt, .. } | Change::Settle { attempt, .. }) =
-                &pending.change;
-            self.running.remove(attempt);
+            self.running.remove(pending.change.attempt());
         }
         let ids = changes.into_iter().map(|pending| pending.id);
         ids.map(|id| (id, Outcome::Unreadable)).collect()
@@ -355,12 +378,14 @@
             most_tokens,
             budget_tokens,
             gone,
+            escrow,
         } => {
             let claim = Claim {
                 holder,
                 attempt,
                 most_tokens: *most_tokens,
                 budget_tokens: *budget_tokens,
+                escrow,
             };
             ledger.reserve(&claim, gone)
         }
@@ -370,5 +395,13 @@
             ledger.settle(attempt, *tokens);
             Grant::Reserved
         }
+        Change::SettleGrant {
+            attempt,
+            grant,
+            tokens,
+        } => {
+            ledger.settle_grant(attempt, grant, *tokens);
+            Grant::Reserved
+        }
     }
 }
--- a/coordination/tests/change_support/mod.rs
+++ b/coordination/tests/change_support/mod.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeMap;
 
+use rosebend_coordination::gateway::escrow::terms::EscrowTerms;
 use rosebend_coordination::gateway::history::ledger_row;
 use rosebend_coordination::gateway::ledger::{Holder, Ledger};
 use rosebend_coordination::gateway::pending_changes::{Answer, Change, Outcome, PendingChanges};
@@ -69,6 +70,7 @@
         most_tokens: MOST,
         budget_tokens,
         gone,
+        escrow: EscrowTerms::Excluded,
     }
 }
 
--- /dev/null
+++ b/coordination/tests/gateway_escrow.rs
@@ -0,0 +1,263 @@
+//! Budgets while the store is unavailable.
+//!
+//! The load: programs whose turns need nothing of the store but their budget, in
+//! outages of the whole store, with hosts that are killed, stopped and cut off
+//! meanwhile.
+
+mod change_support;
+mod escrow_world;
+
+use std::time::Duration;
+
+use change_support::MOST;
+use escrow_world::World;
+use proptest::prelude::*;
+use rosebend_coordination::gateway::escrow::accounts::{Accounts, Closing, GrantRequest};
+use rosebend_coordination::gateway::escrow::slots::SlotId;
+
+const HOSTS: usize = 4;
+
+/// What may happen next in a random run.
+#[derive(Clone, Debug)]
+enum Step {
+    Begin(usize),
+    HandOut(usize, u64),
+    /// A host serves whole turns, as long as it may.
+    Spend(usize),
+    End(usize),
+    Send(usize),
+    SendAndLose(usize),
+    ArriveLate(usize),
+    Learn(usize),
+    Claim(usize),
+    Kill(usize),
+    KillAll,
+    Stop(usize),
+    Cut(usize, bool),
+    Store(bool),
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let host = 0..HOSTS;
+    prop_oneof![
+        6 => host.clone().prop_map(Step::Begin),
+        8 => (host.clone(), 1..=MOST / 2).prop_map(|(host, tokens)| Step::HandOut(host, tokens)),
+        3 => host.clone().prop_map(Step::Spend),
+        4 => host.clone().prop_map(Step::End),
+        6 => host.clone().prop_map(Step::Send),
+        2 => host.clone().prop_map(Step::SendAndLose),
+        1 => host.clone().prop_map(Step::ArriveLate),
+        2 => host.clone().prop_map(Step::Learn),
+        2 => host.clone().prop_map(Step::Claim),
+        1 => host.clone().prop_map(Step::Kill),
+        1 => Just(Step::KillAll),
+        1 => host.clone().prop_map(Step::Stop),
+        1 => (host, any::<bool>()).prop_map(|(host, is_cut)| Step::Cut(host, is_cut)),
+        3 => any::<bool>().prop_map(Step::Store),
+        1 => (0..2_000_u64).prop_map(Step::Wait),
+    ]
+}
+
+fn play(world: &mut World, step: &Step) {
+    match *step {
+        Step::Begin(host) => {
+            world.begin(host);
+        }
+        Step::HandOut(host, tokens) => {
+            world.hand_out(host, tokens);
+        }
+        Step::Spend(host) => world.spend(host),
+        Step::End(host) => world.end(host),
+        Step::Send(host) => world.send(host, true),
+        Step::SendAndLose(host) => world.send(host, false),
+        Step::ArriveLate(host) => world.arrive_late(host),
+        Step::Learn(host) => world.learn(host),
+        Step::Claim(host) => world.claim(host),
+        Step::Kill(host) => world.kill(host),
+        Step::KillAll => (0..HOSTS).for_each(|host| world.kill(host)),
+        Step::Stop(host) => world.stop(host),
+        Step::Cut(host, is_cut) => world.hosts[host].is_cut = is_cut,
+        Step::Store(is_up) => world.is_store_up = is_up,
+        Step::Wait(ms) => world.now += Duration::from_millis(ms),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(800))]
+
+    #[test]
+    fn no_outage_or_crash_overspends_more_than_one_turn_s_most(
+        budget in MOST..9 * MOST,
+        steps in prop::collection::vec(step(), 1..160),
+    ) {
+        let mut world = World::new(HOSTS, budget);
+        for step in steps {
+            play(&mut world, &step);
+            let handed_out = world.handed_out;
+            prop_assert!(handed_out <= budget + MOST, "{handed_out} of {budget}");
+        }
+    }
+
+    #[test]
+    fn no_outage_without_death_or_silence_overspends(
+        budget in MOST..9 * MOST,
+        steps in prop::collection::vec(step(), 1..160),
+    ) {
+        let mut world = World::new(HOSTS, budget);
+        for step in steps {
+            let is_death = matches!(step, Step::Kill(_) | Step::KillAll | Step::Stop(_));
+            if is_death || matches!(step, Step::Cut(..)) {
+                continue;
+            }
+            play(&mut world, &step);
+            let handed_out = world.handed_out;
+            prop_assert!(handed_out <= budget, "{handed_out} of {budget}");
+        }
+    }
+
+    #[test]
+    fn what_was_granted_is_in_the_ledger_once_the_store_is_back(
+        budget in 3 * MOST..9 * MOST,
+        turns in 1..6_usize,
+    ) {
+        let mut world = World::new(HOSTS, budget);
+        world.is_store_up = false;
+        let mut handed_out = 0;
+        for turn in 0..turns {
+            if world.serve(turn % HOSTS) {
+                handed_out += MOST / 4;
+            }
+        }
+        world.is_store_up = true;
+        (0..HOSTS).for_each(|host| world.flush(host));
+        prop_assert_eq!(world.spent(), handed_out);
+    }
+}
+
+#[test]
+fn a_program_that_begins_in_an_outage_ends_in_it() {
+    let served: Vec<usize> = [2, 3, 4, 6, 8]
+        .into_iter()
+        .map(|turns_of_budget| {
+            let mut world = World::new(HOSTS, turns_of_budget * MOST);
+            world.is_store_up = false;
+            (0..12).filter(|turn| world.serve(turn % HOSTS)).count()
+        })
+        .collect();
+    insta::assert_debug_snapshot!(served);
+}
+
+#[test]
+fn a_planned_stop_in_an_outage_leaves_the_slots_to_others() {
+    let mut world = World::new(HOSTS, 4 * MOST);
+    world.is_store_up = false;
+    assert!(world.serve(0));
+    for host in 0..HOSTS - 1 {
+        world.stop(host);
+    }
+    assert!(world.serve(HOSTS - 1));
+    assert!(world.serve(HOSTS - 1));
+}
+
+#[test]
+fn a_planned_stop_keeps_what_was_closed() {
+    let budget = 4 * MOST;
+    let mut world = World::new(HOSTS, budget);
+    world.spend(0);
+    assert!(world.handed_out + MOST > budget, "{}", world.handed_out);
+    for host in 0..HOSTS {
+        world.stop(host);
+        (0..HOSTS).for_each(|host| world.learn(host));
+    }
+    world.is_store_up = false;
+    assert!(!world.serve(0));
+}
+
+#[test]
+fn the_death_of_one_owner_leaves_the_other_slot() {
+    for killed in 0..HOSTS {
+        let mut world = World::new(HOSTS, 4 * MOST);
+        world.is_store_up = false;
+        world.kill(killed);
+        let host = (killed + 1) % HOSTS;
+        assert!(world.serve(host), "{killed} was killed");
+    }
+}
+
+#[test]
+fn the_whole_budget_is_there_without_an_outage() {
+    for turns_of_budget in 1..9 {
+        let budget = turns_of_budget * MOST;
+        let mut world = World::new(HOSTS, budget);
+        let quarter = MOST / 4;
+        let expected = (budget - MOST) / quarter + 1;
+        let served = (0..60).filter(|turn| world.serve(turn % HOSTS)).count();
+        assert_eq!(served as u64, expected, "budget of {turns_of_budget}");
+    }
+}
+
+#[test]
+fn a_crash_of_all_hosts_leaves_budget_for_a_few_turns() {
+    let served: Vec<usize> = (3..9)
+        .map(|turns_of_budget| {
+            let mut world = World::new(HOSTS, turns_of_budget * MOST);
+            (0..HOSTS).for_each(|host| world.kill(host));
+            (0..HOSTS).for_each(|host| world.learn(host));
+            (0..60).filter(|turn| world.serve(turn % HOSTS)).count()
+        })
+        .collect();
+    insta::assert_debug_snapshot!(served);
+}
+
+#[test]
+fn an_outage_leaves_the_rest_of_the_budget() {
+    let budget = 8 * MOST;
+    let mut world = World::new(HOSTS, budget);
+    let quarter = MOST / 4;
+    world.is_store_up = false;
+    let in_outage = (0..6).filter(|turn| world.serve(turn % HOSTS)).count();
+    world.is_store_up = true;
+    (0..HOSTS).for_each(|host| world.flush(host));
+    let after = (0..60).filter(|turn| world.serve(turn % HOSTS)).count();
+    let expected = (budget - MOST) / quarter + 1;
+    assert_eq!((in_outage + after) as u64, expected);
+}
+
+#[test]
+fn a_closed_slot_grants_nothing_and_a_grant_keeps_it_open() {
+    let mut accounts = Accounts::default();
+    let request = |grant: &str, tokens| GrantRequest {
+        grant: grant.to_owned(),
+        tokens,
+        most_tokens: MOST,
+        budget_tokens: 8 * MOST,
+    };
+    assert!(accounts.grant("p", &request("g", MOST)));
+    assert!(accounts.grant("p", &request("g", MOST)), "asked again");
+    assert_eq!(accounts.close("p"), Closing::Outstanding(MOST));
+    assert!(!accounts.grant("p", &request("h", 1)));
+    accounts.report("p", "g", 70);
+    assert_eq!(accounts.close("p"), Closing::Outstanding(70));
+    accounts.settle("p", "g");
+    assert_eq!(accounts.close("p"), Closing::Closed);
+    assert!(!accounts.grant("p", &request("i", 1)));
+    assert!(accounts.grant("other", &request("j", MOST)));
+}
+
+#[test]
+fn a_slot_is_known_by_the_key_of_its_row() {
+    for slot in SlotId::all() {
+        assert_eq!(SlotId::from_key(&slot.key()), Some(slot));
+    }
+    for key in [
+        "escrow/",
+        "escrow/3",
+        "escrow/3/9",
+        "escrow/3/x",
+        "host",
+        "",
+    ] {
+        assert_eq!(SlotId::from_key(key), None, "{key}");
+    }
+}
--- a/coordination/tests/gateway_pending_changes.rs
+++ b/coordination/tests/gateway_pending_changes.rs
@@ -4,6 +4,7 @@
 mod change_support;
 
 use change_support::{MOST, PROGRAM, Store, flush, reserve, reserve_with, settle};
+use rosebend_coordination::gateway::escrow::terms::EscrowTerms;
 use rosebend_coordination::gateway::history::ledger_row;
 use rosebend_coordination::gateway::pending_changes::{Answer, Change, Outcome, PendingChanges};
 use rosebend_state::deployment::{RowId, RowWrite};
@@ -107,6 +108,7 @@
         most_tokens: MOST / 4,
         budget_tokens: budget,
         gone: gone(),
+        escrow: EscrowTerms::Excluded,
     };
     second.submit(PROGRAM.to_owned(), small);
     let outcomes = flush(&mut second, &mut store);
--- /dev/null
+++ b/gateway/src/escrow.rs
@@ -0,0 +1,480 @@
+//! Spending while the store is unavailable: asks the owners of escrow slots, and
+//! answers as one.
+//!
+//! The decisions are in `rosebend_coordination::gateway::escrow`. Messages are
+//! datagrams; a question is repeated until its answer comes, and every answer may
+//! be given twice.
+
+use std::cell::{Cell, OnceCell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use rosebend_coordination::gateway::escrow::accounts::GrantRequest;
+use rosebend_coordination::gateway::escrow::message::{Answer, Ask, Question, Reply};
+use rosebend_coordination::gateway::escrow::slots::{Owner, SlotId, SlotRow, SlotWrite, Slots};
+use rosebend_coordination::gateway::escrow::terms::ClosingAnswers;
+use rosebend_coordination::gateway::escrow::{GrantId, first_grant_tokens};
+use rosebend_coordination::gateway::gatherers::Candidate;
+use rosebend_coordination::gateway::history::partition_of;
+use rosebend_coordination::gateway::ledger::Holder;
+use rosebend_coordination::gateway::pending_changes::Outcome;
+use rosebend_state::deployment::{Condition, Row, RowId, RowWrite, Transaction};
+use rosebend_transport::event::{Event, EventKind, log_event};
+use rosebend_transport::store::Transacted;
+use rosebend_util::random_id;
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+use tokio::sync::oneshot;
+
+use crate::gateway::Gateway;
+use crate::peers;
+
+/// Begins every datagram of this module; no other begins so.
+pub const MARK: [u8; 2] = *b"E1";
+/// Timeout for an owner's answer.
+const ASK_TIMEOUT: Duration = Duration::from_millis(60);
+/// Pause before a question is repeated: datagrams are lost.
+const ASK_AGAIN: Duration = Duration::from_millis(20);
+/// How long an owner that did not answer is not asked for grants.
+const AVOIDANCE: Duration = Duration::from_secs(1);
+/// Time between two looks for slots that this host should own.
+const CLAIM_INTERVAL: Duration = Duration::from_millis(500);
+/// Pause before a settled grant is told again to an owner that did not answer.
+const SETTLE_AGAIN: Duration = Duration::from_secs(1);
+/// Times that an owner is told of a settled grant at most. One that never hears
+/// of it grants the program less.
+const MAX_SETTLE_TRIES: u32 = 5;
+/// Largest datagram that is sent, in bytes.
+const MAX_SENT_BYTES: usize = 8_000;
+
+/// A message between gateways about slots.
+#[derive(Debug, Deserialize, Serialize)]
+enum Message {
+    Question(Question),
+    Answer(Answer),
+}
+
+/// The slots as this host knows them, and questions that wait for an answer.
+#[derive(Debug)]
+pub struct Escrow {
+    own_run: Holder,
+    slots: RefCell<Slots<SocketAddr>>,
+    socket: OnceCell<Rc<UdpSocket>>,
+    waiting: RefCell<HashMap<u64, oneshot::Sender<Reply>>>,
+    next_number: Cell<u64>,
+    /// Owners that did not answer, and until when they are avoided.
+    silent: RefCell<HashMap<Holder, Duration>>,
+}
+
+/// A turn's right to spend while the store is unavailable.
+#[derive(Clone, Debug)]
+pub struct Grant {
+    slot: SlotId,
+    /// Names it in the ledger.
+    pub id: GrantId,
+    /// Tokens that it holds.
+    pub tokens: u64,
+}
+
+/// A turn that wants a grant.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'a> {
+    /// Its program.
+    pub program: &'a str,
+    /// Most tokens that it generates.
+    pub most_tokens: u64,
+    /// Budget of the program.
+    pub budget_tokens: u64,
+}
+
+impl Wanted<'_> {
+    fn request(&self, grant: GrantId, tokens: u64) -> Ask {
+        let request = GrantRequest {
+            grant,
+            tokens,
+            most_tokens: self.most_tokens,
+            budget_tokens: self.budget_tokens,
+        };
+        Ask::Grant(self.program.to_owned(), request)
+    }
+}
+
+impl Escrow {
+    /// No slot and no other host known.
+    pub fn new(own_run: Holder) -> Self {
+        Self {
+            slots: RefCell::new(Slots::new(own_run.clone())),
+            own_run,
+            socket: OnceCell::new(),
+            waiting: RefCell::default(),
+            next_number: Cell::new(0),
+            silent: RefCell::default(),
+        }
+    }
+
+    /// Sends by this socket from now on.
+    pub fn set_socket(&self, socket: Rc<UdpSocket>) {
+        // The process has one socket for datagrams, and sets it once.
+        let _ = self.socket.set(socket);
+    }
+
+    /// Takes all hosts that are there, this one among them.
+    pub fn set_hosts(&self, hosts: Vec<Candidate<SocketAddr>>, all_withhold: bool, now: Duration) {
+        let mut slots = self.slots.borrow_mut();
+        slots.set_hosts(hosts, all_withhold, now);
+    }
+
+    /// Takes a slot's row.
+    pub fn take_row(&self, slot: SlotId, row: &Row) {
+        let Some(value) = &row.value else {
+            return;
+        };
+        match SlotRow::decode(value) {
+            Ok(decoded) => self.slots.borrow_mut().take_row(slot, row.version, decoded),
+            Err(error) => log_event(&Event::new(EventKind::PeerRowUnusable).error(&error)),
+        }
+    }
+
+    /// Slots that this host owns.
+    pub fn held_slots(&self) -> u64 {
+        self.slots.borrow().held().count() as u64
+    }
+
+    /// Slots whose owner is known here.
+    pub fn owned_slots(&self) -> u64 {
+        self.slots.borrow().owned() as u64
+    }
+
+    /// Tokens that this host has granted and no ledger has.
+    pub fn outstanding_tokens(&self) -> u64 {
+        let slots = self.slots.borrow();
+        let accounts = slots.held().map(|(_, accounts)| accounts);
+        accounts.fold(0, |sum, accounts| {
+            sum.saturating_add(accounts.outstanding_tokens())
+        })
+    }
+
+    fn send(&self, to: SocketAddr, message: &Message) {
+        let Some(socket) = self.socket.get() else {
+            return;
+        };
+        let mut datagram = MARK.to_vec();
+        serde_json::to_writer(&mut datagram, message).expect("text and numbers have a JSON form");
+        if datagram.len() <= MAX_SENT_BYTES {
+            // A full link, or a host that is gone: the question is repeated.
+            let _ = socket.try_send_to(&datagram, to);
+        }
+    }
+
+    fn question(&self, to: &Holder, slot: &SlotId, ask: Ask) -> Question {
+        let number = self.next_number.get() + 1;
+        self.next_number.set(number);
+        Question {
+            number,
+            from: self.own_run.clone(),
+            to: to.clone(),
+            slot: slot.clone(),
+            ask,
+        }
+    }
+
+    /// Asks a slot's owner; none when there is none or it does not answer.
+    async fn ask(&self, slot: &SlotId, ask: Ask) -> Option<Reply> {
+        let owner = self.slots.borrow().owner(slot);
+        match owner {
+            Owner::Own => {
+                let mut slots = self.slots.borrow_mut();
+                Some(slots.answer(slot, &self.own_run, ask))
+            }
+            Owner::Other(run, address) => self.ask_run(&run, address, slot, ask).await,
+            Owner::Gone | Owner::Nobody => None,
+        }
+    }
+
+    async fn ask_run(
+        &self,
+        run: &Holder,
+        address: SocketAddr,
+        slot: &SlotId,
+        ask: Ask,
+    ) -> Option<Reply> {
+        let question = self.question(run, slot, ask);
+        let number = question.number;
+        let message = Message::Question(question);
+        let (told, mut reply) = oneshot::channel();
+        self.waiting.borrow_mut().insert(number, told);
+        let mut tries = ASK_TIMEOUT.as_millis() / ASK_AGAIN.as_millis();
+        let answered = loop {
+            self.send(address, &message);
+            if let Ok(reply) = tokio::time::timeout(ASK_AGAIN, &mut reply).await {
+                break reply.ok();
+            }
+            tries -= 1;
+            if tries == 0 {
+                break None;
+            }
+        };
+        self.waiting.borrow_mut().remove(&number);
+        answered
+    }
+
+    /// Whether a slot's owner was silent lately.
+    fn is_avoided(&self, slot: &SlotId, now: Duration) -> bool {
+        match self.slots.borrow().owner(slot) {
+            Owner::Other(run, _) => {
+                let silent = self.silent.borrow();
+                silent.get(&run).is_some_and(|until| now < *until)
+            }
+            Owner::Own => false,
+            Owner::Gone | Owner::Nobody => true,
+        }
+    }
+
+    fn avoid(&self, slot: &SlotId, now: Duration) {
+        if let Owner::Other(run, _) = self.slots.borrow().owner(slot) {
+            let mut silent = self.silent.borrow_mut();
+            silent.retain(|_, until| now < *until);
+            silent.insert(run, now + AVOIDANCE);
+        }
+    }
+}
+
+/// Asks the owners of a program's slots for a grant in place of a reservation in the
+/// ledger.
+pub async fn grant(gateway: &Gateway, wanted: &Wanted<'_>) -> Option<Grant> {
+    let escrow = &gateway.escrow;
+    let tokens = first_grant_tokens(wanted.most_tokens);
+    for slot in SlotId::of(&partition_of(wanted.program)) {
+        let now = gateway.clock.now();
+        if escrow.is_avoided(&slot, now) {
+            continue;
+        }
+        let id = random_id();
+        let reply = escrow.ask(&slot, wanted.request(id.clone(), tokens)).await;
+        gateway.metrics.count_escrow_reply(word(reply));
+        match reply {
+            Some(Reply::Granted) => return Some(Grant { slot, id, tokens }),
+            None => escrow.avoid(&slot, now),
+            Some(_) => {}
+        }
+    }
+    None
+}
+
+/// Asks for a larger grant. Returns the tokens that it holds from then on, if these
+/// are as many as are needed.
+pub async fn extend(
+    gateway: &Gateway,
+    wanted: &Wanted<'_>,
+    grant: &Grant,
+    needed_tokens: u64,
+) -> Option<u64> {
+    if needed_tokens <= grant.tokens {
+        return Some(grant.tokens);
+    }
+    // Room for a few events more, so that not each of them has to ask.
+    let step = first_grant_tokens(wanted.most_tokens) / 2;
+    let ample = needed_tokens.saturating_add(step).min(wanted.most_tokens);
+    for tokens in [ample.max(needed_tokens), needed_tokens] {
+        let request = wanted.request(grant.id.clone(), tokens);
+        let reply = gateway.escrow.ask(&grant.slot, request).await;
+        gateway.metrics.count_escrow_reply(word(reply));
+        if reply == Some(Reply::Granted) {
+            return Some(tokens);
+        }
+    }
+    None
+}
+
+/// Word for counters.
+const fn word(reply: Option<Reply>) -> &'static str {
+    match reply {
+        Some(Reply::Granted) => "granted",
+        Some(Reply::Refused) => "refused",
+        Some(Reply::Closed | Reply::Outstanding | Reply::Noted) => "noted",
+        Some(Reply::NotOwner) => "not-owner",
+        None => "silent",
+    }
+}
+
+/// Tells a grant's owner what the turn handed out, and once the ledger has it, that
+/// nothing is outstanding.
+pub async fn settle(
+    gateway: Rc<Gateway>,
+    program: String,
+    grant: Grant,
+    tokens: u64,
+    outcome: oneshot::Receiver<Outcome>,
+) {
+    let escrow = &gateway.escrow;
+    let report = Ask::Report(program.clone(), grant.id.clone(), tokens);
+    // An owner that does not hear it counts the turn at its most.
+    escrow.ask(&grant.slot, report).await;
+    if !matches!(outcome.await, Ok(Outcome::Durable)) {
+        return;
+    }
+    for _ in 0..MAX_SETTLE_TRIES {
+        let settle = Ask::Settle(program.clone(), grant.id.clone());
+        if escrow.ask(&grant.slot, settle).await == Some(Reply::Noted) {
+            return;
+        }
+        tokio::time::sleep(SETTLE_AGAIN).await;
+    }
+}
+
+/// Asks the owners of a program's slots to grant it nothing more.
+pub async fn close(gateway: &Gateway, program: &str) -> ClosingAnswers {
+    let slots: Vec<SlotId> = SlotId::of(&partition_of(program)).collect();
+    let replies = join_all(slots.iter().map(|slot| close_slot(gateway, slot, program))).await;
+    let mut answers = ClosingAnswers::default();
+    for (slot, reply) in slots.iter().zip(replies) {
+        answers.add(slot.index, reply);
+    }
+    answers
+}
+
+async fn close_slot(gateway: &Gateway, slot: &SlotId, program: &str) -> Option<Reply> {
+    let escrow = &gateway.escrow;
+    let claim = escrow.slots.borrow().claim_now(slot);
+    if let Some(claim) = claim {
+        write(gateway, vec![claim]).await;
+    }
+    escrow.ask(slot, Ask::Close(program.to_owned())).await
+}
+
+/// Takes slots that this host should own, for ever.
+pub async fn run(gateway: Rc<Gateway>) {
+    loop {
+        tokio::time::sleep(CLAIM_INTERVAL).await;
+        if !gateway.store.is_reachable() {
+            continue;
+        }
+        let now = gateway.clock.now();
+        let claims = gateway.escrow.slots.borrow_mut().claims(now);
+        if !claims.is_empty() {
+            write(&gateway, claims).await;
+        }
+    }
+}
+
+/// Writes rows of slots, all or none. Returns whether they were written.
+async fn write(gateway: &Gateway, writes: Vec<SlotWrite>) -> bool {
+    let mut transaction = Transaction::default();
+    for write in &writes {
+        let row = RowId::new(peers::TABLE, "", write.slot.key());
+        transaction.conditions.push(Condition {
+            row: row.clone(),
+            version: write.version,
+        });
+        let value = write.row.encode();
+        transaction.writes.push(RowWrite { row, value });
+    }
+    let escrow = &gateway.escrow;
+    match gateway.store.transact(&transaction).await {
+        Ok(Transacted::Applied(version)) => {
+            let owner = writes.first().and_then(|write| write.row.owner.as_ref());
+            let event = match owner == Some(&escrow.own_run) {
+                true => EventKind::EscrowTaken,
+                false => EventKind::EscrowReleased,
+            };
+            log_event(&Event::new(event).count(writes.len() as u64).reason("row"));
+            let mut slots = escrow.slots.borrow_mut();
+            for write in writes {
+                slots.take_row(write.slot, version, write.row);
+            }
+            true
+        }
+        Ok(Transacted::Conflict(rows)) => {
+            for row in &rows {
+                if let Some(slot) = SlotId::from_key(&row.id.key) {
+                    escrow.take_row(slot, row);
+                }
+            }
+            false
+        }
+        // The client has logged how the call failed; the feed tells what was written.
+        Err(_) => false,
+    }
+}
+
+/// Gives up this host's slots at a planned stop.
+pub async fn release(gateway: &Gateway) {
+    let writes = gateway.escrow.slots.borrow_mut().release();
+    if !writes.is_empty() {
+        // Slots whose row was not written stay with a run that is gone.
+        write(gateway, writes).await;
+    }
+}
+
+/// Leaves this host's slots with others at a planned stop while the store is
+/// unavailable.
+pub async fn hand_over(gateway: &Gateway) {
+    let escrow = &gateway.escrow;
+    let successors: BTreeMap<SlotId, Candidate<SocketAddr>> = {
+        let slots = escrow.slots.borrow();
+        let held = slots.held().map(|(slot, _)| slot);
+        let found = held.filter_map(|slot| Some((slot.clone(), slots.successor(slot)?.clone())));
+        found.collect()
+    };
+    // From here on this host grants nothing, whether or not a successor hears it.
+    let held = escrow.slots.borrow_mut().release();
+    let asks = held.into_iter().filter_map(|write| {
+        let successor = successors.get(&write.slot)?;
+        let ask = Ask::TakeOver(write.row.accounts);
+        let slot = write.slot;
+        Some(async move {
+            escrow
+                .ask_run(&successor.run, successor.address, &slot, ask)
+                .await
+        })
+    });
+    let replies = join_all(asks).await;
+    let taken = replies.iter().filter(|reply| **reply == Some(Reply::Noted));
+    let event = Event::new(EventKind::EscrowReleased).count(taken.count() as u64);
+    log_event(&event.reason("peer"));
+}
+
+/// Takes a message of another gateway.
+pub fn take(gateway: &Gateway, message: &[u8], from: SocketAddr) {
+    // What no gateway of this version sent is passed over, as one that is lost.
+    let Ok(message) = serde_json::from_slice(message) else {
+        return;
+    };
+    let escrow = &gateway.escrow;
+    match message {
+        Message::Question(question) => answer(escrow, question, from),
+        Message::Answer(answer) if answer.to == escrow.own_run => {
+            if let Some(waiting) = escrow.waiting.borrow_mut().remove(&answer.number) {
+                // Who asked may have gone.
+                let _ = waiting.send(answer.reply);
+            }
+        }
+        Message::Answer(_) => {}
+    }
+}
+
+fn answer(escrow: &Escrow, question: Question, from: SocketAddr) {
+    if question.to != escrow.own_run {
+        return;
+    }
+    let is_take_over = matches!(question.ask, Ask::TakeOver(_));
+    let mut slots = escrow.slots.borrow_mut();
+    let reply = slots.answer(&question.slot, &question.from, question.ask);
+    let answer = Answer {
+        number: question.number,
+        to: question.from.clone(),
+        reply,
+    };
+    escrow.send(from, &Message::Answer(answer));
+    if is_take_over && reply == Reply::Noted {
+        for peer in slots.peers() {
+            // One that does not hear it grants by the other slot.
+            let moved = Ask::Moved(question.from.clone());
+            let moved = escrow.question(&peer.run, &question.slot, moved);
+            escrow.send(peer.address, &Message::Question(moved));
+        }
+    }
+}
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -20,6 +20,7 @@
 use rosebend_util::random_id;
 
 use crate::commits::Commits;
+use crate::escrow::Escrow;
 use crate::holders::HolderAddresses;
 use crate::joined_commits::JoinedCommits;
 use crate::limits::Limits;
@@ -68,6 +69,8 @@
     pub history: RefCell<History>,
     /// Customers' limits.
     pub limits: Limits,
+    /// What may be spent while the store is unavailable.
+    pub escrow: Escrow,
     /// Rows that are to be deleted one day.
     pub retention: Retention,
     /// Where other gateways answer that hold tokens of programs.
@@ -107,6 +110,7 @@
             pool: RefCell::default(),
             history: RefCell::new(History::new(HISTORY_BYTES)),
             limits: Limits::new(run.clone(), tolerance(&settings.customers)),
+            escrow: Escrow::new(run.clone()),
             retention: Retention::default(),
             holders: HolderAddresses::default(),
             crashes: RefCell::default(),
@@ -249,6 +253,9 @@
             peers: self.store.peer_addresses().len() as u64,
             open_parts: self.joined_commits.open_parts() as u64,
             oldest_part_ms: whole_ms(self.joined_commits.oldest_part()),
+            escrow_slots: self.escrow.held_slots(),
+            escrow_owned_slots: self.escrow.owned_slots(),
+            escrow_outstanding_tokens: self.escrow.outstanding_tokens(),
         }
     }
 
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -17,7 +17,7 @@
 use tokio::net::UdpSocket;
 
 use crate::gateway::Gateway;
-use crate::limits;
+use crate::{escrow, limits};
 
 /// Time between two datagrams to a peer. A request takes 200 to 400 ms at an
 /// engine, so a load of this age still says something.
@@ -29,7 +29,8 @@
 /// Largest datagram that is sent, in bytes: no link splits it. What ids of
 /// unusual length leave no room for is left out.
 const MAX_SENT_BYTES: usize = 1_472;
-/// Largest datagram that is read; those about limits have names of customers.
+/// Largest datagram that is read; those about limits have names of customers, and
+/// those about escrow the accounts of a slot.
 const MAX_DATAGRAM_BYTES: usize = 8_192;
 
 /// The load of one start of an endpoint, as a peer heard it: running, waiting,
@@ -151,6 +152,10 @@
             limits::take(&gateway, message, from);
             continue;
         }
+        if let Some(message) = buffer[..bytes].strip_prefix(&escrow::MARK) {
+            escrow::take(&gateway, message, from);
+            continue;
+        }
         // Anyone may send a datagram; what is said by no gateway of this
         // version is passed over, as a datagram that is lost is.
         let Ok(news) = News::try_from(&buffer[..bytes]) else {
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -4,7 +4,7 @@
 //! | what | where |
 //! |---|---|
 //! | a request, step by step | [`front`], [`dispatch`], [`intake`], [`plain`] or [`turn`], [`exchange`], [`pool`]; all work on a [`call`] |
-//! | a turn's budget, and its answer on the way | [`spending`], [`recall`], [`holders`], [`turn_stream`], [`runs`] |
+//! | a turn's budget, and its answer on the way | [`spending`], [`escrow`], [`recall`], [`holders`], [`turn_stream`], [`runs`] |
 //! | whose a request is, and how much its customer may send | [`intake`], [`limits`] |
 //! | what lasts | [`commits`], [`joined_commits`], [`programs`], [`retention`] |
 //! | what the process believes of routes and endpoints | [`watch`], [`unusable`], [`entries`], [`gossip`], [`quarantine`] |
@@ -21,6 +21,7 @@
 pub mod commits;
 pub mod dispatch;
 pub mod entries;
+pub mod escrow;
 pub mod exchange;
 pub mod front;
 pub mod gateway;
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -97,6 +97,12 @@
     pub open_parts: u64,
     /// Milliseconds for which the oldest of them has waited.
     pub oldest_part_ms: u64,
+    /// Escrow slots that this host owns.
+    pub escrow_slots: u64,
+    /// Escrow slots whose owner is known here.
+    pub escrow_owned_slots: u64,
+    /// Tokens that this host has granted and no ledger has.
+    pub escrow_outstanding_tokens: u64,
 }
 
 /// The metrics of a process.
@@ -106,6 +112,7 @@
     requests: Family<RequestLabel, Counter>,
     refusals: Family<ReasonLabel, Counter>,
     budget_refusals: Family<FilledLabel, Counter>,
+    escrow_replies: Family<ReasonLabel, Counter>,
     endpoint_failures: Family<ReasonLabel, Counter>,
     resumptions: Family<ReasonLabel, Counter>,
     store_calls: Family<StoreLabel, Counter>,
@@ -120,7 +127,7 @@
     turn: Histogram,
     record: Histogram,
     store_call: Histogram,
-    gauges: [Gauge; 9],
+    gauges: [Gauge; 12],
 }
 
 impl Default for Metrics {
@@ -140,6 +147,9 @@
             "Turns refused for their program's budget, by what fills it",
             budget_refusals.clone(),
         );
+        let escrow_replies = Family::default();
+        let help = "Grants asked for while the store was unavailable, by the owner's reply";
+        registry.register("escrow_replies", help, escrow_replies.clone());
         let endpoint_failures = Family::default();
         let help = "Exchanges with endpoints that gave no answer to pass on, by reason";
         registry.register("endpoint_failures", help, endpoint_failures.clone());
@@ -195,6 +205,7 @@
             requests,
             refusals,
             budget_refusals,
+            escrow_replies,
             endpoint_failures,
             resumptions,
             store_calls,
@@ -215,7 +226,7 @@
     }
 }
 
-fn gauges(registry: &mut Registry) -> [Gauge; 9] {
+fn gauges(registry: &mut Registry) -> [Gauge; 12] {
     let names = [
         ("open_requests", "Requests that callers wait for"),
         (
@@ -241,6 +252,15 @@
             "oldest_part_ms",
             "Milliseconds for which the oldest of them has waited",
         ),
+        ("escrow_slots", "Escrow slots that this host owns"),
+        (
+            "escrow_owned_slots",
+            "Escrow slots of all partitions whose owner is known here",
+        ),
+        (
+            "escrow_outstanding_tokens",
+            "Tokens that this host has granted and no ledger has",
+        ),
     ];
     names.map(|(name, help)| {
         let gauge = Gauge::default();
@@ -275,6 +295,13 @@
             .inc();
     }
 
+    /// Counts a reply to a turn that asked for a grant.
+    pub fn count_escrow_reply(&self, reason: &'static str) {
+        self.escrow_replies
+            .get_or_create(&ReasonLabel { reason })
+            .inc();
+    }
+
     /// Counts an exchange with an endpoint that failed.
     pub fn count_failure(&self, failure: Failure) {
         let reason = failure.word();
@@ -363,6 +390,9 @@
             now.peers,
             now.open_parts,
             now.oldest_part_ms,
+            now.escrow_slots,
+            now.escrow_owned_slots,
+            now.escrow_outstanding_tokens,
         ];
         for (gauge, value) in self.gauges.iter().zip(values) {
             gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -17,6 +17,7 @@
 use actix_http::{Request, Response, StatusCode};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
+use rosebend_coordination::gateway::escrow::slots::SlotId;
 use rosebend_coordination::gateway::gatherers::Candidate;
 use rosebend_coordination::gateway::ledger::Holder;
 use rosebend_platform::store::wait_of;
@@ -30,8 +31,8 @@
 
 mod row;
 
-/// Table of the gateways' own rows.
-const TABLE: &str = "gateways";
+/// Table of the gateways' own rows, and of the owners of escrow slots.
+pub const TABLE: &str = "gateways";
 /// Peers that pass calls to the store on, at most.
 const MAX_PEERS: usize = 8;
 /// Rows that name no gateway and are told at most, each once.
@@ -91,13 +92,21 @@
         Some(after) => gateway.store.feed(TABLE, after, FEED_WAIT).await?,
     };
     for row in &rows.rows {
-        table.take(row);
+        match SlotId::from_key(&row.id.key) {
+            Some(slot) => gateway.escrow.take_row(slot, row),
+            None => table.take(row),
+        }
     }
     if after.is_none() || !rows.rows.is_empty() {
         let own = key(&gateway.settings().host);
         gateway.store.set_peers(&table.behind(&own));
         gateway.joined_commits.set_hosts(table.candidates());
         gateway.limits.set_hosts(table.candidates());
+        let now = gateway.clock.now();
+        let all_withhold = table.all_withhold();
+        gateway
+            .escrow
+            .set_hosts(table.candidates(), all_withhold, now);
     }
     Ok(rows.version)
 }
@@ -140,6 +149,11 @@
         self.peers.values().any(|peer| peer.holder == *holder)
     }
 
+    /// Whether all of them keep room in ledgers for what escrow slots grant.
+    fn all_withhold(&self) -> bool {
+        self.peers.values().all(|peer| peer.withholds_escrow)
+    }
+
     /// Where the hosts behind a key pass calls on, around the end of the table.
     fn behind(&self, own: &str) -> Vec<SocketAddr> {
         let (before, behind) = self
@@ -177,6 +191,7 @@
         relay,
         holder: gateway.commits.holder().clone(),
         processor_milli: gateway.settings().processor_milli,
+        withholds_escrow: true,
     };
     let value = serde_json::to_vec(&peer).expect("text has a JSON form");
     let transaction = Transaction {
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -12,7 +12,7 @@
 use tokio::sync::watch;
 
 use crate::gateway::Gateway;
-use crate::{front, gossip, limits, peers, quarantine, reload, retention, watch as follow};
+use crate::{escrow, front, gossip, limits, peers, quarantine, reload, retention, watch as follow};
 
 /// How long after the signal to stop new connections are still accepted: the
 /// balancer asks once a second and takes a host out after two misses.
@@ -78,8 +78,10 @@
     })?;
     let datagrams = Rc::new(datagrams);
     gateway.limits.talk_by(Rc::clone(&datagrams));
+    gateway.escrow.set_socket(Rc::clone(&datagrams));
     actix_rt::spawn(gossip::run(Rc::clone(&gateway), datagrams));
     actix_rt::spawn(limits::run(Rc::clone(&gateway)));
+    actix_rt::spawn(escrow::run(Rc::clone(&gateway)));
     actix_rt::spawn(peers::probe(Rc::clone(&gateway)));
     actix_rt::spawn(quarantine::follow(Rc::clone(&gateway)));
     actix_rt::spawn(retention::run(Rc::clone(&gateway)));
@@ -112,6 +114,9 @@
     let open = gateway.open_requests();
     log_event(&Event::new(EventKind::ProcessStopping).count(open));
     gateway.commits.send_all_put_off();
+    if gateway.store.is_reachable() {
+        let _ = tokio::time::timeout(LEAVE_TIMEOUT, escrow::release(gateway)).await;
+    }
     tokio::time::sleep(ACCEPT_AFTER_SIGNAL.min(grace)).await;
     close.send_replace(true);
     let mut quiet_since = gateway.clock.now();
@@ -124,6 +129,7 @@
             break;
         }
     }
+    give_up_slots(gateway).await;
     // Until here peers could ask what its turns still hold. A row that stays
     // costs a peer one call that is refused.
     let _ = tokio::time::timeout(LEAVE_TIMEOUT, peers::leave(gateway)).await;
@@ -133,3 +139,16 @@
     };
     log_event(&Event::new(kind).count(gateway.open_requests()));
 }
+
+/// Gives up slots that were kept at the signal, since the store was unavailable, or
+/// that came since.
+async fn give_up_slots(gateway: &Gateway) {
+    let given_up = async {
+        match gateway.store.is_reachable() {
+            true => escrow::release(gateway).await,
+            false => escrow::hand_over(gateway).await,
+        }
+    };
+    // What is not given up in time stays with a run that is gone.
+    let _ = tokio::time::timeout(LEAVE_TIMEOUT, given_up).await;
+}
--- a/gateway/src/spending.rs
+++ b/gateway/src/spending.rs
@@ -1,16 +1,19 @@
 //! What one turn may spend of its program's budget.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use rosebend_coordination::gateway::escrow::terms::EscrowTerms;
 use rosebend_coordination::gateway::history::partition_of;
 use rosebend_coordination::gateway::ledger::{FilledBy, Holder};
 use rosebend_coordination::gateway::pending_changes::{Change, Outcome};
 use rosebend_state::deployment::{AttemptId, ProgramHeader, RowWrite};
+use rosebend_transport::clock::whole_ms;
 use rosebend_transport::event::{Amount, Event, EventKind, log_event};
 use tokio::sync::oneshot;
 
 use crate::call::Call;
+use crate::escrow::{self, Grant, Wanted};
 use crate::gateway::Gateway;
 use crate::reply::Refusal;
 use crate::{programs, recall};
@@ -47,8 +50,12 @@
     most_tokens: u64,
     /// Budget of the program.
     budget_tokens: u64,
+    /// What the ledger keeps room for.
+    escrow: EscrowTerms,
     /// Set until the reservation is known to be durable.
     reserving: Option<oneshot::Receiver<Outcome>>,
+    /// Set when the turn runs by a grant in place of a reservation.
+    grant: Option<Grant>,
     is_settled: bool,
 }
 
@@ -68,7 +75,13 @@
         let budget_tokens = header.budget_tokens.unwrap_or(u64::MAX);
         let program = header.program.clone();
         let attempt = call.turn();
-        gateway.reach(&program)?;
+        let escrow = match header.budget_tokens {
+            Some(budget) => {
+                let takes_grants = !call.route.keeps_history;
+                EscrowTerms::new(takes_grants, most_tokens, budget, now_unix_ms())
+            }
+            None => EscrowTerms::Excluded,
+        };
         let mut spending = Self {
             gateway: Rc::clone(gateway),
             program: program.clone(),
@@ -77,9 +90,16 @@
             events: 0,
             most_tokens,
             budget_tokens,
+            escrow,
             reserving: None,
+            grant: None,
             is_settled: false,
         };
+        if let Err(refusal) = gateway.reach(&program) {
+            let granted = spending.take_grant(call, refusal).await;
+            spending.is_settled = granted.is_err();
+            return granted.map(|()| spending);
+        }
         let in_hand = most_tokens.saturating_mul(1 + TURNS_IN_HAND);
         // A turn that continues from a kept one has brought its ledger along, and
         // one that continues from none begins its program. Without history
@@ -103,12 +123,62 @@
     async fn granted_before_it_is_sent(&mut self, call: &Call) -> Result<(), Refusal> {
         let gateway = Rc::clone(&self.gateway);
         let program = self.program.clone();
-        tokio::select! {
-            granted = self.granted(call) => granted,
+        let until = gateway.clock.instant(call.deadline);
+        let granted = tokio::select! {
+            granted = self.reserved(call) => granted,
             refusal = until_unreachable(&gateway, &program) => Err(refusal),
+            () = tokio::time::sleep_until(until) => return Err(gateway.store_unreachable()),
+        };
+        match granted {
+            Err(refusal @ Refusal::StoreUnreachable(_)) => self.take_grant(call, refusal).await,
+            granted => granted,
+        }
+    }
+
+    /// Asks the owners of the program's escrow slots for the turn's most while the
+    /// store is unavailable. A turn whose history is kept needs the store anyway.
+    async fn take_grant(&mut self, call: &Call, refusal: Refusal) -> Result<(), Refusal> {
+        if !self.escrow.takes_grants() {
+            return Err(refusal);
+        }
+        let gateway = &self.gateway;
+        let grant = escrow::grant(gateway, &self.wanted()).await;
+        let elapsed = call.elapsed(gateway.clock.now());
+        let Some(grant) = grant else {
+            let event = Event::new(EventKind::EscrowRefused)
+                .amount(Amount::Budget, self.budget_tokens)
+                .amount(Amount::Most, self.most_tokens);
+            call.trail.step(event.elapsed(elapsed));
+            return Err(refusal);
+        };
+        let event = Event::new(EventKind::SpendingGranted).reason("escrow");
+        call.trail.step(event.elapsed(elapsed));
+        self.grant = Some(grant);
+        self.reserving = None;
+        Ok(())
+    }
+
+    fn wanted(&self) -> Wanted<'_> {
+        Wanted {
+            program: &self.program,
+            most_tokens: self.most_tokens,
+            budget_tokens: self.budget_tokens,
         }
     }
 
+    /// Makes sure that a turn which runs by a grant may hand out all events that
+    /// were counted. Returns whether it may.
+    pub async fn cover(&mut self) -> bool {
+        let Some(grant) = &self.grant else {
+            return true;
+        };
+        let tokens = escrow::extend(&self.gateway, &self.wanted(), grant, self.tokens()).await;
+        if let (Some(grant), Some(tokens)) = (&mut self.grant, tokens) {
+            grant.tokens = tokens;
+        }
+        tokens.is_some()
+    }
+
     /// Asks for the turn's most, with what it may have of hosts that are gone.
     fn ask(&mut self, gone: Vec<Holder>) {
         let change = Change::Reserve {
@@ -116,28 +186,55 @@
             most_tokens: self.most_tokens,
             budget_tokens: self.budget_tokens,
             gone,
+            escrow: self.escrow.clone(),
         };
         let outcome = self.gateway.commits.submit(self.program.clone(), change);
         self.reserving = Some(outcome);
     }
 
-    /// Waits until the reservation is durable, and no longer than the caller.
+    /// Waits until the turn may spend its most, and no longer than the caller. While
+    /// the store is unavailable it takes a grant, if there is one.
     ///
     /// # Errors
     ///
     /// Says that the budget was spent meanwhile, or that nothing is known.
     pub async fn granted(&mut self, call: &Call) -> Result<(), Refusal> {
+        if self.grant.is_some() {
+            return Ok(());
+        }
         let until = self.gateway.clock.instant(call.deadline);
-        let granted = tokio::time::timeout_at(until, self.wait(call)).await;
+        let granted = tokio::time::timeout_at(until, self.reserved_or_granted(call)).await;
         granted.unwrap_or_else(|_| Err(self.gateway.store_unreachable()))
     }
 
-    async fn wait(&mut self, call: &Call) -> Result<(), Refusal> {
-        let Some(outcome) = self.outcome().await? else {
-            return Ok(());
+    async fn reserved_or_granted(&mut self, call: &Call) -> Result<(), Refusal> {
+        let gateway = Rc::clone(&self.gateway);
+        let program = self.program.clone();
+        let outcome = tokio::select! {
+            outcome = self.outcome() => Ok(outcome),
+            refusal = until_unreachable(&gateway, &program) => Err(refusal),
         };
-        if outcome == Outcome::Exhausted {
-            self.recall(call).await?;
+        match outcome {
+            Ok(outcome) => self.conclude(call, outcome?).await,
+            Err(refusal) => match self.take_grant(call, refusal).await {
+                Ok(()) => Ok(()),
+                // The turn runs: its caller waits for the store.
+                Err(_) => self.reserved(call).await,
+            },
+        }
+    }
+
+    /// Waits until the reservation is durable.
+    async fn reserved(&mut self, call: &Call) -> Result<(), Refusal> {
+        let outcome = self.outcome().await?;
+        self.conclude(call, outcome).await
+    }
+
+    async fn conclude(&mut self, call: &Call, outcome: Option<Outcome>) -> Result<(), Refusal> {
+        match outcome {
+            None => return Ok(()),
+            Some(Outcome::Exhausted) => self.recall(call).await?,
+            Some(_) => {}
         }
         let event = Event::new(EventKind::SpendingGranted).reason("reservation");
         let elapsed = call.elapsed(self.gateway.clock.now());
@@ -145,11 +242,18 @@
         Ok(())
     }
 
-    /// Asks for the turn's most with what gone hosts held, and while one that lives
-    /// is settling a turn, once more.
+    /// Asks for the turn's most with what is withheld and what gone hosts held, and
+    /// while a host that lives is settling a turn, once more.
     async fn recall(&mut self, call: &Call) -> Result<(), Refusal> {
         let until = self.gateway.clock.now() + SETTLE_WAIT;
         let mut pause = FIRST_SETTLE_POLL;
+        if self.filled_by() == FilledBy::Withheld {
+            self.close_slots().await;
+            self.ask(Vec::new());
+            if self.outcome().await? != Some(Outcome::Exhausted) {
+                return Ok(());
+            }
+        }
         loop {
             // Others may have settled for less since the ledger was read.
             programs::refresh_ledger(&self.gateway, &self.program).await?;
@@ -157,7 +261,11 @@
                 self.is_settled = true;
                 return Err(self.exhausted(call));
             }
+            let may_have_grants =
+                self.escrow.takes_grants() || self.filled_by() == FilledBy::Withheld;
+            let is_closing = may_have_grants && self.close_slots().await;
             let recalled = recall::recall(&self.gateway, &self.program, &call.trail).await?;
+            let may_be_gone = !recalled.gone.is_empty();
             self.ask(recalled.gone);
             if self.outcome().await? != Some(Outcome::Exhausted) {
                 return Ok(());
@@ -165,7 +273,7 @@
             let is_over = self.gateway.clock.now() >= until;
             // Holders of a newer ledger were not asked yet.
             let is_newer = self.gateway.commits.version(&self.program) != recalled.version;
-            match recalled.is_settling || is_newer {
+            match recalled.is_settling || is_closing || is_newer {
                 true if is_over => {
                     self.is_settled = true;
                     return Err(Refusal::BudgetUnsettled);
@@ -176,12 +284,30 @@
                 }
                 false => {
                     self.is_settled = true;
-                    return Err(self.exhausted(call));
+                    // The budget may hold the turn, and nobody can tell now.
+                    let is_withheld = self.filled_by() == FilledBy::Withheld;
+                    let is_open = may_have_grants && !self.escrow.is_closed();
+                    let is_doubted = is_withheld || may_be_gone && is_open;
+                    return Err(match is_doubted {
+                        true => Refusal::BudgetUnsettled,
+                        false => self.exhausted(call),
+                    });
                 }
             }
         }
     }
 
+    /// Asks the owners of the program's open slots to close them. Returns whether
+    /// one waits for its grants to be settled.
+    async fn close_slots(&mut self) -> bool {
+        if self.escrow.is_closed() {
+            return false;
+        }
+        let answers = escrow::close(&self.gateway, &self.program).await;
+        self.escrow = std::mem::take(&mut self.escrow).with_answers(&answers);
+        answers.is_settling
+    }
+
     /// How the change that asks for the turn's most ended; none when that is
     /// known already.
     async fn outcome(&mut self) -> Result<Option<Outcome>, Refusal> {
@@ -244,37 +370,62 @@
     /// with it. The receiver hears when they are.
     pub fn settle(&mut self, rows: Vec<RowWrite>) -> oneshot::Receiver<Outcome> {
         self.is_settled = true;
-        let change = self.settlement(rows);
+        let change = Change::Settle {
+            attempt: self.attempt.clone(),
+            tokens: self.tokens(),
+            rows,
+        };
         self.gateway.commits.submit(self.program.clone(), change)
     }
 
     /// The same where nobody waits for it: it may go with another change.
     pub fn settle_later(&mut self) {
         self.is_settled = true;
-        let change = self.settlement(Vec::new());
+        if let Some(grant) = self.grant.take() {
+            return self.settle_grant(grant);
+        }
+        let change = Change::Settle {
+            attempt: self.attempt.clone(),
+            tokens: self.tokens(),
+            rows: Vec::new(),
+        };
         self.gateway
             .commits
             .submit_later(self.program.clone(), change);
     }
 
-    fn settlement(&self, rows: Vec<RowWrite>) -> Change {
-        Change::Settle {
+    fn settle_grant(&self, grant: Grant) {
+        let change = Change::SettleGrant {
             attempt: self.attempt.clone(),
+            grant: grant.id.clone(),
             tokens: self.tokens(),
-            rows,
-        }
+        };
+        let outcome = self.gateway.commits.submit(self.program.clone(), change);
+        let gateway = Rc::clone(&self.gateway);
+        let (program, tokens) = (self.program.clone(), self.tokens());
+        actix_rt::spawn(escrow::settle(gateway, program, grant, tokens, outcome));
     }
 }
 
 impl Drop for Spending {
     fn drop(&mut self) {
-        if !self.is_settled {
+        if self.is_settled {
+            return;
+        }
+        match self.grant.take() {
+            Some(grant) => self.settle_grant(grant),
             // The caller may try again at once, at another host.
-            drop(self.settle(Vec::new()));
+            None => drop(self.settle(Vec::new())),
         }
     }
 }
 
+/// Time of day in milliseconds since 1970; zero on a host whose clock is before.
+fn now_unix_ms() -> u64 {
+    let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_1970.map_or(0, whole_ms)
+}
+
 /// Ends once the store is out of reach for a program.
 async fn until_unreachable(gateway: &Gateway, program: &str) -> Refusal {
     loop {
--- a/gateway/src/turn_stream.rs
+++ b/gateway/src/turn_stream.rs
@@ -147,6 +147,11 @@
     async fn next_piece(&mut self) -> io::Result<Option<Bytes>> {
         while let Some(piece) = self.runs.next().await? {
             let bytes = self.pass(piece);
+            if let Some(spending) = &mut self.kept.spending
+                && !spending.cover().await
+            {
+                return Err(io::Error::other("the program's escrow is spent"));
+            }
             if !bytes.is_empty() {
                 return Ok(Some(bytes));
             }
--- /dev/null
+++ b/gateway/tests/outage.rs
@@ -0,0 +1,166 @@
+//! Turns that need nothing of the store but their budget are served while it is
+//! unavailable, and no budget is overspent for it.
+
+mod support;
+
+use rosebend_standin::store::StoreFaults;
+use support::{Ask, Gateway, Site, until};
+
+/// Escrow slots of all partitions.
+const ALL_SLOTS: u64 = 32;
+/// Tokens that the stand-in endpoint generates for a turn.
+const TURN_TOKENS: u64 = 30;
+/// The most that [`turn`] may generate.
+const MOST_TOKENS: u64 = 100;
+
+/// A turn on a route that keeps no history.
+fn turn(attempt: &str, program: &str, budget_tokens: u64) -> Ask {
+    Ask::turn(attempt, program, "x")
+        .header("token-budget", &budget_tokens.to_string())
+        .at("/unkept/stream/turn")
+}
+
+/// Two gateways that own all slots between them.
+async fn two_owners(site: &Site) -> [Gateway; 2] {
+    let gateways = site.two_ready_gateways().await;
+    until("all slots have an owner", async || {
+        let [first, second] = &gateways;
+        first.metric("escrow_slots").await + second.metric("escrow_slots").await == ALL_SLOTS
+    })
+    .await;
+    for gateway in &gateways {
+        until("the owners are known everywhere", async || {
+            gateway.metric("escrow_owned_slots").await == ALL_SLOTS
+        })
+        .await;
+    }
+    gateways
+}
+
+async fn begin_outage(site: &Site, gateways: &[Gateway]) {
+    site.faults(&StoreFaults::refusing()).await;
+    for gateway in gateways {
+        until("the outage is noticed", async || {
+            !gateway.events("store-lost").is_empty()
+        })
+        .await;
+        gateway.until_unready().await;
+    }
+}
+
+async fn end_outage(site: &Site, gateways: &[Gateway]) {
+    site.faults(&StoreFaults::default()).await;
+    for gateway in gateways {
+        gateway.until_ready().await;
+        until("all grants are in the ledgers", async || {
+            gateway.metric("open_changes").await == 0
+                && gateway.metric("escrow_outstanding_tokens").await == 0
+        })
+        .await;
+    }
+}
+
+/// Serves turns at both hosts until one is not served. Returns how many were, and
+/// the status of the last.
+async fn spend(gateways: &[Gateway], name: &str, program: &str, budget_tokens: u64) -> (u64, u16) {
+    for number in 0.. {
+        let gateway = &gateways[number % gateways.len()];
+        let ask = turn(&format!("{name}{number}"), program, budget_tokens);
+        let answer = ask.send(gateway.front).await;
+        if answer.status != 200 {
+            return (number as u64, answer.status);
+        }
+        assert!(answer.is_whole);
+    }
+    unreachable!("every budget ends")
+}
+
+#[actix_rt::test]
+async fn a_program_without_history_begins_in_an_outage() {
+    let site = Site::start();
+    let gateways = two_owners(&site).await;
+    begin_outage(&site, &gateways).await;
+    let (in_outage, status) = spend(&gateways, "a", "p1", 1_000).await;
+    // Two slots grant a quarter of the budget each, and a turn begins only where a
+    // half of its most is left.
+    assert_eq!((in_outage, status), (14, 503));
+    let refused = Ask::turn("h1", "p2", "x").send(gateways[0].front).await;
+    assert_eq!(refused.status, 503, "its history needs the store");
+    assert!(refused.retry_after_s().is_some());
+    end_outage(&site, &gateways).await;
+    let (after, status) = spend(&gateways, "b", "p1", 1_000).await;
+    let turns = (1_000 - MOST_TOKENS) / TURN_TOKENS + 1;
+    assert_eq!((in_outage + after, status), (turns, 402));
+}
+
+#[actix_rt::test]
+async fn a_small_budget_waits_for_the_store() {
+    let site = Site::start();
+    let gateways = two_owners(&site).await;
+    begin_outage(&site, &gateways).await;
+    let (in_outage, status) = spend(&gateways, "a", "p1", 200).await;
+    assert_eq!((in_outage, status), (0, 503));
+    assert_eq!(site.times_run("a0").await, 0);
+}
+
+#[actix_rt::test]
+async fn a_crash_of_all_hosts_in_an_outage_overspends_no_budget() {
+    let site = Site::start();
+    let mut gateways = two_owners(&site).await;
+    begin_outage(&site, &gateways).await;
+    let (in_outage, _) = spend(&gateways, "a", "p1", 400).await;
+    assert!(in_outage > 0);
+    for gateway in &mut gateways {
+        gateway.kill();
+    }
+    site.faults(&StoreFaults::default()).await;
+    let gateways = site.two_ready_gateways().await;
+    let (after, status) = spend(&gateways, "b", "p1", 400).await;
+    // What the dead hosts granted may be all of their shares, of which one turn's
+    // most is forgiven; whether the budget holds more nobody can tell.
+    assert_eq!(status, 503);
+    assert!((in_outage + after) * TURN_TOKENS <= 400 + MOST_TOKENS);
+}
+
+#[actix_rt::test]
+async fn a_host_that_stops_in_an_outage_hands_its_slots_over() {
+    let site = Site::start();
+    let mut gateways = two_owners(&site).await;
+    begin_outage(&site, &gateways).await;
+    let (in_outage, _) = spend(&gateways, "a", "p1", 400).await;
+    let [first, second] = &mut gateways;
+    first.signal("TERM");
+    assert_eq!(first.exit_code().await, Some(0));
+    assert_eq!(second.metric("escrow_slots").await, ALL_SLOTS);
+    let served = turn("b", "p2", 400).send(second.front).await;
+    assert_eq!(served.status, 200, "{}", served.body);
+    // What the first one had granted is known to the second.
+    let spent = turn("c", "p1", 400).send(second.front).await;
+    assert_eq!(spent.status, 503);
+    site.faults(&StoreFaults::default()).await;
+    second.until_ready().await;
+    until(
+        "the grants of the host that is left are in the ledgers",
+        async || second.metric("open_changes").await == 0,
+    )
+    .await;
+    let (after, status) = spend(std::slice::from_ref(second), "d", "p1", 400).await;
+    let turns = (400 - MOST_TOKENS) / TURN_TOKENS + 1;
+    assert!(
+        (in_outage + after) <= turns,
+        "{in_outage} and {after}, then {status}"
+    );
+}
+
+#[actix_rt::test]
+async fn a_planned_stop_leaves_the_slots_to_others() {
+    let site = Site::start();
+    let mut gateways = two_owners(&site).await;
+    let [first, second] = &mut gateways;
+    first.signal("TERM");
+    until("the other host owns all slots", async || {
+        second.metric("escrow_slots").await == ALL_SLOTS
+    })
+    .await;
+    assert_eq!(first.exit_code().await, Some(0));
+}
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -113,6 +113,12 @@
     SpendingRefused,
     /// Step: the customer's limit does not allow the request now.
     LimitRefused,
+    /// This host owns `count` escrow slots more.
+    EscrowTaken,
+    /// This host has given up `count` escrow slots.
+    EscrowReleased,
+    /// Step: no owner of an escrow slot granted the turn while the store was unavailable.
+    EscrowRefused,
     /// Step: those who hold tokens of a budget that does not hold the turn were asked.
     HoldersAsked,
     /// A host that holds tokens of a program did not say whether it uses them.
@@ -175,7 +181,7 @@
 
 impl EventKind {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 81] = [
+    pub const ALL: [Self; 84] = [
         Self::ProcessStarted,
         Self::ProcessStopping,
         Self::ProcessStopped,
@@ -257,6 +263,9 @@
         Self::GathererAvoided,
         Self::CustomerUnusable,
         Self::LimitRefused,
+        Self::EscrowTaken,
+        Self::EscrowReleased,
+        Self::EscrowRefused,
     ];
 
     /// The event's number, which stays with it for ever.
@@ -332,6 +341,9 @@
             Self::SettingsRefused => 827,
             Self::SpendingRefused => 828,
             Self::LimitRefused => 844,
+            Self::EscrowTaken => 845,
+            Self::EscrowReleased => 846,
+            Self::EscrowRefused => 847,
             Self::HoldersAsked => 829,
             Self::HolderSilent => 830,
             Self::EntryRefused => 835,
@@ -421,6 +433,9 @@
             Self::SettingsRefused => "settings-refused",
             Self::SpendingRefused => "spending-refused",
             Self::LimitRefused => "limit-refused",
+            Self::EscrowTaken => "escrow-taken",
+            Self::EscrowReleased => "escrow-released",
+            Self::EscrowRefused => "escrow-refused",
             Self::HoldersAsked => "holders-asked",
             Self::HolderSilent => "holder-silent",
             Self::StreamResumed => "stream-resumed",
@@ -570,11 +585,20 @@
             }
             Self::HistoryRead => "Step: the turn to continue was found; `reason` says where.",
             Self::SpendingGranted => "Step: the turn may spend its most; `reason` says from where.",
+            Self::EscrowTaken => {
+                "This host owns `count` escrow slots more, from which it grants while the store is unavailable."
+            }
+            Self::EscrowReleased => {
+                "This host has given up `count` escrow slots as it stops; `reason` says where their accounts went: row or peer."
+            }
+            Self::EscrowRefused => {
+                "Step: the store was unavailable, and no owner of an escrow slot granted the turn its most."
+            }
             Self::LimitRefused => {
                 "Step: the limit of `customer` does not allow the request for `wait_ms`. `reason` says whether it was of a program under way or would have begun one, `count` how many of the customer's requests this host has served, `peer` who hands out the limit, and `age_ms` how long ago it was last heard."
             }
             Self::SpendingRefused => {
-                "Step: the budget does not hold the turn's most. `reason` says what fills it: spent or running; `holders` names who reserved."
+                "Step: the budget does not hold the turn's most. `reason` says what fills it: spent, running or withheld for grants that the ledger may not have; `holders` names who reserved."
             }
             Self::HoldersAsked => {
                 "Step: those who hold tokens of a budget that does not hold the turn were asked; `holders` says of each what it answered: returned, gone, settling or in-use."
