Use the field's terms for retries, timeouts and limits

Renames without a change of behaviour: comeback to retry_after, patience to timeout, say, tell and take to send, log_refusal and on_message. Ruled out: renaming the events, whose names operators may search for.

Beside it, slots are given up and the peers' row is deleted at the same time at the end of a stop, so that both fit before the end by force.

Tried and reverted: a retry time of up to a third of the caller's time left in place of 1 s.

--- a/coordination/src/gateway.rs
+++ b/coordination/src/gateway.rs
@@ -11,7 +11,7 @@
 //! | what follows when an endpoint did not answer as it should | [`attempt`] | `exchange` |
 //! | which events of a stream go out, and where its next run goes on | [`event_series`] | `runs` |
 //! | which requests crash endpoints | [`fingerprint`] | `quarantine`, `dispatch` |
-//! | when a caller that was refused may come back | [`comeback`] | `reply` |
+//! | when a caller that was refused may come back | [`retry_after`] | `reply` |
 //! | what a program has spent, and what its turns may spend | [`ledger`] | `spending` and `recall`, by [`pending_changes`] |
 //! | what programs may spend while the store is unavailable | [`escrow`] | `spending`, by `escrow` |
 //! | which changes of programs become durable together | [`pending_changes`] | `commits` |
@@ -32,7 +32,6 @@
 
 pub mod admission;
 pub mod attempt;
-pub mod comeback;
 pub mod directory;
 pub mod escrow;
 pub mod event_series;
@@ -45,4 +44,5 @@
 pub mod limits;
 pub mod pending_changes;
 pub mod refusals;
+pub mod retry_after;
 pub mod route_table;
--- a/coordination/src/gateway/admission.rs
+++ b/coordination/src/gateway/admission.rs
@@ -38,9 +38,9 @@
 const ALL_REFUSED_MS: f64 = 75.0;
 /// Shortest time after which a refused caller may come back, in which a few
 /// hundred turns end at the engines of a deployment.
-const MIN_COMEBACK: Duration = Duration::from_millis(250);
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
 /// Longest such time: callers follow it for a third of the time that they have.
-const MAX_COMEBACK: Duration = Duration::from_secs(1);
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// How urgent a program is: by its customer first, among customers of the same rank
 /// by its route.
@@ -136,8 +136,8 @@
         let share = beyond_ms / (ALL_REFUSED_MS - FIRST_REFUSED_MS);
         let place = hash_parts(&[attempt.as_bytes()]) % 1_024;
         let is_refused = (place as f64) < share * 1_024.0;
-        let comeback = Duration::from_secs_f64(wait_ms * 2.0 / 1_000.0);
-        is_refused.then(|| comeback.clamp(MIN_COMEBACK, MAX_COMEBACK))
+        let retry_after = Duration::from_secs_f64(wait_ms * 2.0 / 1_000.0);
+        is_refused.then(|| retry_after.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER))
     }
 }
 
--- a/coordination/src/gateway/attempt.rs
+++ b/coordination/src/gateway/attempt.rs
@@ -14,12 +14,11 @@
 
 /// Silence of a stream after which callers leave at the earliest; published
 /// with the protocol.
-const LEAST_CALLERS_PATIENCE: Duration = Duration::from_secs(2);
+const MIN_CALLER_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Share of its caller's patience for which a silent stream is borne while
-/// another endpoint may run it. With grey endpoints, programs earned 0.92 of
-/// their worth when nothing went on, 0.94 with a half and 0.95 with a quarter.
-const PATIENCE_SHARE: u32 = 4;
+/// Part of its caller's timeout after which a silent stream goes on elsewhere, as one
+/// in so many.
+const TIMEOUT_DIVISOR: u32 = 4;
 
 /// How one exchange with an endpoint ended without an answer to pass on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -115,12 +114,12 @@
 
     /// How long the stream of the endpoint that is asked now may be silent
     /// before another one is asked; none where only this one may run it.
-    pub fn patience(&self, route: &Route) -> Option<Duration> {
+    pub fn timeout(&self, route: &Route) -> Option<Duration> {
         let may_run_elsewhere = route.resumes_streams() && self.runs + 1 < route.max_attempts;
-        let callers = LEAST_CALLERS_PATIENCE
+        let callers = MIN_CALLER_TIMEOUT
             .max(route.objective * 4)
             .max(route.event_gap * 8);
-        may_run_elsewhere.then_some(callers / PATIENCE_SHARE)
+        may_run_elsewhere.then_some(callers / TIMEOUT_DIVISOR)
     }
 
     fn may_go_on(&self, route: &Route) -> bool {
--- a/coordination/src/gateway/directory/cost.rs
+++ b/coordination/src/gateway/directory/cost.rs
@@ -7,24 +7,20 @@
 use super::{Directory, Endpoint, Wish};
 
 /// By how much a request takes longer at an endpoint whose slots are all taken
-/// than at an idle one: 73 tokens at 2.72 ms a step instead of 2.33 ms.
+/// than at an idle one.
 const FULL_MS: f64 = 30.0;
 /// Time that a turn holds its slot; a request beyond the slots waits for its
 /// share of it.
 const TURN_HOLD_MS: f64 = 280.0;
 /// Time for which a plain request holds its slot before any was measured.
 const DEFAULT_HOLD_MS: f64 = 100.0;
-/// Cost of each prompt token that an engine has to read. Engines read 73 to
-/// 168 tokens in a millisecond; but all that run there wait meanwhile, and what
-/// is read puts other programs' prompts out of memory. Of 0.02, 0.05 and 0.10
-/// the last served a loaded site best (0.71, 0.82 and 0.86 of the worth).
+/// Cost of each prompt token that an engine has to read. It is more than the time of
+/// the reading: all that run there wait meanwhile, and what is read evicts other
+/// programs' prompts.
 const COLD_TOKEN_MS: f64 = 0.10;
-/// Cost of a way to another availability zone: there and back takes 1 to 2 ms,
-/// bytes between zones are paid for, and a host that stays in its zone meets
-/// fewer endpoints and opens fewer connections. With 12 instead of 2 ms, 127
-/// hosts before 175 endpoints moved 0.24 instead of 0.35 GB between zones and
-/// opened 15,912 instead of 20,505 connections for 128,000 requests, none of them
-/// later (one run each).
+/// Cost of another availability zone. It is more than the round trip: bytes between
+/// zones are paid for, and a host that stays in its zone needs connections to fewer
+/// endpoints.
 const ZONE_MS: f64 = 12.0;
 /// Cost of an endpoint that just started and is slow.
 const WARMING_UP_MS: f64 = 60.0;
@@ -32,12 +28,12 @@
 const LAPSED_MS: f64 = 5_000.0;
 /// Cost of an endpoint that is avoided after failures; all may be.
 const AVOIDED_MS: f64 = 50_000.0;
-/// Cost of an endpoint to which no idle connection is open: a handshake takes
-/// about 2 ms, the endpoint holds a slot for it, and connections are paid for.
+/// Cost of an endpoint to which no idle connection is open: the handshake holds a
+/// slot, and connections are paid for.
 const CONNECT_MS: f64 = 5.0;
 /// Cost of a request that fails, times the share of an endpoint's requests that
 /// failed lately. A call that fails ends its program, which is worth as much as
-/// some seconds of waiting; at 5 % it weighs 75 ms, two places in a queue.
+/// some seconds of waiting.
 const FAILURE_MS: f64 = 1_500.0;
 /// Spread by which hosts that know the same are kept from choosing the same.
 const JITTER_MS: f64 = 6.0;
--- a/coordination/src/gateway/escrow/message.rs
+++ b/coordination/src/gateway/escrow/message.rs
@@ -78,6 +78,6 @@
     pub number: u64,
     /// The run that asked.
     pub to: Holder,
-    /// What it is told.
+    /// The answer.
     pub reply: Reply,
 }
--- a/coordination/src/gateway/gatherers.rs
+++ b/coordination/src/gateway/gatherers.rs
@@ -20,15 +20,13 @@
 /// nine.
 const MAX_ASKED: usize = 2;
 /// The share of the strongest host's processor, as one in so many, that a host
-/// needs to gather for others: the weakest hosts have a sixth of it and serve as
-/// many callers. What gathering takes by itself was not measured.
+/// needs to gather for others: weaker hosts serve as many callers of their own.
 const STRONG_SHARE: u32 = 2;
-/// First time for which a host that was silent is not asked again; it doubles
-/// with each silence in a row. A killed process is back within one to three
-/// seconds.
+/// First time for which a host that was silent is not asked again; it doubles with
+/// each silence in a row. A process that was killed is back after about as long.
 const FIRST_AVOIDANCE: Duration = Duration::from_secs(1);
 /// Longest such time: each look at a host that stays away costs one transaction
-/// its patience.
+/// its timeout.
 const MAX_AVOIDANCE: Duration = Duration::from_secs(16);
 
 /// A host that may gather.
--- a/coordination/src/gateway/group_commit.rs
+++ b/coordination/src/gateway/group_commit.rs
@@ -35,12 +35,9 @@
 /// while their gatherer is away, for deletions and for what comes again.
 const WRITES_SHARE: f64 = 0.75;
 
-/// Least time between the starts of two transactions of a partition: with it the
-/// partitions together stay within the rate that the store declares. At 700
-/// writes a second and 16 partitions it is 30 ms, and of the changes of a burst
-/// 100 % are durable within 100 ms; without it calls are refused and sent again,
-/// and 56 % are (the model of `gateway_commit_load`). At 3,200 a second it is
-/// shorter than a transaction and changes nothing.
+/// Least time between the starts of two transactions of a partition, with which all
+/// partitions together stay within the rate that the store declares. Calls beyond
+/// the rate are refused and sent again, which makes a burst last longer.
 pub fn pace(partitions: u64, writes_per_s: u64) -> Duration {
     let joined_per_s = writes_per_s as f64 * WRITES_SHARE;
     Duration::from_secs_f64(partitions as f64 / joined_per_s.max(1.0))
--- a/coordination/src/gateway/limits.rs
+++ b/coordination/src/gateway/limits.rs
@@ -125,7 +125,7 @@
         self.limits = limits;
     }
 
-    /// Takes what operators bear beyond the limits.
+    /// Sets how far customers may exceed their limits.
     pub fn set_tolerance(&mut self, tolerance: Tolerance) {
         self.tolerance = tolerance;
     }
--- a/coordination/tests/gateway_attempt.rs
+++ b/coordination/tests/gateway_attempt.rs
@@ -105,14 +105,14 @@
 fn silence_is_borne_a_quarter_of_what_callers_bear_and_to_the_end_by_the_last() {
     let mut slow = route(RouteKind::Streaming, true, 2);
     let attempt = Attempt::default();
-    assert_eq!(attempt.patience(&slow), Some(Duration::from_millis(500)));
+    assert_eq!(attempt.timeout(&slow), Some(Duration::from_millis(500)));
     slow.event_gap = Duration::from_secs(1);
-    assert_eq!(attempt.patience(&slow), Some(Duration::from_secs(2)));
+    assert_eq!(attempt.timeout(&slow), Some(Duration::from_secs(2)));
     let mut last = Attempt::default();
     last.after(&slow, Failure::Silent, LEFT);
-    assert_eq!(last.patience(&slow), None);
+    assert_eq!(last.timeout(&slow), None);
     let never = route(RouteKind::Streaming, false, 2);
-    assert_eq!(attempt.patience(&never), None);
+    assert_eq!(attempt.timeout(&never), None);
     let plain = route(RouteKind::Idempotent, true, 2);
-    assert_eq!(attempt.patience(&plain), None);
+    assert_eq!(attempt.timeout(&plain), None);
 }
--- a/coordination/tests/gateway_comeback.rs
+++ b/coordination/tests/gateway_retry_after.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use rosebend_coordination::gateway::comeback::after_outage;
+use rosebend_coordination::gateway::retry_after::after_outage;
 
 #[test]
 fn callers_come_back_after_as_long_as_the_store_was_away() {
--- a/gateway/src/commits.rs
+++ b/gateway/src/commits.rs
@@ -22,9 +22,9 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(40);
 /// Longest such pause: the store's return must be noticed soon.
 const MAX_PAUSE: Duration = Duration::from_millis(320);
-/// How long a change that nobody waits for may wait for another one to go with.
-/// A program's next turn comes after 150 ms and more; one that comes to another
-/// host counts this one at its most until then, for which the users allow 1 s.
+/// How long a change that nobody waits for may wait for another one to go with. A
+/// program's next turn that comes to another host counts this one at its most until
+/// then.
 const LATER: Duration = Duration::from_millis(300);
 
 #[derive(Debug)]
--- a/gateway/src/escrow.rs
+++ b/gateway/src/escrow.rs
@@ -42,10 +42,10 @@
 const AVOIDANCE: Duration = Duration::from_secs(1);
 /// Time between two looks for slots that this host should own.
 const CLAIM_INTERVAL: Duration = Duration::from_millis(500);
-/// Pause before a settled grant is told again to an owner that did not answer.
+/// Pause before a settlement is reported again to an owner that did not answer.
 const SETTLE_AGAIN: Duration = Duration::from_secs(1);
-/// Times that an owner is told of a settled grant at most. One that never hears
-/// of it grants the program less.
+/// Most reports of a settlement. An owner that misses them all grants the program
+/// less.
 const MAX_SETTLE_TRIES: u32 = 5;
 /// Largest datagram that is sent, in bytes.
 const MAX_SENT_BYTES: usize = 8_000;
@@ -437,8 +437,8 @@
     log_event(&event.reason("peer"));
 }
 
-/// Takes a message of another gateway.
-pub fn take(gateway: &Gateway, message: &[u8], from: SocketAddr) {
+/// Handles a message of another gateway.
+pub fn on_message(gateway: &Gateway, message: &[u8], from: SocketAddr) {
     // What no gateway of this version sent is passed over, as one that is lost.
     let Ok(message) = serde_json::from_slice(message) else {
         return;
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -80,8 +80,8 @@
 
     /// How long the stream of the present endpoint may be silent before another
     /// one is asked; none where that is not allowed.
-    pub fn patience(&self) -> Option<Duration> {
-        self.attempt.patience(&self.call.route)
+    pub fn timeout(&self) -> Option<Duration> {
+        self.attempt.timeout(&self.call.route)
     }
 
     /// The next answer that may be passed on.
@@ -179,9 +179,9 @@
         let at = self.gateway.begin_at(&endpoint.identity);
         let left = self.call.left(self.gateway.clock.now());
         let exchanging = self.exchange(endpoint, at);
-        let patience = self.patience().unwrap_or(left);
-        let exchanged = tokio::time::timeout(left.min(patience), exchanging).await;
-        exchanged.unwrap_or(Err(match patience < left {
+        let timeout = self.timeout().unwrap_or(left);
+        let exchanged = tokio::time::timeout(left.min(timeout), exchanging).await;
+        exchanged.unwrap_or(Err(match timeout < left {
             true => Failure::Silent,
             false => Failure::TimedOut,
         }))
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -31,7 +31,6 @@
 use crate::unusable;
 
 /// Bytes of turns that are kept in memory, so that most turns need no read.
-/// About 4,000 turns at 5.6 KB, the bytes a turn on a quiet day of one site.
 const HISTORY_BYTES: usize = 24 << 20;
 
 /// How long the store may be out of reach before the host takes no callers:
@@ -285,7 +284,7 @@
     }
 }
 
-/// What operators bear beyond customers' limits.
+/// How far customers may exceed their limits.
 fn tolerance(settings: &CustomerSettings) -> Tolerance {
     Tolerance {
         window: settings.limit_window,
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -19,8 +19,7 @@
 use crate::gateway::Gateway;
 use crate::{escrow, limits};
 
-/// Time between two datagrams to a peer. A request takes 200 to 400 ms at an
-/// engine, so a load of this age still says something.
+/// Time between two datagrams to a peer, short against a request at an engine.
 const INTERVAL: Duration = Duration::from_millis(150);
 /// Loads of one datagram at most: about 1,000 bytes.
 const MAX_LOADS: usize = 24;
@@ -149,11 +148,11 @@
             continue;
         };
         if let Some(message) = buffer[..bytes].strip_prefix(&limits::MARK) {
-            limits::take(&gateway, message, from);
+            limits::on_message(&gateway, message, from);
             continue;
         }
         if let Some(message) = buffer[..bytes].strip_prefix(&escrow::MARK) {
-            escrow::take(&gateway, message, from);
+            escrow::on_message(&gateway, message, from);
             continue;
         }
         // Anyone may send a datagram; what is said by no gateway of this
--- a/gateway/src/joined_commits.rs
+++ b/gateway/src/joined_commits.rs
@@ -25,7 +25,7 @@
 use rosebend_state::deployment::Transaction;
 use rosebend_transport::clock::{Clock, whole_ms};
 use rosebend_transport::event::{Event, EventKind, log_event};
-use rosebend_transport::store::{MIN_PATIENCE, StoreClient, StoreError, Transacted, next_patience};
+use rosebend_transport::store::{MIN_TIMEOUT, StoreClient, StoreError, Transacted, next_timeout};
 use tokio::sync::oneshot;
 
 use self::ask::PeerConnections;
@@ -36,7 +36,7 @@
 
 /// How long a gatherer may take to say that it has a transaction. It takes 2 to
 /// 4 ms, and a host at a tenth of a core about 30; its caller waits meanwhile.
-const ACCEPT_PATIENCE: Duration = Duration::from_millis(80);
+const ACCEPT_TIMEOUT: Duration = Duration::from_millis(80);
 
 /// The outcome of a transaction, for who asked.
 type Outcome = Result<Transacted, StoreError>;
@@ -70,7 +70,7 @@
     gatherers: RefCell<Gatherers<SocketAddr>>,
     /// How long a gatherer that has a transaction may take to say how it ended,
     /// before the next way is tried, too; four times what it took lately.
-    patience: Cell<Duration>,
+    timeout: Cell<Duration>,
     connections: PeerConnections,
     partitions: RefCell<HashMap<String, Partition>>,
 }
@@ -109,7 +109,7 @@
             clock,
             pace: Cell::default(),
             gatherers: RefCell::default(),
-            patience: Cell::new(MIN_PATIENCE),
+            timeout: Cell::new(MIN_TIMEOUT),
             connections: PeerConnections::default(),
             partitions: RefCell::default(),
         }
@@ -161,13 +161,13 @@
             // Each try outlives the round that began it, and so does its mark.
             let accepted = Rc::new(Cell::new(false));
             tries.push(self.try_way(way.clone(), transaction, Rc::clone(&accepted)));
-            let patience = self.patience(&way, accepted);
+            let timeout = self.timeout(&way, accepted);
             tokio::select! {
                 Some(tried) = tries.next() => match tried {
                     Tried::Ended(outcome) => return outcome,
                     Tried::Failed(error) => failed = error,
                 },
-                () = patience => {}
+                () = timeout => {}
             }
         }
         while let Some(tried) = tries.next().await {
@@ -199,15 +199,15 @@
     }
 
     /// Ends once the next way is to be tried beside one.
-    async fn patience(&self, way: &Way, accepted: Rc<Cell<bool>>) {
+    async fn timeout(&self, way: &Way, accepted: Rc<Cell<bool>>) {
         let Way::By(candidate) = way else {
             // The store's own client knows when to send again.
             return std::future::pending().await;
         };
-        tokio::time::sleep(ACCEPT_PATIENCE).await;
+        tokio::time::sleep(ACCEPT_TIMEOUT).await;
         match accepted.get() {
             true => {
-                let left = self.patience.get().saturating_sub(ACCEPT_PATIENCE);
+                let left = self.timeout.get().saturating_sub(ACCEPT_TIMEOUT);
                 tokio::time::sleep(left).await;
             }
             false => self.avoid(candidate, "silent"),
@@ -248,7 +248,7 @@
             }
         };
         let took = self.clock.now().saturating_sub(asked_at);
-        self.patience.set(next_patience(self.patience.get(), took));
+        self.timeout.set(next_timeout(self.timeout.get(), took));
         if matches!(committed, Committed::Applied(_) | Committed::Conflict(_)) {
             self.gatherers.borrow_mut().answered(&candidate.host);
             self.store
--- a/gateway/src/limits.rs
+++ b/gateway/src/limits.rs
@@ -28,17 +28,16 @@
 
 /// Begins every datagram of this module; no other begins so.
 pub const MARK: [u8; 2] = *b"L1";
-/// How long a request waits for its allocator: a few round trips of 2 to 4 ms, or
-/// one to a host at a tenth of a core.
-const PATIENCE: Duration = Duration::from_millis(60);
+/// Timeout for a grant from the allocator.
+const GRANT_TIMEOUT: Duration = Duration::from_millis(60);
 /// Pause before a waiting request asks again: datagrams are lost.
 const ASK_AGAIN: Duration = Duration::from_millis(21);
-/// Shortest time after which a caller may come back to whom nobody could tell.
-const MIN_COMEBACK: Duration = Duration::from_millis(200);
-/// Time between two looks at what there is to tell.
-const LOOK: Duration = Duration::from_millis(100);
+/// Shortest retry time where the allocator did not answer.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// Time between two reports to allocators.
+const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 
-/// What gateways say to each other about limits.
+/// Messages that gateways exchange to enforce rate limits.
 #[derive(Debug, Deserialize, Serialize)]
 enum Message {
     Ask(Ask),
@@ -65,7 +64,7 @@
     }
 
     /// Sends by this socket from now on.
-    pub fn talk_by(&self, socket: Rc<UdpSocket>) {
+    pub fn set_socket(&self, socket: Rc<UdpSocket>) {
         // The process has one socket for datagrams, and sets it once.
         let _ = self.socket.set(socket);
     }
@@ -75,7 +74,7 @@
         self.state.borrow_mut().set_limits(limits);
     }
 
-    /// Takes what operators bear beyond the limits.
+    /// Sets how far customers may exceed their limits.
     pub fn set_tolerance(&self, tolerance: Tolerance) {
         self.state.borrow_mut().set_tolerance(tolerance);
     }
@@ -85,7 +84,7 @@
         self.state.borrow_mut().set_hosts(hosts);
     }
 
-    fn say(&self, to: SocketAddr, message: &Message) {
+    fn send(&self, to: SocketAddr, message: &Message) {
         let Some(socket) = self.socket.get() else {
             return;
         };
@@ -95,10 +94,10 @@
         let _ = socket.try_send_to(&datagram, to);
     }
 
-    fn ask_for(&self, customer: &str, now: Duration) {
+    fn request_grant(&self, customer: &str, now: Duration) {
         let ask = self.state.borrow_mut().asks_for(customer, now);
         if let Some((to, ask)) = ask {
-            self.say(to, &Message::Ask(ask));
+            self.send(to, &Message::Ask(ask));
         }
     }
 }
@@ -129,17 +128,17 @@
             call.counted.set(Some(demand));
             Ok(())
         }
-        Decision::Refuse(wait) => Err(tell(gateway, call, Refusal::OverLimit(wait))),
+        Decision::Refuse(wait) => Err(log_refusal(gateway, call, Refusal::OverLimit(wait))),
         Decision::NotKnown(wait) => {
-            let refusal = Refusal::LimitNotKnown(wait.max(MIN_COMEBACK));
-            Err(tell(gateway, call, refusal))
+            let refusal = Refusal::LimitNotKnown(wait.max(MIN_RETRY_AFTER));
+            Err(log_refusal(gateway, call, refusal))
         }
-        Decision::Ask => Err(Refusal::LimitNotKnown(MIN_COMEBACK)),
+        Decision::Ask => Err(Refusal::LimitNotKnown(MIN_RETRY_AFTER)),
     }
 }
 
-/// Writes by what a refusal was decided.
-fn tell(gateway: &Gateway, call: &Call, refusal: Refusal) -> Refusal {
+/// Logs a refusal with what decided it.
+fn log_refusal(gateway: &Gateway, call: &Call, refusal: Refusal) -> Refusal {
     let customer = call.customer.as_ref();
     let customer = customer.map_or("", |customer| customer.name.as_str());
     let now = gateway.clock.now();
@@ -205,12 +204,12 @@
 
 async fn wait(gateway: &Gateway, customer: &str, demand: Demand) -> Decision {
     let limits = &gateway.limits;
-    let until = gateway.clock.now() + PATIENCE;
+    let until = gateway.clock.now() + GRANT_TIMEOUT;
     let _waiting = Waiting::begin(limits, customer, demand);
     loop {
         let answered = limits.answered.notified();
         let now = gateway.clock.now();
-        limits.ask_for(customer, now);
+        limits.request_grant(customer, now);
         // What this host allocates itself is there at once.
         let decision = limits.state.borrow_mut().decide(customer, demand, now);
         if decision != Decision::Ask {
@@ -230,10 +229,10 @@
     }
 }
 
-/// Tells allocators what there is to tell, for ever.
+/// Reports to allocators, for ever.
 pub async fn run(gateway: Rc<Gateway>) {
     loop {
-        tokio::time::sleep(LOOK).await;
+        tokio::time::sleep(REPORT_INTERVAL).await;
         let now = gateway.clock.now();
         let asks = {
             let mut state = gateway.limits.state.borrow_mut();
@@ -241,13 +240,13 @@
             state.asks(now)
         };
         for (to, ask) in asks {
-            gateway.limits.say(to, &Message::Ask(ask));
+            gateway.limits.send(to, &Message::Ask(ask));
         }
     }
 }
 
-/// Takes what another gateway says.
-pub fn take(gateway: &Gateway, message: &[u8], from: SocketAddr) {
+/// Handles a message of another gateway.
+pub fn on_message(gateway: &Gateway, message: &[u8], from: SocketAddr) {
     // What no gateway of this version sent is passed over, as one that is lost.
     let Ok(message) = serde_json::from_slice(message) else {
         return;
@@ -258,7 +257,7 @@
         Message::Ask(ask) => {
             let answer = limits.state.borrow_mut().take_ask(&ask, now);
             if let Some(answer) = answer {
-                limits.say(from, &Message::Answer(answer));
+                limits.send(from, &Message::Answer(answer));
             }
         }
         Message::Answer(answer) => {
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -77,7 +77,7 @@
         error,
     })?;
     let datagrams = Rc::new(datagrams);
-    gateway.limits.talk_by(Rc::clone(&datagrams));
+    gateway.limits.set_socket(Rc::clone(&datagrams));
     gateway.escrow.set_socket(Rc::clone(&datagrams));
     actix_rt::spawn(gossip::run(Rc::clone(&gateway), datagrams));
     actix_rt::spawn(limits::run(Rc::clone(&gateway)));
@@ -129,10 +129,14 @@
             break;
         }
     }
-    give_up_slots(gateway).await;
-    // Until here peers could ask what its turns still hold. A row that stays
-    // costs a peer one call that is refused.
-    let _ = tokio::time::timeout(LEAVE_TIMEOUT, peers::leave(gateway)).await;
+    // Until here peers could ask what its turns still hold. A row that stays costs a
+    // peer one call that is refused, and slots that are not given up in time stay with
+    // a run that is gone.
+    let _ = tokio::join!(
+        tokio::time::timeout(LEAVE_TIMEOUT, give_up_slots(gateway)),
+        tokio::time::timeout(LEAVE_TIMEOUT, peers::leave(gateway)),
+    );
+
     let kind = match gateway.open_requests() {
         0 => EventKind::ProcessStopped,
         _ => EventKind::StopTimedOut,
@@ -143,12 +147,8 @@
 /// Gives up slots that were kept at the signal, since the store was unavailable, or
 /// that came since.
 async fn give_up_slots(gateway: &Gateway) {
-    let given_up = async {
-        match gateway.store.is_reachable() {
-            true => escrow::release(gateway).await,
-            false => escrow::hand_over(gateway).await,
-        }
-    };
-    // What is not given up in time stays with a run that is gone.
-    let _ = tokio::time::timeout(LEAVE_TIMEOUT, given_up).await;
+    match gateway.store.is_reachable() {
+        true => escrow::release(gateway).await,
+        false => escrow::hand_over(gateway).await,
+    }
 }
--- a/gateway/src/reply.rs
+++ b/gateway/src/reply.rs
@@ -9,8 +9,8 @@
 use bytes::Bytes;
 use futures_util::Stream;
 use http::HeaderMap;
-use rosebend_coordination::gateway::comeback::after_outage;
 use rosebend_coordination::gateway::identity::IdentityError;
+use rosebend_coordination::gateway::retry_after::after_outage;
 use rosebend_coordination::gateway::route_table::RouteError;
 use rosebend_platform::headers::{self, HeaderError};
 use rosebend_protocol::problem::{Problem, Ran};
@@ -67,8 +67,8 @@
     BodyTimeout,
     /// Every endpoint that was asked refused or was out of reach.
     NoRoom,
-    /// The engines have longer queues than a new program bears; the caller may
-    /// come back after this time.
+    /// The engines' queues are too long for a new program; the caller may retry
+    /// after this time.
     Overloaded(Duration),
     /// The store, which has the program's history and budget, has been out of
     /// reach for this time.
@@ -185,7 +185,7 @@
     pub fn retry_after(self) -> Option<Duration> {
         match self {
             Self::NoRoom => Some(ROOM_RETRY),
-            Self::Overloaded(comeback) => Some(comeback),
+            Self::Overloaded(retry_after) => Some(retry_after),
             Self::BudgetUnsettled => Some(SETTLE_RETRY),
             Self::StoreUnreachable(away) => Some(after_outage(away)),
             Self::OverLimit(wait) | Self::LimitNotKnown(wait) => Some(wait),
--- a/gateway/src/runs.rs
+++ b/gateway/src/runs.rs
@@ -139,9 +139,9 @@
     }
 
     async fn next_frame(&mut self) -> Result<Option<Frame<Bytes>>, Failure> {
-        let frame = match self.exchange.patience() {
+        let frame = match self.exchange.timeout() {
             None => self.run.body.frame().await,
-            Some(patience) => tokio::time::timeout(patience, self.run.body.frame())
+            Some(timeout) => tokio::time::timeout(timeout, self.run.body.frame())
                 .await
                 .map_err(|_| Failure::Silent)?,
         };
--- a/gateway/src/turn.rs
+++ b/gateway/src/turn.rs
@@ -77,8 +77,8 @@
     }
     let admission = gateway.admission.borrow();
     let now = gateway.clock.now();
-    let comeback = admission.refuse(&call.service, call.urgency(), &call.header.attempt, now);
-    comeback.map_or(Ok(()), |comeback| Err(Refusal::Overloaded(comeback)))
+    let retry_after = admission.refuse(&call.service, call.urgency(), &call.header.attempt, now);
+    retry_after.map_or(Ok(()), |retry_after| Err(Refusal::Overloaded(retry_after)))
 }
 
 /// Whether a turn begins its program, as far as this host can tell. Where no history
--- a/transport/src/store/mod.rs
+++ b/transport/src/store/mod.rs
@@ -42,10 +42,10 @@
 
 /// Shortest wait for the answer to a transaction before another copy is sent.
 /// Answers take 8 to 20 ms; a few take longer when a partition is busy.
-pub const MIN_PATIENCE: Duration = Duration::from_millis(150);
+pub const MIN_TIMEOUT: Duration = Duration::from_millis(150);
 /// Longest such wait. A slow store answers after 200 to 500 ms, and needs no
 /// second copy of each call.
-const MAX_PATIENCE: Duration = Duration::from_secs(1);
+const MAX_TIMEOUT: Duration = Duration::from_secs(1);
 /// Copies of one transaction, at most: where three answers in ten are lost, all
 /// of three are lost in one of 37 transactions.
 const MAX_COPIES: usize = 3;
@@ -116,7 +116,7 @@
     /// First call refused as one too many, with none answered since.
     throttled_since: Cell<Option<Duration>>,
     /// How long to wait for the answer to a transaction before it is sent again.
-    patience: Cell<Duration>,
+    resend_after: Cell<Duration>,
     /// Why the last straight call failed; none since one was answered.
     last_failure: RefCell<Option<StoreError>>,
     peers: RefCell<Vec<Rc<Way>>>,
@@ -138,7 +138,7 @@
         Self {
             direct: RefCell::new(Rc::new(Way::new(address, clock))),
             throttled_since: Cell::new(None),
-            patience: Cell::new(MIN_PATIENCE),
+            resend_after: Cell::new(MIN_TIMEOUT),
             last_failure: RefCell::default(),
             peers: RefCell::default(),
             refused: RefusedPartitions::default(),
@@ -424,17 +424,17 @@
     ) -> Result<(StoreStatus, Bytes), StoreError> {
         let mut copies = FuturesUnordered::new();
         let mut sent = 0;
-        let mut patience = self.patience.get();
+        let mut resend_after = self.resend_after.get();
         loop {
             if sent < MAX_COPIES {
                 copies.push(self.timed_transaction(outgoing));
                 sent += 1;
             }
             let wait = match sent < MAX_COPIES {
-                true => patience,
+                true => resend_after,
                 false => self.timeout.get() * 2,
             };
-            patience *= 2;
+            resend_after *= 2;
             while let Ok(ended) = tokio::time::timeout(wait, copies.next()).await {
                 match ended {
                     Some(Ok(answer)) => return Ok(answer),
@@ -457,7 +457,8 @@
         let answer = call.await;
         if answer.is_ok() {
             let took = self.clock.now().saturating_sub(started);
-            self.patience.set(next_patience(self.patience.get(), took));
+            self.resend_after
+                .set(next_timeout(self.resend_after.get(), took));
         }
         answer
     }
@@ -663,9 +664,9 @@
 
 /// The wait for the next answer: four times what answers took lately, eight of
 /// them together.
-pub fn next_patience(patience: Duration, took: Duration) -> Duration {
-    let next = (patience * 7 + took * 4) / 8;
-    next.clamp(MIN_PATIENCE, MAX_PATIENCE)
+pub fn next_timeout(resend_after: Duration, took: Duration) -> Duration {
+    let next = (resend_after * 7 + took * 4) / 8;
+    next.clamp(MIN_TIMEOUT, MAX_TIMEOUT)
 }
 
 /// What an answer, or its absence, says.
