Split what a slot is asked about a program from the passing on of slots

The questions about a program are a type of their own, which the accounts of a slot answer; the slots are left with who owns them. The reservation of a turn is split into its parts. No behaviour changes: the model and the process tests of escrow, budgets and turns pass as before.

--- a/coordination/src/gateway/escrow/accounts.rs
+++ b/coordination/src/gateway/escrow/accounts.rs
@@ -5,6 +5,7 @@
 use rosebend_state::deployment::ProgramKey;
 use serde::{Deserialize, Serialize};
 
+use super::message::{ProgramAsk, Reply};
 use super::{GrantId, is_eligible, share_tokens};
 
 /// Programs that one slot keeps at most. A slot that reaches it grants nothing
@@ -67,6 +68,25 @@
 }
 
 impl Accounts {
+    /// Answers a question about a program.
+    pub fn answer(&mut self, program: &str, ask: ProgramAsk) -> Reply {
+        match ask {
+            ProgramAsk::Grant(request) => match self.grant(program, &request) {
+                true => Reply::Granted,
+                false => Reply::Refused,
+            },
+            ProgramAsk::Report(grant, tokens) => {
+                self.report(program, &grant, tokens);
+                Reply::Noted
+            }
+            ProgramAsk::Settle(grant) => {
+                self.settle(program, &grant);
+                Reply::Noted
+            }
+            ProgramAsk::Close => self.close(program).into(),
+        }
+    }
+
     /// Grants a turn the tokens that it wants, if the program's share holds them.
     pub fn grant(&mut self, program: &str, request: &GrantRequest) -> bool {
         let share = share_tokens(request.budget_tokens);
--- a/coordination/src/gateway/escrow/message.rs
+++ b/coordination/src/gateway/escrow/message.rs
@@ -24,18 +24,12 @@
     pub ask: Ask,
 }
 
-/// What a slot's owner is asked.
+/// What a run is asked.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub enum Ask {
-    /// A turn wants a grant, or a larger one.
-    Grant(ProgramKey, GrantRequest),
-    /// A granted turn has ended with so many tokens.
-    Report(ProgramKey, GrantId, u64),
-    /// The ledger has a grant.
-    Settle(ProgramKey, GrantId),
-    /// The ledger needs what the slot may grant of the program's budget.
-    Close(ProgramKey),
+    /// A slot's owner is asked about a program.
+    Program(ProgramKey, ProgramAsk),
     /// The owner stops while the store is unavailable: the one that is asked owns
     /// the slot from now on.
     TakeOver(Accounts),
@@ -43,6 +37,20 @@
     Moved(Holder),
 }
 
+/// What a slot's owner is asked about a program.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub enum ProgramAsk {
+    /// A turn wants a grant, or a larger one.
+    Grant(GrantRequest),
+    /// A granted turn has ended with so many tokens.
+    Report(GrantId, u64),
+    /// The ledger has a grant.
+    Settle(GrantId),
+    /// The ledger needs what the slot may grant of the program's budget.
+    Close,
+}
+
 /// What a slot's owner answers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
--- a/coordination/src/gateway/escrow/slots.rs
+++ b/coordination/src/gateway/escrow/slots.rs
@@ -245,28 +245,12 @@
     /// What this run answers to a question about a slot.
     pub fn answer(&mut self, slot: &SlotId, from: &Holder, ask: Ask) -> Reply {
         match ask {
-            Ask::TakeOver(accounts) => return self.take_over(slot, from, accounts),
-            Ask::Moved(owner) => return self.moved(slot, &owner, from),
-            _ => {}
-        }
-        let Some(accounts) = self.held.get_mut(slot) else {
-            return Reply::NotOwner;
-        };
-        match ask {
-            Ask::Grant(program, request) => match accounts.grant(&program, &request) {
-                true => Reply::Granted,
-                false => Reply::Refused,
+            Ask::TakeOver(accounts) => self.take_over(slot, from, accounts),
+            Ask::Moved(owner) => self.moved(slot, &owner, from),
+            Ask::Program(program, ask) => match self.held.get_mut(slot) {
+                Some(accounts) => accounts.answer(&program, ask),
+                None => Reply::NotOwner,
             },
-            Ask::Report(program, grant, tokens) => {
-                accounts.report(&program, &grant, tokens);
-                Reply::Noted
-            }
-            Ask::Settle(program, grant) => {
-                accounts.settle(&program, &grant);
-                Reply::Noted
-            }
-            Ask::Close(program) => accounts.close(&program).into(),
-            Ask::TakeOver(_) | Ask::Moved(_) => Reply::Noted,
         }
     }
 
--- a/coordination/tests/escrow_world/mod.rs
+++ b/coordination/tests/escrow_world/mod.rs
@@ -5,7 +5,7 @@
 
 use rosebend_coordination::gateway::escrow::accounts::GrantRequest;
 use rosebend_coordination::gateway::escrow::first_grant_tokens;
-use rosebend_coordination::gateway::escrow::message::{Ask, Reply};
+use rosebend_coordination::gateway::escrow::message::{Ask, ProgramAsk, Reply};
 use rosebend_coordination::gateway::escrow::slots::{Owner, SlotId, SlotRow, SlotWrite, Slots};
 use rosebend_coordination::gateway::escrow::terms::{ClosingAnswers, EscrowTerms};
 use rosebend_coordination::gateway::gatherers::Candidate;
@@ -289,7 +289,7 @@
             most_tokens: MOST,
             budget_tokens: self.budget,
         };
-        Ask::Grant(PROGRAM.to_owned(), request)
+        Ask::Program(PROGRAM.to_owned(), ProgramAsk::Grant(request))
     }
 
     fn grant(&mut self, host: usize, attempt: &str) -> Option<Right> {
@@ -340,8 +340,8 @@
         let (change, grant) = match turn.right {
             Right::Reserving(_) | Right::Reserved => (settle(&turn.attempt, turn.tokens), None),
             Right::Granted(slot, grant, _) => {
-                let report = Ask::Report(PROGRAM.to_owned(), grant.clone(), turn.tokens);
-                self.ask(host, &slot, report);
+                let report = ProgramAsk::Report(grant.clone(), turn.tokens);
+                self.ask(host, &slot, Ask::Program(PROGRAM.to_owned(), report));
                 let change = Change::SettleGrant {
                     attempt: turn.attempt,
                     grant: grant.clone(),
@@ -390,7 +390,8 @@
         let host = &mut self.hosts[index];
         if let Some(position) = host.settling.iter().position(|it| it.change == id) {
             if let Some((slot, grant)) = host.settling.remove(position).grant {
-                self.ask(index, &slot, Ask::Settle(PROGRAM.to_owned(), grant));
+                let settle = ProgramAsk::Settle(grant);
+                self.ask(index, &slot, Ask::Program(PROGRAM.to_owned(), settle));
             }
             return;
         }
@@ -420,7 +421,11 @@
         for slot in Self::slots_of_program() {
             let claim = self.hosts[index].slots.claim_now(&slot);
             self.write(index, claim.into_iter().collect());
-            let reply = self.ask(index, &slot, Ask::Close(PROGRAM.to_owned()));
+            let reply = self.ask(
+                index,
+                &slot,
+                Ask::Program(PROGRAM.to_owned(), ProgramAsk::Close),
+            );
             answers.add(slot.index, reply);
         }
         turn.escrow = turn.escrow.with_answers(&answers);
--- a/gateway/src/escrow.rs
+++ b/gateway/src/escrow.rs
@@ -13,7 +13,7 @@
 
 use futures_util::future::join_all;
 use rosebend_coordination::gateway::escrow::accounts::GrantRequest;
-use rosebend_coordination::gateway::escrow::message::{Answer, Ask, Question, Reply};
+use rosebend_coordination::gateway::escrow::message::{Answer, Ask, ProgramAsk, Question, Reply};
 use rosebend_coordination::gateway::escrow::slots::{Owner, SlotId, SlotRow, SlotWrite, Slots};
 use rosebend_coordination::gateway::escrow::terms::ClosingAnswers;
 use rosebend_coordination::gateway::escrow::{GrantId, first_grant_tokens};
@@ -98,7 +98,7 @@
             most_tokens: self.most_tokens,
             budget_tokens: self.budget_tokens,
         };
-        Ask::Grant(self.program.to_owned(), request)
+        Ask::Program(self.program.to_owned(), ProgramAsk::Grant(request))
     }
 }
 
@@ -310,14 +310,16 @@
     outcome: oneshot::Receiver<Outcome>,
 ) {
     let escrow = &gateway.escrow;
-    let report = Ask::Report(program.clone(), grant.id.clone(), tokens);
+    let report = ProgramAsk::Report(grant.id.clone(), tokens);
+    let report = Ask::Program(program.clone(), report);
     // An owner that does not hear it counts the turn at its most.
     escrow.ask(&grant.slot, report).await;
     if !matches!(outcome.await, Ok(Outcome::Durable)) {
         return;
     }
     for _ in 0..MAX_SETTLE_TRIES {
-        let settle = Ask::Settle(program.clone(), grant.id.clone());
+        let settle = ProgramAsk::Settle(grant.id.clone());
+        let settle = Ask::Program(program.clone(), settle);
         if escrow.ask(&grant.slot, settle).await == Some(Reply::Noted) {
             return;
         }
@@ -342,7 +344,8 @@
     if let Some(claim) = claim {
         write(gateway, vec![claim]).await;
     }
-    escrow.ask(slot, Ask::Close(program.to_owned())).await
+    let close = Ask::Program(program.to_owned(), ProgramAsk::Close);
+    escrow.ask(slot, close).await
 }
 
 /// Takes slots that this host should own, for ever.
--- a/gateway/src/spending.rs
+++ b/gateway/src/spending.rs
@@ -75,13 +75,6 @@
         let budget_tokens = header.budget_tokens.unwrap_or(u64::MAX);
         let program = header.program.clone();
         let attempt = call.turn();
-        let escrow = match header.budget_tokens {
-            Some(budget) => {
-                let takes_grants = !call.route.keeps_history;
-                EscrowTerms::new(takes_grants, most_tokens, budget, now_unix_ms())
-            }
-            None => EscrowTerms::Excluded,
-        };
         let mut spending = Self {
             gateway: Rc::clone(gateway),
             program: program.clone(),
@@ -90,7 +83,7 @@
             events: 0,
             most_tokens,
             budget_tokens,
-            escrow,
+            escrow: escrow_terms(call, header, most_tokens),
             reserving: None,
             grant: None,
             is_settled: false,
@@ -100,17 +93,7 @@
             spending.is_settled = granted.is_err();
             return granted.map(|()| spending);
         }
-        let in_hand = most_tokens.saturating_mul(1 + TURNS_IN_HAND);
-        // A turn that continues from a kept one has brought its ledger along, and
-        // one that continues from none begins its program. Without history
-        // nothing tells whether a program that is new here has spent its budget.
-        let is_known = call.route.keeps_history || gateway.commits.knows(&program);
-        let is_doubted = gateway.store.is_partition_doubted(&partition_of(&program));
-        let is_ample = is_known
-            && !is_doubted
-            && gateway
-                .commits
-                .seems_to_hold(&program, in_hand, budget_tokens);
+        let is_ample = spending.is_ample(call);
         spending.ask(Vec::new());
         if !is_ample {
             spending.granted_before_it_is_sent(call).await?;
@@ -118,8 +101,22 @@
         Ok(spending)
     }
 
-    /// Waits until the reservation of a turn is durable that was not sent yet: it
-    /// is refused as soon as the store is out of reach.
+    /// Whether the turn may be sent before its reservation is durable.
+    fn is_ample(&self, call: &Call) -> bool {
+        let commits = &self.gateway.commits;
+        let in_hand = self.most_tokens.saturating_mul(1 + TURNS_IN_HAND);
+        // A turn that continues from a kept one has brought its ledger along, and
+        // one that continues from none begins its program. Without history
+        // nothing tells whether a program that is new here has spent its budget.
+        let is_known = call.route.keeps_history || commits.knows(&self.program);
+        let partition = partition_of(&self.program);
+        let is_doubted = self.gateway.store.is_partition_doubted(&partition);
+        let is_held = commits.seems_to_hold(&self.program, in_hand, self.budget_tokens);
+        is_known && !is_doubted && is_held
+    }
+
+    /// Waits until the reservation of a turn is durable that was not sent yet. As soon
+    /// as the store is out of reach it takes a grant, or is refused.
     async fn granted_before_it_is_sent(&mut self, call: &Call) -> Result<(), Refusal> {
         let gateway = Rc::clone(&self.gateway);
         let program = self.program.clone();
@@ -420,6 +417,15 @@
     }
 }
 
+/// What of its budget a turn must leave to escrow slots.
+fn escrow_terms(call: &Call, header: &ProgramHeader, most_tokens: u64) -> EscrowTerms {
+    let Some(budget_tokens) = header.budget_tokens else {
+        return EscrowTerms::Excluded;
+    };
+    let takes_grants = !call.route.keeps_history;
+    EscrowTerms::new(takes_grants, most_tokens, budget_tokens, now_unix_ms())
+}
+
 /// Time of day in milliseconds since 1970; zero on a host whose clock is before.
 fn now_unix_ms() -> u64 {
     let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH);
