Follow the store's tables along a tree of hosts

Cause: every gateway followed the tables of routes, endpoints, gateways and crashes by itself.

Ruled out: fewer and longer polls, which only move the point where it breaks and make beliefs older; datagrams between all hosts, which are hosts squared.

A heartbeat of an endpoint that changes nothing else is told to nobody. Rows come with their age, so that a host knows how old its belief is; a host that is silent or stale is avoided, and the last resort is the store. An earlier start of an endpoint that stays is listed by time, since followers hear its entry once. A starting host takes the table of gateways from another one. Connections to other gateways are one module now.

--- a/coordination/src/gateway/directory/endpoint.rs
+++ b/coordination/src/gateway/directory/endpoint.rs
@@ -37,8 +37,8 @@
     /// Set while its entry cannot be read: it gets nothing new then, and what
     /// is believed of it is kept for when its entry is good again.
     pub(super) is_refused: bool,
-    /// Since when entries of an earlier start have come, and none of this one.
-    pub(super) earlier_since: Option<Duration>,
+    /// The entry of an earlier start that came after those of this one, and when.
+    pub(super) earlier: Option<(EndpointRecord, Duration)>,
 }
 
 /// A load, and who told it when.
@@ -67,7 +67,7 @@
             failure_at: now,
             lapsed_until: None,
             is_refused: false,
-            earlier_since: None,
+            earlier: None,
         }
     }
 
--- a/coordination/src/gateway/directory/listing.rs
+++ b/coordination/src/gateway/directory/listing.rs
@@ -17,12 +17,14 @@
 const LATE_WRITE_TIME: Duration = Duration::from_secs(7);
 
 /// An endpoint whose entry is gone.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Gone {
     /// When its last start was.
     started_ms: Option<u64>,
     /// When its entry was gone.
     at: Duration,
+    /// The entry of an earlier start that came since.
+    earlier: Option<EndpointRecord>,
 }
 
 /// How an endpoint's place in the directory changed.
@@ -60,26 +62,57 @@
         }
     }
 
-    /// Whether an entry is of a start that is over.
+    /// Whether an entry is of a start that is over. It is kept, for the case that no
+    /// entry of the later start comes any more.
     fn came_late(&mut self, record: &EndpointRecord, now: Duration) -> bool {
         let identity = &record.identity;
         if let Some(known) = self.endpoints.get_mut(&identity.instance) {
             if !identity.is_before(&known.record.identity) {
-                known.earlier_since = None;
+                known.earlier = None;
                 return false;
             }
-            let since = *known.earlier_since.get_or_insert(now);
+            let earlier = known.earlier.take();
+            let since = earlier.map_or(now, |(_, since)| since);
+            known.earlier = Some((record.clone(), since));
             return now.saturating_sub(since) < LATE_WRITE_TIME;
         }
-        self.gone.get(&identity.instance).is_some_and(|gone| {
-            identity.started_ms < gone.started_ms && now.saturating_sub(gone.at) < LATE_WRITE_TIME
-        })
+        let Some(gone) = self.gone.get_mut(&identity.instance) else {
+            return false;
+        };
+        let is_late =
+            identity.started_ms < gone.started_ms && now.saturating_sub(gone.at) < LATE_WRITE_TIME;
+        gone.earlier = is_late.then(|| record.clone());
+        is_late
+    }
+
+    /// Lists earlier starts whose entries have stayed for too long to be late writes,
+    /// and tells what changed. Not every host hears each heartbeat.
+    pub fn list_earlier(&mut self, now: Duration) -> Vec<(InstanceId, Listing)> {
+        let is_due = |since: Duration| now.saturating_sub(since) >= LATE_WRITE_TIME;
+        let known = self.endpoints.values();
+        let known = known.filter_map(|known| known.earlier.as_ref());
+        let known = known.filter(|(_, since)| is_due(*since));
+        let gone = self.gone.values().filter(|gone| is_due(gone.at));
+        let gone = gone.filter_map(|gone| gone.earlier.as_ref());
+        let due = known.map(|(record, _)| record).chain(gone);
+        let due: Vec<EndpointRecord> = due.cloned().collect();
+        let mut changes = Vec::new();
+        for record in due {
+            let instance = record.identity.instance.clone();
+            let change = self.announce(record, now);
+            changes.extend(change.map(|change| (instance, change)));
+        }
+        changes
     }
 
     /// Takes the deletion of an entry. One that vanished in an outage of the
     /// store may come back; it is kept for a while.
     pub fn withdraw(&mut self, instance: &str, now: Duration, in_outage: bool) -> Option<Listing> {
+        if let Some(gone) = self.gone.get_mut(instance) {
+            gone.earlier = None;
+        }
         let endpoint = self.endpoints.get_mut(instance)?;
+        endpoint.earlier = None;
         if in_outage && !endpoint.record.draining {
             let until = now + LAPSE_GRACE;
             endpoint.lapsed_until.get_or_insert(until);
@@ -97,6 +130,7 @@
                 Gone {
                     started_ms,
                     at: now,
+                    earlier: None,
                 },
             );
         }
--- a/coordination/src/gateway/identity.rs
+++ b/coordination/src/gateway/identity.rs
@@ -50,9 +50,9 @@
 }
 
 impl Confirmation {
-    /// The store said so at `now`.
-    pub fn confirm(&mut self, now: Duration) {
-        self.at = now;
+    /// The store said so at `at`.
+    pub fn confirm(&mut self, at: Duration) {
+        self.at = self.at.max(at);
     }
 
     /// How long ago that was.
--- a/coordination/tests/gateway_starts.rs
+++ b/coordination/tests/gateway_starts.rs
@@ -180,6 +180,37 @@
     assert!(directory.contains(&start(2)));
 }
 
+#[test]
+fn an_earlier_start_whose_entry_is_heard_once_is_listed_when_it_stays() {
+    // A host that follows another one does not hear of heartbeats.
+    let mut known = directory(3);
+    let mut gone = directory(3);
+    gone.withdraw("a", NOW, false);
+    for directory in [&mut known, &mut gone] {
+        assert_eq!(directory.announce(record(start(2)), NOW), None);
+        let early = NOW + Duration::from_millis(6_900);
+        assert_eq!(directory.list_earlier(early), Vec::new());
+        assert!(!directory.contains(&start(2)));
+        let late = NOW + Duration::from_secs(7);
+        assert_eq!(directory.list_earlier(late).len(), 1);
+        assert!(directory.contains(&start(2)));
+        assert_eq!(directory.list_earlier(late), Vec::new());
+    }
+    // The later start is heard of again, or the entry of the earlier one is gone.
+    let mut again = directory(3);
+    again.announce(record(start(2)), NOW);
+    again.announce(record(start(3)), SOON);
+    let mut gone = directory(3);
+    gone.withdraw("a", NOW, false);
+    gone.announce(record(start(2)), NOW);
+    gone.withdraw("a", SOON, false);
+    for directory in [&mut again, &mut gone] {
+        let late = NOW + Duration::from_secs(60);
+        assert_eq!(directory.list_earlier(late), Vec::new());
+        assert!(!directory.contains(&start(2)));
+    }
+}
+
 #[test]
 fn a_start_that_only_one_host_has_seen_is_no_news_to_another() {
     let mut behind = directory(1);
--- a/gateway/src/entries.rs
+++ b/gateway/src/entries.rs
@@ -43,7 +43,7 @@
         end_refusal(gateway, &record.identity.instance, GOOD);
     }
     let now = gateway.clock.now();
-    let in_outage = gateway.store.was_away_within(LAPSE_SPAN);
+    let in_outage = is_in_outage(gateway);
     let mut directory = gateway.directory.borrow_mut();
     for (instance, change) in directory.replace(records, &refused, now, in_outage) {
         log_listing(&instance, change);
@@ -54,7 +54,7 @@
 pub fn take(gateway: &Gateway, row: &Row) {
     let instance = &row.id.key;
     let now = gateway.clock.now();
-    let in_outage = gateway.store.was_away_within(LAPSE_SPAN);
+    let in_outage = is_in_outage(gateway);
     let change = match read_entry(row) {
         Entry::Endpoint(record) => {
             end_refusal(gateway, instance, GOOD);
@@ -76,6 +76,12 @@
     }
 }
 
+/// Whether an entry that is gone now may have lapsed in an outage of the store.
+fn is_in_outage(gateway: &Gateway) -> bool {
+    let away_ago = gateway.feeds.store_away_ago();
+    away_ago.is_some_and(|ago| ago < LAPSE_SPAN)
+}
+
 /// What a row of the table of endpoints says.
 enum Entry {
     /// It names an endpoint.
@@ -146,7 +152,8 @@
     }
 }
 
-fn log_listing(instance: &str, change: Listing) {
+/// Tells what changed for the choice of endpoints.
+pub fn log_listing(instance: &str, change: Listing) {
     let event = match change {
         Listing::Listed => Event::new(EventKind::EndpointListed),
         Listing::StartedAgain => Event::new(EventKind::EndpointListed).reason("started-again"),
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -21,6 +21,7 @@
 
 use crate::commits::Commits;
 use crate::escrow::Escrow;
+use crate::feeds::{Feeds, FollowedTable};
 use crate::holders::HolderAddresses;
 use crate::joined_commits::JoinedCommits;
 use crate::limits::Limits;
@@ -48,6 +49,8 @@
     pub metrics: Rc<Metrics>,
     /// The platform's store.
     pub store: Rc<StoreClient>,
+    /// What changes in the store's tables.
+    pub feeds: Rc<Feeds>,
     /// Transactions on their way to the store, and those joined for other hosts.
     pub joined_commits: Rc<JoinedCommits>,
     /// Changes of programs on their way to the store.
@@ -95,9 +98,16 @@
         joined_commits.set_writes_per_s(settings.store.writes_per_s);
         let joined_commits = Rc::new(joined_commits);
         let commits = Commits::new(run.clone(), Rc::clone(&store), Rc::clone(&joined_commits));
+        let feeds = Feeds::new(
+            settings.host.clone(),
+            Rc::clone(&store),
+            Rc::clone(&metrics),
+            clock,
+        );
         Self {
             commits: Rc::new(commits),
             joined_commits,
+            feeds: Rc::new(feeds),
             store,
             metrics,
             clock,
@@ -156,10 +166,10 @@
         true
     }
 
-    /// Takes note that the store has no newer routes.
-    pub fn confirm_routes(&self) {
+    /// Takes note that the store had no newer routes at `at`.
+    pub fn confirm_routes(&self, at: Duration) {
         let mut confirmation = self.confirmation.get();
-        confirmation.confirm(self.clock.now());
+        confirmation.confirm(at);
         self.confirmation.set(confirmation);
     }
 
@@ -255,6 +265,9 @@
             escrow_slots: self.escrow.held_slots(),
             escrow_owned_slots: self.escrow.owned_slots(),
             escrow_outstanding_tokens: self.escrow.outstanding_tokens(),
+            routes_age_ms: whole_ms(self.feeds.age(FollowedTable::Routes)),
+            endpoints_age_ms: whole_ms(self.feeds.age(FollowedTable::Endpoints)),
+            follower: u64::from(self.feeds.is_follower()),
         }
     }
 
--- a/gateway/src/joined_commits.rs
+++ b/gateway/src/joined_commits.rs
@@ -28,9 +28,10 @@
 use rosebend_transport::store::{MIN_TIMEOUT, StoreClient, StoreError, Transacted, next_timeout};
 use tokio::sync::oneshot;
 
-use self::ask::PeerConnections;
+use self::ask::ask;
 pub use self::ask::{PATH, answer};
 use crate::metrics::{CommitWay, Metrics};
+use crate::peer_connections::PeerConnections;
 
 mod ask;
 
@@ -239,7 +240,7 @@
         accepted: &Cell<bool>,
     ) -> Tried {
         let asked_at = self.clock.now();
-        let asked = self.connections.ask(candidate, transaction, accepted);
+        let asked = ask(&self.connections, candidate, transaction, accepted);
         let committed = match asked.await {
             Ok(committed) => committed,
             Err(error) => {
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -8,7 +8,8 @@
 //! | whose a request is, and how much its customer may send | [`intake`], [`limits`] |
 //! | what lasts | [`commits`], [`joined_commits`], [`programs`], [`retention`] |
 //! | what the process believes of routes and endpoints | [`watch`], [`unusable`], [`entries`], [`gossip`], [`quarantine`] |
-//! | calls to the store by other gateways | [`peers`] |
+//! | from whom it learns what changes in the store's tables | [`feeds`] |
+//! | calls to the store by other gateways, and questions to them | [`peers`], [`peer_connections`] |
 //! | what is written and counted | [`trail`], [`metrics`] |
 //! | start, stop and changed settings | [`process`], [`reload`] |
 //!
@@ -23,6 +24,7 @@
 pub mod entries;
 pub mod escrow;
 pub mod exchange;
+pub mod feeds;
 pub mod front;
 pub mod gateway;
 pub mod gossip;
@@ -31,6 +33,7 @@
 pub mod joined_commits;
 pub mod limits;
 pub mod metrics;
+pub mod peer_connections;
 pub mod peers;
 pub mod plain;
 pub mod pool;
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -76,6 +76,15 @@
     Gatherer,
 }
 
+/// Who told what changed in a table.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FeedSource {
+    /// The store.
+    Store,
+    /// The host that this one follows.
+    Host,
+}
+
 /// A quantity as it stands when the page is asked for.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Quantities {
@@ -103,6 +112,12 @@
     pub escrow_owned_slots: u64,
     /// Tokens that this host has granted and no ledger has.
     pub escrow_outstanding_tokens: u64,
+    /// Milliseconds since the store had no newer routes.
+    pub routes_age_ms: u64,
+    /// Milliseconds since the store had no newer entries of endpoints.
+    pub endpoints_age_ms: u64,
+    /// 1 while this host follows another one.
+    pub follower: u64,
 }
 
 /// The metrics of a process.
@@ -116,6 +131,7 @@
     endpoint_failures: Family<ReasonLabel, Counter>,
     resumptions: Family<ReasonLabel, Counter>,
     store_calls: Family<StoreLabel, Counter>,
+    feeds: Family<WayLabel, Counter>,
     commits: Family<WayLabel, Counter>,
     joined_parts: Counter,
     joined_transactions: Counter,
@@ -127,7 +143,7 @@
     turn: Histogram,
     record: Histogram,
     store_call: Histogram,
-    gauges: [Gauge; 12],
+    gauges: [Gauge; 15],
 }
 
 impl Default for Metrics {
@@ -162,6 +178,9 @@
             "Calls to the store by kind and outcome",
             store_calls.clone(),
         );
+        let feeds = Family::default();
+        let help = "Questions what changed in a table, by who was asked";
+        registry.register("feeds", help, feeds.clone());
         let commits = Family::default();
         registry.register(
             "commits",
@@ -209,6 +228,7 @@
             endpoint_failures,
             resumptions,
             store_calls,
+            feeds,
             commits,
             joined_parts,
             joined_transactions,
@@ -226,7 +246,7 @@
     }
 }
 
-fn gauges(registry: &mut Registry) -> [Gauge; 12] {
+fn gauges(registry: &mut Registry) -> [Gauge; 15] {
     let names = [
         ("open_requests", "Requests that callers wait for"),
         (
@@ -261,6 +281,15 @@
             "escrow_outstanding_tokens",
             "Tokens that this host has granted and no ledger has",
         ),
+        (
+            "routes_age_ms",
+            "Milliseconds since the store had no newer routes",
+        ),
+        (
+            "endpoints_age_ms",
+            "Milliseconds since the store had no newer entries of endpoints",
+        ),
+        ("follower", "1 while this host follows another one"),
     ];
     names.map(|(name, help)| {
         let gauge = Gauge::default();
@@ -318,6 +347,15 @@
             .inc();
     }
 
+    /// Counts a question what changed in a table.
+    pub fn count_feed(&self, source: FeedSource) {
+        let way = match source {
+            FeedSource::Store => "store",
+            FeedSource::Host => "host",
+        };
+        self.feeds.get_or_create(&WayLabel { way }).inc();
+    }
+
     /// Counts a transaction that is sent.
     pub fn count_commit(&self, way: CommitWay) {
         let way = match way {
@@ -393,6 +431,9 @@
             now.escrow_slots,
             now.escrow_owned_slots,
             now.escrow_outstanding_tokens,
+            now.routes_age_ms,
+            now.endpoints_age_ms,
+            now.follower,
         ];
         for (gauge, value) in self.gauges.iter().zip(values) {
             gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -2,9 +2,7 @@
 //! send its calls by another, and that one can commit for many.
 //!
 //! Each gateway has a row under a hash of its name and follows the table: a row
-//! changes only when a process starts or stops as planned, so that following
-//! all of it costs one call of a few bytes each few seconds, and 380 hosts take
-//! about 100 KB of memory. The few hosts behind a gateway's own row pass its
+//! changes only when a process starts or stops as planned. The few hosts behind a gateway's own row pass its
 //! calls on; they differ from host to host.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -21,28 +19,32 @@
 use rosebend_coordination::gateway::gatherers::Candidate;
 use rosebend_coordination::gateway::ledger::Holder;
 use rosebend_platform::store::wait_of;
-use rosebend_state::deployment::{Row, RowId, RowVersion, RowWrite, Transaction};
+use rosebend_state::deployment::{Row, RowId, RowRange, RowWrite, Transaction};
+use rosebend_state::id::AvailabilityZone;
 use rosebend_transport::event::{Event, EventKind, log_event};
 use rosebend_transport::store::{Concern, Outgoing, StoreError};
 
 use self::row::{PeerRow, PeerRowError, key};
+use crate::feeds::{self, Followed, FollowedTable};
 use crate::gateway::Gateway;
 use crate::{joined_commits, recall};
 
 mod row;
 
 /// Table of the gateways' own rows, and of the owners of escrow slots.
-pub const TABLE: &str = "gateways";
+pub const TABLE: &str = FollowedTable::Gateways.name();
 /// Peers that pass calls to the store on, at most.
 const MAX_PEERS: usize = 8;
 /// Rows that name no gateway and are told at most, each once.
 const MAX_TOLD: usize = 8;
-/// How long a feed of the table waits for a change. A connection that has fallen
-/// silent is noticed after this time, and who has left is found out by asking.
-const FEED_WAIT: Duration = Duration::from_secs(5);
-/// Pause after a change: when many hosts start at once, their rows come one by
-/// one.
+/// Pause after a change that the store told: when many hosts start at once, their
+/// rows come one by one.
 const CHANGE_PAUSE: Duration = Duration::from_millis(500);
+/// Rows that a host which starts reads to find one that has them all: with five
+/// availability zones about three hosts of its own.
+const FIRST_ROWS: usize = 16;
+/// Hosts that one which starts asks for the table at most.
+const MAX_ASKED: usize = 2;
 /// Pause after a failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Largest call that is passed on; the store takes at most 1 MB of rows, encoded.
@@ -53,62 +55,72 @@
 /// Writes this gateway's row and follows its peers, for ever.
 pub async fn follow(gateway: Rc<Gateway>, relay: SocketAddr) {
     let mut table = PeerTable::default();
-    let mut version = None;
-    let mut is_written = false;
+    let mut is_written = write_row(&gateway, relay).await.is_ok();
+    if let Some(followed) = take_from_another(&gateway).await {
+        take(&gateway, &mut table, &followed);
+    }
     loop {
         if !is_written {
             is_written = write_row(&gateway, relay).await.is_ok();
         }
-        match follow_once(&gateway, version, &mut table).await {
-            Ok(newest) => {
-                let has_changed = version != Some(newest);
-                version = Some(newest);
+        match gateway.feeds.next(FollowedTable::Gateways).await {
+            Ok(followed) => {
+                let has_changed = followed.is_whole || !followed.rows.is_empty();
+                if has_changed {
+                    take(&gateway, &mut table, &followed);
+                }
                 // A late write of the host's last run may have replaced it.
                 is_written &= table.has(gateway.commits.holder());
-                if has_changed {
+                if has_changed && followed.is_from_store {
                     tokio::time::sleep(CHANGE_PAUSE).await;
                 }
             }
             // The client has logged that the store is lost.
-            Err(_) => {
-                version = None;
-                tokio::time::sleep(RETRY_PAUSE).await;
-            }
+            Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
         }
     }
 }
 
-async fn follow_once(
-    gateway: &Gateway,
-    after: Option<RowVersion>,
-    table: &mut PeerTable,
-) -> Result<RowVersion, StoreError> {
-    let rows = match after {
-        None => {
-            let rows = gateway.store.read_table(TABLE).await?;
-            table.peers.clear();
-            rows
-        }
-        Some(after) => gateway.store.feed(TABLE, after, FEED_WAIT).await?,
+/// The table from a host of this one's availability zone. When many hosts start, each
+/// would otherwise read the rows of all from the store.
+async fn take_from_another(gateway: &Gateway) -> Option<Followed> {
+    let settings = gateway.settings();
+    let range = RowRange {
+        from: key(&settings.host),
+        ..RowRange::whole(TABLE, "")
     };
-    for row in &rows.rows {
+    let rows = gateway.store.read_some(&range, FIRST_ROWS).await.ok()?;
+    let mut table = PeerTable::default();
+    let rows = rows.rows.iter();
+    let rows = rows.filter(|row| SlotId::from_key(&row.id.key).is_none());
+    rows.for_each(|row| table.take(row));
+    let mut hosts = table.candidates_of(&settings.availability_zone);
+    hosts.retain(|host| host.host != settings.host);
+    hosts.truncate(MAX_ASKED);
+    gateway.feeds.take_hosts_from(&hosts).await
+}
+
+fn take(gateway: &Gateway, table: &mut PeerTable, followed: &Followed) {
+    if followed.is_whole {
+        table.peers.clear();
+    }
+    for row in &followed.rows {
         match SlotId::from_key(&row.id.key) {
             Some(slot) => gateway.escrow.take_row(slot, row),
             None => table.take(row),
         }
     }
-    if after.is_none() || !rows.rows.is_empty() {
-        let own = key(&gateway.settings().host);
-        gateway.store.set_peers(&table.behind(&own));
-        gateway.joined_commits.set_hosts(table.candidates());
-        gateway.limits.set_hosts(table.candidates());
-        let now = gateway.clock.now();
-        let all_withhold = table.all_withhold();
-        gateway
-            .escrow
-            .set_hosts(table.candidates(), all_withhold, now);
-    }
-    Ok(rows.version)
+    let settings = gateway.settings();
+    gateway.store.set_peers(&table.behind(&key(&settings.host)));
+    gateway.joined_commits.set_hosts(table.candidates());
+    gateway.limits.set_hosts(table.candidates());
+    let zone = table.candidates_of(&settings.availability_zone);
+    gateway.feeds.set_hosts(zone);
+    let now = gateway.clock.now();
+    let all_withhold = table.all_withhold();
+    gateway
+        .escrow
+        .set_hosts(table.candidates(), all_withhold, now);
 }
 
 /// The gateways that are there, by their rows' keys.
@@ -173,14 +185,24 @@
 
     /// All of them, as hosts that may commit for others.
     fn candidates(&self) -> Vec<Candidate<SocketAddr>> {
-        let candidate = |peer: &PeerRow| Candidate {
-            host: peer.host.clone(),
-            run: peer.holder.clone(),
-            address: peer.relay,
-            processor_milli: peer.processor_milli,
-        };
         self.peers.values().map(candidate).collect()
     }
+
+    /// Those of an availability zone, as hosts that may be followed.
+    fn candidates_of(&self, zone: &AvailabilityZone) -> Vec<Candidate<SocketAddr>> {
+        let peers = self.peers.values();
+        let of_zone = peers.filter(|peer| peer.availability_zone.as_ref() == Some(zone));
+        of_zone.map(candidate).collect()
+    }
+}
+
+fn candidate(peer: &PeerRow) -> Candidate<SocketAddr> {
+    Candidate {
+        host: peer.host.clone(),
+        run: peer.holder.clone(),
+        address: peer.relay,
+        processor_milli: peer.processor_milli,
+    }
 }
 
 async fn write_row(gateway: &Gateway, relay: SocketAddr) -> Result<(), StoreError> {
@@ -188,6 +210,7 @@
     let row = RowId::new(TABLE, "", key(&host));
     let peer = PeerRow {
         host,
+        availability_zone: Some(gateway.settings().availability_zone.clone()),
         relay,
         holder: gateway.commits.holder().clone(),
         processor_milli: gateway.settings().processor_milli,
@@ -234,9 +257,10 @@
 pub async fn probe(gateway: Rc<Gateway>) {
     loop {
         tokio::time::sleep(PROBE_INTERVAL).await;
-        if gateway.store.is_direct_down() {
+        if gateway.store.is_direct_down() && gateway.feeds.should_probe() {
             gateway.store.probe(TABLE, "").await;
         }
+        gateway.feeds.note_store_state();
     }
 }
 
@@ -252,6 +276,7 @@
     };
     Ok(match path.as_str() {
         recall::PATH => recall::answer(&gateway, &outgoing.body),
+        feeds::PATH => feeds::answer(&gateway, &outgoing.body),
         joined_commits::PATH => joined_commits::answer(&gateway, &outgoing.body),
         _ => {
             let (status, body) = answer(&gateway, &outgoing).await;
--- a/gateway/src/peers/row.rs
+++ b/gateway/src/peers/row.rs
@@ -5,6 +5,7 @@
 
 use rosebend_coordination::gateway::ledger::Holder;
 use rosebend_state::deployment::Row;
+use rosebend_state::id::AvailabilityZone;
 use rosebend_util::hash_parts;
 use serde::{Deserialize, Serialize};
 
@@ -13,6 +14,10 @@
 pub struct PeerRow {
     /// The host's name.
     pub host: String,
+    /// Its availability zone. Rows of older versions do not tell it: nobody follows
+    /// those hosts.
+    #[serde(default)]
+    pub availability_zone: Option<AvailabilityZone>,
     /// Where it passes calls on; never a port or an address that none has.
     pub relay: SocketAddr,
     /// The run of the host's process that wrote the row, as HOST/RUN.
--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -9,19 +9,16 @@
 use std::time::Duration;
 
 use rosebend_coordination::gateway::fingerprint::{Fingerprint, MEMORY};
-use rosebend_state::deployment::{EndpointIdentity, Row, RowId, RowVersion, RowWrite, Transaction};
+use rosebend_state::deployment::{EndpointIdentity, Row, RowId, RowWrite, Transaction};
 use rosebend_transport::connection::{Connection, ConnectionError};
 use rosebend_transport::event::{Event, EventKind, log_event};
-use rosebend_transport::store::StoreError;
 
 use crate::call::Call;
+use crate::feeds::FollowedTable;
 use crate::gateway::Gateway;
 
 /// Table of suspicions.
-const TABLE: &str = "crashes";
-/// How long a feed of suspicions waits. Longer than other feeds, since a
-/// suspicion that comes late costs one endpoint's restart.
-const FEED_WAIT: Duration = Duration::from_secs(4);
+const TABLE: &str = FollowedTable::Crashes.name();
 /// Pause after a failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// Separates the request from the endpoint in a key.
@@ -91,33 +88,21 @@
 
 /// Follows other hosts' suspicions, for ever.
 pub async fn follow(gateway: Rc<Gateway>) {
-    let mut version = None;
     loop {
-        match follow_once(&gateway, version).await {
-            Ok(newest) => version = Some(newest),
+        match gateway.feeds.next(FollowedTable::Crashes).await {
+            Ok(followed) => take(&gateway, &followed.rows),
             // The client has logged that the store is lost.
-            Err(_) => {
-                version = None;
-                tokio::time::sleep(RETRY_PAUSE).await;
-            }
+            Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
         }
     }
 }
 
-async fn follow_once(
-    gateway: &Gateway,
-    after: Option<RowVersion>,
-) -> Result<RowVersion, StoreError> {
-    let rows = match after {
-        None => gateway.store.read_table(TABLE).await?,
-        Some(after) => gateway.store.feed(TABLE, after, FEED_WAIT).await?,
-    };
-    for row in rows.rows.iter().filter(|row| row.value.is_some()) {
+fn take(gateway: &Gateway, rows: &[Row]) {
+    for row in rows.iter().filter(|row| row.value.is_some()) {
         if let Some((request, endpoint)) = decode(row) {
             note(gateway, request, &endpoint);
         }
     }
-    Ok(rows.version)
 }
 
 fn decode(row: &Row) -> Option<(Fingerprint, EndpointIdentity)> {
--- a/gateway/src/watch.rs
+++ b/gateway/src/watch.rs
@@ -4,18 +4,15 @@
 use std::time::Duration;
 
 use rosebend_coordination::gateway::route_table::RouteTable;
-use rosebend_platform::{deployment, endpoints};
-use rosebend_state::deployment::{Row, RowVersion};
+use rosebend_platform::deployment;
+use rosebend_state::deployment::Row;
 use rosebend_transport::event::{Event, EventKind, log_event};
-use rosebend_transport::store::StoreError;
 
 use crate::entries;
+use crate::feeds::{Followed, FollowedTable};
 use crate::gateway::Gateway;
 
-/// How long a feed waits for a change. Short, since a connection may fall
-/// silent, and what is believed must not be older than two seconds.
-const FEED_WAIT: Duration = Duration::from_millis(1_300);
-/// Pause between two feeds of endpoints. Every endpoint writes about once a
+/// Pause between two feeds of endpoints at the store. Every endpoint writes about once a
 /// second, so that a feed without a pause would answer at once each time.
 const ENDPOINT_PAUSE: Duration = Duration::from_millis(550);
 /// Pause after a failure.
@@ -25,39 +22,20 @@
 
 /// Follows the declared routes for ever.
 pub async fn follow_routes(gateway: Rc<Gateway>) {
-    let mut version = None;
     loop {
-        match routes_once(&gateway, version).await {
-            Ok(newest) => version = Some(newest),
-            // The client has logged that the store is lost.
-            Err(_) => {
-                version = None;
-                tokio::time::sleep(RETRY_PAUSE).await;
+        match gateway.feeds.next(FollowedTable::Routes).await {
+            Ok(followed) => {
+                for row in &followed.rows {
+                    take_routes(&gateway, row);
+                }
+                gateway.confirm_routes(followed.current_at);
             }
+            // The client has logged that the store is lost.
+            Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
         }
     }
 }
 
-async fn routes_once(
-    gateway: &Gateway,
-    after: Option<RowVersion>,
-) -> Result<RowVersion, StoreError> {
-    let rows = match after {
-        None => gateway.store.read_table(deployment::TABLE).await?,
-        Some(after) => {
-            gateway
-                .store
-                .feed(deployment::TABLE, after, FEED_WAIT)
-                .await?
-        }
-    };
-    for row in &rows.rows {
-        take_routes(gateway, row);
-    }
-    gateway.confirm_routes();
-    Ok(rows.version)
-}
-
 fn take_routes(gateway: &Gateway, row: &Row) {
     let Some(value) = row.value.as_ref().filter(|_| row.id.key == deployment::KEY) else {
         return;
@@ -76,41 +54,29 @@
 
 /// Follows the endpoints for ever.
 pub async fn follow_endpoints(gateway: Rc<Gateway>) {
-    let mut version = None;
     loop {
-        match endpoints_once(&gateway, version).await {
-            Ok(newest) => {
-                version = Some(newest);
-                tokio::time::sleep(ENDPOINT_PAUSE).await;
+        match gateway.feeds.next(FollowedTable::Endpoints).await {
+            Ok(followed) => {
+                take_endpoints(&gateway, &followed);
+                if followed.is_from_store {
+                    tokio::time::sleep(ENDPOINT_PAUSE).await;
+                }
             }
             // The client has logged that the store is lost.
-            Err(_) => {
-                version = None;
-                tokio::time::sleep(RETRY_PAUSE).await;
-            }
+            Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
         }
     }
 }
 
-async fn endpoints_once(
-    gateway: &Gateway,
-    after: Option<RowVersion>,
-) -> Result<RowVersion, StoreError> {
-    let rows = match after {
-        None => gateway.store.read_table(endpoints::TABLE).await?,
-        Some(after) => {
-            gateway
-                .store
-                .feed(endpoints::TABLE, after, FEED_WAIT)
-                .await?
+fn take_endpoints(gateway: &Gateway, followed: &Followed) {
+    match followed.is_whole {
+        true => entries::take_all(gateway, &followed.rows),
+        false => {
+            let rows = followed.rows.iter();
+            rows.for_each(|row| entries::take(gateway, row));
         }
-    };
-    match after {
-        None => entries::take_all(gateway, &rows.rows),
-        Some(_) => rows.rows.iter().for_each(|row| entries::take(gateway, row)),
     }
     entries::note_undeclared(gateway);
-    Ok(rows.version)
 }
 
 /// Drops what is not needed any more and tells changes of readiness, for ever.
@@ -119,6 +85,11 @@
     loop {
         tokio::time::sleep(TIDY_INTERVAL).await;
         let now = gateway.clock.now();
+        // Before others are forgotten whose entries are gone.
+        let earlier = gateway.directory.borrow_mut().list_earlier(now);
+        for (instance, change) in earlier {
+            entries::log_listing(&instance, change);
+        }
         for instance in gateway.directory.borrow_mut().expire(now) {
             let event = Event::new(EventKind::EndpointWithdrawn).reason("lapsed");
             log_event(&event.endpoint(&instance));
--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! - [`commit`]: transactions that one gateway commits for another.
 //! - [`configuration`]: updates of the configuration as messages.
+//! - [`follow`]: what changed in a table of the store, asked of another gateway.
 //! - [`peer`]: the gRPC messages between entries and sidecars.
 //! - [`problem`]: how errors are told.
 //! - [`sse`]: server-sent events out of the pieces of a body.
@@ -12,6 +13,7 @@
 
 pub mod commit;
 pub mod configuration;
+pub mod follow;
 pub mod peer;
 pub mod problem;
 pub mod sse;
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -177,11 +177,15 @@
     StreamResumed,
     /// `host` does not commit for others for `wait_ms`; `reason` says what it did.
     GathererAvoided,
+    /// What changes in the store's tables is told by `host`, or read from the store; `reason` says which.
+    FeedSourceChanged,
+    /// `host` is not asked what changes in the store's tables for `wait_ms`; `reason` says what it did.
+    FeedSourceAvoided,
 }
 
 impl EventKind {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 84] = [
+    pub const ALL: [Self; 86] = [
         Self::ProcessStarted,
         Self::ProcessStopping,
         Self::ProcessStopped,
@@ -266,6 +270,8 @@
         Self::EscrowTaken,
         Self::EscrowReleased,
         Self::EscrowRefused,
+        Self::FeedSourceChanged,
+        Self::FeedSourceAvoided,
     ];
 
     /// The event's number, which stays with it for ever.
@@ -344,6 +350,8 @@
             Self::EscrowTaken => 845,
             Self::EscrowReleased => 846,
             Self::EscrowRefused => 847,
+            Self::FeedSourceChanged => 848,
+            Self::FeedSourceAvoided => 849,
             Self::HoldersAsked => 829,
             Self::HolderSilent => 830,
             Self::EntryRefused => 835,
@@ -440,6 +448,8 @@
             Self::HolderSilent => "holder-silent",
             Self::StreamResumed => "stream-resumed",
             Self::GathererAvoided => "gatherer-avoided",
+            Self::FeedSourceChanged => "feed-source-changed",
+            Self::FeedSourceAvoided => "feed-source-avoided",
             Self::RequestQuarantined => "request-quarantined",
             Self::AcceptFailed => "accept-failed",
             Self::RecordUnreadable => "record-unreadable",
@@ -481,6 +491,7 @@
             | Self::EntryRefused
             | Self::EndpointAvoided
             | Self::GathererAvoided
+            | Self::FeedSourceAvoided
             | Self::StoreLost
             | Self::SettingsRefused
             | Self::HolderSilent
@@ -616,6 +627,12 @@
             Self::GathererAvoided => {
                 "`host` does not commit for others for `wait_ms`; `reason` says what it did."
             }
+            Self::FeedSourceChanged => {
+                "What changes in the store's tables is told by `host`, or read from the store; `reason` says which."
+            }
+            Self::FeedSourceAvoided => {
+                "`host` is not asked what changes in the store's tables for `wait_ms`; `reason` says what it did."
+            }
             Self::StreamResumed => {
                 "Step: the stream goes on at `endpoint` after its last whole event; `reason` says how the endpoint before failed."
             }
--- a/transport/src/store/mod.rs
+++ b/transport/src/store/mod.rs
@@ -256,9 +256,9 @@
         }
     }
 
-    /// Whether the store was away within `span` before now.
-    pub fn was_away_within(&self, span: Duration) -> bool {
-        self.direct().was_away_within(span)
+    /// How long ago the store was last away from this host; none when it never was.
+    pub fn away_ago(&self) -> Option<Duration> {
+        self.direct().away_ago()
     }
 
     fn was_ever_answered(&self) -> bool {
--- a/transport/src/store/way.rs
+++ b/transport/src/store/way.rs
@@ -193,12 +193,13 @@
         failing.max(silent)
     }
 
-    /// Whether the store was away within `span` before now.
-    pub fn was_away_within(&self, span: Duration) -> bool {
-        let now = self.clock.now();
+    /// How long ago the store was last away; none when it never was.
+    pub fn away_ago(&self) -> Option<Duration> {
+        if self.health.failing_since.get().is_some() {
+            return Some(Duration::ZERO);
+        }
         let recovered = self.health.recovered_at.get();
-        self.health.failing_since.get().is_some()
-            || recovered.is_some_and(|at| now.saturating_sub(at) < span)
+        recovered.map(|at| self.clock.now().saturating_sub(at))
     }
 
     /// How long the oldest open call has been without an answer, unless some
