Register many hosts at once, and judge staleness by a host's place in the tree

(1) All hosts write their rows to one partition in the same second; it takes 150 transactions a second, so that rows were refused for 12 s, hosts waited for them longer than for the table of gateways and then read whole tables from the store. (3) Each host wrote one line for each of 860 endpoints when it started.

Ruled out: a longer wait, which delays the start of a host in an outage as well.

Change: the rows of gateways lie in 16 partitions by their keys' first digit; readers read all of them. Rows are stale beyond the sum of the waits above a host. A host above that says the store is unavailable while the store answers this host is passed by at once. A whole read tells 16 new endpoints and the number of the others.

--- a/coordination/src/gateway/follow_tree.rs
+++ b/coordination/src/gateway/follow_tree.rs
@@ -84,6 +84,17 @@
         usable.map_or(Source::Store, |host| Source::Host(host.clone()))
     }
 
+    /// Hosts between this one and the store while all of them answer.
+    pub fn level(&self) -> u32 {
+        let mut level = 0;
+        let mut above = self.own_rank.and_then(parent);
+        while let Some(rank) = above {
+            level += 1;
+            above = parent(rank);
+        }
+        level
+    }
+
     /// Whether other hosts are to learn from this one.
     pub fn has_followers(&self) -> bool {
         let mut ranks = READERS..self.ranked.len();
--- a/gateway/src/entries.rs
+++ b/gateway/src/entries.rs
@@ -14,6 +14,9 @@
 
 /// How long after an outage an entry that vanished counts as lapsed in it.
 const LAPSE_SPAN: Duration = Duration::from_secs(2);
+/// Endpoints that are told one by one when a whole table is read. All hosts tell the
+/// same, and the first read has every endpoint.
+const MAX_LISTED_LINES: usize = 16;
 /// Reason of an entry whose service nobody has declared.
 const UNDECLARED: &str = "service";
 /// How the refusal of an entry ended: it names an endpoint now.
@@ -45,8 +48,16 @@
     let now = gateway.clock.now();
     let in_outage = is_in_outage(gateway);
     let mut directory = gateway.directory.borrow_mut();
-    for (instance, change) in directory.replace(records, &refused, now, in_outage) {
-        log_listing(&instance, change);
+    let changes = directory.replace(records, &refused, now, in_outage);
+    let (listed, others): (Vec<_>, Vec<_>) = changes
+        .iter()
+        .partition(|(_, change)| *change == Listing::Listed);
+    for (instance, change) in listed.iter().take(MAX_LISTED_LINES).chain(&others) {
+        log_listing(instance, *change);
+    }
+    if listed.len() > MAX_LISTED_LINES {
+        let event = Event::new(EventKind::EndpointListed).reason("others");
+        log_event(&event.count((listed.len() - MAX_LISTED_LINES) as u64));
     }
 }
 
--- a/gateway/src/feeds.rs
+++ b/gateway/src/feeds.rs
@@ -20,11 +20,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future::try_join_all;
 use rosebend_coordination::gateway::follow_tree::{FollowTree, Source};
 use rosebend_coordination::gateway::gatherers::Candidate;
 use rosebend_coordination::gateway::replica::{TableNews, TableReplica};
 use rosebend_protocol::follow::FollowAnswer;
-use rosebend_state::deployment::{Row, RowVersion};
+use rosebend_state::deployment::{Row, RowRange, RowVersion};
 use rosebend_state::id::HostId;
 use rosebend_transport::clock::{Clock, whole_ms};
 use rosebend_transport::event::{Event, EventKind, log_event};
@@ -116,7 +117,7 @@
     /// # Errors
     ///
     /// Fails when nobody tells what changed; what is known stays as it was.
-    pub async fn next(&self, table: FollowedTable) -> Result<Followed, StoreError> {
+    pub async fn next(self: &Rc<Self>, table: FollowedTable) -> Result<Followed, StoreError> {
         self.wait_for_hosts(table).await;
         while let Source::Host(host) = self.source() {
             match self.ask(&host, table, table.follow_wait()).await {
@@ -129,7 +130,10 @@
 
     /// Takes the table of gateways from one of these hosts; none when they do not have
     /// it.
-    pub async fn take_hosts_from(&self, hosts: &[Candidate<SocketAddr>]) -> Option<Followed> {
+    pub async fn take_hosts_from(
+        self: &Rc<Self>,
+        hosts: &[Candidate<SocketAddr>],
+    ) -> Option<Followed> {
         let table = FollowedTable::Gateways;
         for host in hosts {
             match self.ask(host, table, Duration::ZERO).await {
@@ -233,15 +237,16 @@
     }
 
     async fn take_answer(
-        &self,
+        self: &Rc<Self>,
         host: &Candidate<SocketAddr>,
         table: FollowedTable,
         answered: Answered,
     ) -> Result<Followed, StoreError> {
         let Answered { answer, at } = answered;
-        self.hear_store_state(&answer, at);
+        self.hear_store_state(host, &answer, at);
         let current_at = at.saturating_sub(answer.age);
-        let is_stale = answer.version.is_none() || table.is_stale(answer.age);
+        let level = self.tree.borrow().level();
+        let is_stale = answer.version.is_none() || table.is_stale(answer.age, level);
         let mut followed = Followed::default();
         if let Some(version) = answer.version {
             let news = TableNews {
@@ -266,14 +271,25 @@
         Ok(read)
     }
 
-    fn hear_store_state(&self, answer: &FollowAnswer, answered_at: Duration) {
+    fn hear_store_state(
+        self: &Rc<Self>,
+        host: &Candidate<SocketAddr>,
+        answer: &FollowAnswer,
+        answered_at: Duration,
+    ) {
         let is_news = self.store_state.hear(answer, answered_at);
         self.note_store_state();
         if is_news && !self.store.is_direct_down() {
-            // Whether it is away from this host, too, only its own call tells.
-            let store = Rc::clone(&self.store);
-            let table = FollowedTable::Gateways.name();
-            actix_rt::spawn(async move { store.probe(table, "").await });
+            actix_rt::spawn(Rc::clone(self).check_store(host.clone()));
+        }
+    }
+
+    /// Finds out whether the store is away from this host, too, or only from the host
+    /// above, which then hears of nothing.
+    async fn check_store(self: Rc<Self>, host: Candidate<SocketAddr>) {
+        let table = FollowedTable::Gateways.name();
+        if self.store.probe(table, "").await {
+            self.avoid(&host, "cut-off");
         }
     }
 
@@ -303,12 +319,20 @@
         table.store_wait(self.tree.borrow().has_followers())
     }
 
+    /// Reads all rows of a table. The version is the least of all partitions', so that
+    /// a feed from it on misses no change.
     async fn read_whole(&self, table: FollowedTable) -> Result<TableNews, StoreError> {
-        let rows = self.store.read_table(table.name()).await?;
+        let ranges: Vec<RowRange> = table
+            .partitions()
+            .map(|partition| RowRange::whole(table.name(), partition))
+            .collect();
+        let reads = ranges.iter().map(|range| self.store.read(range));
+        let parts = try_join_all(reads).await?;
+        let versions = parts.iter().map(|rows| rows.version);
         Ok(TableNews {
             is_whole: true,
-            version: rows.version,
-            rows: rows.rows,
+            version: versions.min().unwrap_or(0),
+            rows: parts.into_iter().flat_map(|rows| rows.rows).collect(),
         })
     }
 
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -37,9 +37,6 @@
 const MAX_PEERS: usize = 8;
 /// Rows that name no gateway and are told at most, each once.
 const MAX_TOLD: usize = 8;
-/// Pause after a change that the store told: when many hosts start at once, their
-/// rows come one by one.
-const CHANGE_PAUSE: Duration = Duration::from_millis(500);
 /// Rows that a host which starts reads to find one that has them all: with five
 /// availability zones about three hosts of its own.
 const FIRST_ROWS: usize = 16;
@@ -72,7 +69,7 @@
                 // A late write of the host's last run may have replaced it.
                 is_written &= table.has(gateway.commits.holder());
                 if has_changed && followed.is_from_store {
-                    tokio::time::sleep(CHANGE_PAUSE).await;
+                    tokio::time::sleep(FollowedTable::Gateways.store_pause()).await;
                 }
             }
             // The client has logged that the store is lost.
@@ -85,9 +82,10 @@
 /// would otherwise read the rows of all from the store.
 async fn take_from_another(gateway: &Gateway) -> Option<Followed> {
     let settings = gateway.settings();
+    let own = row_id(&settings.host);
     let range = RowRange {
-        from: key(&settings.host),
-        ..RowRange::whole(TABLE, "")
+        from: own.key,
+        ..RowRange::whole(TABLE, &own.partition)
     };
     let rows = gateway.store.read_some(&range, FIRST_ROWS).await.ok()?;
     let mut table = PeerTable::default();
@@ -205,9 +203,16 @@
     }
 }
 
+/// Where a host's row lies. The partition is the first digit of the key.
+pub fn row_id(host: &str) -> RowId {
+    let key = key(host);
+    let partition = key[..1].to_owned();
+    RowId::new(TABLE, &partition, key)
+}
+
 async fn write_row(gateway: &Gateway, relay: SocketAddr) -> Result<(), StoreError> {
     let host = gateway.settings().host.clone();
-    let row = RowId::new(TABLE, "", key(&host));
+    let row = row_id(&host);
     let peer = PeerRow {
         host,
         availability_zone: Some(gateway.settings().availability_zone.clone()),
@@ -227,7 +232,7 @@
 /// Deletes this gateway's row at a planned stop.
 pub async fn leave(gateway: &Gateway) {
     let transaction = Transaction {
-        deletes: vec![RowId::new(TABLE, "", key(&gateway.settings().host))],
+        deletes: vec![row_id(&gateway.settings().host)],
         ..Transaction::default()
     };
     // A row that stays costs a peer one call that is refused.
@@ -244,7 +249,7 @@
     let Some((host, _)) = holder.rsplit_once('/') else {
         return Ok(None);
     };
-    let id = RowId::new(TABLE, "", key(host));
+    let id = row_id(host);
     let row = gateway.store.read_row(&id).await?;
     // A row that names no gateway is told by who looks for peers.
     let peer = row.and_then(|row| PeerRow::try_from(&row).ok());
--- a/gateway/src/watch.rs
+++ b/gateway/src/watch.rs
@@ -12,9 +12,6 @@
 use crate::feeds::{Followed, FollowedTable};
 use crate::gateway::Gateway;
 
-/// Pause between two feeds of endpoints at the store. Every endpoint writes about once a
-/// second, so that a feed without a pause would answer at once each time.
-const ENDPOINT_PAUSE: Duration = Duration::from_millis(550);
 /// Pause after a failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
 /// Time between two rounds of tidying up.
@@ -59,7 +56,7 @@
             Ok(followed) => {
                 take_endpoints(&gateway, &followed);
                 if followed.is_from_store {
-                    tokio::time::sleep(ENDPOINT_PAUSE).await;
+                    tokio::time::sleep(FollowedTable::Endpoints.store_pause()).await;
                 }
             }
             // The client has logged that the store is lost.
--- a/gateway/tests/following.rs
+++ b/gateway/tests/following.rs
@@ -4,10 +4,13 @@
 mod support;
 
 use std::cell::Cell;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rosebend_gateway::feeds::FollowedTable;
 use rosebend_gateway::peer_connections::{PeerConnections, PeerError};
+use rosebend_gateway::peers;
 use rosebend_protocol::follow::{FollowRequest, decode_answer, encode_request};
 use rosebend_standin::store::StoreFaults;
 use support::{Ask, Gateway, Site, until};
@@ -154,6 +157,40 @@
     assert_eq!(answer.status, 200);
 }
 
+/// The pattern of a start of the whole fleet: every host writes its row in the same
+/// second, and a partition of the store takes 150 transactions in one.
+#[test]
+fn rows_of_hosts_that_start_together_are_spread_over_partitions() {
+    let mut rows = HashMap::<String, usize>::new();
+    for number in 0..1_250 {
+        let row = peers::row_id(&format!("edge-hall-{number}"));
+        *rows.entry(row.partition).or_default() += 1;
+    }
+    let partitions: Vec<&str> = FollowedTable::Gateways.partitions().collect();
+    for (partition, count) in &rows {
+        assert!(partitions.contains(&partition.as_str()));
+        assert!(*count <= 150, "{count} rows in partition {partition}");
+    }
+}
+
+#[actix_rt::test]
+async fn a_host_that_starts_tells_of_many_endpoints_in_few_lines() {
+    let site = Site::start();
+    let address = "127.0.0.1:9".parse().unwrap();
+    for number in 0..100 {
+        site.announce_at(&format!("i-more-{number}"), "desk", address);
+    }
+    let gateway = site.ready_gateway().await;
+    until("all endpoints are told", async || {
+        let lines = gateway.events("endpoint-listed");
+        let told = lines.iter().map(|line| line["count"].as_u64().unwrap_or(1));
+        told.sum::<u64>() == 102
+    })
+    .await;
+    let lines = gateway.events("endpoint-listed").len();
+    assert!(lines <= 17, "{lines} lines");
+}
+
 /// Asks a host what is new, as one of another run or of its own.
 async fn ask(relay: SocketAddr, asked_run: &str, table: &str) -> Result<usize, PeerError> {
     let question = encode_request(&FollowRequest {
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -139,7 +139,7 @@
     CustomerUnusable,
     /// A row of the table of gateways names none.
     PeerRowUnusable,
-    /// The endpoint announced itself; it gets requests. `reason` is started-again when an earlier start under its id was listed.
+    /// The endpoint announced itself; it gets requests. `reason` is started-again when an earlier start under its id was listed, and others for `count` endpoints more of a whole read.
     EndpointListed,
     /// The endpoint gets no new requests; `reason` says why: it drains, its entry is gone, or its entry lapsed in an outage and did not come back.
     EndpointWithdrawn,
@@ -641,7 +641,7 @@
                 "What operators declared cannot be read; the routes before stay in force."
             }
             Self::EndpointListed => {
-                "The endpoint announced itself; it gets requests. `reason` is started-again when an earlier start under its id was listed."
+                "The endpoint announced itself; it gets requests. `reason` is started-again when an earlier start under its id was listed, and others for `count` endpoints more of a whole read."
             }
             Self::RouteUnusable => {
                 "A route of `version`, one of `count`, has a value that cannot be used; its requests are refused as not run, and the other routes are in force."
--- a/transport/src/store/mod.rs
+++ b/transport/src/store/mod.rs
@@ -379,12 +379,13 @@
         self.get(StoreCall::Read, &outgoing, Duration::ZERO).await
     }
 
-    /// Asks the store straight whether it answers this host again.
-    pub async fn probe(&self, table: &str, key: &str) {
+    /// Asks the store straight whether it answers this host, and returns that.
+    pub async fn probe(&self, table: &str, key: &str) -> bool {
         let path = wire::read_path(table, "", key, None, Some(1));
-        if let Ok(outgoing) = Outgoing::get(&path, "") {
+        match Outgoing::get(&path, "") {
             // The way itself takes note of how it went.
-            let _ = self.pass_on(&outgoing, Duration::ZERO).await;
+            Ok(outgoing) => self.pass_on(&outgoing, Duration::ZERO).await.is_ok(),
+            Err(_) => false,
         }
     }
 
