Look up holders of tokens in the followed table of gateways

Cause: before a turn is refused for its budget, the holders of its program's tokens are asked, and each host read each holder's address from the store once: a read for each pair of hosts, hosts squared.

Ruled out: keeping more addresses that were read, which still costs the first read of a pair.

Change: addresses come from the table of gateways, which each host follows anyway. A run that is not in it is still looked for in the store: only the store's word makes it gone.

Test: a refusal reads the ledger and nothing else (two reads before).

--- a/gateway/src/holders.rs
+++ b/gateway/src/holders.rs
@@ -4,29 +4,43 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+use rosebend_coordination::gateway::gatherers::Candidate;
 use rosebend_coordination::gateway::ledger::Holder;
 
-/// Addresses that are kept at most, about 100 bytes each. The largest known
-/// site has 127 hosts, so that they last for several restarts of all.
-const MAX_ADDRESSES: usize = 512;
-/// Addresses of other runs of gateways.
+/// Addresses of runs that are not in the table of gateways here, at most; about 100
+/// bytes each.
+const MAX_READ: usize = 512;
+
+/// Addresses of other runs of gateways. A run keeps its address.
 #[derive(Debug, Default)]
 pub struct HolderAddresses {
-    addresses: RefCell<HashMap<Holder, SocketAddr>>,
+    /// Runs in the table of gateways, as this host knows it.
+    listed: RefCell<HashMap<Holder, SocketAddr>>,
+    /// Runs that were read from the store.
+    read: RefCell<HashMap<Holder, SocketAddr>>,
 }
 
 impl HolderAddresses {
     /// Where a holder answers, if that is known.
     pub fn get(&self, holder: &Holder) -> Option<SocketAddr> {
-        self.addresses.borrow().get(holder).copied()
+        let listed = self.listed.borrow().get(holder).copied();
+        listed.or_else(|| self.read.borrow().get(holder).copied())
+    }
+
+    /// Takes all hosts that are there. Without them each host would read every other
+    /// one's row from the store when it first meets its reservations.
+    pub fn set_hosts(&self, hosts: &[Candidate<SocketAddr>]) {
+        let hosts = hosts.iter();
+        let listed = hosts.map(|host| (host.run.clone(), host.address));
+        self.listed.replace(listed.collect());
     }
 
     /// Takes note of where a holder answers.
     pub fn put(&self, holder: &Holder, address: SocketAddr) {
-        let mut addresses = self.addresses.borrow_mut();
-        if addresses.len() >= MAX_ADDRESSES {
-            addresses.clear();
+        let mut read = self.read.borrow_mut();
+        if read.len() >= MAX_READ {
+            read.clear();
         }
-        addresses.insert(holder.clone(), address);
+        read.insert(holder.clone(), address);
     }
 }
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -112,6 +112,7 @@
     gateway.store.set_peers(&table.behind(&key(&settings.host)));
     gateway.joined_commits.set_hosts(table.candidates());
     gateway.limits.set_hosts(table.candidates());
+    gateway.holders.set_hosts(&table.candidates());
     let zone = table.candidates_of(&settings.availability_zone);
     gateway.feeds.set_hosts(zone);
     let now = gateway.clock.now();
--- a/gateway/src/recall.rs
+++ b/gateway/src/recall.rs
@@ -3,8 +3,8 @@
 //! A host whose turn a budget does not hold asks those who hold the rest of it: a
 //! process that is not there any more keeps nothing, and a turn that has ended is
 //! waited for rather than counted.
-//! That takes a read and a question of a few milliseconds to each holder, and
-//! only a turn that would be refused pays for it.
+//! That takes a question of a few milliseconds to each holder, and only a turn that
+//! would be refused pays for it.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -152,9 +152,7 @@
     Ok(statement.map_or(Found::Gone, |statement| found(holding, &statement)))
 }
 
-/// Where a holder answers. A run of a process keeps its address, so it is read
-/// once: programs that call without end ask again and again, 700 times on a
-/// quiet day of one site.
+/// Where a holder answers. Only the store tells that a run is not there any more.
 async fn address_of(gateway: &Gateway, holder: &Holder) -> Result<Option<SocketAddr>, Refusal> {
     if let Some(address) = gateway.holders.get(holder) {
         return Ok(Some(address));
--- a/gateway/tests/budget.rs
+++ b/gateway/tests/budget.rs
@@ -433,3 +433,31 @@
     let answer = unkept("t5", 250).send(other.front).await;
     assert_eq!(answer.status, 200, "{}", answer.body);
 }
+
+/// The pattern of programs that call without end on many hosts: each refusal asks the
+/// holders of other turns, and reading where they are would cost a call to the store for
+/// each pair of hosts.
+#[actix_rt::test]
+async fn holders_that_are_listed_are_asked_without_a_read() {
+    let site = Site::start();
+    let gateways = site.two_ready_gateways().await;
+    for gateway in &gateways {
+        gateway.until_peers(1).await;
+    }
+    let [first, second] = &gateways;
+    let paced = BackendFaults {
+        delay_ms: 400,
+        ..BackendFaults::default()
+    };
+    site.endpoint_faults(MODELS, &paced).await;
+    let front = first.front;
+    let running = actix_rt::spawn(async move { unkept("t1", 150).send(front).await });
+    until("the turn runs", async || site.times_run("t1").await == 1).await;
+    let reads = "store_calls_total{call=\"read\",outcome=\"done\"}";
+    let before = second.metric(reads).await;
+    assert_eq!(unkept("t2", 150).send(second.front).await.status, 402);
+    assert_eq!(second.events("holders-asked").len(), 1);
+    // The ledger alone is read, once the holder has answered.
+    assert_eq!(second.metric(reads).await, before + 1);
+    assert_eq!(running.await.unwrap().status, 200);
+}
