Send a read again when its answer is late

Cause: a read whose answer is lost waited for its whole timeout (1 s), and each turn that comes to another host than the one before begins with a read of its history.

Ruled out: a shorter timeout, which ends calls to a slow store.

Change: reads and transactions share the resending. The stand-in store can swallow reads. Test: a turn whose history's first two answers are swallowed is served, with a timeout of 60 s; it failed before.

--- a/gateway/tests/turns.rs
+++ b/gateway/tests/turns.rs
@@ -9,7 +9,7 @@
 use rosebend_standin::backend::BackendFaults;
 use rosebend_standin::store::StoreFaults;
 use rosebend_transport::connection::Connection;
-use support::{Ask, Site, until};
+use support::{Ask, Gateway, Site, until};
 
 const MODELS: usize = 0;
 const EVENTS: &str = "id: 0\ndata: word0\n\nid: 1\ndata: word1\n\nid: 2\ndata: word2\n\n";
@@ -263,17 +263,41 @@
     assert_eq!(site.runs(MODELS).await["t5"].body, expected);
 }
 
-#[actix_rt::test]
-async fn a_transaction_whose_answer_does_not_come_is_sent_again_before_its_timeout() {
-    let (site, gateway) = Site::start_with_gateway().await;
+/// Lets a gateway wait longer for the store than any test lasts.
+async fn wait_for_ever(site: &Site, gateway: &Gateway) {
     let address = site.door.address().to_string();
-    // Longer than any wait of this test.
     gateway.change_settings(&address, &format!("{address}\ntimeout_ms = 60000"));
     gateway.signal("HUP");
     until("the timeout is in force", async || {
         !gateway.events("settings-taken").is_empty()
     })
     .await;
+}
+
+/// The pattern of a store that loses answers: every turn that comes to another host
+/// than the one before reads its history.
+#[actix_rt::test]
+async fn a_read_whose_answer_does_not_come_is_sent_again_before_its_timeout() {
+    let site = Site::start();
+    let [first, second] = site.two_ready_gateways().await;
+    let turn = Ask::turn("t1", "p1", "x").send(first.front).await;
+    assert_eq!(turn.status, 200);
+    wait_for_ever(&site, &second).await;
+    let mute = StoreFaults {
+        swallow_reads: 2,
+        ..StoreFaults::default()
+    };
+    site.faults(&mute).await;
+    let next = Ask::turn("t2", "p1", "y").previous("t1");
+    let answer = tokio::time::timeout(Duration::from_secs(20), next.send(second.front)).await;
+    let answer = answer.expect("the turn does not wait for the timeout");
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+}
+
+#[actix_rt::test]
+async fn a_transaction_whose_answer_does_not_come_is_sent_again_before_its_timeout() {
+    let (site, gateway) = Site::start_with_gateway().await;
+    wait_for_ever(&site, &gateway).await;
     let mute = StoreFaults {
         swallow_answers: 2,
         ..StoreFaults::default()
--- a/standin/src/store/mod.rs
+++ b/standin/src/store/mod.rs
@@ -76,6 +76,8 @@
     /// Number of transactions more that take effect and whose answer never
     /// comes, on a connection that stays open.
     pub swallow_answers: u64,
+    /// Number of reads more whose answer never comes, on a connection that stays open.
+    pub swallow_reads: u64,
     /// Number of transactions more that are lost before they take effect.
     pub lose_calls: u64,
     /// Number of transactions more that are refused with 429.
@@ -384,6 +386,10 @@
             self.store.lock().stats.lost_answers += 1;
             std::future::pending::<()>().await;
         }
+        let is_read = request.path == "/rows-get";
+        if is_read && take_one(&mut self.lock_faults().swallow_reads) {
+            std::future::pending::<()>().await;
+        }
         let slow_ms = self.lock_faults().slow_ms;
         actix_rt::time::sleep(Duration::from_millis(slow_ms)).await;
         reply
--- a/transport/src/store/mod.rs
+++ b/transport/src/store/mod.rs
@@ -40,13 +40,13 @@
 /// each of them only says so.
 const MAX_PEERS_ASKED: usize = 2;
 
-/// Shortest wait for the answer to a transaction before another copy is sent.
-/// Answers take 8 to 20 ms; a few take longer when a partition is busy.
+/// Shortest wait for an answer before another copy of the call is sent.
+/// Answers take 4 to 20 ms; a few take longer when a partition is busy.
 pub const MIN_TIMEOUT: Duration = Duration::from_millis(150);
 /// Longest such wait. A slow store answers after 200 to 500 ms, and needs no
 /// second copy of each call.
 const MAX_TIMEOUT: Duration = Duration::from_secs(1);
-/// Copies of one transaction, at most: where three answers in ten are lost, all
+/// Copies of one call, at most: where three answers in ten are lost, all
 /// of three are lost in one of 37 transactions.
 const MAX_COPIES: usize = 3;
 
@@ -115,7 +115,7 @@
     direct: RefCell<Rc<Way>>,
     /// First call refused as one too many, with none answered since.
     throttled_since: Cell<Option<Duration>>,
-    /// How long to wait for the answer to a transaction before it is sent again.
+    /// How long to wait for an answer before the call is sent again.
     resend_after: Cell<Duration>,
     /// Why the last straight call failed; none since one was answered.
     last_failure: RefCell<Option<StoreError>>,
@@ -284,7 +284,8 @@
             path: PathAndQuery::from_static(wire::TRANSACT_PATH),
             body: Bytes::from(wire::encode_transaction(transaction)),
         };
-        let (status, body) = self.call_again_when_late(&outgoing).await?;
+        let call = self.call_again_when_late(StoreCall::Transact, &outgoing);
+        let (status, body) = call.await?;
         match status {
             StoreStatus::Done => {
                 let version = wire::decode_applied(&body).map_err(unreadable)?;
@@ -376,7 +377,8 @@
 
     async fn read_page(&self, path: &str, partition: &str) -> Result<Rows, StoreError> {
         let outgoing = Outgoing::get(path, partition)?;
-        self.get(StoreCall::Read, &outgoing, Duration::ZERO).await
+        let call = self.call_again_when_late(StoreCall::Read, &outgoing);
+        decode_rows(call.await?)
     }
 
     /// Asks the store straight whether it answers this host, and returns that.
@@ -402,25 +404,15 @@
     ) -> Result<Rows, StoreError> {
         let path = wire::feed_path(table, after, wait);
         let outgoing = Outgoing::get(&path, "")?;
-        self.get(StoreCall::Feed, &outgoing, wait).await
+        decode_rows(self.call(StoreCall::Feed, &outgoing, wait).await?)
     }
 
-    async fn get(
-        &self,
-        kind: StoreCall,
-        outgoing: &Outgoing,
-        wait: Duration,
-    ) -> Result<Rows, StoreError> {
-        match self.call(kind, outgoing, wait).await? {
-            (StoreStatus::Done, body) => wire::decode_rows(&body).map_err(unreadable),
-            (status, _) => Err(unexpected(status)),
-        }
-    }
-
-    /// A transaction, sent again while no answer comes: its conditions keep a
-    /// second copy from taking effect twice. The first answer counts.
+    /// A call that is sent again while no answer comes. A second copy of a read does
+    /// nothing, and conditions keep that of a transaction from taking effect twice. The
+    /// first answer counts.
     async fn call_again_when_late(
         &self,
+        kind: StoreCall,
         outgoing: &Outgoing,
     ) -> Result<(StoreStatus, Bytes), StoreError> {
         let mut copies = FuturesUnordered::new();
@@ -428,7 +420,7 @@
         let mut resend_after = self.resend_after.get();
         loop {
             if sent < MAX_COPIES {
-                copies.push(self.timed_transaction(outgoing));
+                copies.push(self.timed_call(kind, outgoing));
                 sent += 1;
             }
             let wait = match sent < MAX_COPIES {
@@ -448,14 +440,14 @@
         }
     }
 
-    /// One copy of a transaction, whose time tells how long to wait for others.
-    async fn timed_transaction(
+    /// One copy of a call, whose time tells how long to wait for others.
+    async fn timed_call(
         &self,
+        kind: StoreCall,
         outgoing: &Outgoing,
     ) -> Result<(StoreStatus, Bytes), StoreError> {
         let started = self.clock.now();
-        let call = self.call(StoreCall::Transact, outgoing, Duration::ZERO);
-        let answer = call.await;
+        let answer = self.call(kind, outgoing, Duration::ZERO).await;
         if answer.is_ok() {
             let took = self.clock.now().saturating_sub(started);
             self.resend_after
@@ -681,6 +673,14 @@
     }
 }
 
+/// The rows that an answer holds.
+fn decode_rows((status, body): (StoreStatus, Bytes)) -> Result<Rows, StoreError> {
+    match status {
+        StoreStatus::Done => wire::decode_rows(&body).map_err(unreadable),
+        status => Err(unexpected(status)),
+    }
+}
+
 /// What was done is not known where the answer can't be read.
 fn unreadable(error: DecodeError) -> StoreError {
     StoreError::NoAnswer(error.to_string())
