Name the replica's and the feeds' parts by the usual terms

Cause: take, hear, tell and news are no terms of the field; a reader has to learn them. Change: apply, record, report and changes; no decision changes.

--- a/coordination/src/gateway/replica.rs
+++ b/coordination/src/gateway/replica.rs
@@ -7,12 +7,12 @@
 
 /// Deletions that are remembered. A follower that missed more takes the whole table.
 const MAX_DELETIONS: usize = 512;
-/// Versions that are remembered: minutes of news.
+/// Versions that are remembered: minutes of changes.
 const MAX_STEPS: usize = 512;
 
-/// Rows of a table, as one host tells them to another.
+/// Rows of a table, as read from the store or sent by another host.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct TableNews {
+pub struct TableChanges {
     /// Whether these are all rows of the table; rows that it lacks are gone.
     pub is_whole: bool,
     /// Version of the store as of which they are known.
@@ -23,16 +23,16 @@
 
 /// What a host knows of a table.
 ///
-/// It only moves forward: news of an older version than its own change nothing.
+/// It only moves forward: changes of an older version than its own change nothing.
 #[derive(Debug, Default)]
 pub struct TableReplica {
     rows: BTreeMap<String, Row>,
     /// Rows that were deleted, the latest last.
     deletions: VecDeque<(RowVersion, RowId)>,
     /// Versions as of which the table was known here, the latest last. Only a follower
-    /// that knows the table as of one of them can be told what changed since: of one
-    /// that heard from elsewhere in between, this host may have missed a change that
-    /// was taken back.
+    /// that knows the table as of one of them can be sent the changes since: for one
+    /// that learned of it elsewhere in between, this host may have missed a change that
+    /// was reverted.
     steps: VecDeque<RowVersion>,
     /// When the store had nothing newer, for all that is known.
     current_at: Duration,
@@ -40,47 +40,50 @@
 
 impl TableReplica {
     /// Version of the store as of which the table is known; none before the first
-    /// news.
+    /// changes.
     pub fn version(&self) -> Option<RowVersion> {
         self.steps.back().copied()
     }
 
-    /// How long ago the store had nothing newer; none before the first news.
+    /// How long ago the store had nothing newer; none before the first changes.
     pub fn age(&self, now: Duration) -> Option<Duration> {
         self.version().map(|_| now.saturating_sub(self.current_at))
     }
 
-    /// Takes news that were current at `current_at`. `is_same` tells that a row
-    /// changed in nothing that hosts act on; such a change is not passed on. Returns
-    /// whether the news were not older than what is known.
-    pub fn take(
+    /// Applies changes that were current at `current_at`. `is_same` returns whether a
+    /// row changed in nothing that hosts act on; such a change is not passed on. Returns
+    /// whether the changes were not older than what is known.
+    pub fn apply(
         &mut self,
-        news: &TableNews,
+        changes: &TableChanges,
         current_at: Duration,
         is_same: impl Fn(&Row, &Row) -> bool,
     ) -> bool {
-        if self.version().is_some_and(|version| news.version < version) {
+        if self
+            .version()
+            .is_some_and(|version| changes.version < version)
+        {
             return false;
         }
-        if news.is_whole {
-            self.delete_missing(news);
+        if changes.is_whole {
+            self.delete_missing(changes);
         }
-        for row in &news.rows {
-            self.take_row(row, news.version, &is_same);
+        for row in &changes.rows {
+            self.apply_row(row, changes.version, &is_same);
         }
-        self.note_step(news.version);
+        self.note_step(changes.version);
         self.current_at = self.current_at.max(current_at);
         true
     }
 
-    fn delete_missing(&mut self, news: &TableNews) {
-        let listed = news.rows.iter().map(|row| row.id.key.as_str());
+    fn delete_missing(&mut self, changes: &TableChanges) {
+        let listed = changes.rows.iter().map(|row| row.id.key.as_str());
         let listed: HashSet<&str> = listed.collect();
         let rows = self.rows.values().map(|row| &row.id);
         let missing = rows.filter(|id| !listed.contains(id.key.as_str()));
         let missing: Vec<RowId> = missing.cloned().collect();
         for id in missing {
-            self.delete(&id, news.version);
+            self.delete(&id, changes.version);
         }
     }
 
@@ -93,7 +96,7 @@
         }
     }
 
-    fn take_row(&mut self, row: &Row, version: RowVersion, is_same: &impl Fn(&Row, &Row) -> bool) {
+    fn apply_row(&mut self, row: &Row, version: RowVersion, is_same: &impl Fn(&Row, &Row) -> bool) {
         let key = &row.id.key;
         if row.value.is_none() {
             // The row's own version may be that of its last write.
@@ -123,8 +126,8 @@
         }
     }
 
-    /// Whether there is anything to tell a follower that knows the table as of `after`.
-    pub fn has_news_after(&self, after: Option<RowVersion>) -> bool {
+    /// Whether there is anything to send to a follower that knows the table as of `after`.
+    pub fn has_changes_after(&self, after: Option<RowVersion>) -> bool {
         let is_newer = |version: RowVersion| after < Some(version);
         let mut deletions = self.deletions.iter().rev();
         match self.is_followed_from(after) {
@@ -136,8 +139,8 @@
         }
     }
 
-    /// Whether a follower can be told what changed, instead of all rows. One that is
-    /// ahead has nothing to hear.
+    /// Whether a follower can be sent changes instead of all rows. One that is ahead
+    /// lacks nothing.
     fn is_followed_from(&self, after: Option<RowVersion>) -> bool {
         let is_ahead = |after: &RowVersion| Some(*after) > self.version();
         let is_step = |after: &RowVersion| self.steps.binary_search(after).is_ok();
@@ -145,11 +148,11 @@
     }
 
     /// What a follower lacks that knows the table as of `after`; none before the
-    /// first news.
-    pub fn news_after(&self, after: Option<RowVersion>) -> Option<TableNews> {
+    /// first changes.
+    pub fn changes_after(&self, after: Option<RowVersion>) -> Option<TableChanges> {
         let version = self.version()?;
         let Some(after) = after.filter(|_| self.is_followed_from(after)) else {
-            return Some(TableNews {
+            return Some(TableChanges {
                 is_whole: true,
                 version,
                 rows: self.rows.values().cloned().collect(),
@@ -165,7 +168,7 @@
         });
         let mut rows: Vec<Row> = changed.cloned().chain(deleted).collect();
         rows.sort_by_key(|row| row.version);
-        Some(TableNews {
+        Some(TableChanges {
             is_whole: false,
             version,
             rows,
--- a/coordination/tests/follow_world/mod.rs
+++ b/coordination/tests/follow_world/mod.rs
@@ -8,7 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 use rosebend_coordination::gateway::follow_tree::{FollowTree, Source};
 use rosebend_coordination::gateway::gatherers::Candidate;
-use rosebend_coordination::gateway::replica::{TableNews, TableReplica};
+use rosebend_coordination::gateway::replica::{TableChanges, TableReplica};
 use rosebend_state::deployment::{Row, RowId, RowVersion};
 
 /// Availability zones.
@@ -208,12 +208,12 @@
             until: self.now + READ_INTERVAL,
         };
         if host.fault != Some(Fault::CutFromStore) {
-            let news = TableNews {
+            let news = TableChanges {
                 is_whole: host.replica.version().is_none(),
                 version: self.version,
                 rows: vec![row(self.version)],
             };
-            assert!(host.replica.take(&news, self.now, |_, _| false));
+            assert!(host.replica.apply(&news, self.now, |_, _| false));
         }
     }
 
@@ -237,22 +237,22 @@
         index: usize,
         asked: usize,
         waited: Duration,
-    ) -> Option<(TableNews, Duration)> {
+    ) -> Option<(TableChanges, Duration)> {
         let replica = &self.hosts[asked].replica;
-        let news = replica.news_after(self.hosts[index].replica.version());
+        let news = replica.changes_after(self.hosts[index].replica.version());
         let news = news.unwrap_or_default();
         let has_news = news.is_whole || !news.rows.is_empty();
         let age = replica.age(self.now).unwrap_or(Duration::MAX);
         (has_news || waited >= FOLLOW_WAIT).then_some((news, age))
     }
 
-    fn take(&mut self, index: usize, asked: &Candidate<usize>, news: &TableNews, age: Duration) {
+    fn take(&mut self, index: usize, asked: &Candidate<usize>, news: &TableChanges, age: Duration) {
         let now = self.now;
         let host = &mut self.hosts[index];
         let before = host.replica.version();
         host.asking = Asking::Nobody { until: now };
         host.replica
-            .take(news, now.saturating_sub(age), |_, _| false);
+            .apply(news, now.saturating_sub(age), |_, _| false);
         assert!(host.replica.version() >= before, "a host went back");
         if age <= STALE_AFTER {
             host.tree.answered(&asked.host);
--- a/coordination/tests/gateway_replica.rs
+++ b/coordination/tests/gateway_replica.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use rosebend_coordination::gateway::replica::{TableNews, TableReplica};
+use rosebend_coordination::gateway::replica::{TableChanges, TableReplica};
 use rosebend_state::deployment::{Row, RowId, RowVersion};
 
 const NOW: Duration = Duration::from_secs(1);
@@ -51,26 +51,26 @@
         }
     }
 
-    fn whole(&self) -> TableNews {
-        TableNews {
+    fn whole(&self) -> TableChanges {
+        TableChanges {
             is_whole: true,
             version: self.version,
             rows: self.rows.values().cloned().collect(),
         }
     }
 
-    fn after(&self, after: RowVersion) -> TableNews {
+    fn after(&self, after: RowVersion) -> TableChanges {
         let changed = self.changes.values().filter(|row| row.version > after);
         let mut rows: Vec<Row> = changed.cloned().collect();
         rows.sort_by_key(|row| row.version);
-        TableNews {
+        TableChanges {
             is_whole: false,
             version: self.version,
             rows,
         }
     }
 
-    fn news_for(&self, replica: &TableReplica) -> TableNews {
+    fn news_for(&self, replica: &TableReplica) -> TableChanges {
         replica
             .version()
             .map_or_else(|| self.whole(), |after| self.after(after))
@@ -82,7 +82,7 @@
     }
 }
 
-fn matters(news: &TableNews) -> BTreeMap<String, u8> {
+fn matters(news: &TableChanges) -> BTreeMap<String, u8> {
     let rows = news.rows.iter();
     rows.map(|row| (row.id.key.clone(), row.value.as_ref().unwrap()[0]))
         .collect()
@@ -90,7 +90,7 @@
 
 /// All rows that a replica would tell to who knows nothing.
 fn known(replica: &TableReplica) -> BTreeMap<String, u8> {
-    matters(&replica.news_after(None).unwrap())
+    matters(&replica.changes_after(None).unwrap())
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -117,15 +117,18 @@
 }
 
 fn follow(follower: &mut TableReplica, reader: &TableReplica) {
-    let news = reader.news_after(follower.version());
+    let news = reader.changes_after(follower.version());
     let has_news = news
         .as_ref()
         .is_some_and(|news| news.is_whole || !news.rows.is_empty());
-    assert_eq!(reader.has_news_after(follower.version()), has_news);
+    assert_eq!(reader.has_changes_after(follower.version()), has_news);
     if let Some(news) = news {
         let before = follower.version();
-        let is_taken = follower.take(&news, NOW, is_same);
-        assert_eq!(is_taken, before.is_none_or(|before| news.version >= before));
+        let is_applied = follower.apply(&news, NOW, is_same);
+        assert_eq!(
+            is_applied,
+            before.is_none_or(|before| news.version >= before)
+        );
     }
 }
 
@@ -144,10 +147,10 @@
                 Step::Delete(key) => table.delete(key),
                 Step::Feed(index) => {
                     let news = table.news_for(&readers[index]);
-                    readers[index].take(&news, NOW, is_same);
+                    readers[index].apply(&news, NOW, is_same);
                 }
                 Step::Read(index) => {
-                    readers[index].take(&table.whole(), NOW, is_same);
+                    readers[index].apply(&table.whole(), NOW, is_same);
                 }
                 Step::Follow(index) => follow(&mut follower, &readers[index]),
             }
@@ -155,7 +158,7 @@
         }
         for reader in &mut readers {
             let news = table.news_for(reader);
-            reader.take(&news, NOW, is_same);
+            reader.apply(&news, NOW, is_same);
             prop_assert_eq!(known(reader), table.matters());
             follow(&mut follower, reader);
             prop_assert_eq!(known(&follower), table.matters());
@@ -168,19 +171,19 @@
     let mut table = Table::default();
     table.set(1, 7, 0);
     let mut reader = TableReplica::default();
-    reader.take(&table.whole(), NOW, is_same);
+    reader.apply(&table.whole(), NOW, is_same);
     let after = reader.version();
     for beat in 1..100 {
         table.set(1, 7, beat);
         let news = table.news_for(&reader);
-        reader.take(&news, NOW, is_same);
+        reader.apply(&news, NOW, is_same);
     }
-    let news = reader.news_after(after).unwrap();
+    let news = reader.changes_after(after).unwrap();
     assert_eq!((news.rows.len(), news.version), (0, 100));
     table.set(1, 8, 0);
     let news = table.news_for(&reader);
-    reader.take(&news, NOW, is_same);
-    assert_eq!(reader.news_after(after).unwrap().rows.len(), 1);
+    reader.apply(&news, NOW, is_same);
+    assert_eq!(reader.changes_after(after).unwrap().rows.len(), 1);
 }
 
 #[test]
@@ -192,28 +195,28 @@
         value: Some(vec![1, 1]),
     });
     let mut reader = TableReplica::default();
-    let news = TableNews {
+    let news = TableChanges {
         is_whole: true,
         version: 1,
         rows: rows.collect(),
     };
-    reader.take(&news, NOW, is_same);
+    reader.apply(&news, NOW, is_same);
     for key in 0..1_500_u32 {
         let deleted = Row {
             id: RowId::new("t", "", key.to_string()),
             version: 0,
             value: None,
         };
-        let news = TableNews {
+        let news = TableChanges {
             is_whole: false,
             version: version(key) + 2,
             rows: vec![deleted],
         };
-        reader.take(&news, NOW, is_same);
+        reader.apply(&news, NOW, is_same);
     }
-    let all = reader.news_after(Some(1)).unwrap();
+    let all = reader.changes_after(Some(1)).unwrap();
     assert_eq!((all.is_whole, all.rows.len()), (true, 500));
-    let last = reader.news_after(Some(1_500)).unwrap();
+    let last = reader.changes_after(Some(1_500)).unwrap();
     assert_eq!((last.is_whole, last.rows.len()), (false, 1));
 }
 
@@ -223,19 +226,19 @@
     let mut slow = TableReplica::default();
     let mut quick = TableReplica::default();
     table.set(1, 7, 0);
-    slow.take(&table.whole(), NOW, is_same);
+    slow.apply(&table.whole(), NOW, is_same);
     table.set(1, 8, 0);
-    quick.take(&table.whole(), NOW, is_same);
+    quick.apply(&table.whole(), NOW, is_same);
     table.set(1, 7, 0);
     let news = table.news_for(&slow);
-    slow.take(&news, NOW, is_same);
+    slow.apply(&news, NOW, is_same);
     // For the slow one nothing has changed; the quick one's follower knows better.
-    let news = slow.news_after(quick.version()).unwrap();
+    let news = slow.changes_after(quick.version()).unwrap();
     assert!(news.is_whole);
     // One that is ahead is told nothing until it is not.
     table.set(1, 9, 0);
-    quick.take(&table.whole(), NOW, is_same);
-    let news = slow.news_after(quick.version()).unwrap();
+    quick.apply(&table.whole(), NOW, is_same);
+    let news = slow.changes_after(quick.version()).unwrap();
     assert_eq!((news.is_whole, news.rows.len()), (false, 0));
 }
 
@@ -244,16 +247,16 @@
     let mut replica = TableReplica::default();
     assert_eq!(replica.age(NOW), None);
     let at = |seconds| Duration::from_secs(seconds);
-    let news = |version| TableNews {
+    let news = |version| TableChanges {
         version,
-        ..TableNews::default()
+        ..TableChanges::default()
     };
-    replica.take(&news(5), at(10), is_same);
+    replica.apply(&news(5), at(10), is_same);
     assert_eq!(replica.age(at(12)), Some(at(2)));
     // A host that lags behind does not make it younger.
-    assert!(!replica.take(&news(4), at(12), is_same));
+    assert!(!replica.apply(&news(4), at(12), is_same));
     assert_eq!(replica.age(at(12)), Some(at(2)));
     // One that heard of this version earlier does not make it older.
-    replica.take(&news(5), at(9), is_same);
+    replica.apply(&news(5), at(9), is_same);
     assert_eq!(replica.age(at(12)), Some(at(2)));
 }
--- a/gateway/src/feeds.rs
+++ b/gateway/src/feeds.rs
@@ -13,7 +13,7 @@
 //! | the tables, and what changes in nothing that hosts act on | [`table`] |
 //! | questions to the host above | [`ask`] |
 //! | answers to followers | [`serve`] |
-//! | whether the store is available, by what hosts tell each other | [`store_state`] |
+//! | whether the store is available, by the messages between hosts | [`store_state`] |
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -23,7 +23,7 @@
 use futures_util::future::try_join_all;
 use rosebend_coordination::gateway::follow_tree::{FollowTree, Source};
 use rosebend_coordination::gateway::gatherers::Candidate;
-use rosebend_coordination::gateway::replica::{TableNews, TableReplica};
+use rosebend_coordination::gateway::replica::{TableChanges, TableReplica};
 use rosebend_protocol::follow::FollowAnswer;
 use rosebend_state::deployment::{Row, RowRange, RowVersion};
 use rosebend_state::id::HostId;
@@ -48,6 +48,7 @@
 /// Longest wait of a host that starts for the table of gateways, from which it
 /// learns whom to follow.
 const HOSTS_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// What is new in a table.
 #[derive(Clone, Debug, Default)]
 pub struct Followed {
@@ -78,8 +79,8 @@
     has_hosts: watch::Sender<bool>,
     connections: PeerConnections,
     tables: [Known; 4],
-    /// The host that is followed, as the log knows it.
-    told_source: RefCell<Option<HostId>>,
+    /// The host that is followed, as last logged.
+    logged_source: RefCell<Option<HostId>>,
     store_state: StoreState,
 }
 
@@ -99,7 +100,7 @@
             has_hosts: watch::Sender::new(false),
             connections: PeerConnections::default(),
             tables: Default::default(),
-            told_source: RefCell::default(),
+            logged_source: RefCell::default(),
             store_state: StoreState::default(),
         }
     }
@@ -161,9 +162,9 @@
     /// How long ago the store was last away, from this host or from the one that it
     /// follows; none when it never was.
     pub fn store_away_ago(&self) -> Option<Duration> {
-        let heard = self.store_state.heard_away_ago(self.clock.now());
+        let upstream = self.store_state.upstream_away_ago(self.clock.now());
         let own = self.store.away_ago();
-        own.into_iter().chain(heard).min()
+        own.into_iter().chain(upstream).min()
     }
 
     /// Whether a host that the store does not answer should try it now.
@@ -172,9 +173,9 @@
         self.store_state.should_probe(self.is_follower(), now)
     }
 
-    /// Tells followers when the store became unavailable, or available again.
+    /// Notifies followers when the store became unavailable, or available again.
     pub fn note_store_state(&self) {
-        if self.store_state.tell(self.is_store_unavailable()) {
+        if self.store_state.report(self.is_store_unavailable()) {
             self.tables
                 .iter()
                 .for_each(|known| known.changed.notify_waiters());
@@ -182,7 +183,7 @@
     }
 
     fn is_store_unavailable(&self) -> bool {
-        self.is_store_away() || self.store_state.is_heard_unavailable()
+        self.is_store_away() || self.store_state.is_unavailable_upstream()
     }
 
     /// Whether the store does not answer this host, whose first calls may be open.
@@ -214,9 +215,9 @@
             Source::Store => None,
             Source::Host(host) => Some(&host.host),
         };
-        let mut told = self.told_source.borrow_mut();
-        if told.as_ref() != host {
-            *told = host.cloned();
+        let mut logged = self.logged_source.borrow_mut();
+        if logged.as_ref() != host {
+            *logged = host.cloned();
             let event = Event::new(EventKind::FeedSourceChanged);
             log_event(&match host {
                 Some(host) => event.host(host).reason("host"),
@@ -233,7 +234,7 @@
             let event = Event::new(EventKind::FeedSourceAvoided).host(&host.host);
             log_event(&event.wait_ms(whole_ms(wait)).reason(reason));
         }
-        self.store_state.forget_heard();
+        self.store_state.forget_upstream();
     }
 
     async fn take_answer(
@@ -243,18 +244,18 @@
         answered: Answered,
     ) -> Result<Followed, StoreError> {
         let Answered { answer, at } = answered;
-        self.hear_store_state(host, &answer, at);
+        self.record_store_state(host, &answer, at);
         let current_at = at.saturating_sub(answer.age);
         let level = self.tree.borrow().level();
         let is_stale = answer.version.is_none() || table.is_stale(answer.age, level);
         let mut followed = Followed::default();
         if let Some(version) = answer.version {
-            let news = TableNews {
+            let changes = TableChanges {
                 is_whole: answer.is_whole,
                 version,
                 rows: answer.rows,
             };
-            followed = self.take(table, news, current_at);
+            followed = self.apply(table, changes, current_at);
         }
         if !is_stale {
             self.tree.borrow_mut().answered(&host.host);
@@ -262,8 +263,8 @@
             return Ok(followed);
         }
         // Perhaps the store answers this host and not those above it.
-        let has_news = !followed.rows.is_empty();
-        if has_news || self.is_store_away() {
+        let has_changes = !followed.rows.is_empty();
+        if has_changes || self.is_store_away() {
             return Ok(followed);
         }
         let read = self.read_store(table).await?;
@@ -271,21 +272,21 @@
         Ok(read)
     }
 
-    fn hear_store_state(
+    fn record_store_state(
         self: &Rc<Self>,
         host: &Candidate<SocketAddr>,
         answer: &FollowAnswer,
         answered_at: Duration,
     ) {
-        let is_news = self.store_state.hear(answer, answered_at);
+        let is_lost = self.store_state.record(answer, answered_at);
         self.note_store_state();
-        if is_news && !self.store.is_direct_down() {
+        if is_lost && !self.store.is_direct_down() {
             actix_rt::spawn(Rc::clone(self).check_store(host.clone()));
         }
     }
 
     /// Finds out whether the store is away from this host, too, or only from the host
-    /// above, which then hears of nothing.
+    /// above, which then receives no changes.
     async fn check_store(self: Rc<Self>, host: Candidate<SocketAddr>) {
         let table = FollowedTable::Gateways.name();
         if self.store.probe(table, "").await {
@@ -295,8 +296,8 @@
 
     async fn read_store(&self, table: FollowedTable) -> Result<Followed, StoreError> {
         self.metrics.count_feed(FeedSource::Store);
-        // What other hosts said of the store is over with this host's own look.
-        self.store_state.forget_heard();
+        // This host's own calls replace the upstream host's report.
+        self.store_state.forget_upstream();
         let asked_at = self.clock.now();
         let result = match self.version(table) {
             None => self.read_whole(table).await,
@@ -306,11 +307,11 @@
             },
         };
         self.note_store_state();
-        let news = result?;
+        let changes = result?;
         // An answer that waited to be read tells nothing of the time since.
         let latest = asked_at + self.store_wait(table);
         let current_at = self.clock.now().min(latest);
-        let mut followed = self.take(table, news, current_at);
+        let mut followed = self.apply(table, changes, current_at);
         followed.is_from_store = true;
         Ok(followed)
     }
@@ -321,7 +322,7 @@
 
     /// Reads all rows of a table. The version is the least of all partitions', so that
     /// a feed from it on misses no change.
-    async fn read_whole(&self, table: FollowedTable) -> Result<TableNews, StoreError> {
+    async fn read_whole(&self, table: FollowedTable) -> Result<TableChanges, StoreError> {
         let ranges: Vec<RowRange> = table
             .partitions()
             .map(|partition| RowRange::whole(table.name(), partition))
@@ -329,7 +330,7 @@
         let reads = ranges.iter().map(|range| self.store.read(range));
         let parts = try_join_all(reads).await?;
         let versions = parts.iter().map(|rows| rows.version);
-        Ok(TableNews {
+        Ok(TableChanges {
             is_whole: true,
             version: versions.min().unwrap_or(0),
             rows: parts.into_iter().flat_map(|rows| rows.rows).collect(),
@@ -340,30 +341,33 @@
         &self,
         table: FollowedTable,
         after: RowVersion,
-    ) -> Result<TableNews, StoreError> {
+    ) -> Result<TableChanges, StoreError> {
         let wait = self.store_wait(table);
         let rows = self.store.feed(table.name(), after, wait).await?;
-        Ok(TableNews {
+        Ok(TableChanges {
             is_whole: false,
             version: rows.version,
             rows: rows.rows,
         })
     }
 
-    /// Takes news into what is known. News that are older change nothing.
-    fn take(&self, table: FollowedTable, news: TableNews, current_at: Duration) -> Followed {
+    /// Applies changes to the replica. Older ones change nothing.
+    fn apply(&self, table: FollowedTable, changes: TableChanges, current_at: Duration) -> Followed {
         let known = self.known(table);
         let is_same = |known: &Row, row: &Row| table.is_same(known, row);
-        let is_taken = known.replica.borrow_mut().take(&news, current_at, is_same);
-        if !is_taken {
+        let is_applied = known
+            .replica
+            .borrow_mut()
+            .apply(&changes, current_at, is_same);
+        if !is_applied {
             return Followed::default();
         }
-        if news.is_whole || !news.rows.is_empty() {
+        if changes.is_whole || !changes.rows.is_empty() {
             known.changed.notify_waiters();
         }
         Followed {
-            is_whole: news.is_whole,
-            rows: news.rows,
+            is_whole: changes.is_whole,
+            rows: changes.rows,
             current_at,
             is_from_store: false,
         }
--- a/gateway/src/feeds/ask.rs
+++ b/gateway/src/feeds/ask.rs
@@ -61,7 +61,7 @@
             table: table.name().to_owned(),
             after: self.version(table),
             wait,
-            knows_store_unavailable: self.store_state.is_heard_unavailable(),
+            knows_store_unavailable: self.store_state.is_unavailable_upstream(),
         });
         let accepted = Cell::new(false);
         let answer = self
--- a/gateway/src/feeds/serve.rs
+++ b/gateway/src/feeds/serve.rs
@@ -51,21 +51,21 @@
     };
     let feeds = Rc::clone(&gateway.feeds);
     let answer = async move {
-        feeds.wait_for_news(table, &request).await;
-        Ok::<_, Infallible>(Bytes::from(encode_answer(&feeds.news(table, &request))))
+        feeds.wait_for_changes(table, &request).await;
+        Ok::<_, Infallible>(Bytes::from(encode_answer(&feeds.answer(table, &request))))
     };
     let body = BodyStream::new(Box::pin(futures_util::stream::once(answer)));
     Response::with_body(StatusCode::OK, body.boxed())
 }
 
 impl Feeds {
-    /// Waits until there is something to tell a follower, for as long as it wants to.
-    async fn wait_for_news(&self, table: FollowedTable, request: &FollowRequest) {
+    /// Waits for changes that a follower lacks, no longer than it asked for.
+    async fn wait_for_changes(&self, table: FollowedTable, request: &FollowRequest) {
         let end = tokio::time::sleep(request.wait);
         let mut end = std::pin::pin!(end);
         loop {
             let changed = self.known(table).changed.notified();
-            if self.has_news(table, request) {
+            if self.has_changes(table, request) {
                 return;
             }
             tokio::select! {
@@ -75,23 +75,23 @@
         }
     }
 
-    fn has_news(&self, table: FollowedTable, request: &FollowRequest) -> bool {
+    fn has_changes(&self, table: FollowedTable, request: &FollowRequest) -> bool {
         if self.is_store_unavailable() != request.knows_store_unavailable {
             return true;
         }
         let replica = self.known(table).replica.borrow();
-        replica.has_news_after(request.after)
+        replica.has_changes_after(request.after)
     }
 
-    fn news(&self, table: FollowedTable, request: &FollowRequest) -> FollowAnswer {
+    fn answer(&self, table: FollowedTable, request: &FollowRequest) -> FollowAnswer {
         let replica = self.known(table).replica.borrow();
-        let news = replica.news_after(request.after);
-        let version = news.as_ref().map(|news| news.version);
-        let news = news.unwrap_or_default();
+        let changes = replica.changes_after(request.after);
+        let version = changes.as_ref().map(|changes| changes.version);
+        let changes = changes.unwrap_or_default();
         FollowAnswer {
-            is_whole: news.is_whole,
+            is_whole: changes.is_whole,
             version,
-            rows: news.rows,
+            rows: changes.rows,
             age: replica.age(self.clock.now()).unwrap_or(Duration::ZERO),
             is_store_unavailable: self.is_store_unavailable(),
             store_unavailable_ago: self.store_away_ago(),
--- a/gateway/src/feeds/store_state.rs
+++ b/gateway/src/feeds/store_state.rs
@@ -1,61 +1,63 @@
-//! Whether the store is available, as hosts tell each other beside what changed.
+//! Availability of the store, as reported along the tree with each answer.
 
 use std::cell::Cell;
 use std::time::Duration;
 
 use rosebend_protocol::follow::FollowAnswer;
 
-/// Pause between two tries of the store by a host whose store is unavailable and
-/// that hears from another host when it is back.
+/// Interval between probes of an unavailable store by a host with an upstream host,
+/// which reports the store's return.
 const SLOW_PROBE: Duration = Duration::from_secs(2);
 
-/// What this host heard of the store, and what it told its followers.
+/// The upstream host's last report on the store, and this host's own to its followers.
 #[derive(Debug, Default)]
 pub(super) struct StoreState {
-    heard_unavailable: Cell<bool>,
-    heard_away_at: Cell<Option<Duration>>,
-    told_unavailable: Cell<bool>,
+    upstream_unavailable: Cell<bool>,
+    upstream_away_at: Cell<Option<Duration>>,
+    reported_unavailable: Cell<bool>,
     probed_at: Cell<Duration>,
 }
 
 impl StoreState {
-    /// Takes what the host above said at a time. Returns whether the store has become
-    /// unavailable by that.
-    pub(super) fn hear(&self, answer: &FollowAnswer, at: Duration) -> bool {
+    /// Records the upstream host's report of a time. Returns whether the store has
+    /// become unavailable by it.
+    pub(super) fn record(&self, answer: &FollowAnswer, at: Duration) -> bool {
         let away_ago = answer.store_unavailable_ago;
         let away_at = away_ago.map(|ago| at.saturating_sub(ago));
-        self.heard_away_at
-            .set(self.heard_away_at.get().max(away_at));
-        let was_unavailable = self.heard_unavailable.replace(answer.is_store_unavailable);
+        self.upstream_away_at
+            .set(self.upstream_away_at.get().max(away_at));
+        let was_unavailable = self
+            .upstream_unavailable
+            .replace(answer.is_store_unavailable);
         answer.is_store_unavailable && !was_unavailable
     }
 
-    /// Forgets what the host above said, since it is not followed any more.
-    pub(super) fn forget_heard(&self) {
-        self.heard_unavailable.set(false);
+    /// Forgets the upstream host's report.
+    pub(super) fn forget_upstream(&self) {
+        self.upstream_unavailable.set(false);
     }
 
-    /// Whether the host above said that the store is unavailable.
-    pub(super) fn is_heard_unavailable(&self) -> bool {
-        self.heard_unavailable.get()
+    /// Whether the store is unavailable by the upstream host's report.
+    pub(super) fn is_unavailable_upstream(&self) -> bool {
+        self.upstream_unavailable.get()
     }
 
-    /// How long ago the store was last away by what was heard.
-    pub(super) fn heard_away_ago(&self, now: Duration) -> Option<Duration> {
-        let at = self.heard_away_at.get();
+    /// How long ago the store was last away by the upstream hosts' reports.
+    pub(super) fn upstream_away_ago(&self, now: Duration) -> Option<Duration> {
+        let at = self.upstream_away_at.get();
         at.map(|at| now.saturating_sub(at))
     }
 
-    /// Takes what followers are told from now on. Returns whether it is another state.
-    pub(super) fn tell(&self, is_unavailable: bool) -> bool {
-        self.told_unavailable.replace(is_unavailable) != is_unavailable
+    /// Sets what followers are sent. Returns whether it changed.
+    pub(super) fn report(&self, is_unavailable: bool) -> bool {
+        self.reported_unavailable.replace(is_unavailable) != is_unavailable
     }
 
-    /// Whether the store is to be tried now. Hosts that hear from others when it is
-    /// back try rarely: all of them would be the first load that it meets.
+    /// Whether to probe the store now. Hosts with an upstream host probe rarely: all
+    /// of them would be the first load that the store meets.
     pub(super) fn should_probe(&self, is_follower: bool, now: Duration) -> bool {
         let is_due = now.saturating_sub(self.probed_at.get()) >= SLOW_PROBE;
-        if is_follower && self.heard_unavailable.get() && !is_due {
+        if is_follower && self.upstream_unavailable.get() && !is_due {
             return false;
         }
         self.probed_at.set(now);
--- a/gateway/src/peer_connections.rs
+++ b/gateway/src/peer_connections.rs
@@ -1,8 +1,7 @@
 //! Questions to other gateways by HTTP, on connections that are kept.
 //!
-//! The head of an answer goes out once the question was read, and its body once
-//! there is something to tell: so a host that is gone or stands still is told from
-//! one that waits.
+//! The head of an answer is sent once the question was read, and its body once it is
+//! complete, which distinguishes a host that is gone or frozen from one that waits.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
