--- a/gateway/src/feeds.rs
+++ b/gateway/src/feeds.rs
@@ -10,10 +10,10 @@
 //!
 //! | what | where |
 //! |---|---|
-//! | the tables, and what changes in nothing that hosts act on | [`table`] |
-//! | questions to the host above | [`ask`] |
-//! | answers to followers | [`serve`] |
-//! | whether the store is available, by the messages between hosts | [`store_state`] |
+//! | the tables, and what changes in nothing that hosts act on | `table` |
+//! | questions to the host above | `ask` |
+//! | answers to followers | `serve` |
+//! | whether the store is available, by the messages between hosts | `store_state` |
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
