--- a/coordination/src/gateway/admission.rs
+++ b/coordination/src/gateway/admission.rs
@@ -88,7 +88,7 @@
     heard_at: Duration,
 }
 
-/// The queues of all services, as this host hears of them.
+/// The queues of all services, as this host estimates them.
 #[derive(Debug, Default)]
 pub struct Admission {
     services: HashMap<ServiceName, Queues>,
--- a/coordination/src/gateway/limits/stock.rs
+++ b/coordination/src/gateway/limits/stock.rs
@@ -158,7 +158,7 @@
             || (is_untold && silent_for >= TELL_AFTER)
     }
 
-    /// What the allocator is told and asked.
+    /// The next message to the allocator.
     pub fn ask(&mut self, customer: &CustomerName, number: u64, now: Duration) -> Wanted {
         self.expire(now);
         self.number = number;
--- a/gateway/src/entries.rs
+++ b/gateway/src/entries.rs
@@ -1,5 +1,5 @@
 //! Entries of the table of endpoints, by whichever writer: what they change for
-//! the choice of endpoints, and what is told of those that name none.
+//! the choice of endpoints, and what is logged of those that name none.
 
 use std::collections::HashSet;
 use std::time::Duration;
