--- a/transport/src/store/mod.rs
+++ b/transport/src/store/mod.rs
@@ -23,10 +23,12 @@
 use crate::event::{Event, EventKind, log_event};
 
 use self::refused::RefusedPartitions;
+pub use self::resend::{Copies, MIN_TIMEOUT, next_timeout};
 pub use self::way::{Concern, Outgoing};
 use self::way::{SILENCE_TIME, Turn, Way};
 
 mod refused;
+mod resend;
 mod way;
 
 /// How long a way by a peer is believed in after its last answer.
@@ -40,20 +42,6 @@
 /// each of them only says so.
 const MAX_PEERS_ASKED: usize = 2;
 
-/// Shortest wait for an answer before another copy of the call is sent.
-/// Answers take 4 to 20 ms; a few take longer when a partition is busy.
-pub const MIN_TIMEOUT: Duration = Duration::from_millis(150);
-/// Longest such wait. A slow store answers after 200 to 500 ms, and needs no
-/// second copy of each call.
-const MAX_TIMEOUT: Duration = Duration::from_secs(1);
-/// Copies of one call, at most: where three answers in ten are lost, all
-/// of three are lost in one of 37 transactions.
-const MAX_COPIES: usize = 3;
-/// The same while the store answers other calls meanwhile, so that answers are lost and
-/// not late. A lost transaction holds up its partition: where six answers in ten are
-/// lost, all of six are in one of 21.
-const MAX_COPIES_OF_LOST: usize = 6;
-
 /// Why a call gave nothing.
 #[derive(Clone, Debug, thiserror::Error)]
 pub enum StoreError {
@@ -420,30 +408,23 @@
         outgoing: &Outgoing,
     ) -> Result<(StoreStatus, Bytes), StoreError> {
         let first_sent_at = self.clock.now();
-        let mut copies = FuturesUnordered::new();
-        let mut sent = 0;
-        let mut interval = self.resend_after.get();
+        let answers_others = || self.direct().has_answered_since(first_sent_at);
+        let mut schedule = Copies::new(first_sent_at, self.resend_after.get());
+        let mut copies = FuturesUnordered::from_iter([self.timed_call(kind, outgoing)]);
         loop {
-            let answers_others = self.direct().has_answered_since(first_sent_at);
-            let most = match answers_others {
-                true => MAX_COPIES_OF_LOST,
-                false => MAX_COPIES,
-            };
-            if sent < most {
-                copies.push(self.timed_call(kind, outgoing));
-                sent += 1;
-            }
-            while let Ok(ended) = tokio::time::timeout(interval, copies.next()).await {
-                match ended {
-                    Some(Ok(answer)) => return Ok(answer),
-                    // Another copy may still be answered.
-                    Some(Err(_)) if !copies.is_empty() => {}
-                    Some(Err(error)) => return Err(error),
-                    None => return Err(StoreError::NoAnswer("no copy is open".to_owned())),
-                }
+            let wait = schedule.wait(self.clock.now(), answers_others());
+            match tokio::time::timeout(wait, copies.next()).await {
+                Ok(Some(Ok(answer))) => return Ok(answer),
+                // Another copy may still be answered.
+                Ok(Some(Err(_))) if !copies.is_empty() => {}
+                Ok(Some(Err(error))) => return Err(error),
+                Ok(None) => return Err(StoreError::NoAnswer("no copy is open".to_owned())),
+                Err(_) => {}
             }
-            if !answers_others {
-                interval *= 2;
+            let now = self.clock.now();
+            if schedule.due(answers_others()).is_some_and(|due| due <= now) {
+                copies.push(self.timed_call(kind, outgoing));
+                schedule.sent(now);
             }
         }
     }
@@ -663,13 +644,6 @@
     }
 }
 
-/// The wait for the next answer: four times what answers took lately, eight of
-/// them together.
-pub fn next_timeout(resend_after: Duration, took: Duration) -> Duration {
-    let next = (resend_after * 7 + took * 4) / 8;
-    next.clamp(MIN_TIMEOUT, MAX_TIMEOUT)
-}
-
 /// What an answer, or its absence, says.
 fn judge(answer: Result<(u16, Bytes), String>) -> Result<(u16, Bytes), StoreError> {
     let (status, body) = answer.map_err(StoreError::NoAnswer)?;
