Log why a budget is in doubt, and keep the slots' lines in the soak's trail

Change: event 850, spending-unsettled, tells what is spent and reserved, who reserved it, and of each escrow slot whether it is open, closed or without an owner that answers. The soak's trail takes all attempts of a program and the lines of processes and slots.

--- a/coordination/src/gateway/escrow/terms.rs
+++ b/coordination/src/gateway/escrow/terms.rs
@@ -107,6 +107,19 @@
         }
     }
 
+    /// The state of each slot that counts, in a word for logs.
+    pub fn slot_states(&self) -> impl Iterator<Item = (SlotIndex, &'static str)> {
+        let state = |slot: SlotIndex| match self {
+            Self::Excluded => None,
+            Self::Eligible { closed, gone, .. } => Some(match slot {
+                slot if closed.contains(&slot) => "closed",
+                slot if gone.contains(&slot) => "gone",
+                _ => "open",
+            }),
+        };
+        (0..SLOTS).filter_map(move |slot| Some((slot, state(slot)?)))
+    }
+
     /// Whether all slots are closed or none counts.
     pub fn is_closed(&self) -> bool {
         match self {
--- a/gateway/src/spending.rs
+++ b/gateway/src/spending.rs
@@ -276,7 +276,7 @@
             match recalled.is_settling || is_closing || is_newer {
                 true if is_over => {
                     self.is_settled = true;
-                    return Err(Refusal::BudgetUnsettled);
+                    return Err(self.unsettled(call, "settling"));
                 }
                 true => {
                     tokio::time::sleep(pause).await;
@@ -287,10 +287,10 @@
                     // The budget may hold the turn, and nobody can tell now.
                     let is_withheld = self.filled_by() == FilledBy::Withheld;
                     let is_open = may_have_grants && !self.escrow.is_closed();
-                    let is_doubted = is_withheld || may_be_gone && is_open;
-                    return Err(match is_doubted {
-                        true => Refusal::BudgetUnsettled,
-                        false => self.exhausted(call),
+                    return Err(match (is_withheld, may_be_gone && is_open) {
+                        (true, _) => self.unsettled(call, "slot-gone"),
+                        (false, true) => self.unsettled(call, "holder-gone"),
+                        (false, false) => self.exhausted(call),
                     });
                 }
             }
@@ -337,15 +337,30 @@
 
     /// Writes what fills the budget, so that a refusal can be explained.
     fn exhausted(&self, call: &Call) -> Refusal {
-        let account = self.gateway.commits.account(&self.program);
         let filled_by = self.filled_by();
         self.gateway.metrics.count_budget_refusal(filled_by);
+        self.write_account(call, EventKind::SpendingRefused, filled_by.word());
+        Refusal::BudgetSpent
+    }
+
+    /// The same where nobody can tell whether the budget holds the turn.
+    fn unsettled(&self, call: &Call, reason: &'static str) -> Refusal {
+        self.write_account(call, EventKind::SpendingUnsettled, reason);
+        Refusal::BudgetUnsettled
+    }
+
+    fn write_account(&self, call: &Call, kind: EventKind, reason: &'static str) {
+        let account = self.gateway.commits.account(&self.program);
         let held = account.held.iter();
-        let holders: Vec<String> = held
+        let mut holders: Vec<String> = held
             .map(|(holder, tokens)| format!("{holder}:{tokens}"))
             .collect();
-        let event = Event::new(EventKind::SpendingRefused)
-            .reason(filled_by.word())
+        if kind == EventKind::SpendingUnsettled {
+            let slots = self.escrow.slot_states();
+            holders.extend(slots.map(|(slot, state)| format!("slot-{slot}:{state}")));
+        }
+        let event = Event::new(kind)
+            .reason(reason)
             .amount(Amount::Budget, self.budget_tokens)
             .amount(Amount::Most, self.most_tokens)
             .amount(Amount::Spent, account.spent_tokens)
@@ -353,7 +368,6 @@
             .holders(&holders.join(","))
             .elapsed(call.elapsed(self.gateway.clock.now()));
         call.trail.step(event);
-        Refusal::BudgetSpent
     }
 
     /// Counts an event that is handed out.
--- a/gateway/tests/soak/fleet.rs
+++ b/gateway/tests/soak/fleet.rs
@@ -1,6 +1,7 @@
 //! The fleet under test: hosts, the store, endpoints, and what lies between.
 
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::sync::{Arc, Mutex};
@@ -50,6 +51,17 @@
     margin: &'static str,
 }
 
+/// Events of processes that explain what became of a program.
+const PROCESS_EVENTS: [&str; 7] = [
+    "process-started",
+    "process-stopping",
+    "process-stopped",
+    "escrow-taken",
+    "escrow-released",
+    "store-lost",
+    "store-regained",
+];
+
 impl Fleet {
     pub async fn start(hosts: usize) -> Shared {
         let mut site = Site::without_routes();
@@ -248,11 +260,21 @@
         }
     }
 
-    /// What the logs of all processes say of some programs or attempts, by time.
+    /// What the logs of all processes say of some programs or attempts, of all attempts
+    /// of these programs, and of what became of the processes and their escrow slots, by
+    /// time.
     pub fn trail(&self, ids: &[&str]) -> Vec<String> {
-        let named = |line: &str| ids.iter().any(|id| line.contains(&format!("\"{id}\"")));
         let logs = self.logs.iter().map(|log| log.lock().unwrap().clone());
-        let mut lines: Vec<String> = logs.flatten().filter(|line| named(line)).collect();
+        let lines: Vec<String> = logs.flatten().collect();
+        let mut named: BTreeSet<String> = ids.iter().map(ToString::to_string).collect();
+        named.extend(PROCESS_EVENTS.map(str::to_owned));
+        let attempts = lines.iter().filter(|line| names(line, &named));
+        let attempts: Vec<String> = attempts.filter_map(|line| attempt_of(line)).collect();
+        named.extend(attempts);
+        let mut lines: Vec<String> = lines
+            .into_iter()
+            .filter(|line| names(line, &named))
+            .collect();
         // Each line begins with its time.
         lines.sort();
         lines
@@ -265,6 +287,18 @@
     }
 }
 
+/// Whether one of these is a value in a line of a log.
+fn names(line: &str, values: &BTreeSet<String>) -> bool {
+    let mut quoted = line.split('"');
+    quoted.any(|text| values.contains(text))
+}
+
+/// The attempt that a line of a log is about.
+fn attempt_of(line: &str) -> Option<String> {
+    let fields: Value = serde_json::from_str(line).ok()?;
+    Some(fields["attempt"].as_str()?.to_owned())
+}
+
 /// What an endpoint says of itself.
 pub async fn report(endpoint: SocketAddr) -> Report {
     let answer = Ask::get("/report").send(endpoint).await;
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -111,6 +111,8 @@
     SpendingGranted,
     /// Step: the program's budget does not hold the turn, by the account in the line.
     SpendingRefused,
+    /// Step: the program's budget may hold the turn, and nobody can tell now.
+    SpendingUnsettled,
     /// Step: the customer's limit does not allow the request now.
     LimitRefused,
     /// This host owns `count` escrow slots more.
@@ -185,7 +187,7 @@
 
 impl EventKind {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 86] = [
+    pub const ALL: [Self; 87] = [
         Self::ProcessStarted,
         Self::ProcessStopping,
         Self::ProcessStopped,
@@ -272,6 +274,7 @@
         Self::EscrowRefused,
         Self::FeedSourceChanged,
         Self::FeedSourceAvoided,
+        Self::SpendingUnsettled,
     ];
 
     /// The event's number, which stays with it for ever.
@@ -352,6 +355,7 @@
             Self::EscrowRefused => 847,
             Self::FeedSourceChanged => 848,
             Self::FeedSourceAvoided => 849,
+            Self::SpendingUnsettled => 850,
             Self::HoldersAsked => 829,
             Self::HolderSilent => 830,
             Self::EntryRefused => 835,
@@ -440,6 +444,7 @@
             Self::SettingsTaken => "settings-taken",
             Self::SettingsRefused => "settings-refused",
             Self::SpendingRefused => "spending-refused",
+            Self::SpendingUnsettled => "spending-unsettled",
             Self::LimitRefused => "limit-refused",
             Self::EscrowTaken => "escrow-taken",
             Self::EscrowReleased => "escrow-released",
@@ -597,10 +602,10 @@
             Self::HistoryRead => "Step: the turn to continue was found; `reason` says where.",
             Self::SpendingGranted => "Step: the turn may spend its most; `reason` says from where.",
             Self::EscrowTaken => {
-                "This host owns `count` escrow slots more, from which it grants while the store is unavailable."
+                "This host owns `count` escrow slots more, from which it grants while the store is unavailable; `holders` names the slots."
             }
             Self::EscrowReleased => {
-                "This host has given up `count` escrow slots as it stops; `reason` says where their accounts went: row or peer."
+                "This host has given up `count` escrow slots as it stops; `reason` says where their accounts went: row or peer, and `holders` who owns them now."
             }
             Self::EscrowRefused => {
                 "Step: the store was unavailable, and no owner of an escrow slot granted the turn its most."
@@ -611,6 +616,9 @@
             Self::SpendingRefused => {
                 "Step: the budget does not hold the turn's most. `reason` says what fills it: spent, running or withheld for grants that the ledger may not have; `holders` names who reserved."
             }
+            Self::SpendingUnsettled => {
+                "Step: the budget may hold the turn's most, and what fills it is in doubt. `reason` says why: a turn or a grant is being settled, or the owner of a slot or a holder is gone; `holders` names who reserved, and of each escrow slot whether it is open, closed or without an owner that answers."
+            }
             Self::HoldersAsked => {
                 "Step: those who hold tokens of a budget that does not hold the turn were asked; `holders` says of each what it answered: returned, gone, settling or in-use."
             }
