Go on with a partition's commits beside one whose answer is late

Cause: a partition has one joined transaction on its way.

Change: when a joined transaction has no answer after the time in which a copy of it goes, the next one goes beside it, with parts of other rows. At most three are late at a time in a partition, so that the copies of all stay below the rate that the store declares. A slow store answers before that time, and gets one after the other as before. The safety is that of two gatherers: each part has its conditions.

The median wait for a reservation did not fall (573 ms), so that something else than the queue holds the remaining ones.

--- a/coordination/src/gateway/group_commit.rs
+++ b/coordination/src/gateway/group_commit.rs
@@ -43,9 +43,16 @@
     Duration::from_secs_f64(partitions as f64 / joined_per_s.max(1.0))
 }
 
+/// Transactions of one partition whose answers are late, at most. Copies of each go to the
+/// store, and all partitions may have as many.
+const MAX_LATE: usize = 3;
+
 /// Names a part until its outcome is known.
 pub type PartId = u64;
 
+/// Names a joined transaction whose answer is late.
+pub type LateId = u64;
+
 /// One host's transaction.
 #[derive(Debug)]
 struct Part {
@@ -56,14 +63,16 @@
 /// The transactions of one partition that wait to be joined, and those on their
 /// way.
 ///
-/// At most one joined transaction is on its way, and no row stands in two of its
-/// parts.
+/// One joined transaction is on its way at a time, beside a few whose answers are late,
+/// and no row stands in two of their parts.
 #[derive(Debug, Default)]
 pub struct GroupCommit {
     waiting: VecDeque<Part>,
     on_its_way: Vec<Part>,
+    late: HashMap<LateId, Vec<Part>>,
     recent: Recent,
     next_id: PartId,
+    next_late: LateId,
 }
 
 impl GroupCommit {
@@ -77,17 +86,39 @@
 
     /// Number of parts whose outcome is open.
     pub fn open_parts(&self) -> usize {
-        self.waiting.len() + self.on_its_way.len()
+        let late: usize = self.late.values().map(Vec::len).sum();
+        self.waiting.len() + self.on_its_way.len() + late
+    }
+
+    /// Whether parts wait to be joined.
+    pub fn has_waiting(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
+    /// Counts the transaction on its way as late, so that the next one goes beside it. None
+    /// when none is on its way or too many are late.
+    pub fn go_on(&mut self) -> Option<LateId> {
+        if self.on_its_way.is_empty() || self.late.len() >= MAX_LATE {
+            return None;
+        }
+        self.next_late += 1;
+        let parts = std::mem::take(&mut self.on_its_way);
+        self.late.insert(self.next_late, parts);
+        Some(self.next_late)
     }
 
-    /// Joins what waits into the next transaction, unless one is on its way or
-    /// nothing waits. Parts that are known to conflict end here, without a call.
+    /// Joins what waits into the next transaction, unless one is on its way that is not
+    /// late, or nothing waits but rows of late ones. Parts that are known to conflict end here, without a call.
     pub fn next_transaction(&mut self) -> (Option<Transaction>, Vec<(PartId, Answer)>) {
         let mut ended = Vec::new();
         if !self.on_its_way.is_empty() {
             return (None, ended);
         }
         let mut joined = Joined::default();
+        let late = self.late.values().flatten();
+        joined
+            .rows
+            .extend(late.flat_map(|part| part.transaction.rows().cloned()));
         for part in std::mem::take(&mut self.waiting) {
             if let Some(rows) = self.recent.conflict(&part.transaction) {
                 ended.push((part.id, Answer::Conflict(rows)));
@@ -105,6 +136,16 @@
     /// means to each of its parts. Parts that are not told wait to go again.
     pub fn answered(&mut self, answer: Answer) -> Vec<(PartId, Answer)> {
         let parts = std::mem::take(&mut self.on_its_way);
+        self.conclude(parts, answer)
+    }
+
+    /// The same for a transaction whose answer was late.
+    pub fn answered_late(&mut self, late: LateId, answer: Answer) -> Vec<(PartId, Answer)> {
+        let parts = self.late.remove(&late).unwrap_or_default();
+        self.conclude(parts, answer)
+    }
+
+    fn conclude(&mut self, parts: Vec<Part>, answer: Answer) -> Vec<(PartId, Answer)> {
         match answer {
             Answer::Applied(version) => {
                 for part in &parts {
@@ -155,6 +196,7 @@
 #[derive(Default)]
 struct Joined {
     transaction: Transaction,
+    /// Rows of its parts, and of transactions that are late.
     rows: HashSet<RowId>,
     entries: usize,
     bytes: usize,
--- a/coordination/tests/gateway_group_commit.rs
+++ b/coordination/tests/gateway_group_commit.rs
@@ -155,3 +155,59 @@
     }
     assert_eq!(sent, [400_010, 300_000, 900_000]);
 }
+
+/// The pattern of a store that loses answers: what waits does not wait for a copy.
+#[test]
+fn others_go_on_beside_a_transaction_whose_answer_is_late() {
+    let mut group = GroupCommit::default();
+    let late = group.submit(change("a", 1));
+    group.next_transaction();
+    let again = group.submit(change("a", 2));
+    let other = group.submit(change("b", 1));
+    assert_eq!(group.next_transaction().0, None, "one is on its way");
+    let flight = group.go_on().unwrap();
+    assert_eq!(group.next_transaction().0, Some(change("b", 1)));
+    let ended = group.answered(Answer::Applied(5));
+    assert_eq!(ended, [(other, Answer::Applied(5))]);
+    assert_eq!(
+        group.next_transaction().0,
+        None,
+        "its row is in the late one"
+    );
+    assert!(group.has_waiting());
+    let ended = group.answered_late(flight, Answer::Applied(2));
+    assert_eq!(ended, [(late, Answer::Applied(2))]);
+    assert_eq!(group.next_transaction().0, Some(change("a", 2)));
+    let ended = group.answered(Answer::Applied(6));
+    assert_eq!(ended, [(again, Answer::Applied(6))]);
+    assert_eq!(group.open_parts(), 0);
+}
+
+#[test]
+fn parts_of_a_late_transaction_that_met_another_s_conflict_go_again() {
+    let mut group = GroupCommit::default();
+    let sound = group.submit(change("a", 4));
+    let old = group.submit(change("b", 3));
+    group.next_transaction();
+    let flight = group.go_on().unwrap();
+    let present = vec![row("a", 4), row("b", 5)];
+    let ended = group.answered_late(flight, Answer::Conflict(present));
+    assert_eq!(ended, [(old, Answer::Conflict(vec![row("b", 5)]))]);
+    assert_eq!(group.next_transaction().0, Some(change("a", 4)));
+    let ended = group.answered(Answer::Applied(6));
+    assert_eq!(ended, [(sound, Answer::Applied(6))]);
+}
+
+#[test]
+fn few_transactions_are_late_at_the_same_time() {
+    let mut group = GroupCommit::default();
+    let mut late = 0;
+    for number in 0..20 {
+        group.submit(change(&format!("p{number}"), 1));
+        group.next_transaction();
+        late += usize::from(group.go_on().is_some());
+    }
+    assert_eq!(late, 3);
+    assert_eq!(group.go_on(), None);
+    assert_eq!(group.open_parts(), 20);
+}
--- a/gateway/src/joined_commits.rs
+++ b/gateway/src/joined_commits.rs
@@ -17,7 +17,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use rosebend_coordination::gateway::gatherers::{Candidate, Gatherers};
-use rosebend_coordination::gateway::group_commit::{GroupCommit, PartId, pace};
+use rosebend_coordination::gateway::group_commit::{GroupCommit, LateId, PartId, pace};
 use rosebend_coordination::gateway::history::PARTITIONS;
 use rosebend_coordination::gateway::ledger::Holder;
 use rosebend_coordination::gateway::pending_changes::Answer;
@@ -300,15 +300,19 @@
             let partition = partitions.entry(name.clone()).or_default();
             let id = partition.group.submit(transaction);
             partition.waiters.insert(id, Waiter { told, since });
-            if !partition.is_sending {
-                partition.is_sending = true;
-                actix_rt::spawn(Rc::clone(self).send_all(name));
-            }
+            self.start_sending(partition, name);
         }
         let ended = || StoreError::NoAnswer("the process stops".to_owned());
         outcome.await.unwrap_or_else(|_| Err(ended()))
     }
 
+    fn start_sending(self: &Rc<Self>, partition: &mut Partition, name: String) {
+        if !partition.is_sending {
+            partition.is_sending = true;
+            actix_rt::spawn(Rc::clone(self).send_all(name));
+        }
+    }
+
     async fn send_all(self: Rc<Self>, name: String) {
         loop {
             let next_at = self.next_at(&name);
@@ -316,11 +320,38 @@
             let Some(transaction) = self.next_transaction(&name) else {
                 return;
             };
-            let answer = self.store.transact(&transaction).await;
-            self.answered(&name, answer);
+            let late_after = self.store.answer_timeout();
+            let mut sending = Box::pin(Rc::clone(&self).send(transaction));
+            if let Ok(answer) = tokio::time::timeout(late_after, &mut sending).await {
+                self.answered(&name, None, answer);
+                continue;
+            }
+            match self.go_on(&name) {
+                Some(late) => {
+                    let (commits, name) = (Rc::clone(&self), name.clone());
+                    actix_rt::spawn(async move {
+                        let answer = sending.await;
+                        commits.answered(&name, Some(late), answer);
+                    });
+                }
+                None => {
+                    let answer = sending.await;
+                    self.answered(&name, None, answer);
+                }
+            }
         }
     }
 
+    async fn send(self: Rc<Self>, transaction: Transaction) -> Outcome {
+        self.store.transact(&transaction).await
+    }
+
+    /// Counts the transaction on its way as late.
+    fn go_on(&self, name: &str) -> Option<LateId> {
+        let mut partitions = self.partitions.borrow_mut();
+        partitions.get_mut(name)?.group.go_on()
+    }
+
     /// When a partition's next transaction may go.
     fn next_at(&self, name: &str) -> Duration {
         let partitions = self.partitions.borrow();
@@ -338,7 +369,7 @@
         transaction
     }
 
-    fn answered(&self, name: &str, outcome: Outcome) {
+    fn answered(self: &Rc<Self>, name: &str, late: Option<LateId>, outcome: Outcome) {
         let mut partitions = self.partitions.borrow_mut();
         let Some(partition) = partitions.get_mut(name) else {
             return;
@@ -348,9 +379,16 @@
             Ok(Transacted::Conflict(rows)) => (Answer::Conflict(rows), None),
             Err(error) => (Answer::NotKnown, Some(error)),
         };
-        let ended = partition.group.answered(answer);
+        let ended = match late {
+            Some(late) => partition.group.answered_late(late, answer),
+            None => partition.group.answered(answer),
+        };
         self.metrics.count_joined(ended.len());
         partition.tell(ended, error);
+        // Others may have waited for its rows alone.
+        if partition.group.has_waiting() {
+            self.start_sending(partition, name.to_owned());
+        }
     }
 }
 
--- a/transport/src/store/mod.rs
+++ b/transport/src/store/mod.rs
@@ -399,6 +399,11 @@
         decode_rows(self.call(StoreCall::Feed, &outgoing, wait).await?)
     }
 
+    /// How long an answer may take until another copy of its call is sent.
+    pub fn answer_timeout(&self) -> Duration {
+        self.answers.borrow().interval()
+    }
+
     /// A call that is sent again while no answer comes. A second copy of a read does
     /// nothing, and conditions keep that of a transaction from taking effect twice. The
     /// first answer counts.
@@ -409,8 +414,7 @@
     ) -> Result<(StoreStatus, Bytes), StoreError> {
         let first_sent_at = self.clock.now();
         let answers_others = || self.direct().has_answered_since(first_sent_at);
-        let interval = self.answers.borrow().interval();
-        let mut schedule = Copies::new(first_sent_at, interval);
+        let mut schedule = Copies::new(first_sent_at, self.answer_timeout());
         let mut copies = FuturesUnordered::from_iter([self.timed_call(kind, outgoing, 0)]);
         loop {
             let wait = schedule.wait(self.clock.now(), answers_others());
