Write a change once whose transaction a conflict shows as applied

Cause: a transaction that the store applied without an answer is sent again, and its copy meets a conflict.

Change: after a conflict a reservation that stands in the present ledger under this run's name is durable, and so is a settlement without rows whose reservation was there before and is gone. An end with rows is written again: the same attempt at another host may have settled it, and the ledger does not tell whose rows are there.

--- a/coordination/src/gateway/ledger.rs
+++ b/coordination/src/gateway/ledger.rs
@@ -176,6 +176,12 @@
         }
     }
 
+    /// Whether a holder has a turn's most reserved.
+    pub fn is_reserved_by(&self, attempt: &AttemptId, holder: &Holder) -> bool {
+        let reservation = self.reserved.get(attempt);
+        reservation.is_some_and(|reservation| reservation.holder == *holder)
+    }
+
     /// Who holds tokens, for which turns.
     pub fn holdings(&self) -> Vec<Holding> {
         let mut holdings: BTreeMap<&Holder, Holding> = BTreeMap::new();
--- a/coordination/src/gateway/pending_changes.rs
+++ b/coordination/src/gateway/pending_changes.rs
@@ -324,15 +324,24 @@
                 return ids.map(|id| (id, Outcome::Durable)).collect();
             }
             Answer::Conflict(rows) => {
+                let before: HashMap<&ProgramKey, Ledger> = written
+                    .keys()
+                    .filter_map(|program| Some((program, self.known.get(program)?.ledger.clone())))
+                    .collect();
                 let programs = written.keys();
                 let unreadable: HashSet<&ProgramKey> = programs
                     .filter(|program| !self.take_present(program, &rows))
                     .collect();
-                let (given_up, again) = on_its_way
+                let (given_up, others): (Vec<Pending>, Vec<Pending>) = on_its_way
                     .into_iter()
                     .partition(|pending| unreadable.contains(&pending.program));
+                let (applied, again): (Vec<Pending>, Vec<Pending>) = others
+                    .into_iter()
+                    .partition(|pending| self.is_applied(pending, before.get(&pending.program)));
                 self.waiting.splice(0..0, again);
-                return self.give_up(given_up);
+                let mut ended = self.give_up(given_up);
+                ended.extend(applied.iter().map(|pending| (pending.id, Outcome::Durable)));
+                return ended;
             }
             Answer::NotKnown => {}
         }
@@ -340,6 +349,24 @@
         Vec::new()
     }
 
+    /// Whether a change is in the present ledger, as that of a transaction whose answer
+    /// was lost. `before` is the ledger that it was to change. The end of a turn with rows
+    /// is written again, since the ledger does not tell whose rows are there.
+    fn is_applied(&self, pending: &Pending, before: Option<&Ledger>) -> bool {
+        let present = self.known.get(&pending.program);
+        let is_reserved = |ledger: Option<&Ledger>, attempt: &AttemptId| {
+            ledger.is_some_and(|ledger| ledger.is_reserved_by(attempt, &self.holder))
+        };
+        let present = present.map(|known| &known.ledger);
+        match &pending.change {
+            Change::Reserve { attempt, .. } => is_reserved(present, attempt),
+            Change::Settle { attempt, rows, .. } => {
+                rows.is_empty() && is_reserved(before, attempt) && !is_reserved(present, attempt)
+            }
+            Change::SettleGrant { .. } => false,
+        }
+    }
+
     /// Ends changes of programs whose ledgers cannot be read: to write over
     /// one would give its program a new budget.
     fn give_up(&mut self, changes: Vec<Pending>) -> Vec<(ChangeId, Outcome)> {
--- a/coordination/tests/gateway_pending_changes.rs
+++ b/coordination/tests/gateway_pending_changes.rs
@@ -81,6 +81,68 @@
     assert_eq!(store.ledger().account().spent_tokens, 105);
 }
 
+/// A transaction takes effect, and a copy of it tells by its conflict that it did. Returns
+/// how its changes ended.
+fn answer_is_lost(changes: &mut PendingChanges, store: &mut Store) -> Vec<Outcome> {
+    let transaction = changes.next_transaction().0.unwrap();
+    store.apply(&transaction);
+    let ended = changes.answered(store.apply(&transaction));
+    ended.into_iter().map(|(_, outcome)| outcome).collect()
+}
+
+#[test]
+fn a_reservation_and_a_settlement_whose_answers_were_lost_are_not_written_again() {
+    let mut store = Store::default();
+    let mut changes = PendingChanges::new(FIRST.to_owned());
+    changes.submit(PROGRAM.to_owned(), reserve("t1", 1_000));
+    assert_eq!(answer_is_lost(&mut changes, &mut store), [Outcome::Durable]);
+    changes.submit(PROGRAM.to_owned(), settle("t1", 70));
+    changes.submit(PROGRAM.to_owned(), reserve("t2", 1_000));
+    assert_eq!(
+        answer_is_lost(&mut changes, &mut store),
+        [Outcome::Durable, Outcome::Durable]
+    );
+    assert_eq!(changes.next_transaction().0, None);
+    assert_eq!(store.ledger().committed_tokens(), 70 + MOST);
+}
+
+#[test]
+fn a_reservation_that_met_another_host_s_write_goes_again() {
+    let mut store = Store::default();
+    let mut first = PendingChanges::new(FIRST.to_owned());
+    let mut second = PendingChanges::new(SECOND.to_owned());
+    first.submit(PROGRAM.to_owned(), reserve("t1", 1_000));
+    second.submit(PROGRAM.to_owned(), reserve("t2", 1_000));
+    let transaction = first.next_transaction().0.unwrap();
+    flush(&mut second, &mut store);
+    assert_eq!(first.answered(store.apply(&transaction)), []);
+    assert_eq!(flush(&mut first, &mut store), [Outcome::Durable]);
+    assert_eq!(store.ledger().committed_tokens(), 2 * MOST);
+}
+
+/// The same attempt at another host may have settled it, with other rows.
+#[test]
+fn the_rows_of_an_end_whose_answer_was_lost_are_written_again() {
+    let mut store = Store::default();
+    let mut changes = PendingChanges::new(FIRST.to_owned());
+    changes.submit(PROGRAM.to_owned(), reserve("t1", 1_000));
+    flush(&mut changes, &mut store);
+    let row = RowId::new("programs", "p00", "a turn");
+    let end = Change::Settle {
+        attempt: "t1".to_owned(),
+        tokens: 70,
+        rows: vec![RowWrite {
+            row: row.clone(),
+            value: b"said here".to_vec(),
+        }],
+    };
+    changes.submit(PROGRAM.to_owned(), end);
+    assert_eq!(answer_is_lost(&mut changes, &mut store), []);
+    assert_eq!(flush(&mut changes, &mut store), [Outcome::Durable]);
+    assert_eq!(store.rows[&row].1, b"said here");
+    assert_eq!(store.ledger().committed_tokens(), 70);
+}
+
 /// Two hosts, the first of which has a turn running beside 70 tokens spent.
 fn running_at_the_first(store: &mut Store, budget_tokens: u64) -> (PendingChanges, PendingChanges) {
     let mut first = PendingChanges::new(FIRST.to_owned());
