--- a/coordination/src/gateway/limits/allocator.rs
+++ b/coordination/src/gateway/limits/allocator.rs
@@ -11,15 +11,15 @@
 use super::{Group, Tolerance};
 use crate::gateway::ledger::Holder;
 
-/// Part of what operators bear beyond a limit, in proportion to it, that a bucket
-/// holds besides the burst. The rest is for what is served unasked, and for
+/// Part of the tolerated overage, in proportion to the limit, that a bucket holds
+/// besides the burst. The rest is for what is served unasked, and for
 /// requests that reach their endpoints later than they were counted.
 const OVERAGE_PART: f64 = 0.5;
-/// The same of the requests that they bear besides. Small customers, whose requests
+/// The same of the requests that are tolerated besides. Small customers, whose requests
 /// come in crowds of a few programs, need them most.
 const SLACK_PART: f64 = 0.75;
 /// The same of what a bucket holds that was never seen full: nobody knows what was
-/// served before. With the parts above it is less than all that operators bear.
+/// served before. With the parts above it is less than all that is tolerated.
 const FIRST_OVERAGE_PART: f64 = 0.4;
 const FIRST_SLACK_PART: f64 = 0.25;
 /// Part of what is left that a host may have for requests which have not come, as
--- a/gateway/src/joined_commits.rs
+++ b/gateway/src/joined_commits.rs
@@ -419,8 +419,8 @@
     row.map_or("", |row| row.partition.as_str())
 }
 
-/// An outcome as another gateway is told it; `is_up` tells that the store answers
-/// this one.
+/// An outcome as it is sent to another gateway. `is_up`: whether the store answers this
+/// one.
 fn committed(outcome: Outcome, is_up: bool) -> Committed {
     match outcome {
         Ok(Transacted::Applied(version)) => Committed::Applied(version),
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -625,9 +625,7 @@
             Self::HolderSilent => {
                 "The process that `holders` names did not say whether it uses the tokens it holds; it is treated as gone."
             }
-            Self::AnswerBegan => {
-                "Step: the endpoint's answer began with `status` after `elapsed_ms`."
-            }
+            Self::AnswerBegan => "Step: the answer began with `status` after `elapsed_ms`.",
             Self::TurnRecorded => {
                 "Step: the turn and the `tokens` that it handed out are durable after `elapsed_ms`."
             }
