--- a/coordination/src/gateway/group_commit.rs
+++ b/coordination/src/gateway/group_commit.rs
@@ -108,7 +108,8 @@
     }
 
     /// Joins what waits into the next transaction, unless one is on its way that is not
-    /// late, or nothing waits but rows of late ones. Parts that are known to conflict end here, without a call.
+    /// late, or nothing waits but rows of late ones. Parts that are known to conflict end
+    /// here, without a call.
     pub fn next_transaction(&mut self) -> (Option<Transaction>, Vec<(PartId, Answer)>) {
         let mut ended = Vec::new();
         if !self.on_its_way.is_empty() {
