--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -158,7 +158,7 @@
     };
     let id = row_id(host);
     let row = gateway.store.read_row(&id).await?;
-    // A row that names no gateway is told by who looks for peers.
+    // A row that names no gateway is logged by who looks for peers.
     let peer = row.and_then(|row| PeerRow::try_from(&row).ok());
     let peer = peer.filter(|peer| peer.holder == *holder);
     Ok(peer.map(|peer| peer.relay))
--- a/gateway/src/programs.rs
+++ b/gateway/src/programs.rs
@@ -21,7 +21,7 @@
 /// # Errors
 ///
 /// Says that there is no such turn only when the store has been asked
-/// everywhere; a store out of reach is told as such.
+/// everywhere; a store out of reach is reported as such.
 pub async fn previous_turn(
     gateway: &Gateway,
     call: &Call,
--- a/gateway/src/reload.rs
+++ b/gateway/src/reload.rs
@@ -43,7 +43,7 @@
     path: PathBuf,
     /// What it held when it was last accepted.
     taken: GatewaySettings,
-    /// Why it was not accepted, so that this is told once.
+    /// Why it was not accepted, so that this is logged once.
     refused: Option<String>,
 }
 
--- a/gateway/tests/soak.rs
+++ b/gateway/tests/soak.rs
@@ -51,8 +51,8 @@
 /// - 1002: a program without history could not go on: hosts that stopped as planned had
 ///   named successors for their escrow slots that had stopped before, and its ledger
 ///   withheld what these may have granted; see `gateway_escrow.rs`.
-/// - 2002, 2015, 2026, 2038: the same after the owners of both slots were killed. Not
-///   mended.
+/// - 2002, 2015, 2026, 2038: the same after owners of slots were killed, of both or, in
+///   2038, of one beside a dead holder of a reservation. Not mended.
 ///
 /// By hand with 200 hosts, not in CI:
 ///
