Log a change of readiness before the balancer hears of it

The host looked at its readiness each 500 ms to log changes, while the balancer is told the state of the moment, and a host is not ready from 400 ms without the store on. One that is ready and loses the store between two looks, as on a busy machine, says neither in its log. Ruled out: a fault of the store's stand-in (all calls were refused) and of the log's reader (other events of the same process came). The failure did not come again in 64 runs of that test, up to eight at a time; that its host had missed a look is inferred. Change: the answer to the balancer takes note of the state, too, and logs a change first. Test: no_balancer_hears_of_a_readiness_that_the_log_does_not_tell, which failed before in the run that was made (the event came up to 500 ms after the answer) and passes now.

--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -211,7 +211,7 @@
         return Response::with_body(StatusCode::OK, page.boxed());
     }
     let (status, body) = match request.path() {
-        READY_PATH if gateway.is_ready() => (StatusCode::OK, "ready\n"),
+        READY_PATH if gateway.note_readiness() => (StatusCode::OK, "ready\n"),
         READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         _ => (StatusCode::NOT_FOUND, "no such page\n"),
     };
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -16,6 +16,7 @@
 use rosebend_state::deployment::{Customers, EndpointIdentity};
 use rosebend_state::settings::{CustomerSettings, GatewaySettings, StoreSettings};
 use rosebend_transport::clock::{Clock, whole_ms};
+use rosebend_transport::event::{Event, EventKind, log_event};
 use rosebend_transport::store::StoreClient;
 use rosebend_util::random_id;
 
@@ -83,6 +84,8 @@
     open_requests: Cell<u64>,
     /// Set once the process is asked to stop.
     stopping: Cell<bool>,
+    /// Whether callers could be served at the last look.
+    was_ready: Cell<bool>,
 }
 
 impl Gateway {
@@ -125,6 +128,7 @@
             crashes: RefCell::default(),
             open_requests: Cell::new(0),
             stopping: Cell::new(false),
+            was_ready: Cell::new(false),
             settings: RefCell::new(Rc::new(settings)),
         }
     }
@@ -216,17 +220,22 @@
         Refusal::StoreUnreachable(self.store.partition_unreachable_for(&partition))
     }
 
-    /// Whether the balancer should send callers here.
-    pub fn is_ready(&self) -> bool {
-        self.readiness().is_ok()
+    /// Whether the balancer should send callers here. A change is logged first.
+    pub fn note_readiness(&self) -> bool {
+        let readiness = self.readiness();
+        if self.was_ready.replace(readiness.is_ok()) != readiness.is_ok() {
+            let reason = readiness.err().unwrap_or("ready");
+            log_event(&Event::new(EventKind::ReadyChanged).reason(reason));
+        }
+        readiness.is_ok()
     }
 
-    /// Whether the balancer should send callers here.
+    /// Whether callers can be served.
     ///
     /// # Errors
     ///
     /// Tells in a word why not.
-    pub fn readiness(&self) -> Result<(), &'static str> {
+    fn readiness(&self) -> Result<(), &'static str> {
         if self.is_stopping() {
             return Err("stopping");
         }
@@ -258,7 +267,7 @@
             endpoints: self.directory.borrow().len() as u64,
             routes_version: version.unwrap_or(0),
             store_unreachable_ms: whole_ms(self.store.unreachable_for()),
-            ready: u64::from(self.is_ready()),
+            ready: u64::from(self.readiness().is_ok()),
             peers: self.store.peer_addresses().len() as u64,
             open_parts: self.joined_commits.open_parts() as u64,
             oldest_part_ms: whole_ms(self.joined_commits.oldest_part()),
--- a/gateway/src/watch.rs
+++ b/gateway/src/watch.rs
@@ -78,7 +78,6 @@
 
 /// Drops what is not needed any more and tells changes of readiness, for ever.
 pub async fn tidy(gateway: Rc<Gateway>) {
-    let mut was_ready = false;
     loop {
         tokio::time::sleep(TIDY_INTERVAL).await;
         let now = gateway.clock.now();
@@ -91,12 +90,7 @@
             let event = Event::new(EventKind::EndpointWithdrawn).reason("lapsed");
             log_event(&event.endpoint(&instance));
         }
-        let readiness = gateway.readiness();
-        if readiness.is_ok() != was_ready {
-            was_ready = readiness.is_ok();
-            let reason = readiness.err().unwrap_or("ready");
-            log_event(&Event::new(EventKind::ReadyChanged).reason(reason));
-        }
+        gateway.note_readiness();
         gateway.crashes.borrow_mut().expire(now);
         let directory = gateway.directory.borrow();
         let mut pool = gateway.pool.borrow_mut();
--- a/gateway/tests/lifecycle.rs
+++ b/gateway/tests/lifecycle.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use rosebend_standin::backend::BackendFaults;
 use rosebend_standin::store::StoreFaults;
@@ -12,6 +12,12 @@
 
 const MODELS: usize = 0;
 
+/// Milliseconds since 1970.
+fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    u64::try_from(now.as_millis()).unwrap()
+}
+
 #[actix_rt::test]
 async fn before_the_routes_are_known_nothing_is_denied() {
     let site = Site::without_routes();
@@ -25,6 +31,31 @@
     assert_eq!(answer.status, 200);
 }
 
+/// When the log says that a host's readiness changed for a reason, in milliseconds since
+/// 1970.
+async fn change_of_readiness(gateway: &Gateway, reason: &str) -> u64 {
+    let change = || {
+        let changes = gateway.events("ready-changed");
+        let mut changes = changes.iter();
+        let change = changes.find(|event| event["reason"] == reason);
+        change.and_then(|event| event["at_ms"].as_u64())
+    };
+    until(reason, async || change().is_some()).await;
+    change().unwrap()
+}
+
+/// A host may be ready for less time than passes between two looks of its own.
+#[actix_rt::test]
+async fn no_balancer_hears_of_a_readiness_that_the_log_does_not_tell() {
+    let (site, gateway) = Site::start_with_gateway().await;
+    let heard_at_ms = unix_ms();
+    assert!(change_of_readiness(&gateway, "ready").await <= heard_at_ms);
+    site.faults(&StoreFaults::refusing()).await;
+    gateway.until_unready().await;
+    let heard_at_ms = unix_ms();
+    assert!(change_of_readiness(&gateway, "store-unreachable").await <= heard_at_ms);
+}
+
 #[actix_rt::test]
 async fn a_new_version_takes_hold_and_an_old_one_never_comes_back() {
     let (site, gateway) = Site::start_with_gateway().await;
