--- a/coordination/src/gateway/escrow.rs
+++ b/coordination/src/gateway/escrow.rs
@@ -8,19 +8,31 @@
 //! The ledger does not know of grants until then, so it withholds
 //! [`share_tokens`] of the budget for each slot that is open for the program: a
 //! slot is open until its owner has closed it, which means that no grant is
-//! outstanding and none will be made. An owner that dies takes the record of its
-//! grants along; its slots stay open for a time. Only budgets of several turns take
-//! part, so that programs with small budgets are neither granted nor withheld
-//! anything.
+//! outstanding and none will be made. Only budgets of several turns take part, so that
+//! programs with small budgets are neither granted nor withheld anything.
+//!
+//! An owner that dies takes the record of its grants along. Where it had said that it
+//! holds off ([`hold_off`]), it granted nothing, and the next run on its host takes its
+//! slots at once; otherwise they stay open and without an owner for a time. Whoever takes
+//! a slot after a death writes the slot's fence first, a row in the partition of its
+//! programs. A ledger that counts a slot as closed names the fence that its owner knew, and
+//! is written only if that is still the fence; so the new owner finds in the ledgers all
+//! that was closed before.
 //!
 //! | what | where |
 //! |---|---|
 //! | which run owns a slot, and who takes it next | [`slots`] |
 //! | what an owner has granted | [`accounts`] |
+//! | when an owner grants nothing, and what its death says then | [`hold_off`] |
 //! | messages between a host and an owner | [`message`] |
 //! | what the ledger keeps room for | [`terms`] |
 
+use std::collections::BTreeMap;
+
+use rosebend_state::deployment::RowVersion;
+
 pub mod accounts;
+pub mod hold_off;
 pub mod message;
 pub mod slots;
 pub mod terms;
@@ -44,6 +56,10 @@
 /// Identifies a grant.
 pub type GrantId = String;
 
+/// Fences of a partition's slots: the versions of their rows, zero of one that was never
+/// written.
+pub type Fences = BTreeMap<SlotIndex, RowVersion>;
+
 /// Whether programs with this budget take part.
 pub const fn is_eligible(most_tokens: u64, budget_tokens: u64) -> bool {
     budget_tokens >= most_tokens.saturating_mul(MIN_BUDGET_TURNS)
--- a/coordination/src/gateway/escrow/accounts.rs
+++ b/coordination/src/gateway/escrow/accounts.rs
@@ -5,7 +5,6 @@
 use rosebend_state::deployment::ProgramKey;
 use serde::{Deserialize, Serialize};
 
-use super::message::{ProgramAsk, Reply};
 use super::{GrantId, is_eligible, share_tokens};
 
 /// Programs that one slot keeps at most. A slot that reaches it grants nothing
@@ -68,25 +67,6 @@
 }
 
 impl Accounts {
-    /// Answers a question about a program.
-    pub fn answer(&mut self, program: &str, ask: ProgramAsk) -> Reply {
-        match ask {
-            ProgramAsk::Grant(request) => match self.grant(program, &request) {
-                true => Reply::Granted,
-                false => Reply::Refused,
-            },
-            ProgramAsk::Report(grant, tokens) => {
-                self.report(program, &grant, tokens);
-                Reply::Noted
-            }
-            ProgramAsk::Settle(grant) => {
-                self.settle(program, &grant);
-                Reply::Noted
-            }
-            ProgramAsk::Close => self.close(program).into(),
-        }
-    }
-
     /// Grants a turn the tokens that it wants, if the program's share holds them.
     pub fn grant(&mut self, program: &str, request: &GrantRequest) -> bool {
         let share = share_tokens(request.budget_tokens);
@@ -155,6 +135,12 @@
         !self.is_full
     }
 
+    /// Whether a grant is not in a ledger yet.
+    pub fn has_grants(&self) -> bool {
+        let mut accounts = self.programs.values();
+        accounts.any(|account| !account.grants.is_empty())
+    }
+
     /// Tokens that are granted and not in a ledger.
     pub fn outstanding_tokens(&self) -> u64 {
         let accounts = self.programs.values();
--- a/coordination/src/gateway/escrow/message.rs
+++ b/coordination/src/gateway/escrow/message.rs
@@ -1,10 +1,13 @@
 //! Messages between a host whose turn needs a slot and the slot's owner.
 
-use rosebend_state::deployment::ProgramKey;
+use std::time::Duration;
+
+use rosebend_state::deployment::{ProgramKey, RowVersion};
 use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
 
 use super::GrantId;
-use super::accounts::{Accounts, Closing, GrantRequest};
+use super::accounts::{Accounts, GrantRequest};
 use super::slots::SlotId;
 use crate::gateway::ledger::Holder;
 
@@ -34,7 +37,12 @@
     Accept,
     /// The owner stops while the store is unavailable: the one that is asked owns
     /// the slot from now on.
-    TakeOver(Accounts),
+    TakeOver {
+        /// What the owner has granted and closed.
+        accounts: Accounts,
+        /// The slot's fence.
+        fence: RowVersion,
+    },
     /// The run that asks has taken the slot over from this one.
     Moved(Holder),
 }
@@ -54,6 +62,7 @@
 }
 
 /// What a slot's owner answers.
+#[serde_as]
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub enum Reply {
@@ -61,8 +70,17 @@
     Granted,
     /// The program's share does not hold the turn.
     Refused,
+    /// The owner holds off for so long.
+    HeldOff {
+        /// Time until it grants again.
+        #[serde_as(as = "DurationMilliSeconds<u64>")]
+        wait_ms: Duration,
+    },
     /// The slot is closed for the program.
-    Closed,
+    Closed {
+        /// The slot's fence.
+        fence: RowVersion,
+    },
     /// The slot will be closed once the grants are in the ledger.
     Outstanding,
     /// It is noted.
@@ -71,15 +89,6 @@
     NotOwner,
 }
 
-impl From<Closing> for Reply {
-    fn from(closing: Closing) -> Self {
-        match closing {
-            Closing::Closed => Self::Closed,
-            Closing::Outstanding(_) => Self::Outstanding,
-        }
-    }
-}
-
 /// An answer to a question.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
--- a/coordination/src/gateway/escrow/slots.rs
+++ b/coordination/src/gateway/escrow/slots.rs
@@ -5,18 +5,23 @@
 //! successor, with its accounts; while the store is unavailable it sends them to
 //! the successor instead. A successor has said before that it runs on: the table of
 //! hosts is older than what has stopped since. Where nobody says so the row names
-//! nobody, and any run takes it. What a run knew that died is lost: its slots stay
-//! without an owner for [`QUARANTINE`], in which ledgers go on keeping room for its
-//! grants.
+//! nobody, and any run takes it.
+//!
+//! What a run knew that died is lost. If it held off at its death, the next run on its
+//! host takes its slots; otherwise they stay without an owner for [`QUARANTINE`], in which
+//! ledgers go on keeping room for its grants. Either way the new owner writes the slot's
+//! fence and reads from the ledgers which programs are closed before it answers for the
+//! slot.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use rosebend_state::deployment::RowVersion;
+use rosebend_state::deployment::{ProgramKey, RowId, RowVersion};
 use serde::{Deserialize, Serialize};
 
-use super::accounts::Accounts;
-use super::message::{Ask, Reply};
+use super::accounts::{Accounts, Closing};
+use super::hold_off::{HOLD_OFF, HoldOffRow};
+use super::message::{Ask, ProgramAsk, Reply};
 use super::{SLOTS, SlotIndex};
 use crate::gateway::gatherers::{Candidate, ranked_by, strong};
 use crate::gateway::history::partitions;
@@ -33,6 +38,8 @@
 const MAX_ROW_BYTES: usize = 40_000;
 /// Begins the key of a slot's row.
 const KEY_PREFIX: &str = "escrow/";
+/// Table of the slots' fences.
+const FENCE_TABLE: &str = "escrow";
 
 /// A slot of a partition.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -45,13 +52,21 @@
 }
 
 impl SlotId {
+    /// A slot of a partition.
+    pub const fn new(partition: String, index: SlotIndex) -> Self {
+        Self { partition, index }
+    }
+
     /// The slots of a partition.
     pub fn of(partition: &str) -> impl Iterator<Item = Self> + use<> {
         let partition = partition.to_owned();
-        (0..SLOTS).map(move |index| Self {
-            partition: partition.clone(),
-            index,
-        })
+        (0..SLOTS).map(move |index| Self::new(partition.clone(), index))
+    }
+
+    /// The range of the keys of all slots' rows: from the first one, and below the second.
+    pub fn keys() -> (String, String) {
+        let end = KEY_PREFIX.replace('/', "0");
+        (KEY_PREFIX.to_owned(), end)
     }
 
     /// All slots.
@@ -64,6 +79,19 @@
         format!("{KEY_PREFIX}{}/{}", self.partition, self.index)
     }
 
+    /// The row of the slot's fence. It lies in the partition of the ledgers that rest on
+    /// it, so that a transaction of theirs may have it as a condition.
+    pub fn fence_row(&self) -> RowId {
+        RowId::new(FENCE_TABLE, &self.partition, self.index.to_string())
+    }
+
+    /// The slot, by its number, of which a row is the fence.
+    pub fn of_fence_row(row: &RowId) -> Option<SlotIndex> {
+        let is_fence = row.table == FENCE_TABLE;
+        let index = is_fence.then(|| row.key.parse().ok()).flatten();
+        index.filter(|index| *index < SLOTS)
+    }
+
     /// The slot whose row has a key.
     pub fn from_key(key: &str) -> Option<Self> {
         let (partition, index) = key.strip_prefix(KEY_PREFIX)?.split_once('/')?;
@@ -83,6 +111,13 @@
     /// Accounts that the owner before left at its planned stop.
     #[serde(default)]
     pub accounts: Accounts,
+    /// The slot's fence when the owner before left it.
+    #[serde(default)]
+    pub fence: RowVersion,
+    /// Set while the owner does not know yet which programs are closed, since the one
+    /// before has died.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub has_unread_closings: bool,
 }
 
 impl SlotRow {
@@ -129,6 +164,13 @@
     Nobody,
 }
 
+/// A slot that this run answers for.
+#[derive(Clone, Debug)]
+struct Held {
+    accounts: Accounts,
+    fence: RowVersion,
+}
+
 #[derive(Clone, Debug, Default)]
 struct Known {
     version: RowVersion,
@@ -145,6 +187,18 @@
     }
 }
 
+impl Held {
+    /// The slot's row for another owner.
+    fn row(&self, owner: Option<Holder>) -> SlotRow {
+        SlotRow {
+            owner,
+            accounts: self.accounts.clone(),
+            fence: self.fence,
+            has_unread_closings: false,
+        }
+    }
+}
+
 /// The slots, as one run of a gateway knows them.
 #[derive(Debug)]
 pub struct Slots<A> {
@@ -157,7 +211,11 @@
     known: BTreeMap<SlotId, Known>,
     /// Since when there has been a slot without a row that this run should own.
     wanted_since: Option<Duration>,
-    held: BTreeMap<SlotId, Accounts>,
+    held: BTreeMap<SlotId, Held>,
+    /// The run before this one on its host, if it died while it held off.
+    quiet_run: Option<Holder>,
+    /// Until when this run grants nothing.
+    held_off_until: Duration,
     /// Slots that this run owned when it began to stop. It never answers for them
     /// again, as others may by now.
     released: BTreeSet<SlotId>,
@@ -177,6 +235,8 @@
             known: BTreeMap::new(),
             wanted_since: None,
             held: BTreeMap::new(),
+            quiet_run: None,
+            held_off_until: Duration::ZERO,
             released: BTreeSet::new(),
             accepted: BTreeSet::new(),
             is_stopping: false,
@@ -210,9 +270,13 @@
             self.accepted.remove(&slot);
         }
         let is_own = known.row.owner.as_ref() == Some(&self.own_run);
-        if is_own && has_new_owner && !self.is_stopping && !self.held.contains_key(&slot) {
-            let accounts = known.row.accounts.clone();
-            self.held.insert(slot, accounts);
+        let is_complete = is_own && !known.row.has_unread_closings;
+        if is_complete && has_new_owner && !self.is_stopping && !self.held.contains_key(&slot) {
+            let held = Held {
+                accounts: known.row.accounts.clone(),
+                fence: known.row.fence,
+            };
+            self.held.insert(slot, held);
         }
     }
 
@@ -246,18 +310,118 @@
 
     /// Slots that this run owns.
     pub fn held(&self) -> impl Iterator<Item = (&SlotId, &Accounts)> {
-        self.held.iter()
+        self.held.iter().map(|(slot, held)| (slot, &held.accounts))
+    }
+
+    /// Slots that this run owns and does not answer for yet, since it does not know which
+    /// programs are closed.
+    pub fn incomplete(&self) -> Vec<SlotId> {
+        let is_incomplete = |slot: &SlotId, known: &Known| {
+            let is_own = known.row.owner.as_ref() == Some(&self.own_run);
+            is_own && known.row.has_unread_closings && !self.held.contains_key(slot)
+        };
+        let known = self.known.iter();
+        let incomplete = known.filter(|(slot, known)| is_incomplete(slot, known));
+        match self.is_stopping {
+            true => Vec::new(),
+            false => incomplete.map(|(slot, _)| slot.clone()).collect(),
+        }
+    }
+
+    /// Answers for a slot that was incomplete. `closed` are the programs that ledgers
+    /// counted as closed when the slot had this fence already.
+    pub fn complete(&mut self, slot: &SlotId, fence: RowVersion, closed: &[ProgramKey]) {
+        if !self.incomplete().contains(slot) {
+            return;
+        }
+        let mut accounts = self.known[slot].row.accounts.clone();
+        for program in closed {
+            accounts.close(program);
+        }
+        self.held.insert(slot.clone(), Held { accounts, fence });
+    }
+
+    /// Takes note of the run before this one on its host, if it died while it held off.
+    pub fn set_quiet_run(&mut self, run: Option<Holder>) {
+        self.quiet_run = run;
+    }
+
+    /// Rows by which this run becomes the owner of the slots of that run.
+    pub fn inherit(&self) -> Vec<SlotWrite> {
+        let known = self.known.iter();
+        let inherited = known.filter(|(slot, known)| {
+            let is_quiet = known.row.owner.is_some() && known.row.owner == self.quiet_run;
+            is_quiet && !self.held.contains_key(slot)
+        });
+        match self.is_stopping {
+            true => Vec::new(),
+            false => inherited
+                .map(|(slot, _)| self.claim(slot.clone()))
+                .collect(),
+        }
+    }
+
+    /// Whether this run owns a slot.
+    pub fn is_owner(&self) -> bool {
+        !self.held.is_empty() || !self.incomplete().is_empty()
+    }
+
+    /// Holds off from now on. Returns the row that says so; none while grants are
+    /// outstanding. `store_now` is what the store's clock shows at least.
+    pub fn hold_off(&mut self, now: Duration, store_now: Duration) -> Option<HoldOffRow> {
+        let mut accounts = self.held.values().map(|held| &held.accounts);
+        if self.is_stopping || accounts.any(Accounts::has_grants) {
+            return None;
+        }
+        self.held_off_until = now + HOLD_OFF;
+        Some(HoldOffRow::new(self.own_run.clone(), store_now))
+    }
+
+    /// For how long this run holds off.
+    pub fn held_off_for(&self, now: Duration) -> Duration {
+        self.held_off_until.saturating_sub(now)
     }
 
     /// What this run answers to a question about a slot.
-    pub fn answer(&mut self, slot: &SlotId, from: &Holder, ask: Ask) -> Reply {
+    pub fn answer(&mut self, slot: &SlotId, from: &Holder, ask: Ask, now: Duration) -> Reply {
         match ask {
             Ask::Accept => self.accept(slot),
-            Ask::TakeOver(accounts) => self.take_over(slot, from, accounts),
+            Ask::TakeOver { accounts, fence } => {
+                self.take_over(slot, from, Held { accounts, fence })
+            }
             Ask::Moved(owner) => self.moved(slot, &owner, from),
-            Ask::Program(program, ask) => match self.held.get_mut(slot) {
-                Some(accounts) => accounts.answer(&program, ask),
-                None => Reply::NotOwner,
+            Ask::Program(program, ask) => self.answer_for(slot, &program, ask, now),
+        }
+    }
+
+    fn answer_for(
+        &mut self,
+        slot: &SlotId,
+        program: &str,
+        ask: ProgramAsk,
+        now: Duration,
+    ) -> Reply {
+        let wait_ms = self.held_off_for(now);
+        let Some(Held { accounts, fence }) = self.held.get_mut(slot) else {
+            return Reply::NotOwner;
+        };
+        match ask {
+            ProgramAsk::Grant(_) if !wait_ms.is_zero() => Reply::HeldOff { wait_ms },
+            ProgramAsk::Grant(request) => match accounts.grant(program, &request) {
+                true => Reply::Granted,
+                false => Reply::Refused,
+            },
+            ProgramAsk::Report(grant, tokens) => {
+                accounts.report(program, &grant, tokens);
+                Reply::Noted
+            }
+            ProgramAsk::Settle(grant) => {
+                accounts.settle(program, &grant);
+                Reply::Noted
+            }
+            ProgramAsk::Close => match accounts.close(program) {
+                Closing::Closed => Reply::Closed { fence: *fence },
+                Closing::Outstanding(_) => Reply::Outstanding,
             },
         }
     }
@@ -270,7 +434,7 @@
         Reply::Noted
     }
 
-    fn take_over(&mut self, slot: &SlotId, from: &Holder, accounts: Accounts) -> Reply {
+    fn take_over(&mut self, slot: &SlotId, from: &Holder, held: Held) -> Reply {
         let known = self.known.entry(slot.clone()).or_default();
         if known.moved_to.as_ref() == Some(&self.own_run) {
             // The question was repeated.
@@ -280,7 +444,7 @@
             return Reply::NotOwner;
         }
         known.moved_to = Some(self.own_run.clone());
-        self.held.insert(slot.clone(), accounts);
+        self.held.insert(slot.clone(), held);
         Reply::Noted
     }
 
@@ -319,15 +483,14 @@
 
     fn claim(&self, slot: SlotId) -> SlotWrite {
         let known = self.known.get(&slot).cloned().unwrap_or_default();
-        // Accounts of an owner that is gone are those of its start.
-        let accounts = match known.row.owner {
-            None => known.row.accounts,
-            Some(_) => Accounts::default(),
-        };
-        let accounts = self.held.get(&slot).cloned().unwrap_or(accounts);
-        let row = SlotRow {
-            owner: Some(self.own_run.clone()),
-            accounts,
+        let owner = Some(self.own_run.clone());
+        let row = match self.held.get(&slot) {
+            Some(held) => held.row(owner),
+            None => SlotRow {
+                has_unread_closings: known.row.has_unread_closings || known.row.owner.is_some(),
+                owner,
+                ..known.row
+            },
         };
         SlotWrite {
             slot,
@@ -358,6 +521,9 @@
             // It was taken over from a run that could not write the row.
             return row_owner != Some(&self.own_run);
         }
+        if row_owner.is_some() && row_owner == self.quiet_run.as_ref() {
+            return true;
+        }
         let missing_since = known.and_then(|known| known.missing_since);
         let is_lapsed = missing_since.is_some_and(|since| now.saturating_sub(since) >= QUARANTINE);
         let is_free = row_owner.is_none() || is_lapsed;
@@ -402,23 +568,24 @@
     /// nobody yet. It answers for the slots no more.
     pub fn release(&mut self) -> Vec<SlotWrite> {
         self.stop_taking();
-        let mut released = std::mem::take(&mut self.held);
+        let held = std::mem::take(&mut self.held).into_iter();
+        let mut released: BTreeMap<SlotId, SlotRow> =
+            held.map(|(slot, held)| (slot, held.row(None))).collect();
         // Others may have named this run as their successor since it began to stop.
         for (slot, known) in &self.known {
             let is_own = known.row.owner.as_ref() == Some(&self.own_run);
             if is_own && !self.released.contains(slot) {
-                let accounts = || known.row.accounts.clone();
-                released.entry(slot.clone()).or_insert_with(accounts);
+                let row = || SlotRow {
+                    owner: None,
+                    ..known.row.clone()
+                };
+                released.entry(slot.clone()).or_insert_with(row);
             }
         }
         self.released.extend(released.keys().cloned());
         let mut writes = Vec::new();
-        for (slot, accounts) in released {
+        for (slot, row) in released {
             let version = self.known.get(&slot).map_or(0, |known| known.version);
-            let row = SlotRow {
-                owner: None,
-                accounts,
-            };
             // One that has no room in its row stays with a run that is gone.
             if row.encode().len() <= MAX_ROW_BYTES {
                 writes.push(SlotWrite { slot, version, row });
--- a/coordination/src/gateway/escrow/terms.rs
+++ b/coordination/src/gateway/escrow/terms.rs
@@ -1,21 +1,15 @@
 //! What a program's ledger keeps room for.
 
 use std::collections::BTreeSet;
-use std::time::Duration;
 
 use super::message::Reply;
-use super::{SLOTS, SlotIndex, is_eligible};
-
-/// How long a ledger relies on a slot's owner having closed it. Shorter than the
-/// time for which a slot stays with an owner that is gone
-/// ([`super::slots::QUARANTINE`]), by more than clocks differ.
-pub const CLOSED_FOR: Duration = Duration::from_secs(120);
+use super::{Fences, SLOTS, SlotIndex, is_eligible};
 
 /// What owners said when they were asked to close a program's slots.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ClosingAnswers {
     /// Slots that are closed.
-    pub closed: BTreeSet<SlotIndex>,
+    pub closed: Fences,
     /// Slots whose owners are gone or silent.
     pub gone: BTreeSet<SlotIndex>,
     /// Whether a slot waits for its grants to be in the ledger.
@@ -26,8 +20,8 @@
     /// Takes an owner's reply; none of one that is gone or silent.
     pub fn add(&mut self, slot: SlotIndex, reply: Option<Reply>) {
         match reply {
-            Some(Reply::Closed) => {
-                self.closed.insert(slot);
+            Some(Reply::Closed { fence }) => {
+                self.closed.insert(slot, fence);
             }
             Some(Reply::Outstanding) => self.is_settling = true,
             _ => {
@@ -43,15 +37,13 @@
     /// The budget is too small; no slot grants from it.
     #[default]
     Excluded,
-    /// Every slot counts that was not closed lately.
+    /// Every slot counts that is not closed.
     Eligible {
         /// Whether the turn's route takes grants. Turns of other routes are bound by
         /// the slots only once the program has had one of such a route.
         takes_grants: bool,
-        /// Time of day in milliseconds since 1970.
-        now_unix_ms: u64,
-        /// Slots whose owners have just closed them for the program.
-        closed: BTreeSet<SlotIndex>,
+        /// Slots whose owners have closed them for the program.
+        closed: Fences,
         /// Slots whose owners are gone or silent. What they may have granted counts
         /// as lost with a dead host: a part of it is forgiven.
         gone: BTreeSet<SlotIndex>,
@@ -60,17 +52,11 @@
 
 impl EscrowTerms {
     /// The terms of a turn.
-    pub const fn new(
-        takes_grants: bool,
-        most_tokens: u64,
-        budget_tokens: u64,
-        now_unix_ms: u64,
-    ) -> Self {
+    pub const fn new(takes_grants: bool, most_tokens: u64, budget_tokens: u64) -> Self {
         match is_eligible(most_tokens, budget_tokens) {
             true => Self::Eligible {
                 takes_grants,
-                now_unix_ms,
-                closed: BTreeSet::new(),
+                closed: Fences::new(),
                 gone: BTreeSet::new(),
             },
             false => Self::Excluded,
@@ -83,7 +69,6 @@
     pub fn with_answers(self, answers: &ClosingAnswers) -> Self {
         let Self::Eligible {
             takes_grants,
-            now_unix_ms,
             mut closed,
             ..
         } = self
@@ -93,7 +78,6 @@
         closed.extend(&answers.closed);
         Self::Eligible {
             takes_grants,
-            now_unix_ms,
             closed,
             gone: answers.gone.clone(),
         }
@@ -112,7 +96,7 @@
         let state = |slot: SlotIndex| match self {
             Self::Excluded => None,
             Self::Eligible { closed, gone, .. } => Some(match slot {
-                slot if closed.contains(&slot) => "closed",
+                slot if closed.contains_key(&slot) => "closed",
                 slot if gone.contains(&slot) => "gone",
                 _ => "open",
             }),
--- a/coordination/src/gateway/group_commit.rs
+++ b/coordination/src/gateway/group_commit.rs
@@ -63,8 +63,9 @@
 /// The transactions of one partition that wait to be joined, and those on their
 /// way.
 ///
-/// One joined transaction is on its way at a time, beside a few whose answers are late,
-/// and no row stands in two of their parts.
+/// One joined transaction is on its way at a time, beside a few whose answers are late.
+/// No row that one of their parts writes stands in another part, and parts that require a
+/// row which none writes require the same version of it.
 #[derive(Debug, Default)]
 pub struct GroupCommit {
     waiting: VecDeque<Part>,
@@ -116,10 +117,9 @@
             return (None, ended);
         }
         let mut joined = Joined::default();
-        let late = self.late.values().flatten();
-        joined
-            .rows
-            .extend(late.flat_map(|part| part.transaction.rows().cloned()));
+        for part in self.late.values().flatten() {
+            joined.note_rows(&part.transaction);
+        }
         for part in std::mem::take(&mut self.waiting) {
             if let Some(rows) = self.recent.conflict(&part.transaction) {
                 ended.push((part.id, Answer::Conflict(rows)));
@@ -197,33 +197,58 @@
 #[derive(Default)]
 struct Joined {
     transaction: Transaction,
-    /// Rows of its parts, and of transactions that are late.
-    rows: HashSet<RowId>,
+    /// Rows that its parts, and transactions that are late, write or delete.
+    changed: HashSet<RowId>,
+    /// Rows that they require and leave as they are.
+    required: HashMap<RowId, RowVersion>,
     entries: usize,
     bytes: usize,
 }
 
 impl Joined {
-    /// Takes a part in, if it has room and no row of it stands in another part.
-    /// The first part always has room.
+    /// Takes a part in, if it has room and its rows go with those of the other parts. The
+    /// first part always has room.
     fn take(&mut self, part: &Transaction) -> bool {
         let (entries, bytes) = (part.entries(), part.value_bytes());
         let has_room =
             self.entries + entries <= MAX_TRANSACTION_ENTRIES && self.bytes + bytes <= MAX_BYTES;
         let is_first = self.entries == 0;
-        let is_apart = part.rows().all(|row| !self.rows.contains(row));
-        if !is_apart || !(has_room || is_first) {
+        if !self.goes_with(part) || !(has_room || is_first) {
             return false;
         }
         self.entries += entries;
         self.bytes += bytes;
-        self.rows.extend(part.rows().cloned());
+        self.note_rows(part);
         let joined = &mut self.transaction;
-        joined.conditions.extend(part.conditions.iter().cloned());
+        for condition in &part.conditions {
+            if !joined.conditions.contains(condition) {
+                joined.conditions.push(condition.clone());
+            }
+        }
         joined.writes.extend(part.writes.iter().cloned());
         joined.deletes.extend(part.deletes.iter().cloned());
         true
     }
+
+    fn goes_with(&self, part: &Transaction) -> bool {
+        let is_apart = part.rows().all(|row| !self.changed.contains(row));
+        let leaves = |row: &RowId| !self.required.contains_key(row);
+        let agrees = |condition: &Condition| {
+            let version = self.required.get(&condition.row);
+            version.is_none_or(|version| *version == condition.version)
+        };
+        is_apart && part.changed_rows().all(leaves) && part.conditions.iter().all(agrees)
+    }
+
+    fn note_rows(&mut self, part: &Transaction) {
+        self.changed.extend(part.changed_rows().cloned());
+        for condition in &part.conditions {
+            if !self.changed.contains(&condition.row) {
+                let (row, version) = (condition.row.clone(), condition.version);
+                self.required.insert(row, version);
+            }
+        }
+    }
 }
 
 /// Conditioned rows as they were last written or read here. A row may be newer
--- a/coordination/src/gateway/history.rs
+++ b/coordination/src/gateway/history.rs
@@ -117,6 +117,18 @@
     }
 }
 
+/// Where the ledgers of a partition are, among turns.
+pub fn ledgers_range(partition: &str) -> RowRange {
+    RowRange::whole(PROGRAM_TABLE, partition)
+}
+
+/// The program whose ledger a row is; none of any other row.
+pub fn program_of_ledger(row: &Row) -> Option<&str> {
+    let program = row.id.key.strip_suffix(SEPARATOR)?;
+    let is_ledger = row.id.table == PROGRAM_TABLE && !program.contains(SEPARATOR);
+    is_ledger.then_some(program)
+}
+
 /// Where the index row of a turn is if its program lies in a partition.
 pub fn index_range(partition: String, attempt: &str) -> RowRange {
     RowRange {
--- a/coordination/src/gateway/ledger.rs
+++ b/coordination/src/gateway/ledger.rs
@@ -15,13 +15,12 @@
 
 use std::collections::BTreeMap;
 use std::collections::btree_map::Entry;
-use std::time::Duration;
 
 use rosebend_state::deployment::AttemptId;
 use serde::{Deserialize, Serialize};
 
-use crate::gateway::escrow::terms::{CLOSED_FOR, EscrowTerms};
-use crate::gateway::escrow::{GrantId, SLOTS, SlotIndex, share_tokens};
+use crate::gateway::escrow::terms::EscrowTerms;
+use crate::gateway::escrow::{Fences, GrantId, SLOTS, SlotIndex, share_tokens};
 
 /// One run of a host's process, as HOST/RUN. The next run cannot know what became
 /// of the turns of this one.
@@ -52,10 +51,10 @@
     /// Whether a turn of a route that takes grants has reserved or settled here.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     may_have_grants: bool,
-    /// Until when a slot counts as closed for the program, in milliseconds since
-    /// 1970.
+    /// Slots that are closed for the program, by the fences that their owners knew. The
+    /// ledger may be written only while these are still the fences.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
-    closed_until_unix_ms: BTreeMap<SlotIndex, u64>,
+    closed_at_fences: Fences,
 }
 
 /// The most of a running turn.
@@ -109,6 +108,8 @@
     pub budget_tokens: u64,
     /// Slots that may have granted from the budget what the ledger does not have.
     pub escrow: &'a EscrowTerms,
+    /// Fences of the slots, as far as they are known.
+    pub fences: &'a Fences,
 }
 
 /// What keeps a turn from being granted.
@@ -203,7 +204,7 @@
             return Grant::Reserved;
         }
         let mut next = self.clone();
-        next.close(turn.escrow);
+        next.close(turn.escrow, turn.fences);
         let available = next.forgive_slots(turn);
         for holder in gone {
             next.forgive(holder, turn.most_tokens, available);
@@ -225,21 +226,18 @@
         self.committed_tokens().saturating_add(tokens) <= budget_tokens
     }
 
-    /// Takes note of slots that were closed.
-    fn close(&mut self, escrow: &EscrowTerms) {
-        if let EscrowTerms::Eligible {
-            now_unix_ms,
-            closed,
-            ..
-        } = escrow
-        {
-            let until = now_unix_ms.saturating_add(whole_ms(CLOSED_FOR));
-            for slot in closed {
-                self.closed_until_unix_ms.insert(*slot, until);
-            }
-            self.closed_until_unix_ms
-                .retain(|_, until| *until > *now_unix_ms);
+    /// Takes note of slots that were closed. Those whose owner has died since are open.
+    fn close(&mut self, escrow: &EscrowTerms, fences: &Fences) {
+        if let EscrowTerms::Eligible { closed, .. } = escrow {
+            self.closed_at_fences.extend(closed);
         }
+        self.closed_at_fences
+            .retain(|slot, fence| fences.get(slot).is_none_or(|known| known == fence));
+    }
+
+    /// Slots that are closed for the program, with the fences on which that rests.
+    pub const fn closed_at_fences(&self) -> &Fences {
+        &self.closed_at_fences
     }
 
     /// What of the budget may be spent by this ledger: all but the shares of open
@@ -257,7 +255,7 @@
             return turn.budget_tokens;
         }
         let share = share_tokens(turn.budget_tokens);
-        let is_open = |slot: &SlotIndex| !self.closed_until_unix_ms.contains_key(slot);
+        let is_open = |slot: &SlotIndex| !self.closed_at_fences.contains_key(slot);
         let open = (0..SLOTS).filter(is_open).count() as u64;
         let lost = gone.iter().copied().filter(is_open).count() as u64;
         let withheld = share.saturating_mul(open);
@@ -342,10 +340,6 @@
     tokens.fold(0, u64::saturating_add)
 }
 
-fn whole_ms(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn is_zero(tokens: &u64) -> bool {
     *tokens == 0
 }
--- a/coordination/src/gateway/pending_changes.rs
+++ b/coordination/src/gateway/pending_changes.rs
@@ -14,9 +14,10 @@
     Transaction,
 };
 
-use crate::gateway::escrow::GrantId;
+use crate::gateway::escrow::slots::SlotId;
 use crate::gateway::escrow::terms::EscrowTerms;
-use crate::gateway::history::ledger_row;
+use crate::gateway::escrow::{Fences, GrantId, SLOTS};
+use crate::gateway::history::{ledger_row, partition_of};
 use crate::gateway::ledger::{Account, Claim, Grant, Holder, Holding, Ledger};
 
 /// Most bytes of one transaction before its encoding, which adds a third; a
@@ -25,6 +26,8 @@
 
 /// Entries for a program's ledger: its condition and its write.
 const LEDGER_ENTRIES: usize = 2;
+/// Most entries for the fences on which a ledger rests.
+const FENCE_ENTRIES: usize = SLOTS as usize;
 
 /// Names a change until its outcome is known.
 pub type ChangeId = u64;
@@ -112,7 +115,8 @@
     /// already.
     fn most_entries(&self) -> usize {
         match &self.change {
-            Change::Reserve { .. } | Change::SettleGrant { .. } => LEDGER_ENTRIES,
+            Change::Reserve { .. } => LEDGER_ENTRIES + FENCE_ENTRIES,
+            Change::SettleGrant { .. } => LEDGER_ENTRIES,
             Change::Settle { rows, .. } => LEDGER_ENTRIES + rows.len(),
         }
     }
@@ -132,6 +136,8 @@
     /// Turns that run here and have tokens, or ask for them.
     running: HashSet<AttemptId>,
     known: HashMap<ProgramKey, Known>,
+    /// Fences of the partition's slots, as far as a conflict has brought them.
+    fences: Fences,
     waiting: Vec<Pending>,
     on_its_way: Vec<Pending>,
     /// Ledgers as the transaction on its way writes them.
@@ -146,6 +152,7 @@
             holder,
             running: HashSet::new(),
             known: HashMap::new(),
+            fences: Fences::new(),
             waiting: Vec::new(),
             on_its_way: Vec::new(),
             written: BTreeMap::new(),
@@ -219,7 +226,7 @@
         let mut ledger = known.cloned().unwrap_or_default().ledger;
         for pending in self.on_its_way.iter().chain(&self.waiting) {
             if pending.program == program {
-                apply_to(&mut ledger, &pending.change, &self.holder);
+                apply_to(&mut ledger, &pending.change, &self.holder, &self.fences);
             }
         }
         ledger
@@ -250,7 +257,7 @@
         let mut rows = Vec::new();
         let waiting = std::mem::take(&mut self.waiting);
         for pending in waiting {
-            let entries = rows.len() + self.written.len() * LEDGER_ENTRIES;
+            let entries = rows.len() + self.written.len() * LEDGER_ENTRIES + FENCE_ENTRIES;
             let has_room = entries + pending.most_entries() <= MAX_TRANSACTION_ENTRIES;
             let is_first = self.on_its_way.is_empty();
             if !(is_first || has_room && bytes < MAX_BYTES) {
@@ -284,14 +291,14 @@
         let known = self.known.get(&pending.program);
         let ledger = self.written.entry(pending.program.clone());
         let ledger = ledger.or_insert_with(|| known.cloned().unwrap_or_default().ledger);
-        apply_to(ledger, &pending.change, &self.holder)
+        apply_to(ledger, &pending.change, &self.holder, &self.fences)
     }
 
     fn transaction(&mut self, mut writes: Vec<RowWrite>) -> Transaction {
         let on_its_way = &self.on_its_way;
         self.written
             .retain(|program, _| on_its_way.iter().any(|pending| pending.program == *program));
-        let mut conditions = Vec::new();
+        let mut conditions = self.fence_conditions();
         for (program, ledger) in &self.written {
             let row = ledger_row(program);
             let version = self.known.get(program).map_or(0, |known| known.version);
@@ -311,6 +318,36 @@
         }
     }
 
+    /// The fences on which the reservations on their way rest.
+    fn fence_conditions(&self) -> Vec<Condition> {
+        let mut conditions = Vec::new();
+        for pending in &self.on_its_way {
+            let is_reserve = matches!(pending.change, Change::Reserve { .. });
+            let Some(ledger) = self.written.get(&pending.program).filter(|_| is_reserve) else {
+                continue;
+            };
+            for (index, fence) in ledger.closed_at_fences() {
+                let condition = Condition {
+                    row: SlotId::new(partition_of(&pending.program), *index).fence_row(),
+                    version: *fence,
+                };
+                if !conditions.contains(&condition) {
+                    conditions.push(condition);
+                }
+            }
+        }
+        conditions
+    }
+
+    /// Takes note of the fences among the rows of a conflict.
+    fn take_fences(&mut self, rows: &[Row]) {
+        for row in rows {
+            if let Some(index) = SlotId::of_fence_row(&row.id) {
+                self.fences.insert(index, row.version);
+            }
+        }
+    }
+
     /// Takes the answer to the transaction on its way.
     pub fn answered(&mut self, answer: Answer) -> Vec<(ChangeId, Outcome)> {
         let written = std::mem::take(&mut self.written);
@@ -324,6 +361,7 @@
                 return ids.map(|id| (id, Outcome::Durable)).collect();
             }
             Answer::Conflict(rows) => {
+                self.take_fences(&rows);
                 let before: HashMap<&ProgramKey, Ledger> = written
                     .keys()
                     .filter_map(|program| Some((program, self.known.get(program)?.ledger.clone())))
@@ -398,7 +436,7 @@
     }
 }
 
-fn apply_to(ledger: &mut Ledger, change: &Change, holder: &Holder) -> Grant {
+fn apply_to(ledger: &mut Ledger, change: &Change, holder: &Holder, fences: &Fences) -> Grant {
     match change {
         Change::Reserve {
             attempt,
@@ -413,6 +451,7 @@
                 most_tokens: *most_tokens,
                 budget_tokens: *budget_tokens,
                 escrow,
+                fences,
             };
             ledger.reserve(&claim, gone)
         }
--- a/coordination/tests/escrow_world/mod.rs
+++ b/coordination/tests/escrow_world/mod.rs
@@ -5,11 +5,13 @@
 
 use rosebend_coordination::gateway::escrow::accounts::GrantRequest;
 use rosebend_coordination::gateway::escrow::first_grant_tokens;
+use rosebend_coordination::gateway::escrow::hold_off::HoldOffRow;
 use rosebend_coordination::gateway::escrow::message::{Ask, ProgramAsk, Reply};
 use rosebend_coordination::gateway::escrow::slots::{Owner, SlotId, SlotRow, SlotWrite, Slots};
 use rosebend_coordination::gateway::escrow::terms::{ClosingAnswers, EscrowTerms};
 use rosebend_coordination::gateway::gatherers::Candidate;
 use rosebend_coordination::gateway::history::partition_of;
+use rosebend_coordination::gateway::ledger::Ledger;
 use rosebend_coordination::gateway::pending_changes::{Answer, Change, Outcome, PendingChanges};
 use rosebend_state::deployment::{Condition, RowId, RowWrite, Transaction};
 
@@ -17,8 +19,8 @@
 
 /// Table of the slots' rows.
 const TABLE: &str = "gateways";
-/// Time of day at which a world begins, in milliseconds since 1970.
-const START_UNIX_MS: u64 = 1_764_720_000_000;
+/// Table of the rows by which owners hold off.
+const HOLD_OFF_TABLE: &str = "escrow";
 
 /// What a turn runs by.
 #[derive(Clone, Debug)]
@@ -54,12 +56,16 @@
     turns: VecDeque<Turn>,
     settling: Vec<Settling>,
     late: Vec<Transaction>,
+    /// When its process began.
+    began_at: Duration,
+    /// Whether it has read what the run before it had said of its hold-off.
+    knows_last_run: bool,
     /// Whether messages from and to it are lost.
     pub is_cut: bool,
 }
 
 impl Host {
-    fn new(index: usize, run: usize) -> Self {
+    fn new(index: usize, run: usize, now: Duration) -> Self {
         let run = format!("host-{index}/{run}");
         Self {
             changes: PendingChanges::new(run.clone()),
@@ -68,6 +74,8 @@
             turns: VecDeque::new(),
             settling: Vec::new(),
             late: Vec::new(),
+            began_at: now,
+            knows_last_run: false,
             is_cut: false,
         }
     }
@@ -91,7 +99,9 @@
         let mut world = Self {
             store: Store::default(),
             is_store_up: true,
-            hosts: (0..hosts).map(|index| Host::new(index, index)).collect(),
+            hosts: (0..hosts)
+                .map(|index| Host::new(index, index, Duration::ZERO))
+                .collect(),
             budget,
             handed_out: 0,
             now: Duration::from_secs(1),
@@ -141,11 +151,78 @@
     pub fn claim(&mut self, host: usize) {
         if self.is_store_up {
             let now = self.now;
+            self.learn_last_run(host);
             let claims = self.hosts[host].slots.claims(now);
             self.write(host, claims);
         }
     }
 
+    fn hold_off_row(host: usize) -> RowId {
+        let key = HoldOffRow::key(&format!("host-{host}"));
+        RowId::new(HOLD_OFF_TABLE, "", key)
+    }
+
+    fn learn_last_run(&mut self, index: usize) {
+        let host = &mut self.hosts[index];
+        if host.knows_last_run {
+            return;
+        }
+        host.knows_last_run = true;
+        if let Some((_, value)) = self.store.rows.get(&Self::hold_off_row(index)) {
+            let row = HoldOffRow::decode(value).unwrap();
+            host.slots.set_quiet_run(row.died_in_time(host.began_at));
+        }
+    }
+
+    /// A host says that it holds off, if it may.
+    pub fn hold_off(&mut self, host: usize) {
+        let now = self.now;
+        if !self.is_store_up || !self.hosts[host].slots.is_owner() {
+            return;
+        }
+        if let Some(row) = self.hosts[host].slots.hold_off(now, now) {
+            let write = RowWrite {
+                row: Self::hold_off_row(host),
+                value: row.encode(),
+            };
+            self.store.apply(&Transaction {
+                writes: vec![write],
+                ..Transaction::default()
+            });
+        }
+    }
+
+    /// A host completes the slots that it took after a death.
+    pub fn complete(&mut self, host: usize) {
+        if !self.is_store_up {
+            return;
+        }
+        for slot in self.hosts[host].slots.incomplete() {
+            let fence = Transaction::default().write(slot.fence_row(), Vec::new());
+            let Answer::Applied(version) = self.store.apply(&fence) else {
+                panic!("a fence has no condition here");
+            };
+            let is_of_program = slot.partition == partition_of(PROGRAM);
+            let ledger = self.store.ledger();
+            let is_closed = ledger.closed_at_fences().contains_key(&slot.index);
+            let closed = (is_of_program && is_closed).then(|| PROGRAM.to_owned());
+            let slots = &mut self.hosts[host].slots;
+            slots.complete(&slot, version, closed.as_slice());
+        }
+    }
+
+    /// All hosts learn what the others have written, and take and complete slots.
+    pub fn settle_down(&mut self) {
+        for host in 0..self.hosts.len() {
+            self.learn(host);
+            self.claim(host);
+            self.complete(host);
+        }
+        for host in 0..self.hosts.len() {
+            self.learn(host);
+        }
+    }
+
     fn write(&mut self, host: usize, writes: Vec<SlotWrite>) {
         for write in writes {
             let row = RowId::new(TABLE, "", write.slot.key());
@@ -170,7 +247,7 @@
     /// A host's process is killed; another one takes its place.
     pub fn kill(&mut self, host: usize) {
         let late = std::mem::take(&mut self.hosts[host].late);
-        self.hosts[host] = Host::new(host, self.runs);
+        self.hosts[host] = Host::new(host, self.runs, self.now);
         self.hosts[host].late = late;
         self.runs += 1;
         self.learn(host);
@@ -192,7 +269,10 @@
             }
             self.write(host, writes);
         } else if self.hosts[host].settling.is_empty() {
-            self.hand_over(host);
+            let is_held_off = !self.hosts[host].slots.held_off_for(self.now).is_zero();
+            if !is_held_off {
+                self.hand_over(host);
+            }
         }
         self.kill(host);
     }
@@ -217,7 +297,9 @@
             let is_there = self.hosts[to].run == successor.run;
             let is_cut = self.hosts[to].is_cut || self.hosts[host].is_cut;
             if is_there && !is_cut {
-                let reply = self.hosts[to].slots.answer(slot, &from, Ask::Accept);
+                let reply = self.hosts[to]
+                    .slots
+                    .answer(slot, &from, Ask::Accept, self.now);
                 if reply == Reply::Noted {
                     return Some(to);
                 }
@@ -228,18 +310,24 @@
 
     fn hand_over(&mut self, host: usize) {
         let from = self.hosts[host].run.clone();
-        for write in self.hosts[host].slots.release() {
+        let writes = self.hosts[host].slots.release().into_iter();
+        for write in writes.filter(|write| !write.row.has_unread_closings) {
             let Some(to) = self.successor(host, &write.slot) else {
                 continue;
             };
-            let ask = Ask::TakeOver(write.row.accounts);
-            let reply = self.hosts[to].slots.answer(&write.slot, &from, ask);
+            let ask = Ask::TakeOver {
+                accounts: write.row.accounts,
+                fence: write.row.fence,
+            };
+            let now = self.now;
+            let reply = self.hosts[to].slots.answer(&write.slot, &from, ask, now);
             if reply == Reply::Noted {
                 let owner = self.hosts[to].run.clone();
                 for other in (0..self.hosts.len()).filter(|other| *other != to) {
                     let moved = Ask::Moved(from.clone());
                     if !self.hosts[other].is_cut {
-                        self.hosts[other].slots.answer(&write.slot, &owner, moved);
+                        let slots = &mut self.hosts[other].slots;
+                        slots.answer(&write.slot, &owner, moved, now);
                     }
                 }
             }
@@ -261,7 +349,7 @@
             }
             Owner::Gone | Owner::Nobody => return None,
         };
-        Some(self.hosts[to].slots.answer(slot, &run, ask))
+        Some(self.hosts[to].slots.answer(slot, &run, ask, self.now))
     }
 
     fn slots_of_program() -> Vec<SlotId> {
@@ -272,8 +360,7 @@
     pub fn begin(&mut self, host: usize) -> bool {
         self.turns += 1;
         let attempt = format!("t{}", self.turns);
-        let now_unix_ms = START_UNIX_MS + u64::try_from(self.now.as_millis()).unwrap();
-        let escrow = EscrowTerms::new(true, MOST, self.budget, now_unix_ms);
+        let escrow = EscrowTerms::new(true, MOST, self.budget);
         let mut turn = Turn {
             attempt,
             right: Right::Reserved,
@@ -496,6 +583,11 @@
         }
     }
 
+    /// The program's ledger in the store.
+    pub fn ledger(&self) -> Ledger {
+        self.store.ledger()
+    }
+
     /// Tokens that the ledger has as spent.
     pub fn spent(&self) -> u64 {
         self.store.ledger().account().spent_tokens
--- a/coordination/tests/gateway_escrow.rs
+++ b/coordination/tests/gateway_escrow.rs
@@ -13,6 +13,7 @@
 use escrow_world::World;
 use proptest::prelude::*;
 use rosebend_coordination::gateway::escrow::accounts::{Accounts, Closing, GrantRequest};
+use rosebend_coordination::gateway::escrow::hold_off::HOLD_OFF;
 use rosebend_coordination::gateway::escrow::slots::SlotId;
 
 const HOSTS: usize = 4;
@@ -30,6 +31,8 @@
     ArriveLate(usize),
     Learn(usize),
     Claim(usize),
+    HoldOff(usize),
+    Complete(usize),
     Kill(usize),
     KillAll,
     Stop(usize),
@@ -50,6 +53,8 @@
         1 => host.clone().prop_map(Step::ArriveLate),
         2 => host.clone().prop_map(Step::Learn),
         2 => host.clone().prop_map(Step::Claim),
+        3 => host.clone().prop_map(Step::HoldOff),
+        2 => host.clone().prop_map(Step::Complete),
         1 => host.clone().prop_map(Step::Kill),
         1 => Just(Step::KillAll),
         1 => host.clone().prop_map(Step::Stop),
@@ -74,6 +79,8 @@
         Step::ArriveLate(host) => world.arrive_late(host),
         Step::Learn(host) => world.learn(host),
         Step::Claim(host) => world.claim(host),
+        Step::HoldOff(host) => world.hold_off(host),
+        Step::Complete(host) => world.complete(host),
         Step::Kill(host) => world.kill(host),
         Step::KillAll => (0..HOSTS).for_each(|host| world.kill(host)),
         Step::Stop(host) => world.stop(host),
@@ -225,6 +232,106 @@
     insta::assert_debug_snapshot!(served);
 }
 
+/// The pattern of a herd kill: all hosts die while the store is there, again and again.
+#[test]
+fn deaths_of_all_owners_that_hold_off_cost_no_budget() {
+    for turns_of_budget in 1..9 {
+        let budget = turns_of_budget * MOST;
+        let mut world = World::new(HOSTS, budget);
+        let mut served = 0;
+        for _ in 0..4 {
+            served += (0..5).filter(|turn| world.serve(turn % HOSTS)).count();
+            (0..HOSTS).for_each(|host| world.hold_off(host));
+            world.now += Duration::from_secs(1);
+            (0..HOSTS).for_each(|host| world.kill(host));
+            world.settle_down();
+        }
+        served += (0..60).filter(|turn| world.serve(turn % HOSTS)).count();
+        let quarter = MOST / 4;
+        let expected = (budget - MOST) / quarter + 1;
+        assert_eq!(served as u64, expected, "budget of {turns_of_budget}");
+    }
+}
+
+/// All hosts die, and the store is away soon after they are back.
+#[test]
+fn an_outage_after_a_death_of_all_owners_is_served() {
+    let mut world = World::new(HOSTS, 4 * MOST);
+    (0..HOSTS).for_each(|host| world.hold_off(host));
+    world.now += Duration::from_secs(1);
+    (0..HOSTS).for_each(|host| world.kill(host));
+    world.settle_down();
+    (0..HOSTS).for_each(|host| world.hold_off(host));
+    world.is_store_up = false;
+    assert!(!world.serve(0), "the owners hold off");
+    world.now += HOLD_OFF;
+    let served = (0..8).filter(|turn| world.serve(turn % HOSTS)).count();
+    assert!(served >= 4, "{served} turns");
+}
+
+#[test]
+fn a_death_keeps_what_was_closed() {
+    let budget = 4 * MOST;
+    let mut world = World::new(HOSTS, budget);
+    world.spend(0);
+    assert!(world.handed_out + MOST > budget, "{}", world.handed_out);
+    (0..HOSTS).for_each(|host| world.hold_off(host));
+    (0..HOSTS).for_each(|host| world.kill(host));
+    world.settle_down();
+    world.is_store_up = false;
+    assert!(!world.serve(0));
+}
+
+/// What was granted is lost with an owner that held off no more.
+#[test]
+fn a_death_after_the_hold_off_leaves_the_slots_without_an_owner() {
+    let mut world = World::new(HOSTS, 4 * MOST);
+    (0..HOSTS).for_each(|host| world.hold_off(host));
+    world.now += HOLD_OFF + Duration::from_millis(1);
+    (0..HOSTS).for_each(|host| world.kill(host));
+    world.settle_down();
+    world.is_store_up = false;
+    assert!(!world.serve(0));
+}
+
+/// Hosts granted in an outage and die after it, before the ledger has what they granted.
+#[test]
+fn an_owner_whose_grants_no_ledger_has_does_not_hold_off() {
+    let budget = 4 * MOST;
+    let mut world = World::new(HOSTS, budget);
+    world.is_store_up = false;
+    world.spend(0);
+    assert!(world.handed_out > MOST, "{}", world.handed_out);
+    world.is_store_up = true;
+    (0..HOSTS).for_each(|host| world.hold_off(host));
+    (0..HOSTS).for_each(|host| world.kill(host));
+    world.settle_down();
+    world.spend(0);
+    let handed_out = world.handed_out;
+    assert!(handed_out <= budget + MOST, "{handed_out} of {budget}");
+}
+
+/// An owner says that the slot is closed and dies; the reservation that rests on it comes
+/// to the store after the next owner has read which programs are closed.
+#[test]
+fn a_reservation_that_rests_on_a_dead_owner_s_word_is_not_written() {
+    let budget = 4 * MOST;
+    let mut world = World::new(HOSTS, budget);
+    while world.spent() + 2 * MOST <= budget {
+        assert!(world.serve(0));
+    }
+    (0..HOSTS).for_each(|host| world.hold_off(host));
+    assert!(world.begin(0));
+    world.is_store_up = false;
+    world.send(0, false);
+    world.is_store_up = true;
+    (0..HOSTS).for_each(|host| world.kill(host));
+    world.settle_down();
+    let ledger = world.ledger();
+    world.arrive_late(0);
+    assert_eq!(world.ledger(), ledger);
+}
+
 #[test]
 fn an_outage_leaves_the_rest_of_the_budget() {
     let budget = 8 * MOST;
--- a/coordination/tests/gateway_group_commit.rs
+++ b/coordination/tests/gateway_group_commit.rs
@@ -65,6 +65,55 @@
     );
 }
 
+/// A change of a program's ledger that rests on a row which it leaves as it is.
+fn resting_change(program: &str, version: RowVersion) -> Transaction {
+    change(program, 0).expect(fence(), version)
+}
+
+fn fence() -> RowId {
+    RowId::new("escrow", "p00", "0".to_owned())
+}
+
+#[test]
+fn parts_that_rest_on_the_same_row_are_joined() {
+    let mut group = GroupCommit::default();
+    group.submit(resting_change("a", 4));
+    group.submit(resting_change("b", 4));
+    let joined = group.next_transaction().0.unwrap();
+    assert_eq!(joined.writes.len(), 2);
+    let rests = joined.conditions.iter();
+    let rests = rests.filter(|condition| condition.row == fence());
+    assert_eq!(rests.count(), 1, "the row is named once");
+}
+
+#[test]
+fn parts_that_rest_on_other_versions_of_a_row_are_not_joined() {
+    let mut group = GroupCommit::default();
+    group.submit(resting_change("a", 4));
+    group.submit(resting_change("b", 5));
+    assert_eq!(group.next_transaction().0, Some(resting_change("a", 4)));
+    group.answered(Answer::Applied(6));
+    assert_eq!(group.next_transaction().0, Some(resting_change("b", 5)));
+}
+
+#[test]
+fn a_part_that_changes_a_row_is_not_joined_to_one_that_rests_on_it() {
+    let raise = || {
+        let transaction = Transaction::default().expect(fence(), 4);
+        transaction.write(fence(), Vec::new())
+    };
+    for parts in [
+        [resting_change("a", 4), raise()],
+        [raise(), resting_change("a", 4)],
+    ] {
+        let mut group = GroupCommit::default();
+        parts.iter().for_each(|part| {
+            group.submit(part.clone());
+        });
+        assert_eq!(group.next_transaction().0.as_ref(), Some(&parts[0]));
+    }
+}
+
 #[test]
 fn a_row_that_must_not_exist_and_does_is_a_conflict() {
     let mut group = GroupCommit::default();
--- a/coordination/tests/gateway_history.rs
+++ b/coordination/tests/gateway_history.rs
@@ -5,6 +5,7 @@
 
 use proptest::prelude::*;
 use proptest::sample::{Index, select};
+use rosebend_coordination::gateway::escrow::Fences;
 use rosebend_coordination::gateway::escrow::terms::EscrowTerms;
 use rosebend_coordination::gateway::history::{
     History, HistoryError, StoredProgram, Turn, indexed_program, ledger_row, partition_of,
@@ -202,6 +203,7 @@
         attempt: &"t0".to_owned(),
         most_tokens: 5,
         budget_tokens: 10,
+        fences: &Fences::new(),
         escrow: &EscrowTerms::Excluded,
     };
     ledger.reserve(&claim, &[]);
--- a/gateway/src/escrow.rs
+++ b/gateway/src/escrow.rs
@@ -3,7 +3,13 @@
 //!
 //! The decisions are in `rosebend_coordination::gateway::escrow`. Messages are
 //! datagrams; a question is repeated until its answer comes, and every answer may
-//! be given twice. What a host does with its slots when it stops is in [`giving_up`].
+//! be given twice.
+//!
+//! | what | where |
+//! |---|---|
+//! | what a turn asks the owners of its program's slots | `turns` |
+//! | when an owner grants nothing, and what a death leaves | `hold_off` |
+//! | what a host does with its slots when it stops | [`giving_up`] |
 
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::HashMap;
@@ -11,20 +17,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures_util::future::join_all;
-use rosebend_coordination::gateway::escrow::accounts::GrantRequest;
-use rosebend_coordination::gateway::escrow::message::{Answer, Ask, ProgramAsk, Question, Reply};
+use rosebend_coordination::gateway::escrow::message::{Answer, Ask, Question, Reply};
 use rosebend_coordination::gateway::escrow::slots::{Owner, SlotId, SlotRow, SlotWrite, Slots};
-use rosebend_coordination::gateway::escrow::terms::ClosingAnswers;
-use rosebend_coordination::gateway::escrow::{GrantId, first_grant_tokens};
 use rosebend_coordination::gateway::gatherers::Candidate;
-use rosebend_coordination::gateway::history::partition_of;
 use rosebend_coordination::gateway::ledger::Holder;
-use rosebend_coordination::gateway::pending_changes::Outcome;
 use rosebend_state::deployment::{Condition, Row, RowId, RowWrite, Transaction};
 use rosebend_transport::event::{Event, EventKind, log_event};
 use rosebend_transport::store::Transacted;
-use rosebend_util::random_id;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
@@ -32,10 +31,14 @@
 use crate::gateway::Gateway;
 use crate::peers;
 
+pub use self::turns::{Denied, Grant, Wanted, close, extend, grant, settle};
+
 pub mod giving_up;
+mod hold_off;
+mod turns;
 
 /// Begins every datagram of this module; no other begins so.
-pub const MARK: [u8; 2] = *b"E1";
+pub const MARK: [u8; 2] = *b"E2";
 /// Timeout for an owner's answer.
 const ASK_TIMEOUT: Duration = Duration::from_millis(60);
 /// Pause before a question is repeated: datagrams are lost.
@@ -44,11 +47,6 @@
 const AVOIDANCE: Duration = Duration::from_secs(1);
 /// Time between two looks for slots that this host should own.
 const CLAIM_INTERVAL: Duration = Duration::from_millis(500);
-/// Pause before a settlement is reported again to an owner that did not answer.
-const SETTLE_AGAIN: Duration = Duration::from_secs(1);
-/// Most reports of a settlement. An owner that misses them all grants the program
-/// less.
-const MAX_SETTLE_TRIES: u32 = 5;
 /// Largest datagram that is sent, in bytes.
 const MAX_SENT_BYTES: usize = 8_000;
 
@@ -73,39 +71,6 @@
     unwritten: RefCell<Vec<SlotWrite>>,
 }
 
-/// A turn's right to spend while the store is unavailable.
-#[derive(Clone, Debug)]
-pub struct Grant {
-    slot: SlotId,
-    /// Names it in the ledger.
-    pub id: GrantId,
-    /// Tokens that it holds.
-    pub tokens: u64,
-}
-
-/// A turn that wants a grant.
-#[derive(Clone, Copy, Debug)]
-pub struct Wanted<'a> {
-    /// Its program.
-    pub program: &'a str,
-    /// Most tokens that it generates.
-    pub most_tokens: u64,
-    /// Budget of the program.
-    pub budget_tokens: u64,
-}
-
-impl Wanted<'_> {
-    fn request(&self, grant: GrantId, tokens: u64) -> Ask {
-        let request = GrantRequest {
-            grant,
-            tokens,
-            most_tokens: self.most_tokens,
-            budget_tokens: self.budget_tokens,
-        };
-        Ask::Program(self.program.to_owned(), ProgramAsk::Grant(request))
-    }
-}
-
 impl Escrow {
     /// No slot and no other host known.
     pub fn new(own_run: Holder) -> Self {
@@ -148,6 +113,11 @@
         self.slots.borrow().held().count() as u64
     }
 
+    /// Whether this host, which stops, has slots whose rows name it still.
+    pub fn has_slots_to_give_up(&self) -> bool {
+        self.slots.borrow().is_owner() || !self.unwritten.borrow().is_empty()
+    }
+
     /// Slots whose owner is known here.
     pub fn owned_slots(&self) -> u64 {
         self.slots.borrow().owned() as u64
@@ -162,6 +132,11 @@
         })
     }
 
+    /// For how long this host grants nothing.
+    pub fn held_off_for(&self, now: Duration) -> Duration {
+        self.slots.borrow().held_off_for(now)
+    }
+
     fn send(&self, to: SocketAddr, message: &Message) {
         let Some(socket) = self.socket.get() else {
             return;
@@ -187,12 +162,12 @@
     }
 
     /// Asks a slot's owner; none when there is none or it does not answer.
-    async fn ask(&self, slot: &SlotId, ask: Ask) -> Option<Reply> {
+    async fn ask(&self, slot: &SlotId, ask: Ask, now: Duration) -> Option<Reply> {
         let owner = self.slots.borrow().owner(slot);
         match owner {
             Owner::Own => {
                 let mut slots = self.slots.borrow_mut();
-                Some(slots.answer(slot, &self.own_run, ask))
+                Some(slots.answer(slot, &self.own_run, ask, now))
             }
             Owner::Other(run, address) => self.ask_run(&run, address, slot, ask).await,
             Owner::Gone | Owner::Nobody => None,
@@ -247,114 +222,13 @@
     }
 }
 
-/// Asks the owners of a program's slots for a grant in place of a reservation in the
-/// ledger.
-pub async fn grant(gateway: &Gateway, wanted: &Wanted<'_>) -> Option<Grant> {
-    let escrow = &gateway.escrow;
-    let tokens = first_grant_tokens(wanted.most_tokens);
-    for slot in SlotId::of(&partition_of(wanted.program)) {
-        let now = gateway.clock.now();
-        if escrow.is_avoided(&slot, now) {
-            continue;
-        }
-        let id = random_id();
-        let reply = escrow.ask(&slot, wanted.request(id.clone(), tokens)).await;
-        gateway.metrics.count_escrow_reply(word(reply));
-        match reply {
-            Some(Reply::Granted) => return Some(Grant { slot, id, tokens }),
-            None => escrow.avoid(&slot, now),
-            Some(_) => {}
-        }
-    }
-    None
-}
-
-/// Asks for a larger grant. Returns the tokens that it holds from then on, if these
-/// are as many as are needed.
-pub async fn extend(
-    gateway: &Gateway,
-    wanted: &Wanted<'_>,
-    grant: &Grant,
-    needed_tokens: u64,
-) -> Option<u64> {
-    if needed_tokens <= grant.tokens {
-        return Some(grant.tokens);
-    }
-    // Room for a few events more, so that not each of them has to ask.
-    let step = first_grant_tokens(wanted.most_tokens) / 2;
-    let ample = needed_tokens.saturating_add(step).min(wanted.most_tokens);
-    for tokens in [ample.max(needed_tokens), needed_tokens] {
-        let request = wanted.request(grant.id.clone(), tokens);
-        let reply = gateway.escrow.ask(&grant.slot, request).await;
-        gateway.metrics.count_escrow_reply(word(reply));
-        if reply == Some(Reply::Granted) {
-            return Some(tokens);
-        }
-    }
-    None
-}
-
-/// Word for counters.
-const fn word(reply: Option<Reply>) -> &'static str {
-    match reply {
-        Some(Reply::Granted) => "granted",
-        Some(Reply::Refused) => "refused",
-        Some(Reply::Closed | Reply::Outstanding | Reply::Noted) => "noted",
-        Some(Reply::NotOwner) => "not-owner",
-        None => "silent",
-    }
-}
-
-/// Tells a grant's owner what the turn handed out, and once the ledger has it, that
-/// nothing is outstanding.
-pub async fn settle(
-    gateway: Rc<Gateway>,
-    program: String,
-    grant: Grant,
-    tokens: u64,
-    outcome: oneshot::Receiver<Outcome>,
-) {
-    let escrow = &gateway.escrow;
-    let report = ProgramAsk::Report(grant.id.clone(), tokens);
-    let report = Ask::Program(program.clone(), report);
-    // An owner that does not hear it counts the turn at its most.
-    escrow.ask(&grant.slot, report).await;
-    if !matches!(outcome.await, Ok(Outcome::Durable)) {
-        return;
-    }
-    for _ in 0..MAX_SETTLE_TRIES {
-        let settle = ProgramAsk::Settle(grant.id.clone());
-        let settle = Ask::Program(program.clone(), settle);
-        if escrow.ask(&grant.slot, settle).await == Some(Reply::Noted) {
-            return;
-        }
-        tokio::time::sleep(SETTLE_AGAIN).await;
-    }
-}
-
-/// Asks the owners of a program's slots to grant it nothing more.
-pub async fn close(gateway: &Gateway, program: &str) -> ClosingAnswers {
-    let slots: Vec<SlotId> = SlotId::of(&partition_of(program)).collect();
-    let replies = join_all(slots.iter().map(|slot| close_slot(gateway, slot, program))).await;
-    let mut answers = ClosingAnswers::default();
-    for (slot, reply) in slots.iter().zip(replies) {
-        answers.add(slot.index, reply);
-    }
-    answers
-}
-
-async fn close_slot(gateway: &Gateway, slot: &SlotId, program: &str) -> Option<Reply> {
-    let escrow = &gateway.escrow;
-    let claim = escrow.slots.borrow().claim_now(slot);
-    if let Some(claim) = claim {
-        write(gateway, vec![claim]).await;
-    }
-    let close = Ask::Program(program.to_owned(), ProgramAsk::Close);
-    escrow.ask(slot, close).await
+/// Takes slots that this host should own, and holds off as their owner, for ever.
+pub async fn run(gateway: Rc<Gateway>) {
+    tokio::join!(take_slots(&gateway), hold_off::renew(&gateway));
 }
 
-/// Takes slots that this host should own, for ever.
-pub async fn run(gateway: Rc<Gateway>) {
+async fn take_slots(gateway: &Gateway) {
+    hold_off::inherit(gateway).await;
     loop {
         tokio::time::sleep(CLAIM_INTERVAL).await;
         if !gateway.store.is_reachable() {
@@ -363,8 +237,9 @@
         let now = gateway.clock.now();
         let claims = gateway.escrow.slots.borrow_mut().claims(now);
         if !claims.is_empty() {
-            write(&gateway, claims).await;
+            write(gateway, claims).await;
         }
+        hold_off::complete(gateway).await;
     }
 }
 
@@ -381,6 +256,10 @@
         transaction.writes.push(RowWrite { row, value });
     }
     let escrow = &gateway.escrow;
+    let is_taking = |write: &SlotWrite| write.row.owner.as_ref() == Some(&escrow.own_run);
+    if writes.iter().any(is_taking) {
+        transaction.writes.extend(hold_off::begin(gateway));
+    }
     match gateway.store.transact(&transaction).await {
         Ok(Transacted::Applied(version)) => {
             let owner = writes.first().and_then(|write| write.row.owner.as_ref());
@@ -426,7 +305,7 @@
     };
     let escrow = &gateway.escrow;
     match message {
-        Message::Question(question) => answer(escrow, question, from),
+        Message::Question(question) => answer(escrow, question, from, gateway.clock.now()),
         Message::Answer(answer) if answer.to == escrow.own_run => {
             if let Some(waiting) = escrow.waiting.borrow_mut().remove(&answer.number) {
                 // Who asked may have gone.
@@ -437,13 +316,13 @@
     }
 }
 
-fn answer(escrow: &Escrow, question: Question, from: SocketAddr) {
+fn answer(escrow: &Escrow, question: Question, from: SocketAddr, now: Duration) {
     if question.to != escrow.own_run {
         return;
     }
-    let is_take_over = matches!(question.ask, Ask::TakeOver(_));
+    let is_take_over = matches!(question.ask, Ask::TakeOver { .. });
     let mut slots = escrow.slots.borrow_mut();
-    let reply = slots.answer(&question.slot, &question.from, question.ask);
+    let reply = slots.answer(&question.slot, &question.from, question.ask, now);
     let answer = Answer {
         number: question.number,
         to: question.from.clone(),
--- a/gateway/src/escrow/giving_up.rs
+++ b/gateway/src/escrow/giving_up.rs
@@ -1,6 +1,7 @@
 //! Giving up this host's escrow slots when its process stops as planned.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use futures_util::future::join_all;
 use rosebend_coordination::gateway::escrow::message::{Ask, Reply};
@@ -39,17 +40,35 @@
     }
 }
 
-/// Leaves this host's slots with others by messages, while the store is unavailable.
+/// Takes no slot any more, and does not hold off anew.
+pub fn begin(gateway: &Gateway) {
+    gateway.escrow.slots.borrow_mut().stop_taking();
+}
+
+/// For how long this host's slots may not be left with others by messages: the next run on
+/// this host would take them for slots from which nothing was granted.
+pub fn hand_over_wait(gateway: &Gateway) -> Duration {
+    gateway.escrow.held_off_for(gateway.clock.now())
+}
+
+/// Leaves this host's slots with others by messages, while the store is unavailable and
+/// once this host holds off no more.
 pub async fn hand_over(gateway: &Gateway) {
     let escrow = &gateway.escrow;
     escrow.slots.borrow_mut().stop_taking();
     let mut writes = escrow.give_up().await;
     // Of those a row may be on its way: they go to whom it names.
     writes.extend(escrow.unwritten.take());
-    let hand_overs = writes.into_iter().filter_map(|write| {
+    let complete = writes.into_iter();
+    let complete = complete.filter(|write| !write.row.has_unread_closings);
+    let hand_overs = complete.filter_map(|write| {
         let successor = write.row.owner?;
         let address = escrow.address_of(&successor)?;
-        let (slot, ask) = (write.slot, Ask::TakeOver(write.row.accounts));
+        let ask = Ask::TakeOver {
+            accounts: write.row.accounts,
+            fence: write.row.fence,
+        };
+        let slot = write.slot;
         Some(async move { escrow.ask_run(&successor, address, &slot, ask).await })
     });
     let replies = join_all(hand_overs).await;
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -274,6 +274,7 @@
             escrow_slots: self.escrow.held_slots(),
             escrow_owned_slots: self.escrow.owned_slots(),
             escrow_outstanding_tokens: self.escrow.outstanding_tokens(),
+            escrow_held_off_ms: whole_ms(self.escrow.held_off_for(self.clock.now())),
             routes_age_ms: whole_ms(self.feeds.age(FollowedTable::Routes)),
             endpoints_age_ms: whole_ms(self.feeds.age(FollowedTable::Endpoints)),
             follower: u64::from(self.feeds.is_follower()),
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -112,6 +112,8 @@
     pub escrow_owned_slots: u64,
     /// Tokens that this host has granted and no ledger has.
     pub escrow_outstanding_tokens: u64,
+    /// Milliseconds for which this host grants nothing.
+    pub escrow_held_off_ms: u64,
     /// Milliseconds since the store had no newer routes.
     pub routes_age_ms: u64,
     /// Milliseconds since the store had no newer entries of endpoints.
@@ -143,7 +145,7 @@
     turn: Histogram,
     record: Histogram,
     store_call: Histogram,
-    gauges: [Gauge; 15],
+    gauges: [Gauge; 16],
 }
 
 impl Default for Metrics {
@@ -246,7 +248,7 @@
     }
 }
 
-fn gauges(registry: &mut Registry) -> [Gauge; 15] {
+fn gauges(registry: &mut Registry) -> [Gauge; 16] {
     let names = [
         ("open_requests", "Requests that callers wait for"),
         (
@@ -281,6 +283,10 @@
             "escrow_outstanding_tokens",
             "Tokens that this host has granted and no ledger has",
         ),
+        (
+            "escrow_held_off_ms",
+            "Milliseconds for which this host grants nothing from its escrow slots",
+        ),
         (
             "routes_age_ms",
             "Milliseconds since the store had no newer routes",
@@ -431,6 +437,7 @@
             now.escrow_slots,
             now.escrow_owned_slots,
             now.escrow_outstanding_tokens,
+            now.escrow_held_off_ms,
             now.routes_age_ms,
             now.endpoints_age_ms,
             now.follower,
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -126,7 +126,7 @@
         relay,
         holder: gateway.commits.holder().clone(),
         processor_milli: gateway.settings().processor_milli,
-        withholds_escrow: true,
+        fences_escrow: true,
     };
     let value = serde_json::to_vec(&peer).expect("text has a JSON form");
     let transaction = Transaction {
--- a/gateway/src/peers/row.rs
+++ b/gateway/src/peers/row.rs
@@ -26,10 +26,10 @@
     /// versions do not tell it: those hosts do not commit for others.
     #[serde(default)]
     pub processor_milli: u32,
-    /// Whether it keeps room in ledgers for what escrow slots grant. Older versions
-    /// do not, and no slot is owned while one of them runs.
+    /// Whether its ledgers keep room for what escrow slots grant, and rest on the slots'
+    /// fences. Those of older versions do not, and no slot is owned while one runs.
     #[serde(default)]
-    pub withholds_escrow: bool,
+    pub fences_escrow: bool,
 }
 
 /// A row names no gateway.
--- a/gateway/src/peers/table.rs
+++ b/gateway/src/peers/table.rs
@@ -63,7 +63,7 @@
 
     /// Whether all of them keep room in ledgers for what escrow slots grant.
     pub fn all_withhold(&self) -> bool {
-        self.peers.values().all(|peer| peer.withholds_escrow)
+        self.peers.values().all(|peer| peer.fences_escrow)
     }
 
     /// Where the hosts behind a key pass calls on, around the end of the table.
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -114,14 +114,14 @@
     let open = gateway.open_requests();
     log_event(&Event::new(EventKind::ProcessStopping).count(open));
     gateway.commits.send_all_put_off();
-    if gateway.store.is_reachable() {
-        let _ = tokio::time::timeout(LEAVE_TIMEOUT, escrow::giving_up::release(gateway)).await;
-    }
+    escrow::giving_up::begin(gateway);
+    release_slots(gateway).await;
     tokio::time::sleep(ACCEPT_AFTER_SIGNAL.min(grace)).await;
     close.send_replace(true);
     let mut quiet_since = gateway.clock.now();
     while gateway.clock.now() < end {
         tokio::time::sleep(STOP_POLL).await;
+        release_slots(gateway).await;
         if gateway.open_requests() > 0 || gateway.commits.open_changes() > 0 {
             quiet_since = gateway.clock.now();
         }
@@ -129,6 +129,10 @@
             break;
         }
     }
+    if !gateway.store.is_reachable() {
+        let left = end.saturating_sub(gateway.clock.now());
+        tokio::time::sleep(escrow::giving_up::hand_over_wait(gateway).min(left)).await;
+    }
     // Until here peers could ask what its turns still hold. A row that stays costs a
     // peer one call that is refused, and slots that are not given up in time stay with
     // a run that is gone.
@@ -144,11 +148,23 @@
     log_event(&Event::new(kind).count(gateway.open_requests()));
 }
 
+/// Gives up slots by their rows, as soon as the store answers: a process that stops may be
+/// killed.
+async fn release_slots(gateway: &Gateway) {
+    if gateway.store.is_reachable() && gateway.escrow.has_slots_to_give_up() {
+        // What is not written in time is tried again.
+        let _ = tokio::time::timeout(LEAVE_TIMEOUT, escrow::giving_up::release(gateway)).await;
+    }
+}
+
 /// Gives up slots that were kept at the signal, since the store was unavailable, or
 /// that came since.
 async fn give_up_slots(gateway: &Gateway) {
     match gateway.store.is_reachable() {
         true => escrow::giving_up::release(gateway).await,
-        false => escrow::giving_up::hand_over(gateway).await,
+        false if escrow::giving_up::hand_over_wait(gateway).is_zero() => {
+            escrow::giving_up::hand_over(gateway).await;
+        }
+        false => {}
     }
 }
--- a/gateway/src/spending.rs
+++ b/gateway/src/spending.rs
@@ -1,19 +1,18 @@
 //! What one turn may spend of its program's budget.
 
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use rosebend_coordination::gateway::escrow::terms::EscrowTerms;
 use rosebend_coordination::gateway::history::partition_of;
 use rosebend_coordination::gateway::ledger::{FilledBy, Holder};
 use rosebend_coordination::gateway::pending_changes::{Change, Outcome};
 use rosebend_state::deployment::{AttemptId, ProgramHeader, RowWrite};
-use rosebend_transport::clock::whole_ms;
 use rosebend_transport::event::{Amount, Event, EventKind, log_event};
 use tokio::sync::oneshot;
 
 use crate::call::Call;
-use crate::escrow::{self, Grant, Wanted};
+use crate::escrow::{self, Denied, Grant, Wanted};
 use crate::gateway::Gateway;
 use crate::reply::Refusal;
 use crate::{programs, recall};
@@ -89,9 +88,15 @@
             is_settled: false,
         };
         if let Err(refusal) = gateway.reach(&program) {
-            let granted = spending.take_grant(call, refusal).await;
-            spending.is_settled = granted.is_err();
-            return granted.map(|()| spending);
+            match spending.take_grant(call, refusal).await {
+                Ok(()) => return Ok(spending),
+                Err(refusal) if gateway.reach(&program).is_err() => {
+                    spending.is_settled = true;
+                    return Err(refusal);
+                }
+                // The store is back.
+                Err(_) => {}
+            }
         }
         let is_ample = spending.is_ample(call);
         spending.ask(Vec::new());
@@ -139,9 +144,9 @@
             return Err(refusal);
         }
         let gateway = &self.gateway;
-        let grant = escrow::grant(gateway, &self.wanted()).await;
+        let grant = self.first_grant(call).await;
         let elapsed = call.elapsed(gateway.clock.now());
-        let Some(grant) = grant else {
+        let Ok(grant) = grant else {
             let event = Event::new(EventKind::EscrowRefused)
                 .amount(Amount::Budget, self.budget_tokens)
                 .amount(Amount::Most, self.most_tokens);
@@ -155,6 +160,25 @@
         Ok(())
     }
 
+    /// Asks for a grant, and again once the owners hold off no more, if the caller waits for
+    /// so long and the store is not back before.
+    async fn first_grant(&self, call: &Call) -> Result<Grant, Denied> {
+        let gateway = &self.gateway;
+        loop {
+            let granted = escrow::grant(gateway, &self.wanted()).await;
+            let Err(Denied::HeldOff(wait)) = granted else {
+                return granted;
+            };
+            if gateway.clock.now() + wait >= call.deadline {
+                return granted;
+            }
+            tokio::select! {
+                () = tokio::time::sleep(wait) => {}
+                () = until_reachable(gateway, &self.program) => return granted,
+            }
+        }
+    }
+
     fn wanted(&self) -> Wanted<'_> {
         Wanted {
             program: &self.program,
@@ -439,14 +463,14 @@
     let Some(budget_tokens) = header.budget_tokens else {
         return EscrowTerms::Excluded;
     };
-    let takes_grants = !call.route.keeps_history;
-    EscrowTerms::new(takes_grants, most_tokens, budget_tokens, now_unix_ms())
+    EscrowTerms::new(call.route.takes_grants(), most_tokens, budget_tokens)
 }
 
-/// Time of day in milliseconds since 1970; zero on a host whose clock is before.
-fn now_unix_ms() -> u64 {
-    let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH);
-    since_1970.map_or(0, whole_ms)
+/// Ends once the store is in reach for a program.
+async fn until_reachable(gateway: &Gateway, program: &str) {
+    while gateway.reach(program).is_err() {
+        tokio::time::sleep(REACH_POLL).await;
+    }
 }
 
 /// Ends once the store is out of reach for a program.
--- a/gateway/tests/outage.rs
+++ b/gateway/tests/outage.rs
@@ -3,6 +3,8 @@
 
 mod support;
 
+use std::cell::Cell;
+
 use rosebend_standin::store::StoreFaults;
 use support::{Ask, Gateway, Site, until};
 
@@ -12,6 +14,8 @@
 const TURN_TOKENS: u64 = 30;
 /// The most that [`turn`] may generate.
 const MOST_TOKENS: u64 = 100;
+/// Turns that a budget of 1,000 tokens holds.
+const WHOLE_BUDGET_TURNS: u64 = (1_000 - MOST_TOKENS) / TURN_TOKENS + 1;
 
 /// A turn on a route that keeps no history.
 fn turn(attempt: &str, program: &str, budget_tokens: u64) -> Ask {
@@ -29,10 +33,7 @@
     })
     .await;
     for gateway in &gateways {
-        until("the owners are known everywhere", async || {
-            gateway.metric("escrow_owned_slots").await == ALL_SLOTS
-        })
-        .await;
+        know_the_owners(gateway).await;
     }
     gateways
 }
@@ -122,6 +123,95 @@
     assert!((in_outage + after) * TURN_TOKENS <= 400 + MOST_TOKENS);
 }
 
+/// Kills hosts that hold off and have no turn to settle, and starts their next processes.
+async fn kill_all_and_restart(
+    site: &Site,
+    hosts: &[String; 2],
+    gateways: [Gateway; 2],
+) -> [Gateway; 2] {
+    for gateway in &gateways {
+        until(
+            "all turns are settled and the owner holds off",
+            async || {
+                gateway.metric("open_changes").await == 0
+                    && gateway.metric("escrow_held_off_ms").await > 0
+            },
+        )
+        .await;
+    }
+    drop(gateways);
+    let gateways = hosts
+        .each_ref()
+        .map(|host| Gateway::start_on(host, site.door.address(), true));
+    for gateway in &gateways {
+        gateway.until_ready().await;
+    }
+    until("all slots have an owner again", async || {
+        let [first, second] = &gateways;
+        first.metric("escrow_slots").await + second.metric("escrow_slots").await == ALL_SLOTS
+    })
+    .await;
+    for gateway in &gateways {
+        know_the_owners(gateway).await;
+    }
+    gateways
+}
+
+/// Waits until a host knows the owners of all slots, which may have the names of runs before
+/// them in its table. A program that spends its whole budget there needs both of its
+/// owners.
+async fn know_the_owners(gateway: &Gateway) {
+    let tries = Cell::new(0);
+    until("the owners are known", async || {
+        tries.set(tries.get() + 1);
+        let program = format!("known-to-{}-{}", gateway.front.port(), tries.get());
+        let (served, _) = spend(std::slice::from_ref(gateway), &program, &program, 1_000).await;
+        served == WHOLE_BUDGET_TURNS
+    })
+    .await;
+}
+
+/// Two gateways on named hosts, which own all slots between them.
+async fn two_named_owners(site: &Site) -> ([String; 2], [Gateway; 2]) {
+    let hosts = [Gateway::new_host(), Gateway::new_host()];
+    let gateways = hosts
+        .each_ref()
+        .map(|host| Gateway::start_on(host, site.door.address(), true));
+    for gateway in &gateways {
+        know_the_owners(gateway).await;
+    }
+    (hosts, gateways)
+}
+
+#[actix_rt::test]
+async fn crashes_of_all_hosts_while_the_store_is_there_cost_no_budget() {
+    let site = Site::start();
+    let (hosts, mut gateways) = two_named_owners(&site).await;
+    let mut served = 0;
+    for round in 0..2 {
+        for turn_number in 0..8 {
+            let attempt = format!("a{round}-{turn_number}");
+            let front = gateways[turn_number % 2].front;
+            let answer = turn(&attempt, "p1", 1_000).send(front).await;
+            assert_eq!(answer.status, 200, "{attempt}");
+            served += 1;
+        }
+        gateways = kill_all_and_restart(&site, &hosts, gateways).await;
+    }
+    let (after, status) = spend(&gateways, "b", "p1", 1_000).await;
+    assert_eq!((served + after, status), (WHOLE_BUDGET_TURNS, 402));
+}
+
+#[actix_rt::test]
+async fn an_outage_soon_after_a_crash_of_all_hosts_is_served() {
+    let site = Site::start();
+    let (hosts, gateways) = two_named_owners(&site).await;
+    let gateways = kill_all_and_restart(&site, &hosts, gateways).await;
+    begin_outage(&site, &gateways).await;
+    let (in_outage, status) = spend(&gateways, "a", "p1", 1_000).await;
+    assert_eq!((in_outage, status), (14, 503));
+}
+
 #[actix_rt::test]
 async fn a_host_that_stops_in_an_outage_hands_its_slots_over() {
     let site = Site::start();
--- a/gateway/tests/soak/fleet.rs
+++ b/gateway/tests/soak/fleet.rs
@@ -52,12 +52,14 @@
 }
 
 /// Events of processes that explain what became of a program.
-const PROCESS_EVENTS: [&str; 7] = [
+const PROCESS_EVENTS: [&str; 9] = [
     "process-started",
     "process-stopping",
     "process-stopped",
     "escrow-taken",
     "escrow-released",
+    "escrow-completed",
+    "hold-off-found",
     "store-lost",
     "store-regained",
 ];
--- a/state/src/deployment/routes.rs
+++ b/state/src/deployment/routes.rs
@@ -69,6 +69,12 @@
         }
     }
 
+    /// Whether turns of the route need nothing of the store but their program's budget, so
+    /// that they may run by a grant of that.
+    pub fn takes_grants(&self) -> bool {
+        self.kind == RouteKind::Streaming && !self.keeps_history
+    }
+
     /// Whether a stream of the route may go on where another one broke off.
     pub fn resumes_streams(&self) -> bool {
         self.kind == RouteKind::Streaming && self.resumable
--- a/state/src/deployment/store.rs
+++ b/state/src/deployment/store.rs
@@ -117,6 +117,12 @@
         conditions.chain(writes).chain(&self.deletes)
     }
 
+    /// Rows that it writes or deletes.
+    pub fn changed_rows(&self) -> impl Iterator<Item = &RowId> {
+        let writes = self.writes.iter().map(|write| &write.row);
+        writes.chain(&self.deletes)
+    }
+
     /// Number of its entries; conditions count like writes and deletes.
     pub fn entries(&self) -> usize {
         self.conditions.len() + self.writes.len() + self.deletes.len()
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -121,6 +121,10 @@
     EscrowReleased,
     /// Step: no owner of an escrow slot granted the turn while the store was unavailable.
     EscrowRefused,
+    /// This host answers for an escrow slot that it took after a death.
+    EscrowCompleted,
+    /// What the run before this one on its host had said of its hold-off.
+    HoldOffFound,
     /// Step: those who hold tokens of a budget that does not hold the turn were asked.
     HoldersAsked,
     /// A host that holds tokens of a program did not say whether it uses them.
@@ -187,7 +191,7 @@
 
 impl EventKind {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 87] = [
+    pub const ALL: [Self; 89] = [
         Self::ProcessStarted,
         Self::ProcessStopping,
         Self::ProcessStopped,
@@ -275,6 +279,8 @@
         Self::FeedSourceChanged,
         Self::FeedSourceAvoided,
         Self::SpendingUnsettled,
+        Self::EscrowCompleted,
+        Self::HoldOffFound,
     ];
 
     /// The event's number, which stays with it for ever.
@@ -356,6 +362,8 @@
             Self::FeedSourceChanged => 848,
             Self::FeedSourceAvoided => 849,
             Self::SpendingUnsettled => 850,
+            Self::EscrowCompleted => 851,
+            Self::HoldOffFound => 852,
             Self::HoldersAsked => 829,
             Self::HolderSilent => 830,
             Self::EntryRefused => 835,
@@ -445,6 +453,8 @@
             Self::SettingsRefused => "settings-refused",
             Self::SpendingRefused => "spending-refused",
             Self::SpendingUnsettled => "spending-unsettled",
+            Self::EscrowCompleted => "escrow-completed",
+            Self::HoldOffFound => "hold-off-found",
             Self::LimitRefused => "limit-refused",
             Self::EscrowTaken => "escrow-taken",
             Self::EscrowReleased => "escrow-released",
@@ -610,6 +620,12 @@
             Self::EscrowRefused => {
                 "Step: the store was unavailable, and no owner of an escrow slot granted the turn its most."
             }
+            Self::EscrowCompleted => {
+                "This host answers for the escrow slot that `holders` names and that it took after a death; `count` programs are closed there."
+            }
+            Self::HoldOffFound => {
+                "The run before this one, which `holders` names, had said that it holds off; `reason` says whether it died in time, so that this host takes its escrow slots, or too late."
+            }
             Self::LimitRefused => {
                 "Step: the limit of `customer` does not allow the request for `wait_ms`. `reason` says whether it was of a program under way or would have begun one, `count` how many of the customer's requests this host has served, `peer` who hands out the limit, and `age_ms` how long ago it was last heard."
             }
--- a/transport/src/store/mod.rs
+++ b/transport/src/store/mod.rs
@@ -113,6 +113,14 @@
     last_failure: RefCell<Option<StoreError>>,
     peers: RefCell<Vec<Rc<Way>>>,
     refused: RefusedPartitions,
+    store_clock: Cell<Option<StoreClock>>,
+}
+
+/// What the store's steady clock showed, and when that was learned.
+#[derive(Clone, Copy, Debug)]
+struct StoreClock {
+    showed: Duration,
+    learned_at: Duration,
 }
 
 impl std::fmt::Debug for StoreClient {
@@ -134,6 +142,7 @@
             last_failure: RefCell::default(),
             peers: RefCell::default(),
             refused: RefusedPartitions::default(),
+            store_clock: Cell::default(),
             observer: Box::new(|_, _, _| {}),
             timeout: Cell::new(timeout),
             clock,
@@ -237,6 +246,20 @@
         !self.direct().is_up()
     }
 
+    /// What the store's steady clock shows now at least; none before the store has told it.
+    pub fn store_now(&self) -> Option<Duration> {
+        let clock = self.store_clock.get()?;
+        Some(clock.showed + self.clock.now().saturating_sub(clock.learned_at))
+    }
+
+    fn learn_store_clock(&self, showed: Option<Duration>) {
+        let learned_at = self.clock.now();
+        if let Some(showed) = showed {
+            self.store_clock
+                .set(Some(StoreClock { showed, learned_at }));
+        }
+    }
+
     /// Tells the log that the store does not answer, unless it knows: what is
     /// refused for that must not stand there without its cause.
     pub fn tell_if_lost(&self) {
@@ -281,6 +304,7 @@
         match status {
             StoreStatus::Done => {
                 let version = wire::decode_applied(&body).map_err(unreadable)?;
+                self.learn_store_clock(wire::decode_clock(&body));
                 Ok(Transacted::Applied(version))
             }
             StoreStatus::Conflict => {
@@ -343,6 +367,7 @@
             let page = self.read_page(&path, &range.partition).await?;
             if all.version == 0 {
                 all.version = page.version;
+                all.now = page.now;
             }
             all.rows.extend(page.rows);
             if !page.has_more {
@@ -370,7 +395,9 @@
     async fn read_page(&self, path: &str, partition: &str) -> Result<Rows, StoreError> {
         let outgoing = Outgoing::get(path, partition)?;
         let call = self.call_again_when_late(StoreCall::Read, &outgoing);
-        decode_rows(call.await?)
+        let rows = decode_rows(call.await?)?;
+        self.learn_store_clock(rows.now);
+        Ok(rows)
     }
 
     /// Asks the store straight whether it answers this host, and returns that.
