Refuse a spent budget without a read of the ledger

Cause: a turn that the ledger does not hold reads it anew before it is refused, since others may have settled for less. What ended turns have spent is never less later on, so that a budget which they fill needs no second look. Change: such a turn is refused by the ledger as it is known. Test: a_spent_budget_is_refused_without_a_read (five refusals, five reads before).

--- a/gateway/src/spending.rs
+++ b/gateway/src/spending.rs
@@ -269,6 +269,11 @@
     /// Asks for the turn's most with what is withheld and what gone hosts held, and
     /// while a host that lives is settling a turn, once more.
     async fn recall(&mut self, call: &Call) -> Result<(), Refusal> {
+        // What ended turns have spent is never less later on.
+        if self.filled_by() == FilledBy::Spent {
+            self.is_settled = true;
+            return Err(self.exhausted(call));
+        }
         let until = self.gateway.clock.now() + SETTLE_WAIT;
         let mut pause = FIRST_SETTLE_POLL;
         if self.filled_by() == FilledBy::Withheld {
--- a/gateway/tests/budget.rs
+++ b/gateway/tests/budget.rs
@@ -246,6 +246,25 @@
     assert_eq!(statuses, expected);
 }
 
+/// The pattern of a program that loops without end: it goes on after its budget is spent.
+#[actix_rt::test]
+async fn a_spent_budget_is_refused_without_a_read() {
+    let site = Site::start();
+    let gateway = site.ready_gateway().await;
+    for number in 0..7 {
+        let answer = unkept(&format!("t{number}"), 300).send(gateway.front).await;
+        assert_eq!(answer.status, 200);
+    }
+    until_settled(&gateway).await;
+    let reads = "store_calls_total{call=\"read\",outcome=\"done\"}";
+    let before = gateway.metric(reads).await;
+    for number in 7..12 {
+        let answer = unkept(&format!("t{number}"), 300).send(gateway.front).await;
+        assert_eq!(answer.status, 402);
+    }
+    assert_eq!(gateway.metric(reads).await, before);
+}
+
 #[actix_rt::test]
 async fn a_budget_without_history_outlives_all_hosts() {
     let site = Site::start();
