Keep the history of programs in each availability zone

Cause: of the calls at the store most are reads of history by turns that come to another host than the one before; they grow with the turns, and with more hosts nearly every turn is one. Tried: the host that joins a partition's transactions tells what it has committed. Change: one host of each zone, chosen by rendezvous hashing for each partition, is told what turns of its zone have become durable, and is asked first. It says whether it has the turn before; if not it is told the whole chain. Without an answer in 20 ms the store is read. Tests: recent_history (three hosts, hosts that stand still), gateway_recent_programs, protocol's recent.

--- a/coordination/src/gateway.rs
+++ b/coordination/src/gateway.rs
@@ -21,6 +21,7 @@
 //! | whether a host reads a table of the store itself, or from which host | [`follow_tree`] | `feeds` |
 //! | what a host knows of a table, and what it tells its followers | [`replica`] | `feeds` |
 //! | what was said in earlier turns, and its rows in the store | [`history`] | `programs`, `turn_stream` |
+//! | who keeps a program's history in an availability zone, and what | [`recent_programs`] | `recent_history` |
 //!
 //! The modules that ask are those of `rosebend_gateway`, which has the clock,
 //! the connections and the store. Routes, endpoints, calls and rows come as the
@@ -48,6 +49,7 @@
 pub mod ledger;
 pub mod limits;
 pub mod pending_changes;
+pub mod recent_programs;
 pub mod refusals;
 pub mod replica;
 pub mod retry_after;
--- a/coordination/src/gateway/history.rs
+++ b/coordination/src/gateway/history.rs
@@ -124,9 +124,22 @@
 
 /// The program whose ledger a row is; none of any other row.
 pub fn program_of_ledger(row: &Row) -> Option<&str> {
-    let program = row.id.key.strip_suffix(SEPARATOR)?;
-    let is_ledger = row.id.table == PROGRAM_TABLE && !program.contains(SEPARATOR);
-    is_ledger.then_some(program)
+    let program = program_of(&row.id)?;
+    (program.len() + SEPARATOR.len_utf8() == row.id.key.len()).then_some(program)
+}
+
+/// The program of which a row is the ledger or a part of a turn.
+pub fn program_of(row: &RowId) -> Option<&str> {
+    let (program, _) = row.key.split_once(SEPARATOR)?;
+    (row.table == PROGRAM_TABLE).then_some(program)
+}
+
+/// Whether a row is a part of a program's turn.
+pub fn is_of_turn(row: &RowId, program: &str, attempt: &str) -> bool {
+    let rest = row.key.strip_prefix(program);
+    let rest = rest.and_then(|rest| rest.strip_prefix(SEPARATOR));
+    let turn = rest.and_then(|rest| rest.split_once(SEPARATOR));
+    row.table == PROGRAM_TABLE && turn.is_some_and(|(turn, _)| turn == attempt)
 }
 
 /// Where the index row of a turn is if its program lies in a partition.
--- a/coordination/src/gateway/pending_changes.rs
+++ b/coordination/src/gateway/pending_changes.rs
@@ -203,6 +203,16 @@
         self.known.contains_key(program)
     }
 
+    /// The program's ledger as it was last read or written, as a row.
+    pub fn known_ledger(&self, program: &str) -> Option<Row> {
+        let known = self.known.get(program).filter(|known| known.version > 0)?;
+        Some(Row {
+            id: ledger_row(program),
+            version: known.version,
+            value: Some(known.ledger.encode()),
+        })
+    }
+
     /// Version of the program's ledger as it is known; zero when it is not.
     pub fn version(&self, program: &str) -> RowVersion {
         self.known.get(program).map_or(0, |known| known.version)
--- a/gateway/src/commits.rs
+++ b/gateway/src/commits.rs
@@ -11,7 +11,7 @@
 use rosebend_coordination::gateway::pending_changes::{
     Answer, Change, ChangeId, Outcome, PendingChanges,
 };
-use rosebend_state::deployment::{AttemptId, ProgramKey, RowVersion, Transaction};
+use rosebend_state::deployment::{AttemptId, ProgramKey, Row, RowVersion, Transaction};
 use rosebend_transport::store::{StoreClient, StoreError, Transacted};
 use tokio::sync::oneshot;
 
@@ -126,6 +126,11 @@
         self.with_changes(program, |changes| changes.learn(program, version, ledger));
     }
 
+    /// The program's ledger as it was last read or written here, as a row.
+    pub fn known_ledger(&self, program: &str) -> Option<Row> {
+        self.with_changes(program, |changes| changes.known_ledger(program))
+    }
+
     /// Version of the program's ledger as it was last read or written here.
     pub fn version(&self, program: &str) -> RowVersion {
         self.with_changes(program, |changes| changes.version(program))
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -28,6 +28,7 @@
 use crate::limits::Limits;
 use crate::metrics::{Metrics, Quantities};
 use crate::pool::Pool;
+use crate::recent_history::RecentHistory;
 use crate::reply::Refusal;
 use crate::retention::Retention;
 use crate::unusable;
@@ -70,6 +71,8 @@
     pub pool: RefCell<Pool>,
     /// Turns in memory.
     pub history: RefCell<History>,
+    /// History of programs that is kept for other hosts.
+    pub recent_history: RecentHistory,
     /// Customers' limits.
     pub limits: Limits,
     /// What may be spent while the store is unavailable.
@@ -121,6 +124,7 @@
             refusals: RefCell::default(),
             pool: RefCell::default(),
             history: RefCell::new(History::new(HISTORY_BYTES)),
+            recent_history: RecentHistory::new(run.clone()),
             limits: Limits::new(run.clone(), tolerance(&settings.customers)),
             escrow: Escrow::new(run.clone()),
             retention: Retention::default(),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -6,7 +6,7 @@
 //! | a request, step by step | [`front`], [`dispatch`], [`intake`], [`plain`] or [`turn`], [`exchange`], [`pool`]; all work on a [`call`] |
 //! | a turn's budget, and its answer on the way | [`spending`], [`escrow`], [`recall`], [`holders`], [`turn_stream`], [`runs`] |
 //! | whose a request is, and how much its customer may send | [`intake`], [`limits`] |
-//! | what lasts | [`commits`], [`joined_commits`], [`programs`], [`retention`] |
+//! | what lasts | [`commits`], [`joined_commits`], [`programs`], [`recent_history`], [`retention`] |
 //! | what the process believes of routes and endpoints | [`watch`], [`unusable`], [`entries`], [`gossip`], [`quarantine`] |
 //! | from whom it learns what changes in the store's tables | [`feeds`] |
 //! | calls to the store by other gateways, and questions to them | [`peers`], [`peer_connections`] |
@@ -41,6 +41,7 @@
 pub mod programs;
 pub mod quarantine;
 pub mod recall;
+pub mod recent_history;
 pub mod reload;
 pub mod reply;
 pub mod retention;
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -45,6 +45,12 @@
     way: &'static str,
 }
 
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
+struct PlaceLabel {
+    place: &'static str,
+}
+
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 #[derive(EncodeLabelSet)]
 struct StoreLabel {
@@ -132,6 +138,7 @@
     escrow_replies: Family<ReasonLabel, Counter>,
     endpoint_failures: Family<ReasonLabel, Counter>,
     resumptions: Family<ReasonLabel, Counter>,
+    history_reads: Family<PlaceLabel, Counter>,
     store_calls: Family<StoreLabel, Counter>,
     feeds: Family<WayLabel, Counter>,
     commits: Family<WayLabel, Counter>,
@@ -174,6 +181,9 @@
         let resumptions = Family::default();
         let help = "Streams that went on at another endpoint, by how the one before failed";
         registry.register("resumptions", help, resumptions.clone());
+        let history_reads = Family::default();
+        let help = "Turns that a turn continues from, by where they were found";
+        registry.register("history_reads", help, history_reads.clone());
         let store_calls = Family::default();
         registry.register(
             "store_calls",
@@ -229,6 +239,7 @@
             escrow_replies,
             endpoint_failures,
             resumptions,
+            history_reads,
             store_calls,
             feeds,
             commits,
@@ -337,6 +348,13 @@
             .inc();
     }
 
+    /// Counts a turn that was found to continue from.
+    pub fn count_history_read(&self, place: &'static str) {
+        self.history_reads
+            .get_or_create(&PlaceLabel { place })
+            .inc();
+    }
+
     /// Counts an exchange with an endpoint that failed.
     pub fn count_failure(&self, failure: Failure) {
         let reason = failure.word();
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -24,7 +24,7 @@
 use self::table::PeerTable;
 use crate::feeds::{self, Followed, FollowedTable};
 use crate::gateway::Gateway;
-use crate::{joined_commits, recall};
+use crate::{joined_commits, recall, recent_history};
 
 mod row;
 mod table;
@@ -102,6 +102,7 @@
     gateway.limits.set_hosts(table.candidates());
     gateway.holders.set_hosts(&table.candidates());
     let zone = table.candidates_of(&settings.availability_zone);
+    gateway.recent_history.set_hosts(zone.clone());
     gateway.feeds.set_hosts(zone);
     let now = gateway.clock.now();
     let all_withhold = table.all_withhold();
@@ -191,6 +192,8 @@
         recall::PATH => recall::answer(&gateway, &outgoing.body),
         feeds::PATH => feeds::answer(&gateway, &outgoing.body),
         joined_commits::PATH => joined_commits::answer(&gateway, &outgoing.body),
+        recent_history::ASK_PATH => recent_history::answer(&gateway, &outgoing.body),
+        recent_history::KEEP_PATH => recent_history::answer_keep(&gateway, &outgoing.body),
         // Its sender is of another site, perhaps, and has another store.
         _ if is_for_another => Response::with_body(StatusCode::MISDIRECTED_REQUEST, ().boxed()),
         _ => {
--- a/gateway/src/programs.rs
+++ b/gateway/src/programs.rs
@@ -14,6 +14,7 @@
 
 use crate::call::Call;
 use crate::gateway::Gateway;
+use crate::recent_history;
 use crate::reply::Refusal;
 
 /// The turn that a program's next one continues from; none at its start.
@@ -28,6 +29,7 @@
     header: &ProgramHeader,
 ) -> Result<Option<Arc<Turn>>, Refusal> {
     let found = |place| {
+        gateway.metrics.count_history_read(place);
         let elapsed = call.elapsed(gateway.clock.now());
         let event = Event::new(EventKind::HistoryRead).reason(place);
         call.trail.step(event.elapsed(elapsed));
@@ -43,6 +45,10 @@
         found("memory");
         return Ok(cached);
     }
+    if let Some(turn) = recent_turn(gateway, &header.program, previous).await {
+        found("keeper");
+        return Ok(Some(turn));
+    }
     if let Some(turn) = read_turn(gateway, &header.program, previous).await? {
         found("store");
         return Ok(Some(turn));
@@ -77,6 +83,21 @@
     Ok(())
 }
 
+/// A turn of a program as its keeper in the availability zone has it; none where it or one
+/// before it is missing there.
+async fn recent_turn(gateway: &Gateway, program: &str, attempt: &str) -> Option<Arc<Turn>> {
+    let rows = recent_history::rows(gateway, program).await;
+    let stored = StoredProgram::from_rows(program, &rows).ok()?;
+    let turn = stored.turn(program, attempt, &gateway.history.borrow());
+    let turn = turn.ok()?;
+    if stored.ledger_version > 0 {
+        let version = stored.ledger_version;
+        gateway.commits.learn(program, version, stored.ledger);
+    }
+    remember(gateway, &turn);
+    Some(turn)
+}
+
 async fn read_turn(
     gateway: &Gateway,
     program: &str,
--- a/gateway/src/turn_stream.rs
+++ b/gateway/src/turn_stream.rs
@@ -20,6 +20,7 @@
 use crate::exchange::{Exchange, Exchanged};
 use crate::gateway::{Gateway, OpenRequest};
 use crate::metrics::Timing;
+use crate::recent_history;
 use crate::reply::{self, Refusal};
 use crate::runs::{Piece, Runs};
 use crate::spending::Spending;
@@ -235,7 +236,8 @@
                 self.gateway.metrics.observe(Timing::Record, took);
                 let event = Event::new(EventKind::TurnRecorded).tokens(spending.tokens());
                 self.call.trail.step(event.elapsed(took));
-                self.gateway.history.borrow_mut().insert(turn);
+                self.gateway.history.borrow_mut().insert(Arc::clone(&turn));
+                recent_history::keep(&self.gateway, turn);
                 Ok(())
             }
             Err(_) => Err(io::Error::other("the process stops")),
--- a/protocol/src/commit.rs
+++ b/protocol/src/commit.rs
@@ -8,9 +8,11 @@
 
 use prost::Message;
 use rosebend_state::deployment::{
-    Condition, MAX_TRANSACTION_ENTRIES, Row, RowId, RowVersion, RowWrite, Transaction,
+    Condition, MAX_TRANSACTION_ENTRIES, Row, RowVersion, RowWrite, Transaction,
 };
 
+use crate::rows::{RowError, WireRow, present_rows, row_id, wire_id, wire_row};
+
 /// Version of the form. A message of another one is refused, and its sender
 /// commits without this host.
 const FORM: u32 = 1;
@@ -31,8 +33,8 @@
     Entries(usize),
     #[error("a transaction over more than one partition")]
     Partitions,
-    #[error("a row without a table or a key")]
-    Row,
+    #[error(transparent)]
+    Row(#[from] RowError),
     #[error("an answer that says nothing")]
     Answer,
 }
@@ -54,21 +56,6 @@
     NoAnswer,
 }
 
-#[derive(Clone, PartialEq)]
-#[derive(Message)]
-struct WireRow {
-    #[prost(string, tag = "1")]
-    table: String,
-    #[prost(string, tag = "2")]
-    key: String,
-    /// Version of a condition or of a present row.
-    #[prost(uint64, tag = "3")]
-    version: u64,
-    /// Value of a write or of a present row.
-    #[prost(bytes = "vec", tag = "4")]
-    value: Vec<u8>,
-}
-
 #[derive(Clone, PartialEq)]
 #[derive(Message)]
 struct WireCommit {
@@ -168,18 +155,20 @@
     let mut transaction = Transaction::default();
     for condition in &commit.conditions {
         transaction.conditions.push(Condition {
-            row: id(condition)?,
+            row: id(condition).map_err(CommitErrorKind::Row)?,
             version: condition.version,
         });
     }
     for write in &commit.writes {
         transaction.writes.push(RowWrite {
-            row: id(write)?,
+            row: id(write).map_err(CommitErrorKind::Row)?,
             value: write.value.clone(),
         });
     }
     for delete in &commit.deletes {
-        transaction.deletes.push(id(delete)?);
+        transaction
+            .deletes
+            .push(id(delete).map_err(CommitErrorKind::Row)?);
     }
     Ok(CommitRequest {
         asked_run: commit.asked_run,
@@ -248,17 +237,8 @@
         WireOutcome::Unset => Err(CommitErrorKind::Answer.into()),
         WireOutcome::Applied => Ok(Committed::Applied(wire.version)),
         WireOutcome::Conflict => {
-            let rows = wire.rows.iter();
-            let rows = rows.map(|row| {
-                Ok(Row {
-                    id: row_id(&wire.partition, row)?,
-                    version: row.version,
-                    value: Some(row.value.clone()),
-                })
-            });
-            Ok(Committed::Conflict(
-                rows.collect::<Result<_, CommitError>>()?,
-            ))
+            let rows = present_rows(&wire.partition, wire.rows);
+            Ok(Committed::Conflict(rows.map_err(CommitErrorKind::Row)?))
         }
         WireOutcome::Throttled => Ok(Committed::Throttled),
         WireOutcome::Refused => Ok(Committed::Refused),
@@ -271,26 +251,3 @@
     let mut rows = transaction.rows();
     rows.next().map(|row| row.partition.as_str())
 }
-
-fn wire_id(row: &RowId) -> WireRow {
-    WireRow {
-        table: row.table.clone(),
-        key: row.key.clone(),
-        ..WireRow::default()
-    }
-}
-
-fn wire_row(row: &Row) -> WireRow {
-    WireRow {
-        version: row.version,
-        value: row.value.clone().unwrap_or_default(),
-        ..wire_id(&row.id)
-    }
-}
-
-fn row_id(partition: &str, row: &WireRow) -> Result<RowId, CommitError> {
-    if row.table.is_empty() || row.key.is_empty() {
-        return Err(CommitErrorKind::Row.into());
-    }
-    Ok(RowId::new(&row.table, partition, row.key.clone()))
-}
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -125,6 +125,8 @@
     EscrowCompleted,
     /// What the run before this one on its host had said of its hold-off.
     HoldOffFound,
+    /// A host that keeps history for others did not answer.
+    HistoryUntold,
     /// Step: those who hold tokens of a budget that does not hold the turn were asked.
     HoldersAsked,
     /// A host that holds tokens of a program did not say whether it uses them.
@@ -191,7 +193,7 @@
 
 impl EventKind {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 89] = [
+    pub const ALL: [Self; 90] = [
         Self::ProcessStarted,
         Self::ProcessStopping,
         Self::ProcessStopped,
@@ -281,6 +283,7 @@
         Self::SpendingUnsettled,
         Self::EscrowCompleted,
         Self::HoldOffFound,
+        Self::HistoryUntold,
     ];
 
     /// The event's number, which stays with it for ever.
@@ -364,6 +367,7 @@
             Self::SpendingUnsettled => 850,
             Self::EscrowCompleted => 851,
             Self::HoldOffFound => 852,
+            Self::HistoryUntold => 853,
             Self::HoldersAsked => 829,
             Self::HolderSilent => 830,
             Self::EntryRefused => 835,
@@ -455,6 +459,7 @@
             Self::SpendingUnsettled => "spending-unsettled",
             Self::EscrowCompleted => "escrow-completed",
             Self::HoldOffFound => "hold-off-found",
+            Self::HistoryUntold => "history-untold",
             Self::LimitRefused => "limit-refused",
             Self::EscrowTaken => "escrow-taken",
             Self::EscrowReleased => "escrow-released",
@@ -511,6 +516,7 @@
             | Self::SettingsRefused
             | Self::HolderSilent
             | Self::PeerRowUnusable
+            | Self::HistoryUntold
             | Self::LinesDropped
             | Self::AcceptFailed => Level::Warn,
             Self::CallAccepted | Self::CallFinished | Self::CallRefused | Self::RequestRefused => {
@@ -623,6 +629,9 @@
             Self::EscrowCompleted => {
                 "This host answers for the escrow slot that `holders` names and that it took after a death; `count` programs are closed there."
             }
+            Self::HistoryUntold => {
+                "`host` keeps no history for others, as far as this host is concerned, for `wait_ms`; the store is asked, and `error` says why."
+            }
             Self::HoldOffFound => {
                 "The run before this one, which `holders` names, had said that it holds off; `reason` says whether it died in time, so that this host takes its escrow slots, or too late."
             }
