--- a/coordination/src/gateway/escrow.rs
+++ b/coordination/src/gateway/escrow.rs
@@ -21,6 +21,7 @@
 //!
 //! | what | where |
 //! |---|---|
+//! | a slot, its row and its fence | [`slot`] |
 //! | which run owns a slot, and who takes it next | [`slots`] |
 //! | what an owner has granted | [`accounts`] |
 //! | when an owner grants nothing, and what its death says then | [`hold_off`] |
@@ -34,6 +35,7 @@
 pub mod accounts;
 pub mod hold_off;
 pub mod message;
+pub mod slot;
 pub mod slots;
 pub mod terms;
 
--- a/coordination/src/gateway/escrow/message.rs
+++ b/coordination/src/gateway/escrow/message.rs
@@ -8,7 +8,7 @@
 
 use super::GrantId;
 use super::accounts::{Accounts, GrantRequest};
-use super::slots::SlotId;
+use super::slot::SlotId;
 use crate::gateway::ledger::Holder;
 
 /// A question to a slot's owner. It may be repeated.
--- a/coordination/src/gateway/pending_changes.rs
+++ b/coordination/src/gateway/pending_changes.rs
@@ -14,7 +14,7 @@
     Transaction,
 };
 
-use crate::gateway::escrow::slots::SlotId;
+use crate::gateway::escrow::slot::SlotId;
 use crate::gateway::escrow::terms::EscrowTerms;
 use crate::gateway::escrow::{Fences, GrantId, SLOTS};
 use crate::gateway::history::{ledger_row, partition_of};
--- a/coordination/tests/gateway_escrow.rs
+++ b/coordination/tests/gateway_escrow.rs
@@ -14,7 +14,7 @@
 use proptest::prelude::*;
 use rosebend_coordination::gateway::escrow::accounts::{Accounts, Closing, GrantRequest};
 use rosebend_coordination::gateway::escrow::hold_off::HOLD_OFF;
-use rosebend_coordination::gateway::escrow::slots::SlotId;
+use rosebend_coordination::gateway::escrow::slot::SlotId;
 
 const HOSTS: usize = 4;
 
--- a/gateway/src/escrow.rs
+++ b/gateway/src/escrow.rs
@@ -18,7 +18,8 @@
 use std::time::Duration;
 
 use rosebend_coordination::gateway::escrow::message::{Answer, Ask, Question, Reply};
-use rosebend_coordination::gateway::escrow::slots::{Owner, SlotId, SlotRow, SlotWrite, Slots};
+use rosebend_coordination::gateway::escrow::slot::{SlotId, SlotRow, SlotWrite};
+use rosebend_coordination::gateway::escrow::slots::{Owner, Slots};
 use rosebend_coordination::gateway::gatherers::Candidate;
 use rosebend_coordination::gateway::ledger::Holder;
 use rosebend_state::deployment::{Condition, Row, RowId, RowWrite, Transaction};
--- a/gateway/src/escrow/giving_up.rs
+++ b/gateway/src/escrow/giving_up.rs
@@ -5,7 +5,7 @@
 
 use futures_util::future::join_all;
 use rosebend_coordination::gateway::escrow::message::{Ask, Reply};
-use rosebend_coordination::gateway::escrow::slots::{SlotId, SlotWrite};
+use rosebend_coordination::gateway::escrow::slot::{SlotId, SlotWrite};
 use rosebend_coordination::gateway::gatherers::Candidate;
 use rosebend_coordination::gateway::ledger::Holder;
 use rosebend_state::deployment::RowId;
--- a/gateway/src/escrow/hold_off.rs
+++ b/gateway/src/escrow/hold_off.rs
@@ -5,7 +5,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use rosebend_coordination::gateway::escrow::hold_off::{HoldOffRow, RENEWAL_INTERVAL};
-use rosebend_coordination::gateway::escrow::slots::SlotId;
+use rosebend_coordination::gateway::escrow::slot::SlotId;
 use rosebend_coordination::gateway::history::{ledgers_range, program_of_ledger};
 use rosebend_coordination::gateway::ledger::{Holder, Ledger};
 use rosebend_state::deployment::{
--- a/gateway/src/escrow/turns.rs
+++ b/gateway/src/escrow/turns.rs
@@ -6,7 +6,7 @@
 use futures_util::future::join_all;
 use rosebend_coordination::gateway::escrow::accounts::GrantRequest;
 use rosebend_coordination::gateway::escrow::message::{Ask, ProgramAsk, Reply};
-use rosebend_coordination::gateway::escrow::slots::SlotId;
+use rosebend_coordination::gateway::escrow::slot::SlotId;
 use rosebend_coordination::gateway::escrow::terms::ClosingAnswers;
 use rosebend_coordination::gateway::escrow::{GrantId, first_grant_tokens};
 use rosebend_coordination::gateway::history::partition_of;
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -14,7 +14,7 @@
 use actix_http::{HttpMessage, Request, Response, StatusCode};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
-use rosebend_coordination::gateway::escrow::slots::SlotId;
+use rosebend_coordination::gateway::escrow::slot::SlotId;
 use rosebend_coordination::gateway::ledger::Holder;
 use rosebend_platform::store::wait_of;
 use rosebend_state::deployment::{RowId, RowRange, RowWrite, Transaction};
--- a/transport/src/store/mod.rs
+++ b/transport/src/store/mod.rs
@@ -14,7 +14,6 @@
 use futures_util::stream::FuturesUnordered;
 use http::Method;
 use http::uri::PathAndQuery;
-use rosebend_platform::DecodeError;
 use rosebend_platform::store::{self as wire, Rows, StoreStatus};
 use rosebend_state::deployment::{Row, RowId, RowRange, RowVersion, Transaction};
 use rosebend_state::settings::PlatformSettings;
@@ -22,11 +21,13 @@
 use crate::clock::{Clock, whole_ms};
 use crate::event::{Event, EventKind, log_event};
 
+use self::answer::{decode_rows, judge, no_progress, unexpected, unreadable};
 use self::refused::RefusedPartitions;
 pub use self::resend::{Answers, Copies, MIN_TIMEOUT, next_timeout};
 pub use self::way::{ASKED_RUN, Concern, Outgoing, Peer};
 use self::way::{SILENCE_TIME, Turn, Way};
 
+mod answer;
 mod refused;
 mod resend;
 mod way;
@@ -678,40 +679,3 @@
         peers
     }
 }
-
-/// What an answer, or its absence, says.
-fn judge(answer: Result<(u16, Bytes), String>) -> Result<(u16, Bytes), StoreError> {
-    let (status, body) = answer.map_err(StoreError::NoAnswer)?;
-    match wire::status(status) {
-        StoreStatus::Refused => Err(StoreError::Refused),
-        StoreStatus::Throttled => Err(StoreError::Throttled),
-        StoreStatus::Unknown => Err(StoreError::NoAnswer(format!("status {status}"))),
-        StoreStatus::Done | StoreStatus::Conflict | StoreStatus::HistoryGone => Ok((status, body)),
-    }
-}
-
-/// The rows that an answer holds.
-fn decode_rows((status, body): (StoreStatus, Bytes)) -> Result<Rows, StoreError> {
-    match status {
-        StoreStatus::Done => wire::decode_rows(&body).map_err(unreadable),
-        status => Err(unexpected(status)),
-    }
-}
-
-/// What was done is not known where the answer can't be read.
-fn unreadable(error: DecodeError) -> StoreError {
-    StoreError::NoAnswer(error.to_string())
-}
-
-fn no_progress() -> StoreError {
-    StoreError::NoAnswer("a page that does not go on".to_owned())
-}
-
-fn unexpected(status: StoreStatus) -> StoreError {
-    match status {
-        StoreStatus::HistoryGone => StoreError::HistoryGone,
-        StoreStatus::Refused => StoreError::Refused,
-        StoreStatus::Throttled => StoreError::Throttled,
-        status => StoreError::NoAnswer(format!("unexpected status {status:?}")),
-    }
-}
