Take the store's time before the host's own when an owner holds off

Cause: the row of a hold-off was given the store's time a moment after the host's own, so that the owner's hold-off could end some microseconds before the written one. Found in reading; no test is that fine.

--- a/gateway/src/escrow/hold_off.rs
+++ b/gateway/src/escrow/hold_off.rs
@@ -64,8 +64,9 @@
     if !may_grant(gateway) {
         return None;
     }
-    let now = gateway.clock.now();
+    // In this order: the time of the row must not be later than this host's own.
     let store_now = gateway.store.store_now()?;
+    let now = gateway.clock.now();
     let row = gateway.escrow.slots.borrow_mut().hold_off(now, store_now)?;
     Some(RowWrite {
         row: row_id(gateway),
