--- a/gateway/src/spending.rs
+++ b/gateway/src/spending.rs
@@ -5,7 +5,7 @@
 
 use rosebend_coordination::gateway::escrow::terms::EscrowTerms;
 use rosebend_coordination::gateway::history::partition_of;
-use rosebend_coordination::gateway::ledger::{FilledBy, Holder};
+use rosebend_coordination::gateway::ledger::Holder;
 use rosebend_coordination::gateway::pending_changes::{Change, Outcome};
 use rosebend_state::deployment::{AttemptId, ProgramHeader, RowWrite};
 use rosebend_transport::event::{Amount, Event, EventKind, log_event};
@@ -15,20 +15,14 @@
 use crate::escrow::{self, Denied, Grant, Wanted};
 use crate::gateway::Gateway;
 use crate::reply::Refusal;
-use crate::{programs, recall};
+
+mod full_budget;
 
 /// Turns of its size that a program's budget must hold beside a turn for it to
 /// be sent before its reservation is durable. Sub-agents spend at other hosts
 /// at the same time; a turn that turns out to be too much then has run in vain.
-/// With less in hand the turn waits for its reservation, about 13 ms.
+/// With less in hand the turn waits for its reservation.
 const TURNS_IN_HAND: u64 = 3;
-/// How long a turn waits here for the settlement of another one that has ended:
-/// one write takes 13 to 17 ms, and a refusal costs its caller a new connection
-/// and one of few retries.
-const SETTLE_WAIT: Duration = Duration::from_millis(120);
-/// Pause before the second look whether it is settled; each next one is twice
-/// as long, which makes four looks in all.
-const FIRST_SETTLE_POLL: Duration = Duration::from_millis(15);
 /// Time between two looks whether the store is still in reach.
 const REACH_POLL: Duration = Duration::from_millis(20);
 /// Tokens of a turn that does not say its most; only a turn without a budget
@@ -266,77 +260,6 @@
         Ok(())
     }
 
-    /// Asks for the turn's most with what is withheld and what gone hosts held, and
-    /// while a host that lives is settling a turn, once more.
-    async fn recall(&mut self, call: &Call) -> Result<(), Refusal> {
-        // What ended turns have spent is never less later on.
-        if self.filled_by() == FilledBy::Spent {
-            self.is_settled = true;
-            return Err(self.exhausted(call));
-        }
-        let until = self.gateway.clock.now() + SETTLE_WAIT;
-        let mut pause = FIRST_SETTLE_POLL;
-        if self.filled_by() == FilledBy::Withheld {
-            self.close_slots().await;
-            self.ask(Vec::new());
-            if self.outcome().await? != Some(Outcome::Exhausted) {
-                return Ok(());
-            }
-        }
-        loop {
-            // Others may have settled for less since the ledger was read.
-            programs::refresh_ledger(&self.gateway, &self.program).await?;
-            if self.filled_by() == FilledBy::Spent {
-                self.is_settled = true;
-                return Err(self.exhausted(call));
-            }
-            let may_have_grants =
-                self.escrow.takes_grants() || self.filled_by() == FilledBy::Withheld;
-            let is_closing = may_have_grants && self.close_slots().await;
-            let recalled = recall::recall(&self.gateway, &self.program, &call.trail).await?;
-            let may_be_gone = !recalled.gone.is_empty();
-            self.ask(recalled.gone);
-            if self.outcome().await? != Some(Outcome::Exhausted) {
-                return Ok(());
-            }
-            let is_over = self.gateway.clock.now() >= until;
-            // Holders of a newer ledger were not asked yet.
-            let is_newer = self.gateway.commits.version(&self.program) != recalled.version;
-            match recalled.is_settling || is_closing || is_newer {
-                true if is_over => {
-                    self.is_settled = true;
-                    return Err(self.unsettled(call, "settling"));
-                }
-                true => {
-                    tokio::time::sleep(pause).await;
-                    pause *= 2;
-                }
-                false => {
-                    self.is_settled = true;
-                    // The budget may hold the turn, and nobody can tell now.
-                    let is_withheld = self.filled_by() == FilledBy::Withheld;
-                    let is_open = may_have_grants && !self.escrow.is_closed();
-                    return Err(match (is_withheld, may_be_gone && is_open) {
-                        (true, _) => self.unsettled(call, "slot-gone"),
-                        (false, true) => self.unsettled(call, "holder-gone"),
-                        (false, false) => self.exhausted(call),
-                    });
-                }
-            }
-        }
-    }
-
-    /// Asks the owners of the program's open slots to close them. Returns whether
-    /// one waits for its grants to be settled.
-    async fn close_slots(&mut self) -> bool {
-        if self.escrow.is_closed() {
-            return false;
-        }
-        let answers = escrow::close(&self.gateway, &self.program).await;
-        self.escrow = std::mem::take(&mut self.escrow).with_answers(&answers);
-        answers.is_settling
-    }
-
     /// How the change that asks for the turn's most ended; none when that is
     /// known already.
     async fn outcome(&mut self) -> Result<Option<Outcome>, Refusal> {
@@ -358,47 +281,6 @@
         }
     }
 
-    /// What keeps the budget from holding the turn, if it does not.
-    fn filled_by(&self) -> FilledBy {
-        let account = self.gateway.commits.account(&self.program);
-        account.filled_by(self.most_tokens, self.budget_tokens)
-    }
-
-    /// Writes what fills the budget, so that a refusal can be explained.
-    fn exhausted(&self, call: &Call) -> Refusal {
-        let filled_by = self.filled_by();
-        self.gateway.metrics.count_budget_refusal(filled_by);
-        self.write_account(call, EventKind::SpendingRefused, filled_by.word());
-        Refusal::BudgetSpent
-    }
-
-    /// The same where nobody can tell whether the budget holds the turn.
-    fn unsettled(&self, call: &Call, reason: &'static str) -> Refusal {
-        self.write_account(call, EventKind::SpendingUnsettled, reason);
-        Refusal::BudgetUnsettled
-    }
-
-    fn write_account(&self, call: &Call, kind: EventKind, reason: &'static str) {
-        let account = self.gateway.commits.account(&self.program);
-        let held = account.held.iter();
-        let mut holders: Vec<String> = held
-            .map(|(holder, tokens)| format!("{holder}:{tokens}"))
-            .collect();
-        if kind == EventKind::SpendingUnsettled {
-            let slots = self.escrow.slot_states();
-            holders.extend(slots.map(|(slot, state)| format!("slot-{slot}:{state}")));
-        }
-        let event = Event::new(kind)
-            .reason(reason)
-            .amount(Amount::Budget, self.budget_tokens)
-            .amount(Amount::Most, self.most_tokens)
-            .amount(Amount::Spent, account.spent_tokens)
-            .amount(Amount::Reserved, account.reserved_tokens)
-            .holders(&holders.join(","))
-            .elapsed(call.elapsed(self.gateway.clock.now()));
-        call.trail.step(event);
-    }
-
     /// Counts an event that is handed out.
     pub fn count_event(&mut self) {
         self.events += 1;
