Hold off as an owner until a planned stop has given the slots up

An owner held off no more from the signal on. Change: it goes on until its slots are given up. A hand-over by message waits for the end of the hold-off as before, and the store is unavailable then, so that none is renewed.

--- a/coordination/src/gateway/escrow/slots.rs
+++ b/coordination/src/gateway/escrow/slots.rs
@@ -250,10 +250,11 @@
     }
 
     /// Holds off from now on. Returns the row that says so; none while grants are
-    /// outstanding. `store_now` is what the store's clock shows at least.
+    /// outstanding. `store_now` is what the store's clock shows at least. A run that stops
+    /// goes on until it has given up its slots: it may be killed on its way.
     pub fn hold_off(&mut self, now: Duration, store_now: Duration) -> Option<HoldOffRow> {
         let mut accounts = self.held.values().map(|held| &held.accounts);
-        if self.is_stopping || accounts.any(Accounts::has_grants) {
+        if accounts.any(Accounts::has_grants) {
             return None;
         }
         self.held_off_until = now + HOLD_OFF;
--- a/coordination/tests/escrow_world/mod.rs
+++ b/coordination/tests/escrow_world/mod.rs
@@ -193,6 +193,11 @@
         }
     }
 
+    /// A host is told to stop, and has not given up its slots yet.
+    pub fn begin_stop(&mut self, host: usize) {
+        self.hosts[host].slots.stop_taking();
+    }
+
     /// A host completes the slots that it took after a death.
     pub fn complete(&mut self, host: usize) {
         if !self.is_store_up {
--- a/coordination/tests/gateway_escrow.rs
+++ b/coordination/tests/gateway_escrow.rs
@@ -253,6 +253,22 @@
     }
 }
 
+/// Hosts that stop are killed before they have given up their slots.
+#[test]
+fn deaths_of_owners_that_were_stopping_cost_no_budget() {
+    let budget = 8 * MOST;
+    let mut world = World::new(HOSTS, budget);
+    (0..HOSTS).for_each(|host| world.hold_off(host));
+    world.now += Duration::from_millis(1_200);
+    (0..HOSTS).for_each(|host| world.begin_stop(host));
+    (0..HOSTS).for_each(|host| world.hold_off(host));
+    world.now += Duration::from_millis(600);
+    (0..HOSTS).for_each(|host| world.kill(host));
+    world.settle_down();
+    let served = (0..60).filter(|turn| world.serve(turn % HOSTS)).count();
+    assert_eq!(served as u64, (budget - MOST) / (MOST / 4) + 1);
+}
+
 /// All hosts die, and the store is away soon after they are back.
 #[test]
 fn an_outage_after_a_death_of_all_owners_is_served() {
--- a/gateway/src/escrow/giving_up.rs
+++ b/gateway/src/escrow/giving_up.rs
@@ -40,7 +40,7 @@
     }
 }
 
-/// Takes no slot any more, and does not hold off anew.
+/// Takes no slot any more.
 pub fn begin(gateway: &Gateway) {
     gateway.escrow.slots.borrow_mut().stop_taking();
 }
