--- a/coordination/src/gateway/escrow/slots.rs
+++ b/coordination/src/gateway/escrow/slots.rs
@@ -19,7 +19,7 @@
 use rosebend_state::deployment::{ProgramKey, RowVersion};
 
 use super::accounts::{Accounts, Closing};
-use super::hold_off::{HOLD_OFF, HoldOffRow};
+use super::hold_off::{DEMAND_TIME, Epoch, HOLD_OFF, HoldOffRow};
 use super::message::{Ask, ProgramAsk, Reply};
 use super::slot::{KEY_PREFIX, SlotId, SlotRow, SlotWrite};
 use crate::gateway::gatherers::{Candidate, ranked_by, strong};
@@ -99,6 +99,10 @@
     quiet_run: Option<Holder>,
     /// Until when this run grants nothing.
     held_off_until: Duration,
+    /// When a turn last wanted a grant.
+    wanted_at: Option<Duration>,
+    /// Epoch of this run's hold-off.
+    epoch: Epoch,
     /// Slots that this run owned when it began to stop. It never answers for them
     /// again, as others may by now.
     released: BTreeSet<SlotId>,
@@ -120,6 +124,8 @@
             held: BTreeMap::new(),
             quiet_run: None,
             held_off_until: Duration::ZERO,
+            wanted_at: None,
+            epoch: 0,
             released: BTreeSet::new(),
             accepted: BTreeSet::new(),
             is_stopping: false,
@@ -250,15 +256,32 @@
     }
 
     /// Holds off from now on. Returns the row that says so; none while grants are
-    /// outstanding. `store_now` is what the store's clock shows at least. A run that stops
-    /// goes on until it has given up its slots: it may be killed on its way.
+    /// outstanding or were wanted lately. `store_now` is what the store's clock shows at
+    /// least. A run that stops goes on until it has given up its slots: it may be killed on
+    /// its way.
     pub fn hold_off(&mut self, now: Duration, store_now: Duration) -> Option<HoldOffRow> {
         let mut accounts = self.held.values().map(|held| &held.accounts);
-        if accounts.any(Accounts::has_grants) {
+        let was_wanted = |at: Duration| now.saturating_sub(at) < DEMAND_TIME;
+        if self.wanted_at.is_some_and(was_wanted) || accounts.any(Accounts::has_grants) {
             return None;
         }
         self.held_off_until = now + HOLD_OFF;
-        Some(HoldOffRow::new(self.own_run.clone(), store_now))
+        Some(HoldOffRow::new(self.own_run.clone(), self.epoch, store_now))
+    }
+
+    /// The epoch that this run should end, since a turn wants a grant while it holds off.
+    pub fn epoch_to_end(&self, now: Duration) -> Option<Epoch> {
+        let is_held_off = !self.held_off_for(now).is_zero();
+        let was_wanted = |at: Duration| now.saturating_sub(at) < DEMAND_TIME;
+        (is_held_off && self.wanted_at.is_some_and(was_wanted)).then_some(self.epoch)
+    }
+
+    /// Holds off no more: the mark of the epoch is durable.
+    pub fn end_epoch(&mut self, epoch: Epoch) {
+        if epoch == self.epoch {
+            self.epoch += 1;
+            self.held_off_until = Duration::ZERO;
+        }
     }
 
     /// For how long this run holds off.
@@ -289,6 +312,9 @@
         let Some(Held { accounts, fence }) = self.held.get_mut(slot) else {
             return Reply::NotOwner;
         };
+        if matches!(ask, ProgramAsk::Grant(_)) {
+            self.wanted_at = Some(now);
+        }
         match ask {
             ProgramAsk::Grant(_) if !wait_ms.is_zero() => Reply::HeldOff { wait_ms },
             ProgramAsk::Grant(request) => match accounts.grant(program, &request) {
--- a/coordination/tests/escrow_world/mod.rs
+++ b/coordination/tests/escrow_world/mod.rs
@@ -171,7 +171,11 @@
         host.knows_last_run = true;
         if let Some((_, value)) = self.store.rows.get(&Self::hold_off_row(index)) {
             let row = HoldOffRow::decode(value).unwrap();
-            host.slots.set_quiet_run(row.died_in_time(host.began_at));
+            let mark = HoldOffRow::mark_key(&format!("host-{index}"), &row.run, row.epoch);
+            let mark = RowId::new(HOLD_OFF_TABLE, "", mark);
+            if !self.store.rows.contains_key(&mark) {
+                host.slots.set_quiet_run(row.died_in_time(host.began_at));
+            }
         }
     }
 
@@ -193,6 +197,28 @@
         }
     }
 
+    /// A host ends its hold-off if a turn wants a grant.
+    pub fn end_hold_off(&mut self, host: usize) {
+        let slots = &mut self.hosts[host].slots;
+        let Some(epoch) = slots.epoch_to_end(self.now).filter(|_| self.is_store_up) else {
+            return;
+        };
+        slots.end_epoch(epoch);
+        let run = &self.hosts[host].run;
+        let mark = HoldOffRow::mark_key(&format!("host-{host}"), run, epoch);
+        let mark = RowId::new(HOLD_OFF_TABLE, "", mark);
+        let mark = Transaction::default().write(mark, Vec::new());
+        self.store.apply(&mark);
+    }
+
+    /// A turn at a host that is cut off from the store wants a grant.
+    pub fn want(&mut self, host: usize) -> bool {
+        let is_store_up = std::mem::replace(&mut self.is_store_up, false);
+        let is_served = self.serve(host);
+        self.is_store_up = is_store_up;
+        is_served
+    }
+
     /// A host is told to stop, and has not given up its slots yet.
     pub fn begin_stop(&mut self, host: usize) {
         self.hosts[host].slots.stop_taking();
--- a/coordination/tests/gateway_escrow.rs
+++ b/coordination/tests/gateway_escrow.rs
@@ -32,6 +32,8 @@
     Learn(usize),
     Claim(usize),
     HoldOff(usize),
+    EndHoldOff(usize),
+    Want(usize),
     Complete(usize),
     Kill(usize),
     KillAll,
@@ -55,6 +57,8 @@
         2 => host.clone().prop_map(Step::Claim),
         3 => host.clone().prop_map(Step::HoldOff),
         2 => host.clone().prop_map(Step::Complete),
+        2 => host.clone().prop_map(Step::EndHoldOff),
+        2 => host.clone().prop_map(Step::Want),
         1 => host.clone().prop_map(Step::Kill),
         1 => Just(Step::KillAll),
         1 => host.clone().prop_map(Step::Stop),
@@ -81,6 +85,10 @@
         Step::Claim(host) => world.claim(host),
         Step::HoldOff(host) => world.hold_off(host),
         Step::Complete(host) => world.complete(host),
+        Step::EndHoldOff(host) => world.end_hold_off(host),
+        Step::Want(host) => {
+            world.want(host);
+        }
         Step::Kill(host) => world.kill(host),
         Step::KillAll => (0..HOSTS).for_each(|host| world.kill(host)),
         Step::Stop(host) => world.stop(host),
@@ -285,6 +293,25 @@
     assert!(served >= 4, "{served} turns");
 }
 
+/// A host is cut off from a store that answers the owners.
+#[test]
+fn an_owner_that_is_asked_ends_its_hold_off() {
+    let budget = 4 * MOST;
+    let mut world = World::new(HOSTS, budget);
+    (0..HOSTS).for_each(|host| world.hold_off(host));
+    assert!(!world.want(0), "the owners hold off");
+    (0..HOSTS).for_each(|host| world.end_hold_off(host));
+    assert!(world.want(0));
+    // What was granted since is lost with the owners, and counts.
+    (0..HOSTS).for_each(|host| world.hold_off(host));
+    while world.want(0) {}
+    (0..HOSTS).for_each(|host| world.kill(host));
+    world.settle_down();
+    world.spend(0);
+    let handed_out = world.handed_out;
+    assert!(handed_out <= budget + MOST, "{handed_out} of {budget}");
+}
+
 #[test]
 fn a_death_keeps_what_was_closed() {
     let budget = 4 * MOST;
--- a/gateway/src/escrow.rs
+++ b/gateway/src/escrow.rs
@@ -27,7 +27,7 @@
 use rosebend_transport::store::Transacted;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 use crate::gateway::Gateway;
 use crate::peers;
@@ -68,6 +68,8 @@
     next_number: Cell<u64>,
     /// Owners that did not answer, and until when they are avoided.
     silent: RefCell<HashMap<Holder, Duration>>,
+    /// Wakes up who ends this host's hold-off.
+    grant_wanted: Notify,
     /// Rows by which this host gives up slots, when it stops, that may not be written.
     unwritten: RefCell<Vec<SlotWrite>>,
 }
@@ -82,6 +84,7 @@
             waiting: RefCell::default(),
             next_number: Cell::new(0),
             silent: RefCell::default(),
+            grant_wanted: Notify::new(),
             unwritten: RefCell::default(),
         }
     }
@@ -167,14 +170,24 @@
         let owner = self.slots.borrow().owner(slot);
         match owner {
             Owner::Own => {
-                let mut slots = self.slots.borrow_mut();
-                Some(slots.answer(slot, &self.own_run, ask, now))
+                let reply = self
+                    .slots
+                    .borrow_mut()
+                    .answer(slot, &self.own_run, ask, now);
+                self.note_reply(reply);
+                Some(reply)
             }
             Owner::Other(run, address) => self.ask_run(&run, address, slot, ask).await,
             Owner::Gone | Owner::Nobody => None,
         }
     }
 
+    fn note_reply(&self, reply: Reply) {
+        if matches!(reply, Reply::HeldOff { .. }) {
+            self.grant_wanted.notify_one();
+        }
+    }
+
     async fn ask_run(
         &self,
         run: &Holder,
@@ -329,6 +342,7 @@
         to: question.from.clone(),
         reply,
     };
+    escrow.note_reply(reply);
     escrow.send(from, &Message::Answer(answer));
     if is_take_over && reply == Reply::Noted {
         for peer in slots.peers() {
--- a/gateway/src/escrow/hold_off.rs
+++ b/gateway/src/escrow/hold_off.rs
@@ -25,11 +25,13 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Renewals on their way, at most: one whose answer is late holds up no other.
 const MAX_RENEWALS: usize = 4;
+/// How long the mark that ends a hold-off is waited for. Another question tries it again.
+const END_TIMEOUT: Duration = Duration::from_millis(300);
 /// The store's clock is told in whole milliseconds.
 const CLOCK_STEP: Duration = Duration::from_millis(1);
 
-/// Holds off as long as the store answers, for ever. Where no route takes grants nobody
-/// needs to know.
+/// Holds off as long as the store answers, for ever, where the settings say so. Where no
+/// route takes grants nobody needs to know.
 pub async fn renew(gateway: &Gateway) {
     let mut renewals = FuturesUnordered::new();
     let mut ticks = tokio::time::interval(RENEWAL_INTERVAL);
@@ -38,6 +40,10 @@
         tokio::select! {
             _ = ticks.tick() => {}
             Some(()) = renewals.next() => continue,
+            () = gateway.escrow.grant_wanted.notified() => {
+                end(gateway).await;
+                continue;
+            }
         }
         let is_owner = gateway.escrow.slots.borrow().is_owner();
         let has_room = renewals.len() < MAX_RENEWALS;
@@ -57,11 +63,27 @@
     let _ = gateway.store.transact(&transaction).await;
 }
 
+/// Ends the hold-off once a turn wants a grant, as far as the store answers.
+async fn end(gateway: &Gateway) {
+    let now = gateway.clock.now();
+    let epoch = gateway.escrow.slots.borrow().epoch_to_end(now);
+    let Some(epoch) = epoch.filter(|_| gateway.store.is_reachable()) else {
+        return;
+    };
+    let host = &gateway.settings().host;
+    let mark = HoldOffRow::mark_key(host, &gateway.escrow.own_run, epoch);
+    let mark = Transaction::default().write(RowId::new(TABLE, "", mark), Vec::new());
+    let written = tokio::time::timeout(END_TIMEOUT, gateway.store.transact(&mark)).await;
+    if matches!(written, Ok(Ok(Transacted::Applied(_)))) {
+        gateway.escrow.slots.borrow_mut().end_epoch(epoch);
+    }
+}
+
 /// Holds off from now on, and returns the write that says so. It goes with the rows of
 /// slots that this host takes, so that no moment is left in which their owner may die and
 /// has not said that it holds off.
 pub fn begin(gateway: &Gateway) -> Option<RowWrite> {
-    if !may_grant(gateway) {
+    if !holds_off(gateway) {
         return None;
     }
     // In this order: the time of the row must not be later than this host's own.
@@ -74,8 +96,12 @@
     })
 }
 
-/// Whether a route's turns may run by grants, as far as the routes are known.
-fn may_grant(gateway: &Gateway) -> bool {
+/// Whether this host holds off at all: some route's turns may run by grants, as far as the
+/// routes are known.
+fn holds_off(gateway: &Gateway) -> bool {
+    if !gateway.settings().escrow_holds_off {
+        return false;
+    }
     let Some(table) = gateway.routes() else {
         return true;
     };
@@ -91,11 +117,13 @@
 /// it answers.
 async fn quiet_run(gateway: &Gateway) -> Option<Holder> {
     let id = row_id(gateway);
+    let host = gateway.settings().host.clone();
+    let (from, to) = HoldOffRow::keys(&host);
     let range = RowRange {
         table: id.table.clone(),
         partition: id.partition.clone(),
-        from: id.key.clone(),
-        to: Some(format!("{}\u{1}", id.key)),
+        from,
+        to: Some(to),
     };
     loop {
         let asked_at = gateway.clock.now();
@@ -107,23 +135,21 @@
         let row = rows.rows.iter().find(|row| row.id == id)?;
         // The process began before it asked, by all of its clock.
         let began_at = (rows.now? + CLOCK_STEP).saturating_sub(asked_at);
-        return died_in_time(row, began_at);
+        let found = died_in_time(row, began_at)?;
+        let mark = HoldOffRow::mark_key(&host, &found.run, found.epoch);
+        let has_ended = rows.rows.iter().any(|row| row.id.key == mark);
+        log_found(&found.run, if has_ended { "ended" } else { "in-time" });
+        return (!has_ended).then_some(found.run);
     }
 }
 
-fn died_in_time(row: &Row, began_at: Duration) -> Option<Holder> {
-    let value = row.value.as_ref()?;
-    match HoldOffRow::decode(value) {
+/// What the last run said, if it died before the end of its hold-off.
+fn died_in_time(row: &Row, began_at: Duration) -> Option<HoldOffRow> {
+    match HoldOffRow::decode(row.value.as_ref()?) {
+        Ok(row) if row.clone().died_in_time(began_at).is_some() => Some(row),
         Ok(row) => {
-            let last_run = row.run.clone();
-            let died = row.died_in_time(began_at);
-            let reason = match died {
-                Some(_) => "in-time",
-                None => "too-late",
-            };
-            let event = Event::new(EventKind::HoldOffFound).reason(reason);
-            log_event(&event.holders(&last_run));
-            died
+            log_found(&row.run, "too-late");
+            None
         }
         Err(error) => {
             log_event(&Event::new(EventKind::PeerRowUnusable).error(&error));
@@ -132,6 +158,11 @@
     }
 }
 
+fn log_found(run: &Holder, reason: &'static str) {
+    let event = Event::new(EventKind::HoldOffFound).reason(reason);
+    log_event(&event.holders(run));
+}
+
 /// Takes the slots of the run before this one on its host, if it died while it held off. A
 /// process may be killed soon after its start, and the next one knows less.
 pub async fn inherit(gateway: &Gateway) {
--- a/gateway/src/spending.rs
+++ b/gateway/src/spending.rs
@@ -23,6 +23,8 @@
 /// at the same time; a turn that turns out to be too much then has run in vain.
 /// With less in hand the turn waits for its reservation.
 const TURNS_IN_HAND: u64 = 3;
+/// Time between two questions to an owner that holds off: it may end that before.
+const HELD_OFF_POLL: Duration = Duration::from_millis(40);
 /// Time between two looks whether the store is still in reach.
 const REACH_POLL: Duration = Duration::from_millis(20);
 /// Tokens of a turn that does not say its most; only a turn without a budget
@@ -167,7 +169,7 @@
                 return granted;
             }
             tokio::select! {
-                () = tokio::time::sleep(wait) => {}
+                () = tokio::time::sleep(wait.min(HELD_OFF_POLL)) => {}
                 () = until_reachable(gateway, &self.program) => return granted,
             }
         }
--- a/gateway/tests/outage.rs
+++ b/gateway/tests/outage.rs
@@ -142,7 +142,7 @@
     drop(gateways);
     let gateways = hosts
         .each_ref()
-        .map(|host| Gateway::start_on(host, site.door.address(), true));
+        .map(|host| Gateway::start_holding_off(host, site.door.address()));
     for gateway in &gateways {
         gateway.until_ready().await;
     }
@@ -176,7 +176,7 @@
     let hosts = [Gateway::new_host(), Gateway::new_host()];
     let gateways = hosts
         .each_ref()
-        .map(|host| Gateway::start_on(host, site.door.address(), true));
+        .map(|host| Gateway::start_holding_off(host, site.door.address()));
     for gateway in &gateways {
         know_the_owners(gateway).await;
     }
--- a/gateway/tests/soak.rs
+++ b/gateway/tests/soak.rs
@@ -52,16 +52,14 @@
 ///   named successors for their escrow slots that had stopped before, and its ledger
 ///   withheld what these may have granted; see `gateway_escrow.rs`.
 /// - 2002, 2015, 2026, 2038, 3009, 3011, 3031, 3036, 3040: the same after owners of slots
-///   were killed, of both or of one beside dead holders of reservations. Owners hold off now,
-///   and the next processes of their hosts take the slots; see `gateway_escrow.rs`.
+///   were killed, of both or of one beside dead holders of reservations. Mended where owners
+///   hold off, which the settings leave off; see `gateway_escrow.rs`.
 /// - 3123, 3138: the same after hosts that were stopping were killed and replaced. Slots are
 ///   given up as soon as the store is back.
-/// - 3131: the same, where late answers held up the renewal of the hold-off. They no longer
-///   do.
+/// - 3131, 4012: as the first ones, where the renewal of a hold-off was held up, and where it
+///   ended with the signal to stop.
 /// - 3132: the same after owners were killed in outages, when they held off no more. Not
 ///   mended.
-/// - 4012: the same after an owner that was stopping was killed. It holds off until its slots
-///   are given up; see `gateway_escrow.rs`.
 ///
 /// By hand with 200 hosts, not in CI:
 ///
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -321,6 +321,11 @@
         Self::start_with(host, store, reads_on, "")
     }
 
+    /// Starts the process of a host that grants nothing while the store answers.
+    pub fn start_holding_off(host: &str, store: SocketAddr) -> Self {
+        Self::start_with(host, store, true, "escrow_holds_off = yes\n")
+    }
+
     /// Starts a gateway that answers its peers at an address.
     pub fn start_at(store: SocketAddr, relay: SocketAddr) -> Self {
         let settings = format!("relay_listen = {relay}\n");
--- a/state/src/settings/gateway.rs
+++ b/state/src/settings/gateway.rs
@@ -29,6 +29,8 @@
     pub relay_listen: SocketAddr,
     /// The host's share of a processor, in thousandths of a core.
     pub processor_milli: u32,
+    /// Whether it grants nothing from its escrow slots while the store answers.
+    pub escrow_holds_off: bool,
     /// The platform's store.
     pub store: StoreSettings,
     /// Time between the signal to stop and the end of the process by force.
@@ -114,6 +116,12 @@
             presence: Presence::Default("1"),
             meaning: "The host's share of a processor, in cores; hosts with half of the largest share or more commit for the others.",
         },
+        Key {
+            name: "escrow_holds_off",
+            kind: KeyKind::Choice(&["yes", "no"]),
+            presence: Presence::Default("no"),
+            meaning: "Whether hosts grant from escrow slots only 1.5 s after the store has last answered them, so that the death of one before then leaves no doubt. Turns of hosts that the store does not answer wait longer.",
+        },
         Key {
             name: "stop_grace_s",
             kind: KeyKind::Decimal(Unit::Seconds, 1..=600),
@@ -219,6 +227,7 @@
             metrics_listen: values.address("gateway", "metrics_listen"),
             relay_listen: values.address("gateway", "relay_listen"),
             processor_milli: values.thousandths("gateway", "processor_cores"),
+            escrow_holds_off: values.text("gateway", "escrow_holds_off") == "yes",
             store: StoreSettings::from(&values),
             stop_grace: values.seconds("gateway", "stop_grace_s"),
             retention_margin: values.duration("gateway", "retention_margin_ms"),
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -633,7 +633,7 @@
                 "`host` keeps no history for others, as far as this host is concerned, for `wait_ms`; the store is asked, and `error` says why."
             }
             Self::HoldOffFound => {
-                "The run before this one, which `holders` names, had said that it holds off; `reason` says whether it died in time, so that this host takes its escrow slots, or too late."
+                "The run before this one, which `holders` names, had said that it holds off; `reason` says whether it died in time, so that this host takes its escrow slots, too late, or after it had ended that."
             }
             Self::LimitRefused => {
                 "Step: the limit of `customer` does not allow the request for `wait_ms`. `reason` says whether it was of a program under way or would have begun one, `count` how many of the customer's requests this host has served, `peer` who hands out the limit, and `age_ms` how long ago it was last heard."
