Wait for a log's line where a test read it at once, and time a test past a demand

What it asserts is unchanged. The test of an owner whose grants no ledger has passed without the check that it tests, since turns had wanted grants lately; it lets that time pass now, and fails without the check.

--- a/coordination/tests/gateway_escrow.rs
+++ b/coordination/tests/gateway_escrow.rs
@@ -13,7 +13,7 @@
 use escrow_world::World;
 use proptest::prelude::*;
 use rosebend_coordination::gateway::escrow::accounts::{Accounts, Closing, GrantRequest};
-use rosebend_coordination::gateway::escrow::hold_off::HOLD_OFF;
+use rosebend_coordination::gateway::escrow::hold_off::{DEMAND_TIME, HOLD_OFF};
 use rosebend_coordination::gateway::escrow::slot::SlotId;
 
 const HOSTS: usize = 4;
@@ -346,6 +346,7 @@
     world.spend(0);
     assert!(world.handed_out > MOST, "{}", world.handed_out);
     world.is_store_up = true;
+    world.now += DEMAND_TIME;
     (0..HOSTS).for_each(|host| world.hold_off(host));
     (0..HOSTS).for_each(|host| world.kill(host));
     world.settle_down();
--- a/gateway/tests/budget.rs
+++ b/gateway/tests/budget.rs
@@ -475,8 +475,13 @@
     let reads = "store_calls_total{call=\"read\",outcome=\"done\"}";
     let before = second.metric(reads).await;
     assert_eq!(unkept("t2", 150).send(second.front).await.status, 402);
-    assert_eq!(second.events("holders-asked").len(), 1);
     // The ledger alone is read, once the holder has answered.
     assert_eq!(second.metric(reads).await, before + 1);
+    // Lines of the log come after answers.
+    until("the holder was asked", async || {
+        !second.events("holders-asked").is_empty()
+    })
+    .await;
+    assert_eq!(second.events("holders-asked").len(), 1);
     assert_eq!(running.await.unwrap().status, 200);
 }
