--- a/gateway/src/escrow/hold_off.rs
+++ b/gateway/src/escrow/hold_off.rs
@@ -27,7 +27,7 @@
 const MAX_RENEWALS: usize = 4;
 /// How long the mark that ends a hold-off is waited for. Another question tries it again.
 const END_TIMEOUT: Duration = Duration::from_millis(300);
-/// The store's clock is told in whole milliseconds.
+/// Resolution of the store's clock.
 const CLOCK_STEP: Duration = Duration::from_millis(1);
 
 /// Holds off as long as the store answers, for ever, where the settings say so. Where no
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -104,7 +104,7 @@
     pub routes_version: u64,
     /// Milliseconds since the store last answered, while it does not.
     pub store_unreachable_ms: u64,
-    /// 1 while the balancer is told to send callers.
+    /// 1 while the host is ready for callers.
     pub ready: u64,
     /// Other gateways that may pass calls to the store on.
     pub peers: u64,
