Decode program deadlines and output estimates; define scheduler messages

The scheduling of turns needs the time that a program has left and the expected length of an answer, which callers send and no part decoded. The message types of the engine scheduler are defined first, so that its decisions and its messages can be written beside each other. Nothing uses them yet.

--- a/coordination/src/gateway.rs
+++ b/coordination/src/gateway.rs
@@ -41,6 +41,7 @@
 pub mod attempt;
 pub mod batchers;
 pub mod directory;
+pub mod engine_scheduler;
 pub mod escrow;
 pub mod event_series;
 pub mod fingerprint;
--- a/coordination/src/gateway/admission.rs
+++ b/coordination/src/gateway/admission.rs
@@ -21,6 +21,7 @@
 
 use rosebend_state::deployment::ServiceName;
 use rosebend_util::hash_parts;
+use serde::{Deserialize, Serialize};
 
 /// Weight of a new sample. About the last ten samples dominate the estimate, and a
 /// host collects that many within a second.
@@ -50,6 +51,7 @@
 /// Urgency of a program. The priority of its customer comes first, and the priority
 /// of its route breaks ties.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub enum Urgency {
     /// Neither the customer nor the route has the highest priority.
     Normal,
--- a/state/src/deployment/request.rs
+++ b/state/src/deployment/request.rs
@@ -18,6 +18,9 @@
     pub program: Option<ProgramHeader>,
     /// Prompt and output tokens, where a model is called.
     pub tokens: Option<TokenCounts>,
+    /// Expected number of output tokens, as the caller estimates it; the estimate is
+    /// often far off.
+    pub expected_output_tokens: Option<u64>,
     /// Parts of the prompt, in their order.
     pub prompt_parts: Vec<PromptPart>,
     /// The last event of a stream that the caller has from an attempt that
@@ -36,6 +39,9 @@
     pub budget_tokens: Option<u64>,
     /// The turn that this one continues from.
     pub previous: Option<AttemptId>,
+    /// Time until the program should be finished, from the arrival of the request; zero
+    /// if that time has passed.
+    pub remaining: Option<Duration>,
 }
 
 /// Tokens of one turn.
