Grant from escrow when a reservation is late

Grants were requested only once the store counted as unreachable.

Change: a turn of a route that takes grants requests one when its reservation has not become durable within two fifths of the route's objective. The ledger counts the turn once, as before: the grant's settlement removes the reservation.

A new test in outage.rs failed before. budget, outage and relay passed.

--- a/gateway/src/spending.rs
+++ b/gateway/src/spending.rs
@@ -28,6 +28,10 @@
 /// early is lost if the turn then does not fit the budget. With less room, the turn waits
 /// for its reservation.
 const MIN_SPARE_TURNS: u64 = 3;
+/// Part of a route's objective after which a reservation is late and a grant is
+/// requested beside it. A store that loses answers or is slow would otherwise hold the
+/// first event back until the turn is late, although the engine has answered.
+const MAX_RESERVATION_WAIT: (u32, u32) = (2, 5);
 /// Interval between two requests to an owner that holds off. The owner may end its
 /// hold-off early.
 const HOLD_OFF_POLL_INTERVAL: Duration = Duration::from_millis(40);
@@ -37,6 +41,15 @@
 /// budget may omit the declaration.
 const DEFAULT_MAX_OUTPUT_TOKENS: u64 = 4_096;
 
+/// What a turn without a grant does when the store is unreachable.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum OnUnreachable {
+    /// Refuse the turn, which has not been sent to an endpoint.
+    Refuse,
+    /// Wait for the reservation, because the turn is already running.
+    Wait,
+}
+
 /// Tokens that one turn may spend, and those that it has emitted. Dropping the value settles
 /// the turn.
 #[derive(Debug)]
@@ -130,17 +143,11 @@
     /// Waits for the reservation of a turn that has not been sent yet to become durable.
     /// If the store becomes unreachable, the turn switches to a grant or is refused.
     async fn wait_for_reservation_before_send(&mut self, call: &Call) -> Result<(), Refusal> {
-        let gateway = Rc::clone(&self.gateway);
-        let program = self.program.clone();
-        let until = gateway.clock.instant(call.deadline);
-        let granted = tokio::select! {
-            granted = self.wait_for_reservation(call) => granted,
-            refusal = until_unreachable(&gateway, &program) => Err(refusal),
-            () = tokio::time::sleep_until(until) => return Err(gateway.store_unreachable()),
-        };
-        match granted {
-            Err(refusal @ Refusal::StoreUnreachable(_)) => self.obtain_grant(call, refusal).await,
-            granted => granted,
+        let until = self.gateway.clock.instant(call.deadline);
+        let wait = self.wait_for_reservation_or_grant(call, OnUnreachable::Refuse);
+        match tokio::time::timeout_at(until, wait).await {
+            Ok(granted) => granted,
+            Err(_) => Err(self.gateway.store_unreachable()),
         }
     }
 
@@ -241,29 +248,45 @@
             return Ok(());
         }
         let until = self.gateway.clock.instant(call.deadline);
-        let granted =
-            tokio::time::timeout_at(until, self.wait_for_reservation_or_grant(call)).await;
+        let wait = self.wait_for_reservation_or_grant(call, OnUnreachable::Wait);
+        let granted = tokio::time::timeout_at(until, wait).await;
         granted.unwrap_or_else(|_| Err(self.gateway.store_unreachable()))
     }
 
-    async fn wait_for_reservation_or_grant(&mut self, call: &Call) -> Result<(), Refusal> {
-        if !self.escrow.takes_grants() {
-            return self.wait_for_reservation(call).await;
-        }
+    /// Waits until the reservation is durable, or until the turn has a grant instead
+    /// because the reservation is late or the store became unreachable.
+    async fn wait_for_reservation_or_grant(
+        &mut self,
+        call: &Call,
+        on_unreachable: OnUnreachable,
+    ) -> Result<(), Refusal> {
         let gateway = Rc::clone(&self.gateway);
         let program = self.program.clone();
+        let takes_grants = self.escrow.takes_grants();
+        let (part, whole) = MAX_RESERVATION_WAIT;
+        let late_after = call.route.objective * part / whole;
         let outcome = tokio::select! {
             outcome = self.reservation_outcome() => Ok(outcome),
             refusal = until_unreachable(&gateway, &program) => Err(refusal),
+            () = tokio::time::sleep(late_after), if takes_grants => {
+                Err(gateway.program_unreachable(&program))
+            }
         };
-        match outcome {
-            Ok(outcome) => self.finish_reservation(call, outcome?).await,
-            Err(refusal) => match self.obtain_grant(call, refusal).await {
-                Ok(()) => Ok(()),
-                // The turn is already running, so its caller waits for the store.
-                Err(_) => self.wait_for_reservation(call).await,
-            },
+        let refusal = match outcome {
+            Ok(outcome) => return self.finish_reservation(call, outcome?).await,
+            Err(refusal) => refusal,
+        };
+        if self.obtain_grant(call, refusal).await.is_ok() {
+            return Ok(());
         }
+        if on_unreachable == OnUnreachable::Wait {
+            return self.wait_for_reservation(call).await;
+        }
+        let refusal = tokio::select! {
+            granted = self.wait_for_reservation(call) => return granted,
+            refusal = until_unreachable(&gateway, &program) => refusal,
+        };
+        self.obtain_grant(call, refusal).await
     }
 
     /// Waits until the reservation is durable.
--- a/gateway/tests/outage.rs
+++ b/gateway/tests/outage.rs
@@ -10,6 +10,9 @@
 
 /// Number of escrow slots of all partitions.
 const ALL_SLOTS: u64 = 32;
+/// Delay of a slow store's answers in milliseconds, below the time after which a
+/// gateway considers the store unreachable.
+const SLOW_STORE_MS: u64 = 300;
 /// Number of tokens that the stand-in endpoint generates for a turn.
 const TURN_TOKENS: u64 = 30;
 /// Maximum output tokens of a [`turn`].
@@ -96,6 +99,29 @@
     assert_eq!((in_outage + after, status), (turns, 402));
 }
 
+/// Guards against a store that answers late and holds back the first event of every
+/// turn, although its budget could be granted from escrow. The budget must be counted
+/// exactly once, because the late reservation takes effect as well.
+#[actix_rt::test]
+async fn a_turn_without_history_does_not_wait_for_a_late_reservation() {
+    let site = Site::start();
+    let gateways = two_owners(&site).await;
+    let slow_store = StoreFaults {
+        slow_ms: SLOW_STORE_MS,
+        ..StoreFaults::default()
+    };
+    site.set_store_faults(&slow_store).await;
+    let answer = turn("a0", "p1", 1_000).send(gateways[0].front).await;
+    assert_eq!((answer.status, answer.is_complete), (200, true));
+    let open_changes = gateways[0].metric("open_changes").await;
+    assert!(open_changes > 0, "the reservation is not durable yet");
+    let granted = "escrow_replies_total{reason=\"granted\"}";
+    assert_eq!(gateways[0].metric(granted).await, 1);
+    end_outage(&site, &gateways).await;
+    let (after, status) = spend(&gateways, "b", "p1", 1_000).await;
+    assert_eq!((1 + after, status), (TURNS_PER_BUDGET, 402));
+}
+
 #[actix_rt::test]
 async fn a_small_budget_waits_for_the_store() {
     let site = Site::start();
