Pace the batches of a partition by a token bucket

Two batches of a partition were at least 16 / (0.75 x writes_per_s) apart, also before an idle store. The end of a turn is committed to the partition of its reservation a few milliseconds after it, so most ends waited for the rest of that interval (26.7 ms at 800 writes per second).

Each partition has a token bucket with the same rate and a burst of a tenth of a second of the declared rate over all partitions, at least one batch (9 at 1,500, 5 at 800). The decision is the pure module batch_pacing of coordination; a token is taken only for a batch that is sent. A batch that has a token is sent without a sleep, because a sleep of no time lasts until the next tick of the timer. BatchedCommits gets its rate when it is created and is never without one.

--- a/coordination/src/gateway.rs
+++ b/coordination/src/gateway.rs
@@ -18,6 +18,7 @@
 //! | The tokens that programs may spend while the store is unavailable | [`escrow`] | `spending`, by `escrow` |
 //! | The changes of programs that are committed in one transaction | [`pending_changes`] | `commits` |
 //! | The transactions of several hosts that are batched into one | [`group_commit`] | `batched_commits` |
+//! | The time at which the next batch of a partition may be sent | [`batch_pacing`] | `batched_commits` |
 //! | The host that batches the transactions of a partition | [`batchers`] | `batched_commits` |
 //! | The hosts that are in backoff because they did not respond | [`host_backoff`] | [`batchers`], [`follow_tree`] |
 //! | The source from which a host reads a table: the store or another host | [`follow_tree`] | `feeds` |
@@ -39,6 +40,7 @@
 
 pub mod admission;
 pub mod attempt;
+pub mod batch_pacing;
 pub mod batchers;
 pub mod directory;
 pub mod engine_scheduler;
--- a/coordination/src/gateway/group_commit.rs
+++ b/coordination/src/gateway/group_commit.rs
@@ -16,7 +16,6 @@
 //! conflict, and the others are sent again.
 
 use std::collections::{HashMap, HashSet, VecDeque};
-use std::time::Duration;
 
 use rosebend_state::deployment::{
     Condition, MAX_TRANSACTION_ENTRIES, Row, RowId, RowVersion, Transaction,
@@ -32,19 +31,6 @@
 /// transaction that requires an outdated version has read it within the last turn.
 const MAX_RECENT_ROWS: usize = 1_024;
 
-/// The share of the store's write rate that batches use while every partition has
-/// pending entries. The rest is for hosts that commit directly while their batcher is
-/// unreachable, for deletions and for retries.
-const BATCH_WRITE_SHARE: f64 = 0.75;
-
-/// Returns the minimum time between the starts of two batches of one partition. It keeps
-/// all partitions together within the write rate that the store declares. The store
-/// refuses calls beyond the rate, and sending them again makes a burst last longer.
-pub fn min_batch_interval(partitions: u64, writes_per_s: u64) -> Duration {
-    let batches_per_s = writes_per_s as f64 * BATCH_WRITE_SHARE;
-    Duration::from_secs_f64(partitions as f64 / batches_per_s.max(1.0))
-}
-
 /// Maximum number of overdue batches of one partition. The store client sends
 /// further copies of a call that has no answer, and every partition may have this many
 /// overdue batches.
--- a/coordination/tests/commit_sim/mod.rs
+++ b/coordination/tests/commit_sim/mod.rs
@@ -11,14 +11,15 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use rosebend_coordination::gateway::group_commit::{GroupCommit, min_batch_interval};
+use rosebend_coordination::gateway::batch_pacing::{BatchBucket, BatchRate};
+use rosebend_coordination::gateway::group_commit::GroupCommit;
 use rosebend_coordination::gateway::pending_changes::Answer;
 use rosebend_state::deployment::{RowId, Transaction};
 
 /// Time that a partition takes to apply one transaction, as the store declares it.
-const TRANSACTION_TIME: Duration = Duration::from_millis(8);
+pub const TRANSACTION_TIME: Duration = Duration::from_millis(8);
 /// One-way latency to the store or to another host.
-const HOP: Duration = Duration::from_millis(1);
+pub const HOP: Duration = Duration::from_millis(1);
 /// Maximum time to apply the queue of a partition. Calls beyond it are refused.
 const MAX_QUEUE: Duration = Duration::from_secs(1);
 const FIRST_PAUSE: Duration = Duration::from_millis(40);
@@ -33,13 +34,24 @@
     OneHost,
 }
 
+/// The changes that one request makes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Traffic {
+    /// One change, which concerns no other request.
+    Changes,
+    /// A turn: a reservation, and once it is durable the end of the turn. Both are changes
+    /// of the same partition.
+    Turns,
+}
+
 /// The load on the store and the size of the deployment.
 #[derive(Clone, Debug)]
 pub struct Load {
     pub hosts: u64,
     pub partitions: u64,
     pub writes_per_s: u64,
-    /// The phases, each with its changes per second and its duration.
+    pub traffic: Traffic,
+    /// The phases, each with its requests per second and its duration.
     pub phases: Vec<(u64, Duration)>,
 }
 
@@ -50,22 +62,54 @@
     pub in_time: u64,
     pub calls: u64,
     pub longest: Duration,
+    /// The times until the ends of turns were durable.
+    pub turn_ends: Vec<Duration>,
+}
+
+/// The result of a simulation.
+#[derive(Clone, Debug)]
+pub struct Simulated {
+    pub phases: Vec<PhaseStats>,
+    /// The number of calls that the store refused because they were beyond its rate.
+    pub calls_beyond_rate: u64,
 }
 
 impl PhaseStats {
     pub fn in_time_percent(&self) -> u64 {
         self.in_time * 100 / self.changes.max(1)
     }
+
+    /// Returns the median time until the end of a turn was durable.
+    pub fn median_turn_end(&self) -> Duration {
+        let mut turn_ends = self.turn_ends.clone();
+        turn_ends.sort_unstable();
+        turn_ends[turn_ends.len() / 2]
+    }
+}
+
+/// A change that a host has sent to its batcher.
+#[derive(Clone, Copy)]
+struct SentChange {
+    phase: usize,
+    began: Duration,
+    row: u64,
+    step: Step,
+}
+
+/// The part of its request that a change is.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum Step {
+    /// The only change of its request.
+    Only,
+    /// The reservation of a turn, which the end of the turn follows.
+    Reservation,
+    /// The end of a turn.
+    TurnEnd,
 }
 
 enum Event {
     /// A change reaches its batcher.
-    Arrival {
-        batcher: u64,
-        phase: usize,
-        began: Duration,
-        row: u64,
-    },
+    Arrival { batcher: u64, change: SentChange },
     /// A batcher forms its next batch.
     BatchDue { batcher: u64 },
     /// A batch reaches the store.
@@ -78,12 +122,10 @@
 #[derive(Default)]
 struct Batcher {
     group: GroupCommit,
-    /// The phase and the start of each batch entry.
-    entries: HashMap<u64, (usize, Duration)>,
+    entries: HashMap<u64, SentChange>,
     is_sending: bool,
     pause: Duration,
-    /// Earliest time of the next batch.
-    next_at: Duration,
+    bucket: BatchBucket,
 }
 
 struct Simulation {
@@ -96,12 +138,13 @@
     free_at: HashMap<u64, Duration>,
     /// The current second and the number of calls within it.
     calls: (u64, u64),
+    calls_beyond_rate: u64,
     stats: Vec<PhaseStats>,
 }
 
 /// Simulates a load and returns the statistics of each phase. A change is in time if it
 /// is durable within `limit`.
-pub fn simulate(load: &Load, batching: Batching, limit: Duration, seed: u64) -> Vec<PhaseStats> {
+pub fn simulate(load: &Load, batching: Batching, limit: Duration, seed: u64) -> Simulated {
     let mut simulation = Simulation::new(load, batching, seed);
     while let Some(Reverse((at, id))) = simulation.events.pop() {
         simulation.now = at;
@@ -111,7 +154,10 @@
             .expect("each event is scheduled once");
         simulation.handle(event, load, limit);
     }
-    simulation.stats
+    Simulated {
+        phases: simulation.stats,
+        calls_beyond_rate: simulation.calls_beyond_rate,
+    }
 }
 
 impl Simulation {
@@ -124,6 +170,7 @@
             batchers: HashMap::new(),
             free_at: HashMap::new(),
             calls: (0, 0),
+            calls_beyond_rate: 0,
             stats: vec![PhaseStats::default(); load.phases.len()],
         };
         let mut random = ChaCha8Rng::seed_from_u64(seed);
@@ -140,13 +187,17 @@
                     Batching::EachHost => (host * load.partitions + partition, Duration::ZERO),
                     Batching::OneHost => (partition, HOP),
                 };
-                let event = Event::Arrival {
-                    batcher,
+                let step = match load.traffic {
+                    Traffic::Changes => Step::Only,
+                    Traffic::Turns => Step::Reservation,
+                };
+                let change = SentChange {
                     phase,
                     began,
                     row,
+                    step,
                 };
-                simulation.schedule(began + delay, event);
+                simulation.schedule(began + delay, Event::Arrival { batcher, change });
             }
             from += *duration;
         }
@@ -163,29 +214,30 @@
         match event {
             Event::Arrival {
                 batcher: id,
-                phase,
-                began,
-                row,
+                change,
             } => {
                 let batcher = self.batchers.entry(id).or_default();
-                let entry_id = batcher.group.submit(change(row));
-                batcher.entries.insert(entry_id, (phase, began));
-                self.schedule_batch(id);
+                let entry_id = batcher.group.submit(transaction(change.row));
+                batcher.entries.insert(entry_id, change);
+                self.schedule_batch(id, load);
             }
             Event::BatchDue { batcher } => self.form_batch(batcher, load),
             Event::StoreCall { batcher } => self.call_store(batcher, load),
-            Event::StoreAnswer { batcher, applied } => self.handle_answer(batcher, applied, limit),
+            Event::StoreAnswer { batcher, applied } => {
+                self.handle_answer(batcher, applied, load, limit);
+            }
         }
     }
 
     /// Schedules the next batch of a batcher for the earliest time allowed.
-    fn schedule_batch(&mut self, id: u64) {
+    fn schedule_batch(&mut self, id: u64, load: &Load) {
         let batcher = self.batcher(id);
         if batcher.is_sending || batcher.group.open_entries() == 0 {
             return;
         }
         batcher.is_sending = true;
-        let (paused, next_at) = (batcher.pause, batcher.next_at);
+        let next_at = batcher.bucket.next_batch_at(batch_rate(load));
+        let paused = batcher.pause;
         let at = next_at.max(self.now + paused);
         self.schedule(at, Event::BatchDue { batcher: id });
     }
@@ -193,9 +245,9 @@
     fn form_batch(&mut self, id: u64, load: &Load) {
         let now = self.now;
         let batcher = self.batcher(id);
-        batcher.next_at = now + min_batch_interval(load.partitions, load.writes_per_s);
         batcher.is_sending = batcher.group.next_transaction().0.is_some();
         if batcher.is_sending {
+            batcher.bucket.take(batch_rate(load), now);
             self.schedule(now + HOP, Event::StoreCall { batcher: id });
         }
     }
@@ -213,6 +265,7 @@
         }
         let is_within_rate = self.calls.1 < load.writes_per_s;
         self.calls.1 += u64::from(is_within_rate);
+        self.calls_beyond_rate += u64::from(!is_within_rate);
         let partition = batcher % load.partitions;
         let free_at = self.free_at.entry(partition).or_default();
         let starts = (*free_at).max(self.now);
@@ -227,49 +280,81 @@
         self.schedule(done + HOP, Event::StoreAnswer { batcher, applied });
     }
 
-    fn handle_answer(&mut self, id: u64, applied: bool, limit: Duration) {
-        let batcher = self
-            .batchers
-            .get_mut(&id)
-            .expect("an answer follows a batch");
+    fn handle_answer(&mut self, id: u64, applied: bool, load: &Load, limit: Duration) {
+        let now = self.now;
+        let batcher = self.batcher(id);
         batcher.is_sending = false;
         let answer = match applied {
             true => Answer::Applied(1),
             false => Answer::NotKnown,
         };
-        let ended = batcher.group.record_answer(answer);
-        let mut is_first = true;
-        for (entry_id, _) in ended {
-            let (phase, began) = batcher
-                .entries
-                .remove(&entry_id)
-                .expect("each entry ends once");
-            if applied {
-                let stats = &mut self.stats[phase];
-                let took = self.now - began + HOP;
-                stats.calls += u64::from(is_first);
-                stats.changes += 1;
-                stats.in_time += u64::from(took <= limit);
-                stats.longest = stats.longest.max(took);
-                is_first = false;
-            } else {
-                // The host of the entry sends it again.
-                let row = entry_id;
-                let retry_id = batcher.group.submit(change(u64::MAX - row));
-                batcher.entries.insert(retry_id, (phase, began));
-            }
-        }
+        let ended: Vec<SentChange> = batcher
+            .group
+            .record_answer(answer)
+            .iter()
+            .map(|(entry, _)| {
+                let change = batcher.entries.remove(entry);
+                change.expect("each entry ends once")
+            })
+            .collect();
         if applied {
             batcher.pause = Duration::ZERO;
         } else {
             batcher.pause = (batcher.pause * 2).clamp(FIRST_PAUSE, MAX_PAUSE);
+            // The host of an entry sends it again.
+            for change in &ended {
+                let entry = batcher.group.submit(transaction(change.row));
+                batcher.entries.insert(entry, *change);
+            }
+        }
+        if applied {
+            for (index, change) in ended.into_iter().enumerate() {
+                self.stats[change.phase].calls += u64::from(index == 0);
+                self.record_durable(id, change, now + HOP, limit);
+            }
         }
-        self.schedule_batch(id);
+        self.schedule_batch(id, load);
     }
+
+    /// Records that a host learns at a time that a change is durable, and sends the change
+    /// that follows it.
+    fn record_durable(&mut self, id: u64, change: SentChange, at: Duration, limit: Duration) {
+        let stats = &mut self.stats[change.phase];
+        let took = at - change.began;
+        stats.changes += 1;
+        stats.in_time += u64::from(took <= limit);
+        stats.longest = stats.longest.max(took);
+        match change.step {
+            Step::Only => {}
+            Step::TurnEnd => stats.turn_ends.push(took),
+            Step::Reservation => {
+                let change = SentChange {
+                    began: at,
+                    step: Step::TurnEnd,
+                    row: change.row | TURN_END_BIT,
+                    ..change
+                };
+                self.schedule(
+                    at + HOP,
+                    Event::Arrival {
+                        batcher: id,
+                        change,
+                    },
+                );
+            }
+        }
+    }
+}
+
+/// Distinguishes the rows of the end of a turn from those of its reservation.
+const TURN_END_BIT: u64 = 1 << 32;
+
+fn batch_rate(load: &Load) -> BatchRate {
+    BatchRate::new(load.partitions, load.writes_per_s)
 }
 
 /// Returns a change of a new program: its ledger, which must not exist yet, and a turn.
-fn change(row: u64) -> Transaction {
+fn transaction(row: u64) -> Transaction {
     let ledger = RowId::new("programs", "p00", format!("program-{row}/"));
     let turn = RowId::new("programs", "p00", format!("program-{row}/turn/0000"));
     let index = RowId::new("turns", "p00", format!("turn-{row}"));
--- a/gateway/src/batched_commits.rs
+++ b/gateway/src/batched_commits.rs
@@ -17,10 +17,9 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use rosebend_coordination::gateway::batch_pacing::{BatchBucket, BatchRate};
 use rosebend_coordination::gateway::batchers::{Batchers, PeerHost};
-use rosebend_coordination::gateway::group_commit::{
-    BatchEntryId, GroupCommit, OverdueBatchId, min_batch_interval,
-};
+use rosebend_coordination::gateway::group_commit::{BatchEntryId, GroupCommit, OverdueBatchId};
 use rosebend_coordination::gateway::history::PARTITIONS;
 use rosebend_coordination::gateway::ledger::ProcessId;
 use rosebend_coordination::gateway::pending_changes::Answer;
@@ -53,8 +52,8 @@
     waiters: HashMap<BatchEntryId, Waiter>,
     /// Whether a task is running that sends the batches of the partition.
     is_sending: bool,
-    /// Earliest time at which the next batch may be sent.
-    next_at: Duration,
+    /// Limits the rate of the batches.
+    bucket: BatchBucket,
 }
 
 /// A caller that waits for the outcome of a batch entry.
@@ -71,8 +70,8 @@
     store: Rc<StoreClient>,
     metrics: Rc<Metrics>,
     clock: Clock,
-    /// Minimum time between two batches of a partition.
-    min_interval: Cell<Duration>,
+    /// Rate of the batches of each partition.
+    batch_rate: Cell<BatchRate>,
     batchers: RefCell<Batchers<SocketAddr>>,
     /// Time after its sending at which a transaction that a batcher has acknowledged is
     /// also sent along the next path. It is four times the time that recent outcomes
@@ -103,18 +102,20 @@
 
 impl BatchedCommits {
     /// Creates an instance that has no transactions and no list of hosts yet.
+    /// `writes_per_s` is the write rate that the store declares for all hosts together.
     pub fn new(
         own_process: ProcessId,
         store: Rc<StoreClient>,
         metrics: Rc<Metrics>,
         clock: Clock,
+        writes_per_s: u64,
     ) -> Self {
         Self {
             own_process,
             store,
             metrics,
             clock,
-            min_interval: Cell::default(),
+            batch_rate: Cell::new(BatchRate::new(PARTITIONS, writes_per_s)),
             batchers: RefCell::default(),
             timeout: Cell::new(MIN_TIMEOUT),
             connections: PeerConnections::default(),
@@ -124,8 +125,8 @@
 
     /// Sets the write rate that the store declares for all hosts together.
     pub fn set_writes_per_s(&self, writes_per_s: u64) {
-        self.min_interval
-            .set(min_batch_interval(PARTITIONS, writes_per_s));
+        self.batch_rate
+            .set(BatchRate::new(PARTITIONS, writes_per_s));
     }
 
     /// Replaces the list of all running hosts, which includes this one.
@@ -336,8 +337,7 @@
 
     async fn send_batches(self: Rc<Self>, name: String) {
         loop {
-            let next_at = self.next_at(&name);
-            tokio::time::sleep(next_at.saturating_sub(self.clock.now())).await;
+            self.wait_for_token(&name).await;
             let Some(transaction) = self.next_transaction(&name) else {
                 return;
             };
@@ -373,11 +373,24 @@
         partitions.get_mut(name)?.group.mark_overdue()
     }
 
+    /// Waits until the rate permits a partition's next batch.
+    async fn wait_for_token(&self, name: &str) {
+        let next_at = self.next_batch_at(name);
+        let wait = next_at.saturating_sub(self.clock.now());
+        // Even a sleep of no time lasts until the timer's next tick, up to 1 ms.
+        if !wait.is_zero() {
+            tokio::time::sleep(wait).await;
+        }
+    }
+
     /// Returns the earliest time at which a partition's next batch may be sent.
-    fn next_at(&self, name: &str) -> Duration {
+    fn next_batch_at(&self, name: &str) -> Duration {
         let partitions = self.partitions.borrow();
+        let rate = self.batch_rate.get();
         let partition = partitions.get(name);
-        partition.map_or(Duration::ZERO, |partition| partition.next_at)
+        partition.map_or(Duration::ZERO, |partition| {
+            partition.bucket.next_batch_at(rate)
+        })
     }
 
     fn next_transaction(&self, name: &str) -> Option<Transaction> {
@@ -386,7 +399,10 @@
         let (transaction, ended) = partition.group.next_transaction();
         partition.notify_waiters(ended, None);
         partition.is_sending = transaction.is_some();
-        partition.next_at = self.clock.now() + self.min_interval.get();
+        if transaction.is_some() {
+            let now = self.clock.now();
+            partition.bucket.take(self.batch_rate.get(), now);
+        }
         transaction
     }
 
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -110,8 +110,8 @@
             Rc::clone(&store),
             Rc::clone(&metrics),
             clock,
+            settings.store.writes_per_s,
         );
-        batched_commits.set_writes_per_s(settings.store.writes_per_s);
         let batched_commits = Rc::new(batched_commits);
         let commits = Commits::new(
             process.clone(),
--- a/gateway/tests/batched_commits.rs
+++ b/gateway/tests/batched_commits.rs
@@ -10,6 +10,7 @@
 use rosebend_standin::server::RunningServer;
 use rosebend_standin::store::StoreFaults;
 use rosebend_state::deployment::{RowId, Transaction};
+use rosebend_transport::clock::Clock;
 use support::{Gateway, Site, TestRequest, wait_until};
 
 const COMMITS_BY_BATCHER: &str = "commits_total{way=\"gatherer\"}";
@@ -143,6 +144,31 @@
     assert_served(&other, 2).await;
 }
 
+/// Guards against batches that ignore the declared rate of the store: with 16 writes per
+/// second a partition's bucket holds one token, which comes back after 16 / 12 s. A slow
+/// machine only adds time for tokens to come back.
+#[actix_rt::test]
+async fn batches_of_a_partition_are_paced_by_the_declared_rate() {
+    let site = Site::start();
+    let gateway = site.start_ready_gateway().await;
+    gateway.change_settings("[store]", "[store]\nwrites_per_s = 16");
+    wait_until("the settings are applied", async || {
+        !gateway.events("settings-taken").is_empty()
+    })
+    .await;
+    let clock = Clock::start();
+    let before = gateway.metric("joined_transactions_total").await;
+    for number in 0..4 {
+        assert_served(&gateway, number).await;
+    }
+    let batches = gateway.metric("joined_transactions_total").await - before;
+    let tokens = 1.0 + clock.now().as_secs_f64() * 12.0 / 16.0;
+    assert!(
+        (4.0..=tokens).contains(&(batches as f64)),
+        "{batches} batches with {tokens} tokens"
+    );
+}
+
 #[actix_rt::test]
 async fn malformed_messages_are_refused_without_other_effects() {
     let (_site, _batcher_store, batcher, other) = start().await;
