Admit turns of programs without history that started at another host

Cause: on a route without history, a host takes every turn of a program whose ledger it has not cached for the first turn of the program. The turns of one program come to many hosts, so that an overloaded host refused programs in progress as if they were new.

Change: before such a turn is refused, the host reads the program's ledger row from the store, for at most 50 ms. If the row exists, the turn is admitted, and the ledger is cached. If it does not exist, or the store does not answer, the turn is refused as before. A missing row is not cached, because a cached ledger marks the program as in progress. The step ledger-read (E860) and the metric ledger_lookups show each lookup.

--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -141,6 +141,7 @@
     endpoint_failures: Family<ReasonLabel, Counter>,
     resumptions: Family<ReasonLabel, Counter>,
     history_reads: Family<PlaceLabel, Counter>,
+    ledger_lookups: Family<ReasonLabel, Counter>,
     store_calls: Family<StoreLabel, Counter>,
     feeds: Family<WayLabel, Counter>,
     commits: Family<WayLabel, Counter>,
@@ -186,6 +187,9 @@
         let history_reads = Family::default();
         let help = "Turns that a turn continues from, by where they were found";
         registry.register("history_reads", help, history_reads.clone());
+        let ledger_lookups = Family::default();
+        let help = "Turns for which a ledger was looked up before a refusal, by what was found";
+        registry.register("ledger_lookups", help, ledger_lookups.clone());
         let store_calls = Family::default();
         registry.register(
             "store_calls",
@@ -243,6 +247,7 @@
             endpoint_failures,
             resumptions,
             history_reads,
+            ledger_lookups,
             store_calls,
             feeds,
             commits,
@@ -358,6 +363,12 @@
             .inc();
     }
 
+    /// Counts a lookup of a program's ledger before a turn is refused, by its result.
+    pub fn count_ledger_lookup(&self, reason: &'static str) {
+        let reason = ReasonLabel { reason };
+        self.ledger_lookups.get_or_create(&reason).inc();
+    }
+
     /// Counts a failed exchange with an endpoint.
     pub fn count_failure(&self, failure: Failure) {
         let reason = failure.as_str();
--- a/gateway/src/programs.rs
+++ b/gateway/src/programs.rs
@@ -2,6 +2,7 @@
 //! availability zone that caches the program, and in the store, in this order.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use futures_util::future::join_all;
 use rosebend_coordination::gateway::history::{
@@ -18,6 +19,35 @@
 use crate::recent_history;
 use crate::reply::Refusal;
 
+/// Maximum time for which a turn that admission would refuse waits for its program's
+/// ledger. A read takes 6 to 8 ms; a caller should learn of a refusal at once.
+const LEDGER_LOOKUP_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// Result of looking up a program's ledger in the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LedgerLookup {
+    /// The store has a ledger of the program.
+    InProgress,
+    /// The store has no ledger of the program.
+    New,
+    /// The store is unreachable or failed the read.
+    Unreachable,
+    /// The store did not answer in time.
+    Timeout,
+}
+
+impl LedgerLookup {
+    /// Returns the word that logs and metrics contain.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::InProgress => "in-progress",
+            Self::New => "new",
+            Self::Unreachable => "unreachable",
+            Self::Timeout => "timeout",
+        }
+    }
+}
+
 /// Returns the turn that a program's next turn continues from, or `None` if the
 /// next turn is the first.
 ///
@@ -85,6 +115,41 @@
     Ok(())
 }
 
+/// Looks up whether the store has a ledger of a program, and caches the ledger.
+///
+/// A missing ledger is not cached: a program counts as in progress at this host while its
+/// ledger is cached, and the program may start with a later attempt.
+pub async fn look_up_ledger(gateway: &Gateway, call: &Call, program: &str) -> LedgerLookup {
+    let started_at = gateway.clock.now();
+    let reading = read_ledger_row(gateway, program);
+    let lookup = tokio::time::timeout(LEDGER_LOOKUP_TIMEOUT, reading).await;
+    let lookup = lookup.unwrap_or(LedgerLookup::Timeout);
+    let elapsed = gateway.clock.now().saturating_sub(started_at);
+    let event = Event::new(EventKind::LedgerRead).reason(lookup.as_str());
+    call.request_log.add_step(event.elapsed(elapsed));
+    gateway.metrics.count_ledger_lookup(lookup.as_str());
+    lookup
+}
+
+async fn read_ledger_row(gateway: &Gateway, program: &str) -> LedgerLookup {
+    if gateway.check_reachable(program).is_err() {
+        return LedgerLookup::Unreachable;
+    }
+    let Ok(row) = gateway.store.read_row(&ledger_row(program)).await else {
+        return LedgerLookup::Unreachable;
+    };
+    let row = row.and_then(|row| Some((row.version, row.value?)));
+    let Some((version, value)) = row else {
+        return LedgerLookup::New;
+    };
+    // A ledger that cannot be decoded belongs to a program in progress nevertheless. The
+    // turn's reservation reports the error.
+    if let Ok(ledger) = Ledger::decode(&value) {
+        gateway.commits.cache(program, version, ledger);
+    }
+    LedgerLookup::InProgress
+}
+
 /// Returns a turn of a program from the host of the availability zone that caches it, or
 /// `None` if that host lacks the turn or one of its predecessors.
 async fn turn_from_zone(gateway: &Gateway, program: &str, attempt: &str) -> Option<Arc<Turn>> {
--- a/gateway/src/turn.rs
+++ b/gateway/src/turn.rs
@@ -19,7 +19,7 @@
 use crate::exchange::{EndpointResponse, Exchange, WarmEndpoint};
 use crate::gateway::Gateway;
 use crate::plain;
-use crate::programs;
+use crate::programs::{self, LedgerLookup};
 use crate::reply::Refusal;
 use crate::spending::Spending;
 use crate::turn_stream::{DurableState, Record, forward_stream};
@@ -38,7 +38,7 @@
 }
 
 async fn run(gateway: &Rc<Gateway>, call: &Rc<Call>) -> Result<Response<BoxBody>, Refusal> {
-    admit(gateway, call)?;
+    admit(gateway, call).await?;
     let turn_record = start_record(gateway, call).await?;
     let mut spending = match program_with_ledger(call) {
         Some(program) => Some(Spending::reserve(gateway, call, &program).await?),
@@ -77,10 +77,21 @@
 
 /// Refuses the first turn of a program if the queues of the engines are too long.
 /// Turns of programs in progress are always admitted.
-fn admit(gateway: &Gateway, call: &Call) -> Result<(), Refusal> {
+async fn admit(gateway: &Gateway, call: &Call) -> Result<(), Refusal> {
     if !starts_program(gateway, call) {
         return Ok(());
     }
+    let Err(refusal) = admit_new_program(gateway, call) else {
+        return Ok(());
+    };
+    match is_in_progress_elsewhere(gateway, call).await {
+        true => Ok(()),
+        false => Err(refusal),
+    }
+}
+
+/// Decides whether a new program may start.
+fn admit_new_program(gateway: &Gateway, call: &Call) -> Result<(), Refusal> {
     let admission = gateway.admission.borrow();
     let now = gateway.clock.now();
     let retry_after =
@@ -88,8 +99,21 @@
     retry_after.map_or(Ok(()), |retry_after| Err(Refusal::Overloaded(retry_after)))
 }
 
+/// Returns whether a program without history that seems new to this host is in progress
+/// at other hosts, according to the store. Until the store has answered, a first turn here
+/// may be a later turn of the program.
+async fn is_in_progress_elsewhere(gateway: &Gateway, call: &Call) -> bool {
+    let program = program_with_ledger(call).filter(|_| !call.route.keeps_history);
+    let Some(program) = program else {
+        return false;
+    };
+    let lookup = programs::look_up_ledger(gateway, call, &program.program).await;
+    lookup == LedgerLookup::InProgress
+}
+
 /// Returns whether a turn is the first of its program. If the route keeps no history,
-/// a program is considered new unless this host has its ledger in the cache.
+/// a program is considered new unless this host has its ledger in the cache; see
+/// [`is_in_progress_elsewhere`].
 fn starts_program(gateway: &Gateway, call: &Call) -> bool {
     if call.route.keeps_history {
         return call.starts_program();
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -107,6 +107,8 @@
     EndpointFailed,
     /// Step: the turn to continue was found; `reason` says where.
     HistoryRead,
+    /// Step: the program's ledger was looked up before a turn was refused as the first of its program.
+    LedgerRead,
     /// Step: the turn may spend its most; `reason` says from where.
     SpendingGranted,
     /// Step: the program's budget does not hold the turn, by the account in the line.
@@ -193,7 +195,7 @@
 
 impl EventKind {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 90] = [
+    pub const ALL: [Self; 91] = [
         Self::ProcessStarted,
         Self::ProcessStopping,
         Self::ProcessStopped,
@@ -284,6 +286,7 @@
         Self::EscrowCompleted,
         Self::HoldOffFound,
         Self::HistoryUntold,
+        Self::LedgerRead,
     ];
 
     /// The event's number, which stays with it for ever.
@@ -368,6 +371,7 @@
             Self::EscrowCompleted => 851,
             Self::HoldOffFound => 852,
             Self::HistoryUntold => 853,
+            Self::LedgerRead => 860,
             Self::HoldersAsked => 829,
             Self::HolderSilent => 830,
             Self::EntryRefused => 835,
@@ -460,6 +464,7 @@
             Self::EscrowCompleted => "escrow-completed",
             Self::HoldOffFound => "hold-off-found",
             Self::HistoryUntold => "history-untold",
+            Self::LedgerRead => "ledger-read",
             Self::LimitRefused => "limit-refused",
             Self::EscrowTaken => "escrow-taken",
             Self::EscrowReleased => "escrow-released",
@@ -629,6 +634,9 @@
             Self::EscrowCompleted => {
                 "This host answers for the escrow slot that `holders` names and that it took after a death; `count` programs are closed there."
             }
+            Self::LedgerRead => {
+                "Step: a turn that would be refused as the first of its program waited `elapsed_ms` for the program's ledger in the store; `reason` says what came: in-progress, new, unreachable or timeout."
+            }
             Self::HistoryUntold => {
                 "`host` keeps no history for others, as far as this host is concerned, for `wait_ms`; the store is asked, and `error` says why."
             }
