Decide which turns cannot end before their deadline

Cause: a host sends a turn to an engine until its deadline, also when less time remains than the engine needs to its first byte without a queue. Such a turn takes a slot from turns that can still end in time.

Change: the decision is a pure function that compares the remaining time with the shortest time to the first byte that the host observed. The observation must be at most 1 s old, because a host that refuses all turns has no new samples. The exchange asks it before each selection of an endpoint, for turns that have not run anywhere, and writes the step turn-too-late (E861). The rule is off: is_engine_scheduled in exchange.rs returns false until the engine scheduler is part of the gateway. The refusal is no-room until there is a reason of its own.

--- a/coordination/src/gateway/admission.rs
+++ b/coordination/src/gateway/admission.rs
@@ -41,6 +41,10 @@
 /// Queue wait from which on all of the least urgent programs are refused, in
 /// milliseconds. Twice that wait in each turn makes an urgent program late.
 const REFUSE_ALL_MS: f64 = 75.0;
+/// Maximum age of the shortest observed time for a turn to be refused by it. A host that
+/// refuses all turns has no new samples and would not notice that the engines have become
+/// faster. A host in use collects about ten samples in this time.
+const MAX_IDLE_AGE: Duration = Duration::from_secs(1);
 /// Minimum retry time after a refusal. A few hundred turns end at the engines of a
 /// deployment within it.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
@@ -87,6 +91,13 @@
     }
 }
 
+/// Returns whether a turn with `remaining` time until its deadline cannot receive its
+/// first byte in time. Such a turn would only take an engine's slot from turns that can
+/// still end in time. A turn is sent if nothing is known about the service.
+pub fn cannot_end_in_time(remaining: Duration, shortest_first_byte: Option<Duration>) -> bool {
+    shortest_first_byte.is_some_and(|shortest| remaining < shortest)
+}
+
 /// Observations of the queues of a service.
 #[derive(Clone, Copy, Debug)]
 struct QueueEstimate {
@@ -133,6 +144,15 @@
         estimate.map_or(0.0, |estimate| estimate.wait_ms(now))
     }
 
+    /// Returns the shortest time to the first byte of a service that this host observed,
+    /// or `None` without a sample of the last second.
+    pub fn shortest_first_byte(&self, service: &str, now: Duration) -> Option<Duration> {
+        let estimate = self.services.get(service)?;
+        let age = now.saturating_sub(estimate.updated_at);
+        let shortest = Duration::from_secs_f64(estimate.idle_ms / 1_000.0);
+        (age <= MAX_IDLE_AGE).then_some(shortest)
+    }
+
     /// Decides whether a new program is refused, and returns the time after which
     /// its caller may retry, or none if the program may start. A hash of `attempt`
     /// selects which programs are refused.
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -8,6 +8,7 @@
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use rosebend_coordination::gateway::admission::cannot_end_in_time;
 use rosebend_coordination::gateway::attempt::{Attempt, Failure, NextStep};
 use rosebend_coordination::gateway::directory::EndpointQuery;
 use rosebend_platform::headers::{self, AnswerHeader};
@@ -100,6 +101,7 @@
     /// Returns the refusal for the caller if no further endpoint may be tried.
     pub async fn next(&mut self) -> Result<EndpointResponse, Refusal> {
         loop {
+            self.refuse_if_too_late()?;
             let Some(endpoint) = self.select_endpoint() else {
                 return Err(self.no_endpoint_left());
             };
@@ -110,6 +112,29 @@
         }
     }
 
+    /// Refuses a turn whose time until its deadline is shorter than the shortest time to
+    /// the first byte that this host observed. A turn that may have run is not refused,
+    /// because a refusal states that it never ran.
+    fn refuse_if_too_late(&self) -> Result<(), Refusal> {
+        let is_turn = self.call.route.kind == RouteKind::Streaming;
+        let is_subject = is_turn && is_engine_scheduled(&self.gateway, &self.call);
+        if !is_subject || self.attempt.may_have_run() {
+            return Ok(());
+        }
+        let now = self.gateway.clock.now();
+        let admission = self.gateway.admission.borrow();
+        let shortest = admission.shortest_first_byte(&self.call.service, now);
+        let remaining = self.call.remaining(now);
+        if !cannot_end_in_time(remaining, shortest) {
+            return Ok(());
+        }
+        let event = Event::new(EventKind::TurnTooLate).elapsed(self.call.elapsed(now));
+        let event = event.remaining(remaining);
+        let event = event.wait_ms(shortest.map_or(0, whole_ms));
+        self.call.request_log.add_step(event);
+        Err(Refusal::NoEndpointAvailable)
+    }
+
     /// Records a failure and decides whether another endpoint may be tried.
     ///
     /// # Errors
@@ -307,6 +332,12 @@
     }
 }
 
+/// Returns whether the engine scheduler is in effect for the service of a call. It is not
+/// part of this version.
+const fn is_engine_scheduled(_gateway: &Gateway, _call: &Call) -> bool {
+    false
+}
+
 /// Converts a connection error into the failure of the exchange.
 fn connection_failure(error: ConnectionError) -> Failure {
     match error {
--- a/transport/src/event.rs
+++ b/transport/src/event.rs
@@ -61,6 +61,7 @@
     Version(u64),
     AgeMs(u64),
     ElapsedMs(u64),
+    RemainingMs(u64),
     Load(u64),
     Tokens(u64),
     Amount(Amount, u64),
@@ -205,6 +206,11 @@
         self.with(Field::ElapsedMs(whole_ms(elapsed)))
     }
 
+    /// Adds the time until the deadline of a request.
+    pub fn remaining(self, remaining: Duration) -> Self {
+        self.with(Field::RemainingMs(whole_ms(remaining)))
+    }
+
     /// Adds how many requests an endpoint was expected to have.
     pub fn load(self, load: u64) -> Self {
         self.with(Field::Load(load))
@@ -288,6 +294,7 @@
             Self::Version(version) => number("version", *version),
             Self::AgeMs(age_ms) => number("age_ms", *age_ms),
             Self::ElapsedMs(elapsed_ms) => number("elapsed_ms", *elapsed_ms),
+            Self::RemainingMs(remaining_ms) => number("remaining_ms", *remaining_ms),
             Self::Load(load) => number("load", *load),
             Self::Tokens(tokens) => number("tokens", *tokens),
             Self::Amount(amount, tokens) => number(amount.name(), *tokens),
@@ -349,6 +356,7 @@
             Self::Version(version) => write!(f, "version={version}"),
             Self::AgeMs(age_ms) => write!(f, "age_ms={age_ms}"),
             Self::ElapsedMs(elapsed_ms) => write!(f, "elapsed_ms={elapsed_ms}"),
+            Self::RemainingMs(remaining_ms) => write!(f, "remaining_ms={remaining_ms}"),
             Self::Load(load) => write!(f, "load={load}"),
             Self::Tokens(tokens) => write!(f, "tokens={tokens}"),
             Self::Amount(amount, tokens) => write!(f, "{}={tokens}", amount.name()),
@@ -427,7 +435,8 @@
 program), `shard`, `epoch`, `host`, `endpoint`, `revision`, `count`, `wait_ms`,
 `reason` (a word of a closed set) and `error`; for gateways also `attempt`
 (a caller's attempt), `route`, `status`, `version` (of the declared routes),
-`age_ms` (of what decided), `elapsed_ms`, `load`, `tokens`, `address`, and a
+`age_ms` (of what decided), `elapsed_ms`, `remaining_ms` (until the deadline),
+`load`, `tokens`, `address`, and a
 program's account: `budget_tokens`, `most_tokens` (of the turn), `spent_tokens`,
 `reserved_tokens` and `holders` (each HOST/RUN:TOKENS).
 Gateways write each event as a JSON object on a line of its own, with `at_ms`,
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -109,6 +109,8 @@
     HistoryRead,
     /// Step: the program's ledger was looked up before a turn was refused as the first of its program.
     LedgerRead,
+    /// Step: the turn cannot end before its deadline and is not sent.
+    TurnTooLate,
     /// Step: the turn may spend its most; `reason` says from where.
     SpendingGranted,
     /// Step: the program's budget does not hold the turn, by the account in the line.
@@ -195,7 +197,7 @@
 
 impl EventKind {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 91] = [
+    pub const ALL: [Self; 92] = [
         Self::ProcessStarted,
         Self::ProcessStopping,
         Self::ProcessStopped,
@@ -287,6 +289,7 @@
         Self::HoldOffFound,
         Self::HistoryUntold,
         Self::LedgerRead,
+        Self::TurnTooLate,
     ];
 
     /// The event's number, which stays with it for ever.
@@ -372,6 +375,7 @@
             Self::HoldOffFound => 852,
             Self::HistoryUntold => 853,
             Self::LedgerRead => 860,
+            Self::TurnTooLate => 861,
             Self::HoldersAsked => 829,
             Self::HolderSilent => 830,
             Self::EntryRefused => 835,
@@ -465,6 +469,7 @@
             Self::HoldOffFound => "hold-off-found",
             Self::HistoryUntold => "history-untold",
             Self::LedgerRead => "ledger-read",
+            Self::TurnTooLate => "turn-too-late",
             Self::LimitRefused => "limit-refused",
             Self::EscrowTaken => "escrow-taken",
             Self::EscrowReleased => "escrow-released",
@@ -634,6 +639,9 @@
             Self::EscrowCompleted => {
                 "This host answers for the escrow slot that `holders` names and that it took after a death; `count` programs are closed there."
             }
+            Self::TurnTooLate => {
+                "Step: the turn is not sent, because its `remaining_ms` are below `wait_ms`, the shortest time to the first byte that this host observed."
+            }
             Self::LedgerRead => {
                 "Step: a turn that would be refused as the first of its program waited `elapsed_ms` for the program's ledger in the store; `reason` says what came: in-progress, new, unreachable or timeout."
             }
