Log why a host refuses a new program

Cause: the log of a request that was refused as overloaded did not contain the expected wait by which the host decided, nor how old its samples were.

Change: the step admission-refused (E862) has both.

--- a/coordination/src/gateway/admission.rs
+++ b/coordination/src/gateway/admission.rs
@@ -144,11 +144,17 @@
         estimate.map_or(0.0, |estimate| estimate.wait_ms(now))
     }
 
+    /// Returns the time since the last sample of a service, or `None` without samples.
+    pub fn sample_age(&self, service: &str, now: Duration) -> Option<Duration> {
+        let estimate = self.services.get(service)?;
+        Some(now.saturating_sub(estimate.updated_at))
+    }
+
     /// Returns the shortest time to the first byte of a service that this host observed,
     /// or `None` without a sample of the last second.
     pub fn shortest_first_byte(&self, service: &str, now: Duration) -> Option<Duration> {
         let estimate = self.services.get(service)?;
-        let age = now.saturating_sub(estimate.updated_at);
+        let age = self.sample_age(service, now)?;
         let shortest = Duration::from_secs_f64(estimate.idle_ms / 1_000.0);
         (age <= MAX_IDLE_AGE).then_some(shortest)
     }
--- a/gateway/src/turn.rs
+++ b/gateway/src/turn.rs
@@ -14,6 +14,7 @@
 use actix_http::body::BoxBody;
 use bytes::Bytes;
 use rosebend_state::deployment::ProgramHeader;
+use rosebend_transport::event::{Event, EventKind};
 
 use crate::call::{self, Call};
 use crate::exchange::{EndpointResponse, Exchange, WarmEndpoint};
@@ -90,13 +91,20 @@
     }
 }
 
-/// Decides whether a new program may start.
+/// Decides whether a new program may start, by the queues that this host observed.
 fn admit_new_program(gateway: &Gateway, call: &Call) -> Result<(), Refusal> {
     let admission = gateway.admission.borrow();
     let now = gateway.clock.now();
     let retry_after =
         admission.refusal_delay(&call.service, call.urgency(), &call.header.attempt, now);
-    retry_after.map_or(Ok(()), |retry_after| Err(Refusal::Overloaded(retry_after)))
+    let Some(retry_after) = retry_after else {
+        return Ok(());
+    };
+    let age = admission.sample_age(&call.service, now).unwrap_or_default();
+    let event = Event::new(EventKind::AdmissionRefused).elapsed(call.elapsed(now));
+    let event = event.wait_ms(admission.wait_ms(&call.service, now) as u64);
+    call.request_log.add_step(event.age(age));
+    Err(Refusal::Overloaded(retry_after))
 }
 
 /// Returns whether a program without history that seems new to this host is in progress
--- a/gateway/tests/overload.rs
+++ b/gateway/tests/overload.rs
@@ -147,9 +147,16 @@
     let answer = turn_without_history(name, name).send(gateway.front).await;
     assert_eq!(answer.status, 503, "a new program was admitted");
     assert!(answer.retry_after_s().is_some());
-    let ended = gateway.events("request-ended");
-    let ended = ended.iter().find(|event| event["attempt"] == *name);
-    assert_eq!(ended.unwrap()["reason"], "overloaded");
+    let step = |kind| {
+        let events = gateway.events(kind);
+        events.into_iter().find(|event| event["attempt"] == *name)
+    };
+    assert_eq!(step("request-ended").unwrap()["reason"], "overloaded");
+    assert_eq!(step("ledger-read").unwrap()["reason"], "new");
+    let decision = step("admission-refused").unwrap();
+    // A wait of 50 ms is the least for which programs of this route are refused.
+    assert!(decision["wait_ms"].as_u64() >= Some(50), "{decision}");
+    assert!(decision["age_ms"].is_u64(), "{decision}");
 }
 
 /// Sends the second turns of all programs at the same time.
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -111,6 +111,8 @@
     LedgerRead,
     /// Step: the turn cannot end before its deadline and is not sent.
     TurnTooLate,
+    /// Step: the queues of the engines are too long for a new program.
+    AdmissionRefused,
     /// Step: the turn may spend its most; `reason` says from where.
     SpendingGranted,
     /// Step: the program's budget does not hold the turn, by the account in the line.
@@ -197,7 +199,7 @@
 
 impl EventKind {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 92] = [
+    pub const ALL: [Self; 93] = [
         Self::ProcessStarted,
         Self::ProcessStopping,
         Self::ProcessStopped,
@@ -290,6 +292,7 @@
         Self::HistoryUntold,
         Self::LedgerRead,
         Self::TurnTooLate,
+        Self::AdmissionRefused,
     ];
 
     /// The event's number, which stays with it for ever.
@@ -376,6 +379,7 @@
             Self::HistoryUntold => 853,
             Self::LedgerRead => 860,
             Self::TurnTooLate => 861,
+            Self::AdmissionRefused => 862,
             Self::HoldersAsked => 829,
             Self::HolderSilent => 830,
             Self::EntryRefused => 835,
@@ -470,6 +474,7 @@
             Self::HistoryUntold => "history-untold",
             Self::LedgerRead => "ledger-read",
             Self::TurnTooLate => "turn-too-late",
+            Self::AdmissionRefused => "admission-refused",
             Self::LimitRefused => "limit-refused",
             Self::EscrowTaken => "escrow-taken",
             Self::EscrowReleased => "escrow-released",
@@ -639,6 +644,9 @@
             Self::EscrowCompleted => {
                 "This host answers for the escrow slot that `holders` names and that it took after a death; `count` programs are closed there."
             }
+            Self::AdmissionRefused => {
+                "Step: the queues of the engines are too long for a new program: this host expects a wait of `wait_ms`, by first bytes of which the last was `age_ms` old."
+            }
             Self::TurnTooLate => {
                 "Step: the turn is not sent, because its `remaining_ms` are below `wait_ms`, the shortest time to the first byte that this host observed."
             }
