--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -107,6 +107,12 @@
     EndpointFailed,
     /// Step: the turn to continue was found; `reason` says where.
     HistoryRead,
+    /// Step: the program's ledger was looked up before a turn was refused as the first of its program.
+    LedgerRead,
+    /// Step: the turn cannot end before its deadline and is not sent.
+    TurnTooLate,
+    /// Step: the queues of the engines are too long for a new program.
+    AdmissionRefused,
     /// Step: the turn may spend its most; `reason` says from where.
     SpendingGranted,
     /// Step: the program's budget does not hold the turn, by the account in the line.
@@ -193,7 +199,7 @@
 
 impl EventKind {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 90] = [
+    pub const ALL: [Self; 93] = [
         Self::ProcessStarted,
         Self::ProcessStopping,
         Self::ProcessStopped,
@@ -284,6 +290,9 @@
         Self::EscrowCompleted,
         Self::HoldOffFound,
         Self::HistoryUntold,
+        Self::LedgerRead,
+        Self::TurnTooLate,
+        Self::AdmissionRefused,
     ];
 
     /// The event's number, which stays with it for ever.
@@ -368,6 +377,9 @@
             Self::EscrowCompleted => 851,
             Self::HoldOffFound => 852,
             Self::HistoryUntold => 853,
+            Self::LedgerRead => 860,
+            Self::TurnTooLate => 861,
+            Self::AdmissionRefused => 862,
             Self::HoldersAsked => 829,
             Self::HolderSilent => 830,
             Self::EntryRefused => 835,
@@ -460,6 +472,9 @@
             Self::EscrowCompleted => "escrow-completed",
             Self::HoldOffFound => "hold-off-found",
             Self::HistoryUntold => "history-untold",
+            Self::LedgerRead => "ledger-read",
+            Self::TurnTooLate => "turn-too-late",
+            Self::AdmissionRefused => "admission-refused",
             Self::LimitRefused => "limit-refused",
             Self::EscrowTaken => "escrow-taken",
             Self::EscrowReleased => "escrow-released",
@@ -629,6 +644,15 @@
             Self::EscrowCompleted => {
                 "This host answers for the escrow slot that `holders` names and that it took after a death; `count` programs are closed there."
             }
+            Self::AdmissionRefused => {
+                "Step: the queues of the engines are too long for a new program: this host expects a wait of `wait_ms`, by first bytes of which the last was `age_ms` old."
+            }
+            Self::TurnTooLate => {
+                "Step: the turn is not sent, because its `remaining_ms` are below `wait_ms`, the shortest time to the first byte that this host observed."
+            }
+            Self::LedgerRead => {
+                "Step: a turn that would be refused as the first of its program waited `elapsed_ms` for the program's ledger in the store; `reason` says what came: in-progress, new, unreachable or timeout."
+            }
             Self::HistoryUntold => {
                 "`host` keeps no history for others, as far as this host is concerned, for `wait_ms`; the store is asked, and `error` says why."
             }
