--- a/coordination/src/gateway/engine_scheduler.rs
+++ b/coordination/src/gateway/engine_scheduler.rs
@@ -38,6 +38,7 @@
 use self::returns::Returns;
 use self::shares::Shares;
 use self::starts::{PendingStarts, StartLoad};
+use crate::gateway::admission::Urgency;
 use crate::gateway::ledger::ProcessId;
 
 mod engines;
@@ -254,7 +255,8 @@
             pending: self.starts.count(now),
         };
         let slots = self.engines.slots();
-        let wait_ms = self.estimates.wait_ms(load.ahead(), slots);
+        let ahead = load.ahead(self.waiting_ahead(request, now));
+        let wait_ms = self.estimates.wait_ms(ahead, slots);
         let is_above_share = self.shares.is_above(customer, slots, now);
         let is_returning = self.returns.take(request.program, now);
         let refusal = starts::refusal(request, load, wait_ms, is_above_share, is_returning);
@@ -273,4 +275,23 @@
                 .record_refusal(request.program, remaining_ms, now),
         }
     }
+
+    /// Returns the number of waiting turns that count against a new program.
+    ///
+    /// A turn of an urgent route waits only for the turns before it in the queue, so that a
+    /// burst of a less urgent route does not refuse the urgent one. Turns of other routes
+    /// are overtaken by turns that arrive later, so all waiting turns count for them.
+    fn waiting_ahead(&self, request: &AdmissionRequest, now: Duration) -> usize {
+        match request.priority {
+            Urgency::Route | Urgency::Both => {
+                let allowance = queue::allowance(
+                    request.priority,
+                    request.objective_ms,
+                    request.program_remaining_ms,
+                );
+                self.queue.ahead(&self.queue.key(allowance, now))
+            }
+            Urgency::Normal | Urgency::Customer => self.queue.len(),
+        }
+    }
 }
--- a/coordination/src/gateway/engine_scheduler/placement.rs
+++ b/coordination/src/gateway/engine_scheduler/placement.rs
@@ -10,7 +10,7 @@
 use super::message::{
     PlacementOutcome, PlacementRefusal, PlacementRequest, ReleasedPlacement, RequestNumber,
 };
-use super::queue::{QueueKey, WaitingTurn};
+use super::queue::{self, QueueKey, WaitingTurn};
 use super::returns::retry_after_ms;
 use crate::gateway::ledger::ProcessId;
 
@@ -37,7 +37,12 @@
     ) -> PlacementOutcome {
         let deadline = now + Duration::from_millis(request.turn_remaining_ms);
         let choice = self.engines.choose(request, &self.estimates);
-        let key = self.queue.key(request, now);
+        let allowance = queue::allowance(
+            request.priority,
+            request.objective_ms,
+            request.program_remaining_ms,
+        );
+        let key = self.queue.key(allowance, now);
         let wait_ms = self.wait_ms(self.queue.ahead(&key));
         let needed_ms = wait_ms + self.estimates.first_event_ms();
         let cannot_end = (request.turn_remaining_ms as f64) < needed_ms;
--- a/coordination/src/gateway/engine_scheduler/queue.rs
+++ b/coordination/src/gateway/engine_scheduler/queue.rs
@@ -74,9 +74,9 @@
     }
 
     /// Returns the position that a turn gets if it is queued now.
-    pub(super) fn key(&self, request: &PlacementRequest, now: Duration) -> QueueKey {
+    pub(super) fn key(&self, allowance: Duration, now: Duration) -> QueueKey {
         QueueKey {
-            scheduling_deadline: now + allowance(request),
+            scheduling_deadline: now + allowance,
             arrival: self.arrivals,
         }
     }
@@ -134,14 +134,18 @@
 
 /// Returns the time that a turn may wait before it takes precedence over turns that arrive
 /// now.
-fn allowance(request: &PlacementRequest) -> Duration {
-    let remaining = request.program_remaining_ms.map(Duration::from_millis);
+pub(super) fn allowance(
+    priority: Urgency,
+    objective_ms: u64,
+    program_remaining_ms: Option<u64>,
+) -> Duration {
+    let remaining = program_remaining_ms.map(Duration::from_millis);
     let allowance = match remaining {
         Some(Duration::ZERO) => return LATE_ALLOWANCE,
         Some(remaining) => (remaining / REMAINING_DIVISOR).min(MAX_ALLOWANCE),
-        None => Duration::from_millis(request.objective_ms),
+        None => Duration::from_millis(objective_ms),
     };
-    match request.priority {
+    match priority {
         Urgency::Route | Urgency::Both => allowance / 2,
         Urgency::Normal | Urgency::Customer => allowance,
     }
--- a/coordination/src/gateway/engine_scheduler/shares.rs
+++ b/coordination/src/gateway/engine_scheduler/shares.rs
@@ -57,6 +57,15 @@
         self.held > 0 || self.waiting > 0 || has_asked
     }
 
+    /// Returns the use that is compared with the level, in slots.
+    ///
+    /// The counted engine time follows a burst of one customer so slowly that the turns of
+    /// the others would wait for about a second, so present turns count as well.
+    fn larger_use(&self, now: Duration) -> f64 {
+        let present = f64::from(self.held + self.waiting);
+        self.used_slots(now).max(present)
+    }
+
     /// Returns the number of slots that the customer would use now if all were free.
     fn demand_slots(&self, now: Duration) -> f64 {
         f64::from(self.held + self.waiting) + self.refused_starts(now)
@@ -123,7 +132,7 @@
     ) -> bool {
         let level = self.level(slots, now);
         let entry = customer.and_then(|customer| self.customers.get(customer));
-        entry.is_some_and(|entry| entry.used_slots(now) > level)
+        entry.is_some_and(|entry| entry.larger_use(now) > level)
     }
 
     /// Returns the max-min share of the slots among the customers with demand.
--- a/coordination/src/gateway/engine_scheduler/starts.rs
+++ b/coordination/src/gateway/engine_scheduler/starts.rs
@@ -23,15 +23,15 @@
 
 impl StartLoad {
     /// Returns the number of turns that get a slot before the first turn of a new program,
-    /// beyond the free slots.
-    pub(super) fn ahead(&self) -> usize {
-        let taken = self.waiting + self.pending;
+    /// beyond the free slots, if `waiting_ahead` waiting turns are before it in the queue.
+    pub(super) fn ahead(&self, waiting_ahead: usize) -> usize {
+        let taken = waiting_ahead + self.pending;
         taken.saturating_sub(self.free_slots as usize)
     }
 
-    /// Returns whether a new program would wait.
+    /// Returns whether turns wait, or will wait once the admitted programs have placed one.
     fn is_contended(&self) -> bool {
-        self.ahead() > 0
+        self.ahead(self.waiting) > 0
     }
 
     /// Returns whether a slot is free beyond the turns that are expected.
