--- a/coordination/src/gateway/engine_scheduler/placement.rs
+++ b/coordination/src/gateway/engine_scheduler/placement.rs
@@ -247,13 +247,19 @@
         }
         let mut next = self.queue.next(None);
         while let Some(key) = next {
-            // Without a free slot, only turns that no engine can run are left to find.
-            if self.engines.free_slots() == 0 && !engines_changed {
+            // A turn that excludes engines may use avoided engines that others may not use.
+            // After a change of the engines, turns that no engine can run have to be found.
+            let is_full = self.engines.free_slots() == 0 && !engines_changed;
+            if is_full && !self.queue.has_exclusions() {
                 break;
             }
             next = self.queue.next(Some(&key));
-            let waiting = self.queue.get_mut(&key);
-            let choice = waiting.map(|turn| self.engines.choose(&turn.request, &self.estimates));
+            let choice = self.queue.get(&key).map(|turn| {
+                if is_full && !turn.has_exclusions() {
+                    return EngineChoice::Full;
+                }
+                self.engines.choose(&turn.request, &self.estimates)
+            });
             let Some(EngineChoice::Free(_) | EngineChoice::NoEngine) = choice else {
                 continue;
             };
--- a/coordination/src/gateway/engine_scheduler/queue.rs
+++ b/coordination/src/gateway/engine_scheduler/queue.rs
@@ -46,6 +46,11 @@
         self.too_late_at(first_event_ms) <= now
     }
 
+    /// Returns whether the turn excludes engines.
+    pub(super) fn has_exclusions(&self) -> bool {
+        !self.request.excluded.is_empty()
+    }
+
     fn too_late_at(&self, first_event_ms: f64) -> Duration {
         let first_event = Duration::from_secs_f64(first_event_ms / 1_000.0);
         self.deadline.saturating_sub(first_event)
@@ -62,6 +67,8 @@
 pub(super) struct TurnQueue {
     waiting: BTreeMap<QueueKey, WaitingTurn>,
     arrivals: u64,
+    /// Number of waiting turns that exclude engines.
+    with_exclusions: usize,
     /// Time before which no turn expires, or none if no turn waits. It keeps the cost of
     /// an advance independent of the length of the queue.
     next_check: Option<Duration>,
@@ -73,6 +80,11 @@
         self.waiting.len()
     }
 
+    /// Returns whether a waiting turn excludes engines.
+    pub(super) fn has_exclusions(&self) -> bool {
+        self.with_exclusions > 0
+    }
+
     /// Returns the position that a turn gets if it is queued now.
     pub(super) fn key(&self, allowance: Duration, now: Duration) -> QueueKey {
         QueueKey {
@@ -91,9 +103,15 @@
         self.arrivals += 1;
         let check = turn.next_check(first_event_ms);
         self.next_check = Some(self.next_check.map_or(check, |next| next.min(check)));
+        self.with_exclusions += usize::from(turn.has_exclusions());
         self.waiting.insert(key, turn);
     }
 
+    /// Returns a waiting turn.
+    pub(super) fn get(&self, key: &QueueKey) -> Option<&WaitingTurn> {
+        self.waiting.get(key)
+    }
+
     /// Returns a waiting turn.
     pub(super) fn get_mut(&mut self, key: &QueueKey) -> Option<&mut WaitingTurn> {
         self.waiting.get_mut(key)
@@ -101,7 +119,9 @@
 
     /// Removes a turn.
     pub(super) fn remove(&mut self, key: &QueueKey) -> Option<WaitingTurn> {
-        self.waiting.remove(key)
+        let turn = self.waiting.remove(key)?;
+        self.with_exclusions -= usize::from(turn.has_exclusions());
+        Some(turn)
     }
 
     /// Returns the first position after another one, or the first of all.
--- a/coordination/src/gateway/engine_scheduler/shares.rs
+++ b/coordination/src/gateway/engine_scheduler/shares.rs
@@ -62,7 +62,7 @@
     /// The counted engine time follows a burst of one customer so slowly that the turns of
     /// the others would wait for about a second, so present turns count as well.
     fn larger_use(&self, now: Duration) -> f64 {
-        let present = f64::from(self.held + self.waiting);
+        let present = f64::from(self.held);
         self.used_slots(now).max(present)
     }
 
--- /dev/null
+++ b/coordination/tests/gateway_engine_scheduler_failures.rs
@@ -0,0 +1,174 @@
+//! Failures of hosts, engines, datagrams and of the scheduler itself.
+
+mod engine_scheduler_sim;
+
+use std::time::Duration;
+
+use engine_scheduler_sim::{HOST, START_MS, assigned, engine, ms, scheduler, start, turn};
+use rosebend_coordination::gateway::engine_scheduler::EngineScheduler;
+use rosebend_coordination::gateway::engine_scheduler::message::{
+    AdmissionOutcome, HeldPlacement, PlacementOutcome, PlacementRefusal, ReleasedPlacement,
+};
+use rosebend_state::deployment::EndpointIdentity;
+
+const NOW: Duration = Duration::from_millis(START_MS);
+const OTHER: &str = "other/1";
+
+fn place(
+    scheduler: &mut EngineScheduler,
+    host: &str,
+    number: u64,
+    now: Duration,
+) -> PlacementOutcome {
+    scheduler.place(&host.to_owned(), &turn(number), now)
+}
+
+fn report(scheduler: &mut EngineScheduler, host: &str, numbers: &[u64], now: Duration) {
+    let held: Vec<_> = numbers
+        .iter()
+        .map(|number| HeldPlacement {
+            number: *number,
+            engine: Some(EndpointIdentity::unknown_start("engine")),
+        })
+        .collect();
+    scheduler.report_held(&host.to_owned(), &held, now);
+}
+
+fn release(scheduler: &mut EngineScheduler, host: &str, number: u64, now: Duration) {
+    let released = ReleasedPlacement {
+        number,
+        first_event_ms: Some(40),
+    };
+    scheduler.release(&host.to_owned(), &[released], now);
+}
+
+fn free_slots(scheduler: &EngineScheduler, now: Duration) -> u32 {
+    scheduler.status(now).free_slots
+}
+
+/// Guards against slots that stay in use after their host died.
+#[test]
+fn the_slots_of_a_silent_host_become_free() {
+    let mut scheduler = scheduler(vec![engine("engine", 2, 100)]);
+    place(&mut scheduler, HOST, 1, NOW);
+    place(&mut scheduler, OTHER, 1, NOW);
+    report(&mut scheduler, OTHER, &[1], NOW + ms(500));
+    scheduler.advance(NOW + ms(999));
+    assert_eq!(free_slots(&scheduler, NOW + ms(999)), 0);
+    scheduler.advance(NOW + ms(1_000));
+    assert_eq!(free_slots(&scheduler, NOW + ms(1_000)), 1);
+}
+
+/// Guards against a slot that is given away because a report was sent before the host knew
+/// its placement.
+#[test]
+fn a_report_older_than_an_assignment_does_not_end_it() {
+    let mut scheduler = scheduler(vec![engine("engine", 1, 100)]);
+    place(&mut scheduler, HOST, 1, NOW);
+    report(&mut scheduler, HOST, &[], NOW + ms(299));
+    assert_eq!(free_slots(&scheduler, NOW + ms(299)), 0);
+    report(&mut scheduler, HOST, &[], NOW + ms(300));
+    assert_eq!(free_slots(&scheduler, NOW + ms(300)), 1);
+}
+
+/// Guards against a slot that a report registers again after its release.
+#[test]
+fn a_report_older_than_a_release_does_not_take_a_slot() {
+    let mut scheduler = scheduler(vec![engine("engine", 1, 100)]);
+    place(&mut scheduler, HOST, 1, NOW);
+    release(&mut scheduler, HOST, 1, NOW + ms(200));
+    report(&mut scheduler, HOST, &[1], NOW + ms(201));
+    assert_eq!(free_slots(&scheduler, NOW + ms(201)), 1);
+}
+
+/// Guards against second slots for repeated requests, also if a copy arrives late.
+#[test]
+fn a_repeated_request_gets_no_second_slot() {
+    let mut scheduler = scheduler(vec![engine("engine", 3, 100)]);
+    let first = place(&mut scheduler, HOST, 1, NOW);
+    assert_eq!(place(&mut scheduler, HOST, 1, NOW + ms(20)), first);
+    assert_eq!(free_slots(&scheduler, NOW), 2);
+    release(&mut scheduler, HOST, 1, NOW + ms(200));
+    assert_eq!(place(&mut scheduler, HOST, 1, NOW + ms(220)), first);
+    assert_eq!(free_slots(&scheduler, NOW + ms(220)), 3);
+    // The release of a request arrives before the request.
+    release(&mut scheduler, HOST, 2, NOW + ms(230));
+    let outcome = place(&mut scheduler, HOST, 2, NOW + ms(240));
+    assert_eq!(outcome, PlacementOutcome::Unavailable);
+    assert_eq!(free_slots(&scheduler, NOW + ms(240)), 3);
+    // Numbers of two processes differ.
+    place(&mut scheduler, OTHER, 1, NOW + ms(250));
+    assert_eq!(free_slots(&scheduler, NOW + ms(250)), 2);
+}
+
+/// Guards against slots that are assigned twice when a frozen host wakes.
+#[test]
+fn a_host_that_wakes_registers_its_placements_again() {
+    let mut scheduler = scheduler(vec![engine("engine", 1, 100)]);
+    place(&mut scheduler, HOST, 1, NOW);
+    let later = NOW + ms(1_500);
+    scheduler.advance(later);
+    place(&mut scheduler, OTHER, 1, later);
+    // Both turns run now, one of them beyond the slots.
+    report(&mut scheduler, HOST, &[1], later + ms(10));
+    release(&mut scheduler, OTHER, 1, later + ms(200));
+    assert_eq!(free_slots(&scheduler, later + ms(200)), 0);
+    release(&mut scheduler, HOST, 1, later + ms(210));
+    assert_eq!(free_slots(&scheduler, later + ms(210)), 1);
+}
+
+/// Guards against turns that keep waiting for a host which does not ask for them any more.
+#[test]
+fn a_waiting_turn_that_is_not_repeated_leaves_the_queue() {
+    let mut scheduler = scheduler(vec![engine("engine", 1, 100)]);
+    for number in 1..=3 {
+        place(&mut scheduler, HOST, number, NOW);
+    }
+    place(&mut scheduler, HOST, 3, NOW + ms(100));
+    assert!(scheduler.advance(NOW + ms(500)).is_empty());
+    assert_eq!(scheduler.status(NOW + ms(500)).waiting, 1);
+    release(&mut scheduler, HOST, 3, NOW + ms(510));
+    assert_eq!(scheduler.status(NOW + ms(510)).waiting, 0);
+}
+
+/// Guards against turns that wait for engines which have left, and against placements that
+/// are forgotten while their engine is away.
+#[test]
+fn engines_that_leave_while_turns_wait_leave_no_turn_without_an_answer() {
+    let mut scheduler = scheduler(vec![engine("engine", 1, 100)]);
+    place(&mut scheduler, HOST, 1, NOW);
+    place(&mut scheduler, HOST, 2, NOW);
+    scheduler.set_engines(vec![engine("new", 1, 100)], NOW + ms(10));
+    let answers = scheduler.advance(NOW + ms(10));
+    assert_eq!(assigned(&answers[0].2), "new");
+    place(&mut scheduler, HOST, 3, NOW + ms(20));
+    scheduler.set_engines(Vec::new(), NOW + ms(30));
+    let answers = scheduler.advance(NOW + ms(30));
+    let PlacementOutcome::Refused { reason, .. } = answers[0].2 else {
+        panic!("the waiting turn is answered {answers:?}");
+    };
+    assert_eq!(reason, PlacementRefusal::NoEngine);
+    scheduler.set_engines(vec![engine("engine", 1, 100)], NOW + ms(40));
+    assert_eq!(free_slots(&scheduler, NOW + ms(40)), 0);
+    release(&mut scheduler, HOST, 1, NOW + ms(50));
+    assert_eq!(free_slots(&scheduler, NOW + ms(50)), 1);
+}
+
+/// Guards against a new scheduler that assigns slots which other turns hold.
+#[test]
+fn a_new_scheduler_learns_from_reports_before_it_assigns() {
+    let mut scheduler = EngineScheduler::new();
+    scheduler.set_engines(vec![engine("engine", 2, 100)], NOW);
+    let outcome = place(&mut scheduler, OTHER, 1, NOW + ms(499));
+    assert_eq!(outcome, PlacementOutcome::Unavailable);
+    let outcome = scheduler.admit(&OTHER.to_owned(), &start(2), NOW + ms(499));
+    assert_eq!(outcome, AdmissionOutcome::Unavailable);
+    report(&mut scheduler, HOST, &[1, 2, 3], NOW + ms(250));
+    // The host that was answered `Unavailable` may ask again with the same number.
+    let outcome = place(&mut scheduler, OTHER, 1, NOW + ms(500));
+    assert!(matches!(outcome, PlacementOutcome::Queued { .. }));
+    release(&mut scheduler, HOST, 1, NOW + ms(510));
+    assert!(scheduler.advance(NOW + ms(510)).is_empty());
+    release(&mut scheduler, HOST, 2, NOW + ms(520));
+    assert_eq!(scheduler.advance(NOW + ms(520)).len(), 1);
+}
