--- a/coordination/tests/gateway_engine_scheduler_admission.rs
+++ b/coordination/tests/gateway_engine_scheduler_admission.rs
@@ -9,8 +9,10 @@
 use rosebend_coordination::gateway::admission::Urgency;
 use rosebend_coordination::gateway::engine_scheduler::EngineScheduler;
 use rosebend_coordination::gateway::engine_scheduler::message::{
-    AdmissionOutcome, AdmissionRefusal, AdmissionRequest, PlacementRequest,
+    AdmissionOutcome, AdmissionRefusal, AdmissionRequest, HeldPlacement, PlacementRequest,
+    ReleasedPlacement,
 };
+use rosebend_state::deployment::EndpointIdentity;
 
 const NOW: Duration = Duration::from_millis(START_MS);
 /// Slots of the group. With the initial holding time of 200 ms, each waiting turn adds
@@ -178,6 +180,54 @@
     assert_eq!(refusal(&outcome), Some(AdmissionRefusal::OverShare));
 }
 
+/// Guards against a customer that is within its share again as soon as a few of its turns
+/// have ended, although it used most of the engine time.
+#[test]
+fn the_use_of_a_customer_is_counted_after_its_turns_have_ended() {
+    let mut scheduler = full(0, Some("busy"));
+    let busy: Vec<u64> = (1_000..1_000 + SLOTS).collect();
+    for tenths in 1..=9 {
+        let held: Vec<_> = busy
+            .iter()
+            .map(|number| HeldPlacement {
+                number: *number,
+                engine: Some(EndpointIdentity::unknown_start("engine")),
+            })
+            .collect();
+        scheduler.report_held(&HOST.to_owned(), &held, NOW + ms(tenths * 500));
+    }
+    let later = NOW + ms(4_500);
+    let released: Vec<_> = busy
+        .iter()
+        .map(|number| ReleasedPlacement {
+            number: *number,
+            first_event_ms: Some(40),
+        })
+        .collect();
+    scheduler.release(&HOST.to_owned(), &released, later);
+    for number in 1..=SLOTS + 1 {
+        let request = PlacementRequest {
+            customer: Some(format!("quiet-{}", number % 5)),
+            ..turn(number)
+        };
+        scheduler.place(&HOST.to_owned(), &request, later);
+    }
+    let of = |customer: &str, number| AdmissionRequest {
+        customer: Some(customer.to_owned()),
+        priority: Urgency::Both,
+        objective_ms: 10_000,
+        ..start(number)
+    };
+    let outcome = admit(&mut scheduler, &of("busy", 1), later);
+    assert_eq!(refusal(&outcome), Some(AdmissionRefusal::OverShare));
+    let outcome = admit(&mut scheduler, &of("quiet-1", 2), later);
+    assert_eq!(refusal(&outcome), None);
+    // The count decays with a time constant of 2 s.
+    scheduler.report_held(&HOST.to_owned(), &[], later);
+    let outcome = admit(&mut scheduler, &of("busy", 3), later + ms(6_000));
+    assert_eq!(refusal(&outcome), None);
+}
+
 /// Guards against a second answer to a request that was repeated.
 #[test]
 fn a_repeated_admission_gets_the_same_answer() {
