Place turns again after a stall of the engines

A turn is refused if its remaining time is below the usual time to the first event. After a stall, that time could exceed the deadlines of all turns; every turn was refused then, and without placements no new sample could lower it. Its excess over the initial value now decays with a half-life of 500 ms while there are no samples. The test fails without the decay by construction: the estimate is about 8 s and the turn has 2 s left.

--- a/coordination/src/gateway/engine_scheduler/estimates.rs
+++ b/coordination/src/gateway/engine_scheduler/estimates.rs
@@ -12,6 +12,10 @@
 const INITIAL_HOLD_MS: f64 = 200.0;
 /// Time from sending a turn to its first event, before the first sample, in milliseconds.
 const INITIAL_FIRST_EVENT_MS: f64 = 50.0;
+/// Half-life of the time to the first event, relative to the initial value, while there are
+/// no new samples. Without the decay, a stall of the engines would raise the time above the
+/// deadlines of all turns, and a group that refuses every turn gets no new sample.
+const FIRST_EVENT_HALF_LIFE: Duration = Duration::from_millis(500);
 /// Bounds of a turn's expected output relative to the mean. Estimates of callers are often
 /// far off, and a wrong one must not outweigh the other costs without limit.
 const OUTPUT_RATIO: (f64, f64) = (0.25, 4.0);
@@ -25,6 +29,7 @@
     usual_hold_ms: f64,
     /// Time from sending a turn to its first event.
     first_event_ms: f64,
+    first_event_at: Duration,
     /// Expected output tokens of the turns that state them.
     output_tokens: Option<f64>,
 }
@@ -35,6 +40,7 @@
             hold_ms: INITIAL_HOLD_MS,
             usual_hold_ms: INITIAL_HOLD_MS,
             first_event_ms: INITIAL_FIRST_EVENT_MS,
+            first_event_at: Duration::ZERO,
             output_tokens: None,
         }
     }
@@ -60,12 +66,15 @@
         held: Duration,
         work_time_percent: u32,
         ended: &ReleasedPlacement,
+        now: Duration,
     ) {
         let held_ms = held.as_secs_f64() * 1_000.0;
         add_sample(&mut self.hold_ms, held_ms);
         if let Some(first_event_ms) = ended.first_event_ms {
             let usual_ms = held_ms * 100.0 / f64::from(work_time_percent.max(1));
             add_sample(&mut self.usual_hold_ms, usual_ms);
+            self.first_event_ms = self.first_event_ms(now);
+            self.first_event_at = now;
             add_sample(&mut self.first_event_ms, first_event_ms as f64);
         }
     }
@@ -81,8 +90,14 @@
     }
 
     /// Returns the usual time from sending a turn to its first event, in milliseconds.
-    pub(super) fn first_event_ms(&self) -> f64 {
-        self.first_event_ms
+    pub(super) fn first_event_ms(&self, now: Duration) -> f64 {
+        let excess_ms = self.first_event_ms - INITIAL_FIRST_EVENT_MS;
+        if excess_ms <= 0.0 {
+            return self.first_event_ms;
+        }
+        let age = now.saturating_sub(self.first_event_at);
+        let half_lives = age.as_secs_f64() / FIRST_EVENT_HALF_LIFE.as_secs_f64();
+        INITIAL_FIRST_EVENT_MS + excess_ms * 0.5_f64.powf(half_lives)
     }
 
     /// Returns the time until `ahead` turns have got a slot of `slots`, in milliseconds.
--- a/coordination/src/gateway/engine_scheduler/placement.rs
+++ b/coordination/src/gateway/engine_scheduler/placement.rs
@@ -44,7 +44,7 @@
         );
         let key = self.queue.key(allowance, now);
         let wait_ms = self.wait_ms(self.queue.ahead(&key));
-        let needed_ms = wait_ms + self.estimates.first_event_ms();
+        let needed_ms = wait_ms + self.estimates.first_event_ms(now);
         let cannot_end = (request.turn_remaining_ms as f64) < needed_ms;
         match choice {
             EngineChoice::NoEngine => {
@@ -82,7 +82,7 @@
             deadline,
             repeated_at: now,
         };
-        let first_event_ms = self.estimates.first_event_ms();
+        let first_event_ms = self.estimates.first_event_ms(now);
         self.queue.insert(key, turn, first_event_ms);
         self.shares.start_wait(request.customer.as_ref(), now);
         let holder = self.holders.heard(from, now);
@@ -146,7 +146,8 @@
         if let Turn::Placed(placement) = turn {
             let held = now.saturating_sub(placement.assigned_at);
             let work_time_percent = placement.work_time_percent;
-            self.estimates.record_end(held, work_time_percent, ended);
+            self.estimates
+                .record_end(held, work_time_percent, ended, now);
         }
     }
 
@@ -214,7 +215,7 @@
         now: Duration,
         answers: &mut Vec<(ProcessId, RequestNumber, PlacementOutcome)>,
     ) {
-        let first_event_ms = self.estimates.first_event_ms();
+        let first_event_ms = self.estimates.first_event_ms(now);
         for key in self.queue.expired(first_event_ms, now) {
             let Some(waiting) = self.remove_waiting(&key, now) else {
                 continue;
--- a/coordination/tests/gateway_engine_scheduler_failures.rs
+++ b/coordination/tests/gateway_engine_scheduler_failures.rs
@@ -172,3 +172,26 @@
     release(&mut scheduler, HOST, 2, NOW + ms(520));
     assert_eq!(scheduler.advance(NOW + ms(520)).len(), 1);
 }
+
+/// Guards against a group that refuses every turn after a stall of its engines, because
+/// it gets no new sample of the time to the first event.
+#[test]
+fn turns_are_placed_again_after_a_stall_of_the_engines() {
+    let mut scheduler = scheduler(vec![engine("engine", 200, 100)]);
+    for number in 1..=200 {
+        place(&mut scheduler, HOST, number, NOW);
+    }
+    let stalled: Vec<_> = (1..=200)
+        .map(|number| ReleasedPlacement {
+            number,
+            first_event_ms: Some(8_000),
+        })
+        .collect();
+    let later = NOW + ms(8_000);
+    scheduler.release(&HOST.to_owned(), &stalled, later);
+    // The turns have 2 s left.
+    let outcome = place(&mut scheduler, HOST, 201, later);
+    assert!(matches!(outcome, PlacementOutcome::Refused { .. }));
+    let outcome = place(&mut scheduler, HOST, 202, later + ms(2_000));
+    assert_eq!(assigned(&outcome), "engine");
+}
