Define the datagrams and the client state of engine schedulers

Cause: turns of all hosts are to get their slots from one gateway per engine group. Change: datagram types, the choice of the scheduler, the client's open requests, settings and event definitions. The gateway does not use them yet. Run: cargo check -p rosebend-coordination, without errors; no tests yet.

--- a/coordination/src/gateway/engine_scheduler.rs
+++ b/coordination/src/gateway/engine_scheduler.rs
@@ -4,4 +4,6 @@
 //! schedules each group: it assigns the slots of the engines to turns, so that no
 //! turn waits at one engine while another one has a free slot.
 
+pub mod client;
 pub mod message;
+pub mod schedulers;
--- a/coordination/src/gateway/engine_scheduler/message.rs
+++ b/coordination/src/gateway/engine_scheduler/message.rs
@@ -1,9 +1,11 @@
-//! Requests to an engine scheduler and its answers.
+//! Requests to an engine scheduler and its answers, and the datagrams that contain them.
 
-use rosebend_state::deployment::{CustomerName, EndpointIdentity, InstanceId};
+use rosebend_state::deployment::{CustomerName, EndpointIdentity, InstanceId, ServiceName};
+use rosebend_state::id::AvailabilityZone;
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::admission::Urgency;
+use crate::gateway::ledger::ProcessId;
 
 /// Number of a request, unique within the sending process.
 pub type RequestNumber = u64;
@@ -148,3 +150,63 @@
     /// Expected wait of a turn that arrives now, in milliseconds.
     pub expected_wait_ms: u64,
 }
+
+/// The engines of one service in one availability zone.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
+pub struct GroupId {
+    /// Service of the engines.
+    pub service: ServiceName,
+    /// Availability zone of the engines.
+    #[serde(rename = "zone")]
+    pub availability_zone: AvailabilityZone,
+}
+
+/// A datagram between two gateways about one group of engines.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct SchedulerMessage {
+    /// Process that sends the message.
+    pub from: ProcessId,
+    /// Process to which the message is addressed; another process ignores it.
+    pub to: ProcessId,
+    /// Group that the message concerns.
+    pub group: GroupId,
+    /// Contents of the message.
+    pub content: MessageContent,
+}
+
+/// Contents of a [`SchedulerMessage`].
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum MessageContent {
+    /// Asks for a slot.
+    Place(PlacementRequest),
+    /// Answers a [`Self::Place`].
+    Placed {
+        /// Number of the request.
+        number: RequestNumber,
+        /// Outcome of the request.
+        outcome: PlacementOutcome,
+        /// State of the group.
+        status: GroupStatus,
+    },
+    /// Asks whether a program may start.
+    Admit(AdmissionRequest),
+    /// Answers an [`Self::Admit`].
+    Admitted {
+        /// Number of the request.
+        number: RequestNumber,
+        /// Outcome of the request.
+        outcome: AdmissionOutcome,
+        /// State of the group.
+        status: GroupStatus,
+    },
+    /// Ends placements and withdraws turns that wait.
+    Release(Vec<ReleasedPlacement>),
+    /// Names all placements that the sender holds and all its turns that wait.
+    Held(Vec<HeldPlacement>),
+    /// Answers a [`Self::Held`].
+    Status(GroupStatus),
+}
--- a/gateway/src/reload.rs
+++ b/gateway/src/reload.rs
@@ -1,8 +1,8 @@
 //! Applies changes of the settings file while the process runs.
 //!
 //! The platform may change the file with or without sending a signal, so the file is also
-//! polled. The settings of the store, the stop, the retention and the customers apply to
-//! requests that begin after the change. All others, such as the listen addresses and the
+//! polled. The settings of the store, the stop, the retention, the customers and the selection of
+//! engines apply to requests that begin after the change. All others, such as the listen addresses and the
 //! names of the process, take effect only at its next start. A file that is not valid
 //! changes nothing.
 
@@ -83,6 +83,7 @@
         stop_grace: settings.stop_grace,
         retention_margin: settings.retention_margin,
         customers: settings.customers,
+        engine_selection: settings.engine_selection,
         ..GatewaySettings::clone(&current)
     };
     let scope = match next == *settings {
--- a/gateway/src/reply.rs
+++ b/gateway/src/reply.rs
@@ -72,6 +72,11 @@
     /// The engines' queues are too long for a new program; the caller may retry
     /// after this time.
     Overloaded(Duration),
+    /// The engines are busy and the customer uses more than its share; the caller may
+    /// retry after this time.
+    OverShare(Duration),
+    /// The turn can no longer end before its deadline and was not sent to an engine.
+    TooLate,
     /// The store, which holds the program's history and budget, has been unreachable
     /// for this time.
     StoreUnreachable(Duration),
@@ -144,6 +149,8 @@
             Self::BodyTimeout => "body-timeout",
             Self::NoEndpointAvailable => "no-room",
             Self::Overloaded(_) => "overloaded",
+            Self::OverShare(_) => "over-share",
+            Self::TooLate => "too-late",
             Self::StoreUnreachable(_) => "store-unreachable",
             Self::BudgetSpent => "budget-spent",
             Self::BudgetUnsettled => "budget-unsettled",
@@ -167,7 +174,7 @@
             Self::NotReady | Self::NoEndpointAvailable | Self::StoreUnreachable(_) => 503,
             Self::RouteUnusable | Self::Overloaded(_) => 503,
             Self::KeyUnusable | Self::KeysUnconfirmed | Self::RoutesUnconfirmed => 503,
-            Self::LimitUnknown(_) => 503,
+            Self::LimitUnknown(_) | Self::OverShare(_) | Self::TooLate => 503,
             Self::LimitExceeded(_) => 429,
             Self::BudgetUnsettled | Self::CrashesEndpoints => 503,
             Self::OutcomeUnknown => 502,
@@ -188,7 +195,7 @@
     pub fn retry_after(self) -> Option<Duration> {
         match self {
             Self::NoEndpointAvailable => Some(ENDPOINT_RETRY),
-            Self::Overloaded(retry_after) => Some(retry_after),
+            Self::Overloaded(retry_after) | Self::OverShare(retry_after) => Some(retry_after),
             Self::BudgetUnsettled => Some(SETTLEMENT_RETRY),
             Self::StoreUnreachable(outage) => Some(after_outage(outage)),
             Self::LimitExceeded(wait) | Self::LimitUnknown(wait) => Some(wait),
@@ -221,6 +228,8 @@
             Self::BodyTimeout => "the body did not arrive in time",
             Self::NoEndpointAvailable => "no endpoint has room",
             Self::Overloaded(_) => "the engines' queues are too long for a new program",
+            Self::OverShare(_) => "the engines are busy and the customer uses more than its share",
+            Self::TooLate => "the turn cannot end before its deadline",
             Self::StoreUnreachable(_) => "the program's history and budget are out of reach",
             Self::BudgetSpent => "the program's budget does not hold this turn",
             Self::BudgetUnsettled => "turns of the program are being settled",
--- a/state/src/settings.rs
+++ b/state/src/settings.rs
@@ -39,7 +39,10 @@
     document::{Document, Property, Section},
     entry::{ENTRY_SCHEMA, EntrySettings, TimingSettings},
     error::{Defect, SettingsError},
-    gateway::{CustomerSettings, GATEWAY_SCHEMA, GatewaySettings, StoreSettings},
+    gateway::{
+        CustomerSettings, EngineSelection, EngineSelectionError, GATEWAY_SCHEMA, GatewaySettings,
+        StoreSettings,
+    },
     reference::reference_page,
     schema::{Key, KeyKind, Presence, Schema, SectionSchema, Unit},
     sidecar::{EndpointKind, LimitSettings, SIDECAR_SCHEMA, SidecarSettings},
--- a/state/src/settings/gateway.rs
+++ b/state/src/settings/gateway.rs
@@ -39,6 +39,8 @@
     pub retention_margin: Duration,
     /// What holds for customers.
     pub customers: CustomerSettings,
+    /// How the engines that run turns are selected.
+    pub engine_selection: EngineSelection,
     /// Where log lines go.
     pub log: LogSettings,
 }
@@ -58,6 +60,35 @@
     pub limit_slack: u64,
 }
 
+/// How the engines that run turns are selected.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum EngineSelection {
+    /// One gateway schedules the engines of a service and availability zone where
+    /// customers are declared or the engines report a speed.
+    #[default]
+    Auto,
+    /// Every gateway selects engines by itself.
+    Local,
+}
+
+/// Error of a text that names no way to select engines.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(thiserror::Error)]
+#[error("it must be auto or local")]
+pub struct EngineSelectionError;
+
+impl TryFrom<&str> for EngineSelection {
+    type Error = EngineSelectionError;
+
+    fn try_from(text: &str) -> Result<Self, EngineSelectionError> {
+        match text {
+            "auto" => Ok(Self::Auto),
+            "local" => Ok(Self::Local),
+            _ => Err(EngineSelectionError),
+        }
+    }
+}
+
 /// How the platform's store is reached and what it bears.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct StoreSettings {
@@ -203,6 +234,16 @@
     ],
 };
 
+const SCHEDULING_SECTION: SectionSchema = SectionSchema {
+    name: "scheduling",
+    keys: &[Key {
+        name: "engines",
+        kind: KeyKind::Choice(&["auto", "local"]),
+        presence: Presence::Default("auto"),
+        meaning: "How engines are selected for turns: with auto, one gateway schedules the engines of a service and availability zone where customers are declared or the engines report a speed; with local, every gateway selects engines by itself.",
+    }],
+};
+
 /// Settings of `rosebend-gateway`.
 pub const GATEWAY_SCHEMA: Schema = Schema {
     program: "rosebend-gateway",
@@ -210,6 +251,7 @@
         GATEWAY_SECTION,
         STORE_SECTION,
         CUSTOMERS_SECTION,
+        SCHEDULING_SECTION,
         LOG_SECTION,
     ],
 };
@@ -232,6 +274,11 @@
             stop_grace: values.seconds("gateway", "stop_grace_s"),
             retention_margin: values.duration("gateway", "retention_margin_ms"),
             customers: CustomerSettings::from(&values),
+            // The schema allows only the names of the enum.
+            engine_selection: EngineSelection::try_from(
+                values.text("scheduling", "engines").as_str(),
+            )
+            .unwrap_or_default(),
             log: common::log(&values),
         })
     }
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -131,6 +131,16 @@
     HoldersAsked,
     /// A host that holds tokens of a program did not say whether it uses them.
     HolderSilent,
+    /// Step: the engine scheduler answered whether the program may start.
+    StartDecided,
+    /// Step: the engine scheduler assigned a slot to the turn.
+    EnginePlaced,
+    /// Step: the engine scheduler gives the turn no slot.
+    EngineDenied,
+    /// Step: this host decides about the turn without an engine scheduler.
+    SchedulerBypassed,
+    /// An engine scheduler did not answer and is left out.
+    SchedulerAvoided,
     /// Step: the endpoint's answer began with `status` after `elapsed_ms`.
     AnswerBegan,
     /// Step: the turn and the `tokens` that it handed out are durable after `elapsed_ms`.
@@ -193,7 +203,7 @@
 
 impl EventKind {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 90] = [
+    pub const ALL: [Self; 95] = [
         Self::ProcessStarted,
         Self::ProcessStopping,
         Self::ProcessStopped,
@@ -284,6 +294,11 @@
         Self::EscrowCompleted,
         Self::HoldOffFound,
         Self::HistoryUntold,
+        Self::StartDecided,
+        Self::EnginePlaced,
+        Self::EngineDenied,
+        Self::SchedulerBypassed,
+        Self::SchedulerAvoided,
     ];
 
     /// The event's number, which stays with it for ever.
@@ -368,6 +383,11 @@
             Self::EscrowCompleted => 851,
             Self::HoldOffFound => 852,
             Self::HistoryUntold => 853,
+            Self::StartDecided => 854,
+            Self::EnginePlaced => 855,
+            Self::EngineDenied => 856,
+            Self::SchedulerBypassed => 857,
+            Self::SchedulerAvoided => 858,
             Self::HoldersAsked => 829,
             Self::HolderSilent => 830,
             Self::EntryRefused => 835,
@@ -466,6 +486,11 @@
             Self::EscrowRefused => "escrow-refused",
             Self::HoldersAsked => "holders-asked",
             Self::HolderSilent => "holder-silent",
+            Self::StartDecided => "start-decided",
+            Self::EnginePlaced => "engine-placed",
+            Self::EngineDenied => "engine-denied",
+            Self::SchedulerBypassed => "scheduler-bypassed",
+            Self::SchedulerAvoided => "scheduler-avoided",
             Self::StreamResumed => "stream-resumed",
             Self::GathererAvoided => "gatherer-avoided",
             Self::FeedSourceChanged => "feed-source-changed",
@@ -511,6 +536,7 @@
             | Self::EntryRefused
             | Self::EndpointAvoided
             | Self::GathererAvoided
+            | Self::SchedulerAvoided
             | Self::FeedSourceAvoided
             | Self::StoreLost
             | Self::SettingsRefused
@@ -650,6 +676,21 @@
             Self::HolderSilent => {
                 "The process that `holders` names did not say whether it uses the tokens it holds; it is treated as gone."
             }
+            Self::StartDecided => {
+                "Step: the engine scheduler `peer` answered after `elapsed_ms` whether the program may start. `reason` is admitted, no-capacity or over-share; its group had `count` free slots, a turn was expected to wait `wait_ms`, and these figures were `age_ms` old."
+            }
+            Self::EnginePlaced => {
+                "Step: the engine scheduler `peer` assigned a slot at `endpoint` after `elapsed_ms`; its group had `count` free slots, a turn was expected to wait `wait_ms`, and these figures were `age_ms` old. `reason` is queued if the turn had to wait."
+            }
+            Self::EngineDenied => {
+                "Step: the engine scheduler `peer` gives the turn no slot after `elapsed_ms`; `reason` says why, and `count`, `wait_ms` and `age_ms` are those of engine-placed."
+            }
+            Self::SchedulerBypassed => {
+                "Step: this host decides about the turn without the engine scheduler after `elapsed_ms`; `reason` says why: none is known, it is silent, it has just started, or no group has a usable engine."
+            }
+            Self::SchedulerAvoided => {
+                "The engine scheduler `peer` did not answer and is left out for `wait_ms`."
+            }
             Self::AnswerBegan => "Step: the answer began with `status` after `elapsed_ms`.",
             Self::TurnRecorded => {
                 "Step: the turn and the `tokens` that it handed out are durable after `elapsed_ms`."
