Separate the placement of turns from the interface of the scheduler

A queued turn whose remaining time equals the usual time to the first event was removed from the queue without an answer, because two conditions differed at the bound; both now use the same time.

--- a/coordination/src/gateway/engine_scheduler.rs
+++ b/coordination/src/gateway/engine_scheduler.rs
@@ -10,6 +10,7 @@
 //! | engines, their free slots, and the choice of an engine | `engines` |
 //! | smoothed durations of turns | `estimates` |
 //! | turns of each host, and answers to repeated requests | `holders` |
+//! | placement of turns, and their end | `placement` |
 //! | order of the waiting turns | `queue` |
 //! | retry time of refused programs, and their return | `returns` |
 //! | engine time and shares of customers | `shares` |
@@ -26,15 +27,15 @@
 use rosebend_state::deployment::EndpointIdentity;
 
 pub use self::engines::EngineState;
-use self::engines::{EngineChoice, Engines};
+use self::engines::Engines;
 use self::estimates::Estimates;
-use self::holders::{Holders, Placement, Turn};
+use self::holders::{Holders, Turn};
 use self::message::{
     AdmissionOutcome, AdmissionRequest, GroupStatus, HeldPlacement, PlacementOutcome,
-    PlacementRefusal, PlacementRequest, ReleasedPlacement, RequestNumber,
+    PlacementRequest, ReleasedPlacement, RequestNumber,
 };
-use self::queue::{QueueKey, TurnQueue, WaitingTurn};
-use self::returns::{Returns, retry_after_ms};
+use self::queue::TurnQueue;
+use self::returns::Returns;
 use self::shares::Shares;
 use self::starts::{PendingStarts, StartLoad};
 use crate::gateway::ledger::ProcessId;
@@ -43,6 +44,7 @@
 mod estimates;
 mod holders;
 pub mod message;
+mod placement;
 mod queue;
 mod returns;
 mod shares;
@@ -53,10 +55,6 @@
 const LEARNING_TIME: Duration = Duration::from_millis(500);
 /// Time after an assignment in which a report that does not name it may be older.
 const REPORT_TOLERANCE: Duration = Duration::from_millis(300);
-/// Retry time while no engine can be used, in milliseconds. An engine that restarts is
-/// away for longer, and a retry at another host may find another group.
-const NO_ENGINE_RETRY_MS: f64 = 250.0;
-
 /// Scheduler of one group of engines.
 ///
 /// After each call that changes the state, [`Self::advance`] has to be called: it returns
@@ -101,7 +99,8 @@
     }
 
     /// Handles a placement request of a host. A repeated request (same process and number)
-    /// gets the same answer and no second slot.
+    /// gets the same answer and no second slot, also within 1 s after its end. A host that
+    /// asks for another engine uses another number.
     pub fn place(
         &mut self,
         from: &ProcessId,
@@ -245,242 +244,6 @@
     }
 }
 
-/// Placement of turns.
-impl EngineScheduler {
-    fn repeat_wait(&mut self, key: &QueueKey, now: Duration) -> PlacementOutcome {
-        if let Some(waiting) = self.queue.get_mut(key) {
-            waiting.repeated_at = now;
-        }
-        let expected_wait_ms = self.wait_ms(self.queue.ahead(key)) as u64;
-        PlacementOutcome::Queued { expected_wait_ms }
-    }
-
-    fn place_new(
-        &mut self,
-        from: &ProcessId,
-        request: &PlacementRequest,
-        now: Duration,
-    ) -> PlacementOutcome {
-        let choice = self.engines.choose(request, &self.estimates);
-        let key = self.queue.key(request, now);
-        let wait_ms = self.wait_ms(self.queue.ahead(&key));
-        let needed_ms = wait_ms + self.estimates.first_event_ms();
-        let cannot_end = (request.turn_remaining_ms as f64) < needed_ms;
-        match choice {
-            EngineChoice::NoEngine => self.refuse(from, request, PlacementRefusal::NoEngine, now),
-            _ if cannot_end => self.refuse(from, request, PlacementRefusal::CannotEndInTime, now),
-            // A turn does not overtake waiting turns, which `advance` places in order.
-            EngineChoice::Free(engine) if self.queue.len() == 0 => {
-                self.assign(from, request, &engine, now);
-                PlacementOutcome::Assigned(engine)
-            }
-            EngineChoice::Free(_) | EngineChoice::Full => {
-                self.enqueue(from, request, key, now);
-                PlacementOutcome::Queued {
-                    expected_wait_ms: wait_ms as u64,
-                }
-            }
-        }
-    }
-
-    fn enqueue(
-        &mut self,
-        from: &ProcessId,
-        request: &PlacementRequest,
-        key: QueueKey,
-        now: Duration,
-    ) {
-        let turn = WaitingTurn {
-            process: from.clone(),
-            request: request.clone(),
-            deadline: now + Duration::from_millis(request.turn_remaining_ms),
-            repeated_at: now,
-        };
-        let first_event_ms = self.estimates.first_event_ms();
-        self.queue.insert(key, turn, first_event_ms);
-        self.shares.start_wait(request.customer.as_ref(), now);
-        let holder = self.holders.heard(from, now);
-        holder.turns.insert(request.number, Turn::Waiting(key));
-    }
-
-    /// Gives a turn a slot. The host is known.
-    fn assign(
-        &mut self,
-        to: &ProcessId,
-        request: &PlacementRequest,
-        engine: &EndpointIdentity,
-        now: Duration,
-    ) {
-        self.engines.add(engine);
-        self.shares.start_slot(request.customer.as_ref(), now);
-        let placement = Placement {
-            engine: engine.clone(),
-            customer: request.customer.clone(),
-            assigned_at: now,
-            confirmed_at: now,
-            work_time_percent: self.engines.work_time_percent(engine),
-        };
-        if let Some(holder) = self.holders.get_mut(to) {
-            holder.turns.insert(request.number, Turn::Placed(placement));
-        }
-    }
-
-    /// Refuses a turn and remembers the answer for copies of the request.
-    fn refuse(
-        &mut self,
-        to: &ProcessId,
-        request: &PlacementRequest,
-        reason: PlacementRefusal,
-        now: Duration,
-    ) -> PlacementOutcome {
-        let delay_ms = match reason {
-            PlacementRefusal::NoEngine => NO_ENGINE_RETRY_MS,
-            PlacementRefusal::CannotEndInTime => self.wait_ms(self.queue.len()),
-        };
-        let outcome = PlacementOutcome::Refused {
-            reason,
-            retry_after_ms: retry_after_ms(delay_ms, request.program, request.turn_remaining_ms),
-        };
-        if let Some(holder) = self.holders.get_mut(to) {
-            holder.turns.remove(&request.number);
-            holder.ended.insert(request.number, outcome.clone(), now);
-        }
-        outcome
-    }
-
-    fn record_released(&mut self, turn: &Turn, ended: &ReleasedPlacement, now: Duration) {
-        if let Turn::Placed(placement) = turn {
-            let held = now.saturating_sub(placement.assigned_at);
-            let work_time_percent = placement.work_time_percent;
-            self.estimates.record_end(held, work_time_percent, ended);
-        }
-    }
-
-    /// Ends a turn that its holder does not list any more. Returns the last answer that the
-    /// host got.
-    fn end(&mut self, turn: Turn, now: Duration) -> PlacementOutcome {
-        match turn {
-            Turn::Placed(placement) => {
-                self.engines.remove(&placement.engine);
-                self.shares.end_slot(placement.customer.as_ref(), now);
-                PlacementOutcome::Assigned(placement.engine)
-            }
-            Turn::Waiting(key) => {
-                if let Some(waiting) = self.queue.remove(&key) {
-                    self.shares.end_wait(waiting.request.customer.as_ref(), now);
-                }
-                PlacementOutcome::Unavailable
-            }
-        }
-    }
-
-    /// Registers a placement that a host reports.
-    fn learn(
-        &mut self,
-        from: &ProcessId,
-        number: RequestNumber,
-        engine: &EndpointIdentity,
-        now: Duration,
-    ) {
-        let holder = self.holders.heard(from, now);
-        // The report may be older than the release.
-        if holder.ended.get(number, now).is_some() {
-            return;
-        }
-        let mut customer = None;
-        match holder.turns.get(&number) {
-            Some(Turn::Placed(placement)) if placement.engine == *engine => return,
-            Some(Turn::Placed(placement)) => customer = placement.customer.clone(),
-            Some(Turn::Waiting(key)) => {
-                let waiting = self.queue.get_mut(key);
-                customer = waiting.and_then(|waiting| waiting.request.customer.clone());
-            }
-            None => {}
-        }
-        if let Some(turn) = holder.turns.remove(&number) {
-            self.end(turn, now);
-        }
-        self.engines.add(engine);
-        self.shares.start_slot(customer.as_ref(), now);
-        let placement = Placement {
-            engine: engine.clone(),
-            customer,
-            assigned_at: now,
-            confirmed_at: now,
-            work_time_percent: self.engines.work_time_percent(engine),
-        };
-        let holder = self.holders.heard(from, now);
-        holder.turns.insert(number, Turn::Placed(placement));
-    }
-
-    /// Removes the waiting turns that cannot end in time, and those that their host does
-    /// not ask for any more.
-    fn end_expired_waits(
-        &mut self,
-        now: Duration,
-        answers: &mut Vec<(ProcessId, RequestNumber, PlacementOutcome)>,
-    ) {
-        let first_event_ms = self.estimates.first_event_ms();
-        for key in self.queue.expired(first_event_ms, now) {
-            let Some(waiting) = self.remove_waiting(&key, now) else {
-                continue;
-            };
-            if waiting.is_too_late(first_event_ms, now) {
-                let reason = PlacementRefusal::CannotEndInTime;
-                let outcome = self.refuse(&waiting.process, &waiting.request, reason, now);
-                answers.push((waiting.process, waiting.request.number, outcome));
-            } else if let Some(holder) = self.holders.get_mut(&waiting.process) {
-                holder.turns.remove(&waiting.request.number);
-            }
-        }
-    }
-
-    fn assign_free_slots(
-        &mut self,
-        now: Duration,
-        answers: &mut Vec<(ProcessId, RequestNumber, PlacementOutcome)>,
-    ) {
-        let engines_changed = std::mem::take(&mut self.engines_changed);
-        if self.queue.len() == 0 || self.is_learning(now) {
-            return;
-        }
-        let mut next = self.queue.next(None);
-        while let Some(key) = next {
-            // Without a free slot, only turns that no engine can run are left to find.
-            if self.engines.free_slots() == 0 && !engines_changed {
-                break;
-            }
-            next = self.queue.next(Some(&key));
-            let waiting = self.queue.get_mut(&key);
-            let choice = waiting.map(|turn| self.engines.choose(&turn.request, &self.estimates));
-            let Some(EngineChoice::Free(_) | EngineChoice::NoEngine) = choice else {
-                continue;
-            };
-            let Some(turn) = self.remove_waiting(&key, now) else {
-                continue;
-            };
-            let outcome = match choice {
-                Some(EngineChoice::Free(engine)) => {
-                    self.assign(&turn.process, &turn.request, &engine, now);
-                    PlacementOutcome::Assigned(engine)
-                }
-                _ => {
-                    let reason = PlacementRefusal::NoEngine;
-                    self.refuse(&turn.process, &turn.request, reason, now)
-                }
-            };
-            answers.push((turn.process, turn.request.number, outcome));
-        }
-    }
-
-    fn remove_waiting(&mut self, key: &QueueKey, now: Duration) -> Option<WaitingTurn> {
-        let waiting = self.queue.remove(key)?;
-        self.shares.end_wait(waiting.request.customer.as_ref(), now);
-        Some(waiting)
-    }
-}
-
-/// Admission of programs.
 impl EngineScheduler {
     fn admit_new(&mut self, request: &AdmissionRequest, now: Duration) -> AdmissionOutcome {
         let customer = request.customer.as_ref();
--- a/coordination/src/gateway/engine_scheduler/queue.rs
+++ b/coordination/src/gateway/engine_scheduler/queue.rs
@@ -19,7 +19,7 @@
 const LATE_ALLOWANCE: Duration = Duration::from_secs(1);
 /// Time after which a turn leaves the queue if its request was not repeated. A host repeats
 /// it every 100 ms.
-pub(super) const REPEAT_TIMEOUT: Duration = Duration::from_millis(500);
+const REPEAT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Position of a turn in the queue.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -43,12 +43,16 @@
 impl WaitingTurn {
     /// Returns whether the turn cannot get its first event before its deadline.
     pub(super) fn is_too_late(&self, first_event_ms: f64, now: Duration) -> bool {
-        self.deadline < now + Duration::from_secs_f64(first_event_ms / 1_000.0)
+        self.too_late_at(first_event_ms) <= now
     }
 
-    fn next_check(&self, first_event_ms: f64) -> Duration {
+    fn too_late_at(&self, first_event_ms: f64) -> Duration {
         let first_event = Duration::from_secs_f64(first_event_ms / 1_000.0);
-        let too_late_at = self.deadline.saturating_sub(first_event);
+        self.deadline.saturating_sub(first_event)
+    }
+
+    fn next_check(&self, first_event_ms: f64) -> Duration {
+        let too_late_at = self.too_late_at(first_event_ms);
         too_late_at.min(self.repeated_at + REPEAT_TIMEOUT)
     }
 }
