Decode the speed in load reports and list the engines of a zone

Cause: endpoints may send a fourth figure in their load header, and the decoder dropped the whole report then. The engine scheduler needs the engines of a service in a zone with their load, speed and condition.

Change: the decoder keeps the fourth figure as EndpointLoad::work_time_percent; an invalid one leaves the other three usable. The directory keeps the last speed of an endpoint and its average. Directory::engines lists the usable engines of a zone. Selection does not use speeds yet. Three existing test files name the new field in their literals of EndpointLoad, as `None`; nothing else in them changes.

--- a/coordination/src/gateway/directory.rs
+++ b/coordination/src/gateway/directory.rs
@@ -10,6 +10,8 @@
 //! - `listing`: the set of listed endpoints and the current incarnation of each.
 //! - `endpoint`: the state that is kept for one endpoint.
 //! - `cost`: the cost estimate of a request at an endpoint.
+//! - `work_time`: the reported speed of one endpoint.
+//! - `engines`: the engines of a service in a zone, for an engine scheduler.
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
@@ -22,8 +24,11 @@
 
 mod cost;
 mod endpoint;
+mod engines;
 mod listing;
+mod work_time;
 
+pub use self::engines::{EngineStatus, RequestReport};
 pub use self::listing::ListingChange;
 
 use self::endpoint::{Endpoint, ReportedLoad, smooth};
@@ -340,6 +345,7 @@
                 running: slots,
                 waiting: slots,
                 slots,
+                work_time_percent: None,
             };
             endpoint.set_report(load, now, true);
         }
--- a/coordination/src/gateway/directory/endpoint.rs
+++ b/coordination/src/gateway/directory/endpoint.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use rosebend_state::deployment::{EndpointLoad, EndpointRecord};
+use rosebend_state::deployment::{EndpointLoad, EndpointRecord, valid_work_time_percent};
 
+use super::work_time::WorkTime;
 use super::{ListingChange, Selection};
 
 /// Age at which a load report no longer counts. Until then its weight falls
@@ -25,6 +26,8 @@
     pub(super) in_flight: u32,
     /// Latest load report, from the endpoint or from a peer gateway.
     pub(super) load: Option<ReportedLoad>,
+    /// Reported speed of the endpoint, if it has reported one.
+    pub(super) work_time: Option<WorkTime>,
     /// End of the backoff after failures; zero if there is none.
     pub(super) backoff_until: Duration,
     /// Number of failures since the last response.
@@ -73,6 +76,7 @@
             record,
             in_flight: 0,
             load: None,
+            work_time: None,
             backoff_until: Duration::ZERO,
             consecutive_failures: 0,
             latency_ms: 0.0,
@@ -101,7 +105,14 @@
 
     /// Replaces the load report. `is_direct` is true if the endpoint sent it to this
     /// gateway, false if a peer forwarded it.
-    pub(super) fn set_report(&mut self, load: EndpointLoad, at: Duration, is_direct: bool) {
+    pub(super) fn set_report(&mut self, mut load: EndpointLoad, at: Duration, is_direct: bool) {
+        load.work_time_percent = load.work_time_percent.and_then(valid_work_time_percent);
+        if let Some(work_time_percent) = load.work_time_percent {
+            match &mut self.work_time {
+                Some(work_time) => work_time.add(work_time_percent, at),
+                None => self.work_time = Some(WorkTime::new(work_time_percent, at)),
+            }
+        }
         self.load = Some(ReportedLoad {
             load,
             at,
--- a/coordination/tests/gateway_directory.rs
+++ b/coordination/tests/gateway_directory.rs
@@ -39,6 +39,7 @@
         running,
         waiting,
         slots: 8,
+        work_time_percent: None,
     }
 }
 
--- a/coordination/tests/gateway_starts.rs
+++ b/coordination/tests/gateway_starts.rs
@@ -48,6 +48,7 @@
         running,
         waiting: running,
         slots: 8,
+        work_time_percent: None,
     }
 }
 
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -92,6 +92,7 @@
                 running: *running,
                 waiting: *waiting,
                 slots: *slots,
+                work_time_percent: None,
             };
             let at = now.saturating_sub(Duration::from_millis(*age_ms));
             directory.record_peer_report(endpoint, load, at);
--- a/gateway/tests/gossip.rs
+++ b/gateway/tests/gossip.rs
@@ -84,6 +84,7 @@
         running: 1,
         waiting: 0,
         slots: 8,
+        work_time_percent: None,
     };
     // A report with the earliest time takes effect, so no report of this incarnation
     // was recorded before.
--- a/state/src/deployment.rs
+++ b/state/src/deployment.rs
@@ -16,7 +16,10 @@
         Customer, CustomerKey, CustomerLimit, CustomerName, Customers, KeyDigest, KeyOwner,
         UnusableCustomer,
     },
-    endpoint::{EndpointIdentity, EndpointLoad, EndpointRecord},
+    endpoint::{
+        EndpointIdentity, EndpointLoad, EndpointRecord, MAX_WORK_TIME_PERCENT,
+        valid_work_time_percent,
+    },
     request::{CallHeader, ProgramHeader, PromptPart, TokenCounts},
     routes::{
         CallerLimits, Deployment, Engine, Route, RouteKind, RouteTarget, Service, UnusableRoute,
--- a/state/src/deployment/endpoint.rs
+++ b/state/src/deployment/endpoint.rs
@@ -99,4 +99,17 @@
     pub waiting: u32,
     /// Slots of the endpoint.
     pub slots: u32,
+    /// How long work takes there at this moment, in percent of the usual time. `None`
+    /// if the endpoint reports no speed.
+    pub work_time_percent: Option<u32>,
+}
+
+/// Largest work time that counts as a speed, in percent of the usual time.
+pub const MAX_WORK_TIME_PERCENT: u32 = 10_000;
+
+/// Returns the work time, or `None` if it is no valid speed: 0, or above
+/// [`MAX_WORK_TIME_PERCENT`].
+pub fn valid_work_time_percent(work_time_percent: u32) -> Option<u32> {
+    let is_valid = (1..=MAX_WORK_TIME_PERCENT).contains(&work_time_percent);
+    is_valid.then_some(work_time_percent)
 }
