Schedule the engines of a zone from one gateway

Cause: with reports alone, turns queue at some engines while others have free slots. Change: the gateway asks the scheduler of an engine group for the start of a program and for the slot of a turn, releases it at the end, and falls back to its own selection. Gateway tests not run yet.

--- a/coordination/src/gateway/engine_scheduler/client.rs
+++ b/coordination/src/gateway/engine_scheduler/client.rs
@@ -266,9 +266,9 @@
             return Step::Silent(None);
         };
         let scheduler = &request.scheduler;
-        let is_left_out =
-            self.schedulers
-                .is_left_out(&scheduler.host, &scheduler.process, now);
+        let is_left_out = self
+            .schedulers
+            .is_left_out(&scheduler.host, &scheduler.process, now);
         match &mut request.progress {
             Progress::Answered(answer) => return Step::Answered(answer.clone()),
             Progress::Held(engine) => {
--- a/coordination/src/gateway/engine_scheduler/placement_history.rs
+++ b/coordination/src/gateway/engine_scheduler/placement_history.rs
@@ -38,10 +38,7 @@
             samples.push_back((now, placements));
         }
         // The last sample before the retention time is the number at its begin.
-        while samples
-            .get(1)
-            .is_some_and(|(at, _)| *at + RETENTION < now)
-        {
+        while samples.get(1).is_some_and(|(at, _)| *at + RETENTION < now) {
             samples.pop_front();
         }
     }
@@ -64,7 +61,10 @@
         };
         let before = samples.iter().rev().find(|(at, _)| *at < since);
         let within = samples.iter().filter(|(at, _)| *at >= since);
-        let most = within.chain(before).map(|(_, placements)| *placements).max();
+        let most = within
+            .chain(before)
+            .map(|(_, placements)| *placements)
+            .max();
         reported_requests.saturating_sub(most.unwrap_or(0))
     }
 
--- /dev/null
+++ b/gateway/src/engine_scheduling/known_engines.rs
@@ -0,0 +1,94 @@
+//! The engines of each service as this host last listed them.
+//!
+//! Every turn needs the availability zones of its service's engines and the engines that
+//! this host avoids. Listing them costs a pass over all endpoints, so the result is used
+//! for a short while.
+
+use std::cell::Ref;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use rosebend_state::deployment::{EndpointIdentity, InstanceId, ServiceName};
+use rosebend_state::id::AvailabilityZone;
+
+use crate::gateway::Gateway;
+
+/// Time for which a list is used. Engines join and leave every few seconds.
+const MAX_AGE: Duration = Duration::from_millis(100);
+/// Time after a reported speed for which the service counts as one that reports speeds.
+const SPEED_MEMORY: Duration = Duration::from_secs(5);
+
+/// The lists of all services that were asked for.
+#[derive(Debug, Default)]
+pub(super) struct KnownEngines {
+    services: HashMap<ServiceName, ServiceEngines>,
+}
+
+/// The engines of a service.
+#[derive(Debug, Default)]
+pub(super) struct ServiceEngines {
+    listed_at: Duration,
+    /// Last time at which an engine had another work time than the usual one.
+    speed_reported_at: Option<Duration>,
+    /// Availability zone of each usable engine.
+    zones: HashMap<EndpointIdentity, AvailabilityZone>,
+    /// Availability zones that have usable engines, in order.
+    pub(super) zone_names: Vec<AvailabilityZone>,
+    /// Engines that this host avoids.
+    pub(super) avoided: Vec<InstanceId>,
+}
+
+impl ServiceEngines {
+    /// Returns the availability zone of an engine, or `None` if it is not usable.
+    pub(super) fn zone(&self, engine: &EndpointIdentity) -> Option<&AvailabilityZone> {
+        self.zones.get(engine)
+    }
+}
+
+/// Returns the engines of a service, which are listed again if the last list is too old.
+pub(super) fn of_service<'a>(gateway: &'a Gateway, service: &str) -> Ref<'a, ServiceEngines> {
+    let now = gateway.clock.now();
+    let known = &gateway.engine_scheduling.known_engines;
+    let is_recent = known.borrow().services.get(service).is_some_and(|engines| {
+        !engines.listed_at.is_zero() && now.saturating_sub(engines.listed_at) <= MAX_AGE
+    });
+    if !is_recent {
+        list(gateway, service, now);
+    }
+    Ref::map(known.borrow(), |known| &known.services[service])
+}
+
+/// Lists the engines of a service again.
+pub(super) fn list(gateway: &Gateway, service: &str, now: Duration) {
+    let scheduling = &gateway.engine_scheduling;
+    let client = scheduling.client.borrow();
+    let directory = gateway.directory.borrow();
+    let mut known = scheduling.known_engines.borrow_mut();
+    let engines = known.services.entry(service.to_owned()).or_default();
+    engines.listed_at = now;
+    engines.zones.clear();
+    engines.zone_names.clear();
+    engines.avoided.clear();
+    for zone in client.schedulers().zones() {
+        let listed = directory.engines(service, zone, now);
+        if !listed.is_empty() {
+            engines.zone_names.push(zone.clone());
+        }
+        for engine in listed {
+            if engine.work_time_percent != 100 {
+                engines.speed_reported_at = Some(now);
+            }
+            if engine.is_avoided {
+                engines.avoided.push(engine.identity.instance.clone());
+            }
+            engines.zones.insert(engine.identity, zone.clone());
+        }
+    }
+}
+
+/// Returns whether an engine of the service reported a speed recently.
+pub(super) fn reports_speed(gateway: &Gateway, service: &str) -> bool {
+    let now = gateway.clock.now();
+    let reported_at = of_service(gateway, service).speed_reported_at;
+    reported_at.is_some_and(|at| now.saturating_sub(at) <= SPEED_MEMORY)
+}
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -1,6 +1,7 @@
 //! Sends a request to an endpoint and receives the head of the response. After a
 //! failure the request is sent to another endpoint, if its route allows that.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,12 +12,13 @@
 use rosebend_coordination::gateway::attempt::{Attempt, Failure, NextStep};
 use rosebend_coordination::gateway::directory::EndpointQuery;
 use rosebend_platform::headers::{self, AnswerHeader};
-use rosebend_state::deployment::{EndpointIdentity, EndpointRecord, EventId, RouteKind};
+use rosebend_state::deployment::{EndpointIdentity, EventId, RouteKind};
 use rosebend_transport::clock::whole_ms;
 use rosebend_transport::connection::{Connection, ConnectionError};
 use rosebend_transport::event::{Event, EventKind, log_event};
 
 use crate::call::Call;
+use crate::engine_scheduling::{self, Placed, Placement};
 use crate::gateway::{Gateway, OpenEndpointRequest};
 use crate::quarantine;
 use crate::reply::Refusal;
@@ -32,10 +34,21 @@
     pub connection: Connection,
     /// Guard that counts the request as in flight at the endpoint.
     pub in_flight: OpenEndpointRequest,
+    /// Slot that an engine scheduler assigned to the turn, until the turn ends.
+    pub placement: Option<Placement>,
     /// Time at which the request was sent, since the start of the process.
     pub sent_at: Duration,
 }
 
+/// The endpoint to which a request is sent next.
+#[derive(Debug)]
+pub struct SelectedEndpoint {
+    /// Incarnation of the endpoint.
+    pub identity: EndpointIdentity,
+    /// Address of the endpoint.
+    pub address: SocketAddr,
+}
+
 /// An endpoint that may have a part of a request's prompt in its cache.
 #[derive(Clone, Debug)]
 pub struct WarmEndpoint {
@@ -100,11 +113,12 @@
     /// Returns the refusal for the caller if no further endpoint may be tried.
     pub async fn next(&mut self) -> Result<EndpointResponse, Refusal> {
         loop {
-            let Some(endpoint) = self.select_endpoint() else {
-                return Err(self.no_endpoint_left());
-            };
+            let (endpoint, placement) = self.place().await?;
             match self.try_endpoint(&endpoint).await {
-                Ok(endpoint_response) => return Ok(endpoint_response),
+                Ok(mut endpoint_response) => {
+                    endpoint_response.placement = placement;
+                    return Ok(endpoint_response);
+                }
                 Err(failure) => self.handle_failure(&endpoint.identity, failure)?,
             }
         }
@@ -165,8 +179,41 @@
         }
     }
 
+    /// Gets a slot at an engine for a turn whose engines are scheduled. Otherwise selects
+    /// an endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal for the caller if no further endpoint may be tried.
+    async fn place(&mut self) -> Result<(SelectedEndpoint, Option<Placement>), Refusal> {
+        let placed = match self.call.route.kind {
+            RouteKind::Streaming => {
+                let warm = self.warm.as_ref();
+                engine_scheduling::place(&self.gateway, &self.call, warm, &self.tried_endpoints)
+                    .await
+            }
+            RouteKind::Idempotent | RouteKind::NonIdempotent => Placed::Local(None),
+        };
+        match placed {
+            Placed::Assigned(endpoint, placement) => {
+                self.tried_endpoints.push(endpoint.identity.clone());
+                Ok((endpoint, Some(placement)))
+            }
+            Placed::Local(placement) => {
+                let endpoint = self.select_endpoint();
+                let endpoint = endpoint.ok_or_else(|| self.no_endpoint_left())?;
+                if let Some(placement) = &placement {
+                    placement.hold(&endpoint.identity);
+                }
+                Ok((endpoint, placement))
+            }
+            Placed::TooLate if self.attempt.may_have_run() => Err(Refusal::OutcomeUnknown),
+            Placed::TooLate => Err(Refusal::TooLate),
+        }
+    }
+
     /// Selects the endpoint with the lowest cost among those not tried yet.
-    fn select_endpoint(&mut self) -> Option<EndpointRecord> {
+    fn select_endpoint(&mut self) -> Option<SelectedEndpoint> {
         let query = EndpointQuery {
             warm_endpoint: self.warm.as_ref().map(|warm| &warm.endpoint),
             warm_tokens: self.warm.as_ref().map_or(0, |warm| warm.tokens),
@@ -192,14 +239,15 @@
             true => event.reason("warm"),
             false => event,
         });
-        let endpoint = chosen.record.clone();
-        self.tried_endpoints.push(endpoint.identity.clone());
-        Some(endpoint)
+        let identity = chosen.record.identity.clone();
+        let address = chosen.record.address;
+        self.tried_endpoints.push(identity.clone());
+        Some(SelectedEndpoint { identity, address })
     }
 
     /// Sends the request to an endpoint and receives the head of the response
     /// within the time limit.
-    async fn try_endpoint(&self, endpoint: &EndpointRecord) -> Result<EndpointResponse, Failure> {
+    async fn try_endpoint(&self, endpoint: &SelectedEndpoint) -> Result<EndpointResponse, Failure> {
         let in_flight = self.gateway.start_endpoint_request(&endpoint.identity);
         let remaining = self.call.remaining(self.gateway.clock.now());
         let exchanging = self.send_request(endpoint, in_flight);
@@ -215,7 +263,7 @@
     /// response.
     async fn send_request(
         &self,
-        endpoint: &EndpointRecord,
+        endpoint: &SelectedEndpoint,
         in_flight: OpenEndpointRequest,
     ) -> Result<EndpointResponse, Failure> {
         let mut connection = self.connect(endpoint).await?;
@@ -238,12 +286,13 @@
             header,
             connection,
             in_flight,
+            placement: None,
             sent_at,
         })
     }
 
     /// Takes an idle connection from the pool, or opens one.
-    async fn connect(&self, endpoint: &EndpointRecord) -> Result<Connection, Failure> {
+    async fn connect(&self, endpoint: &SelectedEndpoint) -> Result<Connection, Failure> {
         let now = self.gateway.clock.now();
         let pooled = self.gateway.pool.borrow_mut().take(&endpoint.identity, now);
         match pooled {
@@ -259,7 +308,7 @@
 
     /// Builds the request for an endpoint, with the time that remains before the
     /// deadline.
-    fn build_request(&self, endpoint: &EndpointRecord, now: Duration) -> Request<Full<Bytes>> {
+    fn build_request(&self, endpoint: &SelectedEndpoint, now: Duration) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.call.method.clone();
         // The target was parsed from a request line, so it is a valid URI.
@@ -283,7 +332,7 @@
         &self,
         response: &Response<Incoming>,
         header: &AnswerHeader,
-        endpoint: &EndpointRecord,
+        endpoint: &SelectedEndpoint,
     ) -> Result<(), Failure> {
         let now = self.gateway.clock.now();
         let mut directory = self.gateway.directory.borrow_mut();
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -24,6 +24,7 @@
 
 use crate::batched_commits::BatchedCommits;
 use crate::commits::Commits;
+use crate::engine_scheduling::EngineScheduling;
 use crate::escrow::Escrow;
 use crate::feeds::{Feeds, FollowedTable};
 use crate::holders::HolderAddresses;
@@ -79,6 +80,8 @@
     pub recent_history: RecentHistory,
     /// The limits of customers.
     pub limits: RateLimiter,
+    /// The requests to engine schedulers, and the groups that this host schedules.
+    pub engine_scheduling: EngineScheduling,
     /// The tokens that programs may spend while the store is unavailable.
     pub escrow: Escrow,
     /// The rows that are to be deleted when their retention time ends.
@@ -140,6 +143,10 @@
             history: RefCell::new(TurnCache::new(MAX_HISTORY_BYTES)),
             recent_history: RecentHistory::new(process.clone()),
             limits: RateLimiter::new(process.clone(), tolerance(&settings.customers)),
+            engine_scheduling: EngineScheduling::new(
+                process.clone(),
+                settings.availability_zone.clone(),
+            ),
             escrow: Escrow::new(process.clone()),
             retention: Retention::default(),
             holders: HolderAddresses::default(),
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -18,7 +18,7 @@
 use tokio::net::UdpSocket;
 
 use crate::gateway::Gateway;
-use crate::{escrow, limits};
+use crate::{engine_scheduling, escrow, limits};
 
 /// Time between two datagrams to a peer. It is short compared with the duration of a
 /// request at an engine.
@@ -32,7 +32,8 @@
 /// do not fit, because ids are unusually long, are left out.
 const MAX_SENT_BYTES: usize = 1_472;
 /// Maximum size of a received datagram in bytes. Datagrams about limits contain names
-/// of customers, and those about escrow contain the accounts of a slot.
+/// of customers, those about escrow contain the accounts of a slot, and those about
+/// engines contain the turns of a host.
 const MAX_RECEIVED_BYTES: usize = 8_192;
 
 /// Load of an endpoint incarnation as a gateway received it: the numbers of running
@@ -165,6 +166,11 @@
             escrow::on_message(&gateway, message, from);
             continue;
         }
+        let scheduling_prefix = &engine_scheduling::DATAGRAM_PREFIX;
+        if let Some(message) = buffer[..bytes].strip_prefix(scheduling_prefix) {
+            engine_scheduling::on_message(&gateway, message);
+            continue;
+        }
         // Any process may send a datagram. One that no gateway of this version can have
         // sent is ignored, like a lost datagram.
         let Ok(peer_reports) = PeerReports::try_from(&buffer[..bytes]) else {
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! | the steps of a request | [`front`], [`dispatch`], [`intake`], [`plain`] or [`turn`], [`exchange`], [`pool`]; all of them use a [`call`] |
 //! | the budget of a turn, and its streamed answer | [`spending`], [`escrow`], [`reservation_lookup`], [`holders`], [`turn_stream`], [`runs`] |
 //! | the customer of a request, and the customer's limits | [`intake`], [`limits`] |
+//! | the slots of engines, which one gateway assigns for a whole zone | [`engine_scheduling`] |
 //! | durable state | [`commits`], [`batched_commits`], [`programs`], [`recent_history`], [`retention`] |
 //! | the process's view of routes and endpoints | [`watch`], [`unusable`], [`entries`], [`gossip`], [`quarantine`] |
 //! | the subscriptions to changes of the store's tables | [`feeds`] |
@@ -21,6 +22,7 @@
 pub mod call;
 pub mod commits;
 pub mod dispatch;
+pub mod engine_scheduling;
 pub mod entries;
 pub mod escrow;
 pub mod exchange;
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -14,6 +14,8 @@
 use rosebend_state::deployment::RouteKind;
 use rosebend_transport::store::{StoreCall, StoreError};
 
+use crate::engine_scheduling::metrics::SchedulingMetrics;
+
 const PREFIX: &str = "rosebend_gateway";
 /// The smallest bucket bound of a time histogram in seconds. Each following bound is twice
 /// the previous one.
@@ -155,6 +157,8 @@
     record: Histogram,
     store_call: Histogram,
     gauges: [Gauge; 16],
+    /// The metrics of the scheduling of engines.
+    pub scheduling: SchedulingMetrics,
 }
 
 impl Default for Metrics {
@@ -257,6 +261,7 @@
             record,
             store_call,
             gauges: gauges(&mut registry),
+            scheduling: SchedulingMetrics::register(&mut registry),
             registry,
         }
     }
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -110,6 +110,7 @@
     gateway.batched_commits.set_hosts(table.hosts());
     gateway.limits.set_hosts(table.hosts());
     gateway.holders.set_hosts(&table.hosts());
+    gateway.engine_scheduling.set_hosts(table.hosts_by_zone());
     let zone = table.hosts_in_zone(&settings.availability_zone);
     gateway.recent_history.set_hosts(zone.clone());
     gateway.feeds.set_hosts(zone);
--- a/gateway/src/peers/table.rs
+++ b/gateway/src/peers/table.rs
@@ -1,6 +1,6 @@
 //! The table of gateways as this host has read it.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 use rosebend_coordination::gateway::batchers::PeerHost;
@@ -92,6 +92,17 @@
         self.peers.values().map(to_host).collect()
     }
 
+    /// Returns the gateways of each availability zone as hosts.
+    pub fn hosts_by_zone(&self) -> HashMap<AvailabilityZone, Vec<PeerHost<SocketAddr>>> {
+        let mut zones: HashMap<AvailabilityZone, Vec<PeerHost<SocketAddr>>> = HashMap::new();
+        for peer in self.peers.values() {
+            if let Some(zone) = &peer.availability_zone {
+                zones.entry(zone.clone()).or_default().push(to_host(peer));
+            }
+        }
+        zones
+    }
+
     /// Returns the gateways of an availability zone as hosts.
     pub fn hosts_in_zone(&self, zone: &AvailabilityZone) -> Vec<PeerHost<SocketAddr>> {
         let peers = self.peers.values();
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -12,7 +12,10 @@
 use tokio::sync::watch;
 
 use crate::gateway::Gateway;
-use crate::{escrow, front, gossip, limits, peers, quarantine, reload, retention, watch as follow};
+use crate::{
+    engine_scheduling, escrow, front, gossip, limits, peers, quarantine, reload, retention,
+    watch as follow,
+};
 
 /// Time after the signal to stop for which new connections are still accepted. The balancer
 /// probes once a second and removes a host after two failed probes.
@@ -79,9 +82,11 @@
     let socket = Rc::new(socket);
     gateway.limits.set_socket(Rc::clone(&socket));
     gateway.escrow.set_socket(Rc::clone(&socket));
+    gateway.engine_scheduling.set_socket(Rc::clone(&socket));
     actix_rt::spawn(gossip::run(Rc::clone(&gateway), socket));
     actix_rt::spawn(limits::run(Rc::clone(&gateway)));
     actix_rt::spawn(escrow::run(Rc::clone(&gateway)));
+    actix_rt::spawn(engine_scheduling::run(Rc::clone(&gateway)));
     actix_rt::spawn(peers::probe(Rc::clone(&gateway)));
     actix_rt::spawn(quarantine::follow(Rc::clone(&gateway)));
     actix_rt::spawn(retention::run(Rc::clone(&gateway)));
--- a/gateway/src/runs.rs
+++ b/gateway/src/runs.rs
@@ -21,6 +21,7 @@
 use rosebend_transport::event::{Event, EventKind};
 
 use crate::call::Call;
+use crate::engine_scheduling::Placement;
 use crate::exchange::{EndpointResponse, Exchange};
 use crate::gateway::{Gateway, OpenEndpointRequest};
 use crate::reply::Refusal;
@@ -59,6 +60,8 @@
     connection: Option<Connection>,
     header: AnswerHeader,
     endpoint_request: OpenEndpointRequest,
+    /// Slot at the endpoint, until the body is complete or the run is stopped.
+    placement: Option<Placement>,
     sent_at: Duration,
     has_received_data: bool,
 }
@@ -94,8 +97,9 @@
     }
 
     /// Puts the connection back into the pool after the body of the last run was received
-    /// completely.
+    /// completely, and releases the slot at the endpoint.
     pub fn keep_connection(&mut self) {
+        self.run.placement = None;
         if let Some(connection) = self.run.connection.take() {
             let endpoint = &self.run.endpoint_request.endpoint;
             EndpointResponse::return_connection(
@@ -160,6 +164,7 @@
     async fn resume(&mut self, failure: Failure) -> io::Result<()> {
         // Closing the connection stops the work of the endpoint.
         self.run.connection = None;
+        self.run.placement = None;
         let endpoint = self.run.endpoint_request.endpoint.clone();
         self.exchange
             .handle_failure(&endpoint, failure)
@@ -210,6 +215,7 @@
             connection: Some(endpoint_response.connection),
             header: endpoint_response.header,
             endpoint_request: endpoint_response.in_flight,
+            placement: endpoint_response.placement,
             sent_at: endpoint_response.sent_at,
             has_received_data: false,
         };
@@ -224,6 +230,9 @@
         self.has_received_data = true;
         let now = gateway.clock.now();
         let latency = now.saturating_sub(self.sent_at);
+        if let Some(placement) = &self.placement {
+            placement.record_first_event(latency);
+        }
         let mut directory = gateway.directory.borrow_mut();
         directory.record_response(&self.endpoint_request.endpoint, Some(latency), now);
     }
--- a/gateway/src/turn.rs
+++ b/gateway/src/turn.rs
@@ -16,6 +16,7 @@
 use rosebend_state::deployment::ProgramHeader;
 
 use crate::call::{self, Call};
+use crate::engine_scheduling;
 use crate::exchange::{EndpointResponse, Exchange, WarmEndpoint};
 use crate::gateway::Gateway;
 use crate::plain;
@@ -38,7 +39,7 @@
 }
 
 async fn run(gateway: &Rc<Gateway>, call: &Rc<Call>) -> Result<Response<BoxBody>, Refusal> {
-    admit(gateway, call)?;
+    admit(gateway, call).await?;
     let turn_record = start_record(gateway, call).await?;
     let mut spending = match program_with_ledger(call) {
         Some(program) => Some(Spending::reserve(gateway, call, &program).await?),
@@ -77,10 +78,13 @@
 
 /// Refuses the first turn of a program if the queues of the engines are too long.
 /// Turns of programs in progress are always admitted.
-fn admit(gateway: &Gateway, call: &Call) -> Result<(), Refusal> {
+async fn admit(gateway: &Rc<Gateway>, call: &Call) -> Result<(), Refusal> {
     if !starts_program(gateway, call) {
         return Ok(());
     }
+    if let Some(decision) = engine_scheduling::admit(gateway, call).await {
+        return decision;
+    }
     let admission = gateway.admission.borrow();
     let now = gateway.clock.now();
     let retry_after =
