--- a/standin/src/backend.rs
+++ b/standin/src/backend.rs
@@ -8,6 +8,7 @@
 //! | `POST /faults` [`BackendFaults`] | changes the faults |
 //! | `POST /restart` | breaks off what runs and starts again under the same id |
 //! | `GET /report` [`Report`] | what it says of itself |
+//! | `GET /turns` [`Turns`] | how many streams it runs, and the most at a time since the last such request |
 //! | `GET /runs` [`Runs`] | what has run at any start, by attempt |
 
 use std::collections::BTreeMap;
@@ -107,6 +108,16 @@
     pub seq: u64,
 }
 
+/// The streams that an endpoint runs, each from its request to its last event.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Turns {
+    /// Streams that run.
+    pub running: u64,
+    /// Most streams that have run at a time since this was last asked for.
+    pub most: u64,
+}
+
 #[derive(Debug, Default)]
 struct State {
     faults: BackendFaults,
@@ -114,6 +125,7 @@
     runs: Runs,
     running: u64,
     begun: u64,
+    turns: Turns,
 }
 
 /// The time of day in whole milliseconds, as a start tells it.
@@ -143,6 +155,28 @@
     }
 }
 
+/// Counts a stream until its end.
+#[derive(Debug)]
+struct RunningTurn(Arc<Mutex<State>>);
+
+impl RunningTurn {
+    fn start(state: &Arc<Mutex<State>>) -> Self {
+        if let Ok(mut state) = state.lock() {
+            state.turns.running += 1;
+            state.turns.most = state.turns.most.max(state.turns.running);
+        }
+        Self(Arc::clone(state))
+    }
+}
+
+impl Drop for RunningTurn {
+    fn drop(&mut self) {
+        if let Ok(mut state) = self.0.lock() {
+            state.turns.running -= 1;
+        }
+    }
+}
+
 impl Backend {
     /// Starts an endpoint on a bound listener, inside an `actix_rt` system.
     ///
@@ -182,11 +216,19 @@
             ("POST", "/faults") => self.set_faults(&request),
             ("POST", "/restart") => self.restart(),
             ("GET", "/report") => HttpReply::json(200, &self.report()),
+            ("GET", "/turns") => HttpReply::json(200, &self.take_turns()),
             ("GET", "/runs") => HttpReply::json(200, &self.lock().runs),
             _ => self.run_until_restart(request).await,
         }
     }
 
+    fn take_turns(&self) -> Turns {
+        let turns = &mut self.lock().turns;
+        let taken = *turns;
+        turns.most = turns.running;
+        taken
+    }
+
     fn report(&self) -> Report {
         let state = self.lock();
         Report {
@@ -238,13 +280,15 @@
         }
         self.note(&attempt, &request);
         let _running = Running(Arc::clone(&self.state));
+        let is_stream = request.path.contains("/stream");
+        let turn = is_stream.then(|| RunningTurn::start(&self.state));
         let delay_ms = self.lock().faults.delay_ms;
         actix_rt::time::sleep(Duration::from_millis(delay_ms)).await;
         if take_one(&mut self.lock().faults.lose_answers) {
             return cut();
         }
-        if request.path.contains("/stream") {
-            return self.stamped(&attempt, self.stream(&request));
+        if let Some(turn) = turn {
+            return self.stamped(&attempt, self.stream(&request, turn));
         }
         let body = format!("answer to {attempt}");
         let reply = match take_one(&mut self.lock().faults.cut_bodies) {
@@ -275,7 +319,7 @@
             .collect();
     }
 
-    fn stream(&self, request: &HttpRequest) -> HttpReply {
+    fn stream(&self, request: &HttpRequest, turn: RunningTurn) -> HttpReply {
         let (sender, pieces) = mpsc::channel(1);
         let (plan, delay_ms) = {
             let mut state = self.lock();
@@ -295,6 +339,8 @@
                     _ = born_ms.changed() => return,
                 }
             }
+            // The work has ended before the caller has the end.
+            drop(turn);
             match plan.end {
                 StreamEnd::Whole => {
                     // The caller may have gone before the end.
