Test the client of engine schedulers, refusals and gateways of other versions

Cause: the choice of scheduler and group, repeated and lost messages, and refusals had no tests. A host no longer excludes engines that it avoids if their zone has no others.

--- a/gateway/src/engine_scheduling/known_engines.rs
+++ b/gateway/src/engine_scheduling/known_engines.rs
@@ -8,7 +8,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use rosebend_state::deployment::{EndpointIdentity, InstanceId, ServiceName};
+use rosebend_state::deployment::{EndpointIdentity, ServiceName};
 use rosebend_state::id::AvailabilityZone;
 
 use crate::gateway::Gateway;
@@ -34,8 +34,9 @@
     zones: HashMap<EndpointIdentity, AvailabilityZone>,
     /// Availability zones that have usable engines, in order.
     pub(super) zone_names: Vec<AvailabilityZone>,
-    /// Engines that this host avoids.
-    pub(super) avoided: Vec<InstanceId>,
+    /// Engines that this host avoids. Those of an availability zone are left out if there
+    /// are no others in it, because then they are used.
+    pub(super) avoided: Vec<EndpointIdentity>,
 }
 
 impl ServiceEngines {
@@ -71,6 +72,7 @@
     engines.avoided.clear();
     for zone in client.schedulers().zones() {
         let listed = directory.engines(service, zone, now);
+        let all_avoided = listed.iter().all(|engine| engine.is_avoided);
         if !listed.is_empty() {
             engines.zone_names.push(zone.clone());
         }
@@ -78,8 +80,8 @@
             if engine.work_time_percent != 100 {
                 engines.speed_reported_at = Some(now);
             }
-            if engine.is_avoided {
-                engines.avoided.push(engine.identity.instance.clone());
+            if engine.is_avoided && !all_avoided {
+                engines.avoided.push(engine.identity.clone());
             }
             engines.zones.insert(engine.identity, zone.clone());
         }
--- a/gateway/src/engine_scheduling/placement.rs
+++ b/gateway/src/engine_scheduling/placement.rs
@@ -145,10 +145,9 @@
         call,
         warm,
         tried,
-        excluded: Vec::new(),
+        rejected: Vec::new(),
         asked_at,
     };
-    turn.exclude_unusable();
     for group in turn.groups() {
         match turn.ask_group(&group).await {
             GroupAnswer::Final(placed) => return placed,
@@ -170,16 +169,21 @@
     call: &'a Call,
     warm: Option<&'a WarmEndpoint>,
     tried: &'a [EndpointIdentity],
-    excluded: Vec<InstanceId>,
+    /// Assigned engines that this host does not use.
+    rejected: Vec<EndpointIdentity>,
     asked_at: Duration,
 }
 
 impl TurnToPlace<'_> {
-    fn exclude_unusable(&mut self) {
-        let tried = self.tried.iter().map(|engine| engine.instance.clone());
-        self.excluded.extend(tried);
+    /// Returns the engines of a group that were tried or rejected, or that this host avoids.
+    fn excluded(&self, group: &GroupId) -> Vec<InstanceId> {
+        let tried = self.tried.iter().chain(&self.rejected);
         let engines = known_engines::of_service(self.gateway, &self.call.service);
-        self.excluded.extend(engines.avoided.iter().cloned());
+        let is_in_group =
+            |engine: &&EndpointIdentity| engines.zone(engine) == Some(&group.availability_zone);
+        let avoided = engines.avoided.iter().filter(is_in_group);
+        let excluded = tried.chain(avoided);
+        excluded.map(|engine| engine.instance.clone()).collect()
     }
 
     /// Returns the groups in the order in which they are asked.
@@ -193,15 +197,22 @@
 
     async fn ask_group(&mut self, group: &GroupId) -> GroupAnswer {
         for _ in 0..=MAX_REJECTED {
-            let open = Placement::open(self.gateway, group, |number| {
-                Question::Place(self.request(number))
-            });
-            let Some(placement) = open else {
+            let excluded = self.excluded(group);
+            let question = |number| Question::Place(self.request(number, excluded));
+            let Some(placement) = Placement::open(self.gateway, group, question) else {
                 return GroupAnswer::Final(self.bypass("no-scheduler", None));
             };
-            let outcome = match placement.answer().await {
-                Some(Answer::Placed(outcome)) => outcome,
-                Some(Answer::Admitted(_)) | None => {
+            // The scheduler refuses a waiting turn before its deadline; this is for one that
+            // does not.
+            let deadline = self.gateway.clock.instant(self.call.deadline);
+            let answer = tokio::time::timeout_at(deadline, placement.answer()).await;
+            let outcome = match answer {
+                Ok(Some(Answer::Placed(outcome))) => outcome,
+                Err(_) => PlacementOutcome::Refused {
+                    reason: PlacementRefusal::CannotEndInTime,
+                    retry_after_ms: 0,
+                },
+                Ok(Some(Answer::Admitted(_)) | None) => {
                     let placed = self.bypass("scheduler-silent", Some(placement));
                     return GroupAnswer::Final(placed);
                 }
@@ -212,7 +223,7 @@
                         self.log_assigned(group, &placement, &engine);
                         return GroupAnswer::Final(Placed::Assigned(endpoint, placement));
                     }
-                    None => self.excluded.push(engine.instance),
+                    None => self.rejected.push(engine),
                 },
                 PlacementOutcome::Refused { reason, .. } => {
                     return self.refused(group, &placement, reason);
@@ -226,7 +237,7 @@
         GroupAnswer::Final(self.bypass("engine-unusable", None))
     }
 
-    fn request(&self, number: RequestNumber) -> PlacementRequest {
+    fn request(&self, number: RequestNumber, excluded: Vec<InstanceId>) -> PlacementRequest {
         let now = self.gateway.clock.now();
         let call = self.call;
         PlacementRequest {
@@ -240,7 +251,7 @@
             expected_output_tokens: call.header.expected_output_tokens,
             warm_engine: self.warm.map(|warm| warm.endpoint.clone()),
             warm_tokens: self.warm.map_or(0, |warm| warm.tokens),
-            excluded: self.excluded.clone(),
+            excluded,
         }
     }
 
@@ -256,8 +267,9 @@
             known_engines::list(self.gateway, service, self.gateway.clock.now());
         }
         let engines = known_engines::of_service(self.gateway, service);
-        let is_rejected = self.excluded.contains(&engine.instance)
-            || engines.avoided.contains(&engine.instance)
+        let mut tried = self.tried.iter().chain(&self.rejected);
+        let is_rejected = tried.any(|tried| tried.instance == engine.instance)
+            || engines.avoided.contains(engine)
             || engines.zone(engine).is_none();
         if is_rejected {
             return None;
--- a/gateway/tests/engine_scheduling.rs
+++ b/gateway/tests/engine_scheduling.rs
@@ -8,6 +8,7 @@
 
 use futures_util::future::join_all;
 use http::Method;
+use rosebend_gateway::peers::row_id;
 use rosebend_standin::backend::{BackendFaults, Turns};
 use rosebend_standin::store::StoreFaults;
 use serde_json::{Value, json};
@@ -379,3 +380,81 @@
     assert_eq!(datagrams(a).await + datagrams(b).await, 0);
     assert!(!schedules(a).await && !schedules(b).await);
 }
+
+/// Guards against turns that hang where the chosen gateway has a version that answers no
+/// message about engines.
+#[actix_rt::test]
+async fn a_gateway_that_answers_no_message_is_left_out() {
+    let site = site_with_engines(2).await;
+    let silent = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    let row = row_id("silent");
+    // It has by far the largest processor share, so it is the only one that may schedule.
+    let peer = json!({
+        "host": "silent",
+        "availability_zone": "newport-hall",
+        "relay": silent.local_addr().unwrap(),
+        "holder": "silent/1",
+        "processor_milli": 64_000,
+        "fences_escrow": true,
+    });
+    site.store.put(&row.table, &row.key, &peer);
+    let gateway = site.start_ready_gateway().await;
+    gateway.wait_for_peers(1).await;
+    let answers = send_turns(&[&gateway], "mixed", 6).await;
+    assert_eq!(statuses(&answers), BTreeMap::from([(200, 6)]));
+    let events = gateway.events("scheduler-avoided");
+    assert!(events.iter().all(|event| event["peer"] == "silent"));
+    assert!(!events.is_empty());
+    let answers = send_turns(&[&gateway], "later", 6).await;
+    assert_eq!(statuses(&answers), BTreeMap::from([(200, 6)]));
+    assert!(counter(&gateway, "engine_bypasses", "reason", "no-scheduler").await > 0);
+}
+
+/// Guards against turns that are held until their deadline although they cannot be served,
+/// and against programs that start while turns of others wait too long.
+#[actix_rt::test]
+async fn turns_and_programs_that_cannot_be_served_are_refused_at_once() {
+    let site = site_with_engines(1).await;
+    let gateway = site.start_ready_gateway().await;
+    wait_until("the gateway schedules", async || schedules(&gateway).await).await;
+    wait_until_scheduled(&[&gateway], "start").await;
+    set_delay(&site, 0, 200).await;
+    let front = gateway.front;
+    let busy = actix_rt::spawn(async move {
+        join_all((0..10).map(|number| async move {
+            let attempt = format!("busy-{number}");
+            turn(&attempt).send(front).await.status
+        }))
+        .await
+    });
+    wait_until("turns wait", async || {
+        gateway.metric("engine_queue").await == 8
+    })
+    .await;
+    let late = turn("late").header("deadline-ms", "60").send(front).await;
+    assert_eq!(reason(&late), "too-late");
+    let program = TestRequest::turn("start", "p1", "first|");
+    let program = program.header("authorization", &format!("Bearer {KEY}"));
+    let refused = program.send(front).await;
+    assert_eq!(reason(&refused), "overloaded");
+    assert!(refused.retry_after_s().is_some());
+    assert_eq!(
+        counter(&gateway, "engine_starts", "reason", "no-capacity").await,
+        1
+    );
+    let steps = gateway.events("start-decided");
+    assert!(
+        steps.iter().any(|step| step["attempt"] == "start"),
+        "{steps:?}"
+    );
+    busy.await.unwrap();
+    assert_eq!(site.run_count("late").await, 0);
+    assert_eq!(site.run_count("start").await, 0);
+}
+
+fn reason(answer: &TestResponse) -> String {
+    assert_eq!(answer.status, 503, "{}", answer.body);
+    let problem: Value = serde_json::from_str(&answer.body).unwrap();
+    assert_eq!(problem["ran"], "no");
+    problem["reason"].as_str().unwrap().to_owned()
+}
