Leave absent values out of messages to engine schedulers

Cause: a turn with its three datagrams cost 0.95 KB. Change: absent values are not sent; open requests are a module of their own.

--- a/coordination/src/gateway/engine_scheduler.rs
+++ b/coordination/src/gateway/engine_scheduler.rs
@@ -16,7 +16,7 @@
 //! | engine time and shares of customers | `shares` |
 //! | admission of new programs | `starts` |
 //! | messages between hosts | [`message`] |
-//! | requests of a host to schedulers | [`client`] |
+//! | requests of a host to schedulers | [`client`], `open_request` |
 //! | the gateway that schedules a group | [`schedulers`] |
 //! | recent placements, compared with load reports | [`placement_history`] |
 //!
@@ -48,6 +48,7 @@
 mod estimates;
 mod holders;
 pub mod message;
+mod open_request;
 mod placement;
 pub mod placement_history;
 mod queue;
--- a/coordination/src/gateway/engine_scheduler/client.rs
+++ b/coordination/src/gateway/engine_scheduler/client.rs
@@ -16,6 +16,7 @@
     AdmissionOutcome, AdmissionRequest, GroupId, GroupStatus, HeldPlacement, MessageContent,
     PlacementOutcome, PlacementRequest, ReleasedPlacement, RequestNumber, SchedulerMessage,
 };
+use crate::gateway::engine_scheduler::open_request::{OpenRequest, Progress};
 use crate::gateway::engine_scheduler::schedulers::Schedulers;
 use crate::gateway::ledger::ProcessId;
 
@@ -93,31 +94,6 @@
     Ignored,
 }
 
-#[derive(Clone, Debug)]
-enum Progress {
-    /// The request has no final answer. `unanswered` messages were sent since the last
-    /// answer; the next is due at `next_send_at`.
-    Asking {
-        unanswered: u32,
-        next_send_at: Duration,
-    },
-    Answered(Answer),
-    /// The turn runs at this engine.
-    Held(EndpointIdentity),
-    /// The scheduler is silent, and the host has not selected an engine yet.
-    Abandoned,
-}
-
-/// A request whose turn has not ended.
-#[derive(Clone, Debug)]
-struct OpenRequest<A> {
-    group: GroupId,
-    scheduler: PeerHost<A>,
-    question: Question,
-    progress: Progress,
-    is_queued: bool,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Use {
     last_asked: Duration,
@@ -351,15 +327,7 @@
         first_event_ms: Option<u64>,
     ) -> Option<Outgoing<A>> {
         let request = self.open.remove(&number)?;
-        let is_unknown_to_scheduler = match &request.progress {
-            Progress::Asking { unanswered, .. } => *unanswered == 0 && !request.is_queued,
-            Progress::Answered(Answer::Placed(outcome)) => {
-                !matches!(outcome, PlacementOutcome::Assigned(_))
-            }
-            Progress::Answered(Answer::Admitted(_)) => true,
-            Progress::Held(_) | Progress::Abandoned => false,
-        };
-        if is_unknown_to_scheduler || matches!(request.question, Question::Admit(_)) {
+        if !request.may_be_known() {
             return None;
         }
         let released = ReleasedPlacement {
@@ -427,38 +395,3 @@
         self.open.len()
     }
 }
-
-impl<A: Clone> OpenRequest<A> {
-    fn content(&self) -> MessageContent {
-        match &self.question {
-            Question::Place(request) => MessageContent::Place(request.clone()),
-            Question::Admit(request) => MessageContent::Admit(request.clone()),
-        }
-    }
-
-    fn outgoing(&self, from: &ProcessId, content: MessageContent) -> Outgoing<A> {
-        Outgoing {
-            address: self.scheduler.address.clone(),
-            message: SchedulerMessage {
-                from: from.clone(),
-                to: self.scheduler.process.clone(),
-                group: self.group.clone(),
-                content,
-            },
-        }
-    }
-
-    /// Returns the request as a report names it, or `None` if the turn neither runs nor
-    /// waits.
-    fn held(&self, number: RequestNumber) -> Option<HeldPlacement> {
-        let engine = match &self.progress {
-            Progress::Held(engine) => Some(engine.clone()),
-            Progress::Answered(Answer::Placed(PlacementOutcome::Assigned(engine))) => {
-                Some(engine.clone())
-            }
-            Progress::Asking { .. } if self.is_queued => None,
-            _ => return None,
-        };
-        Some(HeldPlacement { number, engine })
-    }
-}
--- a/coordination/src/gateway/engine_scheduler/message.rs
+++ b/coordination/src/gateway/engine_scheduler/message.rs
@@ -17,6 +17,7 @@
     /// Number of the request. A repeated request has the same number.
     pub number: RequestNumber,
     /// Customer of the turn; `None` where no customers are declared.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub customer: Option<CustomerName>,
     /// Hash of the turn's program.
     pub program: u64,
@@ -27,14 +28,18 @@
     /// Time until the caller's deadline of the turn, in milliseconds.
     pub turn_remaining_ms: u64,
     /// Time until the program should be finished, in milliseconds, if it is known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub program_remaining_ms: Option<u64>,
     /// Expected number of output tokens, if it is known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub expected_output_tokens: Option<u64>,
     /// Engine that has the prompt in memory, if any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub warm_engine: Option<EndpointIdentity>,
     /// Number of prompt tokens that every other engine would have to process anew.
     pub warm_tokens: u64,
     /// Engines that were already tried or that the host avoids.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub excluded: Vec<InstanceId>,
 }
 
@@ -77,6 +82,7 @@
     /// Number of the placement request.
     pub number: RequestNumber,
     /// Engine that runs the turn; `None` while the turn waits.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub engine: Option<EndpointIdentity>,
 }
 
@@ -87,6 +93,7 @@
     /// Number of the placement request.
     pub number: RequestNumber,
     /// Time from sending the turn to its first event, in milliseconds, if there was one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub first_event_ms: Option<u64>,
 }
 
@@ -97,6 +104,7 @@
     /// Number of the request. A repeated request has the same number.
     pub number: RequestNumber,
     /// Customer of the program; `None` where no customers are declared.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub customer: Option<CustomerName>,
     /// Hash of the program.
     pub program: u64,
@@ -107,6 +115,7 @@
     /// Time until the caller's deadline of the program's first turn, in milliseconds.
     pub turn_remaining_ms: u64,
     /// Time until the program should be finished, in milliseconds, if it is known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub program_remaining_ms: Option<u64>,
 }
 
--- a/coordination/tests/gateway_engine_scheduling.rs
+++ b/coordination/tests/gateway_engine_scheduling.rs
@@ -115,44 +115,59 @@
 }
 
 /// Guards against messages that hosts of one version encode differently from what they
-/// decode, and against request messages that do not fit into one packet.
+/// decode, and against a turn that costs more bytes than `docs/CAPACITY.md` states.
 #[test]
 fn messages_round_trip_and_are_small() {
-    let mut request = placement(u64::MAX);
-    request.warm_engine = Some(EndpointIdentity {
+    let engine = EndpointIdentity {
         instance: "i-0123456789abcdef0".to_owned(),
         started_ms: Some(1_764_720_000_000),
-    });
-    request.customer = Some("a-customer-with-a-name".to_owned());
+    };
+    let mut request = placement(123_456);
+    request.program = u64::MAX;
+    request.customer = Some("a-customer".to_owned());
+    request.expected_output_tokens = Some(385);
+    let warm = PlacementRequest {
+        warm_engine: Some(engine.clone()),
+        warm_tokens: 2_000,
+        ..request.clone()
+    };
+    let held = HeldPlacement {
+        number: 123_456,
+        engine: Some(engine.clone()),
+    };
     let contents = [
-        MessageContent::Place(request),
-        MessageContent::Placed {
-            number: 1,
-            outcome: PlacementOutcome::Assigned(engine("e1")),
-            status: status(1, 2),
-        },
-        MessageContent::Release(vec![ReleasedPlacement {
-            number: 1,
-            first_event_ms: Some(31),
-        }]),
-        MessageContent::Held(vec![HeldPlacement {
-            number: 1,
-            engine: None,
-        }]),
-        MessageContent::Status(status(0, 9)),
+        (MessageContent::Place(request), 380),
+        (MessageContent::Place(warm), 440),
+        (
+            MessageContent::Placed {
+                number: 123_456,
+                outcome: PlacementOutcome::Assigned(engine),
+                status: status(12, 0),
+            },
+            320,
+        ),
+        (
+            MessageContent::Release(vec![ReleasedPlacement {
+                number: 123_456,
+                first_event_ms: Some(31),
+            }]),
+            210,
+        ),
+        (MessageContent::Held(vec![held; 10]), 850),
+        (MessageContent::Status(status(12, 0)), 220),
     ];
-    for content in contents {
+    for (content, max_bytes) in contents {
         let message = SchedulerMessage {
-            from: "gateway-0123456789abcdef/0123456789abcdef".to_owned(),
-            to: "gateway-fedcba9876543210/fedcba9876543210".to_owned(),
-            group: group("east"),
+            from: "gateway-123/0123456789abcdef".to_owned(),
+            to: "gateway-321/fedcba9876543210".to_owned(),
+            group: group("availability-zone-1"),
             content,
         };
         let encoded = serde_json::to_vec(&message).unwrap();
         let decoded: SchedulerMessage = serde_json::from_slice(&encoded).unwrap();
         assert_eq!(decoded, message);
         println!("{} bytes: {:?}", encoded.len() + 2, message.content);
-        assert!(encoded.len() <= 700, "{}", encoded.len());
+        assert!(encoded.len() + 2 <= max_bytes, "{}", encoded.len());
     }
 }
 
