--- a/coordination/src/gateway/engine_scheduler/placement.rs
+++ b/coordination/src/gateway/engine_scheduler/placement.rs
@@ -10,7 +10,7 @@
 use super::message::{
     PlacementOutcome, PlacementRefusal, PlacementRequest, ReleasedPlacement, RequestNumber,
 };
-use super::queue::{QueueKey, WaitingTurn};
+use super::queue::{self, QueueKey, WaitingTurn};
 use super::returns::retry_after_ms;
 use crate::gateway::ledger::ProcessId;
 
@@ -37,9 +37,14 @@
     ) -> PlacementOutcome {
         let deadline = now + Duration::from_millis(request.turn_remaining_ms);
         let choice = self.engines.choose(request, &self.estimates);
-        let key = self.queue.key(request, now);
+        let allowance = queue::allowance(
+            request.priority,
+            request.objective_ms,
+            request.program_remaining_ms,
+        );
+        let key = self.queue.key(allowance, now);
         let wait_ms = self.wait_ms(self.queue.ahead(&key));
-        let needed_ms = wait_ms + self.estimates.first_event_ms();
+        let needed_ms = wait_ms + self.estimates.first_event_ms(now);
         let cannot_end = (request.turn_remaining_ms as f64) < needed_ms;
         match choice {
             EngineChoice::NoEngine => {
@@ -77,7 +82,7 @@
             deadline,
             repeated_at: now,
         };
-        let first_event_ms = self.estimates.first_event_ms();
+        let first_event_ms = self.estimates.first_event_ms(now);
         self.queue.insert(key, turn, first_event_ms);
         self.shares.start_wait(request.customer.as_ref(), now);
         let holder = self.holders.heard(from, now);
@@ -141,7 +146,8 @@
         if let Turn::Placed(placement) = turn {
             let held = now.saturating_sub(placement.assigned_at);
             let work_time_percent = placement.work_time_percent;
-            self.estimates.record_end(held, work_time_percent, ended);
+            self.estimates
+                .record_end(held, work_time_percent, ended, now);
         }
     }
 
@@ -209,7 +215,7 @@
         now: Duration,
         answers: &mut Vec<(ProcessId, RequestNumber, PlacementOutcome)>,
     ) {
-        let first_event_ms = self.estimates.first_event_ms();
+        let first_event_ms = self.estimates.first_event_ms(now);
         for key in self.queue.expired(first_event_ms, now) {
             let Some(waiting) = self.remove_waiting(&key, now) else {
                 continue;
@@ -242,13 +248,19 @@
         }
         let mut next = self.queue.next(None);
         while let Some(key) = next {
-            // Without a free slot, only turns that no engine can run are left to find.
-            if self.engines.free_slots() == 0 && !engines_changed {
+            // A turn that excludes engines may use avoided engines that others may not use.
+            // After a change of the engines, turns that no engine can run have to be found.
+            let is_full = self.engines.free_slots() == 0 && !engines_changed;
+            if is_full && !self.queue.has_exclusions() {
                 break;
             }
             next = self.queue.next(Some(&key));
-            let waiting = self.queue.get_mut(&key);
-            let choice = waiting.map(|turn| self.engines.choose(&turn.request, &self.estimates));
+            let choice = self.queue.get(&key).map(|turn| {
+                if is_full && !turn.has_exclusions() {
+                    return EngineChoice::Full;
+                }
+                self.engines.choose(&turn.request, &self.estimates)
+            });
             let Some(EngineChoice::Free(_) | EngineChoice::NoEngine) = choice else {
                 continue;
             };
--- a/coordination/src/gateway/engine_scheduler/queue.rs
+++ b/coordination/src/gateway/engine_scheduler/queue.rs
@@ -46,6 +46,11 @@
         self.too_late_at(first_event_ms) <= now
     }
 
+    /// Returns whether the turn excludes engines.
+    pub(super) fn has_exclusions(&self) -> bool {
+        !self.request.excluded.is_empty()
+    }
+
     fn too_late_at(&self, first_event_ms: f64) -> Duration {
         let first_event = Duration::from_secs_f64(first_event_ms / 1_000.0);
         self.deadline.saturating_sub(first_event)
@@ -62,6 +67,8 @@
 pub(super) struct TurnQueue {
     waiting: BTreeMap<QueueKey, WaitingTurn>,
     arrivals: u64,
+    /// Number of waiting turns that exclude engines.
+    with_exclusions: usize,
     /// Time before which no turn expires, or none if no turn waits. It keeps the cost of
     /// an advance independent of the length of the queue.
     next_check: Option<Duration>,
@@ -73,10 +80,15 @@
         self.waiting.len()
     }
 
+    /// Returns whether a waiting turn excludes engines.
+    pub(super) fn has_exclusions(&self) -> bool {
+        self.with_exclusions > 0
+    }
+
     /// Returns the position that a turn gets if it is queued now.
-    pub(super) fn key(&self, request: &PlacementRequest, now: Duration) -> QueueKey {
+    pub(super) fn key(&self, allowance: Duration, now: Duration) -> QueueKey {
         QueueKey {
-            scheduling_deadline: now + allowance(request),
+            scheduling_deadline: now + allowance,
             arrival: self.arrivals,
         }
     }
@@ -91,9 +103,15 @@
         self.arrivals += 1;
         let check = turn.next_check(first_event_ms);
         self.next_check = Some(self.next_check.map_or(check, |next| next.min(check)));
+        self.with_exclusions += usize::from(turn.has_exclusions());
         self.waiting.insert(key, turn);
     }
 
+    /// Returns a waiting turn.
+    pub(super) fn get(&self, key: &QueueKey) -> Option<&WaitingTurn> {
+        self.waiting.get(key)
+    }
+
     /// Returns a waiting turn.
     pub(super) fn get_mut(&mut self, key: &QueueKey) -> Option<&mut WaitingTurn> {
         self.waiting.get_mut(key)
@@ -101,7 +119,9 @@
 
     /// Removes a turn.
     pub(super) fn remove(&mut self, key: &QueueKey) -> Option<WaitingTurn> {
-        self.waiting.remove(key)
+        let turn = self.waiting.remove(key)?;
+        self.with_exclusions -= usize::from(turn.has_exclusions());
+        Some(turn)
     }
 
     /// Returns the first position after another one, or the first of all.
@@ -134,14 +154,18 @@
 
 /// Returns the time that a turn may wait before it takes precedence over turns that arrive
 /// now.
-fn allowance(request: &PlacementRequest) -> Duration {
-    let remaining = request.program_remaining_ms.map(Duration::from_millis);
+pub(super) fn allowance(
+    priority: Urgency,
+    objective_ms: u64,
+    program_remaining_ms: Option<u64>,
+) -> Duration {
+    let remaining = program_remaining_ms.map(Duration::from_millis);
     let allowance = match remaining {
         Some(Duration::ZERO) => return LATE_ALLOWANCE,
         Some(remaining) => (remaining / REMAINING_DIVISOR).min(MAX_ALLOWANCE),
-        None => Duration::from_millis(request.objective_ms),
+        None => Duration::from_millis(objective_ms),
     };
-    match request.priority {
+    match priority {
         Urgency::Route | Urgency::Both => allowance / 2,
         Urgency::Normal | Urgency::Customer => allowance,
     }
