Merge the engine scheduler's messages, client and gateway layer

A turn that starts a program asks the scheduler, and the host decides itself if none answers; in both cases a refused turn of a route without history is admitted if its program has a ledger.

--- a/coordination/src/gateway/engine_scheduler.rs
+++ b/coordination/src/gateway/engine_scheduler.rs
@@ -16,6 +16,9 @@
 //! | engine time and shares of customers | `shares` |
 //! | admission of new programs | `starts` |
 //! | messages between hosts | [`message`] |
+//! | requests of a host to schedulers | [`client`], `open_request` |
+//! | the gateway that schedules a group | [`schedulers`] |
+//! | recent placements, compared with load reports | [`placement_history`] |
 //!
 //! [`EngineScheduler`] combines them for one group. All of its state is soft: it starts
 //! empty, learns from the reports of the hosts which turns are running, and forgets a host
@@ -41,13 +44,17 @@
 use crate::gateway::admission::Urgency;
 use crate::gateway::ledger::ProcessId;
 
+pub mod client;
 mod engines;
 mod estimates;
 mod holders;
 pub mod message;
+mod open_request;
 mod placement;
+pub mod placement_history;
 mod queue;
 mod returns;
+pub mod schedulers;
 mod shares;
 mod starts;
 
--- a/gateway/src/turn.rs
+++ b/gateway/src/turn.rs
@@ -17,6 +17,7 @@
 use rosebend_transport::event::{Event, EventKind};
 
 use crate::call::{self, Call};
+use crate::engine_scheduling;
 use crate::exchange::{EndpointResponse, Exchange, WarmEndpoint};
 use crate::gateway::Gateway;
 use crate::plain;
@@ -78,11 +79,15 @@
 
 /// Refuses the first turn of a program if the queues of the engines are too long.
 /// Turns of programs in progress are always admitted.
-async fn admit(gateway: &Gateway, call: &Call) -> Result<(), Refusal> {
+async fn admit(gateway: &Rc<Gateway>, call: &Call) -> Result<(), Refusal> {
     if !starts_program(gateway, call) {
         return Ok(());
     }
-    let Err(refusal) = admit_new_program(gateway, call) else {
+    let decision = match engine_scheduling::admit(gateway, call).await {
+        Some(decision) => decision,
+        None => admit_new_program(gateway, call),
+    };
+    let Err(refusal) = decision else {
         return Ok(());
     };
     match is_in_progress_elsewhere(gateway, call).await {
