--- a/gateway/tests/explain.rs
+++ b/gateway/tests/explain.rs
@@ -5,9 +5,11 @@
 
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use rosebend::explain::Story;
 use rosebend_standin::backend::BackendFaults;
 use rosebend_standin::store::StoreFaults;
+use rosebend_transport::connection::Connection;
 use support::{Gateway, Site, TestRequest, wait_until};
 
 const MODELS: usize = 0;
@@ -127,6 +129,39 @@
     insta::assert_snapshot!(story(&gateway, "t1").await);
 }
 
+/// Guards against a refusal whose inputs are not in the log: the expected wait at the
+/// engines, and that the program was not found to be in progress at another host.
+#[actix_rt::test]
+async fn a_new_program_refused_while_engines_have_queues() {
+    let turn = |attempt: &str| {
+        TestRequest::turn(attempt, attempt, "x")
+            .header("token-budget", "1000")
+            .at_path("/unkept/stream/turn")
+    };
+    let (site, gateway) = Site::start_with_gateway().await;
+    for number in 0..5 {
+        let answer = turn(&format!("idle{number}")).send(gateway.front).await;
+        assert_eq!(answer.status, 200);
+    }
+    let slow = BackendFaults {
+        delay_ms: 700,
+        events: 1,
+        ..BackendFaults::default()
+    };
+    site.set_endpoint_faults(MODELS, &slow).await;
+    let front = gateway.front;
+    // Only the heads of the responses are awaited: the estimated wait of the queue halves
+    // in 500 ms without first bytes.
+    let new_programs = (0..40).map(|number| async move {
+        let mut connection = Connection::open(front).await.unwrap();
+        let request = turn(&format!("queued{number}")).request();
+        connection.send(request).await.unwrap();
+    });
+    join_all(new_programs).await;
+    assert_eq!(turn("t1").send(front).await.status, 503);
+    insta::assert_snapshot!(story(&gateway, "t1").await);
+}
+
 #[actix_rt::test]
 async fn a_missing_end_of_a_request_is_reported_after_its_host_was_killed() {
     let site = Site::start();
