Keep waiting turns in the queue of a scheduler that is slow once

Cause: when one turn found the scheduler silent, the next repetition of every waiting turn of the host was given up at once, and all of them went to engines in use. Change: a waiting turn gives up only after its own three messages. Test of a service whose engines report a speed; the stand-in engine can report one.

--- a/coordination/src/gateway/engine_scheduler/client.rs
+++ b/coordination/src/gateway/engine_scheduler/client.rs
@@ -252,7 +252,11 @@
                 return Step::Answered(Answer::Placed(outcome));
             }
             Progress::Abandoned => return Step::Silent(None),
-            Progress::Asking { unanswered, .. } if is_left_out && *unanswered > 0 => {
+            // A turn that waits in the queue keeps its place until its own messages are
+            // unanswered: the scheduler may only have been slow.
+            Progress::Asking { unanswered, .. }
+                if is_left_out && *unanswered > 0 && !request.is_queued =>
+            {
                 request.progress = Progress::Abandoned;
                 return Step::Silent(None);
             }
--- a/coordination/tests/gateway_engine_scheduling.rs
+++ b/coordination/tests/gateway_engine_scheduling.rs
@@ -294,6 +294,28 @@
     ));
 }
 
+/// Guards against a scheduler that is slow once and loses its whole queue to the engines.
+#[test]
+fn waiting_turns_keep_their_place_while_a_slow_scheduler_is_left_out() {
+    let mut client = client();
+    let waiting = open_turn(&mut client, ms(0));
+    let scheduler = asked(&client, waiting);
+    sent(client.next_step(waiting, ms(0)));
+    client.record_answer(&scheduler, waiting, queued(), ms(2));
+    let new = open_turn(&mut client, ms(35));
+    for at in [35, 55, 75] {
+        sent(client.next_step(new, ms(at)));
+    }
+    assert!(matches!(client.next_step(new, ms(95)), Step::Silent(_)));
+    client.hold(new, engine("e2"));
+    sent(client.next_step(waiting, ms(102)));
+    assert_eq!(client.next_step(waiting, ms(102)), Step::Wait(ms(20)));
+    // Any answer ends the backoff.
+    client.record_answer(&scheduler, new, assigned(), ms(110));
+    let next = open_turn(&mut client, ms(111));
+    assert_eq!(asked(&client, next), scheduler);
+}
+
 /// Guards against two slots for one turn if an answer is lost.
 #[test]
 fn a_repeated_request_gets_the_same_answer() {
--- a/gateway/tests/engine_scheduling.rs
+++ b/gateway/tests/engine_scheduling.rs
@@ -359,6 +359,43 @@
     assert_eq!(bypasses(a).await + bypasses(b).await, 0);
 }
 
+/// Guards against a deployment without customers whose engines of unequal speed are not
+/// scheduled.
+#[actix_rt::test]
+async fn engines_that_report_a_speed_are_scheduled_without_customers() {
+    let site = site_with_engines(2).await;
+    site.store.put("op", "config", &routes(1));
+    for index in engines(&site) {
+        let faults = BackendFaults {
+            delay_ms: DELAY_MS,
+            work_time_percent: 170,
+            ..BackendFaults::default()
+        };
+        site.set_endpoint_faults(index, &faults).await;
+    }
+    let (scheduler, other) = start_two_with_turns(&site).await;
+    let before = assigned(&scheduler).await + assigned(&other).await;
+    let answers = send_turns(&[&scheduler, &other], "speed", 8).await;
+    assert_eq!(statuses(&answers), BTreeMap::from([(200, 8)]));
+    assert!(assigned(&scheduler).await + assigned(&other).await > before);
+    assert!(datagrams(&other).await > 0);
+}
+
+/// Does the same as [`start_two`] where scheduling begins only after an engine has
+/// reported its speed.
+async fn start_two_with_turns(site: &Site) -> (Gateway, Gateway) {
+    let gateways = site.start_two_ready_gateways().await;
+    for gateway in &gateways {
+        gateway.wait_for_peers(1).await;
+    }
+    let [a, b] = gateways;
+    wait_until_scheduled(&[&a, &b], "speed-start").await;
+    match schedules(&a).await {
+        true => (a, b),
+        false => (b, a),
+    }
+}
+
 /// Guards against a setting that does not take effect.
 #[actix_rt::test]
 async fn local_selection_sends_no_datagrams() {
--- a/standin/src/backend.rs
+++ b/standin/src/backend.rs
@@ -58,6 +58,8 @@
     pub other_attempt: u64,
     /// Number of answers more that bear no proof of their maker.
     pub unstamped: u64,
+    /// Work time that it reports, in percent of the usual time; 0 where it reports none.
+    pub work_time_percent: u32,
 }
 
 impl Default for BackendFaults {
@@ -75,6 +77,7 @@
             forget_events: 0,
             other_attempt: 0,
             unstamped: 0,
+            work_time_percent: 0,
         }
     }
 }
@@ -365,7 +368,10 @@
                 .headers
                 .push(("response-stamp", format!("stamp.{}", self.instance)));
         }
-        let load = format!("{},0,8", state.running);
+        let load = match state.faults.work_time_percent {
+            0 => format!("{},0,8", state.running),
+            percent => format!("{},0,8,{percent}", state.running),
+        };
         reply.headers.push(("server-load", load));
         debug_assert!(!matches!(&reply.body, ReplyBody::Whole(body) if body.is_empty()));
         reply
