List engines twice a second only where no engine reports a speed

Cause: a deployment without customers and speeds listed the engines of a service ten times a second only to find that nothing is scheduled. Change: that check uses lists of up to 500 ms.

--- a/gateway/src/engine_scheduling/known_engines.rs
+++ b/gateway/src/engine_scheduling/known_engines.rs
@@ -13,8 +13,11 @@
 
 use crate::gateway::Gateway;
 
-/// Time for which a list is used. Engines join and leave every few seconds.
+/// Time for which a list is used for turns. Engines join and leave every few seconds.
 const MAX_AGE: Duration = Duration::from_millis(100);
+/// Time for which a list is used to tell whether engines report a speed. Deployments in
+/// which none does should not pay for the lists.
+const MAX_SPEED_AGE: Duration = Duration::from_millis(500);
 /// Time after a reported speed for which the service counts as one that reports speeds.
 const SPEED_MEMORY: Duration = Duration::from_secs(5);
 
@@ -48,10 +51,18 @@
 
 /// Returns the engines of a service, which are listed again if the last list is too old.
 pub(super) fn of_service<'a>(gateway: &'a Gateway, service: &str) -> Ref<'a, ServiceEngines> {
+    not_older_than(gateway, service, MAX_AGE)
+}
+
+fn not_older_than<'a>(
+    gateway: &'a Gateway,
+    service: &str,
+    max_age: Duration,
+) -> Ref<'a, ServiceEngines> {
     let now = gateway.clock.now();
     let known = &gateway.engine_scheduling.known_engines;
     let is_recent = known.borrow().services.get(service).is_some_and(|engines| {
-        !engines.listed_at.is_zero() && now.saturating_sub(engines.listed_at) <= MAX_AGE
+        !engines.listed_at.is_zero() && now.saturating_sub(engines.listed_at) <= max_age
     });
     if !is_recent {
         list(gateway, service, now);
@@ -91,6 +102,6 @@
 /// Returns whether an engine of the service reported a speed recently.
 pub(super) fn reports_speed(gateway: &Gateway, service: &str) -> bool {
     let now = gateway.clock.now();
-    let reported_at = of_service(gateway, service).speed_reported_at;
+    let reported_at = not_older_than(gateway, service, MAX_SPEED_AGE).speed_reported_at;
     reported_at.is_some_and(|at| now.saturating_sub(at) <= SPEED_MEMORY)
 }
--- a/gateway/src/reload.rs
+++ b/gateway/src/reload.rs
@@ -1,10 +1,10 @@
 //! Applies changes of the settings file while the process runs.
 //!
 //! The platform may change the file with or without sending a signal, so the file is also
-//! polled. The settings of the store, the stop, the retention, the customers and the selection of
-//! engines apply to requests that begin after the change. All others, such as the listen addresses and the
-//! names of the process, take effect only at its next start. A file that is not valid
-//! changes nothing.
+//! polled. The settings of the store, the stop, the retention, the customers and the
+//! selection of engines apply to requests that begin after the change. All others, such as
+//! the listen addresses and the names of the process, take effect only at its next start. A
+//! file that is not valid changes nothing.
 
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
