Select endpoints that report a speed by expected time

Cause: endpoints of some services work at speeds that differ by a factor of two to six and change several times a second. Selection did not use speeds, believed reported loads until they were 1.5 s old, and counted an endpoint without a recent report as idle.

Change: if an endpoint of a service reported a speed in the last 5 s, the directory estimates the time until the request is done at each endpoint: wait and work, times the work time factor, plus the costs for zone, connection and condition as before. Other services are selected as before. Gateways forward speeds in an optional list that earlier versions ignore. Completed turns are recorded for the time per token. endpoint-chosen names the speed and the expected time; two new histograms count them. The stand-in can report a speed. The existing test gateway/tests/gossip.rs names the new field of PeerReports.

--- a/coordination/src/gateway/directory.rs
+++ b/coordination/src/gateway/directory.rs
@@ -11,6 +11,8 @@
 //! - `endpoint`: the state that is kept for one endpoint.
 //! - `cost`: the cost estimate of a request at an endpoint.
 //! - `work_time`: the reported speed of one endpoint.
+//! - `expected_time`: the selection in services whose endpoints report a speed.
+//! - `service_times`: the observed times of one service.
 //! - `engines`: the engines of a service in a zone, for an engine scheduler.
 
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -25,14 +27,18 @@
 mod cost;
 mod endpoint;
 mod engines;
+mod expected_time;
 mod listing;
+mod service_times;
 mod work_time;
 
 pub use self::engines::{EngineStatus, RequestReport};
 pub use self::listing::ListingChange;
+pub use self::service_times::CompletedTurn;
 
 use self::endpoint::{Endpoint, ReportedLoad, smooth};
 use self::listing::RemovedEndpoint;
+use self::service_times::ServiceTimes;
 
 /// Backoff after the first failure of an endpoint. It doubles with each further
 /// consecutive failure.
@@ -59,6 +65,10 @@
     /// Number of prompt tokens that every other endpoint would have to process
     /// anew.
     pub warm_tokens: u64,
+    /// Number of tokens of the whole prompt, if it is known; otherwise 0.
+    pub prompt_tokens: u64,
+    /// Number of output tokens that the caller expects, if it is known.
+    pub expected_output_tokens: Option<u64>,
     /// True if the request is a turn at a model engine.
     pub is_turn: bool,
     /// Endpoints at which the request was already tried. They are not selected
@@ -78,6 +88,12 @@
     pub expected_load: u64,
     /// Age of the endpoint's last load report; `None` if there was no report.
     pub report_age: Option<Duration>,
+    /// Expected work time of the endpoint in percent of the usual time; `None` if no
+    /// endpoint of the service reports a speed.
+    pub work_time_percent: Option<u32>,
+    /// Expected time until the request is done; `None` if no endpoint of the service
+    /// reports a speed.
+    pub expected_time: Option<Duration>,
 }
 
 /// This gateway's view of the endpoints of all services.
@@ -92,6 +108,8 @@
     services: Option<HashSet<ServiceName>>,
     /// Smoothed latency of each service in milliseconds.
     service_latency_ms: HashMap<ServiceName, f64>,
+    /// Observed times of each service.
+    service_times: HashMap<ServiceName, ServiceTimes>,
     /// Failures that this gateway observed itself and their times, the newest last.
     recent_failures: VecDeque<(EndpointIdentity, Duration)>,
 }
@@ -105,6 +123,7 @@
             removed: HashMap::new(),
             services: None,
             service_latency_ms: HashMap::new(),
+            service_times: HashMap::new(),
             recent_failures: VecDeque::new(),
         }
     }
@@ -176,9 +195,10 @@
         current.filter(|current| current.record.identity == *identity)
     }
 
-    /// Selects the endpoint of a service with the lowest cost. Returns `None` if
-    /// every endpoint was already tried or accepts no requests. `is_connected`
-    /// returns true if an idle connection to an incarnation is open.
+    /// Selects the endpoint of a service with the lowest cost, or by the expected time
+    /// if endpoints of the service report a speed. Returns `None` if every endpoint was
+    /// already tried or accepts no requests. `is_connected` returns true if an idle
+    /// connection to an incarnation is open.
     pub fn select(
         &self,
         service: &str,
@@ -186,13 +206,10 @@
         now: Duration,
         is_connected: impl Fn(&EndpointIdentity) -> bool,
     ) -> Option<Selection<'_>> {
-        let is_candidate = |endpoint: &&Endpoint| {
-            endpoint.record.service == service
-                && endpoint.accepts_requests()
-                && !query.tried.contains(&endpoint.record.identity)
-        };
-        let candidates = self.endpoints.values().filter(is_candidate);
-        let costs = candidates.map(|endpoint| {
+        if self.reports_speed(service, now) {
+            return self.select_by_time(service, query, now, is_connected);
+        }
+        let costs = self.candidates(service, query).map(|endpoint| {
             let has_connection = is_connected(&endpoint.record.identity);
             (self.cost_ms(endpoint, query, has_connection, now), endpoint)
         });
@@ -200,6 +217,20 @@
         best.map(|(_, endpoint)| endpoint.selection(now))
     }
 
+    /// Returns the endpoints of a service to which a request may be sent.
+    fn candidates<'a, 'q>(
+        &'a self,
+        service: &'q str,
+        query: EndpointQuery<'q>,
+    ) -> impl Iterator<Item = &'a Endpoint> {
+        let endpoints = self.endpoints.values();
+        endpoints.filter(move |endpoint| {
+            endpoint.record.service == service
+                && endpoint.accepts_requests()
+                && !query.tried.contains(&endpoint.record.identity)
+        })
+    }
+
     /// Returns the ratio of an endpoint's latency to the latency of its service,
     /// or 1 if the endpoint is not notably slower or there is no sample.
     fn relative_latency(&self, endpoint: &Endpoint) -> f64 {
@@ -294,10 +325,35 @@
         let sample_ms = latency.as_secs_f64() * 1_000.0;
         smooth(&mut endpoint.latency_ms, sample_ms);
         let service = endpoint.record.service.clone();
+        let request_ms = endpoint
+            .is_sample()
+            .then(|| sample_ms / endpoint.factor(now));
         smooth(
-            self.service_latency_ms.entry(service).or_default(),
+            self.service_latency_ms.entry(service.clone()).or_default(),
             sample_ms,
         );
+        if let Some(request_ms) = request_ms {
+            let times = self.service_times.entry(service).or_default();
+            times.add_request(request_ms);
+        }
+    }
+
+    /// Records a turn that an endpoint has completed, for the estimates of later ones.
+    pub fn record_turn(
+        &mut self,
+        identity: &EndpointIdentity,
+        turn: &CompletedTurn,
+        now: Duration,
+    ) {
+        let Some(endpoint) = self.incarnation(identity) else {
+            return;
+        };
+        if endpoint.is_sample() {
+            let factor = endpoint.factor(now);
+            let service = endpoint.record.service.clone();
+            let times = self.service_times.entry(service).or_default();
+            times.add_turn(turn, factor);
+        }
     }
 
     /// Records that an endpoint failed or was unreachable. Returns the backoff that
--- a/coordination/src/gateway/directory/cost.rs
+++ b/coordination/src/gateway/directory/cost.rs
@@ -62,27 +62,47 @@
         let mut cost_ms = (load / slots).min(1.0) * FULL_SLOTS_MS;
         cost_ms += (load + 1.0 - slots).max(0.0) * slot_time_ms / slots;
         cost_ms += (self.relative_latency(endpoint) - 1.0) * service_ms;
+        cost_ms = self.add_placement_costs(cost_ms, endpoint, has_connection);
+        if query.warm_endpoint != Some(&endpoint.record.identity) {
+            cost_ms += query.warm_tokens as f64 * UNCACHED_TOKEN_MS;
+        }
+        cost_ms = endpoint.add_condition_costs(cost_ms, now);
+        let instance = &endpoint.record.identity.instance;
+        let hash = hash_parts(&[query.jitter_key.as_bytes(), instance.as_bytes()]);
+        cost_ms + JITTER_MS * (hash % 1_024) as f64 / 1_024.0
+    }
+
+    /// Adds the costs of another availability zone and of a new connection.
+    pub(super) fn add_placement_costs(
+        &self,
+        mut cost_ms: f64,
+        endpoint: &Endpoint,
+        has_connection: bool,
+    ) -> f64 {
         if endpoint.record.availability_zone != self.availability_zone {
             cost_ms += CROSS_ZONE_MS;
         }
         if !has_connection {
             cost_ms += CONNECT_MS;
         }
-        if query.warm_endpoint != Some(&endpoint.record.identity) {
-            cost_ms += query.warm_tokens as f64 * UNCACHED_TOKEN_MS;
-        }
-        cost_ms += endpoint.failure_rate(now) * FAILURE_MS;
-        if now < endpoint.warmed_up_at {
+        cost_ms
+    }
+}
+
+impl Endpoint {
+    /// Adds the costs of failures, of a recent start, of a backoff and of an entry that
+    /// expired in an outage of the store.
+    pub(super) fn add_condition_costs(&self, mut cost_ms: f64, now: Duration) -> f64 {
+        cost_ms += self.failure_rate(now) * FAILURE_MS;
+        if now < self.warmed_up_at {
             cost_ms += WARMING_UP_MS;
         }
-        if now < endpoint.backoff_until {
+        if now < self.backoff_until {
             cost_ms += BACKOFF_MS;
         }
-        if endpoint.lapse_deadline.is_some() {
+        if self.lapse_deadline.is_some() {
             cost_ms += LAPSED_MS;
         }
-        let instance = &endpoint.record.identity.instance;
-        let hash = hash_parts(&[query.jitter_key.as_bytes(), instance.as_bytes()]);
-        cost_ms + JITTER_MS * (hash % 1_024) as f64 / 1_024.0
+        cost_ms
     }
 }
--- a/coordination/src/gateway/directory/endpoint.rs
+++ b/coordination/src/gateway/directory/endpoint.rs
@@ -141,10 +141,41 @@
         Selection {
             record: &self.record,
             expected_load: self.expected_load(now) as u64,
-            report_age: self.load.map(|report| now.saturating_sub(report.at)),
+            report_age: self.report_age(now),
+            work_time_percent: None,
+            expected_time: None,
         }
     }
 
+    /// Returns the age of the last load report.
+    pub(super) fn report_age(&self, now: Duration) -> Option<Duration> {
+        self.load.map(|report| now.saturating_sub(report.at))
+    }
+
+    /// Returns the number of requests of other gateways according to the last load
+    /// report; 0 without one.
+    pub(super) fn others_requests(&self) -> f64 {
+        self.load.map_or(0.0, |report| {
+            // A response or a peer's datagram may contain any numbers, so the sum must
+            // not overflow.
+            let total = report.load.running.saturating_add(report.load.waiting);
+            f64::from(total.saturating_sub(report.own_in_flight))
+        })
+    }
+
+    /// Returns true if the time of a request that ends now tells the time of its work.
+    /// If requests wait at the endpoint, the request probably waited, too.
+    pub(super) fn is_sample(&self) -> bool {
+        self.load.is_none_or(|report| report.load.waiting == 0)
+    }
+
+    /// Returns the work time factor by which a time at the endpoint is divided to get
+    /// the usual time; 1 if the endpoint reports no speed.
+    pub(super) fn factor(&self, now: Duration) -> f64 {
+        let work_time = self.work_time.filter(|work_time| work_time.is_recent(now));
+        work_time.map_or(1.0, |work_time| work_time.factor(now))
+    }
+
     /// Estimates the number of requests at the endpoint: the in-flight requests of
     /// this gateway, plus those of other gateways according to the last load report,
     /// whose weight falls with its age.
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -18,6 +18,7 @@
 
 use crate::call::Call;
 use crate::gateway::{Gateway, OpenEndpointRequest};
+use crate::metrics::Timing;
 use crate::quarantine;
 use crate::reply::Refusal;
 
@@ -170,6 +171,8 @@
         let query = EndpointQuery {
             warm_endpoint: self.warm.as_ref().map(|warm| &warm.endpoint),
             warm_tokens: self.warm.as_ref().map_or(0, |warm| warm.tokens),
+            prompt_tokens: self.prompt_tokens(),
+            expected_output_tokens: self.expected_output_tokens(),
             is_turn: self.call.route.kind == RouteKind::Streaming,
             tried: &self.tried_endpoints,
             jitter_key: &self.call.header.attempt,
@@ -186,6 +189,14 @@
             Some(age) => event.age(age),
             None => event,
         };
+        let event = match (chosen.work_time_percent, chosen.expected_time) {
+            (Some(percent), Some(expected)) => {
+                self.gateway.metrics.observe_work_time(percent);
+                self.gateway.metrics.observe(Timing::Expected, expected);
+                event.work_time_percent(percent).expected_time(expected)
+            }
+            _ => event,
+        };
         let warm = self.warm.as_ref().map(|warm| &warm.endpoint);
         let is_warm = warm == Some(&chosen.record.identity);
         self.call.request_log.add_step(match is_warm {
@@ -197,6 +208,27 @@
         Some(endpoint)
     }
 
+    fn prompt_tokens(&self) -> u64 {
+        let tokens = self.call.header.tokens;
+        tokens.map_or(0, |tokens| tokens.prompt_tokens)
+    }
+
+    /// Returns the caller's estimate of the output, which can't exceed the maximum that
+    /// the caller sets.
+    fn expected_output_tokens(&self) -> Option<u64> {
+        let expected = self.call.header.expected_output_tokens?;
+        let tokens = self.call.header.tokens;
+        Some(tokens.map_or(expected, |tokens| expected.min(tokens.max_output_tokens)))
+    }
+
+    /// Returns the number of prompt tokens that are not in the memory of an endpoint.
+    pub fn uncached_prompt_tokens(&self, endpoint: &EndpointIdentity) -> u64 {
+        let warm = self.warm.as_ref();
+        let warm = warm.filter(|warm| warm.endpoint == *endpoint);
+        let cached = warm.map_or(0, |warm| warm.tokens);
+        self.prompt_tokens().saturating_sub(cached)
+    }
+
     /// Sends the request to an endpoint and receives the head of the response
     /// within the time limit.
     async fn try_endpoint(&self, endpoint: &EndpointRecord) -> Result<EndpointResponse, Failure> {
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -26,7 +26,7 @@
 /// Maximum number of load reports in a datagram. They take about 1,000 bytes.
 const MAX_LOADS: usize = 24;
 /// Maximum number of failures in a datagram. With the load reports they take about
-/// 1,450 bytes.
+/// 1,450 bytes, and with speeds up to 120 bytes more.
 const MAX_FAILURES: usize = 16;
 /// Maximum size of a sent datagram in bytes, so that no link fragments it. Entries that
 /// do not fit, because ids are unusually long, are left out.
@@ -50,6 +50,11 @@
     pub loads: Vec<LoadReport>,
     /// Incarnations of endpoints that failed, once for each failure.
     pub failed: Vec<EndpointIdentity>,
+    /// Speeds of the endpoints in `loads`, in the same order: the work time in percent of
+    /// the usual time, or `None` if the endpoint reported none. The list is left out if it
+    /// is empty. Gateways of earlier versions do not send it and ignore it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub speeds: Vec<Option<u32>>,
 }
 
 /// Error of a datagram that no gateway of this version can have sent.
@@ -81,18 +86,21 @@
             if self.loads.pop().is_none() && self.failed.pop().is_none() {
                 return datagram;
             }
+            self.speeds.truncate(self.loads.len());
         }
     }
 
     /// Records the reports and failures in the directory. Those of another incarnation
     /// than the listed one have no effect.
     pub fn record_in(&self, directory: &mut Directory, now: Duration) {
-        for LoadReport(endpoint, running, waiting, slots, age_ms) in &self.loads {
+        let speeds = self.speeds.iter().copied().chain(std::iter::repeat(None));
+        for (report, speed) in self.loads.iter().zip(speeds) {
+            let LoadReport(endpoint, running, waiting, slots, age_ms) = report;
             let load = EndpointLoad {
                 running: *running,
                 waiting: *waiting,
                 slots: *slots,
-                work_time_percent: None,
+                work_time_percent: speed,
             };
             let at = now.saturating_sub(Duration::from_millis(*age_ms));
             directory.record_peer_report(endpoint, load, at);
@@ -123,21 +131,30 @@
     let directory = gateway.directory.borrow();
     let reports = directory.reports_since(since).map(|(endpoint, load, at)| {
         let age_ms = whole_ms(now.saturating_sub(at));
-        LoadReport(
+        let report = LoadReport(
             endpoint.clone(),
             load.running,
             load.waiting,
             load.slots,
             age_ms,
-        )
+        );
+        (report, load.work_time_percent)
     });
-    let loads: Vec<LoadReport> = reports.take(MAX_LOADS).collect();
+    let (loads, mut speeds): (Vec<LoadReport>, Vec<Option<u32>>) = reports.take(MAX_LOADS).unzip();
+    if speeds.iter().all(Option::is_none) {
+        speeds.clear();
+    }
     let failed = directory.failures_since(since).take(MAX_FAILURES).cloned();
     let failed: Vec<EndpointIdentity> = failed.collect();
     if loads.is_empty() && failed.is_empty() {
         return None;
     }
-    Some(PeerReports { loads, failed }.into_datagram())
+    let peer_reports = PeerReports {
+        loads,
+        failed,
+        speeds,
+    };
+    Some(peer_reports.into_datagram())
 }
 
 /// Sends a datagram to each peer.
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -20,6 +20,8 @@
 const MIN_BUCKET_SECONDS: f64 = 0.001;
 /// Number of bucket bounds; the largest one is about 16 seconds.
 const BUCKET_COUNT: u16 = 15;
+/// The bucket bounds of the work time in percent.
+const WORK_TIME_PERCENT_BOUNDS: [f64; 8] = [50.0, 80.0, 100.0, 130.0, 180.0, 250.0, 400.0, 800.0];
 
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 #[derive(EncodeLabelSet)]
@@ -72,6 +74,8 @@
     Record,
     /// The duration of a call to the store.
     StoreCall,
+    /// The expected time until a request is done at its endpoint.
+    Expected,
 }
 
 /// The way in which a transaction is sent to the store.
@@ -148,6 +152,8 @@
     joined_transactions: Counter,
     refused_commits: Counter,
     new_connections: Counter,
+    work_time_percent: Histogram,
+    expected_time: Histogram,
     refused_entries: Family<ReasonLabel, Counter>,
     request: Histogram,
     first_event: Histogram,
@@ -218,6 +224,14 @@
             "Connections opened to endpoints",
             new_connections.clone(),
         );
+        let work_time_percent = Histogram::new(WORK_TIME_PERCENT_BOUNDS);
+        let help =
+            "Work time of selected endpoints in percent of the usual time, if they report one";
+        registry.register(
+            "endpoint_work_time_percent",
+            help,
+            work_time_percent.clone(),
+        );
         let refused_entries = Family::default();
         let help = "Entries of the table of endpoints that began to name none, by reason";
         registry.register("refused_entries", help, refused_entries.clone());
@@ -235,6 +249,8 @@
             "From the end of an endpoint's answer until its turn is durable",
         );
         let store_call = histogram("store_call", "Calls to the store");
+        let help = "Expected time of requests at their endpoints, if these report a speed";
+        let expected_time = histogram("endpoint_expected_time", help);
         Self {
             requests,
             refusals,
@@ -250,6 +266,8 @@
             joined_transactions,
             refused_commits,
             new_connections,
+            work_time_percent,
+            expected_time,
             refused_entries,
             request,
             first_event,
@@ -408,6 +426,11 @@
         self.new_connections.inc();
     }
 
+    /// Adds the work time of a selected endpoint.
+    pub fn observe_work_time(&self, work_time_percent: u32) {
+        self.work_time_percent.observe(f64::from(work_time_percent));
+    }
+
     /// Counts an entry of the table of endpoints that has become invalid.
     pub fn count_refused_entry(&self, reason: &'static str) {
         self.refused_entries
@@ -439,6 +462,7 @@
             Timing::Turn => &self.turn,
             Timing::Record => &self.record,
             Timing::StoreCall => &self.store_call,
+            Timing::Expected => &self.expected_time,
         };
         histogram.observe(time.as_secs_f64());
     }
--- a/gateway/src/runs.rs
+++ b/gateway/src/runs.rs
@@ -14,6 +14,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
 use rosebend_coordination::gateway::attempt::Failure;
+use rosebend_coordination::gateway::directory::CompletedTurn;
 use rosebend_coordination::gateway::event_series::{EventSeries, Events, ResumePoint};
 use rosebend_platform::headers::AnswerHeader;
 use rosebend_state::deployment::EndpointIdentity;
@@ -48,6 +49,8 @@
     head: Parts,
     /// Whether bytes were forwarded, after which `head` no longer changes.
     has_forwarded: bool,
+    /// Whether a run at another endpoint continued the answer.
+    is_resumed: bool,
     run: Run,
 }
 
@@ -60,7 +63,8 @@
     header: AnswerHeader,
     endpoint_request: OpenEndpointRequest,
     sent_at: Duration,
-    has_received_data: bool,
+    /// Time from sending the request to the first bytes of the body.
+    first_byte: Option<Duration>,
 }
 
 impl Runs {
@@ -79,6 +83,7 @@
             series: new_series(call),
             head,
             has_forwarded: false,
+            is_resumed: false,
             run,
         }
     }
@@ -93,6 +98,26 @@
         &self.run.endpoint_request.endpoint
     }
 
+    /// Records the times of a completed answer with this number of events, from which the
+    /// time of later turns is estimated. An answer that was resumed is not recorded,
+    /// because its last endpoint generated a part of it only.
+    pub fn record_completion(&self, events: u64) {
+        let is_partial = self.is_resumed || self.call.resumes_after().is_some();
+        let Some(first_event) = self.run.first_byte.filter(|_| !is_partial) else {
+            return;
+        };
+        let now = self.gateway.clock.now();
+        let endpoint = &self.run.endpoint_request.endpoint;
+        let turn = CompletedTurn {
+            prompt_tokens: self.exchange.uncached_prompt_tokens(endpoint),
+            output_tokens: events,
+            first_event,
+            duration: now.saturating_sub(self.run.sent_at),
+        };
+        let mut directory = self.gateway.directory.borrow_mut();
+        directory.record_turn(endpoint, &turn, now);
+    }
+
     /// Puts the connection back into the pool after the body of the last run was received
     /// completely.
     pub fn keep_connection(&mut self) {
@@ -178,6 +203,7 @@
             .add_notable_step(event.reason(failure.as_str()));
         self.gateway.metrics.count_resumption(failure);
         self.run = run;
+        self.is_resumed = true;
         if !self.has_forwarded {
             self.head = head;
         }
@@ -211,19 +237,19 @@
             header: endpoint_response.header,
             endpoint_request: endpoint_response.in_flight,
             sent_at: endpoint_response.sent_at,
-            has_received_data: false,
+            first_byte: None,
         };
         (head, run)
     }
 
     /// Records the latency of the first bytes, which indicates the load of the endpoint.
     fn record_first_byte(&mut self, gateway: &Gateway) {
-        if self.has_received_data {
+        if self.first_byte.is_some() {
             return;
         }
-        self.has_received_data = true;
         let now = gateway.clock.now();
         let latency = now.saturating_sub(self.sent_at);
+        self.first_byte = Some(latency);
         let mut directory = gateway.directory.borrow_mut();
         directory.record_response(&self.endpoint_request.endpoint, Some(latency), now);
     }
--- a/gateway/src/turn_stream.rs
+++ b/gateway/src/turn_stream.rs
@@ -70,6 +70,8 @@
     runs: Runs,
     events: SseReader,
     has_started: bool,
+    /// Number of events of the answer so far.
+    event_count: u64,
     /// Time from the request's arrival to its first event.
     first_event: Duration,
     durable_state: DurableState,
@@ -96,6 +98,7 @@
         runs: Runs::new(gateway, call, exchange, exchanged),
         events: SseReader::default(),
         has_started: false,
+        event_count: 0,
         first_event: Duration::ZERO,
         durable_state,
         _open_request: gateway.open_request(),
@@ -172,6 +175,7 @@
         // Events that the caller has from an earlier attempt belong to the turn's record.
         // They are not forwarded again, and were counted in that attempt.
         for event in self.events.push(&chunk.repeated) {
+            self.event_count += 1;
             self.durable_state.record_event(&event);
         }
         if chunk.fresh.is_empty() {
@@ -185,6 +189,7 @@
                 .observe(Timing::FirstEvent, self.first_event);
         }
         for event in self.events.push(&chunk.fresh) {
+            self.event_count += 1;
             if let Some(spending) = &mut self.durable_state.spending {
                 spending.count_event();
             }
@@ -195,6 +200,7 @@
 
     /// Makes the turn durable and returns the connection to the pool.
     async fn finish(&mut self) -> io::Result<()> {
+        self.runs.record_completion(self.event_count);
         self.runs.keep_connection();
         let durable_state = std::mem::take(&mut self.durable_state);
         match (durable_state.spending, durable_state.record) {
--- a/gateway/tests/gossip.rs
+++ b/gateway/tests/gossip.rs
@@ -52,6 +52,7 @@
     PeerReports {
         loads: vec![LoadReport(incarnation("a", 2), 3, 0, 8, 120)],
         failed: vec![incarnation("b", 2)],
+        ..PeerReports::default()
     }
 }
 
@@ -66,6 +67,7 @@
     let many = PeerReports {
         loads: vec![LoadReport(incarnation(&long, u64::MAX), 1, 1, 1, 1); 24],
         failed: vec![incarnation(&long, u64::MAX); 16],
+        ..PeerReports::default()
     };
     let datagram = many.into_datagram();
     assert!(datagram.len() <= 1_472, "{}", datagram.len());
@@ -120,7 +122,80 @@
         let loads = loads.into_iter();
         let loads = loads.map(|(id, running, waiting, slots, age)| LoadReport(incarnation(&id, 2), running, waiting, slots, age));
         let failed = failed.iter().map(|id| incarnation(id, 2));
-        let peer_reports = PeerReports { loads: loads.collect(), failed: failed.collect() };
+        let peer_reports = PeerReports {
+            loads: loads.collect(),
+            failed: failed.collect(),
+            ..PeerReports::default()
+        };
         receive(&serde_json::to_vec(&peer_reports).unwrap());
     }
 }
+
+/// The fields that gateways sent before speeds were forwarded.
+#[derive(Debug, serde::Deserialize)]
+struct EarlierPeerReports {
+    loads: Vec<LoadReport>,
+    failed: Vec<EndpointIdentity>,
+}
+
+fn reports_with_speeds(speeds: Vec<Option<u32>>) -> PeerReports {
+    let loads = ["a", "b"].map(|instance| LoadReport(incarnation(instance, 2), 3, 0, 8, 120));
+    PeerReports {
+        loads: loads.to_vec(),
+        failed: vec![incarnation("b", 2)],
+        speeds,
+    }
+}
+
+/// Returns the speed of the selected endpoint after the reports, in percent.
+fn selected_speed(peer_reports: &PeerReports) -> Option<u32> {
+    let mut directory = directory();
+    peer_reports.record_in(&mut directory, NOW);
+    let query = EndpointQuery::default();
+    let chosen = directory.select("models", query, NOW, |_| true).unwrap();
+    chosen.work_time_percent
+}
+
+/// Guards against mixed versions in which one drops the loads of the other.
+#[test]
+fn gateways_with_and_without_speeds_understand_each_other() {
+    let sent = reports_with_speeds(vec![Some(400), Some(70)]);
+    let datagram = sent.clone().into_datagram();
+    assert_eq!(PeerReports::try_from(datagram.as_slice()).unwrap(), sent);
+    let earlier: EarlierPeerReports = serde_json::from_slice(&datagram).unwrap();
+    assert_eq!((earlier.loads, earlier.failed), (sent.loads, sent.failed));
+
+    let of_earlier = br#"{"loads":[["a/2",3,0,8,120]],"failed":["b/2"]}"#;
+    let received = PeerReports::try_from(of_earlier.as_slice()).unwrap();
+    assert_eq!(received, peer_reports());
+    assert_eq!(peer_reports().into_datagram(), of_earlier);
+    assert_eq!(selected_speed(&received), None);
+}
+
+#[test]
+fn speeds_belong_to_the_loads_in_their_order_and_invalid_ones_are_ignored() {
+    let speed = |speeds| selected_speed(&reports_with_speeds(speeds));
+    // Both endpoints have the same load, so the faster one is selected.
+    assert_eq!(speed(vec![Some(400), Some(70)]), Some(70));
+    assert_eq!(speed(vec![Some(70), Some(400)]), Some(70));
+    assert_eq!(speed(vec![None, Some(70), Some(1), Some(1)]), Some(70));
+    assert_eq!(speed(vec![Some(70)]), Some(70));
+    assert_eq!(speed(vec![Some(0), Some(10_001)]), None);
+    assert_eq!(speed(vec![Some(1_000_000_000), None]), None);
+    assert_eq!(speed(Vec::new()), None);
+}
+
+#[test]
+fn a_datagram_with_speeds_keeps_to_the_maximum_size() {
+    let long = "i".repeat(40);
+    let many = PeerReports {
+        loads: vec![LoadReport(incarnation(&long, u64::MAX), 1, 1, 1, 1); 24],
+        failed: vec![incarnation(&long, u64::MAX); 16],
+        speeds: vec![Some(10_000); 24],
+    };
+    let datagram = many.into_datagram();
+    assert!(datagram.len() <= 1_472, "{}", datagram.len());
+    let received = PeerReports::try_from(datagram.as_slice()).unwrap();
+    assert!(!received.loads.is_empty());
+    assert_eq!(received.speeds.len(), received.loads.len());
+}
--- /dev/null
+++ b/gateway/tests/speeds.rs
@@ -0,0 +1,41 @@
+//! Tests that the speed which an endpoint reports reaches the selection and the log.
+
+mod support;
+
+use rosebend_standin::backend::BackendFaults;
+use support::{Site, TestRequest, wait_until};
+
+const MODELS: usize = 0;
+
+/// Guards against reports with four figures that are dropped, so that no request is
+/// selected by them and the log does not show why an endpoint was chosen.
+#[actix_rt::test]
+async fn the_log_shows_the_speed_by_which_an_endpoint_was_chosen() {
+    let (site, gateway) = Site::start_with_gateway().await;
+    let slow = BackendFaults {
+        delay_ms: 500,
+        events: 1,
+        work_time_percent: Some(170),
+        ..BackendFaults::default()
+    };
+    site.set_endpoint_faults(MODELS, &slow).await;
+    // The steps of both turns are logged, because they are late.
+    for attempt in ["t1", "t2"] {
+        let turn = TestRequest::turn(attempt, attempt, "x");
+        assert_eq!(turn.send(gateway.front).await.status, 200);
+    }
+    let chosen = |attempt: &str| {
+        let events = gateway.events("endpoint-chosen");
+        events
+            .into_iter()
+            .find(|event| event["attempt"] == *attempt)
+    };
+    wait_until("the second turn is in the log", async || {
+        chosen("t2").is_some()
+    })
+    .await;
+    assert!(chosen("t1").unwrap()["work_time_percent"].is_null());
+    let second = chosen("t2").unwrap();
+    assert_eq!(second["work_time_percent"], 170);
+    assert!(second["expected_ms"].as_u64().is_some(), "{second}");
+}
--- a/standin/src/backend.rs
+++ b/standin/src/backend.rs
@@ -57,6 +57,9 @@
     pub other_attempt: u64,
     /// Number of answers more that bear no proof of their maker.
     pub unstamped: u64,
+    /// Speed that the endpoint reports with its load, in percent of the usual work time.
+    /// It does not change how fast the endpoint is.
+    pub work_time_percent: Option<u32>,
 }
 
 impl Default for BackendFaults {
@@ -74,6 +77,7 @@
             forget_events: 0,
             other_attempt: 0,
             unstamped: 0,
+            work_time_percent: None,
         }
     }
 }
@@ -319,7 +323,9 @@
                 .headers
                 .push(("response-stamp", format!("stamp.{}", self.instance)));
         }
-        let load = format!("{},0,8", state.running);
+        let speed = state.faults.work_time_percent;
+        let speed = speed.map_or(String::new(), |percent| format!(",{percent}"));
+        let load = format!("{},0,8{speed}", state.running);
         reply.headers.push(("server-load", load));
         debug_assert!(!matches!(&reply.body, ReplyBody::Whole(body) if body.is_empty()));
         reply
--- a/transport/src/event.rs
+++ b/transport/src/event.rs
@@ -62,6 +62,8 @@
     AgeMs(u64),
     ElapsedMs(u64),
     Load(u64),
+    WorkTimePercent(u32),
+    ExpectedMs(u64),
     Tokens(u64),
     Amount(Amount, u64),
     Holders(String),
@@ -210,6 +212,16 @@
         self.with(Field::Load(load))
     }
 
+    /// Adds how long work takes at an endpoint, in percent of the usual time.
+    pub fn work_time_percent(self, work_time_percent: u32) -> Self {
+        self.with(Field::WorkTimePercent(work_time_percent))
+    }
+
+    /// Adds how long something was expected to take.
+    pub fn expected_time(self, expected: Duration) -> Self {
+        self.with(Field::ExpectedMs(whole_ms(expected)))
+    }
+
     /// Adds a number of tokens.
     pub fn tokens(self, tokens: u64) -> Self {
         self.with(Field::Tokens(tokens))
@@ -289,6 +301,8 @@
             Self::AgeMs(age_ms) => number("age_ms", *age_ms),
             Self::ElapsedMs(elapsed_ms) => number("elapsed_ms", *elapsed_ms),
             Self::Load(load) => number("load", *load),
+            Self::WorkTimePercent(percent) => number("work_time_percent", u64::from(*percent)),
+            Self::ExpectedMs(expected_ms) => number("expected_ms", *expected_ms),
             Self::Tokens(tokens) => number("tokens", *tokens),
             Self::Amount(amount, tokens) => number(amount.name(), *tokens),
             Self::Holders(text) => member("holders", text),
@@ -350,6 +364,8 @@
             Self::AgeMs(age_ms) => write!(f, "age_ms={age_ms}"),
             Self::ElapsedMs(elapsed_ms) => write!(f, "elapsed_ms={elapsed_ms}"),
             Self::Load(load) => write!(f, "load={load}"),
+            Self::WorkTimePercent(percent) => write!(f, "work_time_percent={percent}"),
+            Self::ExpectedMs(expected_ms) => write!(f, "expected_ms={expected_ms}"),
             Self::Tokens(tokens) => write!(f, "tokens={tokens}"),
             Self::Amount(amount, tokens) => write!(f, "{}={tokens}", amount.name()),
             Self::Holders(holders) => write!(f, "holders={holders:?}"),
@@ -427,7 +443,8 @@
 program), `shard`, `epoch`, `host`, `endpoint`, `revision`, `count`, `wait_ms`,
 `reason` (a word of a closed set) and `error`; for gateways also `attempt`
 (a caller's attempt), `route`, `status`, `version` (of the declared routes),
-`age_ms` (of what decided), `elapsed_ms`, `load`, `tokens`, `address`, and a
+`age_ms` (of what decided), `elapsed_ms`, `load`, `work_time_percent`,
+`expected_ms`, `tokens`, `address`, and a
 program's account: `budget_tokens`, `most_tokens` (of the turn), `spent_tokens`,
 `reserved_tokens` and `holders` (each HOST/RUN:TOKENS).
 Gateways write each event as a JSON object on a line of its own, with `at_ms`,
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -101,7 +101,7 @@
     RequestEnded,
     /// Step: the head and body of a request are read, under the routes of `version`.
     RequestArrived,
-    /// Step: the request goes to `endpoint`, which was expected to have `load` requests; its report was `age_ms` old. `reason` is warm when it has the prompt in memory.
+    /// Step: the request goes to `endpoint`, which was expected to have `load` requests; its report was `age_ms` old. If endpoints of the service report a speed, work is expected to take `work_time_percent` of the usual time there, and the request to be done after `expected_ms`. `reason` is warm when it has the prompt in memory.
     EndpointChosen,
     /// Step: the endpoint did not answer as it should after `elapsed_ms`; `reason` says how.
     EndpointFailed,
