--- a/gateway/src/spending.rs
+++ b/gateway/src/spending.rs
@@ -422,7 +422,8 @@
     }
 }
 
-fn tokens_per_event(gateway: &Gateway, service: &str) -> u64 {
+/// Returns the number of output tokens that one event of a service's streams contains.
+pub fn tokens_per_event(gateway: &Gateway, service: &str) -> u64 {
     let routes = gateway.routes();
     let service = routes
         .as_ref()
--- a/gateway/tests/engine_scheduling.rs
+++ b/gateway/tests/engine_scheduling.rs
@@ -368,7 +368,7 @@
     for index in engines(&site) {
         let faults = BackendFaults {
             delay_ms: DELAY_MS,
-            work_time_percent: 170,
+            work_time_percent: Some(170),
             ..BackendFaults::default()
         };
         site.set_endpoint_faults(index, &faults).await;
