--- a/state/tests/settings.rs
+++ b/state/tests/settings.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use rosebend_state::settings::{
-    CLI_SCHEMA, CliSettings, CustomerSettings, Document, ENTRY_SCHEMA, EntrySettings,
-    GATEWAY_SCHEMA, GatewaySettings, KeyKind, Presence, Role, SIDECAR_SCHEMA, SidecarSettings,
-    Tokens, Unit, reference_page,
+    CLI_SCHEMA, CliSettings, CustomerSettings, Document, ENTRY_SCHEMA, EngineSelection,
+    EntrySettings, GATEWAY_SCHEMA, GatewaySettings, KeyKind, Presence, Role, SIDECAR_SCHEMA,
+    SidecarSettings, Tokens, Unit, reference_page,
 };
 
 fn errors_of_entry(file: &[u8]) -> String {
@@ -96,6 +96,29 @@
     GatewaySettings::try_from(&document).unwrap()
 }
 
+/// Guards against a selection of engines that is misread, or taken for another one.
+#[test]
+fn the_selection_of_engines_is_auto_or_local() {
+    let settings = |section: &str| {
+        let text = format!(
+            "{}\n{section}",
+            String::from_utf8(example("gateway.ini")).unwrap()
+        );
+        GatewaySettings::try_from(&Document::try_from(text.as_bytes()).unwrap())
+    };
+    let selection = |section: &str| settings(section).unwrap().engine_selection;
+    assert_eq!(selection(""), EngineSelection::Auto);
+    assert_eq!(
+        selection("[scheduling]\nengines = auto\n"),
+        EngineSelection::Auto
+    );
+    assert_eq!(
+        selection("[scheduling]\nengines = local\n"),
+        EngineSelection::Local
+    );
+    assert!(settings("[scheduling]\nengines = central\n").is_err());
+}
+
 #[test]
 fn the_reference_page_is_up_to_date() {
     let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../docs/SETTINGS.md");
