--- a/coordination/src/gateway.rs
+++ b/coordination/src/gateway.rs
@@ -9,6 +9,7 @@
 //! | The limits of customers over all hosts together | [`limits`] | `limits` |
 //! | The known endpoints, and the one that runs a request | [`directory`], its costs in `directory::cost` | `entries`, `watch`, `gossip`, `exchange` |
 //! | The admission of new programs while engines have queues | [`admission`] | `turn` |
+//! | The slots of the engines of a service and availability zone | [`engine_scheduler`] | `engine_scheduling` |
 //! | The invalid entries in the table of endpoints | [`refusals`] | `entries` |
 //! | The next step after an endpoint failed | [`attempt`] | `exchange` |
 //! | The events of a stream that are forwarded, and the position at which another endpoint resumes it | [`event_series`] | `runs` |
