Ask other zones when a scheduler cannot decide about a program

A host sees no queue, since turns wait at schedulers, so it admits every program; the expected wait rose to 180 ms.

Change: if a group's scheduler is silent or starting, the other groups are asked before the host decides itself.

--- a/gateway/src/engine_scheduling/start.rs
+++ b/gateway/src/engine_scheduling/start.rs
@@ -33,7 +33,9 @@
             Some(Err(refusal)) => {
                 first_refusal.get_or_insert(refusal);
             }
-            None if first_refusal.is_none() => return None,
+            // The scheduler starts or is silent. The scheduler of another zone can still
+            // decide; this host would admit every program, because the turns of the others
+            // wait at schedulers and not at engines, where it would notice the queue.
             None => {}
         }
     }
