Bound samples of the time to the first event

A host that was paused for less than 1 s reports its pause as the time to the first event of its turns. 20 releases of 900 ms made a turn with 500 ms left CannotEndInTime although 100 slots were free.

A sample counts for at most three times the present estimate, and a turn for which a slot is free is refused only if less than the initial 50 ms is left.

--- a/coordination/src/gateway/engine_scheduler/estimates.rs
+++ b/coordination/src/gateway/engine_scheduler/estimates.rs
@@ -11,7 +11,11 @@
 /// the measured deployments take 160 to 280 ms.
 const INITIAL_HOLD_MS: f64 = 200.0;
 /// Time from sending a turn to its first event, before the first sample, in milliseconds.
-const INITIAL_FIRST_EVENT_MS: f64 = 50.0;
+pub(super) const INITIAL_FIRST_EVENT_MS: f64 = 50.0;
+/// Largest sample of the time to the first event, relative to the present estimate. A host
+/// that was paused reports its pause as the time of all its turns. Engines that become slower
+/// still raise the estimate by a tenth with each turn.
+const FIRST_EVENT_RATIO: f64 = 3.0;
 /// Half-life of the time to the first event, relative to the initial value, while there are
 /// no new samples. Without the decay, a stall of the engines would raise the time above the
 /// deadlines of all turns, and a group that refuses every turn gets no new sample.
@@ -75,7 +79,9 @@
             add_sample(&mut self.usual_hold_ms, usual_ms);
             self.first_event_ms = self.first_event_ms(now);
             self.first_event_at = now;
-            add_sample(&mut self.first_event_ms, first_event_ms as f64);
+            let largest_ms = self.first_event_ms * FIRST_EVENT_RATIO;
+            let sample_ms = (first_event_ms as f64).min(largest_ms);
+            add_sample(&mut self.first_event_ms, sample_ms);
         }
     }
 
--- a/coordination/src/gateway/engine_scheduler/placement.rs
+++ b/coordination/src/gateway/engine_scheduler/placement.rs
@@ -6,6 +6,7 @@
 
 use super::EngineScheduler;
 use super::engines::EngineChoice;
+use super::estimates::INITIAL_FIRST_EVENT_MS;
 use super::holders::{Placement, Turn};
 use super::message::{
     PlacementOutcome, PlacementRefusal, PlacementRequest, ReleasedPlacement, RequestNumber,
@@ -44,7 +45,11 @@
         );
         let key = self.queue.key(allowance, now);
         let wait_ms = self.wait_ms(self.queue.ahead(&key));
-        let needed_ms = wait_ms + self.estimates.first_event_ms(now);
+        // While a slot is free, only the engine can tell whether it is slower than usual.
+        let needed_ms = match &choice {
+            EngineChoice::Free(_) if self.queue.len() == 0 => INITIAL_FIRST_EVENT_MS,
+            _ => wait_ms + self.estimates.first_event_ms(now),
+        };
         let cannot_end = (request.turn_remaining_ms as f64) < needed_ms;
         match choice {
             EngineChoice::NoEngine => {
