Learn again after a freeze or a time without messages

The learning time was counted once from the first call, but hosts expire after 1 s of silence. A scheduler that was frozen, or that took a group over a second time, treated all slots as free. Its status while it learned was also that of an idle group.

Learning starts again if more than 500 ms pass between two calls that take the time, and with the first message of a host after more than 2 s without any, when all hosts have been unknown for 1 s. A pause of up to 2 s between turns does not start it, because hosts report for 2 s after their last turn and the gateway lists the engines every 250 ms. Without messages for longer, the first turn is answered Unavailable for 500 ms, and hosts select engines themselves. A scheduler that takes over within 1 to 2 s of its last message still treats the slots of expired hosts as free. is_learning tells the caller that the status must be left out.

Tests that let more than 500 ms pass in one step now call the scheduler meanwhile, as a gateway does; their assertions are unchanged.

--- a/coordination/src/gateway/engine_scheduler.rs
+++ b/coordination/src/gateway/engine_scheduler.rs
@@ -61,6 +61,14 @@
 /// Time for which a new scheduler assigns nothing. Hosts report the placements that they
 /// hold every 250 ms.
 const LEARNING_TIME: Duration = Duration::from_millis(500);
+/// Longest time between two calls. A scheduler that its host calls less often was frozen or
+/// not in use, and does not know which turns are running: hosts were heard too late, and
+/// their placements may have expired.
+const CALL_GAP_LIMIT: Duration = Duration::from_millis(500);
+/// Longest time without a message of a host. All hosts have been unknown for 1 s then, and
+/// may have used another scheduler. A shorter limit would make hosts select engines
+/// themselves after each pause between turns; a host reports for 2 s after its last turn.
+const MESSAGE_GAP_LIMIT: Duration = Duration::from_secs(2);
 /// Time after an assignment in which a report that does not name it may be older.
 const REPORT_TOLERANCE: Duration = Duration::from_millis(300);
 
@@ -70,8 +78,12 @@
 /// the answers to turns that waited.
 #[derive(Debug, Default)]
 pub struct EngineScheduler {
-    /// Time of the first call.
+    /// Time since which the scheduler has been learning or has learned.
     started_at: Option<Duration>,
+    /// Time of the last call that changes the state.
+    called_at: Duration,
+    /// Time of the last message of a host.
+    heard_at: Option<Duration>,
     engines: Engines,
     estimates: Estimates,
     holders: Holders,
@@ -88,7 +100,9 @@
     /// Creates the scheduler of a group without engines.
     ///
     /// It answers `Unavailable` for the first 500 ms after the first call of any method
-    /// that takes the time and changes the state.
+    /// that takes the time and changes the state. It does so again if more than 500 ms pass
+    /// between two such calls, and from the first message of a host after more than 2 s
+    /// without any.
     pub fn new() -> Self {
         Self::default()
     }
@@ -96,7 +110,7 @@
     /// Replaces the set of usable engines. Engines missing from the new set get no further
     /// turns; the turns that they run keep their placements.
     pub fn set_engines(&mut self, engines: Vec<EngineState>, now: Duration) {
-        self.record_start(now);
+        self.record_call(now);
         self.engines.set(engines);
         self.engines_changed = true;
     }
@@ -122,6 +136,7 @@
         request: &PlacementRequest,
         now: Duration,
     ) -> PlacementOutcome {
+        self.record_message(now);
         let is_learning = self.is_learning(now);
         let holder = self.holders.heard(from, now);
         if let Some(answer) = holder.ended.get(request.number, now) {
@@ -151,6 +166,7 @@
         request: &AdmissionRequest,
         now: Duration,
     ) -> AdmissionOutcome {
+        self.record_message(now);
         let is_learning = self.is_learning(now);
         let holder = self.holders.heard(from, now);
         if is_learning {
@@ -169,7 +185,7 @@
 
     /// Ends placements: their slots become free, and their waiting turns leave the queue.
     pub fn release(&mut self, from: &ProcessId, released: &[ReleasedPlacement], now: Duration) {
-        self.record_start(now);
+        self.record_message(now);
         for ended in released {
             let holder = self.holders.heard(from, now);
             // A copy of the request that arrives after the release gets the same answer and
@@ -192,7 +208,7 @@
     /// name have ended, unless they were assigned less than 300 ms ago: the report may be
     /// older.
     pub fn report_held(&mut self, from: &ProcessId, held: &[HeldPlacement], now: Duration) {
-        self.record_start(now);
+        self.record_message(now);
         self.holders.heard(from, now);
         for placement in held {
             if let Some(engine) = &placement.engine {
@@ -218,7 +234,7 @@
     /// Assigns free slots to waiting turns and ends expired placements. Returns the answers
     /// to send.
     pub fn advance(&mut self, now: Duration) -> Vec<(ProcessId, u64, PlacementOutcome)> {
-        self.record_start(now);
+        self.record_call(now);
         for turn in self.holders.take_silent(now) {
             self.end(turn, now);
         }
@@ -228,10 +244,19 @@
         answers
     }
 
-    /// Returns the state of the group.
+    /// Returns whether the scheduler does not know yet which turns are running. Its status
+    /// says nothing about the group then, and must not be compared with that of others.
+    pub fn is_learning(&self, now: Duration) -> bool {
+        let is_started = self
+            .started_at
+            .is_some_and(|started_at| started_at + LEARNING_TIME <= now);
+        !is_started || self.called_at + CALL_GAP_LIMIT < now
+    }
+
+    /// Returns the state of the group, which is that of an idle group without slots while
+    /// [`Self::is_learning`].
     pub fn status(&self, now: Duration) -> GroupStatus {
-        let started_at = self.started_at;
-        if started_at.is_none_or(|started_at| now < started_at + LEARNING_TIME) {
+        if self.is_learning(now) {
             return GroupStatus::default();
         }
         GroupStatus {
@@ -241,13 +266,22 @@
         }
     }
 
-    fn record_start(&mut self, now: Duration) {
-        self.started_at.get_or_insert(now);
+    /// Starts to learn at the first call, and after a time without calls.
+    fn record_call(&mut self, now: Duration) {
+        if self.started_at.is_none() || self.called_at + CALL_GAP_LIMIT < now {
+            self.started_at = Some(now);
+        }
+        self.called_at = self.called_at.max(now);
     }
 
-    fn is_learning(&mut self, now: Duration) -> bool {
-        let started_at = *self.started_at.get_or_insert(now);
-        now < started_at + LEARNING_TIME
+    /// Records a message of a host. Starts to learn after a time without messages.
+    fn record_message(&mut self, now: Duration) {
+        self.record_call(now);
+        let quiet_since = self.heard_at.max(self.started_at);
+        if quiet_since.is_some_and(|quiet_since| quiet_since + MESSAGE_GAP_LIMIT < now) {
+            self.started_at = Some(now);
+        }
+        self.heard_at = self.heard_at.max(Some(now));
     }
 
     /// Returns the expected wait behind a number of waiting turns, in milliseconds.
--- a/coordination/tests/gateway_engine_scheduler_admission.rs
+++ b/coordination/tests/gateway_engine_scheduler_admission.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use engine_scheduler_sim::{HOST, START_MS, engine, ms, scheduler, start, turn};
+use engine_scheduler_sim::{HOST, START_MS, engine, keep_reporting, ms, scheduler, start, turn};
 use rosebend_coordination::gateway::admission::Urgency;
 use rosebend_coordination::gateway::engine_scheduler::EngineScheduler;
 use rosebend_coordination::gateway::engine_scheduler::message::{
@@ -121,6 +121,13 @@
     };
     let mut scheduler = full(3, None);
     admit(&mut scheduler, &other, NOW);
+    let turns: Vec<_> = (1_000..1_000 + SLOTS + 3)
+        .map(|number| HeldPlacement {
+            number,
+            engine: (number < 1_000 + SLOTS).then(|| EndpointIdentity::unknown_start("engine")),
+        })
+        .collect();
+    keep_reporting(&mut scheduler, &turns, NOW, NOW + ms(3_000));
     assert!(refusal(&admit(&mut scheduler, &late, NOW + ms(3_000))).is_some());
 }
 
@@ -226,6 +233,7 @@
     assert_eq!(refusal(&outcome), None);
     // The count decays with a time constant of 2 s.
     scheduler.report_held(&HOST.to_owned(), &[], later);
+    keep_reporting(&mut scheduler, &[], later, later + ms(6_000));
     let outcome = admit(&mut scheduler, &of("busy", 3), later + ms(6_000));
     assert_eq!(refusal(&outcome), None);
 }
--- a/coordination/tests/gateway_engine_scheduler_properties.rs
+++ b/coordination/tests/gateway_engine_scheduler_properties.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use engine_scheduler_sim::{START_MS, engine, ms, start, turn};
+use engine_scheduler_sim::{START_MS, advance_until, engine, ms, start, turn};
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::test_runner::Config;
@@ -127,6 +127,7 @@
         let mut scheduler = EngineScheduler::new();
         let engines = engines(0b1111, 0, 0);
         scheduler.set_engines(engines.clone(), Duration::ZERO);
+        advance_until(&mut scheduler, 0, START_MS);
         Self {
             scheduler,
             now_ms: START_MS,
--- a/coordination/tests/gateway_engine_scheduling.rs
+++ b/coordination/tests/gateway_engine_scheduling.rs
@@ -337,6 +337,7 @@
         is_avoided: false,
     });
     scheduler.set_engines(states.collect(), ms(0));
+    scheduler.advance(ms(300));
     scheduler
 }
 
