Limit the effect of absurd estimates, objectives and slot numbers

One absurd Length-Hint shifted the mean of the expected output, after which long turns counted as short. The allowance without a program deadline was the route's objective without a limit, so such a turn waited behind all turns that arrived within a long objective. The sum of the slots could overflow.

A sample of the expected output counts for a quarter to four times the mean, the same bounds as for a turn's own ratio. MAX_ALLOWANCE also limits the allowance without a program deadline. Sums of slots saturate.

The three new tests in gateway_engine_scheduler.rs failed before the change.

--- a/coordination/src/gateway/engine_scheduler/engines.rs
+++ b/coordination/src/gateway/engine_scheduler/engines.rs
@@ -147,7 +147,8 @@
 
     /// Returns the number of free slots that turns without excluded engines may use.
     pub(super) fn free_slots(&self) -> u32 {
-        self.usable(&[]).map(Engine::free_slots).sum()
+        let free = self.usable(&[]).map(Engine::free_slots);
+        free.fold(0, u32::saturating_add)
     }
 
     /// Returns whether an engine that turns without excluded engines may use has a place for
@@ -159,7 +160,8 @@
     /// Returns the number of slots that turns without excluded engines may use, in use or
     /// not.
     pub(super) fn slots(&self) -> u32 {
-        self.usable(&[]).map(|engine| engine.state.slots).sum()
+        let slots = self.usable(&[]).map(|engine| engine.state.slots);
+        slots.fold(0, u32::saturating_add)
     }
 
     /// Chooses the engine with a free slot at which a turn is expected to cost least time. A
--- a/coordination/src/gateway/engine_scheduler/estimates.rs
+++ b/coordination/src/gateway/engine_scheduler/estimates.rs
@@ -24,6 +24,10 @@
 /// far off, and a wrong one must not outweigh the other costs without limit.
 const OUTPUT_RATIO: (f64, f64) = (0.25, 4.0);
 
+/// Largest number of output tokens that the first sample of their mean counts for. The mean
+/// follows the next samples only slowly.
+const LARGEST_FIRST_OUTPUT: f64 = 4_096.0;
+
 /// Estimates of one group.
 #[derive(Debug)]
 pub(super) struct Estimates {
@@ -57,7 +61,11 @@
             return;
         };
         let sample = expected_tokens as f64;
-        let mean = self.output_tokens.get_or_insert(sample);
+        let mean = self
+            .output_tokens
+            .get_or_insert(sample.clamp(1.0, LARGEST_FIRST_OUTPUT));
+        let (smallest, largest) = OUTPUT_RATIO;
+        let sample = sample.clamp(*mean * smallest, *mean * largest);
         add_sample(mean, sample);
     }
 
--- a/coordination/src/gateway/engine_scheduler/queue.rs
+++ b/coordination/src/gateway/engine_scheduler/queue.rs
@@ -164,7 +164,7 @@
     let allowance = match remaining {
         Some(Duration::ZERO) => return LATE_ALLOWANCE,
         Some(remaining) => (remaining / REMAINING_DIVISOR).min(MAX_ALLOWANCE),
-        None => Duration::from_millis(objective_ms),
+        None => Duration::from_millis(objective_ms).min(MAX_ALLOWANCE),
     };
     match priority {
         Urgency::Route | Urgency::Both => allowance / 2,
--- a/coordination/tests/gateway_engine_scheduler.rs
+++ b/coordination/tests/gateway_engine_scheduler.rs
@@ -85,6 +85,61 @@
     }
 }
 
+/// Guards against one absurd estimate of a caller that shifts the mean, after which long
+/// turns count as short.
+#[test]
+fn one_absurd_estimate_does_not_change_the_choice_of_engines() {
+    let mut engines = vec![engine("usual", 6, 100), engine("fast", 6, 90)];
+    engines[1].unplaced_requests = 5;
+    let mut scheduler = scheduler(engines);
+    for number in 100..140 {
+        let request = PlacementRequest {
+            expected_output_tokens: Some(130),
+            ..turn(number)
+        };
+        place(&mut scheduler, &request, NOW);
+        release(&mut scheduler, number, NOW + ms(200));
+    }
+    for (number, tokens) in [(1, u64::MAX), (2, 400)] {
+        let request = PlacementRequest {
+            expected_output_tokens: Some(tokens),
+            ..turn(number)
+        };
+        let outcome = place(&mut scheduler, &request, NOW + ms(200));
+        assert_eq!(assigned(&outcome), "fast", "{tokens} tokens");
+        release(&mut scheduler, number, NOW + ms(200));
+    }
+}
+
+/// Guards against turns without a program deadline that wait behind turns which arrive long
+/// after them, because the objective of their route is long.
+#[test]
+fn the_allowance_without_a_program_deadline_is_limited() {
+    let mut scheduler = scheduler(vec![engine("engine", 1, 100)]);
+    place(&mut scheduler, &turn(1), NOW);
+    let request = PlacementRequest {
+        objective_ms: 60_000,
+        ..turn(2)
+    };
+    place(&mut scheduler, &request, NOW);
+    let request = PlacementRequest {
+        program_remaining_ms: Some(3_200),
+        ..turn(3)
+    };
+    place(&mut scheduler, &request, NOW + ms(1));
+    release(&mut scheduler, 1, NOW + ms(2));
+    assert_eq!(placed_by_advance(&mut scheduler, NOW + ms(2)), [2]);
+}
+
+/// Guards against an overflow of the number of slots if engines declare absurd numbers.
+#[test]
+fn absurd_numbers_of_slots_do_not_overflow() {
+    let engines = vec![engine("a", u32::MAX, 100), engine("b", u32::MAX, 100)];
+    let mut scheduler = scheduler(engines);
+    assert_eq!(scheduler.status(NOW).free_slots, u32::MAX);
+    assigned(&place(&mut scheduler, &turn(1), NOW));
+}
+
 /// Guards against prompts that are processed again although their engine is free.
 #[test]
 fn a_turn_returns_to_the_engine_that_has_its_prompt() {
