Visit one waiting turn per list of excluded engines in a pass

One avoided engine, which hosts exclude in their requests, made each advance visit the whole queue, and so did each new list of engines. A repeated request counted the turns before its own, though the client ignores that number.

Waiting turns are indexed by the engines that they exclude. Turns with the same exclusions may use the same engines, so a pass visits the first turn of each list, and the next one only after that got an answer. It also finds turns that no engine can run, so engines_changed is not needed any more. A repeated request is answered with the wait that was expected when the turn was queued.

--- a/coordination/src/gateway/engine_scheduler.rs
+++ b/coordination/src/gateway/engine_scheduler.rs
@@ -91,9 +91,6 @@
     shares: Shares,
     starts: PendingStarts,
     returns: Returns,
-    /// Whether the engines have changed since waiting turns were last checked for engines
-    /// that they may use.
-    engines_changed: bool,
 }
 
 impl EngineScheduler {
@@ -112,7 +109,6 @@
     pub fn set_engines(&mut self, engines: Vec<EngineState>, now: Duration) {
         self.record_call(now);
         self.engines.set(engines);
-        self.engines_changed = true;
     }
 
     /// Replaces the weights by which customers share the slots, which are their declared
--- a/coordination/src/gateway/engine_scheduler/engines.rs
+++ b/coordination/src/gateway/engine_scheduler/engines.rs
@@ -151,12 +151,6 @@
         free.fold(0, u32::saturating_add)
     }
 
-    /// Returns whether an engine that turns without excluded engines may use has a place for
-    /// a turn that waits.
-    pub(super) fn has_free_place(&self) -> bool {
-        self.usable(&[]).any(|engine| engine.free_places() > 0)
-    }
-
     /// Returns the number of slots that turns without excluded engines may use, in use or
     /// not.
     pub(super) fn slots(&self) -> u32 {
--- a/coordination/src/gateway/engine_scheduler/placement.rs
+++ b/coordination/src/gateway/engine_scheduler/placement.rs
@@ -21,11 +21,15 @@
 
 impl EngineScheduler {
     /// Handles the repeated request of a waiting turn.
+    ///
+    /// The answer states the wait that was expected when the turn was queued. To count the
+    /// turns before it with every repetition would cost a visit of each of them.
     pub(super) fn repeat_wait(&mut self, key: &QueueKey, now: Duration) -> PlacementOutcome {
-        if let Some(waiting) = self.queue.get_mut(key) {
+        let waiting = self.queue.get_mut(key);
+        let expected_wait_ms = waiting.map_or(0, |waiting| {
             waiting.repeated_at = now;
-        }
-        let expected_wait_ms = self.wait_ms(self.queue.ahead(key)) as u64;
+            waiting.expected_wait_ms
+        });
         PlacementOutcome::Queued { expected_wait_ms }
     }
 
@@ -65,33 +69,26 @@
                 PlacementOutcome::Assigned(engine)
             }
             EngineChoice::Free(_) | EngineChoice::Full => {
-                self.enqueue(from, request, key, deadline, now);
-                PlacementOutcome::Queued {
-                    expected_wait_ms: wait_ms as u64,
-                }
+                let expected_wait_ms = wait_ms as u64;
+                let turn = WaitingTurn {
+                    process: from.clone(),
+                    request: request.clone(),
+                    deadline,
+                    repeated_at: now,
+                    expected_wait_ms,
+                };
+                self.enqueue(key, turn, now);
+                PlacementOutcome::Queued { expected_wait_ms }
             }
         }
     }
 
-    fn enqueue(
-        &mut self,
-        from: &ProcessId,
-        request: &PlacementRequest,
-        key: QueueKey,
-        deadline: Duration,
-        now: Duration,
-    ) {
-        let turn = WaitingTurn {
-            process: from.clone(),
-            request: request.clone(),
-            deadline,
-            repeated_at: now,
-        };
+    fn enqueue(&mut self, key: QueueKey, turn: WaitingTurn, now: Duration) {
+        self.shares.start_wait(turn.request.customer.as_ref(), now);
+        let holder = self.holders.heard(&turn.process, now);
+        holder.turns.insert(turn.request.number, Turn::Waiting(key));
         let first_event_ms = self.estimates.first_event_ms(now);
         self.queue.insert(key, turn, first_event_ms);
-        self.shares.start_wait(request.customer.as_ref(), now);
-        let holder = self.holders.heard(from, now);
-        holder.turns.insert(request.number, Turn::Waiting(key));
     }
 
     /// Gives a turn a slot. The host is known.
@@ -242,42 +239,36 @@
     }
 
     /// Gives free slots to waiting turns in order, and refuses turns that no engine can run.
+    ///
+    /// Turns with the same exclusions may use the same engines, so only the first of them is
+    /// visited while these have no place: the cost does not grow with the queue.
     pub(super) fn assign_free_slots(
         &mut self,
         now: Duration,
         answers: &mut Vec<(ProcessId, RequestNumber, PlacementOutcome)>,
     ) {
-        let engines_changed = std::mem::take(&mut self.engines_changed);
         if self.queue.len() == 0 || self.is_learning(now) {
             return;
         }
-        let mut next = self.queue.next(None);
-        while let Some(key) = next {
-            // A turn that excludes engines may use avoided engines that others may not use.
-            // After a change of the engines, turns that no engine can run have to be found.
-            let is_full = !self.engines.has_free_place() && !engines_changed;
-            if is_full && !self.queue.has_exclusions() {
-                break;
-            }
-            next = self.queue.next(Some(&key));
-            let choice = self.queue.get(&key).map(|turn| {
-                if is_full && !turn.has_exclusions() {
-                    return EngineChoice::Full;
-                }
-                self.engines.choose(&turn.request, &self.estimates, true)
-            });
-            let Some(EngineChoice::Free(_) | EngineChoice::NoEngine) = choice else {
+        let mut candidates = self.queue.first_by_exclusions();
+        while let Some(key) = candidates.pop_first() {
+            let Some(waiting) = self.queue.get(&key) else {
                 continue;
             };
+            let choice = self.engines.choose(&waiting.request, &self.estimates, true);
+            if matches!(choice, EngineChoice::Full) {
+                continue;
+            }
+            candidates.extend(self.queue.next_with_same_exclusions(&key));
             let Some(turn) = self.remove_waiting(&key, now) else {
                 continue;
             };
             let outcome = match choice {
-                Some(EngineChoice::Free(engine)) => {
+                EngineChoice::Free(engine) => {
                     self.assign(&turn.process, &turn.request, &engine, now);
                     PlacementOutcome::Assigned(engine)
                 }
-                _ => {
+                EngineChoice::Full | EngineChoice::NoEngine => {
                     let reason = PlacementRefusal::NoEngine;
                     self.refuse(&turn.process, &turn.request, reason, turn.deadline, now)
                 }
--- a/coordination/src/gateway/engine_scheduler/queue.rs
+++ b/coordination/src/gateway/engine_scheduler/queue.rs
@@ -1,9 +1,11 @@
 //! The turns that wait for a slot, and their order.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::ops::Bound;
 use std::time::Duration;
 
+use rosebend_state::deployment::InstanceId;
+
 use super::message::PlacementRequest;
 use crate::gateway::admission::Urgency;
 use crate::gateway::ledger::ProcessId;
@@ -39,6 +41,8 @@
     /// Deadline of the caller.
     pub(super) deadline: Duration,
     pub(super) repeated_at: Duration,
+    /// Wait that was expected when the turn was queued, in milliseconds.
+    pub(super) expected_wait_ms: u64,
 }
 
 impl WaitingTurn {
@@ -47,11 +51,6 @@
         self.too_late_at(first_event_ms) <= now
     }
 
-    /// Returns whether the turn excludes engines.
-    pub(super) fn has_exclusions(&self) -> bool {
-        !self.request.excluded.is_empty()
-    }
-
     fn too_late_at(&self, first_event_ms: f64) -> Duration {
         let first_event = Duration::from_secs_f64(first_event_ms / 1_000.0);
         self.deadline.saturating_sub(first_event)
@@ -68,8 +67,8 @@
 pub(super) struct TurnQueue {
     waiting: BTreeMap<QueueKey, WaitingTurn>,
     arrivals: u64,
-    /// Number of waiting turns that exclude engines.
-    with_exclusions: usize,
+    /// Positions of the waiting turns by the engines that they exclude.
+    by_exclusions: HashMap<Vec<InstanceId>, BTreeSet<QueueKey>>,
     /// Time before which no turn expires, or none if no turn waits. It keeps the cost of
     /// an advance independent of the length of the queue.
     next_check: Option<Duration>,
@@ -81,11 +80,6 @@
         self.waiting.len()
     }
 
-    /// Returns whether a waiting turn excludes engines.
-    pub(super) fn has_exclusions(&self) -> bool {
-        self.with_exclusions > 0
-    }
-
     /// Returns the position that a turn gets if it is queued now.
     pub(super) fn key(&self, allowance: Duration, now: Duration) -> QueueKey {
         QueueKey {
@@ -104,7 +98,8 @@
         self.arrivals += 1;
         let check = turn.next_check(first_event_ms);
         self.next_check = Some(self.next_check.map_or(check, |next| next.min(check)));
-        self.with_exclusions += usize::from(turn.has_exclusions());
+        let excluded = turn.request.excluded.clone();
+        self.by_exclusions.entry(excluded).or_default().insert(key);
         self.waiting.insert(key, turn);
     }
 
@@ -121,15 +116,28 @@
     /// Removes a turn.
     pub(super) fn remove(&mut self, key: &QueueKey) -> Option<WaitingTurn> {
         let turn = self.waiting.remove(key)?;
-        self.with_exclusions -= usize::from(turn.has_exclusions());
+        let excluded = &turn.request.excluded;
+        if let Some(keys) = self.by_exclusions.get_mut(excluded) {
+            keys.remove(key);
+            if keys.is_empty() {
+                self.by_exclusions.remove(excluded);
+            }
+        }
         Some(turn)
     }
 
-    /// Returns the first position after another one, or the first of all.
-    pub(super) fn next(&self, after: Option<&QueueKey>) -> Option<QueueKey> {
-        let start = after.map_or(Bound::Unbounded, |key| Bound::Excluded(*key));
-        let mut following = self.waiting.range((start, Bound::Unbounded));
-        following.next().map(|(key, _)| *key)
+    /// Returns the first position of the turns with each list of excluded engines.
+    pub(super) fn first_by_exclusions(&self) -> BTreeSet<QueueKey> {
+        let lists = self.by_exclusions.values();
+        lists.filter_map(|keys| keys.first().copied()).collect()
+    }
+
+    /// Returns the next position of a turn that excludes the same engines as another one.
+    pub(super) fn next_with_same_exclusions(&self, after: &QueueKey) -> Option<QueueKey> {
+        let excluded = &self.waiting.get(after)?.request.excluded;
+        let keys = self.by_exclusions.get(excluded)?;
+        let mut following = keys.range((Bound::Excluded(*after), Bound::Unbounded));
+        following.next().copied()
     }
 
     /// Returns the turns that cannot end in time any more and those whose request was not
