Check leaked slots, refusals and the further turn of an engine by property

The property test could not see a slot that stays in use, accepted any reason of a refusal, and used no engine with a further turn. Two parts of the allowed wait were stated and not tested.

The property test releases everything at the end and requires that all slots are free; it compares each refusal with the engines and the remaining time, and one engine has 6 slots. The limit of placements is one higher at this engine for turns that waited, and the check of idle slots is stricter by the same place. Three eighths and three quarters of the objective have a test, and so has a host that reports another engine for a known turn.

A turn for which a slot is free is now refused only if less than 50 ms is left.

--- a/coordination/src/gateway/engine_scheduler/placement.rs
+++ b/coordination/src/gateway/engine_scheduler/placement.rs
@@ -51,8 +51,10 @@
         let wait_ms = self.wait_ms(self.queue.ahead(&key));
         // While a slot is free, only the engine can tell whether it is slower than usual.
         let needed_ms = match &choice {
-            EngineChoice::Free(_) if self.queue.len() == 0 => INITIAL_FIRST_EVENT_MS,
-            _ => wait_ms + self.estimates.first_event_ms(now),
+            EngineChoice::Free(_) => INITIAL_FIRST_EVENT_MS,
+            EngineChoice::Full | EngineChoice::NoEngine => {
+                wait_ms + self.estimates.first_event_ms(now)
+            }
         };
         let cannot_end = (request.turn_remaining_ms as f64) < needed_ms;
         match choice {
--- a/coordination/tests/gateway_engine_scheduler_admission.rs
+++ b/coordination/tests/gateway_engine_scheduler_admission.rs
@@ -84,7 +84,7 @@
         };
         refusal(&admit(&mut scheduler, &request, NOW)).is_none()
     };
-    // An eighth, three eighths, a half and three quarters of 400 ms, at 20 ms per turn.
+    // An eighth and a half of 400 ms, at 20 ms per turn.
     for (urgency, turns) in [(Urgency::Normal, 2), (Urgency::Customer, 10)] {
         assert!(admitted(urgency, turns), "{urgency:?}");
         assert!(!admitted(urgency, turns + 1), "{urgency:?}");
@@ -95,6 +95,32 @@
     }
 }
 
+/// Guards against an urgent route whose programs are admitted however long its own turns
+/// wait, or refused although they can still end in time.
+#[test]
+fn the_allowed_wait_of_an_urgent_route_is_limited_by_its_own_turns() {
+    // Three eighths and three quarters of 400 ms are 150 and 300 ms, at 20 ms per turn.
+    for (urgency, turns) in [(Urgency::Route, 7), (Urgency::Both, 15)] {
+        let admitted = |waiting: u64| {
+            let mut scheduler = full(0, None);
+            for number in 2_000..2_000 + waiting {
+                let request = PlacementRequest {
+                    priority: urgency,
+                    ..turn(number)
+                };
+                scheduler.place(&HOST.to_owned(), &request, NOW);
+            }
+            let request = AdmissionRequest {
+                priority: urgency,
+                ..start(1)
+            };
+            refusal(&admit(&mut scheduler, &request, NOW)).is_none()
+        };
+        assert!(admitted(turns), "{urgency:?}");
+        assert!(!admitted(turns + 1), "{urgency:?}");
+    }
+}
+
 /// Guards against programs that are refused again and again, and against callers that
 /// return together or too late for their deadline.
 #[test]
--- a/coordination/tests/gateway_engine_scheduler_failures.rs
+++ b/coordination/tests/gateway_engine_scheduler_failures.rs
@@ -84,6 +84,33 @@
     assert_eq!(free_slots(&scheduler, NOW + ms(201)), 1);
 }
 
+/// Guards against a slot that stays in use at the engine which the scheduler assigned, while
+/// the host runs the turn at another one.
+#[test]
+fn a_host_that_reports_another_engine_moves_its_placement() {
+    let mut scheduler = scheduler(vec![engine("assigned", 1, 100)]);
+    place(&mut scheduler, HOST, 1, NOW);
+    place(&mut scheduler, HOST, 2, NOW);
+    let engines = [engine("assigned", 1, 100), engine("engine", 2, 100)];
+    let placements = |scheduler: &EngineScheduler| {
+        engines
+            .iter()
+            .map(|engine| scheduler.placements_at(&engine.identity))
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(placements(&scheduler), [1, 0]);
+    // Also a turn that waits may have been placed by the host itself.
+    for at_ms in [10, 20] {
+        report(&mut scheduler, HOST, &[1, 2], NOW + ms(at_ms));
+        assert_eq!(placements(&scheduler), [0, 2]);
+        assert_eq!(scheduler.status(NOW + ms(at_ms)).waiting, 0);
+    }
+    for number in [1, 2] {
+        release(&mut scheduler, HOST, number, NOW + ms(30));
+    }
+    assert_eq!(placements(&scheduler), [0, 0]);
+}
+
 /// Guards against second slots for repeated requests, also if a copy arrives late.
 #[test]
 fn a_repeated_request_gets_no_second_slot() {
--- a/coordination/tests/gateway_engine_scheduler_properties.rs
+++ b/coordination/tests/gateway_engine_scheduler_properties.rs
@@ -13,7 +13,7 @@
 use rosebend_coordination::gateway::admission::Urgency;
 use rosebend_coordination::gateway::engine_scheduler::message::{
     AdmissionOutcome, AdmissionRefusal, AdmissionRequest, HeldPlacement, PlacementOutcome,
-    PlacementRequest, ReleasedPlacement,
+    PlacementRefusal, PlacementRequest, ReleasedPlacement,
 };
 use rosebend_coordination::gateway::engine_scheduler::{EngineScheduler, EngineState};
 use rosebend_state::deployment::EndpointIdentity;
@@ -98,12 +98,26 @@
     format!("engine-{index}")
 }
 
+/// Returns the slots of an engine. One engine has a further place while turns wait.
+fn slots(index: u8) -> u32 {
+    if index == 0 { 6 } else { 2 }
+}
+
+/// Returns the number of requests that an engine may have while turns wait.
+fn places(state: &EngineState) -> u32 {
+    state.slots + state.slots / 6
+}
+
 fn engines(present: u8, avoided: u8, busy: u8) -> Vec<EngineState> {
     let listed = (0..ENGINES).filter(|index| present & (1 << index) != 0);
     let engines = listed.map(|index| EngineState {
         is_avoided: avoided & (1 << index) != 0,
         unplaced_requests: u32::from(busy >> index & 1),
-        ..engine(&engine_name(index), 2, 70 + 50 * u32::from(index))
+        ..engine(
+            &engine_name(index),
+            slots(index),
+            70 + 50 * u32::from(index),
+        )
     });
     engines.collect()
 }
@@ -116,6 +130,8 @@
     now_ms: u64,
     engines: Vec<EngineState>,
     waiting: BTreeMap<TurnId, PlacementRequest>,
+    /// Times at which turns were queued, in milliseconds.
+    queued_ms: BTreeMap<TurnId, u64>,
     placed: BTreeMap<TurnId, EndpointIdentity>,
     /// Turns of hosts that died; the scheduler may know them for 1 s.
     lost: BTreeSet<TurnId>,
@@ -133,6 +149,7 @@
             now_ms: START_MS,
             engines,
             waiting: BTreeMap::new(),
+            queued_ms: BTreeMap::new(),
             placed: BTreeMap::new(),
             lost: BTreeSet::new(),
             next_number: 0,
@@ -212,22 +229,73 @@
     fn place(&mut self, id: TurnId, request: PlacementRequest) {
         match self.scheduler.place(&id.0, &request, self.now()) {
             PlacementOutcome::Queued { .. } => {
+                self.queued_ms.insert(id.clone(), self.now_ms);
                 self.waiting.insert(id, request);
             }
-            outcome => self.answer(id, outcome),
+            outcome => {
+                self.check_refusal(&request, &outcome);
+                self.answer(id, outcome, false);
+            }
+        }
+    }
+
+    /// Returns the engines that a turn may use.
+    fn usable(&self, request: &PlacementRequest) -> Vec<&EngineState> {
+        let is_allowed =
+            |state: &&EngineState| !request.excluded.contains(&state.identity.instance);
+        let allowed: Vec<_> = self.engines.iter().filter(is_allowed).collect();
+        let all_avoided = allowed.iter().all(|state| state.is_avoided);
+        let usable = allowed.into_iter();
+        usable
+            .filter(|state| all_avoided || !state.is_avoided)
+            .collect()
+    }
+
+    /// Returns whether an engine that a turn may use has less than the given number of
+    /// requests, which depends on the engine.
+    fn has_room(&self, request: &PlacementRequest, limit: impl Fn(&EngineState) -> u32) -> bool {
+        self.usable(request).into_iter().any(|state| {
+            let placements = self.scheduler.placements_at(&state.identity);
+            placements + state.unplaced_requests < limit(state)
+        })
+    }
+
+    /// Checks the reason of a refusal against the engines and the remaining time.
+    fn check_refusal(&self, request: &PlacementRequest, outcome: &PlacementOutcome) {
+        let PlacementOutcome::Refused { reason, .. } = outcome else {
+            return;
+        };
+        let has_engine = !self.usable(request).is_empty();
+        match reason {
+            PlacementRefusal::NoEngine => {
+                assert!(!has_engine, "{request:?} has an engine");
+            }
+            PlacementRefusal::CannotEndInTime => {
+                assert!(has_engine, "{request:?} has no engine");
+                let is_free = self.has_room(request, |state| state.slots);
+                assert!(
+                    !is_free || request.turn_remaining_ms < 50,
+                    "{request:?} is refused while a slot is free",
+                );
+            }
         }
     }
 
     /// Takes a final answer, and checks that it respects the slots.
-    fn answer(&mut self, id: TurnId, outcome: PlacementOutcome) {
+    fn answer(&mut self, id: TurnId, outcome: PlacementOutcome, has_waited: bool) {
         match outcome {
             PlacementOutcome::Assigned(engine) => {
                 let at_engine = self.placed.values().filter(|placed| **placed == engine);
                 let used = at_engine.count() as u32;
                 let state = self.engines.iter().find(|state| state.identity == engine);
                 let state = state.expect("turns get engines of the present set");
+                let limit = if has_waited {
+                    places(state)
+                } else {
+                    state.slots
+                };
                 assert!(
-                    used + state.unplaced_requests < state.slots,
+                    used + state.unplaced_requests < limit,
                     "{id:?} is placed beyond the slots of {engine}",
                 );
                 assert!(!self.placed.contains_key(&id));
@@ -282,33 +350,43 @@
     fn advance(&mut self) {
         for (process, number, outcome) in self.scheduler.advance(self.now()) {
             let id = (process, number);
-            if self.waiting.remove(&id).is_some() {
-                self.answer(id, outcome);
+            if let Some(request) = self.waiting.remove(&id) {
+                self.check_late_refusal(&id, &request, &outcome);
+                self.answer(id, outcome, true);
             }
         }
         self.check_idle_slots();
     }
 
-    /// Checks that no turn waits while an engine that it may use has a free slot.
+    /// Checks the reason of the refusal of a turn that waited.
+    fn check_late_refusal(
+        &self,
+        id: &TurnId,
+        request: &PlacementRequest,
+        outcome: &PlacementOutcome,
+    ) {
+        let PlacementOutcome::Refused { reason, .. } = outcome else {
+            return;
+        };
+        let has_engine = !self.usable(request).is_empty();
+        match reason {
+            PlacementRefusal::NoEngine => assert!(!has_engine, "{request:?} has an engine"),
+            PlacementRefusal::CannotEndInTime => {
+                let deadline_ms = self.queued_ms[id] + request.turn_remaining_ms;
+                // All samples of the time to the first event are 40 ms, below the initial 50.
+                assert!(
+                    deadline_ms <= self.now_ms + 50,
+                    "{request:?} is refused although it can end in time",
+                );
+            }
+        }
+    }
+
+    /// Checks that no turn waits while an engine that it may use has a free place.
     fn check_idle_slots(&self) {
         for (id, request) in &self.waiting {
-            let allowed =
-                |state: &&EngineState| !request.excluded.contains(&state.identity.instance);
-            let all_avoided = self
-                .engines
-                .iter()
-                .filter(allowed)
-                .all(|state| state.is_avoided);
-            let mut usable = self
-                .engines
-                .iter()
-                .filter(allowed)
-                .filter(|state| all_avoided || !state.is_avoided);
-            let free = usable.find(|state| {
-                let placements = self.scheduler.placements_at(&state.identity);
-                placements + state.unplaced_requests < state.slots
-            });
-            assert!(free.is_none(), "{id:?} waits while {free:?} is free");
+            let has_room = self.has_room(request, places);
+            assert!(!has_room, "{id:?} waits while a slot is free");
         }
     }
 
@@ -334,7 +412,8 @@
         }
     }
 
-    /// Checks that all turns that still wait get an answer by their deadline.
+    /// Checks that all turns that still wait get an answer by their deadline, and that no
+    /// slot stays in use after all turns have ended.
     fn finish(&mut self) {
         self.wait(LONGEST_TURN_MS + 1);
         assert!(
@@ -342,6 +421,22 @@
             "turns without an answer: {:?}",
             self.waiting
         );
+        for (id, _) in std::mem::take(&mut self.placed) {
+            let released = ReleasedPlacement {
+                number: id.1,
+                first_event_ms: Some(40),
+            };
+            self.scheduler.release(&id.0, &[released], self.now());
+        }
+        self.engines = engines(0b1111, 0, 0);
+        self.scheduler.set_engines(self.engines.clone(), self.now());
+        self.advance();
+        for state in &self.engines {
+            let placements = self.scheduler.placements_at(&state.identity);
+            assert_eq!(placements, 0, "slots of {} leak", state.identity);
+        }
+        let slots = self.engines.iter().map(|state| state.slots).sum::<u32>();
+        assert_eq!(self.scheduler.status(self.now()).free_slots, slots);
     }
 }
 
