Describe the present rules of the engine scheduler

A turn is not answered Full without an examination any more, so that EngineChoice::Full needs no note about it.

--- a/coordination/src/gateway/engine_scheduler/engines.rs
+++ b/coordination/src/gateway/engine_scheduler/engines.rs
@@ -70,9 +70,9 @@
 /// Result of choosing an engine for a turn.
 #[derive(Debug)]
 pub(super) enum EngineChoice {
-    /// This engine has a free slot.
+    /// This engine has a free slot, or a place for a turn that has waited.
     Free(EndpointIdentity),
-    /// The engines that the turn may use have no free slot.
+    /// The engines that the turn may use have none.
     Full,
     /// The turn may use no engine of the group.
     NoEngine,
