--- a/coordination/src/gateway/engine_scheduler/engines.rs
+++ b/coordination/src/gateway/engine_scheduler/engines.rs
@@ -70,9 +70,9 @@
 /// Result of choosing an engine for a turn.
 #[derive(Debug)]
 pub(super) enum EngineChoice {
-    /// This engine has a free slot.
+    /// This engine has a free slot, or a place for a turn that has waited.
     Free(EndpointIdentity),
-    /// The engines that the turn may use have no free slot.
+    /// The engines that the turn may use have none.
     Full,
     /// The turn may use no engine of the group.
     NoEngine,
@@ -147,19 +147,15 @@
 
     /// Returns the number of free slots that turns without excluded engines may use.
     pub(super) fn free_slots(&self) -> u32 {
-        self.usable(&[]).map(Engine::free_slots).sum()
-    }
-
-    /// Returns whether an engine that turns without excluded engines may use has a place for
-    /// a turn that waits.
-    pub(super) fn has_free_place(&self) -> bool {
-        self.usable(&[]).any(|engine| engine.free_places() > 0)
+        let free = self.usable(&[]).map(Engine::free_slots);
+        free.fold(0, u32::saturating_add)
     }
 
     /// Returns the number of slots that turns without excluded engines may use, in use or
     /// not.
     pub(super) fn slots(&self) -> u32 {
-        self.usable(&[]).map(|engine| engine.state.slots).sum()
+        let slots = self.usable(&[]).map(|engine| engine.state.slots);
+        slots.fold(0, u32::saturating_add)
     }
 
     /// Chooses the engine with a free slot at which a turn is expected to cost least time. A
--- a/coordination/tests/gateway_engine_scheduler.rs
+++ b/coordination/tests/gateway_engine_scheduler.rs
@@ -3,7 +3,7 @@
 
 mod engine_scheduler_sim;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use engine_scheduler_sim::{HOST, START_MS, assigned, engine, ms, scheduler, turn};
 use rosebend_coordination::gateway::admission::Urgency;
@@ -85,6 +85,61 @@
     }
 }
 
+/// Guards against one absurd estimate of a caller that shifts the mean, after which long
+/// turns count as short.
+#[test]
+fn one_absurd_estimate_does_not_change_the_choice_of_engines() {
+    let mut engines = vec![engine("usual", 6, 100), engine("fast", 6, 90)];
+    engines[1].unplaced_requests = 5;
+    let mut scheduler = scheduler(engines);
+    for number in 100..140 {
+        let request = PlacementRequest {
+            expected_output_tokens: Some(130),
+            ..turn(number)
+        };
+        place(&mut scheduler, &request, NOW);
+        release(&mut scheduler, number, NOW + ms(200));
+    }
+    for (number, tokens) in [(1, u64::MAX), (2, 400)] {
+        let request = PlacementRequest {
+            expected_output_tokens: Some(tokens),
+            ..turn(number)
+        };
+        let outcome = place(&mut scheduler, &request, NOW + ms(200));
+        assert_eq!(assigned(&outcome), "fast", "{tokens} tokens");
+        release(&mut scheduler, number, NOW + ms(200));
+    }
+}
+
+/// Guards against turns without a program deadline that wait behind turns which arrive long
+/// after them, because the objective of their route is long.
+#[test]
+fn the_allowance_without_a_program_deadline_is_limited() {
+    let mut scheduler = scheduler(vec![engine("engine", 1, 100)]);
+    place(&mut scheduler, &turn(1), NOW);
+    let request = PlacementRequest {
+        objective_ms: 60_000,
+        ..turn(2)
+    };
+    place(&mut scheduler, &request, NOW);
+    let request = PlacementRequest {
+        program_remaining_ms: Some(3_200),
+        ..turn(3)
+    };
+    place(&mut scheduler, &request, NOW + ms(1));
+    release(&mut scheduler, 1, NOW + ms(2));
+    assert_eq!(placed_by_advance(&mut scheduler, NOW + ms(2)), [2]);
+}
+
+/// Guards against an overflow of the number of slots if engines declare absurd numbers.
+#[test]
+fn absurd_numbers_of_slots_do_not_overflow() {
+    let engines = vec![engine("a", u32::MAX, 100), engine("b", u32::MAX, 100)];
+    let mut scheduler = scheduler(engines);
+    assert_eq!(scheduler.status(NOW).free_slots, u32::MAX);
+    assigned(&place(&mut scheduler, &turn(1), NOW));
+}
+
 /// Guards against prompts that are processed again although their engine is free.
 #[test]
 fn a_turn_returns_to_the_engine_that_has_its_prompt() {
@@ -234,3 +289,41 @@
     assert!(refused(&answers[0].2));
     assert_eq!(scheduler.status(NOW + ms(215)).waiting, 1);
 }
+
+/// Returns the shortest of several measured times of repeated requests and advances, with
+/// turns that wait and exclude an avoided engine while all others are full.
+fn shortest_time(waiting: u64) -> Duration {
+    let mut engines = vec![engine("engine", 1, 100), engine("avoided", 6, 100)];
+    engines[1].is_avoided = true;
+    let mut scheduler = scheduler(engines.clone());
+    let request = |number: u64| PlacementRequest {
+        turn_remaining_ms: 1_000_000_000,
+        // Each turn goes before the earlier ones, so that the first one is the last.
+        program_remaining_ms: Some(1_200 - number.min(1_100)),
+        excluded: vec!["avoided".to_owned()],
+        ..turn(number)
+    };
+    for number in 0..=waiting {
+        place(&mut scheduler, &request(number), NOW);
+    }
+    assert_eq!(u64::from(scheduler.status(NOW).waiting), waiting);
+    let last = request(1);
+    let measure = |_| {
+        let started_at = Instant::now();
+        for _ in 0..100 {
+            place(&mut scheduler, &last, NOW);
+            scheduler.set_engines(engines.clone(), NOW);
+            assert!(scheduler.advance(NOW).is_empty());
+        }
+        started_at.elapsed()
+    };
+    (0..10).map(measure).min().expect("measured")
+}
+
+/// Guards against repeated requests and advances whose cost grows with the queue, as when each
+/// of them visits the waiting turns.
+#[test]
+fn repeated_requests_and_advances_do_not_visit_the_queue() {
+    let (few, many) = (shortest_time(20), shortest_time(2_000));
+    assert!(many < few * 10, "{few:?} and {many:?}");
+}
--- a/coordination/tests/gateway_engine_scheduler_admission.rs
+++ b/coordination/tests/gateway_engine_scheduler_admission.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use engine_scheduler_sim::{HOST, START_MS, engine, ms, scheduler, start, turn};
+use engine_scheduler_sim::{HOST, START_MS, engine, keep_reporting, ms, scheduler, start, turn};
 use rosebend_coordination::gateway::admission::Urgency;
 use rosebend_coordination::gateway::engine_scheduler::EngineScheduler;
 use rosebend_coordination::gateway::engine_scheduler::message::{
@@ -84,7 +84,7 @@
         };
         refusal(&admit(&mut scheduler, &request, NOW)).is_none()
     };
-    // An eighth, three eighths, a half and three quarters of 400 ms, at 20 ms per turn.
+    // An eighth and a half of 400 ms, at 20 ms per turn.
     for (urgency, turns) in [(Urgency::Normal, 2), (Urgency::Customer, 10)] {
         assert!(admitted(urgency, turns), "{urgency:?}");
         assert!(!admitted(urgency, turns + 1), "{urgency:?}");
@@ -95,6 +95,32 @@
     }
 }
 
+/// Guards against an urgent route whose programs are admitted however long its own turns
+/// wait, or refused although they can still end in time.
+#[test]
+fn the_allowed_wait_of_an_urgent_route_is_limited_by_its_own_turns() {
+    // Three eighths and three quarters of 400 ms are 150 and 300 ms, at 20 ms per turn.
+    for (urgency, turns) in [(Urgency::Route, 7), (Urgency::Both, 15)] {
+        let admitted = |waiting: u64| {
+            let mut scheduler = full(0, None);
+            for number in 2_000..2_000 + waiting {
+                let request = PlacementRequest {
+                    priority: urgency,
+                    ..turn(number)
+                };
+                scheduler.place(&HOST.to_owned(), &request, NOW);
+            }
+            let request = AdmissionRequest {
+                priority: urgency,
+                ..start(1)
+            };
+            refusal(&admit(&mut scheduler, &request, NOW)).is_none()
+        };
+        assert!(admitted(turns), "{urgency:?}");
+        assert!(!admitted(turns + 1), "{urgency:?}");
+    }
+}
+
 /// Guards against programs that are refused again and again, and against callers that
 /// return together or too late for their deadline.
 #[test]
@@ -121,6 +147,13 @@
     };
     let mut scheduler = full(3, None);
     admit(&mut scheduler, &other, NOW);
+    let turns: Vec<_> = (1_000..1_000 + SLOTS + 3)
+        .map(|number| HeldPlacement {
+            number,
+            engine: (number < 1_000 + SLOTS).then(|| EndpointIdentity::unknown_start("engine")),
+        })
+        .collect();
+    keep_reporting(&mut scheduler, &turns, NOW, NOW + ms(3_000));
     assert!(refusal(&admit(&mut scheduler, &late, NOW + ms(3_000))).is_some());
 }
 
@@ -226,6 +259,7 @@
     assert_eq!(refusal(&outcome), None);
     // The count decays with a time constant of 2 s.
     scheduler.report_held(&HOST.to_owned(), &[], later);
+    keep_reporting(&mut scheduler, &[], later, later + ms(6_000));
     let outcome = admit(&mut scheduler, &of("busy", 3), later + ms(6_000));
     assert_eq!(refusal(&outcome), None);
 }
