Ignore reported loads when a host selects an engine by itself

Change: for turns on services that report a speed, a host counts only its own requests, as before reports with four figures were read. Requests of other services go by expected time, as before.

--- a/coordination/src/gateway/directory.rs
+++ b/coordination/src/gateway/directory.rs
@@ -71,6 +71,10 @@
     pub expected_output_tokens: Option<u64>,
     /// True if the request is a turn at a model engine.
     pub is_turn: bool,
+    /// True if only the gateway's own requests count as the load of endpoints that report
+    /// a speed. Gateways that all follow the same reports send their turns to the same
+    /// engines.
+    pub ignores_reported_load: bool,
     /// Endpoints at which the request was already tried. They are not selected
     /// again.
     pub tried: &'a [EndpointIdentity],
@@ -206,7 +210,7 @@
         now: Duration,
         is_connected: impl Fn(&EndpointIdentity) -> bool,
     ) -> Option<Selection<'_>> {
-        if self.reports_speed(service, now) {
+        if !query.ignores_reported_load && self.reports_speed(service, now) {
             return self.select_by_time(service, query, now, is_connected);
         }
         let costs = self.candidates(service, query).map(|endpoint| {
--- a/coordination/src/gateway/directory/cost.rs
+++ b/coordination/src/gateway/directory/cost.rs
@@ -51,7 +51,10 @@
         has_connection: bool,
         now: Duration,
     ) -> f64 {
-        let load = endpoint.expected_load(now);
+        let load = match query.ignores_reported_load && endpoint.work_time.is_some() {
+            true => f64::from(endpoint.in_flight),
+            false => endpoint.expected_load(now),
+        };
         let slots = f64::from(endpoint.record.slots);
         let service_ms = self.service_latency_ms.get(&endpoint.record.service);
         let service_ms = service_ms.copied().unwrap_or(DEFAULT_SLOT_TIME_MS);
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -246,6 +246,9 @@
             prompt_tokens: self.prompt_tokens(),
             expected_output_tokens: self.expected_output_tokens(),
             is_turn: self.call.route.kind == RouteKind::Streaming,
+            // The engine scheduler places turns by the load. Without it, gateways with the
+            // same reports overload a few engines: the programs of a whole day were late.
+            ignores_reported_load: self.call.route.kind == RouteKind::Streaming,
             tried: &self.tried_endpoints,
             jitter_key: &self.call.header.attempt,
         };
