Bound reports and requests about engines by their encoded size

Cause: a report of up to 100 placements with engine ids of more than 36 characters, or a request with many excluded engines, is longer than the 8,192 bytes that gateways receive, and is lost each time it is sent.

Change: a report leaves out waiting turns that do not fit, whose requests are repeated anyway, and is not sent if the running turns do not fit. A request drops its last excluded engines; the tried ones come first.

--- a/coordination/src/gateway/engine_scheduler/client.rs
+++ b/coordination/src/gateway/engine_scheduler/client.rs
@@ -10,6 +10,7 @@
 
 use rosebend_state::deployment::{EndpointIdentity, ServiceName};
 use rosebend_state::id::AvailabilityZone;
+use serde::Serialize;
 
 use crate::gateway::batchers::PeerHost;
 use crate::gateway::engine_scheduler::message::{
@@ -37,10 +38,9 @@
 /// Wait that is accepted before a turn goes to another availability zone, in
 /// milliseconds. It is the cost of another zone in `directory::cost`.
 const OTHER_ZONE_MS: u64 = 12;
-/// Maximum number of placements in a report. About 120 of them fit into the largest
-/// datagram that gateways receive. A host with more sends no report: a part of the
-/// placements would end the others.
-const MAX_REPORTED: usize = 100;
+/// Maximum encoded size of a message, in bytes. Gateways receive datagrams of at most
+/// 8,192 bytes, of which 2 are the prefix.
+pub const MAX_MESSAGE_BYTES: usize = 8_190;
 
 /// What a request asks for.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -207,7 +207,7 @@
     ) -> Option<RequestNumber> {
         let scheduler = self.schedulers.scheduler(group, now)?.clone();
         self.last_number += 1;
-        let request = OpenRequest {
+        let mut request = OpenRequest {
             group: group.clone(),
             scheduler,
             question: question(self.last_number),
@@ -217,6 +217,7 @@
             },
             is_queued: false,
         };
+        request.limit_excluded(&self.own_process);
         self.open.insert(self.last_number, request);
         match self.used.get_mut(group) {
             Some(used) => used.last_asked = now,
@@ -376,19 +377,20 @@
             let Some(scheduler) = self.schedulers.scheduler(group, now) else {
                 continue;
             };
-            let mut held = held.remove(group).unwrap_or_default();
-            if held.len() > MAX_REPORTED {
+            let message = SchedulerMessage {
+                from: self.own_process.clone(),
+                to: scheduler.process.clone(),
+                group: group.clone(),
+                content: MessageContent::Held(Vec::new()),
+            };
+            let held = held.remove(group).unwrap_or_default();
+            let Some(held) = fitting(held, encoded_bytes(&message)) else {
                 continue;
-            }
-            held.sort_by_key(|placement| placement.number);
+            };
+            let content = MessageContent::Held(held);
             reports.push(Outgoing {
                 address: scheduler.address.clone(),
-                message: SchedulerMessage {
-                    from: self.own_process.clone(),
-                    to: scheduler.process.clone(),
-                    group: group.clone(),
-                    content: MessageContent::Held(held),
-                },
+                message: SchedulerMessage { content, ..message },
             });
         }
         reports
@@ -399,3 +401,33 @@
         self.open.len()
     }
 }
+
+/// Returns the placements that fit into a report whose message has `empty_bytes` without
+/// them, ordered by number. Waiting turns are left out first, because their requests are
+/// repeated anyway. Returns `None` if the running turns do not fit: a report of a part of
+/// them would end the others.
+fn fitting(mut held: Vec<HeldPlacement>, empty_bytes: usize) -> Option<Vec<HeldPlacement>> {
+    held.sort_by_key(|placement| (placement.engine.is_none(), placement.number));
+    let mut bytes = empty_bytes;
+    let fits = |placement: &HeldPlacement| {
+        // The entry and a comma.
+        bytes += encoded_bytes(placement) + 1;
+        bytes <= MAX_MESSAGE_BYTES
+    };
+    let fitting = held.iter().map(fits).take_while(|fits| *fits).count();
+    if held
+        .get(fitting)
+        .is_some_and(|left_out| left_out.engine.is_some())
+    {
+        return None;
+    }
+    held.truncate(fitting);
+    held.sort_by_key(|placement| placement.number);
+    Some(held)
+}
+
+/// Returns the encoded size of a message or of a part of one.
+pub(super) fn encoded_bytes(value: &impl Serialize) -> usize {
+    let encoded = serde_json::to_vec(value).expect("a message can be serialized as JSON");
+    encoded.len()
+}
--- a/coordination/src/gateway/engine_scheduler/open_request.rs
+++ b/coordination/src/gateway/engine_scheduler/open_request.rs
@@ -4,7 +4,7 @@
 
 use rosebend_state::deployment::EndpointIdentity;
 
-use super::client::{Answer, Outgoing, Question};
+use super::client::{Answer, MAX_MESSAGE_BYTES, Outgoing, Question, encoded_bytes};
 use super::message::{
     GroupId, HeldPlacement, MessageContent, PlacementOutcome, RequestNumber, SchedulerMessage,
 };
@@ -47,6 +47,24 @@
         }
     }
 
+    /// Removes the last excluded engines if the request would be too long with them. A
+    /// host rejects an assigned engine that it does not use.
+    pub(super) fn limit_excluded(&mut self, from: &ProcessId) {
+        if !matches!(&self.question, Question::Place(request) if !request.excluded.is_empty()) {
+            return;
+        }
+        let mut bytes = encoded_bytes(&self.outgoing(from, self.content()).message);
+        let Question::Place(request) = &mut self.question else {
+            return;
+        };
+        while bytes > MAX_MESSAGE_BYTES
+            && let Some(removed) = request.excluded.pop()
+        {
+            // The entry and a comma.
+            bytes = bytes.saturating_sub(encoded_bytes(&removed) + 1);
+        }
+    }
+
     /// Returns a message to the scheduler that was asked.
     pub(super) fn outgoing(&self, from: &ProcessId, content: MessageContent) -> Outgoing<A> {
         Outgoing {
--- a/coordination/tests/gateway_engine_scheduling.rs
+++ b/coordination/tests/gateway_engine_scheduling.rs
@@ -171,6 +171,96 @@
     }
 }
 
+/// Largest datagram that gateways receive, without its prefix.
+const RECEIVED_BYTES: usize = 8_192 - 2;
+
+/// Returns an engine with an id of 120 bytes, the longest that endpoints may have.
+fn long_engine(number: usize) -> EndpointIdentity {
+    EndpointIdentity {
+        instance: format!("engine-{number:0113}"),
+        started_ms: Some(1_764_720_000_000),
+    }
+}
+
+fn encoded_bytes(outgoing: &Outgoing<u16>) -> usize {
+    serde_json::to_vec(&outgoing.message).unwrap().len()
+}
+
+/// Guards against reports that are longer than the datagrams that gateways receive, and
+/// against reports of only a part of the running turns, which would end the others.
+#[test]
+fn a_report_of_long_ids_fits_into_a_datagram_and_names_every_running_turn() {
+    for (running, waiting, is_reported) in [
+        (10, 20, true),
+        (35, 400, true),
+        (100, 0, false),
+        (400, 0, false),
+    ] {
+        let mut client = client();
+        let mut held = Vec::new();
+        // The waiting turns are the older ones.
+        for number in 0..waiting + running {
+            let request = open_turn(&mut client, ms(0));
+            sent(client.next_step(request, ms(0)));
+            if number < waiting {
+                let scheduler = asked(&client, request);
+                client.record_answer(&scheduler, request, queued(), ms(1));
+            } else {
+                client.hold(request, long_engine(number));
+                held.push(request);
+            }
+        }
+        let reports = client.due_reports(ms(300));
+        assert_eq!(
+            reports.len(),
+            usize::from(is_reported),
+            "{running} {waiting}"
+        );
+        for report in reports {
+            assert!(encoded_bytes(&report) <= RECEIVED_BYTES);
+            let MessageContent::Held(reported) = report.message.content else {
+                panic!("no report: {:?}", report.message);
+            };
+            let is_running = |placement: &&HeldPlacement| placement.engine.is_some();
+            let running: Vec<u64> = reported
+                .iter()
+                .filter(is_running)
+                .map(|p| p.number)
+                .collect();
+            assert_eq!(running, held);
+            if waiting == 20 {
+                assert_eq!(reported.len(), 30);
+            }
+        }
+    }
+}
+
+/// Guards against requests with many excluded engines that are longer than the datagrams
+/// that gateways receive.
+#[test]
+fn a_request_with_many_excluded_engines_fits_into_a_datagram() {
+    let mut client = client();
+    let excluded: Vec<String> = (0..720)
+        .map(|number| long_engine(number).instance)
+        .collect();
+    let question = |number| {
+        Question::Place(PlacementRequest {
+            excluded: excluded.clone(),
+            warm_engine: Some(long_engine(0)),
+            ..placement(number)
+        })
+    };
+    let number = client.open(&group("east"), question, ms(0)).unwrap();
+    let outgoing = sent(client.next_step(number, ms(0)));
+    assert!(encoded_bytes(&outgoing) <= RECEIVED_BYTES);
+    let MessageContent::Place(request) = outgoing.message.content else {
+        panic!("no request: {:?}", outgoing.message);
+    };
+    // The tried engines come first.
+    assert!(request.excluded.len() > 50);
+    assert_eq!(request.excluded, excluded[..request.excluded.len()]);
+}
+
 /// Guards against weak hosts and hosts of other zones that schedule a group, and against
 /// hosts that disagree although they know the same hosts.
 #[test]
--- a/gateway/src/engine_scheduling/messages.rs
+++ b/gateway/src/engine_scheduling/messages.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddr;
 
-use rosebend_coordination::gateway::engine_scheduler::client::{Answer, Delivery};
+use rosebend_coordination::gateway::engine_scheduler::client::{
+    Answer, Delivery, MAX_MESSAGE_BYTES,
+};
 use rosebend_coordination::gateway::engine_scheduler::message::{
     AdmissionOutcome, GroupStatus, MessageContent, PlacementOutcome, RequestNumber,
     SchedulerMessage,
@@ -22,6 +24,10 @@
     };
     let mut datagram = DATAGRAM_PREFIX.to_vec();
     serde_json::to_writer(&mut datagram, &message).expect("a message can be serialized as JSON");
+    if datagram.len() > DATAGRAM_PREFIX.len() + MAX_MESSAGE_BYTES {
+        gateway.metrics.scheduling.count_too_large();
+        return;
+    }
     gateway.metrics.scheduling.count_sent(&message.content);
     // A datagram that cannot be sent counts as lost; requests and reports are repeated.
     let _ = socket.try_send_to(&datagram, to);
--- a/gateway/src/engine_scheduling/metrics.rs
+++ b/gateway/src/engine_scheduling/metrics.rs
@@ -49,7 +49,7 @@
         let help = "Decisions of this host in place of an engine scheduler, by reason";
         registry.register("engine_bypasses", help, bypasses.clone());
         let sent = Family::default();
-        let help = "Datagrams sent about the scheduling of engines, by kind";
+        let help = "Datagrams sent about the scheduling of engines, or too large to send, by kind";
         registry.register("engine_datagrams", help, sent.clone());
         let placement = Histogram::new(exponential_buckets(0.001, 2.0, 15));
         registry.register_with_unit(
@@ -112,6 +112,12 @@
         self.sent.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Counts a datagram that is not sent because gateways would not receive it whole.
+    pub fn count_too_large(&self) {
+        let kind = "too-large";
+        self.sent.get_or_create(&KindLabel { kind }).inc();
+    }
+
     /// Sets the gauges of the groups that this host schedules.
     pub fn set_groups(&self, groups: u64, status: &GroupStatus) {
         let value = |number: u64| i64::try_from(number).unwrap_or(i64::MAX);
