Detect reported speeds by the reports, not by their value

Cause: an engine counted as one that reports a speed only if its work time was not 100 %. Engines that report exactly the usual speed were not scheduled.

Change: Directory::reports_speed is public, and known_engines uses it.

--- a/coordination/src/gateway/directory/expected_time.rs
+++ b/coordination/src/gateway/directory/expected_time.rs
@@ -73,7 +73,7 @@
 
 impl Directory {
     /// Returns true if an endpoint of the service reported a speed recently.
-    pub(super) fn reports_speed(&self, service: &str, now: Duration) -> bool {
+    pub fn reports_speed(&self, service: &str, now: Duration) -> bool {
         let mut endpoints = self.endpoints.values();
         endpoints.any(|endpoint| {
             let is_recent = endpoint.work_time.is_some_and(|time| time.is_recent(now));
--- a/gateway/src/engine_scheduling/known_engines.rs
+++ b/gateway/src/engine_scheduling/known_engines.rs
@@ -18,8 +18,6 @@
 /// Time for which a list is used to tell whether engines report a speed. Deployments in
 /// which none does should not pay for the lists.
 const MAX_SPEED_AGE: Duration = Duration::from_millis(500);
-/// Time after a reported speed for which the service counts as one that reports speeds.
-const SPEED_MEMORY: Duration = Duration::from_secs(5);
 
 /// The lists of all services that were asked for.
 #[derive(Debug, Default)]
@@ -31,8 +29,8 @@
 #[derive(Debug, Default)]
 pub(super) struct ServiceEngines {
     listed_at: Duration,
-    /// Last time at which an engine had another work time than the usual one.
-    speed_reported_at: Option<Duration>,
+    /// Whether an engine reported a speed recently.
+    reports_speed: bool,
     /// Availability zone of each usable engine.
     zones: HashMap<EndpointIdentity, AvailabilityZone>,
     /// Availability zones that have usable engines, in order.
@@ -78,6 +76,7 @@
     let mut known = scheduling.known_engines.borrow_mut();
     let engines = known.services.entry(service.to_owned()).or_default();
     engines.listed_at = now;
+    engines.reports_speed = directory.reports_speed(service, now);
     engines.zones.clear();
     engines.zone_names.clear();
     engines.avoided.clear();
@@ -88,9 +87,6 @@
             engines.zone_names.push(zone.clone());
         }
         for engine in listed {
-            if engine.work_time_percent != 100 {
-                engines.speed_reported_at = Some(now);
-            }
             if engine.is_avoided && !all_avoided {
                 engines.avoided.push(engine.identity.clone());
             }
@@ -101,7 +97,5 @@
 
 /// Returns whether an engine of the service reported a speed recently.
 pub(super) fn reports_speed(gateway: &Gateway, service: &str) -> bool {
-    let now = gateway.clock.now();
-    let reported_at = not_older_than(gateway, service, MAX_SPEED_AGE).speed_reported_at;
-    reported_at.is_some_and(|at| now.saturating_sub(at) <= SPEED_MEMORY)
+    not_older_than(gateway, service, MAX_SPEED_AGE).reports_speed
 }
--- a/gateway/tests/engine_scheduling.rs
+++ b/gateway/tests/engine_scheduling.rs
@@ -363,12 +363,22 @@
 /// scheduled.
 #[actix_rt::test]
 async fn engines_that_report_a_speed_are_scheduled_without_customers() {
+    assert_scheduled_at_speed(170).await;
+}
+
+/// Guards against engines that are not scheduled because all report the usual speed.
+#[actix_rt::test]
+async fn engines_that_report_the_usual_speed_are_scheduled_without_customers() {
+    assert_scheduled_at_speed(100).await;
+}
+
+async fn assert_scheduled_at_speed(work_time_percent: u32) {
     let site = site_with_engines(2).await;
     site.store.put("op", "config", &routes(1));
     for index in engines(&site) {
         let faults = BackendFaults {
             delay_ms: DELAY_MS,
-            work_time_percent: Some(170),
+            work_time_percent: Some(work_time_percent),
             ..BackendFaults::default()
         };
         site.set_endpoint_faults(index, &faults).await;
