Keep statuses, reports and releases of engine groups consistent

Causes: - The status that comes with Unavailable looks like that of an idle group and attracted turns of other zones, and a scheduler that learns sent such a status after each report. - Sums with numbers of a datagram overflowed. - Statuses were accepted for any group from any gateway, without bound. - A new scheduler got the first report up to 250 ms after the change, and a release only went to the process that had been asked. - A program that another zone admitted was placed in the zone that had refused it. - Each repeated request of a waiting turn advanced the group.

Changes: - The status of an Unavailable answer is not recorded, and none is sent while the last outcome of the scheduler was Unavailable. - Sums saturate. - A status is accepted for a used group, from the process that was asked last or the present scheduler. It is dropped with the group. - A report is due at once if the scheduler of a used group has changed, and is sent before the next request. A release also goes to the present scheduler. - The call keeps the admitting group, which is asked first. - Only a turn that has just been queued advances the group. - Hosts are ranked with cached hashes, and the history keeps engines by a set of the listed ones.

Changed tests: the_group_is_chosen_by_the_warm_engine_and_the_last_ statuses opens a request in each group and takes statuses from the scheduler, because others are ignored now. Calls of close pass the time and expect a list of exactly one release (none for an admission).

Most new tests use new functions, so they were not run on the earlier code.

--- a/coordination/src/gateway/batchers.rs
+++ b/coordination/src/gateway/batchers.rs
@@ -61,7 +61,7 @@
     hosts: impl Iterator<Item = &'a PeerHost<A>>,
 ) -> Vec<&'a PeerHost<A>> {
     let mut ranked: Vec<&PeerHost<A>> = hosts.collect();
-    ranked.sort_by_key(|host| hash_parts(&[seed.as_bytes(), host.host.as_bytes()]));
+    ranked.sort_by_cached_key(|host| hash_parts(&[seed.as_bytes(), host.host.as_bytes()]));
     ranked
 }
 
--- a/coordination/src/gateway/engine_scheduler/client.rs
+++ b/coordination/src/gateway/engine_scheduler/client.rs
@@ -60,6 +60,18 @@
     Admitted(AdmissionOutcome),
 }
 
+impl Answer {
+    /// Returns whether the scheduler does not know yet which turns are running. The status
+    /// that comes with such an answer looks like that of an idle group.
+    pub fn is_unavailable(&self) -> bool {
+        matches!(
+            self,
+            Self::Placed(PlacementOutcome::Unavailable)
+                | Self::Admitted(AdmissionOutcome::Unavailable)
+        )
+    }
+}
+
 /// A message and the address to which it is sent.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Outgoing<A> {
@@ -94,10 +106,15 @@
     Ignored,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Use {
     last_asked: Duration,
     next_report_at: Duration,
+    /// Process that was asked last.
+    asked: ProcessId,
+    /// Process that knows the placements of this host: the one that got the last report, or
+    /// that was asked first.
+    informed: ProcessId,
 }
 
 /// The state of one host as a client of schedulers.
@@ -149,6 +166,13 @@
         (age <= MAX_STATUS_AGE).then_some((*status, age))
     }
 
+    /// Moves a group to the front of the groups that are asked, if it is one of them.
+    pub fn ask_first(groups: &mut [GroupId], first: &GroupId) {
+        if let Some(index) = groups.iter().position(|group| group == first) {
+            groups[..=index].rotate_right(1);
+        }
+    }
+
     /// Returns the groups of a service in the order in which they are asked. `zones` are
     /// the availability zones that have engines of the service, and `warm_zone` is that
     /// of the engine that has the prompt in memory.
@@ -189,7 +213,7 @@
         let others = groups.iter().enumerate().skip(1);
         let waits = others.filter_map(|(index, group)| Some((wait_ms(group)?, index)));
         if let Some((least_ms, index)) = waits.min()
-            && first_wait_ms > least_ms + OTHER_ZONE_MS
+            && first_wait_ms > least_ms.saturating_add(OTHER_ZONE_MS)
         {
             let better = groups.remove(index);
             groups.insert(0, better);
@@ -206,6 +230,7 @@
         now: Duration,
     ) -> Option<RequestNumber> {
         let scheduler = self.schedulers.scheduler(group, now)?.clone();
+        let asked = scheduler.process.clone();
         self.last_number += 1;
         let mut request = OpenRequest {
             group: group.clone(),
@@ -220,11 +245,16 @@
         request.limit_excluded(&self.own_process);
         self.open.insert(self.last_number, request);
         match self.used.get_mut(group) {
-            Some(used) => used.last_asked = now,
+            Some(used) => {
+                used.last_asked = now;
+                used.asked = asked;
+            }
             None => {
                 let used = Use {
                     last_asked: now,
                     next_report_at: now + REPORT_INTERVAL,
+                    informed: asked.clone(),
+                    asked,
                 };
                 self.used.insert(group.clone(), used);
             }
@@ -313,9 +343,22 @@
         Delivery::Accepted
     }
 
-    /// Records the status of a group.
-    pub fn record_status(&mut self, group: &GroupId, status: GroupStatus, now: Duration) {
-        self.statuses.insert(group.clone(), (status, now));
+    /// Records the status of a group that this host uses. A status that comes neither from
+    /// the process that was asked last nor from the present scheduler is ignored.
+    pub fn record_status(
+        &mut self,
+        from: &ProcessId,
+        group: &GroupId,
+        status: GroupStatus,
+        now: Duration,
+    ) {
+        let Some(used) = self.used.get(group) else {
+            return;
+        };
+        let scheduler = self.schedulers.scheduler(group, now);
+        if used.asked == *from || scheduler.is_some_and(|scheduler| scheduler.process == *from) {
+            self.statuses.insert(group.clone(), (status, now));
+        }
     }
 
     /// Records that the turn of a request runs at an engine, whoever selected it.
@@ -325,22 +368,40 @@
         }
     }
 
-    /// Ends a request. Returns the message that releases its placement or withdraws it.
+    /// Ends a request. Returns the messages that release its placement or withdraw it. The
+    /// present scheduler gets one too if another process was asked: it may know the
+    /// placement from a report.
     pub fn close(
         &mut self,
         number: RequestNumber,
         first_event_ms: Option<u64>,
-    ) -> Option<Outgoing<A>> {
-        let request = self.open.remove(&number)?;
+        now: Duration,
+    ) -> Vec<Outgoing<A>> {
+        let Some(request) = self.open.remove(&number) else {
+            return Vec::new();
+        };
         if !request.may_be_known() {
-            return None;
+            return Vec::new();
         }
         let released = ReleasedPlacement {
             number,
             first_event_ms,
         };
         let content = MessageContent::Release(vec![released]);
-        Some(request.outgoing(&self.own_process, content))
+        let mut releases = vec![request.outgoing(&self.own_process, content)];
+        if let Some(scheduler) = self.schedulers.scheduler(&request.group, now)
+            && scheduler.process != request.scheduler.process
+        {
+            let message = SchedulerMessage {
+                to: scheduler.process.clone(),
+                ..releases[0].message.clone()
+            };
+            releases.push(Outgoing {
+                address: scheduler.address.clone(),
+                message,
+            });
+        }
+        releases
     }
 
     /// Returns the message that releases a placement whose request has ended.
@@ -357,7 +418,18 @@
         }
     }
 
-    /// Returns the reports that are due, each to the present scheduler of its group.
+    /// Returns whether the scheduler of a used group is another process than the one that
+    /// knows this host's placements. A report is then due at once.
+    pub fn has_new_scheduler(&self, group: &GroupId, now: Duration) -> bool {
+        let Some(used) = self.used.get(group) else {
+            return false;
+        };
+        let scheduler = self.schedulers.scheduler(group, now);
+        scheduler.is_some_and(|scheduler| scheduler.process != used.informed)
+    }
+
+    /// Returns the reports that are due, each to the present scheduler of its group. A
+    /// report is due at intervals, and at once if the scheduler has changed.
     pub fn due_reports(&mut self, now: Duration) -> Vec<Outgoing<A>> {
         let mut held: HashMap<&GroupId, Vec<HeldPlacement>> = HashMap::new();
         for (number, request) in &self.open {
@@ -368,15 +440,18 @@
         self.used.retain(|group, used| {
             now.saturating_sub(used.last_asked) <= REPORT_AFTER_USE || held.contains_key(group)
         });
+        self.statuses
+            .retain(|group, _| self.used.contains_key(group));
         let mut reports = Vec::new();
         for (group, used) in &mut self.used {
-            if now < used.next_report_at {
-                continue;
-            }
-            used.next_report_at = now + REPORT_INTERVAL;
             let Some(scheduler) = self.schedulers.scheduler(group, now) else {
                 continue;
             };
+            if now < used.next_report_at && scheduler.process == used.informed {
+                continue;
+            }
+            used.next_report_at = now + REPORT_INTERVAL;
+            used.informed.clone_from(&scheduler.process);
             let message = SchedulerMessage {
                 from: self.own_process.clone(),
                 to: scheduler.process.clone(),
--- a/coordination/tests/gateway_engine_scheduling.rs
+++ b/coordination/tests/gateway_engine_scheduling.rs
@@ -81,8 +81,12 @@
 }
 
 fn open_turn(client: &mut SchedulerClient<u16>, now: Duration) -> u64 {
+    open_in(client, "east", now)
+}
+
+fn open_in(client: &mut SchedulerClient<u16>, zone: &str, now: Duration) -> u64 {
     let question = |number| Question::Place(placement(number));
-    client.open(&group("east"), question, now).unwrap()
+    client.open(&group(zone), question, now).unwrap()
 }
 
 fn sent(step: Step<u16>) -> Outgoing<u16> {
@@ -462,7 +466,7 @@
     scheduler.advance(ms(851));
     assert_eq!(scheduler.status(ms(851)).free_slots, 0);
     // The release is lost.
-    assert!(client.close(number, Some(30)).is_some());
+    assert_eq!(client.close(number, Some(30), ms(900)).len(), 1);
     let held = report(&mut client, ms(1_100));
     assert!(held.is_empty());
     scheduler.report_held(&own, &held, ms(1_101));
@@ -481,10 +485,10 @@
     let reports = (0..100).map(|step| client.due_reports(ms(step * 50)).len());
     // A turn that runs is reported for as long as it runs.
     assert_eq!(reports.sum::<usize>(), 19);
-    client.close(number, None).unwrap();
+    assert_eq!(client.close(number, None, ms(5_000)).len(), 1);
     assert!(client.due_reports(ms(5_000)).is_empty());
     let next = open_turn(&mut client, ms(6_000));
-    client.close(next, None);
+    client.close(next, None, ms(6_000));
     let reports = (0..100).map(|step| client.due_reports(ms(6_000 + step * 50)).len());
     assert_eq!(reports.sum::<usize>(), 8);
 }
@@ -518,7 +522,10 @@
     let number = open_turn(&mut client, ms(0));
     let scheduler = asked(&client, number);
     sent(client.next_step(number, ms(0)));
-    let release = client.close(number, None).unwrap();
+    let releases = client.close(number, None, ms(8));
+    let [release] = releases.as_slice() else {
+        panic!("not one release: {releases:?}");
+    };
     let expected = MessageContent::Release(vec![ReleasedPlacement {
         number,
         first_event_ms: None,
@@ -558,7 +565,7 @@
     let admitted = Answer::Admitted(AdmissionOutcome::Admitted);
     client.record_answer(&scheduler, admission, admitted.clone(), ms(3));
     assert_eq!(client.next_step(admission, ms(3)), Step::Answered(admitted));
-    assert_eq!(client.close(admission, None), None);
+    assert_eq!(client.close(admission, None, ms(3)), []);
     assert_eq!(client.open_requests(), 1);
 }
 
@@ -567,6 +574,14 @@
 #[test]
 fn the_group_is_chosen_by_the_warm_engine_and_the_last_statuses() {
     let mut client = client();
+    for zone in ZONES {
+        open_in(&mut client, zone, ms(0));
+    }
+    let record = |client: &mut SchedulerClient<u16>, zone, status, now| {
+        let scheduler = client.schedulers().scheduler(&group(zone), now).unwrap();
+        let process = scheduler.process.clone();
+        client.record_status(&process, &group(zone), status, now);
+    };
     let service = "models".to_owned();
     let zones = ["east", "west", "north"].map(str::to_owned);
     let first = |client: &SchedulerClient<u16>, warm: Option<&str>, now| {
@@ -578,21 +593,115 @@
     };
     assert_eq!(first(&client, None, ms(0)), "east");
     assert_eq!(first(&client, Some("west"), ms(0)), "west");
-    client.record_status(&group("east"), status(0, 40), ms(0));
+    record(&mut client, "east", status(0, 40), ms(0));
     // Nothing is known of the other group.
     assert_eq!(first(&client, None, ms(0)), "east");
-    client.record_status(&group("west"), status(0, 28), ms(0));
+    record(&mut client, "west", status(0, 28), ms(0));
     assert_eq!(first(&client, None, ms(0)), "east");
-    client.record_status(&group("west"), status(0, 27), ms(0));
+    record(&mut client, "west", status(0, 27), ms(0));
     assert_eq!(first(&client, None, ms(1_000)), "west");
     assert_eq!(first(&client, None, ms(1_001)), "east");
-    client.record_status(&group("east"), status(1, 40), ms(1_001));
-    client.record_status(&group("west"), status(5, 0), ms(1_001));
+    record(&mut client, "east", status(1, 40), ms(1_001));
+    record(&mut client, "west", status(5, 0), ms(1_001));
     assert_eq!(first(&client, None, ms(1_001)), "east");
-    client.record_status(&group("west"), status(0, 90), ms(1_002));
+    record(&mut client, "west", status(0, 90), ms(1_002));
     assert_eq!(first(&client, Some("west"), ms(1_002)), "east");
 }
 
+/// Guards against statuses that a process which does not schedule the group sends, and
+/// against statuses of groups that are not used, whose number has no bound.
+#[test]
+fn statuses_are_accepted_only_for_used_groups_from_their_scheduler() {
+    let mut client = client();
+    let scheduler = |client: &SchedulerClient<u16>, zone| {
+        let scheduler = client.schedulers().scheduler(&group(zone), ms(0));
+        scheduler.unwrap().process.clone()
+    };
+    let (east, west) = (scheduler(&client, "east"), scheduler(&client, "west"));
+    open_turn(&mut client, ms(0));
+    client.record_status(&west, &group("west"), status(9, 0), ms(1));
+    assert_eq!(client.status(&group("west"), ms(1)), None);
+    client.record_status(&west, &group("east"), status(9, 0), ms(1));
+    assert_eq!(client.status(&group("east"), ms(1)), None);
+    client.record_status(&east, &group("east"), status(9, 0), ms(1));
+    assert_eq!(
+        client.status(&group("east"), ms(1)),
+        Some((status(9, 0), ms(0)))
+    );
+}
+
+/// Guards against sums that overflow with the numbers of a datagram.
+#[test]
+fn a_status_with_the_largest_numbers_changes_nothing() {
+    let mut client = client();
+    for zone in ZONES {
+        open_in(&mut client, zone, ms(0));
+        let scheduler = client.schedulers().scheduler(&group(zone), ms(0)).unwrap();
+        let process = scheduler.process.clone();
+        client.record_status(&process, &group(zone), status(0, u64::MAX), ms(0));
+    }
+    let zones = ZONES.map(str::to_owned);
+    let groups = client.groups_to_ask(&"models".to_owned(), &zones, None, ms(0));
+    assert_eq!(groups, [group("east"), group("west")]);
+}
+
+/// Guards against a scheduler that is starting and whose status, that of an idle group,
+/// attracts the turns of other zones.
+#[test]
+fn only_answers_of_a_scheduler_that_learns_are_unavailable() {
+    assert!(Answer::Placed(PlacementOutcome::Unavailable).is_unavailable());
+    assert!(Answer::Admitted(AdmissionOutcome::Unavailable).is_unavailable());
+    assert!(!Answer::Admitted(AdmissionOutcome::Admitted).is_unavailable());
+    assert!(!assigned().is_unavailable());
+    assert!(!queued().is_unavailable());
+}
+
+/// Guards against a new scheduler that assigns slots before it knows which turns run, and
+/// that keeps the slots of turns that have ended until the next report.
+#[test]
+fn a_new_scheduler_gets_a_report_at_once_and_the_releases() {
+    let mut client = client();
+    let number = open_turn(&mut client, ms(0));
+    sent(client.next_step(number, ms(0)));
+    let first = asked(&client, number);
+    client.record_answer(&first, number, assigned(), ms(1));
+    client.hold(number, engine("e1"));
+    assert!(!client.has_new_scheduler(&group("east"), ms(10)));
+    assert!(client.due_reports(ms(10)).is_empty());
+    let mut hosts = zones();
+    hosts
+        .get_mut("east")
+        .unwrap()
+        .retain(|host| host.process != first);
+    client.set_hosts(hosts);
+    assert!(client.has_new_scheduler(&group("east"), ms(10)));
+    let reports = client.due_reports(ms(10));
+    let second = reports[0].message.to.clone();
+    assert_ne!(second, first);
+    let held = HeldPlacement {
+        number,
+        engine: Some(engine("e1")),
+    };
+    assert_eq!(reports[0].message.content, MessageContent::Held(vec![held]));
+    assert!(!client.has_new_scheduler(&group("east"), ms(11)));
+    assert!(client.due_reports(ms(11)).is_empty());
+    let releases = client.close(number, None, ms(12)).into_iter();
+    let recipients: Vec<String> = releases.map(|release| release.message.to).collect();
+    assert_eq!(recipients, [first, second]);
+}
+
+/// Guards against a program that one group admitted and that is placed in another one,
+/// which refused it.
+#[test]
+fn the_group_that_admitted_a_program_is_asked_first() {
+    let all = ["east", "west", "north"].map(group);
+    let mut groups = all.to_vec();
+    SchedulerClient::<u16>::ask_first(&mut groups, &group("north"));
+    assert_eq!(groups, [group("north"), group("east"), group("west")]);
+    SchedulerClient::<u16>::ask_first(&mut groups, &group("south"));
+    assert_eq!(groups, [group("north"), group("east"), group("west")]);
+}
+
 /// Guards against slots that stay empty because turns which have just ended are still in
 /// the last load report, and against requests that the scheduler overlooks.
 #[test]
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -1,7 +1,7 @@
 //! A caller's request after it was read and assigned to a route. All modules that
 //! serve the request share it.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use rosebend_coordination::gateway::admission::Urgency;
+use rosebend_coordination::gateway::engine_scheduler::message::GroupId;
 use rosebend_coordination::gateway::fingerprint::Fingerprint;
 use rosebend_coordination::gateway::limits::local_quota::RequestClass;
 use rosebend_protocol::problem::Ran;
@@ -50,6 +51,9 @@
     /// Class under which the request is counted against its customer's limit, or none
     /// if it is not counted.
     pub counted_class: Cell<Option<RequestClass>>,
+    /// Group of engines whose scheduler admitted the program that the request starts, if
+    /// any.
+    pub admitting_group: RefCell<Option<GroupId>>,
     /// Log of the request's steps.
     pub request_log: RequestLog,
 }
--- a/gateway/src/engine_scheduling.rs
+++ b/gateway/src/engine_scheduling.rs
@@ -123,10 +123,7 @@
         for group in groups::scheduled(&gateway) {
             groups::advance(&gateway, &group, now);
         }
-        let reports = scheduling.client.borrow_mut().due_reports(now);
-        for report in reports {
-            messages::send(&gateway, report.address, report.message);
-        }
+        messages::send_reports(&gateway, now);
         groups::update_gauges(&gateway, now);
     }
 }
--- a/gateway/src/engine_scheduling/groups.rs
+++ b/gateway/src/engine_scheduling/groups.rs
@@ -1,6 +1,6 @@
 //! The groups of engines that this host schedules.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use rosebend_coordination::gateway::engine_scheduler::message::{
@@ -48,6 +48,8 @@
     used_at: Duration,
     /// Whether turns waited when the group last changed.
     has_waiting: bool,
+    /// Whether the scheduler did not know yet which turns run when it was last asked.
+    is_learning: bool,
 }
 
 impl ScheduledGroup {
@@ -59,6 +61,7 @@
             weights_version: None,
             used_at: now,
             has_waiting: false,
+            is_learning: true,
         }
     }
 
@@ -72,7 +75,8 @@
         let directory = gateway.directory.borrow();
         let listed = directory.engines(&id.service, &id.availability_zone, now);
         let history = &mut self.history;
-        history.retain(|engine| listed.iter().any(|listed| listed.identity == *engine));
+        let identities: HashSet<_> = listed.iter().map(|engine| &engine.identity).collect();
+        history.retain(|engine| identities.contains(engine));
         let mut engines = Vec::with_capacity(listed.len());
         for engine in listed {
             let placements = self.scheduler.placements_at(&engine.identity);
@@ -122,6 +126,7 @@
         now: Duration,
     ) -> PlacementOutcome {
         let outcome = self.scheduler.place(from, request, now);
+        self.is_learning = outcome == PlacementOutcome::Unavailable;
         self.record_assignment(&outcome, now);
         self.has_waiting |= matches!(outcome, PlacementOutcome::Queued { .. });
         outcome
@@ -134,7 +139,9 @@
         request: &AdmissionRequest,
         now: Duration,
     ) -> AdmissionOutcome {
-        self.scheduler.admit(from, request, now)
+        let outcome = self.scheduler.admit(from, request, now);
+        self.is_learning = outcome == AdmissionOutcome::Unavailable;
+        outcome
     }
 
     /// Ends placements.
@@ -157,6 +164,12 @@
         self.scheduler.status(now)
     }
 
+    /// Returns the state of the group, or `None` while the scheduler learns which turns run:
+    /// its status then looks like that of an idle group.
+    pub(super) fn known_status(&self, now: Duration) -> Option<GroupStatus> {
+        (!self.is_learning).then(|| self.status(now))
+    }
+
     fn advance(&mut self, now: Duration) -> Vec<(ProcessId, RequestNumber, PlacementOutcome)> {
         let answers = self.scheduler.advance(now);
         for (_, _, outcome) in &answers {
@@ -261,8 +274,8 @@
     let groups = gateway.engine_scheduling.groups.borrow();
     let statuses = groups.groups.values().map(|group| group.status(now));
     let sum = statuses.fold(GroupStatus::default(), |sum, status| GroupStatus {
-        free_slots: sum.free_slots + status.free_slots,
-        waiting: sum.waiting + status.waiting,
+        free_slots: sum.free_slots.saturating_add(status.free_slots),
+        waiting: sum.waiting.saturating_add(status.waiting),
         expected_wait_ms: sum.expected_wait_ms.max(status.expected_wait_ms),
     });
     let groups = groups.groups.len() as u64;
--- a/gateway/src/engine_scheduling/messages.rs
+++ b/gateway/src/engine_scheduling/messages.rs
@@ -1,6 +1,7 @@
 //! Sending and receiving messages about groups of engines.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use rosebend_coordination::gateway::engine_scheduler::client::{
     Answer, Delivery, MAX_MESSAGE_BYTES,
@@ -33,6 +34,18 @@
     let _ = socket.try_send_to(&datagram, to);
 }
 
+/// Sends the reports that are due.
+pub(super) fn send_reports(gateway: &Gateway, now: Duration) {
+    let reports = gateway
+        .engine_scheduling
+        .client
+        .borrow_mut()
+        .due_reports(now);
+    for report in reports {
+        send(gateway, report.address, report.message);
+    }
+}
+
 /// Sends a message to the address of its recipient in the table of gateways. The address
 /// from which a datagram came may be forged.
 pub(super) fn send_to_process(gateway: &Gateway, message: SchedulerMessage) {
@@ -72,12 +85,17 @@
     let from = &message.from;
     match &message.content {
         MessageContent::Place(request) => {
+            let mut is_newly_queued = false;
             let (outcome, status) = groups::with_group(gateway, &message.group, now, |group| {
-                (group.place(from, request, now), group.status(now))
+                let waiting = group.status(now).waiting;
+                let outcome = group.place(from, request, now);
+                let status = group.status(now);
+                // The turn of a repeated request waits already.
+                is_newly_queued = status.waiting > waiting;
+                (outcome, status)
             })
             .unwrap_or((PlacementOutcome::Unavailable, GroupStatus::default()));
             let number = request.number;
-            let is_queued = matches!(outcome, PlacementOutcome::Queued { .. });
             let group = message.group.clone();
             let content = MessageContent::Placed {
                 number,
@@ -85,7 +103,7 @@
                 status,
             };
             reply(gateway, message, content);
-            if is_queued {
+            if is_newly_queued {
                 groups::advance(gateway, &group, now);
                 gateway.engine_scheduling.turn_queued.notify_one();
             }
@@ -112,10 +130,10 @@
         MessageContent::Held(held) => {
             let status = groups::with_group(gateway, &message.group, now, |group| {
                 group.report_held(from, held, now);
-                group.status(now)
+                group.known_status(now)
             });
             groups::advance(gateway, &message.group, now);
-            if let Some(status) = status {
+            if let Some(status) = status.flatten() {
                 reply(gateway, message, MessageContent::Status(status));
             }
         }
@@ -137,7 +155,7 @@
         }
         MessageContent::Status(status) => {
             let mut client = gateway.engine_scheduling.client.borrow_mut();
-            client.record_status(&message.group, *status, now);
+            client.record_status(from, &message.group, *status, now);
         }
     }
 }
@@ -152,12 +170,13 @@
 ) {
     let now = gateway.clock.now();
     let scheduling = &gateway.engine_scheduling;
+    let is_unavailable = answer.is_unavailable();
     let is_assigned = matches!(answer, Answer::Placed(PlacementOutcome::Assigned(_)));
     let delivery = {
         let mut client = scheduling.client.borrow_mut();
         let delivery = client.record_answer(&message.from, number, answer, now);
-        if delivery != Delivery::Ignored {
-            client.record_status(&message.group, status, now);
+        if delivery != Delivery::Ignored && !is_unavailable {
+            client.record_status(&message.from, &message.group, status, now);
         }
         delivery
     };
--- a/gateway/src/engine_scheduling/placement.rs
+++ b/gateway/src/engine_scheduling/placement.rs
@@ -1,10 +1,13 @@
 //! A slot at an engine for a turn.
 
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use rosebend_coordination::gateway::engine_scheduler::client::{Answer, Question, Step};
+use rosebend_coordination::gateway::engine_scheduler::client::{
+    Answer, Question, SchedulerClient, Step,
+};
 use rosebend_coordination::gateway::engine_scheduler::message::{
     GroupId, PlacementOutcome, PlacementRefusal, PlacementRequest, RequestNumber,
 };
@@ -53,6 +56,10 @@
     ) -> Option<Self> {
         let scheduling = &gateway.engine_scheduling;
         let now = gateway.clock.now();
+        if scheduling.client.borrow().has_new_scheduler(group, now) {
+            // The scheduler has to know this host's turns before it assigns a slot.
+            messages::send_reports(gateway, now);
+        }
         let number = scheduling.client.borrow_mut().open(group, question, now)?;
         let waiting = Rc::new(Notify::new());
         scheduling.waiting.borrow_mut().insert(number, waiting);
@@ -118,11 +125,12 @@
         let scheduling = &self.gateway.engine_scheduling;
         scheduling.waiting.borrow_mut().remove(&self.number);
         let first_event_ms = self.first_event_ms.get();
-        let release = scheduling
+        let now = self.gateway.clock.now();
+        let releases = scheduling
             .client
             .borrow_mut()
-            .close(self.number, first_event_ms);
-        if let Some(release) = release {
+            .close(self.number, first_event_ms, now);
+        for release in releases {
             messages::send(&self.gateway, release.address, release.message);
         }
     }
@@ -192,7 +200,12 @@
         let warm = self.warm.and_then(|warm| engines.zone(&warm.endpoint));
         let now = self.gateway.clock.now();
         let client = self.gateway.engine_scheduling.client.borrow();
-        client.groups_to_ask(&self.call.service, &engines.zone_names, warm, now)
+        let mut groups = client.groups_to_ask(&self.call.service, &engines.zone_names, warm, now);
+        if let Some(admitting) = &*self.call.admitting_group.borrow() {
+            // Another group may have refused the program.
+            SchedulerClient::<SocketAddr>::ask_first(&mut groups, admitting);
+        }
+        groups
     }
 
     async fn ask_group(&mut self, group: &GroupId) -> GroupAnswer {
--- a/gateway/src/engine_scheduling/start.rs
+++ b/gateway/src/engine_scheduling/start.rs
@@ -29,7 +29,10 @@
     let mut first_refusal = None;
     for group in groups(gateway, call) {
         match ask_group(gateway, call, &group, asked_at).await {
-            Some(Ok(())) => return Some(Ok(())),
+            Some(Ok(())) => {
+                call.admitting_group.replace(Some(group));
+                return Some(Ok(()));
+            }
             Some(Err(refusal)) => {
                 first_refusal.get_or_insert(refusal);
             }
--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -1,6 +1,6 @@
 //! Reads a caller's request and determines its route, service and customer.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -93,6 +93,7 @@
         arrived,
         deadline: arrived + time_limit,
         counted_class: Cell::default(),
+        admitting_group: RefCell::default(),
     })
 }
 
