Test the host's checks of assigned engines with a scheduler of the test

Cause: three checks had no test that fails without them: assigned engines that the host does not use, a turn that was already sent and cannot end in time, and late assignments. The test of an engine that leaves passed also if no scheduler assigned anything.

Change: four tests with a scheduler that the test plays, and a check that turns are assigned in an_engine_that_leaves_gets_no_turns.

Without the check of listed engines, the exception for sent turns, or the release of late assignments, the respective test fails.

--- a/gateway/tests/engine_scheduling.rs
+++ b/gateway/tests/engine_scheduling.rs
@@ -4,13 +4,21 @@
 mod support;
 
 use std::collections::BTreeMap;
+use std::net::UdpSocket;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use futures_util::future::join_all;
 use http::Method;
+use rosebend_coordination::gateway::engine_scheduler::message::{
+    GroupStatus, MessageContent, PlacementOutcome, PlacementRefusal, PlacementRequest,
+    SchedulerMessage,
+};
+use rosebend_gateway::engine_scheduling::DATAGRAM_PREFIX;
 use rosebend_gateway::peers::row_id;
 use rosebend_standin::backend::{BackendFaults, Turns};
 use rosebend_standin::store::StoreFaults;
+use rosebend_state::deployment::EndpointIdentity;
 use serde_json::{Value, json};
 use support::{FIRST_START_MS, Gateway, Site, TestRequest, TestResponse, routes, wait_until};
 
@@ -323,9 +331,12 @@
     // The engines of a group are listed again at most 100 ms later.
     actix_rt::time::sleep(Duration::from_millis(300)).await;
     let before = site.runs(0).await.len();
+    let assigned_before = assigned(&scheduler).await + assigned(&other).await;
     let answers = send_turns(&[&scheduler, &other], "left", 8).await;
     assert_eq!(statuses(&answers), BTreeMap::from([(200, 8)]));
     assert_eq!(site.runs(0).await.len(), before);
+    // The scheduler chose the other engine, and not only the hosts by themselves.
+    assert!(assigned(&scheduler).await + assigned(&other).await > assigned_before);
 }
 
 /// Guards against a scheduler that depends on the store.
@@ -505,3 +516,203 @@
     assert_eq!(problem["ran"], "no");
     problem["reason"].as_str().unwrap().to_owned()
 }
+
+/// A scheduler that a test plays, and the requests and releases that it got.
+struct FakeScheduler {
+    messages: Arc<Mutex<Vec<SchedulerMessage>>>,
+}
+
+impl FakeScheduler {
+    /// Starts a scheduler that answers each first `place` message of a request with
+    /// `decide`, which gets the number of requests before it.
+    fn start(
+        site: &Site,
+        decide: impl Fn(usize, &PlacementRequest) -> PlacementOutcome + Send + 'static,
+    ) -> Self {
+        let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+        let row = row_id("fake");
+        // It has by far the largest processor share, so it is the only one that may schedule.
+        let peer = json!({
+            "host": "fake",
+            "availability_zone": "newport-hall",
+            "relay": socket.local_addr().unwrap(),
+            "holder": "fake/1",
+            "processor_milli": 64_000,
+            "fences_escrow": true,
+        });
+        site.store.put(&row.table, &row.key, &peer);
+        let messages = Arc::new(Mutex::new(Vec::new()));
+        let received = Arc::clone(&messages);
+        std::thread::spawn(move || {
+            let mut numbers = Vec::new();
+            let mut datagram = [0; 8_192];
+            while let Ok((length, from)) = socket.recv_from(&mut datagram) {
+                let Some(json) = datagram[..length].strip_prefix(&DATAGRAM_PREFIX) else {
+                    continue;
+                };
+                let message: SchedulerMessage = serde_json::from_slice(json).unwrap();
+                received.lock().unwrap().push(message.clone());
+                let MessageContent::Place(request) = &message.content else {
+                    continue;
+                };
+                if numbers.contains(&request.number) {
+                    continue;
+                }
+                let outcome = decide(numbers.len(), request);
+                numbers.push(request.number);
+                let answer = SchedulerMessage {
+                    from: message.to,
+                    to: message.from,
+                    group: message.group,
+                    content: MessageContent::Placed {
+                        number: request.number,
+                        outcome,
+                        status: GroupStatus::default(),
+                    },
+                };
+                let mut datagram = DATAGRAM_PREFIX.to_vec();
+                serde_json::to_writer(&mut datagram, &answer).unwrap();
+                socket.send_to(&datagram, from).unwrap();
+            }
+        });
+        Self { messages }
+    }
+
+    /// Returns the number and the excluded engines of each request, without repetitions.
+    fn requests(&self) -> Vec<(u64, Vec<String>)> {
+        let messages = self.messages.lock().unwrap();
+        let requests = messages
+            .iter()
+            .filter_map(|message| match &message.content {
+                MessageContent::Place(request) => Some((request.number, request.excluded.clone())),
+                _ => None,
+            });
+        let mut requests: Vec<(u64, Vec<String>)> = requests.collect();
+        requests.dedup();
+        requests
+    }
+
+    /// Returns how many times a request was released.
+    fn releases(&self, number: u64) -> usize {
+        let messages = self.messages.lock().unwrap();
+        let released = messages
+            .iter()
+            .filter_map(|message| match &message.content {
+                MessageContent::Release(released) => Some(released),
+                _ => None,
+            });
+        released
+            .flatten()
+            .filter(|released| released.number == number)
+            .count()
+    }
+}
+
+fn identity(site: &Site, index: usize) -> EndpointIdentity {
+    EndpointIdentity {
+        instance: site.endpoints[index].instance.clone(),
+        started_ms: Some(FIRST_START_MS),
+    }
+}
+
+/// Makes an engine refuse its next request as not run.
+async fn refuse_next(site: &Site, index: usize) {
+    let faults = BackendFaults {
+        delay_ms: DELAY_MS,
+        refuse: 1,
+        ..BackendFaults::default()
+    };
+    site.set_endpoint_faults(index, &faults).await;
+}
+
+async fn start_with_fake(site: &Site) -> Gateway {
+    let gateway = site.start_ready_gateway().await;
+    gateway.wait_for_peers(1).await;
+    gateway
+}
+
+/// Guards against turns that are sent to an engine that leaves because the scheduler does
+/// not know it yet, and against the slot of such a turn, which nobody releases.
+#[actix_rt::test]
+async fn an_assigned_engine_that_leaves_is_rejected_and_excluded() {
+    let site = site_with_engines(2).await;
+    announce(&site, engines(&site)[0], "draining");
+    let models = engines(&site);
+    let assigned = [identity(&site, models[0]), identity(&site, models[1])];
+    let leaving = assigned[0].instance.clone();
+    let fake = FakeScheduler::start(&site, move |before, _| {
+        PlacementOutcome::Assigned(assigned[before.min(1)].clone())
+    });
+    let gateway = start_with_fake(&site).await;
+    assert_eq!(turn("leaving").send(gateway.front).await.status, 200);
+    assert!(site.runs(models[0]).await.is_empty());
+    let requests = fake.requests();
+    assert_eq!(requests.len(), 2, "{requests:?}");
+    assert_eq!(requests[1].1, [leaving]);
+    wait_until("the rejected slot is released", async || {
+        fake.releases(requests[0].0) == 1
+    })
+    .await;
+}
+
+/// Guards against a turn that is sent again to an engine that refused it.
+#[actix_rt::test]
+async fn a_tried_engine_is_rejected() {
+    let site = site_with_engines(2).await;
+    refuse_next(&site, engines(&site)[0]).await;
+    let models = engines(&site);
+    let assigned = [identity(&site, models[0]), identity(&site, models[1])];
+    let fake = FakeScheduler::start(&site, move |before, _| {
+        PlacementOutcome::Assigned(assigned[before / 2].clone())
+    });
+    let gateway = start_with_fake(&site).await;
+    assert_eq!(turn("tried").send(gateway.front).await.status, 200);
+    assert!(site.runs(models[0]).await.is_empty());
+    assert_eq!(site.runs(models[1]).await.len(), 1);
+    assert_eq!(fake.requests().len(), 3);
+}
+
+/// Guards against the refusal of a turn that was already sent to an engine.
+#[actix_rt::test]
+async fn a_turn_that_was_sent_is_not_refused_as_too_late() {
+    let site = site_with_engines(2).await;
+    refuse_next(&site, engines(&site)[0]).await;
+    let engine = identity(&site, engines(&site)[0]);
+    let fake = FakeScheduler::start(&site, move |before, _| match before {
+        0 => PlacementOutcome::Assigned(engine.clone()),
+        _ => PlacementOutcome::Refused {
+            reason: PlacementRefusal::CannotEndInTime,
+            retry_after_ms: 0,
+        },
+    });
+    let gateway = start_with_fake(&site).await;
+    assert_eq!(turn("sent").send(gateway.front).await.status, 200);
+    assert_eq!(fake.requests().len(), 2);
+    let reason = "cannot-end-in-time";
+    assert_eq!(
+        counter(&gateway, "engine_bypasses", "reason", reason).await,
+        1
+    );
+}
+
+/// Guards against a slot that is assigned after its turn has ended and that nobody
+/// releases.
+#[actix_rt::test]
+async fn a_late_assignment_is_released() {
+    let site = site_with_engines(2).await;
+    let engine = identity(&site, engines(&site)[0]);
+    let fake = FakeScheduler::start(&site, move |_, _| {
+        std::thread::sleep(Duration::from_millis(1_000));
+        PlacementOutcome::Assigned(engine.clone())
+    });
+    let gateway = start_with_fake(&site).await;
+    assert_eq!(turn("late").send(gateway.front).await.status, 200);
+    // The first release is that of the turn's end.
+    wait_until("the late slot is released", async || {
+        let requests = fake.requests();
+        requests
+            .first()
+            .is_some_and(|(number, _)| fake.releases(*number) == 2)
+    })
+    .await;
+}
