List the engines of a service of all zones in one pass

Cause: the list of a service's engines took one pass over all endpoints for each availability zone.

Change: Directory::engines_by_zone lists all zones in one pass. Schedulers::zones, which nothing uses any more, is removed.

--- a/coordination/src/gateway/directory/engines.rs
+++ b/coordination/src/gateway/directory/engines.rs
@@ -1,8 +1,10 @@
 //! The engines of one service in one availability zone, for an engine scheduler.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rosebend_state::deployment::EndpointIdentity;
+use rosebend_state::id::AvailabilityZone;
 
 use super::Directory;
 use super::endpoint::Endpoint;
@@ -59,6 +61,27 @@
         engines.sort_by(|a, b| a.identity.instance.cmp(&b.identity.instance));
         engines
     }
+
+    /// Returns the usable engines of a service in each availability zone that has some, as
+    /// [`Self::engines`] does, in one pass over all endpoints.
+    pub fn engines_by_zone(
+        &self,
+        service: &str,
+        now: Duration,
+    ) -> BTreeMap<AvailabilityZone, Vec<EngineStatus>> {
+        let mut zones: BTreeMap<AvailabilityZone, Vec<EngineStatus>> = BTreeMap::new();
+        for endpoint in self.endpoints.values() {
+            let record = &endpoint.record;
+            if record.service == service && endpoint.accepts_requests() {
+                let engines = zones.entry(record.availability_zone.clone()).or_default();
+                engines.push(engine_status(endpoint, now));
+            }
+        }
+        for engines in zones.values_mut() {
+            engines.sort_by(|a, b| a.identity.instance.cmp(&b.identity.instance));
+        }
+        zones
+    }
 }
 
 fn engine_status(endpoint: &Endpoint, now: Duration) -> EngineStatus {
--- a/coordination/src/gateway/engine_scheduler/schedulers.rs
+++ b/coordination/src/gateway/engine_scheduler/schedulers.rs
@@ -56,13 +56,6 @@
         self.zones.get(zone).is_some_and(|hosts| !hosts.is_empty())
     }
 
-    /// Returns the availability zones that have a gateway that may schedule, in order.
-    pub fn zones(&self) -> Vec<&AvailabilityZone> {
-        let mut zones: Vec<&AvailabilityZone> = self.zones.keys().collect();
-        zones.sort();
-        zones
-    }
-
     /// Returns the gateway that schedules a group, or `None` if no gateway of its
     /// availability zone is known, or the first ones of the order are all left out.
     pub fn scheduler(&self, group: &GroupId, now: Duration) -> Option<&PeerHost<A>> {
--- a/coordination/tests/directory_engines.rs
+++ b/coordination/tests/directory_engines.rs
@@ -62,6 +62,23 @@
     assert!(!engines[0].is_avoided);
 }
 
+/// Guards against a list of all zones that differs from those of the single zones, and
+/// against zones without usable engines in it, in which a turn would be asked for.
+#[test]
+fn engines_of_all_zones_are_those_of_each_zone() {
+    let mut directory = directory();
+    let mut draining = record("left", "models", "north-hall");
+    draining.draining = true;
+    directory.apply_entry(draining, NOW);
+    directory.record_report(&id("a"), load(4, 3, Some(250)), NOW);
+    let zones = directory.engines_by_zone("models", NOW);
+    let names: Vec<&str> = zones.keys().map(String::as_str).collect();
+    assert_eq!(names, ["harbour-hall", ZONE]);
+    for (zone, engines) in &zones {
+        assert_eq!(*engines, directory.engines("models", zone, NOW));
+    }
+}
+
 #[test]
 fn an_engine_has_its_report_with_its_age_and_its_speed() {
     let mut directory = directory();
--- a/gateway/src/engine_scheduling/known_engines.rs
+++ b/gateway/src/engine_scheduling/known_engines.rs
@@ -80,12 +80,12 @@
     engines.zones.clear();
     engines.zone_names.clear();
     engines.avoided.clear();
-    for zone in client.schedulers().zones() {
-        let listed = directory.engines(service, zone, now);
-        let all_avoided = listed.iter().all(|engine| engine.is_avoided);
-        if !listed.is_empty() {
-            engines.zone_names.push(zone.clone());
+    for (zone, listed) in directory.engines_by_zone(service, now) {
+        if !client.schedulers().has_zone(&zone) {
+            continue;
         }
+        let all_avoided = listed.iter().all(|engine| engine.is_avoided);
+        engines.zone_names.push(zone.clone());
         for engine in listed {
             if engine.is_avoided && !all_avoided {
                 engines.avoided.push(engine.identity.clone());
