--- a/coordination/src/gateway/engine_scheduler/client.rs
+++ b/coordination/src/gateway/engine_scheduler/client.rs
@@ -10,6 +10,7 @@
 
 use rosebend_state::deployment::{EndpointIdentity, ServiceName};
 use rosebend_state::id::AvailabilityZone;
+use serde::Serialize;
 
 use crate::gateway::batchers::PeerHost;
 use crate::gateway::engine_scheduler::message::{
@@ -37,10 +38,9 @@
 /// Wait that is accepted before a turn goes to another availability zone, in
 /// milliseconds. It is the cost of another zone in `directory::cost`.
 const OTHER_ZONE_MS: u64 = 12;
-/// Maximum number of placements in a report. About 120 of them fit into the largest
-/// datagram that gateways receive. A host with more sends no report: a part of the
-/// placements would end the others.
-const MAX_REPORTED: usize = 100;
+/// Maximum encoded size of a message, in bytes. Gateways receive datagrams of at most
+/// 8,192 bytes, of which 2 are the prefix.
+pub const MAX_MESSAGE_BYTES: usize = 8_190;
 
 /// What a request asks for.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -60,6 +60,18 @@
     Admitted(AdmissionOutcome),
 }
 
+impl Answer {
+    /// Returns whether the scheduler does not know yet which turns are running. The status
+    /// that comes with such an answer looks like that of an idle group.
+    pub fn is_unavailable(&self) -> bool {
+        matches!(
+            self,
+            Self::Placed(PlacementOutcome::Unavailable)
+                | Self::Admitted(AdmissionOutcome::Unavailable)
+        )
+    }
+}
+
 /// A message and the address to which it is sent.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Outgoing<A> {
@@ -94,10 +106,15 @@
     Ignored,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Use {
     last_asked: Duration,
     next_report_at: Duration,
+    /// Process that was asked last.
+    asked: ProcessId,
+    /// Process that knows the placements of this host: the one that got the last report, or
+    /// that was asked first.
+    informed: ProcessId,
 }
 
 /// The state of one host as a client of schedulers.
@@ -149,6 +166,13 @@
         (age <= MAX_STATUS_AGE).then_some((*status, age))
     }
 
+    /// Moves a group to the front of the groups that are asked, if it is one of them.
+    pub fn ask_first(groups: &mut [GroupId], first: &GroupId) {
+        if let Some(index) = groups.iter().position(|group| group == first) {
+            groups[..=index].rotate_right(1);
+        }
+    }
+
     /// Returns the groups of a service in the order in which they are asked. `zones` are
     /// the availability zones that have engines of the service, and `warm_zone` is that
     /// of the engine that has the prompt in memory.
@@ -189,7 +213,7 @@
         let others = groups.iter().enumerate().skip(1);
         let waits = others.filter_map(|(index, group)| Some((wait_ms(group)?, index)));
         if let Some((least_ms, index)) = waits.min()
-            && first_wait_ms > least_ms + OTHER_ZONE_MS
+            && first_wait_ms > least_ms.saturating_add(OTHER_ZONE_MS)
         {
             let better = groups.remove(index);
             groups.insert(0, better);
@@ -206,8 +230,9 @@
         now: Duration,
     ) -> Option<RequestNumber> {
         let scheduler = self.schedulers.scheduler(group, now)?.clone();
+        let asked = scheduler.process.clone();
         self.last_number += 1;
-        let request = OpenRequest {
+        let mut request = OpenRequest {
             group: group.clone(),
             scheduler,
             question: question(self.last_number),
@@ -217,13 +242,19 @@
             },
             is_queued: false,
         };
+        request.limit_excluded(&self.own_process);
         self.open.insert(self.last_number, request);
         match self.used.get_mut(group) {
-            Some(used) => used.last_asked = now,
+            Some(used) => {
+                used.last_asked = now;
+                used.asked = asked;
+            }
             None => {
                 let used = Use {
                     last_asked: now,
                     next_report_at: now + REPORT_INTERVAL,
+                    informed: asked.clone(),
+                    asked,
                 };
                 self.used.insert(group.clone(), used);
             }
@@ -312,9 +343,22 @@
         Delivery::Accepted
     }
 
-    /// Records the status of a group.
-    pub fn record_status(&mut self, group: &GroupId, status: GroupStatus, now: Duration) {
-        self.statuses.insert(group.clone(), (status, now));
+    /// Records the status of a group that this host uses. A status that comes neither from
+    /// the process that was asked last nor from the present scheduler is ignored.
+    pub fn record_status(
+        &mut self,
+        from: &ProcessId,
+        group: &GroupId,
+        status: GroupStatus,
+        now: Duration,
+    ) {
+        let Some(used) = self.used.get(group) else {
+            return;
+        };
+        let scheduler = self.schedulers.scheduler(group, now);
+        if used.asked == *from || scheduler.is_some_and(|scheduler| scheduler.process == *from) {
+            self.statuses.insert(group.clone(), (status, now));
+        }
     }
 
     /// Records that the turn of a request runs at an engine, whoever selected it.
@@ -324,22 +368,40 @@
         }
     }
 
-    /// Ends a request. Returns the message that releases its placement or withdraws it.
+    /// Ends a request. Returns the messages that release its placement or withdraw it. The
+    /// present scheduler gets one too if another process was asked: it may know the
+    /// placement from a report.
     pub fn close(
         &mut self,
         number: RequestNumber,
         first_event_ms: Option<u64>,
-    ) -> Option<Outgoing<A>> {
-        let request = self.open.remove(&number)?;
+        now: Duration,
+    ) -> Vec<Outgoing<A>> {
+        let Some(request) = self.open.remove(&number) else {
+            return Vec::new();
+        };
         if !request.may_be_known() {
-            return None;
+            return Vec::new();
         }
         let released = ReleasedPlacement {
             number,
             first_event_ms,
         };
         let content = MessageContent::Release(vec![released]);
-        Some(request.outgoing(&self.own_process, content))
+        let mut releases = vec![request.outgoing(&self.own_process, content)];
+        if let Some(scheduler) = self.schedulers.scheduler(&request.group, now)
+            && scheduler.process != request.scheduler.process
+        {
+            let message = SchedulerMessage {
+                to: scheduler.process.clone(),
+                ..releases[0].message.clone()
+            };
+            releases.push(Outgoing {
+                address: scheduler.address.clone(),
+                message,
+            });
+        }
+        releases
     }
 
     /// Returns the message that releases a placement whose request has ended.
@@ -356,7 +418,18 @@
         }
     }
 
-    /// Returns the reports that are due, each to the present scheduler of its group.
+    /// Returns whether the scheduler of a used group is another process than the one that
+    /// knows this host's placements. A report is then due at once.
+    pub fn has_new_scheduler(&self, group: &GroupId, now: Duration) -> bool {
+        let Some(used) = self.used.get(group) else {
+            return false;
+        };
+        let scheduler = self.schedulers.scheduler(group, now);
+        scheduler.is_some_and(|scheduler| scheduler.process != used.informed)
+    }
+
+    /// Returns the reports that are due, each to the present scheduler of its group. A
+    /// report is due at intervals, and at once if the scheduler has changed.
     pub fn due_reports(&mut self, now: Duration) -> Vec<Outgoing<A>> {
         let mut held: HashMap<&GroupId, Vec<HeldPlacement>> = HashMap::new();
         for (number, request) in &self.open {
@@ -367,28 +440,32 @@
         self.used.retain(|group, used| {
             now.saturating_sub(used.last_asked) <= REPORT_AFTER_USE || held.contains_key(group)
         });
+        self.statuses
+            .retain(|group, _| self.used.contains_key(group));
         let mut reports = Vec::new();
         for (group, used) in &mut self.used {
-            if now < used.next_report_at {
-                continue;
-            }
-            used.next_report_at = now + REPORT_INTERVAL;
             let Some(scheduler) = self.schedulers.scheduler(group, now) else {
                 continue;
             };
-            let mut held = held.remove(group).unwrap_or_default();
-            if held.len() > MAX_REPORTED {
+            if now < used.next_report_at && scheduler.process == used.informed {
                 continue;
             }
-            held.sort_by_key(|placement| placement.number);
+            used.next_report_at = now + REPORT_INTERVAL;
+            used.informed.clone_from(&scheduler.process);
+            let message = SchedulerMessage {
+                from: self.own_process.clone(),
+                to: scheduler.process.clone(),
+                group: group.clone(),
+                content: MessageContent::Held(Vec::new()),
+            };
+            let held = held.remove(group).unwrap_or_default();
+            let Some(held) = fitting(held, encoded_bytes(&message)) else {
+                continue;
+            };
+            let content = MessageContent::Held(held);
             reports.push(Outgoing {
                 address: scheduler.address.clone(),
-                message: SchedulerMessage {
-                    from: self.own_process.clone(),
-                    to: scheduler.process.clone(),
-                    group: group.clone(),
-                    content: MessageContent::Held(held),
-                },
+                message: SchedulerMessage { content, ..message },
             });
         }
         reports
@@ -399,3 +476,33 @@
         self.open.len()
     }
 }
+
+/// Returns the placements that fit into a report whose message has `empty_bytes` without
+/// them, ordered by number. Waiting turns are left out first, because their requests are
+/// repeated anyway. Returns `None` if the running turns do not fit: a report of a part of
+/// them would end the others.
+fn fitting(mut held: Vec<HeldPlacement>, empty_bytes: usize) -> Option<Vec<HeldPlacement>> {
+    held.sort_by_key(|placement| (placement.engine.is_none(), placement.number));
+    let mut bytes = empty_bytes;
+    let fits = |placement: &HeldPlacement| {
+        // The entry and a comma.
+        bytes += encoded_bytes(placement) + 1;
+        bytes <= MAX_MESSAGE_BYTES
+    };
+    let fitting = held.iter().map(fits).take_while(|fits| *fits).count();
+    if held
+        .get(fitting)
+        .is_some_and(|left_out| left_out.engine.is_some())
+    {
+        return None;
+    }
+    held.truncate(fitting);
+    held.sort_by_key(|placement| placement.number);
+    Some(held)
+}
+
+/// Returns the encoded size of a message or of a part of one.
+pub(super) fn encoded_bytes(value: &impl Serialize) -> usize {
+    let encoded = serde_json::to_vec(value).expect("a message can be serialized as JSON");
+    encoded.len()
+}
