Schedule engines by default only where they report a speed

The setting has a third value, scheduled, for deployments that want the scheduler and the shares of customers without reported speeds; the tests of the gateway layer use it.

A customer above its share is refused at an eighth of the wait, so that no program of a customer within its share is refused at a wait at which one above its share is admitted, whatever their urgencies on a route. The group's state of learning is asked of the scheduler instead of kept twice.

--- a/coordination/src/gateway/engine_scheduler/starts.rs
+++ b/coordination/src/gateway/engine_scheduler/starts.rs
@@ -13,10 +13,10 @@
 /// returning and new programs; with a factor of 2, returning programs alone filled the
 /// engines so far that most of them ended late.
 const RETURN_FACTOR: f64 = 1.25;
-/// Factor of the allowed wait for a program of a customer above its share. It is below the
-/// quotient of any two other factors, so that no customer within its share is refused while
-/// one above it is admitted.
-const ABOVE_SHARE_FACTOR: f64 = 0.25;
+/// Factor of the allowed wait for a program of a customer above its share. The longest wait
+/// that such a program is allowed, after a refusal and with the highest urgency, is shorter
+/// than the shortest that a program within its share is allowed on the same route.
+const ABOVE_SHARE_FACTOR: f64 = 0.125;
 
 /// Load of the group at the time of an admission.
 #[derive(Clone, Copy, Debug)]
--- a/gateway/src/engine_scheduling.rs
+++ b/gateway/src/engine_scheduling.rs
@@ -91,19 +91,17 @@
     }
 }
 
-/// Returns whether the engines of a call are scheduled: the settings allow it, and
-/// customers are declared or the engines report a speed.
+/// Returns whether the engines of a call are scheduled.
 pub fn is_in_effect(gateway: &Gateway, call: &Call) -> bool {
     is_service_scheduled(gateway, &call.service)
 }
 
 fn is_service_scheduled(gateway: &Gateway, service: &str) -> bool {
-    if gateway.settings().engine_selection == EngineSelection::Local {
-        return false;
+    match gateway.settings().engine_selection {
+        EngineSelection::Auto => known_engines::reports_speed(gateway, service),
+        EngineSelection::Scheduled => true,
+        EngineSelection::Local => false,
     }
-    let routes = gateway.routes();
-    let has_customers = routes.is_some_and(|routes| routes.deployment().customers.is_some());
-    has_customers || known_engines::reports_speed(gateway, service)
 }
 
 /// Assigns slots to waiting turns and sends due reports. Never returns.
--- a/gateway/src/engine_scheduling/groups.rs
+++ b/gateway/src/engine_scheduling/groups.rs
@@ -48,8 +48,6 @@
     used_at: Duration,
     /// Whether turns waited when the group last changed.
     has_waiting: bool,
-    /// Whether the scheduler did not know yet which turns run when it was last asked.
-    is_learning: bool,
 }
 
 impl ScheduledGroup {
@@ -61,7 +59,6 @@
             weights_version: None,
             used_at: now,
             has_waiting: false,
-            is_learning: true,
         }
     }
 
@@ -126,7 +123,6 @@
         now: Duration,
     ) -> PlacementOutcome {
         let outcome = self.scheduler.place(from, request, now);
-        self.is_learning = outcome == PlacementOutcome::Unavailable;
         self.record_assignment(&outcome, now);
         self.has_waiting |= matches!(outcome, PlacementOutcome::Queued { .. });
         outcome
@@ -139,9 +135,7 @@
         request: &AdmissionRequest,
         now: Duration,
     ) -> AdmissionOutcome {
-        let outcome = self.scheduler.admit(from, request, now);
-        self.is_learning = outcome == AdmissionOutcome::Unavailable;
-        outcome
+        self.scheduler.admit(from, request, now)
     }
 
     /// Ends placements.
@@ -167,7 +161,7 @@
     /// Returns the state of the group, or `None` while the scheduler learns which turns run:
     /// its status then looks like that of an idle group.
     pub(super) fn known_status(&self, now: Duration) -> Option<GroupStatus> {
-        (!self.is_learning).then(|| self.status(now))
+        (!self.scheduler.is_learning(now)).then(|| self.status(now))
     }
 
     fn advance(&mut self, now: Duration) -> Vec<(ProcessId, RequestNumber, PlacementOutcome)> {
--- a/gateway/tests/engine_scheduling.rs
+++ b/gateway/tests/engine_scheduling.rs
@@ -34,9 +34,11 @@
     declared
 }
 
-/// Starts a site with customers and this number of engines of [`SLOTS`] slots.
+/// Starts a site with customers and this number of engines of [`SLOTS`] slots, which are
+/// always scheduled.
 async fn site_with_engines(count: usize) -> Site {
     let mut site = Site::without_routes();
+    site.gateway_settings = "[scheduling]\nengines = scheduled\n".to_owned();
     while engines(&site).len() < count {
         site.add_endpoint("models");
     }
@@ -384,7 +386,8 @@
 }
 
 async fn assert_scheduled_at_speed(work_time_percent: u32) {
-    let site = site_with_engines(2).await;
+    let mut site = site_with_engines(2).await;
+    site.gateway_settings.clear();
     site.store.put("op", "config", &routes(1));
     for index in engines(&site) {
         let faults = BackendFaults {
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -42,6 +42,8 @@
     pub store: Store,
     pub store_listener: RunningServer,
     pub endpoints: Vec<Endpoint>,
+    /// Further sections of the settings of gateways that the site starts.
+    pub gateway_settings: String,
 }
 
 /// An endpoint server and the contents of its entry in the store.
@@ -102,6 +104,7 @@
             store,
             store_listener,
             endpoints: Vec::new(),
+            gateway_settings: String::new(),
         };
         site.add_endpoint("models");
         site.add_endpoint("desk");
@@ -223,7 +226,9 @@
 
     /// Starts a gateway that uses the site's store listener.
     pub fn start_gateway(&self) -> Gateway {
-        Gateway::start(self.store_listener.address())
+        let store = self.store_listener.address();
+        let host = Gateway::new_host_name();
+        Gateway::start_with(&host, store, true, &self.gateway_settings)
     }
 
     /// Starts a gateway and waits until it accepts callers.
--- a/state/src/settings/gateway.rs
+++ b/state/src/settings/gateway.rs
@@ -63,10 +63,12 @@
 /// How the engines that run turns are selected.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum EngineSelection {
-    /// One gateway schedules the engines of a service and availability zone where
-    /// customers are declared or the engines report a speed.
+    /// One gateway schedules the engines of a service and availability zone if the engines
+    /// report a speed; otherwise every gateway selects engines by itself.
     #[default]
     Auto,
+    /// One gateway schedules the engines of a service and availability zone.
+    Scheduled,
     /// Every gateway selects engines by itself.
     Local,
 }
@@ -74,7 +76,7 @@
 /// Error of a text that names no way to select engines.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[derive(thiserror::Error)]
-#[error("it must be auto or local")]
+#[error("it must be auto, scheduled or local")]
 pub struct EngineSelectionError;
 
 impl TryFrom<&str> for EngineSelection {
@@ -83,6 +85,7 @@
     fn try_from(text: &str) -> Result<Self, EngineSelectionError> {
         match text {
             "auto" => Ok(Self::Auto),
+            "scheduled" => Ok(Self::Scheduled),
             "local" => Ok(Self::Local),
             _ => Err(EngineSelectionError),
         }
@@ -238,9 +241,9 @@
     name: "scheduling",
     keys: &[Key {
         name: "engines",
-        kind: KeyKind::Choice(&["auto", "local"]),
+        kind: KeyKind::Choice(&["auto", "scheduled", "local"]),
         presence: Presence::Default("auto"),
-        meaning: "How engines are selected for turns: with auto, one gateway schedules the engines of a service and availability zone where customers are declared or the engines report a speed; with local, every gateway selects engines by itself.",
+        meaning: "How engines are selected for turns: with scheduled, one gateway schedules the engines of a service and availability zone; with local, every gateway selects engines by itself; with auto, engines that report a speed are scheduled and others are not.",
     }],
 };
 
--- a/state/tests/settings.rs
+++ b/state/tests/settings.rs
@@ -98,7 +98,7 @@
 
 /// Guards against a selection of engines that is misread, or taken for another one.
 #[test]
-fn the_selection_of_engines_is_auto_or_local() {
+fn the_selection_of_engines_is_auto_scheduled_or_local() {
     let settings = |section: &str| {
         let text = format!(
             "{}\n{section}",
@@ -112,6 +112,10 @@
         selection("[scheduling]\nengines = auto\n"),
         EngineSelection::Auto
     );
+    assert_eq!(
+        selection("[scheduling]\nengines = scheduled\n"),
+        EngineSelection::Scheduled
+    );
     assert_eq!(
         selection("[scheduling]\nengines = local\n"),
         EngineSelection::Local
