--- a/cli/tests/explain.rs
+++ b/cli/tests/explain.rs
@@ -2,7 +2,7 @@
 
 use rosebend::explain::Story;
 
-/// Guards against steps that are left out, or told without their fields, because they come
+/// Guards against steps that are left out, or printed without their fields, because they come
 /// from a gateway of a later version.
 #[test]
 fn unknown_events_and_fields_of_a_request_are_shown() {
--- a/coordination/src/gateway/directory/engines.rs
+++ b/coordination/src/gateway/directory/engines.rs
@@ -15,7 +15,7 @@
 /// it; a single one does not.
 const FAILING_RATE: f64 = 0.2;
 
-/// What a gateway knows of a usable engine.
+/// State of a usable engine, as a gateway knows it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct EngineStatus {
     /// Incarnation of the engine.
--- a/coordination/src/gateway/directory/expected_time.rs
+++ b/coordination/src/gateway/directory/expected_time.rs
@@ -44,7 +44,7 @@
 /// counts as known.
 const MIN_SCALE: f64 = 0.001;
 
-/// What the estimates of all endpoints of a service have in common.
+/// Inputs that the estimates of all endpoints of a service share.
 struct ServiceView {
     times: ServiceTimes,
     /// Mean work time factor of the endpoints that reported one.
@@ -106,7 +106,7 @@
         })
     }
 
-    /// Computes what the estimates of a service's endpoints have in common.
+    /// Computes the inputs that the estimates of a service's endpoints share.
     fn service_view(&self, service: &str, query: EndpointQuery<'_>, now: Duration) -> ServiceView {
         let times = self.service_times.get(service).copied();
         let times = times.unwrap_or_default();
--- a/coordination/src/gateway/engine_scheduler.rs
+++ b/coordination/src/gateway/engine_scheduler.rs
@@ -62,8 +62,8 @@
 /// hold every 250 ms.
 const LEARNING_TIME: Duration = Duration::from_millis(500);
 /// Longest time between two calls. A scheduler that its host calls less often was frozen or
-/// not in use, and does not know which turns are running: hosts were heard too late, and
-/// their placements may have expired.
+/// not in use, and does not know which turns are running: it handled the messages of hosts too
+/// late, and their placements may have expired.
 const CALL_GAP_LIMIT: Duration = Duration::from_millis(500);
 /// Longest time without a message of a host. All hosts have been unknown for 1 s then, and
 /// may have used another scheduler. A shorter limit would make hosts select engines
@@ -83,7 +83,7 @@
     /// Time of the last call that changes the state.
     called_at: Duration,
     /// Time of the last message of a host.
-    heard_at: Option<Duration>,
+    last_message_at: Option<Duration>,
     engines: Engines,
     estimates: Estimates,
     holders: Holders,
@@ -134,7 +134,7 @@
     ) -> PlacementOutcome {
         self.record_message(now);
         let is_learning = self.is_learning(now);
-        let holder = self.holders.heard(from, now);
+        let holder = self.holders.record_message(from, now);
         if let Some(answer) = holder.ended.get(request.number, now) {
             return answer;
         }
@@ -164,7 +164,7 @@
     ) -> AdmissionOutcome {
         self.record_message(now);
         let is_learning = self.is_learning(now);
-        let holder = self.holders.heard(from, now);
+        let holder = self.holders.record_message(from, now);
         if is_learning {
             return AdmissionOutcome::Unavailable;
         }
@@ -172,7 +172,7 @@
             return answer;
         }
         let outcome = self.admit_new(request, now);
-        let holder = self.holders.heard(from, now);
+        let holder = self.holders.record_message(from, now);
         holder
             .admissions
             .insert(request.number, outcome.clone(), now);
@@ -183,7 +183,7 @@
     pub fn release(&mut self, from: &ProcessId, released: &[ReleasedPlacement], now: Duration) {
         self.record_message(now);
         for ended in released {
-            let holder = self.holders.heard(from, now);
+            let holder = self.holders.record_message(from, now);
             // A copy of the request that arrives after the release gets the same answer and
             // no slot.
             let answer = match holder.turns.remove(&ended.number) {
@@ -193,7 +193,7 @@
                 }
                 None => PlacementOutcome::Unavailable,
             };
-            let holder = self.holders.heard(from, now);
+            let holder = self.holders.record_message(from, now);
             if holder.ended.get(ended.number, now).is_none() {
                 holder.ended.insert(ended.number, answer, now);
             }
@@ -205,7 +205,7 @@
     /// older.
     pub fn report_held(&mut self, from: &ProcessId, held: &[HeldPlacement], now: Duration) {
         self.record_message(now);
-        self.holders.heard(from, now);
+        self.holders.record_message(from, now);
         for placement in held {
             if let Some(engine) = &placement.engine {
                 self.learn(from, placement.number, engine, now);
@@ -213,7 +213,7 @@
         }
         let named: HashSet<RequestNumber> = held.iter().map(|held| held.number).collect();
         let queue = &mut self.queue;
-        let holder = self.holders.heard(from, now);
+        let holder = self.holders.record_message(from, now);
         let ended = holder.turns.extract_if(|number, turn| {
             let confirmed_at = match turn {
                 Turn::Placed(placement) => Some(placement.confirmed_at),
@@ -273,11 +273,11 @@
     /// Records a message of a host. Starts to learn after a time without messages.
     fn record_message(&mut self, now: Duration) {
         self.record_call(now);
-        let quiet_since = self.heard_at.max(self.started_at);
+        let quiet_since = self.last_message_at.max(self.started_at);
         if quiet_since.is_some_and(|quiet_since| quiet_since + MESSAGE_GAP_LIMIT < now) {
             self.started_at = Some(now);
         }
-        self.heard_at = self.heard_at.max(Some(now));
+        self.last_message_at = self.last_message_at.max(Some(now));
     }
 
     /// Returns the expected wait behind a number of waiting turns, in milliseconds.
--- a/coordination/src/gateway/engine_scheduler/client.rs
+++ b/coordination/src/gateway/engine_scheduler/client.rs
@@ -42,7 +42,7 @@
 /// 8,192 bytes, of which 2 are the prefix.
 pub const MAX_MESSAGE_BYTES: usize = 8_190;
 
-/// What a request asks for.
+/// Content of a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Question {
     /// A slot for a turn.
@@ -81,7 +81,7 @@
     pub message: SchedulerMessage,
 }
 
-/// What the host does next about a request.
+/// Next step of a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Step<A> {
     /// Sends a message and calls [`SchedulerClient::next_step`] again.
@@ -94,15 +94,15 @@
     Silent(Option<Duration>),
 }
 
-/// What becomes of an answer that has arrived.
+/// Result of recording an answer.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Delivery {
-    /// It answers an open request, whose next step may be due.
+    /// The answer belongs to an open request, whose next step may be due.
     Accepted,
-    /// It answers a request that has ended. If it assigns a slot, the slot has to be
+    /// The answer belongs to a request that has ended. If it assigns a slot, the slot has to be
     /// released.
     Late,
-    /// It does not come from the process that was asked.
+    /// The answer does not come from the process that was asked.
     Ignored,
 }
 
--- a/coordination/src/gateway/engine_scheduler/holders.rs
+++ b/coordination/src/gateway/engine_scheduler/holders.rs
@@ -81,7 +81,7 @@
 /// The turns of one host.
 #[derive(Debug, Default)]
 pub(super) struct Holder {
-    heard_at: Duration,
+    last_message_at: Duration,
     pub(super) turns: HashMap<RequestNumber, Turn>,
     pub(super) ended: RecentAnswers<PlacementOutcome>,
     pub(super) admissions: RecentAnswers<AdmissionOutcome>,
@@ -97,7 +97,7 @@
 
 impl Holders {
     /// Returns the turns of a host that has sent a message now.
-    pub(super) fn heard(&mut self, process: &ProcessId, now: Duration) -> &mut Holder {
+    pub(super) fn record_message(&mut self, process: &ProcessId, now: Duration) -> &mut Holder {
         if !self.by_process.contains_key(process) {
             let expiry = now + SILENCE_LIMIT;
             self.next_expiry = Some(self.next_expiry.map_or(expiry, |next| next.min(expiry)));
@@ -105,7 +105,7 @@
         }
         let holder = self.by_process.get_mut(process);
         let holder = holder.expect("the holder was inserted");
-        holder.heard_at = holder.heard_at.max(now);
+        holder.last_message_at = holder.last_message_at.max(now);
         holder
     }
 
@@ -121,14 +121,19 @@
         }
         let mut ended = Vec::new();
         self.by_process.retain(|_, holder| {
-            let is_silent = holder.heard_at + SILENCE_LIMIT <= now;
+            let is_silent = holder.last_message_at + SILENCE_LIMIT <= now;
             if is_silent {
                 ended.extend(holder.turns.drain().map(|(_, turn)| turn));
             }
             !is_silent
         });
-        let heard = self.by_process.values().map(|holder| holder.heard_at);
-        self.next_expiry = heard.min().map(|heard_at| heard_at + SILENCE_LIMIT);
+        let times = self
+            .by_process
+            .values()
+            .map(|holder| holder.last_message_at);
+        self.next_expiry = times
+            .min()
+            .map(|last_message_at| last_message_at + SILENCE_LIMIT);
         ended
     }
 }
--- a/coordination/src/gateway/engine_scheduler/placement.rs
+++ b/coordination/src/gateway/engine_scheduler/placement.rs
@@ -87,7 +87,7 @@
 
     fn enqueue(&mut self, key: QueueKey, turn: WaitingTurn, now: Duration) {
         self.shares.start_wait(turn.request.customer.as_ref(), now);
-        let holder = self.holders.heard(&turn.process, now);
+        let holder = self.holders.record_message(&turn.process, now);
         holder.turns.insert(turn.request.number, Turn::Waiting(key));
         let first_event_ms = self.estimates.first_event_ms(now);
         self.queue.insert(key, turn, first_event_ms);
@@ -181,7 +181,7 @@
         engine: &EndpointIdentity,
         now: Duration,
     ) {
-        let holder = self.holders.heard(from, now);
+        let holder = self.holders.record_message(from, now);
         // The report may be older than the release.
         if holder.ended.get(number, now).is_some() {
             return;
@@ -208,7 +208,7 @@
             confirmed_at: now,
             work_time_percent: self.engines.work_time_percent(engine),
         };
-        let holder = self.holders.heard(from, now);
+        let holder = self.holders.record_message(from, now);
         holder.turns.insert(number, Turn::Placed(placement));
     }
 
--- a/coordination/tests/gateway_turn_deadlines.rs
+++ b/coordination/tests/gateway_turn_deadlines.rs
@@ -1,6 +1,6 @@
 //! Tests of the decision that a turn cannot end in time.
 //!
-//! The load is that of ghfx-floor-grown at its peaks, when turns wait for their
+//! The load is that of engines beyond their slots, when turns wait for their
 //! reservations and at engines, and are retried. In the measured runs, 57 to 61 requests
 //! were sent to an engine 20 ms before their deadline, although the first byte takes 30 ms
 //! without a queue. They took slots from turns that could still end in time, and were
--- a/gateway/src/engine_scheduling/placement.rs
+++ b/gateway/src/engine_scheduling/placement.rs
@@ -31,7 +31,8 @@
 pub enum Placed {
     /// A scheduler assigned a slot at this engine.
     Assigned(SelectedEndpoint, Placement),
-    /// This host selects the engine. If there is a placement, it is told which.
+    /// This host selects the engine. The placement, if there is one, records it for the
+    /// scheduler.
     Local(Option<Placement>),
     /// The turn cannot end before its deadline and is not sent to an engine.
     TooLate,
