--- a/coordination/tests/directory_speed.rs
+++ b/coordination/tests/directory_speed.rs
@@ -150,6 +150,27 @@
     assert!(!shares.contains_key("e7"), "{shares:?}");
 }
 
+/// Guards against hosts that select engines by themselves and all follow the same reports:
+/// an engine that reports no load gets no more turns than one that reports a queue.
+#[test]
+fn turns_that_ignore_reported_loads_are_spread_over_all_engines() {
+    let mut directory = directory(2);
+    directory.record_report(&id("e0"), load(6, 18, Some(70)), NOW);
+    directory.record_report(&id("e1"), load(0, 0, Some(170)), NOW);
+    let mut selected = [0, 0];
+    for number in 0..1_000 {
+        let query = EndpointQuery {
+            is_turn: true,
+            ignores_reported_load: true,
+            jitter_key: &format!("attempt-{number}"),
+            ..EndpointQuery::default()
+        };
+        let chosen = directory.select("models", query, NOW, |_| true).unwrap();
+        selected[usize::from(chosen.record.identity.instance == "e1")] += 1;
+    }
+    assert!(selected.iter().all(|turns| *turns > 400), "{selected:?}");
+}
+
 /// Guards against an endpoint without a recent report that counts as idle.
 #[test]
 fn an_endpoint_without_reports_counts_as_loaded_as_the_others() {
--- a/gateway/tests/speeds.rs
+++ b/gateway/tests/speeds.rs
@@ -5,7 +5,7 @@
 use rosebend_standin::backend::BackendFaults;
 use support::{Site, TestRequest, wait_until};
 
-const MODELS: usize = 0;
+const DESK: usize = 1;
 
 /// Guards against reports with four figures that are dropped, so that no request is
 /// selected by them and the log does not show why an endpoint was chosen.
@@ -18,11 +18,11 @@
         work_time_percent: Some(170),
         ..BackendFaults::default()
     };
-    site.set_endpoint_faults(MODELS, &slow).await;
-    // The steps of both turns are logged, because they are late.
+    site.set_endpoint_faults(DESK, &slow).await;
+    // The steps of both requests are logged, because they are late.
     for attempt in ["t1", "t2"] {
-        let turn = TestRequest::turn(attempt, attempt, "x");
-        assert_eq!(turn.send(gateway.front).await.status, 200);
+        let lookup = TestRequest::lookup(attempt);
+        assert_eq!(lookup.send(gateway.front).await.status, 200);
     }
     let chosen = |attempt: &str| {
         let events = gateway.events("endpoint-chosen");
@@ -30,7 +30,7 @@
             .into_iter()
             .find(|event| event["attempt"] == *attempt)
     };
-    wait_until("the second turn is in the log", async || {
+    wait_until("the second request is in the log", async || {
         chosen("t2").is_some()
     })
     .await;
