Replace a grant that is not extended by the late reservation

A turn whose reservation was late ran on a grant, and the owner that had granted it stopped, or its share was used up.

Change: a turn with a grant keeps its reservation, and if the grant can't be extended it waits for the reservation, which covers its maximum output tokens. The settlement of the grant removes the reservation from the ledger as before.

Test: a_grant_that_is_not_extended_is_replaced_by_the_reservation (outage.rs).

--- a/gateway/src/spending.rs
+++ b/gateway/src/spending.rs
@@ -67,8 +67,9 @@
     budget_tokens: u64,
     /// Escrow slots for which the ledger withholds tokens.
     escrow: EscrowTerms,
-    /// Outcome of the reservation; `None` if it was received, if no reservation was
-    /// requested or if a grant replaced it.
+    /// Outcome of the reservation; `None` if it was received or if no reservation was
+    /// requested. A turn with a grant keeps it, for the case that the grant can't be
+    /// extended.
     pending_reservation: Option<oneshot::Receiver<Outcome>>,
     /// Grant on which the turn runs, if it has no reservation.
     grant: Option<Grant>,
@@ -171,7 +172,6 @@
         let event = Event::new(EventKind::SpendingGranted).reason("escrow");
         call.request_log.add_step(event.elapsed(elapsed));
         self.grant = Some(grant);
-        self.pending_reservation = None;
         Ok(())
     }
 
@@ -202,8 +202,10 @@
         }
     }
 
-    /// Extends the turn's grant, if it has one, to cover all events that were counted.
-    /// Returns whether the events may be delivered.
+    /// Extends the turn's grant, if it has one, to cover all events that were counted. If
+    /// the owner does not extend it, because it stops or its share is used up, the turn
+    /// waits for its reservation, which covers its maximum output tokens. Returns whether
+    /// the events may be delivered.
     pub async fn ensure_grant_covers_events(&mut self) -> bool {
         let Some(grant) = &self.grant else {
             return true;
@@ -215,10 +217,24 @@
             self.emitted_tokens(),
         )
         .await;
-        if let (Some(grant), Some(tokens)) = (&mut self.grant, tokens) {
+        let tokens = match tokens {
+            Some(tokens) => tokens,
+            None if self.is_reserved().await => self.max_output_tokens,
+            None => return false,
+        };
+        if let Some(grant) = &mut self.grant {
             grant.tokens = tokens;
         }
-        tokens.is_some()
+        true
+    }
+
+    /// Waits for the reservation of a turn that runs on a grant, and returns whether it is
+    /// durable.
+    async fn is_reserved(&mut self) -> bool {
+        let Some(pending_reservation) = self.pending_reservation.take() else {
+            return false;
+        };
+        matches!(pending_reservation.await, Ok(Outcome::Durable))
     }
 
     /// Requests a reservation of the turn's maximum output tokens. Reservations of
--- a/gateway/tests/outage.rs
+++ b/gateway/tests/outage.rs
@@ -5,9 +5,12 @@
 
 use std::cell::Cell;
 
+use rosebend_standin::backend::BackendFaults;
 use rosebend_standin::store::StoreFaults;
 use support::{Gateway, Site, TestRequest, wait_until};
 
+/// Index of the endpoint that runs turns.
+const MODELS: usize = 0;
 /// Number of escrow slots of all partitions.
 const ALL_SLOTS: u64 = 32;
 /// Delay of a slow store's answers in milliseconds, below the time after which a
@@ -122,6 +125,38 @@
     assert_eq!((1 + after, status), (TURNS_PER_BUDGET, 402));
 }
 
+/// Guards against an answer that is cut because its grant can't be extended, although the
+/// reservation that was late covers it.
+#[actix_rt::test]
+async fn a_grant_that_is_not_extended_is_replaced_by_the_reservation() {
+    let site = Site::start();
+    let gateways = two_owners(&site).await;
+    // Nine events are 90 tokens; a slot grants a quarter of the budget, 75.
+    let long_answer = BackendFaults {
+        events: 9,
+        ..BackendFaults::default()
+    };
+    site.set_endpoint_faults(MODELS, &long_answer).await;
+    let slow_store = StoreFaults {
+        slow_ms: SLOW_STORE_MS,
+        ..StoreFaults::default()
+    };
+    site.set_store_faults(&slow_store).await;
+    let answer = turn("a0", "p1", 300).send(gateways[0].front).await;
+    assert_eq!((answer.status, answer.is_complete), (200, true));
+    let granted = "escrow_replies_total{reason=\"granted\"}";
+    assert!(gateways[0].metric(granted).await > 0);
+    let refused = "escrow_replies_total{reason=\"refused\"}";
+    assert!(gateways[0].metric(refused).await > 0);
+    end_outage(&site, &gateways).await;
+    site.set_endpoint_faults(MODELS, &BackendFaults::default())
+        .await;
+    let (after, status) = spend(&gateways, "b", "p1", 300).await;
+    // 90 tokens are spent; a turn needs room for its maximum of 100.
+    let expected = (300 - 90 - MAX_OUTPUT_TOKENS) / TURN_TOKENS + 1;
+    assert_eq!((after, status), (expected, 402));
+}
+
 #[actix_rt::test]
 async fn a_small_budget_waits_for_the_store() {
     let site = Site::start();
--- a/gateway/tests/overload.rs
+++ b/gateway/tests/overload.rs
@@ -151,6 +151,11 @@
         let events = gateway.events(kind);
         events.into_iter().find(|event| event["attempt"] == *name)
     };
+    // The log is read by another thread; the steps precede the end of the request in it.
+    wait_until("the refusal is in the log", async || {
+        step("request-ended").is_some()
+    })
+    .await;
     assert_eq!(step("request-ended").unwrap()["reason"], "overloaded");
     assert_eq!(step("ledger-read").unwrap()["reason"], "new");
     let decision = step("admission-refused").unwrap();
