Log answers that end with their connection

A caller received a broken-off answer as a complete one, and the log of its request had a single line, request-served. Nothing in the log or the metrics told how the endpoint had framed that answer, so that an answer without a declared end could not be told from a truncated one whose error was lost.

Answers with neither a length nor chunks now have the field framing=close in answer-began and in the line that ends their request, and count in close_delimited_answers_total. The stand-in of endpoints gives such answers on request. Behaviour is unchanged.

--- a/entry/src/http.rs
+++ b/entry/src/http.rs
@@ -140,6 +140,7 @@
         content_type: head.content_type,
         headers,
         body,
+        is_close_delimited: false,
     }
 }
 
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -333,7 +333,12 @@
         let header = headers::decode_answer(response.headers());
         let elapsed = self.gateway.clock.now().saturating_sub(sent_at);
         let event = Event::new(EventKind::AnswerBegan).endpoint(&endpoint.identity.instance);
-        let event = event.status(response.status().as_u16()).elapsed(elapsed);
+        let mut event = event.status(response.status().as_u16()).elapsed(elapsed);
+        if header.is_close_delimited {
+            event = event.close_delimited();
+            self.call.request_log.set_close_delimited();
+            self.gateway.metrics.count_close_delimited_answer();
+        }
         self.call.request_log.add_step(event);
         self.check_response(&response, &header, endpoint)?;
         if self.call.route.kind == RouteKind::Streaming {
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -145,6 +145,7 @@
     budget_refusals: Family<FilledByLabel, Counter>,
     escrow_replies: Family<ReasonLabel, Counter>,
     endpoint_failures: Family<ReasonLabel, Counter>,
+    close_delimited_answers: Counter,
     resumptions: Family<ReasonLabel, Counter>,
     history_reads: Family<PlaceLabel, Counter>,
     ledger_lookups: Family<ReasonLabel, Counter>,
@@ -191,6 +192,10 @@
         let endpoint_failures = Family::default();
         let help = "Exchanges with endpoints that gave no answer to pass on, by reason";
         registry.register("endpoint_failures", help, endpoint_failures.clone());
+        let close_delimited_answers = Counter::default();
+        let help = "Answers of endpoints that had neither a length nor chunks";
+        let counter = close_delimited_answers.clone();
+        registry.register("close_delimited_answers", help, counter);
         let resumptions = Family::default();
         let help = "Streams that went on at another endpoint, by how the one before failed";
         registry.register("resumptions", help, resumptions.clone());
@@ -265,6 +270,7 @@
             budget_refusals,
             escrow_replies,
             endpoint_failures,
+            close_delimited_answers,
             resumptions,
             history_reads,
             ledger_lookups,
@@ -400,6 +406,11 @@
             .inc();
     }
 
+    /// Counts an answer of an endpoint that ends with its connection.
+    pub fn count_close_delimited_answer(&self) {
+        self.close_delimited_answers.inc();
+    }
+
     /// Counts a stream that another endpoint resumes, by the failure that interrupted it.
     pub fn count_resumption(&self, failure: Failure) {
         let reason = failure.as_str();
--- a/gateway/src/request_log.rs
+++ b/gateway/src/request_log.rs
@@ -24,6 +24,8 @@
     steps: RefCell<Vec<(u64, Event)>>,
     /// Whether a step occurred that requires all steps to be written.
     is_notable: Cell<bool>,
+    /// Whether an answer of an endpoint had neither a length nor chunks.
+    is_close_delimited: Cell<bool>,
     has_ended: Cell<bool>,
 }
 
@@ -42,6 +44,7 @@
             route,
             steps: RefCell::default(),
             is_notable: Cell::new(false),
+            is_close_delimited: Cell::new(false),
             has_ended: Cell::new(false),
         }
     }
@@ -58,6 +61,13 @@
         self.add_step(event);
     }
 
+    /// Records that an answer had neither a length nor chunks. The event that ends the
+    /// request contains it, because the steps of a request that was served in time are not
+    /// written.
+    pub fn set_close_delimited(&self) {
+        self.is_close_delimited.set(true);
+    }
+
     /// Records that an endpoint answered the request, in time or late.
     pub fn record_served(&self, endpoint: &str, status: u16, elapsed: Duration, in_time: bool) {
         if self.has_ended.replace(true) {
@@ -93,9 +103,13 @@
             Some(customer) => event.customer(customer),
             None => event,
         };
-        match &self.program {
+        let event = match &self.program {
             Some(program) => event.program_key(program),
             None => event,
+        };
+        match self.is_close_delimited.get() {
+            true => event.close_delimited(),
+            false => event,
         }
     }
 
--- a/standin/src/backend.rs
+++ b/standin/src/backend.rs
@@ -58,6 +58,9 @@
     pub other_attempt: u64,
     /// Number of answers more that bear no proof of their maker.
     pub unstamped: u64,
+    /// Number of answers more that have neither a length nor chunks and end with
+    /// their connection.
+    pub unframed: u64,
     /// Speed that the endpoint reports with its load, in percent of the usual work time.
     /// It does not change how fast the endpoint is.
     pub work_time_percent: Option<u32>,
@@ -78,6 +81,7 @@
             forget_events: 0,
             other_attempt: 0,
             unstamped: 0,
+            unframed: 0,
             work_time_percent: None,
         }
     }
@@ -369,6 +373,7 @@
                 .headers
                 .push(("response-stamp", format!("stamp.{}", self.instance)));
         }
+        reply.is_close_delimited = take_one(&mut state.faults.unframed);
         let speed = state.faults.work_time_percent;
         let speed = speed.map_or(String::new(), |percent| format!(",{percent}"));
         let load = format!("{},0,8{speed}", state.running);
--- a/transport/src/event.rs
+++ b/transport/src/event.rs
@@ -69,6 +69,7 @@
     Amount(Amount, u64),
     Holders(String),
     Address(SocketAddr),
+    Framing(&'static str),
 }
 
 /// What a number of tokens is, where an event has several.
@@ -248,6 +249,11 @@
         self.with(Field::Address(address))
     }
 
+    /// Adds that an answer had neither a length nor chunks and ended with its connection.
+    pub fn close_delimited(self) -> Self {
+        self.with(Field::Framing("close"))
+    }
+
     /// The event as one JSON object on one line. `at_ms` is the time of day.
     pub fn to_json(&self, at_ms: u64, host: &str) -> String {
         let mut line = format!("{{\"at_ms\":{at_ms},\"host\":{}", json_text(host));
@@ -317,6 +323,7 @@
             Self::Host(text) => member("peer", text),
             Self::Endpoint(text) => member("endpoint", text),
             Self::Reason(text) => member("reason", text),
+            Self::Framing(text) => member("framing", text),
             Self::Error(text) => member("error", text),
             Self::Attempt(text) => member("attempt", text),
             Self::ProgramKey(text) => member("program", text),
@@ -378,6 +385,7 @@
             Self::Amount(amount, tokens) => write!(f, "{}={tokens}", amount.name()),
             Self::Holders(holders) => write!(f, "holders={holders:?}"),
             Self::Address(address) => write!(f, "address={address}"),
+            Self::Framing(framing) => write!(f, "framing={framing}"),
         }
     }
 }
@@ -452,7 +460,8 @@
 `reason` (a word of a closed set) and `error`; for gateways also `attempt`
 (a caller's attempt), `route`, `status`, `version` (of the declared routes),
 `age_ms` (of what decided), `elapsed_ms`, `remaining_ms` (until the deadline),
-`load`, `work_time_percent`, `expected_ms`, `tokens`, `address`, and a
+`load`, `work_time_percent`, `expected_ms`, `tokens`, `address`, `framing` (`close`
+where an answer had neither a length nor chunks and ended with its connection), and a
 program's account: `budget_tokens`, `most_tokens` (of the turn), `spent_tokens`,
 `reserved_tokens` and `holders` (each HOST/RUN:TOKENS).
 Gateways write each event as a JSON object on a line of its own, with `at_ms`,
--- a/transport/src/http_server.rs
+++ b/transport/src/http_server.rs
@@ -8,7 +8,7 @@
 use std::{convert::Infallible, future::Future, io, net::TcpListener, time::Duration};
 
 use actix_http::{
-    Extensions, HttpMessage, HttpService, Request, Response, StatusCode,
+    ConnectionType, Extensions, HttpMessage, HttpService, Request, Response, StatusCode,
     body::{BodyStream, BoxBody, MessageBody},
     header::{self, HeaderMap, HeaderName, HeaderValue},
 };
@@ -124,6 +124,9 @@
     pub headers: Vec<(&'static str, String)>,
     /// The body.
     pub body: ReplyBody,
+    /// Whether the body is sent with neither a length nor chunks. It then ends with the
+    /// connection, as towards clients of HTTP/1.0.
+    pub is_close_delimited: bool,
 }
 
 impl HttpReply {
@@ -145,6 +148,7 @@
             content_type: content_type.to_owned(),
             headers: Vec::new(),
             body: ReplyBody::Whole(body.into()),
+            is_close_delimited: false,
         }
     }
 
@@ -165,15 +169,23 @@
             content_type: content_type.to_owned(),
             headers: Vec::new(),
             body: ReplyBody::Stream(pieces),
+            is_close_delimited: false,
         }
     }
 
     fn into_response(self) -> Response<BoxBody> {
         let status = StatusCode::from_u16(self.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-        let mut response = match self.body {
-            ReplyBody::Whole(bytes) => Response::with_body(status, bytes.boxed()),
-            ReplyBody::Stream(pieces) => Response::with_body(status, stream_body(pieces).boxed()),
+        let body = match self.body {
+            ReplyBody::Whole(bytes) if self.is_close_delimited => whole_stream(bytes).boxed(),
+            ReplyBody::Whole(bytes) => bytes.boxed(),
+            ReplyBody::Stream(pieces) => stream_body(pieces).boxed(),
         };
+        let mut response = Response::with_body(status, body);
+        if self.is_close_delimited {
+            let head = response.head_mut();
+            head.no_chunking(true);
+            head.set_connection_type(ConnectionType::Close);
+        }
         let headers = response.headers_mut();
         if let Ok(value) = HeaderValue::from_str(&self.content_type) {
             headers.insert(header::CONTENT_TYPE, value);
@@ -203,6 +215,12 @@
     ))
 }
 
+/// A streamed body of one piece, whose length is not declared.
+fn whole_stream(bytes: Bytes) -> impl MessageBody {
+    let piece = std::future::ready(Ok::<_, Infallible>(bytes));
+    BodyStream::new(futures_util::stream::once(piece))
+}
+
 /// Serves `handler` on a bound listener until the returned server is stopped.
 ///
 /// The future must be awaited for the server to run. Its handle's `stop(true)`
