Test that a stream which ends within an event is incomplete

An endpoint ends a stream within its second event, either by closing the connection of an answer with neither a length nor chunks, or with a regular last chunk. On routes that may not be resumed, the caller gets status 200 and a body that is framed as complete, and a later turn goes on from the recorded part: (200, true) instead of (200, false), and 200 instead of 404.

--- a/gateway/tests/incomplete.rs
+++ b/gateway/tests/incomplete.rs
@@ -9,8 +9,28 @@
 const MODELS: usize = 0;
 const DESK: usize = 1;
 const EVENTS: &str = "id: 0\ndata: word0\n\nid: 1\ndata: word1\n\nid: 2\ndata: word2\n\n";
+const EVENT_BYTES: usize = 19;
 const OUTPUT: &str = "word0\nword1\nword2\n";
 
+/// Streams that end within an event: with neither a length nor chunks, and with a last
+/// chunk.
+fn ends_within_event() -> [(&'static str, BackendFaults); 2] {
+    let at = BackendFaults {
+        break_at_bytes: EVENT_BYTES + 6,
+        ..BackendFaults::default()
+    };
+    let close_delimited = BackendFaults {
+        break_streams: 1,
+        unframed: 1,
+        ..at.clone()
+    };
+    let chunked = BackendFaults {
+        end_streams: 1,
+        ..at
+    };
+    [("close-delimited", close_delimited), ("chunked", chunked)]
+}
+
 fn unframed() -> BackendFaults {
     BackendFaults {
         unframed: 1,
@@ -55,3 +75,33 @@
     let close = Some("close".to_owned());
     assert_eq!(framings, [close.clone(), None, close]);
 }
+
+/// Guards against an answer that the endpoint broke off within an event and that its caller
+/// received as a complete one.
+#[actix_rt::test]
+async fn a_stream_that_ends_within_an_event_is_incomplete_for_its_caller() {
+    for path in ["/stream/turn", "/unkept/stream/turn"] {
+        for (framing, faults) in ends_within_event() {
+            let (site, gateway) = start_with(&faults).await;
+            let turn = TestRequest::turn("t1", "p1", "x").at_path(path);
+            let answer = turn.send(gateway.front).await;
+            let got = (answer.status, answer.is_complete);
+            assert_eq!(got, (200, false), "{path}, {framing}");
+            assert_eq!(answer.body, EVENTS[..EVENT_BYTES], "{path}, {framing}");
+            assert_eq!(site.run_count("t1").await, 1, "{path}, {framing}");
+        }
+    }
+}
+
+/// Guards against a turn that goes on from an output that the endpoint broke off within an
+/// event.
+#[actix_rt::test]
+async fn a_turn_that_ends_within_an_event_is_not_part_of_the_history() {
+    for (framing, faults) in ends_within_event() {
+        let (_site, gateway) = start_with(&faults).await;
+        let turn = TestRequest::turn("t1", "p1", "first|");
+        turn.send(gateway.front).await;
+        let next = TestRequest::turn("t2", "p1", "second|").previous("t1");
+        assert_eq!(next.send(gateway.front).await.status, 404, "{framing}");
+    }
+}
