Cut a stream that its endpoint ended within an event

What callers saw: an answer that the endpoint had broken off came as a complete one, with status 200 and a regular end, and later turns of the program went on from the part.

Cause: whether a stream ends within an event was checked only on routes whose streams may be resumed, because only these had an event series. On all others the end of the body was the end of the answer. A body with neither a length nor chunks ends with its connection, so the crash of an endpoint ended it regularly; the same holds for a last chunk within an event. The turn was then committed, and its tokens settled, without the partial event, whose bytes the caller had.

Every stream now has an event series. Only complete events go out, so that caller, record and budget see the same bytes, and a body that ends within an event is the failure 'truncated', which closes the caller's connection before the end of its body. A body with neither a length nor chunks that ends before any byte is truncated, too: a turn has at least one event, and nothing else tells such an answer from a closed connection.

The test of a body without any event failed before (200 instead of 502); the second framing in the test of resumed streams passed before.

--- a/coordination/src/gateway/attempt.rs
+++ b/coordination/src/gateway/attempt.rs
@@ -36,6 +36,9 @@
     /// The connection failed, or the response is incomplete or does not belong to
     /// this request. The request may have run.
     Broken,
+    /// The response ended before it was complete, although its framing shows no error.
+    /// The request may have run.
+    Truncated,
     /// The response did not arrive before the deadline. The request may have run.
     TimedOut,
     /// A stream that may be resumed at another endpoint received no data within the
@@ -48,7 +51,7 @@
     pub fn may_have_run(self) -> bool {
         match self {
             Self::NotSent | Self::Refused => false,
-            Self::Broken | Self::TimedOut | Self::Stalled => true,
+            Self::Broken | Self::Truncated | Self::TimedOut | Self::Stalled => true,
         }
     }
 
@@ -58,6 +61,7 @@
             Self::NotSent => "not_sent",
             Self::Refused => "refused",
             Self::Broken => "broken",
+            Self::Truncated => "truncated",
             Self::TimedOut => "timed_out",
             Self::Stalled => "silent",
         }
--- a/coordination/src/gateway/event_series.rs
+++ b/coordination/src/gateway/event_series.rs
@@ -1,6 +1,8 @@
-//! Resumption of the server-sent events of one answer across several attempts.
+//! The server-sent events of one answer, also across several attempts.
 //!
-//! If an endpoint fails within its answer, another attempt resumes the stream at the same
+//! An answer that ends within an event is incomplete, whatever its framing says.
+//!
+//! If an endpoint fails within its answer, another attempt may resume the stream at the same
 //! or another endpoint. Only complete events are sent to the caller: the next attempt sends
 //! an incomplete event again from its beginning, so the caller must not have a part of it.
 //! An attempt resumes after the last event that was sent, and an event that would be sent
--- a/coordination/tests/gateway_attempt.rs
+++ b/coordination/tests/gateway_attempt.rs
@@ -7,10 +7,11 @@
 use rosebend_state::deployment::{Route, RouteKind, RouteTarget};
 
 const REMAINING: Duration = Duration::from_secs(2);
-const FAILURES: [Failure; 5] = [
+const FAILURES: [Failure; 6] = [
     Failure::NotSent,
     Failure::Refused,
     Failure::Broken,
+    Failure::Truncated,
     Failure::TimedOut,
     Failure::Stalled,
 ];
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -160,7 +160,7 @@
         endpoint: &EndpointIdentity,
         failure: Failure,
     ) -> Result<(), Refusal> {
-        if failure == Failure::Broken {
+        if matches!(failure, Failure::Broken | Failure::Truncated) {
             quarantine::spawn_crash_check(&self.gateway, &self.call, endpoint);
         }
         let now = self.gateway.clock.now();
--- a/gateway/src/runs.rs
+++ b/gateway/src/runs.rs
@@ -27,8 +27,7 @@
 use crate::gateway::{Gateway, OpenEndpointRequest};
 use crate::reply::Refusal;
 
-/// Bytes of an answer. If the stream may be resumed, both parts consist of complete
-/// events.
+/// Complete events of an answer, byte for byte as they were received.
 #[derive(Debug, Default)]
 pub struct Chunk {
     /// Bytes that the caller has from an earlier attempt.
@@ -43,8 +42,9 @@
     gateway: Rc<Gateway>,
     call: Rc<Call>,
     exchange: Exchange,
-    /// State of the event series, or `None` if the stream may not be resumed.
-    series: Option<EventSeries>,
+    /// State of the event series. It tells whether a body ends within an event, which its
+    /// framing does not if the body ends with the connection.
+    series: EventSeries,
     /// Status and headers of the first run whose bytes were forwarded. Until bytes are
     /// forwarded, they are those of the current run.
     head: Parts,
@@ -159,22 +159,26 @@
                 continue;
             }
             self.run.record_first_byte(&self.gateway);
-            let chunk = match &mut self.series {
-                None => Chunk::without_repeated(bytes),
-                Some(series) => series.push(&bytes).map_err(|_| Failure::Broken)?.into(),
-            };
+            let events = self.series.push(&bytes).map_err(|_| Failure::Broken)?;
+            let chunk = Chunk::from(events);
             self.has_forwarded |= !chunk.fresh.is_empty();
             if !chunk.is_empty() {
                 return Ok(Some(chunk));
             }
         }
-        // A body without a declared length is incomplete if it ends within an event.
-        match &self.series {
-            Some(series) if series.is_within_event() => Err(Failure::Broken),
-            _ => Ok(None),
+        match self.is_truncated() {
+            true => Err(Failure::Truncated),
+            false => Ok(None),
         }
     }
 
+    /// Returns whether the body of the current run ended before the answer was complete,
+    /// although its framing shows no error.
+    fn is_truncated(&self) -> bool {
+        let is_empty = self.run.first_byte.is_none();
+        self.series.is_within_event() || (is_empty && self.run.header.is_close_delimited)
+    }
+
     async fn next_frame(&mut self) -> Result<Option<Frame<Bytes>>, Failure> {
         let frame = match self.exchange.timeout() {
             None => self.run.body.frame().await,
@@ -194,11 +198,13 @@
         self.exchange
             .handle_failure(&endpoint, failure)
             .map_err(io_error)?;
-        let point = self.series.as_mut().map(EventSeries::discard_partial);
-        match point {
-            None | Some(ResumePoint::Impossible) => return Err(io_error(Refusal::OutcomeUnknown)),
-            Some(ResumePoint::FromStart) => {}
-            Some(ResumePoint::After(last)) => self.exchange.set_last_event(last),
+        if !self.call.route.resumes_streams() {
+            return Err(io_error(Refusal::OutcomeUnknown));
+        }
+        match self.series.discard_partial() {
+            ResumePoint::Impossible => return Err(io_error(Refusal::OutcomeUnknown)),
+            ResumePoint::FromStart => {}
+            ResumePoint::After(last) => self.exchange.set_last_event(last),
         }
         let (head, run) = self.next_run().await?;
         let event =
@@ -265,13 +271,6 @@
 }
 
 impl Chunk {
-    fn without_repeated(bytes: Bytes) -> Self {
-        Self {
-            repeated: Bytes::new(),
-            fresh: bytes,
-        }
-    }
-
     fn is_empty(&self) -> bool {
         self.repeated.is_empty() && self.fresh.is_empty()
     }
@@ -286,13 +285,16 @@
     }
 }
 
-/// Returns the initial state of a stream that may be resumed, or `None` if it may not.
-fn new_series(call: &Call) -> Option<EventSeries> {
-    let may_resume = call.route.resumes_streams();
-    may_resume.then(|| match call.resumes_after() {
+/// Returns the initial state of a stream. A stream that may not be resumed is sent to the
+/// caller from its first event, whatever the caller has.
+fn new_series(call: &Call) -> EventSeries {
+    if !call.route.resumes_streams() {
+        return EventSeries::default();
+    }
+    match call.resumes_after() {
         Some(last) => EventSeries::after(Some(last)),
         None => EventSeries::repeating(call.header.last_event),
-    })
+    }
 }
 
 /// Converts a refusal to the error that ends an answer.
--- a/gateway/tests/incomplete.rs
+++ b/gateway/tests/incomplete.rs
@@ -10,6 +10,8 @@
 const DESK: usize = 1;
 const EVENTS: &str = "id: 0\ndata: word0\n\nid: 1\ndata: word1\n\nid: 2\ndata: word2\n\n";
 const EVENT_BYTES: usize = 19;
+/// Metric that counts the answers that ended before they were complete.
+const TRUNCATIONS: &str = "endpoint_failures_total{reason=\"truncated\"}";
 const OUTPUT: &str = "word0\nword1\nword2\n";
 
 /// Streams that end within an event: with neither a length nor chunks, and with a last
@@ -89,6 +91,7 @@
             assert_eq!(got, (200, false), "{path}, {framing}");
             assert_eq!(answer.body, EVENTS[..EVENT_BYTES], "{path}, {framing}");
             assert_eq!(site.run_count("t1").await, 1, "{path}, {framing}");
+            assert_eq!(gateway.metric(TRUNCATIONS).await, 1, "{path}, {framing}");
         }
     }
 }
@@ -105,3 +108,18 @@
         assert_eq!(next.send(gateway.front).await.status, 404, "{framing}");
     }
 }
+
+/// Guards against an empty answer in place of one whose connection was closed before its
+/// first event.
+#[actix_rt::test]
+async fn a_close_delimited_stream_without_an_event_is_incomplete() {
+    let faults = BackendFaults {
+        break_streams: 1,
+        ..unframed()
+    };
+    let (site, gateway) = start_with(&faults).await;
+    let turn = TestRequest::turn("t1", "p1", "x");
+    assert_eq!(turn.send(gateway.front).await.status, 502);
+    assert_eq!(site.run_count("t1").await, 1);
+    assert_eq!(gateway.metric(TRUNCATIONS).await, 1);
+}
--- a/gateway/tests/resume.rs
+++ b/gateway/tests/resume.rs
@@ -182,16 +182,26 @@
 
 #[actix_rt::test]
 async fn a_stream_that_ends_within_an_event_is_resumed() {
-    let fixture = Fixture::start().await;
-    let short = BackendFaults {
-        end_streams: 1,
+    let at = BackendFaults {
         break_at_bytes: EVENT_BYTES + 3,
         ..BackendFaults::default()
     };
-    fixture.first_faults(short).await;
-    let answer = fixture.send(&stream("drafts", "a1", "x")).await;
-    let got = (answer.status, answer.body.as_str(), answer.is_complete);
-    assert_eq!(got, (200, EVENTS, true));
+    let chunked = BackendFaults {
+        end_streams: 1,
+        ..at.clone()
+    };
+    let close_delimited = BackendFaults {
+        break_streams: 1,
+        unframed: 1,
+        ..at
+    };
+    for faults in [chunked, close_delimited] {
+        let fixture = Fixture::start().await;
+        fixture.first_faults(faults).await;
+        let answer = fixture.send(&stream("drafts", "a1", "x")).await;
+        let got = (answer.status, answer.body.as_str(), answer.is_complete);
+        assert_eq!(got, (200, EVENTS, true));
+    }
 }
 
 #[actix_rt::test]
