Report answers that break off as failed calls in the sidecar

What callers saw: a tool's answer that broke off came as the whole answer, and stayed the answer of its call, because the sidecar retains it and the owner writes it. An answer with neither a length nor chunks came as an empty one.

Cause: the same class as in the gateway, the end of a connection taken for the end of an answer. The sidecar read answers with awc, which ends a body without an error when its connection closes before the declared length or the last chunk, and reads a body with neither as empty.

Evidence: a service that closes the connection after 4 of 10 bytes, after the first chunk, within a chunk, or with a reset. On the code before, all four were Finished with status 200, the last with the digest of no bytes.

The sidecar now uses the connection of the transport crate, which reports all four as errors: the call has failed and may have run. Each request has a connection of its own, as calls of tools had before.

--- a/sidecar/src/endpoint/holds.rs
+++ b/sidecar/src/endpoint/holds.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
+use http::Method;
 use serde::Deserialize;
 
+use super::client::RequestHead;
 use super::{Endpoint, encode_segment};
 use crate::control::Command;
 
@@ -29,24 +32,19 @@
     /// next comparison with the engine's list.
     pub(super) async fn free_holds(&self, names: Vec<String>) {
         for name in names {
-            let url = self.url(&format!("/kv/{}", encode_segment(&name)));
-            let _ = self.client.delete(url).timeout(HOLDS_TIMEOUT).send().await;
+            let request = RequestHead {
+                method: Method::DELETE,
+                path: &format!("/kv/{}", encode_segment(&name)),
+                headers: &[],
+            };
+            let sent = self.client.send(request, Bytes::new());
+            let _ = actix_rt::time::timeout(HOLDS_TIMEOUT, sent).await;
         }
     }
 
     pub(super) async fn list_holds(&self) {
-        let sent = self
-            .client
-            .get(self.url("/kv"))
-            .timeout(HOLDS_TIMEOUT)
-            .send();
-        let Ok(mut response) = sent.await else {
-            return;
-        };
-        if response.status().as_u16() != 200 {
-            return;
-        }
-        let Ok(body) = response.body().limit(MAX_LIST_BYTES).await else {
+        let listing = actix_rt::time::timeout(HOLDS_TIMEOUT, self.fetch_holds());
+        let Ok(Some(body)) = listing.await else {
             return;
         };
         if let Ok(list) = serde_json::from_slice::<HoldList>(&body) {
@@ -54,4 +52,17 @@
             self.report(Command::EngineHolds(names)).await;
         }
     }
+
+    async fn fetch_holds(&self) -> Option<Bytes> {
+        let request = RequestHead {
+            method: Method::GET,
+            path: "/kv",
+            headers: &[],
+        };
+        let response = self.client.send(request, Bytes::new()).await.ok()?;
+        if response.status() != 200 {
+            return None;
+        }
+        response.read_to_end(MAX_LIST_BYTES).await.ok()
+    }
 }
--- a/sidecar/src/endpoint/mod.rs
+++ b/sidecar/src/endpoint/mod.rs
@@ -3,6 +3,7 @@
 //! Jobs come in from the control thread. Parts of answers go straight into
 //! the [`SharedAnswer`]; how a job ended goes back as a [`Command`].
 
+mod client;
 mod holds;
 mod model;
 mod order;
@@ -10,10 +11,6 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use awc::{
-    Client,
-    error::{ConnectError, SendRequestError},
-};
 use bytes::Bytes;
 use rosebend_coordination::endpoint::{
     fence::Fence,
@@ -30,13 +27,12 @@
     task::JoinSet,
 };
 
+use self::client::{ClientError, EndpointClient};
 use crate::{
     answer::SharedAnswer,
     control::{Command, OrderReply},
 };
 
-/// Longest wait for a connection to the endpoint on the same host.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// When to come back after the endpoint took no connection.
 const ENDPOINT_DOWN_RETRY: Duration = Duration::from_secs(1);
 
@@ -90,9 +86,8 @@
 
 /// The client and address of the endpoint.
 pub(crate) struct Endpoint {
-    client: Client,
+    client: EndpointClient,
     store: StoreClient,
-    base_url: String,
     is_engine: bool,
     metrics: Metrics,
     commands: mpsc::Sender<Command>,
@@ -104,17 +99,9 @@
         metrics: Metrics,
         commands: mpsc::Sender<Command>,
     ) -> Self {
-        let connector = awc::Connector::new().timeout(CONNECT_TIMEOUT);
-        // A redirect would send a call a second time.
-        let client = Client::builder()
-            .connector(connector)
-            .disable_timeout()
-            .disable_redirects()
-            .finish();
         Self {
-            client,
+            client: EndpointClient::new(&settings.endpoint_url),
             store: StoreClient::from_settings(&settings.platform),
-            base_url: settings.endpoint_url.trim_end_matches('/').to_owned(),
             is_engine: settings.kind == EndpointKind::Engine,
             metrics,
             commands,
@@ -170,10 +157,6 @@
     async fn report(&self, command: Command) {
         let _ = self.commands.send(command).await;
     }
-
-    fn url(&self, path: &str) -> String {
-        format!("{}{path}", self.base_url)
-    }
 }
 
 /// A piece of a path with everything but unreserved characters encoded.
@@ -193,37 +176,20 @@
 
 /// The outcome of a request that got no answer. Only a connection that was
 /// never made proves that the endpoint did not see the call.
-fn send_error(error: &SendRequestError) -> Outcome {
+fn send_error(error: &ClientError) -> Outcome {
     match error {
-        SendRequestError::Connect(connect) if never_connected(connect) => {
-            Outcome::Refused(Refusal::new(
-                RefusalReason::EndpointDown,
-                ENDPOINT_DOWN_RETRY,
-                error.to_string(),
-            ))
-        }
-        SendRequestError::Timeout => failed(FailureReason::EndpointTimeout, error.to_string()),
-        _ => failed(
+        ClientError::NotConnected(_) => Outcome::Refused(Refusal::new(
+            RefusalReason::EndpointDown,
+            ENDPOINT_DOWN_RETRY,
+            error.to_string(),
+        )),
+        ClientError::Connection(_) => failed(
             FailureReason::EndpointCrashed,
             format!("no answer: {error}"),
         ),
     }
 }
 
-/// Whether an error says that there was no connection. The client reports a
-/// connection that was closed after the request was written as `Disconnected`,
-/// so the errors are named one by one.
-fn never_connected(error: &ConnectError) -> bool {
-    matches!(
-        error,
-        ConnectError::Io(_)
-            | ConnectError::Timeout
-            | ConnectError::Resolver(_)
-            | ConnectError::NoRecords
-            | ConnectError::Unresolved
-    )
-}
-
 fn failed(reason: FailureReason, detail: impl Into<String>) -> Outcome {
     Outcome::Failed(Failure {
         reason,
--- a/sidecar/src/endpoint/model.rs
+++ b/sidecar/src/endpoint/model.rs
@@ -6,14 +6,14 @@
 
 use std::time::{Duration, Instant};
 
-use awc::ClientResponse;
 use bytes::Bytes;
-use futures_util::StreamExt;
+use http::Method;
 use rosebend_coordination::endpoint::outcome::{FailureReason, Finished, Outcome};
 use rosebend_protocol::sse::{SseEvent, SseReader};
 use rosebend_transport::event::{Event, EventKind, log_event};
 use serde::Deserialize;
 
+use super::client::{EndpointResponse, RequestHead};
 use super::{Endpoint, RunJob, encode_segment, failed, finished, send_error};
 use crate::control::Command;
 
@@ -95,13 +95,13 @@
     async fn follow(
         &self,
         run: &mut ModelRun<'_>,
-        mut connected: Result<ClientResponse, Interrupted>,
+        mut connected: Result<EndpointResponse, Interrupted>,
     ) -> Result<Finished, Outcome> {
         let mut cuts = 0;
         loop {
             let before = run.next_offset;
             let interrupted = match connected {
-                Ok(response) if response.status().as_u16() != 200 => {
+                Ok(response) if response.status() != 200 => {
                     return read_whole(run.job, response).await;
                 }
                 Ok(response) => match self.read(run, response).await {
@@ -143,16 +143,16 @@
         job: &RunJob,
         body: &Bytes,
         hold_name: Option<&str>,
-    ) -> Result<ClientResponse, Interrupted> {
-        let mut request = self
-            .client
-            .post(self.url("/v1/chat/completions"))
-            .insert_header(("content-type", "application/json"))
-            .insert_header(("x-request-id", job.request_id.as_str()));
-        if let Some(name) = hold_name {
-            request = request.insert_header(("x-hold-kv", name));
-        }
-        match actix_rt::time::timeout(BEGIN_TIMEOUT, request.send_body(body.clone())).await {
+    ) -> Result<EndpointResponse, Interrupted> {
+        let mut headers = vec![("x-request-id", job.request_id.as_str())];
+        headers.extend(hold_name.map(|name| ("x-hold-kv", name)));
+        let request = RequestHead {
+            method: Method::POST,
+            path: "/v1/chat/completions",
+            headers: &headers,
+        };
+        let sent = self.client.send(request, body.clone());
+        match actix_rt::time::timeout(BEGIN_TIMEOUT, sent).await {
             Ok(Ok(response)) => Ok(response),
             Ok(Err(error)) => match send_error(&error) {
                 refused @ Outcome::Refused(_) => Err(Interrupted::Settled(refused)),
@@ -166,15 +166,15 @@
     async fn read(
         &self,
         run: &mut ModelRun<'_>,
-        mut response: ClientResponse,
+        mut response: EndpointResponse,
     ) -> Result<(), Interrupted> {
         let mut events = SseReader::default();
         loop {
             let piece = match actix_rt::time::timeout(SILENCE_TIMEOUT, response.next()).await {
-                Ok(Some(Ok(piece))) => piece,
-                Ok(Some(Err(error))) => return Err(Interrupted::Cut(error.to_string())),
-                Ok(None) if run.usage.is_some() => return Ok(()),
-                Ok(None) => return Err(Interrupted::Cut("the stream ended early".to_owned())),
+                Ok(Ok(Some(piece))) => piece,
+                Ok(Err(error)) => return Err(Interrupted::Cut(error.to_string())),
+                Ok(Ok(None)) if run.usage.is_some() => return Ok(()),
+                Ok(Ok(None)) => return Err(Interrupted::Cut("the stream ended early".to_owned())),
                 Err(_) => return Err(Interrupted::Silent),
             };
             for event in events.push(&piece) {
@@ -190,18 +190,21 @@
         }
     }
 
-    async fn resume_model(&self, run: &ModelRun<'_>) -> Result<ClientResponse, Interrupted> {
+    async fn resume_model(&self, run: &ModelRun<'_>) -> Result<EndpointResponse, Interrupted> {
         let name = encode_segment(&run.job.request_id);
         let path = format!("/v1/requests/{name}?offset={}", run.next_offset);
-        let sent = self.client.get(self.url(&path)).send();
+        let request = RequestHead {
+            method: Method::GET,
+            path: &path,
+            headers: &[],
+        };
+        let sent = self.client.send(request, Bytes::new());
         match actix_rt::time::timeout(SILENCE_TIMEOUT, sent).await {
-            Ok(Ok(response)) if response.status().as_u16() == 200 => Ok(response),
-            Ok(Ok(response)) if response.status().as_u16() == 404 => {
-                Err(Interrupted::Settled(failed(
-                    FailureReason::EndpointCrashed,
-                    "the engine lost the request",
-                )))
-            }
+            Ok(Ok(response)) if response.status() == 200 => Ok(response),
+            Ok(Ok(response)) if response.status() == 404 => Err(Interrupted::Settled(failed(
+                FailureReason::EndpointCrashed,
+                "the engine lost the request",
+            ))),
             Ok(Ok(response)) => Err(Interrupted::Cut(format!("status {}", response.status()))),
             Ok(Err(error)) => match send_error(&error) {
                 Outcome::Refused(_) => Err(Interrupted::Settled(failed(
@@ -216,8 +219,12 @@
 
     /// Cancels the request, so that the engine spends nothing more on it.
     async fn give_up(&self, job: &RunJob, detail: String) -> Outcome {
-        let url = self.url(&format!("/v1/requests/{}", encode_segment(&job.request_id)));
-        let sent = self.client.delete(url).send();
+        let request = RequestHead {
+            method: Method::DELETE,
+            path: &format!("/v1/requests/{}", encode_segment(&job.request_id)),
+            headers: &[],
+        };
+        let sent = self.client.send(request, Bytes::new());
         // The outcome is the same when the engine does not answer.
         let _ = actix_rt::time::timeout(SILENCE_TIMEOUT, sent).await;
         failed(FailureReason::EndpointTimeout, detail)
@@ -273,15 +280,15 @@
 }
 
 /// An answer that is no stream: the engine did not accept the request.
-async fn read_whole(job: &RunJob, mut response: ClientResponse) -> Result<Finished, Outcome> {
-    let status = response.status().as_u16();
+async fn read_whole(job: &RunJob, response: EndpointResponse) -> Result<Finished, Outcome> {
+    let status = response.status();
     if status >= 500 {
         return Err(failed(
             FailureReason::EndpointError,
             format!("status {status}"),
         ));
     }
-    let body = response.body().limit(MAX_WHOLE_BYTES);
+    let body = response.read_to_end(MAX_WHOLE_BYTES);
     match actix_rt::time::timeout(SILENCE_TIMEOUT, body).await {
         Ok(Ok(body)) => {
             job.answer.push(body);
--- a/sidecar/src/endpoint/order.rs
+++ b/sidecar/src/endpoint/order.rs
@@ -2,10 +2,13 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
+use http::Method;
 use rosebend_protocol::table::{row_id, shard_key};
 use rosebend_state::id::{Epoch, Shard};
 use serde::Serialize;
 
+use super::client::RequestHead;
 use super::{Endpoint, OrderJob};
 use crate::control::{Command, OrderReply};
 use crate::start_epochs::shard_epoch;
@@ -62,13 +65,18 @@
             target: &job.target,
             fence: job.fence.epoch,
         };
-        let sent = self
-            .client
-            .post(self.url("/orders"))
-            .timeout(ORDER_TIMEOUT)
-            .send_json(&body);
-        let response = sent.await.map_err(|error| error.to_string())?;
-        match response.status().as_u16() {
+        let body = serde_json::to_vec(&body).expect("an order has a JSON form");
+        let request = RequestHead {
+            method: Method::POST,
+            path: "/orders",
+            headers: &[],
+        };
+        let sent = self.client.send(request, Bytes::from(body));
+        let response = actix_rt::time::timeout(ORDER_TIMEOUT, sent)
+            .await
+            .map_err(|_| "the engine did not answer in time".to_owned())?
+            .map_err(|error| error.to_string())?;
+        match response.status() {
             200..=299 => Ok(()),
             status => Err(format!("the engine answered with status {status}")),
         }
--- a/sidecar/src/endpoint/tool.rs
+++ b/sidecar/src/endpoint/tool.rs
@@ -3,8 +3,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::Method;
 use rosebend_coordination::endpoint::outcome::{FailureReason, Outcome};
 
+use super::client::RequestHead;
 use super::{Endpoint, RunJob, failed, finished, send_error};
 
 /// Longest run of a tool whose caller names no deadline and that is not
@@ -27,20 +29,17 @@
     }
 
     async fn call_tool(&self, job: &RunJob, target: &str, body: Bytes) -> Outcome {
-        // A fresh connection for each call: on a reused one that the service
-        // has just closed, nobody could tell whether it saw the call.
-        let request = self
-            .client
-            .post(self.url(&format!("/{target}")))
-            .force_close()
-            .insert_header(("content-type", "application/json"))
-            .insert_header(("x-call-id", job.id.to_string()));
-        let mut response = match request.send_body(body).await {
+        let request = RequestHead {
+            method: Method::POST,
+            path: &format!("/{target}"),
+            headers: &[("x-call-id", &job.id.to_string())],
+        };
+        let response = match self.client.send(request, body).await {
             Ok(response) => response,
             Err(error) => return send_error(&error),
         };
-        let status = response.status().as_u16();
-        let body = match response.body().limit(MAX_ANSWER_BYTES).await {
+        let status = response.status();
+        let body = match response.read_to_end(MAX_ANSWER_BYTES).await {
             Ok(body) => body,
             Err(error) => {
                 let detail = format!("the answer was cut: {error}");
