Send streams with their length to callers of HTTP/1.0

What callers saw: a caller of HTTP/1.0 got a streamed answer in chunks, which its version does not have. It could not tell a broken-off answer from a complete one, and took the framing of the chunks for data.

Cause: the HTTP library sends a body of unknown length in chunks whatever the version of the request. Found while looking for further answers whose end does not tell whether they are complete.

The gateway now reads the whole body for such a caller and sends it with its length; a body that breaks off becomes a 502. The test failed before (transfer-encoding: chunked in the head of an HTTP/1.0 response).

--- a/gateway/src/dispatch.rs
+++ b/gateway/src/dispatch.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::body::BoxBody;
-use actix_http::{HttpMessage, Request, Response};
+use actix_http::body::{self, BoxBody, MessageBody};
+use actix_http::{HttpMessage, Request, Response, Version};
 use http::HeaderMap;
 use rosebend_platform::headers;
 use rosebend_state::deployment::RouteKind;
@@ -16,18 +16,37 @@
 use crate::reply::{Refusal, Reply};
 use crate::{intake, limits, plain, turn};
 
+/// Maximum size of a body that is held in memory until it is complete.
+const MAX_WHOLE_BYTES: usize = 8 << 20;
+
 /// Serves a request of a caller.
 pub async fn handle_request(gateway: Rc<Gateway>, request: Request) -> Response<BoxBody> {
     let _open = gateway.open_request();
     let arrived = gateway.clock.now();
+    let accepts_chunks = request.version() >= Version::HTTP_11;
     let headers = intake::to_http(request.headers());
     let response = match intake::read(&gateway, request, &headers, arrived).await {
         Ok(call) => serve(&gateway, call).await,
         Err(refusal) => refuse_without_call(&gateway, &headers, refusal, arrived),
     };
+    let response = match accepts_chunks {
+        true => response,
+        false => with_whole_body(response).await,
+    };
     close_if_stopping(&gateway, response)
 }
 
+/// Receives the whole body of a response, so that it is sent with its length. A caller that
+/// does not accept chunks can't tell otherwise whether a streamed body is complete.
+async fn with_whole_body(response: Response<BoxBody>) -> Response<BoxBody> {
+    let (response, body) = response.into_parts();
+    match body::to_bytes_limited(body, MAX_WHOLE_BYTES).await {
+        Ok(Ok(bytes)) => response.set_body(bytes.boxed()),
+        // The stream has logged and counted its failure.
+        Ok(Err(_)) | Err(_) => Reply::Problem(Refusal::OutcomeUnknown).into_response(),
+    }
+}
+
 /// Serves a call, unless it crashes endpoints or exceeds a limit of its customer.
 async fn serve(gateway: &Rc<Gateway>, call: Call) -> Response<BoxBody> {
     let now = gateway.clock.now();
--- a/gateway/tests/incomplete.rs
+++ b/gateway/tests/incomplete.rs
@@ -5,6 +5,8 @@
 
 use rosebend_standin::backend::BackendFaults;
 use support::{Gateway, Site, TestRequest, wait_until};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 const MODELS: usize = 0;
 const DESK: usize = 1;
@@ -123,3 +125,34 @@
     assert_eq!(site.run_count("t1").await, 1);
     assert_eq!(gateway.metric(TRUNCATIONS).await, 1);
 }
+
+/// Guards against a broken-off answer whose end a caller without chunked bodies can't tell
+/// from a regular one.
+#[actix_rt::test]
+async fn a_caller_without_chunks_gets_no_part_of_an_answer() {
+    let table = [
+        ("whole", BackendFaults::default(), "200"),
+        ("broken off", ends_within_event()[0].1.clone(), "502"),
+    ];
+    for (name, faults, status) in table {
+        let (_site, gateway) = start_with(&faults).await;
+        let head = "POST /unkept/stream/turn HTTP/1.0\r\nhost: desk.example\r\nattempt-id: t1\r\n";
+        let request = format!("{head}content-length: 1\r\n\r\nx");
+        let mut stream = TcpStream::connect(gateway.front).await.unwrap();
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.unwrap();
+        let (head, body) = answer.split_once("\r\n\r\n").unwrap();
+        assert!(
+            head.starts_with(&format!("HTTP/1.0 {status} ")),
+            "{name}: {head}"
+        );
+        assert!(!head.contains("transfer-encoding"), "{name}: {head}");
+        let length = format!("content-length: {}", body.len());
+        assert!(head.contains(&length), "{name}: {head}");
+        match status {
+            "200" => assert_eq!(body, EVENTS, "{name}"),
+            _ => assert!(body.contains("outcome-unknown"), "{name}: {body}"),
+        }
+    }
+}
