Refuse answers of gateways whose end is not declared

Looking for further paths on which the end of a connection is taken for the end of an answer: a gateway accepted a peer's answer with neither a length nor chunks. Messages between gateways have no end of their own, so that a part of one may decode as a table or a history with fewer rows.

--- a/gateway/src/peer_connections.rs
+++ b/gateway/src/peer_connections.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use http::{Method, Request};
 use http_body_util::{BodyExt, Full, Limited};
+use rosebend_platform::headers::decode_answer;
 use rosebend_transport::connection::{Connection, ConnectionError};
 
 /// Maximum size of an answer in bytes. The largest is a whole table, which is sent to a
@@ -27,7 +28,7 @@
     #[error("connection to the gateway failed: {0}")]
     Connection(#[from] ConnectionError),
     /// The gateway accepted the request, but the body of its response is incomplete or
-    /// too large.
+    /// too large, or its framing does not tell whether it is complete.
     #[error("the body of the gateway's response is incomplete or too large")]
     Broken,
     /// The gateway refused the request with this status.
@@ -82,6 +83,10 @@
             return Err(PeerError::Refused(response.status().as_u16()));
         }
         accepted.set(true);
+        // Messages have no end of their own: a part of one may decode as a shorter one.
+        if decode_answer(response.headers()).is_close_delimited {
+            return Err(PeerError::Broken);
+        }
         let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect();
         let body = body.await.map_err(|_| PeerError::Broken)?;
         self.put_idle(address, connection);
--- a/transport/tests/store_pages.rs
+++ b/transport/tests/store_pages.rs
@@ -98,3 +98,28 @@
     assert!(client(address).read_table("t").await.is_err());
     assert_eq!(calls.load(Ordering::Relaxed), 1);
 }
+
+/// Guards against a part of an answer that is used as the whole: an answer with neither a
+/// length nor chunks may end at any byte.
+#[actix_rt::test]
+async fn a_close_delimited_answer_that_is_cut_is_no_answer() {
+    let rows = json!([row("a"), row("b")]);
+    let body = json!({"rows": rows, "has-more": false, "ver": 9}).to_string();
+    for length in 0..=body.len() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let answer = format!("HTTP/1.1 200 OK\r\n\r\n{}", &body[..length]);
+        actix_rt::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let mut bytes = [0; 4_096];
+                assert!(stream.read(&mut bytes).await.unwrap() > 0);
+                stream.write_all(answer.as_bytes()).await.unwrap();
+            }
+        });
+        let read = client(address).read(&RowRange::whole("t", "")).await;
+        match length == body.len() {
+            true => assert_eq!(read.unwrap().rows.len(), 2),
+            false => assert!(read.is_err(), "cut after {length} bytes"),
+        }
+    }
+}
