Break off close-delimited streams in the soak

The soak cut streams only in ways that their framing shows, so that it could not find an answer that is framed as complete and is not. Faulty endpoints now also break streams off within an event, in answers with neither a length nor chunks, and a complete answer that does not end with a whole event is a violation.

--- a/gateway/tests/soak/callers.rs
+++ b/gateway/tests/soak/callers.rs
@@ -382,6 +382,10 @@
             return;
         };
         observations.count(answer);
+        if answer.status == 200 && answer.is_complete && !answer.body.ends_with("\n\n") {
+            let violation = format!("{attempt} was complete with {:?}", answer.body);
+            observations.violations.push(violation);
+        }
         observations
             .unsafe_statuses
             .insert(attempt.to_owned(), answer.status);
--- a/gateway/tests/soak/faults.rs
+++ b/gateway/tests/soak/faults.rs
@@ -15,6 +15,9 @@
 /// Maximum number of faults in one series.
 const MAX_FAULTS_PER_SERIES: u32 = 4;
 
+/// Size of an event of the stand-in endpoint.
+const EVENT_BYTES: usize = 19;
+
 /// A kind of fault.
 #[derive(Clone, Copy, Debug)]
 enum FaultKind {
@@ -186,6 +189,12 @@
         3 => faults.other_attempt = count,
         _ => faults.unstamped = count,
     }
+    if faults.cut_bodies == 0 {
+        // Nothing is drawn for these faults, so that each seed keeps its other ones.
+        faults.break_streams = 2 * count;
+        faults.break_at_bytes = EVENT_BYTES * (faults.delay_ms as usize % 3) + EVENT_BYTES / 2;
+        faults.unframed = 3 * count;
+    }
     faults
 }
 
