Test that a program resumes after the owners of its slots were killed

Two hosts own all escrow slots; a program has spent 120 of 400 tokens and its turns are settled; both hosts are killed while the store answers, and start again. Once 210 tokens are spent, no turn is served for 20 s (503, budget-unsettled), although the budget holds four more and nothing had been granted.

--- a/gateway/tests/outage.rs
+++ b/gateway/tests/outage.rs
@@ -265,6 +265,49 @@
     assert_eq!((served + after, status), (TURNS_PER_BUDGET, 402));
 }
 
+/// Guards against a program with budget left that no host serves any more because all
+/// owners of its escrow slots were killed while the store was available.
+#[actix_rt::test]
+async fn a_program_resumes_after_all_owners_of_its_slots_were_killed() {
+    let site = Site::start();
+    let store = site.store_listener.address();
+    let hosts = [Gateway::new_host_name(), Gateway::new_host_name()];
+    let start = || {
+        hosts
+            .each_ref()
+            .map(|host| Gateway::start_on(host, store, true))
+    };
+    let gateways = start();
+    for gateway in &gateways {
+        until_owners_are_known(gateway).await;
+    }
+    // A turn that does not fit beside the slots' shares would close them for the program, so
+    // each one is settled before the next.
+    for number in 0..4 {
+        let gateway = &gateways[number % 2];
+        let next = turn(&format!("a{number}"), "p1", 400);
+        assert_eq!(next.send(gateway.front).await.status, 200, "turn {number}");
+        wait_until("the turn is settled", async || {
+            gateway.metric("open_changes").await == 0
+        })
+        .await;
+    }
+    drop(gateways);
+    let gateways = start();
+    for gateway in &gateways {
+        gateway.wait_until_ready().await;
+    }
+    let (tries, served) = (Cell::new(0), Cell::new(4));
+    wait_until("the budget is spent", async || {
+        tries.set(tries.get() + 1);
+        let (further, status) = spend(&gateways, &format!("b{}-", tries.get()), "p1", 400).await;
+        served.set(served.get() + further);
+        status == 402
+    })
+    .await;
+    assert_eq!(served.get(), (400 - MAX_OUTPUT_TOKENS) / TURN_TOKENS + 1);
+}
+
 #[actix_rt::test]
 async fn turns_are_served_in_an_outage_soon_after_a_crash_of_all_hosts() {
     let site = Site::start();
