Report invalid requests to the endpoint as failed calls

The sidecar's client replaced a path that is no URI by the root and left out a header with invalid characters, so that a call could have reached another resource of the service. Found by reading; the names of tools are checked where they are declared, so no call of that kind was seen.

--- a/sidecar/src/endpoint/client.rs
+++ b/sidecar/src/endpoint/client.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HOST};
-use http::{HeaderName, HeaderValue, Method, Request};
+use http::{Method, Request};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use rosebend_transport::connection::{Connection, ConnectionError};
@@ -15,6 +15,9 @@
 /// Why the endpoint gave no answer.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum ClientError {
+    /// The path or a header of the request is invalid.
+    #[error("invalid request: {0}")]
+    InvalidRequest(http::Error),
     /// There was no connection, so the endpoint did not see the request.
     #[error("no connection to the endpoint: {0}")]
     NotConnected(std::io::Error),
@@ -77,8 +80,9 @@
         head: RequestHead<'_>,
         body: Bytes,
     ) -> Result<EndpointResponse, ClientError> {
+        let request = self.request(head, body)?;
         let mut connection = self.connect().await?;
-        let response = connection.send(self.request(head, body)).await?;
+        let response = connection.send(request).await?;
         Ok(EndpointResponse {
             status: response.status().as_u16(),
             body: response.into_body(),
@@ -96,22 +100,22 @@
         Ok(Connection::open(address).await?)
     }
 
-    fn request(&self, head: RequestHead<'_>, body: Bytes) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(body));
-        *request.method_mut() = head.method;
-        // Paths are escaped where they are built.
-        *request.uri_mut() = head.path.parse().unwrap_or_default();
-        let headers = request.headers_mut();
-        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        if let Ok(host) = HeaderValue::from_str(&self.authority) {
-            headers.insert(HOST, host);
-        }
+    fn request(
+        &self,
+        head: RequestHead<'_>,
+        body: Bytes,
+    ) -> Result<Request<Full<Bytes>>, ClientError> {
+        let mut request = Request::builder()
+            .method(head.method)
+            .uri(head.path)
+            .header(HOST, &self.authority)
+            .header(CONTENT_TYPE, "application/json");
         for (name, value) in head.headers {
-            if let Ok(value) = HeaderValue::from_str(value) {
-                headers.insert(HeaderName::from_static(name), value);
-            }
+            request = request.header(*name, *value);
         }
         request
+            .body(Full::new(body))
+            .map_err(ClientError::InvalidRequest)
     }
 }
 
--- a/sidecar/src/endpoint/mod.rs
+++ b/sidecar/src/endpoint/mod.rs
@@ -183,7 +183,7 @@
             ENDPOINT_DOWN_RETRY,
             error.to_string(),
         )),
-        ClientError::Connection(_) => failed(
+        ClientError::InvalidRequest(_) | ClientError::Connection(_) => failed(
             FailureReason::EndpointCrashed,
             format!("no answer: {error}"),
         ),
