--- a/gateway/tests/soak/faults.rs
+++ b/gateway/tests/soak/faults.rs
@@ -190,7 +190,7 @@
         _ => faults.unstamped = count,
     }
     if faults.cut_bodies == 0 {
-        // Nothing is drawn for these faults, so that each seed keeps its other ones.
+        // Derived from the drawn values, so that each seed keeps its other faults.
         faults.break_streams = 2 * count;
         faults.break_at_bytes = EVENT_BYTES * (faults.delay_ms as usize % 3) + EVENT_BYTES / 2;
         faults.unframed = 3 * count;
