Log why an answer ended early

An answer that ended before it was complete had the reason 'cut' in its request's last line, whatever the cause, and a request that ended with the process had 'caller-left'.

The causes are an enum now. The last line, answer-broken and the new counter interrupted_answers_total have the cause: endpoint-failed, not-resumed, endpoint-silent, time-is-up, grant-not-extended, record-unreadable or record-not-durable. Requests that end with the process have process-stopped, and those of a task that panicked have panicked. What callers get is unchanged.

--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -95,6 +95,8 @@
     open_requests: Cell<u64>,
     /// Whether the process has been asked to stop.
     stopping: Cell<bool>,
+    /// Whether the process is about to exit.
+    is_exiting: Rc<Cell<bool>>,
     /// Whether the host was ready for callers when this was last checked.
     was_ready: Cell<bool>,
 }
@@ -153,6 +155,7 @@
             crashes: RefCell::default(),
             open_requests: Cell::new(0),
             stopping: Cell::new(false),
+            is_exiting: Rc::default(),
             was_ready: Cell::new(false),
             settings: RefCell::new(Rc::new(settings)),
         }
@@ -287,6 +290,16 @@
         self.stopping.get()
     }
 
+    /// Marks the process as about to exit. Requests that are still open then end with it.
+    pub fn set_exiting(&self) {
+        self.is_exiting.set(true);
+    }
+
+    /// Returns a flag that is set before the process exits.
+    pub fn is_exiting(&self) -> Rc<Cell<bool>> {
+        Rc::clone(&self.is_exiting)
+    }
+
     /// Returns the current values of the gauges.
     pub fn gauge_values(&self) -> GaugeValues {
         let routes = self.routes.borrow();
--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -73,6 +73,7 @@
         program,
         customer_name,
         route.name.clone(),
+        gateway.is_exiting(),
     );
     let version = routes.deployment().version;
     request_log.add_step(Event::new(EventKind::RequestArrived).version(version));
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod gossip;
 pub mod holders;
 pub mod intake;
+pub mod interruption;
 pub mod limits;
 pub mod metrics;
 pub mod peer_connections;
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -15,6 +15,7 @@
 use rosebend_transport::store::{StoreCall, StoreError};
 
 use crate::engine_scheduling::metrics::SchedulingMetrics;
+use crate::interruption::Interruption;
 
 const PREFIX: &str = "rosebend_gateway";
 /// The smallest bucket bound of a time histogram in seconds. Each following bound is twice
@@ -146,6 +147,7 @@
     escrow_replies: Family<ReasonLabel, Counter>,
     endpoint_failures: Family<ReasonLabel, Counter>,
     close_delimited_answers: Counter,
+    interruptions: Family<ReasonLabel, Counter>,
     resumptions: Family<ReasonLabel, Counter>,
     history_reads: Family<PlaceLabel, Counter>,
     ledger_lookups: Family<ReasonLabel, Counter>,
@@ -196,6 +198,9 @@
         let help = "Answers of endpoints that had neither a length nor chunks";
         let counter = close_delimited_answers.clone();
         registry.register("close_delimited_answers", help, counter);
+        let interruptions = Family::default();
+        let help = "Answers that ended after their head and before they were complete, by reason";
+        registry.register("interrupted_answers", help, interruptions.clone());
         let resumptions = Family::default();
         let help = "Streams that went on at another endpoint, by how the one before failed";
         registry.register("resumptions", help, resumptions.clone());
@@ -271,6 +276,7 @@
             escrow_replies,
             endpoint_failures,
             close_delimited_answers,
+            interruptions,
             resumptions,
             history_reads,
             ledger_lookups,
@@ -365,6 +371,14 @@
             .inc();
     }
 
+    /// Counts an answer that ended before it was complete.
+    pub fn count_interruption(&self, interruption: Interruption) {
+        let reason = interruption.as_str();
+        self.interruptions
+            .get_or_create(&ReasonLabel { reason })
+            .inc();
+    }
+
     /// Counts a request that was refused, so that no endpoint answered it.
     pub fn count_refusal(&self, reason: &'static str) {
         self.refusals.get_or_create(&ReasonLabel { reason }).inc();
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -156,6 +156,7 @@
         _ => EventKind::StopTimedOut,
     };
     log_event(&Event::new(kind).count(gateway.open_requests()));
+    gateway.set_exiting();
 }
 
 /// Releases escrow slots in the store as soon as it is reachable, because a stopping process
--- a/gateway/src/request_log.rs
+++ b/gateway/src/request_log.rs
@@ -8,6 +8,7 @@
 //! it.
 
 use std::cell::{Cell, RefCell};
+use std::rc::Rc;
 use std::time::Duration;
 
 use rosebend_state::deployment::{AttemptId, CustomerName, ProgramKey};
@@ -27,15 +28,20 @@
     /// Whether an answer of an endpoint had neither a length nor chunks.
     is_close_delimited: Cell<bool>,
     has_ended: Cell<bool>,
+    /// Whether the process is about to exit, so that a request ends although its caller has
+    /// not left.
+    is_exiting: Rc<Cell<bool>>,
 }
 
 impl RequestLog {
-    /// Creates the log of a request that has just been read.
+    /// Creates the log of a request that has just been read. `is_exiting` is set before the
+    /// process exits.
     pub fn new(
         attempt: AttemptId,
         program: Option<ProgramKey>,
         customer: Option<CustomerName>,
         route: String,
+        is_exiting: Rc<Cell<bool>>,
     ) -> Self {
         Self {
             attempt,
@@ -46,6 +52,7 @@
             is_notable: Cell::new(false),
             is_close_delimited: Cell::new(false),
             has_ended: Cell::new(false),
+            is_exiting,
         }
     }
 
@@ -124,8 +131,13 @@
 impl Drop for RequestLog {
     fn drop(&mut self) {
         if !self.has_ended.get() {
+            let reason = match (std::thread::panicking(), self.is_exiting.get()) {
+                (true, _) => "panicked",
+                (false, true) => "process-stopped",
+                (false, false) => "caller-left",
+            };
             let event = self.with_request(Event::new(EventKind::RequestEnded));
-            self.write_all(&event.reason("caller-left"));
+            self.write_all(&event.reason(reason));
         }
     }
 }
--- a/gateway/src/runs.rs
+++ b/gateway/src/runs.rs
@@ -5,7 +5,6 @@
 //! run is stopped by closing its connection before the next one is requested, so that
 //! two endpoints never work on the same answer at the same time.
 
-use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -25,6 +24,7 @@
 use crate::engine_scheduling::Placement;
 use crate::exchange::{EndpointResponse, Exchange};
 use crate::gateway::{Gateway, OpenEndpointRequest};
+use crate::interruption::Interruption;
 use crate::reply::Refusal;
 
 /// Complete events of an answer, byte for byte as they were received.
@@ -141,7 +141,7 @@
     /// # Errors
     ///
     /// Returns an error if a run fails and the stream can't be resumed.
-    pub async fn next(&mut self) -> io::Result<Option<Chunk>> {
+    pub async fn next(&mut self) -> Result<Option<Chunk>, Interruption> {
         loop {
             match self.next_chunk_of_run().await {
                 Ok(chunk) => return Ok(chunk),
@@ -190,23 +190,23 @@
     }
 
     /// Resumes the stream at another endpoint after the last complete event.
-    async fn resume(&mut self, failure: Failure) -> io::Result<()> {
+    async fn resume(&mut self, failure: Failure) -> Result<(), Interruption> {
         // Closing the connection stops the work of the endpoint.
         self.run.connection = None;
         self.run.placement = None;
         let endpoint = self.run.endpoint_request.endpoint.clone();
         self.exchange
             .handle_failure(&endpoint, failure)
-            .map_err(io_error)?;
+            .map_err(|refusal| self.interruption(refusal, failure))?;
         if !self.call.route.resumes_streams() {
-            return Err(io_error(Refusal::OutcomeUnknown));
+            return Err(Interruption::EndpointFailed);
         }
         match self.series.discard_partial() {
-            ResumePoint::Impossible => return Err(io_error(Refusal::OutcomeUnknown)),
+            ResumePoint::Impossible => return Err(Interruption::EndpointFailed),
             ResumePoint::FromStart => {}
             ResumePoint::After(last) => self.exchange.set_last_event(last),
         }
-        let (head, run) = self.next_run().await?;
+        let (head, run) = self.next_run(failure).await?;
         let event =
             Event::new(EventKind::StreamResumed).endpoint(&run.endpoint_request.endpoint.instance);
         self.call
@@ -222,19 +222,29 @@
     }
 
     /// Starts a run at another endpoint. An unsuccessful answer can't be forwarded within
-    /// the stream and counts as a failure of the endpoint.
-    async fn next_run(&mut self) -> io::Result<(Parts, Run)> {
+    /// the stream and counts as a failure of the endpoint. `ended` is the failure of the
+    /// previous run.
+    async fn next_run(&mut self, ended: Failure) -> Result<(Parts, Run), Interruption> {
         loop {
-            let endpoint_response = self.exchange.next().await.map_err(io_error)?;
+            let next = self.exchange.next().await;
+            let endpoint_response = next.map_err(|refusal| self.interruption(refusal, ended))?;
             if endpoint_response.response.status().is_success() {
                 return Ok(Run::start(endpoint_response));
             }
             let endpoint = endpoint_response.in_flight.endpoint.clone();
             drop(endpoint_response);
-            let failure = Failure::Broken;
             self.exchange
-                .handle_failure(&endpoint, failure)
-                .map_err(io_error)?;
+                .handle_failure(&endpoint, Failure::Broken)
+                .map_err(|refusal| self.interruption(refusal, ended))?;
+        }
+    }
+
+    /// Returns the interruption of an answer that no endpoint resumes after a failure.
+    fn interruption(&self, refusal: Refusal, failure: Failure) -> Interruption {
+        match refusal {
+            Refusal::DeadlineExceeded => Interruption::DeadlineExceeded,
+            _ if !self.call.route.resumes_streams() => Interruption::EndpointFailed,
+            _ => Interruption::not_resumed(failure),
         }
     }
 }
@@ -296,12 +306,3 @@
         None => EventSeries::repeating(call.header.last_event),
     }
 }
-
-/// Converts a refusal to the error that ends an answer.
-fn io_error(refusal: Refusal) -> io::Error {
-    let kind = match refusal {
-        Refusal::DeadlineExceeded => io::ErrorKind::TimedOut,
-        _ => io::ErrorKind::Other,
-    };
-    io::Error::new(kind, refusal.as_str())
-}
--- a/gateway/src/turn_stream.rs
+++ b/gateway/src/turn_stream.rs
@@ -20,6 +20,7 @@
 use crate::call::Call;
 use crate::exchange::{EndpointResponse, Exchange};
 use crate::gateway::{Gateway, OpenRequest};
+use crate::interruption::Interruption;
 use crate::metrics::Timing;
 use crate::recent_history;
 use crate::reply::{self, Refusal};
@@ -103,10 +104,13 @@
         durable_state,
         _open_request: gateway.open_request(),
     };
-    let first = stream.next().await.map_err(|error| match error.kind() {
-        io::ErrorKind::TimedOut => Refusal::DeadlineExceeded,
-        _ => Refusal::OutcomeUnknown,
-    })?;
+    let first = stream
+        .next()
+        .await
+        .map_err(|interruption| match interruption {
+            Interruption::DeadlineExceeded => Refusal::DeadlineExceeded,
+            _ => Refusal::OutcomeUnknown,
+        })?;
     // The head is that of the first run whose events are forwarded, even if the stream is
     // resumed at another endpoint later.
     let head = stream.runs.head();
@@ -117,7 +121,7 @@
         match stream.next().await {
             Ok(Some(bytes)) => Some((Ok(bytes), Some(stream))),
             Ok(None) => None,
-            Err(error) => Some((Err(error), None)),
+            Err(interruption) => Some((Err(io::Error::other(interruption)), None)),
         }
     });
     let chunks = futures_util::stream::iter(first.map(Ok)).chain(rest);
@@ -127,40 +131,40 @@
 impl TurnStream {
     /// Returns the next bytes for the caller, or `None` once the answer is complete and
     /// its turn is durable.
-    async fn next(&mut self) -> io::Result<Option<Bytes>> {
+    async fn next(&mut self) -> Result<Option<Bytes>, Interruption> {
         let deadline_instant = self.gateway.clock.instant(self.call.deadline);
         let next = tokio::time::timeout_at(deadline_instant, self.next_chunk()).await;
-        let next = next.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
-        if let Err(error) = &next {
-            self.record_failure(error);
+        let next = next.unwrap_or(Err(Interruption::DeadlineExceeded));
+        if let Err(interruption) = next {
+            self.record_interruption(interruption);
         }
         next
     }
 
-    /// Records the error that ended the answer.
-    fn record_failure(&self, error: &io::Error) {
-        self.call
-            .request_log
-            .add_notable_step(Event::new(EventKind::AnswerBroken).error(error));
+    /// Records why the answer ended early.
+    fn record_interruption(&self, interruption: Interruption) {
+        let event = Event::new(EventKind::AnswerBroken).reason(interruption.as_str());
+        self.call.request_log.add_notable_step(event);
         self.gateway
             .metrics
             .count_request(self.call.route.kind, "cut");
         if self.has_started {
+            self.gateway.metrics.count_interruption(interruption);
             let elapsed = self.call.elapsed(self.gateway.clock.now());
             let status = self.runs.head().status.as_u16();
-            self.call.request_log.record_ended("cut", status, elapsed);
+            self.call
+                .request_log
+                .record_ended(interruption.as_str(), status, elapsed);
         }
     }
 
-    async fn next_chunk(&mut self) -> io::Result<Option<Bytes>> {
+    async fn next_chunk(&mut self) -> Result<Option<Bytes>, Interruption> {
         while let Some(chunk) = self.runs.next().await? {
             let bytes = self.process(chunk);
             if let Some(spending) = &mut self.durable_state.spending
                 && !spending.ensure_grant_covers_events().await
             {
-                return Err(io::Error::other(
-                    "the turn's escrow grant could not be extended",
-                ));
+                return Err(Interruption::GrantNotExtended);
             }
             if !bytes.is_empty() {
                 return Ok(Some(bytes));
@@ -199,7 +203,7 @@
     }
 
     /// Makes the turn durable and returns the connection to the pool.
-    async fn finish(&mut self) -> io::Result<()> {
+    async fn finish(&mut self) -> Result<(), Interruption> {
         let tokens_per_event = tokens_per_event(&self.gateway, &self.call.service);
         self.runs
             .record_completion(self.event_count.saturating_mul(tokens_per_event));
@@ -238,7 +242,11 @@
 
     /// Commits the turn's record together with the tokens that it spent, and waits until
     /// both are durable.
-    async fn commit_record(&self, mut spending: Spending, record: Record) -> io::Result<()> {
+    async fn commit_record(
+        &self,
+        mut spending: Spending,
+        record: Record,
+    ) -> Result<(), Interruption> {
         let ended = self.gateway.clock.now();
         let turn = Arc::new(self.build_turn(record, spending.emitted_tokens()));
         // The limit applies to encoded rows, where four bytes represent three.
@@ -248,9 +256,7 @@
             Ok(Outcome::Unreadable) => {
                 let event = Event::new(EventKind::RecordUnreadable);
                 log_event(&event.program_key(&turn.program));
-                Err(io::Error::other(
-                    "the program's ledger could not be decoded",
-                ))
+                Err(Interruption::RecordUnreadable)
             }
             Ok(Outcome::Durable | Outcome::Exhausted) => {
                 self.schedule_deletion(&turn.program, row_ids, self.call.route.retention);
@@ -262,9 +268,7 @@
                 recent_history::cache_turn(&self.gateway, turn);
                 Ok(())
             }
-            Err(_) => Err(io::Error::other(
-                "the process stopped before the turn's record was durable",
-            )),
+            Err(_) => Err(Interruption::RecordNotDurable),
         }
     }
 
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -645,7 +645,7 @@
                 "A request ended well: `attempt`, `route`, `endpoint` and how long it took. Its other steps are not written."
             }
             Self::RequestEnded => {
-                "A request was refused, failed, came late, was retried, or its caller left; `reason` says which. Its steps stand in the lines with the same `attempt`."
+                "A request was refused, failed, came late, was retried, ended with the process, or its caller left; `reason` says which. Its steps stand in the lines with the same `attempt`."
             }
             Self::RequestArrived => {
                 "Step: the head and body of a request are read, under the routes of `version`."
@@ -719,7 +719,9 @@
             Self::TurnRecorded => {
                 "Step: the turn and the `tokens` that it handed out are durable after `elapsed_ms`."
             }
-            Self::AnswerBroken => "Step: the answer broke off; `error` says how.",
+            Self::AnswerBroken => {
+                "Step: the answer ended before it was complete; `reason` says why."
+            }
             Self::GathererAvoided => {
                 "`host` does not commit for others for `wait_ms`; `reason` says what it did."
             }
