Test that answers are whole beside planned work

A soak of real processes stops, replaces and reloads hosts and declares versions of the routes, in series that overlap, while callers on open connections have long streams under way and the store fails now and then. An answer that ends early fails it, unless the store failed within 3 s before the request or before the answer's end.

A turn with history that is stopped in an outage is whole already, and its test passes.

--- a/gateway/tests/lifecycle.rs
+++ b/gateway/tests/lifecycle.rs
@@ -4,6 +4,7 @@
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use http_body_util::BodyExt;
 use rosebend_standin::backend::BackendFaults;
 use rosebend_standin::store::StoreFaults;
 use rosebend_transport::connection::Connection;
@@ -11,6 +12,7 @@
 use support::{Gateway, Site, TestRequest, wait_until};
 
 const MODELS: usize = 0;
+const DESK: usize = 1;
 
 /// Returns the time of day in milliseconds since 1970.
 fn unix_ms() -> u64 {
@@ -137,6 +139,83 @@
     assert_eq!(gateway.exit_code().await, Some(0));
 }
 
+/// Guards against a process that exits before a slow caller has the answer, because the answer
+/// had been handed to its connection.
+#[actix_rt::test]
+async fn a_planned_stop_waits_for_a_caller_that_reads_slowly() {
+    let site = Site::start();
+    let mut gateway = site.start_ready_gateway().await;
+    let large = BackendFaults {
+        padding_bytes: 7 << 20,
+        ..BackendFaults::default()
+    };
+    site.set_endpoint_faults(DESK, &large).await;
+    let mut connection = Connection::open(gateway.front).await.unwrap();
+    let request = TestRequest::lookup("a1").request();
+    let response = connection.send(request).await.unwrap();
+    gateway.signal("TERM");
+    // Longer than the process accepts connections and waits for further requests.
+    actix_rt::time::sleep(Duration::from_millis(4_500)).await;
+    let body = response.into_body().collect().await.unwrap().to_bytes();
+    assert!(body.len() > large.padding_bytes);
+    assert_eq!(gateway.exit_code().await, Some(0));
+}
+
+/// Guards against a connection that is closed without an answer because the process exits
+/// while the endpoint still works.
+#[actix_rt::test]
+async fn a_request_that_outlasts_a_planned_stop_is_answered() {
+    let site = Site::start();
+    let mut gateway = site.start_ready_gateway().await;
+    gateway.change_settings("stop_grace_s = 8", "stop_grace_s = 1");
+    gateway.signal("HUP");
+    wait_until("the settings are applied", async || {
+        !gateway.events("settings-taken").is_empty()
+    })
+    .await;
+    let slow = BackendFaults {
+        delay_ms: 2_000,
+        ..BackendFaults::default()
+    };
+    site.set_endpoint_faults(DESK, &slow).await;
+    let front = gateway.front;
+    let request = TestRequest::new(http::Method::POST, "/fee/receipt").attempt("a1");
+    let answer = actix_rt::spawn(async move { request.body("fee").send(front).await });
+    wait_until("the request runs", async || site.run_count("a1").await == 1).await;
+    gateway.signal("TERM");
+    let answer = answer.await.unwrap();
+    assert_eq!((answer.status, answer.is_complete), (502, true));
+    assert_eq!(gateway.exit_code().await, Some(0));
+    let ended = gateway.events("request-ended");
+    assert_eq!(ended[0]["reason"], "process-stopped");
+}
+
+/// Guards against a turn whose record is lost because the process was asked to stop in an
+/// outage of the store, so that the caller gets no end of its answer.
+#[actix_rt::test]
+async fn a_planned_stop_in_an_outage_completes_turns_with_history() {
+    let site = Site::start();
+    let mut gateway = site.start_ready_gateway().await;
+    let slow = BackendFaults {
+        delay_ms: 200,
+        ..BackendFaults::default()
+    };
+    site.set_endpoint_faults(MODELS, &slow).await;
+    let front = gateway.front;
+    let turn = actix_rt::spawn(async move { TestRequest::turn("t1", "p1", "x").send(front).await });
+    wait_until("the turn runs", async || site.run_count("t1").await == 1).await;
+    gateway.signal("TERM");
+    site.set_store_faults(&StoreFaults::refusing()).await;
+    actix_rt::time::sleep(Duration::from_millis(1_500)).await;
+    site.set_store_faults(&StoreFaults::default()).await;
+    let answer = turn.await.unwrap();
+    assert_eq!((answer.status, answer.is_complete), (200, true));
+    assert_eq!(gateway.exit_code().await, Some(0));
+    let next = site.start_ready_gateway().await;
+    let turn = TestRequest::turn("t2", "p1", "y").previous("t1");
+    assert_eq!(turn.send(next.front).await.status, 200);
+}
+
 #[actix_rt::test]
 async fn changed_settings_are_applied_with_and_without_a_signal() {
     let site = Site::start();
--- a/gateway/tests/outage.rs
+++ b/gateway/tests/outage.rs
@@ -5,9 +5,13 @@
 
 use std::cell::Cell;
 
+use actix_rt::task::JoinHandle;
+use http_body_util::BodyExt;
+use rosebend_coordination::gateway::history::partition_of;
 use rosebend_standin::backend::BackendFaults;
 use rosebend_standin::store::StoreFaults;
-use support::{Gateway, Site, TestRequest, wait_until};
+use rosebend_transport::connection::Connection;
+use support::{Gateway, Site, TestRequest, TestResponse, wait_until};
 
 /// Index of the endpoint that runs turns.
 const MODELS: usize = 0;
@@ -157,6 +161,164 @@
     assert_eq!((after, status), (expected, 402));
 }
 
+/// Sets the pace and the length of the answers of the model endpoint.
+async fn set_answers(site: &Site, delay_ms: u64, events: u64) {
+    let faults = BackendFaults {
+        delay_ms,
+        events,
+        ..BackendFaults::default()
+    };
+    site.set_endpoint_faults(MODELS, &faults).await;
+}
+
+async fn set_slow_store(site: &Site) {
+    let slow_store = StoreFaults {
+        slow_ms: SLOW_STORE_MS,
+        ..StoreFaults::default()
+    };
+    site.set_store_faults(&slow_store).await;
+}
+
+/// Sends a turn and waits until an endpoint runs it. Returns a handle to its answer.
+async fn start_turn(site: &Site, gateway: &Gateway, turn: TestRequest) -> JoinHandle<TestResponse> {
+    let front = gateway.front;
+    let attempt = turn.attempt_id().to_owned();
+    let answer = actix_rt::spawn(async move { turn.send(front).await });
+    wait_until("the turn runs", async || {
+        site.run_count(&attempt).await == 1
+    })
+    .await;
+    answer
+}
+
+/// Starts a turn of another program in the partition of `program`, and waits until its
+/// reservation is in flight. The reservations of later turns wait for it, so that they are late
+/// even if they are rejected.
+async fn block_partition(gateway: &Gateway, program: &str) -> JoinHandle<TestResponse> {
+    let mut names = (0..).map(|number| format!("other-{number}"));
+    let other = names.find(|other| partition_of(other) == partition_of(program));
+    let turn = turn("blocking", &other.unwrap(), 1_000);
+    let front = gateway.front;
+    let answer = actix_rt::spawn(async move { turn.send(front).await });
+    wait_until("the reservation is in flight", async || {
+        gateway.metric("open_changes").await > 0
+    })
+    .await;
+    answer
+}
+
+/// Waits for an answer of nine events, which are 90 tokens, and checks that it is whole.
+async fn assert_whole(answer: JoinHandle<TestResponse>) {
+    let answer = answer.await.unwrap();
+    assert_eq!((answer.status, answer.is_complete), (200, true));
+    assert_eq!(answer.body.matches("data: ").count(), 9);
+}
+
+/// Guards against an answer that is cut because its turn began in an outage, without a
+/// reservation, and its grant can't be extended.
+#[actix_rt::test]
+async fn a_turn_that_began_in_an_outage_is_whole_after_it() {
+    let site = Site::start();
+    let gateways = two_owners(&site).await;
+    set_answers(&site, 60, 9).await;
+    start_outage(&site, &gateways).await;
+    // A slot grants a quarter of the budget, 75 tokens.
+    let answer = start_turn(&site, &gateways[0], turn("a0", "p1", 300)).await;
+    site.set_store_faults(&StoreFaults::default()).await;
+    assert_whole(answer).await;
+    end_outage(&site, &gateways).await;
+    set_answers(&site, 0, 3).await;
+    let (after, status) = spend(&gateways, "b", "p1", 300).await;
+    let expected = (300 - 90 - MAX_OUTPUT_TOKENS) / TURN_TOKENS + 1;
+    assert_eq!((after, status), (expected, 402));
+}
+
+/// Guards against an answer that is cut because its late reservation does not fit beside the
+/// shares of the program's slots, and its grant can't be extended.
+#[actix_rt::test]
+async fn a_turn_on_a_grant_is_whole_although_its_late_reservation_does_not_fit() {
+    let site = Site::start();
+    let gateways = two_owners(&site).await;
+    for number in 0..2 {
+        let turn = turn(&format!("a{number}"), "p1", 300);
+        assert_eq!(turn.send(gateways[0].front).await.status, 200);
+    }
+    end_outage(&site, &gateways).await;
+    set_answers(&site, 40, 9).await;
+    set_slow_store(&site).await;
+    let blocking = block_partition(&gateways[0], "p1").await;
+    // 60 tokens are spent, and the two slots have 75 each: a reservation of 100 does not fit.
+    let answer = start_turn(&site, &gateways[0], turn("a2", "p1", 300)).await;
+    assert_whole(answer).await;
+    assert_whole(blocking).await;
+    end_outage(&site, &gateways).await;
+    set_answers(&site, 0, 3).await;
+    let (after, status) = spend(&gateways, "b", "p1", 300).await;
+    let expected = (300 - 60 - 90 - MAX_OUTPUT_TOKENS) / TURN_TOKENS + 1;
+    assert_eq!((after, status), (expected, 402));
+}
+
+/// Guards against an answer that is cut because another turn of its program needed the shares
+/// of the slots, so that their owners closed them for the program.
+#[actix_rt::test]
+async fn a_turn_on_a_grant_is_whole_after_its_slots_were_closed() {
+    let site = Site::start();
+    let gateways = two_owners(&site).await;
+    for number in 0..6 {
+        let turn = turn(&format!("a{number}"), "p1", 500);
+        assert_eq!(turn.send(gateways[0].front).await.status, 200);
+    }
+    end_outage(&site, &gateways).await;
+    set_answers(&site, 150, 9).await;
+    set_slow_store(&site).await;
+    let blocking = block_partition(&gateways[0], "p1").await;
+    // 180 tokens are spent, and the two slots have 125 each: a reservation of 100 does not fit.
+    let first = start_turn(&site, &gateways[0], turn("b0", "p1", 500)).await;
+    wait_until("the reservation is rejected", async || {
+        gateways[0].metric("open_changes").await == 0
+    })
+    .await;
+    let second = turn("b1", "p1", 500).send(gateways[0].front).await;
+    assert_eq!(second.status, 200, "{}", second.body);
+    assert_whole(first).await;
+    assert_whole(blocking).await;
+}
+
+/// Guards against an answer that is cut because the owner of its turn's slot stops as planned.
+#[actix_rt::test]
+async fn a_turn_on_a_grant_is_whole_after_the_owners_of_its_slots_stopped() {
+    let site = Site::start();
+    let owners = two_owners(&site).await;
+    let host = site.start_ready_gateway().await;
+    until_owners_are_known(&host).await;
+    let [first, second] = owners;
+    let gateways = [first, second, host];
+    set_answers(&site, 300, 7).await;
+    start_outage(&site, &gateways).await;
+    let [first, second, host] = gateways;
+    let mut connection = Connection::open(host.front).await.unwrap();
+    let response = connection.send(turn("a0", "p1", 1_000).request()).await;
+    let mut body = response.unwrap().into_body();
+    // The next owner of the slots learns late that it owns them.
+    set_slow_store(&site).await;
+    // The first grant covers five events.
+    let mut received = String::new();
+    while received.matches("data: ").count() < 5 {
+        let frame = body.frame().await.unwrap().unwrap();
+        received.push_str(str::from_utf8(frame.data_ref().unwrap()).unwrap());
+    }
+    for owner in [&first, &second] {
+        assert!(owner.is_ready().await);
+        owner.signal("TERM");
+    }
+    let rest = body.collect().await.unwrap().to_bytes();
+    received.push_str(str::from_utf8(&rest).unwrap());
+    assert_eq!(received.matches("data: ").count(), 7);
+    for mut owner in [first, second] {
+        assert_eq!(owner.exit_code().await, Some(0));
+    }
+}
+
 #[actix_rt::test]
 async fn a_small_budget_waits_for_the_store() {
     let site = Site::start();
--- a/gateway/tests/resume.rs
+++ b/gateway/tests/resume.rs
@@ -180,6 +180,32 @@
     }
 }
 
+/// Guards against an answer that is cut because its endpoint is silent for a while and no
+/// other endpoint takes the stream.
+#[actix_rt::test]
+async fn a_silent_endpoint_is_waited_for_if_no_other_one_takes_the_stream() {
+    let full = BackendFaults {
+        refuse: 100,
+        ..BackendFaults::default()
+    };
+    // The endpoint is silent before its first event, or between events.
+    for (delay_ms, events) in [(1_200, 1), (700, 3)] {
+        let fixture = Fixture::start().await;
+        let slow = BackendFaults {
+            delay_ms,
+            events,
+            ..BackendFaults::default()
+        };
+        fixture.first_faults(slow).await;
+        fixture.second_faults(full.clone()).await;
+        let answer = fixture.send(&stream("drafts", "a1", "x")).await;
+        let got = (answer.status, answer.is_complete);
+        assert_eq!(got, (200, true), "{delay_ms} ms, {}", answer.body);
+        assert_eq!(answer.body.matches("data: ").count() as u64, events);
+        assert_eq!(fixture.site.run_count("a1").await, 1);
+    }
+}
+
 #[actix_rt::test]
 async fn a_stream_that_ends_within_an_event_is_resumed() {
     let at = BackendFaults {
--- a/gateway/tests/soak/fleet.rs
+++ b/gateway/tests/soak/fleet.rs
@@ -234,6 +234,8 @@
     pub fn declare_routes(&mut self, timeout_ms: u64) {
         self.config_version += 3;
         let mut config = support::routes(self.config_version);
+        let routes = config["routes"].as_array_mut().unwrap();
+        routes.push(resumable_route());
         for route in config["routes"].as_array_mut().unwrap() {
             route["timeout-ms"] = json!(timeout_ms);
         }
@@ -304,6 +306,16 @@
     }
 }
 
+/// Returns a streaming route without history whose streams may be resumed.
+fn resumable_route() -> Value {
+    json!({
+        "name": "drafts", "host": "desk.example", "prefix": "/drafts/stream/",
+        "kind": "streaming", "timeout-ms": 3000, "slo-ms": 400, "gap-slo-ms": 200,
+        "priority": 0, "service": "models", "max-attempts": 2, "sticky": false,
+        "resumable": true,
+    })
+}
+
 /// Returns whether a log line contains one of the values as a quoted string.
 fn mentions_any(line: &str, values: &BTreeSet<String>) -> bool {
     let mut quoted = line.split('"');
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -645,6 +645,13 @@
         self.header("attempt-id", attempt)
     }
 
+    /// Returns the attempt id, or an empty text if the request has none.
+    pub fn attempt_id(&self) -> &str {
+        let mut headers = self.headers.iter();
+        let attempt = headers.find(|(name, _)| name == "attempt-id");
+        attempt.map_or("", |(_, attempt)| attempt)
+    }
+
     pub fn previous(self, attempt: &str) -> Self {
         self.header("previous-turn", attempt)
     }
--- a/standin/src/backend.rs
+++ b/standin/src/backend.rs
@@ -61,6 +61,8 @@
     /// Number of answers more that have neither a length nor chunks and end with
     /// their connection.
     pub unframed: u64,
+    /// Bytes that plain answers are longer than usual.
+    pub padding_bytes: usize,
     /// Speed that the endpoint reports with its load, in percent of the usual work time.
     /// It does not change how fast the endpoint is.
     pub work_time_percent: Option<u32>,
@@ -82,6 +84,7 @@
             other_attempt: 0,
             unstamped: 0,
             unframed: 0,
+            padding_bytes: 0,
             work_time_percent: None,
         }
     }
@@ -298,7 +301,8 @@
         if let Some(turn) = turn {
             return self.stamped(&attempt, self.stream(&request, turn));
         }
-        let body = format!("answer to {attempt}");
+        let padding = " ".repeat(self.lock().faults.padding_bytes);
+        let body = format!("answer to {attempt}{padding}");
         let reply = match take_one(&mut self.lock().faults.cut_bodies) {
             true => cut(),
             false => HttpReply::bytes(200, "text/plain", body.into_bytes()),
