Keep a silent endpoint until another one has accepted its stream

Callers saw streams whose connection closed before the end, and 502 before the first event. A stream that may be resumed was closed after its endpoint had been silent for the idle timeout (0.5 s), and only then sent to other endpoints. If none accepted it, because all were full or had been tried, the answer ended, although the silent endpoint still worked on it.

The silent endpoint now keeps the request while others are tried. It is stopped when another one answers, fails after it may have begun, or has not refused the request within 100 ms of receiving it, so that two endpoints work on a request for a fraction of the 400 ms that the protocol allows. If no endpoint accepts it, or the silent one goes on meanwhile, the silent one is waited for, and others are tried again after the next idle timeout, also those that were full before. A stream that can't be resumed, because an event had no id, has no idle timeout.

The request to one endpoint is a type of its own, moved from exchange.rs to endpoint_request.rs.

--- a/coordination/src/gateway/attempt.rs
+++ b/coordination/src/gateway/attempt.rs
@@ -99,6 +99,10 @@
     pub fn next_step(&mut self, route: &Route, failure: Failure, remaining: Duration) -> NextStep {
         if failure.may_have_run() {
             self.possible_runs += 1;
+            if failure == Failure::Stalled {
+                // Other endpoints may be tried in place of the silent one.
+                self.refusals = 0;
+            }
         } else {
             self.refusals += 1;
         }
@@ -118,6 +122,12 @@
         }
     }
 
+    /// Records that the endpoint of the last [`Failure::Stalled`] keeps the request, because
+    /// no other endpoint accepted it.
+    pub fn keep_silent_run(&mut self) {
+        self.possible_runs -= 1;
+    }
+
     /// Returns true if the request may have run at any endpoint.
     pub fn may_have_run(&self) -> bool {
         self.possible_runs > 0
--- a/coordination/src/gateway/event_series.rs
+++ b/coordination/src/gateway/event_series.rs
@@ -132,6 +132,11 @@
     /// the next attempt begins.
     pub fn discard_partial(&mut self) -> ResumePoint {
         self.partial.clear();
+        self.resume_point()
+    }
+
+    /// Returns the point at which another attempt would begin now.
+    pub const fn resume_point(&self) -> ResumePoint {
         match self.last {
             _ if self.has_event_without_id => ResumePoint::Impossible,
             None => ResumePoint::FromStart,
--- a/coordination/tests/gateway_attempt.rs
+++ b/coordination/tests/gateway_attempt.rs
@@ -90,6 +90,29 @@
     }
 }
 
+/// Guards against a silent endpoint that counts as a failed one although it keeps the request,
+/// so that the request could not be resumed when the endpoint does fail.
+#[test]
+fn a_silent_endpoint_that_keeps_the_request_counts_once() {
+    let route = route(RouteKind::Streaming, true, 2);
+    let mut attempt = Attempt::default();
+    for _ in 0..3 {
+        let stalled = attempt.next_step(&route, Failure::Stalled, REMAINING);
+        assert_eq!(stalled, NextStep::TryAnother);
+        // The refusals of one search do not limit the next one.
+        for _ in 0..3 {
+            let refused = attempt.next_step(&route, Failure::Refused, REMAINING);
+            assert_eq!(refused, NextStep::TryAnother);
+        }
+        attempt.keep_silent_run();
+        assert!(attempt.idle_timeout(&route).is_some());
+    }
+    let broken = attempt.next_step(&route, Failure::Broken, REMAINING);
+    assert_eq!(broken, NextStep::TryAnother);
+    let broken = attempt.next_step(&route, Failure::Broken, REMAINING);
+    assert_eq!(broken, NextStep::UnknownOutcome);
+}
+
 #[test]
 fn a_non_idempotent_request_is_not_retried() {
     let route = route(RouteKind::NonIdempotent, true, 3);
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -1,46 +1,35 @@
-//! Sends a request to an endpoint and receives the head of the response. After a
-//! failure the request is sent to another endpoint, if its route allows that.
+//! Sends a request to one endpoint after another, as its route allows, until one responds.
+//!
+//! A request that may run at another endpoint is sent to one if its endpoint is silent. The
+//! silent endpoint keeps the request until the other one has accepted it, so that silence
+//! alone never ends an answer.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response};
-use http_body_util::Full;
-use hyper::body::Incoming;
 use rosebend_coordination::gateway::admission::cannot_end_in_time;
 use rosebend_coordination::gateway::attempt::{Attempt, Failure, NextStep};
 use rosebend_coordination::gateway::directory::EndpointQuery;
-use rosebend_platform::headers::{self, AnswerHeader};
 use rosebend_state::deployment::{EndpointIdentity, EventId, RouteKind};
 use rosebend_transport::clock::whole_ms;
-use rosebend_transport::connection::{Connection, ConnectionError};
 use rosebend_transport::event::{Event, EventKind, log_event};
 
 use crate::call::Call;
+use crate::endpoint_request::{EndpointRequest, EndpointResponse, PendingRequest};
 use crate::engine_scheduling::{self, Placed, Placement};
-use crate::gateway::{Gateway, OpenEndpointRequest};
+use crate::gateway::Gateway;
 use crate::metrics::Timing;
 use crate::quarantine;
 use crate::reply::Refusal;
+use crate::runs::Run;
 
-/// A response of an endpoint whose body has not been read yet.
-#[derive(Debug)]
-pub struct EndpointResponse {
-    /// Status, headers and body.
-    pub response: Response<Incoming>,
-    /// Decoded headers of the response.
-    pub header: AnswerHeader,
-    /// Connection that carries the body. Dropping it closes the connection.
-    pub connection: Connection,
-    /// Guard that counts the request as in flight at the endpoint.
-    pub in_flight: OpenEndpointRequest,
-    /// Slot that an engine scheduler assigned to the turn, until the turn ends.
-    pub placement: Option<Placement>,
-    /// Time at which the request was sent, since the start of the process.
-    pub sent_at: Duration,
-}
+/// Time within which an endpoint refuses a request for which it has no room. One that has not
+/// refused it by then has accepted it, and may begin to run it at any time. Two endpoints may
+/// work on one request for 400 ms at most, and a silent one is stopped after at most twice
+/// this time.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// The endpoint to which a request is sent next.
 #[derive(Debug)]
@@ -60,6 +49,33 @@
     pub tokens: u64,
 }
 
+/// A request whose endpoint has been silent for the idle timeout.
+#[derive(Debug)]
+pub enum SilentRun<'a> {
+    /// The head of the response has not arrived.
+    Request(&'a mut PendingRequest),
+    /// A part of the stream has arrived.
+    Stream(&'a mut Run),
+}
+
+impl SilentRun<'_> {
+    /// Waits until the endpoint responds or fails. Dropping the future loses nothing.
+    async fn wait(&mut self) {
+        match self {
+            Self::Request(request) => request.wait().await,
+            Self::Stream(run) => run.wait().await,
+        }
+    }
+
+    /// Closes the connection, which stops the work of the endpoint.
+    fn stop(&mut self) {
+        match self {
+            Self::Request(request) => request.cancel(),
+            Self::Stream(run) => run.stop(),
+        }
+    }
+}
+
 /// Sends a call to one endpoint after another until one responds.
 #[derive(Debug)]
 pub struct Exchange {
@@ -70,6 +86,8 @@
     attempt: Attempt,
     /// Endpoints to which the call was already sent.
     tried_endpoints: Vec<EndpointIdentity>,
+    /// Endpoints among them that did not run the call.
+    refused_endpoints: Vec<EndpointIdentity>,
     /// Last event of the stream that the caller has. The next endpoint resumes the
     /// stream after it.
     last_event: Option<EventId>,
@@ -92,6 +110,7 @@
             warm,
             attempt: Attempt::default(),
             tried_endpoints: Vec::new(),
+            refused_endpoints: Vec::new(),
             last_event: call.resumes_after(),
         }
     }
@@ -117,16 +136,114 @@
         loop {
             self.refuse_if_too_late()?;
             let (endpoint, placement) = self.place().await?;
-            match self.try_endpoint(&endpoint).await {
-                Ok(mut endpoint_response) => {
-                    endpoint_response.placement = placement;
-                    return Ok(endpoint_response);
+            let mut request = self.request(endpoint, placement);
+            let failure = loop {
+                match self.response_within_timeout(&mut request).await {
+                    Ok(response) => return Ok(response),
+                    Err(Failure::Stalled) => {}
+                    Err(failure) => break failure,
+                }
+                let endpoint = request.endpoint.clone();
+                let silent = SilentRun::Request(&mut request);
+                if let Some(response) = self.replace_silent(&endpoint, silent).await? {
+                    return Ok(response);
+                }
+            };
+            self.handle_failure(&request.endpoint, failure)?;
+        }
+    }
+
+    fn request(&self, endpoint: SelectedEndpoint, placement: Option<Placement>) -> PendingRequest {
+        let (gateway, call) = (&self.gateway, &self.call);
+        let body = self.body.clone();
+        let request = EndpointRequest::new(gateway, call, body, self.last_event, endpoint);
+        PendingRequest::new(request, placement)
+    }
+
+    /// Waits for a response within the idle timeout, if there is one, and the deadline.
+    async fn response_within_timeout(
+        &self,
+        request: &mut PendingRequest,
+    ) -> Result<EndpointResponse, Failure> {
+        let remaining = self.call.remaining(self.gateway.clock.now());
+        let timeout = self.timeout().unwrap_or(remaining);
+        let response = tokio::time::timeout(remaining.min(timeout), request.response()).await;
+        response.unwrap_or(Err(match timeout < remaining {
+            true => Failure::Stalled,
+            false => Failure::TimedOut,
+        }))
+    }
+
+    /// Sends the request to other endpoints in place of one that has been silent for the idle
+    /// timeout, and stops the silent one as soon as another has accepted the request. Returns
+    /// `None` if the silent endpoint is to be waited for, because no other accepts the request
+    /// or because it is no longer silent.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal for the caller if an endpoint that had accepted the request failed
+    /// and no further endpoint may be tried.
+    pub async fn replace_silent(
+        &mut self,
+        endpoint: &EndpointIdentity,
+        mut silent: SilentRun<'_>,
+    ) -> Result<Option<EndpointResponse>, Refusal> {
+        let mut is_stopped = false;
+        let mut step = self.handle_failure(endpoint, Failure::Stalled);
+        // Endpoints that refused the request before may have room now.
+        let refused = std::mem::take(&mut self.refused_endpoints);
+        self.tried_endpoints
+            .retain(|tried| !refused.contains(tried));
+        loop {
+            let placed = match step {
+                Err(refusal) => Err(refusal),
+                Ok(()) if is_stopped => self.place().await,
+                Ok(()) => tokio::select! {
+                    biased;
+                    // No other endpoint is needed.
+                    () = silent.wait() => Err(Refusal::NoEndpointAvailable),
+                    placed = self.place() => placed,
+                },
+            };
+            let (endpoint, placement) = match placed {
+                Ok(placed) => placed,
+                Err(refusal) if is_stopped => return Err(refusal),
+                Err(_) => {
+                    self.attempt.keep_silent_run();
+                    return Ok(None);
+                }
+            };
+            let mut request = self.request(endpoint, placement);
+            if !is_stopped && !is_answered_soon(&mut request).await {
+                // Only one endpoint may work on the request.
+                silent.stop();
+                is_stopped = true;
+            }
+            match self.response_before_deadline(&mut request).await {
+                Ok(response) => {
+                    silent.stop();
+                    return Ok(Some(response));
+                }
+                Err(failure) => {
+                    if failure.may_have_run() {
+                        silent.stop();
+                        is_stopped = true;
+                    }
+                    step = self.handle_failure(&request.endpoint, failure);
                 }
-                Err(failure) => self.handle_failure(&endpoint.identity, failure)?,
             }
         }
     }
 
+    async fn response_before_deadline(
+        &self,
+        request: &mut PendingRequest,
+    ) -> Result<EndpointResponse, Failure> {
+        let remaining = self.call.remaining(self.gateway.clock.now());
+        let response = tokio::time::timeout(remaining, request.response()).await;
+        response.unwrap_or(Err(Failure::TimedOut))
+    }
+
     /// Refuses a turn whose time until its deadline is shorter than the shortest time to
     /// the first byte that this host observed. A turn that may have run is not refused,
     /// because a refusal states that it never ran.
@@ -166,6 +283,9 @@
         let now = self.gateway.clock.now();
         let remaining = self.call.remaining(now);
         self.report_failure(endpoint, failure, now);
+        if !failure.may_have_run() {
+            self.refused_endpoints.push(endpoint.clone());
+        }
         match self.attempt.next_step(&self.call.route, failure, remaining) {
             NextStep::TryAnother => Ok(()),
             NextStep::Refuse => Err(Refusal::NoEndpointAvailable),
@@ -304,144 +424,16 @@
         let cached = warm.map_or(0, |warm| warm.tokens);
         self.prompt_tokens().saturating_sub(cached)
     }
-
-    /// Sends the request to an endpoint and receives the head of the response
-    /// within the time limit.
-    async fn try_endpoint(&self, endpoint: &SelectedEndpoint) -> Result<EndpointResponse, Failure> {
-        let in_flight = self.gateway.start_endpoint_request(&endpoint.identity);
-        let remaining = self.call.remaining(self.gateway.clock.now());
-        let exchanging = self.send_request(endpoint, in_flight);
-        let timeout = self.timeout().unwrap_or(remaining);
-        let endpoint_response = tokio::time::timeout(remaining.min(timeout), exchanging).await;
-        endpoint_response.unwrap_or(Err(match timeout < remaining {
-            true => Failure::Stalled,
-            false => Failure::TimedOut,
-        }))
-    }
-
-    /// Sends the request to an endpoint and receives and checks the head of the
-    /// response.
-    async fn send_request(
-        &self,
-        endpoint: &SelectedEndpoint,
-        in_flight: OpenEndpointRequest,
-    ) -> Result<EndpointResponse, Failure> {
-        let mut connection = self.connect(endpoint).await?;
-        let sent_at = self.gateway.clock.now();
-        let request = self.build_request(endpoint, sent_at);
-        let response = connection.send(request).await.map_err(connection_failure)?;
-        let header = headers::decode_answer(response.headers());
-        let elapsed = self.gateway.clock.now().saturating_sub(sent_at);
-        let event = Event::new(EventKind::AnswerBegan).endpoint(&endpoint.identity.instance);
-        let mut event = event.status(response.status().as_u16()).elapsed(elapsed);
-        if header.is_close_delimited {
-            event = event.close_delimited();
-            self.call.request_log.set_close_delimited();
-            self.gateway.metrics.count_close_delimited_answer();
-        }
-        self.call.request_log.add_step(event);
-        self.check_response(&response, &header, endpoint)?;
-        if self.call.route.kind == RouteKind::Streaming {
-            let now = self.gateway.clock.now();
-            let mut admission = self.gateway.admission.borrow_mut();
-            admission.record_first_byte(&self.call.service, elapsed, now);
-        }
-        Ok(EndpointResponse {
-            response,
-            header,
-            connection,
-            in_flight,
-            placement: None,
-            sent_at,
-        })
-    }
-
-    /// Takes an idle connection from the pool, or opens one.
-    async fn connect(&self, endpoint: &SelectedEndpoint) -> Result<Connection, Failure> {
-        let now = self.gateway.clock.now();
-        let pooled = self.gateway.pool.borrow_mut().take(&endpoint.identity, now);
-        match pooled {
-            Some(connection) => Ok(connection),
-            None => {
-                self.gateway.metrics.count_connection();
-                Connection::open(endpoint.address)
-                    .await
-                    .map_err(connection_failure)
-            }
-        }
-    }
-
-    /// Builds the request for an endpoint, with the time that remains before the
-    /// deadline.
-    fn build_request(&self, endpoint: &SelectedEndpoint, now: Duration) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.call.method.clone();
-        // The target was parsed from a request line, so it is a valid URI.
-        *request.uri_mut() = self.call.target.parse().unwrap_or_default();
-        *request.headers_mut() = self.call.headers.clone();
-        let remaining = self.call.remaining(now);
-        headers::address_to(
-            request.headers_mut(),
-            &endpoint.identity.instance,
-            remaining,
-        );
-        if self.call.route.kind == RouteKind::Streaming {
-            headers::resume_after(request.headers_mut(), self.last_event);
-        }
-        request
-    }
-
-    /// Checks that a response belongs to this request and may be forwarded to the
-    /// caller. Records the load report that it carries.
-    fn check_response(
-        &self,
-        response: &Response<Incoming>,
-        header: &AnswerHeader,
-        endpoint: &SelectedEndpoint,
-    ) -> Result<(), Failure> {
-        let now = self.gateway.clock.now();
-        let mut directory = self.gateway.directory.borrow_mut();
-        if let Some(load) = header.load {
-            directory.record_report(&endpoint.identity, load, now);
-        }
-        let status = response.status().as_u16();
-        let is_mismatched = header.attempt.as_ref() != Some(&self.call.header.attempt);
-        if is_mismatched && header.attempt.is_some() {
-            return Err(Failure::Broken);
-        }
-        if header.not_run || status == 421 {
-            directory.record_rejection(&endpoint.identity, now);
-            return Err(Failure::Refused);
-        }
-        let is_unverified = is_mismatched || header.encoded || !header.stamped;
-        if response.status().is_success() && is_unverified {
-            return Err(Failure::Broken);
-        }
-        Ok(())
-    }
 }
 
-/// Converts a connection error into the failure of the exchange.
-fn connection_failure(error: ConnectionError) -> Failure {
-    match error {
-        ConnectionError::Connect(_) | ConnectionError::NotSent(_) => Failure::NotSent,
-        ConnectionError::Broken(_) => Failure::Broken,
-    }
-}
-
-impl EndpointResponse {
-    /// Returns the connection to the pool after the whole body was read.
-    pub fn return_connection(
-        gateway: &Gateway,
-        endpoint: &EndpointIdentity,
-        connection: Connection,
-        header: &AnswerHeader,
-    ) {
-        if header.closes || !gateway.directory.borrow().contains(endpoint) {
-            return;
+/// Returns whether a request was answered or failed within the time in which endpoints refuse
+/// requests. The time to connect does not count.
+async fn is_answered_soon(request: &mut PendingRequest) -> bool {
+    loop {
+        let was_sent = request.is_sent();
+        let answered = tokio::time::timeout(REFUSAL_TIMEOUT, request.wait()).await;
+        if answered.is_ok() || was_sent {
+            return answered.is_ok();
         }
-        let now = gateway.clock.now();
-        let mut pool = gateway.pool.borrow_mut();
-        pool.put(endpoint, connection, header.keep_alive, now);
     }
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod call;
 pub mod commits;
 pub mod dispatch;
+pub mod endpoint_request;
 pub mod engine_scheduling;
 pub mod entries;
 pub mod escrow;
--- a/gateway/src/plain.rs
+++ b/gateway/src/plain.rs
@@ -11,7 +11,8 @@
 use rosebend_platform::headers;
 
 use crate::call::{self, Call};
-use crate::exchange::{EndpointResponse, Exchange};
+use crate::endpoint_request::EndpointResponse;
+use crate::exchange::Exchange;
 use crate::gateway::Gateway;
 use crate::metrics::Timing;
 use crate::reply::{Refusal, Reply};
--- a/gateway/src/runs.rs
+++ b/gateway/src/runs.rs
@@ -3,7 +3,8 @@
 //! A run is one execution of the request at one endpoint. If a run fails and the route
 //! allows resumption, another endpoint continues the answer in a new run. The failed
 //! run is stopped by closing its connection before the next one is requested, so that
-//! two endpoints never work on the same answer at the same time.
+//! two endpoints never work on the same answer at the same time. A run that is only silent
+//! is stopped when another endpoint has accepted the request.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,8 +22,9 @@
 use rosebend_transport::event::{Event, EventKind};
 
 use crate::call::Call;
+use crate::endpoint_request::EndpointResponse;
 use crate::engine_scheduling::Placement;
-use crate::exchange::{EndpointResponse, Exchange};
+use crate::exchange::{Exchange, SilentRun};
 use crate::gateway::{Gateway, OpenEndpointRequest};
 use crate::interruption::Interruption;
 use crate::reply::Refusal;
@@ -36,6 +38,9 @@
     pub fresh: Bytes,
 }
 
+/// Result of the next read of a body; `None` at its end.
+type ReceivedFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
+
 /// A streamed answer and its current run.
 #[derive(Debug)]
 pub struct Runs {
@@ -57,8 +62,10 @@
 
 /// The answer of one endpoint while it is received.
 #[derive(Debug)]
-struct Run {
+pub struct Run {
     body: Incoming,
+    /// Frame that was received while another endpoint was tried.
+    received: Option<ReceivedFrame>,
     /// Connection to the endpoint, until the body is complete or the run is stopped.
     connection: Option<Connection>,
     header: AnswerHeader,
@@ -145,6 +152,7 @@
         loop {
             match self.next_chunk_of_run().await {
                 Ok(chunk) => return Ok(chunk),
+                Err(Failure::Stalled) => self.replace_silent_run().await?,
                 Err(failure) => self.resume(failure).await?,
             }
         }
@@ -180,20 +188,44 @@
     }
 
     async fn next_frame(&mut self) -> Result<Option<Frame<Bytes>>, Failure> {
-        let frame = match self.exchange.timeout() {
-            None => self.run.body.frame().await,
-            Some(timeout) => tokio::time::timeout(timeout, self.run.body.frame())
+        let is_resumable = self.series.resume_point() != ResumePoint::Impossible;
+        let frame = match self.exchange.timeout().filter(|_| is_resumable) {
+            None => self.run.next_frame().await,
+            Some(timeout) => tokio::time::timeout(timeout, self.run.next_frame())
                 .await
                 .map_err(|_| Failure::Stalled)?,
         };
         frame.transpose().map_err(|_| Failure::Broken)
     }
 
+    /// Resumes the stream at another endpoint because the current one is silent. If no other
+    /// endpoint accepts it, the run goes on.
+    async fn replace_silent_run(&mut self) -> Result<(), Interruption> {
+        if let ResumePoint::After(last) = self.series.resume_point() {
+            self.exchange.set_last_event(last);
+        }
+        let endpoint = self.endpoint().clone();
+        let silent = SilentRun::Stream(&mut self.run);
+        let replaced = self.exchange.replace_silent(&endpoint, silent).await;
+        let replaced = replaced.map_err(|refusal| self.interruption(refusal, Failure::Stalled))?;
+        let Some(endpoint_response) = replaced else {
+            return Ok(());
+        };
+        self.series.discard_partial();
+        let (head, run) = match endpoint_response.response.status().is_success() {
+            true => Run::start(endpoint_response),
+            false => {
+                self.record_unsuccessful(endpoint_response, Failure::Stalled)?;
+                self.next_run(Failure::Stalled).await?
+            }
+        };
+        self.continue_with(head, run, Failure::Stalled);
+        Ok(())
+    }
+
     /// Resumes the stream at another endpoint after the last complete event.
     async fn resume(&mut self, failure: Failure) -> Result<(), Interruption> {
-        // Closing the connection stops the work of the endpoint.
-        self.run.connection = None;
-        self.run.placement = None;
+        self.run.stop();
         let endpoint = self.run.endpoint_request.endpoint.clone();
         self.exchange
             .handle_failure(&endpoint, failure)
@@ -207,6 +239,12 @@
             ResumePoint::After(last) => self.exchange.set_last_event(last),
         }
         let (head, run) = self.next_run(failure).await?;
+        self.continue_with(head, run, failure);
+        Ok(())
+    }
+
+    /// Continues the answer with a run at another endpoint.
+    fn continue_with(&mut self, head: Parts, run: Run, failure: Failure) {
         let event =
             Event::new(EventKind::StreamResumed).endpoint(&run.endpoint_request.endpoint.instance);
         self.call
@@ -218,7 +256,6 @@
         if !self.has_forwarded {
             self.head = head;
         }
-        Ok(())
     }
 
     /// Starts a run at another endpoint. An unsuccessful answer can't be forwarded within
@@ -231,14 +268,23 @@
             if endpoint_response.response.status().is_success() {
                 return Ok(Run::start(endpoint_response));
             }
-            let endpoint = endpoint_response.in_flight.endpoint.clone();
-            drop(endpoint_response);
-            self.exchange
-                .handle_failure(&endpoint, Failure::Broken)
-                .map_err(|refusal| self.interruption(refusal, ended))?;
+            self.record_unsuccessful(endpoint_response, ended)?;
         }
     }
 
+    /// Records an unsuccessful answer as a failure of its endpoint.
+    fn record_unsuccessful(
+        &mut self,
+        endpoint_response: EndpointResponse,
+        ended: Failure,
+    ) -> Result<(), Interruption> {
+        let endpoint = endpoint_response.in_flight.endpoint.clone();
+        drop(endpoint_response);
+        self.exchange
+            .handle_failure(&endpoint, Failure::Broken)
+            .map_err(|refusal| self.interruption(refusal, ended))
+    }
+
     /// Returns the interruption of an answer that no endpoint resumes after a failure.
     fn interruption(&self, refusal: Refusal, failure: Failure) -> Interruption {
         match refusal {
@@ -254,6 +300,7 @@
         let (head, body) = endpoint_response.response.into_parts();
         let run = Self {
             body,
+            received: None,
             connection: Some(endpoint_response.connection),
             header: endpoint_response.header,
             endpoint_request: endpoint_response.in_flight,
@@ -264,6 +311,28 @@
         (head, run)
     }
 
+    /// Returns the next frame of the body, or `None` at its end. Dropping the future loses
+    /// nothing.
+    async fn next_frame(&mut self) -> ReceivedFrame {
+        match self.received.take() {
+            Some(received) => received,
+            None => self.body.frame().await,
+        }
+    }
+
+    /// Waits for the next frame of the body. Dropping the future loses nothing.
+    pub async fn wait(&mut self) {
+        if self.received.is_none() {
+            self.received = Some(self.body.frame().await);
+        }
+    }
+
+    /// Closes the connection, which stops the work of the endpoint, and releases the slot.
+    pub fn stop(&mut self) {
+        self.connection = None;
+        self.placement = None;
+    }
+
     /// Records the latency of the first bytes, which indicates the load of the endpoint.
     fn record_first_byte(&mut self, gateway: &Gateway) {
         if self.first_byte.is_some() {
--- a/gateway/src/turn.rs
+++ b/gateway/src/turn.rs
@@ -17,8 +17,9 @@
 use rosebend_transport::event::{Event, EventKind};
 
 use crate::call::{self, Call};
+use crate::endpoint_request::EndpointResponse;
 use crate::engine_scheduling;
-use crate::exchange::{EndpointResponse, Exchange, WarmEndpoint};
+use crate::exchange::{Exchange, WarmEndpoint};
 use crate::gateway::Gateway;
 use crate::plain;
 use crate::programs::{self, LedgerLookup};
--- a/gateway/src/turn_stream.rs
+++ b/gateway/src/turn_stream.rs
@@ -18,7 +18,8 @@
 use rosebend_transport::event::{Event, EventKind, log_event};
 
 use crate::call::Call;
-use crate::exchange::{EndpointResponse, Exchange};
+use crate::endpoint_request::EndpointResponse;
+use crate::exchange::Exchange;
 use crate::gateway::{Gateway, OpenRequest};
 use crate::interruption::Interruption;
 use crate::metrics::Timing;
--- a/gateway/tests/resume.rs
+++ b/gateway/tests/resume.rs
@@ -8,6 +8,8 @@
 use rosebend_transport::connection::Connection;
 use serde_json::{Value, json};
 use support::{Gateway, Site, TestRequest, TestResponse, routes, wait_until};
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
 
 const FIRST: usize = 0;
 const EVENTS: &str = "id: 0\ndata: word0\n\nid: 1\ndata: word1\n\nid: 2\ndata: word2\n\n";
@@ -206,6 +208,41 @@
     }
 }
 
+/// Guards against two endpoints that work on the same stream: a silent one has to stop when
+/// another one has accepted the stream, although that one has not begun to answer.
+#[actix_rt::test]
+async fn a_silent_endpoint_is_stopped_once_another_one_has_accepted_the_stream() {
+    let fixture = Fixture::start().await;
+    let first = &fixture.site.endpoints[FIRST].instance;
+    fixture.site.store.delete("servers", first);
+    wait_until("the first endpoint is withdrawn", async || {
+        !fixture.gateway.events("endpoint-withdrawn").is_empty()
+    })
+    .await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let site = &fixture.site;
+    site.announce_external("i-silent", "models", address);
+    fixture.until_listed("i-silent").await;
+    let slow = BackendFaults {
+        delay_ms: 1_500,
+        events: 1,
+        ..BackendFaults::default()
+    };
+    fixture.second_faults(slow).await;
+    let front = fixture.gateway.front;
+    let ask = stream("drafts", "a1", "x");
+    let answer = actix_rt::spawn(async move { ask.send(front).await });
+    let (mut silent, _) = listener.accept().await.unwrap();
+    let mut request = Vec::new();
+    silent.read_to_end(&mut request).await.unwrap();
+    assert!(request.starts_with(b"POST /drafts/stream "));
+    assert!(fixture.second_runs().await.contains_key("a1"));
+    assert!(!answer.is_finished());
+    let answer = answer.await.unwrap();
+    assert_eq!((answer.status, answer.is_complete), (200, true));
+}
+
 #[actix_rt::test]
 async fn a_stream_that_ends_within_an_event_is_resumed() {
     let at = BackendFaults {
