Let a turn wait for budget when its escrow grant is not extended

Callers saw streams whose connection closed before the end. A turn without history whose reservation was late ran on an escrow grant, which covers a part of its maximum output tokens. Still cut were turns that had none, because the store had been unreachable when they began, and turns whose reservation did not fit beside the shares of the slots.

The turn now waits. It asks again, also the next owner of the slot, waits for its late reservation, and otherwise moves the granted tokens into the ledger and reserves the rest of its maximum there. The slot can then be closed for the program, which frees its share. If neither comes before the deadline, the reason is grant-not-extended; if other turns have spent the rest of the budget, it is budget-spent.

Not kept: that a closed slot extends outstanding grants.

--- a/coordination/tests/escrow_sim/mod.rs
+++ b/coordination/tests/escrow_sim/mod.rs
@@ -40,6 +40,8 @@
     attempt: String,
     permit: Permit,
     tokens: u64,
+    /// Emitted tokens that were moved into the ledger because the grant was not extended.
+    settled_tokens: u64,
     escrow: EscrowTerms,
     has_retried: bool,
 }
@@ -402,6 +404,7 @@
             attempt,
             permit: Permit::Reserved,
             tokens: 0,
+            settled_tokens: 0,
             escrow,
             has_retried: false,
         };
@@ -420,7 +423,7 @@
     fn reserve(&mut self, host: usize, turn: &Turn, dead_processes: Vec<String>) -> u64 {
         let change = Change::Reserve {
             attempt: turn.attempt.clone(),
-            max_output_tokens: MAX_OUTPUT_TOKENS,
+            max_output_tokens: MAX_OUTPUT_TOKENS - turn.settled_tokens,
             budget_tokens: self.budget,
             dead_processes,
             escrow: turn.escrow.clone(),
@@ -464,12 +467,15 @@
             Permit::Pending(_) => return false,
             Permit::Reserved => Permit::Reserved,
             Permit::Granted(slot, grant, granted_tokens) => {
-                let granted_tokens = granted_tokens.max(total_tokens);
-                let request = self.grant_request(&grant, granted_tokens);
+                let needed_tokens = granted_tokens.max(total_tokens);
+                let request = self.grant_request(&grant, needed_tokens);
                 if self.ask(host, &slot, request) != Some(Reply::Granted) {
+                    if self.is_store_up {
+                        self.replace_grant(host, slot, grant, granted_tokens);
+                    }
                     return false;
                 }
-                Permit::Granted(slot, grant, granted_tokens)
+                Permit::Granted(slot, grant, needed_tokens)
             }
         };
         let turn = self.hosts[host].turns.front_mut().unwrap();
@@ -479,13 +485,35 @@
         true
     }
 
+    /// Moves the granted tokens of the host's oldest turn into the ledger, and requests a
+    /// reservation of the rest of its maximum.
+    fn replace_grant(&mut self, host: usize, slot: SlotId, grant: String, granted_tokens: u64) {
+        let mut turn = self.hosts[host].turns.pop_front().unwrap();
+        turn.settled_tokens = granted_tokens;
+        let change = Change::SettleGrant {
+            attempt: turn.attempt.clone(),
+            grant: grant.clone(),
+            tokens: granted_tokens,
+        };
+        let changes = &mut self.hosts[host].changes;
+        let change = changes.submit(PROGRAM.to_owned(), change);
+        let grant = Some((slot, grant));
+        let settlement = PendingSettlement { change, grant };
+        self.hosts[host].settlements.push(settlement);
+        turn.permit = Permit::Pending(self.reserve(host, &turn, Vec::new()));
+        self.hosts[host].turns.push_front(turn);
+    }
+
     /// Ends the host's oldest turn.
     pub fn end_turn(&mut self, host: usize) {
         let Some(turn) = self.hosts[host].turns.pop_front() else {
             return;
         };
         let (change, grant) = match turn.permit {
-            Permit::Pending(_) | Permit::Reserved => (settle(&turn.attempt, turn.tokens), None),
+            Permit::Pending(_) | Permit::Reserved => {
+                let tokens = turn.tokens.saturating_sub(turn.settled_tokens);
+                (settle(&turn.attempt, tokens), None)
+            }
             Permit::Granted(slot, grant, _) => {
                 let report = ProgramAsk::Report(grant.clone(), turn.tokens);
                 self.ask(host, &slot, Ask::Program(PROGRAM.to_owned(), report));
--- a/gateway/src/interruption.rs
+++ b/gateway/src/interruption.rs
@@ -18,9 +18,14 @@
     /// The deadline of the request passed.
     #[error("the deadline passed")]
     DeadlineExceeded,
-    /// The turn ran on an escrow grant that did not cover its events and was not extended.
-    #[error("the turn's escrow grant could not be extended")]
+    /// The turn ran on an escrow grant that did not cover its events, and was not extended or
+    /// replaced by a reservation before the deadline.
+    #[error("the turn's escrow grant could not be extended before the deadline")]
     GrantNotExtended,
+    /// The turn ran on an escrow grant that did not cover its events, and other turns have
+    /// spent the rest of the program's budget.
+    #[error("the program's budget does not hold the rest of the turn")]
+    BudgetSpent,
     /// The program's ledger could not be decoded, so that the turn was not recorded.
     #[error("the program's ledger could not be decoded")]
     RecordUnreadable,
@@ -50,6 +55,7 @@
             Self::EndpointSilent => "endpoint-silent",
             Self::DeadlineExceeded => "time-is-up",
             Self::GrantNotExtended => "grant-not-extended",
+            Self::BudgetSpent => "budget-spent",
             Self::RecordUnreadable => "record-unreadable",
             Self::RecordNotDurable => "record-not-durable",
         }
--- a/gateway/src/spending.rs
+++ b/gateway/src/spending.rs
@@ -21,6 +21,7 @@
 use crate::reply::Refusal;
 
 mod full_budget;
+mod granted;
 
 /// Number of further turns of the same size for which the program's budget must have room
 /// if a turn is to be sent before its reservation is durable. Sub-agents on other
@@ -61,7 +62,7 @@
     tokens_per_event: u64,
     /// Number of events that were delivered.
     emitted_events: u64,
-    /// Maximum output tokens of the turn.
+    /// Maximum output tokens of the turn, without `settled_tokens`.
     max_output_tokens: u64,
     /// Budget of the program, in tokens.
     budget_tokens: u64,
@@ -73,6 +74,14 @@
     pending_reservation: Option<oneshot::Receiver<Outcome>>,
     /// Grant on which the turn runs, if it has no reservation.
     grant: Option<Grant>,
+    /// Whether a turn with a grant has a reservation, too, so that its grant need not cover
+    /// its events.
+    is_reserved: bool,
+    /// Tokens of the turn that are in the ledger as a settled grant. The reservation is for the
+    /// others.
+    settled_tokens: u64,
+    /// Whether events were counted that the grant does not cover yet.
+    is_uncovered: bool,
     is_settled: bool,
 }
 
@@ -104,6 +113,9 @@
             escrow: escrow_terms(call, header, max_output_tokens),
             pending_reservation: None,
             grant: None,
+            is_reserved: false,
+            settled_tokens: 0,
+            is_uncovered: false,
             is_settled: false,
         };
         if let Err(refusal) = gateway.check_reachable(&program) {
@@ -202,41 +214,6 @@
         }
     }
 
-    /// Extends the turn's grant, if it has one, to cover all events that were counted. If
-    /// the owner does not extend it, because it stops or its share is used up, the turn
-    /// waits for its reservation, which covers its maximum output tokens. Returns whether
-    /// the events may be delivered.
-    pub async fn ensure_grant_covers_events(&mut self) -> bool {
-        let Some(grant) = &self.grant else {
-            return true;
-        };
-        let tokens = escrow::extend(
-            &self.gateway,
-            &self.grant_context(),
-            grant,
-            self.emitted_tokens(),
-        )
-        .await;
-        let tokens = match tokens {
-            Some(tokens) => tokens,
-            None if self.is_reserved().await => self.max_output_tokens,
-            None => return false,
-        };
-        if let Some(grant) = &mut self.grant {
-            grant.tokens = tokens;
-        }
-        true
-    }
-
-    /// Waits for the reservation of a turn that runs on a grant, and returns whether it is
-    /// durable.
-    async fn is_reserved(&mut self) -> bool {
-        let Some(pending_reservation) = self.pending_reservation.take() else {
-            return false;
-        };
-        matches!(pending_reservation.await, Ok(Outcome::Durable))
-    }
-
     /// Requests a reservation of the turn's maximum output tokens. Reservations of
     /// `dead_processes` may be written off if the turn does not fit the budget otherwise.
     fn request_reservation(&mut self, dead_processes: Vec<ProcessId>) {
@@ -357,13 +334,18 @@
         self.emitted_events * self.tokens_per_event
     }
 
+    /// Returns the number of tokens that were delivered and are not in the ledger.
+    fn unsettled_tokens(&self) -> u64 {
+        self.emitted_tokens().saturating_sub(self.settled_tokens)
+    }
+
     /// Replaces the reservation with the tokens that were delivered. `rows` become
     /// durable in the same transaction. The returned receiver yields the outcome.
     pub fn settle(&mut self, rows: Vec<RowWrite>) -> oneshot::Receiver<Outcome> {
         self.is_settled = true;
         let change = Change::Settle {
             attempt: self.attempt.clone(),
-            tokens: self.emitted_tokens(),
+            tokens: self.unsettled_tokens(),
             rows,
         };
         self.gateway.commits.submit(self.program.clone(), change)
@@ -374,11 +356,11 @@
     pub fn settle_later(&mut self) {
         self.is_settled = true;
         if let Some(grant) = self.grant.take() {
-            return self.settle_grant(grant);
+            return self.settle_grant(grant, self.emitted_tokens());
         }
         let change = Change::Settle {
             attempt: self.attempt.clone(),
-            tokens: self.emitted_tokens(),
+            tokens: self.unsettled_tokens(),
             rows: Vec::new(),
         };
         self.gateway
@@ -386,15 +368,15 @@
             .submit_deferred(self.program.clone(), change);
     }
 
-    fn settle_grant(&self, grant: Grant) {
+    fn settle_grant(&self, grant: Grant, tokens: u64) {
         let change = Change::SettleGrant {
             attempt: self.attempt.clone(),
             grant: grant.id.clone(),
-            tokens: self.emitted_tokens(),
+            tokens,
         };
         let outcome = self.gateway.commits.submit(self.program.clone(), change);
         let gateway = Rc::clone(&self.gateway);
-        let (program, tokens) = (self.program.clone(), self.emitted_tokens());
+        let program = self.program.clone();
         actix_rt::spawn(escrow::settle(gateway, program, grant, tokens, outcome));
     }
 }
@@ -405,7 +387,7 @@
             return;
         }
         match self.grant.take() {
-            Some(grant) => self.settle_grant(grant),
+            Some(grant) => self.settle_grant(grant, self.emitted_tokens()),
             // The settlement is sent at once, because the caller may retry immediately at
             // another host.
             None => drop(self.settle(Vec::new())),
--- a/gateway/src/turn_stream.rs
+++ b/gateway/src/turn_stream.rs
@@ -135,13 +135,22 @@
     async fn next(&mut self) -> Result<Option<Bytes>, Interruption> {
         let deadline_instant = self.gateway.clock.instant(self.call.deadline);
         let next = tokio::time::timeout_at(deadline_instant, self.next_chunk()).await;
-        let next = next.unwrap_or(Err(Interruption::DeadlineExceeded));
+        let next = next.unwrap_or_else(|_| Err(self.deadline_interruption()));
         if let Err(interruption) = next {
             self.record_interruption(interruption);
         }
         next
     }
 
+    /// Returns the interruption of an answer whose deadline passed.
+    fn deadline_interruption(&self) -> Interruption {
+        let spending = self.durable_state.spending.as_ref();
+        match spending.is_some_and(Spending::is_uncovered) {
+            true => Interruption::GrantNotExtended,
+            false => Interruption::DeadlineExceeded,
+        }
+    }
+
     /// Records why the answer ended early.
     fn record_interruption(&self, interruption: Interruption) {
         let event = Event::new(EventKind::AnswerBroken).reason(interruption.as_str());
@@ -162,10 +171,8 @@
     async fn next_chunk(&mut self) -> Result<Option<Bytes>, Interruption> {
         while let Some(chunk) = self.runs.next().await? {
             let bytes = self.process(chunk);
-            if let Some(spending) = &mut self.durable_state.spending
-                && !spending.ensure_grant_covers_events().await
-            {
-                return Err(Interruption::GrantNotExtended);
+            if let Some(spending) = &mut self.durable_state.spending {
+                spending.cover_events(&self.call).await?;
             }
             if !bytes.is_empty() {
                 return Ok(Some(bytes));
