Write open responses before a stopping process exits

Callers saw connections that closed with a part of an answer, or without one, when a host was stopped as planned. A response counted as ended when it was handed to its connection. A process exited 0.3 s after the last one, although a slow caller had read a part only. And a request that was still open when the time to stop was over ended without an answer.

A stopping process now waits until the connections of its callers are closed, which they are as soon as their last response is written. When the time is over, requests without a response are answered with 502 outcome-unknown, and the process waits up to 100 ms until that is written. Streams that have begun end with process-stopped, as before.

--- a/gateway/src/dispatch.rs
+++ b/gateway/src/dispatch.rs
@@ -24,14 +24,22 @@
     let _open = gateway.open_request();
     let arrived = gateway.clock.now();
     let accepts_chunks = request.version() >= Version::HTTP_11;
-    let headers = intake::to_http(request.headers());
-    let response = match intake::read(&gateway, request, &headers, arrived).await {
-        Ok(call) => serve(&gateway, call).await,
-        Err(refusal) => refuse_without_call(&gateway, &headers, refusal, arrived),
+    let response = async {
+        let headers = intake::to_http(request.headers());
+        let response = match intake::read(&gateway, request, &headers, arrived).await {
+            Ok(call) => serve(&gateway, call).await,
+            Err(refusal) => refuse_without_call(&gateway, &headers, refusal, arrived),
+        };
+        match accepts_chunks {
+            true => response,
+            false => with_whole_body(response).await,
+        }
     };
-    let response = match accepts_chunks {
-        true => response,
-        false => with_whole_body(response).await,
+    let response = tokio::select! {
+        biased;
+        response = response => response,
+        // The request may have run. The drop of its log records why it ended.
+        () = gateway.until_exiting() => Reply::Problem(Refusal::OutcomeUnknown).into_response(),
     };
     close_if_stopping(&gateway, response)
 }
--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -139,25 +139,32 @@
     timeouts: ConnectionTimeouts,
     closing: watch::Receiver<bool>,
 ) -> ConnectionHandler {
+    let handled = Rc::clone(&gateway);
     let handler = move |request: Request| {
-        let gateway = Rc::clone(&gateway);
+        let gateway = Rc::clone(&handled);
         async move { Ok::<_, Infallible>(dispatch::handle_request(gateway, request).await) }
     };
-    connection_handler(handler, timeouts, closing)
+    connection_handler(handler, timeouts, closing, move || {
+        gateway.open_connection()
+    })
 }
 
 /// Creates a handler that serves each connection in a task of its own and answers
-/// its requests with `handler`.
-fn connection_handler<F, R>(
+/// its requests with `handler`. The value that `open` returns is dropped when the connection is
+/// closed.
+fn connection_handler<F, R, G>(
     handler: F,
     timeouts: ConnectionTimeouts,
     closing: watch::Receiver<bool>,
+    open: impl Fn() -> G + 'static,
 ) -> ConnectionHandler
 where
     F: Fn(Request) -> R + Clone + 'static,
     R: Future<Output = Result<Response<BoxBody>, Infallible>> + 'static,
+    G: 'static,
 {
     Rc::new(move |stream, peer| {
+        let open = open();
         let closing = closing.clone();
         let service = HttpService::build()
             .keep_alive(timeouts.idle_timeout)
@@ -172,6 +179,7 @@
             };
             // The outcome of each request on the connection is in the log of that request.
             let _ = service.call((stream, Some(peer))).await;
+            drop(open);
         });
     })
 }
@@ -203,7 +211,7 @@
         idle_timeout: DEFAULT_IDLE_TIMEOUT,
     };
     let (_sender, never_closing) = watch::channel(false);
-    let serve = connection_handler(handler, timeouts, never_closing);
+    let serve = connection_handler(handler, timeouts, never_closing, || ());
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => serve(stream, peer),
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -21,6 +21,7 @@
 use rosebend_transport::event::{Event, EventKind, log_event};
 use rosebend_transport::store::StoreClient;
 use rosebend_util::random_id;
+use tokio::sync::Notify;
 
 use crate::batched_commits::BatchedCommits;
 use crate::commits::Commits;
@@ -93,10 +94,15 @@
     pub crashes: RefCell<CrashCounts>,
     /// Number of requests that callers wait for.
     open_requests: Cell<u64>,
+    /// Number of connections of callers. A connection remains open until its last response is
+    /// written.
+    open_connections: Cell<u64>,
     /// Whether the process has been asked to stop.
     stopping: Cell<bool>,
     /// Whether the process is about to exit.
     is_exiting: Rc<Cell<bool>>,
+    /// Notifies the requests that wait for the process to exit.
+    exiting: Notify,
     /// Whether the host was ready for callers when this was last checked.
     was_ready: Cell<bool>,
 }
@@ -154,8 +160,10 @@
             holders: HolderAddresses::default(),
             crashes: RefCell::default(),
             open_requests: Cell::new(0),
+            open_connections: Cell::new(0),
             stopping: Cell::new(false),
             is_exiting: Rc::default(),
+            exiting: Notify::new(),
             was_ready: Cell::new(false),
             settings: RefCell::new(Rc::new(settings)),
         }
@@ -290,9 +298,18 @@
         self.stopping.get()
     }
 
-    /// Marks the process as about to exit. Requests that are still open then end with it.
+    /// Marks the process as about to exit. Requests that are still open then end.
     pub fn set_exiting(&self) {
         self.is_exiting.set(true);
+        self.exiting.notify_waiters();
+    }
+
+    /// Waits until the process is about to exit.
+    pub async fn until_exiting(&self) {
+        let exiting = self.exiting.notified();
+        if !self.is_exiting.get() {
+            exiting.await;
+        }
     }
 
     /// Returns a flag that is set before the process exits.
@@ -341,6 +358,17 @@
         self.open_requests.get()
     }
 
+    /// Counts a connection of a caller as open until the returned guard is dropped.
+    pub fn open_connection(self: &Rc<Self>) -> OpenConnection {
+        self.open_connections.set(self.open_connections.get() + 1);
+        OpenConnection(Rc::clone(self))
+    }
+
+    /// Returns the number of open connections of callers.
+    pub fn open_connections(&self) -> u64 {
+        self.open_connections.get()
+    }
+
     /// Counts a request as running at an endpoint until the returned guard is dropped.
     pub fn start_endpoint_request(
         self: &Rc<Self>,
@@ -373,6 +401,17 @@
     }
 }
 
+/// A guard that counts a connection of a caller as open until it is dropped.
+#[derive(Debug)]
+pub struct OpenConnection(Rc<Gateway>);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        let open = self.0.open_connections.get();
+        self.0.open_connections.set(open - 1);
+    }
+}
+
 /// A guard that counts a request as running at an endpoint until it is dropped.
 #[derive(Debug)]
 pub struct OpenEndpointRequest {
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -27,8 +27,12 @@
 const STOP_WRITE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Interval at which a stopping process checks for open requests.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Time without open requests or changes after which a stopping process ends. A request that
-/// a caller has already sent may not have been read yet.
+/// Time for which a process that exits with open requests writes their last responses.
+const FLUSH_TIME: Duration = Duration::from_millis(100);
+/// Interval at which it checks whether they are written.
+const FLUSH_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Time without open requests, connections or changes after which a stopping process ends. A
+/// request that a caller has already sent may not have been read yet.
 const IDLE_TIME: Duration = Duration::from_millis(300);
 
 /// The reason for which the process failed.
@@ -115,7 +119,8 @@
     Ok(listener)
 }
 
-/// Stops the process: waits for open requests to end, gives up the escrow slots and deletes
+/// Stops the process: waits until open requests have ended and their responses are written,
+/// responds to those that have not ended in time, gives up the escrow slots and deletes
 /// the row in the table of gateways. It ends before the platform would kill the process.
 async fn stop(gateway: &Gateway, close: &watch::Sender<bool>) {
     gateway.stop();
@@ -132,13 +137,17 @@
     while gateway.clock.now() < deadline {
         tokio::time::sleep(STOP_POLL_INTERVAL).await;
         release_slots(gateway).await;
-        if gateway.open_requests() > 0 || gateway.commits.open_changes() > 0 {
+        let open_changes = gateway.commits.open_changes() as u64;
+        if gateway.open_requests() + gateway.open_connections() + open_changes > 0 {
             idle_since = gateway.clock.now();
         }
         if gateway.clock.now().saturating_sub(idle_since) > IDLE_TIME {
             break;
         }
     }
+    let open = gateway.open_requests();
+    let flush_deadline = gateway.clock.now() + FLUSH_TIME;
+    gateway.set_exiting();
     if !gateway.store.is_reachable() {
         let remaining = deadline.saturating_sub(gateway.clock.now());
         tokio::time::sleep(escrow::slot_release::hand_over_delay(gateway).min(remaining)).await;
@@ -150,13 +159,15 @@
         tokio::time::timeout(STOP_WRITE_TIMEOUT, give_up_slots(gateway)),
         tokio::time::timeout(STOP_WRITE_TIMEOUT, peers::remove_row(gateway)),
     );
+    while gateway.open_connections() > 0 && gateway.clock.now() < flush_deadline {
+        tokio::time::sleep(FLUSH_POLL_INTERVAL).await;
+    }
 
-    let kind = match gateway.open_requests() {
+    let kind = match open {
         0 => EventKind::ProcessStopped,
         _ => EventKind::StopTimedOut,
     };
-    log_event(&Event::new(kind).count(gateway.open_requests()));
-    gateway.set_exiting();
+    log_event(&Event::new(kind).count(open));
 }
 
 /// Releases escrow slots in the store as soon as it is reachable, because a stopping process
