--- a/coordination/tests/gateway_escrow.rs
+++ b/coordination/tests/gateway_escrow.rs
@@ -483,3 +483,18 @@
         assert_eq!(SlotId::from_key(key), None, "{key}");
     }
 }
+
+/// Guards against a program that spends the shares of its slots in each outage anew, because
+/// grants that are in the ledger no longer count against the share.
+#[test]
+fn repeated_outages_overspend_at_most_one_turn() {
+    let budget = 6 * MAX_OUTPUT_TOKENS;
+    let mut simulation = Simulation::new(HOSTS, budget);
+    for _ in 0..4 {
+        simulation.is_store_up = false;
+        simulation.spend_all(0);
+        simulation.is_store_up = true;
+        simulation.flush(0);
+    }
+    assert!(simulation.emitted_tokens <= budget + MAX_OUTPUT_TOKENS);
+}
