--- a/gateway/tests/lifecycle.rs
+++ b/gateway/tests/lifecycle.rs
@@ -139,6 +139,45 @@
     assert_eq!(gateway.exit_code().await, Some(0));
 }
 
+/// Guards against an answer that ends early because a version removes its route and its service,
+/// and changes the limits of connections.
+#[actix_rt::test]
+async fn a_version_without_the_route_completes_open_answers() {
+    let site = Site::start();
+    let gateway = site.start_ready_gateway().await;
+    let slow = BackendFaults {
+        delay_ms: 200,
+        events: 6,
+        ..BackendFaults::default()
+    };
+    site.set_endpoint_faults(MODELS, &slow).await;
+    for (attempt, path) in [("t1", "/stream/turn"), ("t2", "/unkept/stream/turn")] {
+        let front = gateway.front;
+        let turn = TestRequest::turn(attempt, attempt, "x").at_path(path);
+        let answer = actix_rt::spawn(async move { turn.send(front).await });
+        wait_until("the turn runs", async || site.run_count(attempt).await == 1).await;
+        let version = gateway.events("routes-in-force").len() as u64 + 1;
+        let mut next = support::routes(version);
+        let lookup = next["routes"][1].clone();
+        next["routes"] = json!([lookup]);
+        next["services"] = json!([next["services"][1]]);
+        next["limits"]["idle-timeout-ms"] = json!(1_000);
+        site.store.put("op", "config", &next);
+        wait_until("the version is in force", async || {
+            gateway.events("routes-in-force").len() as u64 == version
+        })
+        .await;
+        assert!(!answer.is_finished());
+        let answer = answer.await.unwrap();
+        assert_eq!((answer.status, answer.is_complete), (200, true));
+        site.declare_routes(version + 1);
+        wait_until("the route is in force again", async || {
+            gateway.events("routes-in-force").len() as u64 == version + 1
+        })
+        .await;
+    }
+}
+
 /// Guards against a process that exits before a slow caller has the answer, because the answer
 /// had been handed to its connection.
 #[actix_rt::test]
--- a/gateway/tests/soak.rs
+++ b/gateway/tests/soak.rs
@@ -6,9 +6,9 @@
 //!
 //! ```text
 //! ROSEBEND_SOAK_SEEDS=100-149 ROSEBEND_SOAK_SECONDS=20 \
-//!     cargo test -p rosebend-gateway --test soak -- --nocapture
+//!     cargo test -p rosebend-gateway --test soak the_promises -- --nocapture
 //! ROSEBEND_SOAK_SEEDS=200 ROSEBEND_SOAK_SECONDS=60 ROSEBEND_SOAK_HOSTS=200 \
-//!     cargo test -p rosebend-gateway --test soak -- --nocapture
+//!     cargo test -p rosebend-gateway --test soak the_promises -- --nocapture
 //! ```
 //!
 //! The soak of planned work takes the same variables. It is run by
