--- a/gateway/src/endpoint_request.rs
+++ b/gateway/src/endpoint_request.rs
@@ -38,7 +38,7 @@
     pub sent_at: Duration,
 }
 
-/// A request to an endpoint.
+/// A request to an endpoint that is not sent yet.
 #[derive(Debug)]
 pub struct EndpointRequest {
     gateway: Rc<Gateway>,
@@ -51,7 +51,7 @@
     is_sent: Rc<Cell<bool>>,
 }
 
-/// A request that was sent and whose response has not been returned yet.
+/// A request to an endpoint while its response is waited for. It is sent with the first wait.
 pub struct PendingRequest {
     /// Endpoint that received the request.
     pub endpoint: EndpointIdentity,
@@ -63,13 +63,14 @@
 }
 
 enum PendingState {
+    /// The future sends the request when it is first polled.
     Waiting(Pin<Box<dyn Future<Output = Result<EndpointResponse, Failure>>>>),
     Arrived(Box<Result<EndpointResponse, Failure>>),
     Cancelled,
 }
 
 impl PendingRequest {
-    /// Creates a request that is sent while it is waited for.
+    /// Creates a request that is not sent yet.
     pub fn new(request: EndpointRequest, placement: Option<Placement>) -> Self {
         Self {
             endpoint: request.endpoint.identity.clone(),
@@ -104,6 +105,7 @@
                 response.placement = self.placement.take();
                 Ok(response)
             }
+            // A request that was cancelled has no response.
             PendingState::Waiting(_) | PendingState::Cancelled => Err(Failure::NotSent),
         }
     }
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -145,7 +145,7 @@
             break;
         }
     }
-    let open = gateway.open_requests();
+    let unanswered = gateway.open_requests();
     let flush_deadline = gateway.clock.now() + FLUSH_TIME;
     gateway.set_exiting();
     if !gateway.store.is_reachable() {
@@ -163,11 +163,11 @@
         tokio::time::sleep(FLUSH_POLL_INTERVAL).await;
     }
 
-    let kind = match open {
+    let kind = match unanswered {
         0 => EventKind::ProcessStopped,
         _ => EventKind::StopTimedOut,
     };
-    log_event(&Event::new(kind).count(open));
+    log_event(&Event::new(kind).count(unanswered));
 }
 
 /// Releases escrow slots in the store as soon as it is reachable, because a stopping process
