--- a/gateway/src/turn_stream.rs
+++ b/gateway/src/turn_stream.rs
@@ -109,7 +109,9 @@
         .next()
         .await
         .map_err(|interruption| match interruption {
-            Interruption::DeadlineExceeded => Refusal::DeadlineExceeded,
+            Interruption::DeadlineExceeded | Interruption::GrantNotExtended => {
+                Refusal::DeadlineExceeded
+            }
             _ => Refusal::OutcomeUnknown,
         })?;
     // The head is that of the first run whose events are forwarded, even if the stream is
