--- a/gateway/src/spending/full_budget.rs
+++ b/gateway/src/spending/full_budget.rs
@@ -102,7 +102,7 @@
 
     /// Returns the reason why the budget has no room for the turn. The result is
     /// meaningful only if the turn does not fit.
-    fn filled_by(&self) -> FilledBy {
+    pub(super) fn filled_by(&self) -> FilledBy {
         let account = self.gateway.commits.account(&self.program);
         account.filled_by(self.max_output_tokens, self.budget_tokens)
     }
--- a/gateway/src/spending/granted.rs
+++ b/gateway/src/spending/granted.rs
@@ -8,6 +8,7 @@
 
 use std::time::Duration;
 
+use rosebend_coordination::gateway::ledger::FilledBy;
 use rosebend_coordination::gateway::pending_changes::Outcome;
 
 use super::Spending;
@@ -83,8 +84,11 @@
             self.request_reservation(Vec::new());
             match self.wait_for_reservation(call).await {
                 Ok(()) => return Ok(()),
-                Err(Refusal::BudgetSpent) => return Err(Interruption::BudgetSpent),
-                // Other turns are being settled, or the owner of a slot does not respond.
+                Err(Refusal::BudgetSpent) if self.filled_by() == FilledBy::Spent => {
+                    return Err(Interruption::BudgetSpent);
+                }
+                // Other turns are running or being settled, or the owner of a slot does not
+                // respond.
                 Err(_) => tokio::time::sleep(RETRY_INTERVAL).await,
             }
         }
--- a/gateway/tests/outage.rs
+++ b/gateway/tests/outage.rs
@@ -284,6 +284,29 @@
     assert_whole(blocking).await;
 }
 
+/// Guards against an answer that is cut because running turns have reserved the rest of the
+/// budget, although they settle for less.
+#[actix_rt::test]
+async fn a_turn_on_a_grant_waits_for_running_turns_that_reserved_the_rest() {
+    let site = Site::start();
+    let gateways = two_owners(&site).await;
+    let first = turn("a0", "p1", 310).send(gateways[0].front).await;
+    assert_eq!(first.status, 200);
+    end_outage(&site, &gateways).await;
+    set_answers(&site, 150, 9).await;
+    start_outage(&site, &gateways).await;
+    let granted = start_turn(&site, &gateways[0], turn("a1", "p1", 310)).await;
+    site.set_store_faults(&StoreFaults::default()).await;
+    gateways[1].wait_until_ready().await;
+    // 30 tokens are spent. With these two, 230 are spent or reserved, and the slot of the turn
+    // on the grant withholds a share of 77.
+    let second = start_turn(&site, &gateways[1], turn("a2", "p1", 310)).await;
+    let third = start_turn(&site, &gateways[1], turn("a3", "p1", 310)).await;
+    assert_whole(granted).await;
+    assert_whole(second).await;
+    assert_whole(third).await;
+}
+
 /// Guards against an answer that is cut because the owner of its turn's slot stops as planned.
 #[actix_rt::test]
 async fn a_turn_on_a_grant_is_whole_after_the_owners_of_its_slots_stopped() {
