--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -72,6 +72,17 @@
         site
     }
 
+    /// Starts a site whose routes have a timeout that no test reaches, also on a busy machine.
+    pub fn with_long_timeouts() -> Self {
+        let site = Self::without_routes();
+        let mut config = routes(1);
+        for route in config["routes"].as_array_mut().unwrap() {
+            route["timeout-ms"] = json!(20_000);
+        }
+        site.store.put("op", "config", &config);
+        site
+    }
+
     /// Starts a site with routes and endpoints, and a gateway, and waits until
     /// the gateway accepts callers.
     pub async fn start_with_gateway() -> (Self, Gateway) {
