Review: a transaction of more than 1 MB is repeated without end

Cause: the records of turns that end in an outage are joined, and the limit of bytes is compared before a record is added and not after. The store refuses the transaction as too large, which counts as an unknown outcome, so that it is built and sent again for ever. No other change of the partition is committed at that host until its process ends.

The programs of the scripts count runs in one pass and record the memory of the gateways.

--- a/review/harness/src/bin/short_retention.rs
+++ b/review/harness/src/bin/short_retention.rs
@@ -106,6 +106,7 @@
         (continued, begun.join().unwrap_or_default())
     });
     site.record_store_stats(&record);
+    site.record_memory(&record);
     Ok(lost::judge(&site, &record, &continued, &begun)?)
 }
 
--- a/review/harness/src/lost.rs
+++ b/review/harness/src/lost.rs
@@ -12,7 +12,7 @@
 
 /// Judges turns that continued a turn answered whole less than the retention ago. Their
 /// programs' aim had not passed, the gateways were in touch, and the servers were nearly
-/// idle. `begun` are the first turns of other programs in the same time.
+/// idle. `begun` are the turns without a predecessor that were sent in the same time.
 ///
 /// # Errors
 ///
@@ -24,24 +24,26 @@
     continued: &[Vec<Try>],
     begun: &[Vec<Try>],
 ) -> io::Result<Verdict> {
-    let reached = |tries: &[Try]| -> io::Result<bool> {
-        let attempts = tries.iter().map(|sent| sent.attempt.as_str());
-        let counts = site.run_counts(attempts)?;
-        for (attempt, count) in &counts {
-            record.line(&format!("attempt {attempt} was run {count} times"));
+    let counts = site.run_counts()?;
+    let reached = |tries: &[Try]| {
+        let mut has_reached = false;
+        for sent in tries {
+            let count = counts.get(&sent.attempt).copied().unwrap_or(0);
+            record.line(&format!("attempt {} was run {count} times", sent.attempt));
+            has_reached |= count > 0;
         }
-        Ok(counts.iter().any(|(_, count)| *count > 0))
+        has_reached
     };
     let mut lost = 0;
     let mut unanswered = 0;
     for tries in continued {
-        let has_reached = reached(tries)?;
+        let has_reached = reached(tries);
         unanswered += usize::from(!is_whole(tries));
         lost += usize::from(tries.len() >= MIN_TRIES && !has_reached);
     }
     let mut begun_reached = 0;
     for tries in begun {
-        begun_reached += usize::from(reached(tries)?);
+        begun_reached += usize::from(reached(tries));
     }
     record.line(&format!(
         "of {} turns that continue a turn answered whole, {unanswered} were not answered, and \
--- a/review/harness/src/process.rs
+++ b/review/harness/src/process.rs
@@ -102,6 +102,11 @@
 }
 
 impl Process {
+    /// Returns the id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns whether the process has not ended.
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
--- a/review/harness/src/site.rs
+++ b/review/harness/src/site.rs
@@ -1,6 +1,7 @@
 //! A small deployment: the platform's store behind a proxy, endpoints of two services, and
 //! gateways.
 
+use std::collections::HashMap;
 use std::fmt::Write as _;
 use std::fs;
 use std::io;
@@ -30,6 +31,7 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_200);
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+const RUNS_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Availability zone of the endpoints.
 pub const ZONE: &str = "newport-hall";
@@ -178,23 +180,29 @@
         Ok(())
     }
 
-    /// Returns how often the endpoints ran an attempt.
+    /// Returns how often the endpoints ran each attempt.
     ///
     /// # Errors
     ///
     /// Returns an error if an endpoint does not tell.
-    pub fn run_counts<'a>(
-        &self,
-        attempts: impl Iterator<Item = &'a str>,
-    ) -> io::Result<Vec<(&'a str, u64)>> {
-        let mut pages = Vec::new();
+    pub fn run_counts(&self) -> io::Result<HashMap<String, u64>> {
+        let mut counts = HashMap::new();
         for endpoint in &self.endpoints {
-            let response = Request::new("GET", "/runs").send(endpoint.address, CALL_TIMEOUT);
+            let response = Request::new("GET", "/runs").send(endpoint.address, RUNS_TIMEOUT);
             check(&response, "endpoint")?;
-            pages.push(response.text());
+            add_runs(&response.text(), &mut counts);
+        }
+        Ok(counts)
+    }
+
+    /// Writes the most memory that each gateway has used to the record.
+    pub fn record_memory(&self, record: &Record) {
+        for gateway in &self.gateways {
+            let status = format!("/proc/{}/status", gateway.process.id());
+            let status = fs::read_to_string(status).unwrap_or_default();
+            let most = status.lines().find(|line| line.starts_with("VmHWM"));
+            record.line(&format!("{}: {}", gateway.name, most.unwrap_or("ended")));
         }
-        let count = |attempt: &str| pages.iter().map(|page| runs_on_page(page, attempt)).sum();
-        Ok(attempts.map(|attempt| (attempt, count(attempt))).collect())
     }
 
     /// Writes what the store has done to the record.
@@ -413,14 +421,15 @@
     }
 }
 
-/// Returns how often an endpoint's page says that it ran an attempt.
-fn runs_on_page(page: &str, attempt: &str) -> u64 {
-    let entry = format!("\"{attempt}\":{{\"count\":");
-    let Some((_, rest)) = page.split_once(&entry) else {
-        return 0;
-    };
-    let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
-    digits.parse().unwrap_or(0)
+/// Adds the counts of an endpoint's page, an object of attempts.
+fn add_runs(page: &str, counts: &mut HashMap<String, u64>) {
+    const SEPARATOR: &str = "\":{\"count\":";
+    for (position, _) in page.match_indices(SEPARATOR) {
+        let attempt = page[..position].rsplit('"').next().unwrap_or_default();
+        let digits = page[position + SEPARATOR.len()..].chars();
+        let digits: String = digits.take_while(char::is_ascii_digit).collect();
+        *counts.entry(attempt.to_owned()).or_default() += digits.parse().unwrap_or(0);
+    }
 }
 
 fn base64(bytes: &[u8]) -> String {
