Review: programs cannot go on after all gateways were killed

Cause: a slot of the escrow whose owner died has no live owner for five minutes, and ledgers of programs without history withhold a quarter of the budget for each of the two slots of their partition. One turn's most of it is written off.

--- a/review/harness/src/site.rs
+++ b/review/harness/src/site.rs
@@ -6,7 +6,7 @@
 use std::fs;
 use std::io;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, JoinHandle};
@@ -64,6 +64,7 @@
     /// Proxy through which the gateways call the store.
     pub proxy: StoreProxy,
     endpoints: Vec<Endpoint>,
+    routes: Routes,
     store_address: SocketAddr,
     is_stopping: Arc<AtomicBool>,
     heartbeats: Option<JoinHandle<()>>,
@@ -82,6 +83,8 @@
     /// Address of its metrics page.
     pub metrics: SocketAddr,
     name: String,
+    launcher: Launcher,
+    settings: PathBuf,
 }
 
 #[derive(Debug)]
@@ -130,7 +133,7 @@
                 service,
             });
         }
-        write_rows(store_address, &[("op", "config", &config(routes))])?;
+        write_rows(store_address, &[("op", "config", &config(routes, 1))])?;
         announce(store_address, &endpoints, 1)?;
         let is_stopping = Arc::new(AtomicBool::new(false));
         let heartbeats = spawn_heartbeats(store_address, &endpoints, Arc::clone(&is_stopping));
@@ -143,6 +146,7 @@
             gateways,
             proxy,
             endpoints,
+            routes,
             store_address,
             is_stopping,
             heartbeats: Some(heartbeats),
@@ -153,7 +157,12 @@
         Ok(site)
     }
 
-    fn wait_until_ready(&self) -> io::Result<()> {
+    /// Waits until all gateways are ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if one of them does not become ready.
+    pub fn wait_until_ready(&self) -> io::Result<()> {
         let deadline = Instant::now() + READY_TIMEOUT;
         for gateway in &self.gateways {
             while !gateway.is_ready() {
@@ -166,6 +175,17 @@
         Ok(())
     }
 
+    /// Declares the routes again, as another version, and returns once the store has
+    /// acknowledged it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store does not take the version.
+    pub fn declare(&self, version: u64) -> io::Result<()> {
+        let config = config(self.routes, version);
+        write_rows(self.store_address, &[("op", "config", &config)])
+    }
+
     /// Sets the number of events of each stream, and the pause after each of them.
     ///
     /// # Errors
@@ -245,21 +265,28 @@
         );
         let path = launcher.work_folder().join(format!("{name}.ini"));
         fs::write(&path, settings)?;
-        let process = launcher.start(
-            &name,
-            GATEWAY,
-            &["--platform"],
-            &[("ROSEBEND_BOOT", path_text(&path)?)],
-        )?;
+        let process = start_process(launcher, &name, &path)?;
         Ok(Self {
             process,
             front,
             ready,
             metrics,
             name,
+            launcher: launcher.clone(),
+            settings: path,
         })
     }
 
+    /// Starts a process on the host again after the previous one was killed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process can't be started.
+    pub fn restart(&mut self) -> io::Result<()> {
+        self.process = start_process(&self.launcher, &self.name, &self.settings)?;
+        Ok(())
+    }
+
     /// Returns whether it takes callers.
     pub fn is_ready(&self) -> bool {
         let response = Request::new("GET", "/readyz").send(self.ready, CALL_TIMEOUT);
@@ -272,6 +299,16 @@
     }
 }
 
+fn start_process(launcher: &Launcher, name: &str, settings: &Path) -> io::Result<Process> {
+    let settings = path_text(settings)?;
+    launcher.start(
+        name,
+        GATEWAY,
+        &["--platform"],
+        &[("ROSEBEND_BOOT", settings)],
+    )
+}
+
 fn path_text(path: &Path) -> io::Result<&str> {
     path.to_str()
         .ok_or_else(|| io::Error::other("the folder's name is no text"))
@@ -294,7 +331,7 @@
     Err(io::Error::other("no port is free"))
 }
 
-fn config(routes: Routes) -> String {
+fn config(routes: Routes, version: u64) -> String {
     let route = |name: &str, prefix: &str, timeout_ms: u64, kind: &str, more: &str| {
         let service = match kind {
             "streaming" => "models",
@@ -328,7 +365,7 @@
         route("fee", "/fee/", turn_ms, "non_idempotent", ""),
     ];
     format!(
-        "{{\"version\":1,\"routes\":[{}],\"services\":[\
+        "{{\"version\":{version},\"routes\":[{}],\"services\":[\
          {{\"name\":\"models\",\"health-path\":\"/healthz\",\"max-conns\":170,\
          \"engine\":{{\"stride-tokens\":{TOKENS_PER_EVENT}}}}},\
          {{\"name\":\"desk\",\"health-path\":\"/healthz\",\"max-conns\":100}}],\
