--- a/review/harness/src/bin/stale_ledger.rs
+++ b/review/harness/src/bin/stale_ledger.rs
@@ -1,4 +1,4 @@
-//! Case 3: a lost answer to the deletion of a program's ledger, and the program's return.
+//! A lost answer to the deletion of a program's ledger, and the program's return.
 
 use std::error::Error;
 use std::path::{Path, PathBuf};
@@ -24,7 +24,7 @@
 const NEW_PROGRAMS: usize = 6;
 const NEW_PROGRAM_INTERVAL: Duration = Duration::from_millis(1_200);
 /// Share of transactions whose answer is lost, and for how long.
-const LOST_SHARE: f64 = 0.3;
+const LOST_SHARE: f64 = 0.35;
 const LOST_FOR: Duration = Duration::from_millis(4_500);
 /// Time after the retention at which the gateways delete a program's rows, as the settings
 /// page tells it, less a margin.
