Log each repeat of a request, and why its crashes count

The logs could not tell whether a crash was suspected, recognized, written or received, nor identify a request over its callers' attempts and over hosts.

Events E863 to E867 and four counters contain that. Events about one request have its fingerprint, so that its repeats can be counted over the logs of all hosts. No decision changes.

--- a/coordination/src/gateway/attempt.rs
+++ b/coordination/src/gateway/attempt.rs
@@ -128,6 +128,11 @@
         self.possible_runs -= 1;
     }
 
+    /// Returns the number of endpoints at which the request may have run.
+    pub fn possible_runs(&self) -> u32 {
+        self.possible_runs
+    }
+
     /// Returns true if the request may have run at any endpoint.
     pub fn may_have_run(&self) -> bool {
         self.possible_runs > 0
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -155,11 +155,29 @@
 
     fn request(&self, endpoint: SelectedEndpoint, placement: Option<Placement>) -> PendingRequest {
         let (gateway, call) = (&self.gateway, &self.call);
+        self.report_sent_again(&endpoint.identity);
         let body = self.body.clone();
         let request = EndpointRequest::new(gateway, call, body, self.last_event, endpoint);
         PendingRequest::new(request, placement)
     }
 
+    /// Counts and logs a request that is sent to an endpoint although it may have run before.
+    fn report_sent_again(&self, endpoint: &EndpointIdentity) {
+        let now = self.gateway.clock.now();
+        let fingerprint = self.call.fingerprint;
+        let runs = u64::from(self.attempt.possible_runs());
+        let crashes = self.gateway.crashes.borrow().count(fingerprint, now) as u64;
+        let (reason, count) = match (runs, crashes) {
+            (0, 0) => return,
+            (0, crashes) => ("crashes", crashes),
+            (runs, _) => ("attempt", runs),
+        };
+        self.gateway.metrics.count_request_sent_again(reason);
+        let event = Event::new(EventKind::RequestSentAgain).endpoint(&endpoint.instance);
+        let event = event.attempt(&self.call.header.attempt).count(count);
+        log_event(&event.reason(reason).fingerprint(fingerprint));
+    }
+
     /// Waits for a response within the idle timeout, if there is one, and the deadline.
     async fn response_within_timeout(
         &self,
@@ -278,7 +296,7 @@
         failure: Failure,
     ) -> Result<(), Refusal> {
         if matches!(failure, Failure::Broken | Failure::Truncated) {
-            quarantine::spawn_crash_check(&self.gateway, &self.call, endpoint);
+            quarantine::spawn_crash_check(&self.gateway, &self.call, endpoint, failure);
         }
         let now = self.gateway.clock.now();
         let remaining = self.call.remaining(now);
@@ -301,7 +319,8 @@
         let event = Event::new(EventKind::EndpointFailed).endpoint(&endpoint.instance);
         let event = event
             .elapsed(self.call.elapsed(now))
-            .reason(failure.as_str());
+            .reason(failure.as_str())
+            .fingerprint(self.call.fingerprint);
         self.call.request_log.add_notable_step(event);
         if failure == Failure::Refused {
             return;
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -146,6 +146,10 @@
     budget_refusals: Family<FilledByLabel, Counter>,
     escrow_replies: Family<ReasonLabel, Counter>,
     endpoint_failures: Family<ReasonLabel, Counter>,
+    requests_sent_again: Family<ReasonLabel, Counter>,
+    crash_checks: Family<ReasonLabel, Counter>,
+    crashes: Family<ReasonLabel, Counter>,
+    crash_writes: Family<ReasonLabel, Counter>,
     close_delimited_answers: Counter,
     interruptions: Family<ReasonLabel, Counter>,
     resumptions: Family<ReasonLabel, Counter>,
@@ -194,6 +198,19 @@
         let endpoint_failures = Family::default();
         let help = "Exchanges with endpoints that gave no answer to pass on, by reason";
         registry.register("endpoint_failures", help, endpoint_failures.clone());
+        let mut family = |name: &str, help: &str| {
+            let family = Family::<ReasonLabel, Counter>::default();
+            registry.register(name, help, family.clone());
+            family
+        };
+        let help = "Requests sent to an endpoint although they may have run before, by reason";
+        let requests_sent_again = family("requests_sent_again", help);
+        let help = "Checks whether an endpoint crashed, by what decided them";
+        let crash_checks = family("crash_checks", help);
+        let help = "Crashes that count against a request, by who observed them";
+        let crashes = family("crashes", help);
+        let help = "Writes of crashes to the store, by outcome";
+        let crash_writes = family("crash_writes", help);
         let close_delimited_answers = Counter::default();
         let help = "Answers of endpoints that had neither a length nor chunks";
         let counter = close_delimited_answers.clone();
@@ -275,6 +292,10 @@
             budget_refusals,
             escrow_replies,
             endpoint_failures,
+            requests_sent_again,
+            crash_checks,
+            crashes,
+            crash_writes,
             close_delimited_answers,
             interruptions,
             resumptions,
@@ -420,6 +441,31 @@
             .inc();
     }
 
+    /// Counts a request that is sent to an endpoint although it may have run before.
+    pub fn count_request_sent_again(&self, reason: &'static str) {
+        let reason = ReasonLabel { reason };
+        self.requests_sent_again.get_or_create(&reason).inc();
+    }
+
+    /// Counts a check whether an endpoint crashed, by what decided it.
+    pub fn count_crash_check(&self, reason: &'static str) {
+        self.crash_checks
+            .get_or_create(&ReasonLabel { reason })
+            .inc();
+    }
+
+    /// Counts a crash that counts against a request, by who observed it.
+    pub fn count_crash(&self, reason: &'static str) {
+        self.crashes.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
+    /// Counts a write of a crash to the store, by its outcome.
+    pub fn count_crash_write(&self, reason: &'static str) {
+        self.crash_writes
+            .get_or_create(&ReasonLabel { reason })
+            .inc();
+    }
+
     /// Counts an answer of an endpoint that ends with its connection.
     pub fn count_close_delimited_answer(&self) {
         self.close_delimited_answers.inc();
--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rosebend_coordination::gateway::attempt::Failure;
 use rosebend_coordination::gateway::fingerprint::{CRASH_RETENTION, Fingerprint};
 use rosebend_state::deployment::{EndpointIdentity, Row, RowId, RowWrite, Transaction};
 use rosebend_transport::connection::{Connection, ConnectionError};
@@ -26,33 +27,106 @@
 /// Separator between the fingerprint of the request and the endpoint in a row key.
 const SEPARATOR: char = '/';
 
+/// Who observed a crash.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Observer {
+    /// This host.
+    Own,
+    /// A host whose row this one has read from the store.
+    Store,
+}
+
+/// The result of a check whether an endpoint has crashed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum CrashCheck {
+    /// A later incarnation of the endpoint is listed.
+    Restarted,
+    /// The endpoint's address refuses connections.
+    Refused,
+    /// The endpoint's address accepts connections.
+    Accepted,
+    /// The endpoint's machine does not respond.
+    Unreachable,
+    /// The endpoint is no longer listed.
+    Unlisted,
+}
+
+impl Observer {
+    /// Returns the code that logs and metrics contain.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::Store => "store",
+        }
+    }
+}
+
+impl CrashCheck {
+    /// Returns whether the check shows that the endpoint has crashed.
+    const fn has_crashed(self) -> bool {
+        match self {
+            Self::Restarted | Self::Refused => true,
+            Self::Accepted | Self::Unreachable | Self::Unlisted => false,
+        }
+    }
+
+    /// Returns the code that logs and metrics contain.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Restarted => "restarted",
+            Self::Refused => "refused",
+            Self::Accepted => "accepted",
+            Self::Unreachable => "unreachable",
+            Self::Unlisted => "unlisted",
+        }
+    }
+}
+
 /// Starts a background task that checks whether an endpoint whose response broke off
 /// has crashed, and if so records the crash for the request.
-pub fn spawn_crash_check(gateway: &Rc<Gateway>, call: &Call, endpoint: &EndpointIdentity) {
+pub fn spawn_crash_check(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    endpoint: &EndpointIdentity,
+    failure: Failure,
+) {
     let gateway = Rc::clone(gateway);
     let (request, endpoint) = (call.fingerprint, endpoint.clone());
+    let event = Event::new(EventKind::CrashSuspected).attempt(&call.header.attempt);
+    let event = event.endpoint(&endpoint.instance).reason(failure.as_str());
+    log_event(&event.fingerprint(request));
     actix_rt::spawn(async move {
-        if has_crashed(&gateway, &endpoint).await {
+        let started = gateway.clock.now();
+        let check = check_crash(&gateway, &endpoint).await;
+        gateway.metrics.count_crash_check(check.as_str());
+        let elapsed = gateway.clock.now().saturating_sub(started);
+        let event = Event::new(EventKind::CrashChecked).endpoint(&endpoint.instance);
+        let event = event.elapsed(elapsed).reason(check.as_str());
+        log_event(&event.fingerprint(request));
+        if check.has_crashed() {
             record_suspected_crash(&gateway, request, &endpoint).await;
         }
     });
 }
 
-/// Returns true if an incarnation of an endpoint has crashed. It has ended if a later
+/// Checks whether an incarnation of an endpoint has crashed. It has ended if a later
 /// incarnation with the same id is listed, or if its address refuses connections: a
 /// machine that runs without the endpoint refuses a connection at once, while an
 /// unreachable machine does not respond.
-async fn has_crashed(gateway: &Gateway, endpoint: &EndpointIdentity) -> bool {
+async fn check_crash(gateway: &Gateway, endpoint: &EndpointIdentity) -> CrashCheck {
     if gateway.directory.borrow().has_restarted(endpoint) {
-        return true;
+        return CrashCheck::Restarted;
     }
     let address = gateway.directory.borrow().address(endpoint);
     let Some(address) = address else {
-        return false;
+        return CrashCheck::Unlisted;
     };
     match Connection::open(address).await {
-        Err(ConnectionError::Connect(error)) => error.kind() == ErrorKind::ConnectionRefused,
-        _ => false,
+        Ok(_) => CrashCheck::Accepted,
+        Err(ConnectionError::Connect(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+            CrashCheck::Refused
+        }
+        Err(_) => CrashCheck::Unreachable,
     }
 }
 
@@ -63,7 +137,7 @@
     request: Fingerprint,
     endpoint: &EndpointIdentity,
 ) {
-    count_crash(gateway, request, endpoint);
+    count_crash(gateway, request, endpoint, Observer::Own);
     let row = RowId::new(TABLE, "", format!("{request:016x}{SEPARATOR}{endpoint}"));
     let write = RowWrite {
         row: row.clone(),
@@ -73,9 +147,16 @@
         writes: vec![write],
         ..Transaction::default()
     };
-    // An error is ignored: this host has already counted the crash, and the other hosts
-    // can still count the next one.
-    let _ = gateway.store.transact(&transaction).await;
+    // This host has already counted the crash, and the other hosts can still count the
+    // next one.
+    match gateway.store.transact(&transaction).await {
+        Ok(_) => gateway.metrics.count_crash_write("written"),
+        Err(error) => {
+            gateway.metrics.count_crash_write("failed");
+            let event = Event::new(EventKind::CrashUnwritten).endpoint(&endpoint.instance);
+            log_event(&event.error(&error).fingerprint(request));
+        }
+    }
     tokio::time::sleep(CRASH_RETENTION).await;
     let transaction = Transaction {
         deletes: vec![row],
@@ -87,14 +168,24 @@
 }
 
 /// Counts a crash against a request, and logs when the request becomes refused.
-fn count_crash(gateway: &Gateway, request: Fingerprint, endpoint: &EndpointIdentity) {
+fn count_crash(
+    gateway: &Gateway,
+    request: Fingerprint,
+    endpoint: &EndpointIdentity,
+    observer: Observer,
+) {
     let now = gateway.clock.now();
     let mut crashes = gateway.crashes.borrow_mut();
     let was_refused = crashes.is_refused(request, now);
     crashes.record_crash(request, endpoint, now);
+    let count = crashes.count(request, now) as u64;
+    gateway.metrics.count_crash(observer.as_str());
+    let event = Event::new(EventKind::CrashCounted).endpoint(&endpoint.instance);
+    let event = event.count(count).reason(observer.as_str());
+    log_event(&event.fingerprint(request));
     if !was_refused && crashes.is_refused(request, now) {
-        let count = crashes.count(request, now) as u64;
-        log_event(&Event::new(EventKind::RequestQuarantined).count(count));
+        let event = Event::new(EventKind::RequestQuarantined).count(count);
+        log_event(&event.fingerprint(request));
     }
 }
 
@@ -113,7 +204,7 @@
 fn apply_rows(gateway: &Gateway, rows: &[Row]) {
     for row in rows.iter().filter(|row| row.value.is_some()) {
         if let Some((request, endpoint)) = decode(row) {
-            count_crash(gateway, request, &endpoint);
+            count_crash(gateway, request, &endpoint, Observer::Store);
         }
     }
 }
--- a/transport/src/event.rs
+++ b/transport/src/event.rs
@@ -70,6 +70,7 @@
     Holders(String),
     Address(SocketAddr),
     Framing(&'static str),
+    Fingerprint(u64),
 }
 
 /// What a number of tokens is, where an event has several.
@@ -254,6 +255,11 @@
         self.with(Field::Framing("close"))
     }
 
+    /// Adds the hash that identifies a request over its callers' attempts and over hosts.
+    pub fn fingerprint(self, fingerprint: u64) -> Self {
+        self.with(Field::Fingerprint(fingerprint))
+    }
+
     /// The event as one JSON object on one line. `at_ms` is the time of day.
     pub fn to_json(&self, at_ms: u64, host: &str) -> String {
         let mut line = format!("{{\"at_ms\":{at_ms},\"host\":{}", json_text(host));
@@ -329,6 +335,9 @@
             Self::ProgramKey(text) => member("program", text),
             Self::Route(text) => member("route", text),
             Self::Address(address) => vec![("address", Value::Text(address.to_string().into()))],
+            Self::Fingerprint(hash) => {
+                vec![("fingerprint", Value::Text(format!("{hash:016x}").into()))]
+            }
         }
     }
 }
@@ -386,6 +395,7 @@
             Self::Holders(holders) => write!(f, "holders={holders:?}"),
             Self::Address(address) => write!(f, "address={address}"),
             Self::Framing(framing) => write!(f, "framing={framing}"),
+            Self::Fingerprint(hash) => write!(f, "fingerprint={hash:016x}"),
         }
     }
 }
@@ -461,7 +471,8 @@
 (a caller's attempt), `route`, `status`, `version` (of the declared routes),
 `age_ms` (of what decided), `elapsed_ms`, `remaining_ms` (until the deadline),
 `load`, `work_time_percent`, `expected_ms`, `tokens`, `address`, `framing` (`close`
-where an answer had neither a length nor chunks and ended with its connection), and a
+where an answer had neither a length nor chunks and ended with its connection),
+`fingerprint` (a hash of the request, the same over its callers' attempts and over hosts), and a
 program's account: `budget_tokens`, `most_tokens` (of the turn), `spent_tokens`,
 `reserved_tokens` and `holders` (each HOST/RUN:TOKENS).
 Gateways write each event as a JSON object on a line of its own, with `at_ms`,
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -113,6 +113,16 @@
     TurnTooLate,
     /// Step: the queues of the engines are too long for a new program.
     AdmissionRefused,
+    /// The request of `fingerprint` is sent to `endpoint` although it may have run before. `reason` is attempt if it may have run at `count` endpoints in this attempt of the caller, or crashes if `count` crashes of endpoints are known that it may have caused.
+    RequestSentAgain,
+    /// The request of `fingerprint` got no answer of `endpoint`, so that it is checked whether the endpoint crashed; `reason` says how it failed.
+    CrashSuspected,
+    /// Whether `endpoint` crashed while it ran the request of `fingerprint` was decided after `elapsed_ms`; `reason` says by what.
+    CrashChecked,
+    /// A crash of `endpoint` counts against the request of `fingerprint`, which has `count` now; `reason` says who observed it.
+    CrashCounted,
+    /// The crash of `endpoint` that the request of `fingerprint` may have caused is not in the store; `error` says why.
+    CrashUnwritten,
     /// Step: the turn may spend its most; `reason` says from where.
     SpendingGranted,
     /// Step: the program's budget does not hold the turn, by the account in the line.
@@ -209,7 +219,7 @@
 
 impl EventKind {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 98] = [
+    pub const ALL: [Self; 103] = [
         Self::ProcessStarted,
         Self::ProcessStopping,
         Self::ProcessStopped,
@@ -308,6 +318,11 @@
         Self::LedgerRead,
         Self::TurnTooLate,
         Self::AdmissionRefused,
+        Self::RequestSentAgain,
+        Self::CrashSuspected,
+        Self::CrashChecked,
+        Self::CrashCounted,
+        Self::CrashUnwritten,
     ];
 
     /// The event's number, which stays with it for ever.
@@ -400,6 +415,11 @@
             Self::LedgerRead => 860,
             Self::TurnTooLate => 861,
             Self::AdmissionRefused => 862,
+            Self::RequestSentAgain => 863,
+            Self::CrashSuspected => 864,
+            Self::CrashChecked => 865,
+            Self::CrashCounted => 866,
+            Self::CrashUnwritten => 867,
             Self::HoldersAsked => 829,
             Self::HolderSilent => 830,
             Self::EntryRefused => 835,
@@ -495,6 +515,11 @@
             Self::LedgerRead => "ledger-read",
             Self::TurnTooLate => "turn-too-late",
             Self::AdmissionRefused => "admission-refused",
+            Self::RequestSentAgain => "request-sent-again",
+            Self::CrashSuspected => "crash-suspected",
+            Self::CrashChecked => "crash-checked",
+            Self::CrashCounted => "crash-counted",
+            Self::CrashUnwritten => "crash-unwritten",
             Self::LimitRefused => "limit-refused",
             Self::EscrowTaken => "escrow-taken",
             Self::EscrowReleased => "escrow-released",
@@ -558,6 +583,7 @@
             | Self::HolderSilent
             | Self::PeerRowUnusable
             | Self::HistoryUntold
+            | Self::CrashUnwritten
             | Self::LinesDropped
             | Self::AcceptFailed => Level::Warn,
             Self::CallAccepted | Self::CallFinished | Self::CallRefused | Self::RequestRefused => {
@@ -673,6 +699,21 @@
             Self::AdmissionRefused => {
                 "Step: the queues of the engines are too long for a new program: this host expects a wait of `wait_ms`, by first bytes of which the last was `age_ms` old."
             }
+            Self::RequestSentAgain => {
+                "The request of `fingerprint` is sent to `endpoint` although it may have run before. `reason` is attempt if it may have run at `count` endpoints in this attempt of the caller, or crashes if `count` crashes of endpoints are known that it may have caused."
+            }
+            Self::CrashSuspected => {
+                "The request of `fingerprint` got no answer of `endpoint`, so that it is checked whether the endpoint crashed; `reason` says how it failed."
+            }
+            Self::CrashChecked => {
+                "Whether `endpoint` crashed while it ran the request of `fingerprint` was decided after `elapsed_ms`; `reason` says by what."
+            }
+            Self::CrashCounted => {
+                "A crash of `endpoint` counts against the request of `fingerprint`, which has `count` now; `reason` says who observed it."
+            }
+            Self::CrashUnwritten => {
+                "The crash of `endpoint` that the request of `fingerprint` may have caused is not in the store; `error` says why."
+            }
             Self::TurnTooLate => {
                 "Step: the turn is not sent, because its `remaining_ms` are below `wait_ms`, the shortest time to the first byte that this host observed."
             }
