--- a/standin/src/backend.rs
+++ b/standin/src/backend.rs
@@ -12,8 +12,10 @@
 //! | `GET /runs` [`Runs`] | what has run at any start, by attempt |
 
 use std::collections::BTreeMap;
-use std::io;
+use std::fs::OpenOptions;
+use std::io::{self, Write as _};
 use std::net::TcpListener;
+use std::path::PathBuf;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -145,10 +147,61 @@
     now.map_or(0, |now| u64::try_from(now.as_millis()).unwrap_or(u64::MAX))
 }
 
+/// Exit code of an endpoint that a request has crashed.
+pub const CRASH_EXIT_CODE: i32 = 70;
+
+/// What an endpoint is and where it records what it receives.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct BackendConfig {
+    /// Id of its run.
+    pub instance: String,
+    /// Unix millisecond of its start, or `None` for the present.
+    pub born_ms: Option<u64>,
+    /// The process exits when a request begins to run whose body contains this text.
+    pub crash_on: Option<String>,
+    /// File to which a line is appended for each request that is received. Unlike the
+    /// runs in memory, it outlasts the process.
+    pub received: Option<PathBuf>,
+}
+
+impl BackendConfig {
+    /// An endpoint that starts now, crashes at no request and records none in a file.
+    pub fn new(instance: &str) -> Self {
+        Self {
+            instance: instance.to_owned(),
+            born_ms: None,
+            crash_on: None,
+            received: None,
+        }
+    }
+}
+
+/// A request that an endpoint received, as a line of its record tells it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Received {
+    /// Unix millisecond at which it was received.
+    pub at_ms: u64,
+    /// Id of the endpoint's run.
+    pub instance: String,
+    /// Attempt of the caller.
+    pub attempt: String,
+    /// Method and path.
+    pub target: String,
+    /// Whether it was for this run, which began to work on it then.
+    pub runs: bool,
+    /// Milliseconds that were left, if the request had a deadline.
+    pub deadline_ms: Option<u64>,
+    /// Body.
+    pub body: String,
+}
+
 /// The endpoint.
 #[derive(Clone, Debug)]
 pub struct Backend {
     instance: String,
+    crash_on: Option<String>,
+    received: Option<PathBuf>,
     state: Arc<Mutex<State>>,
     /// Unix millisecond of the present start; each is later than the one before.
     born_ms: Arc<watch::Sender<u64>>,
@@ -209,8 +262,24 @@
         instance: &str,
         born_ms: u64,
     ) -> io::Result<RunningServer> {
+        let config = BackendConfig {
+            born_ms: Some(born_ms),
+            ..BackendConfig::new(instance)
+        };
+        Self::start_with(listener, config)
+    }
+
+    /// Starts an endpoint with this configuration.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the listener cannot be used.
+    pub fn start_with(listener: TcpListener, config: BackendConfig) -> io::Result<RunningServer> {
+        let born_ms = config.born_ms.unwrap_or_else(time_of_day_ms);
         let backend = Self {
-            instance: instance.to_owned(),
+            instance: config.instance,
+            crash_on: config.crash_on,
+            received: config.received,
             state: Arc::default(),
             born_ms: Arc::new(watch::Sender::new(born_ms)),
         };
@@ -283,13 +352,16 @@
             return not_run(400, "no-attempt");
         };
         let target = request.header("target-instance");
-        if target.is_some_and(|target| target != self.instance) {
+        let runs = target.is_none_or(|target| target == self.instance);
+        self.record_received(&attempt, &request, runs);
+        if !runs {
             return not_run(421, "other-instance");
         }
         if take_one(&mut self.lock().faults.refuse) {
             return not_run(503, "full");
         }
         self.note(&attempt, &request);
+        self.crash_if_asked(&request);
         let _running = Running(Arc::clone(&self.state));
         let is_stream = request.path.contains("/stream");
         let turn = is_stream.then(|| RunningTurn::start(&self.state));
@@ -310,6 +382,43 @@
         self.stamped(&attempt, reply)
     }
 
+    /// Appends a line to the record of received requests.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the file cannot be written, since a test counts by it.
+    fn record_received(&self, attempt: &str, request: &HttpRequest, runs: bool) {
+        let Some(path) = &self.received else {
+            return;
+        };
+        let deadline_ms = request.header("deadline-ms");
+        let received = Received {
+            at_ms: time_of_day_ms(),
+            instance: self.instance.clone(),
+            attempt: attempt.to_owned(),
+            target: format!("{} {}", request.method, request.path),
+            runs,
+            deadline_ms: deadline_ms.and_then(|text| text.parse().ok()),
+            body: String::from_utf8_lossy(&request.body).into_owned(),
+        };
+        let mut line = serde_json::to_string(&received).expect("texts have a JSON form");
+        line.push('\n');
+        let file = OpenOptions::new().create(true).append(true).open(path);
+        // One write, so that lines of several processes do not mix.
+        let written = file.and_then(|mut file| file.write_all(line.as_bytes()));
+        written.expect("the record of received requests can be written");
+    }
+
+    /// Ends the process if the request is one that crashes it.
+    fn crash_if_asked(&self, request: &HttpRequest) {
+        let Some(text) = &self.crash_on else {
+            return;
+        };
+        if String::from_utf8_lossy(&request.body).contains(text.as_str()) {
+            std::process::exit(CRASH_EXIT_CODE);
+        }
+    }
+
     fn note(&self, attempt: &str, request: &HttpRequest) {
         let mut state = self.lock();
         state.running += 1;
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -66,6 +66,6 @@
         StandIn::Engine(config) => Engine::start(listener, config),
         StandIn::Service(config) => Service::start(listener, config),
         StandIn::Store(config) => Store::new(config).open_door(listener),
-        StandIn::Backend(instance) => Backend::start(listener, &instance),
+        StandIn::Backend(config) => Backend::start_with(listener, config),
     }
 }
--- a/standin/src/options.rs
+++ b/standin/src/options.rs
@@ -1,10 +1,12 @@
 //! The command line of `rosebend-standin`.
 
-use std::{net::SocketAddr, str::FromStr, time::Duration};
+use std::{net::SocketAddr, path::PathBuf, str::FromStr, time::Duration};
 
 use getopts::{Matches, Options};
 
-use crate::{engine::EngineConfig, service::ServiceConfig, store::StoreConfig};
+use crate::{
+    backend::BackendConfig, engine::EngineConfig, service::ServiceConfig, store::StoreConfig,
+};
 
 /// What the command line asks for.
 #[derive(Clone, Debug, PartialEq)]
@@ -24,8 +26,8 @@
     Service(ServiceConfig),
     /// The platform's store.
     Store(StoreConfig),
-    /// An endpoint of the platform, with the id of its run.
-    Backend(String),
+    /// An endpoint of the platform.
+    Backend(BackendConfig),
 }
 
 /// What is wrong with the command line.
@@ -184,12 +186,20 @@
 fn backend_options() -> Options {
     let mut options = common_options();
     options.optopt("", "instance", "id of the endpoint's run (i-1)", "ID");
+    let crash = "exit when a request begins to run whose body contains this text";
+    options.optopt("", "crash-on", crash, "TEXT");
+    let received = "file to which a line is appended for each request that it receives";
+    options.optopt("", "received", received, "FILE");
     options
 }
 
 fn read_backend(matches: &Matches) -> Result<StandIn, OptionsError> {
     let instance = value(matches, "instance", "an id", "i-1".to_owned())?;
-    Ok(StandIn::Backend(instance))
+    Ok(StandIn::Backend(BackendConfig {
+        crash_on: matches.opt_str("crash-on"),
+        received: matches.opt_str("received").map(PathBuf::from),
+        ..BackendConfig::new(&instance)
+    }))
 }
 
 fn service_options() -> Options {
--- a/standin/tests/options.rs
+++ b/standin/tests/options.rs
@@ -7,6 +7,7 @@
     time::Duration,
 };
 
+use rosebend_standin::backend::BackendConfig;
 use rosebend_standin::options::{Command, OptionsError, StandIn, parse};
 use rosebend_standin::store::StoreConfig;
 
@@ -100,7 +101,7 @@
         Command::Run(address, StandIn::Store(StoreConfig::default()))
     );
     let backend = parse(&words("backend --listen 127.0.0.1:7340 --instance i-7")).unwrap();
-    let expected = StandIn::Backend("i-7".to_owned());
+    let expected = StandIn::Backend(BackendConfig::new("i-7"));
     assert_eq!(backend, Command::Run(address, expected));
     assert!(matches!(
         parse(&words("--version")).unwrap(),
