Tell requests with a body apart without their caller's address

A request that crashes endpoints was refused by the address of its connection and its content. Connections of one caller may have several addresses, those of a balancer's nodes. Each of them had its own count of crashes, so that a request ran 32 times in 8 s, 19 times later than 3 s after its third crash.

The address is a part of the fingerprint of requests without a body only, which are the same for all callers of a popular path. The unit test of fingerprints compares more of them than before.

--- a/coordination/src/gateway/fingerprint.rs
+++ b/coordination/src/gateway/fingerprint.rs
@@ -23,9 +23,31 @@
 /// endpoints is repeated within seconds.
 pub const CRASH_RETENTION: Duration = Duration::from_secs(60);
 
-/// Computes the fingerprint of a request.
-pub fn fingerprint(host: &str, path: &str, caller: &str, body: &[u8]) -> Fingerprint {
-    hash_parts(&[host.as_bytes(), path.as_bytes(), caller.as_bytes(), body])
+/// Computes the fingerprint of a request. The caller's address is a part of it only if there
+/// is no body: callers of a popular path without a body must not share its crashes, while the
+/// same body has the same effect from any address, and connections of one caller may have
+/// several.
+pub fn fingerprint(host: &str, path: &str, caller: &Caller<'_>, body: &[u8]) -> Fingerprint {
+    let address = match body.is_empty() {
+        true => caller.address,
+        false => "",
+    };
+    hash_parts(&[
+        host.as_bytes(),
+        path.as_bytes(),
+        caller.customer.as_bytes(),
+        address.as_bytes(),
+        body,
+    ])
+}
+
+/// The sender of a request.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Caller<'a> {
+    /// Name of its customer, or an empty string if there is none.
+    pub customer: &'a str,
+    /// Address from which it is connected.
+    pub address: &'a str,
 }
 
 /// Recent crashes, by the fingerprints of the requests that were running.
--- a/coordination/tests/gateway_fingerprint.rs
+++ b/coordination/tests/gateway_fingerprint.rs
@@ -3,12 +3,16 @@
 use std::time::Duration;
 
 use rosebend_coordination::gateway::fingerprint::{
-    CRASH_RETENTION, CrashCounts, MAX_CRASHES, fingerprint,
+    CRASH_RETENTION, Caller, CrashCounts, MAX_CRASHES, fingerprint,
 };
 
 use rosebend_state::deployment::EndpointIdentity;
 
 const NOW: Duration = Duration::from_secs(100);
+const CALLER: Caller<'static> = Caller {
+    customer: "ship",
+    address: "10.0.0.7",
+};
 
 fn endpoint(instance: &str, started_ms: u64) -> EndpointIdentity {
     EndpointIdentity {
@@ -27,7 +31,7 @@
 
 #[test]
 fn a_request_is_refused_after_its_third_crash_for_a_while() {
-    let request = fingerprint("desk.example", "/fee/1", "10.0.0.7", b"poison");
+    let request = fingerprint("desk.example", "/fee/1", &CALLER, b"poison");
     assert!(!crashed(request, MAX_CRASHES - 1).is_refused(request, NOW));
     let mut counts = crashed(request, MAX_CRASHES);
     assert!(counts.is_refused(request, NOW));
@@ -39,7 +43,7 @@
 
 #[test]
 fn the_same_crash_counts_once_and_an_answer_clears() {
-    let request = fingerprint("desk.example", "/fee/1", "10.0.0.7", b"fee");
+    let request = fingerprint("desk.example", "/fee/1", &CALLER, b"fee");
     let mut counts = CrashCounts::default();
     for _ in 0..5 {
         counts.record_crash(request, &endpoint("i-1", 1), NOW);
@@ -50,22 +54,27 @@
 }
 
 #[test]
-fn host_path_caller_and_body_distinguish_requests() {
+fn host_path_customer_and_body_distinguish_requests() {
+    let caller = |customer, address| Caller { customer, address };
     let fingerprints = [
-        fingerprint("h", "/a", "c", b"x"),
-        fingerprint("h", "/b", "c", b"x"),
-        fingerprint("h", "/a", "d", b"x"),
-        fingerprint("h", "/a", "c", b"y"),
-        fingerprint("i", "/a", "c", b"x"),
+        fingerprint("h", "/a", &caller("c", "1"), b"x"),
+        fingerprint("h", "/b", &caller("c", "1"), b"x"),
+        fingerprint("h", "/a", &caller("d", "1"), b"x"),
+        fingerprint("h", "/a", &caller("c", "1"), b"y"),
+        fingerprint("i", "/a", &caller("c", "1"), b"x"),
+        fingerprint("h", "/a", &caller("c", "1"), b""),
+        fingerprint("h", "/a", &caller("c", "2"), b""),
     ];
     for (index, current) in fingerprints.iter().enumerate() {
         assert!(!fingerprints[index + 1..].contains(current), "{index}");
     }
+    let other_address = fingerprint("h", "/a", &caller("c", "2"), b"x");
+    assert_eq!(other_address, fingerprints[0]);
 }
 
 #[test]
 fn each_restart_of_an_instance_counts_separately() {
-    let request = fingerprint("desk.example", "/fee/1", "10.0.0.7", b"poison");
+    let request = fingerprint("desk.example", "/fee/1", &CALLER, b"poison");
     let mut counts = CrashCounts::default();
     for started_ms in 1..=3 {
         assert!(!counts.is_refused(request, NOW));
--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -9,7 +9,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use http::HeaderMap;
-use rosebend_coordination::gateway::fingerprint::fingerprint;
+use rosebend_coordination::gateway::fingerprint::{Caller, fingerprint};
 use rosebend_coordination::gateway::identity::identify;
 use rosebend_coordination::gateway::route_table::{RouteTable, service_for};
 use rosebend_platform::headers;
@@ -51,8 +51,8 @@
     // The routes may have changed while the body was read.
     let routes = gateway.routes().unwrap_or(routes);
     let (route, customer) = find_route_and_customer(gateway, &routes, &request, headers)?;
-    let caller = request.peer_addr().map(|peer| peer.ip().to_string());
-    let caller = caller.unwrap_or_default();
+    let address = request.peer_addr().map(|peer| peer.ip().to_string());
+    let address = address.unwrap_or_default();
     let header = headers::decode_call(headers).map_err(Refusal::InvalidHeader)?;
     let host = headers::host(headers).map_err(Refusal::InvalidHeader)?;
     let affinity_key = header
@@ -77,9 +77,10 @@
     );
     let version = routes.deployment().version;
     request_log.add_step(Event::new(EventKind::RequestArrived).version(version));
-    // Identical requests of different customers have different fingerprints.
-    let scoped_caller = customer.as_ref().map(|customer| customer.scoped(&caller));
-    let caller = scoped_caller.unwrap_or(caller);
+    let caller = Caller {
+        customer: customer.as_ref().map_or("", |customer| &customer.name),
+        address: &address,
+    };
     Ok(Call {
         request_log,
         method: method(&request)?,
