Decide by answers whether an endpoint's process has ended

Callers saw endpoints go down one after another, each at the same request, which was never refused. A crash was counted only if the address refused a connection right after the response broke off. Behind a relay, a supervisor or the backlog of a listener the connection is accepted; the check then said that nothing had happened. It was not made at all if the entry was gone, if the deadline passed, if the caller left, or if the body of an unsuccessful answer broke off.

Now each request that was sent and ends without an answer is a suspect, whatever ended it: the guard that counts it in flight starts the check. The process is alive if it answers a request on a connection older than the failure. An answer on a newer connection may come from a later process, so the check waits whether a later start is listed. It has ended if its address refuses connections, closes three of them without an answer, or answers under another id. There is at most one check for each incarnation, which ends after 30 s without a sign. An abandoned request is probed only after a second of silence.

--- a/gateway/src/endpoint_request.rs
+++ b/gateway/src/endpoint_request.rs
@@ -20,6 +20,7 @@
 use crate::engine_scheduling::Placement;
 use crate::exchange::SelectedEndpoint;
 use crate::gateway::{Gateway, OpenEndpointRequest};
+use crate::quarantine::{self, Suspicion};
 
 /// A response of an endpoint whose body has not been read yet.
 #[derive(Debug)]
@@ -152,9 +153,13 @@
         let endpoint = &self.endpoint;
         let mut connection = self.connect().await?;
         let sent_at = self.gateway.clock.now();
+        let connection_age = connection.age();
         let request = self.build_request(sent_at);
         self.is_sent.set(true);
-        let response = connection.send(request).await.map_err(connection_failure)?;
+        self.in_flight.set_sent(self.suspicion(sent_at));
+        let response = connection.send(request).await;
+        let response = response.map_err(|error| self.failed(connection_failure(error)))?;
+        self.in_flight.set_active();
         let header = headers::decode_answer(response.headers());
         let elapsed = self.gateway.clock.now().saturating_sub(sent_at);
         let event = Event::new(EventKind::AnswerBegan).endpoint(&endpoint.identity.instance);
@@ -165,7 +170,10 @@
             self.gateway.metrics.count_close_delimited_answer();
         }
         self.call.request_log.add_step(event);
-        self.check_response(&response, &header)?;
+        let checked = self.check_response(&response, &header);
+        checked.map_err(|failure| self.failed(failure))?;
+        let opened_at = sent_at.saturating_sub(connection_age);
+        quarantine::record_answer(&self.gateway, &endpoint.identity, opened_at, sent_at);
         if self.call.route.kind == RouteKind::Streaming {
             let now = self.gateway.clock.now();
             let mut admission = self.gateway.admission.borrow_mut();
@@ -190,13 +198,37 @@
             Some(connection) => Ok(connection),
             None => {
                 self.gateway.metrics.count_connection();
-                Connection::open(endpoint.address)
-                    .await
-                    .map_err(connection_failure)
+                let opened = Connection::open(endpoint.address).await;
+                if opened.as_ref().is_err_and(ConnectionError::is_refused) {
+                    quarantine::record_refused_connection(&self.gateway, &endpoint.identity);
+                }
+                opened.map_err(connection_failure)
             }
         }
     }
 
+    /// Records how the exchange failed, and returns the failure.
+    fn failed(&self, failure: Failure) -> Failure {
+        self.in_flight.set_failed(failure);
+        failure
+    }
+
+    /// Returns the suspicion that the request crashes the endpoint.
+    fn suspicion(&self, sent_at: Duration) -> Suspicion {
+        let routes = self.gateway.routes();
+        let service = routes
+            .as_ref()
+            .and_then(|routes| routes.deployment().services.get(&self.call.service));
+        Suspicion {
+            request: self.call.fingerprint,
+            attempt: self.call.header.attempt.clone(),
+            address: self.endpoint.address,
+            health_path: service.map_or_else(String::new, |service| service.health_path.clone()),
+            active_at: sent_at,
+            failure: None,
+        }
+    }
+
     /// Builds the request, with the time that remains before the deadline.
     fn build_request(&self, now: Duration) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -21,7 +21,6 @@
 use crate::engine_scheduling::{self, Placed, Placement};
 use crate::gateway::Gateway;
 use crate::metrics::Timing;
-use crate::quarantine;
 use crate::reply::Refusal;
 use crate::runs::Run;
 
@@ -295,9 +294,6 @@
         endpoint: &EndpointIdentity,
         failure: Failure,
     ) -> Result<(), Refusal> {
-        if matches!(failure, Failure::Broken | Failure::Truncated) {
-            quarantine::spawn_crash_check(&self.gateway, &self.call, endpoint, failure);
-        }
         let now = self.gateway.clock.now();
         let remaining = self.call.remaining(now);
         self.report_failure(endpoint, failure, now);
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use rosebend_coordination::gateway::admission::Admission;
+use rosebend_coordination::gateway::attempt::Failure;
 use rosebend_coordination::gateway::directory::Directory;
 use rosebend_coordination::gateway::fingerprint::CrashCounts;
 use rosebend_coordination::gateway::history::{TurnCache, partition_of};
@@ -32,6 +33,7 @@
 use crate::limits::RateLimiter;
 use crate::metrics::{GaugeValues, Metrics};
 use crate::pool::Pool;
+use crate::quarantine::{self, Quarantine, Suspicion};
 use crate::recent_history::RecentHistory;
 use crate::reply::Refusal;
 use crate::retention::Retention;
@@ -92,6 +94,8 @@
     pub holders: HolderAddresses,
     /// The number of crashes per fingerprint of a request.
     pub crashes: RefCell<CrashCounts>,
+    /// The endpoints that may have crashed.
+    pub quarantine: Quarantine,
     /// Number of requests that callers wait for.
     open_requests: Cell<u64>,
     /// Number of connections of callers. A connection remains open until its last response is
@@ -159,6 +163,7 @@
             retention: Retention::default(),
             holders: HolderAddresses::default(),
             crashes: RefCell::default(),
+            quarantine: Quarantine::default(),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
             stopping: Cell::new(false),
@@ -378,6 +383,7 @@
         OpenEndpointRequest {
             gateway: Rc::clone(self),
             endpoint: endpoint.clone(),
+            suspicion: RefCell::default(),
         }
     }
 }
@@ -418,6 +424,37 @@
     gateway: Rc<Gateway>,
     /// The incarnation of the endpoint that runs the request.
     pub endpoint: EndpointIdentity,
+    /// Suspicion that the request crashes the endpoint; none before the request is sent, and
+    /// after the endpoint has answered or is known not to have run it.
+    suspicion: RefCell<Option<Suspicion>>,
+}
+
+impl OpenEndpointRequest {
+    /// Records that the request is sent. Unless an answer follows, `suspicion` is checked.
+    pub fn set_sent(&self, suspicion: Suspicion) {
+        self.suspicion.replace(Some(suspicion));
+    }
+
+    /// Records that the endpoint sent data.
+    pub fn set_active(&self) {
+        if let Some(suspicion) = self.suspicion.borrow_mut().as_mut() {
+            suspicion.active_at = self.gateway.clock.now();
+        }
+    }
+
+    /// Records how the exchange failed.
+    pub fn set_failed(&self, failure: Failure) {
+        let mut suspicion = self.suspicion.borrow_mut();
+        match suspicion.as_mut() {
+            Some(suspicion) if failure.may_have_run() => suspicion.failure = Some(failure),
+            Some(_) | None => *suspicion = None,
+        }
+    }
+
+    /// Records that the endpoint has answered the request completely.
+    pub fn set_answered(&self) {
+        self.suspicion.replace(None);
+    }
 }
 
 impl Drop for OpenEndpointRequest {
@@ -426,6 +463,11 @@
             .directory
             .borrow_mut()
             .record_request_end(&self.endpoint);
+        let suspicion = self.suspicion.take();
+        // When the process ends, its requests end for another reason.
+        if let Some(suspicion) = suspicion.filter(|_| !self.gateway.is_exiting.get()) {
+            quarantine::suspect(&self.gateway, &self.endpoint, &suspicion);
+        }
     }
 }
 
--- a/gateway/src/plain.rs
+++ b/gateway/src/plain.rs
@@ -60,11 +60,12 @@
     let (head, body) = endpoint_response.response.into_parts();
     let reading = Limited::new(body, MAX_RESPONSE_BYTES).collect();
     let body = tokio::time::timeout(remaining, reading).await;
-    let body: Bytes = match body {
-        Err(_) => return Err(Failure::TimedOut),
-        Ok(Err(_)) => return Err(Failure::Broken),
-        Ok(Ok(body)) => body.to_bytes(),
+    let body: Result<Bytes, Failure> = match body {
+        Err(_) => Err(Failure::TimedOut),
+        Ok(Err(_)) => Err(Failure::Broken),
+        Ok(Ok(body)) => Ok(body.to_bytes()),
     };
+    let body = body.inspect_err(|failure| endpoint_response.in_flight.set_failed(*failure))?;
     let endpoint = &endpoint_response.in_flight.endpoint;
     let now = gateway.clock.now();
     let latency = now.saturating_sub(endpoint_response.sent_at);
@@ -78,6 +79,7 @@
     call.request_log
         .record_served(&endpoint.instance, status, elapsed, in_time);
     gateway.metrics.count_request(call.route.kind, "answered");
+    endpoint_response.in_flight.set_answered();
     gateway.crashes.borrow_mut().clear(call.fingerprint);
     EndpointResponse::return_connection(
         gateway,
--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -1,25 +1,29 @@
 //! Detects requests that crash endpoints, and shares the crashes between hosts through
 //! the store.
 //!
-//! If a response breaks off and its endpoint then refuses connections, the endpoint
-//! has crashed, and each request that it was running may be the cause. Each such pair
-//! of a request and a crash is written to the store as a row, and every host follows
-//! these rows.
+//! Each request that ends at an endpoint without an answer is a suspect until it is decided
+//! whether the endpoint's process has ended; see `liveness`. If it has, the request may be the
+//! cause. Each such pair of a request and a crash is written to the store as a row, and every
+//! host follows these rows.
 
-use std::io::ErrorKind;
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use rosebend_coordination::gateway::attempt::Failure;
 use rosebend_coordination::gateway::fingerprint::{CRASH_RETENTION, Fingerprint};
 use rosebend_state::deployment::{EndpointIdentity, Row, RowId, RowWrite, Transaction};
-use rosebend_transport::connection::{Connection, ConnectionError};
 use rosebend_transport::event::{Event, EventKind, log_event};
 
-use crate::call::Call;
 use crate::feeds::FollowedTable;
 use crate::gateway::Gateway;
 
+pub use self::liveness::{Suspicion, record_answer, record_refused_connection, suspect};
+
+use self::liveness::LivenessCheck;
+
+mod liveness;
+
 /// Table with one row for each crash that a request may have caused.
 const TABLE: &str = FollowedTable::Crashes.name();
 /// Delay before the store is read again after an error.
@@ -36,21 +40,6 @@
     Store,
 }
 
-/// The result of a check whether an endpoint has crashed.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum CrashCheck {
-    /// A later incarnation of the endpoint is listed.
-    Restarted,
-    /// The endpoint's address refuses connections.
-    Refused,
-    /// The endpoint's address accepts connections.
-    Accepted,
-    /// The endpoint's machine does not respond.
-    Unreachable,
-    /// The endpoint is no longer listed.
-    Unlisted,
-}
-
 impl Observer {
     /// Returns the code that logs and metrics contain.
     const fn as_str(self) -> &'static str {
@@ -61,73 +50,17 @@
     }
 }
 
-impl CrashCheck {
-    /// Returns whether the check shows that the endpoint has crashed.
-    const fn has_crashed(self) -> bool {
-        match self {
-            Self::Restarted | Self::Refused => true,
-            Self::Accepted | Self::Unreachable | Self::Unlisted => false,
-        }
-    }
-
-    /// Returns the code that logs and metrics contain.
-    const fn as_str(self) -> &'static str {
-        match self {
-            Self::Restarted => "restarted",
-            Self::Refused => "refused",
-            Self::Accepted => "accepted",
-            Self::Unreachable => "unreachable",
-            Self::Unlisted => "unlisted",
-        }
-    }
+/// The endpoints that may have crashed.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    checks: RefCell<HashMap<EndpointIdentity, LivenessCheck>>,
 }
 
-/// Starts a background task that checks whether an endpoint whose response broke off
-/// has crashed, and if so records the crash for the request.
-pub fn spawn_crash_check(
-    gateway: &Rc<Gateway>,
-    call: &Call,
-    endpoint: &EndpointIdentity,
-    failure: Failure,
-) {
+/// Starts a background task that records a crash that a request may have caused.
+fn record_crash(gateway: &Rc<Gateway>, request: Fingerprint, endpoint: &EndpointIdentity) {
     let gateway = Rc::clone(gateway);
-    let (request, endpoint) = (call.fingerprint, endpoint.clone());
-    let event = Event::new(EventKind::CrashSuspected).attempt(&call.header.attempt);
-    let event = event.endpoint(&endpoint.instance).reason(failure.as_str());
-    log_event(&event.fingerprint(request));
-    actix_rt::spawn(async move {
-        let started = gateway.clock.now();
-        let check = check_crash(&gateway, &endpoint).await;
-        gateway.metrics.count_crash_check(check.as_str());
-        let elapsed = gateway.clock.now().saturating_sub(started);
-        let event = Event::new(EventKind::CrashChecked).endpoint(&endpoint.instance);
-        let event = event.elapsed(elapsed).reason(check.as_str());
-        log_event(&event.fingerprint(request));
-        if check.has_crashed() {
-            record_suspected_crash(&gateway, request, &endpoint).await;
-        }
-    });
-}
-
-/// Checks whether an incarnation of an endpoint has crashed. It has ended if a later
-/// incarnation with the same id is listed, or if its address refuses connections: a
-/// machine that runs without the endpoint refuses a connection at once, while an
-/// unreachable machine does not respond.
-async fn check_crash(gateway: &Gateway, endpoint: &EndpointIdentity) -> CrashCheck {
-    if gateway.directory.borrow().has_restarted(endpoint) {
-        return CrashCheck::Restarted;
-    }
-    let address = gateway.directory.borrow().address(endpoint);
-    let Some(address) = address else {
-        return CrashCheck::Unlisted;
-    };
-    match Connection::open(address).await {
-        Ok(_) => CrashCheck::Accepted,
-        Err(ConnectionError::Connect(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-            CrashCheck::Refused
-        }
-        Err(_) => CrashCheck::Unreachable,
-    }
+    let endpoint = endpoint.clone();
+    actix_rt::spawn(async move { record_suspected_crash(&gateway, request, &endpoint).await });
 }
 
 /// Counts a crash against a request and writes it to the store, and deletes the row
--- a/gateway/src/runs.rs
+++ b/gateway/src/runs.rs
@@ -132,6 +132,7 @@
     /// completely, and releases the slot at the endpoint.
     pub fn keep_connection(&mut self) {
         self.run.placement = None;
+        self.run.endpoint_request.set_answered();
         if let Some(connection) = self.run.connection.take() {
             let endpoint = &self.run.endpoint_request.endpoint;
             EndpointResponse::return_connection(
@@ -167,6 +168,7 @@
                 continue;
             }
             self.run.record_first_byte(&self.gateway);
+            self.run.endpoint_request.set_active();
             let events = self.series.push(&bytes).map_err(|_| Failure::Broken)?;
             let chunk = Chunk::from(events);
             self.has_forwarded |= !chunk.fresh.is_empty();
@@ -211,6 +213,7 @@
         let Some(endpoint_response) = replaced else {
             return Ok(());
         };
+        self.run.endpoint_request.set_failed(Failure::Stalled);
         self.series.discard_partial();
         let (head, run) = match endpoint_response.response.status().is_success() {
             true => Run::start(endpoint_response),
@@ -226,6 +229,7 @@
     /// Resumes the stream at another endpoint after the last complete event.
     async fn resume(&mut self, failure: Failure) -> Result<(), Interruption> {
         self.run.stop();
+        self.run.endpoint_request.set_failed(failure);
         let endpoint = self.run.endpoint_request.endpoint.clone();
         self.exchange
             .handle_failure(&endpoint, failure)
--- a/standin/src/backend.rs
+++ b/standin/src/backend.rs
@@ -10,6 +10,7 @@
 //! | `GET /report` [`Report`] | what it says of itself |
 //! | `GET /turns` [`Turns`] | how many streams it runs, and the most at a time since the last such request |
 //! | `GET /runs` [`Runs`] | what has run at any start, by attempt |
+//! | `GET /healthz` | the health check of the platform |
 
 use std::collections::BTreeMap;
 use std::fs::OpenOptions;
@@ -298,10 +299,18 @@
             ("GET", "/report") => HttpReply::json(200, &self.report()),
             ("GET", "/turns") => HttpReply::json(200, &self.take_turns()),
             ("GET", "/runs") => HttpReply::json(200, &self.lock().runs),
+            ("GET", "/healthz") => self.health(),
             _ => self.run_until_restart(request).await,
         }
     }
 
+    /// Answers a health check of the platform, which is no run.
+    fn health(&self) -> HttpReply {
+        let mut reply = HttpReply::json(200, &json!({}));
+        reply.headers.push(("instance-id", self.instance.clone()));
+        reply
+    }
+
     fn take_turns(&self) -> Turns {
         let turns = &mut self.lock().turns;
         let taken = *turns;
--- a/transport/src/connection.rs
+++ b/transport/src/connection.rs
@@ -7,7 +7,7 @@
 
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream as StdStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -42,6 +42,16 @@
     Broken(hyper::Error),
 }
 
+impl ConnectionError {
+    /// Whether the machine refused the connection, since nothing listens there.
+    pub fn is_refused(&self) -> bool {
+        match self {
+            Self::Connect(error) => error.kind() == ErrorKind::ConnectionRefused,
+            Self::NotSent(_) | Self::Broken(_) => false,
+        }
+    }
+}
+
 /// An open connection.
 #[derive(Debug)]
 pub struct Connection {
@@ -49,6 +59,7 @@
     driver: JoinHandle<()>,
     /// A second handle to the socket, to look for bytes that wait on it.
     socket: StdStream,
+    opened: Instant,
 }
 
 impl Connection {
@@ -75,9 +86,15 @@
             sender,
             driver,
             socket,
+            opened: Instant::now(),
         })
     }
 
+    /// Time since it was opened.
+    pub fn age(&self) -> Duration {
+        self.opened.elapsed()
+    }
+
     /// Whether a request may be sent: the connection is open and no byte waits
     /// on it. A byte that comes unasked belongs to no request.
     pub fn is_clean(&self) -> bool {
