Keep crashes known at all hosts until they are in the store

After an outage of the store, callers' requests went on to crash endpoints at hosts that had not observed the earlier crashes: four more after three.

A crash was written by one call whose error was ignored, and it counted for 60 s. Each host allowed three crashes of its own. The count was compared when a request arrived, although it may wait for seconds before it is sent, and a host that had just started served requests before it had read the table.

Crashes are written until the store has them. Meanwhile hosts send them to the hosts that relay their calls, with the load reports; each host that learns of one does the same. After two crashes within an hour a request runs only in trials, each of which is claimed by a conditional write, so that hosts cannot run it at the same time. An answer deletes the rows. The evidence is checked when the request is sent, and a host is ready once it has read the table.

The outage test lets hosts share for 500 ms before one is killed; that a host dies with its crash has a test of its own, with one more run at most.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -48,6 +48,8 @@
     pub deadline: Duration,
     /// Hash that identifies the content of the request.
     pub fingerprint: Fingerprint,
+    /// Whether the request is the trial of one that has crashed endpoints.
+    pub is_trial: Cell<bool>,
     /// Class under which the request is counted against its customer's limit, or none
     /// if it is not counted.
     pub counted_class: Cell<Option<RequestClass>>,
--- a/gateway/src/dispatch.rs
+++ b/gateway/src/dispatch.rs
@@ -14,7 +14,7 @@
 use crate::call::{Call, refuse};
 use crate::gateway::Gateway;
 use crate::reply::{Refusal, Reply};
-use crate::{intake, limits, plain, turn};
+use crate::{intake, limits, plain, quarantine, turn};
 
 /// Maximum size of a body that is held in memory until it is complete.
 const MAX_WHOLE_BYTES: usize = 8 << 20;
@@ -57,9 +57,12 @@
 
 /// Serves a call, unless it crashes endpoints or exceeds a limit of its customer.
 async fn serve(gateway: &Rc<Gateway>, call: Call) -> Response<BoxBody> {
-    let now = gateway.clock.now();
-    if gateway.crashes.borrow().is_refused(call.fingerprint, now) {
-        return refuse(gateway, &call, Refusal::CrashesEndpoints);
+    // Before it has read the table of crashes, a host may let through what others refuse.
+    if !gateway.quarantine.has_read_table() {
+        return refuse(gateway, &call, Refusal::NotReady);
+    }
+    if let Err(refusal) = quarantine::admit(gateway, &call).await {
+        return refuse(gateway, &call, refusal);
     }
     if let Err(refusal) = limits::admit(gateway, &call).await {
         return refuse(gateway, &call, refusal);
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -21,6 +21,7 @@
 use crate::engine_scheduling::{self, Placed, Placement};
 use crate::gateway::Gateway;
 use crate::metrics::Timing;
+use crate::quarantine;
 use crate::reply::Refusal;
 use crate::runs::Run;
 
@@ -162,10 +163,9 @@
 
     /// Counts and logs a request that is sent to an endpoint although it may have run before.
     fn report_sent_again(&self, endpoint: &EndpointIdentity) {
-        let now = self.gateway.clock.now();
         let fingerprint = self.call.fingerprint;
         let runs = u64::from(self.attempt.possible_runs());
-        let crashes = self.gateway.crashes.borrow().count(fingerprint, now) as u64;
+        let crashes = self.gateway.quarantine.crash_count(fingerprint) as u64;
         let (reason, count) = match (runs, crashes) {
             (0, 0) => return,
             (0, crashes) => ("crashes", crashes),
@@ -347,6 +347,17 @@
     ///
     /// Returns the refusal for the caller if no further endpoint may be tried.
     async fn place(&mut self) -> Result<(SelectedEndpoint, Option<Placement>), Refusal> {
+        let placed = self.select_or_wait().await?;
+        // The request may have waited for a slot, and have crashed endpoints meanwhile.
+        let may_have_run = self.attempt.may_have_run();
+        match quarantine::may_be_sent(&self.gateway, &self.call, may_have_run) {
+            true => Ok(placed),
+            false if may_have_run => Err(Refusal::OutcomeUnknown),
+            false => Err(Refusal::CrashesEndpoints),
+        }
+    }
+
+    async fn select_or_wait(&mut self) -> Result<(SelectedEndpoint, Option<Placement>), Refusal> {
         let placed = match self.call.route.kind {
             RouteKind::Streaming => {
                 let warm = self.warm.as_ref();
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -10,7 +10,6 @@
 use rosebend_coordination::gateway::admission::Admission;
 use rosebend_coordination::gateway::attempt::Failure;
 use rosebend_coordination::gateway::directory::Directory;
-use rosebend_coordination::gateway::fingerprint::CrashCounts;
 use rosebend_coordination::gateway::history::{TurnCache, partition_of};
 use rosebend_coordination::gateway::identity::Confirmation;
 use rosebend_coordination::gateway::limits::Tolerance;
@@ -92,9 +91,7 @@
     /// The addresses of other gateway processes, which may hold reservations of programs'
     /// tokens.
     pub holders: HolderAddresses,
-    /// The number of crashes per fingerprint of a request.
-    pub crashes: RefCell<CrashCounts>,
-    /// The endpoints that may have crashed.
+    /// The requests that crash endpoints.
     pub quarantine: Quarantine,
     /// Number of requests that callers wait for.
     open_requests: Cell<u64>,
@@ -162,7 +159,6 @@
             escrow: Escrow::new(process.clone()),
             retention: Retention::default(),
             holders: HolderAddresses::default(),
-            crashes: RefCell::default(),
             quarantine: Quarantine::default(),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
@@ -291,6 +287,9 @@
         if self.directory.borrow().is_empty() {
             return Err("no-endpoints");
         }
+        if !self.quarantine.has_read_table() {
+            return Err("no-crashes");
+        }
         if self.store.unreachable_for() >= UNREADY_AFTER {
             self.store.tell_if_lost();
             return Err("store-unreachable");
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -18,6 +18,7 @@
 use tokio::net::UdpSocket;
 
 use crate::gateway::Gateway;
+use crate::quarantine::{self, PeerEvidence};
 use crate::{engine_scheduling, escrow, limits};
 
 /// Time between two datagrams to a peer. It is short compared with the duration of a
@@ -28,6 +29,9 @@
 /// Maximum number of failures in a datagram. With the load reports they take about
 /// 1,450 bytes, and with speeds up to 120 bytes more.
 const MAX_FAILURES: usize = 16;
+/// Maximum number of pieces of evidence in a datagram. Load reports that do not fit beside
+/// them are left out.
+const MAX_EVIDENCE: usize = 4;
 /// Maximum size of a sent datagram in bytes, so that no link fragments it. Entries that
 /// do not fit, because ids are unusually long, are left out.
 const MAX_SENT_BYTES: usize = 1_472;
@@ -56,6 +60,10 @@
     /// is empty. Gateways of earlier versions do not send it and ignore it.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub speeds: Vec<Option<u32>>,
+    /// Evidence against requests that crash endpoints, which the store may lack. The list is
+    /// left out if it is empty. Gateways of earlier versions do not send it and ignore it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub evidence: Vec<PeerEvidence>,
 }
 
 /// Error of a datagram that no gateway of this version can have sent.
@@ -84,7 +92,10 @@
             if datagram.len() <= MAX_SENT_BYTES {
                 return datagram;
             }
-            if self.loads.pop().is_none() && self.failed.pop().is_none() {
+            let is_shorter = self.loads.pop().is_some()
+                || self.failed.pop().is_some()
+                || self.evidence.pop().is_some();
+            if !is_shorter {
                 return datagram;
             }
             self.speeds.truncate(self.loads.len());
@@ -147,13 +158,15 @@
     }
     let failed = directory.failures_since(since).take(MAX_FAILURES).cloned();
     let failed: Vec<EndpointIdentity> = failed.collect();
-    if loads.is_empty() && failed.is_empty() {
+    let evidence = quarantine::evidence_for_peers(gateway, MAX_EVIDENCE);
+    if loads.is_empty() && failed.is_empty() && evidence.is_empty() {
         return None;
     }
     let peer_reports = PeerReports {
         loads,
         failed,
         speeds,
+        evidence,
     };
     Some(peer_reports.into_datagram())
 }
@@ -195,5 +208,8 @@
         };
         let now = gateway.clock.now();
         peer_reports.record_in(&mut gateway.directory.borrow_mut(), now);
+        for evidence in &peer_reports.evidence {
+            quarantine::record_from_peer(&gateway, evidence);
+        }
     }
 }
--- a/gateway/src/plain.rs
+++ b/gateway/src/plain.rs
@@ -15,6 +15,7 @@
 use crate::exchange::Exchange;
 use crate::gateway::Gateway;
 use crate::metrics::Timing;
+use crate::quarantine;
 use crate::reply::{Refusal, Reply};
 
 /// Maximum size of a response body, which is held in memory until it is complete.
@@ -80,7 +81,10 @@
         .record_served(&endpoint.instance, status, elapsed, in_time);
     gateway.metrics.count_request(call.route.kind, "answered");
     endpoint_response.in_flight.set_answered();
-    gateway.crashes.borrow_mut().clear(call.fingerprint);
+    // Something in front of the endpoint may have answered in its place.
+    if endpoint_response.header.stamped {
+        quarantine::clear(gateway, call.fingerprint);
+    }
     EndpointResponse::return_connection(
         gateway,
         endpoint,
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -93,6 +93,7 @@
     actix_rt::spawn(engine_scheduling::run(Rc::clone(&gateway)));
     actix_rt::spawn(peers::probe(Rc::clone(&gateway)));
     actix_rt::spawn(quarantine::follow(Rc::clone(&gateway)));
+    actix_rt::spawn(quarantine::write(Rc::clone(&gateway)));
     actix_rt::spawn(retention::run(Rc::clone(&gateway)));
     actix_rt::spawn(reload::follow(Rc::clone(&gateway), path, hangup));
     log_event(&Event::new(EventKind::ProcessStarted).host(&gateway.settings().host));
--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -1,22 +1,34 @@
-//! Detects requests that crash endpoints, and shares the crashes between hosts through
-//! the store.
+//! Refuses requests that crash endpoints, at all hosts.
 //!
 //! Each request that ends at an endpoint without an answer is a suspect until it is decided
-//! whether the endpoint's process has ended; see `liveness`. If it has, the request may be the
-//! cause. Each such pair of a request and a crash is written to the store as a row, and every
-//! host follows these rows.
+//! whether the endpoint's process has ended; see `liveness`. A crash counts against the
+//! request. It is written to the store until the store has it, and every host follows these
+//! rows. Hosts send each other what the store may lack, so that neither an outage of the
+//! store nor the end of the host that observed a crash loses it.
+//!
+//! Before a request is sent to an endpoint, the evidence against it is checked. The decisions
+//! are those of [`CrashCounts`].
 
-use std::cell::RefCell;
-use std::collections::HashMap;
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
-use rosebend_coordination::gateway::fingerprint::{CRASH_RETENTION, Fingerprint};
-use rosebend_state::deployment::{EndpointIdentity, Row, RowId, RowWrite, Transaction};
-use rosebend_transport::event::{Event, EventKind, log_event};
+use rosebend_coordination::gateway::fingerprint::{
+    CrashCounts, Evidence, EvidenceKey, Fingerprint, Source, Verdict,
+};
+use rosebend_state::deployment::{Condition, EndpointIdentity, RowId, RowWrite, Transaction};
+use rosebend_transport::clock::whole_ms;
+use rosebend_transport::event::{Event, EventKind, log_event, now_ms};
+use rosebend_transport::store::{StoreError, Transacted};
+use rosebend_util::hash_parts;
+use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
 
-use crate::feeds::FollowedTable;
+use crate::call::Call;
+use crate::feeds::{FollowedTable, TableUpdate};
 use crate::gateway::Gateway;
+use crate::reply::Refusal;
 
 pub use self::liveness::{Suspicion, record_answer, record_refused_connection, suspect};
 
@@ -24,127 +36,351 @@
 
 mod liveness;
 
-/// Table with one row for each crash that a request may have caused.
+/// Table with one row for each piece of evidence.
 const TABLE: &str = FollowedTable::Crashes.name();
 /// Delay before the store is read again after an error.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
-/// Separator between the fingerprint of the request and the endpoint in a row key.
-const SEPARATOR: char = '/';
-
-/// Who observed a crash.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Observer {
-    /// This host.
-    Own,
-    /// A host whose row this one has read from the store.
-    Store,
-}
-
-impl Observer {
-    /// Returns the code that logs and metrics contain.
-    const fn as_str(self) -> &'static str {
-        match self {
-            Self::Own => "own",
-            Self::Store => "store",
-        }
-    }
-}
+/// Delay before a write that failed is repeated. It doubles with each failure.
+const MIN_WRITE_PAUSE: Duration = Duration::from_millis(250);
+/// Longest delay before a write that failed is repeated.
+const MAX_WRITE_PAUSE: Duration = Duration::from_secs(4);
+/// Maximum number of rows that one transaction writes or deletes.
+const MAX_ROWS: usize = 50;
+/// Time for which a host leaves evidence of another one to that host and to others that have
+/// it, too. Each host adds up to the same time.
+const PEER_WRITE_DELAY: Duration = Duration::from_secs(1);
+/// Maximum time for which a host leaves the deletion of rows that no longer count to others.
+const MAX_DELETE_DELAY: Duration = Duration::from_secs(60);
 
-/// The endpoints that may have crashed.
+/// The evidence against requests, and the checks that are in progress.
 #[derive(Debug, Default)]
 pub struct Quarantine {
+    counts: RefCell<CrashCounts>,
     checks: RefCell<HashMap<EndpointIdentity, LivenessCheck>>,
+    /// Rows of requests that were answered, which are to be deleted.
+    to_delete: RefCell<Vec<EvidenceKey>>,
+    /// Position of the evidence that was last sent to other hosts.
+    sent_to_peers: Cell<usize>,
+    /// Notifies the writer of something to write or delete.
+    changed: Notify,
+    /// Whether this host has read the table.
+    has_read_table: Cell<bool>,
 }
 
-/// Starts a background task that records a crash that a request may have caused.
-fn record_crash(gateway: &Rc<Gateway>, request: Fingerprint, endpoint: &EndpointIdentity) {
-    let gateway = Rc::clone(gateway);
-    let endpoint = endpoint.clone();
-    actix_rt::spawn(async move { record_suspected_crash(&gateway, request, &endpoint).await });
-}
-
-/// Counts a crash against a request and writes it to the store, and deletes the row
-/// after the time for which a crash counts.
-async fn record_suspected_crash(
-    gateway: &Rc<Gateway>,
-    request: Fingerprint,
-    endpoint: &EndpointIdentity,
-) {
-    count_crash(gateway, request, endpoint, Observer::Own);
-    let row = RowId::new(TABLE, "", format!("{request:016x}{SEPARATOR}{endpoint}"));
-    let write = RowWrite {
-        row: row.clone(),
-        value: gateway.settings().host.clone().into_bytes(),
-    };
-    let transaction = Transaction {
-        writes: vec![write],
-        ..Transaction::default()
-    };
-    // This host has already counted the crash, and the other hosts can still count the
-    // next one.
-    match gateway.store.transact(&transaction).await {
-        Ok(_) => gateway.metrics.count_crash_write("written"),
-        Err(error) => {
-            gateway.metrics.count_crash_write("failed");
-            let event = Event::new(EventKind::CrashUnwritten).endpoint(&endpoint.instance);
-            log_event(&event.error(&error).fingerprint(request));
-        }
+/// Value of a row. Rows of earlier versions have another form.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+struct RowValue {
+    /// Host that wrote the row.
+    host: String,
+    /// Time of day of the crash or trial in milliseconds since 1970.
+    at_ms: u64,
+}
+
+/// Evidence as one host sends it to another.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct PeerEvidence {
+    /// Key of the evidence.
+    pub key: String,
+    /// Age of the evidence in milliseconds.
+    pub age_ms: u64,
+}
+
+impl Quarantine {
+    /// Returns the number of crashes that count against a request.
+    pub fn crash_count(&self, request: Fingerprint) -> usize {
+        self.counts.borrow().count(request)
+    }
+
+    /// Returns whether this host has read the table since its start. Before that, it may
+    /// not know of crashes.
+    pub fn has_read_table(&self) -> bool {
+        self.has_read_table.get()
+    }
+}
+
+/// Checks that a request may be sent to an endpoint, and claims a trial if it has to be one.
+///
+/// # Errors
+///
+/// Returns a refusal if it may not.
+pub async fn admit(gateway: &Gateway, call: &Call) -> Result<(), Refusal> {
+    let now = gateway.clock.now();
+    let verdict = gateway
+        .quarantine
+        .counts
+        .borrow()
+        .verdict(call.fingerprint, now);
+    match verdict {
+        Verdict::Allowed => Ok(()),
+        Verdict::Refused => Err(Refusal::CrashesEndpoints),
+        Verdict::Trial(number) => match claim_trial(gateway, call.fingerprint, number).await {
+            true => {
+                call.is_trial.set(true);
+                Ok(())
+            }
+            false => Err(Refusal::CrashesEndpoints),
+        },
     }
-    tokio::time::sleep(CRASH_RETENTION).await;
+}
+
+/// Returns whether an admitted request may still be sent to an endpoint. `may_have_run` tells
+/// whether it may have run before in the same attempt of its caller.
+pub fn may_be_sent(gateway: &Gateway, call: &Call, may_have_run: bool) -> bool {
+    if call.is_trial.get() {
+        return !may_have_run;
+    }
+    let now = gateway.clock.now();
+    let counts = gateway.quarantine.counts.borrow();
+    counts.verdict(call.fingerprint, now) == Verdict::Allowed
+}
+
+/// Claims a trial in the store, so that no other host lets the same one begin. Returns false
+/// if another host has claimed it, or if the store does not answer.
+async fn claim_trial(gateway: &Gateway, request: Fingerprint, number: usize) -> bool {
+    let evidence = Evidence::Trial(number);
+    let key = EvidenceKey { request, evidence };
+    let now = gateway.clock.now();
     let transaction = Transaction {
-        deletes: vec![row],
+        conditions: vec![Condition {
+            row: row_id(&key),
+            version: 0,
+        }],
+        writes: vec![row_write(gateway, &key, now)],
         ..Transaction::default()
     };
-    // An error is ignored: hosts that have counted the crash no longer do so, even if the
-    // row remains.
-    let _ = gateway.store.transact(&transaction).await;
-}
-
-/// Counts a crash against a request, and logs when the request becomes refused.
-fn count_crash(
-    gateway: &Gateway,
-    request: Fingerprint,
-    endpoint: &EndpointIdentity,
-    observer: Observer,
-) {
+    let claimed = gateway.store.transact(&transaction).await;
+    match claimed {
+        // Nothing was done, so the next attempt may claim the trial.
+        Err(StoreError::Refused | StoreError::Throttled) => return false,
+        Ok(_) | Err(_) => record(gateway, &key, Source::Store, now),
+    }
+    matches!(claimed, Ok(Transacted::Applied(_)))
+}
+
+/// Clears a request that an endpoint has answered completely.
+pub fn clear(gateway: &Gateway, request: Fingerprint) {
+    let keys = gateway.quarantine.counts.borrow_mut().clear(request);
+    if !keys.is_empty() {
+        gateway.quarantine.to_delete.borrow_mut().extend(keys);
+        gateway.quarantine.changed.notify_one();
+    }
+}
+
+/// Counts a crash of an endpoint that a request may have caused.
+fn record_crash(gateway: &Gateway, request: Fingerprint, endpoint: &EndpointIdentity) {
+    let evidence = Evidence::Crash(endpoint.clone());
+    let key = EvidenceKey { request, evidence };
+    record(gateway, &key, Source::Own, gateway.clock.now());
+}
+
+/// Records evidence of the time `at`, and logs when the request becomes refused.
+fn record(gateway: &Gateway, key: &EvidenceKey, source: Source, at: Duration) {
     let now = gateway.clock.now();
-    let mut crashes = gateway.crashes.borrow_mut();
-    let was_refused = crashes.is_refused(request, now);
-    crashes.record_crash(request, endpoint, now);
-    let count = crashes.count(request, now) as u64;
-    gateway.metrics.count_crash(observer.as_str());
-    let event = Event::new(EventKind::CrashCounted).endpoint(&endpoint.instance);
-    let event = event.count(count).reason(observer.as_str());
-    log_event(&event.fingerprint(request));
-    if !was_refused && crashes.is_refused(request, now) {
+    let write_from = match source {
+        Source::Own | Source::Store => now,
+        Source::Peer => now + PEER_WRITE_DELAY + spread(gateway, key, PEER_WRITE_DELAY),
+    };
+    let mut counts = gateway.quarantine.counts.borrow_mut();
+    let was_refused = counts.verdict(key.request, now) == Verdict::Refused;
+    if !counts.record(key, source, at, write_from) {
+        return;
+    }
+    let count = counts.count(key.request) as u64;
+    gateway.metrics.count_crash(source.as_str());
+    let event = Event::new(EventKind::CrashCounted).count(count);
+    let event = event.reason(source.as_str()).fingerprint(key.request);
+    log_event(&match &key.evidence {
+        Evidence::Crash(endpoint) => event.endpoint(&endpoint.instance),
+        Evidence::Trial(_) => event,
+    });
+    if !was_refused && counts.verdict(key.request, now) == Verdict::Refused {
         let event = Event::new(EventKind::RequestQuarantined).count(count);
-        log_event(&event.fingerprint(request));
+        log_event(&event.fingerprint(key.request));
     }
+    gateway.quarantine.changed.notify_one();
+}
+
+/// Returns a part of a time that differs between hosts and keys.
+fn spread(gateway: &Gateway, key: &EvidenceKey, time: Duration) -> Duration {
+    let host = gateway.settings().host.clone();
+    let hash = hash_parts(&[host.as_bytes(), key.to_string().as_bytes()]);
+    let ms = whole_ms(time).max(1);
+    Duration::from_millis(hash % ms)
 }
 
-/// Follows the crashes that other hosts write to the store. Never returns.
+/// Returns the next evidence that the store may lack, for other hosts. Each piece is sent
+/// again until the store has it.
+pub fn evidence_for_peers(gateway: &Gateway, max: usize) -> Vec<PeerEvidence> {
+    let now = gateway.clock.now();
+    let mut unstored = gateway.quarantine.counts.borrow().unstored();
+    if unstored.is_empty() {
+        return Vec::new();
+    }
+    let sent = &gateway.quarantine.sent_to_peers;
+    let first = sent.get() % unstored.len();
+    unstored.rotate_left(first);
+    sent.set(sent.get().wrapping_add(max));
+    let evidence = unstored
+        .into_iter()
+        .take(max)
+        .map(|(key, at)| PeerEvidence {
+            key: key.to_string(),
+            age_ms: whole_ms(now.saturating_sub(at)),
+        });
+    evidence.collect()
+}
+
+/// Records evidence that another host has sent. A key that cannot be decoded has no effect,
+/// as any process may send a datagram.
+pub fn record_from_peer(gateway: &Gateway, evidence: &PeerEvidence) {
+    if let Ok(key) = evidence.key.parse() {
+        let age = Duration::from_millis(evidence.age_ms);
+        let at = gateway.clock.now().saturating_sub(age);
+        record(gateway, &key, Source::Peer, at);
+    }
+}
+
+/// Follows the evidence that hosts write to the store. Never returns.
 pub async fn follow(gateway: Rc<Gateway>) {
     loop {
         match gateway.feeds.next(FollowedTable::Crashes).await {
-            Ok(followed) => apply_rows(&gateway, &followed.rows),
+            Ok(update) => {
+                apply_update(&gateway, &update);
+                gateway.quarantine.has_read_table.set(true);
+            }
             // The store client has already logged that the store is unreachable.
             Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
         }
     }
 }
 
-/// Counts the crashes of the rows that were not deleted.
-fn apply_rows(gateway: &Gateway, rows: &[Row]) {
-    for row in rows.iter().filter(|row| row.value.is_some()) {
-        if let Some((request, endpoint)) = decode(row) {
-            count_crash(gateway, request, &endpoint, Observer::Store);
+fn apply_update(gateway: &Gateway, update: &TableUpdate) {
+    if update.is_whole {
+        let rows = update.rows.iter().filter(|row| row.value.is_some());
+        let keys: HashSet<EvidenceKey> = rows.filter_map(|row| row.id.key.parse().ok()).collect();
+        let mut counts = gateway.quarantine.counts.borrow_mut();
+        counts.retain_stored(|key| keys.contains(key));
+    }
+    for row in &update.rows {
+        // Rows with keys of another form are of another version.
+        let Ok(key) = row.id.key.parse::<EvidenceKey>() else {
+            continue;
+        };
+        match &row.value {
+            Some(value) => record(gateway, &key, Source::Store, time_of(gateway, value)),
+            None => {
+                gateway.quarantine.counts.borrow_mut().remove(&key);
+            }
         }
     }
 }
 
-/// Decodes the key of a row; `None` if the key has another form.
-fn decode(row: &Row) -> Option<(Fingerprint, EndpointIdentity)> {
-    let (request, endpoint) = row.id.key.split_once(SEPARATOR)?;
-    let request = Fingerprint::from_str_radix(request, 16).ok()?;
-    Some((request, endpoint.parse().ok()?))
+/// Returns the time of a row's evidence since the start of this process. It is the present
+/// if the row tells none.
+fn time_of(gateway: &Gateway, value: &[u8]) -> Duration {
+    let now = gateway.clock.now();
+    match serde_json::from_slice::<RowValue>(value) {
+        Ok(value) => {
+            let age_ms = now_ms().saturating_sub(value.at_ms);
+            now.saturating_sub(Duration::from_millis(age_ms))
+        }
+        Err(_) => now,
+    }
+}
+
+/// Writes evidence to the store until the store has it, and deletes the rows of requests that
+/// were answered. Never returns.
+pub async fn write(gateway: Rc<Gateway>) {
+    let mut pause = MIN_WRITE_PAUSE;
+    loop {
+        match write_batch(&gateway).await {
+            Written::Nothing => {
+                // Evidence of other hosts becomes due without a notification.
+                let changed = gateway.quarantine.changed.notified();
+                let _ = tokio::time::timeout(PEER_WRITE_DELAY, changed).await;
+            }
+            Written::Done => pause = MIN_WRITE_PAUSE,
+            Written::Failed => {
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(MAX_WRITE_PAUSE);
+            }
+        }
+    }
+}
+
+/// The result of one write to the store.
+enum Written {
+    Nothing,
+    Done,
+    Failed,
+}
+
+async fn write_batch(gateway: &Gateway) -> Written {
+    let now = gateway.clock.now();
+    let quarantine = &gateway.quarantine;
+    let mut to_write = quarantine.counts.borrow().to_write(now);
+    to_write.truncate(MAX_ROWS);
+    let to_delete: Vec<EvidenceKey> = {
+        let queue = quarantine.to_delete.borrow();
+        queue.iter().take(MAX_ROWS).cloned().collect()
+    };
+    if to_write.is_empty() && to_delete.is_empty() {
+        return Written::Nothing;
+    }
+    // A request may have been answered and have crashed an endpoint since. The newer is kept.
+    let is_deleted = |key: &&EvidenceKey| !to_write.iter().any(|(written, _)| written == *key);
+    let transaction = Transaction {
+        writes: to_write
+            .iter()
+            .map(|(key, at)| row_write(gateway, key, *at))
+            .collect(),
+        deletes: to_delete.iter().filter(is_deleted).map(row_id).collect(),
+        ..Transaction::default()
+    };
+    if let Err(error) = gateway.store.transact(&transaction).await {
+        gateway.metrics.count_crash_write("failed");
+        let event = Event::new(EventKind::CrashUnwritten).error(&error);
+        log_event(&event.count((to_write.len() + to_delete.len()) as u64));
+        return Written::Failed;
+    }
+    gateway.metrics.count_crash_write("written");
+    let mut counts = quarantine.counts.borrow_mut();
+    to_write.iter().for_each(|(key, _)| counts.set_stored(key));
+    quarantine
+        .to_delete
+        .borrow_mut()
+        .retain(|key| !to_delete.contains(key));
+    Written::Done
+}
+
+/// Removes evidence that no longer counts, and its rows.
+pub fn expire(gateway: &Gateway) {
+    let now = gateway.clock.now();
+    let host = gateway.settings().host.clone();
+    // Hosts delete at different times. The first one informs the others.
+    let delay_ms = hash_parts(&[host.as_bytes()]) % whole_ms(MAX_DELETE_DELAY);
+    let delay = Duration::from_millis(delay_ms);
+    let expired = gateway.quarantine.counts.borrow_mut().expire(now, delay);
+    if !expired.is_empty() {
+        gateway.quarantine.to_delete.borrow_mut().extend(expired);
+        gateway.quarantine.changed.notify_one();
+    }
+}
+
+fn row_id(key: &EvidenceKey) -> RowId {
+    RowId::new(TABLE, "", key.to_string())
+}
+
+fn row_write(gateway: &Gateway, key: &EvidenceKey, at: Duration) -> RowWrite {
+    let age_ms = whole_ms(gateway.clock.now().saturating_sub(at));
+    let value = RowValue {
+        host: gateway.settings().host.clone(),
+        at_ms: now_ms().saturating_sub(age_ms),
+    };
+    RowWrite {
+        row: row_id(key),
+        value: serde_json::to_vec(&value).expect("text and a number can be serialized to JSON"),
+    }
 }
--- a/gateway/src/quarantine/liveness.rs
+++ b/gateway/src/quarantine/liveness.rs
@@ -339,7 +339,7 @@
     }
 }
 
-fn finish(gateway: &Rc<Gateway>, endpoint: &EndpointIdentity, outcome: Outcome) {
+fn finish(gateway: &Gateway, endpoint: &EndpointIdentity, outcome: Outcome) {
     let check = gateway.quarantine.checks.borrow_mut().remove(endpoint);
     let Some(check) = check else {
         return;
--- a/gateway/src/turn_stream.rs
+++ b/gateway/src/turn_stream.rs
@@ -23,6 +23,7 @@
 use crate::gateway::{Gateway, OpenRequest};
 use crate::interruption::Interruption;
 use crate::metrics::Timing;
+use crate::quarantine;
 use crate::recent_history;
 use crate::reply::{self, Refusal};
 use crate::runs::{Chunk, Runs};
@@ -238,10 +239,7 @@
             .metrics
             .count_request(self.call.route.kind, "answered");
         let status = self.runs.head().status.as_u16();
-        self.gateway
-            .crashes
-            .borrow_mut()
-            .clear(self.call.fingerprint);
+        quarantine::clear(&self.gateway, self.call.fingerprint);
         self.call.request_log.record_served(
             &self.runs.endpoint().instance,
             status,
--- a/gateway/src/watch.rs
+++ b/gateway/src/watch.rs
@@ -12,6 +12,7 @@
 use crate::entries;
 use crate::feeds::{FollowedTable, TableUpdate};
 use crate::gateway::Gateway;
+use crate::quarantine;
 
 /// Delay before a table is read again after an error.
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
@@ -97,7 +98,7 @@
             log_event(&event.endpoint(&instance));
         }
         gateway.update_readiness();
-        gateway.crashes.borrow_mut().expire(now);
+        quarantine::expire(&gateway);
         let directory = gateway.directory.borrow();
         let mut pool = gateway.pool.borrow_mut();
         pool.expire(now, |endpoint| directory.contains(endpoint));
--- a/gateway/tests/gossip.rs
+++ b/gateway/tests/gossip.rs
@@ -6,6 +6,7 @@
 use proptest::prelude::*;
 use rosebend_coordination::gateway::directory::{Directory, EndpointQuery};
 use rosebend_gateway::gossip::{LoadReport, PeerReports};
+use rosebend_gateway::quarantine::PeerEvidence;
 use rosebend_state::deployment::{EndpointIdentity, EndpointLoad, EndpointRecord};
 
 const NOW: Duration = Duration::from_secs(100);
@@ -131,6 +132,45 @@
     }
 }
 
+/// Returns evidence against requests, as hosts send it while the store may lack it.
+fn evidence(count: usize) -> Vec<PeerEvidence> {
+    let evidence = (0..count).map(|number| PeerEvidence {
+        key: format!("{number:016x}/i-{number}/{}", u64::MAX),
+        age_ms: 120,
+    });
+    evidence.collect()
+}
+
+/// Guards against mixed versions in which one drops the datagrams of the other.
+#[test]
+fn gateways_with_and_without_evidence_understand_each_other() {
+    let sent = PeerReports {
+        evidence: evidence(2),
+        ..peer_reports()
+    };
+    let datagram = sent.clone().into_datagram();
+    assert_eq!(PeerReports::try_from(datagram.as_slice()).unwrap(), sent);
+    let earlier: EarlierPeerReports = serde_json::from_slice(&datagram).unwrap();
+    assert_eq!((earlier.loads, earlier.failed), (sent.loads, sent.failed));
+}
+
+/// Guards against evidence that is left out of a datagram for the sake of load reports, which
+/// the next datagram replaces.
+#[test]
+fn evidence_takes_precedence_over_load_reports() {
+    let long = "i".repeat(40);
+    let many = PeerReports {
+        loads: vec![LoadReport(incarnation(&long, u64::MAX), 1, 1, 1, 1); 24],
+        failed: vec![incarnation(&long, u64::MAX); 16],
+        speeds: vec![Some(10_000); 24],
+        evidence: evidence(4),
+    };
+    let datagram = many.into_datagram();
+    assert!(datagram.len() <= 1_472, "{}", datagram.len());
+    let received = PeerReports::try_from(datagram.as_slice()).unwrap();
+    assert_eq!(received.evidence, evidence(4));
+}
+
 /// The fields that gateways sent before speeds were forwarded.
 #[derive(Debug, serde::Deserialize)]
 struct EarlierPeerReports {
@@ -144,6 +184,7 @@
         loads: loads.to_vec(),
         failed: vec![incarnation("b", 2)],
         speeds,
+        evidence: Vec::new(),
     }
 }
 
@@ -193,6 +234,7 @@
         loads: vec![LoadReport(incarnation(&long, u64::MAX), 1, 1, 1, 1); 24],
         failed: vec![incarnation(&long, u64::MAX); 16],
         speeds: vec![Some(10_000); 24],
+        evidence: Vec::new(),
     };
     let datagram = many.into_datagram();
     assert!(datagram.len() <= 1_472, "{}", datagram.len());
--- a/gateway/tests/repeats.rs
+++ b/gateway/tests/repeats.rs
@@ -98,9 +98,8 @@
     }
     let crashes = site.crashing_runs().len();
     assert_eq!(crashes, 3, "one crash for each of three hosts");
-    // A host that dies takes what only it knows with it.
-    site.kill(0);
     actix_rt::time::sleep(Duration::from_millis(500)).await;
+    site.kill(0);
     site.set_store_refuses(false).await;
     site.start_host(0).await;
     actix_rt::time::sleep(CONTACT_TIME).await;
@@ -127,3 +126,27 @@
     }
     check_late_runs(&site, 0);
 }
+
+/// Guards against further runs at each host after a host has died with the crash that only it
+/// had observed.
+#[actix_rt::test]
+async fn a_request_runs_once_more_after_a_host_died_with_its_crash() {
+    let mut site = CrashSite::start("killed", 4, DIRECT).await;
+    site.set_store_refuses(true).await;
+    for host in 0..3 {
+        site.send_to(host, crashing_call).await;
+    }
+    let crashes = site.crashing_runs().len();
+    assert_eq!(crashes, 3, "one crash for each of three hosts");
+    site.kill(0);
+    actix_rt::time::sleep(Duration::from_millis(500)).await;
+    site.set_store_refuses(false).await;
+    site.start_host(0).await;
+    actix_rt::time::sleep(CONTACT_TIME).await;
+    site.wait_until_served().await;
+    for host in 0..4 {
+        site.send_to(host, crashing_call).await;
+    }
+    let runs = site.crashing_runs().len();
+    assert!(runs <= crashes + 1, "{runs} runs\n{}", site.crash_log());
+}
--- a/state/src/deployment/endpoint.rs
+++ b/state/src/deployment/endpoint.rs
@@ -21,7 +21,7 @@
 ///
 /// The text of an identity is `INSTANCE/STARTED_MS`, or `INSTANCE` alone where
 /// the start is not known.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 #[derive(DeserializeFromStr, SerializeDisplay)]
 pub struct EndpointIdentity {
     /// The id, which may outlast a start.
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -119,9 +119,9 @@
     CrashSuspected,
     /// Whether `endpoint` crashed while it ran the request of `fingerprint` was decided after `elapsed_ms`; `reason` says by what.
     CrashChecked,
-    /// A crash of `endpoint` counts against the request of `fingerprint`, which has `count` now; `reason` says who observed it.
+    /// A crash of `endpoint`, or the claim of a trial if there is none, counts against the request of `fingerprint`, which has `count` crashes now; `reason` says whether this host observed it, a peer sent it or the store has it.
     CrashCounted,
-    /// The crash of `endpoint` that the request of `fingerprint` may have caused is not in the store; `error` says why.
+    /// `count` crashes, or deletions of those of requests that were answered, could not be written to the store; `error` says why. The write is repeated.
     CrashUnwritten,
     /// Step: the turn may spend its most; `reason` says from where.
     SpendingGranted,
@@ -197,7 +197,7 @@
     SettingsTaken,
     /// A changed settings file is not accepted; the settings stay as they were.
     SettingsRefused,
-    /// A request crashed `count` endpoints; it is refused everywhere.
+    /// The request of `fingerprint` crashed `count` endpoints, or runs in a trial after that; this host refuses it.
     RequestQuarantined,
     /// A caller's connection could not be accepted.
     AcceptFailed,
@@ -709,10 +709,10 @@
                 "Whether `endpoint` crashed while it ran the request of `fingerprint` was decided after `elapsed_ms`; `reason` says by what."
             }
             Self::CrashCounted => {
-                "A crash of `endpoint` counts against the request of `fingerprint`, which has `count` now; `reason` says who observed it."
+                "A crash of `endpoint`, or the claim of a trial if there is none, counts against the request of `fingerprint`, which has `count` crashes now; `reason` says whether this host observed it, a peer sent it or the store has it."
             }
             Self::CrashUnwritten => {
-                "The crash of `endpoint` that the request of `fingerprint` may have caused is not in the store; `error` says why."
+                "`count` crashes, or deletions of those of requests that were answered, could not be written to the store; `error` says why. The write is repeated."
             }
             Self::TurnTooLate => {
                 "Step: the turn is not sent, because its `remaining_ms` are below `wait_ms`, the shortest time to the first byte that this host observed."
@@ -817,7 +817,7 @@
                 "A changed settings file is not accepted; the settings stay as they were."
             }
             Self::RequestQuarantined => {
-                "A request crashed `count` endpoints; it is refused everywhere."
+                "The request of `fingerprint` crashed `count` endpoints, or runs in a trial after that; this host refuses it."
             }
             Self::AcceptFailed => "A caller's connection could not be accepted.",
             Self::RecordUnreadable => {
