Bound what is read from peers that send without an end

A host stopped serving anyone, or needed more memory than it has, because of one process that sends bytes without an end. Seen, or read in the code where it says so:

- Interim responses without an end were parsed within one poll.
The thread ran nothing else, also no timer; requests had no answer 8 s after their deadline.
- Calls to the store at the same time took 96 MB, more than the smallest hosts have.
- A caller's chunk size was read for more than 20 s, and bodies that nobody reads as well.
Calls of other hosts had no time limit (read).
- Events beyond what a turn may generate were recorded until the deadline, 30 MB in one second for eight turns, and spent the program's budget.

Bodies that are held in memory share a budget. An unread body is discarded for at most 1 s and 1 MiB after its response, which announces that the connection is closed; a request that is refused because of its head first takes what has arrived of its body, for at most 20 ms. An answer is cut if it has more than twice the events of its turn or more output than a record holds.

--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -13,10 +13,13 @@
 use std::time::Duration;
 
 use actix_http::body::{BoxBody, MessageBody};
-use actix_http::{HttpService, Request, Response, StatusCode};
+use actix_http::{
+    ConnectionType, Extensions, HttpMessage, HttpService, Request, Response, StatusCode,
+};
 use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
 use rosebend_platform::process::READY_PATH;
 use rosebend_transport::event::{Event, EventKind, log_event};
+use rosebend_transport::paced_stream::{PacedStream, ReadLimit};
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -37,6 +40,10 @@
 /// Time for which an idle connection is kept beyond the declared limit, so that a
 /// caller that reuses it within the limit does not find it closed.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_secs(2);
+/// Maximum number of bytes of an unread body that are discarded after the response.
+const MAX_DISCARDED_BYTES: usize = 1 << 20;
+/// Maximum time for which an unread body is discarded after the response.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
 /// Pause after a connection could not be accepted, usually because the process has no
 /// free file descriptor.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -163,12 +170,32 @@
     R: Future<Output = Result<Response<BoxBody>, Infallible>> + 'static,
     G: 'static,
 {
+    let handler = move |request: Request| {
+        let limit = request.conn_data::<ReadLimit>().cloned();
+        if let Some(limit) = &limit {
+            limit.set_unread_body(has_body(&request));
+        }
+        let response = handler(request);
+        async move {
+            let mut response = response.await?;
+            if let Some(limit) = limit.filter(ReadLimit::has_unread_body) {
+                let head = response.head_mut();
+                head.set_connection_type(ConnectionType::Close);
+                actix_rt::spawn(discard_body(limit));
+            }
+            Ok::<_, Infallible>(response)
+        }
+    };
     Rc::new(move |stream, peer| {
+        let stream = PacedStream::new(stream);
         let open = open();
         let closing = closing.clone();
         let service = HttpService::build()
             .keep_alive(timeouts.idle_timeout)
             .client_request_timeout(timeouts.header_timeout)
+            .on_connect_ext(|stream: &PacedStream<TcpStream>, data: &mut Extensions| {
+                data.insert(stream.limit());
+            })
             // A caller that closes its side of the connection abandons its requests.
             .h1_allow_half_closed(false)
             .graceful_shutdown_signal(move || wait_until_true(closing.clone()))
@@ -184,6 +211,31 @@
     })
 }
 
+/// Returns whether a request has a body.
+fn has_body(request: &Request) -> bool {
+    let headers = request.headers();
+    let length = headers.get(actix_http::header::CONTENT_LENGTH);
+    let is_sized = length.is_some_and(|length| length.as_bytes() != b"0");
+    is_sized || headers.contains_key(actix_http::header::TRANSFER_ENCODING)
+}
+
+/// Records that the body of a request was read to its end, so that another request may follow
+/// it.
+pub fn record_whole_body(request: &Request) {
+    if let Some(limit) = request.conn_data::<ReadLimit>() {
+        limit.set_unread_body(false);
+    }
+}
+
+/// Lets the rest of a body that nobody reads arrive, so that the client receives the response,
+/// for a limited time and up to a limited size. The response has announced that the connection
+/// is closed then.
+async fn discard_body(limit: ReadLimit) {
+    limit.set(MAX_DISCARDED_BYTES);
+    tokio::time::sleep(DISCARD_TIME).await;
+    limit.set(0);
+}
+
 /// Waits until `flag` is true. If the sender is dropped before that, the function
 /// never returns.
 async fn wait_until_true(mut flag: watch::Receiver<bool>) {
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use rosebend_coordination::gateway::route_table::RouteTable;
 use rosebend_state::deployment::{Customers, EndpointIdentity};
 use rosebend_state::settings::{CustomerSettings, GatewaySettings, StoreSettings};
+use rosebend_transport::byte_budget::ByteBudget;
 use rosebend_transport::clock::{Clock, whole_ms};
 use rosebend_transport::event::{Event, EventKind, log_event};
 use rosebend_transport::store::StoreClient;
@@ -42,6 +43,9 @@
 /// cached turn, without a read from the store.
 const MAX_HISTORY_BYTES: usize = 24 << 20;
 
+/// Memory for the responses that are read at the same time before they are forwarded.
+const MAX_RESPONSE_BODIES_BYTES: usize = 16 << 20;
+
 /// Time for which the store may be unreachable before the host reports that it is not
 /// ready for callers. Other hosts may still reach the store, and the balancer takes seconds
 /// to react.
@@ -91,6 +95,8 @@
     /// The addresses of other gateway processes, which may hold reservations of programs'
     /// tokens.
     pub holders: HolderAddresses,
+    /// The memory for responses that are read before they are forwarded.
+    pub response_bodies: ByteBudget,
     /// The requests that crash endpoints.
     pub quarantine: Quarantine,
     /// Number of requests that callers wait for.
@@ -159,6 +165,7 @@
             escrow: Escrow::new(process.clone()),
             retention: Retention::default(),
             holders: HolderAddresses::default(),
+            response_bodies: ByteBudget::new(MAX_RESPONSE_BODIES_BYTES),
             quarantine: Quarantine::default(),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -1,6 +1,7 @@
 //! Reads a caller's request and determines its route, service and customer.
 
 use std::cell::{Cell, RefCell};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,12 +18,15 @@
 use rosebend_transport::event::{Event, EventKind};
 
 use crate::call::Call;
+use crate::front;
 use crate::gateway::Gateway;
 use crate::reply::Refusal;
 use crate::request_log::RequestLog;
 
 /// Maximum time for a complete body to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum time for which the body of a request that is refused because of its head is read.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(20);
 /// Maximum number of bytes of an oversized body that are read and discarded, so that
 /// the caller receives the response. A caller that is still sending when the connection
 /// closes may lose it.
@@ -40,14 +44,17 @@
     headers: &HeaderMap,
     arrived: Duration,
 ) -> Result<Call, Refusal> {
-    let routes = gateway.routes().ok_or(Refusal::NotReady)?;
-    let limits = routes.deployment().limits;
-    if head_bytes(&request, headers) > limits.max_header_bytes {
-        return Err(Refusal::HeadTooLarge);
-    }
     // A request that is refused because of its head is refused before its body is read.
-    find_route_and_customer(gateway, &routes, &request, headers)?;
-    let body = read_body(&mut request, limits.max_body_bytes).await?;
+    let (routes, max_body_bytes) = match check_head(gateway, &request, headers) {
+        Ok(checked) => checked,
+        Err(refusal) => {
+            // The connection remains usable if the whole body has arrived.
+            let discarded = read_body(&mut request, MAX_DISCARDED_BYTES);
+            let _ = tokio::time::timeout(DISCARD_TIMEOUT, discarded).await;
+            return Err(refusal);
+        }
+    };
+    let body = read_body(&mut request, max_body_bytes).await?;
     // The routes may have changed while the body was read.
     let routes = gateway.routes().unwrap_or(routes);
     let (route, customer) = find_route_and_customer(gateway, &routes, &request, headers)?;
@@ -100,6 +107,25 @@
     })
 }
 
+/// Checks the head of a request, and returns the active routes and the maximum size of its body.
+///
+/// # Errors
+///
+/// Returns the reason if the request cannot be served, whatever its body is.
+fn check_head(
+    gateway: &Gateway,
+    request: &Request,
+    headers: &HeaderMap,
+) -> Result<(Rc<RouteTable>, usize), Refusal> {
+    let routes = gateway.routes().ok_or(Refusal::NotReady)?;
+    let limits = routes.deployment().limits;
+    if head_bytes(request, headers) > limits.max_header_bytes {
+        return Err(Refusal::HeadTooLarge);
+    }
+    find_route_and_customer(gateway, &routes, request, headers)?;
+    Ok((routes, limits.max_body_bytes))
+}
+
 /// Determines the route of a request and its customer from the head of the request.
 ///
 /// # Errors
@@ -162,7 +188,10 @@
     let mut payload = request.take_payload();
     let mut body = BytesMut::new();
     let mut discarded_bytes = 0;
-    while let Some(chunk) = payload.next().await {
+    let is_whole = loop {
+        let Some(chunk) = payload.next().await else {
+            break true;
+        };
         let chunk = chunk.map_err(|_: PayloadError| Refusal::BodyIncomplete)?;
         if discarded_bytes == 0 && body.len() + chunk.len() <= max_bytes {
             body.extend_from_slice(&chunk);
@@ -170,8 +199,11 @@
         }
         discarded_bytes += chunk.len();
         if discarded_bytes > MAX_DISCARDED_BYTES {
-            break;
+            break false;
         }
+    };
+    if is_whole {
+        front::record_whole_body(request);
     }
     match discarded_bytes {
         0 => Ok(body.freeze()),
--- a/gateway/src/interruption.rs
+++ b/gateway/src/interruption.rs
@@ -15,6 +15,9 @@
     /// The endpoint was silent, and no other endpoint resumed its answer.
     #[error("the endpoint was silent, and no other endpoint resumed its answer")]
     EndpointSilent,
+    /// The endpoint sent far more than the turn may generate.
+    #[error("the answer is longer than the turn may be")]
+    AnswerTooLong,
     /// The deadline of the request passed.
     #[error("the deadline passed")]
     DeadlineExceeded,
@@ -53,6 +56,7 @@
             Self::EndpointFailed => "endpoint-failed",
             Self::NotResumed => "not-resumed",
             Self::EndpointSilent => "endpoint-silent",
+            Self::AnswerTooLong => "answer-too-long",
             Self::DeadlineExceeded => "time-is-up",
             Self::GrantNotExtended => "grant-not-extended",
             Self::BudgetSpent => "budget-spent",
--- a/gateway/src/peer_connections.rs
+++ b/gateway/src/peer_connections.rs
@@ -10,13 +10,16 @@
 
 use bytes::Bytes;
 use http::{Method, Request};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use rosebend_platform::headers::decode_answer;
+use rosebend_transport::byte_budget::ByteBudget;
 use rosebend_transport::connection::{Connection, ConnectionError};
 
 /// Maximum size of an answer in bytes. The largest is a whole table, which is sent to a
 /// host that follows it.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
+/// Memory for the answers that are read at the same time.
+const MAX_BODIES_BYTES: usize = 8 << 20;
 /// Maximum number of idle connections to one host. A host has one transaction of each
 /// partition in flight, and few hosts are the batcher of more than two partitions.
 const MAX_IDLE: usize = 4;
@@ -48,9 +51,19 @@
 }
 
 /// The idle connections to other gateways.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PeerConnections {
     idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
+    bodies: ByteBudget,
+}
+
+impl Default for PeerConnections {
+    fn default() -> Self {
+        Self {
+            idle: RefCell::default(),
+            bodies: ByteBudget::new(MAX_BODIES_BYTES),
+        }
+    }
 }
 
 impl PeerConnections {
@@ -87,10 +100,13 @@
         if decode_answer(response.headers()).is_close_delimited {
             return Err(PeerError::Broken);
         }
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect();
-        let body = body.await.map_err(|_| PeerError::Broken)?;
+        let body = self
+            .bodies
+            .read(response.into_body(), MAX_ANSWER_BYTES)
+            .await;
+        let body = body.map_err(|_| PeerError::Broken)?;
         self.put_idle(address, connection);
-        Ok(body.to_bytes())
+        Ok(body)
     }
 
     fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -25,7 +25,7 @@
 use self::table::PeerTable;
 use crate::feeds::{self, FollowedTable, TableUpdate};
 use crate::gateway::Gateway;
-use crate::{batched_commits, recent_history, reservation_lookup};
+use crate::{batched_commits, front, recent_history, reservation_lookup};
 
 mod row;
 mod table;
@@ -43,6 +43,8 @@
 /// Maximum size of a relayed call in bytes. The store accepts at most 1 MB of encoded
 /// rows.
 const MAX_CALL_BYTES: usize = 2 << 20;
+/// Longest time for which the body of a call is read.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time between two probes whether the store answers this host again.
 const PROBE_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -195,7 +197,8 @@
 ) -> Result<Response<BoxBody>, Infallible> {
     let path = request.path().to_owned();
     let is_misdirected = is_misdirected(&gateway, &request);
-    let Some(outgoing) = read_call(request).await else {
+    let outgoing = tokio::time::timeout(CALL_TIMEOUT, read_call(request)).await;
+    let Some(outgoing) = outgoing.ok().flatten() else {
         return Ok(Response::with_body(StatusCode::BAD_REQUEST, ().boxed()));
     };
     Ok(match path.as_str() {
@@ -248,6 +251,7 @@
             return None;
         }
     }
+    front::record_whole_body(&request);
     Some(Outgoing {
         concern: Concern::Unknown,
         method: http::Method::from_bytes(request.method().as_str().as_bytes()).ok()?,
--- a/gateway/src/plain.rs
+++ b/gateway/src/plain.rs
@@ -6,7 +6,6 @@
 use actix_http::Response;
 use actix_http::body::BoxBody;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use rosebend_coordination::gateway::attempt::Failure;
 use rosebend_platform::headers;
 
@@ -59,12 +58,12 @@
 ) -> Result<Reply, Failure> {
     let remaining = call.remaining(gateway.clock.now());
     let (head, body) = endpoint_response.response.into_parts();
-    let reading = Limited::new(body, MAX_RESPONSE_BYTES).collect();
+    let reading = gateway.response_bodies.read(body, MAX_RESPONSE_BYTES);
     let body = tokio::time::timeout(remaining, reading).await;
     let body: Result<Bytes, Failure> = match body {
         Err(_) => Err(Failure::TimedOut),
         Ok(Err(_)) => Err(Failure::Broken),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Ok(body)) => Ok(body),
     };
     let body = body.inspect_err(|failure| endpoint_response.in_flight.set_failed(*failure))?;
     let endpoint = &endpoint_response.in_flight.endpoint;
--- a/gateway/src/turn_stream.rs
+++ b/gateway/src/turn_stream.rs
@@ -35,6 +35,13 @@
 /// take 16 s, and the longest retention of a route is 60 s.
 const MIN_LEDGER_RETENTION: Duration = Duration::from_secs(60);
 
+/// Maximum size of a recorded turn's output. With the longest input it fits into one
+/// transaction of at most 1 MB of encoded rows.
+const MAX_OUTPUT_BYTES: usize = 200_000;
+/// Number of events that an answer may have beyond twice the number of those that its turn may
+/// generate.
+const MAX_EXTRA_EVENTS: u64 = 8;
+
 /// The contents of a turn's record, collected while the turn is served.
 #[derive(Debug)]
 pub struct Record {
@@ -174,6 +181,9 @@
     async fn next_chunk(&mut self) -> Result<Option<Bytes>, Interruption> {
         while let Some(chunk) = self.runs.next().await? {
             let bytes = self.process(chunk);
+            if self.is_too_long() {
+                return Err(Interruption::AnswerTooLong);
+            }
             if let Some(spending) = &mut self.durable_state.spending {
                 spending.cover_events(&self.call).await?;
             }
@@ -185,11 +195,27 @@
         Ok(None)
     }
 
+    /// Returns whether the endpoint has sent far more than the turn may generate, which is no
+    /// answer.
+    fn is_too_long(&self) -> bool {
+        let record = self.durable_state.record.as_ref();
+        let output_bytes = record.map_or(0, |record| record.output.len());
+        let tokens_per_event = tokens_per_event(&self.gateway, &self.call.service).max(1);
+        let max_events = self.call.header.tokens.map(|tokens| {
+            let events = tokens.max_output_tokens.div_ceil(tokens_per_event);
+            events.saturating_mul(2).saturating_add(MAX_EXTRA_EVENTS)
+        });
+        output_bytes > MAX_OUTPUT_BYTES || max_events.is_some_and(|max| self.event_count > max)
+    }
+
     /// Counts and records the events of a chunk, and returns the bytes to forward.
     fn process(&mut self, chunk: Chunk) -> Bytes {
         // Events that the caller has from an earlier attempt belong to the turn's record.
         // They are not forwarded again, and were counted in that attempt.
         for event in self.events.push(&chunk.repeated) {
+            if self.is_too_long() {
+                break;
+            }
             self.event_count += 1;
             self.durable_state.record_event(&event);
         }
@@ -204,6 +230,10 @@
                 .observe(Timing::FirstEvent, self.first_event);
         }
         for event in self.events.push(&chunk.fresh) {
+            // What is not forwarded does not count against the budget.
+            if self.is_too_long() {
+                break;
+            }
             self.event_count += 1;
             if let Some(spending) = &mut self.durable_state.spending {
                 spending.count_event();
--- a/transport/src/connection.rs
+++ b/transport/src/connection.rs
@@ -19,6 +19,8 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use crate::paced_stream::{PacedStream, ReadLimit};
+
 /// Longest wait for a connection. One round trip takes a millisecond or two; a
 /// lost opening packet is sent again only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -27,6 +29,8 @@
 const PEER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time between probes of an idle peer.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Most bytes that are read until the head of a response is complete.
+const MAX_HEAD_BYTES: usize = 128 << 10;
 
 /// Why nothing came back.
 #[derive(Debug, thiserror::Error)]
@@ -59,6 +63,8 @@
     driver: JoinHandle<()>,
     /// A second handle to the socket, to look for bytes that wait on it.
     socket: StdStream,
+    /// Limit of the head of the response that is awaited.
+    limit: ReadLimit,
     opened: Instant,
 }
 
@@ -76,6 +82,8 @@
             .and_then(prepare)
             .map_err(ConnectionError::Connect)?;
         let (stream, socket) = stream;
+        let stream = PacedStream::new(stream);
+        let limit = stream.limit();
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(ConnectionError::NotSent)?;
         let driver = actix_rt::spawn(async move {
@@ -86,6 +94,7 @@
             sender,
             driver,
             socket,
+            limit,
             opened: Instant::now(),
         })
     }
@@ -116,7 +125,10 @@
         if let Err(error) = self.sender.ready().await {
             return Err(ConnectionError::NotSent(error));
         }
-        self.sender.send_request(request).await.map_err(|error| {
+        self.limit.set(MAX_HEAD_BYTES);
+        let response = self.sender.send_request(request).await;
+        self.limit.lift();
+        response.map_err(|error| {
             if error.is_canceled() {
                 ConnectionError::NotSent(error)
             } else {
--- a/transport/src/store/way.rs
+++ b/transport/src/store/way.rs
@@ -8,9 +8,10 @@
 use bytes::Bytes;
 use http::uri::PathAndQuery;
 use http::{HeaderName, HeaderValue, Method, Request, Uri};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use rosebend_platform::headers::decode_answer;
 
+use crate::byte_budget::ByteBudget;
 use crate::clock::Clock;
 use crate::connection::Connection;
 use crate::store::StoreError;
@@ -19,6 +20,8 @@
 const MAX_IDLE: usize = 4;
 /// Largest answer that is read; the store sends at most 1 MB of rows, encoded.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
+/// Memory for the answers that are read at the same time.
+const MAX_BODIES_BYTES: usize = 12 << 20;
 /// How long calls may fail, with none answered, before the way counts as down.
 const DOUBT_TIME: Duration = Duration::from_millis(60);
 /// How long a call may be open, with no other answered since it was sent,
@@ -143,6 +146,7 @@
     clock: Clock,
     idle: RefCell<Vec<Connection>>,
     health: Health,
+    bodies: ByteBudget,
 }
 
 impl Way {
@@ -154,6 +158,7 @@
             clock,
             idle: RefCell::default(),
             health: Health::default(),
+            bodies: ByteBudget::new(MAX_BODIES_BYTES),
         }
     }
 
@@ -287,13 +292,16 @@
         let response = response.map_err(|error| error.to_string())?;
         let status = response.status().as_u16();
         let closes = decode_answer(response.headers()).closes;
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
-        let body = body.collect().await.map_err(|error| error.to_string())?;
+        let body = self
+            .bodies
+            .read(response.into_body(), MAX_ANSWER_BYTES)
+            .await;
+        let body = body.map_err(|error| error.to_string())?;
         let mut idle = self.idle.borrow_mut();
         if !closes && idle.len() < MAX_IDLE {
             idle.push(connection);
         }
-        Ok((status, body.to_bytes()))
+        Ok((status, body))
     }
 
     fn request(&self, outgoing: &Outgoing) -> Request<Full<Bytes>> {
