Play requests that crash endpoints in the soak, and count their runs there

The soak had no such requests, and its relays accept connections while endpoints are down, so that it could not have shown the fault of the incident without a count at the endpoints. The new soak sends one from all sides while the series of faults overlap; endpoints go down behind their relays and come back. After the faults and 3 s of calm, 40 attempts may run three more times.

--- a/gateway/tests/repeats.rs
+++ b/gateway/tests/repeats.rs
@@ -10,8 +10,8 @@
 use std::time::{Duration, Instant};
 
 use http::Method;
-use site::{CONTACT_TIME, CRASHING_BODY, CrashSite, EndpointPlan};
-use support::TestRequest;
+use site::{CONTACT_TIME, CrashSite, EndpointPlan};
+use support::{CRASHING_BODY, TestRequest};
 
 /// Maximum number of runs later than [`CONTACT_TIME`] after the third crash.
 const MAX_LATE_RUNS: usize = 3;
--- a/gateway/tests/repeats/site.rs
+++ b/gateway/tests/repeats/site.rs
@@ -22,10 +22,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpSocket;
 
-use crate::support::{Gateway, TestRequest, routes, wait_until};
+use crate::support::{CRASHING_BODY, Gateway, TestRequest, routes, wait_until};
 
-/// Text that crashes each endpoint that begins to run a request with it.
-pub const CRASHING_BODY: &str = "crashes-endpoints";
 /// Time for which faults of hosts, links and the store may explain a repeat.
 pub const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Number of crashes after which a request may hardly be sent any more.
--- a/gateway/tests/soak.rs
+++ b/gateway/tests/soak.rs
@@ -11,8 +11,9 @@
 //!     cargo test -p rosebend-gateway --test soak the_promises -- --nocapture
 //! ```
 //!
-//! The soak of planned work takes the same variables. It is run by
-//! `cargo test -p rosebend-gateway --test soak answers_are_whole -- --nocapture`.
+//! The soaks of planned work and of requests that crash endpoints take the same variables. It is run by
+//! `cargo test -p rosebend-gateway --test soak answers_are_whole -- --nocapture`, and with
+//! `a_request_that_crashes`.
 //!
 //! The timing of events depends on the machine, but the checked guarantees must hold
 //! with any timing. A seed that fails is added to `SEEDS` with a description of the
@@ -24,6 +25,8 @@
 mod budgets;
 #[path = "soak/callers.rs"]
 mod callers;
+#[path = "soak/crashes.rs"]
+mod crashes;
 #[path = "soak/faults.rs"]
 mod faults;
 #[path = "soak/fleet.rs"]
@@ -108,6 +111,8 @@
 ///   overspent it with grants that were given anew after earlier ones were settled; see
 ///   `repeated_outages_overspend_at_most_one_turn`. It is not fixed.
 const PLANNED_SEEDS: [u64; 3] = [101, 104, 105];
+/// Seeds of requests that crash endpoints that CI runs.
+const CRASH_SEEDS: [u64; 3] = [1, 2, 3];
 /// Seconds for which planned work goes on with each seed in CI.
 const DEFAULT_PLANNED_SECONDS: u64 = 20;
 /// Number of hosts beside planned work in CI.
@@ -170,6 +175,18 @@
     }
 }
 
+/// Guards against a request that goes on to crash endpoints, whatever faults there were while it
+/// crashed the first ones.
+#[actix_rt::test]
+async fn a_request_that_crashes_endpoints_is_stopped_under_faults() {
+    let seconds = setting("ROSEBEND_SOAK_SECONDS", DEFAULT_SECONDS);
+    let hosts = setting("ROSEBEND_SOAK_HOSTS", DEFAULT_HOSTS);
+    for seed in seeds(&CRASH_SEEDS) {
+        println!("seed {seed}");
+        crashes::run_seed(seed, hosts, Duration::from_secs(seconds)).await;
+    }
+}
+
 /// Runs the callers beside planned work for the given time, then checks that no answer ended
 /// early because of it.
 async fn run_planned_seed(seed: u64, hosts: usize, workload: Workload, time: Duration) {
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -17,7 +17,7 @@
 use bytes::Bytes;
 use http::{Method, Request};
 use http_body_util::{BodyExt, Full};
-use rosebend_standin::backend::{Backend, BackendFaults, Runs};
+use rosebend_standin::backend::{Backend, BackendConfig, BackendFaults, Runs};
 use rosebend_standin::server::RunningServer;
 use rosebend_standin::store::{Store, StoreFaults};
 use rosebend_transport::connection::Connection;
@@ -26,6 +26,9 @@
 /// Time after which waiting for an expected condition fails the test.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Text that crashes each endpoint that begins to run a request with it.
+pub const CRASHING_BODY: &str = "crashes-endpoints";
+
 static NEXT_NUMBER: AtomicU64 = AtomicU64::new(1);
 
 /// Returns a number that is unique within the test process.
@@ -126,7 +129,12 @@
     pub fn add_endpoint(&mut self, service: &str) -> usize {
         let instance = format!("i-{service}-{}", self.endpoints.len());
         let started_ms = FIRST_START_MS;
-        let server = Backend::start_at(free_listener(), &instance, started_ms).unwrap();
+        let config = BackendConfig {
+            born_ms: Some(started_ms),
+            restart_on: Some(CRASHING_BODY.to_owned()),
+            ..BackendConfig::new(&instance)
+        };
+        let server = Backend::start_with(free_listener(), config).unwrap();
         self.endpoints.push(Endpoint {
             instance,
             service: service.to_owned(),
--- a/standin/src/backend.rs
+++ b/standin/src/backend.rs
@@ -160,6 +160,9 @@
     pub born_ms: Option<u64>,
     /// The process exits when a request begins to run whose body contains this text.
     pub crash_on: Option<String>,
+    /// The endpoint starts again, as after a crash, when a request begins to run whose body
+    /// contains this text.
+    pub restart_on: Option<String>,
     /// File to which a line is appended for each request that is received. Unlike the
     /// runs in memory, it outlasts the process.
     pub received: Option<PathBuf>,
@@ -172,6 +175,7 @@
             instance: instance.to_owned(),
             born_ms: None,
             crash_on: None,
+            restart_on: None,
             received: None,
         }
     }
@@ -202,6 +206,7 @@
 pub struct Backend {
     instance: String,
     crash_on: Option<String>,
+    restart_on: Option<String>,
     received: Option<PathBuf>,
     state: Arc<Mutex<State>>,
     /// Unix millisecond of the present start; each is later than the one before.
@@ -280,6 +285,7 @@
         let backend = Self {
             instance: config.instance,
             crash_on: config.crash_on,
+            restart_on: config.restart_on,
             received: config.received,
             state: Arc::default(),
             born_ms: Arc::new(watch::Sender::new(born_ms)),
@@ -371,6 +377,11 @@
         }
         self.note(&attempt, &request);
         self.crash_if_asked(&request);
+        if contains(&request, self.restart_on.as_deref()) {
+            self.restart();
+            self.lock().running -= 1;
+            return cut();
+        }
         let _running = Running(Arc::clone(&self.state));
         let is_stream = request.path.contains("/stream");
         let turn = is_stream.then(|| RunningTurn::start(&self.state));
@@ -420,10 +431,7 @@
 
     /// Ends the process if the request is one that crashes it.
     fn crash_if_asked(&self, request: &HttpRequest) {
-        let Some(text) = &self.crash_on else {
-            return;
-        };
-        if String::from_utf8_lossy(&request.body).contains(text.as_str()) {
+        if contains(request, self.crash_on.as_deref()) {
             std::process::exit(CRASH_EXIT_CODE);
         }
     }
@@ -558,6 +566,11 @@
     }
 }
 
+/// Returns whether the body of a request contains a text, if there is one.
+fn contains(request: &HttpRequest, text: Option<&str>) -> bool {
+    text.is_some_and(|text| String::from_utf8_lossy(&request.body).contains(text))
+}
+
 fn not_run(status: u16, reason: &str) -> HttpReply {
     let mut reply = problem(status, reason, Ran::No, "not run");
     reply.headers.push(("not-executed", "1".to_owned()));
