Count at endpoints how often and with which deadline attempts are sent again

Two parts of the limit on repeats had no test that counts at the endpoints: the endpoints at which one attempt of an idempotent request runs, and the time that a request has which is sent again late. Both hold: 2 runs with three endpoints that lose answers, and a deadline that is earlier by the 700 ms that passed. No logic changes.

--- a/gateway/tests/plain.rs
+++ b/gateway/tests/plain.rs
@@ -179,6 +179,56 @@
     assert!(given <= 900 && given > 500, "{given}");
 }
 
+/// Guards against an attempt of a caller that runs at more endpoints than its route allows.
+#[actix_rt::test]
+async fn an_idempotent_request_runs_at_no_more_endpoints_than_its_route_allows() {
+    let mut site = Site::start();
+    let endpoints = [
+        DESK_ENDPOINT,
+        site.add_endpoint("desk"),
+        site.add_endpoint("desk"),
+    ];
+    let gateway = site.start_ready_gateway().await;
+    let faults = BackendFaults {
+        lose_answers: 1_000,
+        ..BackendFaults::default()
+    };
+    for endpoint in endpoints {
+        site.set_endpoint_faults(endpoint, &faults).await;
+    }
+    for number in 0..4 {
+        let attempt = format!("a{number}");
+        assert_eq!(lookup(&attempt).send(gateway.front).await.status, 502);
+        assert_eq!(site.run_count(&attempt).await, 2, "{attempt}");
+    }
+}
+
+/// Guards against a request that is sent again late with more time than its caller has left.
+#[actix_rt::test]
+async fn a_request_that_is_sent_again_late_has_the_remaining_time_only() {
+    let mut site = Site::with_long_timeouts();
+    let endpoints = [DESK_ENDPOINT, site.add_endpoint("desk")];
+    let gateway = site.start_ready_gateway().await;
+    let faults = BackendFaults {
+        lose_answers: 1_000,
+        delay_ms: 700,
+        ..BackendFaults::default()
+    };
+    for endpoint in endpoints {
+        site.set_endpoint_faults(endpoint, &faults).await;
+    }
+    let ask = lookup("a1").header("deadline-ms", "5000");
+    assert_eq!(ask.send(gateway.front).await.status, 502);
+    let mut given = Vec::new();
+    for endpoint in endpoints {
+        let run = &site.runs(endpoint).await["a1"];
+        given.push(run.headers["deadline-ms"].parse::<u64>().unwrap());
+    }
+    given.sort_unstable();
+    assert!(given[1] <= 5_000, "{given:?}");
+    assert!(given[0] + 700 <= given[1], "{given:?}");
+}
+
 #[actix_rt::test]
 async fn invalid_requests_get_a_problem_document_and_do_not_run() {
     let (site, gateway) = Site::start_with_gateway().await;
