Decide for each request by itself whether its endpoint crashed

One check of an endpoint had one start time for all its requests, which each further failure moved. At an endpoint that keeps losing answers it would not end while failures go on, and a later restart would count against all requests since its begin. Found by reading.

Each request has its own time now, and is decided by answers after it. Comments and a name that stood twice are reworded. an_endpoint_that_keeps_losing_answers_has_not_crashed is new and passes; it was not run on the code before. repeats, quarantine, explain, plain and resume pass.

--- a/coordination/src/gateway/fingerprint.rs
+++ b/coordination/src/gateway/fingerprint.rs
@@ -74,7 +74,7 @@
     pub address: &'a str,
 }
 
-/// What counts against a request.
+/// One piece of evidence that a request crashes endpoints.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum Evidence {
     /// The end of an endpoint's process while it ran the request. If the same instance
@@ -162,11 +162,11 @@
 /// Whether a request may be sent to an endpoint.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Verdict {
-    /// It may be sent.
+    /// The request may be sent.
     Allowed,
-    /// It is refused.
+    /// The request is refused.
     Refused,
-    /// It may be sent as the trial with this number if no other host has claimed that.
+    /// The request may be sent as the trial with this number if no other host has claimed it.
     Trial(usize),
 }
 
--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -152,7 +152,7 @@
     };
     let claimed = gateway.store.transact(&transaction).await;
     match claimed {
-        // Nothing was done, so the next attempt may claim the trial.
+        // The store did not write the claim, so the next attempt may claim the trial.
         Err(StoreError::Refused | StoreError::Throttled) => return false,
         Ok(_) | Err(_) => record(gateway, &key, Source::Store, now),
     }
--- a/gateway/src/quarantine/liveness.rs
+++ b/gateway/src/quarantine/liveness.rs
@@ -62,28 +62,23 @@
 /// A check in progress. There is at most one for each incarnation of an endpoint.
 #[derive(Debug)]
 pub struct LivenessCheck {
-    suspects: Vec<Fingerprint>,
-    started_at: Duration,
-    /// Time of the last failure. Only what the endpoint receives later shows that it is alive.
-    since: Duration,
-    /// Whether probes may be sent.
-    is_probed: bool,
-    evidence: Evidence,
+    /// The requests in question. The task of the check removes it when there are none.
+    suspects: Vec<Suspect>,
+    /// Time at which the endpoint received the last request that it answered on a connection
+    /// that may lead to a later process.
+    answered_at: Option<Duration>,
+    /// Number of successive probes that were closed without an answer.
     closed_probes: u32,
 }
 
-/// What was observed of the endpoint since the last failure.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Evidence {
-    None,
-    /// Its address refused a connection.
-    Refused,
-    /// A process with its id answered, which may be a later one.
-    Answered,
-    /// The same process answered.
-    SameProcess,
-    /// A process with another id answered at its address.
-    Replaced,
+/// A request that ended at the endpoint without an answer.
+#[derive(Clone, Copy, Debug)]
+struct Suspect {
+    request: Fingerprint,
+    /// Time at which it ended. Only what the endpoint receives later shows that it is alive.
+    since: Duration,
+    /// Whether probes may be sent because of it.
+    is_probed: bool,
 }
 
 /// The result of a check.
@@ -151,17 +146,20 @@
     log_event(&event.fingerprint(suspicion.request));
     let is_silent = now.saturating_sub(suspicion.active_at) >= SILENCE_TIME;
     let is_probed = suspicion.failure.is_some() || is_silent;
+    let suspect = Suspect {
+        request: suspicion.request,
+        since: now,
+        is_probed,
+    };
     let mut checks = gateway.quarantine.checks.borrow_mut();
     if let Some(check) = checks.get_mut(endpoint) {
-        check.add(suspicion.request, now, is_probed);
+        check.suspects.push(suspect);
+        check.closed_probes = 0;
         return;
     }
     let check = LivenessCheck {
-        suspects: vec![suspicion.request],
-        started_at: now,
-        since: now,
-        is_probed,
-        evidence: Evidence::None,
+        suspects: vec![suspect],
+        answered_at: None,
         closed_probes: 0,
     };
     checks.insert(endpoint.clone(), check);
@@ -181,76 +179,65 @@
     opened_at: Duration,
     sent_at: Duration,
 ) {
-    let mut checks = gateway.quarantine.checks.borrow_mut();
-    let Some(check) = checks.get_mut(endpoint) else {
-        return;
+    let cleared = match gateway.quarantine.checks.borrow_mut().get_mut(endpoint) {
+        Some(check) => check.record_answer(opened_at, sent_at),
+        None => return,
     };
-    if sent_at < check.since {
-        return;
-    }
-    match opened_at < check.since {
-        true => check.evidence = Evidence::SameProcess,
-        false => check.observe(Evidence::Answered),
-    }
+    end(gateway, endpoint, &cleared, Outcome::Alive);
 }
 
 /// Records that an endpoint's address refused a connection.
 pub fn record_refused_connection(gateway: &Gateway, endpoint: &EndpointIdentity) {
-    if let Some(check) = gateway.quarantine.checks.borrow_mut().get_mut(endpoint) {
-        check.observe(Evidence::Refused);
-    }
+    end_all(gateway, endpoint, Outcome::Refused);
 }
 
 impl LivenessCheck {
-    fn add(&mut self, request: Fingerprint, now: Duration, is_probed: bool) {
-        if !self.suspects.contains(&request) {
-            self.suspects.push(request);
-        }
-        self.since = now;
-        self.is_probed |= is_probed;
-        self.closed_probes = 0;
-        if matches!(self.evidence, Evidence::Answered | Evidence::SameProcess) {
-            self.evidence = Evidence::None;
-        }
+    /// Removes and returns the suspects that an answer clears: the same process served the
+    /// connection before and after they ended.
+    fn record_answer(&mut self, opened_at: Duration, sent_at: Duration) -> Vec<Suspect> {
+        self.answered_at = self.answered_at.max(Some(sent_at));
+        self.remove(|suspect| opened_at < suspect.since && suspect.since <= sent_at)
     }
 
-    /// Records an observation unless an earlier one is conclusive.
-    fn observe(&mut self, evidence: Evidence) {
-        if matches!(self.evidence, Evidence::None | Evidence::Answered) {
-            self.evidence = evidence;
-        }
+    /// Removes and returns the suspects that the endpoint has answered others after, if no
+    /// later incarnation of it was listed in time.
+    fn take_answered(&mut self, now: Duration) -> Vec<Suspect> {
+        let answered_at = self.answered_at;
+        self.remove(|suspect| {
+            let is_answered = answered_at.is_some_and(|at| suspect.since <= at);
+            is_answered && now >= suspect.since + LISTING_TIME
+        })
     }
 
-    /// Returns the outcome once it is certain.
-    fn outcome(&self, now: Duration) -> Option<Outcome> {
-        let elapsed = now.saturating_sub(self.since);
-        match self.evidence {
-            Evidence::Refused => Some(Outcome::Refused),
-            Evidence::Replaced => Some(Outcome::Replaced),
-            Evidence::SameProcess => Some(Outcome::Alive),
-            Evidence::Answered if elapsed >= LISTING_TIME => Some(Outcome::Answers),
-            Evidence::Answered => None,
-            Evidence::None if self.closed_probes >= MAX_CLOSED_PROBES => Some(Outcome::Closed),
-            Evidence::None if !self.is_probed && elapsed >= LISTING_TIME => {
-                Some(Outcome::Unobserved)
-            }
-            Evidence::None if elapsed >= CHECK_TIME => Some(Outcome::Unreachable),
-            Evidence::None => None,
-        }
+    /// Removes and returns the suspects after which nothing was observed in time.
+    fn take_undecided(&mut self, now: Duration) -> Vec<Suspect> {
+        self.remove(|suspect| {
+            let time = match suspect.is_probed {
+                true => CHECK_TIME,
+                false => LISTING_TIME,
+            };
+            now >= suspect.since + time
+        })
     }
 
-    /// Records the result of a probe that was sent at `sent_at`.
-    fn record_probe(&mut self, probe: Probe, sent_at: Duration) {
-        if sent_at < self.since {
-            return;
-        }
-        match probe {
-            Probe::Refused => self.observe(Evidence::Refused),
-            Probe::Replaced => self.observe(Evidence::Replaced),
-            Probe::Answered => self.observe(Evidence::Answered),
-            Probe::Closed => self.closed_probes += 1,
-            Probe::Silent => self.closed_probes = 0,
-        }
+    fn remove(&mut self, is_removed: impl Fn(&Suspect) -> bool) -> Vec<Suspect> {
+        self.suspects
+            .extract_if(.., |suspect| is_removed(suspect))
+            .collect()
+    }
+
+    /// Returns whether a probe is needed, because a request that may be probed for has ended
+    /// since the last answer.
+    fn needs_probe(&self) -> bool {
+        let is_later = |suspect: &Suspect| self.answered_at.is_none_or(|at| suspect.since > at);
+        let mut probed = self.suspects.iter().filter(|suspect| suspect.is_probed);
+        probed.any(is_later)
+    }
+
+    /// Returns the time at which the last suspect ended.
+    fn last_since(&self) -> Duration {
+        let times = self.suspects.iter().map(|suspect| suspect.since);
+        times.max().unwrap_or_default()
     }
 }
 
@@ -262,96 +249,139 @@
     health_path: String,
 }
 
-/// Observes and probes an endpoint until it is decided whether it has crashed, and counts the
-/// crash against all suspects.
+/// Observes and probes an endpoint until it is decided of all suspects whether it has crashed.
 async fn run(gateway: Rc<Gateway>, target: Target) {
     let mut interval = MIN_PROBE_INTERVAL;
-    let outcome = loop {
+    loop {
         match next_step(&gateway, &target.endpoint) {
-            Step::End(outcome) => break outcome,
-            Step::Wait => {
-                tokio::time::sleep(MIN_PROBE_INTERVAL).await;
-                continue;
+            Step::End => return,
+            Step::Wait => tokio::time::sleep(MIN_PROBE_INTERVAL).await,
+            Step::Probe => {
+                let probe = probe(&gateway, &target, interval).await;
+                interval = match probe {
+                    Some(Probe::Silent) => (interval * 2).min(MAX_PROBE_INTERVAL),
+                    Some(_) | None => MIN_PROBE_INTERVAL,
+                };
             }
-            Step::Probe => {}
         }
-        let probe = probe(&gateway, &target, interval).await;
-        interval = match probe {
-            Probe::Silent => (interval * 2).min(MAX_PROBE_INTERVAL),
-            _ => MIN_PROBE_INTERVAL,
-        };
-    };
-    finish(&gateway, &target.endpoint, outcome);
+    }
 }
 
 /// Opens a connection to an endpoint, and sends a request on it after `interval` unless the
-/// check can end without.
-async fn probe(gateway: &Gateway, target: &Target, interval: Duration) -> Probe {
+/// check needs none then.
+async fn probe(gateway: &Gateway, target: &Target, interval: Duration) -> Option<Probe> {
     let opened_at = gateway.clock.now();
     gateway.metrics.count_connection();
-    let (probe, sent_at) = match target.connect().await {
-        Err(probe) => {
-            record_probe(gateway, target, probe, opened_at);
-            if probe != Probe::Refused {
-                tokio::time::sleep(interval).await;
-            }
-            return probe;
-        }
-        Ok(connection) => {
-            tokio::time::sleep(interval).await;
-            if !matches!(next_step(gateway, &target.endpoint), Step::Probe) {
-                return Probe::Silent;
-            }
-            let sent_at = gateway.clock.now();
-            (target.request_on(connection).await, sent_at)
-        }
+    let connected = target.connect().await;
+    if let Err(probe) = connected {
+        record_probe(gateway, target, probe, opened_at);
+    }
+    if !matches!(connected, Err(Probe::Refused)) {
+        tokio::time::sleep(interval).await;
+    }
+    let connection = match connected {
+        Ok(connection) => connection,
+        Err(probe) => return Some(probe),
     };
+    if !matches!(next_step(gateway, &target.endpoint), Step::Probe) {
+        return None;
+    }
+    let sent_at = gateway.clock.now();
+    let probe = target.request_on(connection).await;
     record_probe(gateway, target, probe, sent_at);
-    probe
+    Some(probe)
 }
 
+/// Records the result of a probe that was sent at `sent_at`.
 fn record_probe(gateway: &Gateway, target: &Target, probe: Probe, sent_at: Duration) {
-    let mut checks = gateway.quarantine.checks.borrow_mut();
-    if let Some(check) = checks.get_mut(&target.endpoint) {
-        check.record_probe(probe, sent_at);
+    let endpoint = &target.endpoint;
+    let is_closed = {
+        let mut checks = gateway.quarantine.checks.borrow_mut();
+        let Some(check) = checks.get_mut(endpoint) else {
+            return;
+        };
+        // A request that ended later may have crashed the process after the probe.
+        if sent_at < check.last_since() {
+            return;
+        }
+        match probe {
+            Probe::Closed => check.closed_probes += 1,
+            Probe::Answered => check.answered_at = check.answered_at.max(Some(sent_at)),
+            Probe::Silent => check.closed_probes = 0,
+            Probe::Refused | Probe::Replaced => {}
+        }
+        check.closed_probes >= MAX_CLOSED_PROBES
+    };
+    match probe {
+        Probe::Refused => end_all(gateway, endpoint, Outcome::Refused),
+        Probe::Replaced => end_all(gateway, endpoint, Outcome::Replaced),
+        Probe::Closed if is_closed => end_all(gateway, endpoint, Outcome::Closed),
+        Probe::Closed | Probe::Answered | Probe::Silent => {}
     }
 }
 
-/// What a check does next.
+/// The next step of a check.
 enum Step {
-    End(Outcome),
+    End,
     Wait,
     Probe,
 }
 
+/// Ends the check for the suspects that can be decided, and returns the next step for the
+/// others.
 fn next_step(gateway: &Gateway, endpoint: &EndpointIdentity) -> Step {
     if gateway.directory.borrow().has_restarted(endpoint) {
-        return Step::End(Outcome::Restarted);
+        end_all(gateway, endpoint, Outcome::Restarted);
     }
-    let checks = gateway.quarantine.checks.borrow();
-    let Some(check) = checks.get(endpoint) else {
-        return Step::End(Outcome::Unobserved);
+    let now = gateway.clock.now();
+    let (answered, undecided, step) = {
+        let mut checks = gateway.quarantine.checks.borrow_mut();
+        let Some(check) = checks.get_mut(endpoint) else {
+            return Step::End;
+        };
+        let answered = check.take_answered(now);
+        let undecided = check.take_undecided(now);
+        let step = match (check.suspects.is_empty(), check.needs_probe()) {
+            (true, _) => Step::End,
+            (false, true) => Step::Probe,
+            (false, false) => Step::Wait,
+        };
+        if matches!(step, Step::End) {
+            checks.remove(endpoint);
+        }
+        (answered, undecided, step)
     };
-    match check.outcome(gateway.clock.now()) {
-        Some(outcome) => Step::End(outcome),
-        None if check.is_probed && check.evidence == Evidence::None => Step::Probe,
-        None => Step::Wait,
+    end(gateway, endpoint, &answered, Outcome::Answers);
+    for suspect in &undecided {
+        let outcome = match suspect.is_probed {
+            true => Outcome::Unreachable,
+            false => Outcome::Unobserved,
+        };
+        end(gateway, endpoint, std::slice::from_ref(suspect), outcome);
     }
+    step
 }
 
-fn finish(gateway: &Gateway, endpoint: &EndpointIdentity, outcome: Outcome) {
-    let check = gateway.quarantine.checks.borrow_mut().remove(endpoint);
-    let Some(check) = check else {
-        return;
+/// Ends the check of an endpoint for all suspects.
+fn end_all(gateway: &Gateway, endpoint: &EndpointIdentity, outcome: Outcome) {
+    let suspects = match gateway.quarantine.checks.borrow_mut().get_mut(endpoint) {
+        Some(check) => std::mem::take(&mut check.suspects),
+        None => return,
     };
-    let elapsed = gateway.clock.now().saturating_sub(check.started_at);
-    gateway.metrics.count_crash_check(outcome.as_str());
-    for request in check.suspects {
+    end(gateway, endpoint, &suspects, outcome);
+}
+
+/// Logs the outcome for suspects, and counts the crash against them if it is one.
+fn end(gateway: &Gateway, endpoint: &EndpointIdentity, suspects: &[Suspect], outcome: Outcome) {
+    let now = gateway.clock.now();
+    for suspect in suspects {
+        gateway.metrics.count_crash_check(outcome.as_str());
         let event = Event::new(EventKind::CrashChecked).endpoint(&endpoint.instance);
-        let event = event.elapsed(elapsed).reason(outcome.as_str());
-        log_event(&event.fingerprint(request));
+        let event = event.elapsed(now.saturating_sub(suspect.since));
+        let event = event.reason(outcome.as_str());
+        log_event(&event.fingerprint(suspect.request));
         if outcome.has_crashed() {
-            record_crash(gateway, request, endpoint);
+            record_crash(gateway, suspect.request, endpoint);
         }
     }
 }
--- a/gateway/tests/quarantine.rs
+++ b/gateway/tests/quarantine.rs
@@ -7,6 +7,7 @@
 use std::net::TcpListener;
 
 use http::Method;
+use rosebend_standin::backend::BackendFaults;
 use serde_json::json;
 use support::{Site, TestRequest, wait_until};
 
@@ -113,3 +114,26 @@
         .await;
     }
 }
+
+/// Guards against checks that never end, or that take a living endpoint for crashed, while it
+/// keeps losing answers.
+#[actix_rt::test]
+async fn an_endpoint_that_keeps_losing_answers_has_not_crashed() {
+    let site = Site::start();
+    let gateway = site.start_ready_gateway().await;
+    let faults = BackendFaults {
+        lose_answers: 1_000,
+        ..BackendFaults::default()
+    };
+    site.set_endpoint_faults(1, &faults).await;
+    wait_until("a check has ended while others begin", async || {
+        let request = TestRequest::new(Method::POST, "/fee/receipt").body("fee");
+        let attempt = format!("a{}", gateway.events("crash-suspected").len());
+        let answer = request.attempt(&attempt).send(gateway.front).await;
+        assert!([502, 503].contains(&answer.status), "{answer:?}");
+        let checked = gateway.events("crash-checked");
+        checked.iter().any(|event| event["reason"] == "answers")
+    })
+    .await;
+    assert!(gateway.events("crash-counted").is_empty());
+}
