Repeat a trial that reached no endpoint

A request with two crashes claims a trial before it is sent. If it then found no endpoint, or a limit refused it, the trial was used up, and a harmless request was refused for 60 s although it had not run. Found by reading.

A refusal that states that the request did not run deletes the claim. The new test passes; it was not run without the change. The other tests of quarantine.rs pass.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -20,6 +20,7 @@
 
 use crate::gateway::Gateway;
 use crate::limits;
+use crate::quarantine;
 use crate::reply::{Refusal, Reply};
 use crate::request_log::RequestLog;
 
@@ -48,8 +49,8 @@
     pub deadline: Duration,
     /// Hash that identifies the content of the request.
     pub fingerprint: Fingerprint,
-    /// Whether the request is the trial of one that has crashed endpoints.
-    pub is_trial: Cell<bool>,
+    /// Number of the trial that this request is, if it has crashed endpoints.
+    pub trial: Cell<Option<usize>>,
     /// Class under which the request is counted against its customer's limit, or none
     /// if it is not counted.
     pub counted_class: Cell<Option<RequestClass>>,
@@ -131,6 +132,7 @@
 pub fn refuse(gateway: &Gateway, call: &Call, refusal: Refusal) -> Response<BoxBody> {
     if refusal.ran() == Ran::No {
         limits::refund_request(gateway, call);
+        quarantine::release_trial(gateway, call);
     }
     let elapsed = call.elapsed(gateway.clock.now());
     call.request_log
--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -101,7 +101,7 @@
         service,
         arrived,
         deadline: arrived + time_limit,
-        is_trial: Cell::default(),
+        trial: Cell::default(),
         counted_class: Cell::default(),
         admitting_group: RefCell::default(),
     })
--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -117,7 +117,7 @@
         Verdict::Refused => Err(Refusal::CrashesEndpoints),
         Verdict::Trial(number) => match claim_trial(gateway, call.fingerprint, number).await {
             true => {
-                call.is_trial.set(true);
+                call.trial.set(Some(number));
                 Ok(())
             }
             false => Err(Refusal::CrashesEndpoints),
@@ -128,7 +128,7 @@
 /// Returns whether an admitted request may still be sent to an endpoint. `may_have_run` tells
 /// whether it may have run before in the same attempt of its caller.
 pub fn may_be_sent(gateway: &Gateway, call: &Call, may_have_run: bool) -> bool {
-    if call.is_trial.get() {
+    if call.trial.get().is_some() {
         return !may_have_run;
     }
     let now = gateway.clock.now();
@@ -159,6 +159,20 @@
     matches!(claimed, Ok(Transacted::Applied(_)))
 }
 
+/// Gives up the trial of a request that reached no endpoint, so that the next attempt may be one.
+pub fn release_trial(gateway: &Gateway, call: &Call) {
+    if let Some(number) = call.trial.take() {
+        let key = EvidenceKey {
+            request: call.fingerprint,
+            evidence: Evidence::Trial(number),
+        };
+        let quarantine = &gateway.quarantine;
+        quarantine.counts.borrow_mut().remove(&key);
+        quarantine.to_delete.borrow_mut().push(key);
+        quarantine.changed.notify_one();
+    }
+}
+
 /// Clears a request that an endpoint has answered completely.
 pub fn clear(gateway: &Gateway, request: Fingerprint) {
     let keys = gateway.quarantine.counts.borrow_mut().clear(request);
--- a/gateway/tests/quarantine.rs
+++ b/gateway/tests/quarantine.rs
@@ -137,3 +137,44 @@
     .await;
     assert!(gateway.events("crash-counted").is_empty());
 }
+
+/// Guards against a harmless request that is refused for a minute because its trial found no
+/// endpoint.
+#[actix_rt::test]
+async fn a_trial_that_reached_no_endpoint_is_repeated() {
+    let site = Site::start();
+    site.store.delete("servers", &site.endpoints[1].instance);
+    let gateway = site.start_ready_gateway().await;
+    let send = async |attempt: &str| {
+        let request = TestRequest::new(Method::POST, "/fee/receipt");
+        let request = request.attempt(attempt).body("harmless");
+        request.send(gateway.front).await
+    };
+    for number in 0..2 {
+        let instance = format!("i-crash-{number}");
+        crashing_endpoint(&site, &instance, 1);
+        wait_until("the endpoint is listed", async || {
+            let listed = gateway.events("endpoint-listed");
+            listed.iter().any(|event| event["endpoint"] == instance)
+        })
+        .await;
+        assert_eq!(send(&format!("a{number}")).await.status, 502);
+        site.store.delete("servers", &instance);
+        wait_until("the crash is counted", async || {
+            gateway.events("crash-counted").len() == number + 1
+        })
+        .await;
+    }
+    wait_until("the endpoints are withdrawn", async || {
+        gateway.events("endpoint-withdrawn").len() >= 2
+    })
+    .await;
+    let answer = send("b").await;
+    assert!(answer.body.contains("no-room"), "{answer:?}");
+    site.announce(1, "ready");
+    wait_until("the request is served", async || {
+        let number = gateway.events("request-ended").len();
+        send(&format!("c{number}")).await.status == 200
+    })
+    .await;
+}
