Give endpoints of the tests ports that no outgoing connection takes

crashes_behind_an_open_port_stop_a_request failed once in the whole check beside other work: an endpoint ended with "Address already in use" before the test began. The test's site took a port that was free a moment before, from the range of outgoing connections. It takes the ports of the system tests now, which lie below that range. No check changes.

--- a/gateway/tests/repeats/site.rs
+++ b/gateway/tests/repeats/site.rs
@@ -4,7 +4,7 @@
 
 use std::ffi::OsString;
 use std::fs;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -16,6 +16,7 @@
 use rosebend_system_tests::binaries::Program;
 use rosebend_system_tests::process::Process;
 use rosebend_system_tests::relay::Relay;
+use rosebend_system_tests::settings::free_address;
 use rosebend_transport::clock::Clock;
 use rosebend_transport::store::StoreClient;
 use serde_json::{Value, json};
@@ -81,7 +82,7 @@
         let received = directory.join("received");
         // A run before may have had the same process id.
         let _ = fs::remove_file(&received);
-        let store_address = free_address();
+        let store_address = free_address().unwrap();
         let arguments = ["store", "--listen", &store_address.to_string()].map(OsString::from);
         let store = Process::start("store", Program::StandIn, arguments.into(), &directory);
         let store = store.unwrap();
@@ -89,7 +90,7 @@
         put(store_address, "op", "config", &routes(1)).await;
         let mut supervisors = Vec::new();
         for number in 0..ENDPOINTS {
-            let address = free_address();
+            let address = free_address().unwrap();
             let endpoint = Endpoint {
                 number,
                 plan,
@@ -295,9 +296,3 @@
     })
     .await;
 }
-
-/// Returns a loopback address that is free now.
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
-}
