--- a/gateway/src/quarantine/liveness.rs
+++ b/gateway/src/quarantine/liveness.rs
@@ -88,17 +88,17 @@
     Restarted,
     /// Another endpoint serves at its address.
     Replaced,
-    /// Its address refuses connections.
+    /// The endpoint's address refuses connections.
     Refused,
-    /// Its address accepts connections and closes each of them without an answer.
+    /// The endpoint's address accepts connections and closes each of them without an answer.
     Closed,
     /// The process is alive.
     Alive,
     /// The endpoint answers, and no later incarnation of it was listed in time.
     Answers,
-    /// Its machine does not respond.
+    /// The endpoint's machine does not respond.
     Unreachable,
-    /// Nothing was observed of it, and it was not probed.
+    /// The endpoint was not probed, and no other request showed whether it is alive.
     Unobserved,
 }
 
--- a/gateway/src/turn_stream.rs
+++ b/gateway/src/turn_stream.rs
@@ -230,7 +230,7 @@
                 .observe(Timing::FirstEvent, self.first_event);
         }
         for event in self.events.push(&chunk.fresh) {
-            // What is not forwarded does not count against the budget.
+            // Events that are not forwarded do not count against the budget.
             if self.is_too_long() {
                 break;
             }
--- a/gateway/tests/endless/server.rs
+++ b/gateway/tests/endless/server.rs
@@ -12,7 +12,7 @@
 /// Longest time for which a connection is written to.
 const MAX_TIME: Duration = Duration::from_secs(30);
 
-/// What is sent without an end.
+/// A form of bytes that are sent without an end.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Endless {
     /// Bytes without a line break, in place of a head.
