Log why each attempt of a crashing request is sent, and why evidence ends

Cause: the log could not distinguish the hypotheses on lookups beyond the limit. Attempts under several fingerprints had nothing in common, no line told that crashes no longer counted, and none told by which decision an attempt was sent.

Change: crash-suspected, request-sent-again and endpoint-failed have the hash of the request's content, which no connection is a part of. crash-suspected has the decision by which the request was sent, and the crashes known then. The new event crashes-cleared (E868) and the metric crashes_cleared_total tell why evidence no longer counts. No decision is changed.

--- a/coordination/src/gateway/fingerprint.rs
+++ b/coordination/src/gateway/fingerprint.rs
@@ -65,6 +65,17 @@
     ])
 }
 
+/// Computes a hash of what a request asks for, whoever sends it.
+pub fn content_hash(method: &str, host: &str, path: &str, customer: &str, body: &[u8]) -> u64 {
+    hash_parts(&[
+        method.as_bytes(),
+        host.as_bytes(),
+        path.as_bytes(),
+        customer.as_bytes(),
+        body,
+    ])
+}
+
 /// The sender of a request.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Caller<'a> {
@@ -170,6 +181,29 @@
     Trial(usize),
 }
 
+/// The decision by which a request was sent to an endpoint.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Admission {
+    /// No crash of it was known.
+    #[default]
+    NoEvidence,
+    /// Fewer crashes were known than make it run in trials.
+    BelowLimit,
+    /// It is a trial.
+    Trial,
+}
+
+impl Admission {
+    /// Returns the code that logs contain.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::NoEvidence => "no-evidence",
+            Self::BelowLimit => "below-limit",
+            Self::Trial => "trial",
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Entry {
     /// Time of the crash or trial.
@@ -185,6 +219,8 @@
 pub struct CrashCounts {
     /// No request has an empty map.
     requests: HashMap<Fingerprint, HashMap<Evidence, Entry>>,
+    /// Requests that were forgotten because there were too many, and their evidence.
+    evicted: Vec<(Fingerprint, usize)>,
 }
 
 impl CrashCounts {
@@ -224,10 +260,17 @@
             (is_quarantined, last_at(known))
         });
         if let Some(request) = oldest.map(|(request, _)| *request) {
-            self.requests.remove(&request);
+            let known = self.requests.remove(&request).unwrap_or_default();
+            self.evicted.push((request, known.len()));
         }
     }
 
+    /// Returns the requests that were forgotten since the last call because there were too
+    /// many, each with its number of pieces of evidence.
+    pub fn take_evicted(&mut self) -> Vec<(Fingerprint, usize)> {
+        std::mem::take(&mut self.evicted)
+    }
+
     /// Removes all evidence against a request that was answered, and returns its keys.
     pub fn clear(&mut self, request: Fingerprint) -> Vec<EvidenceKey> {
         let known = self.requests.remove(&request).unwrap_or_default();
@@ -251,10 +294,18 @@
         was_known
     }
 
-    /// Removes evidence that the store had and no longer has. `is_stored` returns whether the
-    /// store has a key.
-    pub fn retain_stored(&mut self, is_stored: impl Fn(&EvidenceKey) -> bool) {
-        self.retain(|key, entry| !entry.is_stored || is_stored(key));
+    /// Removes evidence that the store had and no longer has, and returns its keys. `is_stored`
+    /// returns whether the store has a key.
+    pub fn retain_stored(&mut self, is_stored: impl Fn(&EvidenceKey) -> bool) -> Vec<EvidenceKey> {
+        let mut removed = Vec::new();
+        self.retain(|key, entry| {
+            let is_kept = !entry.is_stored || is_stored(key);
+            if !is_kept {
+                removed.push(key.clone());
+            }
+            is_kept
+        });
+        removed
     }
 
     /// Removes evidence that no longer counts, `margin` later than that, and returns the keys
@@ -291,6 +342,15 @@
         self.requests.retain(|_, known| !known.is_empty());
     }
 
+    /// Returns the decision by which an admitted request is sent.
+    pub fn admission(&self, request: Fingerprint, is_trial: bool) -> Admission {
+        match (is_trial, self.requests.contains_key(&request)) {
+            (true, _) => Admission::Trial,
+            (false, true) => Admission::BelowLimit,
+            (false, false) => Admission::NoEvidence,
+        }
+    }
+
     /// Returns the number of crashes that are known of the request.
     pub fn count(&self, request: Fingerprint) -> usize {
         let known = self.requests.get(&request);
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -49,6 +49,8 @@
     pub deadline: Duration,
     /// Hash that identifies the content of the request.
     pub fingerprint: Fingerprint,
+    /// Hash of what the request asks for, whoever sends it.
+    pub content: u64,
     /// Number of the trial that this request is, if it has crashed endpoints.
     pub trial: Cell<Option<usize>>,
     /// Class under which the request is counted against its customer's limit, or none
--- a/gateway/src/endpoint_request.rs
+++ b/gateway/src/endpoint_request.rs
@@ -219,9 +219,14 @@
         let service = routes
             .as_ref()
             .and_then(|routes| routes.deployment().services.get(&self.call.service));
+        let request = self.call.fingerprint;
+        let quarantine = &self.gateway.quarantine;
         Suspicion {
-            request: self.call.fingerprint,
+            request,
+            content: self.call.content,
             attempt: self.call.header.attempt.clone(),
+            admission: quarantine.admission(&self.call),
+            crashes: quarantine.crash_count(request),
             address: self.endpoint.address,
             health_path: service.map_or_else(String::new, |service| service.health_path.clone()),
             active_at: sent_at,
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -174,7 +174,8 @@
         self.gateway.metrics.count_request_sent_again(reason);
         let event = Event::new(EventKind::RequestSentAgain).endpoint(&endpoint.instance);
         let event = event.attempt(&self.call.header.attempt).count(count);
-        log_event(&event.reason(reason).fingerprint(fingerprint));
+        let event = event.reason(reason).content(self.call.content);
+        log_event(&event.fingerprint(fingerprint));
     }
 
     /// Waits for a response within the idle timeout, if there is one, and the deadline.
@@ -316,6 +317,7 @@
         let event = event
             .elapsed(self.call.elapsed(now))
             .reason(failure.as_str())
+            .content(self.call.content)
             .fingerprint(self.call.fingerprint);
         self.call.request_log.add_notable_step(event);
         if failure == Failure::Refused {
--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -10,7 +10,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use http::HeaderMap;
-use rosebend_coordination::gateway::fingerprint::{Caller, fingerprint};
+use rosebend_coordination::gateway::fingerprint::{Caller, content_hash, fingerprint};
 use rosebend_coordination::gateway::identity::identify;
 use rosebend_coordination::gateway::route_table::{RouteTable, service_for};
 use rosebend_platform::headers;
@@ -88,10 +88,12 @@
         customer: customer.as_ref().map_or("", |customer| &customer.name),
         address: &address,
     };
+    let method = method(&request)?;
     Ok(Call {
         request_log,
-        method: method(&request)?,
         fingerprint: fingerprint(host, &target, &caller, &body),
+        content: content_hash(method.as_str(), host, &target, caller.customer, &body),
+        method,
         target,
         headers: for_endpoint(headers, routes.deployment(), customer.as_deref()),
         customer,
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -150,6 +150,7 @@
     crash_checks: Family<ReasonLabel, Counter>,
     crashes: Family<ReasonLabel, Counter>,
     crash_writes: Family<ReasonLabel, Counter>,
+    crashes_cleared: Family<ReasonLabel, Counter>,
     close_delimited_answers: Counter,
     interruptions: Family<ReasonLabel, Counter>,
     resumptions: Family<ReasonLabel, Counter>,
@@ -211,6 +212,8 @@
         let crashes = family("crashes", help);
         let help = "Writes of crashes to the store, by outcome";
         let crash_writes = family("crash_writes", help);
+        let help = "Requests whose crashes no longer count, by reason";
+        let crashes_cleared = family("crashes_cleared", help);
         let close_delimited_answers = Counter::default();
         let help = "Answers of endpoints that had neither a length nor chunks";
         let counter = close_delimited_answers.clone();
@@ -296,6 +299,7 @@
             crash_checks,
             crashes,
             crash_writes,
+            crashes_cleared,
             close_delimited_answers,
             interruptions,
             resumptions,
@@ -466,6 +470,13 @@
             .inc();
     }
 
+    /// Counts a request whose crashes no longer count, by the reason.
+    pub fn count_crashes_cleared(&self, reason: &'static str) {
+        self.crashes_cleared
+            .get_or_create(&ReasonLabel { reason })
+            .inc();
+    }
+
     /// Counts an answer of an endpoint that ends with its connection.
     pub fn count_close_delimited_answer(&self) {
         self.close_delimited_answers.inc();
--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 use rosebend_coordination::gateway::fingerprint::{
-    CrashCounts, Evidence, EvidenceKey, Fingerprint, Source, Verdict,
+    Admission, CrashCounts, Evidence, EvidenceKey, Fingerprint, Source, Verdict,
 };
 use rosebend_state::deployment::{Condition, EndpointIdentity, RowId, RowWrite, Transaction};
 use rosebend_transport::clock::whole_ms;
@@ -93,6 +93,12 @@
         self.counts.borrow().count(request)
     }
 
+    /// Returns the decision by which an admitted request is sent.
+    pub fn admission(&self, call: &Call) -> Admission {
+        let is_trial = call.trial.get().is_some();
+        self.counts.borrow().admission(call.fingerprint, is_trial)
+    }
+
     /// Returns whether this host has read the table since its start. Before that, it may
     /// not know of crashes.
     pub fn has_read_table(&self) -> bool {
@@ -168,20 +174,86 @@
         };
         let quarantine = &gateway.quarantine;
         quarantine.counts.borrow_mut().remove(&key);
+        report_cleared(gateway, key.request, 1, ClearReason::Released, |event| {
+            event
+        });
         quarantine.to_delete.borrow_mut().push(key);
         quarantine.changed.notify_one();
     }
 }
 
 /// Clears a request that an endpoint has answered completely.
-pub fn clear(gateway: &Gateway, request: Fingerprint) {
+pub fn clear(gateway: &Gateway, call: &Call, endpoint: &EndpointIdentity) {
+    let request = call.fingerprint;
     let keys = gateway.quarantine.counts.borrow_mut().clear(request);
     if !keys.is_empty() {
+        let reason = ClearReason::Answered;
+        report_cleared(gateway, request, keys.len(), reason, |event| {
+            let event = event.attempt(&call.header.attempt);
+            event.endpoint(&endpoint.instance)
+        });
         gateway.quarantine.to_delete.borrow_mut().extend(keys);
         gateway.quarantine.changed.notify_one();
     }
 }
 
+/// Why evidence against a request no longer counts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ClearReason {
+    /// An endpoint answered the request.
+    Answered,
+    /// A trial reached no endpoint.
+    Released,
+    /// Another host deleted the row.
+    Deleted,
+    /// The store no longer has the row.
+    Absent,
+    /// It is too old.
+    Expired,
+    /// There is evidence against too many requests.
+    Evicted,
+}
+
+impl ClearReason {
+    /// Returns the code that logs and metrics contain.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Released => "released",
+            Self::Deleted => "deleted",
+            Self::Absent => "absent",
+            Self::Expired => "expired",
+            Self::Evicted => "evicted",
+        }
+    }
+}
+
+/// Counts and logs that `count` pieces of evidence no longer count against a request.
+/// `with_details` adds fields to the event.
+fn report_cleared(
+    gateway: &Gateway,
+    request: Fingerprint,
+    count: usize,
+    reason: ClearReason,
+    with_details: impl FnOnce(Event) -> Event,
+) {
+    gateway.metrics.count_crashes_cleared(reason.as_str());
+    let event = Event::new(EventKind::CrashesCleared).count(count as u64);
+    let event = event.reason(reason.as_str()).fingerprint(request);
+    log_event(&with_details(event));
+}
+
+/// Reports removed evidence, once for each request.
+fn report_removed(gateway: &Gateway, keys: &[EvidenceKey], reason: ClearReason) {
+    let mut counts: HashMap<Fingerprint, usize> = HashMap::new();
+    for key in keys {
+        *counts.entry(key.request).or_default() += 1;
+    }
+    for (request, count) in counts {
+        report_cleared(gateway, request, count, reason, |event| event);
+    }
+}
+
 /// Counts a crash of an endpoint that a request may have caused.
 fn record_crash(gateway: &Gateway, request: Fingerprint, endpoint: &EndpointIdentity) {
     let evidence = Evidence::Crash(endpoint.clone());
@@ -201,6 +273,9 @@
     if !counts.record(key, source, at, write_from) {
         return;
     }
+    for (request, count) in counts.take_evicted() {
+        report_cleared(gateway, request, count, ClearReason::Evicted, |event| event);
+    }
     let count = counts.count(key.request) as u64;
     gateway.metrics.count_crash(source.as_str());
     let event = Event::new(EventKind::CrashCounted).count(count);
@@ -275,7 +350,8 @@
         let rows = update.rows.iter().filter(|row| row.value.is_some());
         let keys: HashSet<EvidenceKey> = rows.filter_map(|row| row.id.key.parse().ok()).collect();
         let mut counts = gateway.quarantine.counts.borrow_mut();
-        counts.retain_stored(|key| keys.contains(key));
+        let absent = counts.retain_stored(|key| keys.contains(key));
+        report_removed(gateway, &absent, ClearReason::Absent);
     }
     for row in &update.rows {
         // Rows with keys of another form are of another version.
@@ -285,7 +361,9 @@
         match &row.value {
             Some(value) => record(gateway, &key, Source::Store, time_of(gateway, value)),
             None => {
-                gateway.quarantine.counts.borrow_mut().remove(&key);
+                if gateway.quarantine.counts.borrow_mut().remove(&key) {
+                    report_removed(gateway, &[key], ClearReason::Deleted);
+                }
             }
         }
     }
@@ -377,6 +455,7 @@
     let delay_ms = hash_parts(&[host.as_bytes()]) % whole_ms(MAX_DELETE_DELAY);
     let delay = Duration::from_millis(delay_ms);
     let expired = gateway.quarantine.counts.borrow_mut().expire(now, delay);
+    report_removed(gateway, &expired, ClearReason::Expired);
     if !expired.is_empty() {
         gateway.quarantine.to_delete.borrow_mut().extend(expired);
         gateway.quarantine.changed.notify_one();
--- a/gateway/src/quarantine/liveness.rs
+++ b/gateway/src/quarantine/liveness.rs
@@ -14,7 +14,7 @@
 use http::{HeaderValue, Request, header};
 use http_body_util::Full;
 use rosebend_coordination::gateway::attempt::Failure;
-use rosebend_coordination::gateway::fingerprint::Fingerprint;
+use rosebend_coordination::gateway::fingerprint::{Admission, Fingerprint};
 use rosebend_platform::headers;
 use rosebend_state::deployment::{AttemptId, EndpointIdentity};
 use rosebend_transport::connection::{Connection, ConnectionError};
@@ -47,8 +47,14 @@
 pub struct Suspicion {
     /// The request.
     pub request: Fingerprint,
+    /// Hash of what the request asks for.
+    pub content: u64,
     /// Attempt of its caller.
     pub attempt: AttemptId,
+    /// Decision by which it was sent.
+    pub admission: Admission,
+    /// Number of crashes that were known of it then.
+    pub crashes: usize,
     /// Address of the endpoint to which it was sent.
     pub address: SocketAddr,
     /// Path of the endpoint's health check.
@@ -143,6 +149,9 @@
     let reason = suspicion.failure.map_or("abandoned", Failure::as_str);
     let event = Event::new(EventKind::CrashSuspected).attempt(&suspicion.attempt);
     let event = event.endpoint(&endpoint.instance).reason(reason);
+    let event = event.admitted(suspicion.admission.as_str());
+    let event = event.count(suspicion.crashes as u64);
+    let event = event.content(suspicion.content);
     log_event(&event.fingerprint(suspicion.request));
     let is_silent = now.saturating_sub(suspicion.active_at) >= SILENCE_TIME;
     let is_probed = suspicion.failure.is_some() || is_silent;
--- a/transport/src/event.rs
+++ b/transport/src/event.rs
@@ -71,6 +71,8 @@
     Address(SocketAddr),
     Framing(&'static str),
     Fingerprint(u64),
+    Content(u64),
+    Admitted(&'static str),
 }
 
 /// What a number of tokens is, where an event has several.
@@ -260,6 +262,16 @@
         self.with(Field::Fingerprint(fingerprint))
     }
 
+    /// Adds the hash of a request's content, which no caller or connection is a part of.
+    pub fn content(self, content: u64) -> Self {
+        self.with(Field::Content(content))
+    }
+
+    /// Adds the decision by which a request was sent to an endpoint.
+    pub fn admitted(self, admitted: &'static str) -> Self {
+        self.with(Field::Admitted(admitted))
+    }
+
     /// The event as one JSON object on one line. `at_ms` is the time of day.
     pub fn to_json(&self, at_ms: u64, host: &str) -> String {
         let mut line = format!("{{\"at_ms\":{at_ms},\"host\":{}", json_text(host));
@@ -338,6 +350,10 @@
             Self::Fingerprint(hash) => {
                 vec![("fingerprint", Value::Text(format!("{hash:016x}").into()))]
             }
+            Self::Content(hash) => {
+                vec![("content", Value::Text(format!("{hash:016x}").into()))]
+            }
+            Self::Admitted(text) => member("admitted", text),
         }
     }
 }
@@ -396,6 +412,8 @@
             Self::Address(address) => write!(f, "address={address}"),
             Self::Framing(framing) => write!(f, "framing={framing}"),
             Self::Fingerprint(hash) => write!(f, "fingerprint={hash:016x}"),
+            Self::Content(hash) => write!(f, "content={hash:016x}"),
+            Self::Admitted(admitted) => write!(f, "admitted={admitted}"),
         }
     }
 }
@@ -472,8 +490,9 @@
 `age_ms` (of what decided), `elapsed_ms`, `remaining_ms` (until the deadline),
 `load`, `work_time_percent`, `expected_ms`, `tokens`, `address`, `framing` (`close`
 where an answer had neither a length nor chunks and ended with its connection),
-`fingerprint` (a hash of the request, the same over its callers' attempts and over hosts), and a
-program's account: `budget_tokens`, `most_tokens` (of the turn), `spent_tokens`,
+`fingerprint` (a hash of the request under which its crashes are counted, the same over hosts),
+`content` (a hash of its method, host, path, customer and body alone), `admitted` (the decision by
+which it was sent: no-evidence, below-limit or trial), and a program's account: `budget_tokens`, `most_tokens` (of the turn), `spent_tokens`,
 `reserved_tokens` and `holders` (each HOST/RUN:TOKENS).
 Gateways write each event as a JSON object on a line of its own, with `at_ms`,
 `host`, `event` (the number), `name` and `level` before the fields; the host of a
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -115,7 +115,7 @@
     AdmissionRefused,
     /// The request of `fingerprint` is sent to `endpoint` although it may have run before. `reason` is attempt if it may have run at `count` endpoints in this attempt of the caller, or crashes if `count` crashes of endpoints are known that it may have caused.
     RequestSentAgain,
-    /// The request of `fingerprint` got no answer of `endpoint`, so that it is checked whether the endpoint crashed; `reason` says how it failed.
+    /// The request of `fingerprint` got no answer of `endpoint`, so that it is checked whether the endpoint crashed; `reason` says how it failed. It had been sent because of `admitted`, when `count` crashes were known.
     CrashSuspected,
     /// Whether `endpoint` crashed while it ran the request of `fingerprint` was decided after `elapsed_ms`; `reason` says by what.
     CrashChecked,
@@ -123,6 +123,8 @@
     CrashCounted,
     /// `count` crashes, or deletions of those of requests that were answered, could not be written to the store; `error` says why. The write is repeated.
     CrashUnwritten,
+    /// `count` pieces of evidence no longer count against the request of `fingerprint`; `reason` is answered (by `endpoint`, to `attempt`), released (a trial that reached no endpoint), deleted (by another host), absent (the store lost the row), expired or evicted.
+    CrashesCleared,
     /// Step: the turn may spend its most; `reason` says from where.
     SpendingGranted,
     /// Step: the program's budget does not hold the turn, by the account in the line.
@@ -219,7 +221,7 @@
 
 impl EventKind {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 103] = [
+    pub const ALL: [Self; 104] = [
         Self::ProcessStarted,
         Self::ProcessStopping,
         Self::ProcessStopped,
@@ -323,6 +325,7 @@
         Self::CrashChecked,
         Self::CrashCounted,
         Self::CrashUnwritten,
+        Self::CrashesCleared,
     ];
 
     /// The event's number, which stays with it for ever.
@@ -420,6 +423,7 @@
             Self::CrashChecked => 865,
             Self::CrashCounted => 866,
             Self::CrashUnwritten => 867,
+            Self::CrashesCleared => 868,
             Self::HoldersAsked => 829,
             Self::HolderSilent => 830,
             Self::EntryRefused => 835,
@@ -520,6 +524,7 @@
             Self::CrashChecked => "crash-checked",
             Self::CrashCounted => "crash-counted",
             Self::CrashUnwritten => "crash-unwritten",
+            Self::CrashesCleared => "crashes-cleared",
             Self::LimitRefused => "limit-refused",
             Self::EscrowTaken => "escrow-taken",
             Self::EscrowReleased => "escrow-released",
@@ -703,7 +708,7 @@
                 "The request of `fingerprint` is sent to `endpoint` although it may have run before. `reason` is attempt if it may have run at `count` endpoints in this attempt of the caller, or crashes if `count` crashes of endpoints are known that it may have caused."
             }
             Self::CrashSuspected => {
-                "The request of `fingerprint` got no answer of `endpoint`, so that it is checked whether the endpoint crashed; `reason` says how it failed."
+                "The request of `fingerprint` got no answer of `endpoint`, so that it is checked whether the endpoint crashed; `reason` says how it failed. It had been sent because of `admitted`, when `count` crashes were known."
             }
             Self::CrashChecked => {
                 "Whether `endpoint` crashed while it ran the request of `fingerprint` was decided after `elapsed_ms`; `reason` says by what."
@@ -714,6 +719,9 @@
             Self::CrashUnwritten => {
                 "`count` crashes, or deletions of those of requests that were answered, could not be written to the store; `error` says why. The write is repeated."
             }
+            Self::CrashesCleared => {
+                "`count` pieces of evidence no longer count against the request of `fingerprint`; `reason` is answered (by `endpoint`, to `attempt`), released (a trial that reached no endpoint), deleted (by another host), absent (the store lost the row), expired or evicted."
+            }
             Self::TurnTooLate => {
                 "Step: the turn is not sent, because its `remaining_ms` are below `wait_ms`, the shortest time to the first byte that this host observed."
             }
