Show by processes that lookups which crash endpoints are not stopped

Cause: the tests of requests that crash endpoints had requests with a body, one caller, endpoints that never refuse, and attempts in quick succession. They counted runs only, while the rule counts attempts that reach endpoints.

Change: seven tests with gateways, endpoints and store as separate processes: connections of several addresses, also over restarts of hosts, other callers of the same content, endpoints that refuse, fall silent, crash after the caller has left, or are back with a health check that names no instance. All tests of the file count late attempts beside late runs, refused ones included, and check that the logs tell why each one was sent. Endpoints crash by path, header or body.

--- a/gateway/tests/repeats/site.rs
+++ b/gateway/tests/repeats/site.rs
@@ -1,5 +1,5 @@
 //! A site whose store, endpoints and gateways are separate processes. Endpoints crash at a
-//! request whose body contains [`CRASHING_BODY`] and are started again. Their records of
+//! request whose path, headers or body contain [`CRASHING_BODY`] and are started again. Their records of
 //! what they received outlast them.
 
 use std::ffi::OsString;
@@ -10,7 +10,7 @@
 
 use actix_rt::task::JoinHandle;
 use http::Method;
-use rosebend_standin::backend::{Received, time_of_day_ms};
+use rosebend_standin::backend::{BackendFaults, Received, time_of_day_ms};
 use rosebend_standin::store::StoreFaults;
 use rosebend_state::deployment::{RowId, RowWrite, Transaction};
 use rosebend_system_tests::binaries::Program;
@@ -21,7 +21,7 @@
 use rosebend_transport::store::StoreClient;
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpSocket;
+use tokio::net::{TcpSocket, TcpStream};
 
 use crate::support::{CRASHING_BODY, Gateway, TestRequest, routes, wait_until};
 
@@ -29,15 +29,17 @@
 pub const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Number of crashes after which a request may hardly be sent any more.
 const CRASHES: usize = 3;
-/// Number of endpoints.
-const ENDPOINTS: usize = 4;
 /// Interval at which the processes of endpoints are checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
 const STORE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time after which the entry of an endpoint that no longer writes it is removed.
+const ENTRY_TIMEOUT: Duration = Duration::from_millis(3_600);
 
-/// How endpoints are reached and how they come back.
+/// How endpoints are reached, crash and come back.
 #[derive(Clone, Copy, Debug)]
 pub struct EndpointPlan {
+    /// Number of endpoints.
+    pub endpoints: usize,
     /// Whether a relay is in front of each endpoint, which accepts connections also while
     /// the endpoint is down.
     pub is_relayed: bool,
@@ -45,6 +47,15 @@
     pub keeps_id: bool,
     /// Time from a crash until the endpoint is started again.
     pub restart_delay: Duration,
+    /// Whether the process stops at a crash, so that its connections stay open and silent. Its
+    /// next start has another id and address, and its entry is removed later.
+    pub crashes_silently: bool,
+    /// Time from the beginning of a crashing request to the crash.
+    pub crash_delay: Duration,
+    /// Whether health checks are answered with 503 and without the id of the run.
+    pub is_unhealthy: bool,
+    /// Whether an endpoint that has crashed refuses all requests when it is back.
+    pub refuses_when_back: bool,
 }
 
 /// The processes of a site.
@@ -57,6 +68,8 @@
     received: PathBuf,
     /// Hosts by their position. One whose process was killed has none.
     pub gateways: Vec<Option<Gateway>>,
+    /// Logs of hosts whose process was killed.
+    past_logs: Vec<String>,
 }
 
 /// An endpoint and what each of its starts needs.
@@ -71,6 +84,8 @@
     received: PathBuf,
     /// Number of starts so far.
     starts: u32,
+    /// Processes of earlier starts that were stopped. Dropping one kills it.
+    stopped: Vec<Process>,
 }
 
 impl CrashSite {
@@ -89,7 +104,7 @@
         wait_until("the store listens", async || is_listening(&store)).await;
         put(store_address, "op", "config", &routes(1)).await;
         let mut supervisors = Vec::new();
-        for number in 0..ENDPOINTS {
+        for number in 0..plan.endpoints {
             let address = free_address().unwrap();
             let endpoint = Endpoint {
                 number,
@@ -100,6 +115,7 @@
                 directory: directory.clone(),
                 received: received.clone(),
                 starts: 0,
+                stopped: Vec::new(),
             };
             supervisors.push(actix_rt::spawn(endpoint.run()));
         }
@@ -110,12 +126,13 @@
             supervisors,
             received,
             gateways: gateways.map(Some).collect(),
+            past_logs: Vec::new(),
         };
         for gateway in site.gateways.iter().flatten() {
             gateway.wait_until_ready().await;
             wait_until("the endpoints and another host are known", async || {
                 let endpoints = gateway.metric("endpoints").await;
-                endpoints >= ENDPOINTS as u64 && gateway.metric("peers").await > 0
+                endpoints >= plan.endpoints as u64 && gateway.metric("peers").await > 0
             })
             .await;
         }
@@ -143,23 +160,35 @@
         request(&attempt).send(gateway.front).await.status
     }
 
-    /// Sends the crashing call to a host from an address of the loopback range.
-    pub async fn send_from(&self, address: Ipv4Addr, host: usize) {
-        let Some(gateway) = &self.gateways[host] else {
-            return;
-        };
-        let attempt = format!("a{}-{address}", time_of_day_ms());
-        let length = CRASHING_BODY.len();
-        let head = format!(
-            "POST /fee/receipt HTTP/1.1\r\nhost: desk.example\r\nattempt-id: {attempt}\r\n\
-             content-length: {length}\r\nconnection: close\r\n\r\n{CRASHING_BODY}"
-        );
+    /// Sends a request to a host from an address of the loopback range.
+    pub async fn send_from(&self, address: Ipv4Addr, host: usize, request: &TestRequest) {
+        if let Some(mut stream) = self.open_from(address, host, request).await {
+            // The answer makes no difference, nor does an error.
+            let _ = stream.read_to_end(&mut Vec::new()).await;
+        }
+    }
+
+    /// Sends a request to a host and closes the connection after `time`.
+    pub async fn send_and_leave(&self, host: usize, request: &TestRequest, time: Duration) {
+        let stream = self.open_from(Ipv4Addr::LOCALHOST, host, request).await;
+        actix_rt::time::sleep(time).await;
+        drop(stream);
+    }
+
+    /// Opens a connection from an address of the loopback range and writes a request to it.
+    async fn open_from(
+        &self,
+        address: Ipv4Addr,
+        host: usize,
+        request: &TestRequest,
+    ) -> Option<TcpStream> {
+        let gateway = self.gateways[host].as_ref()?;
         let socket = TcpSocket::new_v4().unwrap();
         socket.bind(SocketAddr::from((address, 0))).unwrap();
         let mut stream = socket.connect(gateway.front).await.unwrap();
-        stream.write_all(head.as_bytes()).await.unwrap();
-        // The answer makes no difference, nor does an error.
-        let _ = stream.read_to_end(&mut Vec::new()).await;
+        let request = request.clone().header("connection", "close");
+        stream.write_all(request.raw().as_bytes()).await.unwrap();
+        Some(stream)
     }
 
     /// Waits until all endpoints run and each host has an answer of one of them.
@@ -187,7 +216,9 @@
 
     /// Kills the process of a host.
     pub fn kill(&mut self, host: usize) {
-        self.gateways[host] = None;
+        if let Some(gateway) = self.gateways[host].take() {
+            self.past_logs.extend(gateway.log());
+        }
     }
 
     /// Starts a process on a host and waits until it accepts callers.
@@ -197,37 +228,65 @@
         self.gateways[host] = Some(gateway);
     }
 
-    /// Returns the runs of the crashing request at all endpoints, in their order.
-    pub fn crashing_runs(&self) -> Vec<Received> {
+    /// Returns what endpoints received of the crashing request, in the order of time. They
+    /// refused what they did not run.
+    pub fn received(&self) -> Vec<Received> {
         let text = fs::read_to_string(&self.received).unwrap_or_default();
         let lines = text.lines().map(|line| serde_json::from_str(line).unwrap());
-        let mut received: Vec<Received> = lines
-            .filter(|line: &Received| line.runs && line.body.contains(CRASHING_BODY))
-            .collect();
+        let mut received: Vec<Received> = lines.filter(|line: &Received| line.crashes).collect();
         received.sort_by_key(|received| received.at_ms);
         received
     }
 
-    /// Returns the runs of the crashing request that were later than [`CONTACT_TIME`] after
+    /// Returns the runs of the crashing request at all endpoints, in their order.
+    pub fn crashing_runs(&self) -> Vec<Received> {
+        self.received()
+            .into_iter()
+            .filter(|line| line.runs)
+            .collect()
+    }
+
+    /// Returns what endpoints received of the crashing request later than [`CONTACT_TIME`] after
     /// both its third crash and `calm_ms`, the last time at which the store or a host had a
     /// fault.
-    pub fn late_runs(&self, calm_ms: u64) -> Vec<Received> {
+    pub fn late(&self, calm_ms: u64) -> Vec<Received> {
         let runs = self.crashing_runs();
         let Some(third) = runs.get(CRASHES - 1).map(|run| run.at_ms) else {
             return Vec::new();
         };
         let contact_ms = u64::try_from(CONTACT_TIME.as_millis()).unwrap();
         let from_ms = third.max(calm_ms) + contact_ms;
-        runs.into_iter().filter(|run| run.at_ms > from_ms).collect()
+        let received = self.received().into_iter();
+        received.filter(|line| line.at_ms > from_ms).collect()
+    }
+
+    /// Returns the attempts that endpoints received and of which no host's log tells the
+    /// request, and by which decision it was sent if an endpoint ran it. Hosts whose process was
+    /// killed may not have written their last lines.
+    pub fn unexplained_attempts(&self) -> Vec<Received> {
+        let gateways = self.gateways.iter().flatten();
+        let mut lines = self.past_logs.clone();
+        lines.extend(gateways.flat_map(Gateway::log));
+        let is_explained = |received: &Received| {
+            let attempt = format!("\"attempt\":\"{}\"", received.attempt);
+            let mut of_attempt = lines.iter().filter(|line| line.contains(&attempt));
+            of_attempt.any(|line| {
+                let names_request = line.contains("\"content\":");
+                names_request && (!received.runs || line.contains("\"admitted\":"))
+            })
+        };
+        let received = self.received().into_iter();
+        received.filter(|line| !is_explained(line)).collect()
     }
 
     /// Returns what hosts logged about crashes, for the message of a failed check.
     pub fn crash_log(&self) -> String {
         let gateways = self.gateways.iter().flatten();
         let lines = gateways.flat_map(Gateway::log).filter(|line| {
-            line.contains("\"crash-") || line.contains("quarantined") || line.contains("sent-again")
+            let names = ["\"crash", "quarantined", "sent-again", "endpoint-failed"];
+            names.iter().any(|name| line.contains(name))
         });
-        lines.collect()
+        lines.collect::<Vec<String>>().join("\n")
     }
 }
 
@@ -242,29 +301,65 @@
     async fn run(mut self) {
         loop {
             let mut process = self.start().await;
-            while process.try_wait().unwrap().is_none() {
+            while process.try_wait().unwrap().is_none() && !is_stopped(&process) {
                 actix_rt::time::sleep(CHECK_INTERVAL).await;
             }
+            if self.plan.crashes_silently {
+                self.move_away(process);
+            }
             actix_rt::time::sleep(self.plan.restart_delay).await;
         }
     }
 
+    /// Lets the next start have another address. The stopped process keeps the present one, and
+    /// its entry is removed after [`ENTRY_TIMEOUT`].
+    fn move_away(&mut self, process: Process) {
+        let (store_address, instance) = (self.store_address, self.instance());
+        self.address = free_address().unwrap();
+        actix_rt::spawn(async move {
+            actix_rt::time::sleep(ENTRY_TIMEOUT).await;
+            delete(store_address, "servers", &instance).await;
+        });
+        self.stopped.push(process);
+    }
+
+    /// Returns the id of the present start.
+    fn instance(&self) -> String {
+        match self.plan.keeps_id {
+            true => format!("i-{}", self.number),
+            false => format!("i-{}-{}", self.number, self.starts),
+        }
+    }
+
     /// Starts the endpoint's process and its writes of its entry.
     async fn start(&mut self) -> Process {
-        let number = self.number;
-        let instance = match self.plan.keeps_id {
-            true => format!("i-{number}"),
-            false => format!("i-{number}-{}", self.starts),
-        };
+        self.starts += 1;
+        let instance = self.instance();
         let address = self.address.to_string();
         let arguments = ["backend", "--listen", &address, "--instance", &instance];
         let mut arguments: Vec<OsString> = arguments.map(OsString::from).into();
         arguments.extend(["--crash-on", CRASHING_BODY, "--received"].map(OsString::from));
         arguments.push(self.received.clone().into());
-        let name = format!("endpoint-{number}-{}", self.starts);
-        self.starts += 1;
+        let delay_ms = self.plan.crash_delay.as_millis().to_string();
+        arguments.extend(["--crash-delay-ms".into(), delay_ms.into()]);
+        if self.plan.crashes_silently {
+            arguments.push("--crash-silently".into());
+        }
+        if self.plan.is_unhealthy {
+            arguments.push("--unhealthy".into());
+        }
+        let name = format!("endpoint-{}-{}", self.number, self.starts);
         let process = Process::start(&name, Program::StandIn, arguments, &self.directory).unwrap();
         wait_until("the endpoint listens", async || is_listening(&process)).await;
+        if self.plan.refuses_when_back && self.starts > 1 {
+            let faults = BackendFaults {
+                refuse: u64::MAX,
+                ..BackendFaults::default()
+            };
+            let request = TestRequest::new(Method::POST, "/faults");
+            let request = request.body(&json!(faults).to_string());
+            assert_eq!(request.send(self.address).await.status, 200);
+        }
         let relay = self.relay.as_ref().map(Relay::address);
         let entry = json!({
             "service": "desk", "address": relay.unwrap_or(self.address).to_string(),
@@ -277,20 +372,45 @@
     }
 }
 
+/// Returns whether a process was stopped by a signal.
+fn is_stopped(process: &Process) -> bool {
+    let stat = fs::read_to_string(format!("/proc/{}/stat", process.id()));
+    // The state follows the name, which is in parentheses.
+    stat.is_ok_and(|stat| {
+        stat.rsplit(") ")
+            .next()
+            .is_some_and(|rest| rest.starts_with('T'))
+    })
+}
+
 fn is_listening(process: &Process) -> bool {
     process.output().contains("listening")
 }
 
 /// Writes a row to the store, again until the store has accepted it.
 async fn put(store: SocketAddr, table: &str, key: &str, value: &Value) {
-    let client = StoreClient::new(store, STORE_TIMEOUT, Clock::start());
+    let write = RowWrite {
+        row: RowId::new(table, "", key),
+        value: value.to_string().into_bytes(),
+    };
     let transaction = Transaction {
-        writes: vec![RowWrite {
-            row: RowId::new(table, "", key),
-            value: value.to_string().into_bytes(),
-        }],
+        writes: vec![write],
         ..Transaction::default()
     };
+    transact(store, transaction).await;
+}
+
+/// Deletes a row from the store, again until the store has accepted it.
+async fn delete(store: SocketAddr, table: &str, key: &str) {
+    let transaction = Transaction {
+        deletes: vec![RowId::new(table, "", key)],
+        ..Transaction::default()
+    };
+    transact(store, transaction).await;
+}
+
+async fn transact(store: SocketAddr, transaction: Transaction) {
+    let client = StoreClient::new(store, STORE_TIMEOUT, Clock::start());
     wait_until("the store accepts a row", async || {
         client.transact(&transaction).await.is_ok()
     })
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -696,6 +696,20 @@
         request.body(body).unwrap()
     }
 
+    /// Returns the request as the bytes of HTTP/1.1.
+    pub fn raw(&self) -> String {
+        let mut text = format!("{} {} HTTP/1.1\r\n", self.method, self.path);
+        for (name, value) in &self.headers {
+            text.push_str(&format!("{name}: {value}\r\n"));
+        }
+        if !self.body.is_empty() {
+            text.push_str(&format!("content-length: {}\r\n", self.body.len()));
+        }
+        text.push_str("\r\n");
+        text.push_str(&self.body);
+        text
+    }
+
     /// Sends the request on a new connection.
     pub async fn send(&self, address: SocketAddr) -> TestResponse {
         let Ok(mut connection) = Connection::open(address).await else {
--- a/standin/src/backend.rs
+++ b/standin/src/backend.rs
@@ -17,6 +17,7 @@
 use std::io::{self, Write as _};
 use std::net::TcpListener;
 use std::path::PathBuf;
+use std::process::Command;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -158,10 +159,18 @@
     pub instance: String,
     /// Unix millisecond of its start, or `None` for the present.
     pub born_ms: Option<u64>,
-    /// The process exits when a request begins to run whose body contains this text.
+    /// The process crashes when a request begins to run that contains this text in its path, a
+    /// header or its body.
     pub crash_on: Option<String>,
-    /// The endpoint starts again, as after a crash, when a request begins to run whose body
-    /// contains this text.
+    /// How the process crashes.
+    pub crash: Crash,
+    /// Time from the beginning of such a request to the crash, whether or not its caller is
+    /// still connected.
+    pub crash_delay: Duration,
+    /// Whether health checks are answered with 503 and without the id of the run.
+    pub is_unhealthy: bool,
+    /// The endpoint starts again, as after a crash, when a request begins to run that contains
+    /// this text.
     pub restart_on: Option<String>,
     /// File to which a line is appended for each request that is received. Unlike the
     /// runs in memory, it outlasts the process.
@@ -175,12 +184,26 @@
             instance: instance.to_owned(),
             born_ms: None,
             crash_on: None,
+            crash: Crash::Exit,
+            crash_delay: Duration::ZERO,
+            is_unhealthy: false,
             restart_on: None,
             received: None,
         }
     }
 }
 
+/// How an endpoint's process crashes.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Crash {
+    /// The process exits.
+    #[default]
+    Exit,
+    /// The process stops for good. Its connections stay open and silent, as those of a machine
+    /// that has lost power.
+    Stop,
+}
+
 /// A request that an endpoint received, as a line of its record tells it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -193,8 +216,10 @@
     pub attempt: String,
     /// Method and path.
     pub target: String,
-    /// Whether it was for this run, which began to work on it then.
+    /// Whether the endpoint began to work on it. It refuses what is for another run.
     pub runs: bool,
+    /// Whether it contains the text that crashes the endpoint.
+    pub crashes: bool,
     /// Milliseconds that were left, if the request had a deadline.
     pub deadline_ms: Option<u64>,
     /// Body.
@@ -204,10 +229,7 @@
 /// The endpoint.
 #[derive(Clone, Debug)]
 pub struct Backend {
-    instance: String,
-    crash_on: Option<String>,
-    restart_on: Option<String>,
-    received: Option<PathBuf>,
+    config: BackendConfig,
     state: Arc<Mutex<State>>,
     /// Unix millisecond of the present start; each is later than the one before.
     born_ms: Arc<watch::Sender<u64>>,
@@ -283,10 +305,7 @@
     pub fn start_with(listener: TcpListener, config: BackendConfig) -> io::Result<RunningServer> {
         let born_ms = config.born_ms.unwrap_or_else(time_of_day_ms);
         let backend = Self {
-            instance: config.instance,
-            crash_on: config.crash_on,
-            restart_on: config.restart_on,
-            received: config.received,
+            config,
             state: Arc::default(),
             born_ms: Arc::new(watch::Sender::new(born_ms)),
         };
@@ -312,8 +331,13 @@
 
     /// Answers a health check of the platform, which is no run.
     fn health(&self) -> HttpReply {
+        if self.config.is_unhealthy {
+            return HttpReply::json(503, &json!({}));
+        }
         let mut reply = HttpReply::json(200, &json!({}));
-        reply.headers.push(("instance-id", self.instance.clone()));
+        reply
+            .headers
+            .push(("instance-id", self.config.instance.clone()));
         reply
     }
 
@@ -367,17 +391,21 @@
             return not_run(400, "no-attempt");
         };
         let target = request.header("target-instance");
-        let runs = target.is_none_or(|target| target == self.instance);
-        self.record_received(&attempt, &request, runs);
-        if !runs {
+        let is_meant = target.is_none_or(|target| target == self.config.instance);
+        let has_room = !is_meant || !take_one(&mut self.lock().faults.refuse);
+        let crashes = contains(&request, self.config.crash_on.as_deref());
+        self.record_received(&attempt, &request, is_meant && has_room, crashes);
+        if !is_meant {
             return not_run(421, "other-instance");
         }
-        if take_one(&mut self.lock().faults.refuse) {
+        if !has_room {
             return not_run(503, "full");
         }
         self.note(&attempt, &request);
-        self.crash_if_asked(&request);
-        if contains(&request, self.restart_on.as_deref()) {
+        if crashes {
+            self.crash().await;
+        }
+        if contains(&request, self.config.restart_on.as_deref()) {
             self.restart();
             self.lock().running -= 1;
             return cut();
@@ -407,17 +435,18 @@
     /// # Panics
     ///
     /// Panics if the file cannot be written, since a test counts by it.
-    fn record_received(&self, attempt: &str, request: &HttpRequest, runs: bool) {
-        let Some(path) = &self.received else {
+    fn record_received(&self, attempt: &str, request: &HttpRequest, runs: bool, crashes: bool) {
+        let Some(path) = &self.config.received else {
             return;
         };
         let deadline_ms = request.header("deadline-ms");
         let received = Received {
             at_ms: time_of_day_ms(),
-            instance: self.instance.clone(),
+            instance: self.config.instance.clone(),
             attempt: attempt.to_owned(),
             target: format!("{} {}", request.method, request.path),
             runs,
+            crashes,
             deadline_ms: deadline_ms.and_then(|text| text.parse().ok()),
             body: String::from_utf8_lossy(&request.body).into_owned(),
         };
@@ -429,11 +458,18 @@
         written.expect("the record of received requests can be written");
     }
 
-    /// Ends the process if the request is one that crashes it.
-    fn crash_if_asked(&self, request: &HttpRequest) {
-        if contains(request, self.crash_on.as_deref()) {
-            std::process::exit(CRASH_EXIT_CODE);
-        }
+    /// Crashes after the configured time. A caller that leaves meanwhile does not prevent it.
+    async fn crash(&self) {
+        let (crash, delay) = (self.config.crash, self.config.crash_delay);
+        let crashing = actix_rt::spawn(async move {
+            actix_rt::time::sleep(delay).await;
+            match crash {
+                Crash::Exit => std::process::exit(CRASH_EXIT_CODE),
+                Crash::Stop => stop_process(),
+            }
+        });
+        // The process ends first.
+        let _ = crashing.await;
     }
 
     fn note(&self, attempt: &str, request: &HttpRequest) {
@@ -501,7 +537,7 @@
         if !take_one(&mut state.faults.unstamped) {
             reply
                 .headers
-                .push(("response-stamp", format!("stamp.{}", self.instance)));
+                .push(("response-stamp", format!("stamp.{}", self.config.instance)));
         }
         reply.is_close_delimited = take_one(&mut state.faults.unframed);
         let speed = state.faults.work_time_percent;
@@ -566,9 +602,26 @@
     }
 }
 
-/// Returns whether the body of a request contains a text, if there is one.
+/// Stops this process for good.
+fn stop_process() {
+    let id = std::process::id().to_string();
+    let stopped = Command::new("kill").args(["-s", "STOP", &id]).status();
+    assert!(
+        stopped.is_ok_and(|status| status.success()),
+        "the process cannot be stopped"
+    );
+}
+
+/// Returns whether the path, a header or the body of a request contains a text, if there is
+/// one.
 fn contains(request: &HttpRequest, text: Option<&str>) -> bool {
-    text.is_some_and(|text| String::from_utf8_lossy(&request.body).contains(text))
+    let Some(text) = text else {
+        return false;
+    };
+    let mut headers = request.headers.iter();
+    request.path.contains(text)
+        || headers.any(|(_, value)| String::from_utf8_lossy(value.as_bytes()).contains(text))
+        || String::from_utf8_lossy(&request.body).contains(text)
 }
 
 fn not_run(status: u16, reason: &str) -> HttpReply {
--- a/standin/src/options.rs
+++ b/standin/src/options.rs
@@ -5,7 +5,10 @@
 use getopts::{Matches, Options};
 
 use crate::{
-    backend::BackendConfig, engine::EngineConfig, service::ServiceConfig, store::StoreConfig,
+    backend::{BackendConfig, Crash},
+    engine::EngineConfig,
+    service::ServiceConfig,
+    store::StoreConfig,
 };
 
 /// What the command line asks for.
@@ -186,8 +189,14 @@
 fn backend_options() -> Options {
     let mut options = common_options();
     options.optopt("", "instance", "id of the endpoint's run (i-1)", "ID");
-    let crash = "exit when a request begins to run whose body contains this text";
+    let crash = "crash when a request begins to run whose path, headers or body contain this text";
     options.optopt("", "crash-on", crash, "TEXT");
+    let silent = "stop at a crash instead of exiting, so that connections stay open and silent";
+    options.optflag("", "crash-silently", silent);
+    let delay = "time from the beginning of such a request to the crash (0)";
+    options.optopt("", "crash-delay-ms", delay, "MS");
+    let unhealthy = "answer health checks with 503 and without the id of the run";
+    options.optflag("", "unhealthy", unhealthy);
     let received = "file to which a line is appended for each request that it receives";
     options.optopt("", "received", received, "FILE");
     options
@@ -197,6 +206,12 @@
     let instance = value(matches, "instance", "an id", "i-1".to_owned())?;
     Ok(StandIn::Backend(BackendConfig {
         crash_on: matches.opt_str("crash-on"),
+        crash: match matches.opt_present("crash-silently") {
+            true => Crash::Stop,
+            false => Crash::Exit,
+        },
+        crash_delay: millis(matches, "crash-delay-ms", Duration::ZERO)?,
+        is_unhealthy: matches.opt_present("unhealthy"),
         received: matches.opt_str("received").map(PathBuf::from),
         ..BackendConfig::new(&instance)
     }))
