Identify a crashing request without the address of its connection

Callers saw: a lookup without a body went on to crash endpoints, attempt after attempt, once its attempts came through several zones.

Cause: without a body, the address of the connection was a part of the fingerprint. It is an address of the balancer, one for each availability zone of callers, so that each address had its own count of crashes and trials.

Change: the fingerprint consists of method, host, path, customer and body.

--- a/coordination/src/gateway/fingerprint.rs
+++ b/coordination/src/gateway/fingerprint.rs
@@ -14,7 +14,7 @@
 use rosebend_state::deployment::EndpointIdentity;
 use rosebend_util::hash_parts;
 
-/// Hash that identifies a request by its content and caller.
+/// Hash that identifies a request by its content.
 pub type Fingerprint = u64;
 
 /// Number of crashes after which a request runs only in trials. Endpoints that crash for
@@ -47,26 +47,15 @@
 const CRASH_SEPARATOR: char = '/';
 const TRIAL_SEPARATOR: char = '#';
 
-/// Computes the fingerprint of a request. The caller's address is a part of it only if there
-/// is no body: callers of a popular path without a body must not share its crashes, while the
-/// same body has the same effect from any address, and connections of one caller may have
-/// several.
-pub fn fingerprint(host: &str, path: &str, caller: &Caller<'_>, body: &[u8]) -> Fingerprint {
-    let address = match body.is_empty() {
-        true => caller.address,
-        false => "",
-    };
-    hash_parts(&[
-        host.as_bytes(),
-        path.as_bytes(),
-        caller.customer.as_bytes(),
-        address.as_bytes(),
-        body,
-    ])
-}
-
-/// Computes a hash of what a request asks for, whoever sends it.
-pub fn content_hash(method: &str, host: &str, path: &str, customer: &str, body: &[u8]) -> u64 {
+/// Computes the fingerprint of a request's content. Nothing of its connection is a part of it:
+/// a balancer connects with addresses of its own, of which one caller's attempts have several.
+pub fn content_fingerprint(
+    method: &str,
+    host: &str,
+    path: &str,
+    customer: &str,
+    body: &[u8],
+) -> Fingerprint {
     hash_parts(&[
         method.as_bytes(),
         host.as_bytes(),
@@ -76,15 +65,6 @@
     ])
 }
 
-/// The sender of a request.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Caller<'a> {
-    /// Name of its customer, or an empty string if there is none.
-    pub customer: &'a str,
-    /// Address from which it is connected.
-    pub address: &'a str,
-}
-
 /// One piece of evidence that a request crashes endpoints.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum Evidence {
--- a/coordination/tests/gateway_fingerprint.rs
+++ b/coordination/tests/gateway_fingerprint.rs
@@ -4,8 +4,8 @@
 
 use proptest::prelude::*;
 use rosebend_coordination::gateway::fingerprint::{
-    CRASH_WINDOW, Caller, CrashCounts, Evidence, EvidenceKey, EvidenceKeyError, Fingerprint,
-    MAX_CRASHES, MAX_SUSPECTS, QUARANTINE_RETENTION, Source, TRIAL_INTERVALS, Verdict, fingerprint,
+    CRASH_WINDOW, CrashCounts, Evidence, EvidenceKey, EvidenceKeyError, Fingerprint, MAX_CRASHES,
+    MAX_SUSPECTS, QUARANTINE_RETENTION, Source, TRIAL_INTERVALS, Verdict, content_fingerprint,
 };
 
 use rosebend_state::deployment::EndpointIdentity;
@@ -82,22 +82,19 @@
 }
 
 #[test]
-fn host_path_customer_and_body_distinguish_requests() {
-    let caller = |customer, address| Caller { customer, address };
+fn method_host_path_customer_and_body_distinguish_requests() {
     let fingerprints = [
-        fingerprint("h", "/a", &caller("c", "1"), b"x"),
-        fingerprint("h", "/b", &caller("c", "1"), b"x"),
-        fingerprint("h", "/a", &caller("d", "1"), b"x"),
-        fingerprint("h", "/a", &caller("c", "1"), b"y"),
-        fingerprint("i", "/a", &caller("c", "1"), b"x"),
-        fingerprint("h", "/a", &caller("c", "1"), b""),
-        fingerprint("h", "/a", &caller("c", "2"), b""),
+        content_fingerprint("POST", "h", "/a", "c", b"x"),
+        content_fingerprint("PUT", "h", "/a", "c", b"x"),
+        content_fingerprint("POST", "i", "/a", "c", b"x"),
+        content_fingerprint("POST", "h", "/b", "c", b"x"),
+        content_fingerprint("POST", "h", "/a", "d", b"x"),
+        content_fingerprint("POST", "h", "/a", "c", b"y"),
+        content_fingerprint("POST", "h", "/a", "c", b""),
     ];
     for (index, current) in fingerprints.iter().enumerate() {
         assert!(!fingerprints[index + 1..].contains(current), "{index}");
     }
-    let other_address = fingerprint("h", "/a", &caller("c", "2"), b"x");
-    assert_eq!(other_address, fingerprints[0]);
 }
 
 #[test]
--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -10,7 +10,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use http::HeaderMap;
-use rosebend_coordination::gateway::fingerprint::{Caller, content_hash, fingerprint};
+use rosebend_coordination::gateway::fingerprint::content_fingerprint;
 use rosebend_coordination::gateway::identity::identify;
 use rosebend_coordination::gateway::route_table::{RouteTable, service_for};
 use rosebend_platform::headers;
@@ -58,8 +58,6 @@
     // The routes may have changed while the body was read.
     let routes = gateway.routes().unwrap_or(routes);
     let (route, customer) = find_route_and_customer(gateway, &routes, &request, headers)?;
-    let address = request.peer_addr().map(|peer| peer.ip().to_string());
-    let address = address.unwrap_or_default();
     let header = headers::decode_call(headers).map_err(Refusal::InvalidHeader)?;
     let host = headers::host(headers).map_err(Refusal::InvalidHeader)?;
     let affinity_key = header
@@ -84,15 +82,13 @@
     );
     let version = routes.deployment().version;
     request_log.add_step(Event::new(EventKind::RequestArrived).version(version));
-    let caller = Caller {
-        customer: customer.as_ref().map_or("", |customer| &customer.name),
-        address: &address,
-    };
     let method = method(&request)?;
+    let customer_text = customer.as_ref().map_or("", |customer| &customer.name);
+    let content = content_fingerprint(method.as_str(), host, &target, customer_text, &body);
     Ok(Call {
         request_log,
-        fingerprint: fingerprint(host, &target, &caller, &body),
-        content: content_hash(method.as_str(), host, &target, caller.customer, &body),
+        fingerprint: content,
+        content,
         method,
         target,
         headers: for_endpoint(headers, routes.deployment(), customer.as_deref()),
