Count crashes of a request under its content and under its headers

Callers saw: a request went on to crash endpoints while other callers sent the same method, path and body and were answered.

Cause: a complete answer cleared the crashes of all requests with the same fingerprint at all hosts. Requests without a body, or with a short one, share it with those of other callers. Without the connection's address, more do.

Change: each crash counts under the content and under the exact request, which includes the headers that all attempts share. Both must allow an attempt, and trials under both are claimed in one transaction. An answer clears the content, so that harmless callers are served again, and the exact request that was answered. Twice as many fingerprints are remembered.

--- a/coordination/src/gateway/fingerprint.rs
+++ b/coordination/src/gateway/fingerprint.rs
@@ -14,7 +14,7 @@
 use rosebend_state::deployment::EndpointIdentity;
 use rosebend_util::hash_parts;
 
-/// Hash that identifies a request by its content.
+/// Hash that identifies a request.
 pub type Fingerprint = u64;
 
 /// Number of crashes after which a request runs only in trials. Endpoints that crash for
@@ -37,8 +37,8 @@
 /// trials.
 pub const QUARANTINE_RETENTION: Duration = Duration::from_secs(24 * 3_600);
 
-/// Maximum number of requests with crashes that are remembered.
-pub const MAX_SUSPECTS: usize = 4_096;
+/// Maximum number of fingerprints with crashes that are remembered.
+pub const MAX_SUSPECTS: usize = 8_192;
 
 /// Maximum length of a key in bytes. The store refuses longer ones.
 const MAX_KEY_BYTES: usize = 200;
@@ -65,6 +65,37 @@
     ])
 }
 
+/// Computes the fingerprint of a request with its headers. It distinguishes callers that send the
+/// same content. `headers` are those that all attempts of the request share.
+pub fn exact_fingerprint(content: Fingerprint, headers: &[(&str, &[u8])]) -> Fingerprint {
+    let content = content.to_le_bytes();
+    let headers = headers
+        .iter()
+        .flat_map(|(name, value)| [name.as_bytes(), *value]);
+    let parts: Vec<&[u8]> = std::iter::once(content.as_slice()).chain(headers).collect();
+    hash_parts(&parts)
+}
+
+/// The fingerprints of a request. Crashes count under both.
+///
+/// The content alone is the same in all attempts, whatever else differs. An answer to another
+/// caller with the same content clears it. The exact fingerprint is cleared only by an answer to
+/// a request with the same headers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RequestIdentity {
+    /// Fingerprint of the content.
+    pub content: Fingerprint,
+    /// Fingerprint of the content and the headers.
+    pub exact: Fingerprint,
+}
+
+impl RequestIdentity {
+    /// Returns both fingerprints.
+    pub const fn fingerprints(self) -> [Fingerprint; 2] {
+        [self.content, self.exact]
+    }
+}
+
 /// One piece of evidence that a request crashes endpoints.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum Evidence {
@@ -322,13 +353,9 @@
         self.requests.retain(|_, known| !known.is_empty());
     }
 
-    /// Returns the decision by which an admitted request is sent.
-    pub fn admission(&self, request: Fingerprint, is_trial: bool) -> Admission {
-        match (is_trial, self.requests.contains_key(&request)) {
-            (true, _) => Admission::Trial,
-            (false, true) => Admission::BelowLimit,
-            (false, false) => Admission::NoEvidence,
-        }
+    /// Returns whether there is evidence against the request.
+    pub fn has_evidence(&self, request: Fingerprint) -> bool {
+        self.requests.contains_key(&request)
     }
 
     /// Returns the number of crashes that are known of the request.
--- a/coordination/tests/gateway_fingerprint.rs
+++ b/coordination/tests/gateway_fingerprint.rs
@@ -6,6 +6,7 @@
 use rosebend_coordination::gateway::fingerprint::{
     CRASH_WINDOW, CrashCounts, Evidence, EvidenceKey, EvidenceKeyError, Fingerprint, MAX_CRASHES,
     MAX_SUSPECTS, QUARANTINE_RETENTION, Source, TRIAL_INTERVALS, Verdict, content_fingerprint,
+    exact_fingerprint,
 };
 
 use rosebend_state::deployment::EndpointIdentity;
@@ -97,6 +98,21 @@
     }
 }
 
+#[test]
+fn headers_distinguish_exact_fingerprints_of_the_same_content() {
+    let headers: [&[(&str, &[u8])]; 4] = [
+        &[],
+        &[("program-id", b"p1")],
+        &[("program-id", b"p2")],
+        &[("program-id", b"p1"), ("session-id", b"s1")],
+    ];
+    let fingerprints = headers.map(|headers| exact_fingerprint(REQUEST, headers));
+    for (index, current) in fingerprints.iter().enumerate() {
+        assert!(!fingerprints[index + 1..].contains(current), "{index}");
+    }
+    assert_ne!(exact_fingerprint(REQUEST + 1, &[]), fingerprints[0]);
+}
+
 #[test]
 fn each_restart_of_an_instance_counts_separately() {
     let mut counts = CrashCounts::default();
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -11,7 +11,7 @@
 use http::HeaderMap;
 use rosebend_coordination::gateway::admission::Urgency;
 use rosebend_coordination::gateway::engine_scheduler::message::GroupId;
-use rosebend_coordination::gateway::fingerprint::Fingerprint;
+use rosebend_coordination::gateway::fingerprint::{EvidenceKey, RequestIdentity};
 use rosebend_coordination::gateway::limits::local_quota::RequestClass;
 use rosebend_protocol::problem::Ran;
 use rosebend_state::deployment::{
@@ -47,12 +47,10 @@
     pub arrived: Duration,
     /// Deadline, as time since the start of the process.
     pub deadline: Duration,
-    /// Hash that identifies the content of the request.
-    pub fingerprint: Fingerprint,
-    /// Hash of what the request asks for, whoever sends it.
-    pub content: u64,
-    /// Number of the trial that this request is, if it has crashed endpoints.
-    pub trial: Cell<Option<usize>>,
+    /// Fingerprints under which crashes of the request count.
+    pub identity: RequestIdentity,
+    /// Trials that this request is, if it has crashed endpoints.
+    pub trials: RefCell<Vec<EvidenceKey>>,
     /// Class under which the request is counted against its customer's limit, or none
     /// if it is not counted.
     pub counted_class: Cell<Option<RequestClass>>,
@@ -134,7 +132,7 @@
 pub fn refuse(gateway: &Gateway, call: &Call, refusal: Refusal) -> Response<BoxBody> {
     if refusal.ran() == Ran::No {
         limits::refund_request(gateway, call);
-        quarantine::release_trial(gateway, call);
+        quarantine::release_trials(gateway, call);
     }
     let elapsed = call.elapsed(gateway.clock.now());
     call.request_log
--- a/gateway/src/endpoint_request.rs
+++ b/gateway/src/endpoint_request.rs
@@ -219,11 +219,10 @@
         let service = routes
             .as_ref()
             .and_then(|routes| routes.deployment().services.get(&self.call.service));
-        let request = self.call.fingerprint;
+        let request = self.call.identity;
         let quarantine = &self.gateway.quarantine;
         Suspicion {
             request,
-            content: self.call.content,
             attempt: self.call.header.attempt.clone(),
             admission: quarantine.admission(&self.call),
             crashes: quarantine.crash_count(request),
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -163,9 +163,9 @@
 
     /// Counts and logs a request that is sent to an endpoint although it may have run before.
     fn report_sent_again(&self, endpoint: &EndpointIdentity) {
-        let fingerprint = self.call.fingerprint;
+        let identity = self.call.identity;
         let runs = u64::from(self.attempt.possible_runs());
-        let crashes = self.gateway.quarantine.crash_count(fingerprint) as u64;
+        let crashes = self.gateway.quarantine.crash_count(identity) as u64;
         let (reason, count) = match (runs, crashes) {
             (0, 0) => return,
             (0, crashes) => ("crashes", crashes),
@@ -174,8 +174,8 @@
         self.gateway.metrics.count_request_sent_again(reason);
         let event = Event::new(EventKind::RequestSentAgain).endpoint(&endpoint.instance);
         let event = event.attempt(&self.call.header.attempt).count(count);
-        let event = event.reason(reason).content(self.call.content);
-        log_event(&event.fingerprint(fingerprint));
+        let event = event.reason(reason).content(identity.content);
+        log_event(&event.fingerprint(identity.exact));
     }
 
     /// Waits for a response within the idle timeout, if there is one, and the deadline.
@@ -317,8 +317,8 @@
         let event = event
             .elapsed(self.call.elapsed(now))
             .reason(failure.as_str())
-            .content(self.call.content)
-            .fingerprint(self.call.fingerprint);
+            .content(self.call.identity.content)
+            .fingerprint(self.call.identity.exact);
         self.call.request_log.add_notable_step(event);
         if failure == Failure::Refused {
             return;
--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -10,7 +10,9 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use http::HeaderMap;
-use rosebend_coordination::gateway::fingerprint::content_fingerprint;
+use rosebend_coordination::gateway::fingerprint::{
+    RequestIdentity, content_fingerprint, exact_fingerprint,
+};
 use rosebend_coordination::gateway::identity::identify;
 use rosebend_coordination::gateway::route_table::{RouteTable, service_for};
 use rosebend_platform::headers;
@@ -87,8 +89,10 @@
     let content = content_fingerprint(method.as_str(), host, &target, customer_text, &body);
     Ok(Call {
         request_log,
-        fingerprint: content,
-        content,
+        identity: RequestIdentity {
+            content,
+            exact: exact_fingerprint(content, &headers::shared_by_attempts(headers)),
+        },
         method,
         target,
         headers: for_endpoint(headers, routes.deployment(), customer.as_deref()),
@@ -99,7 +103,7 @@
         service,
         arrived,
         deadline: arrived + time_limit,
-        trial: Cell::default(),
+        trials: RefCell::default(),
         counted_class: Cell::default(),
         admitting_group: RefCell::default(),
     })
--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 use rosebend_coordination::gateway::fingerprint::{
-    Admission, CrashCounts, Evidence, EvidenceKey, Fingerprint, Source, Verdict,
+    Admission, CrashCounts, Evidence, EvidenceKey, Fingerprint, RequestIdentity, Source, Verdict,
 };
 use rosebend_state::deployment::{Condition, EndpointIdentity, RowId, RowWrite, Transaction};
 use rosebend_transport::clock::whole_ms;
@@ -89,14 +89,23 @@
 
 impl Quarantine {
     /// Returns the number of crashes that count against a request.
-    pub fn crash_count(&self, request: Fingerprint) -> usize {
-        self.counts.borrow().count(request)
+    pub fn crash_count(&self, request: RequestIdentity) -> usize {
+        let counts = self.counts.borrow();
+        let crashes = request.fingerprints().map(|request| counts.count(request));
+        crashes.into_iter().max().unwrap_or(0)
     }
 
     /// Returns the decision by which an admitted request is sent.
     pub fn admission(&self, call: &Call) -> Admission {
-        let is_trial = call.trial.get().is_some();
-        self.counts.borrow().admission(call.fingerprint, is_trial)
+        let counts = self.counts.borrow();
+        let mut fingerprints = call.identity.fingerprints().into_iter();
+        if !call.trials.borrow().is_empty() {
+            Admission::Trial
+        } else if fingerprints.any(|request| counts.has_evidence(request)) {
+            Admission::BelowLimit
+        } else {
+            Admission::NoEvidence
+        }
     }
 
     /// Returns whether this host has read the table since its start. Before that, it may
@@ -113,66 +122,86 @@
 /// Returns a refusal if it may not.
 pub async fn admit(gateway: &Gateway, call: &Call) -> Result<(), Refusal> {
     let now = gateway.clock.now();
-    let verdict = gateway
-        .quarantine
-        .counts
-        .borrow()
-        .verdict(call.fingerprint, now);
-    match verdict {
-        Verdict::Allowed => Ok(()),
-        Verdict::Refused => Err(Refusal::CrashesEndpoints),
-        Verdict::Trial(number) => match claim_trial(gateway, call.fingerprint, number).await {
-            true => {
-                call.trial.set(Some(number));
-                Ok(())
-            }
-            false => Err(Refusal::CrashesEndpoints),
-        },
+    let mut trials = Vec::new();
+    for request in call.identity.fingerprints() {
+        match gateway.quarantine.counts.borrow().verdict(request, now) {
+            Verdict::Allowed => {}
+            Verdict::Refused => return Err(Refusal::CrashesEndpoints),
+            Verdict::Trial(number) => trials.push(EvidenceKey {
+                request,
+                evidence: Evidence::Trial(number),
+            }),
+        }
     }
+    if !trials.is_empty() {
+        if !claim_trials(gateway, &trials).await {
+            return Err(Refusal::CrashesEndpoints);
+        }
+        call.trials.replace(trials);
+    }
+    Ok(())
 }
 
 /// Returns whether an admitted request may still be sent to an endpoint. `may_have_run` tells
 /// whether it may have run before in the same attempt of its caller.
 pub fn may_be_sent(gateway: &Gateway, call: &Call, may_have_run: bool) -> bool {
-    if call.trial.get().is_some() {
-        return !may_have_run;
-    }
     let now = gateway.clock.now();
+    let trials = call.trials.borrow();
+    if !trials.is_empty() && may_have_run {
+        return false;
+    }
     let counts = gateway.quarantine.counts.borrow();
-    counts.verdict(call.fingerprint, now) == Verdict::Allowed
+    call.identity.fingerprints().into_iter().all(|request| {
+        let is_trial = trials.iter().any(|trial| trial.request == request);
+        is_trial || counts.verdict(request, now) == Verdict::Allowed
+    })
 }
 
-/// Claims a trial in the store, so that no other host lets the same one begin. Returns false
-/// if another host has claimed it, or if the store does not answer.
-async fn claim_trial(gateway: &Gateway, request: Fingerprint, number: usize) -> bool {
-    let evidence = Evidence::Trial(number);
-    let key = EvidenceKey { request, evidence };
+/// Claims trials of a request in the store, so that no other host lets the same ones begin.
+/// Returns false if another host has claimed one, or if the store does not answer.
+async fn claim_trials(gateway: &Gateway, trials: &[EvidenceKey]) -> bool {
     let now = gateway.clock.now();
+    let conditions = trials.iter().map(|key| Condition {
+        row: row_id(key),
+        version: 0,
+    });
     let transaction = Transaction {
-        conditions: vec![Condition {
-            row: row_id(&key),
-            version: 0,
-        }],
-        writes: vec![row_write(gateway, &key, now)],
+        conditions: conditions.collect(),
+        writes: trials
+            .iter()
+            .map(|key| row_write(gateway, key, now))
+            .collect(),
         ..Transaction::default()
     };
-    let claimed = gateway.store.transact(&transaction).await;
-    match claimed {
-        // The store did not write the claim, so the next attempt may claim the trial.
-        Err(StoreError::Refused | StoreError::Throttled) => return false,
-        Ok(_) | Err(_) => record(gateway, &key, Source::Store, now),
+    match gateway.store.transact(&transaction).await {
+        Ok(Transacted::Applied(_)) => {
+            record_all(gateway, trials, now);
+            true
+        }
+        Ok(Transacted::Conflict(rows)) => {
+            let claimed = rows.iter().filter_map(|row| row.id.key.parse().ok());
+            record_all(gateway, &claimed.collect::<Vec<EvidenceKey>>(), now);
+            false
+        }
+        // The store did not write the claims, so the next attempt may claim the trials.
+        Err(StoreError::Refused | StoreError::Throttled) => false,
+        Err(_) => {
+            record_all(gateway, trials, now);
+            false
+        }
     }
-    matches!(claimed, Ok(Transacted::Applied(_)))
 }
 
-/// Gives up the trial of a request that reached no endpoint, so that the next attempt may be one.
-pub fn release_trial(gateway: &Gateway, call: &Call) {
-    if let Some(number) = call.trial.take() {
-        let key = EvidenceKey {
-            request: call.fingerprint,
-            evidence: Evidence::Trial(number),
-        };
-        let quarantine = &gateway.quarantine;
+/// Records evidence that the store has, or may have.
+fn record_all(gateway: &Gateway, keys: &[EvidenceKey], at: Duration) {
+    keys.iter()
+        .for_each(|key| record(gateway, key, Source::Store, at));
+}
+
+/// Gives up the trials of a request that reached no endpoint, so that the next attempt may be one.
+pub fn release_trials(gateway: &Gateway, call: &Call) {
+    let quarantine = &gateway.quarantine;
+    for key in call.trials.take() {
         quarantine.counts.borrow_mut().remove(&key);
         report_cleared(gateway, key.request, 1, ClearReason::Released, |event| {
             event
@@ -184,9 +213,11 @@
 
 /// Clears a request that an endpoint has answered completely.
 pub fn clear(gateway: &Gateway, call: &Call, endpoint: &EndpointIdentity) {
-    let request = call.fingerprint;
-    let keys = gateway.quarantine.counts.borrow_mut().clear(request);
-    if !keys.is_empty() {
+    for request in call.identity.fingerprints() {
+        let keys = gateway.quarantine.counts.borrow_mut().clear(request);
+        if keys.is_empty() {
+            continue;
+        }
         let reason = ClearReason::Answered;
         report_cleared(gateway, request, keys.len(), reason, |event| {
             let event = event.attempt(&call.header.attempt);
@@ -255,10 +286,12 @@
 }
 
 /// Counts a crash of an endpoint that a request may have caused.
-fn record_crash(gateway: &Gateway, request: Fingerprint, endpoint: &EndpointIdentity) {
-    let evidence = Evidence::Crash(endpoint.clone());
-    let key = EvidenceKey { request, evidence };
-    record(gateway, &key, Source::Own, gateway.clock.now());
+fn record_crash(gateway: &Gateway, request: RequestIdentity, endpoint: &EndpointIdentity) {
+    for request in request.fingerprints() {
+        let evidence = Evidence::Crash(endpoint.clone());
+        let key = EvidenceKey { request, evidence };
+        record(gateway, &key, Source::Own, gateway.clock.now());
+    }
 }
 
 /// Records evidence of the time `at`, and logs when the request becomes refused.
--- a/gateway/src/quarantine/liveness.rs
+++ b/gateway/src/quarantine/liveness.rs
@@ -14,7 +14,7 @@
 use http::{HeaderValue, Request, header};
 use http_body_util::Full;
 use rosebend_coordination::gateway::attempt::Failure;
-use rosebend_coordination::gateway::fingerprint::{Admission, Fingerprint};
+use rosebend_coordination::gateway::fingerprint::{Admission, RequestIdentity};
 use rosebend_platform::headers;
 use rosebend_state::deployment::{AttemptId, EndpointIdentity};
 use rosebend_transport::connection::{Connection, ConnectionError};
@@ -46,9 +46,7 @@
 #[derive(Clone, Debug)]
 pub struct Suspicion {
     /// The request.
-    pub request: Fingerprint,
-    /// Hash of what the request asks for.
-    pub content: u64,
+    pub request: RequestIdentity,
     /// Attempt of its caller.
     pub attempt: AttemptId,
     /// Decision by which it was sent.
@@ -80,7 +78,7 @@
 /// A request that ended at the endpoint without an answer.
 #[derive(Clone, Copy, Debug)]
 struct Suspect {
-    request: Fingerprint,
+    request: RequestIdentity,
     /// Time at which it ended. Only what the endpoint receives later shows that it is alive.
     since: Duration,
     /// Whether probes may be sent because of it.
@@ -151,8 +149,8 @@
     let event = event.endpoint(&endpoint.instance).reason(reason);
     let event = event.admitted(suspicion.admission.as_str());
     let event = event.count(suspicion.crashes as u64);
-    let event = event.content(suspicion.content);
-    log_event(&event.fingerprint(suspicion.request));
+    let event = event.content(suspicion.request.content);
+    log_event(&event.fingerprint(suspicion.request.exact));
     let is_silent = now.saturating_sub(suspicion.active_at) >= SILENCE_TIME;
     let is_probed = suspicion.failure.is_some() || is_silent;
     let suspect = Suspect {
@@ -388,7 +386,8 @@
         let event = Event::new(EventKind::CrashChecked).endpoint(&endpoint.instance);
         let event = event.elapsed(now.saturating_sub(suspect.since));
         let event = event.reason(outcome.as_str());
-        log_event(&event.fingerprint(suspect.request));
+        let event = event.content(suspect.request.content);
+        log_event(&event.fingerprint(suspect.request.exact));
         if outcome.has_crashed() {
             record_crash(gateway, suspect.request, endpoint);
         }
