Count a trial that endpoints refused as used

Callers saw: attempts of a request that had crashed endpoints went on to reach endpoints, which were full.

Cause: a trial whose attempt was refused gave its claim back, although the attempt had reached up to five endpoints. The next attempt was the same trial.

Change: the claim is given back only if the request was written to no connection. A harmless request whose trial met full endpoints waits for the next one.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -51,6 +51,8 @@
     pub identity: RequestIdentity,
     /// Trials that this request is, if it has crashed endpoints.
     pub trials: RefCell<Vec<EvidenceKey>>,
+    /// Whether the request was written to a connection to an endpoint.
+    pub has_reached_endpoint: Cell<bool>,
     /// Class under which the request is counted against its customer's limit, or none
     /// if it is not counted.
     pub counted_class: Cell<Option<RequestClass>>,
--- a/gateway/src/endpoint_request.rs
+++ b/gateway/src/endpoint_request.rs
@@ -156,6 +156,7 @@
         let connection_age = connection.age();
         let request = self.build_request(sent_at);
         self.is_sent.set(true);
+        self.call.has_reached_endpoint.set(true);
         self.in_flight.set_sent(self.suspicion(sent_at));
         let response = connection.send(request).await;
         let response = response.map_err(|error| self.failed(connection_failure(error)))?;
--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -104,6 +104,7 @@
         arrived,
         deadline: arrived + time_limit,
         trials: RefCell::default(),
+        has_reached_endpoint: Cell::default(),
         counted_class: Cell::default(),
         admitting_group: RefCell::default(),
     })
--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -199,7 +199,11 @@
 }
 
 /// Gives up the trials of a request that reached no endpoint, so that the next attempt may be one.
+/// One that endpoints refused has used its trials, because its attempts are limited, not its runs.
 pub fn release_trials(gateway: &Gateway, call: &Call) {
+    if call.has_reached_endpoint.get() {
+        return;
+    }
     let quarantine = &gateway.quarantine;
     for key in call.trials.take() {
         quarantine.counts.borrow_mut().remove(&key);
