Recognize a crash by a later endpoint that is listed at the address

Callers saw: a request went on to crash endpoints that were back at once.

Cause: the check recognized the next start by the id in the answer to its health check. One that does not answer 200, as a cold or failing one, sends no id, and counted as the process before.

Change: the check also compares the list. A later endpoint at the address means that the process before has ended.

The new test of the directory passes.

--- a/coordination/src/gateway/directory.rs
+++ b/coordination/src/gateway/directory.rs
@@ -181,6 +181,21 @@
         current.is_some_and(|current| identity.is_before(&current.record.identity))
     }
 
+    /// Returns true if a later endpoint is listed at the address of this incarnation. Where
+    /// entries tell no start, it is later if this incarnation is no longer listed.
+    pub fn has_successor(&self, identity: &EndpointIdentity, address: SocketAddr) -> bool {
+        let is_later = |other: &EndpointIdentity| match (identity.started_ms, other.started_ms) {
+            (Some(start), Some(other_start)) => start < other_start,
+            _ => !self.contains(identity),
+        };
+        self.endpoints.values().any(|endpoint| {
+            let record = &endpoint.record;
+            record.address == address
+                && record.identity.instance != identity.instance
+                && is_later(&record.identity)
+        })
+    }
+
     /// Returns the address of an incarnation, if it is listed.
     pub fn address(&self, identity: &EndpointIdentity) -> Option<SocketAddr> {
         self.incarnation(identity)
--- a/coordination/tests/gateway_starts.rs
+++ b/coordination/tests/gateway_starts.rs
@@ -73,6 +73,17 @@
 }
 
 /// Records a high load, a high latency and many failures for an incarnation.
+/// Guards against the present endpoint of an address that is taken for one that was there before.
+#[test]
+fn a_later_endpoint_at_the_address_is_the_successor() {
+    let mut directory = directory(1);
+    let address = record(incarnation(1)).address;
+    assert!(!directory.has_successor(&incarnation(1), address));
+    directory.apply_entry(record(incarnation_of("b", 2)), NOW);
+    assert!(directory.has_successor(&incarnation(1), address));
+    assert!(!directory.has_successor(&incarnation_of("b", 2), address));
+}
+
 fn record_bad_state(directory: &mut Directory, endpoint: &EndpointIdentity) {
     for _ in 0..20 {
         directory.record_request_start(endpoint);
--- a/gateway/src/quarantine/liveness.rs
+++ b/gateway/src/quarantine/liveness.rs
@@ -90,7 +90,7 @@
 enum Outcome {
     /// A later incarnation of the endpoint is listed.
     Restarted,
-    /// Another endpoint serves at its address.
+    /// Another endpoint serves at its address, or a later one is listed there.
     Replaced,
     /// The endpoint's address refuses connections.
     Refused,
@@ -260,7 +260,7 @@
 async fn run(gateway: Rc<Gateway>, target: Target) {
     let mut interval = MIN_PROBE_INTERVAL;
     loop {
-        match next_step(&gateway, &target.endpoint) {
+        match next_step(&gateway, &target) {
             Step::End => return,
             Step::Wait => tokio::time::sleep(MIN_PROBE_INTERVAL).await,
             Step::Probe => {
@@ -290,7 +290,7 @@
         Ok(connection) => connection,
         Err(probe) => return Some(probe),
     };
-    if !matches!(next_step(gateway, &target.endpoint), Step::Probe) {
+    if !matches!(next_step(gateway, target), Step::Probe) {
         return None;
     }
     let sent_at = gateway.clock.now();
@@ -336,10 +336,14 @@
 
 /// Ends the check for the suspects that can be decided, and returns the next step for the
 /// others.
-fn next_step(gateway: &Gateway, endpoint: &EndpointIdentity) -> Step {
+fn next_step(gateway: &Gateway, target: &Target) -> Step {
+    let (endpoint, address) = (&target.endpoint, target.address);
     if gateway.directory.borrow().has_restarted(endpoint) {
         end_all(gateway, endpoint, Outcome::Restarted);
     }
+    if gateway.directory.borrow().has_successor(endpoint, address) {
+        end_all(gateway, endpoint, Outcome::Replaced);
+    }
     let now = gateway.clock.now();
     let (answered, undecided, step) = {
         let mut checks = gateway.quarantine.checks.borrow_mut();
