Probe an endpoint whose caller has left if nothing else shows that it lives

Callers saw: a request whose callers left early went on to crash endpoints.

Cause: after a caller had left, the endpoint was not probed. Unless another request met the closed port within 4 s, the crash did not count.

Change: the endpoint is probed if no other request was answered within 1 s. The outcome unobserved is gone: undecided checks end as unreachable after 30 s.

--- a/gateway/src/quarantine/liveness.rs
+++ b/gateway/src/quarantine/liveness.rs
@@ -36,6 +36,9 @@
 /// Time after a failure in which a later start of an endpoint that is back at once gets
 /// listed: its entry is written with its next heartbeat and followed.
 const LISTING_TIME: Duration = Duration::from_secs(4);
+/// Time in which other requests may show whether an endpoint is alive that a caller left, before
+/// it is probed.
+const OBSERVATION_TIME: Duration = Duration::from_secs(1);
 /// Time for which a machine that does not respond is probed.
 const CHECK_TIME: Duration = Duration::from_secs(30);
 /// Time without data after which a request that nobody waits for any more is treated like one
@@ -81,8 +84,8 @@
     request: RequestIdentity,
     /// Time at which it ended. Only what the endpoint receives later shows that it is alive.
     since: Duration,
-    /// Whether probes may be sent because of it.
-    is_probed: bool,
+    /// Time from which probes may be sent because of it.
+    probed_from: Duration,
 }
 
 /// The result of a check.
@@ -102,8 +105,6 @@
     Answers,
     /// The endpoint's machine does not respond.
     Unreachable,
-    /// The endpoint was not probed, and no other request showed whether it is alive.
-    Unobserved,
 }
 
 impl Outcome {
@@ -111,7 +112,7 @@
     const fn has_crashed(self) -> bool {
         match self {
             Self::Restarted | Self::Replaced | Self::Refused | Self::Closed => true,
-            Self::Alive | Self::Answers | Self::Unreachable | Self::Unobserved => false,
+            Self::Alive | Self::Answers | Self::Unreachable => false,
         }
     }
 
@@ -125,7 +126,6 @@
             Self::Alive => "alive",
             Self::Answers => "answers",
             Self::Unreachable => "unreachable",
-            Self::Unobserved => "unobserved",
         }
     }
 }
@@ -152,11 +152,14 @@
     let event = event.content(suspicion.request.content);
     log_event(&event.fingerprint(suspicion.request.exact));
     let is_silent = now.saturating_sub(suspicion.active_at) >= SILENCE_TIME;
-    let is_probed = suspicion.failure.is_some() || is_silent;
+    let has_failed = suspicion.failure.is_some() || is_silent;
     let suspect = Suspect {
         request: suspicion.request,
         since: now,
-        is_probed,
+        probed_from: match has_failed {
+            true => now,
+            false => now + OBSERVATION_TIME,
+        },
     };
     let mut checks = gateway.quarantine.checks.borrow_mut();
     if let Some(check) = checks.get_mut(endpoint) {
@@ -218,13 +221,7 @@
 
     /// Removes and returns the suspects after which nothing was observed in time.
     fn take_undecided(&mut self, now: Duration) -> Vec<Suspect> {
-        self.remove(|suspect| {
-            let time = match suspect.is_probed {
-                true => CHECK_TIME,
-                false => LISTING_TIME,
-            };
-            now >= suspect.since + time
-        })
+        self.remove(|suspect| now >= suspect.since + CHECK_TIME)
     }
 
     fn remove(&mut self, is_removed: impl Fn(&Suspect) -> bool) -> Vec<Suspect> {
@@ -235,10 +232,10 @@
 
     /// Returns whether a probe is needed, because a request that may be probed for has ended
     /// since the last answer.
-    fn needs_probe(&self) -> bool {
+    fn needs_probe(&self, now: Duration) -> bool {
         let is_later = |suspect: &Suspect| self.answered_at.is_none_or(|at| suspect.since > at);
-        let mut probed = self.suspects.iter().filter(|suspect| suspect.is_probed);
-        probed.any(is_later)
+        let mut suspects = self.suspects.iter();
+        suspects.any(|suspect| suspect.probed_from <= now && is_later(suspect))
     }
 
     /// Returns the time at which the last suspect ended.
@@ -352,7 +349,7 @@
         };
         let answered = check.take_answered(now);
         let undecided = check.take_undecided(now);
-        let step = match (check.suspects.is_empty(), check.needs_probe()) {
+        let step = match (check.suspects.is_empty(), check.needs_probe(now)) {
             (true, _) => Step::End,
             (false, true) => Step::Probe,
             (false, false) => Step::Wait,
@@ -363,13 +360,7 @@
         (answered, undecided, step)
     };
     end(gateway, endpoint, &answered, Outcome::Answers);
-    for suspect in &undecided {
-        let outcome = match suspect.is_probed {
-            true => Outcome::Unreachable,
-            false => Outcome::Unobserved,
-        };
-        end(gateway, endpoint, std::slice::from_ref(suspect), outcome);
-    }
+    end(gateway, endpoint, &undecided, Outcome::Unreachable);
     step
 }
 
