Count an endpoint that no longer responds as crashed if others do

Callers saw: a request went on to crash endpoints whose machines then fell silent.

Cause: an endpoint that answered no probe for 30 s was undecided, and did not count. A machine without power, or a process that has stopped, never refuses a connection.

Change: it counts after 1.5 s of unanswered probes if another endpoint accepted a connection or answered meanwhile. A host that reaches none is cut off itself.

--- a/gateway/src/endpoint_request.rs
+++ b/gateway/src/endpoint_request.rs
@@ -203,6 +203,9 @@
                 if opened.as_ref().is_err_and(ConnectionError::is_refused) {
                     quarantine::record_refused_connection(&self.gateway, &endpoint.identity);
                 }
+                if opened.is_ok() {
+                    quarantine::record_contact(&self.gateway, &endpoint.identity);
+                }
                 opened.map_err(connection_failure)
             }
         }
--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -30,7 +30,9 @@
 use crate::gateway::Gateway;
 use crate::reply::Refusal;
 
-pub use self::liveness::{Suspicion, record_answer, record_refused_connection, suspect};
+pub use self::liveness::{
+    Suspicion, record_answer, record_contact, record_refused_connection, suspect,
+};
 
 use self::liveness::LivenessCheck;
 
--- a/gateway/src/quarantine/liveness.rs
+++ b/gateway/src/quarantine/liveness.rs
@@ -39,6 +39,8 @@
 /// Time in which other requests may show whether an endpoint is alive that a caller left, before
 /// it is probed.
 const OBSERVATION_TIME: Duration = Duration::from_secs(1);
+/// Time without an answer to probes after which an endpoint has crashed if others respond.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
 /// Time for which a machine that does not respond is probed.
 const CHECK_TIME: Duration = Duration::from_secs(30);
 /// Time without data after which a request that nobody waits for any more is treated like one
@@ -76,6 +78,10 @@
     answered_at: Option<Duration>,
     /// Number of successive probes that were closed without an answer.
     closed_probes: u32,
+    /// Time of the first of the successive probes that nothing answered, if there is one.
+    silent_from: Option<Duration>,
+    /// Time at which another endpoint last accepted a connection or answered.
+    others_contacted_at: Option<Duration>,
 }
 
 /// A request that ended at the endpoint without an answer.
@@ -99,11 +105,13 @@
     Refused,
     /// The endpoint's address accepts connections and closes each of them without an answer.
     Closed,
+    /// The endpoint's machine does not respond, while other endpoints do.
+    Silent,
     /// The process is alive.
     Alive,
     /// The endpoint answers, and no later incarnation of it was listed in time.
     Answers,
-    /// The endpoint's machine does not respond.
+    /// The endpoint's machine does not respond, nor do other endpoints.
     Unreachable,
 }
 
@@ -111,7 +119,7 @@
     /// Returns whether the process has ended.
     const fn has_crashed(self) -> bool {
         match self {
-            Self::Restarted | Self::Replaced | Self::Refused | Self::Closed => true,
+            Self::Restarted | Self::Replaced | Self::Refused | Self::Closed | Self::Silent => true,
             Self::Alive | Self::Answers | Self::Unreachable => false,
         }
     }
@@ -123,6 +131,7 @@
             Self::Replaced => "replaced",
             Self::Refused => "refused",
             Self::Closed => "closed",
+            Self::Silent => "silent",
             Self::Alive => "alive",
             Self::Answers => "answers",
             Self::Unreachable => "unreachable",
@@ -171,6 +180,8 @@
         suspects: vec![suspect],
         answered_at: None,
         closed_probes: 0,
+        silent_from: None,
+        others_contacted_at: None,
     };
     checks.insert(endpoint.clone(), check);
     let target = Target {
@@ -189,6 +200,7 @@
     opened_at: Duration,
     sent_at: Duration,
 ) {
+    record_contact(gateway, endpoint);
     let cleared = match gateway.quarantine.checks.borrow_mut().get_mut(endpoint) {
         Some(check) => check.record_answer(opened_at, sent_at),
         None => return,
@@ -196,6 +208,16 @@
     end(gateway, endpoint, &cleared, Outcome::Alive);
 }
 
+/// Records that an endpoint accepted a connection or answered.
+pub fn record_contact(gateway: &Gateway, endpoint: &EndpointIdentity) {
+    let now = gateway.clock.now();
+    for (checked, check) in gateway.quarantine.checks.borrow_mut().iter_mut() {
+        if checked != endpoint {
+            check.others_contacted_at = Some(now);
+        }
+    }
+}
+
 /// Records that an endpoint's address refused a connection.
 pub fn record_refused_connection(gateway: &Gateway, endpoint: &EndpointIdentity) {
     end_all(gateway, endpoint, Outcome::Refused);
@@ -219,6 +241,17 @@
         })
     }
 
+    /// Removes and returns the suspects since which the endpoint has answered neither probes for
+    /// [`SILENCE_LIMIT`] nor requests, if another endpoint was in contact meanwhile. Otherwise this
+    /// host may be cut off.
+    fn take_silent(&mut self, now: Duration) -> Vec<Suspect> {
+        let (answered_at, contact_at) = (self.answered_at, self.others_contacted_at);
+        let is_silent = self.silent_from.is_some_and(|from| {
+            now >= from + SILENCE_LIMIT && contact_at.is_some_and(|contact| contact > from)
+        });
+        self.remove(|suspect| is_silent && answered_at.is_none_or(|at| at < suspect.since))
+    }
+
     /// Removes and returns the suspects after which nothing was observed in time.
     fn take_undecided(&mut self, now: Duration) -> Vec<Suspect> {
         self.remove(|suspect| now >= suspect.since + CHECK_TIME)
@@ -308,6 +341,12 @@
         if sent_at < check.last_since() {
             return;
         }
+        match probe {
+            Probe::Silent => check.silent_from = check.silent_from.or(Some(sent_at)),
+            Probe::Closed | Probe::Answered | Probe::Refused | Probe::Replaced => {
+                check.silent_from = None;
+            }
+        }
         match probe {
             Probe::Closed => check.closed_probes += 1,
             Probe::Answered => check.answered_at = check.answered_at.max(Some(sent_at)),
@@ -342,12 +381,13 @@
         end_all(gateway, endpoint, Outcome::Replaced);
     }
     let now = gateway.clock.now();
-    let (answered, undecided, step) = {
+    let (answered, silent, undecided, step) = {
         let mut checks = gateway.quarantine.checks.borrow_mut();
         let Some(check) = checks.get_mut(endpoint) else {
             return Step::End;
         };
         let answered = check.take_answered(now);
+        let silent = check.take_silent(now);
         let undecided = check.take_undecided(now);
         let step = match (check.suspects.is_empty(), check.needs_probe(now)) {
             (true, _) => Step::End,
@@ -357,9 +397,10 @@
         if matches!(step, Step::End) {
             checks.remove(endpoint);
         }
-        (answered, undecided, step)
+        (answered, silent, undecided, step)
     };
     end(gateway, endpoint, &answered, Outcome::Answers);
+    end(gateway, endpoint, &silent, Outcome::Silent);
     end(gateway, endpoint, &undecided, Outcome::Unreachable);
     step
 }
