Let other callers of a crashing request's content have an earlier trial

Cause: harmless callers with the same method, path and body as a request that crashes endpoints were refused as long as that request.

Change: trials of a content come 0 s, 10 s, 60 s and 600 s after the last crash or trial, those of an exact request after 0 s, 60 s, 600 s and 6,000 s as before. An attempt needs both, so that the crashing request gains nothing. At most four trials of a content run, as before.

--- a/coordination/src/gateway/fingerprint.rs
+++ b/coordination/src/gateway/fingerprint.rs
@@ -33,6 +33,15 @@
     Duration::from_secs(6_000),
 ];
 
+/// The same for the content of a request. They are shorter, so that a harmless caller with the same
+/// content can have a trial at a time at which the exact request that crashes endpoints can't.
+pub const CONTENT_TRIAL_INTERVALS: [Duration; 4] = [
+    Duration::ZERO,
+    Duration::from_secs(10),
+    Duration::from_secs(60),
+    Duration::from_secs(600),
+];
+
 /// Time after its last crash or trial for which a request is refused that has had all its
 /// trials.
 pub const QUARANTINE_RETENTION: Duration = Duration::from_secs(24 * 3_600);
@@ -364,8 +373,24 @@
         known.map_or(0, |known| crash_times(known).len())
     }
 
-    /// Returns whether the request may be sent to an endpoint.
+    /// Returns whether a request may be sent to an endpoint, by each of its fingerprints.
+    pub fn verdicts(&self, request: RequestIdentity, now: Duration) -> [(Fingerprint, Verdict); 2] {
+        let RequestIdentity { content, exact } = request;
+        let by_content = self.verdict_with(content, &CONTENT_TRIAL_INTERVALS, now);
+        [(content, by_content), (exact, self.verdict(exact, now))]
+    }
+
+    /// Returns whether the exact request may be sent to an endpoint.
     pub fn verdict(&self, request: Fingerprint, now: Duration) -> Verdict {
+        self.verdict_with(request, &TRIAL_INTERVALS, now)
+    }
+
+    fn verdict_with(
+        &self,
+        request: Fingerprint,
+        trial_intervals: &[Duration; 4],
+        now: Duration,
+    ) -> Verdict {
         let Some(known) = self.requests.get(&request) else {
             return Verdict::Allowed;
         };
@@ -374,7 +399,7 @@
             return Verdict::Allowed;
         }
         let trials = trial_count(known).max(usize::from(crash_times(known).len() > MAX_CRASHES));
-        match TRIAL_INTERVALS.get(trials) {
+        match trial_intervals.get(trials) {
             Some(interval) if now >= last + *interval => Verdict::Trial(trials),
             Some(_) | None => Verdict::Refused,
         }
--- a/coordination/tests/gateway_fingerprint.rs
+++ b/coordination/tests/gateway_fingerprint.rs
@@ -4,9 +4,9 @@
 
 use proptest::prelude::*;
 use rosebend_coordination::gateway::fingerprint::{
-    CRASH_WINDOW, CrashCounts, Evidence, EvidenceKey, EvidenceKeyError, Fingerprint, MAX_CRASHES,
-    MAX_SUSPECTS, QUARANTINE_RETENTION, Source, TRIAL_INTERVALS, Verdict, content_fingerprint,
-    exact_fingerprint,
+    CONTENT_TRIAL_INTERVALS, CRASH_WINDOW, CrashCounts, Evidence, EvidenceKey, EvidenceKeyError,
+    Fingerprint, MAX_CRASHES, MAX_SUSPECTS, QUARANTINE_RETENTION, RequestIdentity, Source,
+    TRIAL_INTERVALS, Verdict, content_fingerprint, exact_fingerprint,
 };
 
 use rosebend_state::deployment::EndpointIdentity;
@@ -113,6 +113,27 @@
     assert_ne!(exact_fingerprint(REQUEST + 1, &[]), fingerprints[0]);
 }
 
+/// Guards against callers with the same content that wait as long as the request that crashes
+/// endpoints.
+#[test]
+fn another_caller_of_the_same_content_has_an_earlier_trial() {
+    let (content, exact, other) = (REQUEST, REQUEST + 1, REQUEST + 2);
+    let mut counts = CrashCounts::default();
+    for number in 0..MAX_CRASHES + 1 {
+        for request in [content, exact] {
+            counts.record(&crash(request, number), Source::Own, NOW, NOW);
+        }
+    }
+    let verdicts = |exact, now| {
+        let verdicts = counts.verdicts(RequestIdentity { content, exact }, now);
+        verdicts.map(|(_, verdict)| verdict)
+    };
+    assert_eq!(verdicts(other, NOW), [Verdict::Refused, Verdict::Allowed]);
+    let now = NOW + CONTENT_TRIAL_INTERVALS[1];
+    assert_eq!(verdicts(other, now), [Verdict::Trial(1), Verdict::Allowed]);
+    assert_eq!(verdicts(exact, now), [Verdict::Trial(1), Verdict::Refused]);
+}
+
 #[test]
 fn each_restart_of_an_instance_counts_separately() {
     let mut counts = CrashCounts::default();
--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -125,8 +125,13 @@
 pub async fn admit(gateway: &Gateway, call: &Call) -> Result<(), Refusal> {
     let now = gateway.clock.now();
     let mut trials = Vec::new();
-    for request in call.identity.fingerprints() {
-        match gateway.quarantine.counts.borrow().verdict(request, now) {
+    let verdicts = gateway
+        .quarantine
+        .counts
+        .borrow()
+        .verdicts(call.identity, now);
+    for (request, verdict) in verdicts {
+        match verdict {
             Verdict::Allowed => {}
             Verdict::Refused => return Err(Refusal::CrashesEndpoints),
             Verdict::Trial(number) => trials.push(EvidenceKey {
@@ -153,9 +158,10 @@
         return false;
     }
     let counts = gateway.quarantine.counts.borrow();
-    call.identity.fingerprints().into_iter().all(|request| {
+    let verdicts = counts.verdicts(call.identity, now);
+    verdicts.into_iter().all(|(request, verdict)| {
         let is_trial = trials.iter().any(|trial| trial.request == request);
-        is_trial || counts.verdict(request, now) == Verdict::Allowed
+        is_trial || verdict == Verdict::Allowed
     })
 }
 
--- a/gateway/tests/repeats.rs
+++ b/gateway/tests/repeats.rs
@@ -20,6 +20,8 @@
 /// Time for which callers send the request. It exceeds [`CONTACT_TIME`].
 const SENDING_TIME: Duration = Duration::from_secs(8);
 
+/// Maximum time for which harmless callers of the same content are refused.
+const MAX_HARMLESS_REFUSAL: Duration = Duration::from_secs(12);
 /// Interval between attempts.
 const ATTEMPT_INTERVAL: Duration = Duration::from_millis(60);
 
@@ -243,6 +245,58 @@
     );
 }
 
+/// Guards against harmless callers that are refused because of a request that crashes endpoints.
+/// Those with another path are never refused for it, and those with the same content only until
+/// one of them had the first trial that the other may not have.
+#[actix_rt::test]
+async fn harmless_callers_of_the_same_content_are_served_after_a_short_time() {
+    let request = |path: &str, attempt: &str, program: &str| {
+        let request = TestRequest::lookup(attempt).at_path(path);
+        let request = request.header("program-id", program);
+        request.header("session-id", "s1")
+    };
+    let site = CrashSite::start("cost", 3, DIRECT).await;
+    let begin = Instant::now();
+    // The crashing request takes the first trial.
+    wait_until("the request has crashed three endpoints", async || {
+        site.send_to(0, |attempt| request("/lookup/same", attempt, CRASHING_BODY))
+            .await;
+        site.crashing_runs().len() >= 3
+    })
+    .await;
+    let (mut refused, mut served) = (Vec::new(), 0);
+    for number in 0.. {
+        let elapsed = begin.elapsed();
+        if elapsed > 2 * MAX_HARMLESS_REFUSAL {
+            break;
+        }
+        let host = number % 3;
+        site.send_to(host, |attempt| {
+            request("/lookup/same", attempt, CRASHING_BODY)
+        })
+        .await;
+        let program = format!("p{number}");
+        for path in ["/lookup/same", "/lookup/other"] {
+            let attempt = format!("h{number}-{path}").replace('/', "-");
+            let answer = site.answer(host, &request(path, &attempt, &program)).await;
+            let is_refused = answer.body.contains("crashes-endpoints");
+            assert!(!is_refused || path == "/lookup/same", "{answer:?}");
+            match is_refused {
+                true => refused.push(elapsed),
+                false => served += u32::from(answer.status == 200),
+            }
+        }
+        actix_rt::time::sleep(ATTEMPT_INTERVAL).await;
+    }
+    let last = refused.last().copied().unwrap_or_default();
+    println!(
+        "{} harmless requests refused, the last after {last:?}; {served} served",
+        refused.len()
+    );
+    assert!(last < MAX_HARMLESS_REFUSAL, "refused after {last:?}");
+    check_late_runs(&site, 0).await;
+}
+
 /// Guards against crashes that do not count because the endpoint's machine no longer responds.
 #[actix_rt::test]
 async fn crashes_of_endpoints_that_fall_silent_stop_a_request() {
--- a/gateway/tests/repeats/site.rs
+++ b/gateway/tests/repeats/site.rs
@@ -23,7 +23,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 
-use crate::support::{CRASHING_BODY, Gateway, TestRequest, routes, wait_until};
+use crate::support::{CRASHING_BODY, Gateway, TestRequest, TestResponse, routes, wait_until};
 
 /// Time for which faults of hosts, links and the store may explain a repeat.
 pub const CONTACT_TIME: Duration = Duration::from_secs(3);
@@ -160,6 +160,14 @@
         request(&attempt).send(gateway.front).await.status
     }
 
+    /// Sends a request to a host and returns the answer.
+    pub async fn answer(&self, host: usize, request: &TestRequest) -> TestResponse {
+        match &self.gateways[host] {
+            Some(gateway) => request.send(gateway.front).await,
+            None => TestResponse::default(),
+        }
+    }
+
     /// Sends a request to a host from an address of the loopback range.
     pub async fn send_from(&self, address: Ipv4Addr, host: usize, request: &TestRequest) {
         if let Some(mut stream) = self.open_from(address, host, request).await {
