Play lookups, shared contents and turns that crash endpoints in the soak

Cause: the soak of crashing requests had one request with a body, from one address, by a caller that waits.

Attempts come from 199 addresses, and a quarter of the callers leave early.

--- a/gateway/tests/repeats/site.rs
+++ b/gateway/tests/repeats/site.rs
@@ -20,8 +20,7 @@
 use rosebend_transport::clock::Clock;
 use rosebend_transport::store::StoreClient;
 use serde_json::{Value, json};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpSocket, TcpStream};
+use tokio::io::AsyncReadExt;
 
 use crate::support::{CRASHING_BODY, Gateway, TestRequest, TestResponse, routes, wait_until};
 
@@ -170,7 +169,8 @@
 
     /// Sends a request to a host from an address of the loopback range.
     pub async fn send_from(&self, address: Ipv4Addr, host: usize, request: &TestRequest) {
-        if let Some(mut stream) = self.open_from(address, host, request).await {
+        if let Some(gateway) = &self.gateways[host] {
+            let mut stream = request.write_from(address, gateway.front).await.unwrap();
             // The answer makes no difference, nor does an error.
             let _ = stream.read_to_end(&mut Vec::new()).await;
         }
@@ -178,25 +178,11 @@
 
     /// Sends a request to a host and closes the connection after `time`.
     pub async fn send_and_leave(&self, host: usize, request: &TestRequest, time: Duration) {
-        let stream = self.open_from(Ipv4Addr::LOCALHOST, host, request).await;
-        actix_rt::time::sleep(time).await;
-        drop(stream);
-    }
-
-    /// Opens a connection from an address of the loopback range and writes a request to it.
-    async fn open_from(
-        &self,
-        address: Ipv4Addr,
-        host: usize,
-        request: &TestRequest,
-    ) -> Option<TcpStream> {
-        let gateway = self.gateways[host].as_ref()?;
-        let socket = TcpSocket::new_v4().unwrap();
-        socket.bind(SocketAddr::from((address, 0))).unwrap();
-        let mut stream = socket.connect(gateway.front).await.unwrap();
-        let request = request.clone().header("connection", "close");
-        stream.write_all(request.raw().as_bytes()).await.unwrap();
-        Some(stream)
+        if let Some(gateway) = &self.gateways[host] {
+            let stream = request.write_from(Ipv4Addr::LOCALHOST, gateway.front).await;
+            actix_rt::time::sleep(time).await;
+            drop(stream);
+        }
     }
 
     /// Waits until all endpoints run and each host has an answer of one of them.
--- a/gateway/tests/soak.rs
+++ b/gateway/tests/soak.rs
@@ -111,8 +111,8 @@
 ///   overspent it with grants that were given anew after earlier ones were settled; see
 ///   `repeated_outages_overspend_at_most_one_turn`. It is not fixed.
 const PLANNED_SEEDS: [u64; 3] = [101, 104, 105];
-/// Seeds of requests that crash endpoints that CI runs.
-const CRASH_SEEDS: [u64; 3] = [1, 2, 3];
+/// Seeds of requests that crash endpoints that CI runs, one for each kind of request.
+const CRASH_SEEDS: [u64; 4] = [1, 2, 3, 4];
 /// Seconds for which planned work goes on with each seed in CI.
 const DEFAULT_PLANNED_SECONDS: u64 = 20;
 /// Number of hosts beside planned work in CI.
--- a/gateway/tests/soak/crashes.rs
+++ b/gateway/tests/soak/crashes.rs
@@ -1,6 +1,7 @@
 //! Requests that crash endpoints while other faults are injected, counted by the endpoints.
 
 use std::cell::{Cell, RefCell};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -8,6 +9,7 @@
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use tokio::io::AsyncReadExt;
 
 use crate::callers::{Callers, Observations, Workload};
 use crate::faults;
@@ -53,7 +55,12 @@
     for number in 0..LATE_ATTEMPTS {
         let fronts = fleet.borrow().front_addresses();
         let attempt = format!("late{seed}-{number}");
-        request(&attempt).send(fronts[number % fronts.len()]).await;
+        let front = fronts[number % fronts.len()];
+        let kind = CrashKind::of_seed(seed);
+        send(&kind.request(&attempt), front, &mut random).await;
+        if let Some(harmless) = kind.harmless(&format!("{attempt}-other")) {
+            send(&harmless, front, &mut random).await;
+        }
         actix_rt::time::sleep(Duration::from_millis(50)).await;
     }
     let after = crashing_runs(&fleet).await;
@@ -65,27 +72,84 @@
     assert!(late <= MAX_LATE_RUNS, "seed {seed}: {late} late runs");
 }
 
-/// Returns the request that crashes endpoints, as one attempt.
-fn request(attempt: &str) -> TestRequest {
-    let request = TestRequest::new(Method::POST, "/fee/receipt");
-    request.attempt(attempt).body(CRASHING_BODY)
+/// The requests of one seed, which crash endpoints by different parts of them.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum CrashKind {
+    /// A call that may not be repeated, by its body.
+    Call,
+    /// A lookup without a body, by its path.
+    Lookup,
+    /// A lookup by its program, while other programs' lookups of the path are answered.
+    SharedLookup,
+    /// A turn of a program, by its input.
+    Turn,
+}
+
+impl CrashKind {
+    fn of_seed(seed: u64) -> Self {
+        let kinds = [Self::Call, Self::Lookup, Self::SharedLookup, Self::Turn];
+        kinds[usize::try_from(seed % 4).unwrap()]
+    }
+
+    /// Returns the request that crashes endpoints, as one attempt.
+    fn request(self, attempt: &str) -> TestRequest {
+        match self {
+            Self::Call => {
+                let request = TestRequest::new(Method::POST, "/fee/receipt");
+                request.attempt(attempt).body(CRASHING_BODY)
+            }
+            Self::Lookup => {
+                let path = format!("/lookup/{CRASHING_BODY}");
+                TestRequest::lookup(attempt).at_path(&path)
+            }
+            Self::SharedLookup => self.shared_lookup(attempt, CRASHING_BODY),
+            Self::Turn => {
+                TestRequest::turn(attempt, "crashing", CRASHING_BODY).at_path("/unkept/stream/turn")
+            }
+        }
+    }
+
+    /// Returns a harmless request of the same content, if there are any.
+    fn harmless(self, attempt: &str) -> Option<TestRequest> {
+        (self == Self::SharedLookup).then(|| self.shared_lookup(attempt, attempt))
+    }
+
+    fn shared_lookup(self, attempt: &str, program: &str) -> TestRequest {
+        let request = TestRequest::lookup(attempt).at_path("/lookup/shared");
+        let request = request.header("program-id", program);
+        request.header("session-id", "s1")
+    }
+}
+
+/// Sends a request from one of several addresses, as through the nodes of a balancer. Some callers
+/// leave early.
+async fn send(request: &TestRequest, front: SocketAddr, random: &mut ChaCha8Rng) {
+    let address = Ipv4Addr::new(127, 0, 2, random.random_range(1..200));
+    let patience = match random.random_range(0..4) {
+        0 => Duration::from_millis(random.random_range(1..80)),
+        _ => CONTACT_TIME,
+    };
+    // The answer makes no difference, nor does an error.
+    let _ = tokio::time::timeout(patience, async {
+        let mut stream = request.write_from(address, front).await?;
+        stream.read_to_end(&mut Vec::new()).await
+    })
+    .await;
 }
 
 async fn send_until(fleet: SharedFleet, is_over: Rc<Cell<bool>>, seed: u64) {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let kind = CrashKind::of_seed(seed);
     let mut number = 0;
     while !is_over.get() {
         number += 1;
-        let front = fleet
-            .borrow()
-            .front_addresses()
-            .choose(&mut random)
-            .copied();
-        if let Some(front) = front {
+        let fronts = fleet.borrow().front_addresses();
+        if let Some(front) = fronts.choose(&mut random).copied() {
             let attempt = format!("crash{seed}-{number}");
-            let request = request(&attempt);
-            // The answer makes no difference.
-            let _ = tokio::time::timeout(CONTACT_TIME, request.send(front)).await;
+            send(&kind.request(&attempt), front, &mut random).await;
+            if let Some(harmless) = kind.harmless(&format!("other{seed}-{number}")) {
+                send(&harmless, front, &mut random).await;
+            }
         }
         let pause = Duration::from_millis(random.random_range(20..300));
         actix_rt::time::sleep(pause).await;
@@ -118,6 +182,11 @@
 async fn crashing_runs(fleet: &SharedFleet) -> u64 {
     let runs = fleet::all_runs(fleet).await;
     let runs = runs.iter().flat_map(|runs| runs.values());
-    let crashing = runs.filter(|run| run.body.contains(CRASHING_BODY));
+    let crashing = runs.filter(|run| {
+        let mut headers = run.headers.values();
+        run.body.contains(CRASHING_BODY)
+            || run.target.contains(CRASHING_BODY)
+            || headers.any(|value| value.contains(CRASHING_BODY))
+    });
     crashing.map(|run| run.count).sum()
 }
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -7,7 +7,7 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 use std::io::{BufRead, BufReader};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -22,6 +22,8 @@
 use rosebend_standin::store::{Store, StoreFaults};
 use rosebend_transport::connection::Connection;
 use serde_json::{Value, json};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpSocket, TcpStream};
 
 /// Time after which waiting for an expected condition fails the test.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
@@ -710,6 +712,16 @@
         text
     }
 
+    /// Opens a connection from an address of the loopback range and writes the request to it.
+    pub async fn write_from(&self, from: Ipv4Addr, to: SocketAddr) -> std::io::Result<TcpStream> {
+        let socket = TcpSocket::new_v4()?;
+        socket.bind(SocketAddr::from((from, 0)))?;
+        let mut stream = socket.connect(to).await?;
+        let request = self.clone().header("connection", "close");
+        stream.write_all(request.raw().as_bytes()).await?;
+        Ok(stream)
+    }
+
     /// Sends the request on a new connection.
     pub async fn send(&self, address: SocketAddr) -> TestResponse {
         let Ok(mut connection) = Connection::open(address).await else {
