Keep crashes of a request that a faulty endpoint answers with an error

Callers saw: a request went on to crash endpoints that answer some requests with an error of their own.

Cause: any whole answer of an endpoint cleared the request, also a 500 that a faulty endpoint sends instead of running it.

Change: an answer clears a request only if its status tells that it ran: below 500 and neither 408, 421 nor 429. A harmless request whose answers are errors has only its trials after two crashes.

--- a/gateway/src/plain.rs
+++ b/gateway/src/plain.rs
@@ -82,7 +82,7 @@
     endpoint_response.in_flight.set_answered();
     // Something in front of the endpoint may have answered in its place.
     if endpoint_response.header.stamped {
-        quarantine::clear(gateway, call, endpoint);
+        quarantine::clear(gateway, call, endpoint, status);
     }
     EndpointResponse::return_connection(
         gateway,
--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -223,8 +223,12 @@
     }
 }
 
-/// Clears a request that an endpoint has answered completely.
-pub fn clear(gateway: &Gateway, call: &Call, endpoint: &EndpointIdentity) {
+/// Clears a request that an endpoint has answered completely, unless the status may be that of a
+/// faulty endpoint that did not run it.
+pub fn clear(gateway: &Gateway, call: &Call, endpoint: &EndpointIdentity, status: u16) {
+    if status >= 500 || matches!(status, 408 | 421 | 429) {
+        return;
+    }
     for request in call.identity.fingerprints() {
         let keys = gateway.quarantine.counts.borrow_mut().clear(request);
         if keys.is_empty() {
--- a/gateway/src/turn_stream.rs
+++ b/gateway/src/turn_stream.rs
@@ -269,7 +269,7 @@
             .metrics
             .count_request(self.call.route.kind, "answered");
         let status = self.runs.head().status.as_u16();
-        quarantine::clear(&self.gateway, &self.call, self.runs.endpoint());
+        quarantine::clear(&self.gateway, &self.call, self.runs.endpoint(), status);
         self.call.request_log.record_served(
             &self.runs.endpoint().instance,
             status,
--- a/gateway/tests/repeats.rs
+++ b/gateway/tests/repeats.rs
@@ -34,6 +34,7 @@
     crash_delay: Duration::ZERO,
     is_unhealthy: false,
     refuses_when_back: false,
+    errors_when_back: 0,
 };
 const RELAYED: EndpointPlan = EndpointPlan {
     is_relayed: true,
@@ -297,6 +298,22 @@
     check_late_runs(&site, 0).await;
 }
 
+/// Guards against crashes that no longer count because a faulty endpoint answered the request with
+/// an error, which it does not run for.
+#[actix_rt::test]
+async fn answers_of_faulty_endpoints_do_not_clear_a_request_that_crashes_endpoints() {
+    let plan = EndpointPlan {
+        endpoints: 2,
+        errors_when_back: 1,
+        ..DIRECT
+    };
+    let site = CrashSite::start("errors", 3, plan).await;
+    site.send_for(SENDING_TIME, crashing_get).await;
+    let runs = site.crashing_runs().len();
+    println!("{runs} runs");
+    assert!(runs <= 3, "{runs} runs\n{}", site.crash_log());
+}
+
 /// Guards against crashes that do not count because the endpoint's machine no longer responds.
 #[actix_rt::test]
 async fn crashes_of_endpoints_that_fall_silent_stop_a_request() {
--- a/gateway/tests/repeats/site.rs
+++ b/gateway/tests/repeats/site.rs
@@ -55,6 +55,8 @@
     pub is_unhealthy: bool,
     /// Whether an endpoint that has crashed refuses all requests when it is back.
     pub refuses_when_back: bool,
+    /// Number of requests that an endpoint that has crashed answers with 500 when it is back.
+    pub errors_when_back: u64,
 }
 
 /// The processes of a site.
@@ -345,9 +347,13 @@
         let name = format!("endpoint-{}-{}", self.number, self.starts);
         let process = Process::start(&name, Program::StandIn, arguments, &self.directory).unwrap();
         wait_until("the endpoint listens", async || is_listening(&process)).await;
-        if self.plan.refuses_when_back && self.starts > 1 {
+        if self.starts > 1 {
             let faults = BackendFaults {
-                refuse: u64::MAX,
+                refuse: match self.plan.refuses_when_back {
+                    true => u64::MAX,
+                    false => 0,
+                },
+                errors: self.plan.errors_when_back,
                 ..BackendFaults::default()
             };
             let request = TestRequest::new(Method::POST, "/faults");
--- a/standin/src/backend.rs
+++ b/standin/src/backend.rs
@@ -42,6 +42,8 @@
     pub events: u64,
     /// Number of requests more that are refused as not run.
     pub refuse: u64,
+    /// Number of requests more that are answered with 500 before they begin to run.
+    pub errors: u64,
     /// Number of requests more that run and whose answer is lost.
     pub lose_answers: u64,
     /// Number of answers more that are cut in their body.
@@ -78,6 +80,7 @@
             delay_ms: 0,
             events: 3,
             refuse: 0,
+            errors: 0,
             lose_answers: 0,
             cut_bodies: 0,
             break_streams: 0,
@@ -393,14 +396,20 @@
         let target = request.header("target-instance");
         let is_meant = target.is_none_or(|target| target == self.config.instance);
         let has_room = !is_meant || !take_one(&mut self.lock().faults.refuse);
+        let has_error = is_meant && has_room && take_one(&mut self.lock().faults.errors);
         let crashes = contains(&request, self.config.crash_on.as_deref());
-        self.record_received(&attempt, &request, is_meant && has_room, crashes);
+        let runs = is_meant && has_room && !has_error;
+        self.record_received(&attempt, &request, runs, crashes);
         if !is_meant {
             return not_run(421, "other-instance");
         }
         if !has_room {
             return not_run(503, "full");
         }
+        if has_error {
+            let reply = HttpReply::bytes(500, "text/plain", b"error".to_vec());
+            return self.stamped(&attempt, reply);
+        }
         self.note(&attempt, &request);
         if crashes {
             self.crash().await;
