--- a/coordination/src/gateway/fingerprint.rs
+++ b/coordination/src/gateway/fingerprint.rs
@@ -209,7 +209,7 @@
     NoEvidence,
     /// Fewer crashes were known than make it run in trials.
     BelowLimit,
-    /// It is a trial.
+    /// The request is a trial.
     Trial,
 }
 
--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -255,7 +255,7 @@
     Deleted,
     /// The store no longer has the row.
     Absent,
-    /// It is too old.
+    /// The evidence is too old.
     Expired,
     /// There is evidence against too many requests.
     Evicted,
