Let an endpoint of the tests that stops answer nothing before it does

Its caller had an answer within 9 ms. Threads of a process may go on for a moment after SIGSTOP, and the endpoint answered 200.

Change: a request that stops the endpoint is never answered. The check of the logs prints the lines of an attempt that they do not explain.

--- a/gateway/tests/repeats.rs
+++ b/gateway/tests/repeats.rs
@@ -22,6 +22,8 @@
 
 /// Maximum time for which harmless callers of the same content are refused.
 const MAX_HARMLESS_REFUSAL: Duration = Duration::from_secs(12);
+/// Maximum time until the lines of a request are in the logs of its hosts.
+const LOG_TIMEOUT: Duration = Duration::from_secs(20);
 /// Interval between attempts.
 const ATTEMPT_INTERVAL: Duration = Duration::from_millis(60);
 
@@ -76,10 +78,15 @@
         attempts.len(),
         site.crash_log()
     );
-    wait_until("the logs tell why each attempt was sent", async || {
-        site.unexplained_attempts().is_empty()
-    })
-    .await;
+    // The last lines may not have been read yet.
+    let end = Instant::now() + LOG_TIMEOUT;
+    while !site.unexplained_attempts().is_empty() && Instant::now() < end {
+        actix_rt::time::sleep(ATTEMPT_INTERVAL).await;
+    }
+    for received in site.unexplained_attempts() {
+        let log = site.request_log(&received.attempt);
+        panic!("the logs do not tell why {received:?} was sent:\n{log}");
+    }
 }
 
 /// Guards against a crash that is not recognized because something in front of the
--- a/gateway/tests/repeats/site.rs
+++ b/gateway/tests/repeats/site.rs
@@ -275,6 +275,14 @@
         received.filter(|line| !is_explained(line)).collect()
     }
 
+    /// Returns the lines of an attempt in the logs of all hosts.
+    pub fn request_log(&self, attempt: &str) -> String {
+        let gateways = self.gateways.iter().flatten();
+        let lines = gateways.flat_map(Gateway::log);
+        let of_attempt = lines.filter(|line| line.contains(attempt));
+        of_attempt.collect::<Vec<String>>().join("\n")
+    }
+
     /// Returns what hosts logged about crashes, for the message of a failed check.
     pub fn crash_log(&self) -> String {
         let gateways = self.gateways.iter().flatten();
--- a/standin/src/backend.rs
+++ b/standin/src/backend.rs
@@ -477,8 +477,9 @@
                 Crash::Stop => stop_process(),
             }
         });
-        // The process ends first.
-        let _ = crashing.await;
+        crashing.await.expect("the crash does not panic");
+        // Threads may go on for a moment after the signal that stops the process.
+        std::future::pending().await
     }
 
     fn note(&self, attempt: &str, request: &HttpRequest) {
