--- a/standin/src/backend.rs
+++ b/standin/src/backend.rs
@@ -479,7 +479,7 @@
         });
         crashing.await.expect("the crash does not panic");
         // Threads may go on for a moment after the signal that stops the process.
-        std::future::pending().await
+        std::future::pending::<()>().await;
     }
 
     fn note(&self, attempt: &str, request: &HttpRequest) {
