Print all attempts that the logs do not explain

Cause: the linter refuses a loop that ends in its first pass.

Change: the check asserts on the list and prints the lines of each attempt.

Run: formatter and linter passed for the workspace.

--- a/gateway/tests/repeats.rs
+++ b/gateway/tests/repeats.rs
@@ -83,10 +83,12 @@
     while !site.unexplained_attempts().is_empty() && Instant::now() < end {
         actix_rt::time::sleep(ATTEMPT_INTERVAL).await;
     }
-    for received in site.unexplained_attempts() {
-        let log = site.request_log(&received.attempt);
-        panic!("the logs do not tell why {received:?} was sent:\n{log}");
-    }
+    let unexplained = site.unexplained_attempts();
+    let logs = unexplained
+        .iter()
+        .map(|received| site.request_log(&received.attempt));
+    let logs: Vec<String> = logs.collect();
+    assert!(unexplained.is_empty(), "{unexplained:#?}\n{logs:#?}");
 }
 
 /// Guards against a crash that is not recognized because something in front of the
