Test crowds of clients that send large or incomplete requests

Clients that are not controlled ended a process: it ran out of memory. No test had more than eight of them at a time.

The bounds are the smallest host's: 88 MB, with the bytes that were received and not yet read, and 4,100 descriptors.

--- /dev/null
+++ b/system-tests/src/crowd.rs
@@ -0,0 +1,340 @@
+//! Crowds of clients that send large, incomplete or oversized requests, and the memory and
+//! descriptors of the process that serves them.
+
+use std::{
+    collections::HashSet,
+    fs, io,
+    io::Write as _,
+    net::{SocketAddr, TcpStream},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
+
+/// Memory of the smallest host. Bytes that were received and not yet read count.
+pub const MAX_MEMORY_BYTES: u64 = 88_000_000;
+/// Descriptors of the smallest host.
+pub const MAX_DESCRIPTORS: usize = 4_100;
+
+/// Descriptors that a test process needs for the largest crowd and its servers.
+const TEST_DESCRIPTORS: u64 = 12_000;
+/// One of this many clients of a crowd ends its request; the others stop short of the end.
+const WHOLE_INTERVAL: usize = 8;
+/// Size of one write.
+const WRITE_BYTES: usize = 64 << 10;
+/// Number of pieces of a body that is sent piece by piece, and the pause between them.
+const PIECES: usize = 8;
+const PIECE_PAUSE: Duration = Duration::from_millis(20);
+/// Number of chunks of one byte in a body of small chunks.
+const SMALL_CHUNKS: usize = 24 << 10;
+/// Factor by which oversized bodies exceed the limit, as announced and as sent.
+const ANNOUNCED_FACTOR: usize = 64;
+const SENT_FACTOR: usize = 2;
+/// Sizes of the heads that stop short of their end.
+const HEAD_BYTES: usize = 15_000;
+const OVERSIZED_HEAD_BYTES: usize = 120_000;
+/// Size of a header of such a head. Servers limit the number of headers.
+const HEADER_BYTES: usize = 2_000;
+/// Longest time in which nothing of a request is accepted before its client stops.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time between two samples of a process.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(15);
+
+/// What a client sends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Form {
+    /// A body of the largest size, with its length, at once.
+    Sized,
+    /// A body of the largest size, with its length, in pieces.
+    SizedInPieces,
+    /// A body of the largest size in large chunks.
+    LargeChunks,
+    /// A body in chunks of one byte.
+    SmallChunks,
+    /// A body beyond the limit whose length is announced.
+    AnnouncedOverLimit,
+    /// A body of chunks beyond the limit.
+    ChunkedOverLimit,
+    /// A head that stops short of its end.
+    Head,
+    /// A head beyond the limit that stops short of its end.
+    OversizedHead,
+    /// Nothing.
+    Idle,
+}
+
+impl Form {
+    /// All forms that send a body.
+    pub const BODIES: [Self; 6] = [
+        Self::Sized,
+        Self::SizedInPieces,
+        Self::LargeChunks,
+        Self::SmallChunks,
+        Self::AnnouncedOverLimit,
+        Self::ChunkedOverLimit,
+    ];
+
+    /// Number of clients that send one after the other. Bodies are sent at the same time.
+    fn clients_per_thread(self) -> usize {
+        match self {
+            Self::Head | Self::OversizedHead | Self::Idle => 100,
+            _ => 1,
+        }
+    }
+}
+
+/// The request that the clients of a crowd send.
+#[derive(Clone, Debug)]
+pub struct CrowdRequest {
+    /// Request line and headers, each with its line end, without those that frame the body.
+    pub head: String,
+    /// Largest legal body.
+    pub max_body_bytes: usize,
+}
+
+/// Clients that have sent, or are sending, and keep their connections open until they are
+/// dropped.
+#[derive(Debug)]
+pub struct Crowd {
+    clients: Vec<JoinHandle<Vec<TcpStream>>>,
+}
+
+impl Crowd {
+    /// Starts clients of each form in the given number.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the descriptors of the test process do not suffice.
+    pub fn start(to: SocketAddr, request: &CrowdRequest, forms: &[(Form, usize)]) -> Self {
+        raise_descriptor_limit();
+        let mut clients = Vec::new();
+        for &(form, count) in forms {
+            let numbers: Vec<usize> = (0..count).collect();
+            for numbers in numbers.chunks(form.clients_per_thread()) {
+                let (request, numbers) = (request.clone(), numbers.to_vec());
+                clients.push(thread::spawn(move || {
+                    let send = |number: usize| {
+                        let is_whole = number.is_multiple_of(WHOLE_INTERVAL);
+                        // The server may refuse or close the connection.
+                        send(to, &request, form, is_whole).ok()
+                    };
+                    numbers.into_iter().filter_map(send).collect()
+                }));
+            }
+        }
+        Self { clients }
+    }
+
+    /// Returns whether all clients have sent what they send, or were cut off.
+    pub fn has_sent(&self) -> bool {
+        self.clients.iter().all(JoinHandle::is_finished)
+    }
+}
+
+/// Allows the test process as many descriptors as the largest crowd needs.
+fn raise_descriptor_limit() {
+    let limit = getrlimit(Resource::Nofile);
+    if limit
+        .current
+        .is_some_and(|current| current < TEST_DESCRIPTORS)
+    {
+        let raised = Rlimit {
+            current: Some(TEST_DESCRIPTORS),
+            maximum: limit.maximum,
+        };
+        setrlimit(Resource::Nofile, raised).expect("the limit of descriptors can be raised");
+    }
+}
+
+/// Sends a request and returns its connection, which stays open.
+fn send(
+    to: SocketAddr,
+    request: &CrowdRequest,
+    form: Form,
+    is_whole: bool,
+) -> io::Result<TcpStream> {
+    let mut stream = TcpStream::connect(to)?;
+    stream.set_write_timeout(Some(WRITE_TIMEOUT))?;
+    let (head, max_bytes) = (&request.head, request.max_body_bytes);
+    let sent_bytes = max_bytes - usize::from(!is_whole);
+    match form {
+        Form::Sized => {
+            write!(stream, "{head}content-length: {max_bytes}\r\n\r\n")?;
+            write_body(&mut stream, sent_bytes)?;
+        }
+        Form::SizedInPieces => {
+            write!(stream, "{head}content-length: {max_bytes}\r\n\r\n")?;
+            for piece in 0..PIECES {
+                let piece_bytes = sent_bytes * (piece + 1) / PIECES - sent_bytes * piece / PIECES;
+                write_body(&mut stream, piece_bytes)?;
+                thread::sleep(PIECE_PAUSE);
+            }
+        }
+        Form::LargeChunks => {
+            write!(stream, "{head}transfer-encoding: chunked\r\n\r\n")?;
+            write_chunks(&mut stream, max_bytes, is_whole)?;
+        }
+        Form::SmallChunks => {
+            write!(stream, "{head}transfer-encoding: chunked\r\n\r\n")?;
+            let chunks = b"1\r\nx\r\n".repeat(SMALL_CHUNKS);
+            stream.write_all(&chunks)?;
+            if is_whole {
+                stream.write_all(b"0\r\n\r\n")?;
+            }
+        }
+        Form::AnnouncedOverLimit => {
+            let announced_bytes = max_bytes * ANNOUNCED_FACTOR;
+            write!(stream, "{head}content-length: {announced_bytes}\r\n\r\n")?;
+            write_body(&mut stream, max_bytes * SENT_FACTOR)?;
+        }
+        Form::ChunkedOverLimit => {
+            write!(stream, "{head}transfer-encoding: chunked\r\n\r\n")?;
+            write_chunks(&mut stream, max_bytes * SENT_FACTOR, is_whole)?;
+        }
+        Form::Head => write_head(&mut stream, head, HEAD_BYTES)?,
+        Form::OversizedHead => write_head(&mut stream, head, OVERSIZED_HEAD_BYTES)?,
+        Form::Idle => {}
+    }
+    Ok(stream)
+}
+
+fn write_body(stream: &mut TcpStream, bytes: usize) -> io::Result<()> {
+    let block = vec![b'x'; WRITE_BYTES.min(bytes)];
+    let mut remaining = bytes;
+    while remaining > 0 {
+        let written = remaining.min(block.len());
+        stream.write_all(&block[..written])?;
+        remaining -= written;
+    }
+    Ok(())
+}
+
+/// Writes chunks of [`WRITE_BYTES`]. Unless the body is whole, the last one is a byte short.
+fn write_chunks(stream: &mut TcpStream, bytes: usize, is_whole: bool) -> io::Result<()> {
+    let block = vec![b'x'; WRITE_BYTES];
+    let mut remaining = bytes;
+    while remaining > 0 {
+        let size = remaining.min(block.len());
+        remaining -= size;
+        write!(stream, "{size:x}\r\n")?;
+        if remaining == 0 && !is_whole {
+            return stream.write_all(&block[..size - 1]);
+        }
+        stream.write_all(&block[..size])?;
+        stream.write_all(b"\r\n")?;
+    }
+    stream.write_all(b"0\r\n\r\n")
+}
+
+fn write_head(stream: &mut TcpStream, head: &str, bytes: usize) -> io::Result<()> {
+    let line = format!("x-more: {}\r\n", "x".repeat(HEADER_BYTES));
+    let lines = line.repeat(bytes.saturating_sub(head.len()) / line.len());
+    write!(stream, "{head}{lines}")
+}
+
+/// The most that a process has held at a time.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PeakUsage {
+    /// Resident memory and bytes that were received and not yet read.
+    pub memory_bytes: u64,
+    /// The part of them that was not yet read, at its own peak.
+    pub unread_bytes: u64,
+    /// Open descriptors.
+    pub descriptors: usize,
+}
+
+/// Samples the memory and descriptors of a process until it is stopped.
+#[derive(Debug)]
+pub struct UsageMonitor {
+    is_stopped: Arc<AtomicBool>,
+    sampling: JoinHandle<PeakUsage>,
+}
+
+impl UsageMonitor {
+    /// Starts to sample a process that listens on these addresses.
+    pub fn start(process: u32, listeners: &[SocketAddr]) -> Self {
+        let is_stopped = Arc::new(AtomicBool::new(false));
+        let stopped = Arc::clone(&is_stopped);
+        let ports = listeners.iter().map(SocketAddr::port).collect();
+        let sampling = thread::spawn(move || {
+            let mut peak = PeakUsage::default();
+            while !stopped.load(Ordering::Relaxed) {
+                add_sample(&mut peak, process, &ports);
+                thread::sleep(SAMPLE_INTERVAL);
+            }
+            // The peak between two samples.
+            let resident_bytes = memory_bytes(process, "VmHWM:");
+            peak.memory_bytes = peak.memory_bytes.max(resident_bytes);
+            peak
+        });
+        Self {
+            is_stopped,
+            sampling,
+        }
+    }
+
+    /// Ends the samples.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a sample could not be read.
+    pub fn stop(self) -> PeakUsage {
+        self.is_stopped.store(true, Ordering::Relaxed);
+        self.sampling.join().expect("samples can be read")
+    }
+}
+
+fn add_sample(peak: &mut PeakUsage, process: u32, ports: &HashSet<u16>) {
+    let mut sockets = HashSet::new();
+    let mut descriptors = 0;
+    if let Ok(entries) = fs::read_dir(format!("/proc/{process}/fd")) {
+        for entry in entries.flatten() {
+            descriptors += 1;
+            // It may be closed already.
+            let Ok(target) = fs::read_link(entry.path()) else {
+                continue;
+            };
+            let target = target.to_string_lossy().into_owned();
+            let inode = target.strip_prefix("socket:[");
+            sockets.extend(inode.and_then(|inode| inode.strip_suffix(']')?.parse::<u64>().ok()));
+        }
+    }
+    let unread_bytes = unread_bytes(&sockets, ports);
+    let held_bytes = memory_bytes(process, "VmRSS:") + unread_bytes;
+    peak.memory_bytes = peak.memory_bytes.max(held_bytes);
+    peak.unread_bytes = peak.unread_bytes.max(unread_bytes);
+    peak.descriptors = peak.descriptors.max(descriptors);
+}
+
+/// Returns a size that the status of a process has, or zero if the process has ended.
+fn memory_bytes(process: u32, field: &str) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
+    let value = status.lines().find_map(|line| line.strip_prefix(field));
+    let kib = value.and_then(|value| value.trim().strip_suffix(" kB")?.trim().parse::<u64>().ok());
+    kib.unwrap_or_default() << 10
+}
+
+/// Returns the bytes in the receive queues of these sockets and of connections to these ports
+/// that were not yet accepted.
+fn unread_bytes(sockets: &HashSet<u64>, ports: &HashSet<u16>) -> u64 {
+    /// State of a socket that listens. Its queue has connections, not bytes.
+    const LISTENING: &str = "0A";
+    let table = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+    let rows = table.lines().skip(1).filter_map(|line| {
+        let mut fields = line.split_ascii_whitespace();
+        let local = fields.nth(1)?;
+        let state = fields.nth(1)?;
+        let queues = fields.next()?;
+        let inode: u64 = fields.nth(4)?.parse().ok()?;
+        let port = u16::from_str_radix(local.split_once(':')?.1, 16).ok()?;
+        let is_of_process = sockets.contains(&inode) || (inode == 0 && ports.contains(&port));
+        let received = u64::from_str_radix(queues.split_once(':')?.1, 16).ok()?;
+        (state != LISTENING && is_of_process).then_some(received)
+    });
+    rows.sum()
+}
--- a/system-tests/src/lib.rs
+++ b/system-tests/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`mod@settle`]: a caller that sends again until it knows the outcome.
 //! - [`sse`]: streams of server-sent events.
 //! - [`load`]: programs that run while processes stop and start.
+//! - [`crowd`]: many clients with large or incomplete requests, and the resources they take.
 //! - [`relay`]: a connection between two processes that goes silent or breaks.
 //! - [`binaries`]: where the programs are, and their build.
 //! - [`wait`]: waiting for a condition instead of for a time.
@@ -18,6 +19,7 @@
 pub mod binaries;
 pub mod caller;
 pub mod cluster;
+pub mod crowd;
 pub mod endpoint;
 pub mod error;
 pub mod load;
--- /dev/null
+++ b/system-tests/tests/crowds.rs
@@ -0,0 +1,183 @@
+//! Crowds of clients that send large, incomplete or oversized requests, against the listeners
+//! of entries and sidecars: every process stays within the memory and the descriptors of the
+//! smallest host, and ordinary calls are answered beside them and afterwards.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_rt::time::sleep;
+use rosebend_system_tests::crowd::{
+    Crowd, CrowdRequest, Form, MAX_DESCRIPTORS, MAX_MEMORY_BYTES, UsageMonitor,
+};
+use rosebend_system_tests::{Call, Caller, Cluster, ClusterConfig, settings::token, wait_until};
+use tokio::sync::Mutex;
+
+/// Largest body that entries accept by default.
+const MAX_BODY_BYTES: usize = 4 << 20;
+/// Clients of a crowd of one form, and of each form in a mixed one.
+const CLIENTS: usize = 64;
+const MIXED_CLIENTS: usize = 16;
+/// Clients of a crowd that sends no bodies.
+const HEAD_CLIENTS: usize = 2_000;
+const IDLE_CLIENTS: usize = 4_300;
+/// Time for which a crowd that has sent keeps its connections open.
+const OPEN_TIME: Duration = Duration::from_secs(1);
+
+/// Crowds are played one at a time.
+static ALONE: Mutex<()> = Mutex::const_new(());
+
+/// A listener of a cluster that clients reach.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Listener {
+    /// Callers and operators, at an entry.
+    EntryCallers,
+    /// Other entries, at an entry.
+    EntryPeers,
+    /// Owners, at a sidecar.
+    SidecarOwners,
+    /// Metrics and readiness, at a sidecar.
+    SidecarPages,
+}
+
+impl Listener {
+    fn process_and_address(self, cluster: &Cluster) -> (u32, SocketAddr) {
+        let (entry, sidecar) = (&cluster.entries[0], &cluster.endpoints[0]);
+        match self {
+            Self::EntryCallers => (entry.process.id(), entry.address),
+            Self::EntryPeers => (entry.process.id(), entry.peer_address),
+            Self::SidecarOwners => (sidecar.sidecar.id(), sidecar.sidecar_address),
+            Self::SidecarPages => (sidecar.sidecar.id(), sidecar.pages_address),
+        }
+    }
+}
+
+fn crowd_request() -> CrowdRequest {
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: caribmar.example\r\n\
+         authorization: Bearer {}\r\nrosebend-session: crowd\r\n\
+         content-type: application/json\r\n",
+        token::CARIBMAR
+    );
+    CrowdRequest {
+        head,
+        max_body_bytes: MAX_BODY_BYTES,
+    }
+}
+
+/// Sends an ordinary call until it is answered.
+async fn check_ordinary(cluster: &Cluster, caller: &Caller, sequence: u64) {
+    let call = Call::model(&format!("call {sequence}"), 4).sequence(sequence);
+    wait_until("an ordinary call", || async {
+        let reply = caller.call(cluster.entry(0), &call).await.ok()?;
+        (reply.status == 200).then_some(())
+    })
+    .await
+    .unwrap();
+}
+
+async fn check_crowd(forms: &[(Form, usize)], listener: Listener) {
+    let _alone = ALONE.lock().await;
+    let cluster = Cluster::start(ClusterConfig::default()).await.unwrap();
+    let caller = cluster.program("beside-a-crowd").await.unwrap();
+    check_ordinary(&cluster, &caller, 1).await;
+    let (process, address) = listener.process_and_address(&cluster);
+    let monitor = UsageMonitor::start(process, &[address]);
+    let crowd = Crowd::start(address, &crowd_request(), forms);
+    check_ordinary(&cluster, &caller, 2).await;
+    let has_sent = || async { crowd.has_sent().then_some(()) };
+    wait_until("the crowd has sent", has_sent).await.unwrap();
+    check_ordinary(&cluster, &caller, 3).await;
+    sleep(OPEN_TIME).await;
+    check_ordinary(&cluster, &caller, 4).await;
+    drop(crowd);
+    check_ordinary(&cluster, &caller, 5).await;
+    let peak = monitor.stop();
+    println!("{forms:?} to {listener:?}: {peak:?}");
+    let is_running = std::fs::metadata(format!("/proc/{process}/fd")).is_ok();
+    assert!(is_running, "{listener:?}: the process exited");
+    assert!(peak.memory_bytes <= MAX_MEMORY_BYTES, "{peak:?}");
+    assert!(peak.descriptors <= MAX_DESCRIPTORS, "{peak:?}");
+}
+
+fn mixed() -> Vec<(Form, usize)> {
+    Form::BODIES.map(|form| (form, MIXED_CLIENTS)).to_vec()
+}
+
+async fn check_callers(forms: &[(Form, usize)]) {
+    check_crowd(forms, Listener::EntryCallers).await;
+}
+
+#[actix_rt::test]
+async fn entry_bears_a_crowd_with_sized_bodies() {
+    check_callers(&[(Form::Sized, CLIENTS)]).await;
+}
+
+#[actix_rt::test]
+async fn entry_bears_a_crowd_with_bodies_in_pieces() {
+    check_callers(&[(Form::SizedInPieces, CLIENTS)]).await;
+}
+
+#[actix_rt::test]
+async fn entry_bears_a_crowd_with_large_chunks() {
+    check_callers(&[(Form::LargeChunks, CLIENTS)]).await;
+}
+
+#[actix_rt::test]
+async fn entry_bears_a_crowd_with_small_chunks() {
+    check_callers(&[(Form::SmallChunks, 4 * CLIENTS)]).await;
+}
+
+#[actix_rt::test]
+async fn entry_bears_a_crowd_with_bodies_announced_over_the_limit() {
+    check_callers(&[(Form::AnnouncedOverLimit, CLIENTS)]).await;
+}
+
+#[actix_rt::test]
+async fn entry_bears_a_crowd_with_chunked_bodies_over_the_limit() {
+    check_callers(&[(Form::ChunkedOverLimit, CLIENTS)]).await;
+}
+
+#[actix_rt::test]
+async fn entry_bears_a_mixed_crowd() {
+    check_callers(&mixed()).await;
+}
+
+#[actix_rt::test]
+async fn entry_bears_a_crowd_with_heads() {
+    check_callers(&[(Form::Head, HEAD_CLIENTS)]).await;
+}
+
+#[actix_rt::test]
+async fn entry_bears_idle_connections() {
+    check_callers(&[(Form::Idle, IDLE_CLIENTS)]).await;
+}
+
+#[actix_rt::test]
+async fn peer_listener_of_an_entry_bears_idle_connections() {
+    check_crowd(&[(Form::Idle, IDLE_CLIENTS)], Listener::EntryPeers).await;
+}
+
+#[actix_rt::test]
+async fn peer_listener_of_an_entry_bears_a_mixed_crowd() {
+    check_crowd(&mixed(), Listener::EntryPeers).await;
+}
+
+#[actix_rt::test]
+async fn sidecar_bears_idle_connections() {
+    check_crowd(&[(Form::Idle, IDLE_CLIENTS)], Listener::SidecarOwners).await;
+}
+
+#[actix_rt::test]
+async fn sidecar_bears_a_mixed_crowd() {
+    check_crowd(&mixed(), Listener::SidecarOwners).await;
+}
+
+#[actix_rt::test]
+async fn pages_of_a_sidecar_bear_a_mixed_crowd() {
+    check_crowd(&mixed(), Listener::SidecarPages).await;
+}
+
+#[actix_rt::test]
+async fn pages_of_a_sidecar_bear_idle_connections() {
+    check_crowd(&[(Form::Idle, IDLE_CLIENTS)], Listener::SidecarPages).await;
+}
