Add the admission of clients by the memory that is held for them

Bodies of requests were read whole, each without regard to the others, so that a process ran out of memory when many came at once or stopped short of their end.

ClientMemory decides who connects and who holds what. A client may hold as many bytes as remain free beside it. When memory is short, the unfinished request with the highest product of bytes and time yields; complete ones, which may have been sent to an endpoint, never do. With too many connections the one whose client the process has waited for longest is closed. It does no I/O and reads no clock.

--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -6,6 +6,7 @@
 //! does I/O, reads a clock, or draws randomness that is not seeded; the same
 //! code runs in the processes, in the property tests and in the replay.
 
+pub mod client_memory;
 pub mod commit;
 pub mod configuration;
 pub mod endpoint;
