Add settings for the memory of clients

The limits of connections and requests follow from the host's memory and descriptors: memory_mb and max_descriptors of [clients], with the smallest host as the default. body_timeout_s and answer_timeout_s bound how long a client that stops holds its share. An entry refuses a max_body_bytes that its memory does not hold. The template passes the platform's figures on.

--- a/state/src/settings.rs
+++ b/state/src/settings.rs
@@ -22,6 +22,7 @@
 //! The same schemas give the reference page, by [`reference_page`].
 
 mod cli;
+mod clients;
 mod common;
 mod document;
 mod entry;
@@ -35,6 +36,7 @@
 
 pub use self::{
     cli::{CLI_SCHEMA, CliSettings},
+    clients::ClientSettings,
     common::{LogLevel, LogSettings, PlatformSettings},
     document::{Document, Property, Section},
     entry::{ENTRY_SCHEMA, EntrySettings, TimingSettings},
--- a/state/src/settings/entry.rs
+++ b/state/src/settings/entry.rs
@@ -5,6 +5,7 @@
 use crate::id::{AvailabilityZone, HostId};
 
 use super::{
+    clients::{CLIENTS_SECTION, ClientSettings},
     common::{self, AUTH_SECTION, LOG_SECTION, LogSettings, PLATFORM_SECTION, PlatformSettings},
     document::Document,
     error::{Defect, SettingsError},
@@ -25,8 +26,10 @@
     pub peer_listen: SocketAddr,
     /// Threads that serve HTTP; at least 1.
     pub http_workers: usize,
-    /// Largest body of a request.
+    /// Largest body of a request; the memory for clients holds one.
     pub max_body_bytes: usize,
+    /// What the process holds for its clients.
+    pub clients: ClientSettings,
     /// How the platform is reached.
     pub platform: PlatformSettings,
     /// Periods and limits of time.
@@ -160,6 +163,7 @@
     program: "rosebend-entry",
     sections: &[
         ENTRY_SECTION,
+        CLIENTS_SECTION,
         PLATFORM_SECTION,
         TIMING_SECTION,
         AUTH_SECTION,
@@ -181,6 +185,7 @@
             peer_listen: values.address("entry", "peer_listen"),
             http_workers: values.size("entry", "http_workers"),
             max_body_bytes: values.size("entry", "max_body_bytes"),
+            clients: clients(&values)?,
             platform: common::platform(&values),
             timing: TimingSettings::try_from(&values)?,
             tokens_file: common::tokens_file(&values),
@@ -190,6 +195,26 @@
     }
 }
 
+/// Reads what the process holds for its clients.
+///
+/// # Errors
+///
+/// Fails if it does not hold a body of the largest size.
+fn clients(values: &Values<'_>) -> Result<ClientSettings, SettingsError> {
+    let clients = ClientSettings::from(values);
+    let max_body_bytes = values.size("entry", "max_body_bytes");
+    let mut defects = Vec::new();
+    if max_body_bytes > clients.max_body_bytes() {
+        let message = format!(
+            "max_body_bytes of [entry] is {max_body_bytes}; allowed: at most {} with memory_mb of [clients]",
+            clients.max_body_bytes()
+        );
+        defects.push(Defect::new(values.line("entry", "max_body_bytes"), message));
+    }
+    SettingsError::unless_empty(defects)?;
+    Ok(clients)
+}
+
 impl TryFrom<&Values<'_>> for TimingSettings {
     type Error = SettingsError;
 
--- a/state/src/settings/gateway.rs
+++ b/state/src/settings/gateway.rs
@@ -5,6 +5,7 @@
 use crate::id::{AvailabilityZone, HostId};
 
 use super::{
+    clients::{CLIENTS_SECTION, ClientSettings},
     common::{self, LOG_SECTION, LogSettings},
     document::Document,
     error::SettingsError,
@@ -37,6 +38,8 @@
     pub stop_grace: Duration,
     /// Time beyond a route's retention for which turns are kept.
     pub retention_margin: Duration,
+    /// What the process holds for its clients.
+    pub clients: ClientSettings,
     /// What holds for customers.
     pub customers: CustomerSettings,
     /// How the engines that run turns are selected.
@@ -252,6 +255,7 @@
     program: "rosebend-gateway",
     sections: &[
         GATEWAY_SECTION,
+        CLIENTS_SECTION,
         STORE_SECTION,
         CUSTOMERS_SECTION,
         SCHEDULING_SECTION,
@@ -276,6 +280,7 @@
             store: StoreSettings::from(&values),
             stop_grace: values.seconds("gateway", "stop_grace_s"),
             retention_margin: values.duration("gateway", "retention_margin_ms"),
+            clients: ClientSettings::from(&values),
             customers: CustomerSettings::from(&values),
             // The schema allows only the names of the enum.
             engine_selection: EngineSelection::try_from(
--- a/state/src/settings/sidecar.rs
+++ b/state/src/settings/sidecar.rs
@@ -7,6 +7,7 @@
 use crate::id::{AvailabilityZone, HostId};
 
 use super::{
+    clients::{CLIENTS_SECTION, ClientSettings},
     common::{self, AUTH_SECTION, LOG_SECTION, LogSettings, PLATFORM_SECTION, PlatformSettings},
     document::Document,
     error::SettingsError,
@@ -31,6 +32,8 @@
     pub endpoint_url: String,
     /// What the sidecar may keep and let run.
     pub limits: LimitSettings,
+    /// What the process holds for its clients.
+    pub clients: ClientSettings,
     /// How the platform is reached.
     pub platform: PlatformSettings,
     /// File of the bearer tokens.
@@ -149,6 +152,7 @@
     sections: &[
         SIDECAR_SECTION,
         LIMITS_SECTION,
+        CLIENTS_SECTION,
         PLATFORM_SECTION,
         AUTH_SECTION,
         LOG_SECTION,
@@ -174,6 +178,7 @@
                 max_running: values.size("limits", "max_running"),
                 stop_timeout: values.duration("limits", "stop_timeout_ms"),
             },
+            clients: ClientSettings::from(&values),
             platform: common::platform(&values),
             tokens_file: common::tokens_file(&values),
             log: common::log(&values),
--- a/state/tests/settings.rs
+++ b/state/tests/settings.rs
@@ -46,6 +46,8 @@
         ("{{platform.address}}", "10.200.1.7:8142"),
         ("{{platform.writes-per-s}}", "800.0"),
         ("{{platform.row-bytes}}", "65536"),
+        ("{{limits.memory-mb}}", "130"),
+        ("{{limits.max-fds}}", "8200"),
     ];
     for (placeholder, value) in values {
         assert!(text.contains(placeholder), "{placeholder}");
@@ -223,3 +225,32 @@
     );
     insta::assert_snapshot!(error);
 }
+
+/// Guards against limits that exceed what the host has.
+#[test]
+fn the_memory_of_clients_follows_from_that_of_the_host() {
+    let derived = |section: &str| {
+        let text = format!(
+            "{}\n{section}",
+            String::from_utf8(example("gateway.ini")).unwrap()
+        );
+        let document = Document::try_from(text.as_bytes()).unwrap();
+        let clients = GatewaySettings::try_from(&document).unwrap().clients;
+        let requests = (clients.request_bytes(), clients.max_body_bytes());
+        (clients.max_connections(), requests, clients.answer_bytes())
+    };
+    assert_eq!(derived(""), (537, (15_840_000, 7_920_000), 17_600_000));
+    assert_eq!(
+        derived("[clients]\nmemory_mb = 512\nmax_descriptors = 600\n"),
+        (100, (92_160_000, 46_080_000), 102_400_000)
+    );
+}
+
+#[test]
+fn entries_refuse_bodies_that_their_memory_does_not_hold() {
+    let text = String::from_utf8(example("entry.ini")).unwrap();
+    let file = format!("{text}\n[clients]\nmemory_mb = 20\nbody_timeout_s = 0\n");
+    insta::assert_snapshot!(errors_of_entry(file.as_bytes()));
+    let file = format!("{text}\n[clients]\nmemory_mb = 20\n");
+    insta::assert_snapshot!(errors_of_entry(file.as_bytes()));
+}
