Bound what entries and sidecars hold for their clients

Callers saw an entry end: 64 bodies of 4 MiB took it to 308 to 409 MB, 256 bodies in chunks of one byte to 249 MB, and 4,300 idle connections to more descriptors than the smallest host has, at each listener.

All listeners admit connections by ClientMemory, with receive buffers of 16 KiB. HTTP/1.1 requests are counted from the first byte of their head to the end of their answer. A body is counted until its last copy is dropped; one that lost its memory is refused with 503 and never passed on in part. A body beyond the limit is refused at its announced length. Answers reach a connection's buffer in parts of 16 KiB, and a client that accepts nothing for the timeout is disconnected.

--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -7,11 +7,13 @@
 use std::time::Duration;
 
 use actix_rt::{Arbiter, System};
-use futures_util::{FutureExt, StreamExt};
+use futures_util::FutureExt;
 use rosebend_protocol::peer::entry_server::EntryServer;
 use rosebend_protocol::table::row_id;
 use rosebend_state::deployment::{Row, Transaction};
 use rosebend_state::settings::EntrySettings;
+use rosebend_transport::clients::{Clients, listen};
+use rosebend_transport::clock::Clock;
 use rosebend_transport::event::{Event, EventKind, log_event};
 use rosebend_transport::host_token::{HostCheck, HostToken};
 use rosebend_transport::http_server::{self, HttpServerConfig};
@@ -23,7 +25,6 @@
 use rosebend_transport::traffic::Traffic;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{oneshot, watch};
-use tokio_stream::wrappers::TcpListenerStream;
 use tonic::service::interceptor::InterceptedService;
 
 use crate::control::{Command, Control, ControlHandle, ControlSettings};
@@ -66,8 +67,8 @@
 
 async fn run_in_system(settings: EntrySettings) -> Result<(), ProcessError> {
     let tokens = Arc::new(load_tokens(&settings.tokens_file)?);
-    let http_listener = TcpListener::bind(settings.http_listen)?;
-    let peer_listener = TcpListener::bind(settings.peer_listen)?;
+    let http_listener = listen(settings.http_listen)?;
+    let peer_listener = listen(settings.peer_listen)?;
     let http_address = http_listener.local_addr()?;
     let peer_address = peer_listener.local_addr()?;
     println!("listening on {http_address} for callers and {peer_address} for peers");
@@ -94,7 +95,9 @@
         traffic.clone(),
         commands,
     );
-    let peer_server = serve_peers(&control, HostCheck::new(tokens.clone()), peer_listener)?;
+    let clients = Clients::new(&settings.clients, Clock::start(), metrics.clients.clone());
+    let check = HostCheck::new(tokens.clone());
+    let peer_server = serve_peers(&control, check, peer_listener, clients.clone())?;
     let context = HttpContext {
         control: control.clone(),
         traffic,
@@ -108,6 +111,8 @@
         name: "callers",
         workers: settings.http_workers,
         max_body_bytes: settings.max_body_bytes,
+        body_timeout: settings.clients.body_timeout,
+        clients,
         shutdown_timeout: DRAIN_TIMEOUT,
         ..HttpServerConfig::default()
     };
@@ -177,6 +182,7 @@
     control: &ControlHandle,
     check: HostCheck,
     listener: TcpListener,
+    clients: Clients,
 ) -> io::Result<oneshot::Sender<()>> {
     listener.set_nonblocking(true)?;
     let (stop, stopped) = oneshot::channel();
@@ -189,11 +195,7 @@
                 return;
             };
             let server = tonic::transport::Server::builder().add_service(service);
-            let incoming = TcpListenerStream::new(listener).map(|connection| {
-                let connection = connection?;
-                connection.set_nodelay(true)?;
-                Ok::<_, io::Error>(connection)
-            });
+            let incoming = clients.incoming(listener);
             let _ = server
                 .serve_with_incoming_shutdown(incoming, async {
                     let _ = stopped.await;
--- a/sidecar/src/process.rs
+++ b/sidecar/src/process.rs
@@ -14,11 +14,12 @@
 };
 
 use actix_rt::Arbiter;
-use futures_util::StreamExt;
 use rosebend_coordination::endpoint::EndpointLimits;
 use rosebend_protocol::peer::sidecar_server::SidecarServer;
 use rosebend_state::settings::{EndpointKind, SidecarSettings, Tokens};
 use rosebend_transport::{
+    clients::{Clients, listen},
+    clock::Clock,
     event::{Event, EventKind, log_event},
     host_token::HostCheck,
     http_server::{self, HttpReply, HttpRequest, HttpServerConfig},
@@ -27,7 +28,6 @@
     store::StoreClient,
 };
 use tokio::sync::{mpsc, oneshot};
-use tokio_stream::wrappers::TcpListenerStream;
 use tonic::service::interceptor::InterceptedService;
 
 use crate::{
@@ -103,12 +103,17 @@
 
     let metrics = Metrics::new();
     let threads = start_threads(&settings, metrics.clone());
+    let clients = Clients::new(&settings.clients, Clock::start(), metrics.clients.clone());
     let published = threads.published.clone();
-    let pages = serve_pages(metrics_listener, metrics, published.clone()).map_err(|error| {
-        ProcessError::Listen {
-            address: settings.metrics_listen,
-            error,
-        }
+    let pages = serve_pages(
+        metrics_listener,
+        metrics,
+        published.clone(),
+        clients.clone(),
+    );
+    let pages = pages.map_err(|error| ProcessError::Listen {
+        address: settings.metrics_listen,
+        error,
     })?;
     let pages_handle = pages.handle();
     actix_rt::spawn(pages);
@@ -130,6 +135,7 @@
         listener,
         service,
         HostCheck::new(tokens),
+        clients,
         async move {
             // The sender is dropped without a message.
             let _ = server_stopped.await;
@@ -204,15 +210,12 @@
     listener: TcpListener,
     service: SidecarService,
     check: HostCheck,
+    clients: Clients,
     stop: impl Future<Output = ()>,
 ) -> Result<(), tonic::transport::Error> {
     let listener = tokio::net::TcpListener::from_std(listener)
         .expect("a listener that does not block can be used here");
-    let connections = TcpListenerStream::new(listener).map(|connection| {
-        let connection = connection?;
-        connection.set_nodelay(true)?;
-        Ok::<_, io::Error>(connection)
-    });
+    let connections = clients.incoming(listener);
     let service = SidecarServer::new(service).max_decoding_message_size(MAX_MESSAGE_BYTES);
     let service = InterceptedService::new(service, check);
     tonic::transport::Server::builder()
@@ -227,12 +230,14 @@
     listener: TcpListener,
     metrics: Metrics,
     published: Published,
+    clients: Clients,
 ) -> io::Result<actix_server::Server> {
     let config = HttpServerConfig {
         name: "pages",
         workers: 1,
         max_body_bytes: 1024,
         shutdown_timeout: Duration::from_secs(1),
+        clients,
         ..HttpServerConfig::default()
     };
     http_server::serve(config, listener, move |request| {
@@ -277,11 +282,7 @@
 }
 
 fn bind(address: SocketAddr) -> Result<TcpListener, ProcessError> {
-    let bound = TcpListener::bind(address).and_then(|listener| {
-        listener.set_nonblocking(true)?;
-        Ok(listener)
-    });
-    bound.map_err(|error| ProcessError::Listen { address, error })
+    listen(address).map_err(|error| ProcessError::Listen { address, error })
 }
 
 fn local_address(listener: &TcpListener, address: SocketAddr) -> Result<SocketAddr, ProcessError> {
--- a/system-tests/src/crowd.rs
+++ b/system-tests/src/crowd.rs
@@ -45,7 +45,7 @@
 /// Time between two samples of a process.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(15);
 
-/// What a client sends.
+/// Form of the request that a client sends.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Form {
     /// A body of the largest size, with its length, at once.
@@ -248,6 +248,18 @@
     pub descriptors: usize,
 }
 
+impl PeakUsage {
+    /// Returns the larger of each value.
+    #[must_use]
+    pub fn max(self, other: Self) -> Self {
+        Self {
+            memory_bytes: self.memory_bytes.max(other.memory_bytes),
+            unread_bytes: self.unread_bytes.max(other.unread_bytes),
+            descriptors: self.descriptors.max(other.descriptors),
+        }
+    }
+}
+
 /// Samples the memory and descriptors of a process until it is stopped.
 #[derive(Debug)]
 pub struct UsageMonitor {
@@ -278,6 +290,15 @@
         }
     }
 
+    /// Returns what a process holds, and its peak of resident memory so far.
+    pub fn sample(process: u32, listeners: &[SocketAddr]) -> PeakUsage {
+        let mut usage = PeakUsage::default();
+        let ports = listeners.iter().map(SocketAddr::port).collect();
+        add_sample(&mut usage, process, &ports);
+        usage.memory_bytes = usage.memory_bytes.max(memory_bytes(process, "VmHWM:"));
+        usage
+    }
+
     /// Ends the samples.
     ///
     /// # Panics
@@ -295,7 +316,7 @@
     if let Ok(entries) = fs::read_dir(format!("/proc/{process}/fd")) {
         for entry in entries.flatten() {
             descriptors += 1;
-            // It may be closed already.
+            // The descriptor may be closed already.
             let Ok(target) = fs::read_link(entry.path()) else {
                 continue;
             };
--- a/system-tests/tests/crowds.rs
+++ b/system-tests/tests/crowds.rs
@@ -10,6 +10,7 @@
     Crowd, CrowdRequest, Form, MAX_DESCRIPTORS, MAX_MEMORY_BYTES, UsageMonitor,
 };
 use rosebend_system_tests::{Call, Caller, Cluster, ClusterConfig, settings::token, wait_until};
+use serde_json::json;
 use tokio::sync::Mutex;
 
 /// Largest body that entries accept by default.
@@ -17,6 +18,10 @@
 /// Clients of a crowd of one form, and of each form in a mixed one.
 const CLIENTS: usize = 64;
 const MIXED_CLIENTS: usize = 16;
+/// Complete calls at a time, and the size of each. The service's answer contains the body, and
+/// may have 3 MiB.
+const CALLS: usize = 48;
+const CALL_BYTES: usize = 5 << 19;
 /// Clients of a crowd that sends no bodies.
 const HEAD_CLIENTS: usize = 2_000;
 const IDLE_CLIENTS: usize = 4_300;
@@ -99,6 +104,52 @@
     assert!(peak.descriptors <= MAX_DESCRIPTORS, "{peak:?}");
 }
 
+/// Guards against bodies that are held by each process on their way to a slow service.
+#[actix_rt::test]
+async fn entry_and_sidecar_bear_a_crowd_of_complete_calls() {
+    let _alone = ALONE.lock().await;
+    let cluster = Cluster::start(ClusterConfig::default()).await.unwrap();
+    let caller = cluster.program("beside-a-crowd").await.unwrap();
+    check_ordinary(&cluster, &caller, 1).await;
+    let service = cluster.endpoints.last().unwrap();
+    let entry = &cluster.entries[0];
+    let processes = [
+        (entry.process.id(), entry.address),
+        (service.sidecar.id(), service.sidecar_address),
+    ];
+    let mut callers = Vec::new();
+    for number in 0..CALLS {
+        callers.push(cluster.program(&format!("crowd-{number}")).await.unwrap());
+    }
+    let monitors = processes.map(|(id, address)| UsageMonitor::start(id, &[address]));
+    let padding = "x".repeat(CALL_BYTES);
+    let body = json!({ "effect_key": "crowd", "padding": padding });
+    let call = Call::new("/v1/tools/lookup", body).sequence(1);
+    let calm = cluster.program("calm").await.unwrap();
+    let reply = calm.call(entry.address, &call).await.unwrap();
+    assert_eq!(reply.status, 200, "one call: {:?}", reply.problem());
+    let calls = callers
+        .iter()
+        .map(|caller| caller.call(entry.address, &call));
+    let (replies, ()) = futures_util::join!(
+        futures_util::future::join_all(calls),
+        check_ordinary(&cluster, &caller, 2)
+    );
+    // Connections of refused calls may be closed before the answer is read.
+    for reply in replies.iter().flatten() {
+        assert!([200, 503].contains(&reply.status), "{:?}", reply.problem());
+    }
+    check_ordinary(&cluster, &caller, 3).await;
+    for (monitor, (process, _)) in monitors.into_iter().zip(processes) {
+        let peak = monitor.stop();
+        println!("complete calls: {peak:?}");
+        let is_running = std::fs::metadata(format!("/proc/{process}/fd")).is_ok();
+        assert!(is_running, "the process exited");
+        assert!(peak.memory_bytes <= MAX_MEMORY_BYTES, "{peak:?}");
+        assert!(peak.descriptors <= MAX_DESCRIPTORS, "{peak:?}");
+    }
+}
+
 fn mixed() -> Vec<(Form, usize)> {
     Form::BODIES.map(|form| (form, MIXED_CLIENTS)).to_vec()
 }
--- /dev/null
+++ b/transport/src/clients/body.rs
@@ -0,0 +1,96 @@
+//! Reads the bodies of requests into the memory for clients.
+
+use std::time::Duration;
+
+use actix_http::error::PayloadError;
+use actix_http::{HttpMessage, Request, header};
+use bytes::Bytes;
+use futures_util::StreamExt;
+use rosebend_coordination::client_memory::OutOfMemory;
+
+use super::ClientConnection;
+use crate::paced_stream::ReadLimit;
+
+/// Why a body was not read to its end. The request was not served.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(thiserror::Error)]
+pub enum BodyError {
+    /// It is longer than allowed.
+    #[error("the body is longer than allowed")]
+    TooLarge,
+    /// The connection ended or failed before it was complete.
+    #[error("the body ended early")]
+    Incomplete,
+    /// It did not arrive in time.
+    #[error("the body did not arrive in time")]
+    Timeout,
+    /// Other requests need the memory.
+    #[error("the memory for requests is in use")]
+    OutOfMemory,
+}
+
+impl From<OutOfMemory> for BodyError {
+    fn from(_: OutOfMemory) -> Self {
+        Self::OutOfMemory
+    }
+}
+
+/// Limits of a body.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct BodyLimits {
+    /// Length of the longest one.
+    pub max_bytes: usize,
+    /// Longest time for it to arrive.
+    pub timeout: Duration,
+}
+
+/// Reads the body of a request that [`serve_request`](super::serve_request) passes on. Its
+/// memory is held until all copies of the returned value are dropped.
+///
+/// # Errors
+///
+/// Returns the reason if the body is not read to its end.
+pub async fn read_body(request: &mut Request, limits: BodyLimits) -> Result<Bytes, BodyError> {
+    let reading = tokio::time::timeout(limits.timeout, read_until_end(request, limits));
+    reading.await.unwrap_or(Err(BodyError::Timeout))
+}
+
+async fn read_until_end(request: &mut Request, limits: BodyLimits) -> Result<Bytes, BodyError> {
+    if !super::answer::has_body(request) {
+        return Ok(Bytes::new());
+    }
+    let connection = request.conn_data::<ClientConnection>().cloned();
+    let connection = connection.ok_or(BodyError::OutOfMemory)?;
+    let announced_bytes = announced_bytes(request);
+    let max_bytes = announced_bytes.unwrap_or(limits.max_bytes);
+    if max_bytes > limits.max_bytes {
+        return Err(BodyError::TooLarge);
+    }
+    connection.start_body()?;
+    let mut payload = request.take_payload();
+    let mut read_bytes = 0;
+    loop {
+        let chunk = tokio::select! {
+            biased;
+            () = connection.lost_body() => return Err(BodyError::OutOfMemory),
+            chunk = payload.next() => chunk,
+        };
+        let Some(chunk) = chunk else { break };
+        let chunk = chunk.map_err(|_: PayloadError| BodyError::Incomplete)?;
+        read_bytes += chunk.len();
+        if read_bytes > limits.max_bytes {
+            return Err(BodyError::TooLarge);
+        }
+        connection.append(&chunk, max_bytes)?;
+    }
+    if let Some(limit) = request.conn_data::<ReadLimit>() {
+        limit.set_unread_body(false);
+    }
+    Ok(connection.finish_body()?)
+}
+
+fn announced_bytes(request: &Request) -> Option<usize> {
+    let length = request.headers().get(header::CONTENT_LENGTH)?;
+    // A length that no integer holds is beyond every limit.
+    Some(length.to_str().ok()?.parse().unwrap_or(usize::MAX))
+}
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -203,6 +203,10 @@
     RequestQuarantined,
     /// A caller's connection could not be accepted.
     AcceptFailed,
+    /// `count` connections were refused or closed, or their unfinished requests dropped; `reason` says why the last one was.
+    ClientsClosed,
+    /// Bodies of the declared size find no memory on this host; those of up to `count` bytes do.
+    BodyLimitTooLarge,
     /// A program's rows in the store do not have the form that this version writes.
     RecordUnreadable,
     /// The process listens on `address`; `reason` says for whom.
@@ -221,7 +225,7 @@
 
 impl EventKind {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 104] = [
+    pub const ALL: [Self; 106] = [
         Self::ProcessStarted,
         Self::ProcessStopping,
         Self::ProcessStopped,
@@ -287,6 +291,8 @@
         Self::ReloadAsked,
         Self::RequestQuarantined,
         Self::AcceptFailed,
+        Self::ClientsClosed,
+        Self::BodyLimitTooLarge,
         Self::RecordUnreadable,
         Self::Listening,
         Self::StoreRelayed,
@@ -432,6 +438,8 @@
             Self::GathererAvoided => 842,
             Self::RequestQuarantined => 821,
             Self::AcceptFailed => 822,
+            Self::ClientsClosed => 869,
+            Self::BodyLimitTooLarge => 870,
             Self::RecordUnreadable => 823,
             Self::Listening => 824,
             Self::StoreRelayed => 825,
@@ -542,6 +550,8 @@
             Self::FeedSourceAvoided => "feed-source-avoided",
             Self::RequestQuarantined => "request-quarantined",
             Self::AcceptFailed => "accept-failed",
+            Self::ClientsClosed => "clients-closed",
+            Self::BodyLimitTooLarge => "body-limit-too-large",
             Self::RecordUnreadable => "record-unreadable",
             Self::Listening => "listening",
             Self::StoreRelayed => "store-relayed",
@@ -590,7 +600,9 @@
             | Self::HistoryUntold
             | Self::CrashUnwritten
             | Self::LinesDropped
-            | Self::AcceptFailed => Level::Warn,
+            | Self::AcceptFailed
+            | Self::ClientsClosed
+            | Self::BodyLimitTooLarge => Level::Warn,
             Self::CallAccepted | Self::CallFinished | Self::CallRefused | Self::RequestRefused => {
                 Level::Debug
             }
@@ -828,6 +840,12 @@
                 "The request of `fingerprint` crashed `count` endpoints, or runs in a trial after that; this host refuses it."
             }
             Self::AcceptFailed => "A caller's connection could not be accepted.",
+            Self::BodyLimitTooLarge => {
+                "Bodies of the declared size find no memory on this host, and are refused with 503; those of up to `count` bytes are served."
+            }
+            Self::ClientsClosed => {
+                "`count` connections were refused or closed, or their unfinished requests dropped, since the event before; `reason` says why the last one was: `connections` or `refused` (there were too many), `memory` (others needed it) or `answer-timeout` (the client did not accept its answer)."
+            }
             Self::RecordUnreadable => {
                 "A program's rows in the store do not have the form that this version writes."
             }
--- a/transport/src/http_server.rs
+++ b/transport/src/http_server.rs
@@ -5,26 +5,42 @@
 //! handler can see it (an oversized body, a body cut short) is answered here
 //! with a problem document.
 
-use std::{convert::Infallible, future::Future, io, net::TcpListener, time::Duration};
+use std::{
+    convert::Infallible,
+    future::{Future, ready},
+    io,
+    net::{SocketAddr, TcpListener},
+    time::Duration,
+};
 
 use actix_http::{
     ConnectionType, Extensions, HttpMessage, HttpService, Request, Response, StatusCode,
     body::{BodyStream, BoxBody, MessageBody},
+    error::DispatchError,
     header::{self, HeaderMap, HeaderName, HeaderValue},
 };
 use actix_rt::net::TcpStream;
 use actix_server::Server;
-use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
+use actix_service::{ServiceFactoryExt, fn_service};
+use bytes::Bytes;
+use futures_util::FutureExt;
 use rosebend_protocol::problem::{Problem, Ran};
+use rosebend_state::settings::ClientSettings;
 use serde::Serialize;
 use tokio::sync::{mpsc, watch};
 
+use crate::clients::{
+    BodyError, BodyLimits, ClientMetrics, ClientStream, Clients, Protocol, read_body, serve_request,
+};
+use crate::clock::Clock;
+
 /// Content type of a problem document.
 pub const PROBLEM_JSON: &str = "application/problem+json";
-/// Bytes of an oversized body that are read and thrown away. A client that is
-/// still sending when the connection closes does not get to see the answer.
-const MAX_SKIPPED_BYTES: usize = 16 << 20;
+/// Most bytes of an unread body that are discarded after the answer. A client that is
+/// still sending when the connection closes does not get to see it.
+const MAX_DISCARDED_BYTES: usize = 16 << 20;
+/// When a client that found no memory for its request may retry.
+const MEMORY_RETRY: Duration = Duration::from_secs(1);
 /// Content type of JSON.
 pub const JSON: &str = "application/json";
 
@@ -43,8 +59,18 @@
     pub body_timeout: Duration,
     /// Longest wait for requests in flight when the server stops.
     pub shutdown_timeout: Duration,
+    /// The clients of the process, which may be those of several servers.
+    pub clients: Clients,
 }
 
+/// Limits of a server that has a host for itself.
+const DEFAULT_CLIENTS: ClientSettings = ClientSettings {
+    memory_bytes: 1 << 30,
+    max_descriptors: 16 << 10,
+    body_timeout: Duration::from_secs(15),
+    answer_timeout: Duration::from_secs(30),
+};
+
 impl Default for HttpServerConfig {
     fn default() -> Self {
         Self {
@@ -54,6 +80,7 @@
             headers_timeout: Duration::from_secs(5),
             body_timeout: Duration::from_secs(15),
             shutdown_timeout: Duration::from_secs(30),
+            clients: Clients::new(&DEFAULT_CLIENTS, Clock::start(), ClientMetrics::default()),
         }
     }
 }
@@ -263,23 +290,34 @@
     listener.set_nonblocking(true)?;
     let server = Server::build()
         .workers(config.workers)
+        .max_concurrent_connections(config.clients.max_connections())
         .shutdown_timeout(config.shutdown_timeout.as_secs())
         .disable_signals()
         .listen(config.name, listener, move || {
             let handler = handler.clone();
             let config = config.clone();
             let stopping = stopping.clone();
-            HttpService::build()
-                .on_connect_ext(send_at_once)
+            let clients = config.clients.clone();
+            let accept = fn_service(move |connection: TcpStream| {
+                ready(accept(&clients, connection).map_err(DispatchError::Io))
+            });
+            let service = HttpService::build()
+                .on_connect_ext(|stream: &ClientStream, data: &mut Extensions| {
+                    data.insert(stream.limit());
+                    data.insert(stream.connection());
+                })
                 .client_request_timeout(config.headers_timeout)
                 .keep_alive(Duration::from_secs(75))
                 .graceful_shutdown_signal(move || until_true(stopping.clone()))
-                .finish(move |request| {
+                .h1(fn_service(move |request: Request| {
                     let handler = handler.clone();
                     let config = config.clone();
-                    async move { Ok::<_, Infallible>(answer(&config, &handler, request).await) }
-                })
-                .tcp()
+                    serve_request(request, MAX_DISCARDED_BYTES, async move |request| {
+                        Ok(answer(&config, &handler, request).await)
+                    })
+                    .boxed_local()
+                }));
+            accept.and_then(service)
         })?
         .run();
     Ok(server)
@@ -292,11 +330,19 @@
     }
 }
 
-/// Sends small pieces at once: a streamed token must not wait until the caller
-/// has acknowledged the one before, which its system delays by 40 ms.
-fn send_at_once(connection: &TcpStream, _: &mut Extensions) {
-    // Without it the server works, only slower.
+/// Admits a connection.
+fn accept(
+    clients: &Clients,
+    connection: TcpStream,
+) -> io::Result<(ClientStream, Option<SocketAddr>)> {
+    // Sends small pieces at once: a streamed token must not wait until the caller has
+    // acknowledged the one before, which its system delays by 40 ms. Without it the server
+    // works, only slower.
     let _ = connection.set_nodelay(true);
+    let peer = connection.peer_addr().ok();
+    let client = clients.connect(Protocol::Http1);
+    let client = client.map_err(io::Error::other)?;
+    Ok((ClientStream::new(connection, client), peer))
 }
 
 async fn answer<H, F>(config: &HttpServerConfig, handler: &H, request: Request) -> Response<BoxBody>
@@ -315,46 +361,35 @@
     config: &HttpServerConfig,
     mut request: Request,
 ) -> Result<HttpRequest, Problem> {
-    let mut payload = request.take_payload();
-    let mut body = BytesMut::new();
-    let mut skipped_bytes = 0;
-    let read_all = async {
-        while let Some(chunk) = payload.next().await {
-            let chunk = chunk.map_err(|error| {
-                Problem::new(
-                    400,
-                    "body-cut-short",
-                    Ran::No,
-                    format!("the body could not be read: {error}"),
-                )
-            })?;
-            if skipped_bytes == 0 && body.len() + chunk.len() <= config.max_body_bytes {
-                body.extend_from_slice(&chunk);
-                continue;
-            }
-            skipped_bytes += chunk.len();
-            if skipped_bytes > MAX_SKIPPED_BYTES {
-                break;
-            }
-        }
-        if skipped_bytes > 0 {
-            let detail = format!("a body has at most {} bytes", config.max_body_bytes);
-            return Err(Problem::new(413, "body-too-large", Ran::No, detail));
-        }
-        Ok(())
+    let limits = BodyLimits {
+        max_bytes: config.max_body_bytes,
+        timeout: config.body_timeout,
     };
-    match actix_rt::time::timeout(config.body_timeout, read_all).await {
-        Ok(outcome) => outcome?,
-        Err(_) => {
-            let detail = "the body did not arrive in time".to_owned();
-            return Err(Problem::new(408, "body-timeout", Ran::No, detail));
-        }
-    }
+    let body = read_body(&mut request, limits).await;
+    let body = body.map_err(|error| body_problem(error, config.max_body_bytes))?;
     Ok(HttpRequest {
         method: request.method().as_str().to_owned(),
         path: request.path().to_owned(),
         query: request.uri().query().unwrap_or_default().to_owned(),
         headers: request.headers().clone(),
-        body: body.freeze(),
+        body,
     })
 }
+
+fn body_problem(error: BodyError, max_body_bytes: usize) -> Problem {
+    let (status, reason) = match error {
+        BodyError::TooLarge => (413, "body-too-large"),
+        BodyError::Incomplete => (400, "body-cut-short"),
+        BodyError::Timeout => (408, "body-timeout"),
+        BodyError::OutOfMemory => (503, "out-of-memory"),
+    };
+    let detail = match error {
+        BodyError::TooLarge => format!("a body has at most {max_body_bytes} bytes"),
+        _ => error.to_string(),
+    };
+    let problem = Problem::new(status, reason, Ran::No, detail);
+    match error {
+        BodyError::OutOfMemory => problem.retry_after(MEMORY_RETRY),
+        _ => problem,
+    }
+}
--- a/transport/src/lib.rs
+++ b/transport/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`event`] and [`logging`]: numbered events and where they are written.
 //! - [`bounded_log`]: a log that never blocks.
 //! - [`byte_budget`]: a bound on the memory of bodies.
+//! - [`clients`]: the connections and requests of clients, in bounded memory.
 //! - [`clock`]: time since the process started.
 //! - [`connection`]: one HTTP connection, owned by the code that sends on it.
 //! - [`host_token`]: how processes prove who they are.
@@ -21,6 +22,7 @@
 
 pub mod bounded_log;
 pub mod byte_budget;
+pub mod clients;
 pub mod clock;
 pub mod connection;
 pub mod event;
--- a/transport/src/metrics_page.rs
+++ b/transport/src/metrics_page.rs
@@ -18,6 +18,7 @@
 };
 use rosebend_protocol::peer::RefusalReason;
 
+use crate::clients::ClientMetrics;
 use crate::http_server::HttpReply;
 
 /// Content type of the page.
@@ -115,6 +116,8 @@
     platform: Family<PlatformLabel, Counter>,
     timings: Timings,
     quantities: Quantities,
+    /// The metrics of the clients that connect to the process.
+    pub clients: ClientMetrics,
 }
 
 #[derive(Clone, Debug)]
@@ -153,6 +156,7 @@
         registry.register("platform_requests", help, platform.clone());
         let timings = Timings::register(&mut registry);
         let quantities = Quantities::register(&mut registry);
+        let clients = ClientMetrics::register(&mut registry);
         for label in refusal_labels() {
             drop(refusals.get_or_create(&ReasonLabel { reason: label }));
         }
@@ -163,6 +167,7 @@
             platform,
             timings,
             quantities,
+            clients,
         }
     }
 
--- a/transport/src/paced_stream.rs
+++ b/transport/src/paced_stream.rs
@@ -30,6 +30,8 @@
 #[derive(Debug)]
 struct State {
     remaining_bytes: AtomicUsize,
+    /// Most bytes that are read before other tasks run.
+    turn_bytes: AtomicUsize,
     /// Whether the body of the request that is served has not been read to its end.
     has_unread_body: AtomicBool,
     /// The reader that waits for bytes.
@@ -40,6 +42,7 @@
     fn new() -> Self {
         Self(Arc::new(State {
             remaining_bytes: AtomicUsize::new(UNLIMITED),
+            turn_bytes: AtomicUsize::new(MAX_BYTES_PER_TURN),
             has_unread_body: AtomicBool::new(false),
             reader: Mutex::default(),
         }))
@@ -58,6 +61,11 @@
         self.set(UNLIMITED);
     }
 
+    /// Sets how many bytes are read before other tasks run.
+    pub fn set_turn_bytes(&self, bytes: usize) {
+        self.0.turn_bytes.store(bytes, Ordering::Relaxed);
+    }
+
     /// Records whether the request that is served has a body, none of which was read.
     pub fn set_unread_body(&self, has_unread_body: bool) {
         self.0
@@ -70,6 +78,10 @@
         self.0.has_unread_body.load(Ordering::Relaxed)
     }
 
+    fn turn_bytes(&self) -> usize {
+        self.0.turn_bytes.load(Ordering::Relaxed)
+    }
+
     fn remaining(&self) -> usize {
         self.0.remaining_bytes.load(Ordering::Relaxed)
     }
@@ -114,6 +126,11 @@
         }
     }
 
+    /// Returns the wrapped stream.
+    pub fn get_ref(&self) -> &S {
+        &self.stream
+    }
+
     /// Returns the limit of this stream.
     pub fn limit(&self) -> ReadLimit {
         self.limit.clone()
@@ -126,7 +143,8 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if self.turn_bytes >= MAX_BYTES_PER_TURN {
+        let max_turn_bytes = self.limit.turn_bytes();
+        if self.turn_bytes >= max_turn_bytes {
             self.turn_bytes = 0;
             context.waker().wake_by_ref();
             return Poll::Pending;
@@ -139,7 +157,7 @@
             UNLIMITED => MAX_READ_BYTES,
             remaining => remaining.min(MAX_LIMITED_READ_BYTES),
         };
-        let max_bytes = max_bytes.min(buffer.remaining());
+        let max_bytes = max_bytes.min(max_turn_bytes).min(buffer.remaining());
         let mut part = ReadBuf::new(buffer.initialize_unfilled_to(max_bytes));
         let read = Pin::new(&mut self.stream).poll_read(context, &mut part);
         let bytes = part.filled().len();
