Count answers until they are sent, and bound the buffers of connections

The memory of an endpoint's answer was counted while it was read, and not while it waited for its caller to accept it; answers collected for callers of HTTP/1.0 were not counted. 256 callers that did not read 1 MiB each took a gateway to 93 MB, 28 MB of which waited in the receive buffers of its connections to the endpoint.

Connections to endpoints, the store and other gateways have receive and parser buffers of 32 KiB.

--- a/gateway/src/dispatch.rs
+++ b/gateway/src/dispatch.rs
@@ -1,11 +1,13 @@
 //! Reads each request of a caller, passes it to the code that serves its route, and
 //! responds to it.
 
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::body::{self, BoxBody, MessageBody};
+use actix_http::body::{BoxBody, MessageBody};
 use actix_http::{HttpMessage, Request, Response, Version};
+use futures_util::stream::poll_fn;
 use http::HeaderMap;
 use rosebend_platform::headers;
 use rosebend_state::deployment::RouteKind;
@@ -32,7 +34,7 @@
         };
         match accepts_chunks {
             true => response,
-            false => with_whole_body(response).await,
+            false => with_whole_body(&gateway, response).await,
         }
     };
     let response = tokio::select! {
@@ -46,12 +48,17 @@
 
 /// Receives the whole body of a response, so that it is sent with its length. A caller that
 /// does not accept chunks can't tell otherwise whether a streamed body is complete.
-async fn with_whole_body(response: Response<BoxBody>) -> Response<BoxBody> {
-    let (response, body) = response.into_parts();
-    match body::to_bytes_limited(body, MAX_WHOLE_BYTES).await {
-        Ok(Ok(bytes)) => response.set_body(bytes.boxed()),
+async fn with_whole_body(gateway: &Gateway, response: Response<BoxBody>) -> Response<BoxBody> {
+    let (response, mut body) = response.into_parts();
+    let parts = poll_fn(|context| Pin::new(&mut body).poll_next(context));
+    match gateway
+        .response_bodies
+        .collect(parts, MAX_WHOLE_BYTES)
+        .await
+    {
+        Ok(bytes) => response.set_body(bytes.boxed()),
         // The stream has logged and counted its failure.
-        Ok(Err(_)) | Err(_) => Reply::Problem(Refusal::OutcomeUnknown).into_response(),
+        Err(_) => Reply::Problem(Refusal::OutcomeUnknown).into_response(),
     }
 }
 
--- a/transport/src/connection.rs
+++ b/transport/src/connection.rs
@@ -29,6 +29,10 @@
 const PEER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time between probes of an idle peer.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Largest buffer of a connection, which is also the longest head.
+const MAX_BUFFER_BYTES: usize = 32 << 10;
+/// Size of the receive buffer, which bounds the bytes that were received and not yet read.
+const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
 /// Most bytes that are read until the head of a response is complete.
 const MAX_HEAD_BYTES: usize = 128 << 10;
 
@@ -84,7 +88,9 @@
         let (stream, socket) = stream;
         let stream = PacedStream::new(stream);
         let limit = stream.limit();
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_BUFFER_BYTES);
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(ConnectionError::NotSent)?;
         let driver = actix_rt::spawn(async move {
             // Each error also reaches the request that it concerns.
@@ -148,6 +154,7 @@
 fn prepare(stream: TcpStream) -> std::io::Result<(TcpStream, StdStream)> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(&stream);
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
     socket.set_tcp_user_timeout(Some(PEER_TIMEOUT))?;
     let probes = TcpKeepalive::new()
         .with_time(PROBE_INTERVAL)
--- a/transport/src/store/way.rs
+++ b/transport/src/store/way.rs
@@ -21,7 +21,7 @@
 /// Largest answer that is read; the store sends at most 1 MB of rows, encoded.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 /// Memory for the answers that are read at the same time.
-const MAX_BODIES_BYTES: usize = 12 << 20;
+const MAX_BODIES_BYTES: usize = 8 << 20;
 /// How long calls may fail, with none answered, before the way counts as down.
 const DOUBT_TIME: Duration = Duration::from_millis(60);
 /// How long a call may be open, with no other answered since it was sent,
