Bound what gateways hold for their clients

Callers saw a gateway end: 64 bodies of 4 MiB, most of them stopping short of their end, took it to 343 to 457 MB, 256 bodies in chunks of one byte to 258 MB, mixed crowds to 561 MB, 2,000 unfinished heads to 102 MB, and 4,300 idle connections to 169 MB and 4,329 descriptors. Other gateways' listener took 296 MB.

Its listeners are served as those of entries, by one HTTP service each instead of one for each connection, which had a timer of its own. Prompts with history are held in the memory for requests. Answers that find no memory close the connection that has accepted nothing for longest. The sizes of answers and of cached turns follow from the host's memory; the answers of other gateways share one budget. A call of another gateway that finds no memory is answered with 503, which says that it was not done.

--- a/gateway/src/batched_commits.rs
+++ b/gateway/src/batched_commits.rs
@@ -109,6 +109,7 @@
         metrics: Rc<Metrics>,
         clock: Clock,
         writes_per_s: u64,
+        connections: PeerConnections,
     ) -> Self {
         Self {
             own_process,
@@ -118,7 +119,7 @@
             batch_rate: Cell::new(BatchRate::new(PARTITIONS, writes_per_s)),
             batchers: RefCell::default(),
             timeout: Cell::new(MIN_TIMEOUT),
-            connections: PeerConnections::default(),
+            connections,
             partitions: RefCell::default(),
         }
     }
--- a/gateway/src/feeds.rs
+++ b/gateway/src/feeds.rs
@@ -94,6 +94,7 @@
         store: Rc<StoreClient>,
         metrics: Rc<Metrics>,
         clock: Clock,
+        connections: PeerConnections,
     ) -> Self {
         Self {
             store,
@@ -101,7 +102,7 @@
             clock,
             tree: RefCell::new(FollowTree::new(own_host)),
             has_hosts: watch::Sender::new(false),
-            connections: PeerConnections::default(),
+            connections,
             tables: Default::default(),
             logged_source: RefCell::default(),
             store_state: StoreState::default(),
--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -13,14 +13,13 @@
 use std::time::Duration;
 
 use actix_http::body::{BoxBody, MessageBody};
-use actix_http::{
-    ConnectionType, Extensions, HttpMessage, HttpService, Request, Response, StatusCode,
-};
+use actix_http::{Extensions, HttpService, Request, Response, StatusCode};
 use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
+use futures_util::FutureExt;
 use rosebend_platform::process::READY_PATH;
+use rosebend_state::deployment::CallerLimits;
+use rosebend_transport::clients::{self, ClientStream, Clients, Protocol, serve_request};
 use rosebend_transport::event::{Event, EventKind, log_event};
-use rosebend_transport::paced_stream::{PacedStream, ReadLimit};
-use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
@@ -28,9 +27,6 @@
 use crate::gateway::Gateway;
 use crate::peers;
 
-/// Maximum number of connections that wait to be accepted. When the queue is full,
-/// the kernel drops a caller's SYN packet, which is retransmitted only after a second.
-const BACKLOG: i32 = 1_024;
 /// Path of the metrics endpoint.
 const METRICS_PATH: &str = "/metrics";
 /// Idle timeout of connections before the declared limits are loaded.
@@ -40,10 +36,8 @@
 /// Time for which an idle connection is kept beyond the declared limit, so that a
 /// caller that reuses it within the limit does not find it closed.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_secs(2);
-/// Maximum number of bytes of an unread body that are discarded after the response.
-const MAX_DISCARDED_BYTES: usize = 1 << 20;
-/// Maximum time for which an unread body is discarded after the response.
-const DISCARD_TIME: Duration = Duration::from_secs(1);
+/// Least bytes of an unread body that are discarded after the response.
+const MIN_DISCARDED_BYTES: usize = 1 << 20;
 /// Pause after a connection could not be accepted, usually because the process has no
 /// free file descriptor.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -54,16 +48,7 @@
 ///
 /// Returns an error if the address is in use or does not belong to this host.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = Socket::new(
-        Domain::for_address(address),
-        Type::STREAM,
-        Some(Protocol::TCP),
-    )?;
-    socket.set_reuse_address(true)?;
-    socket.set_nonblocking(true)?;
-    socket.bind(&address.into())?;
-    socket.listen(BACKLOG)?;
-    TcpListener::from_std(socket.into())
+    TcpListener::from_std(clients::listen(address)?)
 }
 
 /// Serves callers until `closing` is true. Open connections are then served until
@@ -92,16 +77,38 @@
 type ConnectionHandler = Rc<dyn Fn(TcpStream, SocketAddr)>;
 
 /// Serves callers' connections with a handler that is replaced when the declared
-/// timeouts change.
+/// limits change.
 #[derive(Default)]
 struct CallerConnections {
-    current: RefCell<Option<(ConnectionTimeouts, ConnectionHandler)>>,
+    current: RefCell<Option<(ConnectionLimits, ConnectionHandler)>>,
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-struct ConnectionTimeouts {
+struct ConnectionLimits {
     header_timeout: Duration,
     idle_timeout: Duration,
+    /// Maximum number of bytes of an unread body that are discarded after the response.
+    max_discarded_bytes: usize,
+}
+
+impl Default for ConnectionLimits {
+    fn default() -> Self {
+        Self {
+            header_timeout: DEFAULT_HEADER_TIMEOUT,
+            idle_timeout: DEFAULT_IDLE_TIMEOUT,
+            max_discarded_bytes: MIN_DISCARDED_BYTES,
+        }
+    }
+}
+
+impl From<&CallerLimits> for ConnectionLimits {
+    fn from(limits: &CallerLimits) -> Self {
+        Self {
+            header_timeout: limits.header_timeout,
+            idle_timeout: limits.idle_timeout + IDLE_TIMEOUT_MARGIN,
+            max_discarded_bytes: limits.max_body_bytes.max(MIN_DISCARDED_BYTES),
+        }
+    }
 }
 
 impl CallerConnections {
@@ -116,13 +123,15 @@
             // The caller has already closed the connection.
             return;
         }
-        let timeouts = connection_timeouts(gateway);
+        let routes = gateway.routes();
+        let limits = routes.map(|routes| ConnectionLimits::from(&routes.deployment().limits));
+        let limits = limits.unwrap_or_default();
         let mut current = self.current.borrow_mut();
         let serve = match &*current {
-            Some((previous, serve)) if *previous == timeouts => Rc::clone(serve),
+            Some((previous, serve)) if *previous == limits => Rc::clone(serve),
             _ => {
-                let serve = caller_handler(Rc::clone(gateway), timeouts, closing);
-                *current = Some((timeouts, Rc::clone(&serve)));
+                let serve = caller_handler(Rc::clone(gateway), limits, closing);
+                *current = Some((limits, Rc::clone(&serve)));
                 serve
             }
         };
@@ -130,20 +139,9 @@
     }
 }
 
-fn connection_timeouts(gateway: &Gateway) -> ConnectionTimeouts {
-    let routes = gateway.routes();
-    let limits = routes.as_ref().map(|routes| routes.deployment().limits);
-    ConnectionTimeouts {
-        header_timeout: limits.map_or(DEFAULT_HEADER_TIMEOUT, |limits| limits.header_timeout),
-        idle_timeout: limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| {
-            limits.idle_timeout + IDLE_TIMEOUT_MARGIN
-        }),
-    }
-}
-
 fn caller_handler(
     gateway: Rc<Gateway>,
-    timeouts: ConnectionTimeouts,
+    limits: ConnectionLimits,
     closing: watch::Receiver<bool>,
 ) -> ConnectionHandler {
     let handled = Rc::clone(&gateway);
@@ -151,7 +149,8 @@
         let gateway = Rc::clone(&handled);
         async move { Ok::<_, Infallible>(dispatch::handle_request(gateway, request).await) }
     };
-    connection_handler(handler, timeouts, closing, move || {
+    let clients = gateway.clients.clone();
+    connection_handler(handler, clients, limits, closing, move || {
         gateway.open_connection()
     })
 }
@@ -161,7 +160,8 @@
 /// closed.
 fn connection_handler<F, R, G>(
     handler: F,
-    timeouts: ConnectionTimeouts,
+    clients: Clients,
+    limits: ConnectionLimits,
     closing: watch::Receiver<bool>,
     open: impl Fn() -> G + 'static,
 ) -> ConnectionHandler
@@ -171,39 +171,34 @@
     G: 'static,
 {
     let handler = move |request: Request| {
-        let limit = request.conn_data::<ReadLimit>().cloned();
-        if let Some(limit) = &limit {
-            limit.set_unread_body(has_body(&request));
-        }
-        let response = handler(request);
-        async move {
-            let mut response = response.await?;
-            if let Some(limit) = limit.filter(ReadLimit::has_unread_body) {
-                let head = response.head_mut();
-                head.set_connection_type(ConnectionType::Close);
-                actix_rt::spawn(discard_body(limit));
-            }
-            Ok::<_, Infallible>(response)
-        }
+        let handler = handler.clone();
+        // An idle connection has room for the future of a request, which is large.
+        serve_request(request, limits.max_discarded_bytes, handler).boxed_local()
     };
+    // The service has a timer of its own, so all connections share it.
+    let service = HttpService::build()
+        .keep_alive(limits.idle_timeout)
+        .client_request_timeout(limits.header_timeout)
+        .on_connect_ext(|stream: &ClientStream, data: &mut Extensions| {
+            data.insert(stream.limit());
+            data.insert(stream.connection());
+        })
+        // A caller that closes its side of the connection abandons its requests.
+        .h1_allow_half_closed(false)
+        .graceful_shutdown_signal(move || wait_until_true(closing.clone()))
+        .h1(fn_service(handler).into_factory());
+    let service = service.new_service(()).now_or_never();
+    let service = service.and_then(Result::ok).map(Rc::new);
+    let service = service.expect("a service of functions needs no time and does not fail");
     Rc::new(move |stream, peer| {
-        let stream = PacedStream::new(stream);
+        // A connection that is refused is counted.
+        let Ok(connection) = clients.connect(Protocol::Http1) else {
+            return;
+        };
+        let stream = ClientStream::new(stream, connection);
         let open = open();
-        let closing = closing.clone();
-        let service = HttpService::build()
-            .keep_alive(timeouts.idle_timeout)
-            .client_request_timeout(timeouts.header_timeout)
-            .on_connect_ext(|stream: &PacedStream<TcpStream>, data: &mut Extensions| {
-                data.insert(stream.limit());
-            })
-            // A caller that closes its side of the connection abandons its requests.
-            .h1_allow_half_closed(false)
-            .graceful_shutdown_signal(move || wait_until_true(closing.clone()))
-            .h1(fn_service(handler.clone()).into_factory());
+        let service = Rc::clone(&service);
         actix_rt::spawn(async move {
-            let Ok(service) = service.new_service(()).await else {
-                return;
-            };
             // The outcome of each request on the connection is in the log of that request.
             let _ = service.call((stream, Some(peer))).await;
             drop(open);
@@ -211,31 +206,6 @@
     })
 }
 
-/// Returns whether a request has a body.
-fn has_body(request: &Request) -> bool {
-    let headers = request.headers();
-    let length = headers.get(actix_http::header::CONTENT_LENGTH);
-    let is_sized = length.is_some_and(|length| length.as_bytes() != b"0");
-    is_sized || headers.contains_key(actix_http::header::TRANSFER_ENCODING)
-}
-
-/// Records that the body of a request was read to its end, so that another request may follow
-/// it.
-pub fn record_whole_body(request: &Request) {
-    if let Some(limit) = request.conn_data::<ReadLimit>() {
-        limit.set_unread_body(false);
-    }
-}
-
-/// Lets the rest of a body that nobody reads arrive, so that the client receives the response,
-/// for a limited time and up to a limited size. The response has announced that the connection
-/// is closed then.
-async fn discard_body(limit: ReadLimit) {
-    limit.set(MAX_DISCARDED_BYTES);
-    tokio::time::sleep(DISCARD_TIME).await;
-    limit.set(0);
-}
-
 /// Waits until `flag` is true. If the sender is dropped before that, the function
 /// never returns.
 async fn wait_until_true(mut flag: watch::Receiver<bool>) {
@@ -246,28 +216,29 @@
 
 /// Serves the load balancer's readiness checks and the metrics until the process ends.
 pub async fn serve_status(gateway: Rc<Gateway>, listener: TcpListener) {
+    let clients = gateway.clients.clone();
     let handler = move |request: Request| {
         let response = status_response(&gateway, &request);
         async move { Ok::<_, Infallible>(response) }
     };
-    serve_until_exit(listener, handler).await;
+    serve_until_exit(listener, clients, handler).await;
 }
 
-async fn serve_until_exit<F, R>(listener: TcpListener, handler: F)
+async fn serve_until_exit<F, R>(listener: TcpListener, clients: Clients, handler: F)
 where
     F: Fn(Request) -> R + Clone + 'static,
     R: Future<Output = Result<Response<BoxBody>, Infallible>> + 'static,
 {
-    let timeouts = ConnectionTimeouts {
-        header_timeout: DEFAULT_HEADER_TIMEOUT,
-        idle_timeout: DEFAULT_IDLE_TIMEOUT,
-    };
     let (_sender, never_closing) = watch::channel(false);
-    let serve = connection_handler(handler, timeouts, never_closing, || ());
+    let limits = ConnectionLimits::default();
+    let serve = connection_handler(handler, clients, limits, never_closing, || ());
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => serve(stream, peer),
-            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+            Err(error) => {
+                log_event(&Event::new(EventKind::AcceptFailed).error(&error));
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
         }
     }
 }
@@ -275,8 +246,9 @@
 /// Serves requests of other gateways, such as calls to be forwarded to the store, until
 /// the process ends.
 pub async fn serve_peers(gateway: Rc<Gateway>, listener: TcpListener) {
+    let clients = gateway.clients.clone();
     let handler = move |request: Request| peers::handle_request(Rc::clone(&gateway), request);
-    serve_until_exit(listener, handler).await;
+    serve_until_exit(listener, clients, handler).await;
 }
 
 fn status_response(gateway: &Gateway, request: &Request) -> Response<BoxBody> {
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -16,8 +16,9 @@
 use rosebend_coordination::gateway::refusals::RefusedEntries;
 use rosebend_coordination::gateway::route_table::RouteTable;
 use rosebend_state::deployment::{Customers, EndpointIdentity};
-use rosebend_state::settings::{CustomerSettings, GatewaySettings, StoreSettings};
+use rosebend_state::settings::{ClientSettings, CustomerSettings, GatewaySettings, StoreSettings};
 use rosebend_transport::byte_budget::ByteBudget;
+use rosebend_transport::clients::Clients;
 use rosebend_transport::clock::{Clock, whole_ms};
 use rosebend_transport::event::{Event, EventKind, log_event};
 use rosebend_transport::store::StoreClient;
@@ -32,6 +33,7 @@
 use crate::holders::HolderAddresses;
 use crate::limits::RateLimiter;
 use crate::metrics::{GaugeValues, Metrics};
+use crate::peer_connections::{self, PeerConnections};
 use crate::pool::Pool;
 use crate::quarantine::{self, Quarantine, Suspicion};
 use crate::recent_history::RecentHistory;
@@ -42,9 +44,8 @@
 /// Maximum size of the cached turns in bytes. It is large enough that most turns continue a
 /// cached turn, without a read from the store.
 const MAX_HISTORY_BYTES: usize = 24 << 20;
-
-/// Memory for the responses that are read at the same time before they are forwarded.
-const MAX_RESPONSE_BODIES_BYTES: usize = 16 << 20;
+/// Divisor of the host's memory that gives the maximum size of cached turns on small hosts.
+const HISTORY_DIVISOR: usize = 10;
 
 /// Time for which the store may be unreachable before the host reports that it is not
 /// ready for callers. Other hosts may still reach the store, and the balancer takes seconds
@@ -84,6 +85,8 @@
     pub history: RefCell<TurnCache>,
     /// The history of programs that this host caches for its availability zone.
     pub recent_history: RecentHistory,
+    /// The clients that connect to the process.
+    pub clients: Clients,
     /// The limits of customers.
     pub limits: RateLimiter,
     /// The requests to engine schedulers, and the groups that this host schedules.
@@ -123,12 +126,16 @@
         // The name of the process is unique to this run, because tokens that an earlier run
         // reserved do not belong to it.
         let process = format!("{}/{}", settings.host, random_id());
+        let clients = Clients::new(&settings.clients, clock, metrics.clients.clone());
+        let peer_answers = peer_connections::answer_budget();
+        let peer_connections = || PeerConnections::new(Rc::clone(&peer_answers));
         let batched_commits = BatchedCommits::new(
             process.clone(),
             Rc::clone(&store),
             Rc::clone(&metrics),
             clock,
             settings.store.writes_per_s,
+            peer_connections(),
         );
         let batched_commits = Rc::new(batched_commits);
         let commits = Commits::new(
@@ -141,6 +148,7 @@
             Rc::clone(&store),
             Rc::clone(&metrics),
             clock,
+            peer_connections(),
         );
         Self {
             commits: Rc::new(commits),
@@ -155,8 +163,10 @@
             admission: RefCell::default(),
             refusals: RefCell::default(),
             pool: RefCell::default(),
-            history: RefCell::new(TurnCache::new(MAX_HISTORY_BYTES)),
-            recent_history: RecentHistory::new(process.clone()),
+            history: RefCell::new(TurnCache::new(max_history_bytes(&settings.clients))),
+            recent_history: RecentHistory::new(process.clone(), peer_connections()),
+            response_bodies: response_bodies(&settings.clients, &clients),
+            clients,
             limits: RateLimiter::new(process.clone(), tolerance(&settings.customers)),
             engine_scheduling: EngineScheduling::new(
                 process.clone(),
@@ -165,7 +175,6 @@
             escrow: Escrow::new(process.clone()),
             retention: Retention::default(),
             holders: HolderAddresses::default(),
-            response_bodies: ByteBudget::new(MAX_RESPONSE_BODIES_BYTES),
             quarantine: Quarantine::default(),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
@@ -187,6 +196,9 @@
         let store = &settings.store;
         self.store.set_store(store.address, store.timeout);
         self.batched_commits.set_writes_per_s(store.writes_per_s);
+        self.clients.set_settings(&settings.clients);
+        self.response_bodies
+            .set_max_bytes(settings.clients.answer_bytes());
         self.limits.set_tolerance(tolerance(&settings.customers));
         self.settings.replace(Rc::new(settings));
     }
@@ -207,6 +219,7 @@
         let services = routes.deployment().services.keys().cloned();
         self.directory.borrow_mut().set_declared_services(services);
         unusable::log_routes(&routes);
+        self.check_body_limit(routes.deployment().limits.max_body_bytes);
         unusable::log_customers(&routes);
         let customers = routes.deployment().customers.as_ref();
         self.limits
@@ -215,6 +228,15 @@
         true
     }
 
+    /// Logs that requests of the declared size find no memory on this host.
+    fn check_body_limit(&self, declared_bytes: usize) {
+        let max_bytes = self.settings().clients.max_body_bytes();
+        if declared_bytes > max_bytes {
+            let event = Event::new(EventKind::BodyLimitTooLarge);
+            log_event(&event.count(max_bytes as u64));
+        }
+    }
+
     /// Records that the store had no newer routes at `at`.
     pub fn confirm_routes(&self, at: Duration) {
         let mut confirmation = self.confirmation.get();
@@ -394,6 +416,17 @@
     }
 }
 
+/// Returns the memory for cached turns.
+fn max_history_bytes(settings: &ClientSettings) -> usize {
+    MAX_HISTORY_BYTES.min(settings.memory_bytes / HISTORY_DIVISOR)
+}
+
+/// Returns the memory for responses. Clients that do not accept theirs lose them to others.
+fn response_bodies(settings: &ClientSettings, clients: &Clients) -> ByteBudget {
+    let clients = clients.clone();
+    ByteBudget::new(settings.answer_bytes()).with_reclaim(move || clients.close_stalled())
+}
+
 /// Returns the amount by which customers may exceed their limits.
 fn tolerance(settings: &CustomerSettings) -> Tolerance {
     Tolerance {
--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -6,9 +6,6 @@
 use std::time::Duration;
 
 use actix_http::Request;
-use actix_http::error::PayloadError;
-use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
 use http::HeaderMap;
 use rosebend_coordination::gateway::fingerprint::{
     RequestIdentity, content_fingerprint, exact_fingerprint,
@@ -17,21 +14,18 @@
 use rosebend_coordination::gateway::route_table::{RouteTable, service_for};
 use rosebend_platform::headers;
 use rosebend_state::deployment::{Customer, Deployment, Route};
+use rosebend_transport::clients::{BodyLimits, read_body};
 use rosebend_transport::event::{Event, EventKind};
 
 use crate::call::Call;
-use crate::front;
 use crate::gateway::Gateway;
 use crate::reply::Refusal;
 use crate::request_log::RequestLog;
 
-/// Maximum time for a complete body to arrive.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Maximum time for which the body of a request that is refused because of its head is read.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(20);
-/// Maximum number of bytes of an oversized body that are read and discarded, so that
-/// the caller receives the response. A caller that is still sending when the connection
-/// closes may lose it.
+/// Maximum size of the body of a request that is refused because of its head. The connection
+/// is closed if it is longer.
 const MAX_DISCARDED_BYTES: usize = 1 << 20;
 
 /// Reads a request. `arrived` is the time of its arrival since the start of the
@@ -51,12 +45,19 @@
         Ok(checked) => checked,
         Err(refusal) => {
             // The connection remains usable if the whole body has arrived.
-            let discarded = read_body(&mut request, MAX_DISCARDED_BYTES);
-            let _ = tokio::time::timeout(DISCARD_TIMEOUT, discarded).await;
+            let limits = BodyLimits {
+                max_bytes: MAX_DISCARDED_BYTES,
+                timeout: DISCARD_TIMEOUT,
+            };
+            let _ = read_body(&mut request, limits).await;
             return Err(refusal);
         }
     };
-    let body = read_body(&mut request, max_body_bytes).await?;
+    let limits = BodyLimits {
+        max_bytes: max_body_bytes,
+        timeout: gateway.settings().clients.body_timeout,
+    };
+    let body = read_body(&mut request, limits).await?;
     // The routes may have changed while the body was read.
     let routes = gateway.routes().unwrap_or(routes);
     let (route, customer) = find_route_and_customer(gateway, &routes, &request, headers)?;
@@ -182,38 +183,6 @@
     method.map_err(|_| Refusal::NoRoute)
 }
 
-async fn read_body(request: &mut Request, max_bytes: usize) -> Result<Bytes, Refusal> {
-    let reading = tokio::time::timeout(BODY_TIMEOUT, collect_body(request, max_bytes));
-    reading.await.map_err(|_| Refusal::BodyTimeout)?
-}
-
-async fn collect_body(request: &mut Request, max_bytes: usize) -> Result<Bytes, Refusal> {
-    let mut payload = request.take_payload();
-    let mut body = BytesMut::new();
-    let mut discarded_bytes = 0;
-    let is_whole = loop {
-        let Some(chunk) = payload.next().await else {
-            break true;
-        };
-        let chunk = chunk.map_err(|_: PayloadError| Refusal::BodyIncomplete)?;
-        if discarded_bytes == 0 && body.len() + chunk.len() <= max_bytes {
-            body.extend_from_slice(&chunk);
-            continue;
-        }
-        discarded_bytes += chunk.len();
-        if discarded_bytes > MAX_DISCARDED_BYTES {
-            break false;
-        }
-    };
-    if is_whole {
-        front::record_whole_body(request);
-    }
-    match discarded_bytes {
-        0 => Ok(body.freeze()),
-        _ => Err(Refusal::BodyTooLarge),
-    }
-}
-
 /// Copies headers from the header map of `actix-http`, which uses another version of
 /// the `http` crate.
 pub fn to_http(from: &actix_http::header::HeaderMap) -> HeaderMap {
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -12,6 +12,7 @@
 use rosebend_coordination::gateway::attempt::Failure;
 use rosebend_coordination::gateway::ledger::FilledBy;
 use rosebend_state::deployment::RouteKind;
+use rosebend_transport::clients::ClientMetrics;
 use rosebend_transport::store::{StoreCall, StoreError};
 
 use crate::engine_scheduling::metrics::SchedulingMetrics;
@@ -172,6 +173,8 @@
     record: Histogram,
     store_call: Histogram,
     gauges: [Gauge; 16],
+    /// The metrics of the clients that connect to the process.
+    pub clients: ClientMetrics,
     /// The metrics of the scheduling of engines.
     pub scheduling: SchedulingMetrics,
 }
@@ -321,6 +324,7 @@
             record,
             store_call,
             gauges: gauges(&mut registry),
+            clients: ClientMetrics::register(&mut registry),
             scheduling: SchedulingMetrics::register(&mut registry),
             registry,
         }
--- a/gateway/src/peer_connections.rs
+++ b/gateway/src/peer_connections.rs
@@ -7,6 +7,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use bytes::Bytes;
 use http::{Method, Request};
@@ -17,9 +18,9 @@
 
 /// Maximum size of an answer in bytes. The largest is a whole table, which is sent to a
 /// host that follows it.
-const MAX_ANSWER_BYTES: usize = 4 << 20;
+const MAX_ANSWER_BYTES: usize = 2 << 20;
 /// Memory for the answers that are read at the same time.
-const MAX_BODIES_BYTES: usize = 8 << 20;
+const MAX_BODIES_BYTES: usize = 4 << 20;
 /// Maximum number of idle connections to one host. A host has one transaction of each
 /// partition in flight, and few hosts are the batcher of more than two partitions.
 const MAX_IDLE: usize = 4;
@@ -54,19 +55,29 @@
 #[derive(Debug)]
 pub struct PeerConnections {
     idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
-    bodies: ByteBudget,
+    bodies: Rc<ByteBudget>,
+}
+
+/// Creates the memory for the answers of other gateways, which all connections share.
+pub fn answer_budget() -> Rc<ByteBudget> {
+    Rc::new(ByteBudget::new(MAX_BODIES_BYTES))
 }
 
 impl Default for PeerConnections {
     fn default() -> Self {
+        Self::new(answer_budget())
+    }
+}
+
+impl PeerConnections {
+    /// Creates a set without connections.
+    pub fn new(bodies: Rc<ByteBudget>) -> Self {
         Self {
             idle: RefCell::default(),
-            bodies: ByteBudget::new(MAX_BODIES_BYTES),
+            bodies,
         }
     }
-}
 
-impl PeerConnections {
     /// Sends a request to a gateway and returns the body of its response. `accepted` is
     /// set once the gateway acknowledges the request.
     ///
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -13,19 +13,19 @@
 
 use actix_http::body::{BoxBody, MessageBody};
 use actix_http::{HttpMessage, Request, Response, StatusCode};
-use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
+use bytes::Bytes;
 use rosebend_coordination::gateway::escrow::slot::SlotId;
 use rosebend_coordination::gateway::ledger::ProcessId;
 use rosebend_platform::store::wait_of;
 use rosebend_state::deployment::{RowId, RowRange, RowWrite, Transaction};
+use rosebend_transport::clients::{BodyError, BodyLimits, read_body};
 use rosebend_transport::store::{ASKED_RUN, Concern, Outgoing, StoreError};
 
 use self::row::{PeerRow, key};
 use self::table::PeerTable;
 use crate::feeds::{self, FollowedTable, TableUpdate};
 use crate::gateway::Gateway;
-use crate::{batched_commits, front, recent_history, reservation_lookup};
+use crate::{batched_commits, recent_history, reservation_lookup};
 
 mod row;
 mod table;
@@ -197,9 +197,9 @@
 ) -> Result<Response<BoxBody>, Infallible> {
     let path = request.path().to_owned();
     let is_misdirected = is_misdirected(&gateway, &request);
-    let outgoing = tokio::time::timeout(CALL_TIMEOUT, read_call(request)).await;
-    let Some(outgoing) = outgoing.ok().flatten() else {
-        return Ok(Response::with_body(StatusCode::BAD_REQUEST, ().boxed()));
+    let outgoing = match read_call(request).await {
+        Ok(outgoing) => outgoing,
+        Err(status) => return Ok(Response::with_body(status, ().boxed())),
     };
     Ok(match path.as_str() {
         reservation_lookup::PATH => reservation_lookup::answer(&gateway, &outgoing.body),
@@ -241,21 +241,29 @@
     }
 }
 
-/// Reads a request to relay. Returns `None` if it is incomplete, too large or malformed.
-async fn read_call(mut request: Request) -> Option<Outgoing> {
-    let mut payload = request.take_payload();
-    let mut body = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
-        body.extend_from_slice(&chunk.ok()?);
-        if body.len() > MAX_CALL_BYTES {
-            return None;
-        }
-    }
-    front::record_whole_body(&request);
-    Some(Outgoing {
+/// Reads a request to relay.
+///
+/// # Errors
+///
+/// Returns the status of the response if there is no memory for the request, or if it is
+/// incomplete, too large or malformed.
+async fn read_call(mut request: Request) -> Result<Outgoing, StatusCode> {
+    let limits = BodyLimits {
+        max_bytes: MAX_CALL_BYTES,
+        timeout: CALL_TIMEOUT,
+    };
+    let body = read_body(&mut request, limits).await;
+    let body = body.map_err(|error| match error {
+        BodyError::OutOfMemory => StatusCode::SERVICE_UNAVAILABLE,
+        BodyError::TooLarge | BodyError::Incomplete | BodyError::Timeout => StatusCode::BAD_REQUEST,
+    })?;
+    let method = http::Method::from_bytes(request.method().as_str().as_bytes());
+    let path = request.uri().path_and_query();
+    let path = path.and_then(|path| path.as_str().parse().ok());
+    Ok(Outgoing {
         concern: Concern::Unknown,
-        method: http::Method::from_bytes(request.method().as_str().as_bytes()).ok()?,
-        path: request.uri().path_and_query()?.as_str().parse().ok()?,
-        body: body.freeze(),
+        method: method.map_err(|_| StatusCode::BAD_REQUEST)?,
+        path: path.ok_or(StatusCode::BAD_REQUEST)?,
+        body,
     })
 }
--- a/gateway/src/recent_history.rs
+++ b/gateway/src/recent_history.rs
@@ -64,13 +64,13 @@
 
 impl RecentHistory {
     /// Returns an empty cache that has no list of other hosts yet.
-    pub fn new(own_process: ProcessId) -> Self {
+    pub fn new(own_process: ProcessId, connections: PeerConnections) -> Self {
         Self {
             own_process,
             hosts: RefCell::default(),
             backoff: RefCell::default(),
             cache: RefCell::default(),
-            connections: PeerConnections::default(),
+            connections,
         }
     }
 
--- a/gateway/src/reload.rs
+++ b/gateway/src/reload.rs
@@ -82,6 +82,7 @@
         store: settings.store,
         stop_grace: settings.stop_grace,
         retention_margin: settings.retention_margin,
+        clients: settings.clients,
         customers: settings.customers,
         engine_selection: settings.engine_selection,
         ..GatewaySettings::clone(&current)
--- a/gateway/src/reply.rs
+++ b/gateway/src/reply.rs
@@ -9,11 +9,13 @@
 use bytes::Bytes;
 use futures_util::Stream;
 use http::HeaderMap;
+use rosebend_coordination::client_memory::OutOfMemory;
 use rosebend_coordination::gateway::identity::IdentityError;
 use rosebend_coordination::gateway::retry_after::after_outage;
 use rosebend_coordination::gateway::route_table::RouteError;
 use rosebend_platform::headers::{self, HeaderError};
 use rosebend_protocol::problem::{Problem, Ran};
+use rosebend_transport::clients::BodyError;
 
 /// A response to a caller.
 #[derive(Debug)]
@@ -67,6 +69,8 @@
     BodyIncomplete,
     /// The body did not arrive in time.
     BodyTimeout,
+    /// The memory for requests is in use.
+    OutOfMemory,
     /// Every endpoint that was tried refused the request or was unreachable.
     NoEndpointAvailable,
     /// The engines' queues are too long for a new program; the caller may retry
@@ -105,6 +109,26 @@
 /// Operators need at least seconds to write another version.
 const DECLARATION_RETRY: Duration = Duration::from_secs(1);
 
+/// Retry time if the memory for requests is in use. The retry goes to another host.
+const MEMORY_RETRY: Duration = Duration::from_millis(200);
+
+impl From<BodyError> for Refusal {
+    fn from(error: BodyError) -> Self {
+        match error {
+            BodyError::TooLarge => Self::BodyTooLarge,
+            BodyError::Incomplete => Self::BodyIncomplete,
+            BodyError::Timeout => Self::BodyTimeout,
+            BodyError::OutOfMemory => Self::OutOfMemory,
+        }
+    }
+}
+
+impl From<OutOfMemory> for Refusal {
+    fn from(_: OutOfMemory) -> Self {
+        Self::OutOfMemory
+    }
+}
+
 impl From<RouteError> for Refusal {
     fn from(error: RouteError) -> Self {
         match error {
@@ -147,6 +171,7 @@
             Self::BodyTooLarge => "body-too-large",
             Self::BodyIncomplete => "body-cut-short",
             Self::BodyTimeout => "body-timeout",
+            Self::OutOfMemory => "out-of-memory",
             Self::NoEndpointAvailable => "no-room",
             Self::Overloaded(_) => "overloaded",
             Self::OverShare(_) => "over-share",
@@ -174,6 +199,7 @@
             Self::NotReady | Self::NoEndpointAvailable | Self::StoreUnreachable(_) => 503,
             Self::RouteUnusable | Self::Overloaded(_) => 503,
             Self::KeyUnusable | Self::KeysUnconfirmed | Self::RoutesUnconfirmed => 503,
+            Self::OutOfMemory => 503,
             Self::LimitUnknown(_) | Self::OverShare(_) | Self::TooLate => 503,
             Self::LimitExceeded(_) => 429,
             Self::BudgetUnsettled | Self::CrashesEndpoints => 503,
@@ -195,6 +221,7 @@
     pub fn retry_after(self) -> Option<Duration> {
         match self {
             Self::NoEndpointAvailable => Some(ENDPOINT_RETRY),
+            Self::OutOfMemory => Some(MEMORY_RETRY),
             Self::Overloaded(retry_after) | Self::OverShare(retry_after) => Some(retry_after),
             Self::BudgetUnsettled => Some(SETTLEMENT_RETRY),
             Self::StoreUnreachable(outage) => Some(after_outage(outage)),
@@ -226,6 +253,7 @@
             Self::BodyTooLarge => "the body is longer than allowed",
             Self::BodyIncomplete => "the body ended early",
             Self::BodyTimeout => "the body did not arrive in time",
+            Self::OutOfMemory => "the memory for requests is in use",
             Self::NoEndpointAvailable => "no endpoint has room",
             Self::Overloaded(_) => "the engines' queues are too long for a new program",
             Self::OverShare(_) => "the engines are busy and the customer uses more than its share",
--- a/gateway/src/turn.rs
+++ b/gateway/src/turn.rs
@@ -12,7 +12,6 @@
 
 use actix_http::Response;
 use actix_http::body::BoxBody;
-use bytes::Bytes;
 use rosebend_state::deployment::ProgramHeader;
 use rosebend_transport::event::{Event, EventKind};
 
@@ -52,7 +51,7 @@
         .and_then(|record| record.previous.as_ref())
     {
         Some(turn) => (
-            Bytes::from(turn.prompt(&call.body)),
+            gateway.clients.hold(turn.prompt(&call.body))?,
             Some(WarmEndpoint {
                 endpoint: turn.endpoint.clone(),
                 tokens: turn.tokens,
