Play crowds in the soak, and write up the memory of clients

The soak plays crowds of random forms against random hosts beside faults, stops and restarts, and bounds the memory and descriptors of each process.

--- a/gateway/tests/crowds.rs
+++ b/gateway/tests/crowds.rs
@@ -2,10 +2,15 @@
 //! requests, within the memory and the descriptors of the smallest host, and that ordinary
 //! callers are answered beside them and afterwards.
 
+#[path = "endless/server.rs"]
+#[allow(dead_code, reason = "each test file uses a part of it")]
+mod server;
 mod support;
 
+use std::cell::Cell;
 use std::io::{Read as _, Write as _};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
 use std::time::Duration;
 
 use http::Method;
@@ -14,6 +19,7 @@
     Crowd, CrowdRequest, Form, MAX_DESCRIPTORS, MAX_MEMORY_BYTES, UsageMonitor,
 };
 use serde_json::json;
+use server::{Endless, EndlessServer};
 use socket2::{Domain, Socket, Type};
 use support::{Gateway, Site, TestRequest, routes, wait_until};
 use tokio::sync::Mutex;
@@ -30,6 +36,9 @@
 /// Clients that do not read their answers, and the size of an answer.
 const READERS: usize = 256;
 const ANSWER_BYTES: usize = 1 << 20;
+/// Answers without an end at a time, and large answers beside them.
+const ENDLESS_ANSWERS: usize = 24;
+const LARGE_ANSWERS: usize = 20;
 /// Time before an endpoint answers.
 const ENDPOINT_DELAY_MS: u64 = 300;
 /// Time for which a crowd that has sent keeps its connections open.
@@ -250,6 +259,67 @@
     check_usage(&mut gateway, monitor, "answers that are not read");
 }
 
+/// Guards against answers without an end that take the memory of large ones.
+#[actix_rt::test]
+async fn large_answers_beside_answers_without_an_end() {
+    let _alone = ALONE.lock().await;
+    let site = Site::without_routes();
+    let mut config = routes(1);
+    config["routes"][1]["service"] = json!("bulk");
+    let mut bulk = config["services"][1].clone();
+    bulk["name"] = json!("bulk");
+    config["services"].as_array_mut().unwrap().push(bulk);
+    site.store.put("op", "config", &config);
+    site.store.delete("servers", &site.endpoints[1].instance);
+    let endless = EndlessServer::start(Endless::Chunks, Duration::ZERO);
+    site.announce_external("i-endless", "desk", endless.address);
+    site.announce_external("i-large", "bulk", start_endpoint_with_large_answers());
+    let mut gateway = site.start_ready_gateway().await;
+    wait_until("the endpoints are listed", async || {
+        let listed = gateway.events("endpoint-listed");
+        let is_listed = |name| listed.iter().any(|event| event["endpoint"] == name);
+        is_listed("i-endless") && is_listed("i-large")
+    })
+    .await;
+    let monitor = monitor(&gateway);
+    let front = gateway.front;
+    let is_over = Rc::new(Cell::new(false));
+    let senders: Vec<_> = (0..ENDLESS_ANSWERS)
+        .map(|number| actix_rt::spawn(request_until(Rc::clone(&is_over), front, number)))
+        .collect();
+    wait_until("answers without an end are read", async || {
+        endless.answer_count() > ENDLESS_ANSWERS
+    })
+    .await;
+    for number in 0..LARGE_ANSWERS {
+        let lookup = TestRequest::lookup(&format!("large-{number}"));
+        let answer = lookup.send(front).await;
+        let bytes = answer.body.len();
+        let received = (answer.status, answer.is_complete, bytes);
+        assert_eq!(received, (200, true, ANSWER_BYTES), "{number}");
+    }
+    is_over.set(true);
+    for sender in senders {
+        sender.await.unwrap();
+    }
+    check_usage(&mut gateway, monitor, "answers without an end");
+}
+
+/// Sends requests whose answers have no end, one after the other.
+async fn request_until(is_over: Rc<Cell<bool>>, front: SocketAddr, sender: usize) {
+    for number in 0.. {
+        if is_over.get() {
+            return;
+        }
+        let request = TestRequest::new(Method::POST, "/fee/receipt")
+            .attempt(&format!("endless-{sender}-{number}"))
+            .header("deadline-ms", "1000")
+            .body("x");
+        let answer = request.send(front).await;
+        assert!(answer.status != 200 || !answer.is_complete);
+    }
+}
+
 /// Sends a request on a connection with a small receive buffer.
 fn send_without_reading(to: SocketAddr, number: usize) -> TcpStream {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
--- a/gateway/tests/soak.rs
+++ b/gateway/tests/soak.rs
@@ -11,9 +11,10 @@
 //!     cargo test -p rosebend-gateway --test soak the_promises -- --nocapture
 //! ```
 //!
-//! The soaks of planned work and of requests that crash endpoints take the same variables. It is run by
+//! The soaks of planned work, of requests that crash endpoints and of crowds of clients take the
+//! same variables. They are run by
 //! `cargo test -p rosebend-gateway --test soak answers_are_whole -- --nocapture`, and with
-//! `a_request_that_crashes`.
+//! `a_request_that_crashes` and `ordinary_callers`.
 //!
 //! The timing of events depends on the machine, but the checked guarantees must hold
 //! with any timing. A seed that fails is added to `SEEDS` with a description of the
@@ -27,6 +28,8 @@
 mod callers;
 #[path = "soak/crashes.rs"]
 mod crashes;
+#[path = "soak/crowds.rs"]
+mod crowds;
 #[path = "soak/faults.rs"]
 mod faults;
 #[path = "soak/fleet.rs"]
@@ -43,6 +46,7 @@
 use fleet::{Fleet, SharedFleet};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use rosebend_system_tests::crowd::{MAX_DESCRIPTORS, MAX_MEMORY_BYTES, PeakUsage};
 use support::{TestRequest, wait_until};
 
 /// Seeds that CI runs, and the failures that they showed.
@@ -113,6 +117,8 @@
 const PLANNED_SEEDS: [u64; 3] = [101, 104, 105];
 /// Seeds of requests that crash endpoints that CI runs, one for each kind of request.
 const CRASH_SEEDS: [u64; 4] = [1, 2, 3, 4];
+/// Seeds of crowds of clients that send large or incomplete requests that CI runs.
+const CROWD_SEEDS: [u64; 2] = [1, 2];
 /// Seconds for which planned work goes on with each seed in CI.
 const DEFAULT_PLANNED_SECONDS: u64 = 20;
 /// Number of hosts beside planned work in CI.
@@ -187,6 +193,58 @@
     }
 }
 
+/// Guards against clients whose requests use up the memory or the descriptors of a host, under
+/// faults that overlap with their crowds.
+#[actix_rt::test]
+async fn ordinary_callers_are_answered_beside_crowds() {
+    let seconds = setting("ROSEBEND_SOAK_SECONDS", DEFAULT_SECONDS);
+    let hosts = setting("ROSEBEND_SOAK_HOSTS", DEFAULT_HOSTS);
+    for seed in seeds(&CROWD_SEEDS) {
+        println!("seed {seed}");
+        run_crowd_seed(seed, hosts, Duration::from_secs(seconds)).await;
+    }
+}
+
+/// Runs callers, crowds and faults for the given time, then checks that no process took more
+/// than the smallest host has, that the fleet recovers and that all guarantees held.
+async fn run_crowd_seed(seed: u64, hosts: usize, time: Duration) {
+    let fleet = Fleet::start(hosts).await;
+    fleet
+        .borrow_mut()
+        .declare_max_body_bytes(crowds::MAX_BODY_BYTES);
+    let observations = Rc::new(RefCell::new(Observations::default()));
+    let workload = Workload::AmpleBudgets;
+    let callers = Callers::start(BASE_CALLERS, seed, workload, &fleet, &observations);
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let end = Instant::now() + time;
+    let crowds = actix_rt::spawn(crowds::play_until(end, Rc::clone(&fleet), seed));
+    let mut peak = PeakUsage::default();
+    while Instant::now() < end {
+        faults::inject_faults(&fleet, &mut random).await;
+        peak = fleet.borrow().peak_usage(peak);
+    }
+    crowds.await.unwrap();
+    faults::remove_faults(&fleet).await;
+    callers.stop().await;
+    check_recovery(&fleet, seed).await;
+    let peak = fleet.borrow().peak_usage(peak);
+    let defects = fleet.borrow_mut().defects();
+    assert!(defects.is_empty(), "seed {seed}: {defects:#?}");
+    let runs = fleet::all_runs(&fleet).await;
+    let observations = observations.borrow();
+    println!("seed {seed}: {}; {peak:?}", observations.summary());
+    assert!(
+        peak.memory_bytes <= MAX_MEMORY_BYTES,
+        "seed {seed}: {peak:?}"
+    );
+    assert!(peak.descriptors <= MAX_DESCRIPTORS, "seed {seed}: {peak:?}");
+    let violated = observations.first_violation();
+    if !violated.is_empty() {
+        println!("{}", fleet.borrow().request_log(&violated).join("\n"));
+    }
+    observations.check(&runs, seed);
+}
+
 /// Runs the callers beside planned work for the given time, then checks that no answer ended
 /// early because of it.
 async fn run_planned_seed(seed: u64, hosts: usize, workload: Workload, time: Duration) {
--- a/gateway/tests/soak/fleet.rs
+++ b/gateway/tests/soak/fleet.rs
@@ -11,6 +11,7 @@
 use rosebend_standin::backend::{BackendFaults, Report, Runs};
 use rosebend_standin::server::RunningServer;
 use rosebend_standin::store::StoreFaults;
+use rosebend_system_tests::crowd::{PeakUsage, UsageMonitor};
 use rosebend_system_tests::relay::Relay;
 use serde_json::{Value, json};
 
@@ -39,6 +40,8 @@
     /// Series of faults that have been started.
     series: Vec<JoinHandle<()>>,
     config_version: u64,
+    /// Largest body of the declared limits, if it is not the usual one.
+    max_body_bytes: Option<usize>,
     /// Panics and unexpected exits of processes that were recorded so far.
     defects: Vec<String>,
     /// Logs of all processes, including those that have exited.
@@ -101,6 +104,7 @@
             hosts: (0..hosts).map(host).collect(),
             series: Vec::new(),
             config_version: 1,
+            max_body_bytes: None,
             defects: Vec::new(),
             logs: Vec::new(),
         };
@@ -239,9 +243,19 @@
         for route in config["routes"].as_array_mut().unwrap() {
             route["timeout-ms"] = json!(timeout_ms);
         }
+        if let Some(max_body_bytes) = self.max_body_bytes {
+            config["limits"]["max-body-bytes"] = json!(max_body_bytes);
+        }
         self.site.store.put("op", "config", &config);
     }
 
+    /// Writes a new version of the routes with another largest body. Versions after it have
+    /// the same.
+    pub fn declare_max_body_bytes(&mut self, max_body_bytes: usize) {
+        self.max_body_bytes = Some(max_body_bytes);
+        self.declare_routes(3_000);
+    }
+
     /// Adds a series of faults that was started.
     pub fn add_series(&mut self, series: JoinHandle<()>) {
         self.series.push(series);
@@ -299,6 +313,13 @@
         lines
     }
 
+    /// Returns the most that a process holds at present, or held before.
+    pub fn peak_usage(&self, before: PeakUsage) -> PeakUsage {
+        let processes = self.hosts.iter().flat_map(|host| &host.process);
+        let usages = processes.map(|process| UsageMonitor::sample(process.id(), &[process.front]));
+        usages.fold(before, PeakUsage::max)
+    }
+
     /// Returns the resident memory of all processes in MiB.
     pub fn memory_mb(&self) -> u64 {
         let processes = self.hosts.iter().flat_map(|host| &host.process);
