Start the hosts of the soak of crowds with the routes that it plays

The log shows 404 no-route at a host 11 ms after another one served the route: the test declared the route while the hosts ran, and did not wait until they had it. Hosts may take up to the declared time to apply a version. The routes are now declared before the hosts start, so that a host is not ready without them. No check changes.

--- a/gateway/tests/soak.rs
+++ b/gateway/tests/soak.rs
@@ -208,10 +208,7 @@
 /// Runs callers, crowds and faults for the given time, then checks that no process took more
 /// than the smallest host has, that the fleet recovers and that all guarantees held.
 async fn run_crowd_seed(seed: u64, hosts: usize, time: Duration) {
-    let fleet = Fleet::start(hosts).await;
-    fleet
-        .borrow_mut()
-        .declare_max_body_bytes(crowds::MAX_BODY_BYTES);
+    let fleet = Fleet::start_with_max_body(hosts, Some(crowds::MAX_BODY_BYTES)).await;
     let observations = Rc::new(RefCell::new(Observations::default()));
     let workload = Workload::AmpleBudgets;
     let callers = Callers::start(BASE_CALLERS, seed, workload, &fleet, &observations);
--- a/gateway/tests/soak/fleet.rs
+++ b/gateway/tests/soak/fleet.rs
@@ -23,6 +23,8 @@
 const STORE_LISTENERS: usize = 3;
 /// Number of hosts for each pair of endpoints after the first pair.
 const HOSTS_PER_ENDPOINT_PAIR: usize = 50;
+/// Timeout of the routes that are declared before the hosts start.
+const ROUTE_TIMEOUT_MS: u64 = 3_000;
 /// Retention margin in milliseconds with which every process starts.
 pub const INITIAL_RETENTION_MARGIN_MS: &str = "500";
 
@@ -75,6 +77,12 @@
     /// Starts the store, the endpoints and the hosts, and waits until all hosts
     /// accept callers.
     pub async fn start(hosts: usize) -> SharedFleet {
+        Self::start_with_max_body(hosts, None).await
+    }
+
+    /// Does the same with another largest body in the declared limits, if one is given. All
+    /// versions of the routes have it, and the first one has all routes.
+    pub async fn start_with_max_body(hosts: usize, max_body_bytes: Option<usize>) -> SharedFleet {
         let mut site = Site::without_routes();
         for _ in 0..=hosts / HOSTS_PER_ENDPOINT_PAIR {
             site.add_endpoint("models");
@@ -104,7 +112,7 @@
             hosts: (0..hosts).map(host).collect(),
             series: Vec::new(),
             config_version: 1,
-            max_body_bytes: None,
+            max_body_bytes,
             defects: Vec::new(),
             logs: Vec::new(),
         };
@@ -112,7 +120,10 @@
             let address = fleet.endpoint_address(endpoint);
             fleet.announce(endpoint, "ready", report(address).await.born);
         }
-        fleet.site.declare_routes(1);
+        match max_body_bytes {
+            Some(_) => fleet.declare_routes(ROUTE_TIMEOUT_MS),
+            None => fleet.site.declare_routes(1),
+        }
         for host in 0..hosts {
             fleet.start_host(host);
         }
@@ -249,13 +260,6 @@
         self.site.store.put("op", "config", &config);
     }
 
-    /// Writes a new version of the routes with another largest body. Versions after it have
-    /// the same.
-    pub fn declare_max_body_bytes(&mut self, max_body_bytes: usize) {
-        self.max_body_bytes = Some(max_body_bytes);
-        self.declare_routes(3_000);
-    }
-
     /// Adds a series of faults that was started.
     pub fn add_series(&mut self, series: JoinHandle<()>) {
         self.series.push(series);
