Let clients whose body is refused receive the answer

A response does not make the HTTP library read on. The rest of a body that is refused for its size or for lack of memory is now discarded for up to two seconds before the answer, without being kept.

--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -250,6 +250,7 @@
 async fn read_call(mut request: Request) -> Result<Outgoing, StatusCode> {
     let limits = BodyLimits {
         max_bytes: MAX_CALL_BYTES,
+        max_discarded_bytes: 0,
         timeout: CALL_TIMEOUT,
     };
     let body = read_body(&mut request, limits).await;
--- a/transport/src/clients/body.rs
+++ b/transport/src/clients/body.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use actix_http::error::PayloadError;
-use actix_http::{HttpMessage, Request, header};
+use actix_http::{HttpMessage, Payload, Request, header};
 use bytes::Bytes;
 use futures_util::StreamExt;
 use rosebend_coordination::client_memory::OutOfMemory;
@@ -40,10 +40,16 @@
 pub struct BodyLimits {
     /// Length of the longest one.
     pub max_bytes: usize,
+    /// Most bytes of a refused body that are read and discarded before the answer. A client that
+    /// is still sending when the connection closes does not get to see it.
+    pub max_discarded_bytes: usize,
     /// Longest time for it to arrive.
     pub timeout: Duration,
 }
 
+/// Longest time for which the rest of a refused body is discarded before the answer.
+const DISCARD_TIME: Duration = Duration::from_secs(2);
+
 /// Reads the body of a request that [`serve_request`](super::serve_request) passes on. Its
 /// memory is held until all copies of the returned value are dropped.
 ///
@@ -51,14 +57,48 @@
 ///
 /// Returns the reason if the body is not read to its end.
 pub async fn read_body(request: &mut Request, limits: BodyLimits) -> Result<Bytes, BodyError> {
-    let reading = tokio::time::timeout(limits.timeout, read_until_end(request, limits));
-    reading.await.unwrap_or(Err(BodyError::Timeout))
-}
-
-async fn read_until_end(request: &mut Request, limits: BodyLimits) -> Result<Bytes, BodyError> {
     if !super::answer::has_body(request) {
         return Ok(Bytes::new());
     }
+    let mut payload = request.take_payload();
+    let reading = read_until_end(request, &mut payload, limits);
+    let body = tokio::time::timeout(limits.timeout, reading).await;
+    let body = body.unwrap_or(Err(BodyError::Timeout));
+    let is_whole = match body {
+        Ok(_) => true,
+        Err(BodyError::TooLarge | BodyError::OutOfMemory) => {
+            let discarding = discard(&mut payload, limits.max_discarded_bytes);
+            let discarded = tokio::time::timeout(DISCARD_TIME, discarding).await;
+            discarded.unwrap_or(false)
+        }
+        Err(BodyError::Incomplete | BodyError::Timeout) => false,
+    };
+    if let Some(limit) = request.conn_data::<ReadLimit>().filter(|_| is_whole) {
+        limit.set_unread_body(false);
+    }
+    body
+}
+
+/// Reads a body without keeping it. Returns whether it has ended within this number of bytes.
+async fn discard(payload: &mut Payload, max_bytes: usize) -> bool {
+    let mut discarded_bytes = 0;
+    while let Some(chunk) = payload.next().await {
+        let Ok(chunk) = chunk else {
+            return false;
+        };
+        discarded_bytes += chunk.len();
+        if discarded_bytes > max_bytes {
+            return false;
+        }
+    }
+    true
+}
+
+async fn read_until_end(
+    request: &Request,
+    payload: &mut Payload,
+    limits: BodyLimits,
+) -> Result<Bytes, BodyError> {
     let connection = request.conn_data::<ClientConnection>().cloned();
     let connection = connection.ok_or(BodyError::OutOfMemory)?;
     let announced_bytes = announced_bytes(request);
@@ -67,7 +107,6 @@
         return Err(BodyError::TooLarge);
     }
     connection.start_body()?;
-    let mut payload = request.take_payload();
     let mut read_bytes = 0;
     loop {
         let chunk = tokio::select! {
@@ -79,13 +118,11 @@
         let chunk = chunk.map_err(|_: PayloadError| BodyError::Incomplete)?;
         read_bytes += chunk.len();
         if read_bytes > limits.max_bytes {
+            connection.drop_body();
             return Err(BodyError::TooLarge);
         }
         connection.append(&chunk, max_bytes)?;
     }
-    if let Some(limit) = request.conn_data::<ReadLimit>() {
-        limit.set_unread_body(false);
-    }
     Ok(connection.finish_body()?)
 }
 
--- a/transport/src/clients/connection.rs
+++ b/transport/src/clients/connection.rs
@@ -214,6 +214,11 @@
         self.clients.append(self.client, chunk, max_bytes)
     }
 
+    /// Drops what was received of the body.
+    pub(super) fn drop_body(&self) {
+        self.clients.drop_body(self.client);
+    }
+
     /// Waits until the memory of the unfinished body is given to another client.
     pub(super) async fn lost_body(&self) {
         self.control.lost_body.notified().await;
--- a/transport/src/http_server.rs
+++ b/transport/src/http_server.rs
@@ -363,6 +363,7 @@
 ) -> Result<HttpRequest, Problem> {
     let limits = BodyLimits {
         max_bytes: config.max_body_bytes,
+        max_discarded_bytes: MAX_DISCARDED_BYTES,
         timeout: config.body_timeout,
     };
     let body = read_body(&mut request, limits).await;
