List the events of clients in the order of their numbers

The catalogue had E869 and E870 before E823, which numbers_and_names_are_distinct_and_numbers_ascend refuses. All tests of the crate pass, and the page of events follows the catalogue again.

--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -291,8 +291,6 @@
         Self::ReloadAsked,
         Self::RequestQuarantined,
         Self::AcceptFailed,
-        Self::ClientsClosed,
-        Self::BodyLimitTooLarge,
         Self::RecordUnreadable,
         Self::Listening,
         Self::StoreRelayed,
@@ -332,6 +330,8 @@
         Self::CrashCounted,
         Self::CrashUnwritten,
         Self::CrashesCleared,
+        Self::ClientsClosed,
+        Self::BodyLimitTooLarge,
     ];
 
     /// The event's number, which stays with it for ever.
