--- a/transport/src/clients/body.rs
+++ b/transport/src/clients/body.rs
@@ -15,13 +15,13 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[derive(thiserror::Error)]
 pub enum BodyError {
-    /// It is longer than allowed.
+    /// The body is longer than allowed.
     #[error("the body is longer than allowed")]
     TooLarge,
     /// The connection ended or failed before it was complete.
     #[error("the body ended early")]
     Incomplete,
-    /// It did not arrive in time.
+    /// The body did not arrive in time.
     #[error("the body did not arrive in time")]
     Timeout,
     /// Other requests need the memory.
--- a/transport/src/clients/connection.rs
+++ b/transport/src/clients/connection.rs
@@ -28,18 +28,18 @@
     Http2,
 }
 
-/// What the process does on a connection.
+/// State of a connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Phase {
-    /// It waits for a request.
+    /// The process waits for a request.
     Idle,
-    /// It reads the head of one.
+    /// The process reads the head of a request.
     Head,
-    /// It reads the body of one.
+    /// The process reads the body of a request.
     Body,
-    /// It works on a request.
+    /// The process works on a request.
     Service,
-    /// It sends an answer, all of which the connection's buffer has accepted if `is_whole`.
+    /// The process sends an answer, all of which the connection's buffer has accepted if `is_whole`.
     Answer { is_whole: bool },
 }
 
