Close connections of HTTP/2 on which nothing arrives

A client that connected to an entry's listener for peers or to a sidecar and sent nothing, or a part of a head, kept its connection until others needed it: the HTTP library has no timeout before the preface, and entries sent no pings. A connection on which nothing arrives for body_timeout_s now fails, counted as silence by clients_closed_total.

connections_of_http2_without_a_request_are_closed fails without the change (the connections are open after 60 s) and passes with it.

--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -12,7 +12,7 @@
 use rosebend_protocol::table::row_id;
 use rosebend_state::deployment::{Row, Transaction};
 use rosebend_state::settings::EntrySettings;
-use rosebend_transport::clients::{Clients, listen};
+use rosebend_transport::clients::{Clients, http2_server, listen, listen_to_hosts};
 use rosebend_transport::clock::Clock;
 use rosebend_transport::event::{Event, EventKind, log_event};
 use rosebend_transport::host_token::{HostCheck, HostToken};
@@ -68,7 +68,7 @@
 async fn run_in_system(settings: EntrySettings) -> Result<(), ProcessError> {
     let tokens = Arc::new(load_tokens(&settings.tokens_file)?);
     let http_listener = listen(settings.http_listen)?;
-    let peer_listener = listen(settings.peer_listen)?;
+    let peer_listener = listen_to_hosts(settings.peer_listen)?;
     let http_address = http_listener.local_addr()?;
     let peer_address = peer_listener.local_addr()?;
     println!("listening on {http_address} for callers and {peer_address} for peers");
@@ -194,7 +194,7 @@
             let Ok(listener) = tokio::net::TcpListener::from_std(listener) else {
                 return;
             };
-            let server = tonic::transport::Server::builder().add_service(service);
+            let server = http2_server().add_service(service);
             let incoming = clients.incoming(listener);
             let _ = server
                 .serve_with_incoming_shutdown(incoming, async {
--- a/sidecar/src/process.rs
+++ b/sidecar/src/process.rs
@@ -18,7 +18,7 @@
 use rosebend_protocol::peer::sidecar_server::SidecarServer;
 use rosebend_state::settings::{EndpointKind, SidecarSettings, Tokens};
 use rosebend_transport::{
-    clients::{Clients, listen},
+    clients::{Clients, http2_server, listen_to_hosts},
     clock::Clock,
     event::{Event, EventKind, log_event},
     host_token::HostCheck,
@@ -218,7 +218,7 @@
     let connections = clients.incoming(listener);
     let service = SidecarServer::new(service).max_decoding_message_size(MAX_MESSAGE_BYTES);
     let service = InterceptedService::new(service, check);
-    tonic::transport::Server::builder()
+    http2_server()
         .http2_keepalive_interval(Some(KEEPALIVE_INTERVAL))
         .http2_keepalive_timeout(Some(KEEPALIVE_TIMEOUT))
         .add_service(service)
@@ -282,7 +282,7 @@
 }
 
 fn bind(address: SocketAddr) -> Result<TcpListener, ProcessError> {
-    listen(address).map_err(|error| ProcessError::Listen { address, error })
+    listen_to_hosts(address).map_err(|error| ProcessError::Listen { address, error })
 }
 
 fn local_address(listener: &TcpListener, address: SocketAddr) -> Result<SocketAddr, ProcessError> {
--- a/system-tests/src/cluster.rs
+++ b/system-tests/src/cluster.rs
@@ -62,6 +62,8 @@
     pub relay_sidecars: bool,
     /// Whether entries reach the platform through a relay.
     pub relay_platform: bool,
+    /// Longest time for the body of a request to arrive.
+    pub body_timeout_s: u64,
 }
 
 impl Default for ClusterConfig {
@@ -76,6 +78,7 @@
             shard_count: 16,
             relay_sidecars: false,
             relay_platform: false,
+            body_timeout_s: 10,
         }
     }
 }
@@ -446,6 +449,8 @@
             .key("availability_zone", ZONES[number % ZONES.len()])
             .key("http_listen", address)
             .key("peer_listen", peer_address)
+            .section("clients")
+            .key("body_timeout_s", self.config.body_timeout_s)
             .section("platform")
             .key("address", platform)
             .section("timing")
@@ -515,6 +520,8 @@
             .key("metrics_listen", pages_address)
             .key("kind", role.word())
             .key("endpoint_url", format!("http://{stand_in_address}"))
+            .section("clients")
+            .key("body_timeout_s", self.config.body_timeout_s)
             .section("platform")
             .key("address", self.platform_address);
         let sidecar = self.start_configured(&name, Program::Sidecar, &settings)?;
--- a/system-tests/src/crowd.rs
+++ b/system-tests/src/crowd.rs
@@ -4,7 +4,7 @@
 use std::{
     collections::HashSet,
     fs, io,
-    io::Write as _,
+    io::{Read as _, Write as _},
     net::{SocketAddr, TcpStream},
     sync::{
         Arc,
@@ -40,6 +40,12 @@
 const OVERSIZED_HEAD_BYTES: usize = 120_000;
 /// Size of a header of such a head. Servers limit the number of headers.
 const HEADER_BYTES: usize = 2_000;
+/// Number of requests on a connection of HTTP/2, number of frames of each, and their size.
+const HTTP2_STREAMS: u32 = 100;
+const HTTP2_FRAMES: usize = 4;
+const HTTP2_FRAME_BYTES: usize = 16_000;
+/// Size of a header in a head of HTTP/2 that has no end.
+const HTTP2_HEADER_BYTES: usize = 240;
 /// Longest time in which nothing of a request is accepted before its client stops.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time between two samples of a process.
@@ -64,6 +70,10 @@
     Head,
     /// A head beyond the limit that stops short of its end.
     OversizedHead,
+    /// Requests of HTTP/2 without a token, whose bodies stop short of their end.
+    Http2Bodies,
+    /// A head of HTTP/2 that has no end.
+    Http2Head,
     /// Nothing.
     Idle,
 }
@@ -82,7 +92,7 @@
     /// Number of clients that send one after the other. Bodies are sent at the same time.
     fn clients_per_thread(self) -> usize {
         match self {
-            Self::Head | Self::OversizedHead | Self::Idle => 100,
+            Self::Head | Self::OversizedHead | Self::Http2Head | Self::Idle => 100,
             _ => 1,
         }
     }
@@ -102,6 +112,8 @@
 #[derive(Debug)]
 pub struct Crowd {
     clients: Vec<JoinHandle<Vec<TcpStream>>>,
+    /// Connections of clients that have sent.
+    open: Vec<TcpStream>,
 }
 
 impl Crowd {
@@ -127,13 +139,46 @@
                 }));
             }
         }
-        Self { clients }
+        Self {
+            clients,
+            open: Vec::new(),
+        }
     }
 
     /// Returns whether all clients have sent what they send, or were cut off.
     pub fn has_sent(&self) -> bool {
         self.clients.iter().all(JoinHandle::is_finished)
     }
+
+    /// Returns whether the server has closed all connections. The clients must have sent what
+    /// they send.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a client did.
+    pub fn is_disconnected(&mut self) -> bool {
+        for client in self.clients.drain(..) {
+            self.open
+                .extend(client.join().expect("a client does not panic"));
+        }
+        self.open.retain_mut(|stream| !is_closed(stream));
+        self.open.is_empty()
+    }
+}
+
+/// Reads what has arrived, and returns whether the connection has ended.
+fn is_closed(stream: &mut TcpStream) -> bool {
+    let mut part = [0; 4 << 10];
+    loop {
+        let read = stream
+            .set_nonblocking(true)
+            .and_then(|()| stream.read(&mut part));
+        match read {
+            Ok(0) => return true,
+            Ok(_) => {}
+            Err(error) => return error.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
 }
 
 /// Allows the test process as many descriptors as the largest crowd needs.
@@ -198,6 +243,8 @@
         }
         Form::Head => write_head(&mut stream, head, HEAD_BYTES)?,
         Form::OversizedHead => write_head(&mut stream, head, OVERSIZED_HEAD_BYTES)?,
+        Form::Http2Bodies => write_http2_bodies(&mut stream, head)?,
+        Form::Http2Head => write_http2_head(&mut stream, head)?,
         Form::Idle => {}
     }
     Ok(stream)
@@ -237,6 +284,82 @@
     write!(stream, "{head}{lines}")
 }
 
+/// Types and flags of frames of HTTP/2.
+const DATA: u8 = 0;
+const HEADERS: u8 = 1;
+const SETTINGS: u8 = 4;
+const CONTINUATION: u8 = 9;
+const END_HEADERS: u8 = 4;
+
+fn write_frame(
+    stream: &mut TcpStream,
+    kind: u8,
+    flags: u8,
+    id: u32,
+    payload: &[u8],
+) -> io::Result<()> {
+    let length = u32::try_from(payload.len()).expect("a frame is small");
+    let mut frame = length.to_be_bytes()[1..].to_vec();
+    frame.extend([kind, flags]);
+    frame.extend(id.to_be_bytes());
+    frame.extend(payload);
+    stream.write_all(&frame)
+}
+
+/// Appends a header without compression.
+fn push_header(block: &mut Vec<u8>, name: &str, value: &str) {
+    block.push(0);
+    for text in [name, value] {
+        block.push(u8::try_from(text.len()).expect("a header is short"));
+        block.extend(text.as_bytes());
+    }
+}
+
+fn start_http2(stream: &mut TcpStream, head: &str) -> io::Result<Vec<u8>> {
+    stream.write_all(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n")?;
+    write_frame(stream, SETTINGS, 0, 0, &[])?;
+    let path = head.split(' ').nth(1).unwrap_or("/");
+    let mut block = Vec::new();
+    push_header(&mut block, ":method", "POST");
+    push_header(&mut block, ":scheme", "http");
+    push_header(&mut block, ":path", path);
+    push_header(&mut block, ":authority", "caribmar.example");
+    push_header(&mut block, "content-type", "application/grpc");
+    push_header(&mut block, "te", "trailers");
+    Ok(block)
+}
+
+/// Starts many requests on a connection, as far as the server's windows allow.
+fn write_http2_bodies(stream: &mut TcpStream, head: &str) -> io::Result<()> {
+    let block = start_http2(stream, head)?;
+    // The server's settings raise its windows.
+    thread::sleep(PIECE_PAUSE);
+    let mut body = vec![b'x'; HTTP2_FRAME_BYTES];
+    // The prefix of a message of the largest size.
+    body[..5].copy_from_slice(&[0, 0, 0x3f, 0xff, 0xff]);
+    for number in 0..HTTP2_STREAMS {
+        let id = 2 * number + 1;
+        write_frame(stream, HEADERS, END_HEADERS, id, &block)?;
+        for _ in 0..HTTP2_FRAMES {
+            write_frame(stream, DATA, 0, id, &body)?;
+        }
+    }
+    Ok(())
+}
+
+fn write_http2_head(stream: &mut TcpStream, head: &str) -> io::Result<()> {
+    let block = start_http2(stream, head)?;
+    write_frame(stream, HEADERS, 0, 1, &block)?;
+    let mut block = Vec::new();
+    while block.len() + HTTP2_HEADER_BYTES < HTTP2_FRAME_BYTES {
+        push_header(&mut block, "x-more", &"x".repeat(HTTP2_HEADER_BYTES / 2));
+    }
+    for _ in 0..HTTP2_FRAMES {
+        write_frame(stream, CONTINUATION, 0, 1, &block)?;
+    }
+    Ok(())
+}
+
 /// The most that a process has held at a time.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct PeakUsage {
--- a/system-tests/tests/crowds.rs
+++ b/system-tests/tests/crowds.rs
@@ -2,6 +2,7 @@
 //! of entries and sidecars: every process stays within the memory and the descriptors of the
 //! smallest host, and ordinary calls are answered beside them and afterwards.
 
+use std::future::ready;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -45,6 +46,14 @@
 }
 
 impl Listener {
+    fn path(self) -> &'static str {
+        match self {
+            Self::EntryCallers | Self::SidecarPages => "/v1/chat/completions",
+            Self::EntryPeers => "/rosebend.peer.v1.Entry/Forward",
+            Self::SidecarOwners => "/rosebend.peer.v1.Sidecar/Dispatch",
+        }
+    }
+
     fn process_and_address(self, cluster: &Cluster) -> (u32, SocketAddr) {
         let (entry, sidecar) = (&cluster.entries[0], &cluster.endpoints[0]);
         match self {
@@ -56,9 +65,9 @@
     }
 }
 
-fn crowd_request() -> CrowdRequest {
+fn crowd_request(path: &str) -> CrowdRequest {
     let head = format!(
-        "POST /v1/chat/completions HTTP/1.1\r\nhost: caribmar.example\r\n\
+        "POST {path} HTTP/1.1\r\nhost: caribmar.example\r\n\
          authorization: Bearer {}\r\nrosebend-session: crowd\r\n\
          content-type: application/json\r\n",
         token::CARIBMAR
@@ -87,7 +96,7 @@
     check_ordinary(&cluster, &caller, 1).await;
     let (process, address) = listener.process_and_address(&cluster);
     let monitor = UsageMonitor::start(process, &[address]);
-    let crowd = Crowd::start(address, &crowd_request(), forms);
+    let crowd = Crowd::start(address, &crowd_request(listener.path()), forms);
     check_ordinary(&cluster, &caller, 2).await;
     let has_sent = || async { crowd.has_sent().then_some(()) };
     wait_until("the crowd has sent", has_sent).await.unwrap();
@@ -150,6 +159,29 @@
     }
 }
 
+/// Guards against connections of HTTP/2 that have no timeout before their first request.
+#[actix_rt::test]
+async fn connections_of_http2_without_a_request_are_closed() {
+    let _alone = ALONE.lock().await;
+    let config = ClusterConfig {
+        body_timeout_s: 1,
+        ..ClusterConfig::default()
+    };
+    let cluster = Cluster::start(config).await.unwrap();
+    for listener in [Listener::EntryPeers, Listener::SidecarOwners] {
+        let (_, address) = listener.process_and_address(&cluster);
+        let forms = [Form::Idle, Form::Http2Head, Form::Http2Bodies].map(|form| (form, 1));
+        let mut crowd = Crowd::start(address, &crowd_request(listener.path()), &forms);
+        let has_sent = || async { crowd.has_sent().then_some(()) };
+        wait_until("the clients have sent", has_sent).await.unwrap();
+        wait_until("the connections are closed", || {
+            ready(crowd.is_disconnected().then_some(()))
+        })
+        .await
+        .unwrap();
+    }
+}
+
 fn mixed() -> Vec<(Form, usize)> {
     Form::BODIES.map(|form| (form, MIXED_CLIENTS)).to_vec()
 }
@@ -213,6 +245,26 @@
     check_crowd(&mixed(), Listener::EntryPeers).await;
 }
 
+#[actix_rt::test]
+async fn peer_listener_of_an_entry_survives_bodies_of_http2() {
+    check_crowd(&[(Form::Http2Bodies, 4 * CLIENTS)], Listener::EntryPeers).await;
+}
+
+#[actix_rt::test]
+async fn peer_listener_of_an_entry_survives_heads_of_http2() {
+    check_crowd(&[(Form::Http2Head, HEAD_CLIENTS)], Listener::EntryPeers).await;
+}
+
+#[actix_rt::test]
+async fn sidecar_survives_bodies_of_http2() {
+    check_crowd(&[(Form::Http2Bodies, 4 * CLIENTS)], Listener::SidecarOwners).await;
+}
+
+#[actix_rt::test]
+async fn sidecar_survives_heads_of_http2() {
+    check_crowd(&[(Form::Http2Head, HEAD_CLIENTS)], Listener::SidecarOwners).await;
+}
+
 #[actix_rt::test]
 async fn sidecar_survives_idle_connections() {
     check_crowd(&[(Form::Idle, IDLE_CLIENTS)], Listener::SidecarOwners).await;
--- a/transport/src/clients.rs
+++ b/transport/src/clients.rs
@@ -26,12 +26,13 @@
 use rosebend_state::settings::ClientSettings;
 use tokio::net::TcpListener;
 use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::Server;
 
 pub use self::answer::serve_request;
 pub use self::body::{BodyError, BodyLimits, read_body};
 pub use self::connection::{ClientConnection, Protocol};
 pub use self::metrics::{ClientMetrics, ClosedFor};
-pub use self::stream::{ClientStream, listen};
+pub use self::stream::{ClientStream, listen, listen_to_hosts};
 
 use self::connection::Control;
 use crate::clock::Clock;
@@ -40,6 +41,9 @@
 /// Shortest time between two log lines about connections that are closed or refused.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Largest head of a request of HTTP/2, as its library counts it.
+const MAX_HTTP2_HEAD_BYTES: u32 = 8 << 10;
+
 /// The clients of a process. Clones share them.
 #[derive(Clone, Debug)]
 pub struct Clients(Arc<Shared>);
@@ -56,6 +60,7 @@
     memory: ClientMemory,
     connections: HashMap<ClientId, Registered>,
     answer_timeout: Duration,
+    silence_timeout: Duration,
     /// Connections that were closed or refused since the last log line.
     unlogged: u64,
     logged_at: Option<Duration>,
@@ -81,6 +86,7 @@
             answer_timeout: settings.answer_timeout,
             unlogged: 0,
             logged_at: None,
+            silence_timeout: settings.body_timeout,
         };
         Self(Arc::new(Shared {
             clock,
@@ -96,6 +102,7 @@
         registry.answer_timeout = settings.answer_timeout;
     }
 
+        registry.silence_timeout = settings.body_timeout;
     /// Returns the number of connections that are open at most.
     pub fn max_connections(&self) -> usize {
         self.registry().memory.limits().max_connections
@@ -180,7 +187,8 @@
     }
 
     /// Returns the connections of a listener that is served with HTTP/2, without those that are
-    /// refused.
+    /// refused. A connection on which nothing arrives for the timeout of bodies fails; clients
+    /// that live send pings.
     pub fn incoming(
         &self,
         listener: TcpListener,
@@ -386,6 +394,11 @@
 impl Drop for HeldBody {
     fn drop(&mut self) {
         let mut registry = self.clients.registry();
+/// Creates a server of HTTP/2 for [`Clients::incoming`], with short heads.
+pub fn http2_server() -> Server {
+    Server::builder().http2_max_header_list_size(MAX_HTTP2_HEAD_BYTES)
+}
+
         registry.memory.release_body(self.bytes.capacity());
         self.clients.show(&registry);
     }
--- a/transport/src/clients/connection.rs
+++ b/transport/src/clients/connection.rs
@@ -267,6 +267,12 @@
     }
 
     /// Records that the buffer of the connection is empty.
+    /// Counts that the connection is closed because the client sends nothing.
+    pub(super) fn record_silence(&self) {
+        let clients = &self.clients;
+        clients.count_closed(&mut clients.registry(), ClosedFor::Silence);
+    }
+
     pub(super) fn record_flush(&self) {
         let mut state = self.control.state();
         match state.phase {
--- a/transport/src/clients/metrics.rs
+++ b/transport/src/clients/metrics.rs
@@ -17,6 +17,8 @@
     Memory,
     /// The client did not accept its answer in time.
     AnswerTimeout,
+    /// Nothing arrived on a connection of HTTP/2 for the timeout.
+    Silence,
 }
 
 impl ClosedFor {
@@ -27,6 +29,7 @@
             Self::Connections => "connections",
             Self::Memory => "memory",
             Self::AnswerTimeout => "answer-timeout",
+            Self::Silence => "silence",
         }
     }
 }
--- a/transport/src/clients/stream.rs
+++ b/transport/src/clients/stream.rs
@@ -25,20 +25,36 @@
 /// Maximum number of connections that wait to be accepted. When the queue is full,
 /// the kernel drops a client's SYN packet, which is retransmitted only after a second.
 const BACKLOG: i32 = 1_024;
+/// The same for a listener of hosts, whose connections are few and kept.
+const HOST_BACKLOG: i32 = 128;
 
-/// Opens a TCP listener whose connections have receive buffers of a bounded size.
+/// Opens a TCP listener for callers. Its connections have receive buffers of a bounded size,
+/// which also hold what arrives before they are accepted.
 ///
 /// # Errors
 ///
 /// Returns an error if the address is in use or does not belong to this host.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    listen_with_backlog(address, BACKLOG)
+}
+
+/// Opens a TCP listener for other hosts of the deployment, as [`listen`] does for callers.
+///
+/// # Errors
+///
+/// Returns an error if the address is in use or does not belong to this host.
+pub fn listen_to_hosts(address: SocketAddr) -> io::Result<TcpListener> {
+    listen_with_backlog(address, HOST_BACKLOG)
+}
+
+fn listen_with_backlog(address: SocketAddr, backlog: i32) -> io::Result<TcpListener> {
     let domain = Domain::for_address(address);
     let socket = Socket::new(domain, Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
     socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
     socket.set_nonblocking(true)?;
     socket.bind(&address.into())?;
-    socket.listen(BACKLOG)?;
+    socket.listen(backlog)?;
     Ok(socket.into())
 }
 
@@ -49,6 +65,8 @@
     stream: PacedStream<TcpStream>,
     connection: ClientConnection,
     stall: Option<Stall>,
+    /// Timer of a connection of HTTP/2 that nothing arrives on.
+    silence: Option<Pin<Box<Sleep>>>,
 }
 
 /// A client that does not accept what is written.
@@ -70,6 +88,7 @@
             stream,
             connection,
             stall: None,
+            silence: None,
         }
     }
 
@@ -90,6 +109,22 @@
         }
     }
 
+    /// Waits for the client to send something, for the timeout at most. Connections of HTTP/1.1
+    /// have timeouts for each part of a request.
+    fn poll_silence(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.connection.protocol() == ClientProtocol::Http1 {
+            return Poll::Pending;
+        }
+        let connection = &self.connection;
+        let timer = self.silence.get_or_insert_with(|| {
+            let timeout = connection.clients().silence_timeout();
+            Box::pin(sleep_until(Instant::now() + timeout))
+        });
+        ready!(timer.as_mut().poll(context));
+        connection.record_silence();
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
+
     /// Waits for the client to accept more, for the timeout at most.
     fn poll_stall(&mut self, context: &mut Context<'_>) -> Poll<io::Result<usize>> {
         self.connection.set_writer(context.waker());
@@ -137,7 +172,11 @@
             return Poll::Pending;
         }
         let read_bytes = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        match Pin::new(&mut self.stream).poll_read(context, buffer) {
+            Poll::Pending => return self.poll_silence(context),
+            Poll::Ready(read) => read?,
+        }
+        self.silence = None;
         let bytes = buffer.filled().len() - read_bytes;
         if bytes > 0 && self.connection.record_read(bytes).is_err() {
             return Poll::Ready(Err(io::ErrorKind::OutOfMemory.into()));
