Count the copies that an entry makes of a body, until its answer is sent

The owner's state and the message share the body's memory. A body is counted twice, for itself and its message, and until the answer is sent. Requests have 20 % of the memory instead of 18, so that the largest body that entries accept is still served in calm.

--- a/coordination/examples/owner_memory.rs
+++ b/coordination/examples/owner_memory.rs
@@ -7,7 +7,6 @@
 //! Resident memory comes from `/proc/self/status`, so the example runs on
 //! Linux only. The owner is the only thing that grows between two readings.
 
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use rosebend_coordination::owner::{Action, CallRequest, Event, Owner, OwnerConfig, Placement};
@@ -164,7 +163,7 @@
         kind: CallKind::Model,
         target: "agent-llm".to_owned(),
         repeatable: true,
-        body: Arc::from("x".repeat(ANSWER_BYTES).as_bytes()),
+        body: "x".repeat(ANSWER_BYTES).into(),
         body_digest: digest(number),
         fingerprint: digest(program_number * 1000 + number),
         prompt_tokens: 100,
--- a/coordination/src/owner/event.rs
+++ b/coordination/src/owner/event.rs
@@ -1,9 +1,9 @@
 //! The events that the owner processes, and the requests, placements and
 //! outcomes that they carry.
 
-use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use rosebend_state::id::{CallId, EndpointId, Epoch, Incarnation, ProgramId, Sequence, Shard};
 use rosebend_state::record::{AnswerRecord, CallKind, EndReason, ProgramRecord, TurnRecord};
 
@@ -31,8 +31,8 @@
     pub target: String,
     /// Whether the call may run more than once.
     pub repeatable: bool,
-    /// The JSON body that the endpoint receives.
-    pub body: Arc<[u8]>,
+    /// The JSON body that the endpoint receives. It shares the memory of the request.
+    pub body: Bytes,
     /// Digest of target and body. Two requests with equal digests are the same
     /// request.
     pub body_digest: String,
--- a/coordination/tests/owner_harness/mod.rs
+++ b/coordination/tests/owner_harness/mod.rs
@@ -3,9 +3,9 @@
 //! test supplies the endpoints' answers. Each action of the owner is logged as a
 //! short line, so that tests can compare the log with a snapshot.
 
-use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use rosebend_coordination::owner::{
     Action, Attempt, CallOutcome, CallRequest, DispatchFailure, Event, Owner, OwnerConfig,
     Placement, Reply,
@@ -245,7 +245,7 @@
         kind: CallKind::Model,
         target: "agent-llm".to_owned(),
         repeatable: true,
-        body: Arc::from(key.as_bytes()),
+        body: Bytes::copy_from_slice(key.as_bytes()),
         body_digest: key.to_owned(),
         fingerprint: key.to_owned(),
         prompt_tokens: 0,
--- a/coordination/tests/sim/client.rs
+++ b/coordination/tests/sim/client.rs
@@ -1,8 +1,7 @@
 //! Callers. Each one sends the calls of its program, repeats those whose outcome
 //! is uncertain, and stores the outcomes that were reported to it.
 
-use std::sync::Arc;
-
+use bytes::Bytes;
 use rosebend_coordination::owner::CallRequest;
 use rosebend_state::id::ProgramId;
 use rosebend_state::record::CallKind;
@@ -93,7 +92,7 @@
             kind: call.kind,
             target: "target".to_owned(),
             repeatable: call.repeatable,
-            body: Arc::from(call.key.as_bytes()),
+            body: Bytes::copy_from_slice(call.key.as_bytes()),
             body_digest: call.key.clone(),
             fingerprint: call.key.clone(),
             prompt_tokens: call.prompt_tokens,
--- a/entry/src/control/attempts.rs
+++ b/entry/src/control/attempts.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use rosebend_coordination::owner::{
     Action, ClaimOutcome, DispatchFailure, DispatchRefusal, Event, NoPlacement, NoPlacementReason,
     Placement,
@@ -97,7 +96,7 @@
             },
             target: request.target.clone(),
             repeatable: request.repeatable,
-            body: Bytes::copy_from_slice(&request.body),
+            body: request.body.clone(),
             incarnation: placement.incarnation.clone(),
             prompt_tokens: request.prompt_tokens,
             max_answer_tokens: request.max_answer_tokens,
--- a/entry/src/control/callers.rs
+++ b/entry/src/control/callers.rs
@@ -1,6 +1,5 @@
 //! Requests of callers: found out whose they are, given to the owner, answered.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use rosebend_coordination::owner::{CallOutcome, CallRequest, CallStage, Event, Reply};
@@ -137,7 +136,7 @@
             kind,
             target,
             repeatable,
-            body: Arc::from(request.body.as_ref()),
+            body: request.body,
             prompt_tokens,
             max_answer_tokens,
             shared_prefixes,
--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -47,6 +47,7 @@
             // The connection remains usable if the whole body has arrived.
             let limits = BodyLimits {
                 max_bytes: MAX_DISCARDED_BYTES,
+                copies: 1,
                 max_discarded_bytes: 0,
                 timeout: DISCARD_TIMEOUT,
             };
@@ -56,6 +57,7 @@
     };
     let limits = BodyLimits {
         max_bytes: max_body_bytes,
+        copies: 1,
         max_discarded_bytes: max_body_bytes.max(MAX_DISCARDED_BYTES),
         timeout: gateway.settings().clients.body_timeout,
     };
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -250,6 +250,7 @@
 async fn read_call(mut request: Request) -> Result<Outgoing, StatusCode> {
     let limits = BodyLimits {
         max_bytes: MAX_CALL_BYTES,
+        copies: 1,
         max_discarded_bytes: 0,
         timeout: CALL_TIMEOUT,
     };
--- a/state/src/settings/clients.rs
+++ b/state/src/settings/clients.rs
@@ -17,7 +17,7 @@
 /// Shares of the host's memory, in percent. The rest is for the process itself and for
 /// answers of the store and of other hosts.
 const CONNECTIONS_PERCENT: usize = 25;
-const REQUESTS_PERCENT: usize = 18;
+const REQUESTS_PERCENT: usize = 20;
 const ANSWERS_PERCENT: usize = 20;
 
 /// Limits of the clients that connect to a process.
@@ -34,6 +34,10 @@
 }
 
 impl ClientSettings {
+    /// Number of times that an entry holds a body: as it was received, and as the message to the
+    /// host that runs it.
+    pub const MESSAGE_COPIES: usize = 2;
+
     /// Returns the number of connections that clients may have at a time.
     pub fn max_connections(&self) -> usize {
         let descriptors = self.max_descriptors.saturating_sub(FILE_DESCRIPTORS);
@@ -65,7 +69,7 @@
             name: "memory_mb",
             kind: KeyKind::Decimal(Unit::Count, 16..=1_048_576),
             presence: Presence::Default("88"),
-            meaning: "Memory of the host that the process may use, in megabytes. Of it, 18 % are for requests, one of which may take half: a larger body is refused with 503; 25 % are for clients' connections, at 40 KiB each, and 20 % for answers of endpoints, one of which may take half.",
+            meaning: "Memory of the host that the process may use, in megabytes. Of it, 20 % are for requests, one of which may take half, in which an entry also has its message to another host: a larger body is refused with 503; 25 % are for clients' connections, at 40 KiB each, and 20 % for answers of endpoints, one of which may take half.",
         },
         Key {
             name: "max_descriptors",
--- a/state/src/settings/entry.rs
+++ b/state/src/settings/entry.rs
@@ -204,10 +204,10 @@
     let clients = ClientSettings::from(values);
     let max_body_bytes = values.size("entry", "max_body_bytes");
     let mut defects = Vec::new();
-    if max_body_bytes > clients.max_body_bytes() {
+    let max_held_bytes = clients.max_body_bytes() / ClientSettings::MESSAGE_COPIES;
+    if max_body_bytes > max_held_bytes {
         let message = format!(
-            "max_body_bytes of [entry] is {max_body_bytes}; allowed: at most {} with memory_mb of [clients]",
-            clients.max_body_bytes()
+            "max_body_bytes of [entry] is {max_body_bytes}; allowed: at most {max_held_bytes} with memory_mb of [clients]"
         );
         defects.push(Defect::new(values.line("entry", "max_body_bytes"), message));
     }
--- a/transport/src/clients.rs
+++ b/transport/src/clients.rs
@@ -71,6 +71,8 @@
 struct Registered {
     control: Arc<Control>,
     body: Vec<u8>,
+    /// Number of times that the memory of the body is reserved.
+    body_copies: usize,
     /// Bytes that are reserved for the parser's buffers while a body is received.
     buffer_bytes: usize,
     /// Whether the client lost the request that it was sending. The rest of it is not read.
@@ -84,9 +86,9 @@
             memory: ClientMemory::new(limits(settings)),
             connections: HashMap::new(),
             answer_timeout: settings.answer_timeout,
+            silence_timeout: settings.body_timeout,
             unlogged: 0,
             logged_at: None,
-            silence_timeout: settings.body_timeout,
         };
         Self(Arc::new(Shared {
             clock,
@@ -100,9 +102,9 @@
         let mut registry = self.registry();
         registry.memory.set_limits(limits(settings));
         registry.answer_timeout = settings.answer_timeout;
+        registry.silence_timeout = settings.body_timeout;
     }
 
-        registry.silence_timeout = settings.body_timeout;
     /// Returns the number of connections that are open at most.
     pub fn max_connections(&self) -> usize {
         self.registry().memory.limits().max_connections
@@ -127,6 +129,7 @@
         let registered = Registered {
             control: Arc::clone(&control),
             body: Vec::new(),
+            body_copies: 1,
             buffer_bytes: 0,
             has_lost_request: false,
         };
@@ -166,7 +169,11 @@
             control.lose_request();
         }
         let clients = self.clone();
-        Ok(Bytes::from_owner(HeldBody { bytes, clients }))
+        Ok(Bytes::from_owner(HeldBody {
+            bytes,
+            copies: 1,
+            clients,
+        }))
     }
 
     /// Closes the connection whose client has accepted nothing of its answer for the longest
@@ -288,8 +295,18 @@
         self.registry().answer_timeout
     }
 
-    /// Begins to receive the body of a request. The bytes are for the buffers of the parser.
-    fn start_body(&self, client: ClientId, buffer_bytes: usize) -> Result<(), OutOfMemory> {
+    fn silence_timeout(&self) -> Duration {
+        self.registry().silence_timeout
+    }
+
+    /// Begins to receive the body of a request, whose memory is reserved `copies` times. The
+    /// bytes are for the buffers of the parser.
+    fn start_body(
+        &self,
+        client: ClientId,
+        copies: usize,
+        buffer_bytes: usize,
+    ) -> Result<(), OutOfMemory> {
         self.drop_body(client);
         self.reserve(client, buffer_bytes)?;
         let mut registry = self.registry();
@@ -298,6 +315,7 @@
             .memory
             .start_waiting(client, WaitsFor::Request, now);
         let registered = registry.connections.get_mut(&client).ok_or(OutOfMemory)?;
+        registered.body_copies = copies;
         registered.buffer_bytes = buffer_bytes;
         registered.has_lost_request = false;
         Ok(())
@@ -321,7 +339,8 @@
         let mut evicted = Vec::new();
         if needed > capacity {
             let next = needed.max((capacity * 2).min(max_bytes));
-            evicted = registry.memory.reserve(client, next - capacity, now)?;
+            let bytes = (next - capacity) * registered.body_copies;
+            evicted = registry.memory.reserve(client, bytes, now)?;
             let registered = registry.connections.get_mut(&client).ok_or(OutOfMemory)?;
             registered.body.reserve_exact(next - length);
         }
@@ -345,7 +364,7 @@
             let body = std::mem::take(&mut registered.body);
             let buffer_bytes = std::mem::take(&mut registered.buffer_bytes);
             registered.has_lost_request = true;
-            let held_bytes = body.capacity() + buffer_bytes;
+            let held_bytes = body.capacity() * registered.body_copies + buffer_bytes;
             registry.memory.release(client, held_bytes);
         }
         self.show(&registry);
@@ -360,17 +379,26 @@
         }
         let bytes = std::mem::take(&mut registered.body);
         let buffer_bytes = std::mem::take(&mut registered.buffer_bytes);
-        registry.memory.take_body(client, bytes.capacity())?;
+        let copies = registered.body_copies;
+        registry
+            .memory
+            .take_body(client, bytes.capacity() * copies)?;
         registry.memory.release(client, buffer_bytes);
         registry.memory.stop_waiting(client);
         self.show(&registry);
         Ok(HeldBody {
             bytes,
+            copies,
             clients: self.clone(),
         })
     }
 }
 
+/// Creates a server of HTTP/2 for [`Clients::incoming`], with short heads.
+pub fn http2_server() -> Server {
+    Server::builder().http2_max_header_list_size(MAX_HTTP2_HEAD_BYTES)
+}
+
 fn limits(settings: &ClientSettings) -> ClientLimits {
     ClientLimits {
         max_connections: settings.max_connections(),
@@ -382,6 +410,8 @@
 #[derive(Debug)]
 struct HeldBody {
     bytes: Vec<u8>,
+    /// Number of times that its memory is reserved.
+    copies: usize,
     clients: Clients,
 }
 
@@ -394,12 +424,9 @@
 impl Drop for HeldBody {
     fn drop(&mut self) {
         let mut registry = self.clients.registry();
-/// Creates a server of HTTP/2 for [`Clients::incoming`], with short heads.
-pub fn http2_server() -> Server {
-    Server::builder().http2_max_header_list_size(MAX_HTTP2_HEAD_BYTES)
-}
-
-        registry.memory.release_body(self.bytes.capacity());
+        registry
+            .memory
+            .release_body(self.bytes.capacity() * self.copies);
         self.clients.show(&registry);
     }
 }
--- a/transport/src/clients/body.rs
+++ b/transport/src/clients/body.rs
@@ -41,6 +41,9 @@
 pub struct BodyLimits {
     /// Length of the longest one.
     pub max_bytes: usize,
+    /// Number of times that its memory is reserved: once, and for each copy that the process
+    /// makes of it or of an answer of its size.
+    pub copies: usize,
     /// Most bytes of a refused body that are read and discarded before the answer. A client that
     /// is still sending when the connection closes does not get to see it.
     pub max_discarded_bytes: usize,
@@ -115,7 +118,7 @@
     if max_bytes > limits.max_bytes {
         return Err(BodyError::TooLarge);
     }
-    connection.start_body()?;
+    connection.start_body(limits.copies)?;
     let turns = request
         .conn_data::<ReadLimit>()
         .filter(|_| is_chunked(request));
--- a/transport/src/clients/connection.rs
+++ b/transport/src/clients/connection.rs
@@ -202,11 +202,12 @@
         }
     }
 
-    /// Begins to receive a body.
-    pub(super) fn start_body(&self) -> Result<(), OutOfMemory> {
+    /// Begins to receive a body, whose memory is reserved `copies` times.
+    pub(super) fn start_body(&self, copies: usize) -> Result<(), OutOfMemory> {
         // The one before may have been lost when it was complete already.
         let _ = self.control.lost_body.notified().now_or_never();
-        self.clients.start_body(self.client, BODY_BUFFER_BYTES)
+        self.clients
+            .start_body(self.client, copies, BODY_BUFFER_BYTES)
     }
 
     /// Appends chunks to the unfinished body, which grows to at most `max_bytes`.
@@ -266,13 +267,13 @@
         clients.count_closed(&mut clients.registry(), ClosedFor::AnswerTimeout);
     }
 
-    /// Records that the buffer of the connection is empty.
     /// Counts that the connection is closed because the client sends nothing.
     pub(super) fn record_silence(&self) {
         let clients = &self.clients;
         clients.count_closed(&mut clients.registry(), ClosedFor::Silence);
     }
 
+    /// Records that the buffer of the connection is empty.
     pub(super) fn record_flush(&self) {
         let mut state = self.control.state();
         match state.phase {
--- a/transport/src/http_server.rs
+++ b/transport/src/http_server.rs
@@ -7,15 +7,18 @@
 
 use std::{
     convert::Infallible,
+    error::Error,
     future::{Future, ready},
     io,
     net::{SocketAddr, TcpListener},
+    pin::Pin,
+    task::{Context, Poll},
     time::Duration,
 };
 
 use actix_http::{
     ConnectionType, Extensions, HttpMessage, HttpService, Request, Response, StatusCode,
-    body::{BodyStream, BoxBody, MessageBody},
+    body::{BodySize, BodyStream, BoxBody, MessageBody},
     error::DispatchError,
     header::{self, HeaderMap, HeaderName, HeaderValue},
 };
@@ -39,6 +42,9 @@
 /// Most bytes of an unread body that are discarded after the answer. A client that is
 /// still sending when the connection closes does not get to see it.
 const MAX_DISCARDED_BYTES: usize = 16 << 20;
+/// Number of times that the memory of a body is reserved, for it and for its message to the host
+/// that runs it.
+const BODY_COPIES: usize = ClientSettings::MESSAGE_COPIES;
 /// When a client that found no memory for its request may retry.
 const MEMORY_RETRY: Duration = Duration::from_secs(1);
 /// Content type of JSON.
@@ -350,11 +356,42 @@
     H: Fn(HttpRequest) -> F,
     F: Future<Output = HttpReply>,
 {
-    let reply = match read_request(config, request).await {
-        Ok(request) => handler(request).await,
-        Err(problem) => HttpReply::problem(&problem),
+    let request = match read_request(config, request).await {
+        Ok(request) => request,
+        Err(problem) => return HttpReply::problem(&problem).into_response(),
     };
-    reply.into_response()
+    // An answer takes memory until it is sent, so no other request is admitted in place of this
+    // one before.
+    let request_body = request.body.clone();
+    let response = handler(request).await.into_response();
+    response.map_body(|_, body| {
+        ReplyWithRequest {
+            body,
+            _request_body: request_body,
+        }
+        .boxed()
+    })
+}
+
+/// The body of a reply, until whose end the body of its request is held.
+struct ReplyWithRequest {
+    body: BoxBody,
+    _request_body: Bytes,
+}
+
+impl MessageBody for ReplyWithRequest {
+    type Error = Box<dyn Error>;
+
+    fn size(&self) -> BodySize {
+        self.body.size()
+    }
+
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
+        Pin::new(&mut self.body).poll_next(context)
+    }
 }
 
 async fn read_request(
@@ -363,6 +400,7 @@
 ) -> Result<HttpRequest, Problem> {
     let limits = BodyLimits {
         max_bytes: config.max_body_bytes,
+        copies: BODY_COPIES,
         max_discarded_bytes: MAX_DISCARDED_BYTES,
         timeout: config.body_timeout,
     };
--- a/transport/tests/clients.rs
+++ b/transport/tests/clients.rs
@@ -28,6 +28,7 @@
 };
 const LIMITS: BodyLimits = BodyLimits {
     max_bytes: 4 << 20,
+    copies: 1,
     max_discarded_bytes: 4 << 20,
     timeout: Duration::from_secs(60),
 };
