Serialize the bodies of complete calls before their connections are opened

entry_and_sidecar_survive_a_crowd_of_complete_calls failed once with a status other than 200 and 503. Another run, on a copy with smaller receive buffers, showed the answer: 408 without a body, which the HTTP library sends if the head of a request has not arrived after 5 s. The test serialized each body when its call began. The first poll of all calls took 6.9 s beside other load (measured on the copy), in which the connections of the first ones were open and had sent nothing: the refusal was right.

The body is serialized once, before. The check of the statuses is the same, and its message names the status.

--- a/system-tests/src/caller.rs
+++ b/system-tests/src/caller.rs
@@ -207,7 +207,21 @@
     ///
     /// Fails without a whole answer.
     pub async fn call(&self, entry: SocketAddr, call: &Call) -> Result<Reply, HarnessError> {
-        let body = Bytes::from(call.body.to_string());
+        self.call_with_body(entry, call, call.body.to_string().into())
+            .await
+    }
+
+    /// Does the same as [`Self::call`] with a body in place of the call's.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no whole answer comes.
+    pub async fn call_with_body(
+        &self,
+        entry: SocketAddr,
+        call: &Call,
+        body: Bytes,
+    ) -> Result<Reply, HarnessError> {
         self.send(entry, Method::POST, &call.path, &call.headers, body)
             .await
     }
--- a/system-tests/tests/crowds.rs
+++ b/system-tests/tests/crowds.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use actix_rt::time::sleep;
+use bytes::Bytes;
 use rosebend_system_tests::crowd::{
     Crowd, CrowdRequest, Form, MAX_DESCRIPTORS, MAX_MEMORY_BYTES, UsageMonitor,
 };
@@ -133,20 +134,27 @@
     let monitors = processes.map(|(id, address)| UsageMonitor::start(id, &[address]));
     let padding = "x".repeat(CALL_BYTES);
     let body = json!({ "effect_key": "crowd", "padding": padding });
+    // Connections that are open would wait for their heads while others' bodies are serialized.
+    let serialized = Bytes::from(body.to_string());
     let call = Call::new("/v1/tools/lookup", body).sequence(1);
     let calm = cluster.program("calm").await.unwrap();
     let reply = calm.call(entry.address, &call).await.unwrap();
     assert_eq!(reply.status, 200, "one call: {:?}", reply.problem());
     let calls = callers
         .iter()
-        .map(|caller| caller.call(entry.address, &call));
+        .map(|caller| caller.call_with_body(entry.address, &call, serialized.clone()));
     let (replies, ()) = futures_util::join!(
         futures_util::future::join_all(calls),
         check_ordinary(&cluster, &caller, 2)
     );
     // Connections of refused calls may be closed before the answer is read.
     for reply in replies.iter().flatten() {
-        assert!([200, 503].contains(&reply.status), "{:?}", reply.problem());
+        let status = reply.status;
+        assert!(
+            [200, 503].contains(&status),
+            "{status}: {:?}",
+            reply.problem()
+        );
     }
     check_ordinary(&cluster, &caller, 3).await;
     for (monitor, (process, _)) in monitors.into_iter().zip(processes) {
