--- a/transport/src/clients/connection.rs
+++ b/transport/src/clients/connection.rs
@@ -43,7 +43,7 @@
     Answer { is_whole: bool },
 }
 
-/// What others may do to a connection.
+/// Control of a connection by those that do not serve it.
 #[derive(Debug)]
 pub(super) struct Control {
     protocol: Protocol,
--- a/transport/src/clients/metrics.rs
+++ b/transport/src/clients/metrics.rs
@@ -17,7 +17,7 @@
     Memory,
     /// The client did not accept its answer in time.
     AnswerTimeout,
-    /// Nothing arrived on a connection of HTTP/2 for the timeout.
+    /// The client of an HTTP/2 connection sent nothing for the timeout.
     Silence,
 }
 
