review: show that lost hosts deny some customers everything

Cause: the row of a gateway that died stays in the table of gateways. The allocator of a customer's limit is one of the first three rows of a ranking; where all three belong to lost hosts, no host finds an allocator and all requests of the customer are refused.

--- a/review/cases-2/src/long_history.rs
+++ b/review/cases-2/src/long_history.rs
@@ -89,6 +89,8 @@
         unready
     };
     writeln!(text, "calls to the store over 1 MB: {}", door.oversize.get())?;
+    let memory: Vec<u64> = hosts.iter().map(Host::peak_memory_mb).collect();
+    writeln!(text, "most memory of each process in MB: {memory:?}")?;
     writeln!(text, "hosts that were not ready at the end: {unready}")?;
     writeln!(
         text,
@@ -102,7 +104,7 @@
     let holds = after * 4 >= COUNTED;
     writeln!(text, "RECOVER {}", if holds { "held" } else { "was broken" })?;
     std::fs::write(record, &text)?;
-    print!("{}", text.lines().rev().take(5).collect::<Vec<_>>().join("\n"));
+    print!("{}", text.lines().rev().take(6).collect::<Vec<_>>().join("\n"));
     println!();
     Ok(holds)
 }
--- a/review/cases-2/src/main.rs
+++ b/review/cases-2/src/main.rs
@@ -4,6 +4,7 @@
 mod client;
 mod door;
 mod long_history;
+mod lost_hosts;
 mod site;
 
 use std::process::exit;
@@ -16,6 +17,7 @@
     let case = async {
         match name.as_str() {
             "long-history" => long_history::run(has_trouble, &record).await,
+            "lost-hosts" => lost_hosts::run(has_trouble, &record).await,
             _ => Err(format!("there is no case {name:?}").into()),
         }
     };
--- a/review/cases-2/src/site.rs
+++ b/review/cases-2/src/site.rs
@@ -1,11 +1,13 @@
 //! A small deployment on loopback: the store's stand-in, endpoints, and gateway processes
 //! that are started with the command of the deploy file.
 
+use std::collections::BTreeSet;
 use std::fs::File;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
@@ -15,10 +17,16 @@
 /// Names of the three availability zones of the smaller sites.
 pub const ZONES: [&str; 3] = ["newport-hall", "harbour-hall", "portmore-hall"];
 
-/// Returns a loopback address whose port was free a moment ago.
+/// Returns a loopback address whose port was free a moment ago, a different one each time.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
-    listener.local_addr().expect("a bound listener has an address")
+    static TAKEN: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+    loop {
+        let address = free_listener().local_addr().expect("a bound listener has an address");
+        let mut taken = TAKEN.lock().expect("no holder of the lock panics");
+        if taken.insert(address.port()) {
+            return address;
+        }
+    }
 }
 
 /// Returns a listener on a free port.
@@ -123,6 +131,16 @@
         Ok(())
     }
 
+    /// Returns the most memory that the process has held, in MB.
+    pub fn peak_memory_mb(&self) -> u64 {
+        let Some(child) = &self.child else { return 0 };
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+        let kb = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok());
+        kb.unwrap_or(0) / 1_000
+    }
+
     /// Returns whether the process still runs.
     pub fn is_running(&mut self) -> bool {
         let child = self.child.as_mut();
