review: show that a killed allocator doubles a customer's tokens

Cause: while the allocator of a limit does not answer, each host admits requests by the rate of its last seconds, and one at once in any case. The next allocator begins with tokens of its own, although a burst has just emptied the bucket.

The allocator among 18 hosts is killed once, one second after a customer has begun to send 7.5 times its usual.

--- a/review/cases-2/src/main.rs
+++ b/review/cases-2/src/main.rs
@@ -5,6 +5,7 @@
 mod door;
 mod long_history;
 mod lost_hosts;
+mod quota;
 mod site;
 
 use std::process::exit;
@@ -18,6 +19,7 @@
         match name.as_str() {
             "long-history" => long_history::run(has_trouble, &record).await,
             "lost-hosts" => lost_hosts::run(has_trouble, &record).await,
+            "quota" => quota::run(has_trouble, &record).await,
             _ => Err(format!("there is no case {name:?}").into()),
         }
     };
