review: show that two large inputs stop a process for good

Cause: a transaction takes a further change while the bytes so far are below its limit, without those of the change. Two records with inputs of 399,000 bytes become one transaction over the 1 MB of a call. The store refuses it, and the gateway sends it again for ever, ahead of the other changes of its partition.

One process is frozen for 4 s while another one, which commits through it, serves turns with such inputs.

--- a/review/cases-2/src/client.rs
+++ b/review/cases-2/src/client.rs
@@ -97,6 +97,37 @@
     answer
 }
 
+/// A connection that is kept for several requests.
+pub struct Kept(TcpStream);
+
+impl Kept {
+    /// Opens a connection.
+    pub async fn open(address: SocketAddr) -> std::io::Result<Self> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        Ok(Self(stream))
+    }
+
+    /// Sends a request and reads the answer.
+    pub async fn send(&mut self, request: &Request, timeout: Duration) -> Answer {
+        let started = Instant::now();
+        let mut answer = Answer::default();
+        let exchange = async {
+            self.0.write_all(&request.encode()).await?;
+            read_answer(&mut self.0, &mut answer).await
+        };
+        let end = match tokio::time::timeout(timeout, exchange).await {
+            Ok(Ok(())) => "complete",
+            Ok(Err(_)) => "closed",
+            Err(_) => "timeout",
+        };
+        answer.end = end;
+        answer.is_complete = end == "complete";
+        answer.took = started.elapsed();
+        answer
+    }
+}
+
 async fn exchange(address: SocketAddr, request: &Request, answer: &mut Answer) -> std::io::Result<()> {
     let mut stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
--- a/review/cases-2/src/door.rs
+++ b/review/cases-2/src/door.rs
@@ -6,6 +6,7 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -31,6 +32,8 @@
 pub struct Door {
     pub address: SocketAddr,
     pub mode: Rc<Cell<Mode>>,
+    /// Time by which answers are late.
+    pub delay: Rc<Cell<Duration>>,
     /// Number of calls that were larger than the store takes.
     pub oversize: Rc<Cell<u64>>,
 }
@@ -45,6 +48,7 @@
         let door = Self {
             address,
             mode: Rc::new(Cell::new(Mode::Open)),
+            delay: Rc::default(),
             oversize: Rc::default(),
         };
         let accepting = door.clone();
@@ -75,6 +79,7 @@
             }
             if call.len() > MAX_CALL_BYTES && call.starts_with(b"POST /rows-tx") {
                 self.oversize.set(self.oversize.get() + 1);
+                tokio::time::sleep(self.delay.get()).await;
                 caller.write_all(&empty_answer("400 Bad Request")).await?;
                 continue;
             }
@@ -84,13 +89,14 @@
                 return Ok(());
             };
             self.until_not_silent().await;
+            tokio::time::sleep(self.delay.get()).await;
             caller.write_all(&answer).await?;
         }
     }
 
     async fn until_not_silent(&self) {
         while self.mode.get() == Mode::Silent {
-            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+            tokio::time::sleep(Duration::from_millis(5)).await;
         }
     }
 }
--- a/review/cases-2/src/main.rs
+++ b/review/cases-2/src/main.rs
@@ -3,6 +3,7 @@
 
 mod client;
 mod door;
+mod large_inputs;
 mod long_history;
 mod lost_hosts;
 mod quota;
@@ -19,6 +20,7 @@
         match name.as_str() {
             "long-history" => long_history::run(has_trouble, &record).await,
             "lost-hosts" => lost_hosts::run(has_trouble, &record).await,
+            "large-inputs" => large_inputs::run(has_trouble, &record).await,
             "quota" => quota::run(has_trouble, &record).await,
             _ => Err(format!("there is no case {name:?}").into()),
         }
