review: drop the case that an earlier one shows

Case 5, two large inputs that are joined to a transaction over 1 MB, shows the fault of case 1, which plays it in an outage. Its script is removed; the cases on late turns and on lost hosts become cases 5 and 6. The programs are formatted, and what no case uses is removed.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,11 +1,11 @@
 #!/usr/bin/env bash
 # Case 5. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
-# TROUBLE=0 does the same without the freeze.
+# TROUBLE=0 does the same without the final fault.
 folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$folder/../.." || exit 2
 program=target/review-2/release/review-cases-2
 [[ -x $program && -x target/release/rosebend-gateway ]] || exit 2
-timeout --kill-after=5 115 "$program" large-inputs "$folder/record.txt"
+timeout --kill-after=5 115 "$program" late-turns "$folder/record.txt"
 code=$?
 (( code == 0 || code == 1 )) && exit "$code"
 exit 2
--- a/review/cases-2/src/client.rs
+++ b/review/cases-2/src/client.rs
@@ -66,7 +66,10 @@
     }
 
     fn encode(&self) -> Vec<u8> {
-        let mut text = format!("{} {} HTTP/1.1\r\nHost: desk.example\r\n", self.method, self.path);
+        let mut text = format!(
+            "{} {} HTTP/1.1\r\nHost: desk.example\r\n",
+            self.method, self.path
+        );
         for (name, value) in &self.headers {
             text.push_str(&format!("{name}: {value}\r\n"));
         }
@@ -97,38 +100,11 @@
     answer
 }
 
-/// A connection that is kept for several requests.
-pub struct Kept(TcpStream);
-
-impl Kept {
-    /// Opens a connection.
-    pub async fn open(address: SocketAddr) -> std::io::Result<Self> {
-        let stream = TcpStream::connect(address).await?;
-        stream.set_nodelay(true)?;
-        Ok(Self(stream))
-    }
-
-    /// Sends a request and reads the answer.
-    pub async fn send(&mut self, request: &Request, timeout: Duration) -> Answer {
-        let started = Instant::now();
-        let mut answer = Answer::default();
-        let exchange = async {
-            self.0.write_all(&request.encode()).await?;
-            read_answer(&mut self.0, &mut answer).await
-        };
-        let end = match tokio::time::timeout(timeout, exchange).await {
-            Ok(Ok(())) => "complete",
-            Ok(Err(_)) => "closed",
-            Err(_) => "timeout",
-        };
-        answer.end = end;
-        answer.is_complete = end == "complete";
-        answer.took = started.elapsed();
-        answer
-    }
-}
-
-async fn exchange(address: SocketAddr, request: &Request, answer: &mut Answer) -> std::io::Result<()> {
+async fn exchange(
+    address: SocketAddr,
+    request: &Request,
+    answer: &mut Answer,
+) -> std::io::Result<()> {
     let mut stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     stream.write_all(&request.encode()).await?;
@@ -204,5 +180,7 @@
 }
 
 pub fn find(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
-    bytes.windows(pattern.len()).position(|window| window == pattern)
+    bytes
+        .windows(pattern.len())
+        .position(|window| window == pattern)
 }
--- a/review/cases-2/src/door.rs
+++ b/review/cases-2/src/door.rs
@@ -1,12 +1,11 @@
 //! The address at which one host, or all, reach the store's stand-in.
 //!
 //! It applies the limit of a call that the pages tell and the stand-in does not check, and can
-//! turn its callers away or be silent.
+//! turn its callers away.
 
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -23,8 +22,6 @@
     Open,
     /// Answers 503 and does nothing.
     Refusing,
-    /// Is silent; nothing arrives in either direction.
-    Silent,
 }
 
 /// A door.
@@ -32,8 +29,6 @@
 pub struct Door {
     pub address: SocketAddr,
     pub mode: Rc<Cell<Mode>>,
-    /// Time by which answers are late.
-    pub delay: Rc<Cell<Duration>>,
     /// Number of calls that were larger than the store takes.
     pub oversize: Rc<Cell<u64>>,
 }
@@ -48,7 +43,6 @@
         let door = Self {
             address,
             mode: Rc::new(Cell::new(Mode::Open)),
-            delay: Rc::default(),
             oversize: Rc::default(),
         };
         let accepting = door.clone();
@@ -72,14 +66,14 @@
             let Some(call) = read_message(&mut caller, &mut buffer).await? else {
                 return Ok(());
             };
-            self.until_not_silent().await;
             if self.mode.get() == Mode::Refusing {
-                caller.write_all(&empty_answer("503 Service Unavailable")).await?;
+                caller
+                    .write_all(&empty_answer("503 Service Unavailable"))
+                    .await?;
                 continue;
             }
             if call.len() > MAX_CALL_BYTES && call.starts_with(b"POST /rows-tx") {
                 self.oversize.set(self.oversize.get() + 1);
-                tokio::time::sleep(self.delay.get()).await;
                 caller.write_all(&empty_answer("400 Bad Request")).await?;
                 continue;
             }
@@ -88,26 +82,23 @@
             let Some(answer) = read_message(&mut upstream, &mut answers).await? else {
                 return Ok(());
             };
-            self.until_not_silent().await;
-            tokio::time::sleep(self.delay.get()).await;
             caller.write_all(&answer).await?;
         }
     }
-
-    async fn until_not_silent(&self) {
-        while self.mode.get() == Mode::Silent {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
-    }
 }
 
 fn empty_answer(status: &str) -> Vec<u8> {
-    let text = format!("HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{{}}");
+    let text = format!(
+        "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{{}}"
+    );
     text.into_bytes()
 }
 
 /// Reads a message with a length, and returns its bytes; `None` at the end of the connection.
-async fn read_message(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> std::io::Result<Option<Vec<u8>>> {
+async fn read_message(
+    stream: &mut TcpStream,
+    buffer: &mut Vec<u8>,
+) -> std::io::Result<Option<Vec<u8>>> {
     let end = loop {
         if let Some(end) = find(buffer, b"\r\n\r\n") {
             break end + 4;
@@ -117,8 +108,12 @@
         }
     };
     let head = String::from_utf8_lossy(&buffer[..end]).to_ascii_lowercase();
-    let length = head.split("\r\n").find_map(|line| line.strip_prefix("content-length:"));
-    let length: usize = length.and_then(|length| length.trim().parse().ok()).unwrap_or(0);
+    let length = head
+        .split("\r\n")
+        .find_map(|line| line.strip_prefix("content-length:"));
+    let length: usize = length
+        .and_then(|length| length.trim().parse().ok())
+        .unwrap_or(0);
     while buffer.len() < end + length {
         if !fill(stream, buffer).await? {
             return Ok(None);
--- a/review/cases-2/src/late_turns.rs
+++ b/review/cases-2/src/late_turns.rs
@@ -51,7 +51,12 @@
     let mut hosts = Vec::new();
     for number in 1..=2 {
         for zone in ZONES {
-            hosts.push(Host::new(&folder.0, &format!("edge-{zone}-{number}"), zone, door.address())?);
+            hosts.push(Host::new(
+                &folder.0,
+                &format!("edge-{zone}-{number}"),
+                zone,
+                door.address(),
+            )?);
         }
     }
     for host in &mut hosts {
@@ -88,7 +93,10 @@
         for host in &mut hosts {
             host.start()?;
         }
-        writeln!(text, "all processes were killed and started again after 1 s")?;
+        writeln!(
+            text,
+            "all processes were killed and started again after 1 s"
+        )?;
         if !site::until_ready(&hosts, Duration::from_secs(10)).await {
             return Err("the hosts did not become ready again".into());
         }
@@ -103,7 +111,9 @@
         let id = format!("other-{number}");
         let front = fronts[number % fronts.len()];
         others.push(actix_rt::spawn(async move {
-            client::send(front, &turn(&id, &id, None), DEADLINE).await.is_served()
+            client::send(front, &turn(&id, &id, None), DEADLINE)
+                .await
+                .is_served()
         }));
         tokio::time::sleep(Duration::from_millis(80)).await;
     }
@@ -118,17 +128,34 @@
     let reached = reached(&std::fs::read_to_string(&received)?);
     let mut lost = 0;
     for (number, tries) in tries.iter().enumerate() {
-        let statuses: Vec<String> = tries.iter().map(|(attempt, status)| format!("{attempt}={status}")).collect();
+        let statuses: Vec<String> = tries
+            .iter()
+            .map(|(attempt, status)| format!("{attempt}={status}"))
+            .collect();
         writeln!(text, "continues second-{number}: {}", statuses.join(" "))?;
         lost += usize::from(!tries.iter().any(|(attempt, _)| reached.contains(attempt)));
     }
-    writeln!(text, "time from the second turns to the end: {} s", (started.elapsed() - PAUSE).as_secs())?;
-    writeln!(text, "other turns served in the last 4 s: {served} of {OTHERS}")?;
-    writeln!(text, "turns that reached no server in {} s: {lost} of {PROGRAMS}", RECOVERY.as_secs())?;
+    writeln!(
+        text,
+        "time from the second turns to the end: {} s",
+        (started.elapsed() - PAUSE).as_secs()
+    )?;
+    writeln!(
+        text,
+        "other turns served in the last 4 s: {served} of {OTHERS}"
+    )?;
+    writeln!(
+        text,
+        "turns that reached no server in {} s: {lost} of {PROGRAMS}",
+        RECOVERY.as_secs()
+    )?;
     let holds = lost == 0 || served * 5 < OTHERS * 4;
     writeln!(text, "LOST {}", if holds { "held" } else { "was broken" })?;
     std::fs::write(record, &text)?;
-    println!("{}", text.lines().rev().take(4).collect::<Vec<_>>().join("\n"));
+    println!(
+        "{}",
+        text.lines().rev().take(4).collect::<Vec<_>>().join("\n")
+    );
     Ok(holds)
 }
 
@@ -137,7 +164,11 @@
     let mut tries = Vec::new();
     for index in 0..TRIES {
         let attempt = format!("third-{number}-{index}");
-        let request = turn(&attempt, &format!("new-{number}"), Some(&format!("second-{number}")));
+        let request = turn(
+            &attempt,
+            &format!("new-{number}"),
+            Some(&format!("second-{number}")),
+        );
         let front = fronts[(number + index) % fronts.len()];
         let answer = client::send(front, &request, DEADLINE).await;
         tries.push((attempt, answer.status));
@@ -175,7 +206,10 @@
 
 /// Returns the attempts that a server began to run.
 fn reached(lines: &str) -> HashSet<String> {
-    let lines = lines.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+    let lines = lines
+        .lines()
+        .filter_map(|line| serde_json::from_str::<Value>(line).ok());
     let ran = lines.filter(|line| line["runs"] == true);
-    ran.filter_map(|line| Some(line["attempt"].as_str()?.to_owned())).collect()
+    ran.filter_map(|line| Some(line["attempt"].as_str()?.to_owned()))
+        .collect()
 }
--- a/review/cases-2/src/long_history.rs
+++ b/review/cases-2/src/long_history.rs
@@ -72,7 +72,10 @@
         for host in &mut hosts {
             host.start()?;
         }
-        writeln!(text, "all processes were killed and started again after 1 s")?;
+        writeln!(
+            text,
+            "all processes were killed and started again after 1 s"
+        )?;
         if !site::until_ready(&hosts, Duration::from_secs(10)).await {
             return Err("the hosts did not become ready again".into());
         }
@@ -88,7 +91,11 @@
         }
         unready
     };
-    writeln!(text, "calls to the store over 1 MB: {}", door.oversize.get())?;
+    writeln!(
+        text,
+        "calls to the store over 1 MB: {}",
+        door.oversize.get()
+    )?;
     let memory: Vec<u64> = hosts.iter().map(Host::peak_memory_mb).collect();
     writeln!(text, "most memory of each process in MB: {memory:?}")?;
     writeln!(text, "hosts that were not ready at the end: {unready}")?;
@@ -102,9 +109,16 @@
         return Err("less than a quarter was served before the fault".into());
     }
     let holds = after * 4 >= COUNTED;
-    writeln!(text, "RECOVER {}", if holds { "held" } else { "was broken" })?;
+    writeln!(
+        text,
+        "RECOVER {}",
+        if holds { "held" } else { "was broken" }
+    )?;
     std::fs::write(record, &text)?;
-    print!("{}", text.lines().rev().take(6).collect::<Vec<_>>().join("\n"));
+    print!(
+        "{}",
+        text.lines().rev().take(6).collect::<Vec<_>>().join("\n")
+    );
     println!();
     Ok(holds)
 }
@@ -149,7 +163,12 @@
     let mut sent = Vec::new();
     for number in 0..COUNTED {
         let id = format!("{phase}-{number}");
-        let request = turn(&format!("a-{id}"), &format!("p-{id}"), None, b"input".to_vec());
+        let request = turn(
+            &format!("a-{id}"),
+            &format!("p-{id}"),
+            None,
+            b"input".to_vec(),
+        );
         let front = fronts[number % fronts.len()];
         sent.push(actix_rt::spawn(async move {
             let answer = client::send(front, &request, DEADLINE + Duration::from_secs(1)).await;
@@ -179,7 +198,9 @@
                 actix_rt::spawn(async move {
                     let mut sent = Vec::new();
                     for index in 0..LONG_TURNS {
-                        let previous = index.checked_sub(1).map(|index| format!("l-{number}-{index}"));
+                        let previous = index
+                            .checked_sub(1)
+                            .map(|index| format!("l-{number}-{index}"));
                         let body = vec![b'a' + (index % 26) as u8; LONG_INPUT_BYTES];
                         let attempt = format!("l-{number}-{index}");
                         let program = format!("long-{number}");
--- a/review/cases-2/src/lost_hosts.rs
+++ b/review/cases-2/src/lost_hosts.rs
@@ -61,7 +61,12 @@
     let mut hosts = Vec::new();
     for number in 1..=HOSTS_PER_ZONE {
         for zone in ZONES {
-            let mut host = Host::new(&folder.0, &format!("edge-{zone}-{number}"), zone, door.address())?;
+            let mut host = Host::new(
+                &folder.0,
+                &format!("edge-{zone}-{number}"),
+                zone,
+                door.address(),
+            )?;
             host.set_customers("limit_window_s = 5\nlimit_overage = 0.1\nlimit_slack = 20\n")?;
             hosts.push(host);
         }
@@ -95,20 +100,33 @@
     note(&mut text, "new", &others);
 
     let reached = reached(&std::fs::read_to_string(&received)?);
-    let reaches = |turn: &&Turn| turn.attempts.iter().any(|(attempt, _)| reached.contains(attempt));
+    let reaches = |turn: &&Turn| {
+        turn.attempts
+            .iter()
+            .any(|(attempt, _)| reached.contains(attempt))
+    };
     let lost: Vec<&Turn> = continued
         .iter()
         .filter(|turn| turn.attempts.len() >= 5 && !reaches(turn))
         .collect();
     let new = others.iter().filter(reaches).count();
     let lost_names: Vec<String> = lost.iter().map(|turn| name(turn.customer)).collect();
-    writeln!(text, "customers whose turn reached no server in {TRIES} tries: {lost_names:?}")?;
-    writeln!(text, "first turns that reached a server meanwhile: {new} of {CUSTOMERS}")?;
+    writeln!(
+        text,
+        "customers whose turn reached no server in {TRIES} tries: {lost_names:?}"
+    )?;
+    writeln!(
+        text,
+        "first turns that reached a server meanwhile: {new} of {CUSTOMERS}"
+    )?;
     writeln!(text, "turns lost: {} of {CUSTOMERS}", lost.len())?;
     let holds = lost.is_empty() || new * 10 < CUSTOMERS * 9;
     writeln!(text, "LOST {}", if holds { "held" } else { "was broken" })?;
     std::fs::write(record, &text)?;
-    println!("{}", text.lines().rev().take(4).collect::<Vec<_>>().join("\n"));
+    println!(
+        "{}",
+        text.lines().rev().take(4).collect::<Vec<_>>().join("\n")
+    );
     Ok(holds)
 }
 
@@ -121,7 +139,11 @@
 }
 
 /// Sends a turn of a program of each customer, all within three seconds.
-async fn turns(phase: &'static str, previous: Option<&'static str>, fronts: &[SocketAddr]) -> Vec<Turn> {
+async fn turns(
+    phase: &'static str,
+    previous: Option<&'static str>,
+    fronts: &[SocketAddr],
+) -> Vec<Turn> {
     let mut tasks = Vec::new();
     for customer in 0..CUSTOMERS {
         let fronts = fronts.to_vec();
@@ -173,7 +195,9 @@
         if turn.is_served || (phase == "first" && index == 0) {
             break;
         }
-        let told = answer.header("retry-after").and_then(|text| text.parse().ok());
+        let told = answer
+            .header("retry-after")
+            .and_then(|text| text.parse().ok());
         let wait = Duration::from_secs_f64(told.unwrap_or(0.25)).min(DEADLINE / 3);
         tokio::time::sleep(wait).await;
     }
@@ -193,6 +217,10 @@
 
 /// Returns the attempts that reached a server.
 fn reached(lines: &str) -> HashSet<String> {
-    let lines = lines.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
-    lines.filter_map(|line| Some(line["attempt"].as_str()?.to_owned())).collect()
+    let lines = lines
+        .lines()
+        .filter_map(|line| serde_json::from_str::<Value>(line).ok());
+    lines
+        .filter_map(|line| Some(line["attempt"].as_str()?.to_owned()))
+        .collect()
 }
--- a/review/cases-2/src/main.rs
+++ b/review/cases-2/src/main.rs
@@ -3,7 +3,6 @@
 
 mod client;
 mod door;
-mod large_inputs;
 mod late_turns;
 mod long_history;
 mod lost_hosts;
@@ -21,7 +20,6 @@
         match name.as_str() {
             "long-history" => long_history::run(has_trouble, &record).await,
             "lost-hosts" => lost_hosts::run(has_trouble, &record).await,
-            "large-inputs" => large_inputs::run(has_trouble, &record).await,
             "late-turns" => late_turns::run(has_trouble, &record).await,
             "quota" => quota::run(has_trouble, &record).await,
             _ => Err(format!("there is no case {name:?}").into()),
--- a/review/cases-2/src/quota.rs
+++ b/review/cases-2/src/quota.rs
@@ -62,7 +62,12 @@
     let mut hosts = Vec::new();
     for number in 0..ZONES.len() * HOSTS_PER_ZONE {
         let zone = ZONES[number % ZONES.len()];
-        let mut host = Host::new(&folder.0, &format!("edge-{zone}-{number}"), zone, door.address())?;
+        let mut host = Host::new(
+            &folder.0,
+            &format!("edge-{zone}-{number}"),
+            zone,
+            door.address(),
+        )?;
         host.set_customers("limit_window_s = 5\nlimit_overage = 0.1\nlimit_slack = 20\n")?;
         hosts.push(host);
     }
@@ -86,11 +91,11 @@
     if has_trouble {
         hosts[allocator].start()?;
     }
-    load.send(RUSH_RATE, RUSH_TIME - KILLED_AT - DARK_TIME).await;
+    load.send(RUSH_RATE, RUSH_TIME - KILLED_AT - DARK_TIME)
+        .await;
 
     let mut text = String::new();
-    let (sent, killed_ms) = load.finish(&mut text).await;
-    let _ = killed_ms;
+    let sent = load.finish(&mut text).await;
     writeln!(text, "the limit's allocator: {}", hosts[allocator].name)?;
     let ran = ran(&std::fs::read_to_string(&received)?);
     for (attempt, at_ms) in &ran {
@@ -98,11 +103,17 @@
     }
     let allowed = (RATE * WINDOW_MS / 1_000 + BURST) as f64 * (1.0 + OVERAGE) + SLACK;
     let (most, from_ms) = most_in_window(&sent, &ran);
-    writeln!(text, "most requests in a window: {most} from at_ms={from_ms}, allowed {allowed:.1}")?;
+    writeln!(
+        text,
+        "most requests in a window: {most} from at_ms={from_ms}, allowed {allowed:.1}"
+    )?;
     let holds = most as f64 <= allowed;
     writeln!(text, "QUOTA {}", if holds { "held" } else { "was broken" })?;
     std::fs::write(record, &text)?;
-    println!("{}", text.lines().rev().take(2).collect::<Vec<_>>().join("\n"));
+    println!(
+        "{}",
+        text.lines().rev().take(2).collect::<Vec<_>>().join("\n")
+    );
     Ok(holds)
 }
 
@@ -162,24 +173,34 @@
         }
     }
 
-    async fn finish(self, text: &mut String) -> (HashMap<String, u64>, u64) {
+    async fn finish(self, text: &mut String) -> HashMap<String, u64> {
         let mut sent = HashMap::new();
         for task in self.tasks {
             if let Ok((attempt, sent_ms, status)) = task.await {
-                let _ = writeln!(text, "sent attempt={attempt} at_ms={sent_ms} status={status}");
+                let _ = writeln!(
+                    text,
+                    "sent attempt={attempt} at_ms={sent_ms} status={status}"
+                );
                 sent.insert(attempt, sent_ms);
             }
         }
-        (sent, 0)
+        sent
     }
 }
 
 /// Returns the attempts that ran, with the time at which they arrived at a server.
 fn ran(lines: &str) -> BTreeMap<String, u64> {
-    let lines = lines.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+    let lines = lines
+        .lines()
+        .filter_map(|line| serde_json::from_str::<Value>(line).ok());
     let ran = lines.filter(|line| line["runs"] == true);
-    ran.filter_map(|line| Some((line["attempt"].as_str()?.to_owned(), line["at_ms"].as_u64()?)))
-        .collect()
+    ran.filter_map(|line| {
+        Some((
+            line["attempt"].as_str()?.to_owned(),
+            line["at_ms"].as_u64()?,
+        ))
+    })
+    .collect()
 }
 
 /// Returns the most requests that were sent and arrived within one window, and its start.
@@ -189,11 +210,12 @@
         .filter_map(|(attempt, at_ms)| Some((*sent.get(attempt)?, *at_ms)))
         .collect();
     let count = |from_ms: u64| {
-        let is_within = |(sent_ms, at_ms): &&(u64, u64)| {
-            *sent_ms >= from_ms && *at_ms <= from_ms + WINDOW_MS
-        };
+        let is_within =
+            |(sent_ms, at_ms): &&(u64, u64)| *sent_ms >= from_ms && *at_ms <= from_ms + WINDOW_MS;
         requests.iter().filter(is_within).count()
     };
-    let counts = requests.iter().map(|(sent_ms, _)| (count(*sent_ms), *sent_ms));
+    let counts = requests
+        .iter()
+        .map(|(sent_ms, _)| (count(*sent_ms), *sent_ms));
     counts.max().unwrap_or((0, 0))
 }
--- a/review/cases-2/src/site.rs
+++ b/review/cases-2/src/site.rs
@@ -21,7 +21,9 @@
 pub fn free_address() -> SocketAddr {
     static TAKEN: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
     loop {
-        let address = free_listener().local_addr().expect("a bound listener has an address");
+        let address = free_listener()
+            .local_addr()
+            .expect("a bound listener has an address");
         let mut taken = TAKEN.lock().expect("no holder of the lock panics");
         if taken.insert(address.port()) {
             return address;
@@ -58,7 +60,6 @@
     pub name: String,
     pub front: SocketAddr,
     pub ready: SocketAddr,
-    pub metrics: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
@@ -82,7 +83,6 @@
             name: name.to_owned(),
             front,
             ready,
-            metrics,
             settings,
             log: folder.join(format!("{name}.log")),
             child: None,
@@ -121,16 +121,6 @@
         }
     }
 
-    /// Sends a signal to the process.
-    pub fn signal(&self, signal: &str) -> io::Result<()> {
-        let Some(child) = &self.child else {
-            return Ok(());
-        };
-        let id = child.id().to_string();
-        Command::new("kill").args(["-s", signal, &id]).status()?;
-        Ok(())
-    }
-
     /// Returns the most memory that the process has held, in MB.
     pub fn peak_memory_mb(&self) -> u64 {
         let Some(child) = &self.child else { return 0 };
@@ -141,12 +131,7 @@
         kb.unwrap_or(0) / 1_000
     }
 
-    /// Returns whether the process still runs.
-    pub fn is_running(&mut self) -> bool {
-        let child = self.child.as_mut();
-        child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
-    }
-
+    /// Returns whether the host takes callers.
     pub async fn is_ready(&self) -> bool {
         let request = Request::get("/readyz", "balancer");
         let answer = client::send(self.ready, &request, Duration::from_millis(900)).await;
@@ -180,7 +165,13 @@
 }
 
 /// Returns the entry of an endpoint as it writes it with each heartbeat.
-pub fn endpoint_entry(service: &str, address: SocketAddr, zone: &str, slots: u32, seq: u64) -> Value {
+pub fn endpoint_entry(
+    service: &str,
+    address: SocketAddr,
+    zone: &str,
+    slots: u32,
+    seq: u64,
+) -> Value {
     json!({
         "service": service, "address": address.to_string(), "zone": zone, "version": "v1",
         "slots": slots, "state": "ready", "cold-left-ms": 0, "stage": "both",
@@ -190,13 +181,14 @@
 
 /// Returns the desired state, with the values that the pages show for the site ccc-renewals.
 pub fn desired_state(version: u64) -> Value {
-    let route = |name: &str, prefix: &str, kind: &str, timeout_ms: u64, slo_ms: u64, service: &str| {
-        json!({
-            "name": name, "host": "desk.example", "prefix": prefix, "kind": kind,
-            "timeout-ms": timeout_ms, "slo-ms": slo_ms, "priority": 0, "service": service,
-            "max-attempts": 2, "sticky": false, "resumable": false,
-        })
-    };
+    let route =
+        |name: &str, prefix: &str, kind: &str, timeout_ms: u64, slo_ms: u64, service: &str| {
+            json!({
+                "name": name, "host": "desk.example", "prefix": prefix, "kind": kind,
+                "timeout-ms": timeout_ms, "slo-ms": slo_ms, "priority": 0, "service": service,
+                "max-attempts": 2, "sticky": false, "resumable": false,
+            })
+        };
     let mut turns = route("turns", "/stream/", "streaming", 3000, 250, "models");
     turns["retain-history"] = json!(true);
     turns["retention-s"] = json!(60.0);
