review: show that grants overspend a budget in one outage

Cause: the ledger withholds the shares of escrow slots only for a program that a turn has shown to be eligible, and eligibility is decided by the most of the turn at hand. After turns of 410 tokens nothing is withheld of a budget of 1,200, and owners grant turns of 300 tokens in an outage.

--- a/review/cases-2/src/main.rs
+++ b/review/cases-2/src/main.rs
@@ -3,6 +3,7 @@
 
 mod client;
 mod door;
+mod granted_budget;
 mod late_turns;
 mod long_history;
 mod lost_hosts;
@@ -21,6 +22,7 @@
             "long-history" => long_history::run(has_trouble, &record).await,
             "lost-hosts" => lost_hosts::run(has_trouble, &record).await,
             "late-turns" => late_turns::run(has_trouble, &record).await,
+            "granted-budget" => granted_budget::run(has_trouble, &record).await,
             "quota" => quota::run(has_trouble, &record).await,
             _ => Err(format!("there is no case {name:?}").into()),
         }
