Forget rows that the store reports as absent in a batcher

The answer to the deletion of a ledger was lost, so the batcher kept the row. Its memory answered that the ledger exists, the store that it does not, and the host that changed it went back and forth between the two.

A conflict now removes the rows of its conditions that the store does not have. The host's next transaction, which requires their absence, reaches the store.

a_row_that_the_store_no_longer_has_is_forgotten failed before (the change was not applied in four rounds) and passes now.

--- a/coordination/src/gateway/group_commit.rs
+++ b/coordination/src/gateway/group_commit.rs
@@ -177,6 +177,9 @@
             // another cause and could recur at every retry.
             return answer_all(retried, &Answer::NotKnown);
         }
+        for entry in &failed {
+            self.recent.evict_absent(&entry.transaction, &present);
+        }
         for row in rows {
             self.recent.record(row.clone());
         }
@@ -266,7 +269,7 @@
 }
 
 /// A cache of rows that conditions refer to, as this host last wrote or read them. A row
-/// may be newer in the store, never older.
+/// may be newer in the store, or deleted, never older.
 #[derive(Debug, Default)]
 struct RecentRows {
     rows: HashMap<RowId, Row>,
@@ -308,6 +311,16 @@
         }
     }
 
+    /// Removes the rows of a transaction's conditions that the store does not have. They
+    /// were deleted by another host, or by a transaction whose answer was lost.
+    fn evict_absent(&mut self, transaction: &Transaction, present: &HashMap<&RowId, &Row>) {
+        for condition in &transaction.conditions {
+            if !present.contains_key(&condition.row) {
+                self.rows.remove(&condition.row);
+            }
+        }
+    }
+
     /// Caches a row unless the cached version is at least as new, and evicts the oldest
     /// rows beyond [`MAX_RECENT_ROWS`].
     fn record(&mut self, row: Row) {
--- a/coordination/tests/gateway_group_commit.rs
+++ b/coordination/tests/gateway_group_commit.rs
@@ -262,3 +262,43 @@
     assert_eq!(group.mark_overdue(), None);
     assert_eq!(group.open_entries(), 20);
 }
+
+/// Guards against changes of a partition that are never sent: the deletion of a row took
+/// effect although its answer was lost, so the batcher still has the row.
+#[test]
+fn a_row_that_the_store_no_longer_has_is_forgotten() {
+    let mut group = GroupCommit::default();
+    group.submit(change("a", 0));
+    group.next_transaction();
+    group.record_answer(Answer::Applied(7));
+    group.submit(
+        Transaction::default()
+            .expect(ledger("a"), 7)
+            .delete(ledger("a")),
+    );
+    group.next_transaction();
+    group.record_answer(Answer::NotKnown);
+
+    // The host that sends the change learns of the row, requires it, and learns that it is
+    // absent.
+    let mut required = 0;
+    for _ in 0..4 {
+        let id = group.submit(change("a", required));
+        let (transaction, mut ended) = group.next_transaction();
+        if let Some(transaction) = transaction {
+            let is_absent = transaction.conditions[0].version == 0;
+            ended = group.record_answer(match is_absent {
+                true => Answer::Applied(9),
+                false => Answer::Conflict(Vec::new()),
+            });
+        }
+        let [(ended, answer)] = ended.try_into().unwrap();
+        assert_eq!(ended, id);
+        match answer {
+            Answer::Applied(_) => return,
+            Answer::Conflict(rows) => required = rows.first().map_or(0, |row| row.version),
+            Answer::NotKnown => unreachable!("each answer is known"),
+        }
+    }
+    panic!("the change is not applied");
+}
