Store turns that continue a deleted one with their history

A host deletes the rows of a program when its retention is over, but keeps its turns in memory. A later turn of the program found its predecessor there, and its record referred to rows that no longer existed.

Each ledger now has a generation, which the record of a turn contains, too. A record refers to the preceding turn only if both belong to the program's present ledger; otherwise it has a copy of the history, as a turn that continues another program's does. The store's condition on the ledger decides, not a host's clock or memory: a ledger that was deleted meanwhile ends the settlement with GenerationEnded, and the record is built again. Rows are deleted only after the ledger of their generation. Rows that were added while a host deletes the earlier ones are no longer deleted with them.

Tests: a_turn_that_continues_a_deleted_one_is_stored_with_its_history and a_turn_that_continues_one_deleted_by_another_host_is_stored_with_its_history failed before (503 from a host without the turn in memory) and pass now. The two tests of records that were settled without a ledger reserve tokens first now, as every turn does.

--- a/coordination/src/gateway/history.rs
+++ b/coordination/src/gateway/history.rs
@@ -14,7 +14,7 @@
 use rosebend_util::hash_parts;
 use serde::{Deserialize, Serialize};
 
-use crate::gateway::ledger::Ledger;
+use crate::gateway::ledger::{Generation, Ledger};
 
 /// Number of store partitions over which programs are distributed.
 ///
@@ -43,6 +43,9 @@
     pub attempt: AttemptId,
     /// Program that the turn belongs to.
     pub program: ProgramKey,
+    /// Generation of the ledger with which the turn's rows are deleted, or none if an
+    /// older version wrote them.
+    pub generation: Option<Generation>,
     /// The turn that this one continues, or none for a first turn.
     pub previous: Option<Arc<Self>>,
     /// Input of the caller.
@@ -64,6 +67,8 @@
     /// otherwise be read as a first turn.
     #[serde(deserialize_with = "Option::deserialize")]
     previous: Option<AttemptId>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    generation: Option<Generation>,
     endpoint: EndpointIdentity,
     tokens: u64,
     input_bytes: usize,
@@ -200,6 +205,7 @@
     pub fn rows(&self, row_bytes: usize) -> Vec<RowWrite> {
         let header = TurnHeader {
             previous: self.previous.as_ref().map(|turn| turn.attempt.clone()),
+            generation: self.generation,
             endpoint: self.endpoint.clone(),
             tokens: self.tokens,
             input_bytes: self.input.len(),
@@ -343,6 +349,16 @@
         self.records.contains_key(attempt)
     }
 
+    /// Returns whether the rows of a turn are no longer kept: the ledger with which they are
+    /// deleted does not exist any more.
+    pub fn has_expired(&self, attempt: &str) -> bool {
+        if self.ledger_version == 0 {
+            return true;
+        }
+        let header = self.record(attempt).map(|(header, _, _)| header);
+        header.is_ok_and(|header| header.generation != self.ledger.generation())
+    }
+
     /// Returns a turn with its chain of predecessors, which ends at the first turn that
     /// `cache` contains.
     ///
@@ -375,6 +391,7 @@
             previous = Some(Arc::new(Turn {
                 attempt,
                 program: program.to_owned(),
+                generation: header.generation,
                 previous,
                 input,
                 output,
--- a/coordination/src/gateway/ledger.rs
+++ b/coordination/src/gateway/ledger.rs
@@ -34,6 +34,12 @@
 /// that its predecessor ran.
 pub type ProcessId = String;
 
+/// Identifies one lifetime of a program's ledger in the store.
+///
+/// A ledger that is created after the program's earlier one was deleted has another
+/// generation. The records of a generation's turns are deleted only after its ledger.
+pub type Generation = u64;
+
 /// Tokens that one program has spent and reserved.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -67,6 +73,9 @@
     /// reported. The ledger may be written only while these fences are unchanged.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     closed_at_fences: Fences,
+    /// Set by the first reservation. Ledgers of older versions have none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    generation: Option<Generation>,
 }
 
 /// The reservation of a running turn.
@@ -124,6 +133,8 @@
     pub escrow: &'a EscrowTerms,
     /// Fences of the slots, as far as this process has read them.
     pub fences: &'a Fences,
+    /// Generation of the ledger if the reservation is its first.
+    pub generation: Generation,
 }
 
 /// The reason why a budget has no room for a turn.
@@ -174,6 +185,11 @@
 }
 
 impl Ledger {
+    /// Returns the generation of the ledger, if it has one.
+    pub const fn generation(&self) -> Option<Generation> {
+        self.generation
+    }
+
     /// Returns the tokens that are spent or reserved.
     pub fn committed_tokens(&self) -> u64 {
         let account = self.account();
@@ -243,6 +259,7 @@
             holder: request.process.clone(),
         };
         next.reserved.insert(request.attempt.clone(), reservation);
+        next.generation.get_or_insert(request.generation);
         *self = next;
         ReservationOutcome::Reserved
     }
--- a/coordination/src/gateway/pending_changes.rs
+++ b/coordination/src/gateway/pending_changes.rs
@@ -15,13 +15,15 @@
     AttemptId, Condition, MAX_TRANSACTION_ENTRIES, ProgramKey, Row, RowId, RowVersion, RowWrite,
     Transaction,
 };
+use rosebend_util::hash_parts;
 
 use crate::gateway::escrow::slot::SlotId;
 use crate::gateway::escrow::terms::EscrowTerms;
 use crate::gateway::escrow::{Fences, GrantId, SLOTS};
 use crate::gateway::history::{ledger_row, partition_of};
 use crate::gateway::ledger::{
-    Account, Ledger, ProcessId, ProcessReservations, ReservationOutcome, ReservationRequest,
+    Account, Generation, Ledger, ProcessId, ProcessReservations, ReservationOutcome,
+    ReservationRequest,
 };
 
 /// Bytes of turn rows at which a transaction takes no further changes. The encoding
@@ -60,8 +62,9 @@
         attempt: AttemptId,
         /// Tokens that were delivered.
         tokens: u64,
-        /// Rows that are written in the same transaction.
-        rows: Vec<RowWrite>,
+        /// Record of the turn, which is written in the same transaction, or none if the
+        /// route keeps no history.
+        record: Option<TurnRecord>,
     },
     /// Settles a turn that ran on an escrow grant.
     SettleGrant {
@@ -74,6 +77,16 @@
     },
 }
 
+/// The rows of a turn, and the ledger that they belong to.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TurnRecord {
+    /// Rows of the turn.
+    pub rows: Vec<RowWrite>,
+    /// Generation of the ledger with which the rows are deleted. They are written only
+    /// beside a ledger of this generation, because they may refer to other rows of it.
+    pub generation: Option<Generation>,
+}
+
 impl Change {
     /// Returns the turn that the change belongs to.
     const fn attempt(&self) -> &AttemptId {
@@ -95,6 +108,8 @@
     Exhausted,
     /// The program's ledger in the store cannot be decoded; nothing was written.
     Unreadable,
+    /// The ledger that the turn's record belongs to was deleted; nothing was written.
+    GenerationEnded,
 }
 
 /// The outcome of a transaction.
@@ -122,7 +137,9 @@
         match &self.change {
             Change::Reserve { .. } => LEDGER_ENTRIES + MAX_FENCE_ENTRIES,
             Change::SettleGrant { .. } => LEDGER_ENTRIES,
-            Change::Settle { rows, .. } => LEDGER_ENTRIES + rows.len(),
+            Change::Settle { record, .. } => {
+                LEDGER_ENTRIES + record.as_ref().map_or(0, |record| record.rows.len())
+            }
         }
     }
 }
@@ -227,6 +244,11 @@
         self.cached.get(program).map_or(0, |cached| cached.version)
     }
 
+    /// Returns the generation of the program's cached ledger, if it has one.
+    pub fn cached_generation(&self, program: &str) -> Option<Generation> {
+        self.cached.get(program)?.ledger.generation()
+    }
+
     /// Returns whether the budget has room for a turn in the program's expected
     /// ledger.
     pub fn is_expected_to_fit(
@@ -251,12 +273,8 @@
         let mut ledger = cached.cloned().unwrap_or_default().ledger;
         for pending in self.in_flight.iter().chain(&self.queued) {
             if pending.program == program {
-                apply_change(
-                    &mut ledger,
-                    &pending.change,
-                    &self.own_process,
-                    &self.fences,
-                );
+                // A change that is not admitted leaves the ledger as it is.
+                let _ = apply_change(&mut ledger, pending, &self.own_process, &self.fences);
             }
         }
         ledger
@@ -298,14 +316,17 @@
                 continue;
             }
             match self.apply(&pending) {
-                ReservationOutcome::Exhausted => {
-                    if let Change::Reserve { attempt, .. } = &pending.change {
-                        self.running.remove(attempt);
-                    }
-                    ended.push((pending.id, Outcome::Exhausted));
+                Err(outcome) => {
+                    self.running.remove(pending.change.attempt());
+                    ended.push((pending.id, outcome));
                 }
-                ReservationOutcome::Reserved => {
-                    if let Change::Settle { rows: added, .. } = &pending.change {
+                Ok(()) => {
+                    if let Change::Settle {
+                        record: Some(record),
+                        ..
+                    } = &pending.change
+                    {
+                        let added = &record.rows;
                         bytes += added.iter().map(|row| row.value.len()).sum::<usize>();
                         rows.extend(added.iter().cloned());
                     }
@@ -320,11 +341,16 @@
         (Some(self.transaction(rows)), ended)
     }
 
-    fn apply(&mut self, pending: &PendingChange) -> ReservationOutcome {
+    /// Applies a change to the ledger that the next transaction writes.
+    ///
+    /// # Errors
+    ///
+    /// Returns the outcome of a change that the ledger does not admit.
+    fn apply(&mut self, pending: &PendingChange) -> Result<(), Outcome> {
         let cached = self.cached.get(&pending.program);
         let ledger = self.in_flight_ledgers.entry(pending.program.clone());
         let ledger = ledger.or_insert_with(|| cached.cloned().unwrap_or_default().ledger);
-        apply_change(ledger, &pending.change, &self.own_process, &self.fences)
+        apply_change(ledger, pending, &self.own_process, &self.fences)
     }
 
     fn transaction(&mut self, mut writes: Vec<RowWrite>) -> Transaction {
@@ -440,8 +466,10 @@
         let current = current.map(|cached| &cached.ledger);
         match &pending.change {
             Change::Reserve { attempt, .. } => is_reserved(current, attempt),
-            Change::Settle { attempt, rows, .. } => {
-                rows.is_empty() && is_reserved(previous, attempt) && !is_reserved(current, attempt)
+            Change::Settle {
+                attempt, record, ..
+            } => {
+                record.is_none() && is_reserved(previous, attempt) && !is_reserved(current, attempt)
             }
             Change::SettleGrant { .. } => false,
         }
@@ -480,11 +508,11 @@
 
 fn apply_change(
     ledger: &mut Ledger,
-    change: &Change,
+    pending: &PendingChange,
     process: &ProcessId,
     fences: &Fences,
-) -> ReservationOutcome {
-    match change {
+) -> Result<(), Outcome> {
+    match &pending.change {
         Change::Reserve {
             attempt,
             max_output_tokens,
@@ -499,14 +527,26 @@
                 budget_tokens: *budget_tokens,
                 escrow,
                 fences,
+                generation: new_generation(process, pending.id),
             };
-            ledger.reserve(&request, dead_processes)
+            match ledger.reserve(&request, dead_processes) {
+                ReservationOutcome::Reserved => Ok(()),
+                ReservationOutcome::Exhausted => Err(Outcome::Exhausted),
+            }
         }
         Change::Settle {
-            attempt, tokens, ..
+            attempt,
+            tokens,
+            record,
         } => {
+            let generation = ledger.generation();
+            let is_of_ledger =
+                |record: &TurnRecord| generation.is_some() && record.generation == generation;
+            if !record.as_ref().is_none_or(is_of_ledger) {
+                return Err(Outcome::GenerationEnded);
+            }
             ledger.settle(attempt, *tokens);
-            ReservationOutcome::Reserved
+            Ok(())
         }
         Change::SettleGrant {
             attempt,
@@ -514,7 +554,12 @@
             tokens,
         } => {
             ledger.settle_grant(attempt, grant, *tokens);
-            ReservationOutcome::Reserved
+            Ok(())
         }
     }
 }
+
+/// Returns the generation of a ledger that a change of a process creates.
+fn new_generation(process: &ProcessId, change: ChangeId) -> Generation {
+    hash_parts(&[process.as_bytes(), &change.to_le_bytes()])
+}
--- a/coordination/tests/change_support/mod.rs
+++ b/coordination/tests/change_support/mod.rs
@@ -84,7 +84,7 @@
     Change::Settle {
         attempt: attempt.to_owned(),
         tokens,
-        rows: Vec::new(),
+        record: None,
     }
 }
 
--- a/coordination/tests/escrow_sim/mod.rs
+++ b/coordination/tests/escrow_sim/mod.rs
@@ -578,7 +578,9 @@
         match outcome {
             Outcome::Durable => host.turns[position].permit = Permit::Reserved,
             Outcome::Exhausted => self.retry_exhausted(index, position),
-            Outcome::Unreadable => panic!("the ledger is always readable"),
+            Outcome::Unreadable | Outcome::GenerationEnded => {
+                panic!("the ledger is always readable, and no turn has a record")
+            }
         }
     }
 
--- a/coordination/tests/gateway_history.rs
+++ b/coordination/tests/gateway_history.rs
@@ -10,11 +10,12 @@
 use rosebend_coordination::gateway::history::{
     HistoryError, StoredProgram, Turn, TurnCache, indexed_program, ledger_row, partition_of,
 };
-use rosebend_coordination::gateway::ledger::{Ledger, ReservationRequest};
+use rosebend_coordination::gateway::ledger::{Generation, Ledger, ReservationRequest};
 use rosebend_state::deployment::{EndpointIdentity, Row, RowId, RowWrite};
 use serde_json::{Value, json};
 
 const PROGRAM: &str = "p1";
+const GENERATION: Generation = 3;
 /// Row size that is small enough to split records into several rows.
 const ROW_BYTES: usize = 48;
 /// Number of turns in a chain whose recursive drop would overflow the stack of a
@@ -25,6 +26,7 @@
     Arc::new(Turn {
         attempt: attempt.to_owned(),
         program: PROGRAM.to_owned(),
+        generation: Some(GENERATION),
         previous,
         input: format!("what {attempt} was asked, at some length").into_bytes(),
         output: format!("what {attempt} answered, at some more length").into_bytes(),
@@ -183,6 +185,7 @@
     let long = Arc::new(Turn {
         attempt: "t0".to_owned(),
         program: PROGRAM.to_owned(),
+        generation: Some(GENERATION),
         previous: None,
         input: (0..12_000).map(|number| (number % 251) as u8).collect(),
         output: Vec::new(),
@@ -205,6 +208,7 @@
         budget_tokens: 10,
         fences: &Fences::new(),
         escrow: &EscrowTerms::Excluded,
+        generation: GENERATION,
     };
     ledger.reserve(&request, &[]);
     let mut rows = chain_rows(1);
--- a/coordination/tests/gateway_pending_changes.rs
+++ b/coordination/tests/gateway_pending_changes.rs
@@ -8,7 +8,9 @@
 };
 use rosebend_coordination::gateway::escrow::terms::EscrowTerms;
 use rosebend_coordination::gateway::history::ledger_row;
-use rosebend_coordination::gateway::pending_changes::{Answer, Change, Outcome, PendingChanges};
+use rosebend_coordination::gateway::pending_changes::{
+    Answer, Change, Outcome, PendingChanges, TurnRecord,
+};
 use rosebend_state::deployment::{RowId, RowWrite};
 
 const FIRST: &str = "host-1/a";
@@ -137,10 +139,13 @@
     let end = Change::Settle {
         attempt: "t1".to_owned(),
         tokens: 70,
-        rows: vec![RowWrite {
-            row: row.clone(),
-            value: b"said here".to_vec(),
-        }],
+        record: Some(TurnRecord {
+            rows: vec![RowWrite {
+                row: row.clone(),
+                value: b"said here".to_vec(),
+            }],
+            generation: changes.cached_generation(PROGRAM),
+        }),
     };
     changes.submit(PROGRAM.to_owned(), end);
     assert_eq!(send_and_lose_answer(&mut changes, &mut store), []);
@@ -257,7 +262,16 @@
 #[test]
 fn a_transaction_has_no_more_entries_than_the_store_accepts() {
     let mut changes = PendingChanges::new(FIRST.to_owned());
+    let mut store = Store::default();
+    for number in 0..60 {
+        changes.submit(
+            format!("program-{number}"),
+            reserve(&format!("t{number}"), 1_000),
+        );
+    }
+    apply_all(&mut changes, &mut store);
     for number in 0..60 {
+        let program = format!("program-{number}");
         let rows = ["turn", "index"].map(|table| RowWrite {
             row: RowId::new(table, "p00", format!("t{number}")),
             value: b"x".to_vec(),
@@ -265,15 +279,59 @@
         let settle = Change::Settle {
             attempt: format!("t{number}"),
             tokens: 1,
-            rows: rows.to_vec(),
+            record: Some(TurnRecord {
+                rows: rows.to_vec(),
+                generation: changes.cached_generation(&program),
+            }),
         };
-        changes.submit(format!("program-{number}"), settle);
+        changes.submit(program, settle);
     }
-    let mut store = Store::default();
+    apply_all(&mut changes, &mut store);
+    assert_eq!(store.rows.len(), 60 * 3);
+}
+
+/// Applies all transactions, and asserts that none has more entries than the store accepts.
+fn apply_all(changes: &mut PendingChanges, store: &mut Store) {
     while let (Some(transaction), _) = changes.next_transaction() {
         let entries = transaction.entries();
         assert!(entries <= 100, "{entries} entries");
         changes.handle_answer(store.apply(&transaction));
     }
-    assert_eq!(store.rows.len(), 60 * 3);
+}
+
+/// Guards against history that is lost: another host deletes a program while a turn of it
+/// ends, and the turn's record would refer to a turn whose rows are gone.
+#[test]
+fn a_record_is_not_written_beside_another_ledger_than_it_was_built_for() {
+    let mut store = Store::default();
+    let mut changes = PendingChanges::new(FIRST.to_owned());
+    let row = RowId::new("programs", "p00", "a turn");
+    let end = |generation| Change::Settle {
+        attempt: "t2".to_owned(),
+        tokens: 70,
+        record: Some(TurnRecord {
+            rows: vec![RowWrite {
+                row: row.clone(),
+                value: b"continues t1".to_vec(),
+            }],
+            generation,
+        }),
+    };
+    changes.submit(PROGRAM.to_owned(), reserve("t2", 1_000));
+    flush(&mut changes, &mut store);
+    let first_generation = changes.cached_generation(PROGRAM);
+    store.rows.clear();
+    changes.submit(PROGRAM.to_owned(), end(first_generation));
+    assert_eq!(flush(&mut changes, &mut store), [Outcome::GenerationEnded]);
+    assert!(store.rows.is_empty());
+
+    // The program's next ledger has another generation, also if the same process creates it.
+    changes.submit(PROGRAM.to_owned(), reserve("t2", 1_000));
+    assert_eq!(flush(&mut changes, &mut store), [Outcome::Durable]);
+    assert_ne!(changes.cached_generation(PROGRAM), first_generation);
+    changes.submit(PROGRAM.to_owned(), end(first_generation));
+    assert_eq!(flush(&mut changes, &mut store), [Outcome::GenerationEnded]);
+    changes.submit(PROGRAM.to_owned(), end(changes.cached_generation(PROGRAM)));
+    assert_eq!(flush(&mut changes, &mut store), [Outcome::Durable]);
+    assert!(store.rows.contains_key(&row));
 }
--- a/coordination/tests/gateway_starts.rs
+++ b/coordination/tests/gateway_starts.rs
@@ -337,6 +337,7 @@
     Turn {
         attempt: "t1".to_owned(),
         program: "p1".to_owned(),
+        generation: None,
         previous: None,
         input: b"a".to_vec(),
         output: b"b".to_vec(),
--- a/gateway/src/commits.rs
+++ b/gateway/src/commits.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use rosebend_coordination::gateway::history::partition_of;
-use rosebend_coordination::gateway::ledger::{Account, Ledger, ProcessId, ProcessReservations};
+use rosebend_coordination::gateway::ledger::{
+    Account, Generation, Ledger, ProcessId, ProcessReservations,
+};
 use rosebend_coordination::gateway::pending_changes::{
     Answer, Change, ChangeId, Outcome, PendingChanges,
 };
@@ -140,6 +142,11 @@
         self.with_changes(program, |changes| changes.cached_version(program))
     }
 
+    /// Returns the generation of the program's cached ledger, if it has one.
+    pub fn cached_generation(&self, program: &str) -> Option<Generation> {
+        self.with_changes(program, |changes| changes.cached_generation(program))
+    }
+
     /// Evicts a program's ledger from the cache, unless changes of the program are pending.
     /// It is read again when it is needed.
     pub fn evict(&self, program: &str) {
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -156,6 +156,7 @@
     interruptions: Family<ReasonLabel, Counter>,
     resumptions: Family<ReasonLabel, Counter>,
     history_reads: Family<PlaceLabel, Counter>,
+    history_copies: Counter,
     ledger_lookups: Family<ReasonLabel, Counter>,
     store_calls: Family<StoreLabel, Counter>,
     feeds: Family<WayLabel, Counter>,
@@ -255,6 +256,8 @@
         };
         let help = "Transactions of all hosts that ended in joined ones of this host";
         let joined_parts = counter("joined_parts", help);
+        let help = "Turns stored with a copy of the history that they continue from";
+        let history_copies = counter("history_copies", help);
         let help = "Joined transactions that this host sent to the store";
         let joined_transactions = counter("joined_transactions", help);
         let help = "Transactions of other hosts that could not be read";
@@ -307,6 +310,7 @@
             interruptions,
             resumptions,
             history_reads,
+            history_copies,
             ledger_lookups,
             store_calls,
             feeds,
@@ -435,6 +439,11 @@
             .inc();
     }
 
+    /// Counts a turn that is stored with a copy of the history that it continues from.
+    pub fn count_history_copy(&self) {
+        self.history_copies.inc();
+    }
+
     /// Counts a lookup of a program's ledger before a turn is refused, by its result.
     pub fn count_ledger_lookup(&self, reason: &'static str) {
         let reason = ReasonLabel { reason };
--- a/gateway/src/programs.rs
+++ b/gateway/src/programs.rs
@@ -186,7 +186,11 @@
     // A program that continues from another program's turn has a copy of that chain,
     // so the rows of other programs are not needed.
     let turn = stored.turn(program, attempt, &gateway.history.borrow());
-    let turn = turn.map_err(|error| unreadable(gateway, program, &error))?;
+    let turn = turn.map_err(|error| match stored.has_expired(attempt) {
+        // Other rows of its chain are deleted already.
+        true => Refusal::TurnNotFound,
+        false => unreadable(gateway, program, &error),
+    })?;
     cache_chain(gateway, &turn);
     Ok(Some(turn))
 }
--- a/gateway/src/retention.rs
+++ b/gateway/src/retention.rs
@@ -5,8 +5,8 @@
 //! ledger and the rows that the host itself wrote. Another host that wrote rows of
 //! the program finds the ledger changed or deleted. If it is deleted, that host
 //! deletes its own rows; if it has changed, it waits for another retention time. A
-//! program that continues from another program's turn has a copy of that turn's
-//! chain, so neither needs the rows of the other.
+//! turn refers only to rows that are deleted after the same ledger as its own, and has
+//! a copy of all others; see [`Generation`](rosebend_coordination::gateway::ledger::Generation).
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -15,7 +15,7 @@
 
 use rosebend_coordination::gateway::history::ledger_row;
 use rosebend_state::deployment::{
-    Condition, MAX_TRANSACTION_ENTRIES, ProgramKey, RowId, RowVersion, Transaction,
+    Condition, MAX_TRANSACTION_ENTRIES, ProgramKey, Row, RowId, RowVersion, Transaction,
 };
 use rosebend_transport::store::Transacted;
 
@@ -31,7 +31,7 @@
 #[derive(Debug)]
 struct ExpiringProgram {
     rows: Vec<RowId>,
-    /// Longest retention time of the program's turns on this host.
+    /// Longest retention time of the program's turns that this host knows of.
     retention: Duration,
     /// Time at which the rows are to be deleted.
     due_at: Duration,
@@ -39,6 +39,13 @@
     version: RowVersion,
 }
 
+impl ExpiringProgram {
+    /// Returns the time at which the version of the ledger was learned.
+    fn ledger_read_at(&self) -> Duration {
+        self.due_at.saturating_sub(self.retention)
+    }
+}
+
 /// The programs whose rows this host deletes when their retention expires.
 #[derive(Debug, Default)]
 pub struct Retention {
@@ -56,19 +63,33 @@
         version: RowVersion,
         now: Duration,
     ) {
+        let added = ExpiringProgram {
+            rows,
+            retention,
+            due_at: now + retention,
+            version,
+        };
+        self.add(program.to_owned(), added);
+    }
+
+    /// Adds rows of a program to those that are known, which are then kept for as long.
+    fn add(&self, program: ProgramKey, mut added: ExpiringProgram) {
         let mut programs = self.programs.borrow_mut();
-        let expiring = programs
-            .entry(program.to_owned())
-            .or_insert_with(|| ExpiringProgram {
-                rows: Vec::new(),
-                retention,
-                due_at: now,
-                version,
-            });
-        expiring.rows.extend(rows);
-        expiring.retention = expiring.retention.max(retention);
-        expiring.version = version;
-        expiring.due_at = now + expiring.retention;
+        let Some(expiring) = programs.get_mut(&program) else {
+            programs.insert(program, added);
+            return;
+        };
+        expiring.rows.append(&mut added.rows);
+        let read_at = expiring.ledger_read_at().max(added.ledger_read_at());
+        expiring.retention = expiring.retention.max(added.retention);
+        expiring.due_at = read_at + expiring.retention;
+        expiring.version = expiring.version.max(added.version);
+    }
+
+    /// Removes a program. Rows that are added while the others are deleted belong to a
+    /// later ledger of the program.
+    fn take(&self, program: &str) -> Option<ExpiringProgram> {
+        self.programs.borrow_mut().remove(program)
     }
 
     fn due(&self, now: Duration) -> Vec<ProgramKey> {
@@ -93,64 +114,53 @@
 }
 
 async fn delete(gateway: &Gateway, program: &str) {
-    let Some(transaction) = first_deletion(gateway, program) else {
+    let Some(expiring) = gateway.retention.take(program) else {
         return;
     };
+    let transaction = first_deletion(program, &expiring);
     match gateway.batched_commits.transact(&transaction).await {
-        Ok(Transacted::Applied(_)) => {
-            gateway.commits.evict(program);
-            delete_rest(gateway, program).await;
-        }
-        Ok(Transacted::Conflict(rows)) => match rows.first() {
-            Some(row) => defer_deletion(gateway, program, row.version),
+        Ok(Transacted::Applied(_)) => delete_rows(gateway, program, expiring.rows).await,
+        Ok(Transacted::Conflict(rows)) => match rows.into_iter().next() {
+            Some(ledger) => defer_deletion(gateway, program, expiring, &ledger),
             // Another host has deleted the ledger, so the program has ended.
-            None => {
-                gateway.commits.evict(program);
-                delete_rest(gateway, program).await;
-            }
+            None => delete_rows(gateway, program, expiring.rows).await,
         },
         // The store is unreachable, which the client has already logged. The program
         // remains due.
-        Err(_) => {}
+        Err(_) => gateway.retention.add(program.to_owned(), expiring),
     }
 }
 
 /// Returns the transaction that deletes the ledger, if it is unchanged, and as many
 /// rows as fit.
-fn first_deletion(gateway: &Gateway, program: &str) -> Option<Transaction> {
-    let programs = gateway.retention.programs.borrow();
-    let expiring = programs.get(program)?;
+fn first_deletion(program: &str, expiring: &ExpiringProgram) -> Transaction {
     let ledger = ledger_row(program);
-    let rows = expiring
-        .rows
-        .iter()
-        .take(MAX_TRANSACTION_ENTRIES - 2)
-        .cloned();
-    Some(Transaction {
+    let rows = expiring.rows.iter();
+    let rows = rows.take(MAX_TRANSACTION_ENTRIES - 2).cloned();
+    Transaction {
         conditions: vec![Condition {
             row: ledger.clone(),
             version: expiring.version,
         }],
         deletes: rows.chain([ledger]).collect(),
         writes: Vec::new(),
-    })
+    }
 }
 
 /// Defers the deletion of a program that has continued on another host by its
 /// retention time.
-fn defer_deletion(gateway: &Gateway, program: &str, version: RowVersion) {
-    let now = gateway.clock.now();
-    let mut programs = gateway.retention.programs.borrow_mut();
-    if let Some(expiring) = programs.get_mut(program) {
-        expiring.version = version;
-        expiring.due_at = now + expiring.retention;
-    }
+fn defer_deletion(gateway: &Gateway, program: &str, expiring: ExpiringProgram, row: &Row) {
+    let deferred = ExpiringProgram {
+        due_at: gateway.clock.now() + expiring.retention,
+        version: row.version,
+        ..expiring
+    };
+    gateway.retention.add(program.to_owned(), deferred);
 }
 
 /// Deletes the rows of a program whose ledger is deleted.
-async fn delete_rest(gateway: &Gateway, program: &str) {
-    let expiring = gateway.retention.programs.borrow_mut().remove(program);
-    let rows = expiring.map(|expiring| expiring.rows).unwrap_or_default();
+async fn delete_rows(gateway: &Gateway, program: &str, rows: Vec<RowId>) {
+    gateway.commits.evict(program);
     for rows in rows.chunks(MAX_TRANSACTION_ENTRIES) {
         let transaction = Transaction {
             deletes: rows.to_vec(),
--- a/gateway/src/spending.rs
+++ b/gateway/src/spending.rs
@@ -10,14 +10,15 @@
 use rosebend_coordination::gateway::escrow::terms::EscrowTerms;
 use rosebend_coordination::gateway::history::partition_of;
 use rosebend_coordination::gateway::ledger::ProcessId;
-use rosebend_coordination::gateway::pending_changes::{Change, Outcome};
-use rosebend_state::deployment::{AttemptId, ProgramHeader, RowWrite};
+use rosebend_coordination::gateway::pending_changes::{Change, Outcome, TurnRecord};
+use rosebend_state::deployment::{AttemptId, ProgramHeader, Route};
 use rosebend_transport::event::{Amount, Event, EventKind, log_event};
 use tokio::sync::oneshot;
 
 use crate::call::Call;
 use crate::escrow::{self, Grant, GrantContext, GrantError};
 use crate::gateway::Gateway;
+use crate::interruption::Interruption;
 use crate::reply::Refusal;
 
 mod full_budget;
@@ -33,6 +34,11 @@
 /// requested beside it. A store that loses answers or is slow would otherwise hold the
 /// first event back until the turn is late, although the engine has answered.
 const MAX_RESERVATION_WAIT: (u32, u32) = (2, 5);
+/// Minimum time for which a ledger without records is kept after the last turn of its
+/// program. If the ledger were deleted while the program pauses, the program would
+/// start again with its full budget. The longest programs of the known deployments
+/// take 16 s, and the longest retention of a route is 60 s.
+const MIN_LEDGER_RETENTION: Duration = Duration::from_secs(60);
 /// Interval between two requests to an owner that holds off. The owner may end its
 /// hold-off early.
 const HOLD_OFF_POLL_INTERVAL: Duration = Duration::from_millis(40);
@@ -319,6 +325,8 @@
                 log_event(&event.program_key(&self.program));
                 Err(self.gateway.store_unreachable())
             }
+            // Only settlements have this outcome.
+            Ok(Outcome::GenerationEnded) => Err(self.gateway.store_unreachable()),
             // The process is stopping.
             Err(_) => Err(self.gateway.store_unreachable()),
         }
@@ -339,18 +347,33 @@
         self.emitted_tokens().saturating_sub(self.settled_tokens)
     }
 
-    /// Replaces the reservation with the tokens that were delivered. `rows` become
+    /// Replaces the reservation with the tokens that were delivered. `record` becomes
     /// durable in the same transaction. The returned receiver yields the outcome.
-    pub fn settle(&mut self, rows: Vec<RowWrite>) -> oneshot::Receiver<Outcome> {
+    pub fn settle(&mut self, record: Option<TurnRecord>) -> oneshot::Receiver<Outcome> {
         self.is_settled = true;
         let change = Change::Settle {
             attempt: self.attempt.clone(),
             tokens: self.unsettled_tokens(),
-            rows,
+            record,
         };
         self.gateway.commits.submit(self.program.clone(), change)
     }
 
+    /// Reserves the turn's maximum output tokens in the present ledger of its program, after
+    /// the one that had its reservation was deleted.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the reservation did not become durable.
+    pub async fn reserve_again(&mut self) -> Result<(), Interruption> {
+        self.is_settled = false;
+        self.request_reservation(Vec::new());
+        match self.reservation_outcome().await {
+            Ok(Some(Outcome::Durable)) => Ok(()),
+            Ok(_) | Err(_) => Err(Interruption::RecordNotDurable),
+        }
+    }
+
     /// Settles the turn without waiting for the outcome. The change may be deferred and
     /// sent together with another one.
     pub fn settle_later(&mut self) {
@@ -361,7 +384,7 @@
         let change = Change::Settle {
             attempt: self.attempt.clone(),
             tokens: self.unsettled_tokens(),
-            rows: Vec::new(),
+            record: None,
         };
         self.gateway
             .commits
@@ -390,7 +413,7 @@
             Some(grant) => self.settle_grant(grant, self.emitted_tokens()),
             // The settlement is sent at once, because the caller may retry immediately at
             // another host.
-            None => drop(self.settle(Vec::new())),
+            None => drop(self.settle(None)),
         }
     }
 }
@@ -403,6 +426,14 @@
     EscrowTerms::new(call.route.takes_grants(), max_output_tokens, budget_tokens)
 }
 
+/// Returns the time for which a program's ledger is kept after a turn of a route.
+pub fn ledger_retention(route: &Route) -> Duration {
+    match route.keeps_history {
+        true => route.retention,
+        false => route.retention.max(MIN_LEDGER_RETENTION),
+    }
+}
+
 /// Waits until the store is reachable for a program.
 async fn until_reachable(gateway: &Gateway, program: &str) {
     while gateway.check_reachable(program).is_err() {
--- a/gateway/src/turn_stream.rs
+++ b/gateway/src/turn_stream.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use futures_util::StreamExt;
 use rosebend_coordination::gateway::history::Turn;
-use rosebend_coordination::gateway::pending_changes::Outcome;
+use rosebend_coordination::gateway::pending_changes::{Outcome, TurnRecord};
 use rosebend_platform::headers;
 use rosebend_protocol::sse::{SseEvent, SseReader};
 use rosebend_state::deployment::{ProgramHeader, RowId};
@@ -27,13 +27,7 @@
 use crate::recent_history;
 use crate::reply::{self, Refusal};
 use crate::runs::{Chunk, Runs};
-use crate::spending::{Spending, tokens_per_event};
-
-/// Minimum time for which a ledger without records is kept after the last turn of its
-/// program. If the ledger were deleted while the program pauses, the program would
-/// start again with its full budget. The longest programs of the known deployments
-/// take 16 s, and the longest retention of a route is 60 s.
-const MIN_LEDGER_RETENTION: Duration = Duration::from_secs(60);
+use crate::spending::{Spending, ledger_retention, tokens_per_event};
 
 /// Maximum size of a recorded turn's output. With the longest input it fits into one
 /// transaction of at most 1 MB of encoded rows.
@@ -41,6 +35,9 @@
 /// Number of events that an answer may have beyond twice the number of those that its turn may
 /// generate.
 const MAX_EXTRA_EVENTS: u64 = 8;
+/// Number of times that a turn's record is written if the program's ledger is deleted
+/// meanwhile. Each deletion takes the retention time of the program.
+const MAX_RECORD_ATTEMPTS: usize = 3;
 
 /// The contents of a turn's record, collected while the turn is served.
 #[derive(Debug)]
@@ -286,28 +283,42 @@
         record: Record,
     ) -> Result<(), Interruption> {
         let ended = self.gateway.clock.now();
-        let turn = Arc::new(self.build_turn(record, spending.emitted_tokens()));
-        // The limit applies to encoded rows, where four bytes represent three.
-        let rows = turn.rows(self.gateway.settings().store.row_bytes / 4 * 3);
-        let row_ids: Vec<RowId> = rows.iter().map(|write| write.row.clone()).collect();
-        match spending.settle(rows).await {
-            Ok(Outcome::Unreadable) => {
-                let event = Event::new(EventKind::RecordUnreadable);
-                log_event(&event.program_key(&turn.program));
-                Err(Interruption::RecordUnreadable)
-            }
-            Ok(Outcome::Durable | Outcome::Exhausted) => {
-                self.schedule_deletion(&turn.program, row_ids, self.call.route.retention);
-                let commit_time = self.gateway.clock.now().saturating_sub(ended);
-                self.gateway.metrics.observe(Timing::Record, commit_time);
-                let event = Event::new(EventKind::TurnRecorded).tokens(spending.emitted_tokens());
-                self.call.request_log.add_step(event.elapsed(commit_time));
-                self.gateway.history.borrow_mut().insert(Arc::clone(&turn));
-                recent_history::cache_turn(&self.gateway, turn);
-                Ok(())
+        for _ in 0..MAX_RECORD_ATTEMPTS {
+            let turn = Arc::new(self.build_turn(&record, spending.emitted_tokens()));
+            // The limit applies to encoded rows, where four bytes represent three.
+            let rows = turn.rows(self.gateway.settings().store.row_bytes / 4 * 3);
+            let row_ids: Vec<RowId> = rows.iter().map(|write| write.row.clone()).collect();
+            let turn_record = TurnRecord {
+                rows,
+                generation: turn.generation,
+            };
+            match spending.settle(Some(turn_record)).await {
+                Ok(Outcome::GenerationEnded) => spending.reserve_again().await?,
+                Ok(Outcome::Unreadable) => {
+                    let event = Event::new(EventKind::RecordUnreadable);
+                    log_event(&event.program_key(&turn.program));
+                    return Err(Interruption::RecordUnreadable);
+                }
+                Ok(Outcome::Durable | Outcome::Exhausted) => {
+                    self.schedule_deletion(&turn.program, row_ids, self.call.route.retention);
+                    let commit_time = self.gateway.clock.now().saturating_sub(ended);
+                    self.record_commit(turn, spending.emitted_tokens(), commit_time);
+                    return Ok(());
+                }
+                Err(_) => return Err(Interruption::RecordNotDurable),
             }
-            Err(_) => Err(Interruption::RecordNotDurable),
         }
+        Err(Interruption::RecordNotDurable)
+    }
+
+    /// Caches a turn that is durable, and records the tokens that it spent and how long its
+    /// commit took.
+    fn record_commit(&self, turn: Arc<Turn>, tokens: u64, commit_time: Duration) {
+        self.gateway.metrics.observe(Timing::Record, commit_time);
+        let event = Event::new(EventKind::TurnRecorded).tokens(tokens);
+        self.call.request_log.add_step(event.elapsed(commit_time));
+        self.gateway.history.borrow_mut().insert(Arc::clone(&turn));
+        recent_history::cache_turn(&self.gateway, turn);
     }
 
     /// Submits the tokens that the turn spent, without waiting until they are durable.
@@ -315,31 +326,38 @@
     fn settle_in_background(&self, spending: &mut Spending) {
         spending.settle_later();
         if let Some(program) = self.call.program() {
-            let retention = self.call.route.retention.max(MIN_LEDGER_RETENTION);
+            let retention = ledger_retention(&self.call.route);
             self.schedule_deletion(&program.program, Vec::new(), retention);
         }
     }
 
-    /// Builds the turn as it is stored. A turn that continues another program's turn
-    /// contains a copy of the whole history before it, so that each program's rows can be
-    /// deleted independently once that program has ended.
-    fn build_turn(&self, record: Record, tokens: u64) -> Turn {
-        let program = record.program.program;
+    /// Builds the turn as it is stored. A turn contains a copy of the whole history before
+    /// it unless the preceding turn is deleted together with it: that turn may belong to
+    /// another program, or its rows may be deleted although it is still in memory.
+    fn build_turn(&self, record: &Record, tokens: u64) -> Turn {
+        let program = record.program.program.clone();
+        let generation = self.gateway.commits.cached_generation(&program);
         let prompt_tokens = self
             .call
             .header
             .tokens
             .map_or(0, |tokens| tokens.prompt_tokens);
-        let (previous, input) = match record.previous {
-            Some(other) if other.program != program => (None, other.prompt(&self.call.body)),
-            previous => (previous, self.call.body.to_vec()),
+        let is_kept_with =
+            |previous: &Arc<Turn>| previous.program == program && previous.generation == generation;
+        let (previous, input) = match &record.previous {
+            Some(previous) if !is_kept_with(previous) => {
+                self.gateway.metrics.count_history_copy();
+                (None, previous.prompt(&self.call.body))
+            }
+            previous => (previous.clone(), self.call.body.to_vec()),
         };
         Turn {
             attempt: self.call.turn_id(),
             program,
+            generation,
             previous,
             input,
-            output: record.output,
+            output: record.output.clone(),
             endpoint: self.runs.endpoint().clone(),
             tokens: prompt_tokens.saturating_add(tokens),
         }
--- a/gateway/tests/retention.rs
+++ b/gateway/tests/retention.rs
@@ -87,3 +87,79 @@
     assert!(prompt.starts_with("first|word0\n"), "{prompt}");
     assert!(prompt.ends_with("last"), "{prompt}");
 }
+
+/// Waits until a host has deleted all programs.
+async fn wait_until_deleted(site: &Site) {
+    wait_until("all programs are deleted", async || {
+        site.rows("programs") == 0 && site.rows("turns") == 0
+    })
+    .await;
+}
+
+/// Asserts that a new program can continue from a turn whose chain starts with `first|`,
+/// according to a host that has none of it in memory.
+async fn assert_stored(site: &Site, previous: &str) {
+    let fresh = site.start_ready_gateway().await;
+    let ask = TestRequest::turn("u1", "p2", "next").previous(previous);
+    let answer = ask.send(fresh.front).await;
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    let prompt = site.runs(MODELS).await["u1"].body.clone();
+    assert!(prompt.starts_with("first|word0\n"), "{prompt}");
+    assert!(prompt.ends_with("next"), "{prompt}");
+}
+
+/// Guards against a turn that cannot be continued: its record referred to a turn that was
+/// still in memory after its rows had been deleted.
+#[actix_rt::test]
+async fn a_turn_that_continues_a_deleted_one_is_stored_with_its_history() {
+    let site = site();
+    let gateway = site.start_ready_gateway().await;
+    TestRequest::turn("t1", "p1", "first|")
+        .send(gateway.front)
+        .await;
+    wait_until_deleted(&site).await;
+    let ask = TestRequest::turn("t2", "p1", "second|").previous("t1");
+    assert_eq!(ask.send(gateway.front).await.status, 200);
+    let ask = TestRequest::turn("t3", "p1", "third|").previous("t2");
+    assert_eq!(ask.send(gateway.front).await.status, 200);
+    drop(gateway);
+    assert_stored(&site, "t3").await;
+    assert_eq!(
+        site.runs(MODELS).await["t3"].body.matches("first|").count(),
+        1
+    );
+}
+
+/// Guards against the same failure at a host that did not delete the rows itself.
+#[actix_rt::test]
+async fn a_turn_that_continues_one_deleted_by_another_host_is_stored_with_its_history() {
+    let site = site();
+    let [writer, reader] = site.start_two_ready_gateways().await;
+    TestRequest::turn("t1", "p1", "first|")
+        .send(writer.front)
+        .await;
+    // The turn comes into the memory of the second host, whose own program survives it.
+    let ask = TestRequest::turn("o1", "p3", "other|").previous("t1");
+    assert_eq!(ask.send(reader.front).await.status, 200);
+    wait_until_deleted(&site).await;
+    let ask = TestRequest::turn("t2", "p1", "second|").previous("t1");
+    assert_eq!(ask.send(reader.front).await.status, 200);
+    drop((writer, reader));
+    assert_stored(&site, "t2").await;
+}
+
+/// A turn whose rows were deleted and that no host has in memory does not exist, which a
+/// caller is told at once.
+#[actix_rt::test]
+async fn a_deleted_turn_is_not_found() {
+    let site = site();
+    let gateway = site.start_ready_gateway().await;
+    TestRequest::turn("t1", "p1", "first|")
+        .send(gateway.front)
+        .await;
+    wait_until_deleted(&site).await;
+    drop(gateway);
+    let fresh = site.start_ready_gateway().await;
+    let ask = TestRequest::turn("t2", "p1", "second|").previous("t1");
+    assert_eq!(ask.send(fresh.front).await.status, 404);
+}
