Keep a program for the longest retention of its turns at any host

The ledger now contains the longest retention of its turns. A host that deletes a program, or finds that its ledger changed, waits for that time.

a_turn_is_kept_as_long_as_a_later_one_of_another_host failed before (503) and passes now.

--- a/coordination/src/gateway/ledger.rs
+++ b/coordination/src/gateway/ledger.rs
@@ -21,9 +21,11 @@
 
 use std::collections::BTreeMap;
 use std::collections::btree_map::Entry;
+use std::time::Duration;
 
 use rosebend_state::deployment::AttemptId;
 use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
 
 use crate::gateway::escrow::terms::EscrowTerms;
 use crate::gateway::escrow::{Fences, GrantId, SLOTS, SlotIndex, share_tokens};
@@ -41,6 +43,7 @@
 pub type Generation = u64;
 
 /// Tokens that one program has spent and reserved.
+#[serde_as]
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -76,6 +79,15 @@
     /// Set by the first reservation. Ledgers of older versions have none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     generation: Option<Generation>,
+    /// Longest retention time of the turns that reserved tokens. The ledger may be deleted
+    /// once it has been unchanged for this time.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(
+        rename = "retention_ms",
+        default,
+        skip_serializing_if = "Duration::is_zero"
+    )]
+    retention: Duration,
 }
 
 /// The reservation of a running turn.
@@ -135,6 +147,8 @@
     pub fences: &'a Fences,
     /// Generation of the ledger if the reservation is its first.
     pub generation: Generation,
+    /// Time for which the program's turns are kept after this turn.
+    pub retention: Duration,
 }
 
 /// The reason why a budget has no room for a turn.
@@ -190,6 +204,11 @@
         self.generation
     }
 
+    /// Returns the longest retention time of the turns that reserved tokens.
+    pub const fn retention(&self) -> Duration {
+        self.retention
+    }
+
     /// Returns the tokens that are spent or reserved.
     pub fn committed_tokens(&self) -> u64 {
         let account = self.account();
@@ -260,6 +279,7 @@
         };
         next.reserved.insert(request.attempt.clone(), reservation);
         next.generation.get_or_insert(request.generation);
+        next.retention = next.retention.max(request.retention);
         *self = next;
         ReservationOutcome::Reserved
     }
--- a/coordination/src/gateway/pending_changes.rs
+++ b/coordination/src/gateway/pending_changes.rs
@@ -10,6 +10,7 @@
 //! condition.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::time::Duration;
 
 use rosebend_state::deployment::{
     AttemptId, Condition, MAX_TRANSACTION_ENTRIES, ProgramKey, Row, RowId, RowVersion, RowWrite,
@@ -55,6 +56,8 @@
         /// State of the escrow slots, which may have granted tokens of the budget
         /// that the ledger does not contain.
         escrow: EscrowTerms,
+        /// Time for which the program's turns are kept after this turn.
+        retention: Duration,
     },
     /// Settles a turn that ran on a reservation.
     Settle {
@@ -249,6 +252,12 @@
         self.cached.get(program)?.ledger.generation()
     }
 
+    /// Returns the longest retention time in the program's cached ledger.
+    pub fn cached_retention(&self, program: &str) -> Duration {
+        let cached = self.cached.get(program);
+        cached.map_or(Duration::ZERO, |cached| cached.ledger.retention())
+    }
+
     /// Returns whether the budget has room for a turn in the program's expected
     /// ledger.
     pub fn is_expected_to_fit(
@@ -519,6 +528,7 @@
             budget_tokens,
             dead_processes,
             escrow,
+            retention,
         } => {
             let request = ReservationRequest {
                 process,
@@ -528,6 +538,7 @@
                 escrow,
                 fences,
                 generation: new_generation(process, pending.id),
+                retention: *retention,
             };
             match ledger.reserve(&request, dead_processes) {
                 ReservationOutcome::Reserved => Ok(()),
--- a/coordination/tests/change_support/mod.rs
+++ b/coordination/tests/change_support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses only some of the items")]
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use rosebend_coordination::gateway::escrow::terms::EscrowTerms;
 use rosebend_coordination::gateway::history::ledger_row;
@@ -14,6 +15,9 @@
 /// Maximum output tokens of each turn.
 pub const MAX_OUTPUT_TOKENS: u64 = 280;
 
+/// Retention time of each turn.
+pub const RETENTION: Duration = Duration::from_secs(60);
+
 /// A store that applies a transaction if its conditions hold.
 #[derive(Default)]
 pub struct Store {
@@ -77,6 +81,7 @@
         budget_tokens,
         dead_processes,
         escrow: EscrowTerms::Excluded,
+        retention: RETENTION,
     }
 }
 
--- a/coordination/tests/escrow_sim/mod.rs
+++ b/coordination/tests/escrow_sim/mod.rs
@@ -427,6 +427,7 @@
             budget_tokens: self.budget,
             dead_processes,
             escrow: turn.escrow.clone(),
+            retention: Duration::from_secs(60),
         };
         let changes = &mut self.hosts[host].changes;
         changes.submit(PROGRAM.to_owned(), change)
--- a/coordination/tests/gateway_history.rs
+++ b/coordination/tests/gateway_history.rs
@@ -2,6 +2,7 @@
 //! or an endless loop, and a malformed turn must not affect others.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use proptest::prelude::*;
 use proptest::sample::{Index, select};
@@ -209,6 +210,7 @@
         fences: &Fences::new(),
         escrow: &EscrowTerms::Excluded,
         generation: GENERATION,
+        retention: Duration::from_secs(60),
     };
     ledger.reserve(&request, &[]);
     let mut rows = chain_rows(1);
--- a/coordination/tests/gateway_pending_changes.rs
+++ b/coordination/tests/gateway_pending_changes.rs
@@ -4,7 +4,8 @@
 mod change_support;
 
 use change_support::{
-    MAX_OUTPUT_TOKENS, PROGRAM, Store, flush, reserve, reserve_with_dead_processes, settle,
+    MAX_OUTPUT_TOKENS, PROGRAM, RETENTION, Store, flush, reserve, reserve_with_dead_processes,
+    settle,
 };
 use rosebend_coordination::gateway::escrow::terms::EscrowTerms;
 use rosebend_coordination::gateway::history::ledger_row;
@@ -182,6 +183,7 @@
         budget_tokens: budget,
         dead_processes: first_process(),
         escrow: EscrowTerms::Excluded,
+        retention: RETENTION,
     };
     second.submit(PROGRAM.to_owned(), small);
     let outcomes = flush(&mut second, &mut store);
@@ -335,3 +337,35 @@
     assert_eq!(flush(&mut changes, &mut store), [Outcome::Durable]);
     assert!(store.rows.contains_key(&row));
 }
+
+/// Guards against a host that deletes the turns of its own, shorter retention time although
+/// later turns at other hosts continue from them.
+#[test]
+fn a_ledger_contains_the_longest_retention_of_its_turns() {
+    let mut store = Store::default();
+    let mut changes = PendingChanges::new(FIRST.to_owned());
+    for (attempt, retention) in [("t1", RETENTION), ("t2", RETENTION / 6)] {
+        let Change::Reserve {
+            attempt,
+            max_output_tokens,
+            budget_tokens,
+            dead_processes,
+            escrow,
+            ..
+        } = reserve(attempt, 1_000)
+        else {
+            unreachable!("the change is a reservation");
+        };
+        let change = Change::Reserve {
+            attempt,
+            max_output_tokens,
+            budget_tokens,
+            dead_processes,
+            escrow,
+            retention,
+        };
+        changes.submit(PROGRAM.to_owned(), change);
+    }
+    flush(&mut changes, &mut store);
+    assert_eq!(store.ledger().retention(), RETENTION);
+}
--- a/gateway/src/commits.rs
+++ b/gateway/src/commits.rs
@@ -147,6 +147,11 @@
         self.with_changes(program, |changes| changes.cached_generation(program))
     }
 
+    /// Returns the longest retention time in the program's cached ledger.
+    pub fn cached_retention(&self, program: &str) -> Duration {
+        self.with_changes(program, |changes| changes.cached_retention(program))
+    }
+
     /// Evicts a program's ledger from the cache, unless changes of the program are pending.
     /// It is read again when it is needed.
     pub fn evict(&self, program: &str) {
--- a/gateway/src/retention.rs
+++ b/gateway/src/retention.rs
@@ -1,7 +1,8 @@
 //! Deletes the rows of programs whose retention has expired.
 //!
 //! A turn and all turns that it continues from are kept for the route's retention
-//! time. Once a program's ledger has not changed for that time, a host deletes the
+//! time. A program's ledger contains the longest retention time of its turns, whichever
+//! hosts ran them. Once the ledger has not changed for that time, a host deletes the
 //! ledger and the rows that the host itself wrote. Another host that wrote rows of
 //! the program finds the ledger changed or deleted. If it is deleted, that host
 //! deletes its own rows; if it has changed, it waits for another retention time. A
@@ -14,6 +15,7 @@
 use std::time::Duration;
 
 use rosebend_coordination::gateway::history::ledger_row;
+use rosebend_coordination::gateway::ledger::Ledger;
 use rosebend_state::deployment::{
     Condition, MAX_TRANSACTION_ENTRIES, ProgramKey, Row, RowId, RowVersion, Transaction,
 };
@@ -148,12 +150,20 @@
 }
 
 /// Defers the deletion of a program that has continued on another host by its
-/// retention time.
+/// retention time, which the ledger contains.
 fn defer_deletion(gateway: &Gateway, program: &str, expiring: ExpiringProgram, row: &Row) {
+    let ledger = row.value.as_deref().map(Ledger::decode);
+    let retention = match ledger {
+        Some(Ok(ledger)) => ledger.retention() + gateway.settings().retention_margin,
+        // Turns that need the ledger report that it cannot be decoded.
+        Some(Err(_)) | None => Duration::ZERO,
+    };
+    let retention = retention.max(expiring.retention);
     let deferred = ExpiringProgram {
-        due_at: gateway.clock.now() + expiring.retention,
+        rows: expiring.rows,
+        retention,
+        due_at: gateway.clock.now() + retention,
         version: row.version,
-        ..expiring
     };
     gateway.retention.add(program.to_owned(), deferred);
 }
--- a/gateway/src/spending.rs
+++ b/gateway/src/spending.rs
@@ -74,6 +74,8 @@
     budget_tokens: u64,
     /// Escrow slots for which the ledger withholds tokens.
     escrow: EscrowTerms,
+    /// Time for which the program's ledger is kept after the turn.
+    retention: Duration,
     /// Outcome of the reservation; `None` if it was received or if no reservation was
     /// requested. A turn with a grant keeps it, for the case that the grant can't be
     /// extended.
@@ -117,6 +119,7 @@
             max_output_tokens,
             budget_tokens,
             escrow: escrow_terms(call, header, max_output_tokens),
+            retention: ledger_retention(&call.route),
             pending_reservation: None,
             grant: None,
             is_reserved: false,
@@ -229,6 +232,7 @@
             budget_tokens: self.budget_tokens,
             dead_processes,
             escrow: self.escrow.clone(),
+            retention: self.retention,
         };
         let outcome = self.gateway.commits.submit(self.program.clone(), change);
         self.pending_reservation = Some(outcome);
--- a/gateway/src/turn_stream.rs
+++ b/gateway/src/turn_stream.rs
@@ -366,6 +366,8 @@
     /// Schedules the deletion of the turn's rows together with the program's ledger.
     fn schedule_deletion(&self, program: &str, rows: Vec<RowId>, retention: Duration) {
         let version = self.gateway.commits.cached_version(program);
+        // Turns at other hosts may be kept for longer and continue from this one.
+        let retention = retention.max(self.gateway.commits.cached_retention(program));
         let retention = retention + self.gateway.settings().retention_margin;
         let now = self.gateway.clock.now();
         self.gateway
--- a/gateway/tests/retention.rs
+++ b/gateway/tests/retention.rs
@@ -163,3 +163,28 @@
     let ask = TestRequest::turn("t2", "p1", "second|").previous("t1");
     assert_eq!(ask.send(fresh.front).await.status, 404);
 }
+
+/// Guards against a host that deletes a turn after the retention time of its own route,
+/// although a later turn at another host continues from it and is kept for longer.
+#[actix_rt::test]
+async fn a_turn_is_kept_as_long_as_a_later_one_of_another_host() {
+    let site = Site::without_routes();
+    let mut config = routes(1);
+    config["routes"][0]["retention-s"] = json!(1.0);
+    let mut kept_longer = config["routes"][0].clone();
+    kept_longer["name"] = json!("kept-longer");
+    kept_longer["prefix"] = json!("/longer/stream/");
+    kept_longer["retention-s"] = json!(60.0);
+    config["routes"].as_array_mut().unwrap().push(kept_longer);
+    site.store.put("op", "config", &config);
+    let [first, second] = site.start_two_ready_gateways().await;
+    TestRequest::turn("t1", "p1", "first|")
+        .send(first.front)
+        .await;
+    let ask = TestRequest::turn("t2", "p1", "second|").previous("t1");
+    let ask = ask.at_path("/longer/stream/turn");
+    assert_eq!(ask.send(second.front).await.status, 200);
+    // The first host scans every second, and its turn was to be kept for 1.5 s.
+    actix_rt::time::sleep(Duration::from_secs(6)).await;
+    assert_stored(&site, "t2").await;
+}
