Consider every host as an allocator of a limit

Rows of lost hosts stay in the table, and only the first three hosts of a group's ranking, of those with much CPU, were considered as its allocators. Where all three were lost, the group had none.

Each ranking now has all hosts, those with little CPU last. The hosts after one that is late to respond are probed early, up to four of them, so that a series of lost hosts is passed in less than a second each; hosts that stay silent are probed ever more rarely, up to 5 s. An isolated host now ends up as the allocator of every limit. So that many of them do not hand out a new account's initial tokens each, hosts beyond the first three have only their share of them: without that, limits_hold_while_no_host_reaches_another fails.

all_customers_are_served_after_half_of_the_hosts_are_lost_for_good failed before (a customer with 0 of 20 requests served), and so did the test with processes, all_customers_are_served_after_most_hosts_are_lost. The other tests of limits pass unchanged but for the signature of Allocator::grant.

--- a/coordination/src/gateway/batchers.rs
+++ b/coordination/src/gateway/batchers.rs
@@ -61,10 +61,15 @@
     hosts: impl Iterator<Item = &'a PeerHost<A>>,
 ) -> Vec<&'a PeerHost<A>> {
     let mut ranked: Vec<&PeerHost<A>> = hosts.collect();
-    ranked.sort_by_cached_key(|host| hash_parts(&[seed.as_bytes(), host.host.as_bytes()]));
+    ranked.sort_by_cached_key(|host| host_rank(seed, host));
     ranked
 }
 
+/// Returns the rank of a host for work that the seed names; the lowest comes first.
+pub fn host_rank<A>(seed: &str, host: &PeerHost<A>) -> u64 {
+    hash_parts(&[seed.as_bytes(), host.host.as_bytes()])
+}
+
 /// The hosts that may batch transactions, as this host knows them.
 #[derive(Debug)]
 pub struct Batchers<A> {
--- a/coordination/src/gateway/limits.rs
+++ b/coordination/src/gateway/limits.rs
@@ -312,7 +312,9 @@
         let customers = request.customers.iter().filter_map(|requested| {
             let limit = *self.limits.get(&requested.customer)?;
             let allocator = &mut self.allocator;
-            let share = allocator.share(group_of(&requested.customer), self.host_count, now);
+            let group = group_of(&requested.customer);
+            let is_preferred = self.links.is_preferred(group, &self.own_process);
+            let share = allocator.share(group, self.host_count, is_preferred, now);
             Some(allocator.grant(&request.from, requested, limit, self.tolerance, share, now))
         });
         AllocatorResponse {
--- a/coordination/src/gateway/limits/allocator.rs
+++ b/coordination/src/gateway/limits/allocator.rs
@@ -20,7 +20,7 @@
 /// burst. Small customers depend on the slack, because the requests of a few
 /// programs arrive in bursts.
 const SLACK_FRACTION: f64 = 0.75;
-/// Fractions of the tolerated overage and slack that a new bucket holds. An
+/// Fractions of the tolerated overage and slack that a new bucket receives. An
 /// allocator has no record of what was served before it created the bucket. Together
 /// with the fractions above, these stay below the full tolerance.
 const INITIAL_OVERAGE_FRACTION: f64 = 0.4;
@@ -66,6 +66,18 @@
     usage: ProgramUsage,
 }
 
+/// The part of a limit that a host allocates.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Share {
+    /// Fraction of the rate, which is the fraction of all hosts that use this host as their
+    /// allocator.
+    pub rate: f64,
+    /// Fraction of the initial tokens of a new account. Any host may allocate a limit for
+    /// those that reach no host before it in the ranking, so that all but the first of the
+    /// ranking have these tokens only once together.
+    pub initial: f64,
+}
+
 /// Account of one customer's limit.
 #[derive(Debug)]
 struct Account {
@@ -76,6 +88,8 @@
     hosts: HashMap<ProcessId, HostAccount>,
     /// Total quota that the hosts hold.
     held: u64,
+    /// Fraction of the initial tokens that the buckets have received.
+    credited: f64,
     /// Time of the last request of any host.
     requested_at: Duration,
     usage: ProgramUsage,
@@ -136,13 +150,17 @@
         }
     }
 
-    /// Returns the fraction of a group's limits that this host may grant, which is
-    /// the fraction of all hosts that use it as their allocator.
-    pub fn share(&self, group: Group, hosts: usize, now: Duration) -> f64 {
+    /// Returns the part of a group's limits that this host may grant. `is_preferred` is
+    /// whether it is one of the first hosts of the group's ranking.
+    pub fn share(&self, group: Group, hosts: usize, is_preferred: bool, now: Duration) -> Share {
         let followers = self.followers.get(&group);
         let followers = followers.into_iter().flat_map(HashMap::values);
         let count = followers.filter(|until| **until >= now).count();
-        (count as f64 / hosts.max(1) as f64).min(1.0)
+        let rate = (count as f64 / hosts.max(1) as f64).min(1.0);
+        Share {
+            rate,
+            initial: if is_preferred { 1.0 } else { rate },
+        }
     }
 
     /// Applies the report of a host about a customer, and grants it further quota.
@@ -152,13 +170,14 @@
         requested: &QuotaRequest,
         limit: CustomerLimit,
         tolerance: Tolerance,
-        share: f64,
+        share: Share,
         now: Duration,
     ) -> QuotaGrant {
         let capacities = Capacities::new(limit, tolerance);
         let account = self.accounts.entry(requested.customer.clone());
-        let account = account.or_insert_with(|| Account::new(&capacities, now));
-        let rate = limit.rate_per_s * share;
+        let account = account.or_insert_with(|| Account::new(now));
+        let rate = limit.rate_per_s * share.rate;
+        account.credit_initial(share.initial, &capacities);
         account.refill(rate, &capacities, now);
         let (served, started) = account.apply_report(host, requested, now);
         account.usage.add(served, started, now);
@@ -218,17 +237,26 @@
 }
 
 impl Account {
-    fn new(capacities: &Capacities, now: Duration) -> Self {
+    fn new(now: Duration) -> Self {
         Self {
-            requests: TokenBucket::new(capacities.initial),
-            starts: TokenBucket::new(capacities.starts / 2.0),
+            requests: TokenBucket::new(0.0),
+            starts: TokenBucket::new(0.0),
             hosts: HashMap::new(),
             held: 0,
+            credited: 0.0,
             requested_at: now,
             usage: ProgramUsage::default(),
         }
     }
 
+    /// Adds a fraction of the initial tokens, less what was added before.
+    fn credit_initial(&mut self, fraction: f64, capacities: &Capacities) {
+        let added = (fraction - self.credited).max(0.0);
+        self.credited += added;
+        self.requests.consume(-added * capacities.initial);
+        self.starts.consume(-added * capacities.starts / 2.0);
+    }
+
     /// Refills the buckets at the given rate.
     fn refill(&mut self, rate_per_s: f64, capacities: &Capacities, now: Duration) {
         // Another host may have allocated the limit in the meantime. For a customer
--- a/coordination/src/gateway/limits/links.rs
+++ b/coordination/src/gateway/limits/links.rs
@@ -3,13 +3,15 @@
 //!
 //! The choice uses rendezvous hashing over the table of hosts, so that hosts with
 //! the same table make the same choice. If an allocator does not respond, the next
-//! one in the ranking takes its place until the first one responds again.
+//! one in the ranking takes its place until the first one responds again. The rows of
+//! hosts that are lost for good stay in the table, so any number of the first hosts
+//! of a ranking may not respond, and every host is in every ranking.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 use super::{GROUP_COUNT, Group};
-use crate::gateway::batchers::{PeerHost, high_cpu_hosts, rank_hosts};
+use crate::gateway::batchers::{PeerHost, host_rank, min_high_cpu_milli};
 use crate::gateway::ledger::ProcessId;
 
 /// Time without a response after which a host switches to the next allocator. An
@@ -20,8 +22,17 @@
 /// Maximum time between two messages to an allocator. They show whether the
 /// allocator responds, and keep this host counted there.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
-/// Maximum number of allocators that are considered for a group, in order of rank.
-const MAX_CANDIDATES: usize = 3;
+/// Maximum time between two messages to a process that does not respond.
+const MAX_PROBE_INTERVAL: Duration = Duration::from_secs(5);
+/// Divisor of the time for which a process has not responded. The quotient is the time
+/// between two messages to it, within the limits above.
+const PROBE_DIVISOR: u32 = 8;
+/// Number of the first hosts of a ranking that allocate all of a new account's initial
+/// tokens.
+const PREFERRED_COUNT: usize = 3;
+/// Maximum number of hosts of a ranking that are sent messages before the first of them
+/// counts as unresponsive.
+const MAX_PROBED_AHEAD: usize = 4;
 
 /// State of the exchange with one process of another host.
 #[derive(Clone, Copy, Debug, Default)]
@@ -36,8 +47,10 @@
 #[derive(Debug)]
 pub struct AllocatorLinks<A> {
     own_process: ProcessId,
-    /// Allocators by group, in descending order of rank.
-    ranked: Vec<Vec<PeerHost<A>>>,
+    hosts: Vec<PeerHost<A>>,
+    /// Indices into `hosts` by group, in descending order of rank. Hosts with little CPU
+    /// follow all others.
+    ranked: Vec<Vec<usize>>,
     links: HashMap<ProcessId, Link>,
     number: u64,
 }
@@ -47,6 +60,7 @@
     pub fn new(own_process: ProcessId) -> Self {
         Self {
             own_process,
+            hosts: Vec::new(),
             ranked: Vec::new(),
             links: HashMap::new(),
             number: 0,
@@ -57,48 +71,76 @@
     pub fn set_hosts(&mut self, hosts: Vec<PeerHost<A>>) {
         self.links
             .retain(|process, _| hosts.iter().any(|host| host.process == *process));
-        let hosts = high_cpu_hosts(hosts);
-        let ranked = (0..GROUP_COUNT).map(|group| {
-            let name = format!("limits/{group}");
-            let ranked = rank_hosts(&name, hosts.iter()).into_iter();
-            ranked.take(MAX_CANDIDATES).cloned().collect()
-        });
-        self.ranked = ranked.collect();
+        let min_milli = min_high_cpu_milli(&hosts);
+        let is_low_cpu = |index: &usize| hosts[*index].processor_milli < min_milli;
+        self.ranked = (0..GROUP_COUNT)
+            .map(|group| {
+                let mut ranked = rank_indices(&format!("limits/{group}"), &hosts);
+                ranked.sort_by_key(is_low_cpu);
+                ranked
+            })
+            .collect();
+        self.hosts = hosts;
+    }
+
+    /// Returns the hosts of a group's ranking.
+    fn ranking(&self, group: Group) -> impl Iterator<Item = &PeerHost<A>> {
+        let group = usize::try_from(group).ok();
+        let ranked = group.and_then(|group| self.ranked.get(group));
+        let indices = ranked.into_iter().flatten();
+        indices.filter_map(|index| self.hosts.get(*index))
+    }
+
+    /// Returns whether a process is among the first ones of a group's ranking.
+    pub fn is_preferred(&self, group: Group, process: &ProcessId) -> bool {
+        let mut preferred = self.ranking(group).take(PREFERRED_COUNT);
+        preferred.any(|host| host.process == *process)
     }
 
     /// Returns the allocator of a group, or none if no allocator responds.
     pub fn current(&self, group: Group, now: Duration) -> Option<&PeerHost<A>> {
-        let ranked = self.ranked.get(usize::try_from(group).ok()?)?;
-        ranked
-            .iter()
+        self.ranking(group)
             .find(|host| !self.is_unresponsive(&host.process, now))
     }
 
     /// Returns all allocators to which messages are sent, each with the groups for
     /// which this host uses it. An allocator without groups is only probed for
-    /// whether it responds again.
+    /// whether it responds: one that did not may do so again, and one that follows a
+    /// host which is late to respond may have to take its place.
     pub fn recipients(&self, now: Duration) -> Vec<(PeerHost<A>, Vec<Group>)> {
         let mut targets: Vec<(PeerHost<A>, Vec<Group>)> = Vec::new();
+        let mut positions: HashMap<&ProcessId, usize> = HashMap::new();
         for group in 0..GROUP_COUNT {
             let current = self.current(group, now).map(|host| &host.process);
-            for host in self.ranked.get(group as usize).into_iter().flatten() {
-                let is_current = current == Some(&host.process);
-                let index = targets
-                    .iter()
-                    .position(|(known, _)| known.process == host.process);
-                let index = index.unwrap_or_else(|| {
+            for host in self.probed(group, now) {
+                let position = *positions.entry(&host.process).or_insert_with(|| {
                     targets.push((host.clone(), Vec::new()));
                     targets.len() - 1
                 });
-                if is_current {
-                    targets[index].1.push(group);
-                    break;
+                if current == Some(&host.process) {
+                    targets[position].1.push(group);
                 }
             }
         }
         targets
     }
 
+    /// Returns the first hosts of a group's ranking, up to one that responds promptly.
+    fn probed(&self, group: Group, now: Duration) -> impl Iterator<Item = &PeerHost<A>> {
+        let mut is_found = false;
+        let mut ahead = 0;
+        self.ranking(group).take_while(move |host| {
+            if is_found || ahead >= MAX_PROBED_AHEAD {
+                return false;
+            }
+            let unresponsive_time = self.unresponsive_time(&host.process, now);
+            // One datagram may be lost.
+            is_found = unresponsive_time <= HEARTBEAT_INTERVAL * 2;
+            ahead += usize::from(unresponsive_time <= ALLOCATOR_TIMEOUT);
+            true
+        })
+    }
+
     /// Returns the time until this host switches to the next allocator of a group if
     /// the current one does not respond, or none if no allocator responds.
     pub fn time_to_switch(&self, group: Group, now: Duration) -> Option<Duration> {
@@ -119,8 +161,10 @@
 
     /// Returns whether a heartbeat to a process is due.
     pub fn is_due(&self, process: &ProcessId, now: Duration) -> bool {
+        let interval = self.unresponsive_time(process, now) / PROBE_DIVISOR;
+        let interval = interval.clamp(HEARTBEAT_INTERVAL, MAX_PROBE_INTERVAL);
         let sent_at = self.links.get(process).and_then(|link| link.sent_at);
-        sent_at.is_none_or(|sent_at| now.saturating_sub(sent_at) >= HEARTBEAT_INTERVAL)
+        sent_at.is_none_or(|sent_at| now.saturating_sub(sent_at) >= interval)
     }
 
     /// Records that a request is sent to a process. Returns the number of the
@@ -149,3 +193,10 @@
         u64::try_from(now.saturating_sub(responded_at).as_millis()).ok()
     }
 }
+
+/// Returns the indices of hosts in the order of their rank for a group.
+fn rank_indices<A>(seed: &str, hosts: &[PeerHost<A>]) -> Vec<usize> {
+    let mut ranked: Vec<usize> = (0..hosts.len()).collect();
+    ranked.sort_by_cached_key(|index| host_rank(seed, &hosts[*index]));
+    ranked
+}
--- a/coordination/tests/gateway_limits.rs
+++ b/coordination/tests/gateway_limits.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use limit_sim::{CustomerLoad, CustomerStats, Simulation, TOLERANCE, load_mix};
-use rosebend_coordination::gateway::limits::allocator::Allocator;
+use rosebend_coordination::gateway::limits::allocator::{Allocator, Share};
 use rosebend_coordination::gateway::limits::message::QuotaRequest;
 use rosebend_state::deployment::CustomerLimit;
 
@@ -246,7 +246,11 @@
             expected: 0,
         };
         let now = Duration::from_millis(now_ms);
-        let granted = allocator.grant(&host, &requested, limit, TOLERANCE, 1.0, now);
+        let share = Share {
+            rate: 1.0,
+            initial: 1.0,
+        };
+        let granted = allocator.grant(&host, &requested, limit, TOLERANCE, share, now);
         served += u64::from(granted.requests);
         granted.requests
     };
@@ -261,3 +265,87 @@
     let granted = request(&mut allocator, 20_000);
     assert!(granted <= 60, "{granted}");
 }
+
+/// Guards against customers that are refused for good: hosts that are lost stay in the
+/// table, and were the only ones considered as allocators of some limits.
+#[test]
+fn all_customers_are_served_after_half_of_the_hosts_are_lost_for_good() {
+    for seed in [31, 37, 41] {
+        let mut simulation = Simulation::new(HOST_COUNT, load_mix(40, USUAL_LOAD / 4.0), seed);
+        simulation.run_for(seconds(3));
+        (0..HOST_COUNT / 2).for_each(|index| simulation.kill(index));
+        simulation.run_for(seconds(10));
+        assert_no_excess(&simulation);
+        simulation.reset_stats();
+        simulation.run_for(seconds(10));
+        assert_no_excess(&simulation);
+        for (customer, stats) in simulation.stats.iter().enumerate() {
+            let (served, attempted) = (stats.served_ms.len(), stats.attempted);
+            // Until the rows of the lost hosts are deleted, half of each limit is allocated.
+            assert!(
+                served as u64 * 2 >= attempted,
+                "customer {customer}: {served} of {attempted}, seed {seed}"
+            );
+        }
+        simulation.remove_killed_hosts();
+        simulation.run_for(seconds(5));
+        simulation.reset_stats();
+        simulation.run_for(seconds(10));
+        assert_no_excess(&simulation);
+        for (customer, stats) in simulation.stats.iter().enumerate() {
+            let (served, attempted) = (stats.served_ms.len(), stats.attempted);
+            assert!(
+                served as u64 * 10 >= attempted * 9,
+                "customer {customer}: {served} of {attempted}, seed {seed}"
+            );
+        }
+    }
+}
+
+/// The same if all hosts with enough CPU to be preferred as allocators are lost.
+#[test]
+fn all_customers_are_served_by_hosts_with_little_cpu() {
+    let mut simulation = Simulation::new(HOST_COUNT, load_mix(40, USUAL_LOAD / 4.0), 43);
+    simulation.run_for(seconds(3));
+    (0..HOST_COUNT)
+        .step_by(2)
+        .for_each(|index| simulation.kill(index));
+    simulation.run_for(seconds(15));
+    simulation.remove_killed_hosts();
+    simulation.run_for(seconds(5));
+    simulation.reset_stats();
+    simulation.run_for(seconds(10));
+    assert_no_excess(&simulation);
+    for (customer, stats) in simulation.stats.iter().enumerate() {
+        let (served, attempted) = (stats.served_ms.len(), stats.attempted);
+        assert!(
+            served as u64 * 10 >= attempted * 9,
+            "customer {customer}: {served} of {attempted}"
+        );
+    }
+}
+
+/// Each host that reaches no other one ends up as the allocator of all limits.
+#[test]
+fn limits_hold_while_no_host_reaches_another() {
+    let mut simulation = with_first_customer_load(HOST_COUNT, 200.0, 6.0, 47);
+    simulation.run_for(seconds(2));
+    simulation.isolate_all();
+    simulation.run_for(seconds(40));
+    simulation.heal();
+    simulation.run_for(seconds(10));
+    assert_no_excess(&simulation);
+}
+
+/// A host that reaches no other one sends a bounded number of messages.
+#[test]
+fn messages_to_lost_hosts_become_rare() {
+    let mut simulation = Simulation::new(127, load_mix(40, USUAL_LOAD / 4.0), 53);
+    simulation.run_for(seconds(2));
+    (1..127).for_each(|index| simulation.kill(index));
+    simulation.run_for(seconds(60));
+    let before = simulation.messages;
+    simulation.run_for(seconds(10));
+    let per_s = (simulation.messages - before) / 10;
+    assert!(per_s <= 127, "{per_s} messages per second");
+}
--- a/coordination/tests/limit_sim/mod.rs
+++ b/coordination/tests/limit_sim/mod.rs
@@ -136,6 +136,8 @@
     limits: HostLimits<usize>,
     incarnations: u32,
     is_running: bool,
+    /// Whether the host is no longer in the table of hosts.
+    is_removed: bool,
     next_poll_at: Duration,
 }
 
@@ -185,6 +187,7 @@
                 limits: HostLimits::new(String::new(), TOLERANCE),
                 incarnations: 0,
                 is_running: false,
+                is_removed: false,
                 next_poll_at,
             });
         }
@@ -203,6 +206,7 @@
         let host = &mut self.hosts[index];
         host.incarnations += 1;
         host.is_running = true;
+        host.is_removed = false;
         host.limits = HostLimits::new(process_id(index, host.incarnations), TOLERANCE);
         let declared: HashMap<_, _> = self.declared();
         self.hosts[index].limits.set_limits(declared);
@@ -210,6 +214,7 @@
 
     fn publish_hosts(&mut self) {
         let candidates = self.hosts.iter().enumerate();
+        let candidates = candidates.filter(|(_, host)| !host.is_removed);
         let candidates = candidates.map(|(index, host)| PeerHost {
             host: format!("host-{index}"),
             process: process_id(index, host.incarnations),
@@ -240,6 +245,14 @@
         }
     }
 
+    /// Removes the hosts that were killed from the table of hosts.
+    pub fn remove_killed_hosts(&mut self) {
+        for host in &mut self.hosts {
+            host.is_removed = !host.is_running;
+        }
+        self.publish_hosts();
+    }
+
     /// Partitions the network into the hosts below an index and the others.
     pub fn partition_at(&mut self, index: usize) {
         for (host, side) in self.partition_sides.iter_mut().enumerate() {
@@ -247,6 +260,13 @@
         }
     }
 
+    /// Partitions the network so that no host reaches another one.
+    pub fn isolate_all(&mut self) {
+        for (host, side) in self.partition_sides.iter_mut().enumerate() {
+            *side = host as u32;
+        }
+    }
+
     pub fn heal(&mut self) {
         self.partition_sides.fill(0);
         self.outbound_blocked.fill(false);
--- a/gateway/tests/limits.rs
+++ b/gateway/tests/limits.rs
@@ -244,3 +244,34 @@
         .header("authorization", &format!("Bearer {KEY}"));
     assert_eq!(call.send(front).await.status, 200);
 }
+
+/// Guards against customers that are refused for good after hosts were lost: the rows of
+/// lost hosts stay in the table, and the first hosts of a limit's ranking were the only ones
+/// that could allocate it.
+#[actix_rt::test]
+async fn all_customers_are_served_after_most_hosts_are_lost() {
+    let site = Site::without_routes();
+    let mut declared = routes(1);
+    let customers = (0..16).map(|number| {
+        json!({"name": format!("ship-{number}"), "api-keys": [format!("ship-key-{number:06}")],
+               "rate-per-s": 20.0, "burst": 40.0})
+    });
+    declared["tenants"] = Value::Array(customers.collect());
+    site.store.put("op", "config", &declared);
+    let mut gateways: Vec<Gateway> = (0..5).map(|_| site.start_gateway()).collect();
+    for gateway in &gateways {
+        gateway.wait_until_ready().await;
+        gateway.wait_for_peers(4).await;
+    }
+    gateways[1..].iter_mut().for_each(Gateway::kill);
+    // Until an allocator counts as unresponsive, a few requests are served without a grant.
+    actix_rt::time::sleep(Duration::from_secs(6)).await;
+    for number in 0..16 {
+        let key = format!("ship-key-{number:06}");
+        wait_until("a request of the customer is served", async || {
+            let answers = send_all(&gateways[..1], &format!("{key}-"), 1, &key).await;
+            served(&answers) == 1
+        })
+        .await;
+    }
+}
