Delete the rows of hosts that were lost for good

The rows of hosts that were lost, or replaced under another name, stayed in the table of hosts for ever. Limits were divided among them, so that customers got half of their limit once half of the hosts were lost, and relays, schedulers and escrow slots were assigned to them. The table, which every host reads when it starts, grew with every loss.

Each host now probes the hosts that follow its row in the table, up to the first one that responds, and deletes the row of a host that did not respond twelve times in a row, 60 s by default (host_expiry_ms). If no host responds, none is deleted. A host that runs nevertheless sees that its row is missing and writes it again. The state is at most eight processes a host, and the cost one request in 5 s.

--- a/coordination/src/gateway.rs
+++ b/coordination/src/gateway.rs
@@ -21,6 +21,7 @@
 //! | The transactions of several hosts that are batched into one | [`group_commit`] | `batched_commits` |
 //! | The time at which the next batch of a partition may be sent | [`batch_pacing`] | `batched_commits` |
 //! | The host that batches the transactions of a partition | [`batchers`] | `batched_commits` |
+//! | Detection of hosts that were lost for good | [`lost_hosts`] | the table of hosts |
 //! | The hosts that are in backoff because they did not respond | [`host_backoff`] | [`batchers`], [`follow_tree`] |
 //! | The source from which a host reads a table: the store or another host | [`follow_tree`] | `feeds` |
 //! | The cached rows of a table, and the changes that are sent to followers | [`replica`] | `feeds` |
@@ -55,6 +56,7 @@
 pub mod identity;
 pub mod ledger;
 pub mod limits;
+pub mod lost_hosts;
 pub mod pending_changes;
 pub mod recent_programs;
 pub mod refusals;
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -34,6 +34,7 @@
 use crate::limits::RateLimiter;
 use crate::metrics::{GaugeValues, Metrics};
 use crate::peer_connections::{self, PeerConnections};
+use crate::peers::lost::Neighbors;
 use crate::pool::Pool;
 use crate::quarantine::{self, Quarantine, Suspicion};
 use crate::recent_history::RecentHistory;
@@ -93,6 +94,8 @@
     pub engine_scheduling: EngineScheduling,
     /// The tokens that programs may spend while the store is unavailable.
     pub escrow: Escrow,
+    /// The hosts that this one probes, to delete the rows of those that were lost.
+    pub neighbors: Neighbors,
     /// The rows that are to be deleted when their retention time ends.
     pub retention: Retention,
     /// The addresses of other gateway processes, which may hold reservations of programs'
@@ -165,6 +168,7 @@
             pool: RefCell::default(),
             history: RefCell::new(TurnCache::new(max_history_bytes(&settings.clients))),
             recent_history: RecentHistory::new(process.clone(), peer_connections()),
+            neighbors: Neighbors::new(peer_connections()),
             response_bodies: response_bodies(&settings.clients, &clients),
             clients,
             limits: RateLimiter::new(process.clone(), tolerance(&settings.customers)),
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -2,7 +2,8 @@
 //! through another one, and a gateway can batch the transactions of others.
 //!
 //! Each gateway has a row in a table, with a hash of its host's name as the key, and
-//! follows the table. A row changes only when a process starts or stops as planned. The
+//! follows the table. A row changes only when a process starts or stops as planned, and
+//! another gateway deletes it once its host was lost for good (see [`lost`]). The
 //! few hosts whose rows follow a gateway's own row relay its calls, so the relays differ
 //! from host to host.
 
@@ -27,6 +28,7 @@
 use crate::gateway::Gateway;
 use crate::{batched_commits, recent_history, reservation_lookup};
 
+pub mod lost;
 mod row;
 mod table;
 
@@ -109,6 +111,8 @@
     gateway
         .store
         .set_peers(&table.relays_for(&key(&settings.host)));
+    let neighbors = table.neighbors_of(&key(&settings.host));
+    gateway.neighbors.set_hosts(neighbors);
     gateway.batched_commits.set_hosts(table.hosts());
     gateway.limits.set_hosts(table.hosts());
     gateway.holders.set_hosts(&table.hosts());
--- a/gateway/src/peers/table.rs
+++ b/gateway/src/peers/table.rs
@@ -5,11 +5,13 @@
 
 use rosebend_coordination::gateway::batchers::PeerHost;
 use rosebend_coordination::gateway::ledger::ProcessId;
-use rosebend_state::deployment::Row;
+use rosebend_coordination::gateway::lost_hosts::MAX_PROBES;
+use rosebend_state::deployment::{Row, RowId, RowVersion};
 use rosebend_state::id::AvailabilityZone;
 use rosebend_transport::event::{Event, EventKind, log_event};
 use rosebend_transport::store::Peer;
 
+use super::lost::Neighbor;
 use super::row::{PeerRow, PeerRowError};
 
 /// Maximum number of peers that relay calls to the store.
@@ -21,6 +23,8 @@
 #[derive(Debug, Default)]
 pub struct PeerTable {
     peers: BTreeMap<String, PeerRow>,
+    /// Identifiers and versions of the rows of `peers`.
+    versions: BTreeMap<String, (RowId, RowVersion)>,
     /// Keys of the invalid rows that were logged.
     logged: BTreeSet<String>,
 }
@@ -29,22 +33,23 @@
     /// Removes all gateways.
     pub fn clear(&mut self) {
         self.peers.clear();
+        self.versions.clear();
     }
 
     /// Applies a row that was written or deleted.
     pub fn apply(&mut self, row: &Row) {
+        self.peers.remove(&row.id.key);
+        self.versions.remove(&row.id.key);
         if row.value.is_none() {
-            self.peers.remove(&row.id.key);
             return;
         }
         match PeerRow::try_from(row) {
             Ok(peer) => {
                 self.peers.insert(row.id.key.clone(), peer);
+                let version = (row.id.clone(), row.version);
+                self.versions.insert(row.id.key.clone(), version);
             }
-            Err(error) => {
-                self.peers.remove(&row.id.key);
-                self.log_invalid(row, &error);
-            }
+            Err(error) => self.log_invalid(row, &error),
         }
     }
 
@@ -70,14 +75,8 @@
     /// Returns the peers that relay calls for the host with a key. Their rows follow that
     /// key in the table, which is treated as a ring.
     pub fn relays_for(&self, own: &str) -> Vec<Peer> {
-        let (before, after) = self
-            .peers
-            .iter()
-            .partition::<Vec<_>, _>(|(key, _)| key.as_str() <= own);
-        let others = after.into_iter().chain(before);
-        let others = others.filter(|(key, _)| key.as_str() != own);
         let mut found: Vec<Peer> = Vec::new();
-        for (_, peer) in others {
+        for (_, peer) in self.others_after(own) {
             let address = peer.relay;
             if found.len() < MAX_RELAYS && !found.iter().any(|known| known.address == address) {
                 let run = peer.holder.clone();
@@ -87,6 +86,31 @@
         found
     }
 
+    /// Returns the first gateways whose rows follow the key of a host in the ring.
+    pub fn neighbors_of(&self, own: &str) -> Vec<Neighbor> {
+        let others = self.others_after(own).into_iter().take(MAX_PROBES);
+        let neighbors = others.filter_map(|(key, peer)| {
+            let (row, version) = self.versions.get(key)?.clone();
+            Some(Neighbor {
+                row,
+                version,
+                process: peer.holder.clone(),
+                address: peer.relay,
+            })
+        });
+        neighbors.collect()
+    }
+
+    /// Returns all gateways but the one with a key, in the order of the ring after it.
+    fn others_after(&self, own: &str) -> Vec<(&String, &PeerRow)> {
+        let (before, after) = self
+            .peers
+            .iter()
+            .partition::<Vec<_>, _>(|(key, _)| key.as_str() <= own);
+        let others = after.into_iter().chain(before);
+        others.filter(|(key, _)| key.as_str() != own).collect()
+    }
+
     /// Returns all gateways as hosts.
     pub fn hosts(&self) -> Vec<PeerHost<SocketAddr>> {
         self.peers.values().map(to_host).collect()
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -92,6 +92,7 @@
     actix_rt::spawn(escrow::run(Rc::clone(&gateway)));
     actix_rt::spawn(engine_scheduling::run(Rc::clone(&gateway)));
     actix_rt::spawn(peers::probe(Rc::clone(&gateway)));
+    actix_rt::spawn(peers::lost::run(Rc::clone(&gateway)));
     actix_rt::spawn(quarantine::follow(Rc::clone(&gateway)));
     actix_rt::spawn(quarantine::write(Rc::clone(&gateway)));
     actix_rt::spawn(retention::run(Rc::clone(&gateway)));
--- a/gateway/src/reload.rs
+++ b/gateway/src/reload.rs
@@ -82,6 +82,7 @@
         store: settings.store,
         stop_grace: settings.stop_grace,
         retention_margin: settings.retention_margin,
+        host_expiry: settings.host_expiry,
         clients: settings.clients,
         customers: settings.customers,
         engine_selection: settings.engine_selection,
--- a/state/src/settings/gateway.rs
+++ b/state/src/settings/gateway.rs
@@ -38,6 +38,8 @@
     pub stop_grace: Duration,
     /// Time beyond a route's retention for which turns are kept.
     pub retention_margin: Duration,
+    /// Time without a response after which another host counts as lost for good.
+    pub host_expiry: Duration,
     /// Limits of the clients that connect to the process.
     pub clients: ClientSettings,
     /// What holds for customers.
@@ -171,6 +173,12 @@
             presence: Presence::Default("15000"),
             meaning: "Time beyond a route's retention for which turns are kept: a retry and a turn under way may still need them.",
         },
+        Key {
+            name: "host_expiry_ms",
+            kind: KeyKind::Number(Unit::Milliseconds, 1_000..=86_400_000),
+            presence: Presence::Default("60000"),
+            meaning: "Time without a response after which another host counts as lost for good; its row in the table of hosts is deleted.",
+        },
     ],
 };
 
@@ -280,6 +288,7 @@
             store: StoreSettings::from(&values),
             stop_grace: values.seconds("gateway", "stop_grace_s"),
             retention_margin: values.duration("gateway", "retention_margin_ms"),
+            host_expiry: values.duration("gateway", "host_expiry_ms"),
             clients: ClientSettings::from(&values),
             customers: CustomerSettings::from(&values),
             // The schema allows only the names of the enum.
--- a/state/tests/settings_bytes.rs
+++ b/state/tests/settings_bytes.rs
@@ -27,6 +27,7 @@
         let times = [
             settings.stop_grace,
             settings.retention_margin,
+            settings.host_expiry,
             settings.store.timeout,
         ];
         assert!(times.iter().all(|time| *time <= LONGEST), "{settings:?}");
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -205,6 +205,8 @@
     AcceptFailed,
     /// `count` connections were refused or closed, or their unfinished requests dropped; `reason` says why the last one was.
     ClientsClosed,
+    /// The row of `host` at `address` is deleted, because the process has not responded for `host_expiry_ms`.
+    HostExpired,
     /// Bodies of the declared size find no memory on this host; those of up to `count` bytes do.
     BodyLimitTooLarge,
     /// A program's rows in the store do not have the form that this version writes.
@@ -225,7 +227,7 @@
 
 impl EventKind {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 106] = [
+    pub const ALL: [Self; 107] = [
         Self::ProcessStarted,
         Self::ProcessStopping,
         Self::ProcessStopped,
@@ -332,6 +334,7 @@
         Self::CrashesCleared,
         Self::ClientsClosed,
         Self::BodyLimitTooLarge,
+        Self::HostExpired,
     ];
 
     /// The event's number, which stays with it for ever.
@@ -440,6 +443,7 @@
             Self::AcceptFailed => 822,
             Self::ClientsClosed => 869,
             Self::BodyLimitTooLarge => 870,
+            Self::HostExpired => 871,
             Self::RecordUnreadable => 823,
             Self::Listening => 824,
             Self::StoreRelayed => 825,
@@ -551,6 +555,7 @@
             Self::RequestQuarantined => "request-quarantined",
             Self::AcceptFailed => "accept-failed",
             Self::ClientsClosed => "clients-closed",
+            Self::HostExpired => "host-expired",
             Self::BodyLimitTooLarge => "body-limit-too-large",
             Self::RecordUnreadable => "record-unreadable",
             Self::Listening => "listening",
@@ -602,6 +607,7 @@
             | Self::LinesDropped
             | Self::AcceptFailed
             | Self::ClientsClosed
+            | Self::HostExpired
             | Self::BodyLimitTooLarge => Level::Warn,
             Self::CallAccepted | Self::CallFinished | Self::CallRefused | Self::RequestRefused => {
                 Level::Debug
@@ -846,6 +852,9 @@
             Self::ClientsClosed => {
                 "`count` connections were refused or closed, or their unfinished requests dropped, since the event before; `reason` says why the last one was: `connections` or `refused` (there were too many), `memory` (others needed it) or `answer-timeout` (the client did not accept its answer)."
             }
+            Self::HostExpired => {
+                "The row of `host` at `address` in the table of hosts is deleted, because the process has not responded for `host_expiry_ms`. A host that runs nevertheless writes its row again."
+            }
             Self::RecordUnreadable => {
                 "A program's rows in the store do not have the form that this version writes."
             }
