--- a/standin/src/store/mod.rs
+++ b/standin/src/store/mod.rs
@@ -32,6 +32,8 @@
 const POLL: Duration = Duration::from_millis(5);
 /// Most partitions or objects of one answer.
 const LIST_ENTRIES: usize = 1_000;
+/// Most bytes of a transaction, encoded.
+const MAX_TRANSACTION_BYTES: usize = 1_000_000;
 
 /// Rates of the store, for all callers together.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -416,6 +418,10 @@
         let now_ms = self.store.now_ms();
         let mut state = self.store.lock();
         state.admit_write(request)?;
+        if request.body.len() > MAX_TRANSACTION_BYTES {
+            let why = "it has too many bytes";
+            return Err(problem(400, "invalid", Ran::No, why));
+        }
         for part in transaction.parts() {
             state.admit_transaction(part)?;
         }
