End transactions that the store rejects instead of sending them again

Each answer of the store now has one meaning: done, not done, never done, or not known. A rejection is an answer: the store counts as reachable, the call is not sent again, and no peer is asked. A rejected batch of several transactions, or a transaction of several changes, is sent again in parts, once each, so that only the change that is the reason ends with it (changes-rejected, record-rejected). A transaction that exceeds the limits ends without a call. A peer's rejection is not believed, since another process may have its address by now.

The test of batches expected that a transaction of 1.2 MB is sent; it is rejected now, and the sizes of those that are sent are checked encoded.

--- a/coordination/src/gateway/group_commit.rs
+++ b/coordination/src/gateway/group_commit.rs
@@ -18,14 +18,11 @@
 use std::collections::{HashMap, HashSet, VecDeque};
 
 use rosebend_state::deployment::{
-    Condition, MAX_TRANSACTION_ENTRIES, Row, RowId, RowVersion, Transaction,
+    Condition, MAX_TRANSACTION_BYTES, MAX_TRANSACTION_ENTRIES, Row, RowId, RowVersion, Transaction,
 };
 
 use crate::gateway::pending_changes::Answer;
 
-/// Maximum total size of the values of one batch in bytes, before their encoding, which
-/// adds a third. A call to the store holds at most 1 MB.
-const MAX_BATCH_BYTES: usize = 600_000;
 /// Maximum number of rows whose newest version is cached, at about 400 bytes each. A
 /// partition with 100 turns a second needs the rows of the last few seconds, because a
 /// transaction that requires an outdated version has read it within the last turn.
@@ -47,6 +44,9 @@
 struct BatchEntry {
     id: BatchEntryId,
     transaction: Transaction,
+    /// Whether the entry is sent in a batch of its own, because the store rejected a batch
+    /// that contained it.
+    is_isolated: bool,
 }
 
 /// The batch entries of one partition: those that are pending, and those of batches that
@@ -70,7 +70,11 @@
     pub fn submit(&mut self, transaction: Transaction) -> BatchEntryId {
         self.next_id += 1;
         let id = self.next_id;
-        self.pending.push_back(BatchEntry { id, transaction });
+        self.pending.push_back(BatchEntry {
+            id,
+            transaction,
+            is_isolated: false,
+        });
         id
     }
 
@@ -100,7 +104,7 @@
     /// Combines pending entries into the next batch and returns its transaction. There is
     /// none while a batch that is not overdue is in flight, or if every pending entry
     /// contends with an overdue batch for a row. Also returns the entries that are known
-    /// to conflict, which end without a call to the store.
+    /// to conflict or to be rejected, which end without a call to the store.
     pub fn next_transaction(&mut self) -> (Option<Transaction>, Vec<(BatchEntryId, Answer)>) {
         let mut ended = Vec::new();
         if !self.in_flight.is_empty() {
@@ -111,9 +115,11 @@
             batch.add_rows(&entry.transaction);
         }
         for entry in std::mem::take(&mut self.pending) {
-            if let Some(rows) = self.recent.conflict(&entry.transaction) {
+            if !entry.transaction.fits_call() {
+                ended.push((entry.id, Answer::Rejected));
+            } else if let Some(rows) = self.recent.conflict(&entry.transaction) {
                 ended.push((entry.id, Answer::Conflict(rows)));
-            } else if batch.try_add(&entry.transaction) {
+            } else if !self.must_wait(&entry) && batch.try_add(&entry.transaction) {
                 self.in_flight.push(entry);
             } else {
                 self.pending.push_back(entry);
@@ -123,6 +129,12 @@
         ((!is_empty).then_some(batch.transaction), ended)
     }
 
+    /// Returns whether an entry may not be in a batch with those in flight.
+    fn must_wait(&self, entry: &BatchEntry) -> bool {
+        let first = self.in_flight.first();
+        first.is_some_and(|first| first.is_isolated || entry.is_isolated)
+    }
+
     /// Processes the store's answer to the batch in flight. Returns the entries that end
     /// with it, each with its own answer; all others are pending again.
     pub fn record_answer(&mut self, answer: Answer) -> Vec<(BatchEntryId, Answer)> {
@@ -155,6 +167,22 @@
             }
             Answer::Conflict(rows) => self.resolve_conflict(entries, &rows),
             Answer::NotKnown => answer_all(entries, &Answer::NotKnown),
+            Answer::Rejected if entries.len() == 1 => answer_all(entries, &Answer::Rejected),
+            Answer::Rejected => {
+                self.isolate(entries);
+                Vec::new()
+            }
+        }
+    }
+
+    /// Makes the entries of a rejected batch pending again, each in a batch of its own. One
+    /// of them may be the reason, or only all of them together.
+    fn isolate(&mut self, entries: Vec<BatchEntry>) {
+        for entry in entries.into_iter().rev() {
+            self.pending.push_front(BatchEntry {
+                is_isolated: true,
+                ..entry
+            });
         }
     }
 
@@ -213,19 +241,18 @@
     /// Number of entries of `transaction` as the store counts them, which limits them to
     /// [`MAX_TRANSACTION_ENTRIES`].
     transaction_entries: usize,
-    /// Total size of the values of `transaction` in bytes.
+    /// Maximum size of `transaction` in bytes, encoded.
     bytes: usize,
 }
 
 impl Batch {
     /// Adds an entry and returns true if the batch has room for it and it is compatible
-    /// with the other entries. The first entry always has room.
+    /// with the other entries.
     fn try_add(&mut self, entry: &Transaction) -> bool {
-        let (transaction_entries, bytes) = (entry.entries(), entry.value_bytes());
+        let (transaction_entries, bytes) = (entry.entries(), entry.max_encoded_bytes());
         let has_room = self.transaction_entries + transaction_entries <= MAX_TRANSACTION_ENTRIES
-            && self.bytes + bytes <= MAX_BATCH_BYTES;
-        let is_first = self.transaction_entries == 0;
-        if !self.is_compatible(entry) || !(has_room || is_first) {
+            && self.bytes + bytes <= MAX_TRANSACTION_BYTES;
+        if !has_room || !self.is_compatible(entry) {
             return false;
         }
         self.transaction_entries += transaction_entries;
--- a/coordination/src/gateway/pending_changes.rs
+++ b/coordination/src/gateway/pending_changes.rs
@@ -13,8 +13,8 @@
 use std::time::Duration;
 
 use rosebend_state::deployment::{
-    AttemptId, Condition, MAX_TRANSACTION_ENTRIES, ProgramKey, Row, RowId, RowVersion, RowWrite,
-    Transaction,
+    AttemptId, Condition, MAX_TRANSACTION_BYTES, MAX_TRANSACTION_ENTRIES, ProgramKey, Row, RowId,
+    RowVersion, RowWrite, Transaction,
 };
 use rosebend_util::hash_parts;
 
@@ -27,10 +27,8 @@
     ReservationRequest,
 };
 
-/// Bytes of turn rows at which a transaction takes no further changes. The encoding
-/// of a transaction adds a third, and a store call may have 1 MB.
-const MAX_TRANSACTION_BYTES: usize = 600_000;
-
+/// Maximum size of the turn rows of a transaction, encoded. The rest is for ledgers.
+pub const MAX_RECORD_BYTES: usize = MAX_TRANSACTION_BYTES / 5 * 4;
 /// Transaction entries for one ledger: its condition and its write.
 const LEDGER_ENTRIES: usize = 2;
 /// Maximum number of transaction entries for the fences that a ledger depends on.
@@ -113,6 +111,8 @@
     Unreadable,
     /// The ledger that the turn's record belongs to was deleted; nothing was written.
     GenerationEnded,
+    /// The store rejects the change, and would reject it again; nothing was written.
+    Rejected,
 }
 
 /// The outcome of a transaction.
@@ -124,6 +124,8 @@
     Conflict(Vec<Row>),
     /// It was not applied, or its outcome is unknown.
     NotKnown,
+    /// It was not applied, and never will be.
+    Rejected,
 }
 
 #[derive(Debug)]
@@ -131,6 +133,9 @@
     id: ChangeId,
     program: ProgramKey,
     change: Change,
+    /// Whether the change is sent in a transaction of its own, because the store rejected
+    /// one that contained it.
+    is_isolated: bool,
 }
 
 impl PendingChange {
@@ -140,11 +145,26 @@
         match &self.change {
             Change::Reserve { .. } => LEDGER_ENTRIES + MAX_FENCE_ENTRIES,
             Change::SettleGrant { .. } => LEDGER_ENTRIES,
-            Change::Settle { record, .. } => {
-                LEDGER_ENTRIES + record.as_ref().map_or(0, |record| record.rows.len())
-            }
+            Change::Settle { .. } => LEDGER_ENTRIES + self.record_rows().len(),
+        }
+    }
+
+    /// Returns the rows of the turn that the change settles.
+    fn record_rows(&self) -> &[RowWrite] {
+        match &self.change {
+            Change::Settle {
+                record: Some(record),
+                ..
+            } => &record.rows,
+            _ => &[],
         }
     }
+
+    /// Returns the maximum size of these rows, encoded.
+    fn record_bytes(&self) -> usize {
+        let rows = self.record_rows().iter();
+        rows.map(RowWrite::max_encoded_bytes).sum()
+    }
 }
 
 #[derive(Clone, Debug, Default)]
@@ -212,6 +232,7 @@
             id,
             program,
             change,
+            is_isolated: false,
         });
         id
     }
@@ -305,22 +326,35 @@
     }
 
     /// Builds the next transaction, unless one is in flight or the queue is empty.
-    /// Also returns the reservations that are rejected because the budget is
-    /// exhausted.
+    /// Also returns the changes that end without being sent.
     pub fn next_transaction(&mut self) -> (Option<Transaction>, Vec<(ChangeId, Outcome)>) {
         let mut ended = Vec::new();
         if !self.in_flight.is_empty() {
             return (None, ended);
         }
+        let rows = self.collect_changes(&mut ended);
+        if self.in_flight.is_empty() {
+            return (None, ended);
+        }
+        (Some(self.transaction(rows)), ended)
+    }
+
+    /// Moves changes from the queue into the next transaction, and
+    /// returns the rows of the turns that they settle.
+    fn collect_changes(&mut self, ended: &mut Vec<(ChangeId, Outcome)>) -> Vec<RowWrite> {
         let mut bytes = 0;
         let mut rows = Vec::new();
-        let queued = std::mem::take(&mut self.queued);
-        for pending in queued {
+        for pending in std::mem::take(&mut self.queued) {
             let entries =
                 rows.len() + self.in_flight_ledgers.len() * LEDGER_ENTRIES + MAX_FENCE_ENTRIES;
-            let has_room = entries + pending.max_entries() <= MAX_TRANSACTION_ENTRIES;
-            let is_first = self.in_flight.is_empty();
-            if !(is_first || has_room && bytes < MAX_TRANSACTION_BYTES) {
+            let record_bytes = pending.record_bytes();
+            let has_room = entries + pending.max_entries() <= MAX_TRANSACTION_ENTRIES
+                && bytes < MAX_RECORD_BYTES;
+            let has_room = match self.in_flight.first() {
+                None => true,
+                Some(first) => has_room && !first.is_isolated && !pending.is_isolated,
+            };
+            if !has_room {
                 self.queued.push(pending);
                 continue;
             }
@@ -330,24 +364,16 @@
                     ended.push((pending.id, outcome));
                 }
                 Ok(()) => {
-                    if let Change::Settle {
-                        record: Some(record),
-                        ..
-                    } = &pending.change
-                    {
-                        let added = &record.rows;
-                        bytes += added.iter().map(|row| row.value.len()).sum::<usize>();
-                        rows.extend(added.iter().cloned());
-                    }
+                    bytes += record_bytes;
+                    rows.extend(pending.record_rows().iter().cloned());
                     self.in_flight.push(pending);
                 }
             }
         }
         if self.in_flight.is_empty() {
             self.in_flight_ledgers.clear();
-            return (None, ended);
         }
-        (Some(self.transaction(rows)), ended)
+        rows
     }
 
     /// Applies a change to the ledger that the next transaction writes.
@@ -451,10 +477,22 @@
                     .into_iter()
                     .partition(|pending| self.is_applied(pending, previous.get(&pending.program)));
                 self.queued.splice(0..0, to_retry);
-                let mut ended = self.abandon(abandoned);
+                let mut ended = self.abandon(abandoned, Outcome::Unreadable);
                 ended.extend(applied.iter().map(|pending| (pending.id, Outcome::Durable)));
                 return ended;
             }
+            Answer::Rejected if in_flight.len() == 1 => {
+                return self.abandon(in_flight, Outcome::Rejected);
+            }
+            Answer::Rejected => {
+                // One of the changes may be the reason, or only all of them together.
+                let isolated = in_flight.into_iter().map(|pending| PendingChange {
+                    is_isolated: true,
+                    ..pending
+                });
+                self.queued.splice(0..0, isolated);
+                return Vec::new();
+            }
             Answer::NotKnown => {}
         }
         self.queued.splice(0..0, in_flight);
@@ -484,14 +522,19 @@
         }
     }
 
-    /// Ends changes of programs whose ledgers cannot be decoded. Overwriting such a
-    /// ledger would give its program a new budget.
-    fn abandon(&mut self, changes: Vec<PendingChange>) -> Vec<(ChangeId, Outcome)> {
+    /// Ends changes that are not written: those that the store rejects, and those of
+    /// programs whose ledgers cannot be decoded. Overwriting such a ledger would give its
+    /// program a new budget.
+    fn abandon(
+        &mut self,
+        changes: Vec<PendingChange>,
+        outcome: Outcome,
+    ) -> Vec<(ChangeId, Outcome)> {
         for pending in &changes {
             self.running.remove(pending.change.attempt());
         }
         let ids = changes.into_iter().map(|pending| pending.id);
-        ids.map(|id| (id, Outcome::Unreadable)).collect()
+        ids.map(|id| (id, outcome)).collect()
     }
 
     /// Caches the current ledger of a program from the rows of a conflict. A program
--- a/coordination/tests/escrow_sim/mod.rs
+++ b/coordination/tests/escrow_sim/mod.rs
@@ -579,9 +579,7 @@
         match outcome {
             Outcome::Durable => host.turns[position].permit = Permit::Reserved,
             Outcome::Exhausted => self.retry_exhausted(index, position),
-            Outcome::Unreadable | Outcome::GenerationEnded => {
-                panic!("the ledger is always readable, and no turn has a record")
-            }
+            outcome => panic!("a reservation ends with {outcome:?}"),
         }
     }
 
--- a/coordination/tests/gateway_budgets.rs
+++ b/coordination/tests/gateway_budgets.rs
@@ -190,9 +190,7 @@
         match (turn, outcome) {
             (Some(turn), Outcome::Durable) => host.running[turn].1 = None,
             (Some(turn), Outcome::Exhausted) => self.retry(index, turn),
-            (Some(_), Outcome::Unreadable | Outcome::GenerationEnded) => {
-                panic!("the ledger is always readable, and no turn has a record")
-            }
+            (Some(_), outcome) => panic!("a reservation ends with {outcome:?}"),
             (None, _) => {}
         }
     }
--- a/coordination/tests/gateway_group_commit.rs
+++ b/coordination/tests/gateway_group_commit.rs
@@ -192,18 +192,63 @@
         group.record_answer(Answer::Applied(1));
     }
     assert_eq!(combined, 80);
-    // Large values, one of which exceeds the limit of a batch by itself.
-    let sizes = [400_000, 300_000, 900_000, 10];
+    // Large values. The encoding adds a third, so that one of them exceeds the limit by
+    // itself.
+    let sizes = [400_000, 400_000, 700_000, 900_000, 10];
+    let mut ids = Vec::new();
     for (number, bytes) in sizes.into_iter().enumerate() {
-        let row = RowId::new("programs", "p00", format!("large-{number}"));
-        group.submit(Transaction::default().write(row, vec![0; bytes]));
+        ids.push(group.submit(write(number, bytes)));
     }
     let mut sent = Vec::new();
-    while let (Some(transaction), _) = group.next_transaction() {
-        sent.push(transaction.value_bytes());
+    let mut rejected = Vec::new();
+    loop {
+        let (transaction, ended) = group.next_transaction();
+        rejected.extend(ended);
+        let Some(transaction) = transaction else {
+            break;
+        };
+        assert!(transaction.max_encoded_bytes() <= 1_000_000);
+        let values = transaction.writes.iter().map(|write| write.value.len());
+        sent.push(values.sum::<usize>());
         group.record_answer(Answer::Applied(2));
     }
-    assert_eq!(sent, [400_010, 300_000, 900_000]);
+    assert_eq!(sent, [400_010, 400_000, 700_000]);
+    assert_eq!(rejected, [(ids[3], Answer::Rejected)]);
+}
+
+/// Returns a transaction that writes a large row of its own.
+fn write(number: usize, bytes: usize) -> Transaction {
+    let row = RowId::new("programs", "p00", format!("large-{number}"));
+    Transaction::default().write(row, vec![0; bytes])
+}
+
+/// Guards against a transaction that blocks all others of its partition, because the store
+/// rejects every batch that contains it.
+#[test]
+fn a_rejected_transaction_ends_alone() {
+    let mut group = GroupCommit::default();
+    let ids: Vec<_> = (0..40)
+        .map(|number| group.submit(write(number, 8)))
+        .collect();
+    let mut calls = 0;
+    let mut outcomes = Vec::new();
+    while let (Some(transaction), _) = group.next_transaction() {
+        calls += 1;
+        let is_rejected = transaction
+            .writes
+            .iter()
+            .any(|write| write.row.key == "large-7");
+        outcomes.extend(group.record_answer(match is_rejected {
+            true => Answer::Rejected,
+            false => Answer::Applied(calls),
+        }));
+    }
+    let rejected = outcomes
+        .iter()
+        .filter(|(_, answer)| *answer == Answer::Rejected);
+    assert_eq!(rejected.map(|(id, _)| *id).collect::<Vec<_>>(), [ids[7]]);
+    assert_eq!(outcomes.len(), 40);
+    assert!(calls <= 41, "{calls} calls");
 }
 
 /// A store that loses answers must not delay the pending entries until a copy of the
@@ -297,7 +342,7 @@
         match answer {
             Answer::Applied(_) => return,
             Answer::Conflict(rows) => required = rows.first().map_or(0, |row| row.version),
-            Answer::NotKnown => unreachable!("each answer is known"),
+            Answer::NotKnown | Answer::Rejected => unreachable!("the store answers otherwise"),
         }
     }
     panic!("the change is not applied");
--- a/coordination/tests/gateway_pending_changes.rs
+++ b/coordination/tests/gateway_pending_changes.rs
@@ -369,3 +369,64 @@
     flush(&mut changes, &mut store);
     assert_eq!(store.ledger().retention(), RETENTION);
 }
+
+/// Reserves tokens for turns of as many programs.
+fn reserve_for_programs(changes: &mut PendingChanges, store: &mut Store, count: usize) {
+    for number in 0..count {
+        changes.submit(program(number), reserve(&format!("t{number}"), 1_000));
+    }
+    flush(changes, store);
+}
+
+fn program(number: usize) -> String {
+    format!("program-{number}")
+}
+
+/// Returns the settlement of a program's turn with a record of one row.
+fn settle_with_record(changes: &PendingChanges, number: usize, bytes: usize) -> Change {
+    let row = RowId::new("programs", "p00", format!("t{number}"));
+    let value = vec![0; bytes];
+    Change::Settle {
+        attempt: format!("t{number}"),
+        tokens: 1,
+        record: Some(TurnRecord {
+            rows: vec![RowWrite { row, value }],
+            generation: changes.cached_generation(&program(number)),
+        }),
+    }
+}
+
+/// Returns the number of records in a store.
+fn record_count(store: &Store) -> usize {
+    let records = store.rows.keys().filter(|row| row.key.starts_with('t'));
+    records.count()
+}
+
+/// Guards against a change that blocks all others of its partition, because the store
+/// rejects every transaction that contains it.
+#[test]
+fn a_rejected_change_ends_alone() {
+    let mut changes = PendingChanges::new(FIRST.to_owned());
+    let mut store = Store::default();
+    reserve_for_programs(&mut changes, &mut store, 20);
+    let mut ids = Vec::new();
+    for number in 0..20 {
+        let settle = settle_with_record(&changes, number, 10);
+        ids.push(changes.submit(program(number), settle));
+    }
+    let mut calls = 0;
+    let mut rejected = Vec::new();
+    while let (Some(transaction), _) = changes.next_transaction() {
+        calls += 1;
+        let is_rejected = transaction.writes.iter().any(|write| write.row.key == "t7");
+        let ended = changes.handle_answer(match is_rejected {
+            true => Answer::Rejected,
+            false => store.apply(&transaction),
+        });
+        let ended = ended.into_iter();
+        rejected.extend(ended.filter(|(_, outcome)| *outcome == Outcome::Rejected));
+    }
+    assert_eq!(rejected, [(ids[7], Outcome::Rejected)]);
+    assert_eq!(record_count(&store), 19);
+    assert!(calls <= 21, "{calls} calls");
+}
--- a/entry/src/control/commits.rs
+++ b/entry/src/control/commits.rs
@@ -44,7 +44,9 @@
                 Ok(Transacted::Applied(version)) => BatchOutcome::Committed { version },
                 Ok(Transacted::Conflict(_)) => BatchOutcome::Conflict,
                 Err(StoreError::Refused | StoreError::Throttled) => BatchOutcome::Refused,
-                Err(StoreError::NoAnswer(_) | StoreError::HistoryGone) => BatchOutcome::Unknown,
+                Err(
+                    StoreError::Rejected(_) | StoreError::NoAnswer(_) | StoreError::HistoryGone,
+                ) => BatchOutcome::Unknown,
             };
             handle.send(Command::CommitEnded {
                 write_id: batch.write_id,
--- a/entry/src/operators/writing.rs
+++ b/entry/src/operators/writing.rs
@@ -270,7 +270,9 @@
 fn failed(error: &StoreError) -> Answer {
     match error {
         StoreError::Refused | StoreError::Throttled => Answer::Refused,
-        StoreError::NoAnswer(_) | StoreError::HistoryGone => Answer::NoAnswer,
+        StoreError::Rejected(_) | StoreError::NoAnswer(_) | StoreError::HistoryGone => {
+            Answer::NoAnswer
+        }
     }
 }
 
--- a/gateway/src/batched_commits.rs
+++ b/gateway/src/batched_commits.rs
@@ -266,7 +266,11 @@
         };
         let elapsed = self.clock.now().saturating_sub(sent_at);
         self.timeout.set(next_timeout(self.timeout.get(), elapsed));
-        if matches!(committed, Committed::Applied(_) | Committed::Conflict(_)) {
+        let is_from_store = matches!(
+            committed,
+            Committed::Applied(_) | Committed::Conflict(_) | Committed::Rejected
+        );
+        if is_from_store {
             self.batchers.borrow_mut().record_response(&batcher.host);
             self.store
                 .note_partition_answered(partition_of(transaction));
@@ -274,6 +278,10 @@
         match committed {
             Committed::Applied(version) => AttemptResult::Ended(Ok(Transacted::Applied(version))),
             Committed::Conflict(rows) => AttemptResult::Ended(Ok(Transacted::Conflict(rows))),
+            // Another path would lead to the same store.
+            Committed::Rejected => {
+                AttemptResult::Ended(Err(StoreError::Rejected("at its batcher".to_owned())))
+            }
             // All hosts share one rate limit, so another path would only add load.
             Committed::Throttled => AttemptResult::Ended(Err(StoreError::Throttled)),
             Committed::Refused => {
@@ -420,6 +428,7 @@
         let (answer, error) = match outcome {
             Ok(Transacted::Applied(version)) => (Answer::Applied(version), None),
             Ok(Transacted::Conflict(rows)) => (Answer::Conflict(rows), None),
+            Err(error @ StoreError::Rejected(_)) => (Answer::Rejected, Some(error)),
             Err(error) => (Answer::NotKnown, Some(error)),
         };
         let ended = match overdue {
@@ -443,6 +452,7 @@
             let outcome = match answer {
                 Answer::Applied(version) => Ok(Transacted::Applied(version)),
                 Answer::Conflict(rows) => Ok(Transacted::Conflict(rows)),
+                Answer::Rejected => Err(error.clone().unwrap_or_else(too_large)),
                 Answer::NotKnown => Err(error.clone().unwrap_or_else(unattributed_conflict)),
             };
             if let Some(waiter) = self.waiters.remove(&id) {
@@ -454,6 +464,12 @@
     }
 }
 
+/// Returns the error of a transaction that was not sent, because it exceeds the limits of
+/// the store.
+fn too_large() -> StoreError {
+    StoreError::Rejected("it is too large".to_owned())
+}
+
 fn unattributed_conflict() -> StoreError {
     StoreError::NoAnswer("conflict without a failed condition".to_owned())
 }
@@ -471,6 +487,7 @@
         Ok(Transacted::Applied(version)) => Committed::Applied(version),
         Ok(Transacted::Conflict(rows)) => Committed::Conflict(rows),
         Err(StoreError::Throttled) => Committed::Throttled,
+        Err(StoreError::Rejected(_)) => Committed::Rejected,
         Err(StoreError::Refused) if is_store_up => Committed::PartitionRefused,
         Err(StoreError::Refused) => Committed::Refused,
         Err(StoreError::HistoryGone | StoreError::NoAnswer(_)) => Committed::NoAnswer,
--- a/gateway/src/commits.rs
+++ b/gateway/src/commits.rs
@@ -14,6 +14,7 @@
     Answer, Change, ChangeId, Outcome, PendingChanges,
 };
 use rosebend_state::deployment::{AttemptId, ProgramKey, Row, RowVersion, Transaction};
+use rosebend_transport::event::{Event, EventKind, log_event};
 use rosebend_transport::store::{StoreClient, StoreError, Transacted};
 use tokio::sync::oneshot;
 
@@ -216,6 +217,10 @@
             let answer = match self.batched.transact(&transaction).await {
                 Ok(Transacted::Applied(version)) => Answer::Applied(version),
                 Ok(Transacted::Conflict(rows)) => Answer::Conflict(rows),
+                Err(error @ StoreError::Rejected(_)) => {
+                    log_event(&Event::new(EventKind::ChangesRejected).error(&error));
+                    Answer::Rejected
+                }
                 Err(error) => {
                     self.back_off(&error, &mut delay).await;
                     Answer::NotKnown
--- a/gateway/src/interruption.rs
+++ b/gateway/src/interruption.rs
@@ -32,6 +32,9 @@
     /// The program's ledger could not be decoded, so that the turn was not recorded.
     #[error("the program's ledger could not be decoded")]
     RecordUnreadable,
+    /// The store rejects the turn's record.
+    #[error("the store rejects the turn's record")]
+    RecordRejected,
     /// The process stopped before the turn's record was durable.
     #[error("the process stopped before the turn's record was durable")]
     RecordNotDurable,
@@ -61,6 +64,7 @@
             Self::GrantNotExtended => "grant-not-extended",
             Self::BudgetSpent => "budget-spent",
             Self::RecordUnreadable => "record-unreadable",
+            Self::RecordRejected => "record-rejected",
             Self::RecordNotDurable => "record-not-durable",
         }
     }
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -555,6 +555,7 @@
             None => "done",
             Some(StoreError::Refused) => "refused",
             Some(StoreError::Throttled) => "throttled",
+            Some(StoreError::Rejected(_)) => "rejected",
             Some(StoreError::HistoryGone) => "history_gone",
             Some(StoreError::NoAnswer(_)) => "no_answer",
         };
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -241,7 +241,11 @@
         Ok(answer) => answer,
         Err(StoreError::Refused) => (503, Bytes::new()),
         Err(StoreError::Throttled) => (429, Bytes::new()),
-        Err(StoreError::HistoryGone | StoreError::NoAnswer(_)) => (504, Bytes::new()),
+        // Whether an address belongs to a gateway is not certain, so that hosts do not take a
+        // rejection of their calls from one.
+        Err(StoreError::Rejected(_) | StoreError::HistoryGone | StoreError::NoAnswer(_)) => {
+            (504, Bytes::new())
+        }
     }
 }
 
--- a/gateway/src/spending.rs
+++ b/gateway/src/spending.rs
@@ -329,8 +329,11 @@
                 log_event(&event.program_key(&self.program));
                 Err(self.gateway.store_unreachable())
             }
-            // Only settlements have this outcome.
-            Ok(Outcome::GenerationEnded) => Err(self.gateway.store_unreachable()),
+            // The store rejects the ledger. Only settlements end for their generation.
+            Ok(Outcome::Rejected | Outcome::GenerationEnded) => {
+                self.is_settled = true;
+                Err(self.gateway.store_unreachable())
+            }
             // The process is stopping.
             Err(_) => Err(self.gateway.store_unreachable()),
         }
--- a/gateway/src/turn_stream.rs
+++ b/gateway/src/turn_stream.rs
@@ -294,6 +294,10 @@
             };
             match spending.settle(Some(turn_record)).await {
                 Ok(Outcome::GenerationEnded) => spending.reserve_again().await?,
+                Ok(Outcome::Rejected) => {
+                    spending.settle_later();
+                    return Err(Interruption::RecordRejected);
+                }
                 Ok(Outcome::Unreadable) => {
                     let event = Event::new(EventKind::RecordUnreadable);
                     log_event(&event.program_key(&turn.program));
--- a/protocol/src/commit.rs
+++ b/protocol/src/commit.rs
@@ -54,6 +54,9 @@
     PartitionRefused,
     /// The store did not answer: what was done is not known.
     NoAnswer,
+    /// The store rejects the transaction, and would reject any copy of it; nothing was
+    /// done.
+    Rejected,
 }
 
 #[derive(Clone, PartialEq)]
@@ -102,6 +105,7 @@
     Refused = 4,
     NoAnswer = 5,
     PartitionRefused = 6,
+    Rejected = 7,
 }
 
 /// What one gateway asks of another.
@@ -218,6 +222,7 @@
         Committed::Refused => WireOutcome::Refused,
         Committed::PartitionRefused => WireOutcome::PartitionRefused,
         Committed::NoAnswer => WireOutcome::NoAnswer,
+        Committed::Rejected => WireOutcome::Rejected,
     };
     wire.set_outcome(outcome);
     wire.encode_to_vec()
@@ -244,6 +249,7 @@
         WireOutcome::Refused => Ok(Committed::Refused),
         WireOutcome::PartitionRefused => Ok(Committed::PartitionRefused),
         WireOutcome::NoAnswer => Ok(Committed::NoAnswer),
+        WireOutcome::Rejected => Ok(Committed::Rejected),
     }
 }
 
--- a/protocol/tests/commit.rs
+++ b/protocol/tests/commit.rs
@@ -49,6 +49,7 @@
         Just(Committed::Refused),
         Just(Committed::PartitionRefused),
         Just(Committed::NoAnswer),
+        Just(Committed::Rejected),
     ]
 }
 
--- a/standin/tests/store.rs
+++ b/standin/tests/store.rs
@@ -214,3 +214,21 @@
     assert_eq!(gone.unwrap().status(), 404);
     server.stop().await.unwrap();
 }
+
+#[actix_rt::test]
+async fn a_transaction_of_more_than_a_megabyte_is_rejected() {
+    let (server, client) = start(StoreConfig::default());
+    let large = |bytes: usize| Transaction::default().write(row("a"), vec![0; bytes]);
+    let rejected = client.transact(&large(760_000)).await;
+    assert!(
+        matches!(rejected, Err(StoreError::Rejected(_))),
+        "{rejected:?}"
+    );
+    assert_eq!(value(&client, "a").await, None);
+    // The store answers, and is not taken for one that does not.
+    assert!(client.is_reachable());
+    assert_eq!(client.unreachable_for(), Duration::ZERO);
+    let applied = client.transact(&large(740_000)).await.unwrap();
+    assert!(matches!(applied, Transacted::Applied(_)));
+    server.stop().await.unwrap();
+}
--- a/state/src/deployment.rs
+++ b/state/src/deployment.rs
@@ -24,7 +24,10 @@
     routes::{
         CallerLimits, Deployment, Engine, Route, RouteKind, RouteTarget, Service, UnusableRoute,
     },
-    store::{Condition, MAX_TRANSACTION_ENTRIES, Row, RowId, RowRange, RowWrite, Transaction},
+    store::{
+        Condition, MAX_TRANSACTION_BYTES, MAX_TRANSACTION_ENTRIES, Row, RowId, RowRange, RowWrite,
+        Transaction,
+    },
 };
 
 /// Name of a service, as operators declare it.
--- a/state/src/deployment/store.rs
+++ b/state/src/deployment/store.rs
@@ -95,8 +95,39 @@
     pub value: Vec<u8>,
 }
 
+impl RowWrite {
+    /// Most bytes of it as an entry of a transaction, encoded.
+    pub fn max_encoded_bytes(&self) -> usize {
+        max_encoded_bytes(&self.row, self.value.len())
+    }
+}
+
 /// Most entries of one transaction that the store takes, conditions among them.
 pub const MAX_TRANSACTION_ENTRIES: usize = 100;
+/// Most bytes of one transaction that the store takes, encoded.
+pub const MAX_TRANSACTION_BYTES: usize = 1_000_000;
+/// Most bytes that the encoding of an entry adds to its names and its value.
+const ENTRY_OVERHEAD_BYTES: usize = 80;
+/// Most bytes that the encoding of a transaction adds to its entries.
+const TRANSACTION_OVERHEAD_BYTES: usize = 80;
+
+/// Most bytes of an entry of a transaction, encoded, for a value of this size.
+fn max_encoded_bytes(row: &RowId, value_bytes: usize) -> usize {
+    let names = [&row.table, &row.partition, &row.key];
+    let names: usize = names.into_iter().map(|name| escaped_bytes(name)).sum();
+    // Three bytes of a value take four characters.
+    names + value_bytes.div_ceil(3) * 4 + ENTRY_OVERHEAD_BYTES
+}
+
+/// Bytes of a text as a JSON string, at most.
+fn escaped_bytes(text: &str) -> usize {
+    let escaped = |byte: u8| match byte {
+        b'"' | b'\\' => 2,
+        0..0x20 | 0x7f => 6,
+        _ => 1,
+    };
+    text.bytes().map(escaped).sum()
+}
 
 /// Changes that are applied together or not at all.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -128,9 +159,19 @@
         self.conditions.len() + self.writes.len() + self.deletes.len()
     }
 
-    /// Bytes of the values that it writes.
-    pub fn value_bytes(&self) -> usize {
-        self.writes.iter().map(|write| write.value.len()).sum()
+    /// Most bytes of it, encoded.
+    pub fn max_encoded_bytes(&self) -> usize {
+        let conditions = self.conditions.iter().map(|condition| &condition.row);
+        let without_value = conditions.chain(&self.deletes);
+        let without_value: usize = without_value.map(|row| max_encoded_bytes(row, 0)).sum();
+        let writes: usize = self.writes.iter().map(RowWrite::max_encoded_bytes).sum();
+        without_value + writes + TRANSACTION_OVERHEAD_BYTES
+    }
+
+    /// Whether it is within the limits of the store.
+    pub fn fits_call(&self) -> bool {
+        self.entries() <= MAX_TRANSACTION_ENTRIES
+            && self.max_encoded_bytes() <= MAX_TRANSACTION_BYTES
     }
 
     /// Requires a version of a row.
--- a/transport/src/event/catalogue.rs
+++ b/transport/src/event/catalogue.rs
@@ -207,6 +207,8 @@
     ClientsClosed,
     /// The row of `host` at `address` is deleted, because the process has not responded for `host_expiry_ms`.
     HostExpired,
+    /// The store rejects changes of programs; `error` says why.
+    ChangesRejected,
     /// Bodies of the declared size find no memory on this host; those of up to `count` bytes do.
     BodyLimitTooLarge,
     /// A program's rows in the store do not have the form that this version writes.
@@ -227,7 +229,7 @@
 
 impl EventKind {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 107] = [
+    pub const ALL: [Self; 108] = [
         Self::ProcessStarted,
         Self::ProcessStopping,
         Self::ProcessStopped,
@@ -335,6 +337,7 @@
         Self::ClientsClosed,
         Self::BodyLimitTooLarge,
         Self::HostExpired,
+        Self::ChangesRejected,
     ];
 
     /// The event's number, which stays with it for ever.
@@ -444,6 +447,7 @@
             Self::ClientsClosed => 869,
             Self::BodyLimitTooLarge => 870,
             Self::HostExpired => 871,
+            Self::ChangesRejected => 872,
             Self::RecordUnreadable => 823,
             Self::Listening => 824,
             Self::StoreRelayed => 825,
@@ -556,6 +560,7 @@
             Self::AcceptFailed => "accept-failed",
             Self::ClientsClosed => "clients-closed",
             Self::HostExpired => "host-expired",
+            Self::ChangesRejected => "changes-rejected",
             Self::BodyLimitTooLarge => "body-limit-too-large",
             Self::RecordUnreadable => "record-unreadable",
             Self::Listening => "listening",
@@ -573,6 +578,7 @@
             | Self::RouteUnusable
             | Self::CustomerUnusable
             | Self::RequestQuarantined
+            | Self::ChangesRejected
             | Self::RecordUnreadable => Level::Error,
             Self::ProcessPaused
             | Self::StopTimedOut
@@ -855,6 +861,9 @@
             Self::HostExpired => {
                 "The row of `host` at `address` in the table of hosts is deleted, because the process has not responded for `host_expiry_ms`. A host that runs nevertheless writes its row again."
             }
+            Self::ChangesRejected => {
+                "The store rejects a transaction with changes of programs, and would reject it again; `error` says why. If it has several changes, each is sent by itself; a turn whose own change is rejected ends without being recorded."
+            }
             Self::RecordUnreadable => {
                 "A program's rows in the store do not have the form that this version writes."
             }
--- a/transport/src/store/answer.rs
+++ b/transport/src/store/answer.rs
@@ -12,6 +12,7 @@
     match wire::status(status) {
         StoreStatus::Refused => Err(StoreError::Refused),
         StoreStatus::Throttled => Err(StoreError::Throttled),
+        StoreStatus::Rejected => Err(StoreError::Rejected(format!("status {status}"))),
         StoreStatus::Unknown => Err(StoreError::NoAnswer(format!("status {status}"))),
         StoreStatus::Done | StoreStatus::Conflict | StoreStatus::HistoryGone => Ok((status, body)),
     }
--- a/transport/src/store/mod.rs
+++ b/transport/src/store/mod.rs
@@ -1,8 +1,8 @@
 //! The client of the platform's store, for every process.
 //!
-//! The outcome of a transaction is one of three: it was applied, it was not, or
-//! nobody knows. A lost answer is never guessed; the caller settles it by the
-//! transaction's conditions or by reading back.
+//! The outcome of a transaction is one of four: it was applied, it was not, it never
+//! will be, or nobody knows. A lost answer is never guessed; the caller settles it by
+//! the transaction's conditions or by reading back.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -52,6 +52,10 @@
     /// More calls than the store takes; nothing was done.
     #[error("the store takes no more calls in this second")]
     Throttled,
+    /// The store does not take the call, whoever sends it and however often; nothing was
+    /// done.
+    #[error("the store rejects the call: {0}")]
+    Rejected(String),
     /// The history that was asked for is gone.
     #[error("the store's history is gone")]
     HistoryGone,
@@ -451,6 +455,7 @@
                     self.answers.borrow_mut().answered(number == 0);
                     return Ok(answer);
                 }
+                Ok(Some((_, Err(error @ StoreError::Rejected(_))))) => return Err(error),
                 // Another copy may still be answered.
                 Ok(Some((_, Err(_)))) if !copies.is_empty() => {}
                 Ok(Some((_, Err(error)))) => return Err(error),
@@ -496,7 +501,7 @@
         }
         let outcome = self.observed_call(kind, outgoing, wait).await;
         match &outcome {
-            Ok(_) => self.refused.note_answered(partition),
+            Ok(_) | Err(StoreError::Rejected(_)) => self.refused.note_answered(partition),
             Err(StoreError::Refused) if self.answers_others().await => {
                 self.note_partition_refused(partition);
             }
@@ -546,6 +551,8 @@
         };
         match outcome {
             Ok(answer) => Ok(answer),
+            // The store answered, and would answer a peer the same.
+            Err(error @ StoreError::Rejected(_)) => Err(error),
             // The store's rate is one for all hosts: a peer would only add to
             // the calls. A host that is always told so is turned away.
             Err(StoreError::Throttled) if self.direct().is_up() => Err(StoreError::Throttled),
@@ -608,7 +615,7 @@
         let outcome = judge(answer);
         self.last_failure.replace(outcome.as_ref().err().cloned());
         let turn = match &outcome {
-            Ok(_) => {
+            Ok(_) | Err(StoreError::Rejected(_)) => {
                 self.throttled_since.set(None);
                 direct.note_answer(started)
             }
