Keep joined changes within the size of a transaction

The size was compared before a record was added, and not after.

If the ledgers, whose size is known only then, exceed what is left, half of the changes wait.

--- a/coordination/src/gateway/pending_changes.rs
+++ b/coordination/src/gateway/pending_changes.rs
@@ -332,24 +332,40 @@
         if !self.in_flight.is_empty() {
             return (None, ended);
         }
-        let rows = self.collect_changes(&mut ended);
-        if self.in_flight.is_empty() {
-            return (None, ended);
+        let mut max_changes = usize::MAX;
+        loop {
+            let rows = self.collect_changes(max_changes, &mut ended);
+            if self.in_flight.is_empty() {
+                return (None, ended);
+            }
+            let transaction = self.transaction(rows);
+            if self.in_flight.len() == 1 || transaction.fits_call() {
+                return (Some(transaction), ended);
+            }
+            // The size of the ledgers is known only now.
+            max_changes = self.in_flight.len() / 2;
+            let in_flight = std::mem::take(&mut self.in_flight);
+            self.in_flight_ledgers.clear();
+            self.queued.splice(0..0, in_flight);
         }
-        (Some(self.transaction(rows)), ended)
     }
 
-    /// Moves changes from the queue into the next transaction, and
+    /// Moves at most `max_changes` changes from the queue into the next transaction, and
     /// returns the rows of the turns that they settle.
-    fn collect_changes(&mut self, ended: &mut Vec<(ChangeId, Outcome)>) -> Vec<RowWrite> {
+    fn collect_changes(
+        &mut self,
+        max_changes: usize,
+        ended: &mut Vec<(ChangeId, Outcome)>,
+    ) -> Vec<RowWrite> {
         let mut bytes = 0;
         let mut rows = Vec::new();
         for pending in std::mem::take(&mut self.queued) {
             let entries =
                 rows.len() + self.in_flight_ledgers.len() * LEDGER_ENTRIES + MAX_FENCE_ENTRIES;
             let record_bytes = pending.record_bytes();
-            let has_room = entries + pending.max_entries() <= MAX_TRANSACTION_ENTRIES
-                && bytes < MAX_RECORD_BYTES;
+            let has_room = self.in_flight.len() < max_changes
+                && entries + pending.max_entries() <= MAX_TRANSACTION_ENTRIES
+                && bytes + record_bytes <= MAX_RECORD_BYTES;
             let has_room = match self.in_flight.first() {
                 None => true,
                 Some(first) => has_room && !first.is_isolated && !pending.is_isolated,
--- a/coordination/tests/gateway_pending_changes.rs
+++ b/coordination/tests/gateway_pending_changes.rs
@@ -402,6 +402,29 @@
     records.count()
 }
 
+/// Guards against records that wait in an outage and are joined into a transaction that is
+/// larger than the store takes.
+#[test]
+fn joined_records_stay_within_the_size_of_a_transaction() {
+    let mut changes = PendingChanges::new(FIRST.to_owned());
+    let mut store = Store::default();
+    reserve_for_programs(&mut changes, &mut store, 24);
+    for number in 0..24 {
+        let bytes = [590_000, 10, 300_000][number % 3];
+        let settle = settle_with_record(&changes, number, bytes);
+        changes.submit(program(number), settle);
+    }
+    let mut transactions = 0;
+    while let (Some(transaction), _) = changes.next_transaction() {
+        let bytes = transaction.max_encoded_bytes();
+        assert!(bytes <= 1_000_000, "{bytes} bytes");
+        changes.handle_answer(store.apply(&transaction));
+        transactions += 1;
+    }
+    assert!(transactions <= 16, "{transactions} transactions");
+    assert_eq!(record_count(&store), 24);
+}
+
 /// Guards against a change that blocks all others of its partition, because the store
 /// rejects every transaction that contains it.
 #[test]
