Keep the changes of a program in their order

A turn that was cancelled could leave its reservation in the ledger, so that the program was refused for a budget that it had not spent. In a transaction without room for the reservation, which needs more entries, the settlement of the same turn was sent first and had no effect.

--- a/coordination/src/gateway/pending_changes.rs
+++ b/coordination/src/gateway/pending_changes.rs
@@ -351,7 +351,8 @@
     }
 
     /// Moves at most `max_changes` changes from the queue into the next transaction, and
-    /// returns the rows of the turns that they settle.
+    /// returns the rows of the turns that they settle. Changes of one program stay in their
+    /// order.
     fn collect_changes(
         &mut self,
         max_changes: usize,
@@ -359,6 +360,7 @@
     ) -> Vec<RowWrite> {
         let mut bytes = 0;
         let mut rows = Vec::new();
+        let mut deferred: HashSet<ProgramKey> = HashSet::new();
         for pending in std::mem::take(&mut self.queued) {
             let entries =
                 rows.len() + self.in_flight_ledgers.len() * LEDGER_ENTRIES + MAX_FENCE_ENTRIES;
@@ -370,7 +372,8 @@
                 None => true,
                 Some(first) => has_room && !first.is_isolated && !pending.is_isolated,
             };
-            if !has_room {
+            if !has_room || deferred.contains(&pending.program) {
+                deferred.insert(pending.program.clone());
                 self.queued.push(pending);
                 continue;
             }
--- a/coordination/tests/gateway_pending_changes.rs
+++ b/coordination/tests/gateway_pending_changes.rs
@@ -9,6 +9,7 @@
 };
 use rosebend_coordination::gateway::escrow::terms::EscrowTerms;
 use rosebend_coordination::gateway::history::ledger_row;
+use rosebend_coordination::gateway::ledger::Ledger;
 use rosebend_coordination::gateway::pending_changes::{
     Answer, Change, Outcome, PendingChanges, TurnRecord,
 };
@@ -453,3 +454,24 @@
     assert_eq!(record_count(&store), 19);
     assert!(calls <= 21, "{calls} calls");
 }
+
+/// Guards against a settlement that overtakes the reservation of its turn, which would then
+/// never be settled.
+#[test]
+fn changes_of_a_program_stay_in_their_order() {
+    let mut changes = PendingChanges::new(FIRST.to_owned());
+    let mut store = Store::default();
+    // Reservations need more entries of a transaction than settlements.
+    for number in 0..60 {
+        changes.submit(program(number), reserve("t1", 1_000));
+    }
+    for number in 0..60 {
+        changes.submit(program(number), settle("t1", 70));
+    }
+    flush(&mut changes, &mut store);
+    for number in 0..60 {
+        let (_, value) = &store.rows[&ledger_row(&program(number))];
+        let account = Ledger::decode(value).unwrap().account();
+        assert_eq!((account.spent_tokens, account.reserved_tokens), (70, 0));
+    }
+}
