Write long records in several transactions

A turn that continues another program's contains a copy of the history before it, of any length, and its record was written in one transaction. The store takes 1 MB and 100 entries.

The rows of a longer record are now written in several transactions, and those that make it a record last, together with the ledger. A host writes one such record at a time, since its rows are in memory several times meanwhile. Chains of more than 1 MB are no longer sent to the caching host of a zone, which would refuse them; they are read from the store.

--- a/coordination/src/gateway/history.rs
+++ b/coordination/src/gateway/history.rs
@@ -15,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::ledger::{Generation, Ledger};
+use crate::gateway::pending_changes::{MAX_RECORD_BYTES, MAX_RECORD_ROWS};
 
 /// Number of store partitions over which programs are distributed.
 ///
@@ -191,10 +192,16 @@
         prompt
     }
 
-    fn bytes(&self) -> usize {
+    /// Returns the size of the input and the output.
+    pub fn bytes(&self) -> usize {
         self.input.len() + self.output.len()
     }
 
+    /// Returns whether the turn's record may not fit into one transaction.
+    pub fn is_large(&self) -> bool {
+        self.bytes() > MAX_RECORD_BYTES / 2
+    }
+
     /// Returns the rows that make the turn durable: its record, split into chunks of at
     /// most `row_bytes`, and its index row.
     ///
@@ -239,6 +246,51 @@
     }
 }
 
+/// The rows of a turn's record, as far as they fit into one transaction.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SplitRecord {
+    /// Rows that are written before the others, each group in a transaction of its own.
+    /// They are no record without the others.
+    pub leading: Vec<Vec<RowWrite>>,
+    /// Rows that are written together with the program's ledger: all of them if they fit,
+    /// or the chunk that contains the header, and the index row.
+    pub last: Vec<RowWrite>,
+}
+
+/// Splits the rows of a turn, as [`Turn::rows`] returns them, into transactions within the
+/// limits of the store.
+pub fn split_record(mut rows: Vec<RowWrite>) -> SplitRecord {
+    let bytes: usize = rows.iter().map(RowWrite::max_encoded_bytes).sum();
+    if rows.len() <= MAX_RECORD_ROWS && bytes <= MAX_RECORD_BYTES {
+        return SplitRecord {
+            leading: Vec::new(),
+            last: rows,
+        };
+    }
+    let index_row = rows.split_off(rows.len().saturating_sub(1));
+    let mut chunks = rows.into_iter();
+    let last = chunks.by_ref().take(1).chain(index_row).collect();
+    let mut leading: Vec<Vec<RowWrite>> = Vec::new();
+    let mut group_bytes = 0;
+    for chunk in chunks {
+        let chunk_bytes = chunk.max_encoded_bytes();
+        match leading.last_mut() {
+            Some(group)
+                if group.len() < MAX_RECORD_ROWS
+                    && group_bytes + chunk_bytes <= MAX_RECORD_BYTES =>
+            {
+                group.push(chunk);
+                group_bytes += chunk_bytes;
+            }
+            _ => {
+                leading.push(vec![chunk]);
+                group_bytes = chunk_bytes;
+            }
+        }
+    }
+    SplitRecord { leading, last }
+}
+
 impl Drop for Turn {
     /// Drops the chain of predecessors iteratively. A recursive drop needs a stack frame
     /// for each turn and overflows the stack on a long chain.
--- a/coordination/src/gateway/pending_changes.rs
+++ b/coordination/src/gateway/pending_changes.rs
@@ -33,6 +33,8 @@
 const LEDGER_ENTRIES: usize = 2;
 /// Maximum number of transaction entries for the fences that a ledger depends on.
 const MAX_FENCE_ENTRIES: usize = SLOTS as usize;
+/// Maximum number of rows of a turn in one transaction.
+pub const MAX_RECORD_ROWS: usize = MAX_TRANSACTION_ENTRIES - LEDGER_ENTRIES - MAX_FENCE_ENTRIES;
 
 /// Identifies a change until its outcome is reported.
 pub type ChangeId = u64;
--- a/coordination/tests/gateway_history.rs
+++ b/coordination/tests/gateway_history.rs
@@ -10,6 +10,7 @@
 use rosebend_coordination::gateway::escrow::terms::EscrowTerms;
 use rosebend_coordination::gateway::history::{
     HistoryError, StoredProgram, Turn, TurnCache, indexed_program, ledger_row, partition_of,
+    split_record,
 };
 use rosebend_coordination::gateway::ledger::{Generation, Ledger, ReservationRequest};
 use rosebend_state::deployment::{EndpointIdentity, Row, RowId, RowWrite};
@@ -397,3 +398,40 @@
         let _ = Ledger::decode(ledger.to_string().as_bytes());
     }
 }
+
+/// Guards against a long history whose record no transaction holds.
+#[test]
+fn a_large_record_is_split_into_transactions_that_the_store_takes() {
+    for (input_bytes, row_bytes) in [(2_000_000, 49_152), (400_000, 768), (10, 49_152)] {
+        let turn = Arc::new(Turn {
+            attempt: "t0".to_owned(),
+            program: PROGRAM.to_owned(),
+            generation: Some(GENERATION),
+            previous: None,
+            input: (0..input_bytes)
+                .map(|number| (number % 251) as u8)
+                .collect(),
+            output: b"output".to_vec(),
+            endpoint: EndpointIdentity::unknown_start("i-1"),
+            tokens: 7,
+        });
+        let split = split_record(turn.rows(row_bytes));
+        let groups = split.leading.iter().chain([&split.last]);
+        for rows in groups {
+            let bytes: usize = rows.iter().map(RowWrite::max_encoded_bytes).sum();
+            assert!(
+                rows.len() <= 96 && bytes <= 800_000,
+                "{} {bytes}",
+                rows.len()
+            );
+        }
+        assert_eq!(split.leading.is_empty(), input_bytes == 10);
+
+        // Without the last rows there is no record, and with them it is whole.
+        let is_chunk = |row: &Row| row.id.table == ledger_row(PROGRAM).table;
+        let mut rows: Vec<Row> = split.leading.concat().into_iter().map(stored).collect();
+        assert!(read(&rows, "t0").is_err());
+        rows.extend(split.last.into_iter().map(stored).filter(is_chunk));
+        assert_eq!(read(&rows, "t0"), Ok(turn));
+    }
+}
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -23,7 +23,7 @@
 use rosebend_transport::event::{Event, EventKind, log_event};
 use rosebend_transport::store::StoreClient;
 use rosebend_util::random_id;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 
 use crate::batched_commits::BatchedCommits;
 use crate::commits::Commits;
@@ -96,6 +96,9 @@
     pub escrow: Escrow,
     /// The hosts that this one probes, to delete the rows of those that were lost.
     pub neighbors: Neighbors,
+    /// Permit to write a turn whose record takes several transactions. There is one, because
+    /// such a record is in memory several times while it is written.
+    pub large_records: Semaphore,
     /// The rows that are to be deleted when their retention time ends.
     pub retention: Retention,
     /// The addresses of other gateway processes, which may hold reservations of programs'
@@ -177,6 +180,7 @@
                 settings.availability_zone.clone(),
             ),
             escrow: Escrow::new(process.clone()),
+            large_records: Semaphore::new(1),
             retention: Retention::default(),
             holders: HolderAddresses::default(),
             quarantine: Quarantine::default(),
--- a/gateway/src/recent_history.rs
+++ b/gateway/src/recent_history.rs
@@ -41,6 +41,10 @@
 /// Timeout for the acknowledgement that history was cached. No request waits for it.
 const KEEP_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Maximum size of the turns that are sent to a caching host in one message. Longer history
+/// is read from the store.
+const MAX_SENT_BYTES: usize = 1 << 20;
+
 /// The history that this host caches, and the hosts of its availability zone.
 #[derive(Debug)]
 pub struct RecentHistory {
@@ -160,7 +164,7 @@
 
 /// Sends a durable turn to the host that caches its program, without waiting for the
 /// answer. If that host lacks the preceding turn, all turns that this one continues from
-/// are sent as well.
+/// are sent as well, unless they are too large.
 pub fn cache_turn(gateway: &Rc<Gateway>, turn: Arc<Turn>) {
     let Some(caching_host) = gateway
         .recent_history
@@ -168,13 +172,19 @@
     else {
         return;
     };
+    if turn.bytes() > MAX_SENT_BYTES {
+        return;
+    }
     let gateway = Rc::clone(gateway);
     actix_rt::spawn(async move {
         let recent = &gateway.recent_history;
         let single = std::iter::once(&*turn);
         let has_previous = send_turns(&gateway, &caching_host, &turn, single).await;
+        let chain_bytes: usize = turn.chain().map(Turn::bytes).sum();
         let has_previous = match has_previous {
-            Ok(false) => send_turns(&gateway, &caching_host, &turn, turn.chain()).await,
+            Ok(false) if chain_bytes <= MAX_SENT_BYTES => {
+                send_turns(&gateway, &caching_host, &turn, turn.chain()).await
+            }
             result => result,
         };
         match has_previous {
--- a/gateway/src/turn_stream.rs
+++ b/gateway/src/turn_stream.rs
@@ -10,12 +10,13 @@
 use actix_http::body::BoxBody;
 use bytes::Bytes;
 use futures_util::StreamExt;
-use rosebend_coordination::gateway::history::Turn;
+use rosebend_coordination::gateway::history::{Turn, split_record};
 use rosebend_coordination::gateway::pending_changes::{Outcome, TurnRecord};
 use rosebend_platform::headers;
 use rosebend_protocol::sse::{SseEvent, SseReader};
-use rosebend_state::deployment::{ProgramHeader, RowId};
+use rosebend_state::deployment::{ProgramHeader, RowId, RowWrite, Transaction};
 use rosebend_transport::event::{Event, EventKind, log_event};
+use rosebend_transport::store::StoreError;
 
 use crate::call::Call;
 use crate::endpoint_request::EndpointResponse;
@@ -29,12 +30,13 @@
 use crate::runs::{Chunk, Runs};
 use crate::spending::{Spending, ledger_retention, tokens_per_event};
 
-/// Maximum size of a recorded turn's output. With the longest input it fits into one
-/// transaction of at most 1 MB of encoded rows.
+/// Maximum size of a recorded turn's output.
 const MAX_OUTPUT_BYTES: usize = 200_000;
 /// Number of events that an answer may have beyond twice the number of those that its turn may
 /// generate.
 const MAX_EXTRA_EVENTS: u64 = 8;
+/// Delay before rows of a record that were not written, or may not be, are sent again.
+const WRITE_RETRY_DELAY: Duration = Duration::from_millis(80);
 /// Number of times that a turn's record is written if the program's ledger is deleted
 /// meanwhile. Each deletion takes the retention time of the program.
 const MAX_RECORD_ATTEMPTS: usize = 3;
@@ -285,11 +287,19 @@
         let ended = self.gateway.clock.now();
         for _ in 0..MAX_RECORD_ATTEMPTS {
             let turn = Arc::new(self.build_turn(&record, spending.emitted_tokens()));
+            let _permit = match turn.is_large() {
+                true => self.gateway.large_records.acquire().await.ok(),
+                false => None,
+            };
             // The limit applies to encoded rows, where four bytes represent three.
             let rows = turn.rows(self.gateway.settings().store.row_bytes / 4 * 3);
-            let row_ids: Vec<RowId> = rows.iter().map(|write| write.row.clone()).collect();
+            let split = split_record(rows);
+            for rows in split.leading {
+                self.write_ahead(&turn.program, rows).await?;
+            }
+            let row_ids = row_ids(&split.last);
             let turn_record = TurnRecord {
-                rows,
+                rows: split.last,
                 generation: turn.generation,
             };
             match spending.settle(Some(turn_record)).await {
@@ -315,6 +325,26 @@
         Err(Interruption::RecordNotDurable)
     }
 
+    /// Writes rows of a turn's record before the others. They are deleted together with the
+    /// program, also if the turn is not recorded.
+    async fn write_ahead(&self, program: &str, rows: Vec<RowWrite>) -> Result<(), Interruption> {
+        self.schedule_deletion(program, row_ids(&rows), self.call.route.retention);
+        let transaction = Transaction {
+            writes: rows,
+            ..Transaction::default()
+        };
+        loop {
+            let outcome = self.gateway.batched_commits.transact(&transaction).await;
+            match outcome {
+                Ok(_) => return Ok(()),
+                Err(StoreError::Rejected(_)) => return Err(Interruption::RecordRejected),
+                // The client has already logged the error. The caller's deadline ends the
+                // repetitions.
+                Err(_) => tokio::time::sleep(WRITE_RETRY_DELAY).await,
+            }
+        }
+    }
+
     /// Caches a turn that is durable, and records the tokens that it spent and how long its
     /// commit took.
     fn record_commit(&self, turn: Arc<Turn>, tokens: u64, commit_time: Duration) {
@@ -379,3 +409,7 @@
             .add_rows(program, rows, retention, version, now);
     }
 }
+
+fn row_ids(rows: &[RowWrite]) -> Vec<RowId> {
+    rows.iter().map(|write| write.row.clone()).collect()
+}
