Treat a status that HTTP does not define as no answer

Callers received 600 to 999 as the status of an answer, with the body and the headers of the endpoint. A status below 100 was refused before, as an answer that cannot be read.

A connection now reports a status outside 100 to 599, and a switch to a protocol that was not asked for, as an answer that broke: the caller of a request that may be repeated gets another try, all others 502. The same holds for the answers of the store, whose outcome is not known then, of other gateways, and of endpoints at a sidecar.

--- a/gateway/src/endpoint_request.rs
+++ b/gateway/src/endpoint_request.rs
@@ -290,7 +290,7 @@
 fn connection_failure(error: ConnectionError) -> Failure {
     match error {
         ConnectionError::Connect(_) | ConnectionError::NotSent(_) => Failure::NotSent,
-        ConnectionError::Broken(_) => Failure::Broken,
+        ConnectionError::Broken(_) | ConnectionError::UndefinedStatus(_) => Failure::Broken,
     }
 }
 
--- a/gateway/src/quarantine/liveness.rs
+++ b/gateway/src/quarantine/liveness.rs
@@ -439,7 +439,9 @@
                 ErrorKind::ConnectionReset => Probe::Closed,
                 _ => Probe::Silent,
             },
-            ConnectionError::NotSent(_) | ConnectionError::Broken(_) => Probe::Closed,
+            ConnectionError::NotSent(_)
+            | ConnectionError::Broken(_)
+            | ConnectionError::UndefinedStatus(_) => Probe::Closed,
         })
     }
 
--- a/sidecar/tests/incomplete.rs
+++ b/sidecar/tests/incomplete.rs
@@ -81,3 +81,20 @@
     assert_eq!(told.parts, ["done"]);
     assert_eq!(told.finished.unwrap().status, 200);
 }
+
+/// Guards against a status that HTTP does not define, and that a caller takes for an answer.
+#[actix_rt::test]
+async fn an_answer_with_an_undefined_status_is_a_failure() {
+    for answer in [
+        "HTTP/1.1 000 Odd\r\ncontent-length: 4\r\n\r\ndone",
+        "HTTP/1.1 099 Odd\r\ncontent-length: 4\r\n\r\ndone",
+        "HTTP/1.1 101 Odd\r\ncontent-length: 4\r\n\r\ndone",
+        "HTTP/1.1 600 Odd\r\ncontent-length: 4\r\n\r\ndone",
+        "HTTP/1.1 999 Odd\r\ncontent-length: 4\r\n\r\ndone",
+    ] {
+        let told = call_tool(answer, Close::Orderly).await;
+        assert!(told.finished.is_none(), "{answer:?}");
+        assert_eq!(told.parts, Vec::<String>::new(), "{answer:?}");
+        assert!(told.failure.unwrap().may_have_run, "{answer:?}");
+    }
+}
--- a/transport/src/connection.rs
+++ b/transport/src/connection.rs
@@ -48,6 +48,9 @@
     /// The connection broke after something was written.
     #[error("broken: {0}")]
     Broken(hyper::Error),
+    /// The answer has a status that HTTP does not define. The request may have run.
+    #[error("answered with the undefined status {0}")]
+    UndefinedStatus(u16),
 }
 
 impl ConnectionError {
@@ -55,7 +58,7 @@
     pub fn is_refused(&self) -> bool {
         match self {
             Self::Connect(error) => error.kind() == ErrorKind::ConnectionRefused,
-            Self::NotSent(_) | Self::Broken(_) => false,
+            Self::NotSent(_) | Self::Broken(_) | Self::UndefinedStatus(_) => false,
         }
     }
 }
@@ -123,7 +126,8 @@
     ///
     /// # Errors
     ///
-    /// Tells whether the request may have reached the peer.
+    /// Tells whether the request may have reached the peer. An answer whose status is not
+    /// defined, or that switches to a protocol that was not asked for, is none.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
@@ -134,13 +138,17 @@
         self.limit.set(MAX_HEAD_BYTES);
         let response = self.sender.send_request(request).await;
         self.limit.lift();
-        response.map_err(|error| {
+        let response = response.map_err(|error| {
             if error.is_canceled() {
                 ConnectionError::NotSent(error)
             } else {
                 ConnectionError::Broken(error)
             }
-        })
+        })?;
+        match response.status().as_u16() {
+            status @ (101 | 600..) => Err(ConnectionError::UndefinedStatus(status)),
+            _ => Ok(response),
+        }
     }
 }
 
