Refuse requests that arrive late in a planned stop and may outlast it

A request that is complete later than connections are accepted, and whose deadline lies after the end of the stop, is now refused at once with 503, as not run; the caller is served by another host.

requests_that_arrive_late_in_a_planned_stop_are_not_passed_on failed before (502 to a non-idempotent request that had run) and passes now.

--- a/gateway/src/dispatch.rs
+++ b/gateway/src/dispatch.rs
@@ -62,8 +62,12 @@
     }
 }
 
-/// Serves a call, unless it crashes endpoints or exceeds a limit of its customer.
+/// Serves a call, unless the process stops, or the call crashes endpoints or exceeds a limit of
+/// its customer.
 async fn serve(gateway: &Rc<Gateway>, call: Call) -> Response<BoxBody> {
+    if gateway.may_stop_before(call.deadline) {
+        return refuse(gateway, &call, Refusal::Stopping);
+    }
     // Before it has read the table of crashes, a host may let through what others refuse.
     if !gateway.quarantine.has_read_table() {
         return refuse(gateway, &call, Refusal::NotReady);
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -113,8 +113,8 @@
     /// Number of connections of callers. A connection remains open until its last response is
     /// written.
     open_connections: Cell<u64>,
-    /// Whether the process has been asked to stop.
-    stopping: Cell<bool>,
+    /// Times of the planned stop, once the process has been asked to stop.
+    planned_stop: Cell<Option<PlannedStop>>,
     /// Whether the process is about to exit.
     is_exiting: Rc<Cell<bool>>,
     /// Notifies the requests that wait for the process to exit.
@@ -123,6 +123,15 @@
     was_ready: Cell<bool>,
 }
 
+/// Times of a planned stop, since the start of the process.
+#[derive(Clone, Copy, Debug)]
+pub struct PlannedStop {
+    /// Time until which new connections are accepted.
+    pub accept_until: Duration,
+    /// Time at which requests that are still open end.
+    pub end: Duration,
+}
+
 impl Gateway {
     /// Creates the state of a process that has not received any routes, endpoints or peers.
     pub fn new(settings: GatewaySettings) -> Self {
@@ -186,7 +195,7 @@
             quarantine: Quarantine::default(),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
-            stopping: Cell::new(false),
+            planned_stop: Cell::default(),
             is_exiting: Rc::default(),
             exiting: Notify::new(),
             was_ready: Cell::new(false),
@@ -336,7 +345,15 @@
 
     /// Returns whether the process has been asked to stop.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.get()
+        self.planned_stop.get().is_some()
+    }
+
+    /// Returns whether a request with this deadline arrived so late in a planned stop that
+    /// the process may end before it.
+    pub fn may_stop_before(&self, deadline: Duration) -> bool {
+        let now = self.clock.now();
+        let times = self.planned_stop.get();
+        times.is_some_and(|times| now >= times.accept_until && deadline > times.end)
     }
 
     /// Marks the process as about to exit. Requests that are still open then end.
@@ -384,8 +401,8 @@
 
     /// Marks the process as stopping. The host is no longer ready, and it closes each
     /// connection after its next response. It still serves requests that arrive.
-    pub fn stop(&self) {
-        self.stopping.set(true);
+    pub fn stop(&self, times: PlannedStop) {
+        self.planned_stop.set(Some(times));
     }
 
     /// Counts a request as open until the returned guard is dropped.
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -11,7 +11,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
-use crate::gateway::Gateway;
+use crate::gateway::{Gateway, PlannedStop};
 use crate::{
     engine_scheduling, escrow, front, gossip, limits, peers, quarantine, reload, retention,
     watch as follow,
@@ -125,9 +125,12 @@
 /// responds to those that have not ended in time, gives up the escrow slots and deletes
 /// the row in the table of gateways. It ends before the platform would kill the process.
 async fn stop(gateway: &Gateway, close: &watch::Sender<bool>) {
-    gateway.stop();
     let grace = gateway.settings().stop_grace.saturating_sub(EXIT_MARGIN);
     let deadline = gateway.clock.now() + grace;
+    gateway.stop(PlannedStop {
+        accept_until: gateway.clock.now() + ACCEPT_TIME.min(grace),
+        end: deadline,
+    });
     let open = gateway.open_requests();
     log_event(&Event::new(EventKind::ProcessStopping).count(open));
     gateway.commits.send_all_deferred();
--- a/gateway/src/reply.rs
+++ b/gateway/src/reply.rs
@@ -61,6 +61,8 @@
     RouteUnusable,
     /// The process has not loaded the routes yet.
     NotReady,
+    /// The process stops, and may end before the request's deadline.
+    Stopping,
     /// The request line and headers are longer than allowed.
     HeadTooLarge,
     /// The body is longer than allowed.
@@ -109,6 +111,8 @@
 /// Operators need at least seconds to write another version.
 const DECLARATION_RETRY: Duration = Duration::from_secs(1);
 
+/// Retry time if this host stops. The retry goes to another host.
+const STOPPING_RETRY: Duration = Duration::from_millis(50);
 /// Retry time if the memory for requests is in use. The retry goes to another host.
 const MEMORY_RETRY: Duration = Duration::from_millis(200);
 
@@ -167,6 +171,7 @@
             Self::NoRoute => "no-route",
             Self::RouteUnusable => "route-unusable",
             Self::NotReady => "not-ready",
+            Self::Stopping => "stopping",
             Self::HeadTooLarge => "head-too-large",
             Self::BodyTooLarge => "body-too-large",
             Self::BodyIncomplete => "body-cut-short",
@@ -196,7 +201,8 @@
             Self::BodyTooLarge => 413,
             Self::HeadTooLarge => 431,
             Self::BudgetSpent => 402,
-            Self::NotReady | Self::NoEndpointAvailable | Self::StoreUnreachable(_) => 503,
+            Self::NotReady | Self::Stopping => 503,
+            Self::NoEndpointAvailable | Self::StoreUnreachable(_) => 503,
             Self::RouteUnusable | Self::Overloaded(_) => 503,
             Self::KeyUnusable | Self::KeysUnconfirmed | Self::RoutesUnconfirmed => 503,
             Self::OutOfMemory => 503,
@@ -227,6 +233,7 @@
             Self::StoreUnreachable(outage) => Some(after_outage(outage)),
             Self::LimitExceeded(wait) | Self::LimitUnknown(wait) => Some(wait),
             Self::NotReady | Self::KeysUnconfirmed | Self::RoutesUnconfirmed => Some(STALE_RETRY),
+            Self::Stopping => Some(STOPPING_RETRY),
             Self::RouteUnusable | Self::KeyUnusable => Some(DECLARATION_RETRY),
             _ => None,
         }
@@ -249,6 +256,7 @@
                 "the route of this host and path is declared with a value that cannot be used"
             }
             Self::NotReady => "the routes are not known yet",
+            Self::Stopping => "this host stops before the request's deadline",
             Self::HeadTooLarge => "the headers are longer than allowed",
             Self::BodyTooLarge => "the body is longer than allowed",
             Self::BodyIncomplete => "the body ended early",
--- a/gateway/tests/lifecycle.rs
+++ b/gateway/tests/lifecycle.rs
@@ -10,6 +10,7 @@
 use rosebend_transport::connection::Connection;
 use serde_json::json;
 use support::{Gateway, Site, TestRequest, wait_until};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 const MODELS: usize = 0;
 const DESK: usize = 1;
@@ -400,3 +401,67 @@
         );
     }
 }
+
+/// Sends a request whose last bytes arrive late in a planned stop, and returns the answer.
+async fn send_late(front: std::net::SocketAddr, request: String, split: usize) -> String {
+    let mut stream = tokio::net::TcpStream::connect(front).await.unwrap();
+    let (first, rest) = request.as_bytes().split_at(split);
+    stream.write_all(first).await.unwrap();
+    actix_rt::time::sleep(Duration::from_millis(2_000)).await;
+    // The host may have closed the connection.
+    let _ = stream.write_all(rest).await;
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// Guards against requests that arrive late in a planned stop, are passed on, and are then cut
+/// at its end, although they may have run.
+#[actix_rt::test]
+async fn requests_that_arrive_late_in_a_planned_stop_are_not_passed_on() {
+    let site = Site::with_long_timeouts();
+    let mut gateway = site.start_ready_gateway().await;
+    let slow = BackendFaults {
+        delay_ms: 6_000,
+        ..BackendFaults::default()
+    };
+    site.set_endpoint_faults(DESK, &slow).await;
+    site.set_endpoint_faults(MODELS, &slow).await;
+    gateway.signal("TERM");
+    gateway.wait_until_not_ready().await;
+    // The host accepts connections for some time after the signal.
+    actix_rt::time::sleep(Duration::from_millis(2_500)).await;
+    let mut sent = Vec::new();
+    for part in ["head", "body"] {
+        let attempt = |route: &str| format!("{route}-{part}");
+        let requests = [
+            TestRequest::new(http::Method::POST, "/fee/receipt")
+                .attempt(&attempt("fee"))
+                .body("fee"),
+            TestRequest::new(http::Method::POST, "/lookup/x")
+                .attempt(&attempt("lookup"))
+                .body("lookup"),
+            TestRequest::turn(&attempt("turn"), "p1", "turn"),
+            TestRequest::turn(&attempt("unkept"), "p2", "turn").at_path("/unkept/stream/turn"),
+        ];
+        for request in requests {
+            let raw = request.raw();
+            let head_end = raw.find("\r\n\r\n").unwrap();
+            let split = match part {
+                "head" => head_end,
+                _ => head_end + 5,
+            };
+            let sending = actix_rt::spawn(send_late(gateway.front, raw, split));
+            sent.push((request.attempt_id().to_owned(), sending));
+        }
+    }
+    for (attempt, answer) in sent {
+        let answer = answer.await.unwrap();
+        assert!(
+            answer.is_empty() || answer.starts_with("HTTP/1.1 503"),
+            "{attempt}: {answer}"
+        );
+        assert_eq!(site.run_count(&attempt).await, 0, "{attempt}: {answer}");
+    }
+    assert_eq!(gateway.exit_code().await, Some(0));
+}
