--- a/system-tests/tests/planned_stops.rs
+++ b/system-tests/tests/planned_stops.rs
@@ -1,16 +1,20 @@
 //! Planned stops under load cut no request, and a rolling restart of every
 //! process loses and doubles nothing.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use rosebend_system_tests::{
     Call, Cluster, ClusterConfig, Signal,
     load::{Load, Report},
+    settings::token,
     settle,
     sse::{StreamEnd, join_parts},
     wait_until,
 };
-use serde_json::json;
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 /// Between the balancer's last request to an entry and the entry's stop.
 const BALANCER_WAIT: Duration = Duration::from_millis(200);
@@ -238,3 +242,77 @@
     assert_eq!(reply.status, 503, "{reply:?}");
     assert_eq!(reply.json()["reason"], "not-under-way", "{reply:?}");
 }
+
+/// Sends the body of a request late in a planned stop of its entry, and returns the answer.
+async fn send_late(entry: SocketAddr, request: String) -> String {
+    let mut stream = TcpStream::connect(entry).await.unwrap();
+    let split = request.find("\r\n\r\n").unwrap() + 8;
+    let (first, rest) = request.as_bytes().split_at(split);
+    stream.write_all(first).await.unwrap();
+    actix_rt::time::sleep(Duration::from_millis(3_500)).await;
+    // The entry may have closed the connection.
+    let _ = stream.write_all(rest).await;
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+fn raw_request(session: &str, path: &str, sequence: u64, headers: &str, body: &Value) -> String {
+    let body = body.to_string();
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {}\r\n\
+         rosebend-session: {session}\r\nrosebend-sequence: {sequence}\r\n{headers}\
+         content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+        token::CARIBMAR,
+        body.len(),
+    )
+}
+
+/// Guards against requests that arrive late in a planned stop, are passed on, and are then cut
+/// at its end, although they may have run.
+#[actix_rt::test]
+async fn a_request_that_arrives_late_in_a_planned_stop_is_answered_or_refused() {
+    let mut cluster = Cluster::start(ClusterConfig::default()).await.unwrap();
+    for session in ["renewal-96", "renewal-97"] {
+        cluster.program(session).await.unwrap();
+    }
+    let service = cluster.services().next().unwrap();
+    service
+        .set_faults(&json!({ "delay_ms": 5_000 }))
+        .await
+        .unwrap();
+    let fee = json!({ "effect_key": "late-fee" });
+    let fee = raw_request(
+        "renewal-96",
+        "/v1/tools/charge-fee",
+        1,
+        "idempotency-key: late-fee\r\n",
+        &fee,
+    );
+    let page = json!({
+        "model": "agent-llm", "max_tokens": 4,
+        "messages": [{ "role": "user", "content": "page 1" }],
+    });
+    let page = raw_request("renewal-97", "/v1/chat/completions", 1, "", &page);
+    let entry = cluster.entry(0);
+    let sent = [fee, page].map(|request| actix_rt::spawn(send_late(entry, request)));
+    actix_rt::time::sleep(Duration::from_millis(300)).await;
+    cluster.entries[0]
+        .process
+        .signal(Signal::Terminate)
+        .unwrap();
+    let mut answers = Vec::new();
+    for sending in sent {
+        answers.push(sending.await.unwrap());
+    }
+    let status = cluster.entries[0].process.wait().await.unwrap();
+    assert!(status.success(), "{status}");
+    let effects = cluster.effects_of("late-fee").await.unwrap();
+    for (answer, effects) in answers.iter().zip([effects, 0]) {
+        let is_whole = answer.starts_with("HTTP/1.1 200");
+        let is_refused = answer.is_empty() || answer.starts_with("HTTP/1.1 503");
+        assert!(is_whole || is_refused, "{answer}");
+        assert!(is_whole || effects == 0, "{answer}: {effects} effects");
+    }
+    assert!(effects <= 1, "{effects} effects");
+}
