Follow the configuration beside rows that no entry wrote

Entries stopped following the configuration for good after another writer had left one row among the resources or the changes that could not be read, and entries that started then had no configuration at all: a read that met such a row gave nothing.

An accepted change or resource that this version cannot read stops the update as before, so that the status shows the host as lagging.

--- a/entry/src/configuration.rs
+++ b/entry/src/configuration.rs
@@ -11,6 +11,7 @@
     event::{Event, EventKind, log_event},
     store::StoreClient,
 };
+use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
 use crate::rows;
@@ -42,12 +43,14 @@
     let range = rows_under(CHANGE_PREFIX).after(&change_key(known));
     let page = store.read_some(&range, MAX_CHANGES as usize).await;
     let rows = page.ok()?.rows;
-    let changes = rows.into_iter().map(change).collect::<Option<Vec<_>>>()?;
+    let rows = rows.into_iter().filter(is_change);
+    let changes = rows.map(change).collect::<Option<Vec<_>>>()?;
     let joins_on = changes.first().map(|change| change.revision) == Some(known + 1);
     Some(joins_on.then_some(changes))
 }
 
-/// All resources at one revision: nobody changed any while they were read.
+/// All resources at one revision: nobody changed any while they were read. A row that no
+/// entry wrote is no resource, and the others hold.
 async fn read_snapshot(store: &StoreClient) -> Option<Snapshot> {
     for _ in 0..SNAPSHOT_ATTEMPTS {
         let revision = newest_revision(store).await?;
@@ -58,8 +61,11 @@
         }
         let resources = rows
             .into_iter()
-            .map(parse)
-            .collect::<Option<Vec<Resource>>>()?;
+            .filter_map(|row| match parse::<Resource>(&row) {
+                None if !is_accepted(&row) => None,
+                resource => Some(resource),
+            })
+            .collect::<Option<Vec<_>>>()?;
         return Some(Snapshot {
             revision,
             resources,
@@ -72,12 +78,12 @@
     let row = store.read_row(&row_id(REVISION_KEY)).await;
     match row.ok()? {
         None => Some(0),
-        Some(row) => parse::<RevisionRow>(row).map(|row| row.revision),
+        Some(row) => parse::<RevisionRow>(&row).map(|row| row.revision),
     }
 }
 
 fn change(row: Row) -> Option<Change> {
-    let row: ChangeRow = parse(row)?;
+    let row: ChangeRow = parse(&row)?;
     let revision = row.revision;
     match Change::try_from(row) {
         Ok(change) => Some(change),
@@ -89,10 +95,34 @@
     }
 }
 
-/// A row that cannot be read stops the update: what is in force stays, and the
+/// Whether a row has the key of a change. Another writer may have left others.
+fn is_change(row: &Row) -> bool {
+    let revision = row.id.key.strip_prefix(CHANGE_PREFIX);
+    let revision = revision.and_then(|revision| revision.parse().ok());
+    revision.is_some_and(|revision| change_key(revision) == row.id.key)
+}
+
+/// The part of a resource that all versions write.
+#[derive(Deserialize)]
+struct AcceptedResource {
+    metadata: AcceptedMetadata,
+}
+
+#[derive(Deserialize)]
+struct AcceptedMetadata {
+    changed_at_revision: Revision,
+}
+
+/// Whether an entry of any version wrote a resource.
+fn is_accepted(row: &Row) -> bool {
+    let resource = rows::from_json::<AcceptedResource>(row);
+    resource.is_ok_and(|resource| resource.metadata.changed_at_revision > 0)
+}
+
+/// An accepted row that cannot be read stops the update: what is in force stays, and the
 /// status shows that this host lags.
-fn parse<T: DeserializeOwned>(row: Row) -> Option<T> {
-    match rows::from_json(&row) {
+fn parse<T: DeserializeOwned>(row: &Row) -> Option<T> {
+    match rows::from_json(row) {
         Ok(value) => Some(value),
         Err(error) => {
             log_event(&Event::new(EventKind::ConfigurationInvalid).error(&error));
--- a/entry/tests/configuration.rs
+++ b/entry/tests/configuration.rs
@@ -80,3 +80,45 @@
     store.stop().await.unwrap();
     assert_eq!(read_newer(&client, 5, 7).await, None);
 }
+
+/// Guards against a host that stops following the configuration because of a row that no entry
+/// wrote, and against one that takes a resource of a newer version for such a row.
+#[actix_rt::test]
+async fn only_rows_that_an_entry_wrote_stop_an_update() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let store = Store::default().open_door(listener).unwrap();
+    let client = StoreClient::new(store.address(), Duration::from_secs(5), Clock::start());
+    fill(&client).await;
+    for key in [
+        "change/odd",
+        "change/9",
+        "resource/tool/odd",
+        "resource/odd",
+    ] {
+        for value in [
+            json!(null),
+            json!("odd"),
+            json!({"revision": 9}),
+            json!([[1e300]]),
+        ] {
+            let transaction = write(Transaction::default(), key, &value);
+            client.transact(&transaction).await.unwrap();
+            let Some(ConfigUpdate::Changes(changes)) = read_newer(&client, 5, 7).await else {
+                panic!("{key}: {value}");
+            };
+            assert_eq!(changes.len(), 2, "{key}: {value}");
+            let Some(ConfigUpdate::Snapshot(snapshot)) = read_newer(&client, 3, 7).await else {
+                panic!("{key}: {value}");
+            };
+            assert_eq!(snapshot.resources.len(), 1, "{key}: {value}");
+        }
+    }
+    let newer = json!({
+        "kind": "weather", "name": "rain", "spec": {},
+        "metadata": {"changed_by": "desk", "changed_at_revision": 7},
+    });
+    let transaction = write(Transaction::default(), "resource/weather/rain", &newer);
+    client.transact(&transaction).await.unwrap();
+    assert_eq!(read_newer(&client, 3, 7).await, None);
+    store.stop().await.unwrap();
+}
