--- a/gateway/src/peers/lost.rs
+++ b/gateway/src/peers/lost.rs
@@ -21,7 +21,7 @@
 /// A host whose row follows this host's own row in the table.
 #[derive(Clone, Debug)]
 pub struct Neighbor {
-    /// Its row.
+    /// Row of the host in the table.
     pub row: RowId,
     /// Version of the row.
     pub version: RowVersion,
