--- a/coordination/src/gateway/pending_changes.rs
+++ b/coordination/src/gateway/pending_changes.rs
@@ -126,7 +126,7 @@
     Conflict(Vec<Row>),
     /// It was not applied, or its outcome is unknown.
     NotKnown,
-    /// It was not applied, and never will be.
+    /// The store rejected it, and would reject any copy of it; it was not applied.
     Rejected,
 }
 
